--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Edges to the outside: HTTP, gRPC, the platform and the engines."""
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated message types of the links between processes."""
--- /dev/null
+++ b/packages/cli/src/dunlintide_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/core/src/dunlintide_core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions of the router: no I/O, no clock and no threads."""
--- /dev/null
+++ b/packages/core/src/dunlintide_core/outcomes.py
@@ -0,0 +1,107 @@
+"""Outcomes that callers see and the failures that lead to them."""
+
+import enum
+
+import attrs
+
+__all__ = [
+    'FailCode',
+    'Outcome',
+    'Refusal',
+    'refuse',
+]
+
+
+class Outcome(enum.StrEnum):
+    """What became of a request, as told to its caller."""
+
+    COMPLETE = 'complete'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class FailCode(enum.StrEnum):
+    """Why a request, or one attempt at it, ended without an answer."""
+
+    BAD_REQUEST = 'bad-request'
+    UNAUTHENTICATED = 'unauthenticated'
+    NO_RULE = 'no-rule'
+    REFUSED_BY_RULE = 'refused-by-rule'
+    NOT_FOUND = 'not-found'
+    TOO_LARGE = 'too-large'
+    KEY_REUSED = 'key-reused'
+    KEY_EXPIRED = 'key-expired'
+    NO_CAPACITY = 'no-capacity'
+    RATE_LIMITED = 'rate-limited'
+    QUEUE_FULL = 'queue-full'
+    DEADLINE = 'deadline'
+    LEAVING = 'leaving'
+    STORE_UNAVAILABLE = 'store-unavailable'
+    QUARANTINED = 'quarantined'
+    STALE_EPOCH = 'stale-epoch'
+    GAP = 'gap'
+    EXECUTOR_GONE = 'executor-gone'
+    ENDPOINT_FAILED = 'endpoint-failed'
+    LINK_LOST = 'link-lost'
+    CANCELLED = 'cancelled'
+    INTERNAL = 'internal'
+
+
+# HTTP status for each failure, by RFC 9110.
+_STATUS = {
+    FailCode.BAD_REQUEST: 400,
+    FailCode.UNAUTHENTICATED: 401,
+    FailCode.NO_RULE: 403,
+    FailCode.REFUSED_BY_RULE: 403,
+    FailCode.NOT_FOUND: 404,
+    FailCode.TOO_LARGE: 413,
+    FailCode.KEY_REUSED: 422,
+    FailCode.KEY_EXPIRED: 422,
+    FailCode.RATE_LIMITED: 429,
+    FailCode.QUARANTINED: 422,
+    FailCode.ENDPOINT_FAILED: 502,
+    FailCode.LINK_LOST: 502,
+    FailCode.EXECUTOR_GONE: 502,
+    FailCode.INTERNAL: 500,
+    FailCode.DEADLINE: 504,
+}
+_DEFAULT_STATUS = 503
+
+
+@attrs.frozen
+class Refusal:
+    """An answer other than the one asked for.
+
+    :ivar code: the reason
+    :ivar outcome: what became of the request
+    :ivar detail: one sentence for the caller, without request content
+    :ivar retry_after: seconds after which a repeat makes sense, or None
+    """
+
+    code: FailCode
+    outcome: Outcome
+    detail: str = ''
+    retry_after: float | None = None
+
+    @property
+    def status(self) -> int:
+        """HTTP status that goes with the code."""
+        return _STATUS.get(self.code, _DEFAULT_STATUS)
+
+
+def refuse(
+    code: FailCode,
+    detail: str = '',
+    *,
+    ran: bool = False,
+    retry_after: float | None = None,
+) -> Refusal:
+    """Build a refusal; ``ran`` tells whether anything may have run.
+
+    :param code: the reason
+    :param detail: one sentence for the caller
+    :param ran: False only when provably nothing of the request ran
+    :param retry_after: seconds after which a repeat makes sense
+    """
+    outcome = Outcome.UNKNOWN if ran else Outcome.NOT_RUN
+    return Refusal(code, outcome, detail, retry_after)
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: entries and agents."""
--- /dev/null
+++ b/packages/standins/src/dunlintide_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and the demo."""
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/__init__.py
@@ -0,0 +1,1 @@
+"""Deployment launcher, demo, load, benchmarks and soak runs."""
