Plan chains by maximum flow and choose between two

Cause: an entry has to spread requests over endpoints of unequal speed that hold unequal layer ranges behind unequal links.

Change: plan.py builds a flow network over layer boundaries, with links aggregated by failure domain pairs, and takes the maximum flow of least latency apart into chains. choose.py draws two chains by share and keeps the one with less outstanding work; it falls back to any path over live endpoints.

--- /dev/null
+++ b/packages/core/src/dunlintide_core/choose.py
@@ -0,0 +1,264 @@
+"""Choice of a chain for each request: two drawn by share, one kept."""
+
+import bisect
+from collections.abc import Collection, Iterable, Mapping
+import itertools
+import random
+from typing import Callable
+
+import attrs
+
+from dunlintide_core import fleet
+from dunlintide_core import plan as plans
+
+__all__ = [
+    'Chooser',
+    'find_path',
+]
+
+# A load report counts linearly less with age, and not at all after this
+# many seconds.
+_REPORT_LIFE = 10.0
+# Draws that may hit an avoided agent before the chains are filtered.
+_DRAWS = 8
+
+_NOTHING: frozenset[str] = frozenset()
+
+
+def find_path(
+    stops: Iterable[plans.Stop],
+    layer_start: int,
+    layer_end: int,
+    cost: Callable[[plans.Stop], float],
+) -> tuple[plans.Stop, ...]:
+    """Find the cheapest endpoints that tile a range of layers.
+
+    :param stops: endpoints that may be used
+    :param cost: what it costs to pass through one, at least 0
+    :returns: the stops in order, empty when no path exists
+    """
+    best: dict[int, float] = {layer_start: 0.0}
+    came: dict[int, plans.Stop] = {}
+    # Every stop leads upwards, so the order of starts settles each
+    # boundary before it is left.
+    for stop in sorted(stops, key=lambda stop: (stop.layer_start, stop.agent)):
+        if stop.layer_start not in best or stop.layer_end > layer_end:
+            continue
+        total = best[stop.layer_start] + cost(stop)
+        if total < best.get(stop.layer_end, float('inf')):
+            best[stop.layer_end] = total
+            came[stop.layer_end] = stop
+    path: list[plans.Stop] = []
+    boundary = layer_end
+    while boundary != layer_start:
+        if boundary not in came:
+            return ()
+        path.append(came[boundary])
+        boundary = path[-1].layer_start
+    return tuple(reversed(path))
+
+
+@attrs.define
+class _Load:
+    """Outstanding work of one agent, in requests.
+
+    :ivar own: requests of this process
+    :ivar others: requests of all other processes, as last reported
+    :ivar reported: time of that report, in seconds
+    """
+
+    capacity: float
+    own: int = 0
+    others: float = 0.0
+    reported: float = 0.0
+
+
+@attrs.frozen
+class _Table:
+    """Chains that may be drawn, with running sums of their shares."""
+
+    chains: tuple[plans.Chain, ...] = ()
+    sums: tuple[float, ...] = ()
+    loads: tuple[tuple[_Load, ...], ...] = ()
+
+
+class Chooser:
+    """Outstanding work of each agent, and the plan that is in force."""
+
+    def __init__(self) -> None:
+        self._plan = plans.EMPTY
+        self._layers = 0
+        self._stops: tuple[plans.Stop, ...] = ()
+        self._loads: dict[str, _Load] = {}
+        self._excluded: frozenset[str] = _NOTHING
+        self._heads: frozenset[str] | None = None
+        self._table = _Table()
+
+    def adopt(
+        self, plan: plans.Plan, stops: Iterable[plans.Stop], layers: int
+    ) -> None:
+        """Put a plan in force.
+
+        :param stops: all live endpoints, also those outside the plan
+        :param layers: number of layers of the model
+        """
+        self._plan = plan
+        self._stops = tuple(stops)
+        self._layers = layers
+        for stop in self._stops:
+            load = self._loads.setdefault(stop.agent, _Load(stop.capacity))
+            load.capacity = stop.capacity
+        self._forget(stop.agent for stop in self._stops)
+        self._build()
+
+    def exclude(self, agents: Collection[str]) -> None:
+        """Give these agents no new work: the dead and the leaving."""
+        self._excluded = frozenset(agents)
+        self._build()
+
+    def restrict(self, heads: Collection[str] | None) -> None:
+        """Use only these agents as heads; None lifts the restriction."""
+        self._heads = None if heads is None else frozenset(heads)
+        self._build()
+
+    def report(self, agent: str, load: fleet.LoadReport, now: float) -> None:
+        """Take a load report of an agent.
+
+        :param now: time in seconds; the report's age is counted from it
+        """
+        known = self._loads.get(agent)
+        if known is not None:
+            known.others = max(0.0, load.running + load.queued - known.own)
+            known.reported = now - load.age
+
+    def choose(
+        self,
+        now: float,
+        rng: random.Random,
+        avoid: Collection[str] = _NOTHING,
+    ) -> plans.Chain | None:
+        """Choose the chain for one request; None when nothing tiles.
+
+        :param now: time in seconds
+        :param avoid: agents that this request must not meet again
+        """
+        table = self._table
+        if not table.chains:
+            return self._improvise(now, avoid)
+        first = self._draw(table, rng, avoid)
+        if first is None:
+            return self._choose_among_rest(now, avoid)
+        second = self._draw(table, rng, avoid)
+        if second is None or second == first:
+            return table.chains[first]
+        if self._score(table.loads[second], now) < self._score(
+            table.loads[first], now
+        ):
+            first = second
+        return table.chains[first]
+
+    def begin(self, chain: plans.Chain) -> None:
+        """Count a request that was sent along a chain."""
+        for stop in chain.stops:
+            load = self._loads.get(stop.agent)
+            if load is not None:
+                load.own += 1
+
+    def end(self, chain: plans.Chain) -> None:
+        """Count a request as over, whatever became of it."""
+        for stop in chain.stops:
+            load = self._loads.get(stop.agent)
+            if load is not None and load.own > 0:
+                load.own -= 1
+
+    def load_of(self, chain: plans.Chain, now: float) -> float:
+        """Give a chain's outstanding work over capacity, in seconds.
+
+        The unit is requests per (token/s); only comparisons count.
+        """
+        loads = (self._loads.get(stop.agent) for stop in chain.stops)
+        return self._score([load for load in loads if load is not None], now)
+
+    def in_flight(self) -> Mapping[str, int]:
+        """Give this process's requests in flight by agent."""
+        return {name: load.own for name, load in self._loads.items()}
+
+    def _forget(self, live: Iterable[str]) -> None:
+        kept = set(live)
+        for name in [name for name in self._loads if name not in kept]:
+            if not self._loads[name].own:
+                del self._loads[name]
+
+    def _usable(self, chain: plans.Chain) -> bool:
+        if not self._excluded.isdisjoint(chain.agents):
+            return False
+        return self._heads is None or chain.agents[0] in self._heads
+
+    def _build(self) -> None:
+        chains = tuple(
+            chain for chain in self._plan.chains if self._usable(chain)
+        )
+        sums = itertools.accumulate(chain.share for chain in chains)
+        loads = tuple(
+            tuple(self._loads[agent] for agent in chain.agents)
+            for chain in chains
+        )
+        self._table = _Table(chains, tuple(sums), loads)
+
+    def _draw(
+        self, table: _Table, rng: random.Random, avoid: Collection[str]
+    ) -> int | None:
+        total = table.sums[-1]
+        last = len(table.sums) - 1
+        for _ in range(_DRAWS if avoid else 1):
+            index = bisect.bisect(table.sums, rng.random() * total, 0, last)
+            if not avoid or not any(
+                agent in avoid for agent in table.chains[index].agents
+            ):
+                return index
+        return None
+
+    def _score(self, loads: Iterable[_Load], now: float) -> float:
+        worst = 0.0
+        for load in loads:
+            weight = 1.0 - (now - load.reported) / _REPORT_LIFE
+            others = load.others * weight if weight > 0.0 else 0.0
+            score = (load.own + others) / load.capacity
+            if score > worst:
+                worst = score
+        return worst
+
+    def _choose_among_rest(
+        self, now: float, avoid: Collection[str]
+    ) -> plans.Chain | None:
+        rest = [
+            index
+            for index, chain in enumerate(self._table.chains)
+            if not any(agent in avoid for agent in chain.agents)
+        ]
+        if not rest:
+            return self._improvise(now, avoid)
+        best = min(
+            rest, key=lambda index: self._score(self._table.loads[index], now)
+        )
+        return self._table.chains[best]
+
+    def _improvise(
+        self, now: float, avoid: Collection[str]
+    ) -> plans.Chain | None:
+        """Tile the layers with whatever lives, without a plan."""
+        usable = [stop for stop in self._stops if self._may_visit(stop, avoid)]
+        path = find_path(
+            usable,
+            0,
+            self._layers,
+            lambda stop: (1 + self._loads[stop.agent].own) / stop.capacity,
+        )
+        return plans.Chain(path) if path else None
+
+    def _may_visit(self, stop: plans.Stop, avoid: Collection[str]) -> bool:
+        if stop.agent in self._excluded or stop.agent in avoid:
+            return False
+        if stop.layer_start > 0 or self._heads is None:
+            return stop.capacity > 0.0
+        return stop.agent in self._heads and stop.capacity > 0.0
--- /dev/null
+++ b/packages/core/src/dunlintide_core/plan.py
@@ -0,0 +1,305 @@
+"""Maximum flow over layer ranges: the throughput bound and its chains.
+
+Layer boundaries of a model are the places, endpoints are edges between
+them, and so are the links. Links are aggregated by pairs of failure
+domains, which keeps the graph linear in the number of endpoints.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+import networkx
+from networkx.algorithms import flow as flows
+
+__all__ = [
+    'EMPTY',
+    'Chain',
+    'LinkQuality',
+    'Links',
+    'Plan',
+    'Stop',
+    'make_plan',
+]
+
+# Flows are whole numbers, so that they are exact and ties are stable.
+_UNITS_PER_TOKEN = 1000
+# A measured link this many times worse than its default is planned alone.
+_EXCEPTION_FACTOR = 2.0
+# Latencies are whole microseconds in the network, for the same reason.
+_COST_PER_SECOND = 1_000_000
+_SOURCE = 0
+_SINK = 1
+
+
+@attrs.frozen
+class Stop:
+    """An endpoint as the planner sees it.
+
+    Layers are the half-open range ``[layer_start, layer_end)``.
+
+    :ivar agent: name of the agent before it
+    :ivar capacity: tokens/s over all sessions
+    """
+
+    agent: str
+    layer_start: int
+    layer_end: int
+    capacity: float
+    failure_domain: str = ''
+
+
+@attrs.frozen
+class LinkQuality:
+    """What a link carries.
+
+    :ivar latency: one way, in seconds
+    :ivar tokens_per_second: activations of this many positions a second
+    """
+
+    latency: float = 0.0005
+    tokens_per_second: float = 1e6
+
+
+@attrs.frozen
+class Links:
+    """Qualities of all links, by direction.
+
+    :ivar default: where nothing else is known
+    :ivar domains: by (from, to) failure domain: what all agents of the
+        two carry together at one layer boundary
+    :ivar agents: by (from, to) agent: what was measured for that pair
+    """
+
+    default: LinkQuality = LinkQuality()
+    domains: Mapping[tuple[str, str], LinkQuality] = attrs.field(factory=dict)
+    agents: Mapping[tuple[str, str], LinkQuality] = attrs.field(factory=dict)
+
+    def between_domains(self, source: str, target: str) -> LinkQuality:
+        """Give the quality between two failure domains."""
+        return self.domains.get((source, target), self.default)
+
+    def between(self, source: Stop, target: Stop) -> LinkQuality:
+        """Give the quality between two endpoints."""
+        measured = self.agents.get((source.agent, target.agent))
+        if measured is not None:
+            return measured
+        return self.between_domains(
+            source.failure_domain, target.failure_domain
+        )
+
+
+@attrs.frozen
+class Chain:
+    """Endpoints whose layer ranges tile the model, in order.
+
+    :ivar share: tokens/s of the plan that go this way
+    :ivar latency: sum of the links' latencies, back to the head, seconds
+    """
+
+    stops: tuple[Stop, ...]
+    share: float = 0.0
+    latency: float = 0.0
+
+    @property
+    def agents(self) -> tuple[str, ...]:
+        """Names of the agents, head first."""
+        return tuple(stop.agent for stop in self.stops)
+
+
+@attrs.frozen
+class Plan:
+    """The throughput bound and the chains that reach it.
+
+    :ivar bound: tokens/s that the endpoints and links allow
+    :ivar chains: their shares sum to the bound
+    """
+
+    bound: float
+    chains: tuple[Chain, ...] = ()
+
+
+EMPTY = Plan(0.0)
+
+
+def _units(tokens_per_second: float) -> int:
+    return int(tokens_per_second * _UNITS_PER_TOKEN)
+
+
+class _Network:
+    """Flow network under construction; nodes are whole numbers."""
+
+    def __init__(self, stops: list[Stop], layers: int, links: Links) -> None:
+        self.stops = stops
+        self.graph = networkx.DiGraph()
+        self._hubs: dict[tuple[str, int, str], int] = {}
+        self._links = links
+        self._layers = layers
+        self._excepted = self._find_excepted()
+        self.graph.add_nodes_from((_SOURCE, _SINK))
+        for index in range(len(stops)):
+            self._add_stop(index)
+        self._join_hubs()
+
+    def _find_excepted(self) -> set[str]:
+        by_agent = {stop.agent: stop for stop in self.stops}
+        found = set()
+        for (source, target), quality in self._links.agents.items():
+            first, second = by_agent.get(source), by_agent.get(target)
+            if first is None or second is None:
+                continue
+            usual = self._links.between_domains(
+                first.failure_domain, second.failure_domain
+            )
+            slow = quality.latency > usual.latency * _EXCEPTION_FACTOR
+            rate = quality.tokens_per_second * _EXCEPTION_FACTOR
+            if slow or rate < usual.tokens_per_second:
+                found.add(source)
+        return found
+
+    def _hub(self, side: str, boundary: int, domain: str) -> int:
+        key = (side, boundary, domain)
+        hub = self._hubs.get(key)
+        if hub is None:
+            hub = 2 + 2 * len(self.stops) + len(self._hubs)
+            self._hubs[key] = hub
+        return hub
+
+    def _add_edge(self, source: int, target: int, quality: LinkQuality):
+        self.graph.add_edge(
+            source,
+            target,
+            capacity=_units(quality.tokens_per_second),
+            cost=int(quality.latency * _COST_PER_SECOND),
+        )
+
+    def _add_stop(self, index: int) -> None:
+        stop = self.stops[index]
+        entering, leaving = 2 + 2 * index, 3 + 2 * index
+        own = LinkQuality(0.0, stop.capacity)
+        self._add_edge(entering, leaving, own)
+        if stop.layer_start == 0:
+            self._add_edge(_SOURCE, entering, own)
+        else:
+            hub = self._hub('in', stop.layer_start, stop.failure_domain)
+            self._add_edge(hub, entering, own)
+        if stop.layer_end == self._layers:
+            self._add_edge(leaving, _SINK, own)
+        elif stop.agent in self._excepted:
+            self._add_direct(leaving, stop)
+        else:
+            hub = self._hub('out', stop.layer_end, stop.failure_domain)
+            self._add_edge(leaving, hub, own)
+
+    def _add_direct(self, leaving: int, stop: Stop) -> None:
+        for index, target in enumerate(self.stops):
+            if target.layer_start == stop.layer_end:
+                quality = self._links.between(stop, target)
+                self._add_edge(leaving, 2 + 2 * index, quality)
+
+    def _join_hubs(self) -> None:
+        exits = [key for key in self._hubs if key[0] == 'out']
+        entrances = [key for key in self._hubs if key[0] == 'in']
+        for leaving in exits:
+            for entering in entrances:
+                if leaving[1] == entering[1]:
+                    quality = self._links.between_domains(
+                        leaving[2], entering[2]
+                    )
+                    self._add_edge(
+                        self._hubs[leaving], self._hubs[entering], quality
+                    )
+
+
+def _find_flow(graph: networkx.DiGraph) -> dict[int, dict[int, int]]:
+    """Find the maximum flow of least total latency, without its zeros."""
+    bound = networkx.maximum_flow_value(
+        graph, _SOURCE, _SINK, flow_func=flows.preflow_push
+    )
+    graph.nodes[_SOURCE]['demand'] = -bound
+    graph.nodes[_SINK]['demand'] = bound
+    _, flow = networkx.network_simplex(graph, weight='cost')
+    return {
+        source: {
+            target: amount for target, amount in targets.items() if amount
+        }
+        for source, targets in flow.items()
+    }
+
+
+def _walk(
+    graph: networkx.DiGraph, flow: dict[int, dict[int, int]]
+) -> list[int]:
+    path = [_SOURCE]
+    while path[-1] != _SINK:
+        edges = graph[path[-1]]
+        path.append(
+            min(
+                flow[path[-1]].items(),
+                key=lambda item: (edges[item[0]]['cost'], -item[1]),
+            )[0]
+        )
+    return path
+
+
+def _decompose(
+    graph: networkx.DiGraph, flow: dict[int, dict[int, int]]
+) -> Iterable[tuple[list[int], int]]:
+    # The graph is acyclic, so each walk over positive flow ends at the
+    # sink, and each takes at least one edge's flow away.
+    while flow.get(_SOURCE):
+        path = _walk(graph, flow)
+        pairs = list(zip(path, path[1:]))
+        amount = min(flow[source][target] for source, target in pairs)
+        for source, target in pairs:
+            flow[source][target] -= amount
+            if not flow[source][target]:
+                del flow[source][target]
+        yield path, amount
+
+
+def _chain(
+    network: _Network, path: list[int], amount: int, links: Links
+) -> Chain:
+    last = 2 + 2 * len(network.stops)
+    stops = tuple(
+        network.stops[(node - 2) // 2]
+        for node in path
+        if 2 <= node < last and node % 2 == 0
+    )
+    hops = zip(stops, stops[1:] + stops[:1])
+    latency = sum(links.between(*hop).latency for hop in hops)
+    return Chain(stops, amount / _UNITS_PER_TOKEN, latency)
+
+
+def make_plan(
+    stops: Iterable[Stop], layers: int, links: Links = Links()
+) -> Plan:
+    """Find the most tokens/s that the stops can carry, and by which way.
+
+    The same input gives the same plan, in every process. It takes tens
+    of milliseconds at 600 endpoints, so it belongs in the background.
+
+    :param stops: live endpoints of one model version
+    :param layers: number of layers of the model
+    :param links: qualities of the links between them
+    """
+    usable = sorted(
+        (
+            stop
+            for stop in stops
+            if stop.capacity > 0.0
+            and 0 <= stop.layer_start < stop.layer_end <= layers
+        ),
+        key=lambda stop: (stop.agent, stop.layer_start),
+    )
+    network = _Network(usable, layers, links)
+    flow = _find_flow(network.graph)
+    merged: dict[tuple[Stop, ...], Chain] = {}
+    for path, amount in _decompose(network.graph, flow):
+        chain = _chain(network, path, amount, links)
+        known = merged.get(chain.stops)
+        if known is not None:
+            chain = attrs.evolve(chain, share=chain.share + known.share)
+        merged[chain.stops] = chain
+    chains = tuple(merged.values())
+    return Plan(sum(chain.share for chain in chains), chains)
