--- /dev/null
+++ b/.ci/tally.py
@@ -0,0 +1,85 @@
+"""Count the scenarios of a behave report; known failures stand apart.
+
+The last line printed is ``N passed, N failed``. The exit code is 1 when
+a scenario failed that is not listed, when nothing ran, when the list is
+stale or too long, or when behave failed for another reason.
+"""
+
+import json
+import pathlib
+import sys
+
+__all__ = ['main']
+
+MAX_KNOWN = 3
+
+
+def _read_scenarios(path: pathlib.Path) -> list[tuple[str, str]]:
+    """Read the name and status of each scenario that was reported."""
+    try:
+        features = json.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        print(f'no report of the tests: {error}')
+        return []
+    return [
+        (element['name'], element.get('status', 'untested'))
+        for feature in features
+        for element in feature.get('elements', ())
+        if element['type'] != 'background'
+    ]
+
+
+def _read_known(path: pathlib.Path) -> list[str]:
+    """Read the lines, each of which is ``scenario, cause, issue``."""
+    if not path.exists():
+        return []
+    lines = path.read_text().splitlines()
+    return [line.strip() for line in lines if line.strip()]
+
+
+def _match(name: str, known: list[str]) -> str | None:
+    """Find the line of a scenario; an outline's examples share one."""
+    plain = name.split(' -- @')[0]
+    starts = (f'{name},', f'{plain},')
+    return next((line for line in known if line.startswith(starts)), None)
+
+
+def main(report: str, known_red: str, behave_code: str) -> int:
+    """Print the count and return the exit code."""
+    scenarios = _read_scenarios(pathlib.Path(report))
+    known = _read_known(pathlib.Path(known_red))
+    passed = [name for name, status in scenarios if status == 'passed']
+    skipped = [name for name, status in scenarios if status == 'skipped']
+    red = [
+        name
+        for name, status in scenarios
+        if status not in ('passed', 'skipped')
+    ]
+    failed = [name for name in red if _match(name, known) is None]
+    listed = [name for name in red if _match(name, known) is not None]
+    ran = {_match(name, known) for name in passed + red}
+    problems = len(failed)
+    for name in failed:
+        print(f'failed: {name}')
+    for name in listed:
+        print(f'known failure: {_match(name, known)}')
+    for name in skipped:
+        print(f'skipped: {name}')
+    for name in [line for line in known if line not in ran]:
+        print(f'listed in {known_red} but not run: {name}')
+        problems += 1
+    if len(known) > MAX_KNOWN:
+        print(f'{known_red} lists {len(known)}, more than {MAX_KNOWN}')
+        problems += 1
+    if not scenarios:
+        print('nothing ran')
+        problems += 1
+    if behave_code != '0' and not red:
+        print(f'the test command ended with {behave_code}')
+        problems += 1
+    print(f'{len(passed)} passed, {problems} failed')
+    return 1 if problems or not passed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(*sys.argv[1:]))
--- /dev/null
+++ b/Makefile
@@ -0,0 +1,68 @@
+# A bare machine needs python3 (3.11 or later) with pip and venv, and make.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := core adapters daemon cli standins trials
+TOOLS := behave black flake8 hacking
+SOURCES := packages features
+
+PIP := PIP_CONSTRAINT=constraints.txt $(BIN)/python -m pip -qq \
+	--disable-pip-version-check --no-input
+EDITABLE := $(PACKAGES:%=--editable packages/%)
+
+# Hashing is fixed, so that a failing test fails again.
+RUN := PYTHONHASHSEED=0 PATH="$(CURDIR)/$(BIN):$$PATH"
+
+# demo: KEEP=1 leaves it running; SCALE=full starts the whole example.
+KEEP ?= 0
+SCALE ?= small
+EXAMPLE ?= examples/cooperative.jsonc
+# bench: a glob over the names of cases.
+CASE ?= *
+# soak: the seed of the faults, and how long they last.
+SEED ?= 1
+SECONDS ?= 60
+# test: further arguments of behave; a file for the report in JSON.
+ARGS ?=
+REPORT ?=
+
+.DEFAULT_GOAL := help
+.PHONY: help install test lint format demo bench soak clean
+
+help:
+	@echo 'targets: install test lint format demo bench soak clean'
+
+install: $(STAMP)
+
+$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(PIP) install setuptools
+	$(PIP) install --no-build-isolation $(EDITABLE) $(TOOLS)
+	@touch $@
+
+test: $(STAMP)
+	$(RUN) $(BIN)/behave $(if $(REPORT),--format json --outfile $(REPORT)) \
+		--format progress $(ARGS) features
+
+lint: $(STAMP)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/black --check --quiet $(SOURCES)
+
+format: $(STAMP)
+	$(BIN)/black --quiet $(SOURCES)
+
+demo: $(STAMP)
+	@$(RUN) $(BIN)/python -m dunlintide_trials.demo --scale $(SCALE) \
+		$(if $(filter 1,$(KEEP)),--keep) $(EXAMPLE)
+
+bench: $(STAMP)
+	@$(RUN) $(BIN)/python -m dunlintide_trials.bench '$(CASE)'
+
+soak: $(STAMP)
+	@$(RUN) $(BIN)/python -m dunlintide_trials.soak \
+		--seed $(SEED) --seconds $(SECONDS)
+
+clean:
+	rm -rf $(VENV) .demo .ci/out
--- /dev/null
+++ b/features/packages.feature
@@ -0,0 +1,18 @@
+Feature: Imports between the packages point one way
+
+  Scenario Outline: A package imports only what it may
+    When the imports of package "<package>" are read
+    Then of the workspace it imports at most "<allowed>"
+
+    Examples:
+      | package  | allowed                                |
+      | core     |                                        |
+      | adapters | core                                   |
+      | daemon   | adapters, core                         |
+      | cli      | adapters, core                         |
+      | standins |                                        |
+      | trials   | adapters, cli, core, daemon, standins  |
+
+  Scenario: The decisions import nothing that does I/O or reads a clock
+    When the imports of package "core" are read
+    Then they leave out "asyncio, grpc, os, socket, subprocess, threading, time, urllib3, waitress"
