Set up logs as JSON lines that hold no key

Cause: each process needs logs that can be collected and that never show a bearer key, also not by way of a traceback or an extra field. Change: logs.configure sets absl.logging up with a JSON or text formatter; the finished line is masked.

--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/logs.py
@@ -0,0 +1,145 @@
+"""Logs of a process: JSON lines, or plain text on a terminal.
+
+No bearer key reaches the output: what follows ``Bearer`` or
+``Authorization`` is masked in the finished line, and so is each word that
+a predicate set with ``mask_keys`` takes for a key.
+"""
+
+import enum
+import logging as standard_logging
+import re
+import sys
+from typing import Callable
+
+from absl import flags
+from absl import logging
+from pythonjsonlogger import json as json_logging
+
+__all__ = [
+    'Format',
+    'MASK',
+    'configure',
+    'mask',
+    'mask_keys',
+]
+
+MASK = '[masked]'
+# Shorter words are not looked at as keys; callers' keys are longer.
+MIN_KEY_CHARACTERS = 8
+
+_TEXT_FORMAT = (
+    '%(asctime)s %(levelname)s %(name)s %(filename)s:%(lineno)d %(message)s'
+)
+_JSON_FIELDS = '%(levelname)s %(filename)s %(lineno)d %(message)s'
+_JSON_NAMES = {
+    'levelname': 'level',
+    'filename': 'file',
+    'lineno': 'line',
+}
+# A quote may stand escaped, since the finished line is looked at. A header
+# may be shown as "Name: value", as a JSON or Python pair or an assignment.
+_QUOTE = r'(?:\\*["\'])?'
+_AUTHORIZATION = re.compile(
+    r'((?:proxy[-_])?authorization'
+    + _QUOTE
+    + r'\s*[:=,]\s*(?:b(?=\\*["\']))?'
+    + _QUOTE
+    + r')((?:\w+\s+)?[^\s"\'\\,}\])]+)',
+    re.IGNORECASE,
+)
+_BEARER = re.compile(r'(\bbearer[\s:=]+)[^\s"\'\\,}\])]+', re.IGNORECASE)
+_WORD = re.compile(r'[A-Za-z0-9._~+/=-]{%d,}' % MIN_KEY_CHARACTERS)
+
+_is_key: Callable[[str], bool] | None = None
+
+
+class Format(enum.StrEnum):
+    """How log lines look; auto means text on a terminal, else JSON."""
+
+    AUTO = 'auto'
+    JSON = 'json'
+    TEXT = 'text'
+
+
+def mask_keys(is_key: Callable[[str], bool] | None) -> None:
+    """Mask each word of a log line for which ``is_key`` is true.
+
+    :param is_key: for example, whether a word's SHA-256 is a known key
+        hash; None masks by the surrounding text alone
+    """
+    global _is_key
+    _is_key = is_key
+
+
+def mask(text: str) -> str:
+    """Replace bearer keys and Authorization values in a text."""
+    text = _AUTHORIZATION.sub(rf'\1{MASK}', text)
+    text = _BEARER.sub(rf'\1{MASK}', text)
+    is_key = _is_key
+    if is_key is None:
+        return text
+    return _WORD.sub(
+        lambda found: MASK if is_key(found[0]) else found[0], text
+    )
+
+
+class _Masking(standard_logging.Formatter):
+    """Masks the finished line, so tracebacks and extras are covered."""
+
+    def __init__(self, formatter: standard_logging.Formatter) -> None:
+        super().__init__()
+        self._formatter = formatter
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        return mask(self._formatter.format(record))
+
+
+def _build_json(fields: dict[str, str]) -> standard_logging.Formatter:
+    return json_logging.JsonFormatter(
+        _JSON_FIELDS,
+        rename_fields=_JSON_NAMES,
+        static_fields=fields,
+        timestamp=True,
+    )
+
+
+def _build_text(fields: dict[str, str]) -> standard_logging.Formatter:
+    prefix = ' '.join(f'{key}={value}' for key, value in fields.items())
+    return standard_logging.Formatter(
+        _TEXT_FORMAT.replace('%(name)s', prefix.replace('%', '%%'))
+    )
+
+
+def _choose(log_format: Format) -> Format:
+    if log_format is not Format.AUTO:
+        return log_format
+    return Format.TEXT if sys.stderr.isatty() else Format.JSON
+
+
+def configure(
+    name: str,
+    role: str,
+    failure_domain: str,
+    level: str = 'info',
+    format: str = Format.AUTO,
+) -> None:
+    """Send all logs of the process to standard error.
+
+    Call it before the first log line; absl warns on lines that come
+    earlier. A later call replaces the settings of the one before.
+
+    :param level: debug, info, warning, error or fatal
+    :param format: auto, json or text
+    :raises ValueError: for an unknown level or format
+    """
+    fields = {'name': name, 'role': role, 'failure_domain': failure_domain}
+    chosen = _choose(Format(format))
+    build = _build_json if chosen is Format.JSON else _build_text
+    if not flags.FLAGS.is_parsed():
+        # The settings come from a file; absl would warn of unparsed flags.
+        flags.FLAGS.mark_as_parsed()
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = sys.stderr
+    handler.python_handler.setFormatter(_Masking(build(fields)))
+    logging.use_absl_handler()
+    logging.set_verbosity(level)
