Serve HTTP with bounded memory and a graceful stop

Cause: waitress spills buffers to temporary files, cancels requests a few seconds into a shutdown, queues requests without bound behind busy threads and holds a thread for a client that reads nothing. Change: HttpServer.from_config sets its limits, refuses the excess with 503 from spare threads, lets each request in flight finish on stop, cuts off stalled clients by TCP_USER_TIMEOUT and renders error pages by a closure of the application. The stall timeout was not run.

--- /dev/null
+++ b/features/httpserver.feature
@@ -0,0 +1,42 @@
+Feature: HTTP server
+  An HTTP server bounds what it holds and cuts off no request.
+
+  Background:
+    Given an HTTP server for 2 requests at once and bodies of 1000 bytes
+
+  Scenario: A body over the limit is refused and nothing runs
+    When an HTTP body of 1000 bytes is posted
+    Then the HTTP status is 200
+    When an HTTP body of 1001 bytes is posted
+    Then the HTTP status is 413
+    And the HTTP application ran 1 times
+
+  Scenario: More requests than may run at once are refused, not queued
+    When 2 HTTP requests are held by the application
+    And an HTTP body of 10 bytes is posted
+    Then the HTTP status is 503
+    And the HTTP application ran 2 times
+
+  Scenario: A stop finishes what runs and accepts no more
+    When 2 HTTP requests are held by the application
+    And the HTTP server is told to stop
+    Then the HTTP port refuses connections
+    When the held HTTP requests are released
+    Then the held HTTP requests got whole answers
+    And the HTTP server has stopped
+
+  Scenario: A stop closes idle connections
+    When an HTTP body of 10 bytes is posted
+    And the HTTP server is told to stop
+    Then the HTTP server has stopped
+
+  Scenario: A caller that does not read pushes the application back
+    When a caller asks for 64 MB and reads none of it
+    Then the HTTP application is pushed back below 16 MB
+    When the caller reads the rest
+    Then the caller got 64 MB
+    And the HTTP server made no temporary file
+
+  Scenario: The application sees that its caller has gone
+    When a caller asks to be waited for and hangs up
+    Then the HTTP application sees the hang-up
--- /dev/null
+++ b/features/steps/httpserver.py
@@ -0,0 +1,183 @@
+"""Steps for the HTTP server."""
+
+from concurrent import futures
+import socket
+import tempfile
+import threading
+import time
+from unittest import mock
+
+import behave
+from dunlintide_adapters import httpserver
+import urllib3
+
+WAIT_SECONDS = 20.0
+CHUNK = b'x' * (1 << 20)
+
+
+def wait_until(condition):
+    """Wait until the condition holds, or fail."""
+    deadline = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError('condition not met in time')
+        time.sleep(0.01)
+
+
+class Application:
+    """Answers by path, and keeps count."""
+
+    def __init__(self):
+        self.runs = 0
+        self.produced = 0
+        self.saw_hang_up = threading.Event()
+        self.release = threading.Event()
+
+    def _produce(self, chunks):
+        for _ in range(chunks):
+            self.produced += len(CHUNK)
+            yield CHUNK
+
+    def __call__(self, environ, start_response):
+        self.runs += 1
+        path = environ['PATH_INFO']
+        start_response('200 OK', [('Content-Type', 'text/plain')])
+        if path.startswith('/big/'):
+            return self._produce(int(path.rpartition('/')[2]))
+        if path == '/hold':
+            self.release.wait(WAIT_SECONDS)
+        if path == '/gone':
+            wait_until(environ['waitress.client_disconnected'])
+            self.saw_hang_up.set()
+        return [b'answer']
+
+
+def fetch(context, method, path, **options):
+    return context.http.request(
+        method, f'{context.url}{path}', retries=False, **options
+    )
+
+
+@behave.given(
+    'an HTTP server for {threads:d} requests at once and bodies of '
+    '{size:d} bytes'
+)
+def start_server(context, threads, size):
+    patch = mock.patch.object(
+        tempfile, 'TemporaryFile', side_effect=AssertionError('spilled')
+    )
+    context.temporary = patch.start()
+    context.add_cleanup(patch.stop)
+    context.application = Application()
+    context.server = httpserver.HttpServer.from_config(
+        context.application, '127.0.0.1:0', threads, max_body=size
+    )
+    context.server.start()
+    context.add_cleanup(context.server.stop, 0)
+    context.add_cleanup(context.application.release.set)
+    context.url = f'http://127.0.0.1:{context.server.port}'
+    context.http = urllib3.PoolManager(maxsize=8)
+    context.pool = futures.ThreadPoolExecutor(8)
+    context.add_cleanup(context.pool.shutdown)
+
+
+@behave.when('an HTTP body of {size:d} bytes is posted')
+def post_body(context, size):
+    context.answer = fetch(context, 'POST', '/', body=b'x' * size)
+
+
+@behave.then('the HTTP status is {status:d}')
+def check_status(context, status):
+    assert context.answer.status == status, context.answer.status
+    if status >= 400:
+        assert context.answer.json()['status'] == status
+
+
+@behave.then('the HTTP application ran {times:d} times')
+def check_runs(context, times):
+    assert context.application.runs == times, context.application.runs
+
+
+@behave.when('{count:d} HTTP requests are held by the application')
+def hold_requests(context, count):
+    context.held = [
+        context.pool.submit(fetch, context, 'GET', '/hold')
+        for _ in range(count)
+    ]
+    wait_until(lambda: context.server.in_flight == count)
+
+
+@behave.when('the HTTP server is told to stop')
+def stop_server(context):
+    context.stopped = context.pool.submit(context.server.stop)
+
+
+@behave.then('the HTTP port refuses connections')
+def check_refusal(context):
+    def is_refused():
+        address = ('127.0.0.1', context.server.port)
+        with socket.socket() as connection:
+            return connection.connect_ex(address) != 0
+
+    wait_until(is_refused)
+    assert context.server.in_flight == 2, context.server.in_flight
+
+
+@behave.when('the held HTTP requests are released')
+def release_requests(context):
+    context.application.release.set()
+
+
+@behave.then('the held HTTP requests got whole answers')
+def check_held(context):
+    for held in context.held:
+        assert held.result(WAIT_SECONDS).data == b'answer'
+
+
+@behave.then('the HTTP server has stopped')
+def check_stopped(context):
+    assert context.stopped.result(WAIT_SECONDS) is True
+
+
+@behave.when('a caller asks for {size:d} MB and reads none of it')
+def ask_much(context, size):
+    context.answer = fetch(
+        context, 'GET', f'/big/{size}', preload_content=False
+    )
+
+
+@behave.then('the HTTP application is pushed back below {size:d} MB')
+def check_push_back(context, size):
+    seen = -1
+    while context.application.produced != seen:
+        seen = context.application.produced
+        time.sleep(0.5)
+    assert seen < size << 20, seen
+
+
+@behave.when('the caller reads the rest')
+def read_rest(context):
+    context.received = sum(map(len, context.answer.stream(1 << 20)))
+
+
+@behave.then('the caller got {size:d} MB')
+def check_received(context, size):
+    assert context.received == size << 20, context.received
+
+
+@behave.then('the HTTP server made no temporary file')
+def check_temporary(context):
+    assert not context.temporary.called
+
+
+@behave.when('a caller asks to be waited for and hangs up')
+def hang_up(context):
+    address = ('127.0.0.1', context.server.port)
+    with socket.create_connection(address) as connection:
+        connection.sendall(b'GET /gone HTTP/1.1\r\nHost: x\r\n\r\n')
+        wait_until(lambda: context.server.in_flight == 1)
+
+
+@behave.then('the HTTP application sees the hang-up')
+def check_hang_up(context):
+    assert context.application.saw_hang_up.wait(WAIT_SECONDS)
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/httpserver.py
@@ -0,0 +1,359 @@
+"""WSGI server: waitress with bounded memory and a graceful stop.
+
+Nothing is spilled to files, since hosts have no disks: request bodies are
+bounded by refusal and answers by pushing the application back. A stop
+lets each request in flight finish. Requests beyond the number that may
+run at once are refused at once by spare threads, so none waits unseen.
+"""
+
+import http
+import json
+import logging as standard_logging
+import socket
+import sys
+import threading
+import time
+from typing import Callable, Iterable
+
+from absl import logging
+import attrs
+import waitress.channel
+import waitress.server
+import waitress.task
+
+__all__ = [
+    'ErrorPage',
+    'HttpServer',
+    'render_error',
+]
+
+DEFAULT_MAX_BODY_BYTES = 4 << 20
+DEFAULT_MAX_HEADER_BYTES = 32 << 10
+DEFAULT_MAX_CONNECTIONS = 2048
+DEFAULT_IDLE_SECONDS = 75.0
+# A client that takes no byte of its answer for so long is cut off, as it
+# would hold a thread for ever.
+DEFAULT_STALL_SECONDS = 30.0
+
+# Threads beyond those that may run the application; they only refuse.
+_SPARE_THREADS = 4
+_BACKLOG = 256
+_HIGH_WATERMARK_BYTES = 256 << 10
+_PIECE_BYTES = 64 << 10
+_LOOKAHEAD = 1
+_LOOP_SECONDS = 1.0
+_STOP_LOOP_SECONDS = 0.05
+_CLEANUP_SECONDS = 5
+# A connection this long without a byte holds no request on its way.
+_QUIET_SECONDS = 0.25
+# A request that is only partly received may take this long to go on.
+_RECEIVE_SECONDS = 5.0
+_SHUTDOWN_SECONDS = 5.0
+_KEEPALIVE_SECONDS = 10
+_KEEPALIVE_PROBES = 3
+
+
+@attrs.frozen
+class ErrorPage:
+    """Answer of the server itself, in place of the application's.
+
+    :ivar headers: header fields without the length
+    """
+
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+def render_error(status: int, detail: str) -> ErrorPage:
+    """Build a problem document (RFC 9457) for a refusal."""
+    body = {
+        'type': 'about:blank',
+        'title': http.HTTPStatus(status).phrase,
+        'status': status,
+        'detail': detail,
+    }
+    headers = (('Content-Type', 'application/problem+json'),)
+    return ErrorPage(json.dumps(body).encode(), headers)
+
+
+def _build_status_line(status: int) -> str:
+    return f'{status} {http.HTTPStatus(status).phrase}'
+
+
+class _ErrorTask(waitress.task.ErrorTask):
+    """Refuses a request that waitress itself found faulty."""
+
+    def execute(self) -> None:
+        error = self.request.error
+        page = self.channel.server.render_error(error.code, error.reason)
+        self.status = _build_status_line(error.code)
+        self.response_headers.extend(page.headers)
+        self.set_close_on_finish()
+        self.content_length = len(page.body)
+        self.write(page.body)
+
+
+class _Channel(waitress.channel.HTTPChannel):
+    """Connection whose error pages are the application's own."""
+
+    error_task_class = _ErrorTask
+
+
+class _Body:
+    """Body of an answer in pieces that the output buffer bounds.
+
+    waitress takes a piece of any size once it is below its watermark.
+    """
+
+    def __init__(
+        self, chunks: Iterable[bytes], release: Callable[[], None]
+    ) -> None:
+        self._chunks = chunks
+        self._release = release
+
+    def __iter__(self):
+        for chunk in self._chunks:
+            for start in range(0, len(chunk), _PIECE_BYTES):
+                yield chunk[start : start + _PIECE_BYTES]
+
+    def __len__(self) -> int:
+        # waitress takes the length of the first piece for that of the
+        # answer when this is 1; any other value tells it nothing.
+        chunks = self._chunks
+        if isinstance(chunks, (list, tuple)) and len(chunks) == 1:
+            return 1 if len(chunks[0]) <= _PIECE_BYTES else 0
+        return 0
+
+    def close(self) -> None:
+        try:
+            close = getattr(self._chunks, 'close', None)
+            if close is not None:
+                close()
+        finally:
+            self._release()
+
+
+class _Gate:
+    """Runs at most so many requests at once and refuses the others."""
+
+    def __init__(
+        self,
+        app: Callable,
+        limit: int,
+        render: Callable[[int, str], ErrorPage],
+    ) -> None:
+        self.in_flight = 0
+        self._app = app
+        self._limit = limit
+        self._render = render
+        self._lock = threading.Lock()
+
+    def _enter(self) -> bool:
+        with self._lock:
+            if self.in_flight >= self._limit:
+                return False
+            self.in_flight += 1
+            return True
+
+    def _leave(self) -> None:
+        with self._lock:
+            self.in_flight -= 1
+
+    def _refuse(self, start_response: Callable) -> list[bytes]:
+        status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        page = self._render(status, 'too many requests in flight')
+        length = ('Content-Length', str(len(page.body)))
+        line = _build_status_line(status)
+        start_response(line, [*page.headers, length])
+        return [page.body]
+
+    def __call__(self, environ: dict, start_response: Callable):
+        if not self._enter():
+            return self._refuse(start_response)
+        try:
+            chunks = self._app(environ, start_response)
+        except BaseException:
+            self._leave()
+            raise
+        return _Body(chunks, self._leave)
+
+
+def _list_socket_options(stall_seconds: float) -> list[tuple]:
+    tcp = socket.IPPROTO_TCP
+    return [
+        (tcp, socket.TCP_NODELAY, 1),
+        (tcp, socket.TCP_USER_TIMEOUT, int(stall_seconds * 1000)),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS),
+        (tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS),
+        (tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+    ]
+
+
+def _quiet_library() -> None:
+    # At info level waitress logs the paths of requests; its queue warns
+    # of each request that waits, even for a spare thread.
+    standard_logging.getLogger('waitress').setLevel('WARNING')
+    standard_logging.getLogger('waitress.queue').setLevel('ERROR')
+
+
+class HttpServer:
+    """A WSGI server on its own threads.
+
+    Applications find ``waitress.client_disconnected`` in the environment,
+    a function that tells whether the caller has gone.
+    """
+
+    def __init__(
+        self, server: waitress.server.TcpWSGIServer, gate: _Gate
+    ) -> None:
+        """Wrap a bound server; use ``from_config`` instead."""
+        self._server = server
+        self._gate = gate
+        self._stopping = threading.Event()
+        self._deadline: float | None = None
+        self._clean = True
+        self._thread = threading.Thread(
+            target=self._run, name=f'http-{self.port}', daemon=True
+        )
+
+    @classmethod
+    def from_config(
+        cls,
+        app: Callable,
+        listen: str,
+        threads: int,
+        max_body: int = DEFAULT_MAX_BODY_BYTES,
+        max_header: int = DEFAULT_MAX_HEADER_BYTES,
+        *,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        idle_seconds: float = DEFAULT_IDLE_SECONDS,
+        stall_seconds: float = DEFAULT_STALL_SECONDS,
+        render_error: Callable[[int, str], ErrorPage] = render_error,
+    ) -> 'HttpServer':
+        """Bind the address; ``start`` begins to serve.
+
+        :param app: WSGI application
+        :param listen: ``host:port``; port 0 takes a free one
+        :param threads: requests that may run at once; more get 503
+        :param max_body: largest request body in bytes; more gets 413
+        :param max_header: largest request head in bytes; more gets 431
+        :param max_connections: open connections; more wait in the kernel
+        :param idle_seconds: life of a connection without requests
+        :param stall_seconds: time after which a client that takes none of
+            its answer is cut off
+        :param render_error: builds the page for a refusal by the server
+            itself, from the HTTP status and one sentence
+        :raises OSError: when the port is taken
+        """
+        _quiet_library()
+        gate = _Gate(app, threads, render_error)
+        server = waitress.server.create_server(
+            gate,
+            listen=listen,
+            threads=threads + _SPARE_THREADS,
+            # waitress refuses a body that reaches its limit.
+            max_request_body_size=max_body + 1,
+            max_request_header_size=max_header,
+            inbuf_overflow=sys.maxsize,
+            outbuf_overflow=sys.maxsize,
+            outbuf_high_watermark=_HIGH_WATERMARK_BYTES,
+            channel_request_lookahead=_LOOKAHEAD,
+            connection_limit=max_connections,
+            channel_timeout=max(1, int(idle_seconds)),
+            cleanup_interval=_CLEANUP_SECONDS,
+            backlog=_BACKLOG,
+            log_socket_errors=False,
+            asyncore_use_poll=True,
+            ident=None,
+        )
+        server.adj.socket_options = _list_socket_options(stall_seconds)
+        server.channel_class = _Channel
+        server.render_error = render_error
+        return cls(server, gate)
+
+    @property
+    def port(self) -> int:
+        """Port that is listened on."""
+        return int(self._server.effective_port)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that the application is running."""
+        return self._gate.in_flight
+
+    def start(self) -> None:
+        """Serve in the background."""
+        self._thread.start()
+
+    def stop(self, grace: float | None = None) -> bool:
+        """Accept no more, finish what is in flight, then close.
+
+        :param grace: seconds after which requests are cut off; None waits
+            for each of them, as a planned stop should
+        :returns: whether everything in flight was finished
+        """
+        if grace is not None:
+            self._deadline = time.monotonic() + grace
+        self._stopping.set()
+        if not self._thread.is_alive():
+            self._close()
+            return True
+        self._server.pull_trigger()
+        self._thread.join()
+        return self._clean
+
+    def _poll(self, timeout: float) -> None:
+        self._server.asyncore.loop(
+            timeout=timeout, use_poll=True, map=self._server._map, count=1
+        )
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            self._poll(_LOOP_SECONDS)
+        self._stop_accepting()
+        while self._is_busy():
+            self._poll(_STOP_LOOP_SECONDS)
+            self._close_idle()
+        self._close()
+
+    def _stop_accepting(self) -> None:
+        # What the kernel has accepted already would be reset by closing.
+        server = self._server
+        connections = -1
+        while connections != len(server.active_channels):
+            connections = len(server.active_channels)
+            server.handle_accept()
+        server.accepting = False
+        server.del_channel()
+        server.socket.close()
+
+    def _is_busy(self) -> bool:
+        if not self._server.active_channels and not self._gate.in_flight:
+            return False
+        deadline = self._deadline
+        if deadline is None or time.monotonic() < deadline:
+            return True
+        self._clean = False
+        logging.warning('stop cut off %d requests', self._gate.in_flight)
+        return False
+
+    def _close_idle(self) -> None:
+        # Runs on the loop's thread, which alone takes in new requests.
+        now = time.time()
+        for channel in list(self._server.active_channels.values()):
+            if channel.requests or channel.total_outbufs_len:
+                continue
+            patience = _QUIET_SECONDS
+            if channel.request is not None:
+                patience = _RECEIVE_SECONDS
+            if now - channel.last_activity > patience:
+                channel.will_close = True
+
+    def _close(self) -> None:
+        server = self._server
+        for channel in list(server.active_channels.values()):
+            # Wakes a thread that waits for room in the output buffer.
+            channel.handle_close()
+        server.task_dispatcher.shutdown(timeout=_SHUTDOWN_SECONDS)
+        server.asyncore.close_all(server._map, ignore_all=True)
