--- /dev/null
+++ b/packages/standins/src/dunlintide_standins/store/messages.py
@@ -0,0 +1,134 @@
+"""Messages of the JSON gateway, as published for etcd v3.
+
+Bytes are base64 in JSON and 64-bit integers are strings; both spellings
+of a field (``range_end``, ``rangeEnd``) are accepted.
+"""
+
+import re
+from typing import Any
+from typing import Literal
+
+import msgspec
+
+from dunlintide_standins import web
+
+__all__ = [
+    'Compare',
+    'Delete',
+    'Grant',
+    'LeaseId',
+    'Operation',
+    'Put',
+    'Range',
+    'Txn',
+    'Watch',
+    'WatchCreate',
+    'decode',
+]
+
+_HUMP = re.compile(r'(?<=[a-z])[A-Z]')
+
+
+class Range(msgspec.Struct):
+    """Read of a key, or of the keys in ``[key, range_end)``."""
+
+    key: bytes = b''
+    range_end: bytes = b''
+    limit: int = 0
+    revision: int = 0
+    keys_only: bool = False
+    count_only: bool = False
+    serializable: bool = False
+
+
+class Put(msgspec.Struct):
+    """Write of a key."""
+
+    key: bytes = b''
+    value: bytes = b''
+    lease: int = 0
+    prev_kv: bool = False
+
+
+class Delete(msgspec.Struct):
+    """Removal of a key, or of the keys in ``[key, range_end)``."""
+
+    key: bytes = b''
+    range_end: bytes = b''
+    prev_kv: bool = False
+
+
+class Compare(msgspec.Struct):
+    """One condition of a transaction."""
+
+    key: bytes = b''
+    result: Literal['EQUAL', 'GREATER', 'LESS', 'NOT_EQUAL'] = 'EQUAL'
+    target: Literal['VERSION', 'CREATE', 'MOD', 'VALUE'] = 'VERSION'
+    version: int = 0
+    create_revision: int = 0
+    mod_revision: int = 0
+    value: bytes = b''
+
+
+class Operation(msgspec.Struct):
+    """One operation of a transaction; one of the fields is set."""
+
+    request_range: Range | None = None
+    request_put: Put | None = None
+    request_delete_range: Delete | None = None
+
+
+class Txn(msgspec.Struct):
+    """Operations that are chosen by conditions and applied as one."""
+
+    compare: list[Compare] = []
+    success: list[Operation] = []
+    failure: list[Operation] = []
+
+
+class Grant(msgspec.Struct):
+    """Request for a lease of ``TTL`` seconds."""
+
+    TTL: int = 0
+    ID: int = 0
+
+
+class LeaseId(msgspec.Struct):
+    """Names a lease to keep alive or revoke."""
+
+    ID: int = 0
+
+
+class WatchCreate(msgspec.Struct):
+    """What to watch, from a revision on (0: from now)."""
+
+    key: bytes = b''
+    range_end: bytes = b''
+    start_revision: int = 0
+    prev_kv: bool = False
+
+
+class Watch(msgspec.Struct):
+    """Opening message of a watch."""
+
+    create_request: WatchCreate
+
+
+def _snake(data: Any) -> Any:
+    if isinstance(data, list):
+        return [_snake(item) for item in data]
+    if not isinstance(data, dict):
+        return data
+    return {
+        _HUMP.sub(lambda hump: '_' + hump[0].lower(), name): _snake(item)
+        for name, item in data.items()
+    }
+
+
+def decode(request: web.Request, kind: Any) -> Any:
+    """Decode a gateway message.
+
+    :raises msgspec.ValidationError: when it doesn't fit the type
+    """
+    data = _snake(web.decode_json(request, Any))
+    return msgspec.convert(data, kind, strict=False)
--- /dev/null
+++ b/packages/standins/src/dunlintide_standins/web.py
@@ -0,0 +1,229 @@
+"""A small HTTP server whose connections a stand-in can drop or stall.
+
+It is built on the standard library's threading server and not on
+waitress, because a stand-in must be able to close a connection without
+an answer, leave one unanswered, and stream without an end.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+from http import server as http_server
+import select
+import socket
+import socketserver
+import sys
+import threading
+from typing import Any
+from urllib import parse
+
+from absl import logging
+import attrs
+import msgspec
+
+__all__ = [
+    'Answer',
+    'Handler',
+    'Request',
+    'Server',
+    'decode_json',
+    'dropped',
+    'json_answer',
+]
+
+JSON_TYPE = 'application/json'
+_ACCEPT_BACKLOG = 512
+_POLL_SECONDS = 0.05
+
+
+@attrs.frozen
+class Request:
+    """One HTTP request.
+
+    :ivar path: path without the query, still percent-encoded
+    :ivar query: query parameters, the last value of each
+    :ivar headers: headers by lower-case name
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+@attrs.frozen
+class Answer:
+    """One HTTP answer.
+
+    :ivar parts: body in parts instead of ``body``; a None among them
+        sends nothing but ends the stream when the caller is gone
+    :ivar length: size of all parts in bytes; None sends them chunked
+    :ivar drop: close the connection and send nothing
+    """
+
+    status: int = 200
+    body: bytes = b''
+    content_type: str = JSON_TYPE
+    parts: Iterator[bytes | None] | None = None
+    length: int | None = None
+    drop: bool = False
+
+
+Handler = Callable[[Request], Answer]
+
+
+def json_answer(data: Any, status: int = 200) -> Answer:
+    """Build an answer that carries a value as JSON."""
+    return Answer(status, msgspec.json.encode(data))
+
+
+def dropped() -> Answer:
+    """Build the answer that closes the connection instead."""
+    return Answer(drop=True)
+
+
+def decode_json(request: Request, kind: Any) -> Any:
+    """Decode a request's body, an empty one as an empty object.
+
+    :param kind: type to decode to
+    :raises msgspec.ValidationError: when the body doesn't fit the type
+    """
+    return msgspec.json.decode(request.body or b'{}', type=kind)
+
+
+class _Connection(http_server.BaseHTTPRequestHandler):
+    """Serves the requests of one connection."""
+
+    protocol_version = 'HTTP/1.1'
+    disable_nagle_algorithm = True
+
+    def _read_request(self) -> Request:
+        size = int(self.headers.get('Content-Length', 0))
+        body = self.rfile.read(size)
+        path, _, query = self.path.partition('?')
+        headers = {name.lower(): text for name, text in self.headers.items()}
+        return Request(
+            self.command, path, dict(parse.parse_qsl(query)), headers, body
+        )
+
+    def _answer(self, request: Request) -> Answer:
+        try:
+            return self.server.handle(request)
+        except (msgspec.ValidationError, msgspec.DecodeError) as error:
+            return json_answer({'error': str(error)}, 400)
+
+    def _caller_is_gone(self) -> bool:
+        readable, _, _ = select.select([self.connection], [], [], 0)
+        if not readable:
+            return False
+        return not self.connection.recv(1, socket.MSG_PEEK)
+
+    def _send_parts(self, answer: Answer) -> None:
+        chunked = answer.length is None
+        for part in answer.parts:
+            if part is None:
+                if self._caller_is_gone():
+                    raise ConnectionResetError
+                continue
+            self.wfile.write(
+                b'%x\r\n%b\r\n' % (len(part), part) if chunked else part
+            )
+        if chunked:
+            self.wfile.write(b'0\r\n\r\n')
+
+    def _send(self, answer: Answer) -> None:
+        self.send_response_only(answer.status)
+        self.send_header('Content-Type', answer.content_type)
+        if answer.parts is None:
+            self.send_header('Content-Length', str(len(answer.body)))
+        elif answer.length is not None:
+            self.send_header('Content-Length', str(answer.length))
+        else:
+            self.send_header('Transfer-Encoding', 'chunked')
+        if answer.parts is not None:
+            self.end_headers()
+            with contextlib.closing(answer.parts):
+                self._send_parts(answer)
+            return
+        body = b'' if self.command == 'HEAD' else answer.body
+        # Head and body leave in one segment.
+        self._headers_buffer.append(b'\r\n' + body)
+        self.flush_headers()
+
+    def _serve(self) -> None:
+        answer = self._answer(self._read_request())
+        if answer.drop:
+            self.close_connection = True
+            return
+        self._send(answer)
+
+    do_GET = do_HEAD = do_POST = do_PUT = _serve
+    do_PATCH = do_DELETE = do_OPTIONS = _serve
+
+
+class _Listener(socketserver.ThreadingTCPServer):
+    """Takes connections, one thread each."""
+
+    allow_reuse_address = True
+    daemon_threads = True
+    block_on_close = False
+    request_queue_size = _ACCEPT_BACKLOG
+
+    def __init__(self, address: tuple[str, int], handle: Handler) -> None:
+        super().__init__(address, _Connection)
+        self.handle = handle
+        self._open: set[socket.socket] = set()
+        self._lock = threading.Lock()
+
+    def process_request(self, request, client_address):
+        with self._lock:
+            self._open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        with self._lock:
+            self._open.discard(request)
+        super().shutdown_request(request)
+
+    def handle_error(self, request, client_address):
+        # Callers that went away are part of every fault test.
+        if not isinstance(sys.exception(), OSError):
+            logging.exception('a call failed')
+
+    def cut(self) -> None:
+        """Shut every open connection."""
+        with self._lock:
+            connections = list(self._open)
+        for connection in connections:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
+
+class Server:
+    """An HTTP server that answers through a handler."""
+
+    def __init__(self, listen: str, handle: Handler) -> None:
+        """Bind the address; ``start`` begins.
+
+        :param listen: ``host:port``, port 0 for a free one
+        :raises OSError: when the port is taken
+        """
+        host, _, port = listen.rpartition(':')
+        self._listener = _Listener((host, int(port)), handle)
+        self.port = self._listener.server_address[1]
+        self._thread = threading.Thread(
+            target=self._listener.serve_forever,
+            args=(_POLL_SECONDS,),
+            daemon=True,
+        )
+
+    def start(self) -> None:
+        """Accept connections in the background."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Free the port and shut every connection, answered or not."""
+        self._listener.shutdown()
+        self._listener.server_close()
+        self._listener.cut()
