Read a daemon's settings with errors that name their place

Cause: a mistake in a file that operators write must be told with its line, column, field and what was expected, before anything starts. Errors are values.

--- /dev/null
+++ b/packages/core/src/dunlintide_core/schemas.py
@@ -0,0 +1,212 @@
+"""Attrs classes from parsed documents, with errors that point at them.
+
+Types are strict: a number in quotes is no number. A list of scalars may
+be written as a single value.
+"""
+
+import difflib
+import enum
+import json
+import math
+from typing import Any, Callable, get_args, get_origin, Iterable, TypeVar
+
+import attrs
+import cattrs
+from cattrs import gen
+import result
+
+from dunlintide_core import jsonc
+
+__all__ = [
+    'Unexpected',
+    'describe_value',
+    'make_converter',
+    'structure',
+    'suggest',
+]
+
+T = TypeVar('T')
+
+_MAX_VALUE_CHARACTERS = 80
+
+
+class Unexpected(ValueError):
+    """A value that a structuring hook does not take.
+
+    The converter passes it on to ``structure``, which makes a problem of
+    it; it never leaves this module and the hooks given to it.
+    """
+
+
+def describe_value(value: Any) -> str:
+    """Write a value as JSON, cut to a line.
+
+    :param value: plain value of a document
+    """
+    text = json.dumps(value, ensure_ascii=False)
+    if len(text) > _MAX_VALUE_CHARACTERS:
+        text = text[:_MAX_VALUE_CHARACTERS] + '...'
+    return text
+
+
+def suggest(name: str, known: Iterable[str]) -> str:
+    """Give ``, did you mean "x"?`` for the known name that is nearest.
+
+    :returns: the words, empty when none is near
+    """
+    near = difflib.get_close_matches(name, known, n=1)
+    return f', did you mean "{near[0]}"?' if near else ''
+
+
+def _reject(expected: str, value: Any) -> Unexpected:
+    return Unexpected(f'expected {expected}, got {describe_value(value)}')
+
+
+def _read_choice(value: Any, kind: type[enum.Enum]) -> enum.Enum:
+    choices = [choice.value for choice in kind]
+    if not isinstance(value, str) or value not in choices:
+        listed = ', '.join(f'"{choice}"' for choice in choices)
+        raise _reject(f'one of {listed}', value)
+    return kind(value)
+
+
+def _read_text(value: Any, kind: Any) -> str:
+    # The converter sends enums of strings here as well.
+    if kind is not str:
+        return _read_choice(value, kind)
+    if not isinstance(value, str):
+        raise _reject('a string', value)
+    return value
+
+
+def _read_flag(value: Any, _: Any) -> bool:
+    if not isinstance(value, bool):
+        raise _reject('true or false', value)
+    return value
+
+
+def _read_whole(value: Any, _: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise _reject('a whole number', value)
+    return value
+
+
+def _read_number(value: Any, _: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise _reject('a number', value)
+    try:
+        number = float(value)
+    except OverflowError:
+        number = math.inf
+    if not math.isfinite(number):
+        raise _reject('a finite number', str(value))
+    return number
+
+
+def _is_tuple(kind: Any) -> bool:
+    return get_origin(kind) is tuple
+
+
+def _make_tuple_reader(kind: Any, converter: cattrs.Converter) -> Callable:
+    item = get_args(kind)[0]
+
+    def read(value: Any, _: Any) -> tuple:
+        if not isinstance(value, list):
+            if attrs.has(item):
+                raise _reject('a list', value)
+            value = [value]
+        return tuple(converter.structure(value, list[item]))
+
+    return read
+
+
+def _make_class_reader(kind: Any, converter: cattrs.Converter) -> Callable:
+    read_fields = gen.make_dict_structure_fn(
+        kind, converter, _cattrs_forbid_extra_keys=True
+    )
+
+    def read(value: Any, _: Any) -> Any:
+        if not isinstance(value, dict):
+            raise _reject('an object', value)
+        return read_fields(value, kind)
+
+    return read
+
+
+def make_converter() -> cattrs.Converter:
+    """Build a converter that is strict in types and in field names."""
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    converter.register_structure_hook(str, _read_text)
+    converter.register_structure_hook(bool, _read_flag)
+    converter.register_structure_hook(int, _read_whole)
+    converter.register_structure_hook(float, _read_number)
+
+    @converter.register_structure_hook_factory(_is_tuple)
+    def make_tuple_reader(kind: Any, converter: cattrs.Converter):
+        return _make_tuple_reader(kind, converter)
+
+    @converter.register_structure_hook_factory(attrs.has)
+    def make_class_reader(kind: Any, converter: cattrs.Converter):
+        return _make_class_reader(kind, converter)
+
+    return converter
+
+
+def _report_unknown(
+    document: jsonc.Document,
+    path: jsonc.Path,
+    error: cattrs.ForbiddenExtraKeysError,
+) -> list[jsonc.Problem]:
+    known = [field.name for field in attrs.fields(error.cl)]
+    return [
+        document.report(
+            (*path, name),
+            f'unknown field "{name}"{suggest(name, known)}'
+            f' (fields here: {", ".join(known)})',
+            key=True,
+        )
+        for name in sorted(error.extra_fields)
+    ]
+
+
+def _find_step(error: BaseException) -> jsonc.Path:
+    for note in getattr(error, '__notes__', ()):
+        if isinstance(note, cattrs.AttributeValidationNote):
+            return (note.name,)
+        if isinstance(note, cattrs.IterableValidationNote):
+            return (note.index,)
+    return ()
+
+
+def _report(
+    document: jsonc.Document, path: jsonc.Path, error: BaseException
+) -> list[jsonc.Problem]:
+    path = path + _find_step(error)
+    if isinstance(error, cattrs.BaseValidationError):
+        found: list[jsonc.Problem] = []
+        for inner in error.exceptions:
+            found.extend(_report(document, path, inner))
+        return found
+    if isinstance(error, cattrs.ForbiddenExtraKeysError):
+        return _report_unknown(document, path, error)
+    if isinstance(error, KeyError):
+        return [document.report(path, 'the field is missing')]
+    if isinstance(error, Unexpected):
+        return [document.report(path, str(error))]
+    raise error
+
+
+def structure(
+    document: jsonc.Document, kind: type[T], converter: cattrs.Converter
+) -> result.Result[T, list[jsonc.Problem]]:
+    """Build an attrs object from a document.
+
+    :param kind: attrs class of the root
+    :param converter: what ``make_converter`` gave, with hooks added
+    :returns: the object, or a problem for each field that does not fit
+    """
+    try:
+        return result.Ok(converter.structure(document.value, kind))
+    except (cattrs.BaseValidationError, Unexpected) as error:
+        found = _report(document, (), error)
+        return result.Err(jsonc.sort_problems(found))
--- /dev/null
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -0,0 +1,305 @@
+"""Settings with which a daemon starts."""
+
+import enum
+from typing import Any, Callable, NewType
+from urllib import parse
+
+import attrs
+import cattrs
+import result
+
+from dunlintide_core import fleet
+from dunlintide_core import jsonc
+from dunlintide_core import schemas
+
+__all__ = [
+    'EndpointSettings',
+    'Limits',
+    'Log',
+    'LogFormat',
+    'LogLevel',
+    'Settings',
+    'Timing',
+    'load_settings',
+]
+
+# Checked where they are read, so an error points at the field.
+Name = NewType('Name', str)
+Listen = NewType('Listen', str)
+Address = NewType('Address', str)
+Url = NewType('Url', str)
+Seconds = NewType('Seconds', float)
+Count = NewType('Count', int)
+Natural = NewType('Natural', int)
+Rate = NewType('Rate', float)
+
+_MAX_PORT = 65535
+
+
+class LogLevel(enum.StrEnum):
+    """Least grave messages that are logged."""
+
+    DEBUG = 'debug'
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
+
+
+class LogFormat(enum.StrEnum):
+    """How log lines are written; auto is text on a terminal, else JSON."""
+
+    AUTO = 'auto'
+    TEXT = 'text'
+    JSON = 'json'
+
+
+@attrs.frozen
+class Log:
+    """What is logged and how."""
+
+    level: LogLevel = LogLevel.INFO
+    format: LogFormat = LogFormat.AUTO
+
+
+@attrs.frozen
+class EndpointSettings:
+    """The endpoint beside an agent; other fields as in fleet.Endpoint.
+
+    :ivar url: base URL of the endpoint, on the same host
+    """
+
+    kind: fleet.EndpointKind
+    url: Url
+    model: str = ''
+    version: str = ''
+    layer_start: Natural = 0
+    layer_end: Natural = 0
+    layer_count: Natural = 0
+    accelerator: str = ''
+    service: str = ''
+    tokens_per_second: Rate = 0.0
+    checks_fence: bool = False
+    max_in_flight: Natural = 0
+
+    def to_endpoint(self) -> fleet.Endpoint:
+        """Give the part that peers are told."""
+        fields = attrs.asdict(self, recurse=False)
+        fields.pop('url')
+        return fleet.Endpoint(**fields)
+
+
+@attrs.frozen
+class Timing:
+    """Time constants, in seconds.
+
+    :ivar ping: pause between two pings on a link
+    :ivar silence: silence after which a link counts as lost
+    :ivar redial: longest pause before a link is dialled again
+    :ivar store_timeout: bound on one call to the store
+    :ivar endpoint_timeout: bound on connecting to the endpoint
+    :ivar host_list_poll: pause between two reads of the host list
+    :ivar configuration_poll: pause between two reads of the head that
+        make up for a silent watch
+    """
+
+    ping: Seconds = 0.5
+    silence: Seconds = 2.0
+    redial: Seconds = 1.0
+    store_timeout: Seconds = 2.0
+    endpoint_timeout: Seconds = 2.0
+    host_list_poll: Seconds = 2.0
+    configuration_poll: Seconds = 30.0
+
+
+@attrs.frozen
+class Limits:
+    """Bounds on what one process holds.
+
+    :ivar max_body_bytes: largest request body
+    :ivar max_header_bytes: largest request head
+    :ivar threads: requests that an entry serves at the same time
+    :ivar queue_per_member: requests that a member may have queued at an
+        agent
+    """
+
+    max_body_bytes: Count = 1 << 20
+    max_header_bytes: Count = 64 << 10
+    threads: Count = 256
+    queue_per_member: Count = 256
+
+
+@attrs.frozen
+class Settings:
+    """Settings of one daemon; addresses are ``host:port``.
+
+    :ivar listen: where callers ask; entries only
+    :ivar admin_listen: operators' port
+    :ivar link_listen: where peers connect
+    :ivar advertise: how peers reach ``link_listen``; None for the same
+    :ivar endpoint: the endpoint beside it; agents only
+    """
+
+    role: fleet.Role
+    name: Name
+    failure_domain: Name
+    admin_listen: Listen
+    link_listen: Listen
+    store_url: Url
+    host_list_url: Url
+    region: str = ''
+    listen: Listen | None = None
+    advertise: Address | None = None
+    endpoint: EndpointSettings | None = None
+    log: Log = Log()
+    timing: Timing = Timing()
+    limits: Limits = Limits()
+
+
+def _is_name(value: str) -> bool:
+    return bool(value) and all('!' <= char <= '~' for char in value)
+
+
+def _make_address_test(least_port: int) -> Callable[[str], bool]:
+    def test(value: str) -> bool:
+        host, _, port = value.rpartition(':')
+        if not host or not (port.isascii() and port.isdigit()):
+            return False
+        return least_port <= int(port) <= _MAX_PORT
+
+    return test
+
+
+def _is_url(value: str) -> bool:
+    try:
+        parts = parse.urlsplit(value)
+        return parts.scheme in ('http', 'https') and bool(parts.hostname)
+    except ValueError:
+        return False
+
+
+def _is_positive(value: float) -> bool:
+    return value > 0
+
+
+def _is_natural(value: float) -> bool:
+    return value >= 0
+
+
+_CHECKED = (
+    (Name, str, _is_name, 'a name of printable ASCII without spaces'),
+    (Listen, str, _make_address_test(0), '"HOST:PORT", port 0 to 65535'),
+    (Address, str, _make_address_test(1), '"HOST:PORT", port 1 to 65535'),
+    (Url, str, _is_url, 'an http:// or https:// URL'),
+    (Seconds, float, _is_positive, 'a number of seconds above 0'),
+    (Count, int, _is_positive, 'a whole number above 0'),
+    (Natural, int, _is_natural, 'a whole number of at least 0'),
+    (Rate, float, _is_natural, 'a number of at least 0'),
+)
+
+
+def _make_reader(
+    converter: cattrs.Converter, base: type, test: Callable, expected: str
+) -> Callable:
+    def read(value: Any, _: Any) -> Any:
+        read_value = converter.structure(value, base)
+        if not test(read_value):
+            raise schemas.Unexpected(
+                f'expected {expected}, got {schemas.describe_value(value)}'
+            )
+        return read_value
+
+    return read
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = schemas.make_converter()
+    for kind, base, test, expected in _CHECKED:
+        reader = _make_reader(converter, base, test, expected)
+        converter.register_structure_hook(kind, reader)
+    return converter
+
+
+_converter = _make_converter()
+
+
+def _list_role_faults(settings: Settings) -> list[tuple[str, str]]:
+    faults = []
+    if settings.role == fleet.Role.ENTRY:
+        if settings.listen is None:
+            faults.append(('listen', 'an entry needs an address to listen on'))
+        if settings.endpoint is not None:
+            faults.append(('endpoint', 'an entry has no endpoint'))
+    if settings.role == fleet.Role.AGENT:
+        if settings.endpoint is None:
+            faults.append(('endpoint', 'an agent needs an endpoint'))
+        if settings.listen is not None:
+            faults.append(('listen', 'an agent takes no callers'))
+    return faults
+
+
+def _list_engine_faults(endpoint: EndpointSettings) -> list[tuple[str, str]]:
+    faults = [
+        (name, 'an engine needs it, expected a name, got ""')
+        for name in ('model', 'version')
+        if not getattr(endpoint, name)
+    ]
+    start, end = endpoint.layer_start, endpoint.layer_end
+    count = endpoint.layer_count
+    if not start < end:
+        faults.append(('layer_end', f'expected more than {start}, got {end}'))
+    if end > count:
+        faults.append(('layer_count', f'expected {end} or more, got {count}'))
+    if endpoint.service:
+        faults.append(('service', 'an engine has no service'))
+    return faults
+
+
+def _list_service_faults(endpoint: EndpointSettings) -> list[tuple[str, str]]:
+    names = ('model', 'version', 'layer_start', 'layer_end', 'layer_count')
+    faults = [
+        (name, 'a plain service has none')
+        for name in names
+        if getattr(endpoint, name)
+    ]
+    if not endpoint.service:
+        faults.append(('service', 'expected the name of a service, got ""'))
+    return faults
+
+
+def _list_faults(settings: Settings) -> list[tuple[jsonc.Path, str]]:
+    faults = [((n,), text) for n, text in _list_role_faults(settings)]
+    endpoint = settings.endpoint
+    if endpoint and endpoint.kind == fleet.EndpointKind.ENGINE:
+        found = _list_engine_faults(endpoint)
+        faults += [(('endpoint', n), text) for n, text in found]
+    if endpoint and endpoint.kind == fleet.EndpointKind.SERVICE:
+        found = _list_service_faults(endpoint)
+        faults += [(('endpoint', n), text) for n, text in found]
+    ping, silence = settings.timing.ping, settings.timing.silence
+    if ping >= silence:
+        text = f'expected more than timing.ping ({ping}), got {silence}'
+        faults.append((('timing', 'silence'), text))
+    return faults
+
+
+def load_settings(
+    text: str, file: str
+) -> result.Result[Settings, list[jsonc.Problem]]:
+    """Read a daemon's settings.
+
+    :param text: JSON with comments
+    :param file: its name, for messages
+    :returns: the settings, or every problem that was found
+    """
+    parsed = jsonc.parse(text, file)
+    if parsed.is_err():
+        return parsed
+    document = parsed.unwrap()
+    read = schemas.structure(document, Settings, _converter)
+    if read.is_err():
+        return read
+    faults = _list_faults(read.unwrap())
+    if faults:
+        found = [document.report(path, text) for path, text in faults]
+        return result.Err(jsonc.sort_problems(found))
+    return read
