--- a/packages/adapters/src/dunlintide_adapters/httpserver.py
+++ b/packages/adapters/src/dunlintide_adapters/httpserver.py
@@ -251,7 +251,7 @@
         server = waitress.server.create_server(
             gate,
             listen=listen,
-            threads=threads + _SPARE_THREADS,
+            threads=threads + min(threads, _SPARE_THREADS),
             # waitress refuses a body that reaches its limit.
             max_request_body_size=max_body + 1,
             max_request_header_size=max_header,
