--- /dev/null
+++ b/packages/standins/src/dunlintide_standins/engine/batching.py
@@ -0,0 +1,237 @@
+"""Continuous batching: one thread runs all waiting steps together."""
+
+import collections
+from collections.abc import Callable
+import threading
+import time
+
+import attrs
+
+from dunlintide_standins.engine import cache as caches
+from dunlintide_standins.engine import messages
+from dunlintide_standins.engine import sessions as session_store
+from dunlintide_standins import reference
+
+__all__ = ['Batcher', 'Load', 'Timing']
+
+_SMOOTHING = 0.2
+_RATE_WINDOW_SECONDS = 1.0
+_HANG_POLL_SECONDS = 0.05
+_STOP_POLL_SECONDS = 1.0
+
+
+@attrs.frozen
+class Timing:
+    """What a step takes and how much fits in one.
+
+    :ivar base: seconds of a step with no tokens
+    :ivar per_token: seconds for each token in it
+    :ivar max_tokens: bound on the tokens of a step
+    :ivar load_lag: age in seconds of the load that is reported
+    """
+
+    base: float
+    per_token: float
+    max_tokens: int
+    load_lag: float
+
+
+@attrs.frozen
+class Load:
+    """Load of the engine at one moment."""
+
+    running: int = 0
+    queued: int = 0
+    kv_usage: float = 0.0
+    kv_tokens: int = 0
+    step_seconds: float = 0.0
+    tokens_per_second: float = 0.0
+
+
+@attrs.define(eq=False)
+class _Call:
+    """Steps of one HTTP call, and their results as they come."""
+
+    results: list[messages.Result | None]
+    left: int
+    done: threading.Event = attrs.Factory(threading.Event)
+
+
+@attrs.define(eq=False)
+class _Work:
+    call: _Call
+    index: int
+    step: messages.Step
+    activations: list[int]
+
+    def finish(self, result: messages.Result) -> None:
+        """Hand in the result; the last one ends the call."""
+        self.call.results[self.index] = result
+        self.call.left -= 1
+        if not self.call.left:
+            self.call.done.set()
+
+
+class Batcher:
+    """Merges the steps of all open calls into a running batch.
+
+    :ivar slow_factor: multiplies the time of each step
+    :ivar lock: guards the sessions
+    """
+
+    def __init__(
+        self,
+        sessions: session_store.Sessions,
+        cache: caches.PrefixCache,
+        timing: Timing,
+        hangs: Callable[[], bool],
+    ) -> None:
+        self.slow_factor = 1.0
+        self.lock = threading.Lock()
+        self._sessions = sessions
+        self._cache = cache
+        self._timing = timing
+        self._hangs = hangs
+        self._waiting: list[_Work] = []
+        self._arrived = threading.Condition()
+        self._stopped = False
+        self._step_seconds = 0.0
+        self._finished: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._loads = collections.deque([(0.0, Load())])
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Begin to run batches."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Run no further batch; waiting steps get no result."""
+        with self._arrived:
+            self._stopped = True
+            self._arrived.notify()
+
+    def run(self, steps: list[messages.Step]) -> list[messages.Result] | None:
+        """Queue steps and wait until all have run.
+
+        :returns: a result for each, None when the engine was stopped
+        """
+        call = _Call([None] * len(steps), len(steps))
+        works = []
+        for index, step in enumerate(steps):
+            activations = self._read_input(step)
+            work = _Work(call, index, step, activations)
+            if activations:
+                works.append(work)
+            else:
+                work.finish(messages.fail(step, messages.Code.BAD_STEP))
+        with self._arrived:
+            self._waiting += works
+            self._arrived.notify()
+        while call.left and not call.done.wait(_STOP_POLL_SECONDS):
+            if self._stopped:
+                return None
+        return call.results
+
+    def _read_input(self, step: messages.Step) -> list[int]:
+        """Give a step's input activations, none for a malformed step."""
+        first = self._sessions.holding.layer_start == 0
+        if first != (step.activations is None):
+            return []
+        if not first:
+            if len(step.activations) % messages.ACTIVATION_BYTES:
+                return []
+            return messages.unpack(step.activations)
+        token_ids = (
+            [] if step.prompt is None else reference.tokenize(step.prompt)
+        )
+        return reference.embed(token_ids + (step.tokens or []))
+
+    def _take(self) -> list[_Work]:
+        """Wait for steps and take what one batch holds, by priority."""
+        with self._arrived:
+            while not self._waiting and not self._stopped:
+                self._arrived.wait()
+            self._waiting.sort(key=lambda work: work.step.priority)
+            size = 0
+            for index, work in enumerate(self._waiting):
+                size += len(work.activations)
+                if index and size > self._timing.max_tokens:
+                    break
+            else:
+                index = len(self._waiting)
+            batch = self._waiting[:index]
+            del self._waiting[:index]
+            return batch
+
+    def _compute(self, batch: list[_Work]) -> tuple[list, int]:
+        """Run a batch; gives the results and the tokens to pay for."""
+        results = []
+        tokens = 0
+        with self.lock:
+            for work in batch:
+                step = work.step
+                result = self._sessions.run(step, work.activations)
+                results.append(result)
+                tokens += result.count
+                if result.count and not step.position:
+                    tokens -= self._cache.match(
+                        step.session, step.cache_salt, work.activations
+                    )
+        return results, tokens
+
+    def _run(self) -> None:
+        while not self._stopped:
+            batch = self._take()
+            started = time.monotonic()
+            results, tokens = self._compute(batch)
+            self._note_load(started)
+            seconds = self._timing.base + self._timing.per_token * tokens
+            end = started + seconds * self.slow_factor
+            time.sleep(max(0.0, end - time.monotonic()))
+            while self._hangs() and not self._stopped:
+                time.sleep(_HANG_POLL_SECONDS)
+            self._note_step(started, sum(item.count for item in results))
+            for work, result in zip(batch, results):
+                work.finish(result)
+
+    def _note_step(self, started: float, tokens: int) -> None:
+        now = time.monotonic()
+        change = now - started - self._step_seconds
+        self._step_seconds += _SMOOTHING * change
+        self._finished.append((now, tokens))
+        self._note_load(now)
+
+    def _note_load(self, now: float) -> None:
+        finished = self._finished
+        while finished and finished[0][0] < now - _RATE_WINDOW_SECONDS:
+            finished.popleft()
+        tokens = sum(count for _, count in finished)
+        load = Load(
+            len(self._sessions),
+            len(self._waiting),
+            self._sessions.usage,
+            self._sessions.used,
+            self._step_seconds,
+            tokens / _RATE_WINDOW_SECONDS,
+        )
+        with self._arrived:
+            self._loads.append((now, load))
+            self._trim_loads(now)
+
+    def _trim_loads(self, now: float) -> None:
+        # Keep the newest record that is old enough to be reported.
+        before = now - self._timing.load_lag
+        while len(self._loads) > 1 and self._loads[1][0] <= before:
+            self._loads.popleft()
+
+    def read_load(self) -> Load:
+        """Give the load as it was a lag ago."""
+        with self._arrived:
+            self._trim_loads(time.monotonic())
+            return self._loads[0][1]
+
+    def note_change(self) -> None:
+        """Record the load after a change outside of a batch."""
+        self._note_load(time.monotonic())
--- /dev/null
+++ b/packages/standins/src/dunlintide_standins/engine/cache.py
@@ -0,0 +1,125 @@
+"""Prefix cache of the engine and the events that it publishes."""
+
+from collections.abc import Callable
+from collections import deque
+from collections import OrderedDict
+import random
+import struct
+
+import msgspec
+import xxhash
+
+__all__ = ['Event', 'PrefixCache']
+
+BLOCK_TOKENS = 16
+MAX_EVENTS = 50_000
+
+
+class Event(msgspec.Struct):
+    """One change of the cache.
+
+    :ivar sequence: counts all events, so that a lost one shows
+    :ivar kind: ``stored`` or ``evicted``
+    :ivar session: session that stored the block
+    :ivar block: hash of the prefix that ends with this block
+    :ivar tokens: length of that prefix
+    """
+
+    sequence: int
+    kind: str
+    session: str
+    cache_salt: str
+    block: int
+    tokens: int
+    time: float
+
+
+class PrefixCache:
+    """Bounded LRU of prefixes, in blocks, apart for each salt.
+
+    A hit saves prefill time and changes no result.
+
+    :ivar hits: prompt tokens that were found
+    :ivar misses: prompt tokens that weren't
+    """
+
+    def __init__(
+        self,
+        tokens: int,
+        lag: float,
+        loss: float,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        """Make an empty cache.
+
+        :param tokens: capacity
+        :param lag: seconds before an event can be read
+        :param loss: share of the events that is never published
+        """
+        self.hits = 0
+        self.misses = 0
+        self._capacity = tokens // BLOCK_TOKENS
+        self._lag = lag
+        self._loss = loss
+        self._clock = clock
+        self._rng = rng
+        self._blocks: OrderedDict[tuple[str, int], Event] = OrderedDict()
+        self._events: deque[Event] = deque(maxlen=MAX_EVENTS)
+        self._sequence = 0
+
+    def _publish(self, event: Event) -> None:
+        self._sequence += 1
+        event.sequence = self._sequence
+        event.time = self._clock()
+        if self._rng.random() >= self._loss:
+            self._events.append(event)
+
+    def _store(self, stored: Event) -> None:
+        self._blocks[stored.cache_salt, stored.block] = stored
+        self._publish(stored)
+        if len(self._blocks) > self._capacity:
+            _, oldest = self._blocks.popitem(last=False)
+            evicted = msgspec.structs.replace(oldest, kind='evicted')
+            self._publish(evicted)
+
+    def match(self, session: str, salt: str, activations: list[int]) -> int:
+        """Look a prompt up and store the blocks that are missing.
+
+        :param activations: input of the prompt's positions; they tell
+            prefixes apart at every layer range
+        :returns: number of leading tokens that were cached
+        """
+        if not self._capacity:
+            return 0
+        cached = 0
+        digest = xxhash.xxh64(salt.encode())
+        whole = len(activations) // BLOCK_TOKENS * BLOCK_TOKENS
+        for start in range(0, whole, BLOCK_TOKENS):
+            block = activations[start : start + BLOCK_TOKENS]
+            digest.update(struct.pack(f'<{BLOCK_TOKENS}Q', *block))
+            key = (salt, digest.intdigest())
+            end = start + BLOCK_TOKENS
+            if key in self._blocks:
+                self._blocks.move_to_end(key)
+                # An evicted block in front cuts the prefix.
+                cached = end if cached == start else cached
+            else:
+                event = Event(0, 'stored', session, *key, end, 0.0)
+                self._store(event)
+        self.hits += cached
+        self.misses += len(activations) - cached
+        return cached
+
+    def clear(self) -> None:
+        """Forget all blocks, as on a load of another model."""
+        self._blocks.clear()
+
+    def read_events(self, since: int) -> list[Event]:
+        """Give the published events behind a sequence number."""
+        before = self._clock() - self._lag
+        return [
+            event
+            for event in list(self._events)
+            if event.sequence > since and event.time <= before
+        ]
--- /dev/null
+++ b/packages/standins/src/dunlintide_standins/engine/server.py
@@ -0,0 +1,252 @@
+"""HTTP side of the engine."""
+
+from collections.abc import Callable
+import os
+import random
+import time
+from urllib import parse
+
+import attrs
+import msgspec
+
+from dunlintide_standins.engine import batching
+from dunlintide_standins.engine import cache as caches
+from dunlintide_standins.engine import messages
+from dunlintide_standins.engine import sessions as session_store
+from dunlintide_standins import faults
+from dunlintide_standins import process
+from dunlintide_standins import web
+
+__all__ = ['Config', 'Engine', 'exit_process']
+
+_CRASH_STATUS = 1
+_SESSIONS = '/v1/sessions/'
+_KEPT_ORDERS = 1000
+
+
+def exit_process() -> None:
+    """Crash as a process does, without any clean-up."""
+    os._exit(_CRASH_STATUS)
+
+
+@attrs.frozen
+class Config:
+    """Settings of an engine."""
+
+    listen: str = process.setting('127.0.0.1:0', 'host:port to listen on')
+    model: str = process.setting('copy-7b', 'model that is loaded')
+    version: str = process.setting('1', 'version of the model')
+    layer_start: int = process.setting(0, 'first layer')
+    layer_end: int = process.setting(8, 'layer behind the last one')
+    base_seconds: float = process.setting(0.002, 'time of an empty step')
+    seconds_per_token: float = process.setting(
+        0.0001, 'time that a token adds to a step'
+    )
+    max_batch_tokens: int = process.setting(8192, 'bound on one step')
+    kv_tokens: int = process.setting(100_000, 'KV memory in tokens')
+    load_lag_seconds: float = process.setting(0.5, 'age of reported load')
+    crash_marker: str = process.setting('', 'text in a prompt that crashes')
+    stop_modulus: int = process.setting(
+        0, 'token ids divisible by it stop the answer, 0 for none'
+    )
+    cache_tokens: int = process.setting(16_384, 'size of the prefix cache')
+    cache_event_lag_seconds: float = process.setting(
+        1.0, 'time before a cache event can be read'
+    )
+    cache_event_loss: float = process.setting(
+        0.1, 'share of cache events that is never published'
+    )
+    seed: int = process.setting(0, 'seed of the lost cache events')
+    checks_fence: bool = process.setting(
+        False, 'refuse orders with an old fencing number'
+    )
+
+
+class _Control(faults.Fault):
+    """Faults, a factor on the time of each step, and a crash."""
+
+    slow_factor: float | None = None
+    crash: bool = False
+
+
+class _Exported(msgspec.Struct):
+    state: bytes
+
+
+def _refuse(text: str, status: int) -> web.Answer:
+    return web.json_answer({'error': text}, status)
+
+
+class Engine:
+    """A model engine that holds a range of layers.
+
+    :ivar port: port that it listens on
+    """
+
+    def __init__(self, config: Config, crash: Callable[[], None]) -> None:
+        self._config = config
+        self._crash = crash
+        self._gate = faults.Gate()
+        holding = session_store.Holding(
+            config.model, config.version, config.layer_start, config.layer_end
+        )
+        self._sessions = session_store.Sessions(
+            holding, config.kv_tokens, config.stop_modulus
+        )
+        self._cache = caches.PrefixCache(
+            config.cache_tokens,
+            config.cache_event_lag_seconds,
+            config.cache_event_loss,
+            time.monotonic,
+            random.Random(config.seed),
+        )
+        timing = batching.Timing(
+            config.base_seconds,
+            config.seconds_per_token,
+            config.max_batch_tokens,
+            config.load_lag_seconds,
+        )
+        self._batcher = batching.Batcher(
+            self._sessions, self._cache, timing, lambda: self._gate.hang
+        )
+        self._fence = 0
+        self._orders: list[messages.Order] = []
+        self._routes: dict[tuple[str, str], web.Handler] = {
+            ('POST', '/v1/steps'): self._run_steps,
+            ('POST', '/v1/orders'): self._take_order,
+            ('GET', '/v1/orders'): self._show_orders,
+            ('GET', '/v1/load'): self._show_load,
+            ('GET', '/v1/cache_events'): self._show_cache_events,
+            ('GET', '/healthz'): lambda _: web.json_answer({}),
+            ('GET', '/runs'): self._show_runs,
+        }
+        self._server = web.Server(config.listen, self._handle)
+        self.port = self._server.port
+
+    @classmethod
+    def from_config(
+        cls, config: Config, crash: Callable[[], None] | None = None
+    ) -> 'Engine':
+        """Build an engine; its port is bound at once.
+
+        :param crash: what a crash does; by default the process exits
+        """
+        return cls(config, crash or exit_process)
+
+    def start(self) -> None:
+        """Begin to answer."""
+        self._batcher.start()
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop at once and cut every connection."""
+        self._batcher.stop()
+        self._server.stop()
+
+    def _handle(self, request: web.Request) -> web.Answer:
+        if request.path == '/control':
+            return self._control(request)
+        stopped = self._gate.enter()
+        if stopped is not None:
+            return stopped
+        if request.path.startswith(_SESSIONS):
+            return self._handle_session(request)
+        answer = self._routes.get((request.method, request.path))
+        return answer(request) if answer else _refuse('no such path', 404)
+
+    def _control(self, request: web.Request) -> web.Answer:
+        if request.method == 'POST':
+            control = web.decode_json(request, _Control)
+            self._gate.change(control)
+            if control.slow_factor is not None:
+                self._batcher.slow_factor = control.slow_factor
+            if control.crash:
+                self._crash()
+                return web.dropped()
+        cache = {
+            'cache_hits': self._cache.hits,
+            'cache_misses': self._cache.misses,
+            'slow_factor': self._batcher.slow_factor,
+            'fence': self._fence,
+        }
+        return web.json_answer(self._gate.state() | cache)
+
+    def _is_marked(self, step: messages.Step) -> bool:
+        marker = self._config.crash_marker
+        return (
+            bool(marker)
+            and step.prompt is not None
+            and (marker in step.prompt)
+        )
+
+    def _run_steps(self, request: web.Request) -> web.Answer:
+        steps = web.decode_json(request, messages.Steps).steps
+        if any(self._is_marked(step) for step in steps):
+            self._crash()
+            return web.dropped()
+        results = self._batcher.run(steps)
+        if results is None or self._gate.drop_answer():
+            return web.dropped()
+        return web.json_answer({'results': results})
+
+    def _show_load(self, _request: web.Request) -> web.Answer:
+        return web.json_answer(attrs.asdict(self._batcher.read_load()))
+
+    def _show_runs(self, _request: web.Request) -> web.Answer:
+        with self._batcher.lock:
+            return web.json_answer(self._sessions.runs())
+
+    def _show_cache_events(self, request: web.Request) -> web.Answer:
+        text = request.query.get('since', '0')
+        if not text.isdecimal():
+            return _refuse('since must be a number', 400)
+        events = self._cache.read_events(int(text))
+        return web.json_answer({'events': events})
+
+    def _handle_session(self, request: web.Request) -> web.Answer:
+        rest = request.path.removeprefix(_SESSIONS)
+        name, _, action = rest.partition('/')
+        session_id = parse.unquote(name)
+        if request.method == 'DELETE' and not action:
+            with self._batcher.lock:
+                self._sessions.free(session_id)
+            self._batcher.note_change()
+            return web.json_answer({})
+        if request.method == 'POST' and action == 'export':
+            return self._export(session_id)
+        if request.method == 'POST' and action == 'import':
+            return self._import(session_id, request)
+        return _refuse('no such path', 404)
+
+    def _export(self, session_id: str) -> web.Answer:
+        with self._batcher.lock:
+            state = self._sessions.export(session_id)
+        if state is None:
+            return _refuse('no such session', 404)
+        return web.json_answer(_Exported(msgspec.msgpack.encode(state)))
+
+    def _import(self, session_id: str, request: web.Request) -> web.Answer:
+        data = web.decode_json(request, _Exported).state
+        state = msgspec.msgpack.decode(data, type=messages.State)
+        with self._batcher.lock:
+            taken = self._sessions.take(session_id, state)
+        self._batcher.note_change()
+        return web.json_answer({}) if taken else _refuse('no fit', 409)
+
+    def _take_order(self, request: web.Request) -> web.Answer:
+        order = web.decode_json(request, messages.Order)
+        with self._batcher.lock:
+            if self._config.checks_fence and order.fence < self._fence:
+                return _refuse('old fencing number', 409)
+            self._fence = max(self._fence, order.fence)
+            holding = session_store.Holding(
+                order.model, order.version, order.layer_start, order.layer_end
+            )
+            self._sessions.load(holding)
+            self._cache.clear()
+            self._orders.append(order)
+            del self._orders[:-_KEPT_ORDERS]
+        return web.json_answer({})
+
+    def _show_orders(self, _request: web.Request) -> web.Answer:
+        return web.json_answer(self._orders)
--- /dev/null
+++ b/packages/standins/src/dunlintide_standins/engine/sessions.py
@@ -0,0 +1,231 @@
+"""Sessions of the engine: KV state, positions and the record of runs."""
+
+import collections
+from typing import Any
+
+import attrs
+from result import Err
+from result import Ok
+from result import Result
+
+from dunlintide_standins.engine import messages
+from dunlintide_standins import reference
+
+__all__ = ['Holding', 'Run', 'Sessions']
+
+MAX_RUNS = 100_000
+
+
+@attrs.frozen
+class Holding:
+    """What the engine has loaded: layers ``[layer_start, layer_end)``."""
+
+    model: str
+    version: str
+    layer_start: int
+    layer_end: int
+
+    @property
+    def constants(self) -> tuple[int, ...]:
+        """Weights of the layers."""
+        return reference.get_constants(
+            self.model, self.version, self.layer_start, self.layer_end
+        )
+
+
+@attrs.define
+class Run:
+    """Record of one epoch of a session on this engine.
+
+    :ivar first_position: above 0 where the epoch went on with kept state
+    :ivar positions: number of positions that were run
+    :ivar layer_steps: positions times layers
+    """
+
+    request_id: str
+    member: str
+    idempotency_key: str
+    epoch: int
+    layer_start: int
+    layer_end: int
+    first_position: int
+    positions: int = 0
+    layer_steps: int = 0
+
+
+@attrs.define
+class _Session:
+    epoch: int
+    position: int
+    prompt_tokens: int
+    layers: list[int]
+    run: Run | None = None
+
+
+class Sessions:
+    """KV state of all sessions; the engine's lock guards it."""
+
+    def __init__(
+        self, holding: Holding, kv_tokens: int, stop_modulus: int
+    ) -> None:
+        self.holding = holding
+        self.used = 0
+        self._kv_tokens = kv_tokens
+        self._stop_modulus = stop_modulus
+        self._sessions: dict[str, _Session] = {}
+        self._runs: collections.deque[Run] = collections.deque(maxlen=MAX_RUNS)
+
+    def __len__(self) -> int:
+        return len(self._sessions)
+
+    @property
+    def usage(self) -> float:
+        """Used share of the KV memory."""
+        return self.used / self._kv_tokens
+
+    def load(self, holding: Holding) -> None:
+        """Hold other layers; the state of all sessions is lost."""
+        self.holding = holding
+        self._sessions.clear()
+        self.used = 0
+
+    def free(self, session_id: str) -> bool:
+        """Free the KV state of a session."""
+        session = self._sessions.pop(session_id, None)
+        if session is None:
+            return False
+        self.used -= session.position
+        return True
+
+    def runs(self) -> list[dict[str, Any]]:
+        """Give the record of runs, oldest first."""
+        return [attrs.asdict(run) for run in self._runs]
+
+    def _record(self, step: messages.Step) -> Run:
+        run = Run(
+            step.session,
+            step.member,
+            step.idempotency_key,
+            step.epoch,
+            self.holding.layer_start,
+            self.holding.layer_end,
+            step.position,
+        )
+        self._runs.append(run)
+        return run
+
+    def _admit(
+        self, step: messages.Step
+    ) -> Result[_Session | None, messages.Code]:
+        """Find the session that a step goes on with, None for a new one."""
+        session = self._sessions.get(step.session)
+        if session is not None and step.epoch < session.epoch:
+            return Err(messages.Code.STALE_EPOCH)
+        if session is None or step.epoch > session.epoch:
+            if step.position == 0:
+                return Ok(None)
+        if session is None or step.position != session.position:
+            return Err(messages.Code.POSITION)
+        return Ok(session)
+
+    def _fits(self, session: _Session | None, step, count: int) -> bool:
+        freed = 0
+        if session is None and step.session in self._sessions:
+            freed = self._sessions[step.session].position
+        return self.used - freed + count <= self._kv_tokens
+
+    def _open(
+        self, session: _Session | None, step: messages.Step, count: int
+    ) -> _Session:
+        if session is None:
+            self.free(step.session)
+            layers = self.holding.layer_end - self.holding.layer_start
+            prompt_tokens = step.prompt_tokens
+            if not prompt_tokens:
+                prompt_tokens = count - len(step.tokens or ())
+            session = _Session(step.epoch, 0, prompt_tokens, [0] * layers)
+            self._sessions[step.session] = session
+        if session.run is None or session.epoch != step.epoch:
+            session.epoch = step.epoch
+            session.run = self._record(step)
+        return session
+
+    def run(
+        self, step: messages.Step, activations: list[int]
+    ) -> messages.Result:
+        """Run the layers over a step's span.
+
+        :param activations: input of the first layer held here
+        """
+        count = len(activations)
+        admitted = self._admit(step)
+        if admitted.is_err():
+            return messages.fail(step, admitted.unwrap_err())
+        if not self._fits(admitted.unwrap(), step, count):
+            return messages.fail(step, messages.Code.KV_FULL)
+        session = self._open(admitted.unwrap(), step, count)
+        constants = self.holding.constants
+        values = reference.run_layers(constants, session.layers, activations)
+        session.position += count
+        self.used += count
+        session.run.positions += count
+        session.run.layer_steps += count * len(constants)
+        return self._answer(step, session, values)
+
+    def _answer(
+        self, step: messages.Step, session: _Session, values: list[int]
+    ) -> messages.Result:
+        result = messages.Result(
+            step.session, step.epoch, step.position, len(values)
+        )
+        if not step.last_stage:
+            result.activations = messages.pack(values)
+            return result
+        index = session.position - session.prompt_tokens
+        token = reference.make_token(
+            values[-1], index, step.max_tokens, self._stop_modulus
+        )
+        result.token = messages.Token(
+            token.id, token.text, token.finish_reason
+        )
+        return result
+
+    def export(self, session_id: str) -> messages.State | None:
+        """Copy the KV state of a session, None for an unknown one."""
+        session = self._sessions.get(session_id)
+        if session is None:
+            return None
+        return messages.State(
+            self.holding.model,
+            self.holding.version,
+            self.holding.layer_start,
+            self.holding.layer_end,
+            session.epoch,
+            session.position,
+            session.prompt_tokens,
+            list(session.layers),
+        )
+
+    def take(self, session_id: str, state: messages.State) -> bool:
+        """Import a session; False when it doesn't fit the engine.
+
+        One that is here already in a newer epoch is kept.
+        """
+        held = self._sessions.get(session_id)
+        if held is not None and held.epoch > state.epoch:
+            return False
+        same = attrs.astuple(self.holding) == (
+            state.model,
+            state.version,
+            state.layer_start,
+            state.layer_end,
+        )
+        freed = held.position if held is not None else 0
+        if not same or self.used - freed + state.position > self._kv_tokens:
+            return False
+        self.free(session_id)
+        self._sessions[session_id] = _Session(
+            state.epoch, state.position, state.prompt_tokens, state.layers
+        )
+        self.used += state.position
+        return True
--- /dev/null
+++ b/packages/standins/src/dunlintide_standins/hosts.py
@@ -0,0 +1,128 @@
+"""Stand-in for the platform's list of hosts, which lags."""
+
+from collections import deque
+import pathlib
+import threading
+import time
+from typing import Literal
+
+import attrs
+import msgspec
+
+from dunlintide_standins import faults
+from dunlintide_standins import process
+from dunlintide_standins import web
+
+__all__ = ['Config', 'Host', 'HostList']
+
+
+@attrs.frozen
+class Config:
+    """Settings of the host list."""
+
+    listen: str = process.setting('127.0.0.1:0', 'host:port to listen on')
+    hosts: str = process.setting('', 'JSON file with the first hosts')
+    lag_seconds: float = process.setting(0.0, 'time before a change shows')
+
+
+class Host(msgspec.Struct):
+    """One host of the list.
+
+    :ivar address: ``host:port`` of its link server
+    """
+
+    name: str
+    role: str
+    address: str
+    failure_domain: str
+    region: str
+    state: Literal['live', 'leaving'] = 'live'
+
+
+class _Listing(msgspec.Struct):
+    hosts: list[Host] = []
+
+
+class _Control(faults.Fault):
+    """Faults, a new list of hosts and the lag before a list shows."""
+
+    hosts: list[Host] | None = None
+    lag_seconds: float | None = None
+
+
+class HostList:
+    """A list of live and leaving hosts.
+
+    :ivar port: port that it listens on
+    """
+
+    def __init__(
+        self, listen: str, hosts: list[Host], lag_seconds: float
+    ) -> None:
+        self._lag_seconds = lag_seconds
+        self._shown = hosts
+        self._pending: deque[tuple[float, list[Host]]] = deque()
+        self._gate = faults.Gate()
+        self._lock = threading.Lock()
+        self._server = web.Server(listen, self._handle)
+        self.port = self._server.port
+
+    @classmethod
+    def from_config(cls, config: Config) -> 'HostList':
+        """Build a host list; its port is bound at once.
+
+        :raises OSError: when the file can't be read
+        :raises msgspec.ValidationError: when it holds no list of hosts
+        """
+        hosts: list[Host] = []
+        if config.hosts:
+            data = pathlib.Path(config.hosts).read_bytes()
+            hosts = msgspec.json.decode(data, type=_Listing).hosts
+        return cls(config.listen, hosts, config.lag_seconds)
+
+    def start(self) -> None:
+        """Begin to answer."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop at once and cut every connection."""
+        self._server.stop()
+
+    def change(self, hosts: list[Host]) -> None:
+        """Replace the list, to show after the lag."""
+        with self._lock:
+            due = time.monotonic() + self._lag_seconds
+            self._pending.append((due, hosts))
+
+    def read(self) -> list[Host]:
+        """Give the hosts as the list shows them now."""
+        now = time.monotonic()
+        with self._lock:
+            while self._pending and self._pending[0][0] <= now:
+                self._shown = self._pending.popleft()[1]
+            return self._shown
+
+    def _control(self, request: web.Request) -> web.Answer:
+        if request.method == 'POST':
+            control = web.decode_json(request, _Control)
+            self._gate.change(control)
+            if control.lag_seconds is not None:
+                self._lag_seconds = control.lag_seconds
+            if control.hosts is not None:
+                self.change(control.hosts)
+        state = {'lag_seconds': self._lag_seconds}
+        return web.json_answer(self._gate.state() | state)
+
+    def _handle(self, request: web.Request) -> web.Answer:
+        if request.path == '/control':
+            return self._control(request)
+        stopped = self._gate.enter()
+        if stopped is not None:
+            return stopped
+        if request.path != '/hosts':
+            return web.json_answer({'error': 'no such path'}, 404)
+        return web.json_answer(_Listing(self.read()))
+
+
+if __name__ == '__main__':
+    process.run(Config, HostList.from_config)
--- a/packages/standins/src/dunlintide_standins/reference.py
+++ b/packages/standins/src/dunlintide_standins/reference.py
@@ -64,7 +64,7 @@
 def tokenize(prompt: str) -> list[int]:
     """Give a token id for each word; an empty prompt has one token."""
     words = prompt.split() or ['']
-    return [xxhash.xxh64_intdigest(word) for word in words]
+    return [xxhash.xxh64_intdigest(word.encode()) for word in words]
 
 
 def embed(token_ids: list[int]) -> list[int]:
@@ -78,7 +78,7 @@
 ) -> tuple[int, ...]:
     """Give the weights of the layers ``[start, end)``, one number each."""
     return tuple(
-        xxhash.xxh64_intdigest(f'{model}\0{version}\0{layer}')
+        xxhash.xxh64_intdigest(f'{model}\0{version}\0{layer}'.encode())
         for layer in range(start, end)
     )
 
--- a/packages/standins/src/dunlintide_standins/web.py
+++ b/packages/standins/src/dunlintide_standins/web.py
@@ -40,12 +40,14 @@
 class Request:
     """One HTTP request.
 
+    :ivar target: path and query as they were sent
     :ivar path: path without the query, still percent-encoded
     :ivar query: query parameters, the last value of each
     :ivar headers: headers by lower-case name
     """
 
     method: str
+    target: str
     path: str
     query: dict[str, str]
     headers: dict[str, str]
@@ -104,7 +106,12 @@
         path, _, query = self.path.partition('?')
         headers = {name.lower(): text for name, text in self.headers.items()}
         return Request(
-            self.command, path, dict(parse.parse_qsl(query)), headers, body
+            self.command,
+            self.path,
+            path,
+            dict(parse.parse_qsl(query)),
+            headers,
+            body,
         )
 
     def _answer(self, request: Request) -> Answer:
