Run requests at an entry over the agents' links

Cause: an entry must answer each request whole and once while agents, links and attempts come and go. Frames never pass an actor.

--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: takes callers' requests and settles their outcomes."""
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/chains.py
@@ -0,0 +1,100 @@
+"""Choice of the chain of agents that runs a request."""
+
+from typing import Callable, Collection, Iterable
+
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import fleet as core_fleet
+from dunlintide_daemon.entry import fleet
+
+__all__ = [
+    'Chain',
+    'Life',
+    'build_stages',
+    'choose_chain',
+    'choose_least',
+    'tell_life',
+]
+
+Chain = tuple[fleet.Agent, ...]
+# Name and incarnation: an agent that was started anew is another one.
+Life = tuple[str, int]
+
+
+def tell_life(agent: fleet.Agent) -> Life:
+    """Return the name and incarnation of an agent."""
+    return agent.peer.name, agent.peer.incarnation
+
+
+def _tell_load(agent: fleet.Agent) -> int:
+    # The report includes this entry's own work once it has arrived, so
+    # the larger of the two is taken rather than the sum.
+    reported = agent.load.running + agent.load.queued
+    return max(agent.outstanding, reported)
+
+
+def choose_least(
+    agents: Iterable[fleet.Agent], avoid: Collection[Life] = ()
+) -> fleet.Agent | None:
+    """Return the least loaded agent, or None when there is none.
+
+    :param avoid: agents that are not to be chosen
+    """
+    usable = [one for one in agents if tell_life(one) not in avoid]
+    return min(usable, key=_tell_load, default=None)
+
+
+def _fits(endpoint: core_fleet.Endpoint, accelerators: Collection[str]):
+    return not accelerators or endpoint.accelerator in accelerators
+
+
+def choose_chain(
+    agents: Iterable[fleet.Agent],
+    layers: int,
+    *,
+    accelerators: Collection[str] = (),
+    avoid: Collection[Life] = (),
+    is_head: Callable[[fleet.Agent], bool] = lambda agent: True,
+) -> Chain | None:
+    """Tile the layers with the agents that have the least work.
+
+    :param agents: usable agents of one model version
+    :param layers: number of layers of the model
+    :param accelerators: kinds that may serve, empty for any
+    :param avoid: agents that are not to be chosen
+    :param is_head: tells whether an agent may hold the first layers
+    :returns: agents whose ranges tile all layers, or None
+    """
+    best: dict[int, tuple[int, Chain]] = {0: (0, ())}
+    # A range ends behind its start, so in this order the best way to a
+    # boundary is known before any range that starts there.
+    for agent in sorted(agents, key=lambda one: one.peer.endpoint.layer_start):
+        endpoint = agent.peer.endpoint
+        known = best.get(endpoint.layer_start)
+        if known is None or tell_life(agent) in avoid:
+            continue
+        if not _fits(endpoint, accelerators):
+            continue
+        if endpoint.layer_start == 0 and not is_head(agent):
+            continue
+        if endpoint.layer_end <= endpoint.layer_start:
+            continue
+        cost = known[0] + 1 + _tell_load(agent)
+        reached = best.get(endpoint.layer_end)
+        if reached is None or cost < reached[0]:
+            best[endpoint.layer_end] = (cost, (*known[1], agent))
+    found = best.get(layers)
+    return found[1] if found is not None and found[1] else None
+
+
+def build_stages(chain: Chain) -> list[link_pb2.Stage]:
+    """Return a chain in the form of the wire."""
+    return [
+        link_pb2.Stage(
+            agent=agent.peer.name,
+            address=agent.peer.address,
+            incarnation=agent.peer.incarnation,
+            layer_start=agent.peer.endpoint.layer_start,
+            layer_end=agent.peer.endpoint.layer_end,
+        )
+        for agent in chain
+    ]
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/completions.py
@@ -0,0 +1,174 @@
+"""Running a completion: tokens out, attempts behind them."""
+
+from typing import Callable, Collection, Iterator
+
+import attrs
+
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import outcomes
+from dunlintide_daemon.entry import chains
+from dunlintide_daemon.entry import dispatch
+from dunlintide_daemon.entry import requests
+from dunlintide_daemon.entry import sessions
+
+__all__ = [
+    'End',
+    'Plan',
+    'Piece',
+    'Wait',
+    'run',
+]
+
+
+@attrs.frozen
+class Piece:
+    """Texts of tokens that came together."""
+
+    texts: list[str]
+
+
+@attrs.frozen
+class Wait:
+    """Nothing came for a while."""
+
+
+@attrs.frozen
+class End:
+    """The whole answer has come."""
+
+    finish_reason: str
+    prompt_tokens: int
+    tokens: int
+
+
+@attrs.frozen
+class Plan:
+    """What a completion runs on.
+
+    :ivar choose: returns a chain without the given agents, or None
+    """
+
+    model: str
+    version: str
+    adapter: str
+    choose: Callable[[Collection[chains.Life]], chains.Chain | None]
+
+
+class _Run:
+    """State of one completion."""
+
+    def __init__(
+        self,
+        context: dispatch.Context,
+        job: dispatch.Job,
+        request: requests.Completion,
+        plan: Plan,
+    ) -> None:
+        self._context = context
+        self._job = job
+        self._request = request
+        self._plan = plan
+        self._attempt = dispatch.Attempt(context, job)
+        self._tokens: list[int] = []
+
+    def _build_open(self, chain: chains.Chain, epoch: int) -> link_pb2.Frame:
+        message = link_pb2.Open(
+            terms=self._attempt.build_terms(),
+            epoch=epoch,
+            chain=chains.build_stages(chain),
+            prompt=self._request.prompt,
+            max_tokens=self._request.max_tokens,
+            resumed_tokens=self._tokens,
+            claim=self._job.claim,
+            model=self._plan.model,
+            version=self._plan.version,
+            adapter=self._plan.adapter,
+        )
+        return link_pb2.Frame(open=message)
+
+    def _open(self) -> bool:
+        chain = dispatch.pick_avoiding(self._plan.choose, self._attempt.avoid)
+        if chain is None:
+            return False
+        self._attempt.send(chain, lambda epoch: self._build_open(chain, epoch))
+        return True
+
+    def _accept(self, token: link_pb2.Token, texts: list[str]) -> bool:
+        """Take a token in; False when one before it is missing."""
+        expected = len(self._tokens)
+        if token.index > expected:
+            return False
+        if token.index < expected:
+            self._attempt.drop_duplicate()
+            return True
+        self._tokens.append(token.id)
+        texts.append(token.text)
+        return True
+
+    def _read(
+        self, events: list[sessions.Event], texts: list[str]
+    ) -> End | link_pb2.Fail | sessions.Lost | None:
+        """Gather texts; return what ends the attempt, if anything."""
+        for event in events:
+            if isinstance(event, link_pb2.Token):
+                if not self._accept(event, texts):
+                    return self._attempt.drop_gap()
+            elif isinstance(event, link_pb2.Done):
+                if event.tokens != len(self._tokens):
+                    return self._attempt.drop_gap()
+                self._attempt.settle()
+                return End(
+                    event.finish_reason, event.prompt_tokens, event.tokens
+                )
+            elif isinstance(event, link_pb2.Fail):
+                self._attempt.settle()
+                return event
+            elif isinstance(event, sessions.Lost):
+                return event
+        return None
+
+    def run(self) -> Iterator[Piece | Wait | End | outcomes.Refusal]:
+        if not self._open():
+            yield outcomes.refuse(
+                outcomes.FailCode.NO_CAPACITY,
+                'no chain of endpoints holds all layers of the model',
+                retry_after=dispatch.RETRY_AFTER_SECONDS,
+            )
+            return
+        while True:
+            texts: list[str] = []
+            ending = self._read(self._attempt.take(), texts)
+            if texts:
+                yield Piece(texts)
+            if isinstance(ending, End):
+                yield ending
+                return
+            refusal = self._attempt.check()
+            if refusal is None and ending is not None:
+                failure = self._attempt.read_failure(ending)
+                refusal = self._attempt.recover(failure, self._open)
+            if refusal is not None:
+                yield refusal
+                return
+            if not texts:
+                yield Wait()
+
+    def close(self) -> None:
+        self._attempt.close()
+
+
+def run(
+    context: dispatch.Context,
+    job: dispatch.Job,
+    request: requests.Completion,
+    plan: Plan,
+) -> Iterator[Piece | Wait | End | outcomes.Refusal]:
+    """Run a completion; closing the iterator cancels it.
+
+    :returns: pieces and waits, then an end or a refusal
+    """
+    one = _Run(context, job, request, plan)
+    try:
+        yield from one.run()
+    finally:
+        one.close()
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/fleet.py
@@ -0,0 +1,307 @@
+"""Agents as this entry sees them: listed, linked, loaded or leaving.
+
+A view behind a lock rather than an actor: link readers write to it and
+request threads read from it, and neither may wait for a mailbox. Readers
+get immutable records, so they never hold the lock while they decide.
+"""
+
+import threading
+import time
+from typing import Callable, Iterable, Mapping, Protocol
+
+import attrs
+
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import fleet
+
+__all__ = [
+    'Agent',
+    'Fleet',
+    'Host',
+    'Listeners',
+]
+
+_CONTROL = frozenset(('hello', 'load', 'leaving'))
+_LEAVING = 'leaving'
+
+
+class Host(Protocol):
+    """One host of the platform's list, as far as it matters here."""
+
+    name: str
+    role: str
+    address: str
+    state: str
+
+
+@attrs.frozen(eq=False)
+class Agent:
+    """One agent in one life of it, at one moment.
+
+    :ivar link: the open link to it
+    :ivar load: its last report
+    :ivar heard: monotonic time of that report, in seconds
+    :ivar outstanding: work of this entry that it has not finished
+    :ivar leaving: whether it takes no new work
+    """
+
+    peer: fleet.Peer
+    link: links.Link
+    load: fleet.LoadReport = fleet.LoadReport()
+    heard: float = 0.0
+    outstanding: int = 0
+    leaving: bool = False
+
+
+@attrs.frozen
+class Listeners:
+    """What the rest of the entry wants to hear of links.
+
+    :ivar frames: called with frames that belong to requests
+    :ivar down: called with a link that was lost
+    """
+
+    frames: Callable[[links.Link, list[link_pb2.Frame]], None]
+    down: Callable[[links.Link], None]
+
+
+def _read_endpoint(message: link_pb2.Endpoint) -> fleet.Endpoint | None:
+    try:
+        kind = fleet.EndpointKind(message.kind)
+    except ValueError:
+        return None
+    return fleet.Endpoint(
+        kind=kind,
+        model=message.model,
+        version=message.version,
+        layer_start=message.layer_start,
+        layer_end=message.layer_end,
+        layer_count=message.layer_count,
+        accelerator=message.accelerator,
+        service=message.service,
+        tokens_per_second=message.tokens_per_second,
+        checks_fence=message.checks_fence,
+        max_in_flight=message.max_in_flight,
+    )
+
+
+def _read_peer(hello: link_pb2.Hello) -> fleet.Peer | None:
+    if hello.role != fleet.Role.AGENT or not hello.HasField('endpoint'):
+        return None
+    endpoint = _read_endpoint(hello.endpoint)
+    if endpoint is None:
+        return None
+    return fleet.Peer(
+        name=hello.name,
+        role=fleet.Role.AGENT,
+        incarnation=hello.incarnation,
+        failure_domain=hello.failure_domain,
+        region=hello.region,
+        address=hello.address,
+        endpoint=endpoint,
+        leaving=hello.leaving,
+    )
+
+
+def _read_load(message: link_pb2.Load) -> fleet.LoadReport:
+    return fleet.LoadReport(
+        running=message.running,
+        queued=message.queued,
+        cap=message.cap,
+        kv_usage=message.kv_usage,
+        step_seconds=message.step_seconds,
+        tokens_per_second=message.tokens_per_second,
+        generation=message.generation,
+    )
+
+
+class Fleet:
+    """Keeps a link to each listed agent and tells which are usable."""
+
+    def __init__(
+        self,
+        hello: Callable[[], link_pb2.Hello],
+        listeners: Listeners,
+        timing: links.LinkTiming = links.LinkTiming(),
+    ) -> None:
+        """Begin with no agents.
+
+        :param hello: builds what this entry says of itself
+        """
+        self._hello = hello
+        self._listeners = listeners
+        self._timing = timing
+        self._lock = threading.Lock()
+        self._dialers: dict[str, links.Dialer] = {}
+        self._agents: dict[str, Agent] = {}
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._stopped = False
+
+    def update(self, hosts: Iterable[Host]) -> None:
+        """Take in the host list: dial new agents, drop the gone ones.
+
+        The list lags, so an agent that it lacks stays while its link is
+        open.
+        """
+        listed = [host for host in hosts if host.role == fleet.Role.AGENT]
+        addresses = {host.address for host in listed}
+        leaving = frozenset(
+            host.name for host in listed if host.state == _LEAVING
+        )
+        with self._lock:
+            self._listed_leaving = leaving
+            started = self._add(addresses)
+            dropped = self._drop(addresses)
+        for dialer in started:
+            dialer.start()
+        for dialer in dropped:
+            dialer.stop()
+
+    def _add(self, addresses: set[str]) -> list[links.Dialer]:
+        if self._stopped:
+            return []
+        handlers = links.Handlers(self._up, self._take, self._down)
+        added = []
+        for address in addresses - self._dialers.keys():
+            dialer = links.Dialer(address, self._hello, handlers, self._timing)
+            self._dialers[address] = dialer
+            added.append(dialer)
+        return added
+
+    def _drop(self, addresses: set[str]) -> list[links.Dialer]:
+        gone = [
+            address
+            for address, dialer in self._dialers.items()
+            if address not in addresses and dialer.link is None
+        ]
+        return [self._dialers.pop(address) for address in gone]
+
+    def _up(self, link: links.Link) -> None:
+        peer = _read_peer(link.peer)
+        if peer is None:
+            return
+        with self._lock:
+            known = self._agents.get(peer.name)
+            if known is None or known.peer.incarnation != peer.incarnation:
+                agent = Agent(peer, link, leaving=peer.leaving)
+            else:
+                leaving = known.leaving or peer.leaving
+                agent = attrs.evolve(known, link=link, leaving=leaving)
+            self._agents[peer.name] = agent
+
+    def _down(self, link: links.Link, reason: str) -> None:
+        with self._lock:
+            name = link.peer.name
+            agent = self._agents.get(name)
+            if agent is not None and agent.link is link:
+                del self._agents[name]
+        self._listeners.down(link)
+
+    def _take(self, link: links.Link, frames: list[link_pb2.Frame]) -> None:
+        rest = []
+        for frame in frames:
+            if frame.WhichOneof('body') in _CONTROL:
+                self._apply(link, frame)
+            else:
+                rest.append(frame)
+        if rest:
+            self._listeners.frames(link, rest)
+
+    def _apply(self, link: links.Link, frame: link_pb2.Frame) -> None:
+        body = frame.WhichOneof('body')
+        if body == 'hello':
+            self._up(link)
+            return
+        with self._lock:
+            agent = self._agents.get(link.peer.name)
+            if agent is None or agent.link is not link:
+                return
+            if body == 'leaving':
+                agent = attrs.evolve(agent, leaving=True)
+            else:
+                load = _read_load(frame.load)
+                agent = attrs.evolve(agent, load=load, heard=time.monotonic())
+            self._agents[link.peer.name] = agent
+
+    def list_agents(self) -> list[Agent]:
+        """Return all agents with an open link."""
+        with self._lock:
+            return list(self._agents.values())
+
+    def list_usable(self) -> list[Agent]:
+        """Return the agents that may get new work."""
+        with self._lock:
+            return [
+                agent
+                for name, agent in self._agents.items()
+                if not agent.leaving and name not in self._listed_leaving
+            ]
+
+    def list_engines(self, model: str, version: str) -> list[Agent]:
+        """Return usable agents that hold layers of a model version."""
+        return [
+            agent
+            for agent in self.list_usable()
+            if agent.peer.endpoint.kind is fleet.EndpointKind.ENGINE
+            and agent.peer.endpoint.model == model
+            and agent.peer.endpoint.version == version
+        ]
+
+    def list_services(self, service: str) -> list[Agent]:
+        """Return usable agents of a plain service."""
+        return [
+            agent
+            for agent in self.list_usable()
+            if agent.peer.endpoint.kind is fleet.EndpointKind.SERVICE
+            and agent.peer.endpoint.service == service
+        ]
+
+    def find(self, name: str, incarnation: int) -> Agent | None:
+        """Return an agent, leaving or not, in that life of it."""
+        with self._lock:
+            agent = self._agents.get(name)
+        if agent is None or agent.peer.incarnation != incarnation:
+            return None
+        return agent
+
+    def add_work(self, names: Iterable[str], amount: int) -> None:
+        """Add to the outstanding work of agents; negative when it ends."""
+        with self._lock:
+            for name in names:
+                agent = self._agents.get(name)
+                if agent is None:
+                    continue
+                outstanding = max(0, agent.outstanding + amount)
+                self._agents[name] = attrs.evolve(
+                    agent, outstanding=outstanding
+                )
+
+    def describe(self) -> Mapping[str, object]:
+        """Return the state for a dump."""
+        now = time.monotonic()
+        agents = [
+            {
+                'name': agent.peer.name,
+                'incarnation': agent.peer.incarnation,
+                'address': agent.peer.address,
+                'leaving': agent.leaving,
+                'outstanding': agent.outstanding,
+                'running': agent.load.running,
+                'queued': agent.load.queued,
+                'load_age': round(now - agent.heard, 3),
+            }
+            for agent in self.list_agents()
+        ]
+        with self._lock:
+            dialled = sorted(self._dialers)
+        return {'agents': agents, 'dialled': dialled}
+
+    def stop(self) -> None:
+        """Close all links."""
+        with self._lock:
+            self._stopped = True
+            dialers = list(self._dialers.values())
+            self._dialers.clear()
+        for dialer in dialers:
+            dialer.stop()
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/headers.py
@@ -0,0 +1,82 @@
+"""Headers that pass between callers and plain services."""
+
+from typing import Any, Iterable, Mapping
+
+__all__ = [
+    'filter_answer_headers',
+    'read_request_headers',
+]
+
+# Headers that concern one connection only, that name the caller to the
+# service in place of the agent, or that this entry sets itself.
+_DROPPED_REQUEST_HEADERS = frozenset(
+    (
+        'AUTHORIZATION',
+        'CONNECTION',
+        'COOKIE',
+        'DUNLINTIDE_MEMBER',
+        'DUNLINTIDE_PRIORITY',
+        'EXPECT',
+        'HOST',
+        'IDEMPOTENCY_KEY',
+        'KEEP_ALIVE',
+        'PROXY_AUTHORIZATION',
+        'PROXY_CONNECTION',
+        'TE',
+        'TRAILER',
+        'TRANSFER_ENCODING',
+        'UPGRADE',
+        'X_REQUEST_ID',
+    )
+)
+_DROPPED_ANSWER_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'date',
+        'dunlintide-outcome',
+        'keep-alive',
+        'proxy-authenticate',
+        'server',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-request-id',
+    )
+)
+
+
+def read_request_headers(
+    environ: Mapping[str, Any],
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers of a request that go on to a service.
+
+    :param environ: the request, as WSGI has it
+    """
+    headers = [
+        (name[5:].replace('_', '-').title(), value)
+        for name, value in environ.items()
+        if name.startswith('HTTP_')
+        and name[5:] not in _DROPPED_REQUEST_HEADERS
+    ]
+    if environ.get('CONTENT_TYPE'):
+        headers.append(('Content-Type', environ['CONTENT_TYPE']))
+    return tuple(headers)
+
+
+def _is_safe(name: str, value: str) -> bool:
+    # waitress raises on these, after the service has run.
+    return not any(mark in name + value for mark in '\r\n')
+
+
+def filter_answer_headers(
+    headers: Iterable[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Return the headers of a service's answer that go to the caller."""
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _DROPPED_ANSWER_HEADERS
+        and _is_safe(name, value)
+    ]
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/problems.py
@@ -0,0 +1,95 @@
+"""Problem details (RFC 9457) for answers other than the one asked for."""
+
+import http
+import math
+import random
+from typing import Iterable
+
+import attrs
+import msgspec
+
+from dunlintide_core import outcomes
+
+__all__ = [
+    'OUTCOME_HEADER',
+    'REQUEST_ID_HEADER',
+    'Response',
+    'build_fields',
+    'render',
+    'render_status',
+]
+
+OUTCOME_HEADER = 'Dunlintide-Outcome'
+REQUEST_ID_HEADER = 'X-Request-Id'
+CONTENT_TYPE = 'application/problem+json'
+_TYPE_PREFIX = 'urn:dunlintide:problem:'
+# Callers that were refused together must not come back together.
+_JITTER = (0.5, 1.5)
+_LEAST_RETRY_SECONDS = 1
+
+
+@attrs.frozen
+class Response:
+    """An HTTP answer in the form that WSGI takes.
+
+    :ivar status: status code with its reason phrase
+    :ivar body: chunks of the body; may be produced while it is sent
+    """
+
+    status: str
+    headers: list[tuple[str, str]]
+    body: Iterable[bytes]
+
+
+def render_status(code: int) -> str:
+    """Return the status line's code and phrase.
+
+    :param code: HTTP status code; an unregistered one gets no phrase
+    """
+    try:
+        return f'{code} {http.HTTPStatus(code).phrase}'
+    except ValueError:
+        return f'{code} Unregistered'
+
+
+def build_fields(
+    refusal: outcomes.Refusal, request_id: str
+) -> dict[str, object]:
+    """Return the members of a problem object.
+
+    :param refusal: what to tell
+    :param request_id: the request, for the operators' logs
+    """
+    title = refusal.code.value.replace('-', ' ')
+    return {
+        'type': _TYPE_PREFIX + refusal.code.value,
+        'title': title,
+        'status': refusal.status,
+        'detail': refusal.detail or title,
+        'outcome': refusal.outcome.value,
+        'code': refusal.code.value,
+        'request_id': request_id,
+    }
+
+
+def render(
+    refusal: outcomes.Refusal, request_id: str, rng: random.Random
+) -> Response:
+    """Build the whole answer for a refusal.
+
+    :param rng: source of the jitter on ``Retry-After``
+    """
+    body = msgspec.json.encode(build_fields(refusal, request_id))
+    headers = [
+        ('Content-Type', CONTENT_TYPE),
+        ('Content-Length', str(len(body))),
+        (OUTCOME_HEADER, refusal.outcome.value),
+        (REQUEST_ID_HEADER, request_id),
+    ]
+    if refusal.code is outcomes.FailCode.UNAUTHENTICATED:
+        headers.append(('WWW-Authenticate', 'Bearer'))
+    if refusal.retry_after is not None:
+        seconds = refusal.retry_after * rng.uniform(*_JITTER)
+        seconds = max(_LEAST_RETRY_SECONDS, math.ceil(seconds))
+        headers.append(('Retry-After', str(seconds)))
+    return Response(render_status(refusal.status), headers, [body])
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/requests.py
@@ -0,0 +1,207 @@
+"""Callers' requests, read and checked before anything runs."""
+
+import hashlib
+import re
+from typing import Annotated, Any, Mapping
+
+import attrs
+import msgspec
+import result
+
+from dunlintide_core import outcomes
+
+__all__ = [
+    'Completion',
+    'ServiceCall',
+    'check_key',
+    'compute_fingerprint',
+    'estimate_tokens',
+    'parse_completion',
+    'read_body',
+]
+
+MAX_BODY_BYTES = 1 << 20
+MAX_PROMPT_CHARS = 512 << 10
+MAX_TOKENS = 8192
+DEFAULT_MAX_TOKENS = 256
+MAX_KEY_LENGTH = 255
+MAX_NAME_LENGTH = 128
+MAX_PRIORITY = 3
+_FINGERPRINT_BYTES = 16
+_CHARS_PER_TOKEN = 4
+_KEY = re.compile(r'[\x21-\x7e]+')
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+_TokenCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)]
+
+
+class _StreamOptions(msgspec.Struct):
+    include_usage: bool = False
+
+
+class _Common(msgspec.Struct, kw_only=True):
+    model: _Name
+    max_tokens: _TokenCount | None = None
+    max_completion_tokens: _TokenCount | None = None
+    stream: bool = False
+    stream_options: _StreamOptions | None = None
+    n: Annotated[int, msgspec.Meta(ge=1, le=1)] = 1
+    adapter: str = ''
+
+
+class _Prompted(_Common, kw_only=True):
+    prompt: Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class _Part(msgspec.Struct):
+    type: str
+    text: str = ''
+
+
+class _Message(msgspec.Struct):
+    role: Annotated[str, msgspec.Meta(pattern='^[a-z]{1,32}$')]
+    content: str | list[_Part] | None = None
+
+
+class _Chat(_Common, kw_only=True):
+    messages: Annotated[list[_Message], msgspec.Meta(min_length=1)]
+
+
+@attrs.frozen
+class Completion:
+    """A request for generated text.
+
+    :ivar chat: whether it came as a chat and is answered as one
+    :ivar max_tokens: most tokens to generate
+    :ivar include_usage: whether a stream ends with the usage
+    """
+
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool = False
+    include_usage: bool = False
+    chat: bool = False
+    adapter: str = ''
+
+
+@attrs.frozen
+class ServiceCall:
+    """A call of a plain service.
+
+    :ivar path: what follows ``/services/NAME``, with its query
+    """
+
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+def _refuse(
+    detail: str, code: outcomes.FailCode = outcomes.FailCode.BAD_REQUEST
+) -> result.Err[outcomes.Refusal]:
+    return result.Err(outcomes.refuse(code, detail))
+
+
+def _join_content(content: str | list[_Part] | None) -> str:
+    if isinstance(content, list):
+        return ''.join(part.text for part in content)
+    return content or ''
+
+
+def _join_messages(messages: list[_Message]) -> str:
+    lines = [f'{one.role}: {_join_content(one.content)}' for one in messages]
+    return '\n'.join([*lines, 'assistant:'])
+
+
+def _is_text(message: _Message) -> bool:
+    if not isinstance(message.content, list):
+        return True
+    return all(part.type == 'text' for part in message.content)
+
+
+def parse_completion(
+    body: bytes, *, chat: bool
+) -> result.Result[Completion, outcomes.Refusal]:
+    """Read the JSON body of a completion.
+
+    :param chat: whether it holds messages rather than a prompt
+    :returns: the request, or a refusal that names the faulty field
+    """
+    kind = _Chat if chat else _Prompted
+    try:
+        parsed: Any = msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        # msgspec's messages name types and paths, never the values.
+        return _refuse(str(error))
+    if chat and not all(map(_is_text, parsed.messages)):
+        return _refuse('only content parts of type "text" are supported')
+    prompt = _join_messages(parsed.messages) if chat else parsed.prompt
+    if len(prompt) > MAX_PROMPT_CHARS:
+        return _refuse('the prompt is too long', outcomes.FailCode.TOO_LARGE)
+    options = parsed.stream_options
+    max_tokens = parsed.max_completion_tokens or parsed.max_tokens
+    return result.Ok(
+        Completion(
+            model=parsed.model,
+            prompt=prompt,
+            max_tokens=max_tokens or DEFAULT_MAX_TOKENS,
+            stream=parsed.stream,
+            include_usage=options is not None and options.include_usage,
+            chat=chat,
+            adapter=parsed.adapter,
+        )
+    )
+
+
+def read_body(
+    environ: Mapping[str, Any],
+) -> result.Result[bytes, outcomes.Refusal]:
+    """Read a request's body, refusing one over the limit."""
+    text = environ.get('CONTENT_LENGTH') or '0'
+    if not text.isdigit():
+        return _refuse('Content-Length is not a number')
+    if int(text) > MAX_BODY_BYTES:
+        return _refuse('the body is too large', outcomes.FailCode.TOO_LARGE)
+    body = environ['wsgi.input'].read(MAX_BODY_BYTES + 1)
+    if len(body) > MAX_BODY_BYTES:
+        return _refuse('the body is too large', outcomes.FailCode.TOO_LARGE)
+    return result.Ok(body)
+
+
+def check_key(key: str | None) -> result.Result[str, outcomes.Refusal]:
+    """Check an ``Idempotency-Key``.
+
+    :param key: the header's value, None when there was none
+    :returns: the key, empty when there was none
+    """
+    if key is None:
+        return result.Ok('')
+    if len(key) > MAX_KEY_LENGTH or not _KEY.fullmatch(key):
+        detail = (
+            'Idempotency-Key must be 1 to '
+            f'{MAX_KEY_LENGTH} printable characters without spaces'
+        )
+        return _refuse(detail)
+    return result.Ok(key)
+
+
+def compute_fingerprint(member: str, *parts: str | bytes) -> bytes:
+    """Return a digest that tells one request's content from another's.
+
+    It includes the member, so that no member's request can be taken for
+    another's.
+    """
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    for part in (member, *parts):
+        data = part.encode() if isinstance(part, str) else part
+        digest.update(len(data).to_bytes(8, 'big'))
+        digest.update(data)
+    return digest.digest()
+
+
+def estimate_tokens(prompt: str) -> int:
+    """Estimate a prompt's size in tokens, for rules and costs."""
+    return len(prompt) // _CHARS_PER_TOKEN + 1
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/services.py
@@ -0,0 +1,167 @@
+"""Running a call of a plain service."""
+
+from typing import Callable, Collection
+
+import attrs
+
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import outcomes
+from dunlintide_daemon.entry import chains
+from dunlintide_daemon.entry import dispatch
+from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import requests
+from dunlintide_daemon.entry import sessions
+
+__all__ = [
+    'Answer',
+    'run',
+]
+
+# An answer is gathered before it is passed on, so that a caller gets all
+# of it or a plain refusal; this bounds what one of them takes.
+MAX_ANSWER_BYTES = 8 << 20
+
+
+@attrs.frozen
+class Answer:
+    """Whole answer of a plain service."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@attrs.define
+class _Parts:
+    """What has come of an answer."""
+
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    chunks: list[bytes] = attrs.field(factory=list)
+    size: int = 0
+
+    def add(self, reply: link_pb2.Reply) -> bool:
+        """Add the next part; False when one before it is missing."""
+        if reply.part != len(self.chunks):
+            return False
+        if not self.chunks:
+            self.status = reply.status
+            self.headers = tuple(
+                (header.name, header.value) for header in reply.headers
+            )
+        self.chunks.append(reply.body)
+        self.size += len(reply.body)
+        return True
+
+    def build(self) -> Answer:
+        return Answer(self.status, self.headers, b''.join(self.chunks))
+
+
+def _refuse_large() -> outcomes.Refusal:
+    code = outcomes.FailCode.TOO_LARGE
+    return outcomes.refuse(code, 'the answer is too large', ran=True)
+
+
+class _Run:
+    """State of one call."""
+
+    def __init__(
+        self,
+        context: dispatch.Context,
+        job: dispatch.Job,
+        call: requests.ServiceCall,
+        choose: Callable[[Collection[chains.Life]], fleet.Agent | None],
+    ) -> None:
+        self._job = job
+        self._call = call
+        self._choose = choose
+        self._attempt = dispatch.Attempt(context, job)
+
+    def _build_call(self, epoch: int) -> link_pb2.Frame:
+        headers = [
+            link_pb2.Header(name=name, value=value)
+            for name, value in self._call.headers
+        ]
+        message = link_pb2.Call(
+            terms=self._attempt.build_terms(),
+            epoch=epoch,
+            method=self._call.method,
+            path=self._call.path,
+            headers=headers,
+            body=self._call.body,
+            claim=self._job.claim,
+        )
+        return link_pb2.Frame(call=message)
+
+    def _pick(self, avoid: Collection[chains.Life]) -> chains.Chain | None:
+        agent = self._choose(avoid)
+        return (agent,) if agent is not None else None
+
+    def _open(self) -> bool:
+        chain = dispatch.pick_avoiding(self._pick, self._attempt.avoid)
+        if chain is None:
+            return False
+        self._attempt.send(chain, self._build_call)
+        return True
+
+    def _read(
+        self, events: list[sessions.Event], parts: _Parts
+    ) -> Answer | outcomes.Refusal | link_pb2.Fail | sessions.Lost | None:
+        for event in events:
+            if isinstance(event, link_pb2.Reply):
+                if not parts.add(event):
+                    return self._attempt.drop_gap()
+                if parts.size > MAX_ANSWER_BYTES:
+                    return _refuse_large()
+                if event.last:
+                    self._attempt.settle()
+                    return parts.build()
+            elif isinstance(event, link_pb2.Fail):
+                self._attempt.settle()
+                return event
+            elif isinstance(event, sessions.Lost):
+                return event
+        return None
+
+    def run(self) -> Answer | outcomes.Refusal:
+        if not self._open():
+            return outcomes.refuse(
+                outcomes.FailCode.NO_CAPACITY,
+                'no endpoint of the service is reachable',
+                retry_after=dispatch.RETRY_AFTER_SECONDS,
+            )
+        parts = _Parts()
+        while True:
+            ending = self._read(self._attempt.take(), parts)
+            if isinstance(ending, (Answer, outcomes.Refusal)):
+                return ending
+            refusal = self._attempt.check()
+            if refusal is not None:
+                return refusal
+            if ending is None:
+                continue
+            failure = self._attempt.read_failure(ending)
+            refusal = self._attempt.recover(failure, self._open)
+            if refusal is not None:
+                return refusal
+            parts = _Parts()
+
+    def close(self) -> None:
+        self._attempt.close()
+
+
+def run(
+    context: dispatch.Context,
+    job: dispatch.Job,
+    call: requests.ServiceCall,
+    choose: Callable[[Collection[chains.Life]], fleet.Agent | None],
+) -> Answer | outcomes.Refusal:
+    """Run a call and wait for its whole answer.
+
+    :param choose: returns an agent other than the given ones, or None
+    """
+    one = _Run(context, job, call, choose)
+    try:
+        return one.run()
+    finally:
+        one.close()
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/sessions.py
@@ -0,0 +1,166 @@
+"""Running requests: frames from the links to the threads that wait.
+
+Link readers put frames on a request's own queue and go on; the request's
+thread checks epoch and index as it takes them. No frame passes through an
+actor, and a slow caller holds up nobody else.
+"""
+
+import queue
+import threading
+from typing import Iterator, Mapping
+
+import attrs
+
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+
+__all__ = [
+    'Counts',
+    'Event',
+    'Lost',
+    'Session',
+    'Sessions',
+]
+
+MAX_TAKEN = 256
+_ROUTED = frozenset(('token', 'done', 'fail', 'reply'))
+
+
+@attrs.frozen
+class Lost:
+    """The link to a request's head was lost.
+
+    :ivar epoch: the attempt that ran over it
+    """
+
+    epoch: int
+
+
+Event = link_pb2.Token | link_pb2.Done | link_pb2.Fail | link_pb2.Reply | Lost
+
+
+@attrs.define
+class Counts:
+    """Frames that were dropped, by reason.
+
+    :ivar stale: of an older epoch
+    :ivar duplicate: tokens that had come before
+    :ivar orphan: of a request that has ended here
+    :ivar gaps: epochs that failed for a missing token
+    """
+
+    stale: int = 0
+    duplicate: int = 0
+    orphan: int = 0
+    gaps: int = 0
+
+
+@attrs.define(eq=False)
+class Session:
+    """One running request.
+
+    :ivar epoch: number of the current attempt
+    :ivar link: the link over which it runs
+    """
+
+    request_id: str
+    member: str
+    rule: str
+    deadline: float
+    counts: Counts
+    epoch: int = 0
+    link: links.Link | None = None
+    _events: queue.SimpleQueue = attrs.field(factory=queue.SimpleQueue)
+
+    def put(self, event: Event) -> None:
+        """Queue an event; called by link readers."""
+        self._events.put(event)
+
+    def lose(self, link: links.Link) -> None:
+        """Queue the loss of a link, if the request runs over it."""
+        epoch = self.epoch
+        if self.link is link:
+            self._events.put(Lost(epoch))
+
+    def take(self, timeout: float) -> Iterator[Event]:
+        """Yield what has come for the current epoch.
+
+        :param timeout: longest wait for the first event, in seconds
+        """
+        try:
+            event = self._events.get(timeout=max(0.0, timeout))
+        except queue.Empty:
+            return
+        for taken in range(MAX_TAKEN):
+            if taken:
+                try:
+                    event = self._events.get_nowait()
+                except queue.Empty:
+                    return
+            if event.epoch == self.epoch:
+                yield event
+            else:
+                self.counts.stale += 1
+
+
+class Sessions:
+    """All running requests by their ids."""
+
+    def __init__(self) -> None:
+        self.counts = Counts()
+        self._sessions: dict[str, Session] = {}
+        self._lock = threading.Lock()
+
+    def add(
+        self, request_id: str, member: str, rule: str, deadline: float
+    ) -> Session:
+        """Begin a request.
+
+        :param deadline: monotonic time in seconds
+        """
+        session = Session(request_id, member, rule, deadline, self.counts)
+        with self._lock:
+            self._sessions[request_id] = session
+        return session
+
+    def discard(self, session: Session) -> None:
+        """Forget a request; later frames of it are dropped."""
+        with self._lock:
+            self._sessions.pop(session.request_id, None)
+
+    def route(self, link: links.Link, frames: list[link_pb2.Frame]) -> None:
+        """Hand frames to the requests that they belong to."""
+        for frame in frames:
+            body = frame.WhichOneof('body')
+            if body not in _ROUTED:
+                continue
+            event = getattr(frame, body)
+            session = self._sessions.get(event.request_id)
+            if session is None:
+                self.counts.orphan += 1
+            else:
+                session.put(event)
+
+    def lose(self, link: links.Link) -> None:
+        """Tell the requests that run over a link that it was lost."""
+        for session in self.list():
+            session.lose(link)
+
+    def list(self) -> list[Session]:
+        """Return the running requests."""
+        with self._lock:
+            return list(self._sessions.values())
+
+    def describe(self) -> Mapping[str, object]:
+        """Return the state for a dump, without content."""
+        sessions = [
+            {
+                'request_id': one.request_id,
+                'member': one.member,
+                'rule': one.rule,
+                'epoch': one.epoch,
+                'deadline': one.deadline,
+            }
+            for one in self.list()
+        ]
+        return {'dropped': attrs.asdict(self.counts), 'sessions': sessions}
