Start trial deployments of real processes from a file

Nothing started the daemons and stand-ins together.

A deployment file names stages, services, entries and failure domains; the launcher reserves free ports, writes the settings, starts the processes in order and stops them in reverse.

--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/blueprints.py
@@ -0,0 +1,118 @@
+"""Deployment files: which processes a trial deployment has."""
+
+import pathlib
+
+import attrs
+
+from dunlintide_core import jsonc
+from dunlintide_core import schemas
+
+__all__ = [
+    'CRASH_MARKER',
+    'Blueprint',
+    'BlueprintError',
+    'Pipeline',
+    'PlainService',
+    'Stage',
+    'load_blueprint',
+    'shrink',
+]
+
+# A prompt that holds this crashes the stand-in engine that runs it.
+CRASH_MARKER = 'crash-this-engine'
+SMALL_REPLICAS = 2
+SMALL_SERVICES = 2
+
+
+class BlueprintError(ValueError):
+    """A deployment file has errors; the text lists them with places."""
+
+
+@attrs.frozen
+class Stage:
+    """Endpoints that hold one range of layers.
+
+    :ivar replicas: number of engines, spread over the failure domains
+    :ivar tokens_per_second: declared capacity of one
+    :ivar step_seconds: fixed time of one step of the engine
+    :ivar max_in_flight: bound on its concurrent requests, 0 for none
+    :ivar checks_fence: whether it refuses orders with an old fence
+    """
+
+    layer_start: int
+    layer_end: int
+    replicas: int
+    accelerator: str = ''
+    tokens_per_second: float = 0.0
+    step_seconds: float = 0.002
+    max_in_flight: int = 0
+    checks_fence: bool = False
+
+
+@attrs.frozen
+class Pipeline:
+    """One model version in stages."""
+
+    model: str
+    layers: int
+    stages: tuple[Stage, ...]
+    version: str = '1'
+
+
+@attrs.frozen
+class PlainService:
+    """One plain service and the number of its runners.
+
+    :ivar path: a path under which it takes calls, for trials
+    """
+
+    name: str
+    replicas: int = 1
+    path: str = '/'
+
+
+@attrs.frozen
+class Blueprint:
+    """A deployment of processes on one machine.
+
+    :ivar rules: operators' configuration, a path beside the file
+    """
+
+    name: str
+    region: str
+    failure_domains: tuple[str, ...]
+    entries: int
+    rules: str
+    pipelines: tuple[Pipeline, ...]
+    services: tuple[PlainService, ...]
+
+
+def load_blueprint(path: pathlib.Path) -> Blueprint:
+    """Read a deployment file.
+
+    :raises BlueprintError: when it doesn't fit the format
+    """
+    parsed = jsonc.parse(path.read_text(), str(path))
+    read = parsed.and_then(
+        lambda document: schemas.structure(
+            document, Blueprint, schemas.make_converter()
+        )
+    )
+    if read.is_err():
+        raise BlueprintError('\n'.join(map(str, read.unwrap_err())))
+    return read.unwrap()
+
+
+def shrink(blueprint: Blueprint) -> Blueprint:
+    """Keep one model with two replicas a stage, and two services."""
+    pipeline = blueprint.pipelines[0]
+    stages = tuple(
+        attrs.evolve(stage, replicas=min(stage.replicas, SMALL_REPLICAS))
+        for stage in pipeline.stages
+    )
+    services = blueprint.services[:SMALL_SERVICES]
+    return attrs.evolve(
+        blueprint,
+        pipelines=(attrs.evolve(pipeline, stages=stages),),
+        services=tuple(attrs.evolve(one, replicas=1) for one in services),
+    )
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/deployment.py
@@ -0,0 +1,154 @@
+"""A deployment of real processes on loopback, and handles to them."""
+
+import json
+import pathlib
+from typing import Any
+
+import attrs
+import urllib3
+
+from dunlintide_trials import client
+from dunlintide_trials import layout
+from dunlintide_trials import operators
+from dunlintide_trials import processes
+
+__all__ = ['AGENT', 'ENGINE', 'ENTRY', 'PLATFORM', 'SERVICE', 'Deployment']
+
+AGENT = 'agent'
+ENTRY = 'entry'
+ENGINE = 'engine'
+SERVICE = 'service'
+PLATFORM = 'platform'
+_HTTP_SECONDS = 5.0
+_OK = 200
+
+
+@attrs.define(eq=False)
+class Deployment:
+    """A running deployment.
+
+    :ivar folder: work folder with settings and logs
+    :ivar keys: bearer key of each member, by name
+    :ivar rules: operators' configuration that was last applied
+    :ivar started: every process by name, in the order of starting
+    """
+
+    plan: layout.Plan
+    folder: pathlib.Path
+    keys: dict[str, str]
+    rules: dict[str, Any]
+    started: dict[str, processes.Process] = attrs.field(factory=dict)
+    _http: urllib3.PoolManager = attrs.field(
+        factory=lambda: urllib3.PoolManager(
+            retries=False, timeout=_HTTP_SECONDS
+        )
+    )
+
+    @property
+    def model(self) -> str:
+        """Model that completions of trials ask for."""
+        return self.plan.blueprint.pipelines[0].model
+
+    @property
+    def layers(self) -> int:
+        """Number of layers of that model."""
+        return self.plan.blueprint.pipelines[0].layers
+
+    @property
+    def non_idempotent_path(self) -> str:
+        """Path of calls that must not run twice."""
+        service = self.plan.blueprint.services[0]
+        return f'/services/{service.name}{service.path}'
+
+    def list_processes(self, role: str) -> list[processes.Process]:
+        """Give the processes of a role."""
+        return [one for one in self.started.values() if one.role == role]
+
+    def get_json(self, url: str) -> Any:
+        """Read a JSON document.
+
+        :raises urllib3.exceptions.HTTPError: when there is no answer
+        """
+        return self._http.request('GET', url).json()
+
+    def post_json(self, url: str, body: Any) -> Any:
+        """Post a JSON document and return the answer's.
+
+        :raises urllib3.exceptions.HTTPError: when there is no answer
+        """
+        return self._http.request('POST', url, json=body).json()
+
+    def control(self, standin: str, **faults: Any) -> Any:
+        """Switch faults of a stand-in, by its name."""
+        return self.post_json(f'{self._find_url(standin)}/control', faults)
+
+    def _find_url(self, standin: str) -> str:
+        plan = self.plan
+        known = [plan.store, plan.host_list, plan.weight_store]
+        known += [agent.endpoint.standin for agent in plan.agents]
+        return next(one.url for one in known if one.name == standin)
+
+    def read_runs(self, kind: str) -> list[dict[str, Any]]:
+        """Read the runs that all endpoints of a kind recorded.
+
+        :param kind: ``engine`` or ``service``
+        """
+        runs = []
+        for agent in self.plan.agents:
+            if agent.endpoint.kind == kind:
+                url = f'{agent.endpoint.standin.url}/runs'
+                name = agent.endpoint.standin.name
+                found = self.get_json(url)
+                runs += [run | {'endpoint': name} for run in found]
+        return runs
+
+    def read_state(self, daemon: str) -> dict[str, Any]:
+        """Read the state dump of a daemon, by its name."""
+        plans = {one.name: one for one in self.plan.daemons}
+        return self.get_json(f'{plans[daemon].admin_url}/debug/state')
+
+    def is_ready(self, admin_url: str) -> bool:
+        """Tell whether a daemon says that it takes work."""
+        try:
+            answer = self._http.request('GET', f'{admin_url}/readyz')
+        except urllib3.exceptions.HTTPError:
+            return False
+        return answer.status == _OK
+
+    def wait_ready(self, daemon: str) -> None:
+        """Wait until a daemon takes work, as after a restart.
+
+        :raises processes.StartError: when it ends or takes too long
+        """
+        plans = {one.name: one for one in self.plan.daemons}
+        url = plans[daemon].admin_url
+        self.started[daemon].wait_ready(lambda: self.is_ready(url))
+
+    def restart(self, name: str) -> None:
+        """Start a process that has ended and wait until it is ready."""
+        process = self.started[name]
+        process.start()
+        if process.role in (AGENT, ENTRY):
+            self.wait_ready(name)
+        else:
+            process.wait_ready(lambda: process.find_ready_line() is not None)
+
+    def make_caller(self, entry: int, member: str) -> client.Caller:
+        """Build a caller for one entry and one member."""
+        url = self.plan.entries[entry].url
+        return client.Caller(url, self.keys[member])
+
+    def wait_all_ready(self) -> None:
+        """Wait until every daemon takes work.
+
+        :raises processes.StartError: when one ends or takes too long
+        """
+        for daemon in self.plan.daemons:
+            self.wait_ready(daemon.name)
+
+    def apply_rules(self, document: dict[str, Any]) -> operators.Report:
+        """Put an operators' configuration in force."""
+        self.rules = document
+        path = self.folder / 'rules.jsonc'
+        path.write_text(json.dumps(document, indent=2))
+        return operators.apply_rules(path, self.plan.store.url)
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/launcher.py
@@ -0,0 +1,153 @@
+"""Starts deployments and stops all that it started."""
+
+import contextlib
+import pathlib
+import sys
+from typing import Any, Iterator
+
+from dunlintide_trials import blueprints
+from dunlintide_trials import deployment
+from dunlintide_trials import layout
+from dunlintide_trials import operators
+from dunlintide_trials import ports
+from dunlintide_trials import processes
+
+__all__ = ['run']
+
+# Processes that start together; more would only wait for each other.
+_WAVE = 8
+_STOP_SECONDS = 20.0
+
+
+class _Launcher:
+    """Starts the processes of a deployment in order."""
+
+    def __init__(
+        self,
+        running: deployment.Deployment,
+        reserved: ports.Reservations,
+        stack: contextlib.ExitStack,
+    ) -> None:
+        self._running = running
+        self._reserved = reserved
+        self._stack = stack
+
+    def _add(
+        self,
+        name: str,
+        role: str,
+        failure_domain: str,
+        command: tuple[str, ...],
+        taken: tuple[int, ...],
+    ) -> processes.Process:
+        def release() -> None:
+            for port in taken:
+                self._reserved.release(port)
+
+        log = self._running.folder / f'{name}.log'
+        process = processes.Process(
+            name, role, failure_domain, command, log, release
+        )
+        self._running.started[name] = process
+        return process
+
+    def _start(self, group: list[processes.Process]) -> None:
+        self._stack.callback(_stop, group)
+        for start in range(0, len(group), _WAVE):
+            wave = group[start : start + _WAVE]
+            for process in wave:
+                process.start()
+            for process in wave:
+                if process.role not in (deployment.AGENT, deployment.ENTRY):
+                    process.wait_ready(
+                        lambda one=process: one.find_ready_line() is not None
+                    )
+
+    def start_platform(self) -> None:
+        plan = self._running.plan
+        standins = (plan.store, plan.host_list, plan.weight_store)
+        self._start(
+            [
+                self._add(
+                    one.name, deployment.PLATFORM, '', one.command, (one.port,)
+                )
+                for one in standins
+            ]
+        )
+
+    def start_endpoints(self) -> None:
+        endpoints = [one.endpoint for one in self._running.plan.agents]
+        self._start(
+            [
+                self._add(
+                    one.standin.name,
+                    one.kind,
+                    one.failure_domain,
+                    one.standin.command,
+                    (one.standin.port,),
+                )
+                for one in endpoints
+            ]
+        )
+
+    def start_daemons(self, role: str) -> None:
+        plan = self._running.plan
+        plans = plan.agents if role == deployment.AGENT else plan.entries
+        self._start(
+            [
+                self._add(
+                    one.name,
+                    role,
+                    one.failure_domain,
+                    self._build_command(one.name),
+                    one.ports,
+                )
+                for one in plans
+            ]
+        )
+
+    def _build_command(self, name: str) -> tuple[str, ...]:
+        settings = str(self._running.folder / f'{name}.jsonc')
+        return (sys.executable, '-m', layout.DAEMON_MODULE, settings)
+
+
+def _stop(group: list[processes.Process]) -> None:
+    """Stop processes together; force ends those that take too long."""
+    for process in group:
+        process.terminate()
+    for process in group:
+        if not process.wait(_STOP_SECONDS):
+            process.kill()
+
+
+@contextlib.contextmanager
+def run(
+    blueprint: blueprints.Blueprint,
+    rules: dict[str, Any],
+    folder: pathlib.Path,
+) -> Iterator[deployment.Deployment]:
+    """Start a deployment and stop all of it at the end of the block.
+
+    Each member gets a new key, whose hash is put into the rules.
+
+    :param rules: operators' configuration
+    :param folder: empty work folder
+    :raises processes.StartError: when a process doesn't become ready
+    """
+    with contextlib.ExitStack() as stack:
+        reserved = stack.enter_context(
+            contextlib.closing(ports.Reservations())
+        )
+        plan = layout.make_plan(blueprint, folder, reserved)
+        layout.write_files(plan, folder)
+        keys = layout.make_keys([one['name'] for one in rules['members']])
+        filled = operators.fill_keys(rules, keys)
+        running = deployment.Deployment(plan, folder, keys, filled)
+        launcher = _Launcher(running, reserved, stack)
+        launcher.start_platform()
+        running.apply_rules(filled).check()
+        launcher.start_endpoints()
+        launcher.start_daemons(deployment.AGENT)
+        launcher.start_daemons(deployment.ENTRY)
+        running.wait_all_ready()
+        yield running
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/layout.py
@@ -0,0 +1,307 @@
+"""Names, addresses and settings of the processes of a deployment."""
+
+import json
+import pathlib
+import secrets
+import sys
+from typing import Any
+
+import attrs
+
+from dunlintide_trials import blueprints
+from dunlintide_trials import ports
+
+__all__ = [
+    'AgentPlan',
+    'EndpointPlan',
+    'EntryPlan',
+    'Plan',
+    'StandinPlan',
+    'make_keys',
+    'make_plan',
+    'write_files',
+]
+
+DAEMON_MODULE = 'dunlintide_daemon.main'
+_STANDINS = 'dunlintide_standins'
+
+
+def _make_address(port: int) -> str:
+    return f'{ports.HOST}:{port}'
+
+
+def _make_url(port: int) -> str:
+    return f'http://{_make_address(port)}'
+
+
+@attrs.frozen
+class StandinPlan:
+    """A stand-in to be started.
+
+    :ivar module: module that runs it
+    :ivar flags: its flags besides the address
+    """
+
+    name: str
+    module: str
+    port: int
+    flags: tuple[str, ...] = ()
+
+    @property
+    def url(self) -> str:
+        """Base URL."""
+        return _make_url(self.port)
+
+    @property
+    def command(self) -> tuple[str, ...]:
+        """Program and arguments."""
+        listen = f'--listen={_make_address(self.port)}'
+        module = f'{_STANDINS}.{self.module}'
+        return (sys.executable, '-m', module, listen, *self.flags)
+
+
+@attrs.frozen
+class EndpointPlan:
+    """An endpoint and what its agent is told of it.
+
+    :ivar settings: the ``endpoint`` part of the agent's settings
+    """
+
+    standin: StandinPlan
+    failure_domain: str
+    settings: dict[str, Any]
+
+    @property
+    def kind(self) -> str:
+        """``engine`` or ``service``."""
+        return self.settings['kind']
+
+
+@attrs.frozen
+class DaemonPlan:
+    """What agents and entries have in common."""
+
+    name: str
+    failure_domain: str
+    admin_port: int
+    link_port: int
+
+    @property
+    def admin_url(self) -> str:
+        """Base URL for operators."""
+        return _make_url(self.admin_port)
+
+    @property
+    def address(self) -> str:
+        """Where peers connect."""
+        return _make_address(self.link_port)
+
+    @property
+    def ports(self) -> tuple[int, ...]:
+        """Ports that it binds."""
+        return (self.admin_port, self.link_port)
+
+    def _build_settings(self, plan: 'Plan', role: str) -> dict[str, Any]:
+        return {
+            'role': role,
+            'name': self.name,
+            'failure_domain': self.failure_domain,
+            'region': plan.blueprint.region,
+            'admin_listen': _make_address(self.admin_port),
+            'link_listen': self.address,
+            'advertise': self.address,
+            'store_url': plan.store.url,
+            'host_list_url': f'{plan.host_list.url}/hosts',
+        }
+
+
+@attrs.frozen
+class AgentPlan(DaemonPlan):
+    """An agent and its endpoint."""
+
+    endpoint: EndpointPlan
+
+    def build_settings(self, plan: 'Plan') -> dict[str, Any]:
+        """Build the settings of the daemon."""
+        settings = self._build_settings(plan, 'agent')
+        url = {'url': self.endpoint.standin.url}
+        return settings | {'endpoint': self.endpoint.settings | url}
+
+
+@attrs.frozen
+class EntryPlan(DaemonPlan):
+    """An entry."""
+
+    port: int
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers."""
+        return _make_url(self.port)
+
+    @property
+    def ports(self) -> tuple[int, ...]:
+        """Ports that it binds."""
+        return (self.port, self.admin_port, self.link_port)
+
+    def build_settings(self, plan: 'Plan') -> dict[str, Any]:
+        """Build the settings of the daemon."""
+        settings = self._build_settings(plan, 'entry')
+        return settings | {'listen': _make_address(self.port)}
+
+
+@attrs.frozen
+class Plan:
+    """All processes of a deployment, with their ports."""
+
+    blueprint: blueprints.Blueprint
+    store: StandinPlan
+    host_list: StandinPlan
+    weight_store: StandinPlan
+    agents: tuple[AgentPlan, ...]
+    entries: tuple[EntryPlan, ...]
+
+    @property
+    def daemons(self) -> tuple[AgentPlan | EntryPlan, ...]:
+        """Agents, then entries."""
+        return (*self.agents, *self.entries)
+
+
+def _plan_engine(
+    pipeline: blueprints.Pipeline,
+    stage: blueprints.Stage,
+    name: str,
+    failure_domain: str,
+    port: int,
+) -> EndpointPlan:
+    flags = (
+        f'--model={pipeline.model}',
+        f'--version={pipeline.version}',
+        f'--layer_start={stage.layer_start}',
+        f'--layer_end={stage.layer_end}',
+        f'--base_seconds={stage.step_seconds}',
+        f'--checks_fence={str(stage.checks_fence).lower()}',
+        f'--crash_marker={blueprints.CRASH_MARKER}',
+    )
+    settings = {
+        'kind': 'engine',
+        'model': pipeline.model,
+        'version': pipeline.version,
+        'layer_start': stage.layer_start,
+        'layer_end': stage.layer_end,
+        'layer_count': pipeline.layers,
+        'accelerator': stage.accelerator,
+        'tokens_per_second': stage.tokens_per_second,
+        'checks_fence': stage.checks_fence,
+        'max_in_flight': stage.max_in_flight,
+    }
+    standin = StandinPlan(name, 'engine', port, flags)
+    return EndpointPlan(standin, failure_domain, settings)
+
+
+def _plan_engines(
+    blueprint: blueprints.Blueprint, reserved: ports.Reservations
+) -> list[EndpointPlan]:
+    domains = blueprint.failure_domains
+    return [
+        _plan_engine(
+            pipeline,
+            stage,
+            f'{pipeline.model}-{stage.layer_start}-{replica}',
+            # Neighbouring stages of one replica stand apart, so that a
+            # chain crosses failure domains.
+            domains[(number + replica) % len(domains)],
+            reserved.reserve(),
+        )
+        for pipeline in blueprint.pipelines
+        for number, stage in enumerate(pipeline.stages)
+        for replica in range(stage.replicas)
+    ]
+
+
+def _plan_services(
+    blueprint: blueprints.Blueprint, reserved: ports.Reservations
+) -> list[EndpointPlan]:
+    domains = blueprint.failure_domains
+    return [
+        EndpointPlan(
+            StandinPlan(
+                f'{service.name}-{replica}', 'service', reserved.reserve()
+            ),
+            domains[(number + replica) % len(domains)],
+            {'kind': 'service', 'service': service.name},
+        )
+        for number, service in enumerate(blueprint.services)
+        for replica in range(service.replicas)
+    ]
+
+
+def make_plan(
+    blueprint: blueprints.Blueprint,
+    folder: pathlib.Path,
+    reserved: ports.Reservations,
+) -> Plan:
+    """Give every process a name, a failure domain and free ports.
+
+    :param folder: work folder, for the file of hosts
+    """
+    reserve = reserved.reserve
+    endpoints = _plan_engines(blueprint, reserved)
+    endpoints += _plan_services(blueprint, reserved)
+    agents = tuple(
+        AgentPlan(
+            f'agent-{endpoint.standin.name}',
+            endpoint.failure_domain,
+            reserve(),
+            reserve(),
+            endpoint,
+        )
+        for endpoint in endpoints
+    )
+    domains = blueprint.failure_domains
+    entries = tuple(
+        EntryPlan(
+            f'entry-{number}',
+            domains[number % len(domains)],
+            reserve(),
+            reserve(),
+            reserve(),
+        )
+        for number in range(blueprint.entries)
+    )
+    hosts = f'--hosts={folder / "hosts.json"}'
+    return Plan(
+        blueprint,
+        StandinPlan('store', 'store', reserve()),
+        StandinPlan('host-list', 'hosts', reserve(), (hosts,)),
+        StandinPlan('weight-store', 'weights', reserve()),
+        agents,
+        entries,
+    )
+
+
+def make_keys(members: list[str]) -> dict[str, str]:
+    """Make a new bearer key for each member."""
+    return {name: secrets.token_urlsafe(16) for name in members}
+
+
+def _list_hosts(plan: Plan) -> list[dict[str, str]]:
+    return [
+        {
+            'name': daemon.name,
+            'role': daemon.build_settings(plan)['role'],
+            'address': daemon.address,
+            'failure_domain': daemon.failure_domain,
+            'region': plan.blueprint.region,
+        }
+        for daemon in plan.daemons
+    ]
+
+
+def write_files(plan: Plan, folder: pathlib.Path) -> None:
+    """Write the list of hosts and the settings of each daemon."""
+    hosts = {'hosts': _list_hosts(plan)}
+    (folder / 'hosts.json').write_text(json.dumps(hosts))
+    for daemon in plan.daemons:
+        settings = json.dumps(daemon.build_settings(plan), indent=2)
+        (folder / f'{daemon.name}.jsonc').write_text(settings)
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/operators.py
@@ -0,0 +1,89 @@
+"""What operators do: edit the configuration and apply it."""
+
+import copy
+import hashlib
+import pathlib
+import subprocess
+import sys
+from typing import Any
+
+import attrs
+
+from dunlintide_core import jsonc
+
+__all__ = [
+    'CommandError',
+    'Report',
+    'apply_rules',
+    'fill_keys',
+    'load_rules',
+    'run_command',
+]
+
+COMMAND_MODULE = 'dunlintide_cli.main'
+_COMMAND_SECONDS = 30.0
+
+
+class CommandError(RuntimeError):
+    """The operators' command failed; the text is what it printed."""
+
+
+@attrs.frozen
+class Report:
+    """What the operators' command did."""
+
+    arguments: tuple[str, ...]
+    exit_code: int
+    output: str
+
+    def check(self) -> 'Report':
+        """Return the report when the command succeeded.
+
+        :raises CommandError: when it did not
+        """
+        if self.exit_code:
+            line = ' '.join(self.arguments)
+            raise CommandError(
+                f'dunlintide {line} ended with {self.exit_code}:\n'
+                f'{self.output}'
+            )
+        return self
+
+
+def run_command(*arguments: str) -> Report:
+    """Run ``dunlintide`` with arguments."""
+    done = subprocess.run(
+        (sys.executable, '-m', COMMAND_MODULE, *arguments),
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        timeout=_COMMAND_SECONDS,
+        text=True,
+        check=False,
+    )
+    return Report(arguments, done.returncode, done.stdout)
+
+
+def apply_rules(path: pathlib.Path, store_url: str) -> Report:
+    """Apply the configuration in a file."""
+    return run_command('rules', 'apply', str(path), '--store', store_url)
+
+
+def load_rules(path: pathlib.Path) -> dict[str, Any]:
+    """Read an operators' configuration as plain data.
+
+    :raises ValueError: when it is not JSON with comments
+    """
+    parsed = jsonc.parse(path.read_text(), str(path))
+    if parsed.is_err():
+        raise ValueError('\n'.join(map(str, parsed.unwrap_err())))
+    return parsed.unwrap().value
+
+
+def fill_keys(rules: dict[str, Any], keys: dict[str, str]) -> dict[str, Any]:
+    """Return the configuration with the hash of each member's key."""
+    filled = copy.deepcopy(rules)
+    for member in filled['members']:
+        key = keys[member['name']]
+        member['key_hashes'] = [hashlib.sha256(key.encode()).hexdigest()]
+    return filled
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/records.py
@@ -0,0 +1,122 @@
+"""Checks of answers against the stand-ins' own records."""
+
+import collections
+from typing import Any, Iterable
+
+import attrs
+
+from dunlintide_core import outcomes
+from dunlintide_standins import reference
+from dunlintide_trials import client
+
+__all__ = [
+    'Asked',
+    'Records',
+    'check_text',
+    'compute_text',
+]
+
+
+@attrs.frozen
+class Asked:
+    """One request of a trial and what became of it.
+
+    :ivar prompt: prompt of a completion, empty for a service call
+    :ivar key: idempotency key, empty without one
+    """
+
+    member: str
+    answer: client.Answer
+    prompt: str = ''
+    max_tokens: int = 0
+    key: str = ''
+
+
+def compute_text(
+    prompt: str, max_tokens: int, *, model: str, layers: int
+) -> str:
+    """Compute what a right run of the whole model writes."""
+    tokens = reference.expected_tokens(prompt, max_tokens, layers, model)
+    return ''.join(token.text for token in tokens)
+
+
+def check_text(asked: Asked, *, model: str, layers: int) -> list[str]:
+    """List what is wrong with a completion's text.
+
+    Of an answer that is not whole, what came must be a beginning of the
+    right one: no token lost, doubled or another request's.
+    """
+    right = compute_text(
+        asked.prompt, asked.max_tokens, model=model, layers=layers
+    )
+    answer = asked.answer
+    if answer.is_complete and answer.text != right:
+        return [f'{answer.request_id}: complete, but not the right text']
+    if not right.startswith(answer.text):
+        return [f'{answer.request_id}: not a beginning of the right text']
+    return []
+
+
+class Records:
+    """Runs that the endpoints recorded, kept over their restarts."""
+
+    def __init__(self) -> None:
+        self._runs: dict[str, list[dict[str, Any]]] = {}
+        self._lives: collections.Counter[str] = collections.Counter()
+
+    def keep(self, endpoint: str, runs: list[dict[str, Any]]) -> None:
+        """Replace what is known of an endpoint's present life."""
+        self._runs[f'{endpoint}#{self._lives[endpoint]}'] = runs
+
+    def end_life(self, endpoint: str) -> None:
+        """Begin a new record: the endpoint lost its own."""
+        self._lives[endpoint] += 1
+
+    def _list(self) -> Iterable[dict[str, Any]]:
+        for runs in self._runs.values():
+            yield from runs
+
+    def find(self, request_id: str) -> list[dict[str, Any]]:
+        """Give the runs of a request."""
+        return [run for run in self._list() if run['request_id'] == request_id]
+
+    def count_by_key(self) -> dict[tuple[str, str], int]:
+        """Count the runs of each member and idempotency key."""
+        return collections.Counter(
+            (run['member'], run['idempotency_key'])
+            for run in self._list()
+            if run['idempotency_key']
+        )
+
+    def check_refusals(self, asked: Iterable[Asked]) -> list[str]:
+        """List the requests that were refused as not run, but ran."""
+        ran = {run['request_id'] for run in self._list()}
+        return [
+            f'{one.answer.request_id}: told not-run ({one.answer.code}), '
+            'but it ran'
+            for one in asked
+            if one.answer.outcome == outcomes.Outcome.NOT_RUN
+            and one.answer.request_id in ran
+        ]
+
+    def check_once(self, keys: Iterable[tuple[str, str]]) -> list[str]:
+        """List the keys of non-idempotent calls that ran twice.
+
+        :param keys: member and idempotency key of each service call
+        """
+        counts = self.count_by_key()
+        return [
+            f'{member}, key {key}: ran {counts[member, key]} times'
+            for member, key in sorted(set(keys))
+            if counts.get((member, key), 0) > 1
+        ]
+
+    def check_members(self, asked: Iterable[Asked]) -> list[str]:
+        """List the requests that ran in another member's name."""
+        members = {one.answer.request_id: one.member for one in asked}
+        return [
+            f'{run["request_id"]}: ran as {run["member"]}, was sent by '
+            f'{members[run["request_id"]]}'
+            for run in self._list()
+            if members.get(run['request_id'], run['member']) != run['member']
+        ]
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/signals.py
@@ -0,0 +1,42 @@
+"""Signals that end a trial turned into an orderly stop."""
+
+import contextlib
+import signal
+import threading
+from typing import Iterator
+
+__all__ = ['exit_on_signals', 'wait_for_signal']
+
+_NUMBERS = (signal.SIGINT, signal.SIGTERM)
+_SHELL_BASE = 128
+
+
+def _ignore() -> None:
+    for number in _NUMBERS:
+        signal.signal(number, signal.SIG_IGN)
+
+
+def _exit(number: int, _frame: object) -> None:
+    # A second signal must not cut short the stopping of processes.
+    _ignore()
+    raise SystemExit(_SHELL_BASE + number)
+
+
+@contextlib.contextmanager
+def exit_on_signals() -> Iterator[None]:
+    """Raise SystemExit in the block on SIGINT or SIGTERM."""
+    before = [signal.signal(number, _exit) for number in _NUMBERS]
+    try:
+        yield
+    finally:
+        for number, handler in zip(_NUMBERS, before):
+            signal.signal(number, handler)
+
+
+def wait_for_signal() -> None:
+    """Wait for SIGINT or SIGTERM, and ignore those that follow."""
+    came = threading.Event()
+    for number in _NUMBERS:
+        signal.signal(number, lambda *_: came.set())
+    came.wait()
+    _ignore()
