Reach the platform's store with bounded, typed calls

Cause: the store has outages, hangs, and can apply a write whose answer is lost; nothing may repeat such a write blindly. A circuit fails calls fast while the store is down, a timeout replaces the connection pool, and a silent watch is replaced.

--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/circuit.py
@@ -0,0 +1,83 @@
+"""Circuit breaker: fails calls fast while their target is down."""
+
+import random
+
+import attrs
+
+__all__ = ['Circuit', 'CircuitTiming']
+
+
+@attrs.frozen
+class CircuitTiming:
+    """When a circuit opens, and how it probes.
+
+    :ivar failures: failures in a row that open it
+    :ivar first_pause: seconds before the first probe
+    :ivar longest_pause: seconds between probes at most; the pause doubles
+    """
+
+    failures: int = 3
+    first_pause: float = 0.2
+    longest_pause: float = 2.0
+
+
+class Circuit:
+    """Admits all calls while closed, and one probe at a time while open.
+
+    It holds no lock; the caller keeps calls apart.
+    """
+
+    def __init__(
+        self, timing: CircuitTiming, rng: random.Random | None = None
+    ) -> None:
+        """Start closed.
+
+        :param rng: source of the jitter that keeps processes apart
+        """
+        self._timing = timing
+        self._rng = rng or random.Random()
+        self._failures = 0
+        self._retry_at = 0.0
+        self._pause = timing.first_pause
+        self._probing = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether calls are being failed."""
+        return self._failures >= self._timing.failures
+
+    def admit(self, now: float) -> bool:
+        """Tell whether a call may go out; each must be settled after.
+
+        :param now: monotonic time in seconds
+        """
+        if not self.is_open:
+            return True
+        if self._probing or now < self._retry_at:
+            return False
+        self._probing = True
+        return True
+
+    def release(self) -> None:
+        """Settle a call that says nothing about the target."""
+        self._probing = False
+
+    def succeed(self) -> None:
+        """Settle a call that was answered; closes the circuit."""
+        self._failures = 0
+        self._pause = self._timing.first_pause
+        self._probing = False
+
+    def fail(self, now: float) -> None:
+        """Settle a call that was not answered.
+
+        :param now: monotonic time in seconds
+        """
+        was_open = self.is_open
+        self._failures += 1
+        self._probing = False
+        if not self.is_open:
+            return
+        if was_open:
+            self._pause = min(self._pause * 2, self._timing.longest_pause)
+        self._retry_at = now + self._pause * self._rng.uniform(0.5, 1.0)
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/storefailures.py
@@ -0,0 +1,75 @@
+"""Failures of calls on the platform's store."""
+
+import enum
+
+import attrs
+import urllib3
+
+__all__ = [
+    'FailureKind',
+    'StoreFailure',
+    'classify',
+    'refuse',
+]
+
+_SERVER_ERROR = 500
+_UNSENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+_NO_CONNECTION = (
+    urllib3.exceptions.EmptyPoolError,
+    urllib3.exceptions.ClosedPoolError,
+)
+
+
+class FailureKind(enum.StrEnum):
+    """Why a call on the store failed."""
+
+    BUSY = 'busy'
+    CIRCUIT_OPEN = 'circuit-open'
+    DROPPED = 'dropped'
+    REFUSED = 'refused'
+    TIMEOUT = 'timeout'
+    UNAVAILABLE = 'unavailable'
+    UNREACHABLE = 'unreachable'
+
+
+@attrs.frozen
+class StoreFailure:
+    """A call that brought no answer, or a refusal.
+
+    :ivar maybe_applied: whether a write may have taken effect all the
+        same, now or later; False for reads
+    """
+
+    kind: FailureKind
+    message: str
+    maybe_applied: bool
+
+
+def classify(error: Exception, writes: bool) -> StoreFailure:
+    """Tell what an exception says about a call.
+
+    :param writes: whether the call changes something
+    """
+    # The text of an error may hold more than a log should.
+    text = type(error).__name__
+    if isinstance(error, _NO_CONNECTION):
+        return StoreFailure(FailureKind.BUSY, text, False)
+    if isinstance(error, _UNSENT):
+        return StoreFailure(FailureKind.UNREACHABLE, text, False)
+    if isinstance(error, urllib3.exceptions.ReadTimeoutError):
+        return StoreFailure(FailureKind.TIMEOUT, text, writes)
+    return StoreFailure(FailureKind.DROPPED, text, writes)
+
+
+def refuse(status: int, writes: bool) -> StoreFailure:
+    """Tell what an HTTP status other than 200 says about a call.
+
+    :param writes: whether the call changes something
+    """
+    text = f'HTTP status {status}'
+    if status >= _SERVER_ERROR:
+        return StoreFailure(FailureKind.UNAVAILABLE, text, writes)
+    return StoreFailure(FailureKind.REFUSED, text, False)
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/storewatch.py
@@ -0,0 +1,185 @@
+"""Watches on the platform's store, replaced when they end or go silent."""
+
+import contextlib
+import enum
+import random
+import threading
+from typing import Callable, Iterable, Iterator
+
+import attrs
+import msgspec
+import urllib3
+
+from dunlintide_adapters import gateway
+from dunlintide_adapters import storefailures
+
+__all__ = [
+    'WatchEvent',
+    'WatchKind',
+    'WatchTiming',
+    'Watcher',
+]
+
+_MAX_MESSAGE_BYTES = 8 << 20
+_READ_BYTES = 64 << 10
+_OK = 'ok'
+
+
+class WatchKind(enum.StrEnum):
+    """What a watch tells."""
+
+    OPENED = 'opened'
+    PUT = 'put'
+    DELETE = 'delete'
+
+
+@attrs.frozen
+class WatchEvent:
+    """News from a watch.
+
+    ``OPENED`` comes with each new connection; changes before it may have
+    been missed, so its receiver reads what it watches. The revision may
+    be lower than earlier ones when the store was restored.
+    :ivar revision: revision of the change, or of the store when opened
+    """
+
+    kind: WatchKind
+    revision: int
+    key: str = ''
+    value: bytes = b''
+
+
+@attrs.frozen
+class WatchTiming:
+    """Time constants of a watch, in seconds.
+
+    :ivar silence: silence after which a watch is replaced
+    :ivar reconnect: longest pause before a watch is opened again
+    """
+
+    silence: float = 15.0
+    reconnect: float = 1.0
+
+
+def _make_event(event: gateway.Event) -> WatchEvent:
+    pair = event.kv
+    kind = WatchKind.DELETE if event.type == 'DELETE' else WatchKind.PUT
+    key = pair.key.decode(errors='replace')
+    return WatchEvent(kind, pair.mod_revision, key, pair.value)
+
+
+def _split_lines(chunks: Iterable[bytes]) -> Iterator[bytes]:
+    rest = b''
+    for chunk in chunks:
+        *lines, rest = (rest + chunk).split(b'\n')
+        yield from filter(None, lines)
+        if len(rest) > _MAX_MESSAGE_BYTES:
+            raise urllib3.exceptions.ProtocolError('message too large')
+
+
+class Watcher:
+    """Holds watches open and tells of what they bring."""
+
+    def __init__(
+        self,
+        pool: urllib3.HTTPConnectionPool,
+        timing: WatchTiming,
+        count: Callable[[str], None],
+    ) -> None:
+        """Remember how to reach the store.
+
+        :param pool: connections for watches alone
+        :param count: called with how each connection ended
+        """
+        self._pool = pool
+        self._timing = timing
+        self._count = count
+        self._lock = threading.Lock()
+        self._streams: set[urllib3.BaseHTTPResponse] = set()
+
+    def watch(
+        self,
+        prefix: str,
+        start_revision: int,
+        on_event: Callable[[WatchEvent], None],
+        stop: threading.Event,
+    ) -> None:
+        """Tell of changes below a prefix until ``stop`` is set.
+
+        Blocks; see ``Store.watch``.
+        """
+        while not stop.is_set():
+            outcome = self._follow(prefix, start_revision, on_event, stop)
+            self._count(outcome)
+            start_revision = 0
+            if outcome != storefailures.FailureKind.TIMEOUT:
+                longest = self._timing.reconnect
+                stop.wait(longest * random.uniform(0.1, 1.0))
+
+    def interrupt(self) -> None:
+        """Cut the watches that are open; each opens again unless stopped."""
+        with self._lock:
+            streams = list(self._streams)
+        for stream in streams:
+            # It may have ended by itself.
+            with contextlib.suppress(OSError, ValueError, RuntimeError):
+                stream.shutdown()
+
+    def _follow(
+        self,
+        prefix: str,
+        start_revision: int,
+        on_event: Callable[[WatchEvent], None],
+        stop: threading.Event,
+    ) -> str:
+        try:
+            with self._open(prefix, start_revision) as stream:
+                if stream.status != 200:
+                    return storefailures.FailureKind.REFUSED
+                if not stop.is_set():
+                    self._read(stream, on_event, stop)
+        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+            return storefailures.classify(error, False).kind
+        return _OK
+
+    @contextlib.contextmanager
+    def _open(
+        self, prefix: str, start_revision: int
+    ) -> Iterator[urllib3.BaseHTTPResponse]:
+        stream = self._pool.request(
+            'POST',
+            '/v3/watch',
+            body=gateway.build_watch(prefix, start_revision),
+            preload_content=False,
+            pool_timeout=self._timing.silence,
+            timeout=urllib3.Timeout(
+                connect=self._pool.timeout.connect_timeout,
+                read=self._timing.silence,
+            ),
+        )
+        with self._lock:
+            self._streams.add(stream)
+        try:
+            yield stream
+        finally:
+            with self._lock:
+                self._streams.discard(stream)
+            # A watch has no end, so its connection can't be used again.
+            stream.close()
+            stream.release_conn()
+
+    def _read(
+        self,
+        stream: urllib3.BaseHTTPResponse,
+        on_event: Callable[[WatchEvent], None],
+        stop: threading.Event,
+    ) -> None:
+        for line in _split_lines(stream.stream(_READ_BYTES)):
+            message = gateway.decode(line, gateway.WatchMessage).result
+            if stop.is_set() or message.canceled:
+                return
+            if message.created:
+                revision = message.header.revision
+                on_event(WatchEvent(WatchKind.OPENED, revision))
+            for event in message.events:
+                on_event(_make_event(event))
