--- /dev/null
+++ b/packages/core/src/dunlintide_core/caps.py
@@ -0,0 +1,140 @@
+"""Policies that bound what is in flight at an endpoint."""
+
+from typing import Callable
+
+import attrs
+
+__all__ = [
+    'Cap',
+    'InFlight',
+    'Usage',
+    'adapt',
+    'budget',
+    'fix',
+]
+
+HIGH_USAGE = 0.8
+LOW_USAGE = 0.6
+CUT = 0.7
+GROWTH = 1.25
+
+
+@attrs.define
+class InFlight:
+    """What runs at an endpoint now.
+
+    :ivar tokens: most KV cache positions that these may come to need
+    :ivar finished: requests that have ended since the start
+    """
+
+    requests: int = 0
+    tokens: int = 0
+    finished: int = 0
+
+
+@attrs.frozen
+class Usage:
+    """Load as an engine reports it, with a lag.
+
+    :ivar kv_usage: used part of the KV cache, 0 to 1
+    :ivar kv_tokens: positions that the KV cache holds, 0 unknown
+    :ivar queued: requests that wait inside the engine
+    """
+
+    kv_usage: float = 0.0
+    kv_tokens: int = 0
+    queued: int = 0
+
+
+@attrs.frozen
+class Cap:
+    """One policy, as three functions over its own state.
+
+    :ivar admits: whether a request of so many tokens may start
+    :ivar observe: takes note of a load report
+    :ivar limit: returns the current bound, in requests
+    """
+
+    admits: Callable[[InFlight, int], bool]
+    observe: Callable[[InFlight, Usage], None]
+    limit: Callable[[InFlight], int]
+
+
+def _ignore(in_flight: InFlight, usage: Usage) -> None:
+    del in_flight, usage
+
+
+def fix(requests: int) -> Cap:
+    """Build a cap on the number of requests."""
+    return Cap(
+        admits=lambda in_flight, _: in_flight.requests < requests,
+        observe=_ignore,
+        limit=lambda _: requests,
+    )
+
+
+def budget(requests: int, part: float = 0.9) -> Cap:
+    """Build a cap on the KV cache positions that may come to be needed.
+
+    Until the engine has told its size, only the number is bounded. One
+    request may always start, so a large one does not wait for ever.
+
+    :param requests: bound on the number as well
+    :param part: part of the cache to hand out, 0 to 1
+    """
+    size = 0
+
+    def admits(in_flight: InFlight, tokens: int) -> bool:
+        if in_flight.requests >= requests:
+            return False
+        if not size or not in_flight.requests:
+            return True
+        return in_flight.tokens + tokens <= size * part
+
+    def observe(in_flight: InFlight, usage: Usage) -> None:
+        nonlocal size
+        size = usage.kv_tokens
+
+    def limit(in_flight: InFlight) -> int:
+        if not size or not in_flight.requests:
+            return requests
+        mean = max(in_flight.tokens / in_flight.requests, 1.0)
+        return max(1, min(requests, int(size * part / mean)))
+
+    return Cap(admits, observe, limit)
+
+
+def adapt(start: int, ceiling: int) -> Cap:
+    """Build a cap that follows the reported KV cache usage.
+
+    Above 0.8 it is cut by 30%, once, until the pool has drained below
+    the new cap; below 0.6 with nothing queued it grows by 25%, once per
+    turnover of the pool. The idea is from TRL's AsyncGRPO ("Adaptive
+    in-flight cap from vLLM load").
+
+    :param start: cap before the first report, in requests
+    :param ceiling: largest cap, in requests
+    """
+    cap = start
+    draining = False
+    grown_at = 0
+
+    def observe(in_flight: InFlight, usage: Usage) -> None:
+        nonlocal cap, draining, grown_at
+        if draining and in_flight.requests < cap:
+            draining = False
+        if usage.kv_usage > HIGH_USAGE:
+            if not draining:
+                cap = max(1, int(cap * CUT))
+                draining = True
+            return
+        turned = in_flight.finished - grown_at >= cap
+        if usage.kv_usage < LOW_USAGE and not usage.queued and turned:
+            cap = min(ceiling, max(cap + 1, int(cap * GROWTH)))
+            grown_at = in_flight.finished
+
+    return Cap(
+        admits=lambda in_flight, _: in_flight.requests < cap,
+        observe=observe,
+        limit=lambda _: cap,
+    )
--- /dev/null
+++ b/packages/core/src/dunlintide_core/ledger.py
@@ -0,0 +1,227 @@
+"""Executor's ledger of non-idempotent attempts.
+
+Each key runs at most once. An entry stays as a tombstone after its
+answer had to go, and a tombstone must outlive every claim that could
+still ask for the run: claims carry the executor's generation, and one
+older than the retention window is refused instead of run.
+"""
+
+import collections
+import enum
+from typing import Any
+
+import attrs
+
+__all__ = [
+    'Claim',
+    'Entry',
+    'Ledger',
+    'Limits',
+    'Verdict',
+    'State',
+]
+
+GENERATION_SECONDS = 60.0
+
+
+class State(enum.StrEnum):
+    """Where an attempt stands."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    FINISHED = 'finished'
+    DROPPED = 'dropped'  # it ran; the answer is no longer kept
+    SEALED = 'sealed'  # it never ran and never will
+
+
+class Verdict(enum.StrEnum):
+    """What to do with an attempt that has come in."""
+
+    START = 'start'
+    ATTACH = 'attach'
+    REPLAY = 'replay'
+    DROPPED = 'dropped'
+    SEALED = 'sealed'
+    KEY_REUSED = 'key-reused'
+    EXECUTOR_GONE = 'executor-gone'
+    EXPIRED = 'expired'
+    FULL = 'full'
+
+
+@attrs.frozen
+class Claim:
+    """Binding of a request to this executor, as the store has it."""
+
+    key_digest: bytes
+    fingerprint: bytes
+    incarnation: int
+    attempt: str
+    generation: int
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One attempt.
+
+    :ivar generation: executor's generation when the attempt came in
+    :ivar work: what runs it, while it is queued or running
+    :ivar answer: the whole answer, once it has finished
+    :ivar size: bytes of the answer
+    """
+
+    key_digest: bytes
+    fingerprint: bytes
+    attempt: str
+    generation: int
+    state: State = State.QUEUED
+    work: Any = None
+    answer: Any = None
+    size: int = 0
+
+
+@attrs.frozen
+class Limits:
+    """Bounds of a ledger.
+
+    :ivar entries: attempts, with tombstones
+    :ivar answer_bytes: bytes of all kept answers
+    :ivar window: generations for which a claim may ask for a run
+    """
+
+    entries: int = 200_000
+    answer_bytes: int = 32 << 20
+    window: int = 65
+
+
+_BY_STATE = {
+    State.QUEUED: Verdict.ATTACH,
+    State.RUNNING: Verdict.ATTACH,
+    State.FINISHED: Verdict.REPLAY,
+    State.DROPPED: Verdict.DROPPED,
+    State.SEALED: Verdict.SEALED,
+}
+
+
+class Ledger:
+    """Attempts of this life of the executor.
+
+    :ivar generation: rises every ``GENERATION_SECONDS``; the caller
+        calls ``tick`` by its own monotonic clock
+    """
+
+    def __init__(self, incarnation: int, limits: Limits = Limits()) -> None:
+        self.generation = 0
+        self.answer_bytes = 0
+        self._incarnation = incarnation
+        self._limits = limits
+        self._entries: dict[bytes, Entry] = {}
+        # By generation, so that expiry costs only what expires.
+        self._ages: collections.deque[Entry] = collections.deque()
+        self._answers: collections.OrderedDict[bytes, Entry] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def tick(self) -> None:
+        """Begin the next generation and drop expired tombstones."""
+        self.generation += 1
+        oldest = self.generation - self._limits.window
+        kept = []
+        while self._ages and self._ages[0].generation < oldest:
+            entry = self._ages.popleft()
+            if entry.state in (State.QUEUED, State.RUNNING):
+                kept.append(entry)
+                continue
+            self._release(entry)
+            if self._entries.get(entry.key_digest) is entry:
+                del self._entries[entry.key_digest]
+        # What still runs is younger than its age says.
+        self._ages.extendleft(reversed(kept))
+
+    def _release(self, entry: Entry) -> None:
+        if self._answers.get(entry.key_digest) is entry:
+            del self._answers[entry.key_digest]
+            self.answer_bytes -= entry.size
+        entry.answer = None
+        entry.size = 0
+
+    def _add(self, claim: Claim, state: State) -> Entry:
+        entry = Entry(
+            claim.key_digest,
+            claim.fingerprint,
+            claim.attempt,
+            self.generation,
+            state,
+        )
+        self._entries[claim.key_digest] = entry
+        self._ages.append(entry)
+        return entry
+
+    def _look_up(self, claim: Claim) -> tuple[Verdict, Entry | None]:
+        if claim.incarnation != self._incarnation:
+            return Verdict.EXECUTOR_GONE, None
+        entry = self._entries.get(claim.key_digest)
+        if entry is not None:
+            if entry.fingerprint != claim.fingerprint:
+                return Verdict.KEY_REUSED, None
+            fresh = (
+                entry.state is State.SEALED and entry.attempt != claim.attempt
+            )
+            if not fresh:
+                return _BY_STATE[entry.state], entry
+        if claim.generation > self.generation:
+            return Verdict.EXECUTOR_GONE, None
+        if claim.generation < self.generation - self._limits.window:
+            return Verdict.EXPIRED, None
+        if len(self._ages) >= self._limits.entries:
+            return Verdict.FULL, None
+        return Verdict.START, None
+
+    def open(self, claim: Claim) -> tuple[Verdict, Entry | None]:
+        """Decide about an attempt that asks to run.
+
+        START comes with a new entry, ATTACH and REPLAY with the old one.
+        """
+        verdict, entry = self._look_up(claim)
+        if verdict is Verdict.START:
+            entry = self._add(claim, State.QUEUED)
+        return verdict, entry
+
+    def attach(self, claim: Claim) -> tuple[Verdict, Entry | None]:
+        """Decide about a caller that asks for an earlier answer.
+
+        An attempt that never came in is sealed, so that it cannot run
+        after its caller was told that it did not.
+        """
+        verdict, entry = self._look_up(claim)
+        if verdict is Verdict.START:
+            return Verdict.SEALED, self._add(claim, State.SEALED)
+        return verdict, entry
+
+    def seal(self, entry: Entry) -> None:
+        """Note that an attempt never ran; it never will."""
+        entry.state = State.SEALED
+        entry.work = None
+
+    def finish(self, entry: Entry, answer: Any, size: int) -> None:
+        """Keep an answer while the budget lasts.
+
+        :param answer: what a repeat gets; None when it may have run but
+            there is no whole answer
+        :param size: bytes that the answer takes
+        """
+        entry.work = None
+        if answer is None or size > self._limits.answer_bytes:
+            entry.state = State.DROPPED
+            return
+        while self.answer_bytes + size > self._limits.answer_bytes:
+            oldest = next(iter(self._answers.values()))
+            self._release(oldest)
+            oldest.state = State.DROPPED
+        entry.state = State.FINISHED
+        entry.answer = answer
+        entry.size = size
+        self._answers[entry.key_digest] = entry
+        self.answer_bytes += size
