--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -0,0 +1,285 @@
+"""Client of a model engine's HTTP interface.
+
+No call is ever repeated here: a step that may have run must not run
+again without the caller knowing.
+"""
+
+import base64
+import functools
+import json
+from typing import Any
+from urllib import parse
+
+import attrs
+import result
+import urllib3
+
+__all__ = [
+    'Engine',
+    'EngineError',
+    'EngineLoad',
+    'Step',
+    'StepResult',
+    'SampledToken',
+]
+
+MAX_CONNECTIONS = 8
+QUICK_SECONDS = 2.0
+TRANSFER_SECONDS = 30.0
+_HTTP_OK = 200
+_JSON = {'Content-Type': 'application/json'}
+_quote = functools.partial(parse.quote, safe='')
+
+
+@attrs.frozen
+class EngineError:
+    """A call that gave no usable answer.
+
+    :ivar sent: whether the engine may have acted on it
+    :ivar status: HTTP status, 0 without an answer
+    """
+
+    detail: str
+    sent: bool = True
+    status: int = 0
+
+
+@attrs.frozen
+class Step:
+    """Work of one session: one span of positions.
+
+    :ivar position: first position of the span
+    :ivar prompt: text, for the first layer range only
+    :ivar tokens: token ids behind the prompt, first layer range only
+    :ivar activations: input of later layer ranges
+    :ivar last_stage: asks for a sampled token
+    :ivar prompt_tokens: 0 while nobody knows it yet
+    """
+
+    session: str
+    epoch: int
+    member: str
+    position: int
+    idempotency_key: str = ''
+    cache_salt: str = ''
+    priority: int = 1
+    prompt: str | None = None
+    tokens: tuple[int, ...] | None = None
+    activations: bytes | None = None
+    last_stage: bool = False
+    max_tokens: int = 0
+    prompt_tokens: int = 0
+
+
+@attrs.frozen
+class SampledToken:
+    """A token that the last stage sampled."""
+
+    id: int
+    text: str
+    finish_reason: str | None = None
+
+
+@attrs.frozen
+class StepResult:
+    """What came of one step.
+
+    :ivar count: positions that ran
+    :ivar error: the engine's code, empty when it ran
+    """
+
+    session: str
+    epoch: int
+    position: int = 0
+    count: int = 0
+    activations: bytes = b''
+    token: SampledToken | None = None
+    error: str = ''
+
+
+@attrs.frozen
+class EngineLoad:
+    """Load as the engine reports it, with a lag."""
+
+    running: int = 0
+    queued: int = 0
+    kv_usage: float = 0.0
+    kv_tokens: int = 0
+    step_seconds: float = 0.0
+    tokens_per_second: float = 0.0
+
+
+def _write_step(step: Step) -> dict[str, Any]:
+    fields = {
+        'session': step.session,
+        'epoch': step.epoch,
+        'member': step.member,
+        'idempotency_key': step.idempotency_key,
+        'cache_salt': step.cache_salt,
+        'priority': step.priority,
+        'position': step.position,
+        'last_stage': step.last_stage,
+        'max_tokens': step.max_tokens,
+        'prompt_tokens': step.prompt_tokens,
+    }
+    if step.prompt is not None:
+        fields['prompt'] = step.prompt
+    if step.tokens is not None:
+        fields['tokens'] = step.tokens
+    if step.activations is not None:
+        fields['activations'] = base64.b64encode(step.activations).decode()
+    return fields
+
+
+def _read_result(fields: dict[str, Any]) -> StepResult:
+    token = fields.get('token')
+    error = fields.get('error') or ''
+    if isinstance(error, dict):
+        error = str(error.get('code', 'error'))
+    return StepResult(
+        session=fields['session'],
+        epoch=fields['epoch'],
+        position=fields.get('position', 0),
+        count=fields.get('count', 0),
+        activations=base64.b64decode(fields.get('activations') or ''),
+        token=SampledToken(**token) if token else None,
+        error=error,
+    )
+
+
+def _read_results(body: bytes) -> list[StepResult]:
+    return [_read_result(fields) for fields in json.loads(body)['results']]
+
+
+def _read_load(body: bytes) -> EngineLoad:
+    fields = json.loads(body)
+    names = [field.name for field in attrs.fields(EngineLoad)]
+    return EngineLoad(**{name: fields.get(name, 0) for name in names})
+
+
+class Engine:
+    """Connections to one engine."""
+
+    def __init__(self, url: str) -> None:
+        """Remember where the engine is; connections open on demand.
+
+        :param url: base address, such as ``http://127.0.0.1:8000``
+        """
+        self._pool = urllib3.connection_from_url(
+            url.rstrip('/'),
+            maxsize=MAX_CONNECTIONS,
+            retries=False,
+            timeout=urllib3.Timeout(QUICK_SECONDS),
+        )
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
+    def _call(
+        self, method: str, path: str, body: Any, seconds: float
+    ) -> result.Result[bytes, EngineError]:
+        data = None if body is None else json.dumps(body).encode()
+        try:
+            answer = self._pool.request(
+                method,
+                path,
+                body=data,
+                headers=_JSON,
+                timeout=urllib3.Timeout(connect=QUICK_SECONDS, read=seconds),
+                redirect=False,
+            )
+        except urllib3.exceptions.ConnectTimeoutError as error:
+            return result.Err(EngineError(type(error).__name__, sent=False))
+        except urllib3.exceptions.NewConnectionError as error:
+            return result.Err(EngineError(type(error).__name__, sent=False))
+        except urllib3.exceptions.HTTPError as error:
+            return result.Err(EngineError(type(error).__name__))
+        if answer.status != _HTTP_OK:
+            detail = f'HTTP status {answer.status}'
+            return result.Err(EngineError(detail, status=answer.status))
+        return result.Ok(answer.data)
+
+    def run_steps(
+        self, steps: list[Step], seconds: float
+    ) -> result.Result[list[StepResult], EngineError]:
+        """Run steps as one call; it returns once all have run.
+
+        :param seconds: how long the whole call may take
+        """
+        body = {'steps': [_write_step(step) for step in steps]}
+        called = self._call('POST', '/v1/steps', body, seconds)
+        if called.is_err():
+            return called
+        try:
+            return result.Ok(_read_results(called.ok_value))
+        except (ValueError, KeyError, TypeError) as error:
+            detail = f'unusable answer: {type(error).__name__}'
+            return result.Err(EngineError(detail))
+
+    def free(self, session: str) -> result.Result[None, EngineError]:
+        """Free a session's KV cache; unknown sessions are no error."""
+        path = f'/v1/sessions/{_quote(session)}'
+        return self._call('DELETE', path, None, QUICK_SECONDS).map(
+            lambda _: None
+        )
+
+    def read_load(self) -> result.Result[EngineLoad, EngineError]:
+        """Read the load that the engine publishes."""
+        called = self._call('GET', '/v1/load', None, QUICK_SECONDS)
+        if called.is_err():
+            return called
+        try:
+            return result.Ok(_read_load(called.ok_value))
+        except (ValueError, TypeError, AttributeError) as error:
+            detail = f'unusable answer: {type(error).__name__}'
+            return result.Err(EngineError(detail))
+
+    def is_healthy(self) -> bool:
+        """Return whether the engine answers its health check."""
+        return self._call('GET', '/healthz', None, QUICK_SECONDS).is_ok()
+
+    def export_session(
+        self, session: str
+    ) -> result.Result[bytes, EngineError]:
+        """Read a session's KV cache."""
+        path = f'/v1/sessions/{_quote(session)}/export'
+        called = self._call('POST', path, {}, TRANSFER_SECONDS)
+        if called.is_err():
+            return called
+        try:
+            state = json.loads(called.ok_value)['state']
+            return result.Ok(base64.b64decode(state))
+        except (ValueError, KeyError, TypeError) as error:
+            detail = f'unusable answer: {type(error).__name__}'
+            return result.Err(EngineError(detail))
+
+    def import_session(
+        self, session: str, state: bytes
+    ) -> result.Result[None, EngineError]:
+        """Give a session a KV cache that another engine exported."""
+        path = f'/v1/sessions/{_quote(session)}/import'
+        body = {'state': base64.b64encode(state).decode()}
+        return self._call('POST', path, body, TRANSFER_SECONDS).map(
+            lambda _: None
+        )
+
+    def give_order(
+        self,
+        fence: int,
+        model: str,
+        version: str,
+        layer_start: int,
+        layer_end: int,
+    ) -> result.Result[None, EngineError]:
+        """Tell the engine what to hold; status 409 is an old fence."""
+        body = {
+            'fence': fence,
+            'model': model,
+            'version': version,
+            'layer_start': layer_start,
+            'layer_end': layer_end,
+        }
+        return self._call('POST', '/v1/orders', body, TRANSFER_SECONDS).map(
+            lambda _: None
+        )
