Run the agent beside an endpoint

The agent admits requests through one gate (fair queue, in-flight cap, ledger of non-idempotent attempts, refusal while leaving), runs its stage of each chain, batches ready steps into engine calls, and calls plain services. A crash of the engine ends its own sessions only; a repeat gets the first answer; a drain finishes what is in flight.

--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: the gate before one endpoint; ``role.run`` runs it."""
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/agent/counts.py
@@ -0,0 +1,61 @@
+"""Counts that an agent keeps, for metrics and the dump."""
+
+import collections
+
+import prometheus_client
+from prometheus_client import core as metrics_core
+
+__all__ = [
+    'Counts',
+]
+
+
+class Counts:
+    """Events by name and reason.
+
+    A plain dictionary, since the paths that count hold a lock already;
+    ``collect`` makes it a metrics collector.
+    """
+
+    def __init__(self) -> None:
+        self._drops: collections.Counter[str] = collections.Counter()
+        self._events: collections.Counter[str] = collections.Counter()
+
+    def drop(self, reason: str) -> None:
+        """Count a frame or result that was dropped."""
+        self._drops[reason] += 1
+
+    def add(self, event: str, number: float = 1) -> None:
+        """Count events."""
+        self._events[event] += number
+
+    def get_drops(self) -> dict[str, int]:
+        """Return the drops by reason."""
+        return dict(self._drops)
+
+    def get_events(self) -> dict[str, float]:
+        """Return the events by name."""
+        return dict(self._events)
+
+    def collect(self):
+        """Yield the counts in the form of the metrics library."""
+        drops = metrics_core.CounterMetricFamily(
+            'dunlintide_agent_drops',
+            'Frames and results dropped, by reason',
+            labels=['reason'],
+        )
+        for reason, number in self.get_drops().items():
+            drops.add_metric([reason], number)
+        yield drops
+        events = metrics_core.CounterMetricFamily(
+            'dunlintide_agent_events',
+            'What the agent did, by kind',
+            labels=['event'],
+        )
+        for event, number in self.get_events().items():
+            events.add_metric([event], number)
+        yield events
+
+    def register(self, registry: prometheus_client.CollectorRegistry) -> None:
+        """Give the counts to a metrics registry."""
+        registry.register(self)
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/agent/driver.py
@@ -0,0 +1,217 @@
+"""Feeds the engine: gathers ready steps into few, large calls.
+
+Two calls are under way at a time, so the engine need not wait for HTTP;
+what becomes ready meanwhile gathers for the next one. A session has one
+step under way at most, which keeps its results in order.
+"""
+
+import collections
+import queue
+import threading
+import time
+from typing import Any, Callable
+
+import attrs
+
+from dunlintide_adapters import engine as engines
+
+__all__ = [
+    'Driver',
+    'Handlers',
+    'Job',
+]
+
+CALLS = 2
+MAX_STEPS = 256
+MAX_POSITIONS = 16_384
+# A slow batch must not look like a hung engine.
+BASE_SECONDS = 10.0
+SECONDS_PER_POSITION = 0.01
+_STOP_SECONDS = 5.0
+
+
+@attrs.frozen(eq=False)
+class Job:
+    """A step and what it is for.
+
+    :ivar positions: size of the span, for batching
+    """
+
+    step: engines.Step
+    owner: Any
+    positions: int
+
+
+@attrs.frozen
+class Handlers:
+    """Callbacks of a driver, on its threads.
+
+    :ivar results: gets each finished call, in order for each session
+    :ivar failed: gets the jobs of a call without a usable answer
+    """
+
+    results: Callable[[list[tuple[Job, engines.StepResult]]], None]
+    failed: Callable[[list[Job], engines.EngineError], None]
+
+
+@attrs.define(eq=False)
+class _Lane:
+    """Steps of one session id.
+
+    :ivar freeing: calls under way that free the session
+    :ivar free_again: whether a running step may bring the state back
+    """
+
+    pending: collections.deque = attrs.field(factory=collections.deque)
+    queued: bool = False
+    busy: bool = False
+    freeing: int = 0
+    free_again: bool = False
+
+
+class Driver:
+    """Threads that call one engine."""
+
+    def __init__(self, engine: engines.Engine, handlers: Handlers) -> None:
+        self._engine = engine
+        self._handlers = handlers
+        self._lanes: dict[str, _Lane] = {}
+        self._ready: collections.deque[str] = collections.deque()
+        self._wake = threading.Condition()
+        self._frees: queue.SimpleQueue[str | None] = queue.SimpleQueue()
+        self._stopped = False
+        self.calls = 0
+        self.steps = 0
+        self.busy_seconds = 0.0
+        self._threads = [
+            threading.Thread(target=self._run, name='driver', daemon=True)
+            for _ in range(CALLS)
+        ]
+        self._threads.append(
+            threading.Thread(target=self._reap, name='reaper', daemon=True)
+        )
+
+    def start(self) -> None:
+        """Begin to call the engine."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """End the threads once their calls have returned."""
+        with self._wake:
+            self._stopped = True
+            self._wake.notify_all()
+        self._frees.put(None)
+        for thread in self._threads:
+            thread.join(_STOP_SECONDS)
+
+    def _offer(self, session: str, lane: _Lane) -> None:
+        if lane.busy or lane.freeing or lane.queued:
+            return
+        if lane.pending:
+            lane.queued = True
+            self._ready.append(session)
+            self._wake.notify()
+        else:
+            self._lanes.pop(session, None)
+
+    def submit(self, job: Job) -> None:
+        """Queue a step; never blocks."""
+        session = job.step.session
+        with self._wake:
+            lane = self._lanes.setdefault(session, _Lane())
+            lane.pending.append(job)
+            self._offer(session, lane)
+
+    def free(self, session: str) -> None:
+        """Drop what is queued for a session and free its KV cache.
+
+        Steps that are submitted later wait until that has been done.
+        """
+        with self._wake:
+            lane = self._lanes.setdefault(session, _Lane())
+            lane.pending.clear()
+            lane.freeing += 1
+            lane.free_again = lane.busy
+        self._frees.put(session)
+
+    def _take(self) -> list[Job]:
+        jobs: list[Job] = []
+        positions = 0
+        with self._wake:
+            while not self._ready and not self._stopped:
+                self._wake.wait()
+            while self._ready and len(jobs) < MAX_STEPS:
+                session = self._ready[0]
+                lane = self._lanes[session]
+                if not lane.pending or lane.freeing:
+                    self._ready.popleft()
+                    lane.queued = False
+                    self._offer(session, lane)
+                    continue
+                positions += lane.pending[0].positions
+                if jobs and positions > MAX_POSITIONS:
+                    break
+                self._ready.popleft()
+                lane.queued = False
+                lane.busy = True
+                jobs.append(lane.pending.popleft())
+        return jobs
+
+    def _release(self, jobs: list[Job]) -> None:
+        with self._wake:
+            for job in jobs:
+                session = job.step.session
+                lane = self._lanes[session]
+                lane.busy = False
+                if lane.free_again:
+                    lane.free_again = False
+                    lane.freeing += 1
+                    self._frees.put(session)
+                self._offer(session, lane)
+
+    def _run(self) -> None:
+        while not self._stopped:
+            jobs = self._take()
+            if jobs:
+                self._call(jobs)
+
+    def _call(self, jobs: list[Job]) -> None:
+        positions = sum(job.positions for job in jobs)
+        seconds = BASE_SECONDS + SECONDS_PER_POSITION * positions
+        began = time.monotonic()
+        called = self._engine.run_steps([job.step for job in jobs], seconds)
+        self.busy_seconds += time.monotonic() - began
+        self.calls += 1
+        self.steps += len(jobs)
+        if called.is_err():
+            self._handlers.failed(jobs, called.err_value)
+        else:
+            self._hand_on(jobs, called.ok_value)
+        self._release(jobs)
+
+    def _hand_on(
+        self, jobs: list[Job], results: list[engines.StepResult]
+    ) -> None:
+        by_session = {found.session: found for found in results}
+        pairs = []
+        missing = []
+        for job in jobs:
+            found = by_session.get(job.step.session)
+            if found is None or found.epoch != job.step.epoch:
+                missing.append(job)
+            else:
+                pairs.append((job, found))
+        if pairs:
+            self._handlers.results(pairs)
+        if missing:
+            error = engines.EngineError('steps without a result')
+            self._handlers.failed(missing, error)
+
+    def _reap(self) -> None:
+        while (session := self._frees.get()) is not None:
+            self._engine.free(session)
+            with self._wake:
+                lane = self._lanes[session]
+                lane.freeing -= 1
+                self._offer(session, lane)
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/agent/gate.py
@@ -0,0 +1,500 @@
+"""Admission of everything that comes to the endpoint.
+
+All entries meet here, so the queue, fairness, the in-flight cap, the
+ledger of attempts and the refusals while leaving live here. Methods run
+on link readers and driver threads under one lock and must not block.
+"""
+
+import threading
+import time
+from typing import Callable
+
+import attrs
+
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import caps
+from dunlintide_core import ledger as ledgers
+from dunlintide_core import outcomes
+from dunlintide_core import positions
+from dunlintide_core import queueing
+from dunlintide_daemon.agent import counts as counting
+from dunlintide_daemon.agent import works
+
+__all__ = [
+    'Gate',
+    'GateSettings',
+]
+
+_RATE_WEIGHT = 0.3
+
+# What a claim that may not start is told: code, ran, detail.
+_CLAIM_REFUSALS = {
+    ledgers.Verdict.DROPPED: (
+        outcomes.FailCode.KEY_EXPIRED,
+        True,
+        'it may have run; no answer of it is kept',
+    ),
+    ledgers.Verdict.SEALED: (
+        outcomes.FailCode.CANCELLED,
+        False,
+        'this attempt never ran and will not',
+    ),
+    ledgers.Verdict.KEY_REUSED: (
+        outcomes.FailCode.KEY_REUSED,
+        False,
+        'the key was used for another request',
+    ),
+    ledgers.Verdict.EXECUTOR_GONE: (
+        outcomes.FailCode.EXECUTOR_GONE,
+        True,
+        'the executor has restarted since',
+    ),
+    ledgers.Verdict.EXPIRED: (
+        outcomes.FailCode.KEY_EXPIRED,
+        True,
+        'the claim is older than the retention',
+    ),
+    ledgers.Verdict.FULL: (
+        outcomes.FailCode.NO_CAPACITY,
+        False,
+        'too many keys are remembered',
+    ),
+}
+
+
+@attrs.frozen
+class GateSettings:
+    """Constants of a gate.
+
+    :ivar detach_grace: seconds that an idempotent run goes on with nobody
+        to take its answer
+    """
+
+    name: str
+    incarnation: int
+    detach_grace: float = 2.0
+    queue: queueing.Limits = queueing.Limits()
+    ledger: ledgers.Limits = ledgers.Limits()
+
+
+class Gate:
+    """Requests that this agent is the executor of."""
+
+    def __init__(
+        self,
+        settings: GateSettings,
+        cap: caps.Cap,
+        counts: counting.Counts,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.lock = threading.RLock()
+        self.leaving = False
+        self.fault = ''
+        self.rate = 0.0
+        self.queue = queueing.Queue(settings.queue)
+        self.ledger = ledgers.Ledger(settings.incarnation, settings.ledger)
+        self.in_flight = caps.InFlight()
+        self.cap = cap
+        self.counts = counts
+        self.fences = positions.Fences()
+        self._settings = settings
+        self._clock = clock
+        self._works: dict[str, works.Work] = {}
+        self._members: dict[str, int] = {}
+        self._finished_cost = 0.0
+        self._ticked = clock()
+        self._generation_began = clock()
+
+    def __len__(self) -> int:
+        return len(self._works)
+
+    def find(self, request_id: str) -> works.Work | None:
+        """Return the request of that id, if it has not ended."""
+        return self._works.get(request_id)
+
+    def list_works(self) -> list[works.Work]:
+        """Return all requests that have not ended."""
+        with self.lock:
+            return list(self._works.values())
+
+    def _refuse(
+        self,
+        subscriber: works.Subscriber,
+        code: outcomes.FailCode,
+        detail: str,
+        ran: bool,
+        retry_after: float | None = None,
+    ) -> None:
+        self.counts.add(f'refused-{code}')
+        subscriber.link.send(
+            works.build_fail(
+                subscriber.request_id,
+                subscriber.epoch,
+                code,
+                detail,
+                ran=ran,
+                agent=self._settings.name,
+                retry_after=retry_after,
+            )
+        )
+
+    def _replay(
+        self,
+        frames: list[link_pb2.Frame],
+        subscriber: works.Subscriber,
+        skip: int,
+    ) -> None:
+        for frame in frames:
+            if frame.WhichOneof('body') == 'token':
+                if frame.token.index < skip:
+                    continue
+            subscriber.send(frame)
+
+    def _attach(
+        self, work: works.Work, subscriber: works.Subscriber, skip: int
+    ) -> None:
+        work.subscribers = [
+            other
+            for other in work.subscribers
+            if other.request_id != subscriber.request_id
+        ]
+        work.subscribers.append(subscriber)
+        work.detached = None
+        self._replay(work.log, subscriber, skip)
+
+    def _settle_claim(
+        self,
+        verdict: ledgers.Verdict,
+        entry: ledgers.Entry | None,
+        subscriber: works.Subscriber,
+        skip: int,
+    ) -> None:
+        self.counts.add(f'claim-{verdict}')
+        if verdict is ledgers.Verdict.ATTACH:
+            self._attach(entry.work, subscriber, skip)
+        elif verdict is ledgers.Verdict.REPLAY:
+            self._replay(entry.answer, subscriber, skip)
+        else:
+            code, ran, detail = _CLAIM_REFUSALS[verdict]
+            self._refuse(subscriber, code, detail, ran)
+
+    def attach(
+        self, claim: link_pb2.Claim, subscriber: works.Subscriber
+    ) -> None:
+        """Deliver the answer of an earlier attempt, or say what is known."""
+        with self.lock:
+            verdict, entry = self.ledger.attach(works.read_claim(claim))
+            self._settle_claim(verdict, entry, subscriber, 0)
+
+    def _find_obstacle(
+        self, work: works.Work
+    ) -> tuple[outcomes.FailCode, str] | None:
+        if self.leaving:
+            return outcomes.FailCode.LEAVING, 'the endpoint is leaving'
+        if self.fault:
+            return outcomes.FailCode.NO_CAPACITY, self.fault
+        limit = work.terms.member_concurrency
+        if limit and self._members.get(work.terms.member, 0) >= limit:
+            return (
+                outcomes.FailCode.RATE_LIMITED,
+                'too many requests of the member are in flight',
+            )
+        return None
+
+    def _enqueue(self, work: works.Work, subscriber: works.Subscriber) -> bool:
+        obstacle = self._find_obstacle(work)
+        if obstacle is not None:
+            self._refuse(subscriber, *obstacle, False, 1.0)
+            return False
+        now = self._clock()
+        work.ticket = queueing.Ticket(
+            work.terms.member,
+            work.terms.weight or 1.0,
+            work.terms.priority,
+            work.cost,
+            now,
+            work,
+        )
+        refusal = self.queue.push(work.ticket, work.deadline - now, self.rate)
+        if refusal is not None:
+            self._refuse(
+                subscriber,
+                refusal.code,
+                refusal.detail,
+                False,
+                refusal.retry_after,
+            )
+            return False
+        return True
+
+    def _adopt(
+        self, work: works.Work, subscriber: works.Subscriber, skip: int
+    ) -> bool:
+        """Give a run that nobody takes to a newer epoch of its request.
+
+        True also when the frame is settled by dropping it.
+        """
+        old = self._works.get(work.request_id)
+        if old is None:
+            return False
+        newest = max([old.epoch] + [other.epoch for other in old.subscribers])
+        if work.epoch <= newest:
+            self.counts.drop('stale-open')
+            return True
+        if old.detached is None or old.chain_key != work.chain_key:
+            self.end(old, stop=True)
+            return False
+        self.counts.add('adopted')
+        self._attach(old, subscriber, skip)
+        return True
+
+    def open(
+        self,
+        work: works.Work,
+        claim: link_pb2.Claim | None,
+        subscriber: works.Subscriber,
+        skip: int = 0,
+    ) -> None:
+        """Take in a request: refuse, queue, or give it an earlier run.
+
+        :param claim: for a non-idempotent request
+        :param skip: generated tokens that the subscriber already has
+        """
+        with self.lock:
+            if claim is not None:
+                verdict, entry = self.ledger.open(works.read_claim(claim))
+                if verdict is not ledgers.Verdict.START:
+                    self._settle_claim(verdict, entry, subscriber, skip)
+                    return
+                work.entry = entry
+                entry.work = work
+                if work.request_id in self._works:
+                    self.ledger.seal(entry)
+                    code = outcomes.FailCode.BAD_REQUEST
+                    self._refuse(subscriber, code, 'id in use', False)
+                    return
+            elif self.fences.has_ended(work.request_id, work.epoch):
+                self.counts.drop('stale-open')
+                return
+            elif self._adopt(work, subscriber, skip):
+                return
+            if not self._enqueue(work, subscriber):
+                if work.entry is not None:
+                    self.ledger.seal(work.entry)
+                return
+            work.subscribers.append(subscriber)
+            self._works[work.request_id] = work
+            member = work.terms.member
+            self._members[member] = self._members.get(member, 0) + 1
+            self.counts.add('opened')
+            self.pump()
+
+    def _admits(self, ticket: queueing.Ticket) -> bool:
+        return self.cap.admits(self.in_flight, ticket.item.tokens)
+
+    def pump(self) -> None:
+        """Start what may start."""
+        with self.lock:
+            now = self._clock()
+            while ticket := self.queue.pick(now, self._admits):
+                work = ticket.item
+                work.phase = works.Phase.RUNNING
+                work.begun = now
+                self.in_flight.requests += 1
+                self.in_flight.tokens += work.tokens
+                if work.entry is not None:
+                    work.entry.state = ledgers.State.RUNNING
+                work.start(work)
+
+    def send(self, work: works.Work, frame: link_pb2.Frame) -> None:
+        """Send a part of the answer to whoever takes it."""
+        with self.lock:
+            if work.keeps_log:
+                work.log.append(frame)
+                work.log_bytes += frame.ByteSize()
+            for subscriber in list(work.subscribers):
+                if not subscriber.send(frame):
+                    self._detach(work, subscriber)
+
+    def _forget(self, work: works.Work) -> None:
+        if self._works.get(work.request_id) is work:
+            del self._works[work.request_id]
+        member = work.terms.member
+        self._members[member] -= 1
+        if not self._members[member]:
+            del self._members[member]
+        if work.phase is works.Phase.QUEUED:
+            self.queue.remove(work.ticket)
+        else:
+            self.in_flight.requests -= 1
+            self.in_flight.tokens -= work.tokens
+            self.in_flight.finished += 1
+            self._finished_cost += work.cost
+        work.phase = works.Phase.ENDED
+        self.fences.end(work.request_id, work.epoch)
+
+    def end(self, work: works.Work, *, stop: bool = False) -> None:
+        """Forget a request whose answer, if any, has been sent whole.
+
+        :param stop: whether the run must be stopped first
+        """
+        with self.lock:
+            if work.phase is works.Phase.ENDED:
+                return
+            queued = work.phase is works.Phase.QUEUED
+            if stop and not queued:
+                work.stop(work)
+            self._forget(work)
+            if work.entry is not None and queued:
+                self.ledger.seal(work.entry)
+            elif work.entry is not None:
+                whole = not stop and bool(work.log)
+                answer = work.log if whole else None
+                self.ledger.finish(work.entry, answer, work.log_bytes)
+            self.pump()
+
+    def fail(
+        self,
+        work: works.Work,
+        code: outcomes.FailCode,
+        detail: str,
+        agent: str = '',
+        ran: bool = True,
+    ) -> None:
+        """End a request without a whole answer.
+
+        :param ran: False only when the run provably did nothing
+        """
+        with self.lock:
+            if work.phase is works.Phase.ENDED:
+                return
+            if work.phase is works.Phase.QUEUED:
+                ran = False
+            self.counts.add(f'failed-{code}')
+            frame = works.build_fail(
+                work.request_id,
+                work.epoch,
+                code,
+                detail,
+                ran=ran,
+                agent=agent or self._settings.name,
+            )
+            for subscriber in work.subscribers:
+                subscriber.send(frame)
+            entry = work.entry
+            self.end(work, stop=True)
+            if entry is not None and not ran:
+                self.ledger.seal(entry)
+
+    def cancel(self, request_id: str, epoch: int, link: links.Link) -> None:
+        """Stop a request on its caller's word.
+
+        A non-idempotent run goes on: its answer is kept for a repeat.
+        """
+        with self.lock:
+            for work in self._find_taken(request_id, link):
+                gone = [
+                    other
+                    for other in work.subscribers
+                    if other.request_id == request_id
+                    and other.epoch <= epoch
+                    and other.link is link
+                ]
+                if not gone:
+                    self.counts.drop('stale-cancel')
+                    continue
+                for subscriber in gone:
+                    work.subscribers.remove(subscriber)
+                self._cancel(work, gone)
+
+    def _find_taken(
+        self, request_id: str, link: links.Link
+    ) -> list[works.Work]:
+        work = self._works.get(request_id)
+        if work is not None:
+            return [work]
+        # A repeat that attached under an id of its own.
+        return [
+            work
+            for work in self._works.values()
+            if any(
+                other.request_id == request_id and other.link is link
+                for other in work.subscribers
+            )
+        ]
+
+    def _cancel(self, work: works.Work, gone: list[works.Subscriber]) -> None:
+        keep = work.entry is not None and work.phase is works.Phase.RUNNING
+        if work.subscribers or keep:
+            return
+        work.subscribers = gone
+        self.fail(work, outcomes.FailCode.CANCELLED, 'cancelled by the caller')
+
+    def _detach(self, work: works.Work, subscriber: works.Subscriber) -> None:
+        work.subscribers.remove(subscriber)
+        if not work.subscribers:
+            work.detached = self._clock()
+
+    def lose_link(self, link: links.Link) -> None:
+        """Take note that a caller's link is gone."""
+        with self.lock:
+            for work in self._works.values():
+                for subscriber in list(work.subscribers):
+                    if subscriber.link is link:
+                        self._detach(work, subscriber)
+
+    def set_fault(self, detail: str) -> None:
+        """Refuse new work while the endpoint is away, and what waits.
+
+        :param detail: why; empty once the endpoint is back
+        """
+        with self.lock:
+            self.fault = detail
+            if not detail:
+                return
+            for work in list(self._works.values()):
+                if work.phase is works.Phase.QUEUED:
+                    self.fail(work, outcomes.FailCode.NO_CAPACITY, detail)
+
+    def leave(self) -> None:
+        """Refuse new work from now on."""
+        with self.lock:
+            self.leaving = True
+
+    def _check_work(self, work: works.Work, now: float) -> None:
+        if now > work.deadline:
+            self.fail(
+                work, outcomes.FailCode.DEADLINE, 'the deadline has passed'
+            )
+            return
+        if work.detached is None or work.entry is not None:
+            return
+        if now - work.detached > self._settings.detach_grace:
+            self.fail(
+                work, outcomes.FailCode.LINK_LOST, 'nobody takes the answer'
+            )
+
+    def _measure_rate(self, now: float) -> None:
+        # Only a busy endpoint shows what it can do.
+        elapsed, self._ticked = now - self._ticked, now
+        done, self._finished_cost = self._finished_cost, 0.0
+        if len(self.queue) and elapsed > 0:
+            sample = done / elapsed
+            if self.rate:
+                sample = self.rate + _RATE_WEIGHT * (sample - self.rate)
+            self.rate = sample
+
+    def tick(self) -> None:
+        """Do what time demands; call it a few times a second."""
+        with self.lock:
+            now = self._clock()
+            for work in list(self._works.values()):
+                self._check_work(work, now)
+            if now - self._ticked >= 1.0:
+                self._measure_rate(now)
+            seconds = ledgers.GENERATION_SECONDS
+            while now - self._generation_began >= seconds:
+                self._generation_began += seconds
+                self.ledger.tick()
+            self.pump()
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/agent/peers.py
@@ -0,0 +1,185 @@
+"""Links that this agent opens to other agents, by address.
+
+They are shared by all requests, opened on first use and closed when idle.
+What is sent before a link is up waits for it, for a bounded time.
+"""
+
+import threading
+import time
+from typing import Callable
+
+from absl import logging
+import attrs
+
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+
+__all__ = [
+    'Peers',
+]
+
+CONNECT_SECONDS = 3.0
+IDLE_SECONDS = 60.0
+MAX_WAITING_FRAMES = 10_000
+
+
+@attrs.define(eq=False)
+class _Peer:
+    dialer: links.Dialer
+    link: links.Link | None = None
+    waiting: list[link_pb2.Frame] = attrs.field(factory=list)
+    waiting_since: float = 0.0
+    used: float = 0.0
+    leaving: bool = False
+
+
+class Peers:
+    """Outgoing links to agents."""
+
+    def __init__(
+        self,
+        hello: Callable[[], link_pb2.Hello],
+        take: Callable[[links.Link, list[link_pb2.Frame]], None],
+        lost: Callable[[str, str], None],
+        timing: links.LinkTiming = links.LinkTiming(),
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Remember whom to tell.
+
+        :param take: gets frames that come over these links
+        :param lost: gets the address and reason of a lost link
+        """
+        self._hello = hello
+        self._take = take
+        self._lost = lost
+        self._timing = timing
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._peers: dict[str, _Peer] = {}
+        self._closed = False
+
+    def _raise(self, address: str, link: links.Link) -> None:
+        with self._lock:
+            peer = self._peers.get(address)
+            if peer is None:
+                return
+            for frame in peer.waiting:
+                link.send(frame)
+            peer.waiting.clear()
+            peer.leaving = link.peer.leaving
+            peer.link = link
+
+    def _drop(self, address: str, link: links.Link, reason: str) -> None:
+        with self._lock:
+            peer = self._peers.get(address)
+            if peer is not None and peer.link is link:
+                peer.link = None
+        if not self._closed:
+            self._lost(address, reason)
+
+    def _note(
+        self, address: str, link: links.Link, frames: list[link_pb2.Frame]
+    ) -> None:
+        for frame in frames:
+            if frame.WhichOneof('body') == 'leaving':
+                with self._lock:
+                    if address in self._peers:
+                        self._peers[address].leaving = True
+        self._take(link, frames)
+
+    def _dial(self, address: str) -> _Peer:
+        handlers = links.Handlers(
+            up=lambda link: self._raise(address, link),
+            frames=lambda link, frames: self._note(address, link, frames),
+            down=lambda link, reason: self._drop(address, link, reason),
+        )
+        dialer = links.Dialer(address, self._hello, handlers, self._timing)
+        peer = _Peer(dialer, used=self._clock())
+        self._peers[address] = peer
+        dialer.start()
+        return peer
+
+    def prepare(self, address: str) -> None:
+        """Begin to open a link that will be needed soon."""
+        with self._lock:
+            if not self._closed and address not in self._peers:
+                self._dial(address)
+
+    def is_leaving(self, address: str) -> bool:
+        """Return whether a peer said that it leaves."""
+        peer = self._peers.get(address)
+        return peer is not None and peer.leaving
+
+    def send(self, address: str, frame: link_pb2.Frame) -> bool:
+        """Send a frame, or keep it until the link is up.
+
+        :returns: False when the link is backed up or closing
+        """
+        now = self._clock()
+        with self._lock:
+            if self._closed:
+                return False
+            peer = self._peers.get(address) or self._dial(address)
+            peer.used = now
+            if peer.link is not None:
+                return peer.link.send(frame)
+            if len(peer.waiting) >= MAX_WAITING_FRAMES:
+                return False
+            if not peer.waiting:
+                peer.waiting_since = now
+            peer.waiting.append(frame)
+            return True
+
+    def broadcast(self, frame: link_pb2.Frame) -> None:
+        """Send a frame over all links that are up."""
+        with self._lock:
+            for peer in self._peers.values():
+                if peer.link is not None:
+                    peer.link.send(frame)
+
+    def list_addresses(self) -> dict[str, bool]:
+        """Return the addresses, and whether each link is up."""
+        with self._lock:
+            return {
+                address: peer.link is not None
+                for address, peer in self._peers.items()
+            }
+
+    def _find_unreachable(self, now: float) -> list[str]:
+        found = []
+        for address, peer in self._peers.items():
+            if not peer.waiting:
+                continue
+            if now - peer.waiting_since > CONNECT_SECONDS:
+                peer.waiting.clear()
+                found.append(address)
+        return found
+
+    def tick(self, needed: set[str]) -> None:
+        """Give up on unreachable peers and close idle links.
+
+        :param needed: addresses that running requests rely on
+        """
+        now = self._clock()
+        with self._lock:
+            unreachable = self._find_unreachable(now)
+            idle = [
+                address
+                for address, peer in self._peers.items()
+                if address not in needed and now - peer.used > IDLE_SECONDS
+            ]
+            closing = [self._peers.pop(address) for address in idle]
+        for address in unreachable:
+            logging.info('agent at %s cannot be reached', address)
+            self._lost(address, 'unreachable')
+        for peer in closing:
+            peer.dialer.stop()
+
+    def close(self) -> None:
+        """Close all links and open no more."""
+        with self._lock:
+            self._closed = True
+            peers = list(self._peers.values())
+            self._peers.clear()
+        for peer in peers:
+            peer.dialer.stop()
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -0,0 +1,392 @@
+"""The agent role: wires links, gate, pipeline, driver and services."""
+
+import contextlib
+import signal
+import threading
+import time
+from typing import Any, Callable
+
+from absl import logging
+import prometheus_client
+import pykka
+
+from dunlintide_adapters import admin
+from dunlintide_adapters import engine as engines
+from dunlintide_adapters import links
+from dunlintide_adapters import metrics
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import caps
+from dunlintide_core import fleet
+from dunlintide_core import queueing
+from dunlintide_core import settings as settings_module
+from dunlintide_daemon.agent import counts as counting
+from dunlintide_daemon.agent import driver as drivers
+from dunlintide_daemon.agent import dump
+from dunlintide_daemon.agent import gate as gates
+from dunlintide_daemon.agent import peers as peering
+from dunlintide_daemon.agent import pipeline as pipelines
+from dunlintide_daemon.agent import services
+from dunlintide_daemon.agent import supervisor
+from dunlintide_daemon.agent import works
+
+__all__ = [
+    'Agent',
+    'run',
+]
+
+TICK_SECONDS = 0.1
+MAX_IN_FLIGHT = 256
+SERVICE_THREADS = 32
+FAILED = 1
+
+
+def _build_endpoint(endpoint: fleet.Endpoint, cap: int) -> link_pb2.Endpoint:
+    return link_pb2.Endpoint(
+        kind=endpoint.kind,
+        model=endpoint.model,
+        version=endpoint.version,
+        layer_start=endpoint.layer_start,
+        layer_end=endpoint.layer_end,
+        layer_count=endpoint.layer_count,
+        accelerator=endpoint.accelerator,
+        service=endpoint.service,
+        tokens_per_second=endpoint.tokens_per_second,
+        checks_fence=endpoint.checks_fence,
+        max_in_flight=cap,
+    )
+
+
+class Agent:
+    """One agent process; a context manager that runs it.
+
+    :ivar incarnation: rises with each start of the same name
+    :ivar done: set once the process may end
+    :ivar failed: whether it ends for a fault of its own
+    """
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        """Build all parts; binds the link port.
+
+        :raises OSError: when a port is taken
+        """
+        self.settings = settings
+        self.incarnation = time.time_ns()
+        self.done = threading.Event()
+        self.failed = False
+        self.counts = counting.Counts()
+        self.endpoint = settings.endpoint.to_endpoint()
+        self.gate = self._build_gate()
+        self._supervisor = None
+        self._timing = links.LinkTiming(
+            settings.timing.ping,
+            settings.timing.silence,
+            settings.timing.redial,
+        )
+        self._peers = peering.Peers(
+            self._build_hello, self._take, self._lose_peer, self._timing
+        )
+        handlers = links.Handlers(self._welcome, self._take, self._lose_link)
+        # The port is the host-local lock against a second agent.
+        self._server = links.LinkServer(
+            settings.link_listen, self._build_hello, handlers, self._timing
+        )
+        self.pipeline: pipelines.Pipeline | None = None
+        self.driver: drivers.Driver | None = None
+        self._engine: engines.Engine | None = None
+        self._services: services.Services | None = None
+        if self.endpoint.kind is fleet.EndpointKind.ENGINE:
+            self._build_engine_side()
+        else:
+            self._build_service_side()
+        self._load = link_pb2.Load()
+        self._stack = contextlib.ExitStack()
+
+    def _build_gate(self) -> gates.Gate:
+        default = MAX_IN_FLIGHT
+        if self.endpoint.kind is fleet.EndpointKind.SERVICE:
+            default = SERVICE_THREADS
+        self._max_in_flight = self.endpoint.max_in_flight or default
+        limits = queueing.Limits(
+            per_member=self.settings.limits.queue_per_member
+        )
+        settings = gates.GateSettings(
+            self.settings.name, self.incarnation, queue=limits
+        )
+        cap = caps.fix(self._max_in_flight)
+        return gates.Gate(settings, cap, self.counts)
+
+    def _build_engine_side(self) -> None:
+        endpoint = self.endpoint
+        identity = pipelines.Identity(
+            self.settings.name,
+            self.incarnation,
+            endpoint.model,
+            endpoint.version,
+            endpoint.layer_start,
+            endpoint.layer_end,
+        )
+        self.pipeline = pipelines.Pipeline(
+            identity, self.gate, self._peers, self.counts, self._broadcast
+        )
+        self._engine = engines.Engine(self.settings.endpoint.url)
+        handlers = drivers.Handlers(
+            self.pipeline.take_results, self._take_engine_failure
+        )
+        self.driver = drivers.Driver(self._engine, handlers)
+        self.pipeline.driver = self.driver
+
+    def _build_service_side(self) -> None:
+        self._services = services.Services(
+            self.settings.endpoint.url, self._max_in_flight, self.gate
+        )
+
+    @property
+    def address(self) -> str:
+        """How peers reach this agent."""
+        if self.settings.advertise:
+            return self.settings.advertise
+        host = self.settings.link_listen.rpartition(':')[0]
+        return f'{host}:{self._server.port}'
+
+    @property
+    def admin_port(self) -> int:
+        """Operators' port."""
+        return self._admin.port
+
+    def _build_hello(self) -> link_pb2.Hello:
+        return link_pb2.Hello(
+            name=self.settings.name,
+            role=fleet.Role.AGENT,
+            incarnation=self.incarnation,
+            failure_domain=self.settings.failure_domain,
+            region=self.settings.region,
+            address=self.address,
+            endpoint=_build_endpoint(self.endpoint, self._max_in_flight),
+            leaving=self.gate.leaving,
+        )
+
+    def _broadcast(self, frame: link_pb2.Frame) -> None:
+        for link in self._server.links():
+            link.send(frame)
+
+    def _welcome(self, link: links.Link) -> None:
+        # A new entry needs the generation before its first claim.
+        link.send(link_pb2.Frame(load=self._load))
+
+    def _lose_link(self, link: links.Link, reason: str) -> None:
+        logging.debug('link from %s lost: %s', link.peer.name, reason)
+        self.gate.lose_link(link)
+        if self.pipeline is not None:
+            self.pipeline.lose_link(link)
+
+    def _lose_peer(self, address: str, reason: str) -> None:
+        if self.pipeline is not None:
+            self.pipeline.lose_peer(address, reason)
+
+    def _take(self, link: links.Link, frames: list[link_pb2.Frame]) -> None:
+        with self.gate.lock:
+            for frame in frames:
+                self._dispatch(link, frame)
+
+    def _dispatch(self, link: links.Link, frame: link_pb2.Frame) -> None:
+        body = frame.WhichOneof('body')
+        if body == 'attach':
+            self._attach(link, frame.attach)
+        elif self.pipeline is not None:
+            self._dispatch_engine(link, body, frame)
+        elif body == 'call':
+            self._services.call(link, frame.call)
+        elif body == 'cancel':
+            cancel = frame.cancel
+            self.gate.cancel(cancel.request_id, cancel.epoch, link)
+
+    def _dispatch_engine(
+        self, link: links.Link, body: str, frame: link_pb2.Frame
+    ) -> None:
+        if body == 'step':
+            self.pipeline.take_step(link, frame.step)
+        elif body == 'token':
+            self.pipeline.take_token(frame.token)
+        elif body == 'done':
+            self.pipeline.take_done(frame.done)
+        elif body == 'open':
+            self.pipeline.open(link, frame.open)
+        elif body == 'fail':
+            self.pipeline.take_fail(frame.fail)
+        elif body == 'cancel':
+            self.pipeline.take_cancel(link, frame.cancel)
+
+    def _attach(self, link: links.Link, attach: link_pb2.Attach) -> None:
+        request_id = attach.terms.request_id
+        subscriber = works.Subscriber(link, request_id, attach.epoch)
+        self.gate.attach(attach.claim, subscriber)
+
+    def _take_engine_failure(
+        self, jobs: list[drivers.Job], error: engines.EngineError
+    ) -> None:
+        logging.warning(
+            'a call of %d steps failed: %s', len(jobs), error.detail
+        )
+        self.pipeline.fail_jobs(jobs, error)
+        self._tell(supervisor.EngineFailed(error.detail))
+
+    def _tell(self, message: Any) -> None:
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._supervisor.tell(message)
+
+    def drain(self) -> None:
+        """Begin a planned stop; ``done`` is set at its end."""
+        self._tell(supervisor.Drain())
+
+    def _leave(self) -> None:
+        if self.pipeline is not None:
+            self.pipeline.leave()
+        leaving = link_pb2.Leaving(
+            agent=self.settings.name, incarnation=self.incarnation
+        )
+        hello = link_pb2.Frame(hello=self._build_hello())
+        for send in (self._broadcast, self._peers.broadcast):
+            send(link_pb2.Frame(leaving=leaving))
+            send(hello)
+
+    def _is_idle(self) -> bool:
+        with self.gate.lock:
+            if len(self.gate):
+                return False
+            if self.pipeline is None:
+                return True
+            return not len(self.pipeline) and not self.pipeline.is_open()
+
+    def _crash(self) -> None:
+        self.failed = True
+        self.done.set()
+
+    def _report(self, load: engines.EngineLoad) -> None:
+        gate = self.gate
+        with gate.lock:
+            self._load = link_pb2.Load(
+                running=gate.in_flight.requests,
+                queued=len(gate.queue),
+                cap=gate.cap.limit(gate.in_flight),
+                kv_usage=load.kv_usage,
+                step_seconds=load.step_seconds,
+                tokens_per_second=load.tokens_per_second,
+                generation=gate.ledger.generation,
+                steps=self.driver.steps if self.driver else 0,
+            )
+        self._broadcast(link_pb2.Frame(load=self._load))
+
+    def _tick(self) -> None:
+        while not self.done.wait(TICK_SECONDS):
+            self.gate.tick()
+            if self.pipeline is not None:
+                self.pipeline.tick()
+                self._peers.tick(self.pipeline.list_addresses())
+            if self._supervisor.actor_inbox.empty():
+                self._tell(supervisor.Poll())
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state of the process, fit for JSON."""
+        state = {
+            'name': self.settings.name,
+            'incarnation': self.incarnation,
+            'gate': dump.describe_gate(self.gate, time.monotonic()),
+            'links': sorted(link.peer.name for link in self._server.links()),
+            'peers': self._peers.list_addresses(),
+        }
+        if self.pipeline is not None:
+            state['stages'] = self.pipeline.count_stages()
+            state['engine'] = {
+                'calls': self.driver.calls,
+                'steps': self.driver.steps,
+                'busy_seconds': round(self.driver.busy_seconds, 3),
+            }
+        return state
+
+    def _check_readiness(self) -> admin.Readiness:
+        reasons = []
+        if self.gate.leaving:
+            reasons.append('leaving')
+        if self.gate.fault:
+            reasons.append(self.gate.fault)
+        return admin.Readiness(tuple(reasons))
+
+    def _register_metrics(self) -> prometheus_client.CollectorRegistry:
+        registry = prometheus_client.CollectorRegistry()
+        shared = metrics.Metrics.from_registry(registry, fleet.Role.AGENT)
+        shared.queue_length.set_function(lambda: len(self.gate.queue))
+        shared.in_flight.set_function(lambda: self.gate.in_flight.requests)
+        shared.links.set_function(lambda: len(self._server.links()))
+        self.counts.register(registry)
+        return registry
+
+    def _start_supervisor(self) -> None:
+        hooks = supervisor.Hooks(
+            lose_sessions=self._lose_sessions,
+            report=self._report,
+            leave=self._leave,
+            is_idle=self._is_idle,
+            stop=self.done.set,
+            crash=self._crash,
+        )
+        self._supervisor = supervisor.Supervisor.start(
+            self.gate, self._engine, hooks
+        )
+        self._stack.callback(self._supervisor.stop)
+
+    def _lose_sessions(self, detail: str) -> None:
+        if self.pipeline is not None:
+            self.pipeline.fail_all(detail)
+
+    def __enter__(self) -> 'Agent':
+        with contextlib.ExitStack() as stack:
+            self._stack = stack
+            if self._engine is not None:
+                stack.callback(self._engine.close)
+            else:
+                stack.callback(self._services.close)
+            self._start_supervisor()
+            if self.driver is not None:
+                self.driver.start()
+                stack.callback(self.driver.stop)
+            self._admin = admin.AdminServer.from_config(
+                self.settings.admin_listen,
+                self.describe,
+                self._check_readiness,
+                self.drain,
+                self._register_metrics(),
+            )
+            self._admin.start()
+            stack.callback(self._admin.stop)
+            self._server.start()
+            stack.callback(self._server.stop)
+            stack.callback(self._peers.close)
+            ticker = threading.Thread(target=self._tick, daemon=True)
+            ticker.start()
+            stack.callback(ticker.join)
+            stack.callback(self.done.set)
+            self._stack = stack.pop_all()
+        return self
+
+    def __exit__(self, *details) -> None:
+        self._stack.close()
+
+
+def _watch_signals(drain: Callable[[], None]) -> None:
+    if threading.current_thread() is not threading.main_thread():
+        return
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: drain())
+
+
+def run(settings: settings_module.Settings) -> int:
+    """Run an agent until it has drained.
+
+    :returns: exit status, 0 after a planned stop
+    :raises OSError: when a port is taken
+    """
+    with Agent(settings) as agent:
+        _watch_signals(agent.drain)
+        logging.info('agent %s serves at %s', settings.name, agent.address)
+        agent.done.wait()
+    return FAILED if agent.failed else 0
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/agent/services.py
@@ -0,0 +1,230 @@
+"""Calls of a plain service beside the agent.
+
+A bounded pool of threads calls the service; what waits does so in the
+gate's fair queue. No call is ever repeated here.
+"""
+
+from concurrent import futures
+import threading
+import time
+from typing import Callable, Iterator
+
+from absl import logging
+import urllib3
+
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import outcomes
+from dunlintide_daemon.agent import gate as gates
+from dunlintide_daemon.agent import works
+
+__all__ = [
+    'Services',
+]
+
+PART_BYTES = 256 << 10
+CONNECT_SECONDS = 2.0
+BYTES_PER_COST = 1024.0
+CALL_COST = 64.0
+
+# RFC 9110, 7.6.1; the length is set anew.
+_HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+# Set from the terms; a caller's own ones would be lies. Its bearer key is
+# no business of the service's.
+_OWN = frozenset(
+    (
+        'authorization',
+        'dunlintide-member',
+        'idempotency-key',
+        'x-request-id',
+    )
+)
+
+
+def _strip(
+    headers: Iterator[tuple[str, str]], also: frozenset[str] = frozenset()
+) -> list[tuple[str, str]]:
+    pairs = [(name, value) for name, value in headers]
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == 'connection'
+        for token in value.split(',')
+    }
+    dropped = _HOP_BY_HOP | also | named
+    return [pair for pair in pairs if pair[0].lower() not in dropped]
+
+
+def _build_headers(call: link_pb2.Call) -> urllib3.HTTPHeaderDict:
+    given = ((header.name, header.value) for header in call.headers)
+    headers = urllib3.HTTPHeaderDict()
+    for name, value in _strip(given, _OWN):
+        headers.add(name, value)
+    headers['X-Request-Id'] = call.terms.request_id
+    headers['Dunlintide-Member'] = call.terms.member
+    if call.terms.idempotency_key:
+        headers['Idempotency-Key'] = call.terms.idempotency_key
+    return headers
+
+
+def _has_run(error: urllib3.exceptions.HTTPError) -> bool:
+    """Return whether the service may have acted on a failed call."""
+    never_connected = (
+        urllib3.exceptions.ConnectTimeoutError,
+        urllib3.exceptions.NewConnectionError,
+    )
+    return not isinstance(error, never_connected)
+
+
+class Services:
+    """Threads that call one service."""
+
+    def __init__(
+        self,
+        url: str,
+        threads: int,
+        gate: gates.Gate,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Prepare the pool; connections open on demand.
+
+        :param url: base address of the service
+        :param threads: calls under way at most
+        """
+        self._gate = gate
+        self._clock = clock
+        self._pool = futures.ThreadPoolExecutor(threads, 'service')
+        self._path = urllib3.util.parse_url(url).path or ''
+        self._http = urllib3.connection_from_url(
+            url, maxsize=threads, retries=False
+        )
+        self._once = urllib3.connection_from_url(
+            url, maxsize=threads, retries=False
+        )
+        self._lock = threading.Lock()
+        self._answers: dict[works.Work, urllib3.BaseHTTPResponse] = {}
+
+    def close(self) -> None:
+        """Wait for the calls under way and close all connections."""
+        self._pool.shutdown()
+        self._http.close()
+        self._once.close()
+
+    def call(self, link: links.Link, call: link_pb2.Call) -> None:
+        """Take in a call for the service."""
+        terms = call.terms
+        subscriber = works.Subscriber(link, terms.request_id, call.epoch)
+        claim = call.claim if call.HasField('claim') else None
+        work = works.Work(
+            terms.request_id,
+            call.epoch,
+            terms,
+            self._clock() + terms.deadline_ms / 1000,
+            CALL_COST + len(call.body) / BYTES_PER_COST,
+            1,
+            start=lambda started: self._start(started, call),
+            stop=self._stop,
+            keeps_log=claim is not None,
+        )
+        self._gate.open(work, claim, subscriber)
+
+    def _start(self, work: works.Work, call: link_pb2.Call) -> None:
+        self._pool.submit(self._run_safely, work, call)
+
+    def _stop(self, work: works.Work) -> None:
+        with self._lock:
+            answer = self._answers.pop(work, None)
+        if answer is not None:
+            # Unblocks the reading thread; the answer is not wanted.
+            answer.shutdown()
+
+    def _run_safely(self, work: works.Work, call: link_pb2.Call) -> None:
+        try:
+            self._run(work, call)
+        except Exception:
+            logging.exception('call failed')
+            code = outcomes.FailCode.INTERNAL
+            self._gate.fail(work, code, 'the call failed')
+
+    def _run(self, work: works.Work, call: link_pb2.Call) -> None:
+        seconds = work.deadline - self._clock()
+        if seconds <= 0 or work.phase is works.Phase.ENDED:
+            code = outcomes.FailCode.DEADLINE
+            self._gate.fail(work, code, 'the deadline has passed', ran=False)
+            return
+        headers = _build_headers(call)
+        pool = self._http
+        if call.HasField('claim'):
+            # A kept connection may be closed by the service just as it is
+            # used, which would leave the outcome unknown.
+            pool = self._once
+            headers['Connection'] = 'close'
+        try:
+            answer = pool.urlopen(
+                call.method,
+                self._path.rstrip('/') + call.path,
+                body=call.body or None,
+                headers=headers,
+                timeout=urllib3.Timeout(
+                    connect=min(CONNECT_SECONDS, seconds), read=seconds
+                ),
+                redirect=False,
+                preload_content=False,
+                decode_content=False,
+            )
+            with self._lock:
+                self._answers[work] = answer
+            self._forward(work, call, answer)
+            self._gate.end(work)
+        except urllib3.exceptions.HTTPError as error:
+            code = outcomes.FailCode.ENDPOINT_FAILED
+            detail = type(error).__name__
+            self._gate.fail(work, code, detail, ran=_has_run(error))
+        finally:
+            with self._lock:
+                self._answers.pop(work, None)
+
+    def _forward(
+        self,
+        work: works.Work,
+        call: link_pb2.Call,
+        answer: urllib3.BaseHTTPResponse,
+    ) -> None:
+        part = 0
+        reply = link_pb2.Reply(status=answer.status)
+        for name, value in _strip(answer.headers.items()):
+            reply.headers.add(name=name, value=value)
+        for chunk in answer.stream(PART_BYTES, decode_content=False):
+            reply.body = chunk
+            self._send(work, call, reply, part)
+            part += 1
+            reply = link_pb2.Reply()
+        reply.last = True
+        self._send(work, call, reply, part)
+        answer.release_conn()
+
+    def _send(
+        self,
+        work: works.Work,
+        call: link_pb2.Call,
+        reply: link_pb2.Reply,
+        part: int,
+    ) -> None:
+        reply.request_id = work.request_id
+        reply.epoch = call.epoch
+        reply.part = part
+        self._gate.send(work, link_pb2.Frame(reply=reply))
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
@@ -0,0 +1,152 @@
+"""Slow matters of an agent: engine health, load reports and drain.
+
+One actor holds them, so they keep their order without locks. No token
+and no step passes through its mailbox; the ticker sends it one message
+at a time.
+"""
+
+import time
+from typing import Callable
+
+from absl import logging
+import attrs
+import pykka
+
+from dunlintide_adapters import engine as engines
+from dunlintide_core import caps
+from dunlintide_daemon.agent import gate as gates
+
+__all__ = [
+    'Drain',
+    'EngineFailed',
+    'Hooks',
+    'Poll',
+    'Supervisor',
+]
+
+PROBE_SECONDS = 0.2
+_LOAD_WEIGHT = 0.3
+
+
+@attrs.frozen
+class EngineFailed:
+    """A call to the engine had no usable answer."""
+
+    detail: str
+
+
+@attrs.frozen
+class Poll:
+    """Read the load and tell the entries."""
+
+
+@attrs.frozen
+class Drain:
+    """Begin a planned stop."""
+
+
+@attrs.frozen
+class Hooks:
+    """What a supervisor does beyond its own state.
+
+    :ivar lose_sessions: ends all sessions, with the reason
+    :ivar report: sends a load report
+    :ivar leave: tells all peers that this agent leaves
+    :ivar is_idle: whether nothing is in flight any more
+    :ivar stop: lets the process end
+    :ivar crash: lets the process end, since the supervisor has failed
+    """
+
+    lose_sessions: Callable[[str], None]
+    report: Callable[[engines.EngineLoad], None]
+    leave: Callable[[], None]
+    is_idle: Callable[[], bool]
+    stop: Callable[[], None]
+    crash: Callable[[], None]
+
+
+class Supervisor(pykka.ThreadingActor):
+    """Watches the endpoint and stops the process in order.
+
+    :ivar load: as the engine last reported it
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        gate: gates.Gate,
+        engine: engines.Engine | None,
+        hooks: Hooks,
+    ) -> None:
+        """Remember what to watch.
+
+        :param engine: None before a plain service
+        """
+        super().__init__()
+        self._gate = gate
+        self._engine = engine
+        self._hooks = hooks
+        self._down = False
+        self._probed = 0.0
+        self._draining = False
+
+    def on_receive(self, message) -> None:
+        """Handle one message."""
+        if isinstance(message, EngineFailed):
+            self._check_engine(message.detail)
+        elif isinstance(message, Poll):
+            self._poll()
+        elif isinstance(message, Drain):
+            self._drain()
+
+    def on_failure(self, exception_type, exception_value, traceback) -> None:
+        """Stop the process: an actor that raised is silently dead."""
+        logging.error('supervisor failed: %r', exception_value)
+        self._hooks.crash()
+
+    def _check_engine(self, detail: str) -> None:
+        if self._down or self._engine.is_healthy():
+            return
+        self._down = True
+        logging.warning('the engine is away: %s', detail)
+        self._gate.set_fault('the engine is away')
+        # A process that answers no more has lost its KV cache.
+        self._hooks.lose_sessions('the engine is away')
+
+    def _probe(self) -> None:
+        if self._engine.is_healthy():
+            self._down = False
+            logging.info('the engine is back')
+            self._gate.set_fault('')
+
+    def _poll(self) -> None:
+        if self._down:
+            self._probe()
+        if self._draining and self._hooks.is_idle():
+            self._hooks.stop()
+        now = time.monotonic()
+        if now - self._probed < 1.0:
+            return
+        self._probed = now
+        self._report()
+
+    def _report(self) -> None:
+        load = engines.EngineLoad()
+        if self._engine is not None and not self._down:
+            read = self._engine.read_load()
+            if read.is_err() and not read.err_value.status:
+                self._check_engine(read.err_value.detail)
+            load = read.unwrap_or(load)
+            usage = caps.Usage(load.kv_usage, 0, load.queued)
+            with self._gate.lock:
+                self._gate.cap.observe(self._gate.in_flight, usage)
+        self._hooks.report(load)
+
+    def _drain(self) -> None:
+        if self._draining:
+            return
+        self._draining = True
+        logging.info('leaving: finishing what is in flight')
+        self._gate.leave()
+        self._hooks.leave()
