Test agents over real links

Twelve scenarios with engine stand-ins in the test's process: exact tokens over one and three stages, disturbed frames, a gap, an engine crash and its return, repeats of a claimed request, lost and cancelling callers, drain, and a plain service.

--- /dev/null
+++ b/features/agent.feature
@@ -0,0 +1,91 @@
+Feature: The agent beside an endpoint
+  Agents run a request's stages in order, once, and say honestly what ran.
+
+  Scenario: Three stages answer what the whole model would
+    Given 3 agents of 4 layers each
+    When 12 requests for 9 tokens go to the head
+    Then each request gets exactly the model's tokens and an end mark
+    And each engine ran each position of each request once
+    And all engines are free within 5 s
+
+  Scenario: One stage holds the whole model
+    Given 1 agents of 12 layers each
+    When 3 requests for 5 tokens go to the head
+    Then each request gets exactly the model's tokens and an end mark
+
+  Scenario: A request that was cut goes on behind the tokens it has
+    Given 3 agents of 4 layers each
+    When a request for 8 tokens goes to the head with 3 of them resumed
+    Then it gets exactly the other tokens and an end mark
+
+  Scenario: Repeated, reordered and stale frames change nothing
+    Given 3 agents of 4 layers each
+    And each engine step takes 0.02 s
+    When a request for 12 tokens runs while its steps come twice, late and of old epochs
+    Then each request gets exactly the model's tokens and an end mark
+    And the second agent has counted "duplicate-step", "stale-step" and "unknown-step"
+
+  Scenario: A gap ends the epoch and not the answer's order
+    Given 3 agents of 4 layers each
+    And each engine step takes 0.05 s
+    When a request for 50 tokens runs and a step beyond its next position comes
+    Then its head says "gap" and that it may have run
+    And all engines are free within 5 s
+
+  Scenario: An engine that crashes fails only its own requests
+    Given 3 agents of 4 layers each
+    And each engine step takes 0.03 s
+    When 2 requests for 60 tokens run over 3 agents and 1 only over the first
+    And the second engine crashes
+    Then the requests over it fail with "endpoint-failed" and may have run
+    And the other request gets exactly its tokens
+    When the second engine is back
+    And 2 requests for 4 tokens go to the head
+    Then each request gets exactly the model's tokens and an end mark
+
+  Scenario: While its engine is away an agent refuses with not run
+    Given 1 agents of 12 layers each
+    When the first engine is gone and noticed
+    And a request for 4 tokens goes to the head
+    Then its head says "no-capacity" and that it did not run
+
+  Scenario: A repeat gets the first answer and no second run
+    Given 3 agents of 4 layers each
+    And each engine step takes 0.02 s
+    When a claimed request for 20 tokens loses its caller midway
+    And it is repeated under another id
+    Then the repeat gets exactly the model's tokens and an end mark
+    And a later repeat gets the same answer
+    And a claim on it with another body is refused with "key-reused"
+    And the engines ran the claimed request once
+
+  Scenario: A caller that is gone frees every stage
+    Given 3 agents of 4 layers each
+    And each engine step takes 0.02 s
+    When a request for 900 tokens runs and its caller's link is lost
+    Then all engines are free within 20 s
+
+  Scenario: A cancelled request frees every stage
+    Given 3 agents of 4 layers each
+    And each engine step takes 0.02 s
+    When a request for 900 tokens runs and is cancelled
+    Then all engines are free within 5 s
+
+  Scenario: A drain finishes what is in flight and takes nothing new
+    Given 3 agents of 4 layers each
+    And each engine step takes 0.03 s
+    When 4 requests for 30 tokens are running
+    And the head is told to drain
+    Then the caller hears that it leaves
+    And a new request is refused with "leaving" and did not run
+    And each request gets exactly the model's tokens and an end mark
+    And the head ends by itself without a fault
+
+  Scenario: A plain service is called once for a claimed call
+    Given an agent before a plain service
+    When a claimed call is made twice
+    Then both callers get the same echoed answer
+    And the service ran one call, with the member and the key
+    When the service is gone
+    And a call is made
+    Then the call fails with "endpoint-failed" and did not run
--- /dev/null
+++ b/features/steps/agent.py
@@ -0,0 +1,565 @@
+"""Steps for agents over real links, with engines in this process."""
+
+import threading
+import time
+
+import behave
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import fleet
+from dunlintide_core import settings
+from dunlintide_daemon.agent import role
+from dunlintide_standins.engine import server as engines
+from dunlintide_standins import reference
+from dunlintide_standins import service as services
+import urllib3
+
+MODEL = 'copy-7b'
+LAYERS = 12
+WAIT_SECONDS = 60.0
+DEADLINE_MS = 60_000
+
+
+def wait_until(condition, what, seconds=WAIT_SECONDS):
+    end = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < end, f'not within {seconds} s: {what}'
+        time.sleep(0.01)
+
+
+class Caller:
+    """An entry's end of one link: sends frames and keeps the answers."""
+
+    def __init__(self, address):
+        self.frames = []
+        self.up = threading.Event()
+        self.down = threading.Event()
+        hello = link_pb2.Hello(name='entry-1', role='entry')
+        handlers = links.Handlers(
+            lambda _: self.up.set(),
+            lambda _, frames: self.frames.extend(frames),
+            lambda *_: self.down.set(),
+        )
+        self.dialer = links.Dialer(address, lambda: hello, handlers)
+        self.dialer.start()
+        assert self.up.wait(WAIT_SECONDS)
+
+    def send(self, **body):
+        assert self.dialer.link.send(link_pb2.Frame(**body))
+
+    def take(self, request_id, kind):
+        return [
+            getattr(frame, kind)
+            for frame in list(self.frames)
+            if frame.WhichOneof('body') == kind
+            and getattr(frame, kind).request_id == request_id
+        ]
+
+    def hears(self, kind):
+        return any(f.WhichOneof('body') == kind for f in list(self.frames))
+
+    def wait_end(self, request_id):
+        def ended():
+            done = self.take(request_id, 'done')
+            return done or self.take(request_id, 'fail')
+
+        wait_until(ended, f'end of {request_id}')
+        return ended()[0]
+
+
+def make_settings(name, endpoint):
+    return settings.Settings(
+        role=fleet.Role.AGENT,
+        name=name,
+        failure_domain='austin-a',
+        admin_listen='127.0.0.1:0',
+        link_listen='127.0.0.1:0',
+        store_url='http://127.0.0.1:1',
+        host_list_url='http://127.0.0.1:1',
+        endpoint=endpoint,
+    )
+
+
+def start_agent(context, name, endpoint):
+    agent = role.Agent(make_settings(name, endpoint))
+    context.stack.enter_context(agent)
+    return agent
+
+
+def start_engine(context, stage, listen='127.0.0.1:0'):
+    start, end = context.ranges[stage]
+    config = engines.Config(
+        listen=listen, layer_start=start, layer_end=end, load_lag_seconds=0.0
+    )
+    engine = engines.Engine.from_config(config)
+    engine.start()
+    context.stack.callback(engine.stop)
+    return engine
+
+
+@behave.given('{count:d} agents of {layers:d} layers each')
+def start_agents(context, count, layers):
+    context.ranges = [(i * layers, (i + 1) * layers) for i in range(count)]
+    context.engines = [start_engine(context, i) for i in range(count)]
+    context.agents = []
+    for index, engine in enumerate(context.engines):
+        endpoint = settings.EndpointSettings(
+            kind=fleet.EndpointKind.ENGINE,
+            url=f'http://127.0.0.1:{engine.port}',
+            model=MODEL,
+            version='1',
+            layer_start=context.ranges[index][0],
+            layer_end=context.ranges[index][1],
+            layer_count=LAYERS,
+        )
+        agent = start_agent(context, f'agent-{index}', endpoint)
+        context.agents.append(agent)
+    context.caller = Caller(context.agents[0].address)
+    context.stack.callback(context.caller.dialer.stop)
+    context.asked = {}
+
+
+def ask_engine(context, stage, method, path, body=None):
+    url = f'http://127.0.0.1:{context.engines[stage].port}{path}'
+    answer = urllib3.request(method, url, json=body, retries=False)
+    assert answer.status == 200, answer.data
+    return answer.json()
+
+
+@behave.given('each engine step takes {seconds:f} s')
+def slow_engines(context, seconds):
+    for stage in range(len(context.engines)):
+        # An empty step takes 2 ms.
+        body = {'slow_factor': seconds / 0.002}
+        ask_engine(context, stage, 'POST', '/control', body)
+
+
+def build_chain(context, count=None):
+    return [
+        link_pb2.Stage(
+            agent=agent.settings.name,
+            address=agent.address,
+            incarnation=agent.incarnation,
+            layer_start=span[0],
+            layer_end=span[1],
+        )
+        for agent, span in list(zip(context.agents, context.ranges))[:count]
+    ]
+
+
+def build_claim(context, key, fingerprint=b'body'):
+    return link_pb2.Claim(
+        key_digest=key,
+        fingerprint=fingerprint,
+        executor_incarnation=context.agents[0].incarnation,
+        attempt='attempt-1',
+    )
+
+
+def build_open(context, request_id, tokens, prompt=None, stages=None, **more):
+    terms = link_pb2.Terms(
+        request_id=request_id,
+        member='diner',
+        weight=1.0,
+        priority=1,
+        deadline_ms=DEADLINE_MS,
+        idempotency_key='key-1' if 'claim' in more else '',
+    )
+    fields = {'epoch': 1, 'model': MODEL, 'version': '1'} | more
+    return link_pb2.Open(
+        terms=terms,
+        chain=build_chain(context, stages),
+        prompt=prompt or f'daily special of {request_id}',
+        max_tokens=tokens,
+        **fields,
+    )
+
+
+def open_request(context, request_id, tokens, **more):
+    message = build_open(context, request_id, tokens, **more)
+    context.asked[request_id] = message
+    context.caller.send(open=message)
+    return message
+
+
+def expect_tokens(message):
+    layers = message.chain[-1].layer_end
+    return reference.expected_tokens(
+        message.prompt, message.max_tokens, layers, MODEL
+    )
+
+
+def check_answer(caller, request_id, message, skip=0):
+    end = caller.wait_end(request_id)
+    assert isinstance(end, link_pb2.Done), end
+    expected = expect_tokens(message)
+    got = caller.take(request_id, 'token')
+    assert [t.index for t in got] == list(range(skip, len(expected)))
+    want = [(t.id, t.text) for t in expected][skip:]
+    assert [(t.id, t.text) for t in got] == want
+    assert end.tokens == len(expected)
+    assert end.finish_reason == 'length'
+    assert len(caller.take(request_id, 'done')) == 1
+
+
+@behave.when('{count:d} requests for {tokens:d} tokens go to the head')
+def open_many(context, count, tokens):
+    context.asked = {}
+    for index in range(count):
+        open_request(context, f'r{len(context.caller.frames)}-{index}', tokens)
+
+
+@behave.when('a request for {tokens:d} tokens goes to the head')
+def open_one(context, tokens):
+    open_request(context, 'r1', tokens)
+
+
+@behave.then("each request gets exactly the model's tokens and an end mark")
+def check_answers(context):
+    for request_id, message in context.asked.items():
+        check_answer(context.caller, request_id, message)
+
+
+@behave.then('each engine ran each position of each request once')
+def check_runs(context):
+    for stage in range(len(context.engines)):
+        runs = ask_engine(context, stage, 'GET', '/runs')
+        assert len(runs) == len(context.asked), runs
+        for run in runs:
+            message = context.asked[run['request_id']]
+            prompt = len(reference.tokenize(message.prompt))
+            # The last token is never fed back.
+            assert run['positions'] == prompt + message.max_tokens - 1
+
+
+@behave.then('all engines are free within {seconds:d} s')
+def check_free(context, seconds):
+    def is_free():
+        loads = [
+            ask_engine(context, stage, 'GET', '/v1/load')
+            for stage in range(len(context.engines))
+        ]
+        stages = sum(len(agent.pipeline) for agent in context.agents)
+        return not stages and not any(load['running'] for load in loads)
+
+    wait_until(is_free, 'free engines', seconds)
+
+
+@behave.when(
+    'a request for {tokens:d} tokens goes to the head with {skip:d} of them '
+    'resumed'
+)
+def open_resumed(context, tokens, skip):
+    message = build_open(context, 'r1', tokens, epoch=2)
+    known = [token.id for token in expect_tokens(message)[:skip]]
+    message.resumed_tokens.extend(known)
+    context.asked = {'r1': message}
+    context.caller.send(open=message)
+
+
+@behave.then('it gets exactly the other tokens and an end mark')
+def check_resumed(context):
+    message = context.asked['r1']
+    skip = len(message.resumed_tokens)
+    check_answer(context.caller, 'r1', message, skip)
+
+
+def wait_tokens(context, request_id, count):
+    def have():
+        return len(context.caller.take(request_id, 'token')) >= count
+
+    wait_until(have, f'{count} tokens of {request_id}')
+
+
+def send_steps(context, *steps):
+    other = Caller(context.agents[1].address)
+    context.stack.callback(other.dialer.stop)
+    for request_id, epoch, position in steps:
+        step = link_pb2.Step(
+            request_id=request_id,
+            epoch=epoch,
+            stage=1,
+            position=position,
+            count=1,
+            activations=b'\1' * 8,
+        )
+        other.send(step=step)
+
+
+@behave.when(
+    'a request for {tokens:d} tokens runs while its steps come twice, late '
+    'and of old epochs'
+)
+def disturb(context, tokens):
+    open_request(context, 'r1', tokens, epoch=3)
+    wait_tokens(context, 'r1', 2)
+    send_steps(
+        context, ('r1', 3, 0), ('r1', 3, 1), ('r1', 2, 0), ('gone', 1, 0)
+    )
+
+
+@behave.then('the second agent has counted "{a}", "{b}" and "{c}"')
+def check_drops(context, a, b, c):
+    counts = context.agents[1].counts
+    wait_until(
+        lambda: all(counts.get_drops().get(name) for name in (a, b, c)),
+        'drops',
+    )
+    assert counts.get_drops()[a] == 2, counts.get_drops()
+
+
+@behave.when(
+    'a request for {tokens:d} tokens runs and a step beyond its next '
+    'position comes'
+)
+def send_gap(context, tokens):
+    open_request(context, 'r1', tokens)
+    wait_tokens(context, 'r1', 2)
+    send_steps(context, ('r1', 1, 1000))
+
+
+@behave.then('its head says "{code}" and that it may have run')
+def check_failed(context, code):
+    check_fail(context, 'r1', code, True)
+
+
+@behave.then('its head says "{code}" and that it did not run')
+def check_refused(context, code):
+    check_fail(context, 'r1', code, False)
+
+
+def check_fail(context, request_id, code, ran):
+    end = context.caller.wait_end(request_id)
+    assert isinstance(end, link_pb2.Fail), end
+    assert (end.code, end.ran) == (code, ran), end
+
+
+@behave.when(
+    '{count:d} requests for {tokens:d} tokens run over 3 agents and 1 only '
+    'over the first'
+)
+def open_mixed(context, count, tokens):
+    for index in range(count):
+        open_request(context, f'r{index}', tokens)
+    open_request(context, 'short', tokens, stages=1)
+    for request_id in context.asked:
+        wait_tokens(context, request_id, 2)
+
+
+@behave.when('the second engine crashes')
+def crash_engine(context):
+    context.engines[1].stop()
+
+
+@behave.then('the requests over it fail with "{code}" and may have run')
+def check_crashed(context, code):
+    for request_id in list(context.asked):
+        if request_id != 'short':
+            check_fail(context, request_id, code, True)
+
+
+@behave.then('the other request gets exactly its tokens')
+def check_short(context):
+    check_answer(context.caller, 'short', context.asked['short'])
+
+
+@behave.when('the second engine is back')
+def restart_engine(context):
+    wait_until(lambda: context.agents[1].gate.fault, 'fault')
+    listen = f'127.0.0.1:{context.engines[1].port}'
+    context.engines[1] = start_engine(context, 1, listen)
+    wait_until(lambda: not context.agents[1].gate.fault, 'engine back')
+
+
+@behave.when('the first engine is gone and noticed')
+def lose_engine(context):
+    context.engines[0].stop()
+    wait_until(lambda: context.agents[0].gate.fault, 'fault')
+
+
+@behave.when('a claimed request for {tokens:d} tokens loses its caller midway')
+def lose_caller(context, tokens):
+    claim = build_claim(context, b'key')
+    open_request(context, 'r1', tokens, claim=claim)
+    wait_tokens(context, 'r1', 3)
+    context.caller.dialer.stop()
+    assert context.caller.down.wait(WAIT_SECONDS)
+
+
+def repeat(context, request_id, **more):
+    caller = Caller(context.agents[0].address)
+    context.stack.callback(caller.dialer.stop)
+    original = context.asked['r1']
+    claim = build_claim(context, b'key', **more)
+    message = build_open(
+        context,
+        request_id,
+        original.max_tokens,
+        prompt=original.prompt,
+        claim=claim,
+        epoch=4,
+    )
+    caller.send(open=message)
+    return caller
+
+
+@behave.when('it is repeated under another id')
+def repeat_other(context):
+    context.repeat = repeat(context, 'other')
+
+
+@behave.then("the repeat gets exactly the model's tokens and an end mark")
+def check_repeat(context):
+    check_answer(context.repeat, 'other', context.asked['r1'])
+    assert context.repeat.take('other', 'token')[0].epoch == 4
+
+
+@behave.then('a later repeat gets the same answer')
+def check_later(context):
+    caller = repeat(context, 'later')
+    check_answer(caller, 'later', context.asked['r1'])
+
+
+@behave.then('a claim on it with another body is refused with "{code}"')
+def check_reused(context, code):
+    caller = repeat(context, 'reused', fingerprint=b'other body')
+    end = caller.wait_end('reused')
+    assert (end.code, end.ran) == (code, False), end
+
+
+@behave.then('the engines ran the claimed request once')
+def check_once(context):
+    for stage in range(len(context.engines)):
+        runs = ask_engine(context, stage, 'GET', '/runs')
+        assert [run['idempotency_key'] for run in runs] == ['key-1'], runs
+
+
+@behave.when(
+    "a request for {tokens:d} tokens runs and its caller's link is lost"
+)
+def lose_link(context, tokens):
+    open_request(context, 'r1', tokens)
+    wait_tokens(context, 'r1', 2)
+    context.caller.dialer.stop()
+
+
+@behave.when('a request for {tokens:d} tokens runs and is cancelled')
+def cancel_request(context, tokens):
+    open_request(context, 'r1', tokens)
+    wait_tokens(context, 'r1', 2)
+    cancel = link_pb2.Cancel(request_id='r1', epoch=1)
+    context.caller.send(cancel=cancel)
+
+
+@behave.when('{count:d} requests for {tokens:d} tokens are running')
+def open_running(context, count, tokens):
+    open_many(context, count, tokens)
+    for request_id in context.asked:
+        wait_tokens(context, request_id, 1)
+
+
+@behave.when('the head is told to drain')
+def drain_head(context):
+    url = f'http://127.0.0.1:{context.agents[0].admin_port}/drain'
+    answer = urllib3.request('POST', url, retries=False)
+    assert answer.status == 202, answer.status
+
+
+@behave.then('the caller hears that it leaves')
+def check_leaving(context):
+    wait_until(lambda: context.caller.hears('leaving'), 'Leaving')
+
+
+@behave.then('a new request is refused with "{code}" and did not run')
+def check_new(context, code):
+    late = build_open(context, 'late', 4)
+    context.caller.send(open=late)
+    check_fail(context, 'late', code, False)
+
+
+@behave.then('the head ends by itself without a fault')
+def check_ended(context):
+    assert context.agents[0].done.wait(WAIT_SECONDS)
+    assert not context.agents[0].failed
+
+
+@behave.given('an agent before a plain service')
+def start_service(context):
+    context.service = services.Service.from_config(services.Config())
+    context.service.start()
+    context.stack.callback(context.service.stop)
+    endpoint = settings.EndpointSettings(
+        kind=fleet.EndpointKind.SERVICE,
+        url=f'http://127.0.0.1:{context.service.port}',
+        service='orders',
+    )
+    context.agents = [start_agent(context, 'agent-s', endpoint)]
+    context.caller = Caller(context.agents[0].address)
+    context.stack.callback(context.caller.dialer.stop)
+
+
+def call_service(context, request_id, **more):
+    terms = link_pb2.Terms(
+        request_id=request_id,
+        member='diner',
+        weight=1.0,
+        deadline_ms=DEADLINE_MS,
+        idempotency_key='key-1' if more else '',
+    )
+    call = link_pb2.Call(
+        terms=terms,
+        epoch=1,
+        method='POST',
+        path='/orders/new?size=2',
+        headers=[link_pb2.Header(name='Connection', value='x-secret')],
+        body=b'{}',
+        **more,
+    )
+    context.caller.send(call=call)
+
+
+@behave.when('a claimed call is made twice')
+def call_twice(context):
+    for request_id in ('c1', 'c2'):
+        claim = build_claim(context, b'key')
+        call_service(context, request_id, claim=claim)
+
+
+def wait_reply(context, request_id):
+    def is_whole():
+        replies = context.caller.take(request_id, 'reply')
+        return replies and replies[-1].last
+
+    wait_until(is_whole, f'reply to {request_id}')
+    return context.caller.take(request_id, 'reply')
+
+
+@behave.then('both callers get the same echoed answer')
+def check_replies(context):
+    first, second = (wait_reply(context, name) for name in ('c1', 'c2'))
+    assert first[0].status == second[0].status == 200
+    body = b''.join(part.body for part in first)
+    assert b'/orders/new' in body
+    assert b''.join(part.body for part in second) == body
+
+
+@behave.then('the service ran one call, with the member and the key')
+def check_service_runs(context):
+    (run,) = context.service.runs()
+    assert run['request_id'] == 'c1', run
+    assert (run['member'], run['idempotency_key']) == ('diner', 'key-1')
+
+
+@behave.when('the service is gone')
+def stop_service(context):
+    context.service.stop()
+
+
+@behave.when('a call is made')
+def call_once(context):
+    call_service(context, 'c3')
+
+
+@behave.then('the call fails with "{code}" and did not run')
+def check_call_failed(context, code):
+    check_fail(context, 'c3', code, False)
