--- a/packages/trials/src/dunlintide_trials/deployment.py
+++ b/packages/trials/src/dunlintide_trials/deployment.py
@@ -88,19 +88,22 @@
         known += [agent.endpoint.standin for agent in plan.agents]
         return next(one.url for one in known if one.name == standin)
 
+    def read_endpoint_runs(self, name: str) -> list[dict[str, Any]]:
+        """Read the runs that an endpoint recorded since its start."""
+        found = self.get_json(f'{self._find_url(name)}/runs')
+        return [run | {'endpoint': name} for run in found]
+
     def read_runs(self, kind: str) -> list[dict[str, Any]]:
         """Read the runs that all endpoints of a kind recorded.
 
         :param kind: ``engine`` or ``service``
         """
-        runs = []
-        for agent in self.plan.agents:
-            if agent.endpoint.kind == kind:
-                url = f'{agent.endpoint.standin.url}/runs'
-                name = agent.endpoint.standin.name
-                found = self.get_json(url)
-                runs += [run | {'endpoint': name} for run in found]
-        return runs
+        names = [
+            agent.endpoint.standin.name
+            for agent in self.plan.agents
+            if agent.endpoint.kind == kind
+        ]
+        return [run for name in names for run in self.read_endpoint_runs(name)]
 
     def read_state(self, daemon: str) -> dict[str, Any]:
         """Read the state dump of a daemon, by its name."""
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/load.py
@@ -0,0 +1,195 @@
+"""Load for soaks: threads that ask, ask again and remember."""
+
+import json
+import random
+import threading
+import time
+from typing import Callable
+
+import attrs
+
+from dunlintide_core import outcomes
+from dunlintide_trials import client
+from dunlintide_trials import deployment
+from dunlintide_trials import records
+
+__all__ = ['Load', 'ServiceCall']
+
+_MAX_TOKENS = 40
+_WORDS = ('fresh', 'peach', 'cobbler', 'brisket', 'diesel', 'fridge', 'drum')
+_PROMPT_WORDS = (3, 40)
+_PAUSE_SECONDS = (0.0, 0.1)
+_MAX_REPEATS = 3
+_REPEAT_RATE = 0.4
+_STREAM_SHARE = 0.5
+_WHOLE_SHARE = 0.2
+_ORDER_SHARE = 0.2
+
+
+@attrs.frozen
+class ServiceCall:
+    """A call of a plain service with all its repeats.
+
+    :ivar key: idempotency key, empty for an idempotent call
+    :ivar body: what was sent
+    """
+
+    member: str
+    key: str
+    body: bytes
+    answers: tuple[client.Answer, ...]
+
+    def check(self) -> list[str]:
+        """List what is wrong with the answers, compared with each other.
+
+        The stand-in echoes the key and the member, so an answer that
+        belongs to another call shows.
+        """
+        whole = [one for one in self.answers if one.is_complete]
+        wrong = []
+        for answer in whole:
+            echo = json.loads(answer.body)
+            found = (echo['member'], echo['idempotency_key'])
+            if found != (self.member, self.key):
+                wrong.append(f'{answer.request_id}: answer of {found}')
+        if self.key and len({one.body for one in whole}) > 1:
+            wrong.append(f'key {self.key}: repeats got different answers')
+        return wrong
+
+
+class Load:
+    """Threads that send requests until they are stopped."""
+
+    def __init__(
+        self, running: deployment.Deployment, seed: int, threads: int
+    ) -> None:
+        """Prepare the threads; ``start`` begins."""
+        self.completions: list[records.Asked] = []
+        self.calls: list[ServiceCall] = []
+        self._running = running
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(
+                target=self._run,
+                args=(number, random.Random(f'{seed}-{number}')),
+                daemon=True,
+            )
+            for number in range(threads)
+        ]
+
+    def start(self) -> None:
+        """Begin to send."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self, seconds: float) -> int:
+        """Send nothing new and wait for the answers.
+
+        :param seconds: longest wait for all threads together
+        :returns: number of threads that still wait
+        """
+        self._stopped.set()
+        end = time.monotonic() + seconds
+        for thread in self._threads:
+            thread.join(max(0.0, end - time.monotonic()))
+        return sum(thread.is_alive() for thread in self._threads)
+
+    def _run(self, number: int, rng: random.Random) -> None:
+        count = 0
+        while not self._stopped.is_set():
+            count += 1
+            member = rng.choice(list(self._running.keys))
+            callers = [
+                self._running.make_caller(entry, member)
+                for entry in range(len(self._running.plan.entries))
+            ]
+            rng.shuffle(callers)
+            self._choose(rng)(member, callers, rng, f'{number}-{count}')
+            for caller in callers:
+                caller.close()
+            self._stopped.wait(rng.uniform(*_PAUSE_SECONDS))
+
+    def _choose(self, rng: random.Random) -> Callable[..., None]:
+        draw = rng.random()
+        if draw < _STREAM_SHARE + _WHOLE_SHARE:
+            return self._complete
+        if draw < _STREAM_SHARE + _WHOLE_SHARE + _ORDER_SHARE:
+            return self._order
+        return self._read
+
+    def _complete(
+        self,
+        member: str,
+        callers: list[client.Caller],
+        rng: random.Random,
+        name: str,
+    ) -> None:
+        words = rng.choices(_WORDS, k=rng.randint(*_PROMPT_WORDS))
+        prompt = ' '.join([name, *words])
+        max_tokens = rng.randint(1, _MAX_TOKENS)
+        stream = rng.random() * (_STREAM_SHARE + _WHOLE_SHARE) < _STREAM_SHARE
+        answer = callers[0].complete(
+            prompt,
+            model=self._running.model,
+            max_tokens=max_tokens,
+            stream=stream,
+        )
+        asked = records.Asked(member, answer, prompt, max_tokens)
+        with self._lock:
+            self.completions.append(asked)
+
+    def _order(
+        self,
+        member: str,
+        callers: list[client.Caller],
+        rng: random.Random,
+        name: str,
+    ) -> None:
+        service = self._running.plan.blueprint.services[0]
+        key = f'order-{name}-{rng.getrandbits(32):08x}'
+        body = json.dumps({'order': key}).encode()
+        answers: list[client.Answer] = []
+        while len(answers) <= _MAX_REPEATS:
+            answer = callers[len(answers) % len(callers)].call_service(
+                service.name,
+                service.path,
+                method='POST',
+                body=body,
+                idempotency_key=key,
+            )
+            answers.append(answer)
+            if answer.is_complete and rng.random() > _REPEAT_RATE:
+                break
+        call = ServiceCall(member, key, body, tuple(answers))
+        with self._lock:
+            self.calls.append(call)
+
+    def _read(
+        self,
+        member: str,
+        callers: list[client.Caller],
+        rng: random.Random,
+        name: str,
+    ) -> None:
+        service = self._running.plan.blueprint.services[-1]
+        path = f'{service.path}/{name}'
+        answer = callers[0].call_service(service.name, path)
+        with self._lock:
+            self.calls.append(ServiceCall(member, '', b'', (answer,)))
+
+    def count_outcomes(self) -> dict[str, int]:
+        """Count the answers by kind of request and outcome."""
+        counts: dict[str, int] = {}
+        answers = [('completion', one.answer) for one in self.completions]
+        answers += [
+            ('order' if call.key else 'read', answer)
+            for call in self.calls
+            for answer in call.answers
+        ]
+        for kind, answer in answers:
+            name = f'{kind} {answer.outcome}'
+            if answer.outcome != outcomes.Outcome.COMPLETE and answer.code:
+                name += f' ({answer.code})'
+            counts[name] = counts.get(name, 0) + 1
+        return dict(sorted(counts.items()))
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/promises.py
@@ -0,0 +1,68 @@
+"""What must always hold, checked after a soak."""
+
+from dunlintide_trials import deployment
+from dunlintide_trials import load
+from dunlintide_trials import processes
+from dunlintide_trials import records
+
+__all__ = ['check', 'check_recovered']
+
+_RECOVERY_SECONDS = 30.0
+_PROMPT = 'Is all well again?'
+_MAX_TOKENS = 4
+
+
+def _list_calls(requests: load.Load) -> list[records.Asked]:
+    return [
+        records.Asked(call.member, answer, key=call.key)
+        for call in requests.calls
+        for answer in call.answers
+    ]
+
+
+def check(
+    running: deployment.Deployment,
+    requests: load.Load,
+    runs: records.Records,
+) -> list[str]:
+    """List the promises that were broken.
+
+    A complete answer is the right one; a refused request did not run; a
+    non-idempotent call ran at most once, and once when it was complete;
+    no answer is another request's.
+    """
+    wrong: list[str] = []
+    for asked in requests.completions:
+        wrong += records.check_text(
+            asked, model=running.model, layers=running.layers
+        )
+    calls = _list_calls(requests)
+    wrong += runs.check_refusals([*requests.completions, *calls])
+    wrong += runs.check_members([*requests.completions, *calls])
+    keyed = [call for call in requests.calls if call.key]
+    wrong += runs.check_once((call.member, call.key) for call in keyed)
+    counts = runs.count_by_key()
+    for call in requests.calls:
+        wrong += call.check()
+        whole = any(answer.is_complete for answer in call.answers)
+        if call.key and whole and not counts.get((call.member, call.key)):
+            wrong.append(f'key {call.key}: complete, but never ran')
+    return wrong
+
+
+def check_recovered(running: deployment.Deployment) -> list[str]:
+    """Check that every entry completes a request again."""
+    member = next(iter(running.keys))
+    wrong = []
+    for number, entry in enumerate(running.plan.entries):
+        caller = running.make_caller(number, member)
+
+        def completes() -> bool:
+            answer = caller.complete(
+                _PROMPT, model=running.model, max_tokens=_MAX_TOKENS
+            )
+            return answer.is_complete
+
+        if not processes.wait_for(completes, _RECOVERY_SECONDS, pause=0.2):
+            wrong.append(f'{entry.name} does not complete requests again')
+    return wrong
