--- a/features/environment.py
+++ b/features/environment.py
@@ -43,6 +43,21 @@
     context.pick_ports = _pick_ports
 
 
+def before_feature(context, feature):
+    """Give the feature's scenarios ``shared`` and ``feature_stack``.
+
+    ``context.shared`` is a dict for what is costly to make, such as a
+    deployment; ``context.feature_stack`` closes it after the feature.
+    """
+    context.shared = {}
+    context.feature_stack = contextlib.ExitStack()
+
+
+def after_feature(context, feature):
+    """Close what the feature's scenarios shared."""
+    context.feature_stack.close()
+
+
 def before_scenario(context, scenario):
     """Give the scenario ``stack`` and ``make_folder``.
 
--- a/packages/trials/src/dunlintide_trials/launcher.py
+++ b/packages/trials/src/dunlintide_trials/launcher.py
@@ -3,6 +3,7 @@
 import contextlib
 import pathlib
 import sys
+import tempfile
 from typing import Any, Iterator
 
 from dunlintide_trials import blueprints
@@ -12,7 +13,9 @@
 from dunlintide_trials import ports
 from dunlintide_trials import processes
 
-__all__ = ['run']
+__all__ = ['run', 'run_small']
+
+EXAMPLE = pathlib.Path('examples/cooperative.jsonc')
 
 # Processes that start together; more would only wait for each other.
 _WAVE = 8
@@ -151,3 +154,20 @@
         launcher.start_daemons(deployment.ENTRY)
         running.wait_all_ready()
         yield running
+
+
+@contextlib.contextmanager
+def run_small(
+    example: pathlib.Path = EXAMPLE,
+) -> Iterator[deployment.Deployment]:
+    """Start a small deployment of an example in a temporary folder.
+
+    :param example: deployment file
+    """
+    blueprint = blueprints.load_blueprint(example)
+    rules = operators.load_rules(example.parent / blueprint.rules)
+    small = blueprints.shrink(blueprint)
+    with contextlib.ExitStack() as stack:
+        temporary = tempfile.TemporaryDirectory(prefix='dunlintide-')
+        folder = pathlib.Path(stack.enter_context(temporary))
+        yield stack.enter_context(run(small, rules, folder))
