Keep the operators' configuration in the store

Cause: operators race, answers to writes get lost, and a store that is restored falls back to an older configuration. Change: ConfigStore writes new chunks and replaces the head in one transaction that also expects a guard key. The guard is moved to rule out a write whose answer was lost, and whenever chunks are removed. A follower mends a restored store, so revisions only rise.

--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/configkeys.py
@@ -0,0 +1,31 @@
+"""Keys of the configuration in the platform's store."""
+
+__all__ = [
+    'CHUNKS',
+    'GUARD',
+    'HEAD',
+    'HISTORY',
+    'KEPT_REVISIONS',
+    'build_chunk',
+    'build_history',
+]
+
+_ROOT = '/dunlintide/config/'
+HEAD = f'{_ROOT}head'
+GUARD = f'{_ROOT}guard'
+CHUNKS = f'{_ROOT}chunks/'
+HISTORY = f'{_ROOT}history/'
+
+# Heads that stay readable, the one in force among them.
+KEPT_REVISIONS = 50
+_REVISION_DIGITS = 16
+
+
+def build_chunk(digest: str) -> str:
+    """Give the key of a chunk."""
+    return f'{CHUNKS}{digest}'
+
+
+def build_history(revision: int) -> str:
+    """Give the key of a kept head; keys sort by revision."""
+    return f'{HISTORY}{revision:0{_REVISION_DIGITS}d}'
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/configstore.py
@@ -0,0 +1,400 @@
+"""The operators' configuration, as the platform's store keeps it.
+
+Chunks are written under their digests, then one transaction replaces the
+head, which makes the change. A second key, the guard, changes whenever
+chunks are removed or a write of unknown outcome has to be ruled out: each
+write of the head also expects the guard that its author read.
+"""
+
+import threading
+import time
+from typing import Callable, Iterable
+
+from absl import logging
+import attrs
+from dunlintide_core import revisions
+import result
+
+from dunlintide_adapters import configkeys
+from dunlintide_adapters import configtypes
+from dunlintide_adapters import configwatch
+from dunlintide_adapters import gateway
+from dunlintide_adapters import store as stores
+from dunlintide_adapters import storefailures
+
+__all__ = [
+    'ConfigStore',
+    'Conflict',
+    'Failure',
+    'Snapshot',
+]
+
+# Revisions between two removals of what nothing refers to.
+COLLECT_EVERY = 16
+
+_MAX_ATTEMPTS = 5
+_SETTLE_SECONDS = 10.0
+_SETTLE_PAUSE_SECONDS = 0.1
+# A transaction of etcd holds 128 operations by default.
+_DELETE_BATCH = 100
+
+
+Conflict = configtypes.Conflict
+Failure = configtypes.Failure
+Snapshot = configtypes.Snapshot
+
+
+@attrs.frozen
+class _State:
+    head: revisions.Head | None
+    head_mod: int
+    guard_mod: int
+
+    @property
+    def revision(self) -> int:
+        return self.head.revision if self.head else 0
+
+    @property
+    def expects(self) -> tuple[gateway.Expect, ...]:
+        return (
+            gateway.Expect(configkeys.HEAD, self.head_mod),
+            gateway.Expect(configkeys.GUARD, self.guard_mod),
+        )
+
+
+def _fail(failure: storefailures.StoreFailure) -> Failure:
+    text = f'store: {failure.kind} ({failure.message})'
+    return Failure(text, failure.maybe_applied)
+
+
+def _decode_heads(
+    values: Iterable[stores.Value],
+) -> result.Result[tuple[revisions.Head, ...], Failure]:
+    heads = []
+    for value in values:
+        decoded = revisions.decode_head(value.value)
+        if decoded.is_err():
+            return decoded.map_err(lambda damage: Failure(damage.message))
+        heads.append(decoded.ok_value)
+    return result.Ok(tuple(heads))
+
+
+class ConfigStore:
+    """Reads and changes the configuration in the store.
+
+    It keeps the chunks of the document that it read last, so that the
+    next read costs what has changed. Threads may share it.
+    """
+
+    def __init__(self, store: stores.Store, wall: Callable[[], float]) -> None:
+        """Remember the store; use ``from_store`` instead."""
+        self._store = store
+        self._wall = wall
+        self._chunks: dict[str, bytes] = {}
+
+    @classmethod
+    def from_store(
+        cls, store: stores.Store, wall: Callable[[], float] = time.time
+    ) -> 'ConfigStore':
+        """Build on a client of the store.
+
+        :param wall: gives seconds since the epoch
+        """
+        return cls(store, wall)
+
+    @classmethod
+    def from_url(cls, url: str) -> 'ConfigStore':
+        """Build on a client of its own.
+
+        :param url: base URL of the store's gateway
+        """
+        return cls(stores.Store.from_url(url), time.time)
+
+    @property
+    def store(self) -> stores.Store:
+        """The client that is used."""
+        return self._store
+
+    def read(self) -> result.Result[Snapshot | None, Failure]:
+        """Read what is in force; None when nothing was ever applied."""
+        read: result.Result = result.Err(Failure('not read'))
+        for _ in range(_MAX_ATTEMPTS):
+            state = self._read_state()
+            if state.is_err():
+                return state
+            if state.ok_value.head is None:
+                return result.Ok(None)
+            # Chunks of a head that is long replaced may be gone.
+            read = self._load(state.ok_value.head)
+            if read.is_ok():
+                break
+        return read
+
+    def read_mark(self) -> result.Result[int, Failure]:
+        """Read a number that changes with the head, in few bytes."""
+        found = self._store.get_revision(configkeys.HEAD)
+        return found.map_err(_fail)
+
+    def history(self) -> result.Result[tuple[revisions.Head, ...], Failure]:
+        """List the heads that are kept, the newest first."""
+        found = self._store.get_range(configkeys.HISTORY)
+        if found.is_err():
+            return found.map_err(_fail)
+        return _decode_heads(reversed(found.ok_value))
+
+    def read_revision(
+        self, revision: int
+    ) -> result.Result[Snapshot | None, Failure]:
+        """Read an earlier revision; None when it is not kept."""
+        found = self._store.get(configkeys.build_history(revision))
+        if found.is_err():
+            return found.map_err(_fail)
+        if found.ok_value is None:
+            return result.Ok(None)
+        heads = _decode_heads([found.ok_value])
+        return heads.and_then(lambda heads: self._load(heads[0], keep=False))
+
+    def apply(
+        self,
+        document: bytes,
+        base_revision: int,
+        change_id: str,
+        author: str,
+        comment: str,
+        floor: int = 0,
+    ) -> result.Result[revisions.Head, Conflict | Failure]:
+        """Replace the configuration, unless another change came first.
+
+        An answer that is lost is settled: the write is ruled out for
+        good, or found to be in force, before it is tried again.
+
+        :param document: canonical document
+        :param base_revision: revision that the change was made from, 0
+            for none
+        :param change_id: unique id of this change; the same id again
+            gives the head that holds it
+        :param floor: highest revision known to any process; the new one
+            is above it, also when the store was restored
+        :returns: the head that holds the change
+        """
+        split = revisions.split(document)
+        if split.is_err():
+            return split.map_err(lambda damage: Failure(damage.message))
+        chunks = split.ok_value
+
+        def build(parent: revisions.Head | None) -> revisions.Head:
+            head = revisions.make_head(
+                parent, chunks, change_id, author, comment, self._wall()
+            )
+            return attrs.evolve(head, revision=max(head.revision, floor + 1))
+
+        for _ in range(_MAX_ATTEMPTS):
+            outcome = self._attempt(base_revision, change_id, chunks, build)
+            if outcome is not None:
+                return outcome
+        return result.Err(Failure('the configuration kept changing'))
+
+    def watch(
+        self,
+        on_snapshot: Callable[[Snapshot], None],
+        stop: threading.Event,
+        held: Snapshot | None = None,
+        poll_seconds: float = configwatch.POLL_SECONDS,
+    ) -> None:
+        """Deliver each new revision until ``stop`` is set.
+
+        Blocks; ``on_snapshot`` is called on this thread, never with a
+        lower revision than before. Revisions in between may be skipped.
+        The store is mended when it was restored to an older state.
+
+        :param held: what the process holds already
+        :param poll_seconds: longest time between two reads, in seconds
+        """
+        configwatch.watch(self, on_snapshot, stop, held, poll_seconds)
+
+    def republish(
+        self, snapshot: Snapshot, over: str | None
+    ) -> result.Result[revisions.Head, Failure]:
+        """Put a head into a store that was restored to an older one.
+
+        :param snapshot: what is to be in force
+        :param over: change id of the head that it replaces, None for none
+        :returns: the head that was written
+        """
+        state = self._read_state()
+        if state.is_err():
+            return state
+        head = state.ok_value.head
+        if (head.change_id if head else None) != over:
+            return result.Err(Failure('another process wrote first'))
+        split = revisions.split(snapshot.document)
+        if split.is_err():
+            return split.map_err(lambda damage: Failure(damage.message))
+        written = self._write(state.ok_value, split.ok_value, snapshot.head)
+        if written.is_ok():
+            return result.Ok(snapshot.head)
+        if isinstance(written.err_value, stores.CasLost):
+            return result.Err(Failure('another process wrote first'))
+        return written.map_err(_fail)
+
+    def collect(self, kept: int = configkeys.KEPT_REVISIONS) -> None:
+        """Remove old heads, and chunks that no kept head refers to.
+
+        What fails is left for the next time.
+
+        :param kept: how many heads to keep
+        """
+        state = self._read_state()
+        history = self._store.get_range(configkeys.HISTORY)
+        chunks = self._store.get_range(configkeys.CHUNKS, keys_only=True)
+        if any(found.is_err() for found in (state, history, chunks)):
+            return
+        heads = _decode_heads(history.ok_value[-kept:])
+        if heads.is_err():
+            logging.error('history: %s', heads.err_value.message)
+            return
+        current = state.ok_value.head
+        used = {
+            configkeys.build_chunk(digest)
+            for head in (*heads.ok_value, *([current] if current else []))
+            for digest in head.chunks
+        }
+        stale = [value.key for value in history.ok_value[:-kept]]
+        stale += [
+            value.key for value in chunks.ok_value if value.key not in used
+        ]
+        self._remove(state.ok_value, stale)
+
+    def _read_state(self) -> result.Result[_State, Failure]:
+        found = self._store.get_many((configkeys.HEAD, configkeys.GUARD))
+        if found.is_err():
+            return found.map_err(_fail)
+        values = {value.key: value for value in found.ok_value}
+        guard = values.get(configkeys.GUARD)
+        guard_mod = guard.mod_revision if guard else 0
+        value = values.get(configkeys.HEAD)
+        if value is None:
+            return result.Ok(_State(None, 0, guard_mod))
+        return _decode_heads([value]).map(
+            lambda heads: _State(heads[0], value.mod_revision, guard_mod)
+        )
+
+    def _load(
+        self, head: revisions.Head, keep: bool = True
+    ) -> result.Result[Snapshot, Failure]:
+        known = self._chunks
+        missing = revisions.find_missing(head, known)
+        found = self._store.get_many(map(configkeys.build_chunk, missing))
+        if found.is_err():
+            return found.map_err(_fail)
+        bodies = {
+            value.key.removeprefix(configkeys.CHUNKS): value.value
+            for value in found.ok_value
+        }
+        bodies |= {
+            digest: known[digest] for digest in head.chunks if digest in known
+        }
+        joined = revisions.join(head, bodies)
+        if joined.is_err():
+            return joined.map_err(lambda damage: Failure(damage.message))
+        if keep:
+            self._chunks = bodies
+        return result.Ok(Snapshot(head, joined.ok_value))
+
+    def _attempt(
+        self,
+        base_revision: int,
+        change_id: str,
+        chunks: tuple[revisions.Chunk, ...],
+        build: Callable[[revisions.Head | None], revisions.Head],
+    ) -> result.Result[revisions.Head, Conflict | Failure] | None:
+        """Try a change once; None when it was not made and may be tried."""
+        read = self._read_state()
+        if read.is_err():
+            return read
+        state = read.ok_value
+        if state.head and revisions.holds_change(state.head, change_id):
+            return result.Ok(state.head)
+        if state.revision != base_revision:
+            current = self.read()
+            if current.is_err():
+                return current
+            return result.Err(Conflict(current.ok_value))
+        head = build(state.head)
+        written = self._write(state, chunks, head)
+        if written.is_ok():
+            if head.revision % COLLECT_EVERY == 0:
+                self.collect()
+            return result.Ok(head)
+        failure = written.err_value
+        if isinstance(failure, stores.CasLost):
+            return None
+        if not failure.maybe_applied:
+            return result.Err(_fail(failure))
+        return self._rule_out(state)
+
+    def _write(
+        self,
+        state: _State,
+        chunks: Iterable[revisions.Chunk],
+        head: revisions.Head,
+    ) -> result.Result[int, stores.CasLost | storefailures.StoreFailure]:
+        written = self._write_chunks(chunks)
+        if written.is_err():
+            return written
+        body = revisions.encode_head(head)
+        kept = configkeys.build_history(head.revision)
+        puts = (
+            gateway.Put(configkeys.HEAD, body),
+            gateway.Put(kept, body),
+        )
+        return self._store.transact(state.expects, puts)
+
+    def _write_chunks(
+        self, chunks: Iterable[revisions.Chunk]
+    ) -> result.Result[None, storefailures.StoreFailure]:
+        listed = self._store.get_range(configkeys.CHUNKS, keys_only=True)
+        if listed.is_err():
+            return listed
+        present = {value.key for value in listed.ok_value}
+        for chunk in chunks:
+            key = configkeys.build_chunk(chunk.digest)
+            if key in present:
+                continue
+            written = self._store.compare_and_swap(key, 0, chunk.body)
+            failure = written.err()
+            if isinstance(failure, storefailures.StoreFailure):
+                # A chunk alone changes nothing that is in force.
+                failure = attrs.evolve(failure, maybe_applied=False)
+                return result.Err(failure)
+        return result.Ok(None)
+
+    def _rule_out(self, state: _State) -> result.Err[Failure] | None:
+        """Make a write that may still take effect impossible.
+
+        Once the guard has changed, a late write of the head is refused;
+        whether it was made before shows in the head.
+        """
+        deadline = time.monotonic() + _SETTLE_SECONDS
+        pause = threading.Event()
+        while time.monotonic() < deadline:
+            fenced = self._store.compare_and_swap(
+                configkeys.GUARD, state.guard_mod, b'settled'
+            )
+            if fenced.is_ok() or isinstance(fenced.err_value, stores.CasLost):
+                return None
+            pause.wait(_SETTLE_PAUSE_SECONDS)
+        text = 'the store gave no answer; apply again with the same change id'
+        return result.Err(Failure(text, maybe_applied=True))
+
+    def _remove(self, state: _State, keys: list[str]) -> None:
+        for start in range(0, len(keys), _DELETE_BATCH):
+            removed = self._store.transact(
+                state.expects,
+                (gateway.Put(configkeys.GUARD, b'collected'),),
+                keys[start : start + _DELETE_BATCH],
+            )
+            if removed.is_err():
+                logging.info('removal of old configuration put off')
+                return
+            state = attrs.evolve(state, guard_mod=removed.ok_value)
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/configwatch.py
@@ -0,0 +1,139 @@
+"""Follows the configuration in the store; revisions only rise.
+
+A watch tells of changes, and a read every few seconds catches one that
+went silent. A store that was restored holds a lower head than the
+processes do: what it lost is written back, and a change that operators
+made on top of the restored head is lifted above what is in force, so
+that all processes take it up.
+"""
+
+import random
+import threading
+from typing import Any, Callable
+
+from absl import logging
+import attrs
+from dunlintide_core import revisions
+import result
+
+from dunlintide_adapters import configkeys
+from dunlintide_adapters import configtypes
+
+__all__ = [
+    'POLL_SECONDS',
+    'choose_repair',
+    'watch',
+]
+
+POLL_SECONDS = 2.0
+
+# One read in this many looks at the head even if its mark is the same.
+_FULL_READ_EVERY = 15
+_JOIN_SECONDS = 2.0
+
+
+def choose_repair(
+    held: configtypes.Snapshot, found: configtypes.Snapshot | None
+) -> configtypes.Snapshot | None:
+    """Choose what to write to a store that was restored.
+
+    :param held: highest revision that this process has seen
+    :param found: what the store holds
+    :returns: a snapshot to publish, None when the store is in order
+    """
+    if found is None:
+        return held
+    head = found.head
+    if head.change_id == held.head.change_id:
+        return held if head.revision < held.head.revision else None
+    if head.revision > held.head.revision:
+        return None
+    if revisions.holds_change(held.head, head.change_id):
+        return held
+    lifted = attrs.evolve(head, revision=held.head.revision + 1)
+    return attrs.evolve(found, head=lifted)
+
+
+class _Follower:
+    """Reads the store when it may have changed, and delivers."""
+
+    def __init__(
+        self,
+        configs: Any,
+        on_snapshot: Callable[[configtypes.Snapshot], None],
+        held: configtypes.Snapshot | None,
+    ) -> None:
+        self._configs = configs
+        self._on_snapshot = on_snapshot
+        self._held = held
+        self._mark: int | None = None
+        self._reads = 0
+
+    def poll(self) -> None:
+        """Look whether the head has changed, and take it up."""
+        mark = self._configs.read_mark()
+        if mark.is_err():
+            return
+        self._reads += 1
+        same = mark.ok_value == self._mark
+        if same and self._reads % _FULL_READ_EVERY:
+            return
+        if self._take(self._configs.read()):
+            self._mark = mark.ok_value
+
+    def _take(
+        self,
+        read: result.Result[configtypes.Snapshot | None, configtypes.Failure],
+    ) -> bool:
+        if read.is_err():
+            logging.warning('configuration: %s', read.err_value.message)
+            return False
+        found, held = read.ok_value, self._held
+        repair = choose_repair(held, found) if held else None
+        if repair is not None:
+            self._repair(repair, found)
+            return False
+        if found and (not held or found.head.revision > held.head.revision):
+            self._held = found
+            self._on_snapshot(found)
+        return True
+
+    def _repair(
+        self,
+        snapshot: configtypes.Snapshot,
+        found: configtypes.Snapshot | None,
+    ) -> None:
+        revision = snapshot.head.revision
+        over = found.head.change_id if found else None
+        logging.warning('the store fell back; writing revision %d', revision)
+        written = self._configs.republish(snapshot, over)
+        if written.is_err():
+            logging.warning('revision %d was not written', revision)
+
+
+def watch(
+    configs: Any,
+    on_snapshot: Callable[[configtypes.Snapshot], None],
+    stop: threading.Event,
+    held: configtypes.Snapshot | None = None,
+    poll_seconds: float = POLL_SECONDS,
+) -> None:
+    """Run the loop of ``ConfigStore.watch``, which says more.
+
+    :param configs: the ``ConfigStore``
+    """
+    wake = threading.Event()
+    watcher = threading.Thread(
+        target=configs.store.watch,
+        args=(configkeys.HEAD, 0, lambda _: wake.set(), stop),
+        name='config-watch',
+        daemon=True,
+    )
+    watcher.start()
+    follower = _Follower(configs, on_snapshot, held)
+    while not stop.is_set():
+        follower.poll()
+        wake.wait(poll_seconds * random.uniform(0.5, 1.0))
+        wake.clear()
+    configs.store.interrupt()
+    watcher.join(_JOIN_SECONDS)
