Bind non-idempotent requests by claims in group commits

Cause: a claim must be in the store before its request may run, and one write a claim would use up the store's several hundred writes a second. Change: buckets of a head and segments; one transaction commits what many callers wait for, over up to 48 buckets, and a lost one brings back what the writer had not seen. Releases name the attempt.

--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/claims.py
@@ -0,0 +1,366 @@
+"""Writer of claims: one transaction commits what many callers wait for.
+
+Callers of ``bind`` queue a claim and wait. One thread takes all that has
+gathered, whichever buckets it falls in, and commits it in a single
+transaction that compares the head of each touched bucket. A transaction
+that loses brings back, in the same call, what the writer had not seen.
+An answer that was lost is settled by the next try: it compares the same
+heads, so only one of the two takes effect, and the loser reads the winner.
+"""
+
+import collections
+import threading
+import time
+from typing import Callable
+
+from absl import logging
+import attrs
+import result
+
+from dunlintide_adapters import gateway
+from dunlintide_adapters import store as storage
+from dunlintide_core import claims
+
+__all__ = [
+    'ClaimTiming',
+    'ClaimWriter',
+    'Unbound',
+]
+
+PREFIX = '/dunlintide/claims/'
+MAX_CLAIMS_PER_COMMIT = 2000
+# A store transaction takes at most 128 operations; each bucket needs two.
+MAX_BUCKETS_PER_COMMIT = 48
+RANGE_PAGE = 1000
+_LEASE_SLACK_SECONDS = 600
+_LEASE_REUSE_SECONDS = 300
+
+
+@attrs.frozen
+class ClaimTiming:
+    """Time constants of the writer, in seconds.
+
+    :ivar interval: least pause between the starts of two commits; it
+        bounds this writer's share of the store's writes
+    :ivar retry: pause after a failure of the store
+    """
+
+    interval: float = 0.01
+    retry: float = 0.2
+
+
+@attrs.frozen
+class Unbound:
+    """The claim was not made, or not known to be made, in time."""
+
+    detail: str
+
+
+@attrs.define(eq=False)
+class _Pending:
+    wanted: claims.Binding
+    deadline: float
+    done: threading.Event = attrs.field(factory=threading.Event)
+    outcome: result.Result | None = None
+
+    def settle(self, outcome: result.Result) -> None:
+        self.outcome = outcome
+        self.done.set()
+
+
+def _bucket_prefix(number: int) -> str:
+    return f'{PREFIX}{number:02d}/'
+
+
+def _head_key(number: int) -> str:
+    return f'{_bucket_prefix(number)}head'
+
+
+def _segment_key(number: int, sequence: int) -> str:
+    return f'{_bucket_prefix(number)}s/{sequence:012d}'
+
+
+def _segment_range(number: int, after: int) -> gateway.Range:
+    return gateway.Range(
+        _segment_key(number, after + 1),
+        f'{_bucket_prefix(number)}s0',
+        RANGE_PAGE,
+    )
+
+
+class ClaimWriter:
+    """Makes claims in the store, many to a write."""
+
+    def __init__(
+        self,
+        store: storage.Store,
+        wall_clock: Callable[[], float] = time.time,
+        timing: ClaimTiming = ClaimTiming(),
+    ) -> None:
+        """Remember the store; ``start`` begins.
+
+        :param wall_clock: seconds since the epoch, for retention only
+        """
+        self._store = store
+        self._wall_clock = wall_clock
+        self._timing = timing
+        self._queue: collections.deque[_Pending] = collections.deque()
+        self._ready = threading.Condition()
+        self._stopped = False
+        self._buckets: dict[int, claims.Bucket] = {}
+        self._lease = 0
+        self._lease_until = 0.0
+        self._lease_retention = 0
+        self.commits = 0
+        self.conflicts = 0
+        self._thread = threading.Thread(
+            target=self._run, name='claims', daemon=True
+        )
+
+    def start(self) -> None:
+        """Commit in the background."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End after the commit that runs; what still waits is unbound."""
+        with self._ready:
+            self._stopped = True
+            self._ready.notify_all()
+        self._thread.join()
+
+    def bind(
+        self, wanted: claims.Binding, timeout: float
+    ) -> result.Result[claims.Binding, claims.ReusedKey | Unbound]:
+        """Make a claim, or find the one that holds.
+
+        The caller compares the attempt in the answer with its own to
+        tell the two apart.
+        :param wanted: the claim
+        :param timeout: seconds to wait at most
+        """
+        pending = _Pending(wanted, time.monotonic() + timeout)
+        with self._ready:
+            if self._stopped:
+                return result.Err(Unbound('the writer has stopped'))
+            self._queue.append(pending)
+            self._ready.notify()
+        pending.done.wait(timeout)
+        if pending.outcome is None:
+            return result.Err(Unbound('the store did not answer in time'))
+        return pending.outcome
+
+    def release(
+        self, binding: claims.Binding, timeout: float
+    ) -> result.Result[claims.Binding, claims.ReusedKey | Unbound]:
+        """Free the key of a claim that its executor has sealed unrun.
+
+        :param binding: the claim, as ``bind`` gave it
+        :param timeout: seconds to wait at most
+        """
+        return self.bind(claims.build_release(binding), timeout)
+
+    def dump(self) -> dict:
+        """Tell the state, without keys."""
+        return {
+            'commits': self.commits,
+            'conflicts': self.conflicts,
+            'waiting': len(self._queue),
+            'buckets': {
+                number: {'claims': len(bucket), 'commits': bucket.sequence}
+                for number, bucket in sorted(self._buckets.items())
+            },
+        }
+
+    def _take(self) -> list[_Pending]:
+        with self._ready:
+            while not self._queue and not self._stopped:
+                self._ready.wait()
+            if self._stopped:
+                return []
+            now = time.monotonic()
+            taken: list[_Pending] = []
+            touched: set[int] = set()
+            while self._queue and len(taken) < MAX_CLAIMS_PER_COMMIT:
+                number = claims.choose_bucket(self._queue[0].wanted.key_digest)
+                if len(touched | {number}) > MAX_BUCKETS_PER_COMMIT:
+                    break
+                pending = self._queue.popleft()
+                if pending.deadline <= now:
+                    continue
+                touched.add(number)
+                taken.append(pending)
+            return taken
+
+    def _run(self) -> None:
+        while not self._stopped:
+            started = time.monotonic()
+            batch = self._take()
+            if batch:
+                self._settle(batch)
+            spent = time.monotonic() - started
+            time.sleep(max(0.0, self._timing.interval - spent))
+
+    def _settle(self, batch: list[_Pending]) -> None:
+        while not self._stopped:
+            batch = self._settle_known(batch)
+            now = time.monotonic()
+            batch = [pending for pending in batch if pending.deadline > now]
+            if not batch or self._commit(batch):
+                return
+
+    def _settle_known(self, batch: list[_Pending]) -> list[_Pending]:
+        """Settle what the buckets answer; keep one claim of each key."""
+        rest: dict[bytes, _Pending] = {}
+        for pending in batch:
+            digest = pending.wanted.key_digest
+            found = self._bucket(claims.choose_bucket(digest)).find(
+                pending.wanted
+            )
+            if isinstance(found, claims.Conflict):
+                pending.settle(result.Ok(found.binding))
+            elif isinstance(found, claims.ReusedKey):
+                pending.settle(result.Err(found))
+            elif digest in rest:
+                # Its twin is committed first; it meets that claim next.
+                self._requeue(pending)
+            else:
+                rest[digest] = pending
+        return list(rest.values())
+
+    def _requeue(self, pending: _Pending) -> None:
+        with self._ready:
+            self._queue.append(pending)
+
+    def _bucket(self, number: int) -> claims.Bucket:
+        bucket = self._buckets.get(number)
+        if bucket is None:
+            bucket = self._buckets[number] = claims.Bucket()
+        return bucket
+
+    def _commit(self, batch: list[_Pending]) -> bool:
+        """Try one transaction; True when the batch has been settled."""
+        groups: dict[int, list[_Pending]] = {}
+        for pending in batch:
+            number = claims.choose_bucket(pending.wanted.key_digest)
+            groups.setdefault(number, []).append(pending)
+        lease = self._ensure_lease(batch)
+        if lease is None:
+            time.sleep(self._timing.retry)
+            return False
+        outcome = self._store.transact(
+            self._compares(groups),
+            self._puts(groups, lease),
+            otherwise=self._reads(groups),
+        )
+        if isinstance(outcome, result.Ok):
+            self._take_commit(groups, outcome.ok_value)
+            return True
+        if isinstance(outcome.err_value, storage.CasLost):
+            self.conflicts += 1
+            self._take_reads(groups, outcome.err_value.ranges)
+        else:
+            time.sleep(self._timing.retry)
+        return False
+
+    def _compares(self, groups) -> list[gateway.Expect]:
+        return [
+            gateway.Expect(
+                _head_key(number), self._bucket(number).head_revision
+            )
+            for number in groups
+        ]
+
+    def _puts(self, groups, lease: int) -> list[gateway.Put]:
+        puts = []
+        for number, pendings in groups.items():
+            sequence = self._bucket(number).sequence + 1
+            segment = claims.Segment(
+                tuple(pending.wanted for pending in pendings)
+            )
+            puts.append(
+                gateway.Put(_head_key(number), claims.encode_head(sequence))
+            )
+            puts.append(
+                gateway.Put(
+                    _segment_key(number, sequence),
+                    claims.encode_segment(segment),
+                    lease,
+                )
+            )
+        return puts
+
+    def _reads(self, groups) -> list[gateway.Range]:
+        reads = []
+        for number in groups:
+            reads.append(gateway.Range(_head_key(number)))
+            reads.append(_segment_range(number, self._bucket(number).sequence))
+        return reads
+
+    def _take_commit(self, groups, revision: int) -> None:
+        self.commits += 1
+        for number, pendings in groups.items():
+            bucket = self._bucket(number)
+            bucket.sequence += 1
+            bucket.head_revision = revision
+            wanted = tuple(pending.wanted for pending in pendings)
+            bucket.absorb([claims.Segment(wanted)])
+            bucket.expire(self._wall_clock())
+            for pending in pendings:
+                pending.settle(result.Ok(pending.wanted))
+
+    def _take_reads(
+        self, groups, ranges: tuple[tuple[storage.Value, ...], ...]
+    ) -> None:
+        """Take in what a lost transaction has brought back."""
+        for index, number in enumerate(groups):
+            heads, segments = ranges[2 * index], ranges[2 * index + 1]
+            if len(segments) >= RANGE_PAGE:
+                rest = self._read_rest(number, segments[-1])
+                if rest is None:
+                    # A head without all its segments would hide claims.
+                    continue
+                segments = segments + rest
+            bucket = self._bucket(number)
+            bucket.absorb(
+                claims.decode_segment(value.value) for value in segments
+            )
+            if heads:
+                bucket.sequence = claims.decode_head(heads[0].value)
+                bucket.head_revision = heads[0].mod_revision
+            bucket.expire(self._wall_clock())
+
+    def _read_rest(
+        self, number: int, last: storage.Value
+    ) -> tuple[storage.Value, ...] | None:
+        """Read further pages of segments.
+
+        A page may be newer than the head that came with the first one;
+        the transaction that follows then loses and reads again, and to
+        absorb a segment twice changes nothing.
+        """
+        rest: list[storage.Value] = []
+        while True:
+            after = int(last.key.rsplit('/', 1)[1])
+            page = self._store.get_page(_segment_range(number, after))
+            if isinstance(page, result.Err):
+                logging.warning('claims bucket %d: page not read', number)
+                return None
+            rest.extend(page.ok_value)
+            if len(page.ok_value) < RANGE_PAGE:
+                return tuple(rest)
+            last = page.ok_value[-1]
+
+    def _ensure_lease(self, batch: list[_Pending]) -> int | None:
+        """Give a lease that outlives every claim of the batch."""
+        now = time.monotonic()
+        retention = max(pending.wanted.retention for pending in batch)
+        if now < self._lease_until and retention <= self._lease_retention:
+            return self._lease
+        ttl = retention + _LEASE_REUSE_SECONDS + _LEASE_SLACK_SECONDS
+        granted = self._store.grant_lease(ttl)
+        if isinstance(granted, result.Err):
+            return None
+        self._lease = granted.ok_value
+        self._lease_until = now + _LEASE_REUSE_SECONDS
+        self._lease_retention = retention
+        return self._lease
--- a/packages/adapters/src/dunlintide_adapters/gateway.py
+++ b/packages/adapters/src/dunlintide_adapters/gateway.py
@@ -14,10 +14,12 @@
     'KeepAlive',
     'KeyValue',
     'Put',
+    'Range',
     'RangeAnswer',
     'TxnAnswer',
     'WatchMessage',
     'build_lease',
+    'build_page',
     'build_range',
     'build_txn',
     'build_watch',
@@ -121,6 +123,17 @@
     lease: int = 0
 
 
+class Range(msgspec.Struct, frozen=True):
+    """Read of a key, or of the keys in ``[key, end)``.
+
+    :ivar limit: most keys to return, 0 for no limit
+    """
+
+    key: str
+    end: str = ''
+    limit: int = 0
+
+
 def decode(body: bytes, kind: type):
     """Decode an answer.
 
@@ -149,6 +162,14 @@
     return msgspec.json.encode(_build_range(key, end, keys_only))
 
 
+def build_page(span: Range) -> dict:
+    """Build the body of a read that may be limited."""
+    body = _build_range(span.key, span.end.encode(), False)
+    if span.limit:
+        body['limit'] = str(span.limit)
+    return body
+
+
 def _build_compare(expect: Expect) -> dict:
     return {
         'key': expect.key.encode(),
@@ -170,8 +191,12 @@
     puts: Iterable[Put] = (),
     deletes: Iterable[str] = (),
     reads: Iterable[str] = (),
+    otherwise: Iterable[Range] = (),
 ) -> bytes:
-    """Build a transaction; a failed condition leaves all undone."""
+    """Build a transaction; a failed condition leaves all undone.
+
+    :param otherwise: what to read when a condition fails
+    """
     operations = [_build_put(put) for put in puts]
     operations += [
         {'request_delete_range': {'key': key.encode()}} for key in deletes
@@ -182,6 +207,7 @@
     body = {
         'compare': [_build_compare(expect) for expect in expects],
         'success': operations,
+        'failure': [{'request_range': build_page(span)} for span in otherwise],
     }
     return msgspec.json.encode(body)
 
--- a/packages/adapters/src/dunlintide_adapters/store.py
+++ b/packages/adapters/src/dunlintide_adapters/store.py
@@ -42,9 +42,11 @@
     """A write that was not made, as a key had changed.
 
     :ivar revision: revision of the store when it was refused
+    :ivar ranges: what was asked to be read in this case
     """
 
     revision: int
+    ranges: tuple[tuple['Value', ...], ...] = ()
 
 
 @attrs.frozen
@@ -79,6 +81,16 @@
     return Value(key, pair.value, pair.mod_revision, pair.lease)
 
 
+def _read_responses(
+    answer: gateway.TxnAnswer,
+) -> tuple[tuple[Value, ...], ...]:
+    return tuple(
+        tuple(map(_make_value, response.response_range.kvs))
+        for response in answer.responses
+        if response.response_range is not None
+    )
+
+
 class Store:
     """A client that many threads may share."""
 
@@ -153,6 +165,12 @@
         end = gateway.end_prefix(prefix)
         return self._range(gateway.build_range(prefix, end, keys_only))
 
+    def get_page(
+        self, span: gateway.Range
+    ) -> result.Result[tuple[Value, ...], storefailures.StoreFailure]:
+        """Read some of the keys of a range, in their order."""
+        return self._range(msgspec.json.encode(gateway.build_page(span)))
+
     def get_many(
         self, keys: Iterable[str]
     ) -> result.Result[tuple[Value, ...], storefailures.StoreFailure]:
@@ -164,9 +182,8 @@
             found = self._call('range', '/v3/kv/txn', body, gateway.TxnAnswer)
             if found.is_err():
                 return found
-            for response in found.ok_value.responses:
-                if response.response_range is not None:
-                    values += map(_make_value, response.response_range.kvs)
+            for response in _read_responses(found.ok_value):
+                values += response
         return result.Ok(tuple(values))
 
     def compare_and_swap(
@@ -191,12 +208,14 @@
         expects: Iterable[gateway.Expect],
         puts: Iterable[gateway.Put] = (),
         deletes: Iterable[str] = (),
+        otherwise: Iterable[gateway.Range] = (),
     ) -> result.Result[int, CasLost | storefailures.StoreFailure]:
         """Write and delete keys as one, if all conditions hold.
 
+        :param otherwise: what to read when one does not
         :returns: revision of the store, and so of the keys written
         """
-        body = gateway.build_txn(expects, puts, deletes)
+        body = gateway.build_txn(expects, puts, deletes, (), otherwise)
         kind = gateway.TxnAnswer
         called = self._call('txn', '/v3/kv/txn', body, kind, writes=True)
         if called.is_err():
@@ -206,7 +225,7 @@
         if answer.succeeded:
             return result.Ok(revision)
         self._count('txn', _LOST)
-        return result.Err(CasLost(revision))
+        return result.Err(CasLost(revision, _read_responses(answer)))
 
     def grant_lease(
         self, ttl: int
--- /dev/null
+++ b/packages/core/src/dunlintide_core/claims.py
@@ -0,0 +1,229 @@
+"""Claims that bind a non-idempotent request to its one executor.
+
+A claim lives in a bucket chosen by the hash of its key. A bucket is a
+small head, which counts commits, and one segment of new claims for each
+commit. Whoever commits must have seen every earlier segment: the
+compare-and-swap on the head is the fence between two writers, and a
+commit costs only its own claims, however many the bucket holds.
+"""
+
+import hashlib
+from typing import Iterable
+
+import attrs
+import msgspec
+
+__all__ = [
+    'BUCKETS',
+    'Binding',
+    'Bucket',
+    'Conflict',
+    'ReusedKey',
+    'Segment',
+    'build_release',
+    'choose_bucket',
+    'decode_head',
+    'decode_segment',
+    'digest_key',
+    'encode_head',
+    'encode_segment',
+    'fingerprint_request',
+]
+
+# Agreed by all nodes for ever: another number would look for a claim in
+# another bucket. See docs/design/claims.md for the arithmetic.
+BUCKETS = 64
+KEY_DIGEST_BYTES = 16
+FINGERPRINT_BYTES = 8
+_FIELD_END = b'\x00'
+
+
+class Binding(msgspec.Struct, array_like=True, frozen=True):
+    """A claim as it is kept: which executor may run the request.
+
+    :ivar key_digest: digest of member and idempotency key
+    :ivar fingerprint: digest of what was asked
+    :ivar executor: name of the agent that alone may run it
+    :ivar incarnation: the executor's life that it is bound to
+    :ivar attempt: unique id of the attempt that made the claim
+    :ivar generation: executor's generation when it was claimed
+    :ivar bound_at: wall clock of the writer, in seconds
+    :ivar retention: seconds for which the claim is kept
+    """
+
+    key_digest: bytes
+    fingerprint: bytes
+    executor: str
+    incarnation: int
+    attempt: str
+    generation: int
+    bound_at: int
+    retention: int
+
+
+# Executor of a record that releases a claim; no agent has this name.
+_RELEASED = ''
+
+
+class Segment(msgspec.Struct, array_like=True, frozen=True):
+    """The claims of one commit.
+
+    A writer whose answer was lost finds out by the attempts in it.
+    """
+
+    bindings: tuple[Binding, ...]
+
+
+class _Head(msgspec.Struct, array_like=True, frozen=True):
+    sequence: int
+
+
+@attrs.frozen
+class Conflict:
+    """The key is bound already, by an earlier claim of the same request.
+
+    :ivar binding: the claim that holds
+    """
+
+    binding: Binding
+
+
+@attrs.frozen
+class ReusedKey:
+    """The key is bound already, to a request with other content."""
+
+    binding: Binding
+
+
+def build_release(binding: Binding) -> Binding:
+    """Build the record that frees the key of a claim for a new one.
+
+    Only for a claim whose executor has said that this attempt never ran
+    and never will; the release names the attempt, so that it cannot free
+    a later claim of the same key.
+    :param binding: the claim to release
+    """
+    return msgspec.structs.replace(binding, executor=_RELEASED)
+
+
+def digest_key(member: str, key: str) -> bytes:
+    """Digest a member's idempotency key; equal keys of two members differ.
+
+    :param member: name of the member
+    :param key: the key as the caller gave it
+    """
+    state = hashlib.blake2b(digest_size=KEY_DIGEST_BYTES)
+    state.update(member.encode())
+    state.update(_FIELD_END)
+    state.update(key.encode())
+    return state.digest()
+
+
+def fingerprint_request(*parts: bytes) -> bytes:
+    """Digest what is asked, so that a key reused for another shows.
+
+    :param parts: method, path and body, in this order
+    """
+    state = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in parts:
+        state.update(len(part).to_bytes(8, 'big'))
+        state.update(part)
+    return state.digest()
+
+
+def choose_bucket(key_digest: bytes) -> int:
+    """Tell the bucket of a key.
+
+    :param key_digest: as ``digest_key`` gives it
+    """
+    return int.from_bytes(key_digest[:4], 'big') % BUCKETS
+
+
+def encode_head(sequence: int) -> bytes:
+    """Encode a bucket's head.
+
+    :param sequence: number of commits so far
+    """
+    return msgspec.msgpack.encode(_Head(sequence))
+
+
+def decode_head(data: bytes) -> int:
+    """Tell the number of commits that a head counts.
+
+    :raises msgspec.DecodeError: when it is not a head
+    """
+    return msgspec.msgpack.decode(data, type=_Head).sequence
+
+
+def encode_segment(segment: Segment) -> bytes:
+    """Encode the claims of one commit."""
+    return msgspec.msgpack.encode(segment)
+
+
+def decode_segment(data: bytes) -> Segment:
+    """Decode the claims of one commit.
+
+    :raises msgspec.DecodeError: when it is not a segment
+    """
+    return msgspec.msgpack.decode(data, type=Segment)
+
+
+class Bucket:
+    """What a writer knows of one bucket.
+
+    :ivar sequence: commits that have been taken in
+    :ivar head_revision: store revision of the head, 0 when absent
+    """
+
+    __slots__ = ('_bindings', 'head_revision', 'sequence')
+
+    def __init__(self) -> None:
+        self.sequence = 0
+        self.head_revision = 0
+        self._bindings: dict[bytes, Binding] = {}
+
+    def __len__(self) -> int:
+        return len(self._bindings)
+
+    def absorb(self, segments: Iterable[Segment]) -> None:
+        """Take in segments, oldest first; the first claim of a key stays.
+
+        :param segments: commits that are new since the last call
+        """
+        for segment in segments:
+            for binding in segment.bindings:
+                self._apply(binding)
+
+    def _apply(self, binding: Binding) -> None:
+        if binding.executor != _RELEASED:
+            self._bindings.setdefault(binding.key_digest, binding)
+            return
+        held = self._bindings.get(binding.key_digest)
+        if held is not None and held.attempt == binding.attempt:
+            del self._bindings[binding.key_digest]
+
+    def find(self, wanted: Binding) -> Conflict | ReusedKey | None:
+        """Look for an earlier claim of the same key.
+
+        :param wanted: the claim that is to be made
+        """
+        held = self._bindings.get(wanted.key_digest)
+        if held is None or wanted.executor == _RELEASED:
+            return None
+        if held.fingerprint != wanted.fingerprint:
+            return ReusedKey(held)
+        return Conflict(held)
+
+    def expire(self, now: float) -> int:
+        """Forget claims past their retention and tell how many.
+
+        :param now: wall clock in seconds
+        """
+        old = [
+            digest
+            for digest, binding in self._bindings.items()
+            if binding.bound_at + binding.retention < now
+        ]
+        for digest in old:
+            del self._bindings[digest]
+        return len(old)
