Keep a writer's claims encoded and forget them by the minute

Cause: a claim took 487 bytes of a writer's memory, and each commit looked at every claim of the bucket for its end. Change: claims stay encoded; keys are listed by the minute of their end.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -44,3 +44,8 @@
     When the first writer binds 30 keys one by one
     And another writer joins
     Then the second writer finds all 30 keys
+
+  Scenario: A bucket forgets claims past their retention and no others
+    Given a bucket with claims kept for 60, 600 and 6000 seconds
+    When 700 seconds have passed for the bucket
+    Then the bucket knows only the claim kept for 6000 seconds
--- a/features/steps/claims.py
+++ b/features/steps/claims.py
@@ -225,3 +225,31 @@
     answer = context.writers[0].bind(_build(key, 'agent-1'), seconds)
     assert isinstance(answer, result.Err), answer
     assert isinstance(answer.err_value, writers.Unbound), answer
+
+
+@behave.given('a bucket with claims kept for 60, 600 and 6000 seconds')
+def fill_bucket(context):
+    context.bucket = claims.Bucket()
+    context.kept = {
+        seconds: msgspec.structs.replace(
+            _build(str(seconds), 'agent-1'), retention=seconds
+        )
+        for seconds in (60, 600, 6000)
+    }
+    context.bucket.absorb([claims.Segment(tuple(context.kept.values()))])
+
+
+@behave.when('{seconds:d} seconds have passed for the bucket')
+def pass_time(context, seconds):
+    context.bucket.expire(seconds)
+
+
+@behave.then('the bucket knows only the claim kept for {seconds:d} seconds')
+def check_kept(context, seconds):
+    known = [
+        kept
+        for kept, binding in context.kept.items()
+        if context.bucket.find(binding) is not None
+    ]
+    assert known == [seconds], known
+    assert len(context.bucket) == 1
--- a/packages/core/src/dunlintide_core/claims.py
+++ b/packages/core/src/dunlintide_core/claims.py
@@ -36,6 +36,7 @@
 KEY_DIGEST_BYTES = 16
 FINGERPRINT_BYTES = 8
 _FIELD_END = b'\x00'
+_MINUTE = 60
 
 
 class Binding(msgspec.Struct, array_like=True, frozen=True):
@@ -95,6 +96,14 @@
     binding: Binding
 
 
+def _decode_binding(data: bytes) -> Binding:
+    return msgspec.msgpack.decode(data, type=Binding)
+
+
+def _end_minute(binding: Binding) -> int:
+    return (binding.bound_at + binding.retention) // _MINUTE + 1
+
+
 def build_release(binding: Binding) -> Binding:
     """Build the record that frees the key of a claim for a new one.
 
@@ -175,15 +184,18 @@
     :ivar head_revision: store revision of the head, 0 when absent
     """
 
-    __slots__ = ('_bindings', 'head_revision', 'sequence')
+    __slots__ = ('_expiries', '_held', 'head_revision', 'sequence')
 
     def __init__(self) -> None:
         self.sequence = 0
         self.head_revision = 0
-        self._bindings: dict[bytes, Binding] = {}
+        # Encoded, as a decoded binding takes twice the memory.
+        self._held: dict[bytes, bytes] = {}
+        # Keys by the minute in which their retention has ended.
+        self._expiries: dict[int, list[bytes]] = {}
 
     def __len__(self) -> int:
-        return len(self._bindings)
+        return len(self._held)
 
     def absorb(self, segments: Iterable[Segment]) -> None:
         """Take in segments, oldest first; the first claim of a key stays.
@@ -194,20 +206,27 @@
             for binding in segment.bindings:
                 self._apply(binding)
 
+    def _get(self, digest: bytes) -> Binding | None:
+        data = self._held.get(digest)
+        return None if data is None else _decode_binding(data)
+
     def _apply(self, binding: Binding) -> None:
-        if binding.executor != _RELEASED:
-            self._bindings.setdefault(binding.key_digest, binding)
-            return
-        held = self._bindings.get(binding.key_digest)
-        if held is not None and held.attempt == binding.attempt:
-            del self._bindings[binding.key_digest]
+        digest = binding.key_digest
+        if binding.executor == _RELEASED:
+            held = self._get(digest)
+            if held is not None and held.attempt == binding.attempt:
+                del self._held[digest]
+        elif digest not in self._held:
+            self._held[digest] = msgspec.msgpack.encode(binding)
+            minute = _end_minute(binding)
+            self._expiries.setdefault(minute, []).append(digest)
 
     def find(self, wanted: Binding) -> Conflict | ReusedKey | None:
         """Look for an earlier claim of the same key.
 
         :param wanted: the claim that is to be made
         """
-        held = self._bindings.get(wanted.key_digest)
+        held = self._get(wanted.key_digest)
         if held is None or wanted.executor == _RELEASED:
             return None
         if held.fingerprint != wanted.fingerprint:
@@ -219,11 +238,16 @@
 
         :param now: wall clock in seconds
         """
-        old = [
-            digest
-            for digest, binding in self._bindings.items()
-            if binding.bound_at + binding.retention < now
-        ]
-        for digest in old:
-            del self._bindings[digest]
-        return len(old)
+        current = int(now) // _MINUTE
+        ended = [minute for minute in self._expiries if minute <= current]
+        return sum(self._expire(minute) for minute in ended)
+
+    def _expire(self, minute: int) -> int:
+        forgotten = 0
+        for digest in self._expiries.pop(minute):
+            held = self._get(digest)
+            # A released key may have been claimed anew, for longer.
+            if held is not None and _end_minute(held) <= minute:
+                del self._held[digest]
+                forgotten += 1
+        return forgotten
