Give operators a command line

Cause: operators drive the router only by editing rules, so checking, applying, comparing and going back must be safe against mistakes, races and lost answers. Change: dunlintide has rules check, explain, show, diff, apply, history and rollback, members, status, dump and drain. `rules show` writes the revision as a comment, and apply takes it as its base, so an edit of an old copy is refused with what changed since. A new revision is put above the highest that the asked daemons hold.

--- /dev/null
+++ b/features/commands.feature
@@ -0,0 +1,59 @@
+Feature: The operators' command line
+  Operators check, apply and roll back documents; a mistake, a race and a
+  failure each have an exit code of their own.
+
+  Background:
+    Given a store for the command line
+
+  Scenario: A document is applied, edited and rolled back
+    When the operator applies rules "first"
+    Then the command ends with 0 and prints "revision 1 is accepted"
+    When the operator applies rules "first, second"
+    Then the command ends with 0 and prints "revision 2 is accepted"
+    When the operator runs "rules rollback 1"
+    Then the command ends with 0 and prints "revision 3 is accepted"
+    When the operator runs "rules show"
+    Then the command ends with 0 and prints "// revision 3"
+    And it does not print "second"
+    When the operator runs "rules history"
+    Then the command ends with 0 and prints "roll back to revision 1"
+
+  Scenario: The second of two racing operators sees what the first did
+    When the operator applies rules "first"
+    And the operator applies rules "first, other"
+    And the operator applies rules "mine" made from revision 1
+    Then the command ends with 3 and prints "+rules: {"name":"other""
+    And it prints "revision 2 is in force, not 1"
+
+  Scenario: A mistake changes nothing and is told with its place
+    When the operator applies rules "first, first"
+    Then the command ends with 2 and prints ".jsonc:3:52: error: rules[1].name: duplicate name"
+    When the operator runs "rules history --json"
+    Then the command ends with 0 and prints "[]"
+
+  Scenario: A store that is down is told as such
+    Given the store of the command line is down
+    When the operator applies rules "first"
+    Then the command ends with 1 and prints "store: "
+
+  Scenario: Waiting ends when the daemons asked hold the revision
+    Given a daemon at revision 1 for the command line
+    When the operator applies rules "first" and waits 5 seconds
+    Then the command ends with 0 and prints "in force at every daemon"
+    And it prints "revision 2 is accepted"
+    When the operator runs "status --admin DAEMON"
+    Then the command ends with 1 and prints "still starting"
+    When the operator runs "drain DAEMON"
+    Then the command ends with 0 and prints "draining"
+
+  Scenario: Waiting that runs out names the daemon that lags
+    Given a daemon stuck at revision 1 for the command line
+    When the operator applies rules "first" and waits 0.3 seconds
+    Then the command ends with 1 and prints "still at revision 1"
+
+  Scenario: Explaining says which rule decides
+    When the operator applies rules "first"
+    And the operator runs "rules explain --member diner --model copy-7b"
+    Then the command ends with 0 and prints "rule 0 "first" decides"
+    When the operator runs "rules explain --member dinner --model copy-7b"
+    Then the command ends with 0 and prints "did you mean "diner"?"
--- /dev/null
+++ b/packages/cli/src/dunlintide_cli/changes.py
@@ -0,0 +1,270 @@
+"""Commands that change the rules: apply and rollback."""
+
+import getpass
+import time
+from typing import Any, Sequence
+
+import attrs
+from cleo import helpers
+import result
+import uuid_utils
+
+from dunlintide_adapters import configstore
+from dunlintide_cli import commands
+from dunlintide_cli import daemons
+from dunlintide_cli import files
+from dunlintide_cli import output
+from dunlintide_core import checker
+from dunlintide_core import documents
+from dunlintide_core import jsonc
+from dunlintide_core import revisions
+
+__all__ = [
+    'Apply',
+    'Rollback',
+]
+
+_POLL_SECONDS = 0.1
+
+
+def _value(name: str, description: str) -> Any:
+    return helpers.option(name, description=description, flag=False)
+
+
+_CHANGE_OPTIONS = [
+    commands.JSON,
+    commands.STORE,
+    commands.ADMIN,
+    _value('wait', 'Seconds to wait until every --admin has the change.'),
+    _value('author', 'Who makes the change; the user if left out.'),
+    _value('comment', 'Why the change is made.'),
+]
+
+
+@attrs.frozen
+class _Change:
+    document: bytes
+    base: int
+    comment: str
+
+
+def _find_laggards(
+    urls: Sequence[str], revision: int, until: float
+) -> list[str]:
+    """Wait for a revision; list the daemons that did not confirm it."""
+    waiting = {url: 'not asked' for url in urls}
+    while waiting:
+        for url in list(waiting):
+            state = daemons.read_state(url)
+            if state.is_err():
+                waiting[url] = str(state.err_value)
+                continue
+            held = state.ok_value.revision
+            if held is None or held >= revision:
+                del waiting[url]
+            else:
+                waiting[url] = f'{url}: still at revision {held}'
+        if time.monotonic() >= until:
+            break
+        if waiting:
+            time.sleep(_POLL_SECONDS)
+    return list(waiting.values())
+
+
+class _Changer(commands.Command):
+    """Applies a change and waits until it is in force."""
+
+    def read_wait(self) -> result.Result[float | None, str]:
+        """Read how long to wait, in seconds."""
+        text = self.option('wait')
+        if not text:
+            return result.Ok(None)
+        try:
+            seconds = float(text)
+        except ValueError:
+            return result.Err(f'--wait: expected seconds, got {text}')
+        if not 0 <= seconds < float('inf'):
+            return result.Err(f'--wait: expected seconds, got {text}')
+        if not self.option('admin'):
+            return result.Err('--wait needs the daemons, as --admin URL')
+        return result.Ok(seconds)
+
+    def find_floor(self) -> int:
+        """Give the highest revision that a daemon holds.
+
+        The new revision has to be above it, also when the store was
+        restored to an older state.
+        """
+        states = map(daemons.read_state, self.option('admin'))
+        held = [state.ok_value.revision for state in states if state.is_ok()]
+        return max((number or 0 for number in held), default=0)
+
+    def change(
+        self,
+        store: configstore.ConfigStore,
+        change: _Change,
+        wait: float | None,
+    ) -> int:
+        """Apply a change, print what became of it and give the exit code."""
+        change_id = str(uuid_utils.uuid7())
+        applied = store.apply(
+            change.document,
+            change.base,
+            change_id,
+            self.option('author') or getpass.getuser(),
+            self.option('comment') or change.comment,
+            floor=self.find_floor(),
+        )
+        if applied.is_ok():
+            return self._confirm(applied.ok_value, wait)
+        if isinstance(applied.err_value, configstore.Conflict):
+            return self._show_conflict(store, change, applied.err_value)
+        failure = applied.err_value
+        if failure.maybe_applied:
+            return self.fail(
+                f'{failure.message}; the change may be in force: look for'
+                f' change_id {change_id} in "rules history --json"'
+            )
+        return self.fail(f'{failure.message}; nothing was changed')
+
+    def _confirm(self, head: revisions.Head, wait: float | None) -> int:
+        if self.as_json:
+            output.print_json(head)
+        else:
+            output.print_text(f'revision {head.revision} is accepted')
+        if wait is None:
+            return output.ExitCode.OK
+        until = time.monotonic() + wait
+        late = _find_laggards(self.option('admin'), head.revision, until)
+        for text in late:
+            output.print_error(f'dunlintide: {text}')
+        if late:
+            return output.ExitCode.FAILED
+        if not self.as_json:
+            output.print_text('it is in force at every daemon asked')
+        return output.ExitCode.OK
+
+    def _show_conflict(
+        self,
+        store: configstore.ConfigStore,
+        change: _Change,
+        conflict: configstore.Conflict,
+    ) -> int:
+        current = conflict.current
+        revision = current.head.revision if current else 0
+        output.print_error(
+            f'dunlintide: revision {revision} is in force, not'
+            f' {change.base}; nothing was changed'
+        )
+        known = store.read_revision(change.base) if change.base else None
+        base = known.ok_value if known and known.is_ok() else None
+        old = base.document if base else b''
+        new = current.document if current else b''
+        if base is None and change.base:
+            # The base is no longer kept, so show the whole distance.
+            old = change.document
+        output.print_text(revisions.diff_documents(old, new))
+        return output.ExitCode.LOST_RACE
+
+
+class Apply(_Changer):
+    """``rules apply``."""
+
+    name = 'rules apply'
+    description = 'Put a document in force.'
+    arguments = [helpers.argument('file', 'Document, JSON with comments.')]
+    options = [
+        *_CHANGE_OPTIONS,
+        _value('base', 'Revision that the document was made from.'),
+    ]
+
+    def handle(self) -> int:
+        """Check the document and apply it over its base revision."""
+        wait = self.read_wait()
+        store = self.open_store()
+        for read in (wait, store):
+            if read.is_err():
+                return self.reject(read.err_value)
+        draft = files.read_draft(self.argument('file'))
+        if draft.is_err():
+            return output.print_problems(draft.err_value)
+        problems = checker.check(draft.ok_value)
+        code = output.print_problems(problems)
+        if code != output.ExitCode.OK:
+            return code
+        return self._apply(store.ok_value, draft.ok_value, wait.ok_value)
+
+    def _apply(
+        self,
+        store: configstore.ConfigStore,
+        draft: documents.Draft,
+        wait: float | None,
+    ) -> int:
+        base = self._find_base()
+        if base.is_err():
+            return self.reject(base.err_value)
+        current = store.read()
+        if current.is_err():
+            return self.fail(current.err_value.message)
+        document = documents.encode_configuration(draft.configuration)
+        snapshot = current.ok_value
+        if snapshot and snapshot.document == document:
+            if not self.as_json:
+                output.print_text('no difference: nothing to change')
+            return self._confirm(snapshot.head, wait)
+        revision = base.ok_value
+        if revision is None:
+            revision = snapshot.head.revision if snapshot else 0
+        return self.change(store, _Change(document, revision, ''), wait)
+
+    def _find_base(self) -> result.Result[int | None, str]:
+        given = self.option('base')
+        if given:
+            if not given.isdecimal():
+                return result.Err(f'--base: expected a revision, got {given}')
+            return result.Ok(int(given))
+        text = files.read_text(self.argument('file'))
+        return text.map(files.find_base).map_err(_describe_problems)
+
+
+def _describe_problems(problems: list[jsonc.Problem]) -> str:
+    return '\n'.join(str(problem) for problem in problems)
+
+
+class Rollback(_Changer):
+    """``rules rollback``."""
+
+    name = 'rules rollback'
+    description = 'Put an earlier document in force, as a new revision.'
+    arguments = [helpers.argument('revision', 'Revision to go back to.')]
+    options = _CHANGE_OPTIONS
+
+    def handle(self) -> int:
+        """Apply the document of an earlier revision."""
+        wait = self.read_wait()
+        store = self.open_store()
+        for read in (wait, store):
+            if read.is_err():
+                return self.reject(read.err_value)
+        text = self.argument('revision')
+        if not text.isdecimal():
+            return self.reject(f'expected a revision, got {text}')
+        return self._roll_back(store.ok_value, int(text), wait.ok_value)
+
+    def _roll_back(
+        self,
+        store: configstore.ConfigStore,
+        revision: int,
+        wait: float | None,
+    ) -> int:
+        earlier = store.read_revision(revision)
+        current = store.read()
+        for read in (earlier, current):
+            if read.is_err():
+                return self.fail(read.err_value.message)
+        if earlier.ok_value is None or current.ok_value is None:
+            return self.fail(f'revision {revision} is not kept')
+        base = current.ok_value.head.revision
+        comment = f'roll back to revision {revision}'
+        change = _Change(earlier.ok_value.document, base, comment)
+        return self.change(store, change, wait)
--- /dev/null
+++ b/packages/cli/src/dunlintide_cli/commands.py
@@ -0,0 +1,60 @@
+"""What the commands share: options and the configuration they act on."""
+
+import os
+
+from cleo.commands import command
+from cleo import helpers
+import result
+
+from dunlintide_adapters import configstore
+from dunlintide_cli import output
+
+__all__ = [
+    'ADMIN',
+    'JSON',
+    'STORE',
+    'STORE_VARIABLE',
+    'Command',
+]
+
+STORE_VARIABLE = 'DUNLINTIDE_STORE'
+
+JSON = helpers.option('json', description='Print JSON.')
+STORE = helpers.option(
+    'store',
+    description=f'URL of the store, else that in {STORE_VARIABLE}.',
+    flag=False,
+)
+ADMIN = helpers.option(
+    'admin',
+    description="URL of a daemon's operators' port; may be repeated.",
+    flag=False,
+    multiple=True,
+)
+
+
+class Command(command.Command):
+    """A command of ``dunlintide``."""
+
+    @property
+    def as_json(self) -> bool:
+        """Whether JSON was asked for."""
+        return self.option('json')
+
+    def open_store(self) -> result.Result[configstore.ConfigStore, str]:
+        """Open the store that the options or the environment name."""
+        url = self.option('store') or os.environ.get(STORE_VARIABLE)
+        if not url:
+            text = f'no store: give --store URL or set {STORE_VARIABLE}'
+            return result.Err(text)
+        return result.Ok(configstore.ConfigStore.from_url(url))
+
+    def fail(self, message: object) -> int:
+        """Print why the command failed and give its exit code."""
+        output.print_error(f'dunlintide: {message}')
+        return output.ExitCode.FAILED
+
+    def reject(self, message: object) -> int:
+        """Print what is wrong with the arguments and give the exit code."""
+        output.print_error(f'dunlintide: {message}')
+        return output.ExitCode.BAD_INPUT
--- /dev/null
+++ b/packages/cli/src/dunlintide_cli/daemons.py
@@ -0,0 +1,100 @@
+"""Calls to the operators' ports of daemons."""
+
+import json
+from typing import Any, Mapping
+
+import attrs
+import result
+import urllib3
+
+__all__ = [
+    'State',
+    'Unreachable',
+    'drain',
+    'read_state',
+]
+
+TIMEOUT_SECONDS = 5.0
+
+_OK = 200
+_ACCEPTED = 202
+_NOT_READY = 503
+
+
+@attrs.frozen
+class Unreachable:
+    """Why a daemon gave no usable answer."""
+
+    url: str
+    message: str
+
+    def __str__(self) -> str:
+        return f'{self.url}: {self.message}'
+
+
+@attrs.frozen
+class State:
+    """What a daemon says of itself.
+
+    :ivar ready: whether it takes work
+    :ivar reasons: why it does not
+    :ivar dump: its state, as it gave it
+    """
+
+    url: str
+    ready: bool
+    reasons: tuple[str, ...]
+    dump: Mapping[str, Any]
+
+    @property
+    def revision(self) -> int | None:
+        """Revision in force, None where the daemon follows none."""
+        section = self.dump.get('configuration')
+        if not isinstance(section, dict):
+            return None
+        revision = section.get('revision')
+        return revision if isinstance(revision, int) else 0
+
+
+def _call(
+    method: str, url: str, path: str, expected: tuple[int, ...]
+) -> result.Result[dict, Unreachable]:
+    try:
+        answer = urllib3.request(
+            method,
+            url.rstrip('/') + path,
+            retries=False,
+            timeout=TIMEOUT_SECONDS,
+        )
+        body = json.loads(answer.data)
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        return result.Err(Unreachable(url, str(error)))
+    if answer.status not in expected or not isinstance(body, dict):
+        return result.Err(Unreachable(url, f'status {answer.status}'))
+    return result.Ok(body)
+
+
+def read_state(url: str) -> result.Result[State, Unreachable]:
+    """Ask a daemon for its state.
+
+    :param url: base URL of its operators' port
+    """
+    readiness = _call('GET', url, '/readyz', (_OK, _NOT_READY))
+    if readiness.is_err():
+        return readiness
+    dump = _call('GET', url, '/debug/state', (_OK,))
+    if dump.is_err():
+        return dump
+    found = readiness.ok_value
+    reasons = tuple(found.get('reasons', ()))
+    ready = bool(found.get('ready'))
+    return result.Ok(State(url, ready, reasons, dump.ok_value))
+
+
+def drain(url: str) -> result.Result[None, Unreachable]:
+    """Tell a daemon to finish what it has and to stop.
+
+    :param url: base URL of its operators' port
+    """
+    answer = _call('POST', url, '/drain', (_OK, _ACCEPTED))
+    return answer.map(lambda _: None)
--- /dev/null
+++ b/packages/cli/src/dunlintide_cli/files.py
@@ -0,0 +1,50 @@
+"""Operators' files, read from disk."""
+
+import pathlib
+import re
+
+import result
+
+from dunlintide_core import documents
+from dunlintide_core import jsonc
+
+__all__ = [
+    'build_base_mark',
+    'find_base',
+    'read_draft',
+    'read_text',
+]
+
+_BASE_MARK = re.compile(r'\s*// revision (\d+)\b')
+
+
+def build_base_mark(revision: int) -> str:
+    """Write the comment that tells of which revision a text is a copy."""
+    return f'// revision {revision}'
+
+
+def find_base(text: str) -> int | None:
+    """Find the revision that the first line of a text names, if any."""
+    found = _BASE_MARK.match(text)
+    return int(found[1]) if found else None
+
+
+def read_text(path: str) -> result.Result[str, list[jsonc.Problem]]:
+    """Read a file in UTF-8.
+
+    :returns: its text, or why it cannot be read
+    """
+    try:
+        return result.Ok(pathlib.Path(path).read_text(encoding='utf-8'))
+    except (OSError, UnicodeDecodeError) as error:
+        text = getattr(error, 'strerror', None) or str(error)
+        return result.Err([jsonc.Problem(path, 1, 1, '', text)])
+
+
+def read_draft(
+    path: str,
+) -> result.Result[documents.Draft, list[jsonc.Problem]]:
+    """Read an operators' document from a file."""
+    return read_text(path).and_then(
+        lambda text: documents.load_configuration(text, path)
+    )
--- /dev/null
+++ b/packages/cli/src/dunlintide_cli/main.py
@@ -0,0 +1,56 @@
+"""The operators' command line, ``dunlintide``."""
+
+import sys
+from typing import Sequence
+
+from cleo import application
+from cleo import exceptions
+from cleo.io.inputs import argv_input
+
+from dunlintide_cli import changes
+from dunlintide_cli import output
+from dunlintide_cli import processes
+from dunlintide_cli import reading
+
+__all__ = ['main']
+
+PROGRAM = 'dunlintide'
+
+_COMMANDS = (
+    reading.Check,
+    reading.Explain,
+    reading.Show,
+    reading.Diff,
+    reading.History,
+    reading.Members,
+    changes.Apply,
+    changes.Rollback,
+    processes.Status,
+    processes.Dump,
+    processes.Drain,
+)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command.
+
+    :param arguments: command line without the program, None for the
+        process's own
+    :returns: exit code, see ``output.ExitCode``
+    """
+    if arguments is None:
+        arguments = sys.argv[1:]
+    program = application.Application(PROGRAM)
+    program.auto_exits(False)
+    program.catch_exceptions(False)
+    for command in _COMMANDS:
+        program.add(command())
+    try:
+        return program.run(argv_input.ArgvInput([PROGRAM, *arguments]))
+    except exceptions.CleoError as error:
+        output.print_error(f'{PROGRAM}: {error}')
+        return output.ExitCode.BAD_INPUT
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/cli/src/dunlintide_cli/processes.py
@@ -0,0 +1,95 @@
+"""Commands that ask daemons: status, dump and drain."""
+
+from cleo import helpers
+
+from dunlintide_cli import commands
+from dunlintide_cli import daemons
+from dunlintide_cli import output
+
+__all__ = [
+    'Drain',
+    'Dump',
+    'Status',
+]
+
+URL = helpers.argument('url', "URL of the daemon's operators' port.")
+_UNKNOWN = '-'
+
+
+class Status(commands.Command):
+    """``status``."""
+
+    name = 'status'
+    description = 'Tell whether daemons take work, and at which revision.'
+    options = [commands.JSON, commands.ADMIN]
+
+    def handle(self) -> int:
+        """Print a row for each daemon; fail if one is not ready."""
+        urls = self.option('admin')
+        if not urls:
+            return self.reject('give the daemons, as --admin URL')
+        rows = [self._describe(url) for url in urls]
+        if self.as_json:
+            output.print_json(rows)
+        else:
+            headers = ('daemon', 'ready', 'revision', 'reasons')
+            output.print_table(
+                headers,
+                [
+                    (
+                        row['name'] or row['url'],
+                        'yes' if row['ready'] else 'no',
+                        row['revision'] or _UNKNOWN,
+                        ', '.join(row['reasons']),
+                    )
+                    for row in rows
+                ],
+            )
+        if all(row['ready'] for row in rows):
+            return output.ExitCode.OK
+        return output.ExitCode.FAILED
+
+    def _describe(self, url: str) -> dict:
+        read = daemons.read_state(url)
+        row = {'url': url, 'name': '', 'ready': False, 'revision': None}
+        if read.is_err():
+            return row | {'reasons': [read.err_value.message]}
+        state = read.ok_value
+        return row | {
+            'name': str(state.dump.get('name', '')),
+            'ready': state.ready,
+            'revision': state.revision,
+            'reasons': list(state.reasons),
+        }
+
+
+class Dump(commands.Command):
+    """``dump``."""
+
+    name = 'dump'
+    description = 'Print the state of a daemon as JSON.'
+    arguments = [URL]
+
+    def handle(self) -> int:
+        """Print the whole dump."""
+        read = daemons.read_state(self.argument('url'))
+        if read.is_err():
+            return self.fail(read.err_value)
+        output.print_json(dict(read.ok_value.dump))
+        return output.ExitCode.OK
+
+
+class Drain(commands.Command):
+    """``drain``."""
+
+    name = 'drain'
+    description = 'Tell a daemon to finish its work and stop.'
+    arguments = [URL]
+
+    def handle(self) -> int:
+        """Start the drain; the daemon stops when its work is done."""
+        told = daemons.drain(self.argument('url'))
+        if told.is_err():
+            return self.fail(told.err_value)
+        output.print_text('draining: it takes no new work and then stops')
+        return output.ExitCode.OK
