--- /dev/null
+++ b/features/positions.feature
@@ -0,0 +1,26 @@
+Feature: Order of the steps at a stage
+  Each position runs once, in order, whatever the links do to the steps.
+
+  Scenario Outline: One step against a stage that stands at epoch 2, position 4
+    When a step of epoch <epoch> with positions <start> to <end> comes to the stage
+    Then the stage's verdict is "<verdict>" with <trim> trimmed and next position <next>
+
+    Examples:
+      | epoch | start | end | verdict   | trim | next |
+      | 2     | 4     | 6   | accept    | 0    | 6    |
+      | 2     | 3     | 6   | trim      | 1    | 6    |
+      | 2     | 2     | 4   | duplicate | 0    | 4    |
+      | 2     | 5     | 6   | gap       | 0    | 4    |
+      | 1     | 4     | 6   | stale     | 0    | 4    |
+      | 3     | 0     | 2   | accept    | 0    | 2    |
+      | 3     | 1     | 2   | gap       | 0    | 0    |
+
+  Scenario: Any order and repetition of steps runs a prefix of the positions once
+    Then for steps of 3 epochs in any order each epoch runs a prefix once
+
+  Scenario: An epoch that ended cannot begin again
+    Given fences that hold 2 requests
+    When epoch 3 of request "a" ends, and then epoch 1
+    Then epoch 3 of "a" has ended and epoch 4 has not
+    When epochs of 2 other requests end
+    Then the fences hold 2 requests, and not "a"
