Add the replica of fleet state and its anti-entropy rounds

Configuration and membership have to reach every process without a store call from each, and must go on spreading while the store is away.

Rounds carry recent changes and two short digests; whole views are compared by hash buckets only where those differ. Suspicion needs two witnesses, the subject refutes by a higher version, and while most of a failure domain is silent its processes are held suspect, not dead.

--- /dev/null
+++ b/packages/core/src/dunlintide_core/membership.py
@@ -0,0 +1,302 @@
+"""Who is in the fleet, as one process sees it."""
+
+import math
+
+import attrs
+
+
+from dunlintide_core import fleet
+from dunlintide_core import hashing
+from dunlintide_core import records
+
+__all__ = ['BUCKETS', 'HOST_LIST', 'Timing', 'View', 'bucket_of']
+
+BUCKETS = 64
+HOST_LIST = 'host-list'
+_DELTA_RECORDS = 16
+_NEEDED_WITNESSES = 2
+_SMALLEST_HELD_DOMAIN = 4
+_MANY = 1 / 16
+_SENDS_PER_LOG2 = 2
+
+
+@attrs.frozen
+class Timing:
+    """Time constants of membership, in seconds.
+
+    :ivar suspect: from two witnesses of different failure domains to death
+    :ivar suspect_same_domain: same, when both share a failure domain
+    :ivar suspect_many: same, while several of its failure domain are
+        silent and the news of more may be under way
+    :ivar held: most time a process is held suspect while most of its
+        failure domain is silent; longer than a region is cut off
+    :ivar tombstone: how long a dead process is remembered
+    """
+
+    suspect: float = 10.0
+    suspect_same_domain: float = 20.0
+    suspect_many: float = 60.0
+    held: float = 7200.0
+    tombstone: float = 10800.0
+
+
+def bucket_of(name: str) -> int:
+    """Return the bucket that holds a name."""
+    return hashing.hash_text(name) % BUCKETS
+
+
+def _fingerprint(record: records.Record) -> int:
+    # Tombstones expire at different times, so they stay out of the hash.
+    if record.dead:
+        return 0
+    peer = record.peer
+    text = f'{peer.name}/{peer.incarnation}/{record.version}/{record.state}'
+    return hashing.hash_text(text)
+
+
+class View:
+    """What one process knows of all.
+
+    :ivar generation: rises whenever the state of a process changes
+    :ivar population: rises whenever a process comes or dies
+    :ivar refutations: times this process had to contradict a suspicion
+    :ivar deaths: processes that this view itself declared dead
+    """
+
+    def __init__(self, me: fleet.Peer, timing: Timing = Timing()) -> None:
+        self.name = me.name
+        self.generation = 0
+        self.population = 0
+        self.refutations = 0
+        self.deaths = 0
+        self._timing = timing
+        self._records: dict[str, records.Record] = {}
+        self._since: dict[str, float] = {}
+        self._sends: dict[str, int] = {}
+        self._doubtful: set[str] = set()
+        self._tombstones: set[str] = set()
+        self._hashes = [0] * BUCKETS
+        self._buckets: list[dict[str, None]] = [{} for _ in range(BUCKETS)]
+        self._listed: set[str] = set()
+        self._store(0.0, records.Record(me))
+
+    @property
+    def me(self) -> records.Record:
+        """records.Record of this process."""
+        return self._records[self.name]
+
+    @property
+    def bucket_hashes(self) -> tuple[int, ...]:
+        """Hash of each bucket's records."""
+        return tuple(self._hashes)
+
+    @property
+    def hash(self) -> int:
+        """Hash of all records; equal views have equal hashes."""
+        total = 0
+        for value in self._hashes:
+            total ^= value
+        return total
+
+    def get(self, name: str) -> records.Record | None:
+        """Return the record of a process."""
+        return self._records.get(name)
+
+    def everything(self) -> list[records.Record]:
+        """Return all records, tombstones too."""
+        return list(self._records.values())
+
+    def present(self) -> list[records.Record]:
+        """Return the records of all that are not dead."""
+        return [each for each in self._records.values() if not each.dead]
+
+    def usable(self) -> list[fleet.Peer]:
+        """Return the processes that may be given new work."""
+        return [
+            each.peer
+            for each in self._records.values()
+            if each.state is records.State.ALIVE
+        ]
+
+    def _store(self, now: float, record: records.Record) -> None:
+        name = record.peer.name
+        old = self._records.get(name)
+        bucket = bucket_of(name)
+        if old is not None:
+            self._hashes[bucket] ^= _fingerprint(old)
+        self._hashes[bucket] ^= _fingerprint(record)
+        self._buckets[bucket][name] = None
+        self._records[name] = record
+        doubted = len(old.witnesses) if old is not None else 0
+        if old is None or old.state is not record.state:
+            self.generation += 1
+            self._since[name] = now
+            if old is None or old.dead != record.dead:
+                self.population += 1
+        elif doubted < _NEEDED_WITNESSES <= len(record.witnesses):
+            self._since[name] = now
+        self._track(name, record)
+        self._sends[name] = 0
+
+    def _track(self, name: str, record: records.Record) -> None:
+        self._doubtful.discard(name)
+        self._tombstones.discard(name)
+        if record.dead:
+            self._tombstones.add(name)
+        elif record.witnesses:
+            self._doubtful.add(name)
+
+    def merge(self, now: float, record: records.Record) -> bool:
+        """Take in a record from a peer; True when it told something new.
+
+        :param now: seconds
+        """
+        name = record.peer.name
+        if name == self.name:
+            return self._hear_of_me(now, record)
+        old = self._records.get(name)
+        if old is None:
+            # Without an address there is nothing to reach it by; the
+            # reconciliation brings the whole record.
+            if record.peer.address and not record.dead:
+                self._store(now, record)
+                return True
+            return False
+        joined = records.join(old, record)
+        if joined == old:
+            return False
+        if not joined.peer.address:
+            return False
+        self._store(now, joined)
+        return True
+
+    def _hear_of_me(self, now: float, record: records.Record) -> bool:
+        mine = self.me
+        if record.peer.incarnation != mine.peer.incarnation:
+            return False
+        contested = record.dead or record.witnesses
+        if contested and record.version >= mine.version:
+            self.refutations += 1
+            self._store(now, attrs.evolve(mine, version=record.version + 1))
+            return True
+        return False
+
+    def depart(self, now: float) -> None:
+        """Announce that this process leaves."""
+        mine = self.me
+        peer = attrs.evolve(mine.peer, leaving=True)
+        self._store(now, records.Record(peer, mine.version + 1))
+
+    def accuse(self, now: float, name: str, domain: str) -> None:
+        """Add this process as a witness that another is silent.
+
+        :param domain: failure domain of this process
+        """
+        record = self._records.get(name)
+        if record is None or record.dead or name == self.name:
+            return
+        known = self._domains(record)
+        if self.name in record.witnesses:
+            return
+        if len(record.witnesses) >= _NEEDED_WITNESSES:
+            if domain in known or len(known) >= _NEEDED_WITNESSES:
+                return
+        self._add_witness(now, record, self.name)
+
+    def _add_witness(
+        self, now: float, record: records.Record, name: str
+    ) -> None:
+        witness = attrs.evolve(record, witnesses=(name,))
+        self.merge(now, witness)
+
+    def _domains(self, record: records.Record) -> set[str]:
+        domains = set()
+        for name in record.witnesses:
+            witness = self._records.get(name)
+            domains.add(witness.peer.failure_domain if witness else name)
+        return domains
+
+    def hear_hosts(self, now: float, live: set[str]) -> None:
+        """Take in the lagging host list as one more witness.
+
+        It counts only against a process that a peer already suspects and
+        that the list once held, since it lags behind starts too.
+
+        :param live: names in the list, leaving ones included
+        """
+        for name in sorted(self._doubtful):
+            if name in self._listed and name not in live:
+                self._add_witness(now, self._records[name], HOST_LIST)
+        self._listed = self._listed & self._records.keys() | live
+
+    def _count_silent(self) -> dict[str, tuple[int, int]]:
+        """Count silent and all processes of each failure domain."""
+        counts: dict[str, tuple[int, int]] = {}
+        if not self._doubtful:
+            return counts
+        for record in self.present():
+            domain = record.peer.failure_domain
+            silent, total = counts.get(domain, (0, 0))
+            counts[domain] = (silent + bool(record.witnesses), total + 1)
+        return counts
+
+    def _patience(
+        self, record: records.Record, counts: dict[str, tuple[int, int]]
+    ) -> float:
+        silent, total = counts[record.peer.failure_domain]
+        if 2 * silent > total >= _SMALLEST_HELD_DOMAIN:
+            return self._timing.held
+        if silent >= _SMALLEST_HELD_DOMAIN and silent >= total * _MANY:
+            return self._timing.suspect_many
+        if len(self._domains(record)) < _NEEDED_WITNESSES:
+            return self._timing.suspect_same_domain
+        return self._timing.suspect
+
+    def settle(self, now: float) -> list[str]:
+        """Declare deaths that are due and forget old tombstones.
+
+        :return: names declared dead
+        """
+        counts = self._count_silent()
+        dead = []
+        for name in sorted(self._doubtful):
+            record = self._records[name]
+            if len(record.witnesses) < _NEEDED_WITNESSES:
+                continue
+            if now - self._since[name] >= self._patience(record, counts):
+                dead.append(name)
+        for name in dead:
+            record = self._records[name]
+            self._store(now, attrs.evolve(record, dead=True))
+        self.deaths += len(dead)
+        self._expire(now)
+        return dead
+
+    def _expire(self, now: float) -> None:
+        limit = now - self._timing.tombstone
+        old = [n for n in self._tombstones if self._since[n] <= limit]
+        for name in old:
+            self._tombstones.discard(name)
+            self._buckets[bucket_of(name)].pop(name)
+            for table in (self._records, self._since, self._sends):
+                table.pop(name, None)
+
+    def deltas(self, limit: int = _DELTA_RECORDS) -> list[records.Record]:
+        """Return recent changes, the least told first, and count them.
+
+        Each is told a few times per doubling of the fleet, then dropped;
+        reconciliation by hash repairs what that leaves out.
+        """
+        most = _SENDS_PER_LOG2 * math.ceil(math.log2(len(self._records) + 1))
+        names = sorted(self._sends, key=self._sends.__getitem__)[:limit]
+        for name in names:
+            self._sends[name] += 1
+        told = [self._records[name] for name in names]
+        for name in names:
+            if self._sends[name] >= most:
+                del self._sends[name]
+        return told
+
+    def bucket(self, index: int) -> list[records.Record]:
+        """Return the records of one bucket, tombstones too."""
+        return [self._records[name] for name in self._buckets[index]]
