Add an in-process network of replicas on a virtual clock

Decisions of a whole fleet are to be judged on one machine.

The network simulates only calls, time and the store; the replicas are the real ones.

--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/network.py
@@ -0,0 +1,355 @@
+"""Replicas of a whole fleet in one process, on a virtual clock.
+
+The decisions are the real ones; only calls, time and the store are
+simulated, so that hundreds of replicas can be judged on one machine.
+"""
+
+import heapq
+import itertools
+import random
+from typing import Callable
+
+import attrs
+
+from dunlintide_core import exchanges
+from dunlintide_core import fleet
+from dunlintide_core import replicas
+from dunlintide_core import revisions
+from dunlintide_core import spread
+
+__all__ = ['Host', 'Network', 'Store', 'make_peers']
+
+CALL_TIMEOUT = 1.0
+SETTLE_SECONDS = 1.0
+READ_SECONDS = 10.0
+MAX_FOLLOW_UPS = 8
+# HTTP/2 frames and compressed headers of one gRPC call, both directions.
+CALL_OVERHEAD_BYTES = 160
+_NEAR_SECONDS = 0.0005
+_FAR_SECONDS = 0.010
+_STORE_SECONDS = 0.005
+
+
+@attrs.define
+class Host:
+    """A process and what it has cost.
+
+    :ivar cut: hosts with different values cannot reach each other
+    """
+
+    peer: fleet.Peer
+    replica: replicas.Replica
+    up: bool = True
+    cut: int = 0
+    watching: bool = False
+    turn: int = 0
+    read_at: float = 0.0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    calls: int = 0
+    adopted: dict[int, float] = attrs.field(factory=dict)
+    lowered: int = 0
+    highest: int = 0
+
+
+@attrs.define
+class Store:
+    """The platform's store in small."""
+
+    up: bool = True
+    snapshot: spread.Snapshot | None = None
+    chunks: dict[str, bytes] = attrs.field(factory=dict)
+    reads: int = 0
+    watches: int = 0
+    notices: int = 0
+
+    def apply(self, document: bytes, author: str = 'trial') -> None:
+        """Put a document in force on top of what the store holds."""
+        parent = self.snapshot.head if self.snapshot else None
+        chunks = revisions.split(document).unwrap()
+        revision = parent.revision + 1 if parent else 1
+        head = revisions.make_head(
+            parent, chunks, f'{author}-{revision}', author, '', 0.0
+        )
+        self.chunks |= {chunk.digest: chunk.body for chunk in chunks}
+        body = revisions.encode_head(head)
+        self.snapshot = spread.Snapshot(head, body, document)
+
+
+class Network:
+    """Hosts, the calls between them and the store, on one clock."""
+
+    def __init__(
+        self,
+        seed: int,
+        size_of: Callable[[object], int] | None = None,
+    ) -> None:
+        """Begin at time 0 with nobody.
+
+        :param size_of: encoded size of a message, None not to count
+        """
+        self.now = 0.0
+        self.hosts: dict[str, Host] = {}
+        self.store = Store()
+        self.calls = 0
+        self.failed_calls = 0
+        self._addresses: dict[str, Host] = {}
+        self._rng = random.Random(seed)
+        self._size_of = size_of
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        """Run an action later."""
+        event = (self.now + delay, next(self._order), action)
+        heapq.heappush(self._events, event)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.run_until(lambda: False, seconds)
+
+    def run_until(self, done: Callable[[], bool], seconds: float) -> bool:
+        """Let time pass until something holds; False when it never did.
+
+        ``done`` is asked ten times a second.
+        """
+        end = self.now + seconds
+        while not done():
+            if self.now >= end:
+                return False
+            step = min(end, self.now + 0.1)
+            while self._events and self._events[0][0] <= step:
+                self.now, _, action = heapq.heappop(self._events)
+                action()
+            self.now = step
+        return True
+
+    def add(
+        self,
+        peer: fleet.Peer,
+        seeds: list[str],
+        timing: replicas.Timing = replicas.Timing(),
+    ) -> Host:
+        """Start a process that knows some addresses."""
+        rng = random.Random(self._rng.random())
+        replica = replicas.Replica(peer, rng, timing)
+        replica.add_seeds(seeds)
+        host = Host(peer, replica, cut=self._cut_of(peer))
+        self.hosts[peer.name] = host
+        self._addresses[peer.address] = host
+        self._schedule(host, rng.random())
+        self.after(rng.random(), lambda: self._settle(host))
+        return host
+
+    def _cut_of(self, peer: fleet.Peer) -> int:
+        same = [
+            host.cut
+            for host in self.hosts.values()
+            if host.peer.failure_domain == peer.failure_domain
+        ]
+        return same[0] if same else 0
+
+    def introduce(self) -> None:
+        """Let all know all, as a fleet that has run for long."""
+        everyone = [host.replica.members.me for host in self.hosts.values()]
+        for host in self.hosts.values():
+            for record in everyone:
+                host.replica.members.merge(self.now, record)
+            for _ in range(len(everyone)):
+                host.replica.members.deltas(len(everyone))
+
+    def up(self) -> list[Host]:
+        """Return the running hosts."""
+        return [host for host in self.hosts.values() if host.up]
+
+    def restart(self, host: Host) -> Host:
+        """Replace a process by a new incarnation that knows nothing."""
+        host.up = False
+        incarnation = host.peer.incarnation + 1
+        peer = attrs.evolve(host.peer, incarnation=incarnation)
+        others = [h.peer.address for h in self.up()]
+        seeds = self._rng.sample(others, min(3, len(others)))
+        return self.add(peer, seeds)
+
+    def _gone(self, host: Host) -> bool:
+        return not host.up or self.hosts.get(host.peer.name) is not host
+
+    def resume(self, host: Host) -> None:
+        """Let a process that was down go on where it was."""
+        host.up = True
+        self._schedule(host, 0.0)
+        self._settle(host)
+
+    def _schedule(
+        self, host: Host, delay: float, turn: int | None = None
+    ) -> None:
+        """Plan the next round, unless another was planned since."""
+        if turn is not None and turn != host.turn:
+            return
+        host.turn += 1
+        turn = host.turn
+        self.after(delay, lambda: self._round(host, turn))
+
+    def _wake(self, host: Host) -> None:
+        if host.replica.urgent and not self._gone(host):
+            self._schedule(host, host.replica.pause())
+
+    def _round(self, host: Host, turn: int) -> None:
+        if self._gone(host) or turn != host.turn:
+            return
+        target = host.replica.choose()
+        if target is None:
+            self._schedule(host, host.replica.pause(), turn)
+            return
+        request = host.replica.open(self.now, target)
+        self._call(host, target, request, turn)
+
+    def _call(
+        self,
+        host: Host,
+        target: exchanges.Target,
+        request: exchanges.Request,
+        turn: int,
+        left: int = MAX_FOLLOW_UPS,
+    ) -> None:
+        other = self._addresses.get(target.address)
+        self.calls += 1
+        if other is None or not other.up or other.cut != host.cut:
+            self.failed_calls += 1
+            self.after(CALL_TIMEOUT, lambda: self._fail(host, target, turn))
+            return
+        same = other.peer.region == host.peer.region
+        delay = _NEAR_SECONDS if same else _FAR_SECONDS
+        self.after(
+            delay,
+            lambda: self._deliver(host, other, target, request, turn, left),
+        )
+
+    def _deliver(self, host, other, target, request, turn, left) -> None:
+        if not other.up:
+            self.after(CALL_TIMEOUT, lambda: self._fail(host, target, turn))
+            return
+        reply = other.replica.answer(self.now, request)
+        self._count(host, other, request)
+        self._count(other, host, reply)
+        self._wake(other)
+        self.after(
+            _NEAR_SECONDS,
+            lambda: self._take(host, target, reply, turn, left),
+        )
+
+    def _count(self, source: Host, sink: Host, message: object) -> None:
+        if self._size_of is None:
+            return
+        size = self._size_of(message) + CALL_OVERHEAD_BYTES // 2
+        source.sent_bytes += size
+        sink.received_bytes += size
+
+    def _take(self, host, target, reply, turn, left) -> None:
+        if self._gone(host):
+            return
+        follow = host.replica.take(self.now, target, reply)
+        self._note(host)
+        if follow is not None and left > 0:
+            self._call(host, target, follow, turn, left - 1)
+            return
+        self._schedule(host, host.replica.pause(), turn)
+
+    def _fail(self, host: Host, target: exchanges.Target, turn: int) -> None:
+        if self._gone(host):
+            return
+        host.replica.fail(self.now, target)
+        self._schedule(host, host.replica.pause(), turn)
+
+    def _note(self, host: Host) -> None:
+        revision = host.replica.spread.revision
+        if revision < host.highest:
+            host.lowered += 1
+        host.highest = max(host.highest, revision)
+        host.adopted.setdefault(revision, self.now)
+
+    def _settle(self, host: Host) -> None:
+        if self._gone(host):
+            return
+        host.replica.settle(self.now)
+        self._watch(host)
+        self.after(SETTLE_SECONDS, lambda: self._settle(host))
+
+    def _watch(self, host: Host) -> None:
+        watcher = host.replica.is_watcher
+        if watcher and not host.watching:
+            self.store.watches += 1
+            host.read_at = self.now
+        host.watching = watcher
+        if watcher and self.now >= host.read_at:
+            host.read_at = self.now + READ_SECONDS
+            self._read(host)
+
+    def publish(self, document: bytes) -> int:
+        """Apply a document and notify the watchers; return its revision."""
+        self.store.apply(document)
+        for host in self.up():
+            if host.watching and self.store.up:
+                self.store.notices += 1
+                self.after(_STORE_SECONDS, lambda h=host: self._read(h))
+        return self.store.snapshot.head.revision
+
+    def _read(self, host: Host) -> None:
+        if self._gone(host) or not self.store.up:
+            return
+        self.store.reads += 1
+        snapshot = self.store.snapshot
+        if snapshot is None:
+            return
+        share = host.replica.spread
+        share.note_store(snapshot.head.revision)
+        if share.take_head(snapshot.body):
+            missing = share.missing()
+            self.store.reads += len(missing)
+            share.take_chunks(self.store.chunks[d] for d in missing)
+            host.replica.adopt()
+            self._note(host)
+            self._wake(host)
+
+
+def make_peers(entries: int, agents: int, domains: int) -> list[fleet.Peer]:
+    """Make processes spread evenly over failure domains in two regions."""
+    peers = []
+    for index in range(entries + agents):
+        domain = index % domains
+        role = fleet.Role.ENTRY if index < entries else fleet.Role.AGENT
+        endpoint = None
+        if role is fleet.Role.AGENT:
+            endpoint = _make_endpoint(index - entries, domains)
+        peers.append(
+            fleet.Peer(
+                name=f'{role}-{index}',
+                role=role,
+                incarnation=1_900_000_000_000 + index,
+                failure_domain=f'domain-{domain}',
+                region='north' if 2 * domain < domains else 'south',
+                address=f'10.0.{index // 250}.{index % 250}:7080',
+                endpoint=endpoint,
+            )
+        )
+    return peers
+
+
+_MODELS = 5
+_RANGES = 3
+_RANGE_LAYERS = 8
+
+
+def _make_endpoint(index: int, domains: int) -> fleet.Endpoint:
+    kind = index // domains % (_MODELS * _RANGES)
+    start = kind % _RANGES * _RANGE_LAYERS
+    return fleet.Endpoint(
+        kind=fleet.EndpointKind.ENGINE,
+        model=f'model-{kind // _RANGES}',
+        version='1',
+        layer_start=start,
+        layer_end=start + _RANGE_LAYERS,
+        layer_count=_RANGES * _RANGE_LAYERS,
+        accelerator='a100',
+        tokens_per_second=4000.0,
+    )
