Run nothing before the next stage is linked

A request whose next stage was gone ran at the head and then failed, so a non-idempotent one ended as unknown for nothing. The head now begins only once the link to the next stage is up and leads to the life of it that the chain names; else the request has not run. An engine that is slow to answer its health check is given up after three failures in a row, one that refuses connections at once, and the cap is a token budget from the reported KV cache usage.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -49,6 +49,21 @@
     And a request for 4 tokens goes to the head
     Then its head says "no-capacity" and that it did not run
 
+  Scenario: A request whose next stage cannot be reached has not run
+    Given 3 agents of 4 layers each
+    When a claimed request comes whose next stage cannot be reached
+    Then its head says "link-lost" and that it did not run
+    And no engine ran anything
+
+  Scenario: An engine that hangs fails its requests and serves again
+    Given 1 agents of 12 layers each
+    And each engine step takes 0.02 s
+    When a request for 500 tokens runs and its engine hangs
+    Then its head says "endpoint-failed" and that it may have run
+    When the engine hangs no more
+    And 2 requests for 4 tokens go to the head
+    Then each request gets exactly the model's tokens and an end mark
+
   Scenario: A repeat gets the first answer and no second run
     Given 3 agents of 4 layers each
     And each engine step takes 0.02 s
--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -377,6 +377,34 @@
     wait_until(lambda: context.agents[0].gate.fault, 'fault')
 
 
+@behave.when('a claimed request comes whose next stage cannot be reached')
+def open_unreachable(context):
+    message = build_open(context, 'r1', 4, claim=build_claim(context, b'key'))
+    (port,) = context.pick_ports(1)
+    message.chain[1].address = f'127.0.0.1:{port}'
+    context.caller.send(open=message)
+
+
+@behave.then('no engine ran anything')
+def check_no_runs(context):
+    for stage in range(len(context.engines)):
+        assert not ask_engine(context, stage, 'GET', '/runs')
+
+
+@behave.when('a request for {tokens:d} tokens runs and its engine hangs')
+def hang_engine(context, tokens):
+    open_request(context, 'r1', tokens)
+    wait_tokens(context, 'r1', 2)
+    ask_engine(context, 0, 'POST', '/control', {'hang': True})
+
+
+@behave.when('the engine hangs no more')
+def mend_engine(context):
+    wait_until(lambda: context.agents[0].gate.fault, 'fault')
+    ask_engine(context, 0, 'POST', '/control', {'hang': False})
+    wait_until(lambda: not context.agents[0].gate.fault, 'engine back')
+
+
 @behave.when('a claimed request for {tokens:d} tokens loses its caller midway')
 def lose_caller(context, tokens):
     claim = build_claim(context, b'key')
--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -235,9 +235,10 @@
             detail = f'unusable answer: {type(error).__name__}'
             return result.Err(EngineError(detail))
 
-    def is_healthy(self) -> bool:
-        """Return whether the engine answers its health check."""
-        return self._call('GET', '/healthz', None, QUICK_SECONDS).is_ok()
+    def check_health(self) -> result.Result[None, EngineError]:
+        """Ask the engine for its health check."""
+        called = self._call('GET', '/healthz', None, QUICK_SECONDS)
+        return called.map(lambda _: None)
 
     def export_session(
         self, session: str
--- a/packages/core/src/dunlintide_core/caps.py
+++ b/packages/core/src/dunlintide_core/caps.py
@@ -93,7 +93,8 @@
 
     def observe(in_flight: InFlight, usage: Usage) -> None:
         nonlocal size
-        size = usage.kv_tokens
+        # A report may leave it out; the cache does not change its size.
+        size = usage.kv_tokens or size
 
     def limit(in_flight: InFlight) -> int:
         if not size or not in_flight.requests:
--- a/packages/daemon/src/dunlintide_daemon/agent/peers.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/peers.py
@@ -15,6 +15,7 @@
 from dunlintide_adapters.wire import link_pb2
 
 __all__ = [
+    'Handlers',
     'Peers',
 ]
 
@@ -23,6 +24,20 @@
 MAX_WAITING_FRAMES = 10_000
 
 
+@attrs.frozen
+class Handlers:
+    """Callbacks of the links, on their reader threads.
+
+    :ivar take: gets frames that come over these links
+    :ivar up: gets the address of a link that is up
+    :ivar lost: gets the address and reason of a lost link
+    """
+
+    take: Callable[[links.Link, list[link_pb2.Frame]], None]
+    up: Callable[[str], None]
+    lost: Callable[[str, str], None]
+
+
 @attrs.define(eq=False)
 class _Peer:
     dialer: links.Dialer
@@ -39,19 +54,13 @@
     def __init__(
         self,
         hello: Callable[[], link_pb2.Hello],
-        take: Callable[[links.Link, list[link_pb2.Frame]], None],
-        lost: Callable[[str, str], None],
+        handlers: Handlers,
         timing: links.LinkTiming = links.LinkTiming(),
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Remember whom to tell.
-
-        :param take: gets frames that come over these links
-        :param lost: gets the address and reason of a lost link
-        """
+        """Remember whom to tell; links open on demand."""
         self._hello = hello
-        self._take = take
-        self._lost = lost
+        self._handlers = handlers
         self._timing = timing
         self._clock = clock
         self._lock = threading.Lock()
@@ -68,6 +77,7 @@
             peer.waiting.clear()
             peer.leaving = link.peer.leaving
             peer.link = link
+        self._handlers.up(address)
 
     def _drop(self, address: str, link: links.Link, reason: str) -> None:
         with self._lock:
@@ -75,7 +85,7 @@
             if peer is not None and peer.link is link:
                 peer.link = None
         if not self._closed:
-            self._lost(address, reason)
+            self._handlers.lost(address, reason)
 
     def _note(
         self, address: str, link: links.Link, frames: list[link_pb2.Frame]
@@ -85,7 +95,7 @@
                 with self._lock:
                     if address in self._peers:
                         self._peers[address].leaving = True
-        self._take(link, frames)
+        self._handlers.take(link, frames)
 
     def _dial(self, address: str) -> _Peer:
         handlers = links.Handlers(
@@ -110,6 +120,12 @@
         peer = self._peers.get(address)
         return peer is not None and peer.leaving
 
+    def get_incarnation(self, address: str) -> int | None:
+        """Return which life of a peer is linked, None while none is."""
+        peer = self._peers.get(address)
+        link = peer.link if peer is not None else None
+        return link.peer.incarnation if link is not None else None
+
     def send(self, address: str, frame: link_pb2.Frame) -> bool:
         """Send a frame, or keep it until the link is up.
 
@@ -171,7 +187,7 @@
             closing = [self._peers.pop(address) for address in idle]
         for address in unreachable:
             logging.info('agent at %s cannot be reached', address)
-            self._lost(address, 'unreachable')
+            self._handlers.lost(address, 'unreachable')
         for peer in closing:
             peer.dialer.stop()
 
--- a/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
@@ -195,11 +195,42 @@
             work=work,
         )
         self._replace(session)
-        job = sessions.build_prompt_job(
+        session.first = sessions.build_prompt_job(
             session, message.prompt, resumed, work.tokens
         )
+        session.waits_until = self._clock() + peering.CONNECT_SECONDS
+        self._begin(session)
+
+    def _begin(self, session: sessions.Session) -> None:
+        """Run the first step, but not before a next stage that is gone.
+
+        So a request whose next stage cannot be reached has not run.
+        """
+        if not session.is_last:
+            stage = session.next
+            linked = self._peers.get_incarnation(stage.address)
+            if linked is None:
+                self._peers.prepare(stage.address)
+                return
+            if stage.incarnation not in (0, linked):
+                self._fail(
+                    session,
+                    outcomes.FailCode.LINK_LOST,
+                    'the next stage has restarted',
+                    stage.agent,
+                    False,
+                )
+                return
+        job, session.first = session.first, None
         self.driver.submit(job)
 
+    def raise_peer(self, address: str) -> None:
+        """Begin what waited for a link that is up now."""
+        with self._gate.lock:
+            for session in list(self._sessions.values()):
+                if session.first and session.next.address == address:
+                    self._begin(session)
+
     def _stop(self, work: works.Work) -> None:
         session = self._sessions.get(work.request_id)
         if session is not None and session.work is work:
@@ -557,7 +588,7 @@
         with self._gate.lock:
             for session in list(self._sessions.values()):
                 agent = ''
-                if not session.is_last and session.announced:
+                if session.announced:
                     if session.next.address == address:
                         agent = session.next.agent
                 if not session.is_head and session.head.address == address:
@@ -593,12 +624,20 @@
                 )
 
     def tick(self) -> None:
-        """Free later stages' sessions that nobody ended."""
+        """End what waits for a link in vain, and what nobody ended."""
         now = self._clock()
         with self._gate.lock:
             for session in list(self._sessions.values()):
-                if session.is_head:
+                if session.first and now > session.waits_until:
+                    self._fail(
+                        session,
+                        outcomes.FailCode.LINK_LOST,
+                        'the next stage cannot be reached',
+                        session.next.agent,
+                        False,
+                    )
+                elif session.is_head:
                     continue
-                if now > session.deadline + STAGE_SLACK_SECONDS:
+                elif now > session.deadline + STAGE_SLACK_SECONDS:
                     self._counts.drop('forgotten-session')
                     self._release(session)
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -83,7 +83,9 @@
             settings.timing.redial,
         )
         self._peers = peering.Peers(
-            self._build_hello, self._take, self._lose_peer, self._timing
+            self._build_hello,
+            peering.Handlers(self._take, self._raise_peer, self._lose_peer),
+            self._timing,
         )
         handlers = links.Handlers(self._welcome, self._take, self._lose_link)
         # The port is the host-local lock against a second agent.
@@ -112,7 +114,9 @@
         settings = gates.GateSettings(
             self.settings.name, self.incarnation, queue=limits
         )
-        cap = caps.fix(self._max_in_flight)
+        cap = caps.budget(self._max_in_flight)
+        if self.endpoint.kind is fleet.EndpointKind.SERVICE:
+            cap = caps.fix(self._max_in_flight)
         return gates.Gate(settings, cap, self.counts)
 
     def _build_engine_side(self) -> None:
@@ -179,6 +183,10 @@
         if self.pipeline is not None:
             self.pipeline.lose_link(link)
 
+    def _raise_peer(self, address: str) -> None:
+        if self.pipeline is not None:
+            self.pipeline.raise_peer(address)
+
     def _lose_peer(self, address: str, reason: str) -> None:
         if self.pipeline is not None:
             self.pipeline.lose_peer(address, reason)
--- a/packages/daemon/src/dunlintide_daemon/agent/sessions.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/sessions.py
@@ -31,6 +31,8 @@
     :ivar upstream: link over which the steps come; behind the head
     :ivar announced: whether the next stage has its setup
     :ivar ran: whether a step may have run on this agent's engine
+    :ivar first: the head's first step, until the next stage is linked
+    :ivar waits_until: monotonic time at which that wait ends
     """
 
     request_id: str
@@ -49,6 +51,8 @@
     upstream: links.Link | None = None
     announced: bool = False
     ran: bool = False
+    first: drivers.Job | None = None
+    waits_until: float = 0.0
 
     @property
     def is_head(self) -> bool:
--- a/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
@@ -24,8 +24,11 @@
     'Supervisor',
 ]
 
-PROBE_SECONDS = 0.2
-_LOAD_WEIGHT = 0.3
+REPORT_SECONDS = 1.0
+# A busy engine may be slow to answer; one that refuses connections is gone.
+MAX_STRIKES = 3
+# Below this the size of the KV cache cannot be told from its usage.
+_LEAST_USAGE = 0.01
 
 
 @attrs.frozen
@@ -88,7 +91,8 @@
         self._engine = engine
         self._hooks = hooks
         self._down = False
-        self._probed = 0.0
+        self._strikes = 0
+        self._reported = 0.0
         self._draining = False
 
     def on_receive(self, message) -> None:
@@ -106,7 +110,14 @@
         self._hooks.crash()
 
     def _check_engine(self, detail: str) -> None:
-        if self._down or self._engine.is_healthy():
+        if self._down:
+            return
+        checked = self._engine.check_health()
+        if checked.is_ok():
+            self._strikes = 0
+            return
+        self._strikes += 1
+        if checked.err_value.sent and self._strikes < MAX_STRIKES:
             return
         self._down = True
         logging.warning('the engine is away: %s', detail)
@@ -115,8 +126,9 @@
         self._hooks.lose_sessions('the engine is away')
 
     def _probe(self) -> None:
-        if self._engine.is_healthy():
+        if self._engine.check_health().is_ok():
             self._down = False
+            self._strikes = 0
             logging.info('the engine is back')
             self._gate.set_fault('')
 
@@ -126,21 +138,29 @@
         if self._draining and self._hooks.is_idle():
             self._hooks.stop()
         now = time.monotonic()
-        if now - self._probed < 1.0:
+        if now - self._reported < REPORT_SECONDS:
             return
-        self._probed = now
+        self._reported = now
         self._report()
 
+    def _observe(self, load: engines.EngineLoad) -> None:
+        size = 0
+        if load.kv_usage >= _LEAST_USAGE:
+            size = int(load.kv_tokens / load.kv_usage)
+        usage = caps.Usage(load.kv_usage, size, load.queued)
+        with self._gate.lock:
+            self._gate.cap.observe(self._gate.in_flight, usage)
+
     def _report(self) -> None:
         load = engines.EngineLoad()
         if self._engine is not None and not self._down:
             read = self._engine.read_load()
-            if read.is_err() and not read.err_value.status:
+            if read.is_ok():
+                load = read.ok_value
+                self._strikes = 0
+                self._observe(load)
+            elif not read.err_value.status:
                 self._check_engine(read.err_value.detail)
-            load = read.unwrap_or(load)
-            usage = caps.Usage(load.kv_usage, 0, load.queued)
-            with self._gate.lock:
-                self._gate.cap.observe(self._gate.in_flight, usage)
         self._hooks.report(load)
 
     def _drain(self) -> None:
