--- /dev/null
+++ b/packages/core/src/dunlintide_core/capacity.py
@@ -0,0 +1,256 @@
+"""Actual capacity of endpoints, learnt from their load reports.
+
+Evidence against an endpoint: it delivers less than it should while work
+waits for it, or its steps take several times as long as they did with
+batches of that size. Evidence for it: the rate at which it works while
+it works at all. Without traffic an estimate drifts back, later each time
+that this proves wrong, so that a recovered endpoint is found again.
+"""
+
+from collections.abc import Iterable
+import math
+
+import attrs
+
+from dunlintide_core import fleet
+from dunlintide_core import plan as plans
+
+__all__ = [
+    'CapacityModel',
+    'Factor',
+]
+
+# A slow endpoint keeps this share, so that its recovery shows.
+FLOOR = 0.03
+# Declared capacity may be too low by this much.
+CEILING = 1.5
+# An estimate rises at most by this factor with each report.
+_RISE = 1.6
+# Less than this below the estimate is noise.
+_NOISE = 0.9
+# An estimate changes the plan when it moved by this factor since.
+_REPLAN_FACTOR = 1.15
+_BUSY = 0.9
+# Steps this many times longer than usual mean a slow endpoint.
+_SLOW_STEP = 3.0
+_BASELINE_WEIGHT = 0.2
+_HOLD_SECONDS = 4.0
+_LONGEST_HOLD_SECONDS = 64.0
+
+
+@attrs.define
+class Factor:
+    """A learnt multiple of a declared quality, with damping.
+
+    Each fall doubles the time for which lack of evidence counts for
+    nothing; after that the value drifts upwards.
+
+    :ivar value: multiple of what was declared
+    :ivar published: value that the last plan was made with
+    """
+
+    value: float = 1.0
+    published: float = 1.0
+    ceiling: float = 1.0
+    _hold: float = _HOLD_SECONDS
+    _quiet_until: float = 0.0
+    _raised: float = 0.0
+
+    def lower(self, sample: float, now: float) -> None:
+        """Move down to a sample."""
+        self.value = max(FLOOR, min(self.value, sample))
+        if now >= self._quiet_until:
+            self._hold = min(2.0 * self._hold, _LONGEST_HOLD_SECONDS)
+        self._quiet_until = now + self._hold
+
+    def lift(self, sample: float) -> None:
+        """Move up towards a sample, by a bounded step."""
+        if sample > self.value:
+            self.value = min(sample, self.value * _RISE, self.ceiling)
+        if self.value >= 1.0:
+            self._hold = _HOLD_SECONDS
+
+    def drift(self, now: float) -> None:
+        """Move up for lack of evidence, once a second after the hold."""
+        if self.value >= 1.0 or now < self._quiet_until:
+            return
+        if now - self._raised >= 1.0:
+            self._raised = now
+            self.value = min(1.0, self.value * _RISE)
+
+    def moved(self) -> bool:
+        """Tell whether the value differs enough to plan again."""
+        ratio = self.value / self.published
+        return not 1.0 / _REPLAN_FACTOR < ratio < _REPLAN_FACTOR
+
+
+@attrs.define
+class _Steps:
+    """Usual duration of a step by size of batch, in powers of two."""
+
+    _usual: dict[int, float] = attrs.field(factory=dict)
+
+    def slowness(self, batch: float, seconds: float) -> float:
+        """Compare a duration with the usual one; above 1 is slower."""
+        bucket = max(0, round(math.log2(max(1.0, batch))))
+        usual = self._expect(bucket)
+        if usual is None:
+            self._usual[bucket] = seconds
+            return 1.0
+        if seconds < _SLOW_STEP * usual:
+            known = self._usual.setdefault(bucket, seconds)
+            self._usual[bucket] += _BASELINE_WEIGHT * (seconds - known)
+        return seconds / usual
+
+    def _expect(self, bucket: int) -> float | None:
+        if bucket in self._usual:
+            return self._usual[bucket]
+        lower = [size for size in self._usual if size < bucket]
+        if lower:
+            # A step grows at most in proportion to its batch.
+            nearest = max(lower)
+            return self._usual[nearest] * 2.0 ** (bucket - nearest)
+        return None
+
+
+@attrs.define
+class _Endpoint:
+    """What is known of one endpoint."""
+
+    declared: float
+    factor: Factor
+    steps: _Steps = attrs.field(factory=_Steps)
+    last: fleet.LoadReport | None = None
+    heard: float = 0.0
+    slow: float | None = None
+
+
+@attrs.frozen
+class _Sample:
+    """What one report says.
+
+    :ivar rate: multiple of the declared rate while working, or None
+    :ivar slow: multiple of it that evidence of slowness gives, or None
+    """
+
+    rate: float | None
+    slow: float | None
+
+
+def _busy_fraction(
+    last: fleet.LoadReport | None, report: fleet.LoadReport, elapsed: float
+) -> float | None:
+    if last is None or not report.steps or elapsed <= 0.0:
+        return None
+    steps = report.steps - last.steps
+    if steps < 0:
+        return None
+    return min(1.0, steps * report.step_seconds / elapsed)
+
+
+def _mean_batch(report: fleet.LoadReport, busy: float | None) -> float:
+    if busy:
+        return report.tokens_per_second * report.step_seconds / busy
+    # Without a count of steps the sessions on it stand for the batch.
+    return 0.0 if report.steps else float(report.running)
+
+
+def _read(
+    endpoint: _Endpoint, report: fleet.LoadReport, elapsed: float
+) -> _Sample:
+    delivered = report.tokens_per_second / endpoint.declared
+    busy = _busy_fraction(endpoint.last, report, elapsed)
+    rate = delivered / busy if busy else delivered
+    slow = None
+    waiting = report.queued > 0 and (busy is None or busy >= _BUSY)
+    if waiting and delivered > 0.0:
+        slow = delivered
+    batch = _mean_batch(report, busy)
+    if batch and report.step_seconds > 0.0:
+        slowness = endpoint.steps.slowness(batch, report.step_seconds)
+        if slowness >= _SLOW_STEP:
+            # The rate while working bounds the capacity from below.
+            slow = max(rate, min(slow or 1.0, 1.0 / slowness))
+    return _Sample(rate, slow)
+
+
+class CapacityModel:
+    """Estimates of all endpoints' capacities."""
+
+    def __init__(self) -> None:
+        self._endpoints: dict[str, _Endpoint] = {}
+
+    def track(self, stops: Iterable[plans.Stop]) -> None:
+        """Follow these endpoints, by declared capacity, and no others."""
+        kept = {}
+        for stop in stops:
+            known = self._endpoints.get(stop.agent)
+            if known is None or known.declared != stop.capacity:
+                known = _Endpoint(stop.capacity, Factor(ceiling=CEILING))
+            kept[stop.agent] = known
+        self._endpoints = kept
+
+    def observe(
+        self, agent: str, report: fleet.LoadReport, now: float
+    ) -> None:
+        """Take a load report.
+
+        :param now: time in seconds
+        """
+        endpoint = self._endpoints.get(agent)
+        if endpoint is None or endpoint.declared <= 0.0:
+            return
+        told = now - report.age
+        if told <= endpoint.heard and endpoint.last is not None:
+            return
+        sample = _read(endpoint, report, told - endpoint.heard)
+        endpoint.last = report
+        endpoint.heard = told
+        self._weigh(endpoint, sample, now)
+
+    def _weigh(self, endpoint: _Endpoint, sample: _Sample, now: float) -> None:
+        factor = endpoint.factor
+        before, endpoint.slow = endpoint.slow, sample.slow
+        if sample.slow is not None and sample.slow < _NOISE * factor.value:
+            # Two reports in a row must agree; the milder one counts.
+            if before is not None:
+                factor.lower(max(before, sample.slow), now)
+            return
+        if sample.rate:
+            factor.lift(sample.rate)
+        if sample.slow is None:
+            factor.drift(now)
+
+    def explains(self, agent: str) -> bool:
+        """Tell whether an agent itself delays what runs over it."""
+        known = self._endpoints.get(agent)
+        if known is None or known.last is None:
+            return False
+        return known.last.queued > 0 or known.slow is not None
+
+    def apply(self, stops: Iterable[plans.Stop]) -> list[plans.Stop]:
+        """Give the stops with their learnt capacities, for a plan."""
+        result = []
+        for stop in stops:
+            known = self._endpoints.get(stop.agent)
+            if known is not None:
+                factor = known.factor
+                factor.published = factor.value
+                stop = attrs.evolve(
+                    stop, capacity=stop.capacity * factor.value
+                )
+            result.append(stop)
+        return result
+
+    def moved(self) -> bool:
+        """Tell whether an estimate moved enough to plan again."""
+        return any(
+            endpoint.factor.moved() for endpoint in self._endpoints.values()
+        )
+
+    def factors(self) -> dict[str, float]:
+        """Give the multiple of its declared capacity for each agent."""
+        return {
+            name: endpoint.factor.value
+            for name, endpoint in self._endpoints.items()
+        }
--- a/packages/core/src/dunlintide_core/plan.py
+++ b/packages/core/src/dunlintide_core/plan.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+import itertools
 
 import attrs
 import networkx
@@ -23,8 +24,6 @@
 
 # Flows are whole numbers, so that they are exact and ties are stable.
 _UNITS_PER_TOKEN = 1000
-# A measured link this many times worse than its default is planned alone.
-_EXCEPTION_FACTOR = 2.0
 # Latencies are whole microseconds in the network, for the same reason.
 _COST_PER_SECOND = 1_000_000
 _SOURCE = 0
@@ -67,7 +66,8 @@
     :ivar default: where nothing else is known
     :ivar domains: by (from, to) failure domain: what all agents of the
         two carry together at one layer boundary
-    :ivar agents: by (from, to) agent: what was measured for that pair
+    :ivar agents: by (from, to) agent: what was measured for that pair;
+        it only decides which agents of two failure domains are paired
     """
 
     default: LinkQuality = LinkQuality()
@@ -134,27 +134,17 @@
         self._hubs: dict[tuple[str, int, str], int] = {}
         self._links = links
         self._layers = layers
-        self._excepted = self._find_excepted()
         self.graph.add_nodes_from((_SOURCE, _SINK))
         for index in range(len(stops)):
             self._add_stop(index)
         self._join_hubs()
 
-    def _find_excepted(self) -> set[str]:
-        by_agent = {stop.agent: stop for stop in self.stops}
-        found = set()
-        for (source, target), quality in self._links.agents.items():
-            first, second = by_agent.get(source), by_agent.get(target)
-            if first is None or second is None:
-                continue
-            usual = self._links.between_domains(
-                first.failure_domain, second.failure_domain
-            )
-            slow = quality.latency > usual.latency * _EXCEPTION_FACTOR
-            rate = quality.tokens_per_second * _EXCEPTION_FACTOR
-            if slow or rate < usual.tokens_per_second:
-                found.add(source)
-        return found
+    def stop_at(self, node: int) -> Stop | None:
+        """Give the endpoint of a node, None for a hub, source or sink."""
+        index = (node - 2) // 2
+        if node < 2 or index >= len(self.stops):
+            return None
+        return self.stops[index]
 
     def _hub(self, side: str, boundary: int, domain: str) -> int:
         key = (side, boundary, domain)
@@ -184,18 +174,10 @@
             self._add_edge(hub, entering, own)
         if stop.layer_end == self._layers:
             self._add_edge(leaving, _SINK, own)
-        elif stop.agent in self._excepted:
-            self._add_direct(leaving, stop)
         else:
             hub = self._hub('out', stop.layer_end, stop.failure_domain)
             self._add_edge(leaving, hub, own)
 
-    def _add_direct(self, leaving: int, stop: Stop) -> None:
-        for index, target in enumerate(self.stops):
-            if target.layer_start == stop.layer_end:
-                quality = self._links.between(stop, target)
-                self._add_edge(leaving, 2 + 2 * index, quality)
-
     def _join_hubs(self) -> None:
         exits = [key for key in self._hubs if key[0] == 'out']
         entrances = [key for key in self._hubs if key[0] == 'in']
@@ -226,49 +208,66 @@
     }
 
 
-def _walk(
-    graph: networkx.DiGraph, flow: dict[int, dict[int, int]]
-) -> list[int]:
-    path = [_SOURCE]
-    while path[-1] != _SINK:
-        edges = graph[path[-1]]
-        path.append(
-            min(
-                flow[path[-1]].items(),
-                key=lambda item: (edges[item[0]]['cost'], -item[1]),
-            )[0]
-        )
-    return path
-
-
-def _decompose(
-    graph: networkx.DiGraph, flow: dict[int, dict[int, int]]
-) -> Iterable[tuple[list[int], int]]:
-    # The graph is acyclic, so each walk over positive flow ends at the
-    # sink, and each takes at least one edge's flow away.
-    while flow.get(_SOURCE):
-        path = _walk(graph, flow)
-        pairs = list(zip(path, path[1:]))
-        amount = min(flow[source][target] for source, target in pairs)
-        for source, target in pairs:
-            flow[source][target] -= amount
-            if not flow[source][target]:
-                del flow[source][target]
-        yield path, amount
-
-
-def _chain(
-    network: _Network, path: list[int], amount: int, links: Links
-) -> Chain:
-    last = 2 + 2 * len(network.stops)
-    stops = tuple(
-        network.stops[(node - 2) // 2]
-        for node in path
-        if 2 <= node < last and node % 2 == 0
-    )
-    hops = zip(stops, stops[1:] + stops[:1])
-    latency = sum(links.between(*hop).latency for hop in hops)
-    return Chain(stops, amount / _UNITS_PER_TOKEN, latency)
+class _Decomposition:
+    """Takes a flow apart into chains, by fast links first."""
+
+    def __init__(
+        self,
+        network: _Network,
+        flow: dict[int, dict[int, int]],
+        links: Links,
+    ) -> None:
+        self._network = network
+        self._flow = flow
+        self._links = links
+
+    def chains(self) -> Iterable[Chain]:
+        """Yield chains until no flow is left.
+
+        The graph is acyclic, so each walk over positive flow ends at the
+        sink, and each takes at least one edge's flow away.
+        """
+        while self._flow.get(_SOURCE):
+            path = self._walk()
+            pairs = list(zip(path, path[1:]))
+            amount = min(self._flow[one][two] for one, two in pairs)
+            for source, target in pairs:
+                self._flow[source][target] -= amount
+                if not self._flow[source][target]:
+                    del self._flow[source][target]
+            yield self._chain(path, amount)
+
+    def _walk(self) -> list[int]:
+        path = [_SOURCE]
+        last: Stop | None = None
+        while path[-1] != _SINK:
+            path.append(self._next(path[-1], last))
+            last = self._network.stop_at(path[-1]) or last
+        return path
+
+    def _next(self, node: int, last: Stop | None) -> int:
+        edges = self._network.graph[node]
+
+        def rank(item: tuple[int, int]) -> tuple[float, int]:
+            target, amount = item
+            stop = self._network.stop_at(target)
+            if stop is None or last is None or stop is last:
+                return edges[target]['cost'], -amount
+            return self._links.between(last, stop).latency, -amount
+
+        return min(self._flow[node].items(), key=rank)[0]
+
+    def _chain(self, path: list[int], amount: int) -> Chain:
+        found = (self._network.stop_at(node) for node in path)
+        stops = tuple(stop for stop, _ in itertools.groupby(found) if stop)
+        share = amount / _UNITS_PER_TOKEN
+        for hop in zip(stops, stops[1:]):
+            measured = self._links.agents.get((hop[0].agent, hop[1].agent))
+            if measured is not None:
+                share = min(share, measured.tokens_per_second)
+        ring = zip(stops, stops[1:] + stops[:1])
+        latency = sum(self._links.between(*hop).latency for hop in ring)
+        return Chain(stops, share, latency)
 
 
 def make_plan(
@@ -295,8 +294,7 @@
     network = _Network(usable, layers, links)
     flow = _find_flow(network.graph)
     merged: dict[tuple[Stop, ...], Chain] = {}
-    for path, amount in _decompose(network.graph, flow):
-        chain = _chain(network, path, amount, links)
+    for chain in _Decomposition(network, flow, links).chains():
         known = merged.get(chain.stops)
         if known is not None:
             chain = attrs.evolve(chain, share=chain.share + known.share)
