Test links by layer boundary and prefer a prompt's holder

Cause: a link between failure domains that is slow at one boundary was cleared by good intervals over another; a general rise had to be told from one slow link; prompts repeat by member.

Change: suspicion is kept by boundary, a suspected link explains its chain, and a rise is general when three quarters of recent intervals show it. affinity.py maps salted prefix blocks to chains, bounded; a holder wins while its load is within a factor. Scenarios for slow stages, slow links and affinity.

--- a/features/planning.feature
+++ b/features/planning.feature
@@ -23,3 +23,27 @@
     When an agent reports 100 requests of other processes
     Then fewer than a third of 200 choices visit it
     And after a minute without a report choices visit it evenly again
+
+  Scenario: A slow stage loses its share within 5 s and gets it back
+    Given modelled entries that learn capacities from late reports
+    When the busiest stage falls to a tenth of its speed
+    Then within 5 s no entry plans more than a fifth of its capacity for it
+    And no other stage's share of its capacity is cut to half
+    And within 30 s of its recovery it carries half of its capacity again
+
+  Scenario: A slow link is told apart from a general rise of load
+    Given token intervals of four chains over two links
+    When all intervals become four times as long
+    Then no link stays suspected
+    When only those over the first link become ten times as long
+    Then the first link is suspected and the second is not
+    And one good interval over each of its pairs clears it in the end
+
+  Scenario: A prompt's holder is preferred until its load is too high
+    Given a planned fleet of two endpoints for each of three ranges
+    And a chain that ran a prompt of a member
+    Then the member's next request with that prompt takes that chain
+    And another member's request with that prompt finds no holder
+    And the chain is not kept once its load is three times another's
+    And it finds no holder after a gap in an agent's cache events
+    And 1000 other prompts leave no more than 100 blocks remembered
--- a/features/steps/planning.py
+++ b/features/steps/planning.py
@@ -9,9 +9,13 @@
 import hypothesis
 from hypothesis import strategies
 
+from dunlintide_core import affinity
 from dunlintide_core import choose
+from dunlintide_core import delays
 from dunlintide_core import fleet
 from dunlintide_core import plan
+from dunlintide_trials import routing
+from dunlintide_trials import stages
 
 LAYERS = 3
 
@@ -185,3 +189,185 @@
 def then_visited_again(context):
     visits = _visits(context, 60.0)
     assert 67 < visits < 133, visits
+
+
+FAULT_AT = 10.0
+
+
+@given('modelled entries that learn capacities from late reports')
+def given_modelled_entries(context):
+    context.stops = [
+        plan.Stop(f'{start}-{rate}', start, start + 1, float(rate))
+        for start in range(LAYERS)
+        for rate in (200, 300, 400)
+    ]
+    links = plan.Links()
+    context.routers = [
+        routing.Router(context.stops, LAYERS, links, seed) for seed in (1, 2)
+    ]
+    entries = [router.entry() for router in context.routers]
+    context.model = stages.Model(
+        context.stops, links, entries, 0, random.Random(3), 14.0
+    )
+    context.model.run(FAULT_AT)
+
+
+def _planned(context):
+    """List for each entry the planned share of each capacity."""
+    found = []
+    for router in context.routers:
+        shares = dict.fromkeys((stop.agent for stop in context.stops), 0.0)
+        for chain in router.plan.chains:
+            for stop in chain.stops:
+                shares[stop.agent] += chain.share
+        for stop in context.stops:
+            shares[stop.agent] /= stop.capacity
+        found.append(shares)
+    return found
+
+
+@when('the busiest stage falls to a tenth of its speed')
+def when_stage_slows(context):
+    context.watched = '1-400'
+    assert all(shares[context.watched] > 0.9 for shares in _planned(context))
+    context.model.stages[context.watched].speed = 0.1
+
+
+@then('within 5 s no entry plans more than a fifth of its capacity for it')
+def then_share_lost(context):
+    context.model.run(FAULT_AT + 5.0)
+    for shares in _planned(context):
+        assert shares[context.watched] < 0.2, shares
+
+
+@then("no other stage's share of its capacity is cut to half")
+def then_others_keep_theirs(context):
+    # The other ranges still have 900 tokens/s for a bound of 540.
+    for router in context.routers:
+        factors = router.capacities.factors()
+        factors.pop(context.watched)
+        assert min(factors.values()) > 0.5, factors
+
+
+@then('within 30 s of its recovery it carries half of its capacity again')
+def then_share_recovered(context):
+    context.model.stages[context.watched].speed = 1.0
+    context.model.run(FAULT_AT + 35.0)
+    for shares in _planned(context):
+        assert shares[context.watched] > 0.5, shares
+
+
+@given('token intervals of four chains over two links')
+def given_intervals(context):
+    heads = [plan.Stop(f'h{n}', 0, 1, 100.0, 'a') for n in range(2)]
+    tails = [plan.Stop(f't{n}', 1, 2, 100.0, n) for n in 'bcbc']
+    context.chains = [
+        plan.Chain((head, tail))
+        for head, tail in zip(heads + heads[::-1], tails)
+    ]
+    context.delays = delays.DelayModel()
+    context.time = 0.0
+    _observe(context, 1.0, 1.0, 20)
+
+
+def _observe(context, first, second, rounds):
+    for _ in range(rounds):
+        context.time += 0.1
+        for chain in context.chains:
+            domain = chain.stops[1].failure_domain
+            times = first if domain == 'b' else second
+            context.delays.observe(chain, 0.05 * times, context.time)
+
+
+@when('all intervals become four times as long')
+def when_all_slow(context):
+    _observe(context, 4.0, 4.0, 40)
+
+
+@when('only those over the first link become ten times as long')
+def when_one_slow(context):
+    _observe(context, 1.0, 1.0, 40)
+    _observe(context, 10.0, 1.0, 10)
+
+
+@then('no link stays suspected')
+def then_none_suspected(context):
+    # Until half of the recent intervals are long, some may be blamed.
+    factors = context.delays.factors()
+    assert not factors, factors
+
+
+@then('the first link is suspected and the second is not')
+def then_first_suspected(context):
+    factors = context.delays.factors()
+    assert factors.get((1, 'a', 'b'), 1.0) < 0.2, factors
+    assert (1, 'a', 'c') not in factors, factors
+    links = context.delays.apply(plan.Links())
+    assert links.between(*context.chains[0].stops).latency > 0.002
+
+
+@then('one good interval over each of its pairs clears it in the end')
+def then_cleared(context):
+    _observe(context, 1.0, 1.0, 10)
+    assert not context.delays.factors(), context.delays.factors()
+
+
+PROMPT = 'Daily special: chicken fried steak. ' * 40
+
+
+@given('a chain that ran a prompt of a member')
+def given_holder(context):
+    context.map = affinity.AffinityMap(limit=100)
+    context.held = context.chooser.choose(0.0, context.rng)
+    blocks = affinity.hash_blocks('salt-diner', PROMPT)
+    assert blocks
+    context.map.record(blocks, context.held.agents, 0.0)
+
+
+def _find(context, salt='salt-diner'):
+    return context.map.find(affinity.hash_blocks(salt, PROMPT), 1.0)
+
+
+def _returns(context):
+    """Count how often 100 choices take the chain that holds the prompt."""
+    chosen = [
+        context.chooser.choose(1.0, context.rng, holders=_find(context))
+        for _ in range(100)
+    ]
+    return sum(chain.agents == context.held.agents for chain in chosen)
+
+
+@then("the member's next request with that prompt takes that chain")
+def then_affinity(context):
+    assert _returns(context) == 100
+
+
+@then("another member's request with that prompt finds no holder")
+def then_not_shared(context):
+    assert _find(context) and not _find(context, 'salt-feed')
+
+
+@then("the chain is not kept once its load is three times another's")
+def then_load_wins(context):
+    others = [
+        stop for stop in context.stops if stop.agent not in context.held.agents
+    ]
+    for _ in range(10):
+        context.chooser.begin(plan.Chain(tuple(others)))
+    for _ in range(30):
+        context.chooser.begin(context.held)
+    assert _returns(context) < 50
+
+
+@then("it finds no holder after a gap in an agent's cache events")
+def then_gap(context):
+    context.map.distrust(context.held.agents[1], 0.5)
+    assert not _find(context)
+
+
+@then('1000 other prompts leave no more than 100 blocks remembered')
+def then_bounded(context):
+    for index in range(1000):
+        blocks = affinity.hash_blocks(f'salt-{index}', PROMPT)
+        context.map.record(blocks, context.held.agents, 1.0)
+    assert 0 < len(context.map) <= 100
--- /dev/null
+++ b/packages/core/src/dunlintide_core/affinity.py
@@ -0,0 +1,138 @@
+"""Which chains likely hold a member's prompt prefix in their caches.
+
+The map is approximate and bounded: it learns from own routing and from
+cache events, which come late and with gaps, so a wrong entry costs one
+prefill and nothing else. Keys contain the member's salt, so that no
+member can find, by timing or otherwise, what another one asked.
+"""
+
+import collections
+from collections.abc import Iterable, Sequence
+import math
+
+import attrs
+import xxhash
+
+__all__ = [
+    'AffinityMap',
+    'Holder',
+    'hash_blocks',
+]
+
+BLOCK_CHARACTERS = 256
+# A longer prefix gains little more; it bounds the work for one prompt.
+MAX_BLOCKS = 64
+DEFAULT_LIMIT = 50_000
+# Chains remembered for one block.
+_HOLDERS = 2
+# Engines evict within minutes under load, and their events may be lost.
+_LIFE_SECONDS = 600.0
+
+_Agents = tuple[str, ...]
+
+
+@attrs.frozen
+class Holder:
+    """A chain that likely holds the start of a prompt.
+
+    :ivar agents: the chain's agents, head first
+    :ivar saved: share of the prompt that it holds, above 0 up to 1
+    """
+
+    agents: _Agents
+    saved: float
+
+
+def hash_blocks(salt: str, prompt: str) -> tuple[int, ...]:
+    """Hash each whole block of a prompt together with all before it.
+
+    :param salt: cache salt of the member; it must not be empty
+    :raises ValueError: without a salt, as members would share entries
+    """
+    if not salt:
+        raise ValueError('a cache salt is required')
+    # The length sets salt and prompt apart.
+    state = xxhash.xxh3_64(f'{len(salt)}/{salt}'.encode())
+    whole = min(len(prompt) // BLOCK_CHARACTERS, MAX_BLOCKS)
+    hashes = []
+    for index in range(whole):
+        start = index * BLOCK_CHARACTERS
+        state.update(prompt[start : start + BLOCK_CHARACTERS].encode())
+        hashes.append(state.intdigest())
+    return tuple(hashes)
+
+
+class AffinityMap:
+    """Blocks and the chains that likely hold them."""
+
+    def __init__(self, limit: int = DEFAULT_LIMIT) -> None:
+        """Start empty.
+
+        :param limit: most blocks that are remembered
+        """
+        self._limit = limit
+        self._blocks: collections.OrderedDict[int, dict[_Agents, float]] = (
+            collections.OrderedDict()
+        )
+        self._lost: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def record(
+        self, blocks: Iterable[int], agents: Sequence[str], now: float
+    ) -> None:
+        """Note that a chain ran these blocks, or says that it holds them.
+
+        :param now: time in seconds
+        """
+        key = tuple(agents)
+        for block in blocks:
+            holders = self._blocks.setdefault(block, {})
+            holders.pop(key, None)
+            holders[key] = now
+            if len(holders) > _HOLDERS:
+                del holders[next(iter(holders))]
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._limit:
+            self._blocks.popitem(last=False)
+
+    def remove(self, agent: str, blocks: Iterable[int]) -> None:
+        """Note that an agent's engine evicted these blocks."""
+        for block in blocks:
+            holders = self._blocks.get(block)
+            if holders is None:
+                continue
+            for agents in [key for key in holders if agent in key]:
+                del holders[agents]
+            if not holders:
+                del self._blocks[block]
+
+    def distrust(self, agent: str, now: float) -> None:
+        """Forget what an agent held: a gap in its events, or a restart."""
+        self._lost[agent] = now
+
+    def forget(self, agent: str) -> None:
+        """Drop the note of a distrusted agent that is gone for good."""
+        self._lost.pop(agent, None)
+
+    def find(self, blocks: Sequence[int], now: float) -> list[Holder]:
+        """List the chains that hold the longest start of a prompt.
+
+        :param now: time in seconds
+        :returns: longest first; empty when nothing is known
+        """
+        found: dict[_Agents, Holder] = {}
+        # A block's hash covers all before it, so the deepest one counts.
+        for index in range(len(blocks) - 1, -1, -1):
+            for agents, when in self._blocks.get(blocks[index], {}).items():
+                if agents not in found and self._trusts(agents, when, now):
+                    found[agents] = Holder(agents, (index + 1) / len(blocks))
+            if found:
+                break
+        return list(found.values())
+
+    def _trusts(self, agents: _Agents, when: float, now: float) -> bool:
+        if now - when > _LIFE_SECONDS:
+            return False
+        return all(when > self._lost.get(agent, -math.inf) for agent in agents)
--- a/packages/core/src/dunlintide_core/capacity.py
+++ b/packages/core/src/dunlintide_core/capacity.py
@@ -65,7 +65,8 @@
 
     def lift(self, sample: float) -> None:
         """Move up towards a sample, by a bounded step."""
-        if sample > self.value:
+        known_good = self.value >= 1.0 and sample < self.value / _NOISE
+        if sample > self.value and not known_good:
             self.value = min(sample, self.value * _RISE, self.ceiling)
         if self.value >= 1.0:
             self._hold = _HOLD_SECONDS
--- a/packages/core/src/dunlintide_core/choose.py
+++ b/packages/core/src/dunlintide_core/choose.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from dunlintide_core import affinity
 from dunlintide_core import fleet
 from dunlintide_core import plan as plans
 
@@ -22,6 +23,10 @@
 # Draws that may hit an avoided agent before the chains are filtered.
 _DRAWS = 8
 
+# The chain that holds a whole prompt is taken while its load is within
+# this factor of the one drawn; a part of the prompt counts for less.
+_AFFINITY_FACTOR = 2.0
+
 _NOTHING: frozenset[str] = frozenset()
 
 
@@ -89,6 +94,7 @@
         self._plan = plans.EMPTY
         self._layers = 0
         self._stops: tuple[plans.Stop, ...] = ()
+        self._by_agent: dict[str, plans.Stop] = {}
         self._loads: dict[str, _Load] = {}
         self._excluded: frozenset[str] = _NOTHING
         self._heads: frozenset[str] | None = None
@@ -104,6 +110,7 @@
         """
         self._plan = plan
         self._stops = tuple(stops)
+        self._by_agent = {stop.agent: stop for stop in self._stops}
         self._layers = layers
         for stop in self._stops:
             load = self._loads.setdefault(stop.agent, _Load(stop.capacity))
@@ -136,26 +143,24 @@
         now: float,
         rng: random.Random,
         avoid: Collection[str] = _NOTHING,
+        holders: Iterable[affinity.Holder] = (),
     ) -> plans.Chain | None:
         """Choose the chain for one request; None when nothing tiles.
 
         :param now: time in seconds
         :param avoid: agents that this request must not meet again
+        :param holders: chains that likely hold the start of its prompt
         """
-        table = self._table
-        if not table.chains:
-            return self._improvise(now, avoid)
-        first = self._draw(table, rng, avoid)
-        if first is None:
-            return self._choose_among_rest(now, avoid)
-        second = self._draw(table, rng, avoid)
-        if second is None or second == first:
-            return table.chains[first]
-        if self._score(table.loads[second], now) < self._score(
-            table.loads[first], now
-        ):
-            first = second
-        return table.chains[first]
+        chosen = self._choose_by_load(now, rng, avoid)
+        if chosen is None:
+            return None
+        for holder in holders:
+            chain = self._chain_of(holder.agents, avoid)
+            if chain is not None and self._is_worth(
+                chain, holder.saved, chosen, now
+            ):
+                return chain
+        return chosen
 
     def begin(self, chain: plans.Chain) -> None:
         """Count a request that was sent along a chain."""
@@ -205,6 +210,52 @@
         )
         self._table = _Table(chains, tuple(sums), loads)
 
+    def _choose_by_load(
+        self, now: float, rng: random.Random, avoid: Collection[str]
+    ) -> plans.Chain | None:
+        table = self._table
+        if not table.chains:
+            return self._improvise(now, avoid)
+        first = self._draw(table, rng, avoid)
+        if first is None:
+            return self._choose_among_rest(now, avoid)
+        second = self._draw(table, rng, avoid)
+        if second is None or second == first:
+            return table.chains[first]
+        if self._score(table.loads[second], now) < self._score(
+            table.loads[first], now
+        ):
+            first = second
+        return table.chains[first]
+
+    def _chain_of(
+        self, agents: tuple[str, ...], avoid: Collection[str]
+    ) -> plans.Chain | None:
+        boundary = 0
+        stops = []
+        for agent in agents:
+            stop = self._by_agent.get(agent)
+            if stop is None or not self._may_visit(stop, avoid):
+                return None
+            if stop.layer_start != boundary:
+                return None
+            boundary = stop.layer_end
+            stops.append(stop)
+        return plans.Chain(tuple(stops)) if boundary == self._layers else None
+
+    def _is_worth(
+        self,
+        chain: plans.Chain,
+        saved: float,
+        other: plans.Chain,
+        now: float,
+    ) -> bool:
+        factor = 1.0 + (_AFFINITY_FACTOR - 1.0) * saved
+        # One more request on an idle chain must not undo its affinity.
+        slack = 1.0 / min(stop.capacity for stop in chain.stops)
+        limit = factor * self.load_of(other, now) + slack
+        return self.load_of(chain, now) <= limit
+
     def _draw(
         self, table: _Table, rng: random.Random, avoid: Collection[str]
     ) -> int | None:
--- a/packages/core/src/dunlintide_core/delays.py
+++ b/packages/core/src/dunlintide_core/delays.py
@@ -9,7 +9,6 @@
 import collections
 from collections.abc import Callable, Iterable, Mapping
 import itertools
-import statistics
 
 import attrs
 
@@ -29,12 +28,17 @@
 _WINDOW_SECONDS = 3.0
 _BASELINE_WEIGHT = 0.1
 _OBSERVATIONS_FOR_BASELINE = 3
-_RECENT = 63
+# Recent intervals that tell how all chains fare; a rise is general when
+# all but this part of them show it.
+_RECENT = 31
+_UNAFFECTED = 0.25
 _MAX_CHAINS = 4096
 _MAX_LINKS = 8192
 _LARGEST_SLOWDOWN = 10.0
 
 _Pair = tuple[str, str]
+# A layer boundary and the failure domains that are joined there.
+_Place = tuple[int, str, str]
 
 
 @attrs.define
@@ -60,15 +64,19 @@
 class _Evidence:
     """What chains say of one link.
 
-    :ivar domains: failure domains that it joins
+    :ivar place: where in the model and the deployment it is
     :ivar pairs: pairs of agents that must agree before it is suspected
     """
 
-    domains: _Pair
+    place: _Place
     pairs: int = 1
     factor: capacity.Factor = attrs.field(factory=capacity.Factor)
     slow: list[tuple[float, float, _Pair]] = attrs.field(factory=list)
 
+    def suspected(self) -> bool:
+        """Tell whether it is known to be several times slower."""
+        return self.factor.value < 1.0 / _SLOW
+
     def add(self, ratio: float, pair: _Pair, now: float) -> None:
         """Weigh the ratio of one chain's interval to its usual one."""
         if ratio < _GOOD:
@@ -115,7 +123,7 @@
     def __init__(self) -> None:
         self._usual = _Bounded(_MAX_CHAINS)
         self._agents = _Bounded(_MAX_LINKS)
-        self._domains = _Bounded(_MAX_LINKS)
+        self._places = _Bounded(_MAX_LINKS)
         self._recent: collections.deque[float] = collections.deque(
             maxlen=_RECENT
         )
@@ -143,11 +151,19 @@
         if ratio is None:
             return
         self._recent.append(ratio)
-        ratio /= max(1.0, statistics.median(self._recent))
+        ratio /= max(1.0, self._general_ratio())
         if ratio >= _GOOD and any(map(explained, chain.agents)):
             return
-        for source, target in zip(chain.stops, chain.stops[1:]):
-            self._accuse(source, target, ratio, now)
+        hops = [
+            self._evidence(source, target)
+            for source, target in zip(chain.stops, chain.stops[1:])
+        ]
+        if ratio >= _GOOD:
+            # A link that is known to be slow explains the whole chain.
+            hops = [hop for hop in hops if hop[2].suspected()] or hops
+        for pair, own, common in hops:
+            own.add(ratio, pair, now)
+            common.add(ratio, pair, now)
 
     def apply(self, links: plans.Links) -> plans.Links:
         """Give the links with what was learnt, for a plan.
@@ -157,21 +173,19 @@
         """
         for evidence in self._all():
             evidence.factor.published = evidence.factor.value
-        domains = dict(links.domains)
-        for pair, evidence in self._suspected(self._domains):
-            usual = links.between_domains(*pair)
-            domains[pair] = _degrade(usual, evidence.factor.value)
+        boundaries = dict(links.boundaries)
+        suspected = set()
+        for place, evidence in self._suspected(self._places):
+            usual = links.between_domains(*place)
+            boundaries[place] = _degrade(usual, evidence.factor.value)
+            suspected.add(place)
         agents = dict(links.agents)
         for pair, evidence in self._suspected(self._agents):
-            if evidence.domains not in domains or (
-                domains[evidence.domains]
-                == links.between_domains(*evidence.domains)
-            ):
-                usual = links.agents.get(pair) or links.between_domains(
-                    *evidence.domains
-                )
+            if evidence.place not in suspected:
+                usual = links.agents.get(pair)
+                usual = usual or links.between_domains(*evidence.place)
                 agents[pair] = _degrade(usual, evidence.factor.value)
-        return attrs.evolve(links, domains=domains, agents=agents)
+        return attrs.evolve(links, boundaries=boundaries, agents=agents)
 
     def drift(self, now: float) -> None:
         """Let suspicion fade; to be called about once a second."""
@@ -182,39 +196,43 @@
         """Tell whether an estimate moved enough to plan again."""
         return any(evidence.factor.moved() for evidence in self._all())
 
-    def factors(self) -> dict[_Pair, float]:
+    def factors(self) -> dict[_Place | _Pair, float]:
         """Give learnt multiples of suspected links.
 
-        Keys are pairs of failure domains and pairs of agents.
+        Keys are (layer boundary, from, to) with failure domains, and
+        (from, to) with agents.
         """
         both = itertools.chain(
-            self._suspected(self._domains), self._suspected(self._agents)
+            self._suspected(self._places), self._suspected(self._agents)
         )
-        return {pair: evidence.factor.value for pair, evidence in both}
+        return {key: evidence.factor.value for key, evidence in both}
 
-    def _accuse(
-        self,
-        source: plans.Stop,
-        target: plans.Stop,
-        ratio: float,
-        now: float,
-    ) -> None:
+    def _general_ratio(self) -> float:
+        ranked = sorted(self._recent)
+        return ranked[int(_UNAFFECTED * len(ranked))]
+
+    def _evidence(
+        self, source: plans.Stop, target: plans.Stop
+    ) -> tuple[_Pair, _Evidence, _Evidence]:
         pair = source.agent, target.agent
-        domains = source.failure_domain, target.failure_domain
-        own = self._agents.reach(pair, lambda: _Evidence(domains))
-        own.add(ratio, pair, now)
-        common = self._domains.reach(
-            domains, lambda: _Evidence(domains, _PAIRS_FOR_DOMAINS)
+        place = (
+            target.layer_start,
+            source.failure_domain,
+            target.failure_domain,
+        )
+        own = self._agents.reach(pair, lambda: _Evidence(place))
+        common = self._places.reach(
+            place, lambda: _Evidence(place, _PAIRS_FOR_DOMAINS)
         )
-        common.add(ratio, pair, now)
+        return pair, own, common
 
     def _all(self) -> Iterable[_Evidence]:
-        return itertools.chain(self._domains.values(), self._agents.values())
+        return itertools.chain(self._places.values(), self._agents.values())
 
     @staticmethod
     def _suspected(
-        known: Mapping[_Pair, _Evidence],
-    ) -> Iterable[tuple[_Pair, _Evidence]]:
+        known: Mapping,
+    ) -> Iterable[tuple]:
         return (item for item in known.items() if item[1].factor.value < 1.0)
 
 
--- a/packages/core/src/dunlintide_core/plan.py
+++ b/packages/core/src/dunlintide_core/plan.py
@@ -66,16 +66,29 @@
     :ivar default: where nothing else is known
     :ivar domains: by (from, to) failure domain: what all agents of the
         two carry together at one layer boundary
+    :ivar boundaries: by (layer boundary, from, to) failure domain, where
+        that differs from the other boundaries
     :ivar agents: by (from, to) agent: what was measured for that pair;
         it only decides which agents of two failure domains are paired
     """
 
     default: LinkQuality = LinkQuality()
     domains: Mapping[tuple[str, str], LinkQuality] = attrs.field(factory=dict)
+    boundaries: Mapping[tuple[int, str, str], LinkQuality] = attrs.field(
+        factory=dict
+    )
     agents: Mapping[tuple[str, str], LinkQuality] = attrs.field(factory=dict)
 
-    def between_domains(self, source: str, target: str) -> LinkQuality:
-        """Give the quality between two failure domains."""
+    def between_domains(
+        self, boundary: int, source: str, target: str
+    ) -> LinkQuality:
+        """Give the quality between two failure domains.
+
+        :param boundary: first layer behind the link
+        """
+        known = self.boundaries.get((boundary, source, target))
+        if known is not None:
+            return known
         return self.domains.get((source, target), self.default)
 
     def between(self, source: Stop, target: Stop) -> LinkQuality:
@@ -84,7 +97,7 @@
         if measured is not None:
             return measured
         return self.between_domains(
-            source.failure_domain, target.failure_domain
+            target.layer_start, source.failure_domain, target.failure_domain
         )
 
 
@@ -185,7 +198,7 @@
             for entering in entrances:
                 if leaving[1] == entering[1]:
                     quality = self._links.between_domains(
-                        leaving[2], entering[2]
+                        leaving[1], leaving[2], entering[2]
                     )
                     self._add_edge(
                         self._hubs[leaving], self._hubs[entering], quality
