--- a/features/commands.feature
+++ b/features/commands.feature
@@ -57,3 +57,22 @@
     Then the command ends with 0 and prints "rule 0 "first" decides"
     When the operator runs "rules explain --member dinner --model copy-7b"
     Then the command ends with 0 and prints "did you mean "diner"?"
+
+  Scenario: An edit of an old copy is refused, of a new one accepted
+    When the operator applies rules "first"
+    And the operator runs "rules show"
+    And the operator keeps what was printed as a copy
+    And the operator applies rules "first, other"
+    And the operator applies the copy with "first" changed to "mine"
+    Then the command ends with 3 and prints "+rules: {"name":"other""
+    When the operator runs "rules show"
+    And the operator keeps what was printed as a copy
+    And the operator applies the copy with "first" changed to "mine"
+    Then the command ends with 0 and prints "revision 3 is accepted"
+    When the operator applies the copy with "mine" changed to "ours"
+    Then the command ends with 0 and prints "revision 4 is accepted"
+
+  Scenario: Checking against a running entry tells what cannot be served
+    Given a daemon that knows one range of layers, for the command line
+    When the operator checks rules "first" against the daemon
+    Then the command ends with 0 and prints "chains end at layer 8"
--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -2,16 +2,19 @@
 
 import contextlib
 import io
+import itertools
 import pathlib
 import tempfile
 import threading
 
+import attrs
 import behave
 import prometheus_client
 import urllib3
 
 from dunlintide_adapters import admin
 from dunlintide_cli import main
+from dunlintide_core import fleet
 from dunlintide_standins.store import server
 
 _TEXT = '''{"members": [{"name": "diner"}],
@@ -29,6 +32,7 @@
     directory = tempfile.TemporaryDirectory()
     context.add_cleanup(directory.cleanup)
     context.rules_file = pathlib.Path(directory.name, 'rules.jsonc')
+    context.copy = pathlib.Path(directory.name, 'copy.jsonc')
 
 
 @behave.given('the store of the command line is down')
@@ -38,11 +42,16 @@
     assert answer.status == 200, answer.data
 
 
-def _start_daemon(context, revisions):
+def _start_daemon(context, revisions, agents=()):
     context.drained = threading.Event()
+
+    def dump():
+        configuration = next(revisions)
+        return {'configuration': configuration, 'fleet': {'agents': agents}}
+
     daemon = admin.AdminServer.from_config(
         '127.0.0.1:0',
-        lambda: {'name': 'entry-1', 'configuration': next(revisions)},
+        dump,
         lambda: admin.Readiness(('still starting',)),
         context.drained.set,
         prometheus_client.CollectorRegistry(),
@@ -55,21 +64,22 @@
 @behave.given('a daemon at revision {revision:d} for the command line')
 def start_daemon(context, revision):
     # It holds the next revision when it is asked for the third time.
-    def follow():
-        yield from [{'revision': revision}] * 2
-        while True:
-            yield {'revision': revision + 1}
-
-    _start_daemon(context, follow())
+    first = itertools.repeat({'revision': revision}, 2)
+    later = itertools.repeat({'revision': revision + 1})
+    _start_daemon(context, itertools.chain(first, later))
 
 
 @behave.given('a daemon stuck at revision {revision:d} for the command line')
 def start_stuck_daemon(context, revision):
-    def stay():
-        while True:
-            yield {'revision': revision}
+    _start_daemon(context, itertools.repeat({'revision': revision}))
+
 
-    _start_daemon(context, stay())
+@behave.given('a daemon that knows one range of layers, for the command line')
+def start_daemon_with_agents(context):
+    kind = fleet.EndpointKind.ENGINE
+    endpoint = fleet.Endpoint(kind, 'copy-7b', '1', 0, 8, 24)
+    agents = [{'name': 'agent-1', 'endpoint': attrs.asdict(endpoint)}]
+    _start_daemon(context, itertools.repeat({'revision': 1}), agents)
 
 
 def _run(context, *arguments):
@@ -79,9 +89,13 @@
     context.printed = text.getvalue()
 
 
-def _apply(context, names, *more):
+def _write(context, names):
     rules = _TEXT % names.replace(', ', _NEXT)
     context.rules_file.write_text(rules)
+
+
+def _apply(context, names, *more):
+    _write(context, names)
     file = str(context.rules_file)
     store = '--store', context.store_url
     _run(context, 'rules', 'apply', file, *store, '--author', 'ann', *more)
@@ -104,6 +118,27 @@
     _apply(context, names, '--wait', time, '--admin', context.daemon_url)
 
 
+@behave.when('the operator keeps what was printed as a copy')
+def keep_copy(context):
+    context.copy.write_text(context.printed)
+
+
+@behave.when('the operator applies the copy with "{old}" changed to "{new}"')
+def apply_copy(context, old, new):
+    text = context.copy.read_text()
+    assert old in text, text
+    context.copy.write_text(text.replace(old, new))
+    file = str(context.copy)
+    _run(context, 'rules', 'apply', file, '--store', context.store_url)
+
+
+@behave.when('the operator checks rules "{names}" against the daemon')
+def check_rules(context, names):
+    _write(context, names)
+    file = str(context.rules_file)
+    _run(context, 'rules', 'check', file, '--admin', context.daemon_url)
+
+
 @behave.when('the operator runs "{line}"')
 def run_line(context, line):
     words = [
--- a/packages/cli/src/dunlintide_cli/changes.py
+++ b/packages/cli/src/dunlintide_cli/changes.py
@@ -127,7 +127,11 @@
             )
         return self.fail(f'{failure.message}; nothing was changed')
 
+    def note_accepted(self, head: revisions.Head) -> None:
+        """Do what a command does once its change is accepted."""
+
     def _confirm(self, head: revisions.Head, wait: float | None) -> int:
+        self.note_accepted(head)
         if self.as_json:
             output.print_json(head)
         else:
@@ -217,6 +221,13 @@
             revision = snapshot.head.revision if snapshot else 0
         return self.change(store, _Change(document, revision, ''), wait)
 
+    def note_accepted(self, head: revisions.Head) -> None:
+        """Let the next change of the same file start from this one."""
+        file = self.argument('file')
+        replaced = files.replace_base(file, head.revision)
+        if replaced.is_err():
+            output.print_error(f'dunlintide: {replaced.err_value}')
+
     def _find_base(self) -> result.Result[int | None, str]:
         given = self.option('base')
         if given:
--- a/packages/cli/src/dunlintide_cli/commands.py
+++ b/packages/cli/src/dunlintide_cli/commands.py
@@ -2,6 +2,7 @@
 
 import os
 
+import attrs
 from cleo.commands import command
 from cleo import helpers
 import result
@@ -15,6 +16,7 @@
     'STORE',
     'STORE_VARIABLE',
     'Command',
+    'Misuse',
 ]
 
 STORE_VARIABLE = 'DUNLINTIDE_STORE'
@@ -33,6 +35,16 @@
 )
 
 
+@attrs.frozen
+class Misuse:
+    """What is wrong with the arguments or the environment."""
+
+    message: str
+
+    def __str__(self) -> str:
+        return self.message
+
+
 class Command(command.Command):
     """A command of ``dunlintide``."""
 
@@ -41,20 +53,21 @@
         """Whether JSON was asked for."""
         return self.option('json')
 
-    def open_store(self) -> result.Result[configstore.ConfigStore, str]:
+    def open_store(self) -> result.Result[configstore.ConfigStore, Misuse]:
         """Open the store that the options or the environment name."""
         url = self.option('store') or os.environ.get(STORE_VARIABLE)
         if not url:
             text = f'no store: give --store URL or set {STORE_VARIABLE}'
-            return result.Err(text)
+            return result.Err(Misuse(text))
         return result.Ok(configstore.ConfigStore.from_url(url))
 
     def fail(self, message: object) -> int:
         """Print why the command failed and give its exit code."""
         output.print_error(f'dunlintide: {message}')
+        if isinstance(message, Misuse):
+            return output.ExitCode.BAD_INPUT
         return output.ExitCode.FAILED
 
     def reject(self, message: object) -> int:
         """Print what is wrong with the arguments and give the exit code."""
-        output.print_error(f'dunlintide: {message}')
-        return output.ExitCode.BAD_INPUT
+        return self.fail(Misuse(str(message)))
--- a/packages/cli/src/dunlintide_cli/daemons.py
+++ b/packages/cli/src/dunlintide_cli/daemons.py
@@ -4,9 +4,12 @@
 from typing import Any, Mapping
 
 import attrs
+import cattrs
 import result
 import urllib3
 
+from dunlintide_core import fleet
+
 __all__ = [
     'State',
     'Unreachable',
@@ -55,10 +58,27 @@
         revision = section.get('revision')
         return revision if isinstance(revision, int) else 0
 
+    def list_endpoints(
+        self,
+    ) -> result.Result[list[fleet.Endpoint], Unreachable]:
+        """List the endpoints that an entry knows of.
+
+        :returns: the endpoints, or that the dump does not tell them
+        """
+        try:
+            agents = self.dump['fleet']['agents']
+            plain = [agent['endpoint'] for agent in agents]
+            return result.Ok(cattrs.structure(plain, list[fleet.Endpoint]))
+        except (KeyError, TypeError, cattrs.BaseValidationError):
+            text = 'its dump tells no endpoints; name an entry'
+            return result.Err(Unreachable(self.url, text))
+
 
 def _call(
     method: str, url: str, path: str, expected: tuple[int, ...]
 ) -> result.Result[dict, Unreachable]:
+    if not url.startswith(('http://', 'https://')):
+        return result.Err(Unreachable(url, 'expected a URL with http://'))
     try:
         answer = urllib3.request(
             method,
--- a/packages/cli/src/dunlintide_cli/files.py
+++ b/packages/cli/src/dunlintide_cli/files.py
@@ -13,6 +13,7 @@
     'find_base',
     'read_draft',
     'read_text',
+    'replace_base',
 ]
 
 _BASE_MARK = re.compile(r'\s*// revision (\d+)\b')
@@ -41,6 +42,25 @@
         return result.Err([jsonc.Problem(path, 1, 1, '', text)])
 
 
+def replace_base(path: str, revision: int) -> result.Result[bool, str]:
+    """Bring the revision that a file's first line names up to date.
+
+    :returns: whether the file names one, or why it cannot be written
+    """
+    text = read_text(path).unwrap_or('')
+    found = _BASE_MARK.match(text)
+    if not found:
+        return result.Ok(False)
+    try:
+        mark = build_base_mark(revision)
+        pathlib.Path(path).write_text(
+            mark + text[found.end() :], encoding='utf-8'
+        )
+    except OSError as error:
+        return result.Err(str(error))
+    return result.Ok(True)
+
+
 def read_draft(
     path: str,
 ) -> result.Result[documents.Draft, list[jsonc.Problem]]:
--- a/packages/cli/src/dunlintide_cli/reading.py
+++ b/packages/cli/src/dunlintide_cli/reading.py
@@ -9,11 +9,13 @@
 
 from dunlintide_adapters import configstore
 from dunlintide_cli import commands
+from dunlintide_cli import daemons
 from dunlintide_cli import files
 from dunlintide_cli import output
 from dunlintide_core import checker
 from dunlintide_core import configuration
 from dunlintide_core import documents
+from dunlintide_core import fleet
 from dunlintide_core import matching
 from dunlintide_core import revisions
 from dunlintide_core import schemas
@@ -27,6 +29,8 @@
     'Show',
 ]
 
+_MAX_WANTED = 4
+
 FILE = helpers.argument('file', 'Document, JSON with comments.')
 OPTIONAL_FILE = helpers.argument(
     'file', 'Document; the one in force if left out.', optional=True
@@ -48,22 +52,40 @@
     name = 'rules check'
     description = 'Check a document without applying it.'
     arguments = [FILE]
-    options = [commands.JSON]
+    options = [commands.JSON, commands.ADMIN]
 
     def handle(self) -> int:
         """Print errors and warnings; fail on errors."""
         draft = files.read_draft(self.argument('file'))
         if draft.is_err():
             return output.print_problems(draft.err_value, self.as_json)
-        return output.print_problems(
-            checker.check(draft.ok_value), self.as_json
-        )
+        endpoints = self._read_endpoints()
+        if endpoints.is_err():
+            return self.fail(endpoints.err_value)
+        problems = checker.check(draft.ok_value, endpoints.ok_value)
+        return output.print_problems(problems, self.as_json)
+
+    def _read_endpoints(
+        self,
+    ) -> result.Result[list[fleet.Endpoint] | None, daemons.Unreachable]:
+        found: list[fleet.Endpoint] = []
+        for url in self.option('admin'):
+            read = daemons.read_state(url)
+            if read.is_err():
+                return read
+            listed = read.ok_value.list_endpoints()
+            if listed.is_err():
+                return listed
+            found.extend(listed.ok_value)
+        return result.Ok(found if self.option('admin') else None)
 
 
 class _Reader(commands.Command):
     """Reads a file, or what is in force."""
 
-    def read_current(self) -> result.Result[configstore.Snapshot | None, str]:
+    def read_current(
+        self,
+    ) -> result.Result[configstore.Snapshot | None, object]:
         """Read what is in force from the store."""
         return self.open_store().and_then(
             lambda store: store.read().map_err(lambda fault: fault.message)
@@ -92,12 +114,13 @@
 
 def _describe_miss(miss: matching.Miss) -> str:
     wanted = miss.wanted
-    if isinstance(wanted, tuple):
-        wanted = list(wanted)
-    return (
-        f'{miss.condition} is {schemas.describe_value(miss.found)},'
-        f' wanted {schemas.describe_value(wanted)}'
-    )
+    if not isinstance(wanted, tuple):
+        wanted = (wanted,)
+    listed = ', '.join(map(schemas.describe_value, wanted[:_MAX_WANTED]))
+    if len(wanted) > _MAX_WANTED:
+        listed += f' and {len(wanted) - _MAX_WANTED} more'
+    found = schemas.describe_value(miss.found)
+    return f'{miss.condition} is {listed}, but the request has {found}'
 
 
 def _list_unknown(
@@ -230,7 +253,7 @@
 
     def _read(
         self, revision: int
-    ) -> result.Result[configstore.Snapshot | None, str]:
+    ) -> result.Result[configstore.Snapshot | None, object]:
         return self.open_store().and_then(
             lambda store: store.read_revision(revision).map_err(
                 lambda fault: fault.message
--- a/packages/core/src/dunlintide_core/schemas.py
+++ b/packages/core/src/dunlintide_core/schemas.py
@@ -39,10 +39,17 @@
 
 
 def describe_value(value: Any) -> str:
-    """Write a value as JSON, cut to a line.
+    """Write a scalar as JSON, cut to a line.
+
+    What an object or a list holds is not shown: it may be a key, put
+    into the wrong field.
 
     :param value: plain value of a document
     """
+    if isinstance(value, dict):
+        return 'an object'
+    if isinstance(value, list):
+        return 'a list'
     text = json.dumps(value, ensure_ascii=False)
     if len(text) > _MAX_VALUE_CHARACTERS:
         text = text[:_MAX_VALUE_CHARACTERS] + '...'
--- a/packages/core/src/dunlintide_core/validation.py
+++ b/packages/core/src/dunlintide_core/validation.py
@@ -20,7 +20,6 @@
 _MODEL_NAME = re.compile(r'[!-~]+')
 _METHOD = re.compile(r'[A-Z]+')
 _KEY_HASH = re.compile(r'[0-9a-f]{64}')
-_UNCLOSED_SET = re.compile(r'\[[!^]?[^]][^]]*$|\[[!^]?\]?$')
 
 
 def _expect(expected: str, value: Any) -> str:
@@ -98,12 +97,24 @@
         yield from _check_name(spot, service.name, _NAME)
 
 
+def _has_open_set(glob: str) -> bool:
+    start = glob.find('[')
+    while start >= 0:
+        # As fnmatch reads it, a "]" that comes first is in the set.
+        first = start + 1 + glob.startswith('!', start + 1)
+        end = glob.find(']', first + 1)
+        if end < 0:
+            return True
+        start = glob.find('[', end)
+    return False
+
+
 def _check_glob(path: jsonc.Path, glob: str) -> Iterator[Fault]:
     if not glob or glob[0] not in '/*?[':
         yield path, _expect('a glob that starts with "/" or "*"', glob)
     if len(glob) > MAX_PATH_CHARACTERS:
         yield path, f'the glob has more than {MAX_PATH_CHARACTERS} characters'
-    if _UNCLOSED_SET.search(glob):
+    if _has_open_set(glob):
         yield path, _expect('a glob with "]" for each "["', glob)
 
 
