--- /dev/null
+++ b/features/entry.feature
@@ -0,0 +1,97 @@
+Feature: The entry settles each request's outcome
+
+  Background:
+    Given an entry with two agents that each hold the whole model
+
+  Scenario: A stream is complete and says so
+    When a caller streams a completion of 5 tokens from the entry
+    Then the stream holds each of the 5 tokens once and its end mark
+    And the entry reports the outcome "complete" to that member only
+
+  Scenario Outline: A faulty request is refused and nothing runs
+    When a caller posts <body> with key "<key>" as member "<member>"
+    Then the entry answers <status> with the outcome "not-run"
+    And no agent of the entry was sent anything
+
+    Examples:
+      | body         | key  | member  | status |
+      | a completion |      | nobody  | 401    |
+      | broken JSON  |      | diner   | 400    |
+      | wrong types  |      | diner   | 400    |
+      | no prompt    |      | diner   | 400    |
+      | no tokens    |      | diner   | 400    |
+      | 2 MiB        |      | diner   | 413    |
+      | a completion | a b  | diner   | 400    |
+      | other model  |      | diner   | 404    |
+      | a completion |      | refused | 403    |
+
+  Scenario: Duplicates and tokens of older epochs are dropped
+    Given the agents send each token twice and under an older epoch
+    When a caller streams a completion of 5 tokens from the entry
+    Then the stream holds each of the 5 tokens once and its end mark
+    And the entry has counted stale and duplicate tokens
+
+  Scenario Outline: An attempt that fails is resumed elsewhere
+    Given the first agent that is asked <fault> after 2 tokens
+    When a caller streams a completion of 5 tokens from the entry
+    Then the stream holds each of the 5 tokens once and its end mark
+    And the other agent was asked to resume after 2 tokens
+
+    Examples:
+      | fault          |
+      | drops its link |
+      | fails          |
+      | skips a token  |
+
+  Scenario: A stream that cannot be finished looks unfinished
+    Given both agents fail after 2 tokens of a new request
+    When a caller streams a completion of 5 tokens from the entry
+    Then the stream ends with an error event and without its end mark
+
+  Scenario: A non-idempotent completion that failed is not run again
+    Given the first agent that is asked fails after 0 tokens
+    When a caller asks for a completion under the key "order-1"
+    Then the entry answers 502 with the outcome "unknown"
+    And the agents of the entry got 1 request in all
+
+  Scenario: After a lost link a key's only executor is asked again
+    Given the first agent that is asked drops its link after 2 tokens
+    When a caller asks for a completion under the key "order-6"
+    Then both requests went to one agent with the same claim
+
+  Scenario: A repeat under a key goes to the first executor
+    When a caller asks for a completion under the key "order-2"
+    And a caller asks for a completion under the key "order-2"
+    Then both requests went to one agent with the same claim
+
+  Scenario: A key names one request
+    When a caller calls the service under the key "order-3" with "one"
+    And a caller calls the service under the key "order-3" with "two"
+    Then the entry answers 422 with the outcome "not-run"
+    And the service was called 1 time
+
+  Scenario: Nothing non-idempotent runs while the store is away
+    Given the entry's store is away
+    When a caller calls the service under the key "order-4" with "one"
+    Then the entry answers 503 with the outcome "not-run"
+    And the service was called 0 times
+
+  Scenario: An executor that is gone leaves the outcome unknown
+    When a caller calls the service under the key "order-5" with "one"
+    And the service's agent is started anew
+    And a caller calls the service under the key "order-5" with "one"
+    Then the entry answers 502 with the outcome "unknown"
+    And the service was called 1 time
+
+  Scenario: A caller that leaves cancels its request
+    Given the agents stop after 2 tokens
+    When a caller of the entry leaves in mid-stream
+    Then the head is told to cancel the request
+
+  Scenario: An agent that is leaving gets no new work
+    When one agent of the entry says that it is leaving
+    Then 4 further completions all go to the other agent
+
+  Scenario: A planned stop finishes what is in flight
+    When the entry is told to stop in mid-stream
+    Then the stream holds each of the 5 tokens once and its end mark
--- /dev/null
+++ b/features/steps/entry.py
@@ -0,0 +1,467 @@
+"""Steps for the entry, with agents and a store made for them."""
+
+from concurrent import futures
+import hashlib
+import json
+import threading
+import time
+
+import attrs
+import behave
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import claims
+from dunlintide_core import configuration
+from dunlintide_core import settings
+from dunlintide_daemon.entry import role
+from dunlintide_daemon.entry import sources
+import result
+import urllib3
+
+WAIT_SECONDS = 30.0
+MODEL = {'model': 'copy', 'prompt': 'soup', 'max_tokens': 5}
+BODIES = {
+    'a completion': json.dumps(MODEL),
+    'broken JSON': '{"model": ',
+    'wrong types': json.dumps(MODEL | {'max_tokens': 'many'}),
+    'no prompt': json.dumps({'model': 'copy'}),
+    'no tokens': json.dumps(MODEL | {'max_tokens': 0}),
+    '2 MiB': json.dumps(MODEL | {'prompt': 'x' * (2 << 20)}),
+    'other model': json.dumps(MODEL | {'model': 'other'}),
+}
+CONFIG = configuration.Configuration(
+    members=tuple(
+        configuration.Member(
+            name, (hashlib.sha256(name.encode()).hexdigest(),)
+        )
+        for name in ('diner', 'rival', 'refused')
+    ),
+    models=(configuration.Model('copy', 24),),
+    services=(configuration.Service('orders', repeatable=False),),
+    rules=(
+        configuration.Rule(
+            'known',
+            configuration.When(member=('diner', 'rival')),
+            configuration.Then(deadline_seconds=3.0),
+        ),
+    ),
+)
+
+
+SETTINGS = settings.Settings(
+    role='entry',
+    name='entry',
+    failure_domain='a',
+    admin_listen='127.0.0.1:0',
+    link_listen='127.0.0.1:0',
+    store_url='http://127.0.0.1:1',
+    host_list_url='http://127.0.0.1:1',
+    listen='127.0.0.1:0',
+    timing=settings.Timing(host_list_poll=0.1),
+    limits=settings.Limits(threads=8),
+)
+
+
+def wait_until(condition):
+    deadline = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError('condition not met in time')
+        time.sleep(0.01)
+
+
+@attrs.define
+class Faults:
+    """What agents do wrong; ``first`` applies to one attempt only."""
+
+    first: str = ''
+    always: str = ''
+    after: int = 0
+    noisy: bool = False
+    gate: threading.Event = attrs.field(factory=threading.Event)
+    lock: threading.Lock = attrs.field(factory=threading.Lock)
+
+    def take(self):
+        with self.lock:
+            fault, self.first = self.first, ''
+            return fault or self.always
+
+
+class Agent:
+    """An agent that answers by itself, on a real link."""
+
+    def __init__(self, name, endpoint, faults, incarnation=1, port=0):
+        self.name = name
+        self.endpoint = endpoint
+        self.faults = faults
+        self.incarnation = incarnation
+        self.asked = []
+        self.cancelled = []
+        self.peers_leaving = []
+        handlers = links.Handlers(
+            lambda link: None, self.take, lambda link, reason: None
+        )
+        self.server = links.LinkServer(
+            f'127.0.0.1:{port}', self.hello, handlers
+        )
+        self.role, self.state = 'agent', 'live'
+        self.address = f'127.0.0.1:{self.server.port}'
+        self.server.start()
+
+    def hello(self):
+        return link_pb2.Hello(
+            name=self.name,
+            role='agent',
+            incarnation=self.incarnation,
+            address=self.address,
+            endpoint=self.endpoint,
+        )
+
+    def take(self, link, frames):
+        for frame in frames:
+            body = frame.WhichOneof('body')
+            if body == 'open':
+                self.asked.append(frame.open)
+                self.run(link, frame.open)
+            elif body == 'call':
+                self.asked.append(frame.call)
+                self.reply(link, frame.call)
+            elif body == 'hello' and frame.hello.leaving:
+                self.peers_leaving.append(frame.hello.name)
+            elif body == 'cancel':
+                self.cancelled.append(frame.cancel.request_id)
+
+    def reply(self, link, call):
+        reply = link_pb2.Reply(
+            request_id=call.terms.request_id,
+            epoch=call.epoch,
+            status=200,
+            body=b'done',
+            last=True,
+        )
+        link.send(link_pb2.Frame(reply=reply))
+
+    def send(self, link, asked, index, epoch):
+        token = link_pb2.Token(
+            request_id=asked.terms.request_id,
+            epoch=epoch,
+            index=index,
+            id=1000 + index,
+            text=f'<{index}>',
+        )
+        link.send(link_pb2.Frame(token=token))
+
+    def run(self, link, asked):
+        fault = self.faults.take()
+        for index in range(len(asked.resumed_tokens), asked.max_tokens):
+            if fault and index >= self.faults.after:
+                self.fail(link, asked, index, fault)
+                return
+            if index == self.faults.after:
+                self.faults.gate.wait(WAIT_SECONDS)
+            self.send(link, asked, index, asked.epoch)
+            if self.faults.noisy:
+                self.send(link, asked, index, asked.epoch)
+                self.send(link, asked, index + 1, asked.epoch - 1)
+        done = link_pb2.Done(
+            request_id=asked.terms.request_id,
+            epoch=asked.epoch,
+            tokens=asked.max_tokens,
+            finish_reason='length',
+            prompt_tokens=1,
+        )
+        link.send(link_pb2.Frame(done=done))
+
+    def fail(self, link, asked, index, fault):
+        if fault == 'drops its link':
+            link.close()
+        elif fault == 'skips a token':
+            self.send(link, asked, index + 1, asked.epoch)
+        elif fault == 'fails':
+            fail = link_pb2.Fail(
+                request_id=asked.terms.request_id,
+                epoch=asked.epoch,
+                code='endpoint-failed',
+                ran=True,
+                agent=self.name,
+            )
+            link.send(link_pb2.Frame(fail=fail))
+
+
+class Writer:
+    """Claims in memory, in place of the store."""
+
+    def __init__(self):
+        self.held = {}
+        self.away = False
+
+    def bind(self, wanted, timeout):
+        if self.away:
+            return result.Err('away')
+        held = self.held.setdefault(wanted.key_digest, wanted)
+        if held.fingerprint != wanted.fingerprint:
+            return result.Err(claims.ReusedKey(held))
+        return result.Ok(held)
+
+    def release(self, binding, timeout):
+        self.held.pop(binding.key_digest, None)
+        return result.Ok(binding)
+
+
+class Entry:
+    """An entry on real sockets, its agents and its callers."""
+
+    def __init__(self, stack):
+        self.stack = stack
+        self.faults = Faults()
+        self.faults.gate.set()
+        self.writer = Writer()
+        engine = link_pb2.Endpoint(
+            kind='engine',
+            model='copy',
+            version='1',
+            layer_end=24,
+            layer_count=24,
+        )
+        service = link_pb2.Endpoint(kind='service', service='orders')
+        self.engines = [
+            Agent(name, engine, self.faults) for name in ('agent-1', 'agent-2')
+        ]
+        self.service = Agent('agent-3', service, self.faults)
+        outside = sources.Sources(
+            lambda: result.Ok(self.agents()), self.follow, self.writer
+        )
+        self.role = role.Entry(SETTINGS, outside, lame_duck=0.0)
+        self.fleet = self.role._fleet
+        self.pool = urllib3.PoolManager(retries=False, timeout=WAIT_SECONDS)
+
+    def follow(self, adopt, stopped):
+        adopt(2, CONFIG)
+        adopt(1, configuration.Configuration())
+        stopped.wait()
+
+    def start(self):
+        for agent in self.agents():
+            self.stack.callback(agent.server.stop)
+        self.stack.enter_context(self.role)
+        wait_until(lambda: len(self.fleet.list_usable()) == 3)
+        wait_until(lambda: self.role.check_readiness().ready)
+
+    def agents(self):
+        return [*self.engines, self.service]
+
+    def asked(self):
+        return [one for agent in self.agents() for one in agent.asked]
+
+    def request(self, method, path, body=None, member='diner', key='', **more):
+        headers = {'Authorization': f'Bearer {member}'}
+        if key:
+            headers['Idempotency-Key'] = key
+        url = f'http://127.0.0.1:{self.role.port}{path}'
+        return self.pool.request(
+            method, url, body=body, headers=headers, **more
+        )
+
+    def complete(self, **more):
+        return self.request(
+            'POST', '/v1/completions', json.dumps(MODEL), **more
+        )
+
+
+@behave.given('an entry with two agents that each hold the whole model')
+def start_entry(context):
+    context.entry = Entry(context.stack)
+    context.entry.start()
+    context.answers = []
+
+
+@behave.given('the agents send each token twice and under an older epoch')
+def make_noisy(context):
+    context.entry.faults.noisy = True
+
+
+@behave.given('the first agent that is asked {fault} after {count:d} tokens')
+def set_first_fault(context, fault, count):
+    context.entry.faults.first = fault
+    context.entry.faults.after = count
+
+
+@behave.given('both agents fail after {count:d} tokens of a new request')
+def set_fault(context, count):
+    context.entry.faults.always = 'fails'
+    context.entry.faults.after = count
+
+
+@behave.given('the agents stop after {count:d} tokens')
+def set_stall(context, count):
+    context.entry.faults.always = 'stops'
+    context.entry.faults.after = count
+
+
+@behave.given("the entry's store is away")
+def take_store_away(context):
+    context.entry.writer.away = True
+
+
+@behave.when('a caller streams a completion of 5 tokens from the entry')
+def stream(context):
+    body = json.dumps(MODEL | {'stream': True})
+    context.answer = context.entry.request('POST', '/v1/completions', body)
+
+
+@behave.when('a caller posts {body} with key "{key}" as member "{member}"')
+@behave.when('a caller posts {body} with key "" as member "{member}"')
+def post(context, body, member, key=''):
+    context.answer = context.entry.request(
+        'POST', '/v1/completions', BODIES[body], member, key
+    )
+
+
+@behave.when('a caller asks for a completion under the key "{key}"')
+def ask_once(context, key):
+    context.answer = context.entry.complete(key=key)
+    context.answers.append(context.answer)
+
+
+@behave.when('a caller calls the service under the key "{key}" with "{body}"')
+def call_once(context, key, body):
+    context.answer = context.entry.request(
+        'POST', '/services/orders/new', body, key=key
+    )
+
+
+@behave.when("the service's agent is started anew")
+def restart_agent(context):
+    old = context.entry.service
+    old.server.stop()
+    new = Agent(old.name, old.endpoint, old.faults, incarnation=2)
+    new.asked = old.asked
+    context.stack.callback(new.server.stop)
+    context.entry.service = new
+    wait_until(lambda: context.entry.fleet.find(old.name, 2) is not None)
+
+
+@behave.when('a caller of the entry leaves in mid-stream')
+def leave(context):
+    body = json.dumps(MODEL | {'stream': True})
+    answer = context.entry.request(
+        'POST', '/v1/completions', body, preload_content=False
+    )
+    answer.read(1)
+    answer.close()
+
+
+@behave.when('the entry is told to stop in mid-stream')
+def stop_midway(context):
+    entry = context.entry
+    entry.faults.gate.clear()
+    entry.faults.after = 2
+    body = json.dumps(MODEL | {'stream': True})
+    with futures.ThreadPoolExecutor(2) as pool:
+        streamed = pool.submit(entry.request, 'POST', '/v1/completions', body)
+        wait_until(lambda: entry.asked())
+        stopping = pool.submit(context.stack.pop_all().close)
+        wait_until(lambda: entry.service.peers_leaving == ['entry'])
+        assert not entry.role.check_readiness().ready
+        entry.faults.gate.set()
+        context.answer = streamed.result(WAIT_SECONDS)
+        stopping.result(WAIT_SECONDS)
+
+
+@behave.when('one agent of the entry says that it is leaving')
+def say_leaving(context):
+    agent = context.entry.engines[0]
+    leaving = link_pb2.Leaving(agent=agent.name, incarnation=1)
+    for link in agent.server.links():
+        link.send(link_pb2.Frame(leaving=leaving))
+    wait_until(lambda: len(context.entry.fleet.list_usable()) == 2)
+
+
+@behave.then('the stream holds each of the 5 tokens once and its end mark')
+def check_stream(context):
+    lines = context.answer.data.decode().split('\n\n')
+    if lines[-2:] != ['data: [DONE]', '']:
+        raise AssertionError(f'no end mark: {lines}')
+    chunks = [json.loads(line[len('data: ') :]) for line in lines[:-2]]
+    text = ''.join(chunk['choices'][0]['text'] for chunk in chunks)
+    assert text == '<0><1><2><3><4>', text
+
+
+@behave.then('the entry reports the outcome "{outcome}" to that member only')
+def check_record(context, outcome):
+    path = '/v1/requests/' + context.answer.headers['X-Request-Id']
+    wait_until(
+        lambda: context.entry.request('GET', path).json()['outcome'] == outcome
+    )
+    rival = context.entry.request('GET', path, member='rival')
+    assert rival.status == 404, rival.status
+
+
+@behave.then('the entry answers {status:d} with the outcome "{outcome}"')
+def check_answer(context, status, outcome):
+    answer = context.answer
+    assert answer.status == status, (answer.status, answer.data)
+    assert answer.headers['Dunlintide-Outcome'] == outcome, answer.headers
+    assert answer.headers['Content-Type'] == 'application/problem+json'
+    assert answer.json()['outcome'] == outcome, answer.data
+
+
+@behave.then('no agent of the entry was sent anything')
+def check_nothing_ran(context):
+    assert not context.entry.asked(), context.entry.asked()
+
+
+@behave.then('the entry has counted stale and duplicate tokens')
+def check_counts(context):
+    counts = context.entry.role._sessions.counts
+    assert counts.stale and counts.duplicate, counts
+
+
+@behave.then('the other agent was asked to resume after {count:d} tokens')
+def check_resumed(context, count):
+    first, second = sorted(context.entry.asked(), key=lambda one: one.epoch)
+    assert (first.epoch, second.epoch) == (1, 2)
+    resumed = [1000 + index for index in range(count)]
+    assert list(second.resumed_tokens) == resumed, second
+    assert first.chain[0].agent != second.chain[0].agent
+
+
+@behave.then('the stream ends with an error event and without its end mark')
+def check_truncated(context):
+    data = context.answer.data
+    assert b'event: error' in data, data
+    assert b'"outcome":"unknown"' in data, data
+    assert b'[DONE]' not in data, data
+
+
+@behave.then('the agents of the entry got {count:d} request in all')
+def check_asked(context, count):
+    assert len(context.entry.asked()) == count, context.entry.asked()
+
+
+@behave.then('both requests went to one agent with the same claim')
+def check_claims(context):
+    assert all(answer.status == 200 for answer in context.answers)
+    first, second = context.entry.asked()
+    assert first.claim.attempt == second.claim.attempt
+    assert first.chain[0].agent == second.chain[0].agent
+
+
+@behave.then('the service was called {count:d} time')
+@behave.then('the service was called {count:d} times')
+def check_calls(context, count):
+    assert len(context.entry.service.asked) == count
+
+
+@behave.then('the head is told to cancel the request')
+def check_cancel(context):
+    agents = context.entry.engines
+    wait_until(lambda: any(agent.cancelled for agent in agents))
+
+
+@behave.then('{count:d} further completions all go to the other agent')
+def check_other(context, count):
+    for _ in range(count):
+        assert context.entry.complete().status == 200
+    asked = [len(agent.asked) for agent in context.entry.engines]
+    assert asked == [0, count], asked
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/answers.py
@@ -0,0 +1,214 @@
+"""Answers of completions and services, and the outcomes they settle."""
+
+from typing import Callable, Iterator
+
+from absl import logging
+import attrs
+import result
+
+from dunlintide_core import outcomes
+from dunlintide_daemon.entry import completions
+from dunlintide_daemon.entry import dispatch
+from dunlintide_daemon.entry import headers as filtering
+from dunlintide_daemon.entry import history
+from dunlintide_daemon.entry import openai
+from dunlintide_daemon.entry import problems
+from dunlintide_daemon.entry import requests
+from dunlintide_daemon.entry import router
+from dunlintide_daemon.entry import services
+
+__all__ = [
+    'STREAMED_OUTCOME',
+    'CompletionAnswer',
+    'Ledger',
+    'respond_json',
+    'respond_service',
+]
+
+# A stream's headers go out before its outcome is known; its end mark, or
+# the lack of one, tells it.
+STREAMED_OUTCOME = 'in-stream'
+_COMPLETE = outcomes.Outcome.COMPLETE.value
+
+
+def respond_json(
+    body: bytes, request_id: str, outcome: str = _COMPLETE
+) -> problems.Response:
+    """Build the answer for a JSON body."""
+    headers = [
+        ('Content-Type', 'application/json'),
+        ('Content-Length', str(len(body))),
+        (problems.OUTCOME_HEADER, outcome),
+        (problems.REQUEST_ID_HEADER, request_id),
+    ]
+    return problems.Response(problems.render_status(200), headers, [body])
+
+
+def respond_service(
+    answer: services.Answer, request_id: str
+) -> problems.Response:
+    """Build the answer for a plain service's answer."""
+    headers = [
+        *filtering.filter_answer_headers(answer.headers),
+        ('Content-Length', str(len(answer.body))),
+        (problems.OUTCOME_HEADER, _COMPLETE),
+        (problems.REQUEST_ID_HEADER, request_id),
+    ]
+    status = problems.render_status(answer.status)
+    return problems.Response(status, headers, [answer.body])
+
+
+@attrs.frozen
+class Ledger:
+    """Where requests' outcomes are noted."""
+
+    history: history.History
+    router: router.Router
+
+    def end(
+        self, caller: router.Caller, refusal: outcomes.Refusal | None
+    ) -> None:
+        """Note an outcome; None stands for a whole answer."""
+        self.history.end(caller.request_id, caller.member, refusal)
+        logging.info(
+            'request %s of %s: %s',
+            caller.request_id,
+            caller.member,
+            refusal.code.value if refusal is not None else _COMPLETE,
+        )
+
+    def release(
+        self,
+        route: router.CompletionRoute | router.ServiceRoute,
+        refusal: outcomes.Refusal,
+    ) -> None:
+        """Free the key of a request that provably never ran."""
+        not_run = refusal.outcome is outcomes.Outcome.NOT_RUN
+        if route.bound is not None and not_run:
+            self.router.release(route.bound)
+
+
+class CompletionAnswer:
+    """One completion on its way to the caller."""
+
+    def __init__(
+        self,
+        context: dispatch.Context,
+        ledger: Ledger,
+        caller: router.Caller,
+        completion: requests.Completion,
+        route: router.CompletionRoute,
+        rendering: openai.Rendering,
+    ) -> None:
+        """Begin the run; nothing is sent before an answer is asked for."""
+        self._ledger = ledger
+        self._caller = caller
+        self._completion = completion
+        self._route = route
+        self._rendering = rendering
+        self._events = completions.run(
+            context, route.job, completion, route.plan
+        )
+
+    def _refuse(
+        self, refusal: outcomes.Refusal
+    ) -> result.Err[outcomes.Refusal]:
+        self._events.close()
+        self._ledger.release(self._route, refusal)
+        self._ledger.end(self._caller, refusal)
+        return result.Err(refusal)
+
+    def gather(self) -> result.Result[problems.Response, outcomes.Refusal]:
+        """Return the answer as one JSON body."""
+        texts: list[str] = []
+        for event in self._events:
+            if isinstance(event, completions.Piece):
+                texts += event.texts
+            elif isinstance(event, outcomes.Refusal):
+                return self._refuse(event)
+            elif isinstance(event, completions.End):
+                body = self._rendering.render_whole(
+                    ''.join(texts),
+                    event.finish_reason,
+                    event.prompt_tokens,
+                    event.tokens,
+                )
+                self._ledger.end(self._caller, None)
+                request_id = self._caller.request_id
+                return result.Ok(respond_json(body, request_id))
+        raise AssertionError('a completion ended without an end')
+
+    def stream(self) -> result.Result[problems.Response, outcomes.Refusal]:
+        """Return the answer as events.
+
+        Headers wait for the first token, so that a request that is
+        refused before gets a problem with its own status.
+        """
+        for event in self._events:
+            if isinstance(event, completions.Wait):
+                continue
+            if isinstance(event, outcomes.Refusal):
+                return self._refuse(event)
+            headers = [
+                ('Content-Type', 'text/event-stream'),
+                ('Cache-Control', 'no-store'),
+                (problems.OUTCOME_HEADER, STREAMED_OUTCOME),
+                (problems.REQUEST_ID_HEADER, self._caller.request_id),
+            ]
+            status = problems.render_status(200)
+            body = _Stream(self._send(event), self._abandon)
+            return result.Ok(problems.Response(status, headers, body))
+        raise AssertionError('a completion ended without an end')
+
+    def _abandon(self) -> None:
+        """End a stream that was closed before it was begun."""
+        self._events.close()
+
+    def _send(self, first: completions.Piece | completions.End):
+        refusal = outcomes.refuse(outcomes.FailCode.CANCELLED, ran=True)
+        finished = False
+        event = first
+        try:
+            while True:
+                if isinstance(event, completions.Piece):
+                    yield b''.join(
+                        map(self._rendering.render_token, event.texts)
+                    )
+                elif isinstance(event, outcomes.Refusal):
+                    refusal = event
+                    request_id = self._caller.request_id
+                    yield openai.render_error_event(event, request_id)
+                    return
+                elif isinstance(event, completions.End):
+                    yield self._rendering.render_end(
+                        event.finish_reason,
+                        event.prompt_tokens,
+                        event.tokens,
+                        include_usage=self._completion.include_usage,
+                    )
+                    finished = True
+                    return
+                event = next(self._events)
+        finally:
+            self._events.close()
+            self._ledger.end(self._caller, None if finished else refusal)
+
+
+class _Stream:
+    """Body whose closing also ends a completion that it never began.
+
+    Closing a generator that was not started runs none of its code.
+    """
+
+    def __init__(
+        self, chunks: Iterator[bytes], abandon: Callable[[], None]
+    ) -> None:
+        self._chunks = chunks
+        self._abandon = abandon
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._chunks
+
+    def close(self) -> None:
+        self._chunks.close()
+        self._abandon()
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/claims.py
@@ -0,0 +1,118 @@
+"""Binding of a non-idempotent request to its one executor."""
+
+from typing import Callable, Protocol
+import uuid
+
+import attrs
+import result
+
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import claims
+from dunlintide_core import outcomes
+from dunlintide_daemon.entry import fleet
+
+__all__ = [
+    'Binder',
+    'Bound',
+    'Writer',
+]
+
+
+class Writer(Protocol):
+    """Makes claims in the platform's store."""
+
+    def bind(
+        self, wanted: claims.Binding, timeout: float
+    ) -> result.Result[claims.Binding, object]:
+        """Make a claim or return the one that holds."""
+
+    def release(
+        self, binding: claims.Binding, timeout: float
+    ) -> result.Result[claims.Binding, object]:
+        """Free the key of a claim that never ran and never will."""
+
+
+@attrs.frozen
+class Bound:
+    """A claim that holds, and the executor that it names.
+
+    :ivar executor: the agent, None when that life of it is gone
+    :ivar repeated: whether an earlier request made the claim
+    """
+
+    binding: claims.Binding
+    executor: fleet.Agent | None
+    repeated: bool
+
+    def build_claim(self) -> link_pb2.Claim:
+        """Return the claim in the form of the wire."""
+        return link_pb2.Claim(
+            key_digest=self.binding.key_digest,
+            fingerprint=self.binding.fingerprint,
+            executor_incarnation=self.binding.incarnation,
+            attempt=self.binding.attempt,
+            generation=self.binding.generation,
+        )
+
+
+def _refuse_store(detail: str) -> result.Err[outcomes.Refusal]:
+    code = outcomes.FailCode.STORE_UNAVAILABLE
+    return result.Err(outcomes.refuse(code, detail, retry_after=5.0))
+
+
+@attrs.frozen
+class Binder:
+    """Binds requests through a writer of claims.
+
+    :ivar wall_clock: seconds since the epoch
+    """
+
+    writer: Writer
+    fleet: fleet.Fleet
+    wall_clock: Callable[[], float]
+
+    def bind(
+        self,
+        member: str,
+        key: str,
+        fingerprint: bytes,
+        proposed: fleet.Agent,
+        retention: float,
+        timeout: float,
+    ) -> result.Result[Bound, outcomes.Refusal]:
+        """Bind a key to an executor, or find the one it is bound to.
+
+        Nothing may be sent before this has succeeded.
+        :param proposed: the executor of a new claim
+        :param retention: seconds for which the claim is kept
+        :param timeout: seconds to wait for the store
+        """
+        wanted = claims.Binding(
+            key_digest=claims.digest_key(member, key),
+            fingerprint=fingerprint,
+            executor=proposed.peer.name,
+            incarnation=proposed.peer.incarnation,
+            attempt=str(uuid.uuid4()),
+            generation=proposed.load.generation,
+            bound_at=int(self.wall_clock()),
+            retention=int(retention),
+        )
+        answer = self.writer.bind(wanted, timeout)
+        if isinstance(answer, result.Err):
+            if isinstance(answer.err_value, claims.ReusedKey):
+                code = outcomes.FailCode.KEY_REUSED
+                detail = 'the key was used for a request with other content'
+                return result.Err(outcomes.refuse(code, detail))
+            return _refuse_store('the request could not be bound')
+        held = answer.ok_value
+        executor = self.fleet.find(held.executor, held.incarnation)
+        repeated = held.attempt != wanted.attempt
+        return result.Ok(Bound(held, executor, repeated))
+
+    def release(self, bound: Bound, timeout: float) -> bool:
+        """Free a key whose request never ran and never will.
+
+        :returns: whether that is known to have been done
+        """
+        answer = self.writer.release(bound.binding, timeout)
+        return isinstance(answer, result.Ok)
--- a/packages/daemon/src/dunlintide_daemon/entry/fleet.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/fleet.py
@@ -277,6 +277,11 @@
                     agent, outstanding=outstanding
                 )
 
+    def announce(self, hello: link_pb2.Hello) -> None:
+        """Tell all agents anew what this entry is."""
+        for agent in self.list_agents():
+            agent.link.send(link_pb2.Frame(hello=hello))
+
     def describe(self) -> Mapping[str, object]:
         """Return the state for a dump."""
         now = time.monotonic()
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/front.py
@@ -0,0 +1,257 @@
+"""WSGI application for callers."""
+
+import random
+import time
+from typing import Any, Callable, Iterable, Mapping
+
+import attrs
+import result
+import uuid_utils
+
+from dunlintide_core import outcomes
+from dunlintide_daemon.entry import answers
+from dunlintide_daemon.entry import configuration as holders
+from dunlintide_daemon.entry import dispatch
+from dunlintide_daemon.entry import headers
+from dunlintide_daemon.entry import history
+from dunlintide_daemon.entry import openai
+from dunlintide_daemon.entry import problems
+from dunlintide_daemon.entry import requests
+from dunlintide_daemon.entry import router
+from dunlintide_daemon.entry import services
+from dunlintide_daemon.entry import table
+
+__all__ = [
+    'Front',
+    'Parts',
+]
+
+PRIORITY_HEADER = 'HTTP_DUNLINTIDE_PRIORITY'
+_NO_CONFIGURATION_RETRY_SECONDS = 2.0
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+@attrs.frozen
+class Parts:
+    """What the front works with."""
+
+    context: dispatch.Context
+    holder: holders.Holder
+    router: router.Router
+    history: history.History
+    rng: random.Random
+
+
+@attrs.frozen
+class _Exchange:
+    """One request and the answer that it is given."""
+
+    environ: Mapping[str, Any]
+    caller: router.Caller
+    snapshot: holders.Snapshot
+
+
+def _read_priority(
+    environ: Mapping[str, Any],
+) -> result.Result[int | None, outcomes.Refusal]:
+    text = environ.get(PRIORITY_HEADER)
+    if text is None:
+        return result.Ok(None)
+    if text.isdecimal() and int(text) <= requests.MAX_PRIORITY:
+        return result.Ok(int(text))
+    code = outcomes.FailCode.BAD_REQUEST
+    detail = f'Dunlintide-Priority must be 0 to {requests.MAX_PRIORITY}'
+    return result.Err(outcomes.refuse(code, detail))
+
+
+def _watch_caller(environ: Mapping[str, Any]) -> Callable[[], bool]:
+    is_gone = environ.get('waitress.client_disconnected')
+    if is_gone is None:
+        return lambda: True
+    return lambda: not is_gone()
+
+
+def _refuse(
+    code: outcomes.FailCode, detail: str
+) -> result.Err[outcomes.Refusal]:
+    return result.Err(outcomes.refuse(code, detail))
+
+
+class Front:
+    """Callers' requests in, answers out."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Serve with the given parts."""
+        self._parts = parts
+        self._ledger = answers.Ledger(parts.history, parts.router)
+
+    def __call__(
+        self, environ: Mapping[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer a request, as WSGI has it."""
+        request_id = str(uuid_utils.uuid7())
+        response = self._answer(environ, request_id)
+        if isinstance(response, result.Err):
+            response = self._render(response.err_value, request_id)
+        else:
+            response = response.ok_value
+        start_response(response.status, response.headers)
+        return response.body
+
+    def _render(
+        self, refusal: outcomes.Refusal, request_id: str
+    ) -> problems.Response:
+        return problems.render(refusal, request_id, self._parts.rng)
+
+    def _answer(
+        self, environ: Mapping[str, Any], request_id: str
+    ) -> result.Result[problems.Response, outcomes.Refusal]:
+        snapshot = self._parts.holder.snapshot
+        if snapshot is None:
+            return result.Err(
+                outcomes.refuse(
+                    outcomes.FailCode.NO_CAPACITY,
+                    'this entry has no configuration yet',
+                    retry_after=_NO_CONFIGURATION_RETRY_SECONDS,
+                )
+            )
+        exchange = self._identify(environ, request_id, snapshot)
+        if isinstance(exchange, result.Err):
+            return exchange
+        return self._dispatch(exchange.ok_value)
+
+    def _identify(
+        self,
+        environ: Mapping[str, Any],
+        request_id: str,
+        snapshot: holders.Snapshot,
+    ) -> result.Result[_Exchange, outcomes.Refusal]:
+        member = snapshot.keys.find(environ.get('HTTP_AUTHORIZATION', ''))
+        if isinstance(member, result.Err):
+            return member
+        key = requests.check_key(environ.get('HTTP_IDEMPOTENCY_KEY'))
+        if isinstance(key, result.Err):
+            return key
+        priority = _read_priority(environ)
+        if isinstance(priority, result.Err):
+            return priority
+        caller = router.Caller(
+            request_id=request_id,
+            member=member.ok_value,
+            key=key.ok_value,
+            priority=priority.ok_value,
+            is_connected=_watch_caller(environ),
+        )
+        return result.Ok(_Exchange(environ, caller, snapshot))
+
+    def _dispatch(
+        self, exchange: _Exchange
+    ) -> result.Result[problems.Response, outcomes.Refusal]:
+        environ = exchange.environ
+        method = environ['REQUEST_METHOD']
+        target = table.find_target(method, environ.get('PATH_INFO', ''))
+        match target.endpoint:
+            case table.Endpoint.COMPLETION:
+                return self._complete(exchange, chat=False)
+            case table.Endpoint.CHAT:
+                return self._complete(exchange, chat=True)
+            case table.Endpoint.SERVICE:
+                return self._call(exchange, target)
+            case table.Endpoint.MODELS:
+                return self._list_models(exchange)
+            case table.Endpoint.REQUEST:
+                return self._show_request(exchange, target.name)
+            case table.Endpoint.WRONG_METHOD:
+                code = outcomes.FailCode.BAD_REQUEST
+                return _refuse(code, 'the path does not take this method')
+        return _refuse(outcomes.FailCode.NOT_FOUND, 'there is no such path')
+
+    def _list_models(
+        self, exchange: _Exchange
+    ) -> result.Result[problems.Response, outcomes.Refusal]:
+        body = openai.list_models(sorted(exchange.snapshot.models))
+        return result.Ok(
+            answers.respond_json(body, exchange.caller.request_id)
+        )
+
+    def _show_request(
+        self, exchange: _Exchange, request_id: str
+    ) -> result.Result[problems.Response, outcomes.Refusal]:
+        member = exchange.caller.member
+        record = self._parts.history.find(request_id, member)
+        if record is None:
+            code = outcomes.FailCode.NOT_FOUND
+            return _refuse(code, 'this entry knows no such request')
+        body = record.render(request_id)
+        return result.Ok(
+            answers.respond_json(body, exchange.caller.request_id)
+        )
+
+    def _call(
+        self, exchange: _Exchange, target: table.Target
+    ) -> result.Result[problems.Response, outcomes.Refusal]:
+        environ, caller = exchange.environ, exchange.caller
+        body = requests.read_body(environ)
+        if isinstance(body, result.Err):
+            return body
+        query = environ.get('QUERY_STRING')
+        call = requests.ServiceCall(
+            service=target.name,
+            method=environ['REQUEST_METHOD'],
+            path=f'{target.rest}?{query}' if query else target.rest,
+            headers=headers.read_request_headers(environ),
+            body=body.ok_value,
+        )
+        self._parts.history.begin(caller.request_id, caller.member)
+        routed = self._parts.router.route_service(
+            exchange.snapshot, caller, call
+        )
+        if isinstance(routed, result.Err):
+            self._ledger.end(caller, routed.err_value)
+            return routed
+        route = routed.ok_value
+        answer = services.run(
+            self._parts.context, route.job, call, route.choose
+        )
+        if isinstance(answer, outcomes.Refusal):
+            self._ledger.release(route, answer)
+            self._ledger.end(caller, answer)
+            return result.Err(answer)
+        self._ledger.end(caller, None)
+        return result.Ok(answers.respond_service(answer, caller.request_id))
+
+    def _complete(
+        self, exchange: _Exchange, *, chat: bool
+    ) -> result.Result[problems.Response, outcomes.Refusal]:
+        caller = exchange.caller
+        body = requests.read_body(exchange.environ)
+        if isinstance(body, result.Err):
+            return body
+        parsed = requests.parse_completion(body.ok_value, chat=chat)
+        if isinstance(parsed, result.Err):
+            return parsed
+        completion = parsed.ok_value
+        self._parts.history.begin(caller.request_id, caller.member)
+        routed = self._parts.router.route_completion(
+            exchange.snapshot,
+            caller,
+            completion,
+            exchange.environ['PATH_INFO'],
+            body.ok_value,
+        )
+        if isinstance(routed, result.Err):
+            self._ledger.end(caller, routed.err_value)
+            return routed
+        rendering = openai.Rendering(
+            caller.request_id, completion.model, int(time.time()), chat
+        )
+        answer = answers.CompletionAnswer(
+            self._parts.context,
+            self._ledger,
+            caller,
+            completion,
+            routed.ok_value,
+            rendering,
+        )
+        return answer.stream() if completion.stream else answer.gather()
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -0,0 +1,271 @@
+"""The entry role: wires callers, routing, agents and the platform."""
+
+import contextlib
+import json
+import random
+import signal
+import sys
+import threading
+import time
+from typing import Any
+
+from absl import logging
+import prometheus_client
+import result
+
+from dunlintide_adapters import admin
+from dunlintide_adapters import httpserver
+from dunlintide_adapters import links
+from dunlintide_adapters import metrics
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import budget
+from dunlintide_core import fleet as core_fleet
+from dunlintide_core import outcomes
+from dunlintide_core import settings as settings_module
+from dunlintide_daemon.entry import claims
+from dunlintide_daemon.entry import configuration
+from dunlintide_daemon.entry import dispatch
+from dunlintide_daemon.entry import dump
+from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import front
+from dunlintide_daemon.entry import history
+from dunlintide_daemon.entry import problems
+from dunlintide_daemon.entry import router
+from dunlintide_daemon.entry import sessions
+from dunlintide_daemon.entry import sources
+
+__all__ = [
+    'Entry',
+    'run',
+]
+
+_BUSY_RETRY_SECONDS = 1.0
+# Time for the balancer to see that this entry is not ready any more.
+LAME_DUCK_SECONDS = 1.0
+_JOIN_SECONDS = 1.0
+# What the HTTP server refuses by itself, by its status.
+_SERVER_CODES = {
+    413: outcomes.FailCode.TOO_LARGE,
+    431: outcomes.FailCode.TOO_LARGE,
+    503: outcomes.FailCode.NO_CAPACITY,
+}
+
+
+class Entry:
+    """One entry process; a context manager that runs it.
+
+    :ivar done: set when the process should stop
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        outside: sources.Sources,
+        lame_duck: float = LAME_DUCK_SECONDS,
+    ) -> None:
+        """Bind the ports; entering the context begins to serve.
+
+        :param lame_duck: seconds between not ready and closing the port
+        :raises OSError: when a port is taken
+        """
+        self.settings = settings
+        self.done = threading.Event()
+        self.leaving = False
+        self._outside = outside
+        self._lame_duck = lame_duck
+        self._rng = random.Random()
+        # The wall clock only orders the lives of one name.
+        self._incarnation = time.time_ns()
+        self._sessions = sessions.Sessions()
+        self._history = history.History()
+        self._holder = configuration.Holder()
+        self._retries = budget.RetryBudget()
+        timing = settings.timing
+        self._fleet = fleet.Fleet(
+            self._build_hello,
+            fleet.Listeners(self._sessions.route, self._sessions.lose),
+            links.LinkTiming(timing.ping, timing.silence, timing.redial),
+        )
+        self._http = self._build_server()
+        self._admin = admin.AdminServer.from_config(
+            settings.admin_listen,
+            self.describe,
+            self.check_readiness,
+            self.done.set,
+            self._register_metrics(),
+        )
+        self._stack = contextlib.ExitStack()
+
+    @property
+    def port(self) -> int:
+        """Port for callers."""
+        return self._http.port
+
+    def _build_hello(self) -> link_pb2.Hello:
+        settings = self.settings
+        return link_pb2.Hello(
+            name=settings.name,
+            role=core_fleet.Role.ENTRY,
+            incarnation=self._incarnation,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            address=settings.advertise or settings.link_listen,
+            revision=self._holder.revision,
+            leaving=self.leaving,
+        )
+
+    def _render_error(self, status: int, detail: str) -> httpserver.ErrorPage:
+        code = _SERVER_CODES.get(status, outcomes.FailCode.BAD_REQUEST)
+        busy = code is outcomes.FailCode.NO_CAPACITY
+        refusal = outcomes.refuse(
+            code, detail, retry_after=_BUSY_RETRY_SECONDS if busy else None
+        )
+        page = problems.render(refusal, '', self._rng)
+        headers = tuple(
+            (name, value)
+            for name, value in page.headers
+            if value and name != 'Content-Length'
+        )
+        return httpserver.ErrorPage(b''.join(page.body), headers)
+
+    def _build_server(self) -> httpserver.HttpServer:
+        settings = self.settings
+        binder = claims.Binder(self._outside.writer, self._fleet, time.time)
+        route = router.Router(
+            self._fleet, self._holder, binder, settings.failure_domain
+        )
+        context = dispatch.Context(self._fleet, self._sessions, self._retries)
+        parts = front.Parts(
+            context, self._holder, route, self._history, self._rng
+        )
+        return httpserver.HttpServer.from_config(
+            front.Front(parts),
+            settings.listen,
+            settings.limits.threads,
+            settings.limits.max_body_bytes,
+            settings.limits.max_header_bytes,
+            render_error=self._render_error,
+        )
+
+    def _register_metrics(self) -> prometheus_client.CollectorRegistry:
+        registry = prometheus_client.CollectorRegistry()
+        shared = metrics.Metrics.from_registry(registry, core_fleet.Role.ENTRY)
+        shared.in_flight.set_function(lambda: len(self._sessions.list()))
+        shared.links.set_function(lambda: len(self._fleet.list_agents()))
+        shared.config_revision.set_function(lambda: self._holder.revision)
+        return registry
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state of the process, fit for JSON."""
+        state = dump.describe(
+            self._holder,
+            self._fleet,
+            self._sessions,
+            self._retries,
+            self._history,
+        )
+        return {'name': self.settings.name, 'leaving': self.leaving} | state
+
+    def check_readiness(self) -> admin.Readiness:
+        """Tell whether callers should be sent here."""
+        reasons = []
+        snapshot = self._holder.snapshot
+        if self.leaving:
+            reasons.append('leaving')
+        if snapshot is None:
+            reasons.append('no configuration yet')
+        else:
+            reasons += self._list_unserved(snapshot)
+        return admin.Readiness(tuple(reasons))
+
+    def _list_unserved(self, snapshot: configuration.Snapshot) -> list[str]:
+        """Name what no agent serves, when nothing at all is served.
+
+        One model that is down must not take the entry from the others.
+        """
+        unserved = [
+            f'no agent for model {model.name}'
+            for model in snapshot.models.values()
+            if not self._fleet.list_engines(model.name, model.version)
+        ]
+        unserved += [
+            f'no agent for service {service}'
+            for service in snapshot.services
+            if not self._fleet.list_services(service)
+        ]
+        offered = len(snapshot.models) + len(snapshot.services)
+        return unserved if len(unserved) == offered else []
+
+    def _poll_hosts(self) -> None:
+        pause = self.settings.timing.host_list_poll
+        while not self.done.is_set():
+            hosts = self._outside.read_hosts()
+            if isinstance(hosts, result.Ok):
+                self._fleet.update(hosts.ok_value)
+            else:
+                logging.warning('host list not read: %s', hosts.err_value)
+            self.done.wait(pause)
+
+    def _follow_configuration(self) -> None:
+        self._outside.follow_configuration(self._holder.adopt, self.done)
+
+    def _start(self, target, name: str) -> None:
+        thread = threading.Thread(target=target, name=name, daemon=True)
+        thread.start()
+        # The configuration's follower sleeps through a stop for as long
+        # as it pauses between two reads; it holds nothing that needs it.
+        self._stack.callback(thread.join, _JOIN_SECONDS)
+
+    def __enter__(self) -> 'Entry':
+        with self._stack as stack:
+            stack.callback(self._outside.close)
+            stack.callback(self._fleet.stop)
+            self._admin.start()
+            stack.callback(self._admin.stop)
+            self._start(self._poll_hosts, 'hosts')
+            self._start(self._follow_configuration, 'configuration')
+            stack.callback(self.done.set)
+            self._http.start()
+            # Runs first: what is in flight still needs all the rest.
+            stack.callback(self._leave)
+            self._stack = stack.pop_all()
+        return self
+
+    def _leave(self) -> None:
+        """Take no new requests and finish those in flight."""
+        self.leaving = True
+        self._fleet.announce(self._build_hello())
+        time.sleep(self._lame_duck)
+        self._http.stop()
+
+    def __exit__(self, *details) -> None:
+        self._stack.close()
+
+
+def _watch_signals(entry: Entry) -> None:
+    def show(*_) -> None:
+        json.dump(entry.describe(), sys.stderr, default=str)
+        sys.stderr.write('\n')
+
+    def dump_aside(*_) -> None:
+        # A handler interrupts any line of the main thread, so it must
+        # not wait for a lock itself.
+        threading.Thread(target=show, daemon=True).start()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: entry.done.set())
+    signal.signal(signal.SIGUSR1, dump_aside)
+
+
+def run(settings: settings_module.Settings) -> int:
+    """Run an entry until it is told to stop.
+
+    :returns: exit status, 0 after a planned stop
+    :raises OSError: when a port is taken
+    """
+    with Entry(settings, sources.Sources.from_config(settings)) as entry:
+        _watch_signals(entry)
+        logging.info('entry %s serves port %d', settings.name, entry.port)
+        entry.done.wait()
+        logging.info('entry %s stops', settings.name)
+    return 0
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/router.py
@@ -0,0 +1,353 @@
+"""From a checked request to its rule, its terms and where it may run."""
+
+import time
+from typing import Callable, Collection
+
+import attrs
+import result
+import uuid_utils
+
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import configuration
+from dunlintide_core import matching
+from dunlintide_core import outcomes
+from dunlintide_daemon.entry import chains
+from dunlintide_daemon.entry import claims
+from dunlintide_daemon.entry import completions
+from dunlintide_daemon.entry import configuration as holders
+from dunlintide_daemon.entry import dispatch
+from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import requests
+
+__all__ = [
+    'Caller',
+    'CompletionRoute',
+    'Router',
+    'ServiceRoute',
+]
+
+# Claims whose request never ran are freed, but no caller waits for long
+# until that is done.
+_RELEASE_SECONDS = 1.0
+
+
+@attrs.frozen
+class Caller:
+    """Who asks, and what a request's headers say.
+
+    :ivar key: idempotency key, empty for none
+    :ivar arrived: monotonic time in seconds
+    :ivar is_connected: tells whether the caller still waits
+    """
+
+    request_id: str
+    member: str
+    key: str = ''
+    priority: int | None = None
+    arrived: float = attrs.field(factory=time.monotonic)
+    is_connected: Callable[[], bool] = lambda: True
+
+
+@attrs.frozen
+class CompletionRoute:
+    """Where and on what terms a completion runs."""
+
+    job: dispatch.Job
+    plan: completions.Plan
+    bound: claims.Bound | None = None
+
+
+@attrs.frozen
+class ServiceRoute:
+    """Where and on what terms a service call runs."""
+
+    job: dispatch.Job
+    choose: Callable[[Collection[chains.Life]], fleet.Agent | None]
+    bound: claims.Bound | None = None
+
+
+def _refuse(
+    code: outcomes.FailCode, detail: str, retry_after: float | None = None
+) -> result.Err[outcomes.Refusal]:
+    return result.Err(outcomes.refuse(code, detail, retry_after=retry_after))
+
+
+def _refuse_capacity(detail: str) -> result.Err[outcomes.Refusal]:
+    code = outcomes.FailCode.NO_CAPACITY
+    return _refuse(code, detail, dispatch.RETRY_AFTER_SECONDS)
+
+
+def _refuse_gone() -> result.Err[outcomes.Refusal]:
+    code = outcomes.FailCode.EXECUTOR_GONE
+    detail = 'the endpoint that the key is bound to is gone'
+    return result.Err(outcomes.refuse(code, detail, ran=True))
+
+
+def _build_terms(
+    caller: Caller,
+    rule: configuration.Rule,
+    revision: int,
+    fingerprint: bytes,
+    salt: str,
+) -> link_pb2.Terms:
+    then = rule.then
+    return link_pb2.Terms(
+        request_id=caller.request_id,
+        member=caller.member,
+        weight=then.weight,
+        priority=_choose_priority(caller, then),
+        idempotency_key=caller.key,
+        cache_salt=salt,
+        revision=revision,
+        rule=rule.name,
+        member_concurrency=then.concurrency or 0,
+        fingerprint=fingerprint,
+    )
+
+
+def _choose_priority(caller: Caller, then: configuration.Then) -> int:
+    # A caller may step back behind what its rule grants, never ahead.
+    return max(then.priority, caller.priority or 0)
+
+
+class Router:
+    """Decides about requests by the configuration in force."""
+
+    def __init__(
+        self,
+        fleet_view: fleet.Fleet,
+        holder: holders.Holder,
+        binder: claims.Binder,
+        failure_domain: str,
+    ) -> None:
+        """Remember what decisions rest on.
+
+        :param failure_domain: where this entry is, for rules
+        """
+        self._fleet = fleet_view
+        self._holder = holder
+        self._binder = binder
+        self._failure_domain = failure_domain
+
+    def _match(
+        self, snapshot: holders.Snapshot, request: matching.Query
+    ) -> result.Result[configuration.Rule, outcomes.Refusal]:
+        rule = snapshot.index.find(request)
+        if rule is None:
+            code = outcomes.FailCode.NO_RULE
+            return _refuse(code, 'no rule matches the request')
+        if rule.then.action is configuration.Action.REFUSE:
+            code = outcomes.FailCode.REFUSED_BY_RULE
+            return _refuse(code, rule.then.reason or 'a rule refuses it')
+        return result.Ok(rule)
+
+    def route_completion(
+        self,
+        snapshot: holders.Snapshot,
+        caller: Caller,
+        completion: requests.Completion,
+        path: str,
+        content: bytes,
+    ) -> result.Result[CompletionRoute, outcomes.Refusal]:
+        """Route a completion; a non-idempotent one is bound first.
+
+        :param content: the body, for the fingerprint
+        """
+        request = matching.Query(
+            member=caller.member,
+            model=completion.model,
+            method='POST',
+            path=path,
+            priority=caller.priority,
+            failure_domain=self._failure_domain,
+            adapter=completion.adapter,
+            prompt_tokens=requests.estimate_tokens(completion.prompt),
+        )
+        matched = self._match(snapshot, request)
+        if isinstance(matched, result.Err):
+            return matched
+        rule = matched.ok_value
+        model = snapshot.models.get(rule.then.model or completion.model)
+        if model is None:
+            code = outcomes.FailCode.NOT_FOUND
+            return _refuse(code, 'there is no such model')
+        return self._place_completion(
+            snapshot, caller, completion, (path, content), rule, model
+        )
+
+    def _place_completion(
+        self,
+        snapshot: holders.Snapshot,
+        caller: Caller,
+        completion: requests.Completion,
+        parts: tuple[str, bytes],
+        rule: configuration.Rule,
+        model: configuration.Model,
+    ) -> result.Result[CompletionRoute, outcomes.Refusal]:
+        then = rule.then
+        version = then.version or model.version
+
+        def choose(
+            avoid: Collection[chains.Life],
+            is_head: Callable[[fleet.Agent], bool] = lambda agent: True,
+        ) -> chains.Chain | None:
+            return chains.choose_chain(
+                self._fleet.list_engines(model.name, version),
+                model.layers,
+                accelerators=then.accelerators,
+                avoid=avoid,
+                is_head=is_head,
+            )
+
+        once = bool(caller.key) or then.repeatable is False
+        caller = _give_key(caller, once)
+        fingerprint = requests.compute_fingerprint(caller.member, *parts)
+        job = dispatch.Job(
+            terms=_build_terms(
+                caller, rule, snapshot.revision, fingerprint, caller.member
+            ),
+            deadline=caller.arrived + then.deadline_seconds,
+            repeatable=not once,
+            is_connected=caller.is_connected,
+        )
+        plan = completions.Plan(
+            model.name,
+            version,
+            then.adapter or completion.adapter,
+            choose,
+        )
+        if not once:
+            return result.Ok(CompletionRoute(job, plan))
+        chain = choose(())
+        if chain is None:
+            return _refuse_capacity('no chain holds all layers of the model')
+        bound = self._bind(caller, rule, job, chain[0])
+        if isinstance(bound, result.Err):
+            return bound
+        held = bound.ok_value
+
+        def choose_held(avoid: Collection[chains.Life]):
+            return choose(avoid, lambda agent: _is_held(held, agent))
+
+        return result.Ok(
+            CompletionRoute(
+                attrs.evolve(job, claim=held.build_claim()),
+                attrs.evolve(plan, choose=choose_held),
+                held,
+            )
+        )
+
+    def route_service(
+        self,
+        snapshot: holders.Snapshot,
+        caller: Caller,
+        call: requests.ServiceCall,
+    ) -> result.Result[ServiceRoute, outcomes.Refusal]:
+        """Route a service call; a non-idempotent one is bound first."""
+        request = matching.Query(
+            member=caller.member,
+            service=call.service,
+            method=call.method,
+            path=call.path.partition('?')[0],
+            priority=caller.priority,
+            failure_domain=self._failure_domain,
+        )
+        service = snapshot.services.get(call.service)
+        if service is None:
+            code = outcomes.FailCode.NOT_FOUND
+            return _refuse(code, 'there is no such service')
+        matched = self._match(snapshot, request)
+        if isinstance(matched, result.Err):
+            return matched
+        rule = matched.ok_value
+        repeatable = rule.then.repeatable
+        if repeatable is None:
+            repeatable = service.repeatable
+        return self._place_call(snapshot, caller, call, rule, repeatable)
+
+    def _place_call(
+        self,
+        snapshot: holders.Snapshot,
+        caller: Caller,
+        call: requests.ServiceCall,
+        rule: configuration.Rule,
+        repeatable: bool,
+    ) -> result.Result[ServiceRoute, outcomes.Refusal]:
+        once = not repeatable
+        caller = _give_key(caller, once)
+        fingerprint = requests.compute_fingerprint(
+            caller.member, call.service, call.method, call.path, call.body
+        )
+        job = dispatch.Job(
+            terms=_build_terms(
+                caller, rule, snapshot.revision, fingerprint, caller.member
+            ),
+            deadline=caller.arrived + rule.then.deadline_seconds,
+            repeatable=repeatable,
+            is_connected=caller.is_connected,
+        )
+
+        def choose(avoid: Collection[chains.Life]) -> fleet.Agent | None:
+            agents = self._fleet.list_services(call.service)
+            return chains.choose_least(agents, avoid)
+
+        if not once:
+            return result.Ok(ServiceRoute(job, choose))
+        proposed = choose(())
+        if proposed is None:
+            return _refuse_capacity('no endpoint of the service is reachable')
+        bound = self._bind(caller, rule, job, proposed)
+        if isinstance(bound, result.Err):
+            return bound
+        held = bound.ok_value
+        return result.Ok(
+            ServiceRoute(
+                attrs.evolve(job, claim=held.build_claim()),
+                lambda avoid: self._find_held(held),
+                held,
+            )
+        )
+
+    def _find_held(self, bound: claims.Bound) -> fleet.Agent | None:
+        binding = bound.binding
+        return self._fleet.find(binding.executor, binding.incarnation)
+
+    def _bind(
+        self,
+        caller: Caller,
+        rule: configuration.Rule,
+        job: dispatch.Job,
+        proposed: fleet.Agent,
+    ) -> result.Result[claims.Bound, outcomes.Refusal]:
+        left = job.deadline - time.monotonic()
+        bound = self._binder.bind(
+            caller.member,
+            caller.key,
+            job.terms.fingerprint,
+            proposed,
+            rule.then.retention_seconds,
+            max(0.0, left),
+        )
+        if isinstance(bound, result.Ok) and bound.ok_value.executor is None:
+            return _refuse_gone()
+        return bound
+
+    def release(self, bound: claims.Bound) -> None:
+        """Free the key of a request that never ran and never will."""
+        self._binder.release(bound, _RELEASE_SECONDS)
+
+
+def _give_key(caller: Caller, once: bool) -> Caller:
+    """Give a request that must not run twice a key of its own.
+
+    It was sent without one, so no repeat can be told from a new request;
+    the key only keeps the router itself from running it again.
+    """
+    if not once or caller.key:
+        return caller
+    return attrs.evolve(caller, key=f'server-{uuid_utils.uuid7()}')
+
+
+def _is_held(bound: claims.Bound, agent: fleet.Agent) -> bool:
+    binding = bound.binding
+    return chains.tell_life(agent) == (binding.executor, binding.incarnation)
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/sources.py
@@ -0,0 +1,97 @@
+"""What an entry reads from and writes to outside: store and host list."""
+
+import contextlib
+import threading
+from typing import Callable, Iterable
+
+from absl import logging
+import attrs
+import result
+
+from dunlintide_adapters import claims as claim_writers
+from dunlintide_adapters import configstore
+from dunlintide_adapters import metrics
+from dunlintide_adapters import store
+from dunlintide_core import configuration
+from dunlintide_core import documents
+from dunlintide_core import settings as settings_module
+from dunlintide_daemon.entry import claims
+from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import hosts
+
+__all__ = [
+    'Adopt',
+    'Sources',
+]
+
+# Takes a revision and its configuration; False when it is not newer.
+Adopt = Callable[[int, configuration.Configuration], bool]
+
+
+def _adopt(adopt: Adopt, snapshot: configstore.Snapshot) -> None:
+    revision = snapshot.head.revision
+    decoded = documents.decode_configuration(snapshot.document)
+    if isinstance(decoded, result.Err):
+        # The one in force stays, until a revision comes that this
+        # version can read.
+        logging.error(
+            'revision %d not taken up: %s',
+            revision,
+            decoded.err_value.message,
+        )
+        return
+    if adopt(revision, decoded.ok_value):
+        logging.info('revision %d in force', revision)
+
+
+@attrs.frozen
+class Sources:
+    """The platform as an entry uses it.
+
+    :ivar read_hosts: reads the host list, or says why it could not
+    :ivar follow_configuration: hands on each new configuration until the
+        event is set
+    :ivar writer: makes claims
+    :ivar close: closes all of them
+    """
+
+    read_hosts: Callable[[], result.Result[Iterable[fleet.Host], object]]
+    follow_configuration: Callable[[Adopt, threading.Event], None]
+    writer: claims.Writer
+    close: Callable[[], None] = lambda: None
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: settings_module.Settings,
+        shared: metrics.Metrics | None = None,
+    ) -> 'Sources':
+        """Build clients of the store and the host list.
+
+        :param shared: metrics that calls on the store are counted in
+        """
+        timing = settings.timing
+        with contextlib.ExitStack() as stack:
+            client = store.Store.from_url(
+                settings.store_url,
+                shared,
+                store.StoreTiming(read=timing.store_timeout),
+            )
+            stack.callback(client.close)
+            writer = claim_writers.ClaimWriter(client)
+            writer.start()
+            stack.callback(writer.stop)
+            listed = hosts.HostList(
+                settings.host_list_url, timing.store_timeout
+            )
+            stack.callback(listed.close)
+            configs = configstore.ConfigStore.from_store(client)
+
+            def follow(adopt: Adopt, stopped: threading.Event) -> None:
+                configs.watch(
+                    lambda snapshot: _adopt(adopt, snapshot),
+                    stopped,
+                    poll_seconds=timing.configuration_poll,
+                )
+
+            return cls(listed.read, follow, writer, stack.pop_all().close)
