Choose chains by plan at the entry and count outcomes

Cause: chains were tiled on the spot for each request, with no regard to the planned shares, and outcomes did not show in the metrics. Change: a thread plans anew when a model's agents change; requests draw from the plan, and tile on the spot while a chain of it has lost an agent. Outcomes are counted.

--- a/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from typing import Callable, Collection
+from typing import Callable, Collection, Iterable
 
 import attrs
 
@@ -15,6 +15,7 @@
 from dunlintide_core import outcomes
 from dunlintide_daemon.entry import chains
 from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import planning
 from dunlintide_daemon.entry import sessions
 
 __all__ = [
@@ -61,10 +62,16 @@
     """
 
     fleet: fleet.Fleet
+    planner: planning.Planner
     sessions: sessions.Sessions
     retries: budget.RetryBudget
     clock: Callable[[], float] = time.monotonic
 
+    def add_work(self, names: Iterable[str], amount: int) -> None:
+        """Count work of agents; negative when it ends."""
+        self.fleet.add_work(names, amount)
+        self.planner.add_work(names, amount)
+
 
 @attrs.frozen
 class Job:
@@ -104,7 +111,7 @@
         self.avoid: set[chains.Life] = set()
         self._context = context
         self._job = job
-        self._lives: tuple[str, ...] = ()
+        self._names: tuple[str, ...] = ()
         self._head: fleet.Agent | None = None
         self._settled = False
         self._session = context.sessions.add(
@@ -143,8 +150,8 @@
         """
         self._release()
         self._head = chain[0]
-        self._lives = tuple(agent.peer.name for agent in chain)
-        self._context.fleet.add_work(self._lives, 1)
+        self._names = tuple(agent.peer.name for agent in chain)
+        self._context.add_work(self._names, 1)
         session = self._session
         session.link = self._head.link
         session.epoch += 1
@@ -270,7 +277,7 @@
     def _release(self) -> None:
         if self._head is None:
             return
-        self._context.fleet.add_work(self._lives, -1)
+        self._context.add_work(self._names, -1)
         if not self._settled:
             self._cancel(self._head.link)
         self._head = None
--- a/packages/daemon/src/dunlintide_daemon/entry/fleet.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/fleet.py
@@ -60,10 +60,12 @@
 
     :ivar frames: called with frames that belong to requests
     :ivar down: called with a link that was lost
+    :ivar load: called with an agent that has just told its load
     """
 
     frames: Callable[[links.Link, list[link_pb2.Frame]], None]
     down: Callable[[links.Link], None]
+    load: Callable[['Agent'], None] = lambda agent: None
 
 
 def _read_endpoint(message: link_pb2.Endpoint) -> fleet.Endpoint | None:
@@ -223,6 +225,8 @@
                 load = _read_load(frame.load)
                 agent = attrs.evolve(agent, load=load, heard=time.monotonic())
             self._agents[link.peer.name] = agent
+        if body == 'load':
+            self._listeners.load(agent)
 
     def list_agents(self) -> list[Agent]:
         """Return all agents with an open link."""
@@ -265,6 +269,12 @@
             return None
         return agent
 
+    def pick_usable(self, names: Iterable[str]) -> tuple[Agent, ...] | None:
+        """Return the named agents, or None unless all are usable."""
+        usable = {agent.peer.name: agent for agent in self.list_usable()}
+        picked = [usable.get(name) for name in names]
+        return None if None in picked else tuple(picked)
+
     def add_work(self, names: Iterable[str], amount: int) -> None:
         """Add to the outstanding work of agents; negative when it ends."""
         with self._lock:
--- a/packages/daemon/src/dunlintide_daemon/entry/history.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/history.py
@@ -2,6 +2,7 @@
 
 import collections
 import threading
+from typing import Callable
 
 import attrs
 import msgspec
@@ -40,7 +41,17 @@
 class History:
     """Remembers a bounded number of outcomes."""
 
-    def __init__(self, limit: int = MAX_RECORDS) -> None:
+    def __init__(
+        self,
+        observe: Callable[[str, str], None],
+        limit: int = MAX_RECORDS,
+    ) -> None:
+        """Begin with none.
+
+        :param observe: called with each outcome and its code, which is
+            empty for a whole answer
+        """
+        self._observe = observe
         self._limit = limit
         self._lock = threading.Lock()
         self._records: collections.OrderedDict[str, Record] = (
@@ -62,6 +73,7 @@
         outcome, code = outcomes.Outcome.COMPLETE, ''
         if refusal is not None:
             outcome, code = refusal.outcome, refusal.code.value
+        self._observe(outcome.value, code)
         with self._lock:
             self.totals[code or outcome.value] += 1
             if request_id in self._records:
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -29,6 +29,7 @@
 from dunlintide_daemon.entry import fleet
 from dunlintide_daemon.entry import front
 from dunlintide_daemon.entry import history
+from dunlintide_daemon.entry import planning
 from dunlintide_daemon.entry import problems
 from dunlintide_daemon.entry import router
 from dunlintide_daemon.entry import sessions
@@ -77,23 +78,33 @@
         # The wall clock only orders the lives of one name.
         self._incarnation = time.time_ns()
         self._sessions = sessions.Sessions()
-        self._history = history.History()
+        self._registry = prometheus_client.CollectorRegistry()
+        self._metrics = metrics.Metrics.from_registry(
+            self._registry, core_fleet.Role.ENTRY
+        )
+        self._history = history.History(self._count_outcome)
         self._holder = configuration.Holder()
         self._retries = budget.RetryBudget()
         timing = settings.timing
         self._fleet = fleet.Fleet(
             self._build_hello,
-            fleet.Listeners(self._sessions.route, self._sessions.lose),
+            fleet.Listeners(
+                self._sessions.route,
+                self._sessions.lose,
+                lambda agent: self._planner.report(agent),
+            ),
             links.LinkTiming(timing.ping, timing.silence, timing.redial),
         )
+        self._planner = planning.Planner(self._fleet, self._rng)
         self._http = self._build_server()
         self._admin = admin.AdminServer.from_config(
             settings.admin_listen,
             self.describe,
             self.check_readiness,
             self.done.set,
-            self._register_metrics(),
+            self._registry,
         )
+        self._watch_gauges()
         self._stack = contextlib.ExitStack()
 
     @property
@@ -132,9 +143,15 @@
         settings = self.settings
         binder = claims.Binder(self._outside.writer, self._fleet, time.time)
         route = router.Router(
-            self._fleet, self._holder, binder, settings.failure_domain
+            self._fleet,
+            self._planner,
+            self._holder,
+            binder,
+            settings.failure_domain,
+        )
+        context = dispatch.Context(
+            self._fleet, self._planner, self._sessions, self._retries
         )
-        context = dispatch.Context(self._fleet, self._sessions, self._retries)
         parts = front.Parts(
             context, self._holder, route, self._history, self._rng
         )
@@ -147,13 +164,15 @@
             render_error=self._render_error,
         )
 
-    def _register_metrics(self) -> prometheus_client.CollectorRegistry:
-        registry = prometheus_client.CollectorRegistry()
-        shared = metrics.Metrics.from_registry(registry, core_fleet.Role.ENTRY)
+    def _watch_gauges(self) -> None:
+        shared = self._metrics
         shared.in_flight.set_function(lambda: len(self._sessions.list()))
         shared.links.set_function(lambda: len(self._fleet.list_agents()))
         shared.config_revision.set_function(lambda: self._holder.revision)
-        return registry
+
+    def _count_outcome(self, outcome: str, code: str) -> None:
+        code = code or metrics.OK_CODE
+        self._metrics.requests.labels(outcome, code).inc()
 
     def describe(self) -> dict[str, Any]:
         """Return the state of the process, fit for JSON."""
@@ -164,6 +183,7 @@
             self._retries,
             self._history,
         )
+        state['plans'] = self._planner.describe()
         return {'name': self.settings.name, 'leaving': self.leaving} | state
 
     def check_readiness(self) -> admin.Readiness:
@@ -206,6 +226,12 @@
                 logging.warning('host list not read: %s', hosts.err_value)
             self.done.wait(pause)
 
+    def _plan(self) -> None:
+        while not self.done.wait(planning.REFRESH_SECONDS):
+            snapshot = self._holder.snapshot
+            if snapshot is not None:
+                self._planner.refresh(snapshot)
+
     def _follow_configuration(self) -> None:
         self._outside.follow_configuration(self._holder.adopt, self.done)
 
@@ -223,6 +249,7 @@
             self._admin.start()
             stack.callback(self._admin.stop)
             self._start(self._poll_hosts, 'hosts')
+            self._start(self._plan, 'planner')
             self._start(self._follow_configuration, 'configuration')
             stack.callback(self.done.set)
             self._http.start()
--- a/packages/daemon/src/dunlintide_daemon/entry/router.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/router.py
@@ -17,6 +17,7 @@
 from dunlintide_daemon.entry import configuration as holders
 from dunlintide_daemon.entry import dispatch
 from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import planning
 from dunlintide_daemon.entry import requests
 
 __all__ = [
@@ -116,6 +117,7 @@
     def __init__(
         self,
         fleet_view: fleet.Fleet,
+        planner: planning.Planner,
         holder: holders.Holder,
         binder: claims.Binder,
         failure_domain: str,
@@ -125,6 +127,7 @@
         :param failure_domain: where this entry is, for rules
         """
         self._fleet = fleet_view
+        self._planner = planner
         self._holder = holder
         self._binder = binder
         self._failure_domain = failure_domain
@@ -189,14 +192,18 @@
 
         def choose(
             avoid: Collection[chains.Life],
-            is_head: Callable[[fleet.Agent], bool] = lambda agent: True,
+            is_head: Callable[[fleet.Agent], bool] | None = None,
         ) -> chains.Chain | None:
+            if is_head is None and not then.accelerators:
+                found = self._planner.choose(model.name, version, avoid)
+                if found is not None:
+                    return found
             return chains.choose_chain(
                 self._fleet.list_engines(model.name, version),
                 model.layers,
                 accelerators=then.accelerators,
                 avoid=avoid,
-                is_head=is_head,
+                is_head=is_head or (lambda agent: True),
             )
 
         once = bool(caller.key) or then.repeatable is False
@@ -227,6 +234,10 @@
         held = bound.ok_value
 
         def choose_held(avoid: Collection[chains.Life]):
+            names = [agent.peer.name for agent in chain]
+            current = self._fleet.pick_usable(names)
+            if not avoid and current and _is_held(held, current[0]):
+                return current
             return choose(avoid, lambda agent: _is_held(held, agent))
 
         return result.Ok(
