Show a small deployment by make demo, and test it end to end

KEEP=1 leaves it up and writes .demo/topology.json; a signal to make reaches the program, which stops all it started.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 EDITABLE := $(PACKAGES:%=--editable packages/%)
 
 # Hashing is fixed, so that a failing test fails again.
-RUN := PYTHONHASHSEED=0 PATH="$(CURDIR)/$(BIN):$$PATH"
+# exec, so that a signal to make reaches the program itself.
+RUN := exec env PYTHONHASHSEED=0 PATH="$(CURDIR)/$(BIN):$$PATH"
 
 # demo: KEEP=1 leaves it running; SCALE=full starts the whole example.
 KEEP ?= 0
--- a/packages/trials/src/dunlintide_trials/scenes.py
+++ b/packages/trials/src/dunlintide_trials/scenes.py
@@ -6,6 +6,7 @@
 from typing import Any, Callable
 
 from dunlintide_core import outcomes
+from dunlintide_standins import reference
 from dunlintide_trials import client
 from dunlintide_trials import deployment
 from dunlintide_trials import processes
@@ -44,23 +45,18 @@
 
 
 def _check_layers(
-    running: deployment.Deployment, request_id: str, tokens: int
+    running: deployment.Deployment, request_id: str, positions: int
 ) -> Wrong:
     """Check that each layer ran once for each position."""
-    runs = [
-        run
+    ran = {
+        run['endpoint']: run['positions']
         for run in running.read_runs(deployment.ENGINE)
         if run['request_id'] == request_id
-    ]
+    }
     stages = running.plan.blueprint.pipelines[0].stages
-    by_endpoint = {run['endpoint']: run['positions'] for run in runs}
-    wrong = _expect(
-        len(runs) == len(stages),
-        f'{len(runs)} runs of {len(stages)} stages',
-    )
-    counts = {len(positions) for positions in by_endpoint.values()}
-    wrong += _expect(len(counts) == 1, f'stages ran {counts} positions')
-    return wrong
+    right = [positions] * len(stages)
+    found = list(ran.values())
+    return _expect(found == right, f'stages ran {ran}, not {right} positions')
 
 
 def _name_domains(running: deployment.Deployment, request_id: str) -> str:
@@ -89,7 +85,9 @@
     _say(f'   ran at {_name_domains(running, answer.request_id)}')
     asked = records.Asked(member, answer, SPECIALS, STREAM_TOKENS)
     wrong = _check_text(running, asked)
-    return wrong + _check_layers(running, answer.request_id, STREAM_TOKENS)
+    # The last token ends the answer and is not run itself.
+    positions = len(reference.tokenize(SPECIALS)) + STREAM_TOKENS - 1
+    return wrong + _check_layers(running, answer.request_id, positions)
 
 
 def _complete(running: deployment.Deployment, member: str) -> Wrong:
@@ -159,7 +157,10 @@
 
     seen = processes.wait_for(is_in_force, _PATIENCE_SECONDS)
     seconds = time.monotonic() - begin
-    _say(f'   refused at all {len(callers)} entries after {seconds:.2f} s')
+    _say(
+        f'   refused at all {len(callers)} entries {seconds:.2f} s after '
+        'the edit was accepted'
+    )
     answer = callers[0].complete('And now?', model=running.model)
     _say(f'   told: {answer.status} {answer.outcome}, {answer.code}')
     wrong = _expect(seen, 'not in force at all entries')
@@ -226,6 +227,10 @@
     _say(f'   the stream: {answer.outcome}, {len(answer.texts)} tokens')
     asked = records.Asked(member, answer, SPECIALS, LONG_TOKENS)
     wrong = _check_text(running, asked)
+    process = running.started[plan.name]
+    process.wait()
+    _say(f'   the agent ended with {process.exit_code}')
+    wrong += _expect(process.exit_code == 0, f'exit {process.exit_code}')
     return wrong + _check_drained(running, member, plan.endpoint.standin.url)
 
 
