--- a/packages/standins/src/dunlintide_standins/engine/cache.py
+++ b/packages/standins/src/dunlintide_standins/engine/cache.py
@@ -21,7 +21,7 @@
     :ivar sequence: counts all events, so that a lost one shows
     :ivar kind: ``stored`` or ``evicted``
     :ivar session: session that stored the block
-    :ivar block: hash of the prefix that ends with this block
+    :ivar block: hash of the salt and the prefix that ends here
     :ivar tokens: length of that prefix
     """
 
@@ -64,7 +64,7 @@
         self._loss = loss
         self._clock = clock
         self._rng = rng
-        self._blocks: OrderedDict[tuple[str, int], Event] = OrderedDict()
+        self._blocks: OrderedDict[int, Event] = OrderedDict()
         self._events: deque[Event] = deque(maxlen=MAX_EVENTS)
         self._sequence = 0
 
@@ -76,7 +76,7 @@
             self._events.append(event)
 
     def _store(self, stored: Event) -> None:
-        self._blocks[stored.cache_salt, stored.block] = stored
+        self._blocks[stored.block] = stored
         self._publish(stored)
         if len(self._blocks) > self._capacity:
             _, oldest = self._blocks.popitem(last=False)
@@ -98,14 +98,14 @@
         for start in range(0, whole, BLOCK_TOKENS):
             block = activations[start : start + BLOCK_TOKENS]
             digest.update(struct.pack(f'<{BLOCK_TOKENS}Q', *block))
-            key = (salt, digest.intdigest())
+            key = digest.intdigest()
             end = start + BLOCK_TOKENS
             if key in self._blocks:
                 self._blocks.move_to_end(key)
                 # An evicted block in front cuts the prefix.
                 cached = end if cached == start else cached
             else:
-                event = Event(0, 'stored', session, *key, end, 0.0)
+                event = Event(0, 'stored', session, salt, key, end, 0.0)
                 self._store(event)
         self.hits += cached
         self.misses += len(activations) - cached
--- a/packages/standins/src/dunlintide_standins/store/server.py
+++ b/packages/standins/src/dunlintide_standins/store/server.py
@@ -20,7 +20,9 @@
 _INVALID_ARGUMENT = 3
 _NOT_FOUND = 5
 _FAILED_PRECONDITION = 9
+_UNIMPLEMENTED = 12
 _NO_LEASE = 'etcdserver: requested lease not found'
+_NO_OLD_REVISIONS = 'reads of older revisions are not offered'
 _LEASE_EXISTS = 'etcdserver: lease already exists'
 
 
@@ -119,6 +121,8 @@
 
     def _range(self, request: web.Request) -> web.Answer:
         call = messages.decode(request, messages.Range)
+        if call.revision:
+            return _refuse(_NO_OLD_REVISIONS, _UNIMPLEMENTED, 501)
         with self.state.changed:
             return web.json_answer(calls.read(self.state, call))
 
