Test the spread of state and readiness of a new process

A process is now ready only once it asked several peers and has the highest revision that they told. Scenarios run real replicas over the in-process network.

--- /dev/null
+++ b/features/fleet.feature
@@ -0,0 +1,56 @@
+Feature: State of the fleet
+  Configuration and membership pass from process to process, without a
+  store call from each.
+
+  Scenario: Records merge the same in any order
+    Then any records of one process merge alike in any order and number
+    And leaving is never lost in a merge of one incarnation
+
+  Scenario: A revision never falls
+    Then no random run of changes, cuts, restarts and restores lowers one
+
+  Scenario: A restored store does not set back a new process
+    Given a fleet of 24 processes in 3 failure domains
+    And the fleet has revision 5
+    When the store is restored to revision 2
+    And a process is replaced
+    Then it becomes ready with revision 5
+    And the watchers report that the store is behind
+    And the next change becomes revision 6 everywhere
+
+  Scenario: A process started while the store is away
+    Given a fleet of 24 processes in 3 failure domains
+    And the fleet has revision 5
+    When the store goes away
+    And a process is replaced
+    Then it becomes ready with revision 5
+    But a process that reaches nobody is not ready and says why
+
+  Scenario: One silent process
+    Given a fleet of 24 processes in 3 failure domains
+    Then one witness alone never has a process declared dead
+    And two witnesses have it declared dead after a while
+    And a process that was suspected in error clears itself
+
+  Scenario: A stopped process is declared dead everywhere
+    Given a fleet of 24 processes in 3 failure domains
+    When a process stops without a word
+    Then all others hold it dead within 60 seconds
+
+  Scenario: A failure domain is lost at once and comes back
+    Given a fleet of 42 processes in 3 failure domains
+    When a failure domain is cut off for 3600 seconds
+    Then nobody was declared dead
+    And all views agree within 120 seconds of its return
+    And no process cleared itself more than 3 times
+
+  Scenario: A process leaves while its failure domain is cut off
+    Given a fleet of 24 processes in 3 failure domains
+    When a process leaves behind a cut that later heals
+    Then all hold it leaving within 60 seconds
+
+  Scenario: Watchers are replaced
+    Given a fleet of 24 processes in 3 failure domains
+    Then 2 processes watch the store in each failure domain
+    When both watchers of a failure domain stop
+    Then 2 others watch within 30 seconds
--- a/packages/core/src/dunlintide_core/replicas.py
+++ b/packages/core/src/dunlintide_core/replicas.py
@@ -32,6 +32,7 @@
 _SUSPECT_SHARE = 0.25
 _SEED_SHARE = 0.02
 _JITTER = 0.25
+_READY_PEERS = 3
 
 
 @attrs.frozen
@@ -78,6 +79,8 @@
         self._eager = 0
         self._next: list[str] = []
         self._reconciled = 0.0
+        self._asked: set[str] = set()
+        self._was_ready = False
         self._population = -1
         self._generation = -1
         self._is_watcher = False
@@ -102,6 +105,31 @@
             self._is_watcher = watchers.is_watcher(me, usable)
         return self._is_watcher
 
+    def why_not_ready(self) -> str:
+        """Say why this process cannot serve yet; empty when it can.
+
+        A new process takes the highest revision of several peers, since
+        the store alone may have been set back.
+        """
+        if not self.spread.revision:
+            return 'no configuration, neither from the store nor a peer'
+        if self._was_ready:
+            return ''
+        known = {*self._seeds}
+        known.update(
+            each.peer.address
+            for each in self.members.present()
+            if each.peer.name != self.members.name
+        )
+        needed = min(_READY_PEERS, len(known))
+        if len(self._asked) < needed:
+            return f'asked {len(self._asked)} of {needed} peers'
+        newest = max(self._told.values(), default=0)
+        if newest > self.spread.revision:
+            return f'still fetching revision {newest}'
+        self._was_ready = True
+        return ''
+
     def add_seeds(self, addresses: Iterable[str]) -> None:
         """Set addresses to try besides the known members.
 
@@ -120,7 +148,7 @@
         if self._next:
             return 0.0
         base = self._timing.round
-        if self._eager > 0:
+        if self._eager > 0 or len(self._asked) < _READY_PEERS:
             base = self._timing.eager
         return base * self._rng.uniform(1 - _JITTER, 1 + _JITTER)
 
@@ -140,7 +168,8 @@
             if target is not None:
                 return target
         name = self._draw()
-        alone = name is None or self._rng.random() < _SEED_SHARE
+        new = len(self._asked) < _READY_PEERS
+        alone = new or name is None or self._rng.random() < _SEED_SHARE
         if self._seeds and alone:
             return exchanges.Target(self._rng.choice(self._seeds))
         return self._target(name) if name is not None else None
@@ -290,6 +319,7 @@
         """
         name = reply.sender.peer.name
         self._outcomes.append(True)
+        self._asked.add(target.address)
         self._failures.pop(target.name, None)
         self._introduced.add(name)
         self._hear(now, reply.sender, reply.offer)
@@ -354,6 +384,7 @@
     def fail(self, now: float, target: exchanges.Target) -> None:
         """Take note that a peer did not answer."""
         self._outcomes.append(False)
+        self._asked.add(target.address)
         name = target.name
         record = self.members.get(name)
         if record is None or record.dead:
--- a/packages/trials/src/dunlintide_trials/network.py
+++ b/packages/trials/src/dunlintide_trials/network.py
@@ -287,12 +287,31 @@
 
     def publish(self, document: bytes) -> int:
         """Apply a document and notify the watchers; return its revision."""
+        self._bring_forward()
         self.store.apply(document)
+        self._notify()
+        return self.store.snapshot.head.revision
+
+    def restore(self, snapshot: spread.Snapshot) -> None:
+        """Set the store back; its watchers hear of that as a change."""
+        self.store.snapshot = snapshot
+        self._notify()
+
+    def _notify(self) -> None:
         for host in self.up():
             if host.watching and self.store.up:
                 self.store.notices += 1
                 self.after(_STORE_SECONDS, lambda h=host: self._read(h))
-        return self.store.snapshot.head.revision
+
+    def _bring_forward(self) -> None:
+        """Base the next change on the fleet's newest, as operators must."""
+        for host in self.up():
+            newest = host.replica.spread.snapshot
+            held = self.store.snapshot
+            if newest is None:
+                continue
+            if held is None or newest.head.revision > held.head.revision:
+                self.store.snapshot = newest
 
     def _read(self, host: Host) -> None:
         if self._gone(host) or not self.store.up:
