Keep every stage of a chain busy

Sessions of one head marched in step: all in one batch, with the other stages idle meanwhile. A head now takes at most (sessions / stages) steps in a call.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -90,7 +90,8 @@
     Given 3 agents of 4 layers each
     And each engine step takes 0.03 s
     When 4 requests for 30 tokens are running
-    And the head is told to drain
+    Then the head's calls take at most 2 steps, so all stages have work
+    When the head is told to drain
     Then the caller hears that it leaves
     And a new request is refused with "leaving" and did not run
     And each request gets exactly the model's tokens and an end mark
--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -486,6 +486,23 @@
         wait_tokens(context, request_id, 1)
 
 
+@behave.then(
+    "the head's calls take at most {count:d} steps, so all stages have work"
+)
+def check_batch(context, count):
+    assert context.agents[0].pipeline.limit_batch() == count
+    sizes = []
+    take = context.agents[0].driver._engine.run_steps
+
+    def note(steps, seconds):
+        sizes.append(len(steps))
+        return take(steps, seconds)
+
+    context.agents[0].driver._engine.run_steps = note
+    wait_until(lambda: len(sizes) >= 6, 'calls')
+    assert max(sizes) <= count, sizes
+
+
 @behave.when('the head is told to drain')
 def drain_head(context):
     url = f'http://127.0.0.1:{context.agents[0].admin_port}/drain'
--- a/packages/daemon/src/dunlintide_daemon/agent/driver.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/driver.py
@@ -48,10 +48,12 @@
 
     :ivar results: gets each finished call, in order for each session
     :ivar failed: gets the jobs of a call without a usable answer
+    :ivar limit: returns the most steps that the next call may take
     """
 
     results: Callable[[list[tuple[Job, engines.StepResult]]], None]
     failed: Callable[[list[Job], engines.EngineError], None]
+    limit: Callable[[], int] = lambda: MAX_STEPS
 
 
 @attrs.define(eq=False)
@@ -141,7 +143,8 @@
         with self._wake:
             while not self._ready and not self._stopped:
                 self._wake.wait()
-            while self._ready and len(jobs) < MAX_STEPS:
+            limit = min(self._handlers.limit(), MAX_STEPS)
+            while self._ready and len(jobs) < limit:
                 session = self._ready[0]
                 lane = self._lanes[session]
                 if not lane.pending or lane.freeing:
--- a/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
@@ -80,6 +80,9 @@
         self._sessions: dict[str, sessions.Session] = {}
         self._fences = positions.Fences()
         self._leaving_since: float | None = None
+        # Of the sessions that this agent heads over several stages.
+        self._heads = 0
+        self._head_stages = 0
 
     def __len__(self) -> int:
         return len(self._sessions)
@@ -123,6 +126,22 @@
             and stage.layer_end == identity.layer_end
         )
 
+    def limit_batch(self) -> int:
+        """Return how many steps one call to the engine may take.
+
+        A head whose sessions all ran in one batch would leave the other
+        stages idle meanwhile, so it makes a batch for each stage.
+        """
+        heads, stages = self._heads, self._head_stages
+        if not heads:
+            return drivers.MAX_STEPS
+        return -(-heads * heads // stages)
+
+    def _count_head(self, session: sessions.Session, change: int) -> None:
+        if session.is_head and not session.is_last:
+            self._heads += change
+            self._head_stages += change * len(session.chain)
+
     # As head.
 
     def _find_fault(
@@ -241,11 +260,13 @@
         if old is not None:
             self._release(old)
         self._sessions[session.request_id] = session
+        self._count_head(session, 1)
 
     def _release(self, session: sessions.Session) -> None:
         """Free a session here and in the stages behind."""
         if self._sessions.get(session.request_id) is session:
             del self._sessions[session.request_id]
+            self._count_head(session, -1)
         self._fences.end(session.request_id, session.epoch)
         self.driver.free(session.request_id)
         if session.announced:
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -134,7 +134,9 @@
         )
         self._engine = engines.Engine(self.settings.endpoint.url)
         handlers = drivers.Handlers(
-            self.pipeline.take_results, self._take_engine_failure
+            self.pipeline.take_results,
+            self._take_engine_failure,
+            self.pipeline.limit_batch,
         )
         self.driver = drivers.Driver(self._engine, handlers)
         self.pipeline.driver = self.driver
