--- a/features/steps/httpserver.py
+++ b/features/steps/httpserver.py
@@ -68,6 +68,9 @@
     )
     context.temporary = patch.start()
     context.add_cleanup(patch.stop)
+    # Cleaned up last, as its threads wait for the server.
+    context.pool = futures.ThreadPoolExecutor(8)
+    context.add_cleanup(context.pool.shutdown)
     context.application = Application()
     context.server = httpserver.HttpServer.from_config(
         context.application, '127.0.0.1:0', threads, max_body=size
@@ -77,8 +80,6 @@
     context.add_cleanup(context.application.release.set)
     context.url = f'http://127.0.0.1:{context.server.port}'
     context.http = urllib3.PoolManager(maxsize=8)
-    context.pool = futures.ThreadPoolExecutor(8)
-    context.add_cleanup(context.pool.shutdown)
 
 
 @behave.when('an HTTP body of {size:d} bytes is posted')
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/hostlist.py
@@ -0,0 +1,97 @@
+"""The platform's list of hosts, which lags and may be away."""
+
+import enum
+
+import attrs
+import msgspec
+import result
+import urllib3
+
+__all__ = [
+    'Host',
+    'HostList',
+    'HostListFailure',
+    'HostState',
+]
+
+CONNECT_SECONDS = 0.5
+READ_SECONDS = 2.0
+
+
+class HostState(enum.StrEnum):
+    """What the platform says of a host."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@attrs.frozen
+class Host:
+    """One host of the list.
+
+    :ivar role: role of the daemon on it
+    :ivar address: ``host:port`` of its link server
+    """
+
+    name: str
+    role: str
+    address: str
+    failure_domain: str = ''
+    region: str = ''
+    state: HostState = HostState.LIVE
+
+
+@attrs.frozen
+class HostListFailure:
+    """Why the list could not be had."""
+
+    message: str
+
+
+@attrs.frozen
+class _Answer:
+    hosts: tuple[Host, ...]
+
+
+class HostList:
+    """Reads the list and keeps the last one.
+
+    :ivar hosts: list as last read, empty before the first
+    """
+
+    def __init__(self, url: str, pool: urllib3.PoolManager) -> None:
+        """Remember the address; use ``from_url`` instead."""
+        self.hosts: tuple[Host, ...] = ()
+        self._url = url
+        self._pool = pool
+        self._decoder = msgspec.json.Decoder(_Answer)
+
+    @classmethod
+    def from_url(cls, url: str) -> 'HostList':
+        """Build a reader; nothing is sent yet.
+
+        :param url: URL of the list
+        """
+        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=READ_SECONDS)
+        pool = urllib3.PoolManager(
+            maxsize=1, block=True, retries=False, timeout=timeout
+        )
+        return cls(url, pool)
+
+    def poll(self) -> result.Result[tuple[Host, ...], HostListFailure]:
+        """Read the list once; a failure leaves the last one in place."""
+        try:
+            answer = self._pool.request('GET', self._url)
+        except urllib3.exceptions.HTTPError as error:
+            return result.Err(HostListFailure(type(error).__name__))
+        if answer.status != 200:
+            return result.Err(HostListFailure(f'HTTP status {answer.status}'))
+        try:
+            self.hosts = self._decoder.decode(answer.data).hosts
+        except msgspec.MsgspecError as error:
+            return result.Err(HostListFailure(str(error)))
+        return result.Ok(self.hosts)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._pool.clear()
