Carry anti-entropy rounds over gRPC

Replicas had no way to reach each other.

A client keeps a bounded number of channels and drops one whose call failed, so that a silent connection is not used again. Chunks are bounded in bytes a second on the sending side.

--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/peers.py
@@ -0,0 +1,152 @@
+"""Anti-entropy calls between processes over gRPC.
+
+Calls share the port of the links. Each has a timeout and a bounded size,
+and what is sent of a configuration is bounded in bytes a second, so that
+a restart of many processes at once cannot fill a link.
+"""
+
+import collections
+import threading
+import time
+from typing import Callable
+
+from absl import logging
+import grpc
+import result
+
+from dunlintide_adapters import peercodec
+from dunlintide_adapters.wire import link_pb2_grpc
+from dunlintide_core import exchanges
+
+__all__ = ['Answer', 'Client', 'add_service']
+
+CALL_SECONDS = 1.0
+MAX_MESSAGE_BYTES = 1 << 20
+MAX_CHANNELS = 24
+CHUNK_BYTES_PER_SECOND = 256 << 10
+CHUNK_BURST_BYTES = 2 << 20
+_MAX_CHUNKS_BYTES = 192 << 10
+
+# Answers a request with at most so many bytes of chunks.
+Answer = Callable[[exchanges.Request, int], exchanges.Reply]
+
+_OPTIONS = (
+    ('grpc.enable_retries', 0),
+    ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
+    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
+    # A channel that went silent must not live on in its successor.
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+)
+
+
+class _Allowance:
+    """Token bucket of bytes."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self._rate = rate
+        self._burst = burst
+        self._left = burst
+        self._filled = time.monotonic()
+        self._lock = threading.Lock()
+
+    def left(self) -> int:
+        """Return bytes that may be sent now."""
+        with self._lock:
+            now = time.monotonic()
+            gained = (now - self._filled) * self._rate
+            self._left = min(self._burst, self._left + gained)
+            self._filled = now
+            return max(0, int(self._left))
+
+    def spend(self, amount: int) -> None:
+        """Take bytes out; it may go below zero once."""
+        with self._lock:
+            self._left -= amount
+
+
+class _Servicer(link_pb2_grpc.PeerServicer):
+    def __init__(self, answer: Answer) -> None:
+        self._answer = answer
+        self._allowance = _Allowance(CHUNK_BYTES_PER_SECOND, CHUNK_BURST_BYTES)
+
+    def Exchange(self, request, context):
+        if request.ByteSize() > MAX_MESSAGE_BYTES:
+            context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, 'too large')
+        try:
+            decoded = peercodec.decode_request(request)
+        except ValueError as error:
+            context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+        limit = min(_MAX_CHUNKS_BYTES, self._allowance.left())
+        reply = self._answer(decoded, limit)
+        self._allowance.spend(sum(map(len, reply.chunks)))
+        return peercodec.encode_reply(reply)
+
+
+def add_service(server: grpc.Server, answer: Answer) -> None:
+    """Add anti-entropy to a gRPC server that has not started.
+
+    :param answer: called on the server's threads
+    """
+    link_pb2_grpc.add_PeerServicer_to_server(_Servicer(answer), server)
+
+
+class Client:
+    """Calls peers; keeps the channels that were used last.
+
+    Not safe for use by several threads, but for ``close``.
+    """
+
+    def __init__(self, timeout: float = CALL_SECONDS) -> None:
+        """Begin without channels.
+
+        :param timeout: bound on one call, in seconds
+        """
+        self._timeout = timeout
+        self._channels: collections.OrderedDict[str, grpc.Channel] = (
+            collections.OrderedDict()
+        )
+
+    def exchange(
+        self, address: str, request: exchanges.Request
+    ) -> result.Result[exchanges.Reply, str]:
+        """Call a peer.
+
+        :param address: ``host:port``
+        :return: its reply, or why there is none
+        """
+        stub = link_pb2_grpc.PeerStub(self._open(address))
+        try:
+            reply = stub.Exchange(
+                peercodec.encode_request(request), timeout=self._timeout
+            )
+            return result.Ok(peercodec.decode_reply(reply))
+        except (grpc.RpcError, ValueError) as error:
+            self._drop(address)
+            reason = type(error).__name__
+            if isinstance(error, grpc.Call):
+                reason = str(error.code())
+            logging.debug('exchange with %s: %s', address, reason)
+            return result.Err(reason)
+
+    def _open(self, address: str) -> grpc.Channel:
+        channel = self._channels.pop(address, None)
+        if channel is None:
+            channel = grpc.insecure_channel(address, options=_OPTIONS)
+        self._channels[address] = channel
+        if len(self._channels) > MAX_CHANNELS:
+            _, oldest = self._channels.popitem(last=False)
+            oldest.close()
+        return channel
+
+    def _drop(self, address: str) -> None:
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        while self._channels:
+            _, channel = self._channels.popitem()
+            channel.close()
--- a/packages/core/src/dunlintide_core/replicas.py
+++ b/packages/core/src/dunlintide_core/replicas.py
@@ -258,9 +258,15 @@
         self.spread.compare(offer)
 
     def answer(
-        self, now: float, request: exchanges.Request
+        self,
+        now: float,
+        request: exchanges.Request,
+        chunk_bytes: int = CHUNK_BYTES,
     ) -> exchanges.Reply:
-        """Answer a peer's request."""
+        """Answer a peer's request.
+
+        :param chunk_bytes: most bytes of chunks to send, 0 for none
+        """
         name = request.sender.peer.name
         self._hear(now, request.sender, request.offer)
         self._merge(now, request.changes)
@@ -282,7 +288,7 @@
             offer=self.spread.offer,
             head=head,
             chunks=tuple(
-                self.spread.chunks(request.wanted_chunks, CHUNK_BYTES)
+                self.spread.chunks(request.wanted_chunks, chunk_bytes)
             ),
             changes=(*lacking, *told),
             bucket_hashes=hashes,
--- a/packages/core/src/dunlintide_core/spread.py
+++ b/packages/core/src/dunlintide_core/spread.py
@@ -46,7 +46,7 @@
 
     :ivar conflicts: revisions of which two different heads were seen
     :ivar store_revision: newest revision that the store told, or None
-    :ivar refused: heads and chunks that were damaged
+    :ivar refused: heads and documents that were damaged
     """
 
     def __init__(self) -> None:
@@ -115,6 +115,21 @@
         self._pending, self._pending_body = head, body
         return True
 
+    def take_stored(
+        self, head: revisions.Head, document: bytes
+    ) -> Snapshot | None:
+        """Take a whole configuration as the store gave it.
+
+        :return: the snapshot now in force, or None when nothing changed
+        """
+        self.note_store(head.revision)
+        if not self.take_head(revisions.encode_head(head)):
+            return None
+        chunks = revisions.split(document)
+        if isinstance(chunks, result.Ok):
+            self.take_chunks(chunk.body for chunk in chunks.ok_value)
+        return self.adopt()
+
     def missing(self) -> tuple[str, ...]:
         """Return digests of the chunks that the pending head lacks."""
         if self._pending is None:
@@ -126,10 +141,9 @@
         wanted = set(self.missing())
         for body in bodies:
             digest = revisions.digest_bytes(body)
+            # Others may be here already, or belong to a newer head.
             if digest in wanted:
                 self._chunks[digest] = body
-            else:
-                self.refused += 1
 
     def adopt(self) -> Snapshot | None:
         """Put the pending head in force once it is whole.
@@ -154,8 +168,11 @@
     def chunks(self, digests: Iterable[str], limit: int) -> list[bytes]:
         """Return those chunks that are here, up to a total size.
 
-        :param limit: bytes; the first chunk comes even if it is larger
+        :param limit: bytes; the first chunk comes even if it is larger,
+            unless the limit is 0
         """
+        if limit <= 0:
+            return []
         found = []
         size = 0
         for digest in digests:
