Part the stage logic by who does what

The session table, the head's part and the later stages' part are modules of their own; the pipeline keeps the engine's results, the links and the lock.

--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/agent/heads.py
@@ -0,0 +1,218 @@
+"""Requests that this agent heads: it holds their whole answers.
+
+The head feeds its engine the prompt and then each sampled token. Methods
+run under the gate's lock and must not block.
+"""
+
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import outcomes
+from dunlintide_core import positions
+from dunlintide_core import queueing
+from dunlintide_daemon.agent import peers as peering
+from dunlintide_daemon.agent import sessions
+from dunlintide_daemon.agent import table as tables
+from dunlintide_daemon.agent import works
+
+__all__ = [
+    'Heads',
+]
+
+BYTES_PER_TOKEN = 4
+
+
+def _estimate_tokens(text: str) -> int:
+    return max(1, len(text) // BYTES_PER_TOKEN)
+
+
+def _read_code(text: str) -> outcomes.FailCode:
+    try:
+        return outcomes.FailCode(text)
+    except ValueError:
+        return outcomes.FailCode.INTERNAL
+
+
+class Heads:
+    """The head's part of the stage logic."""
+
+    def __init__(self, table: tables.Table) -> None:
+        self._table = table
+        self._gate = table.gate
+        self._peers = table.peers
+        self._counts = table.counts
+
+    def _find_fault(
+        self, message: link_pb2.Open
+    ) -> tuple[outcomes.FailCode, str, str] | None:
+        code = outcomes.FailCode.NO_CAPACITY
+        identity = self._table.identity
+        if not message.chain or not identity.fits(message.chain[0]):
+            detail = 'the chain does not begin with this agent'
+            return code, detail, identity.name
+        for stage in message.chain[1:]:
+            if self._peers.is_leaving(stage.address):
+                code = outcomes.FailCode.LEAVING
+                return code, 'a stage is leaving', stage.agent
+        return None
+
+    def open(self, link: links.Link, message: link_pb2.Open) -> None:
+        """Take in a request to run as head."""
+        terms = message.terms
+        subscriber = works.Subscriber(link, terms.request_id, message.epoch)
+        fault = self._find_fault(message)
+        if fault is not None:
+            code, detail, agent = fault
+            link.send(
+                works.build_fail(
+                    terms.request_id,
+                    message.epoch,
+                    code,
+                    detail,
+                    ran=False,
+                    agent=agent,
+                )
+            )
+            return
+        for stage in message.chain[1:2]:
+            self._peers.prepare(stage.address)
+        claim = message.claim if message.HasField('claim') else None
+        work = self._build_work(message)
+        resumed = len(message.resumed_tokens)
+        self._gate.open(work, claim, subscriber, resumed)
+
+    def _build_work(self, message: link_pb2.Open) -> works.Work:
+        terms = message.terms
+        resumed = len(message.resumed_tokens)
+        prompt_tokens = _estimate_tokens(message.prompt) + resumed
+        decoded = max(0, message.max_tokens - resumed)
+        return works.Work(
+            terms.request_id,
+            message.epoch,
+            terms,
+            self._table.clock() + terms.deadline_ms / 1000,
+            queueing.weigh(prompt_tokens, decoded),
+            prompt_tokens + decoded,
+            start=lambda started: self._start(started, message),
+            stop=self._stop,
+            chain_key=tuple(
+                (stage.address, stage.incarnation, stage.layer_start)
+                for stage in message.chain
+            ),
+        )
+
+    def _start(self, work: works.Work, message: link_pb2.Open) -> None:
+        resumed = tuple(message.resumed_tokens)
+        session = sessions.Session(
+            work.request_id,
+            work.epoch,
+            0,
+            tuple(message.chain),
+            work.terms,
+            message.model,
+            message.version,
+            message.max_tokens,
+            work.deadline,
+            positions.Cursor(work.epoch),
+            generated=len(resumed),
+            work=work,
+        )
+        self._table.replace(session)
+        session.first = sessions.build_prompt_job(
+            session, message.prompt, resumed, work.tokens
+        )
+        wait = peering.CONNECT_SECONDS
+        session.waits_until = self._table.clock() + wait
+        self._begin(session)
+
+    def _stop(self, work: works.Work) -> None:
+        session = self._table.find(work.request_id)
+        if session is not None and session.work is work:
+            self._table.release(session)
+
+    def _begin(self, session: sessions.Session) -> None:
+        """Run the first step, but not before a next stage that is gone.
+
+        So a request whose next stage cannot be reached has not run.
+        """
+        if not session.is_last:
+            stage = session.next
+            linked = self._peers.get_incarnation(stage.address)
+            if linked is None:
+                self._peers.prepare(stage.address)
+                return
+            if stage.incarnation not in (0, linked):
+                self._fail_unreached(session, 'the next stage has restarted')
+                return
+        job, session.first = session.first, None
+        self._table.driver.submit(job)
+
+    def _fail_unreached(self, session: sessions.Session, detail: str) -> None:
+        code = outcomes.FailCode.LINK_LOST
+        agent = session.next.agent
+        self._table.fail(session, code, detail, agent, False)
+
+    def raise_peer(self, address: str) -> None:
+        """Begin what waited for a link that is up now."""
+        for session in self._table.list():
+            if session.first and session.next.address == address:
+                self._begin(session)
+
+    def tick(self, now: float) -> None:
+        """End what waits for a link in vain."""
+        for session in self._table.list():
+            if session.first and now > session.waits_until:
+                detail = 'the next stage cannot be reached'
+                self._fail_unreached(session, detail)
+
+    def _find(self, request_id: str, epoch: int) -> sessions.Session | None:
+        session = self._table.find(request_id)
+        if session is None:
+            self._counts.drop('unknown-token')
+            return None
+        if epoch != session.epoch or not session.is_head:
+            self._counts.drop('stale-token')
+            return None
+        return session
+
+    def take_token(self, token: link_pb2.Token) -> None:
+        """Take a token of the last stage: pass it on and feed it back."""
+        session = self._find(token.request_id, token.epoch)
+        if session is None:
+            return
+        if token.index < session.generated:
+            self._counts.drop('duplicate-token')
+            return
+        if token.index > session.generated:
+            self._fail_gap(session)
+            return
+        session.generated += 1
+        self._gate.send(session.work, link_pb2.Frame(token=token))
+        if not token.final:
+            job = sessions.build_token_job(session, token.id)
+            self._table.driver.submit(job)
+
+    def _fail_gap(self, session: sessions.Session) -> None:
+        self._counts.drop('gap-token')
+        code = outcomes.FailCode.GAP
+        agent = session.last.agent
+        self._table.fail(session, code, 'tokens are missing', agent)
+
+    def take_done(self, done: link_pb2.Done) -> None:
+        """Take the end of an answer from the last stage."""
+        session = self._find(done.request_id, done.epoch)
+        if session is None:
+            return
+        if done.tokens != session.generated:
+            self._fail_gap(session)
+            return
+        self._gate.send(session.work, link_pb2.Frame(done=done))
+        self._counts.add('tokens', session.generated)
+        self._table.release(session)
+        self._gate.end(session.work)
+
+    def take_fail(self, fail: link_pb2.Fail) -> None:
+        """Take the failure of a later stage."""
+        session = self._find(fail.request_id, fail.epoch)
+        if session is not None:
+            code = _read_code(fail.code)
+            self._table.fail(session, code, fail.detail, fail.agent)
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -27,6 +27,7 @@
 from dunlintide_daemon.agent import pipeline as pipelines
 from dunlintide_daemon.agent import services
 from dunlintide_daemon.agent import supervisor
+from dunlintide_daemon.agent import table as tables
 from dunlintide_daemon.agent import works
 
 __all__ = [
@@ -121,7 +122,7 @@
 
     def _build_engine_side(self) -> None:
         endpoint = self.endpoint
-        identity = pipelines.Identity(
+        identity = tables.Identity(
             self.settings.name,
             self.incarnation,
             endpoint.model,
@@ -129,9 +130,8 @@
             endpoint.layer_start,
             endpoint.layer_end,
         )
-        self.pipeline = pipelines.Pipeline(
-            identity, self.gate, self._peers, self.counts, self._broadcast
-        )
+        table = tables.Table(identity, self.gate, self._peers, self.counts)
+        self.pipeline = pipelines.Pipeline(table, self._broadcast)
         self._engine = engines.Engine(self.settings.endpoint.url)
         handlers = drivers.Handlers(
             self.pipeline.take_results,
@@ -139,7 +139,7 @@
             self.pipeline.limit_batch,
         )
         self.driver = drivers.Driver(self._engine, handlers)
-        self.pipeline.driver = self.driver
+        table.driver = self.driver
 
     def _build_service_side(self) -> None:
         self._services = services.Services(
--- a/packages/daemon/src/dunlintide_daemon/agent/sessions.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/sessions.py
@@ -12,8 +12,10 @@
 __all__ = [
     'Session',
     'build_activation_job',
+    'build_done',
     'build_prompt_job',
     'build_setup',
+    'build_token',
     'build_token_job',
 ]
 
@@ -147,3 +149,30 @@
         prompt_tokens=session.prompt_tokens,
         max_tokens=session.max_tokens,
     )
+
+
+def build_token(
+    session: Session, index: int, sampled: engines.SampledToken
+) -> link_pb2.Token:
+    """Build the message of a sampled token."""
+    return link_pb2.Token(
+        request_id=session.request_id,
+        epoch=session.epoch,
+        index=index,
+        id=sampled.id,
+        text=sampled.text,
+        final=bool(sampled.finish_reason),
+    )
+
+
+def build_done(
+    session: Session, index: int, sampled: engines.SampledToken
+) -> link_pb2.Done:
+    """Build the end mark behind the last token."""
+    return link_pb2.Done(
+        request_id=session.request_id,
+        epoch=session.epoch,
+        tokens=index + 1,
+        finish_reason=sampled.finish_reason,
+        prompt_tokens=session.prompt_tokens,
+    )
