Part the delivery of answers from admission

A repeat is found by its id instead of by looking through all requests, which each Cancel of a finished request did. What comes for an ended request is dropped and counted.

--- a/packages/daemon/src/dunlintide_daemon/agent/gate.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/gate.py
@@ -18,6 +18,7 @@
 from dunlintide_core import outcomes
 from dunlintide_core import positions
 from dunlintide_core import queueing
+from dunlintide_daemon.agent import answers
 from dunlintide_daemon.agent import counts as counting
 from dunlintide_daemon.agent import works
 
@@ -28,40 +29,6 @@
 
 _RATE_WEIGHT = 0.3
 
-# What a claim that may not start is told: code, ran, detail.
-_CLAIM_REFUSALS = {
-    ledgers.Verdict.DROPPED: (
-        outcomes.FailCode.KEY_EXPIRED,
-        True,
-        'it may have run; no answer of it is kept',
-    ),
-    ledgers.Verdict.SEALED: (
-        outcomes.FailCode.CANCELLED,
-        False,
-        'this attempt never ran and will not',
-    ),
-    ledgers.Verdict.KEY_REUSED: (
-        outcomes.FailCode.KEY_REUSED,
-        False,
-        'the key was used for another request',
-    ),
-    ledgers.Verdict.EXECUTOR_GONE: (
-        outcomes.FailCode.EXECUTOR_GONE,
-        True,
-        'the executor has restarted since',
-    ),
-    ledgers.Verdict.EXPIRED: (
-        outcomes.FailCode.KEY_EXPIRED,
-        True,
-        'the claim is older than the retention',
-    ),
-    ledgers.Verdict.FULL: (
-        outcomes.FailCode.NO_CAPACITY,
-        False,
-        'too many keys are remembered',
-    ),
-}
-
 
 @attrs.frozen
 class GateSettings:
@@ -100,6 +67,7 @@
         self.fences = positions.Fences()
         self._settings = settings
         self._clock = clock
+        self._answers = answers.Answers(settings.name, counts, clock)
         self._works: dict[str, works.Work] = {}
         self._members: dict[str, int] = {}
         self._finished_cost = 0.0
@@ -118,74 +86,13 @@
         with self.lock:
             return list(self._works.values())
 
-    def _refuse(
-        self,
-        subscriber: works.Subscriber,
-        code: outcomes.FailCode,
-        detail: str,
-        ran: bool,
-        retry_after: float | None = None,
-    ) -> None:
-        self.counts.add(f'refused-{code}')
-        subscriber.link.send(
-            works.build_fail(
-                subscriber.request_id,
-                subscriber.epoch,
-                code,
-                detail,
-                ran=ran,
-                agent=self._settings.name,
-                retry_after=retry_after,
-            )
-        )
-
-    def _replay(
-        self,
-        frames: list[link_pb2.Frame],
-        subscriber: works.Subscriber,
-        skip: int,
-    ) -> None:
-        for frame in frames:
-            if frame.WhichOneof('body') == 'token':
-                if frame.token.index < skip:
-                    continue
-            subscriber.send(frame)
-
-    def _attach(
-        self, work: works.Work, subscriber: works.Subscriber, skip: int
-    ) -> None:
-        work.subscribers = [
-            other
-            for other in work.subscribers
-            if other.request_id != subscriber.request_id
-        ]
-        work.subscribers.append(subscriber)
-        work.detached = None
-        self._replay(work.log, subscriber, skip)
-
-    def _settle_claim(
-        self,
-        verdict: ledgers.Verdict,
-        entry: ledgers.Entry | None,
-        subscriber: works.Subscriber,
-        skip: int,
-    ) -> None:
-        self.counts.add(f'claim-{verdict}')
-        if verdict is ledgers.Verdict.ATTACH:
-            self._attach(entry.work, subscriber, skip)
-        elif verdict is ledgers.Verdict.REPLAY:
-            self._replay(entry.answer, subscriber, skip)
-        else:
-            code, ran, detail = _CLAIM_REFUSALS[verdict]
-            self._refuse(subscriber, code, detail, ran)
-
     def attach(
         self, claim: link_pb2.Claim, subscriber: works.Subscriber
     ) -> None:
         """Deliver the answer of an earlier attempt, or say what is known."""
         with self.lock:
             verdict, entry = self.ledger.attach(works.read_claim(claim))
-            self._settle_claim(verdict, entry, subscriber, 0)
+            self._answers.settle_claim(verdict, entry, subscriber, 0)
 
     def _find_obstacle(
         self, work: works.Work
@@ -205,7 +112,7 @@
     def _enqueue(self, work: works.Work, subscriber: works.Subscriber) -> bool:
         obstacle = self._find_obstacle(work)
         if obstacle is not None:
-            self._refuse(subscriber, *obstacle, False, 1.0)
+            self._answers.refuse(subscriber, *obstacle, False, 1.0)
             return False
         now = self._clock()
         work.ticket = queueing.Ticket(
@@ -218,7 +125,7 @@
         )
         refusal = self.queue.push(work.ticket, work.deadline - now, self.rate)
         if refusal is not None:
-            self._refuse(
+            self._answers.refuse(
                 subscriber,
                 refusal.code,
                 refusal.detail,
@@ -246,7 +153,7 @@
             self.end(old, stop=True)
             return False
         self.counts.add('adopted')
-        self._attach(old, subscriber, skip)
+        self._answers.attach(old, subscriber, skip)
         return True
 
     def open(
@@ -265,14 +172,16 @@
             if claim is not None:
                 verdict, entry = self.ledger.open(works.read_claim(claim))
                 if verdict is not ledgers.Verdict.START:
-                    self._settle_claim(verdict, entry, subscriber, skip)
+                    self._answers.settle_claim(
+                        verdict, entry, subscriber, skip
+                    )
                     return
                 work.entry = entry
                 entry.work = work
                 if work.request_id in self._works:
                     self.ledger.seal(entry)
                     code = outcomes.FailCode.BAD_REQUEST
-                    self._refuse(subscriber, code, 'id in use', False)
+                    self._answers.refuse(subscriber, code, 'id in use', False)
                     return
             elif self.fences.has_ended(work.request_id, work.epoch):
                 self.counts.drop('stale-open')
@@ -310,12 +219,10 @@
     def send(self, work: works.Work, frame: link_pb2.Frame) -> None:
         """Send a part of the answer to whoever takes it."""
         with self.lock:
-            if work.keeps_log:
-                work.log.append(frame)
-                work.log_bytes += frame.ByteSize()
-            for subscriber in list(work.subscribers):
-                if not subscriber.send(frame):
-                    self._detach(work, subscriber)
+            if work.phase is works.Phase.ENDED:
+                self.counts.drop('late-answer')
+                return
+            self._answers.send(work, frame)
 
     def _forget(self, work: works.Work) -> None:
         if self._works.get(work.request_id) is work:
@@ -332,6 +239,7 @@
             self.in_flight.finished += 1
             self._finished_cost += work.cost
         work.phase = works.Phase.ENDED
+        self._answers.forget(work)
         self.fences.end(work.request_id, work.epoch)
 
     def end(self, work: works.Work, *, stop: bool = False) -> None:
@@ -393,36 +301,25 @@
         A non-idempotent run goes on: its answer is kept for a repeat.
         """
         with self.lock:
-            for work in self._find_taken(request_id, link):
-                gone = [
-                    other
-                    for other in work.subscribers
-                    if other.request_id == request_id
-                    and other.epoch <= epoch
-                    and other.link is link
-                ]
-                if not gone:
-                    self.counts.drop('stale-cancel')
-                    continue
-                for subscriber in gone:
-                    work.subscribers.remove(subscriber)
-                self._cancel(work, gone)
-
-    def _find_taken(
-        self, request_id: str, link: links.Link
-    ) -> list[works.Work]:
-        work = self._works.get(request_id)
-        if work is not None:
-            return [work]
-        # A repeat that attached under an id of its own.
-        return [
-            work
-            for work in self._works.values()
-            if any(
-                other.request_id == request_id and other.link is link
+            work = self._works.get(request_id)
+            if work is None:
+                work = self._answers.find_alias(request_id)
+            if work is None:
+                self.counts.drop('unknown-cancel')
+                return
+            gone = [
+                other
                 for other in work.subscribers
-            )
-        ]
+                if other.request_id == request_id
+                and other.epoch <= epoch
+                and other.link is link
+            ]
+            for subscriber in gone:
+                self._answers.detach(work, subscriber)
+            if gone:
+                self._cancel(work, gone)
+            else:
+                self.counts.drop('stale-cancel')
 
     def _cancel(self, work: works.Work, gone: list[works.Subscriber]) -> None:
         keep = work.entry is not None and work.phase is works.Phase.RUNNING
@@ -431,18 +328,13 @@
         work.subscribers = gone
         self.fail(work, outcomes.FailCode.CANCELLED, 'cancelled by the caller')
 
-    def _detach(self, work: works.Work, subscriber: works.Subscriber) -> None:
-        work.subscribers.remove(subscriber)
-        if not work.subscribers:
-            work.detached = self._clock()
-
     def lose_link(self, link: links.Link) -> None:
         """Take note that a caller's link is gone."""
         with self.lock:
             for work in self._works.values():
                 for subscriber in list(work.subscribers):
                     if subscriber.link is link:
-                        self._detach(work, subscriber)
+                        self._answers.detach(work, subscriber)
 
     def set_fault(self, detail: str) -> None:
         """Refuse new work while the endpoint is away, and what waits.
