Run the fleet's state in a process

Replicas need clocks, threads and connections around them.

An actor owns the replica; one thread runs the rounds, one the upkeep and the choice of watchers, one hands configurations on. Only a watcher follows the store and reads the host list. A watch of the store can tell each revision that it read, so that a process sees when the store is behind.

--- a/packages/adapters/src/dunlintide_adapters/configstore.py
+++ b/packages/adapters/src/dunlintide_adapters/configstore.py
@@ -200,6 +200,7 @@
         stop: threading.Event,
         held: Snapshot | None = None,
         poll_seconds: float = configwatch.POLL_SECONDS,
+        on_read: Callable[[int], None] = lambda revision: None,
     ) -> None:
         """Deliver each new revision until ``stop`` is set.
 
@@ -209,8 +210,9 @@
 
         :param held: what the process holds already
         :param poll_seconds: longest time between two reads, in seconds
+        :param on_read: called with each revision that the store held
         """
-        configwatch.watch(self, on_snapshot, stop, held, poll_seconds)
+        configwatch.watch(self, on_snapshot, stop, held, poll_seconds, on_read)
 
     def republish(
         self, snapshot: Snapshot, over: str | None
--- a/packages/adapters/src/dunlintide_adapters/configwatch.py
+++ b/packages/adapters/src/dunlintide_adapters/configwatch.py
@@ -62,7 +62,9 @@
         configs: Any,
         on_snapshot: Callable[[configtypes.Snapshot], None],
         held: configtypes.Snapshot | None,
+        on_read: Callable[[int], None],
     ) -> None:
+        self._on_read = on_read
         self._configs = configs
         self._on_snapshot = on_snapshot
         self._held = held
@@ -89,6 +91,7 @@
             logging.warning('configuration: %s', read.err_value.message)
             return False
         found, held = read.ok_value, self._held
+        self._on_read(found.head.revision if found else 0)
         repair = choose_repair(held, found) if held else None
         if repair is not None:
             self._repair(repair, found)
@@ -117,10 +120,12 @@
     stop: threading.Event,
     held: configtypes.Snapshot | None = None,
     poll_seconds: float = POLL_SECONDS,
+    on_read: Callable[[int], None] = lambda revision: None,
 ) -> None:
     """Run the loop of ``ConfigStore.watch``, which says more.
 
     :param configs: the ``ConfigStore``
+    :param on_read: called with each revision that the store held
     """
     wake = threading.Event()
     watcher = threading.Thread(
@@ -130,7 +135,7 @@
         daemon=True,
     )
     watcher.start()
-    follower = _Follower(configs, on_snapshot, held)
+    follower = _Follower(configs, on_snapshot, held, on_read)
     while not stop.is_set():
         follower.poll()
         wake.wait(poll_seconds * random.uniform(0.5, 1.0))
--- a/packages/core/src/dunlintide_core/replicas.py
+++ b/packages/core/src/dunlintide_core/replicas.py
@@ -17,6 +17,7 @@
 from dunlintide_core import membership
 from dunlintide_core import neighbours
 from dunlintide_core import records
+from dunlintide_core import revisions
 from dunlintide_core import spread
 from dunlintide_core import watchers
 
@@ -338,6 +339,11 @@
         self._told[name] = max(self._told[name], self.spread.revision)
         return self._follow(name, reply)
 
+    def take_stored(self, head: revisions.Head, document: bytes) -> None:
+        """Take a configuration as the store gave it."""
+        if self.spread.take_stored(head, document) is not None:
+            self._eager = self._timing.eager_rounds
+
     def adopt(self) -> spread.Snapshot | None:
         """Put a pulled configuration in force once it is whole."""
         snapshot = self.spread.adopt()
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/peers.py
@@ -0,0 +1,373 @@
+"""The fleet's state at this process: configuration and membership.
+
+An actor owns the replica. One thread runs the rounds with peers, one
+keeps the upkeep that goes by time, one hands new configurations on, and
+one follows the store while this process is a watcher.
+"""
+
+import contextlib
+import random
+import threading
+import time
+from typing import Any, Callable, Iterable, Protocol
+
+from absl import logging
+import attrs
+import pykka
+import result
+
+from dunlintide_adapters import configstore
+from dunlintide_adapters import hostlist
+from dunlintide_adapters import peers as peer_calls
+from dunlintide_adapters import store
+from dunlintide_core import exchanges
+from dunlintide_core import fleet
+from dunlintide_core import records
+from dunlintide_core import replicas
+from dunlintide_core import settings as settings_module
+from dunlintide_core import spread
+from dunlintide_daemon import delivery
+
+__all__ = ['FleetState', 'Outside', 'make_peer']
+
+UPKEEP_SECONDS = 1.0
+HOSTS_SECONDS = 10.0
+MAX_FOLLOW_UPS = 64
+ANSWER_SECONDS = 2.0
+_JOIN_SECONDS = 2.0
+
+_Action = Callable[[replicas.Replica], Any]
+
+
+class _Configs(Protocol):
+    """The store's configuration, as ``configstore.ConfigStore`` has it."""
+
+    def watch(
+        self,
+        on_snapshot: Callable[[configstore.Snapshot], None],
+        stop: threading.Event,
+        held: configstore.Snapshot | None,
+        poll_seconds: float,
+        on_read: Callable[[int], None],
+    ) -> None:
+        """Deliver each new revision until ``stop`` is set."""
+
+
+@attrs.frozen
+class Outside:
+    """What the state is drawn from besides peers.
+
+    :ivar read_hosts: reads the host list, or says why it could not
+    :ivar configs: configuration in the store
+    :ivar poll_seconds: longest time between two reads of a watcher
+    :ivar close: closes them
+    """
+
+    read_hosts: Callable[[], result.Result[Iterable[hostlist.Host], object]]
+    configs: _Configs
+    poll_seconds: float = 30.0
+    close: Callable[[], None] = lambda: None
+
+    @classmethod
+    def from_config(cls, settings: settings_module.Settings) -> 'Outside':
+        """Build clients of the store and the host list."""
+        timing = settings.timing
+        with contextlib.ExitStack() as stack:
+            client = store.Store.from_url(
+                settings.store_url,
+                timing=store.StoreTiming(read=timing.store_timeout),
+            )
+            stack.callback(client.close)
+            hosts = hostlist.HostList.from_url(settings.host_list_url)
+            stack.callback(hosts.close)
+            return cls(
+                hosts.poll,
+                configstore.ConfigStore.from_store(client),
+                timing.configuration_poll,
+                stack.pop_all().close,
+            )
+
+
+def make_peer(
+    settings: settings_module.Settings, incarnation: int, address: str
+) -> fleet.Peer:
+    """Describe this process to its peers.
+
+    :param address: ``host:port`` at which they reach it
+    """
+    endpoint = settings.endpoint
+    return fleet.Peer(
+        name=settings.name,
+        role=settings.role,
+        incarnation=incarnation,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        address=address,
+        endpoint=endpoint.to_endpoint() if endpoint else None,
+    )
+
+
+class _Owner(pykka.ThreadingActor):
+    """Runs one action on the replica at a time."""
+
+    use_daemon_thread = True
+
+    def __init__(self, replica: replicas.Replica) -> None:
+        super().__init__()
+        self._replica = replica
+
+    def on_receive(self, message: _Action) -> Any:
+        return message(self._replica)
+
+
+class FleetState:
+    """Configuration and membership at this process; a context manager.
+
+    :ivar incarnation: of this process
+    """
+
+    def __init__(
+        self,
+        me: fleet.Peer,
+        outside: Outside,
+        timing: replicas.Timing = replicas.Timing(),
+    ) -> None:
+        """Begin with nothing known; entering the context starts it.
+
+        :param me: this process, with the address of its server
+        """
+        self.name = me.name
+        self.incarnation = me.incarnation
+        self._outside = outside
+        self._replica = replicas.Replica(me, random.Random(), timing)
+        self._owner: pykka.ActorRef | None = None
+        self._client = peer_calls.Client()
+        self._delivery = delivery.Delivery()
+        self._wake = threading.Event()
+        self._done = threading.Event()
+        self._watch: threading.Event | None = None
+        self._hosts_read = float('-inf')
+        self._reason = 'starting'
+        self._stack = contextlib.ExitStack()
+
+    @property
+    def snapshot(self) -> spread.Snapshot | None:
+        """Configuration in force, or None before the first."""
+        return self._delivery.snapshot
+
+    def on_snapshot(self, callback: delivery.OnSnapshot) -> None:
+        """Call back with the configuration in force and each newer one.
+
+        The calls come one at a time on a thread of their own.
+        """
+        self._delivery.add(callback)
+
+    def why_not_ready(self) -> str:
+        """Say why this process cannot serve yet; empty when it can."""
+        return self._reason
+
+    def _do(self, action: _Action) -> Any:
+        return self._owner.ask(action)
+
+    def list_members(self) -> list[records.Record]:
+        """Return what is known of all processes, tombstones too."""
+        return self._do(lambda replica: replica.members.everything())
+
+    def answer(
+        self, request: exchanges.Request, chunk_bytes: int
+    ) -> exchanges.Reply:
+        """Answer a peer; for the gRPC service."""
+        now = time.monotonic()
+
+        def act(replica: replicas.Replica) -> tuple[exchanges.Reply, bool]:
+            reply = replica.answer(now, request, chunk_bytes)
+            return reply, replica.urgent
+
+        reply, urgent = self._owner.ask(act, timeout=ANSWER_SECONDS)
+        if urgent:
+            self._wake.set()
+        return reply
+
+    def depart(self) -> None:
+        """Tell the fleet that this process leaves."""
+        now = time.monotonic()
+        self._do(lambda replica: replica.members.depart(now))
+        self._wake.set()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state, fit for JSON."""
+        return self._do(_describe) | {'not_ready': self._reason}
+
+    def _run_rounds(self) -> None:
+        while not self._done.is_set():
+            self._run_round()
+            pause = self._do(lambda replica: replica.pause())
+            self._wake.wait(pause)
+            self._wake.clear()
+
+    def _run_round(self) -> None:
+        now = time.monotonic()
+
+        def begin(replica: replicas.Replica):
+            target = replica.choose()
+            request = replica.open(now, target) if target else None
+            return target, request
+
+        target, request = self._do(begin)
+        for _ in range(MAX_FOLLOW_UPS):
+            if request is None:
+                return
+            request = self._call(target, request)
+
+    def _call(
+        self, target: exchanges.Target, request: exchanges.Request
+    ) -> exchanges.Request | None:
+        reply = self._client.exchange(target.address, request)
+        now = time.monotonic()
+        if isinstance(reply, result.Err):
+            self._do(lambda replica: replica.fail(now, target))
+            return None
+
+        def take(replica: replicas.Replica):
+            follow = replica.take(now, target, reply.ok_value)
+            return follow, replica.spread.snapshot
+
+        follow, snapshot = self._do(take)
+        self._delivery.offer(snapshot)
+        return follow
+
+    def _take_stored(self, stored: configstore.Snapshot) -> None:
+        def act(replica: replicas.Replica) -> spread.Snapshot | None:
+            replica.take_stored(stored.head, stored.document)
+            return replica.spread.snapshot
+
+        # The store may answer after this process has stopped.
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._delivery.offer(self._do(act))
+            self._wake.set()
+
+    def _note_store(self, revision: int) -> None:
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._do(lambda replica: replica.spread.note_store(revision))
+
+    def _run_upkeep(self) -> None:
+        while not self._done.is_set():
+            now = time.monotonic()
+
+            def keep(replica: replicas.Replica) -> tuple[bool, bool, str]:
+                replica.settle(now)
+                alone = len(replica.members.everything()) == 1
+                return replica.is_watcher, alone, replica.why_not_ready()
+
+            watcher, alone, self._reason = self._do(keep)
+            pause = UPKEEP_SECONDS if alone else HOSTS_SECONDS
+            if watcher and now - self._hosts_read >= pause:
+                self._hosts_read = now
+                self._read_hosts(now)
+            self._switch_watch(watcher)
+            self._done.wait(UPKEEP_SECONDS)
+
+    def _read_hosts(self, now: float) -> None:
+        hosts = self._outside.read_hosts()
+        if isinstance(hosts, result.Err):
+            logging.warning('host list not read: %s', hosts.err_value)
+            return
+        listed = list(hosts.ok_value)
+
+        def take(replica: replicas.Replica) -> None:
+            replica.add_seeds(host.address for host in listed)
+            replica.members.hear_hosts(now, {host.name for host in listed})
+
+        self._do(take)
+
+    def _switch_watch(self, watcher: bool) -> None:
+        """Follow the store while this process is a watcher."""
+        if not watcher and self._watch is not None:
+            self._watch.set()
+            self._watch = None
+        if watcher and self._watch is None:
+            self._watch = threading.Event()
+            threading.Thread(
+                target=self._follow,
+                args=(self._watch,),
+                name='store-watch',
+                daemon=True,
+            ).start()
+
+    def _follow(self, stop: threading.Event) -> None:
+        held = self.snapshot
+        if held is not None:
+            held = configstore.Snapshot(held.head, held.document)
+        self._outside.configs.watch(
+            self._take_stored,
+            stop,
+            held,
+            self._outside.poll_seconds,
+            self._note_store,
+        )
+
+    def _guard(self, target: Callable[[], None]) -> None:
+        try:
+            target()
+        except Exception:
+            if not self._done.is_set():
+                # A process with half of its state would mislead peers.
+                logging.fatal('fleet state broken', exc_info=True)
+
+    def _start_thread(self, target: Callable[[], None], name: str) -> None:
+        thread = threading.Thread(
+            target=self._guard, args=(target,), name=name, daemon=True
+        )
+        thread.start()
+        self._stack.callback(thread.join, _JOIN_SECONDS)
+
+    def __enter__(self) -> 'FleetState':
+        with self._stack as stack:
+            stack.callback(self._outside.close)
+            stack.callback(self._client.close)
+            self._owner = _Owner.start(self._replica)
+            stack.callback(self._owner.stop)
+            self._start_thread(self._delivery.run, 'configuration')
+            self._start_thread(self._run_upkeep, 'fleet-upkeep')
+            self._start_thread(self._run_rounds, 'fleet-rounds')
+            stack.callback(self._stop)
+            self._stack = stack.pop_all()
+        return self
+
+    def _stop(self) -> None:
+        self._done.set()
+        self._wake.set()
+        self._delivery.close()
+        if self._watch is not None:
+            self._watch.set()
+
+    def __exit__(self, *details) -> None:
+        self._stack.close()
+
+
+def _describe(replica: replicas.Replica) -> dict[str, Any]:
+    share = replica.spread
+    counts: dict[str, int] = {}
+    for record in replica.members.everything():
+        counts[record.state] = counts.get(record.state, 0) + 1
+    return {
+        'revision': share.revision,
+        'store_revision': share.store_revision,
+        'store_behind': share.store_behind,
+        'conflicts': sorted(share.conflicts),
+        'refused': share.refused,
+        'watcher': replica.is_watcher,
+        'neighbours': list(replica.near.names),
+        'members': counts,
+        'not_alive': [
+            {
+                'name': record.peer.name,
+                'state': record.state,
+                'witnesses': list(record.witnesses),
+            }
+            for record in replica.members.everything()
+            if record.state is not records.State.ALIVE
+        ],
+        'refutations': replica.members.refutations,
+        'deaths': replica.members.deaths,
+    }
