Put relays that harm connections between processes of a trial

Cause: an open connection can go silent for good while new ones work, and no stand-in could cause that; stalls, cuts, delay and narrow links between the processes could not be tried at all.

Change: a relay stand-in, in a process of its own or within the trial, that holds, cuts, delays and narrows connections in one direction or both, and an option of the launcher to put one on each kind of hop: caller-entry, entry-agent, agent-agent, agent-engine, agent-service and entry-store.

--- /dev/null
+++ b/packages/standins/src/dunlintide_standins/relay.py
@@ -0,0 +1,336 @@
+"""Relay between two ends of a TCP connection, to harm what passes.
+
+It stands for the network: it can hold connections in silence while new
+ones work, cut them, delay them and limit their bandwidth, in one
+direction or both.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+import contextlib
+import enum
+import threading
+import time
+from typing import Any
+
+import attrs
+import msgspec
+
+from dunlintide_standins import process
+from dunlintide_standins import web
+
+__all__ = ['Config', 'Counts', 'Direction', 'Relay', 'ControlledRelay']
+
+_CHUNK_BYTES = 16 << 10
+_MAX_CHUNKS = 64
+_CONNECT_SECONDS = 5.0
+_CONTROL_SECONDS = 5.0
+
+
+class Direction(enum.StrEnum):
+    """Which way data goes.
+
+    ``FORWARD`` is from the one who connected to the target.
+    """
+
+    FORWARD = 'forward'
+    BACKWARD = 'backward'
+    BOTH = 'both'
+
+
+@attrs.frozen
+class Config:
+    """Settings of a relay that is a process of its own."""
+
+    listen: str = process.setting('127.0.0.1:0', 'host:port to listen on')
+    target: str = process.setting('', 'host:port to pass connections to')
+    control: str = process.setting('127.0.0.1:0', 'host:port for control')
+
+
+@attrs.define
+class Counts:
+    """What a relay has seen.
+
+    :ivar accepted: connections since its start
+    :ivar open: connections that it holds now
+    :ivar held: those of them that are stalled
+    """
+
+    accepted: int = 0
+    open: int = 0
+    held: int = 0
+
+
+@attrs.define(eq=False)
+class _Lane:
+    """One direction of one connection.
+
+    :ivar flowing: cleared while the lane is held in silence
+    """
+
+    direction: Direction
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    flowing: asyncio.Event = attrs.field(factory=asyncio.Event)
+    chunks: asyncio.Queue = attrs.field(
+        factory=lambda: asyncio.Queue(_MAX_CHUNKS)
+    )
+
+
+@attrs.define(eq=False)
+class _Connection:
+    lanes: tuple[_Lane, _Lane]
+
+    def abort(self) -> None:
+        """Reset both ends."""
+        for lane in self.lanes:
+            lane.writer.transport.abort()
+
+
+def _select(direction: Direction, wanted: Direction) -> bool:
+    return wanted in (Direction.BOTH, direction)
+
+
+def _split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+class Relay:
+    """Passes connections on to a target; methods are safe in any thread.
+
+    :ivar port: port that it listens on
+    """
+
+    def __init__(self, listen: str, target: str) -> None:
+        """Listen at once.
+
+        :param listen: ``host:port``, port 0 for a free one
+        :param target: ``host:port`` to pass connections to
+        :raises OSError: when the port is taken
+        """
+        self.target = target
+        self._accepted = 0
+        self._connections: set[_Connection] = set()
+        self._stalls_new = False
+        self._delays = dict.fromkeys(Direction, 0.0)
+        self._rates = dict.fromkeys(Direction, 0.0)
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, name='relay', daemon=True
+        )
+        self._thread.start()
+        try:
+            self._server = self._run(self._listen(*_split_address(listen)))
+        except OSError:
+            self._end_loop()
+            raise
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def _run(self, work: Coroutine) -> Any:
+        future = asyncio.run_coroutine_threadsafe(work, self._loop)
+        return future.result(_CONTROL_SECONDS)
+
+    async def _listen(self, host: str, port: int) -> asyncio.Server:
+        return await asyncio.start_server(self._accept, host, port)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._accepted += 1
+        dialled = asyncio.open_connection(*_split_address(self.target))
+        try:
+            far = await asyncio.wait_for(dialled, _CONNECT_SECONDS)
+        except (OSError, asyncio.TimeoutError):
+            writer.transport.abort()
+            return
+        lanes = (
+            _Lane(Direction.FORWARD, reader, far[1]),
+            _Lane(Direction.BACKWARD, far[0], writer),
+        )
+        connection = _Connection(lanes)
+        if not self._stalls_new:
+            for lane in lanes:
+                lane.flowing.set()
+        self._connections.add(connection)
+        try:
+            tasks = [self._read(lane) for lane in lanes]
+            tasks += [self._write(lane) for lane in lanes]
+            await asyncio.gather(*tasks)
+        except OSError:
+            pass  # One end is gone, and so is the connection.
+        finally:
+            self._connections.discard(connection)
+            connection.abort()
+
+    async def _read(self, lane: _Lane) -> None:
+        data = b'more'
+        while data:
+            data = await lane.reader.read(_CHUNK_BYTES)
+            await lane.flowing.wait()
+            due = time.monotonic() + self._delays[lane.direction]
+            await lane.chunks.put((due, data))
+
+    async def _write(self, lane: _Lane) -> None:
+        while True:
+            due, data = await lane.chunks.get()
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            rate = self._rates[lane.direction]
+            if rate:
+                await asyncio.sleep(len(data) / rate)
+            await lane.flowing.wait()
+            if not data:
+                if lane.writer.can_write_eof():
+                    lane.writer.write_eof()
+                return
+            lane.writer.write(data)
+            await lane.writer.drain()
+
+    async def _hold(self, direction: Direction, new: bool) -> None:
+        self._stalls_new = new
+        for connection in self._connections:
+            for lane in connection.lanes:
+                if _select(lane.direction, direction):
+                    lane.flowing.clear()
+
+    async def _flow(self) -> None:
+        self._stalls_new = False
+        for connection in self._connections:
+            for lane in connection.lanes:
+                lane.flowing.set()
+
+    async def _abort(self) -> None:
+        for connection in list(self._connections):
+            connection.abort()
+
+    async def _count(self) -> Counts:
+        held = sum(
+            not all(lane.flowing.is_set() for lane in connection.lanes)
+            for connection in self._connections
+        )
+        return Counts(self._accepted, len(self._connections), held)
+
+    def stall(
+        self, direction: Direction = Direction.BOTH, *, new: bool = False
+    ) -> None:
+        """Hold the open connections in silence; neither end is told.
+
+        :param new: whether connections that come later are held too
+        """
+        self._run(self._hold(direction, new))
+
+    def resume(self) -> None:
+        """Let held connections go on, with what they held."""
+        self._run(self._flow())
+
+    def cut(self) -> None:
+        """Reset the open connections."""
+        self._run(self._abort())
+
+    def shape(
+        self,
+        direction: Direction = Direction.BOTH,
+        *,
+        delay: float = 0.0,
+        rate: float = 0.0,
+    ) -> None:
+        """Slow all connections down.
+
+        :param delay: seconds that data takes to pass
+        :param rate: bytes a second of each connection, 0 for no limit
+        """
+        for each in (Direction.FORWARD, Direction.BACKWARD):
+            if _select(each, direction):
+                self._delays[each] = delay
+                self._rates[each] = rate
+
+    def count(self) -> Counts:
+        """Count the connections."""
+        return self._run(self._count())
+
+    def start(self) -> None:
+        """Do nothing: it has listened from the beginning."""
+
+    def _end_loop(self) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(_CONTROL_SECONDS)
+        self._loop.close()
+
+    async def _close(self) -> None:
+        self._server.close()
+        for connection in list(self._connections):
+            connection.abort()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
+    def stop(self) -> None:
+        """Free the port and reset every connection."""
+        with contextlib.suppress(TimeoutError):
+            self._run(self._close())
+        self._end_loop()
+
+
+class _Control(msgspec.Struct, forbid_unknown_fields=True):
+    """What to do; ``stall`` false lets held connections go on."""
+
+    stall: bool | None = None
+    new: bool = False
+    direction: Direction = Direction.BOTH
+    cut: bool = False
+    delay: float | None = None
+    rate: float | None = None
+
+
+class ControlledRelay:
+    """A relay with a control address.
+
+    :ivar port: port that it listens on
+    :ivar control_port: port of ``GET`` and ``POST /control``
+    """
+
+    def __init__(self, config: Config) -> None:
+        self._relay = Relay(config.listen, config.target)
+        self.port = self._relay.port
+        self._server = web.Server(config.control, self._handle)
+        self.control_port = self._server.port
+
+    @classmethod
+    def from_config(cls, config: Config) -> 'ControlledRelay':
+        """Build a relay; its ports are bound at once."""
+        return cls(config)
+
+    def start(self) -> None:
+        """Begin to answer at the control address."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop at once and reset every connection."""
+        self._server.stop()
+        self._relay.stop()
+
+    def _handle(self, request: web.Request) -> web.Answer:
+        if request.path != '/control':
+            return web.json_answer({'error': 'no such path'}, 404)
+        if request.method == 'POST':
+            self._apply(web.decode_json(request, _Control))
+        return web.json_answer(attrs.asdict(self._relay.count()))
+
+    def _apply(self, control: _Control) -> None:
+        if control.stall is True:
+            self._relay.stall(control.direction, new=control.new)
+        elif control.stall is False:
+            self._relay.resume()
+        if control.delay is not None or control.rate is not None:
+            self._relay.shape(
+                control.direction,
+                delay=control.delay or 0.0,
+                rate=control.rate or 0.0,
+            )
+        if control.cut:
+            self._relay.cut()
+
+
+if __name__ == '__main__':
+    process.run(Config, ControlledRelay.from_config)
--- a/packages/trials/src/dunlintide_trials/deployment.py
+++ b/packages/trials/src/dunlintide_trials/deployment.py
@@ -7,6 +7,7 @@
 import attrs
 import urllib3
 
+from dunlintide_standins import relay
 from dunlintide_trials import client
 from dunlintide_trials import layout
 from dunlintide_trials import operators
@@ -30,6 +31,7 @@
     :ivar folder: work folder with settings and logs
     :ivar keys: bearer key of each member, by name
     :ivar rules: operators' configuration that was last applied
+    :ivar relays: relays by their hop and the daemon that has it
     :ivar started: every process by name, in the order of starting
     """
 
@@ -37,6 +39,9 @@
     folder: pathlib.Path
     keys: dict[str, str]
     rules: dict[str, Any]
+    relays: dict[tuple[layout.Hop, str], relay.Relay] = attrs.field(
+        factory=dict
+    )
     started: dict[str, processes.Process] = attrs.field(factory=dict)
     _http: urllib3.PoolManager = attrs.field(
         factory=lambda: urllib3.PoolManager(
@@ -138,7 +143,7 @@
 
     def make_caller(self, entry: int, member: str) -> client.Caller:
         """Build a caller for one entry and one member."""
-        url = self.plan.entries[entry].url
+        url = self.plan.find_url(self.plan.entries[entry])
         return client.Caller(url, self.keys[member])
 
     def wait_all_ready(self) -> None:
--- a/packages/trials/src/dunlintide_trials/launcher.py
+++ b/packages/trials/src/dunlintide_trials/launcher.py
@@ -4,8 +4,11 @@
 import pathlib
 import sys
 import tempfile
-from typing import Any, Iterator
+from typing import Any, Iterable, Iterator, Mapping
 
+import attrs
+
+from dunlintide_standins import relay
 from dunlintide_trials import blueprints
 from dunlintide_trials import deployment
 from dunlintide_trials import layout
@@ -123,11 +126,28 @@
             process.kill()
 
 
+def _start_relays(
+    plan: layout.Plan,
+    hops: Iterable[layout.Hop],
+    stack: contextlib.ExitStack,
+) -> dict[tuple[layout.Hop, str], relay.Relay]:
+    relays = {}
+    for hop in hops:
+        for daemon, target in layout.list_hops(plan, hop):
+            one = relay.Relay(f'{ports.HOST}:0', target)
+            stack.callback(one.stop)
+            relays[hop, daemon] = one
+    return relays
+
+
 @contextlib.contextmanager
 def run(
     blueprint: blueprints.Blueprint,
     rules: dict[str, Any],
     folder: pathlib.Path,
+    *,
+    hops: Iterable[layout.Hop] = (),
+    timing: Mapping[str, float] | None = None,
 ) -> Iterator[deployment.Deployment]:
     """Start a deployment and stop all of it at the end of the block.
 
@@ -135,6 +155,8 @@
 
     :param rules: operators' configuration
     :param folder: empty work folder
+    :param hops: where to put relays, which ``Deployment.relays`` has
+    :param timing: the ``timing`` part of the daemons' settings
     :raises processes.StartError: when a process doesn't become ready
     """
     with contextlib.ExitStack() as stack:
@@ -142,10 +164,16 @@
             contextlib.closing(ports.Reservations())
         )
         plan = layout.make_plan(blueprint, folder, reserved)
+        relays = _start_relays(plan, hops, stack)
+        plan = attrs.evolve(
+            plan,
+            relayed={place: one.port for place, one in relays.items()},
+            timing=dict(timing or {}),
+        )
         layout.write_files(plan, folder)
         keys = layout.make_keys([one['name'] for one in rules['members']])
         filled = operators.fill_keys(rules, keys)
-        running = deployment.Deployment(plan, folder, keys, filled)
+        running = deployment.Deployment(plan, folder, keys, filled, relays)
         launcher = _Launcher(running, reserved, stack)
         launcher.start_platform()
         running.apply_rules(filled).check()
@@ -159,10 +187,15 @@
 @contextlib.contextmanager
 def run_small(
     example: pathlib.Path = EXAMPLE,
+    *,
+    hops: Iterable[layout.Hop] = (),
+    timing: Mapping[str, float] | None = None,
 ) -> Iterator[deployment.Deployment]:
     """Start a small deployment of an example in a temporary folder.
 
     :param example: deployment file
+    :param hops: where to put relays
+    :param timing: the ``timing`` part of the daemons' settings
     """
     blueprint = blueprints.load_blueprint(example)
     rules = operators.load_rules(example.parent / blueprint.rules)
@@ -170,4 +203,6 @@
     with contextlib.ExitStack() as stack:
         temporary = tempfile.TemporaryDirectory(prefix='dunlintide-')
         folder = pathlib.Path(stack.enter_context(temporary))
-        yield stack.enter_context(run(small, rules, folder))
+        yield stack.enter_context(
+            run(small, rules, folder, hops=hops, timing=timing)
+        )
--- a/packages/trials/src/dunlintide_trials/layout.py
+++ b/packages/trials/src/dunlintide_trials/layout.py
@@ -1,5 +1,6 @@
 """Names, addresses and settings of the processes of a deployment."""
 
+import enum
 import json
 import pathlib
 import secrets
@@ -15,9 +16,11 @@
     'AgentPlan',
     'EndpointPlan',
     'EntryPlan',
+    'Hop',
     'Plan',
     'StandinPlan',
     'make_keys',
+    'list_hops',
     'make_plan',
     'write_files',
 ]
@@ -26,6 +29,17 @@
 _STANDINS = 'dunlintide_standins'
 
 
+class Hop(enum.StrEnum):
+    """Who connects to whom, where a relay can be put between them."""
+
+    CALLER_ENTRY = 'caller-entry'
+    ENTRY_AGENT = 'entry-agent'
+    AGENT_AGENT = 'agent-agent'
+    AGENT_ENGINE = 'agent-engine'
+    AGENT_SERVICE = 'agent-service'
+    ENTRY_STORE = 'entry-store'
+
+
 def _make_address(port: int) -> str:
     return f'{ports.HOST}:{port}'
 
@@ -76,6 +90,12 @@
         """``engine`` or ``service``."""
         return self.settings['kind']
 
+    @property
+    def hop(self) -> Hop:
+        """The hop between it and its agent."""
+        engine = self.kind == 'engine'
+        return Hop.AGENT_ENGINE if engine else Hop.AGENT_SERVICE
+
 
 @attrs.frozen
 class DaemonPlan:
@@ -102,6 +122,7 @@
         return (self.admin_port, self.link_port)
 
     def _build_settings(self, plan: 'Plan', role: str) -> dict[str, Any]:
+        advertised = plan.find_port(Hop.AGENT_AGENT, self.name, self.link_port)
         return {
             'role': role,
             'name': self.name,
@@ -109,9 +130,10 @@
             'region': plan.blueprint.region,
             'admin_listen': _make_address(self.admin_port),
             'link_listen': self.address,
-            'advertise': self.address,
+            'advertise': _make_address(advertised),
             'store_url': plan.store.url,
             'host_list_url': f'{plan.host_list.url}/hosts',
+            'timing': plan.timing,
         }
 
 
@@ -124,7 +146,9 @@
     def build_settings(self, plan: 'Plan') -> dict[str, Any]:
         """Build the settings of the daemon."""
         settings = self._build_settings(plan, 'agent')
-        url = {'url': self.endpoint.standin.url}
+        endpoint = self.endpoint
+        port = endpoint.standin.port
+        url = {'url': _make_url(plan.find_port(endpoint.hop, self.name, port))}
         return settings | {'endpoint': self.endpoint.settings | url}
 
 
@@ -147,12 +171,20 @@
     def build_settings(self, plan: 'Plan') -> dict[str, Any]:
         """Build the settings of the daemon."""
         settings = self._build_settings(plan, 'entry')
-        return settings | {'listen': _make_address(self.port)}
+        store = plan.find_port(Hop.ENTRY_STORE, self.name, plan.store.port)
+        return settings | {
+            'listen': _make_address(self.port),
+            'store_url': _make_url(store),
+        }
 
 
 @attrs.frozen
 class Plan:
-    """All processes of a deployment, with their ports."""
+    """All processes of a deployment, with their ports.
+
+    :ivar relayed: port of the relay on a hop, by hop and daemon
+    :ivar timing: the ``timing`` part of every daemon's settings
+    """
 
     blueprint: blueprints.Blueprint
     store: StandinPlan
@@ -160,6 +192,17 @@
     weight_store: StandinPlan
     agents: tuple[AgentPlan, ...]
     entries: tuple[EntryPlan, ...]
+    relayed: dict[tuple[Hop, str], int] = attrs.field(factory=dict)
+    timing: dict[str, float] = attrs.field(factory=dict)
+
+    def find_port(self, hop: Hop, daemon: str, port: int) -> int:
+        """Give the port of the relay on a hop, or the given one."""
+        return self.relayed.get((hop, daemon), port)
+
+    def find_url(self, entry: EntryPlan) -> str:
+        """Give the URL at which callers reach an entry."""
+        port = self.find_port(Hop.CALLER_ENTRY, entry.name, entry.port)
+        return _make_url(port)
 
     @property
     def daemons(self) -> tuple[AgentPlan | EntryPlan, ...]:
@@ -280,6 +323,22 @@
     )
 
 
+def list_hops(plan: Plan, hop: Hop) -> list[tuple[str, str]]:
+    """List the daemons with such a hop, and where it leads."""
+    if hop is Hop.ENTRY_STORE:
+        store = _make_address(plan.store.port)
+        return [(entry.name, store) for entry in plan.entries]
+    if hop is Hop.CALLER_ENTRY:
+        return [(one.name, _make_address(one.port)) for one in plan.entries]
+    if hop in (Hop.ENTRY_AGENT, Hop.AGENT_AGENT):
+        return [(one.name, one.address) for one in plan.agents]
+    return [
+        (one.name, _make_address(one.endpoint.standin.port))
+        for one in plan.agents
+        if one.endpoint.hop is hop
+    ]
+
+
 def make_keys(members: list[str]) -> dict[str, str]:
     """Make a new bearer key for each member."""
     return {name: secrets.token_urlsafe(16) for name in members}
@@ -290,7 +349,9 @@
         {
             'name': daemon.name,
             'role': daemon.build_settings(plan)['role'],
-            'address': daemon.address,
+            'address': _make_address(
+                plan.find_port(Hop.ENTRY_AGENT, daemon.name, daemon.link_port)
+            ),
             'failure_domain': daemon.failure_domain,
             'region': plan.blueprint.region,
         }
