--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/agent/dispatch.py
@@ -0,0 +1,71 @@
+"""Hands frames off the links to the part that they concern."""
+
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_daemon.agent import gate as gates
+from dunlintide_daemon.agent import pipeline as pipelines
+from dunlintide_daemon.agent import services as service_calls
+from dunlintide_daemon.agent import works
+
+__all__ = [
+    'Dispatcher',
+]
+
+
+class Dispatcher:
+    """Takes frames on link readers; never blocks."""
+
+    def __init__(
+        self,
+        gate: gates.Gate,
+        pipeline: pipelines.Pipeline | None,
+        services: service_calls.Services | None,
+    ) -> None:
+        """Remember where frames go.
+
+        :param pipeline: None before a plain service
+        :param services: None before an engine
+        """
+        self._gate = gate
+        self._pipeline = pipeline
+        self._services = services
+
+    def take(self, link: links.Link, frames: list[link_pb2.Frame]) -> None:
+        """Hand on a batch of frames of one link."""
+        with self._gate.lock:
+            for frame in frames:
+                self._take_one(link, frame)
+
+    def _take_one(self, link: links.Link, frame: link_pb2.Frame) -> None:
+        body = frame.WhichOneof('body')
+        if body == 'attach':
+            self._attach(link, frame.attach)
+        elif self._pipeline is not None:
+            self._take_for_engine(link, body, frame)
+        elif body == 'call':
+            self._services.call(link, frame.call)
+        elif body == 'cancel':
+            cancel = frame.cancel
+            self._gate.cancel(cancel.request_id, cancel.epoch, link)
+
+    def _take_for_engine(
+        self, link: links.Link, body: str, frame: link_pb2.Frame
+    ) -> None:
+        pipeline = self._pipeline
+        if body == 'step':
+            pipeline.take_step(link, frame.step)
+        elif body == 'token':
+            pipeline.take_token(frame.token)
+        elif body == 'done':
+            pipeline.take_done(frame.done)
+        elif body == 'open':
+            pipeline.open(link, frame.open)
+        elif body == 'fail':
+            pipeline.take_fail(frame.fail)
+        elif body == 'cancel':
+            pipeline.take_cancel(link, frame.cancel)
+
+    def _attach(self, link: links.Link, attach: link_pb2.Attach) -> None:
+        request_id = attach.terms.request_id
+        subscriber = works.Subscriber(link, request_id, attach.epoch)
+        self._gate.attach(attach.claim, subscriber)
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -20,6 +20,7 @@
 from dunlintide_core import queueing
 from dunlintide_core import settings as settings_module
 from dunlintide_daemon.agent import counts as counting
+from dunlintide_daemon.agent import dispatch
 from dunlintide_daemon.agent import driver as drivers
 from dunlintide_daemon.agent import dump
 from dunlintide_daemon.agent import gate as gates
@@ -28,7 +29,6 @@
 from dunlintide_daemon.agent import services
 from dunlintide_daemon.agent import supervisor
 from dunlintide_daemon.agent import table as tables
-from dunlintide_daemon.agent import works
 
 __all__ = [
     'Agent',
@@ -85,10 +85,14 @@
         )
         self._peers = peering.Peers(
             self._build_hello,
-            peering.Handlers(self._take, self._raise_peer, self._lose_peer),
+            peering.Handlers(
+                self._take_frames, self._raise_peer, self._lose_peer
+            ),
             self._timing,
         )
-        handlers = links.Handlers(self._welcome, self._take, self._lose_link)
+        handlers = links.Handlers(
+            self._welcome, self._take_frames, self._lose_link
+        )
         # The port is the host-local lock against a second agent.
         self._server = links.LinkServer(
             settings.link_listen, self._build_hello, handlers, self._timing
@@ -101,6 +105,9 @@
             self._build_engine_side()
         else:
             self._build_service_side()
+        self._dispatcher = dispatch.Dispatcher(
+            self.gate, self.pipeline, self._services
+        )
         self._load = link_pb2.Load()
         self._stack = contextlib.ExitStack()
 
@@ -179,6 +186,11 @@
         # A new entry needs the generation before its first claim.
         link.send(link_pb2.Frame(load=self._load))
 
+    def _take_frames(
+        self, link: links.Link, frames: list[link_pb2.Frame]
+    ) -> None:
+        self._dispatcher.take(link, frames)
+
     def _lose_link(self, link: links.Link, reason: str) -> None:
         logging.debug('link from %s lost: %s', link.peer.name, reason)
         self.gate.lose_link(link)
@@ -193,44 +205,6 @@
         if self.pipeline is not None:
             self.pipeline.lose_peer(address, reason)
 
-    def _take(self, link: links.Link, frames: list[link_pb2.Frame]) -> None:
-        with self.gate.lock:
-            for frame in frames:
-                self._dispatch(link, frame)
-
-    def _dispatch(self, link: links.Link, frame: link_pb2.Frame) -> None:
-        body = frame.WhichOneof('body')
-        if body == 'attach':
-            self._attach(link, frame.attach)
-        elif self.pipeline is not None:
-            self._dispatch_engine(link, body, frame)
-        elif body == 'call':
-            self._services.call(link, frame.call)
-        elif body == 'cancel':
-            cancel = frame.cancel
-            self.gate.cancel(cancel.request_id, cancel.epoch, link)
-
-    def _dispatch_engine(
-        self, link: links.Link, body: str, frame: link_pb2.Frame
-    ) -> None:
-        if body == 'step':
-            self.pipeline.take_step(link, frame.step)
-        elif body == 'token':
-            self.pipeline.take_token(frame.token)
-        elif body == 'done':
-            self.pipeline.take_done(frame.done)
-        elif body == 'open':
-            self.pipeline.open(link, frame.open)
-        elif body == 'fail':
-            self.pipeline.take_fail(frame.fail)
-        elif body == 'cancel':
-            self.pipeline.take_cancel(link, frame.cancel)
-
-    def _attach(self, link: links.Link, attach: link_pb2.Attach) -> None:
-        request_id = attach.terms.request_id
-        subscriber = works.Subscriber(link, request_id, attach.epoch)
-        self.gate.attach(attach.claim, subscriber)
-
     def _take_engine_failure(
         self, jobs: list[drivers.Job], error: engines.EngineError
     ) -> None:
