Free a claim only on the word of its executor

Cause: an entry released a claim whenever its own attempt had not run. A repeat is an attempt too: when the executor of an order that had already run was leaving, or a later stage of its chain was gone, the repeat was told not-run and the claim released, so the next repeat ran the order a second time at another executor. A head also refused a claim over a chain that no longer stood before it looked into its ledger.

Change: the executor marks the refusals with which it seals an attempt, and only these free the claim. A repeat that cannot be opened is sent to the executor as Attach; one whose executor cannot be reached is told unknown. The head settles claims first.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -71,6 +71,7 @@
     And it is repeated under another id
     Then the repeat gets exactly the model's tokens and an end mark
     And a later repeat gets the same answer
+    And a repeat over a chain that is gone gets the same answer
     And a claim on it with another body is refused with "key-reused"
     And the engines ran the claimed request once
 
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -64,6 +64,22 @@
     And a caller asks for a completion under the key "order-2"
     Then both requests went to one agent with the same claim
 
+  Scenario: A repeat to an executor that is leaving gets its answer
+    When a caller asks for a completion under the key "order-7"
+    And the executor of that key says that it is leaving
+    And a caller asks for a completion under the key "order-7"
+    Then both answers under the key are the same
+    And the agents of the entry got 1 request in all
+
+  Scenario: Only the executor's own word frees a key
+    Given the first agent that is asked refuses without a seal after 0 tokens
+    When a caller asks for a completion under the key "order-8"
+    Then the key "order-8" is still bound
+    Given the first agent that is asked seals after 0 tokens
+    When a caller asks for a completion under the key "order-8"
+    Then the entry answers 503 with the outcome "not-run"
+    And the key "order-8" is bound no more
+
   Scenario: A key names one request
     When a caller calls the service under the key "order-3" with "one"
     And a caller calls the service under the key "order-3" with "two"
--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -414,7 +414,7 @@
     assert context.caller.down.wait(WAIT_SECONDS)
 
 
-def repeat(context, request_id, **more):
+def repeat(context, request_id, stages=None, **more):
     caller = Caller(context.agents[0].address)
     context.stack.callback(caller.dialer.stop)
     original = context.asked['r1']
@@ -424,6 +424,7 @@
         request_id,
         original.max_tokens,
         prompt=original.prompt,
+        stages=stages,
         claim=claim,
         epoch=4,
     )
@@ -448,6 +449,12 @@
     check_answer(caller, 'later', context.asked['r1'])
 
 
+@behave.then('a repeat over a chain that is gone gets the same answer')
+def check_other_chain(context):
+    caller = repeat(context, 'gone', stages=0)
+    check_answer(caller, 'gone', context.asked['r1'])
+
+
 @behave.then('a claim on it with another body is refused with "{code}"')
 def check_reused(context, code):
     caller = repeat(context, 'reused', fingerprint=b'other body')
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -123,6 +123,8 @@
             if body == 'open':
                 self.asked.append(frame.open)
                 self.run(link, frame.open)
+            elif body == 'attach':
+                self.replay(link, frame.attach)
             elif body == 'call':
                 self.asked.append(frame.call)
                 self.reply(link, frame.call)
@@ -131,6 +133,13 @@
             elif body == 'cancel':
                 self.cancelled.append(frame.cancel.request_id)
 
+    def replay(self, link, attach):
+        for asked in self.asked:
+            if asked.claim.attempt == attach.claim.attempt:
+                again = link_pb2.Open(terms=attach.terms, epoch=attach.epoch)
+                again.max_tokens = asked.max_tokens
+                self.run(link, again)
+
     def reply(self, link, call):
         reply = link_pb2.Reply(
             request_id=call.terms.request_id,
@@ -177,6 +186,15 @@
             link.close()
         elif fault == 'skips a token':
             self.send(link, asked, index + 1, asked.epoch)
+        elif fault in ('refuses without a seal', 'seals'):
+            fail = link_pb2.Fail(
+                request_id=asked.terms.request_id,
+                epoch=asked.epoch,
+                code='queue-full',
+                agent=self.name,
+                sealed=fault == 'seals',
+            )
+            link.send(link_pb2.Frame(fail=fail))
         elif fault == 'fails':
             fail = link_pb2.Fail(
                 request_id=asked.terms.request_id,
@@ -368,9 +386,35 @@
         stopping.result(WAIT_SECONDS)
 
 
+@behave.when('the executor of that key says that it is leaving')
+def say_executor_leaving(context):
+    say_leaving(context, next(a for a in context.entry.engines if a.asked))
+
+
+@behave.then('both answers under the key are the same')
+def check_same(context):
+    first, second = (one.json()['choices'] for one in context.answers)
+    assert first == second, (first, second)
+
+
+def find_claim(context, key):
+    digest = claims.digest_key('diner', key)
+    return context.entry.writer.held.get(digest)
+
+
+@behave.then('the key "{key}" is still bound')
+def check_bound(context, key):
+    assert find_claim(context, key) is not None
+
+
+@behave.then('the key "{key}" is bound no more')
+def check_freed(context, key):
+    assert find_claim(context, key) is None
+
+
 @behave.when('one agent of the entry says that it is leaving')
-def say_leaving(context):
-    agent = context.entry.engines[0]
+def say_leaving(context, agent=None):
+    agent = agent or context.entry.engines[0]
     leaving = link_pb2.Leaving(agent=agent.name, incarnation=1)
     for link in agent.server.links():
         link.send(link_pb2.Frame(leaving=leaving))
--- a/packages/core/src/dunlintide_core/outcomes.py
+++ b/packages/core/src/dunlintide_core/outcomes.py
@@ -76,12 +76,15 @@
     :ivar outcome: what became of the request
     :ivar detail: one sentence for the caller, without request content
     :ivar retry_after: seconds after which a repeat makes sense, or None
+    :ivar sealed: whether the executor of its claim said that it never ran
+        and never will
     """
 
     code: FailCode
     outcome: Outcome
     detail: str = ''
     retry_after: float | None = None
+    sealed: bool = False
 
     @property
     def status(self) -> int:
--- a/packages/daemon/src/dunlintide_daemon/agent/answers.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/answers.py
@@ -84,11 +84,16 @@
         detail: str,
         ran: bool,
         retry_after: float | None = None,
+        *,
+        agent: str = '',
+        sealed: bool = False,
     ) -> None:
         """Tell a subscriber that it gets no answer.
 
         :param ran: False only when provably nothing of it ran
         :param retry_after: seconds after which a repeat makes sense
+        :param agent: agent at fault, this one by default
+        :param sealed: whether its claimed attempt will never run
         """
         self._counts.add(f'refused-{code}')
         subscriber.link.send(
@@ -98,8 +103,9 @@
                 code,
                 detail,
                 ran=ran,
-                agent=self._name,
+                agent=agent or self._name,
                 retry_after=retry_after,
+                sealed=sealed,
             )
         )
 
@@ -162,4 +168,5 @@
             _replay(entry.answer, subscriber, skip)
         else:
             code, ran, detail = _CLAIM_REFUSALS[verdict]
-            self.refuse(subscriber, code, detail, ran)
+            sealed = verdict is ledgers.Verdict.SEALED
+            self.refuse(subscriber, code, detail, ran, sealed=sealed)
--- a/packages/daemon/src/dunlintide_daemon/agent/gate.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/gate.py
@@ -25,11 +25,24 @@
 __all__ = [
     'Gate',
     'GateSettings',
+    'Obstacle',
 ]
 
 _RATE_WEIGHT = 0.3
 
 
+@attrs.frozen
+class Obstacle:
+    """Why a request cannot begin here now.
+
+    :ivar agent: agent at fault, empty for this one
+    """
+
+    code: outcomes.FailCode
+    detail: str
+    agent: str = ''
+
+
 @attrs.frozen
 class GateSettings:
     """Constants of a gate.
@@ -94,25 +107,38 @@
             verdict, entry = self.ledger.attach(works.read_claim(claim))
             self._answers.settle_claim(verdict, entry, subscriber, 0)
 
-    def _find_obstacle(
-        self, work: works.Work
-    ) -> tuple[outcomes.FailCode, str] | None:
+    def _find_obstacle(self, work: works.Work) -> Obstacle | None:
         if self.leaving:
-            return outcomes.FailCode.LEAVING, 'the endpoint is leaving'
+            code = outcomes.FailCode.LEAVING
+            return Obstacle(code, 'the endpoint is leaving')
         if self.fault:
-            return outcomes.FailCode.NO_CAPACITY, self.fault
+            return Obstacle(outcomes.FailCode.NO_CAPACITY, self.fault)
         limit = work.terms.member_concurrency
         if limit and self._members.get(work.terms.member, 0) >= limit:
-            return (
+            return Obstacle(
                 outcomes.FailCode.RATE_LIMITED,
                 'too many requests of the member are in flight',
             )
         return None
 
-    def _enqueue(self, work: works.Work, subscriber: works.Subscriber) -> bool:
-        obstacle = self._find_obstacle(work)
+    def _enqueue(
+        self,
+        work: works.Work,
+        subscriber: works.Subscriber,
+        obstacle: Obstacle | None,
+    ) -> bool:
+        obstacle = obstacle or self._find_obstacle(work)
+        sealed = work.entry is not None
         if obstacle is not None:
-            self._answers.refuse(subscriber, *obstacle, False, 1.0)
+            self._answers.refuse(
+                subscriber,
+                obstacle.code,
+                obstacle.detail,
+                False,
+                1.0,
+                agent=obstacle.agent,
+                sealed=sealed,
+            )
             return False
         now = self._clock()
         work.ticket = queueing.Ticket(
@@ -131,6 +157,7 @@
                 refusal.detail,
                 False,
                 refusal.retry_after,
+                sealed=sealed,
             )
             return False
         return True
@@ -162,11 +189,14 @@
         claim: link_pb2.Claim | None,
         subscriber: works.Subscriber,
         skip: int = 0,
+        obstacle: Obstacle | None = None,
     ) -> None:
         """Take in a request: refuse, queue, or give it an earlier run.
 
         :param claim: for a non-idempotent request
         :param skip: generated tokens that the subscriber already has
+        :param obstacle: why it may not begin; an earlier run's answer is
+            delivered all the same
         """
         with self.lock:
             if claim is not None:
@@ -181,14 +211,16 @@
                 if work.request_id in self._works:
                     self.ledger.seal(entry)
                     code = outcomes.FailCode.BAD_REQUEST
-                    self._answers.refuse(subscriber, code, 'id in use', False)
+                    self._answers.refuse(
+                        subscriber, code, 'id in use', False, sealed=True
+                    )
                     return
             elif self.fences.has_ended(work.request_id, work.epoch):
                 self.counts.drop('stale-open')
                 return
             elif self._adopt(work, subscriber, skip):
                 return
-            if not self._enqueue(work, subscriber):
+            if not self._enqueue(work, subscriber, obstacle):
                 if work.entry is not None:
                     self.ledger.seal(work.entry)
                 return
@@ -287,6 +319,7 @@
                 detail,
                 ran=ran,
                 agent=agent or self._settings.name,
+                sealed=work.entry is not None and not ran,
             )
             for subscriber in work.subscribers:
                 subscriber.send(frame)
--- a/packages/daemon/src/dunlintide_daemon/agent/heads.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/heads.py
@@ -9,6 +9,7 @@
 from dunlintide_core import outcomes
 from dunlintide_core import positions
 from dunlintide_core import queueing
+from dunlintide_daemon.agent import gate as gates
 from dunlintide_daemon.agent import peers as peering
 from dunlintide_daemon.agent import sessions
 from dunlintide_daemon.agent import table as tables
@@ -41,44 +42,30 @@
         self._peers = table.peers
         self._counts = table.counts
 
-    def _find_fault(
-        self, message: link_pb2.Open
-    ) -> tuple[outcomes.FailCode, str, str] | None:
+    def _find_obstacle(self, message: link_pb2.Open) -> gates.Obstacle | None:
         code = outcomes.FailCode.NO_CAPACITY
         identity = self._table.identity
         if not message.chain or not identity.fits(message.chain[0]):
             detail = 'the chain does not begin with this agent'
-            return code, detail, identity.name
+            return gates.Obstacle(code, detail)
         for stage in message.chain[1:]:
             if self._peers.is_leaving(stage.address):
                 code = outcomes.FailCode.LEAVING
-                return code, 'a stage is leaving', stage.agent
+                detail = 'a stage is leaving'
+                return gates.Obstacle(code, detail, stage.agent)
         return None
 
     def open(self, link: links.Link, message: link_pb2.Open) -> None:
         """Take in a request to run as head."""
         terms = message.terms
         subscriber = works.Subscriber(link, terms.request_id, message.epoch)
-        fault = self._find_fault(message)
-        if fault is not None:
-            code, detail, agent = fault
-            link.send(
-                works.build_fail(
-                    terms.request_id,
-                    message.epoch,
-                    code,
-                    detail,
-                    ran=False,
-                    agent=agent,
-                )
-            )
-            return
+        obstacle = self._find_obstacle(message)
         for stage in message.chain[1:2]:
             self._peers.prepare(stage.address)
         claim = message.claim if message.HasField('claim') else None
         work = self._build_work(message)
         resumed = len(message.resumed_tokens)
-        self._gate.open(work, claim, subscriber, resumed)
+        self._gate.open(work, claim, subscriber, resumed, obstacle)
 
     def _build_work(self, message: link_pb2.Open) -> works.Work:
         terms = message.terms
--- a/packages/daemon/src/dunlintide_daemon/agent/works.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/works.py
@@ -108,12 +108,14 @@
     ran: bool,
     agent: str,
     retry_after: float | None = None,
+    sealed: bool = False,
 ) -> link_pb2.Frame:
     """Build a Fail frame.
 
     :param ran: False only when provably nothing of it ran
     :param agent: agent at fault
     :param retry_after: seconds
+    :param sealed: whether the claimed attempt never ran and never will
     """
     return link_pb2.Frame(
         fail=link_pb2.Fail(
@@ -124,5 +126,6 @@
             ran=ran,
             agent=agent,
             retry_after_ms=int((retry_after or 0.0) * 1000),
+            sealed=sealed,
         )
     )
--- a/packages/daemon/src/dunlintide_daemon/entry/answers.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/answers.py
@@ -82,9 +82,12 @@
         route: router.CompletionRoute | router.ServiceRoute,
         refusal: outcomes.Refusal,
     ) -> None:
-        """Free the key of a request that provably never ran."""
-        not_run = refusal.outcome is outcomes.Outcome.NOT_RUN
-        if route.bound is not None and not_run:
+        """Free the key of a request that never ran and never will.
+
+        Only its executor can say so: another entry may have sent it the
+        same claim.
+        """
+        if route.bound is not None and refusal.sealed:
             self.router.release(route.bound)
 
 
--- a/packages/daemon/src/dunlintide_daemon/entry/completions.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/completions.py
@@ -8,6 +8,7 @@
 from dunlintide_core import outcomes
 from dunlintide_daemon.entry import chains
 from dunlintide_daemon.entry import dispatch
+from dunlintide_daemon.entry import fleet
 from dunlintide_daemon.entry import requests
 from dunlintide_daemon.entry import sessions
 
@@ -46,12 +47,15 @@
     """What a completion runs on.
 
     :ivar choose: returns a chain without the given agents, or None
+    :ivar find_holder: returns the executor of the claim, None when there
+        is no claim or no link to it
     """
 
     model: str
     version: str
     adapter: str
     choose: Callable[[Collection[chains.Life]], chains.Chain | None]
+    find_holder: Callable[[], fleet.Agent | None] = lambda: None
 
 
 class _Run:
@@ -86,10 +90,29 @@
         )
         return link_pb2.Frame(open=message)
 
+    def _build_attach(self, epoch: int) -> link_pb2.Frame:
+        message = link_pb2.Attach(
+            terms=self._attempt.build_terms(),
+            epoch=epoch,
+            claim=self._job.claim,
+        )
+        return link_pb2.Frame(attach=message)
+
+    def _attach(self) -> bool:
+        """Ask the claim's executor for what it has, though no run can start.
+
+        It may hold the answer, and if not, it will never run the claim.
+        """
+        holder = self._plan.find_holder()
+        if holder is None:
+            return False
+        self._attempt.send((holder,), self._build_attach)
+        return True
+
     def _open(self) -> bool:
         chain = dispatch.pick_avoiding(self._plan.choose, self._attempt.avoid)
         if chain is None:
-            return False
+            return self._attach()
         self._attempt.send(chain, lambda epoch: self._build_open(chain, epoch))
         return True
 
@@ -129,10 +152,8 @@
 
     def run(self) -> Iterator[Piece | Wait | End | outcomes.Refusal]:
         if not self._open():
-            yield outcomes.refuse(
-                outcomes.FailCode.NO_CAPACITY,
-                'no chain of endpoints holds all layers of the model',
-                retry_after=dispatch.RETRY_AFTER_SECONDS,
+            yield self._attempt.refuse_unsent(
+                'no chain of endpoints holds all layers of the model'
             )
             return
         while True:
--- a/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
@@ -83,6 +83,8 @@
     :ivar repeatable: whether it may run again after it may have run
     :ivar is_connected: tells whether the caller still waits
     :ivar claim: binding to its one executor, if it needs one
+    :ivar repeated: whether an earlier request made that claim, so that
+        it may have run already
     """
 
     terms: link_pb2.Terms
@@ -90,6 +92,7 @@
     repeatable: bool
     is_connected: Callable[[], bool] = lambda: True
     claim: link_pb2.Claim | None = None
+    repeated: bool = False
 
 
 def _read_code(code: str) -> outcomes.FailCode:
@@ -107,7 +110,7 @@
     """
 
     def __init__(self, context: Context, job: Job) -> None:
-        self.ran = False
+        self.ran = job.repeated
         self.avoid: set[chains.Life] = set()
         self._context = context
         self._job = job
@@ -187,10 +190,12 @@
             self.ran = True
             code = outcomes.FailCode.LINK_LOST
             return self._blame(code, 'the link to the endpoint was lost', '')
-        self.ran = self.ran or event.ran
+        # Only the executor knows what became of the whole claim.
+        self.ran = not event.sealed and (self.ran or event.ran)
         retry_after = event.retry_after_ms / 1000 or None
         code = _read_code(event.code)
-        return self._blame(code, event.detail, event.agent, retry_after)
+        refusal = self._blame(code, event.detail, event.agent, retry_after)
+        return attrs.evolve(refusal, sealed=event.sealed)
 
     def _blame(
         self,
@@ -217,12 +222,24 @@
         """Tell whether the request may be dispatched again, and pay."""
         if refusal.code in _FINAL or self.epoch >= MAX_ATTEMPTS:
             return False
+        if refusal.sealed:
+            return False
         if self.ran and not self._is_safe_again(refusal):
             return False
         if self.check() is not None:
             return False
         return self._context.retries.spend()
 
+    def refuse_unsent(self, detail: str) -> outcomes.Refusal:
+        """Build the answer when no agent was there to send it to."""
+        code = outcomes.FailCode.NO_CAPACITY
+        if self.ran:
+            code = outcomes.FailCode.EXECUTOR_GONE
+            detail = 'the endpoint that the key is bound to cannot be reached'
+        return outcomes.refuse(
+            code, detail, ran=self.ran, retry_after=RETRY_AFTER_SECONDS
+        )
+
     def recover(
         self, refusal: outcomes.Refusal, open_again: Callable[[], bool]
     ) -> outcomes.Refusal | None:
--- a/packages/daemon/src/dunlintide_daemon/entry/router.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/router.py
@@ -242,8 +242,12 @@
 
         return result.Ok(
             CompletionRoute(
-                attrs.evolve(job, claim=held.build_claim()),
-                attrs.evolve(plan, choose=choose_held),
+                _bind_job(job, held),
+                attrs.evolve(
+                    plan,
+                    choose=choose_held,
+                    find_holder=lambda: self._find_held(held),
+                ),
                 held,
             )
         )
@@ -313,7 +317,7 @@
         held = bound.ok_value
         return result.Ok(
             ServiceRoute(
-                attrs.evolve(job, claim=held.build_claim()),
+                _bind_job(job, held),
                 lambda avoid: self._find_held(held),
                 held,
             )
@@ -359,6 +363,12 @@
     return attrs.evolve(caller, key=f'server-{uuid_utils.uuid7()}')
 
 
+def _bind_job(job: dispatch.Job, bound: claims.Bound) -> dispatch.Job:
+    return attrs.evolve(
+        job, claim=bound.build_claim(), repeated=bound.repeated
+    )
+
+
 def _is_held(bound: claims.Bound, agent: fleet.Agent) -> bool:
     binding = bound.binding
     return chains.tell_life(agent) == (binding.executor, binding.incarnation)
--- a/packages/daemon/src/dunlintide_daemon/entry/services.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/services.py
@@ -125,10 +125,8 @@
 
     def run(self) -> Answer | outcomes.Refusal:
         if not self._open():
-            return outcomes.refuse(
-                outcomes.FailCode.NO_CAPACITY,
-                'no endpoint of the service is reachable',
-                retry_after=dispatch.RETRY_AFTER_SECONDS,
+            return self._attempt.refuse_unsent(
+                'no endpoint of the service is reachable'
             )
         parts = _Parts()
         while True:
