Keep a member's limits over all entries

Rates and concurrency of rules were not enforced. Each entry owns 1/N of every limit and lends it to a coordinating entry, one of two first choices for each of four shards of the members, which divides what it was lent by demand and grants it for four seconds at a time. No request waits for a message or writes to the store; only the first under a key may wait up to a second for its first grant.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -111,3 +111,11 @@
   Scenario: A planned stop finishes what is in flight
     When the entry is told to stop in mid-stream
     Then the stream holds each of the 5 tokens once and its end mark
+
+  Scenario: Several keys of a member share one limit
+    When a caller posts a completion with key "" as member "metered"
+    Then the agents of the entry got 1 request in all
+    When a caller posts a completion with key "" as member "metered-2"
+    Then the entry answers 429 with the outcome "not-run"
+    And the caller is told when to try again
+    And the agents of the entry got 1 request in all
--- /dev/null
+++ b/features/limits.feature
@@ -0,0 +1,20 @@
+Feature: Limits of a member hold over all entries
+
+  Scenario: Shares never pass the limit, whatever is lost or cut
+    Then at any moment shares and slots of all entries stay within the limit
+
+  Scenario: Entries that never reach each other keep their static parts
+    Given two entries that cannot reach each other share limits
+    When both are asked 50 times for a member with 10 requests in flight
+    Then 10 of these are admitted and the rest refused as not run
+
+  Scenario: One entry gets what the others do not use
+    Given two linked entries that share limits
+    When one is asked until a member has 10 requests in flight there
+    Then the other entry refuses the member as not run
+
+  Scenario: What has ended leaves room at the other entry
+    Given two linked entries that share limits
+    When one is asked until a member has 10 requests in flight there
+    And these requests end
+    Then the other entry comes to admit 10 requests
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -35,6 +35,15 @@
             name, (hashlib.sha256(name.encode()).hexdigest(),)
         )
         for name in ('diner', 'rival', 'refused')
+    )
+    + (
+        configuration.Member(
+            'metered',
+            tuple(
+                hashlib.sha256(key).hexdigest()
+                for key in (b'metered', b'metered-2')
+            ),
+        ),
     ),
     models=(configuration.Model('copy', 24),),
     services=(configuration.Service('orders', repeatable=False),),
@@ -44,6 +53,11 @@
             configuration.When(member=('diner', 'rival')),
             configuration.Then(deadline_seconds=3.0),
         ),
+        configuration.Rule(
+            'metered',
+            configuration.When(member=('metered',)),
+            configuration.Then(rate=0.01),
+        ),
     ),
 )
 
@@ -509,3 +523,8 @@
         assert context.entry.complete().status == 200
     asked = [len(agent.asked) for agent in context.entry.engines]
     assert asked == [0, count], asked
+
+
+@behave.then('the caller is told when to try again')
+def check_retry_after(context):
+    assert int(context.answer.headers['Retry-After']) >= 1
--- /dev/null
+++ b/features/steps/limits.py
@@ -0,0 +1,197 @@
+"""Steps for the limits of members over entries."""
+
+import contextlib
+import random
+import time
+
+import attrs
+import behave
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import configuration
+from dunlintide_core import limits as core
+from dunlintide_core import outcomes
+from dunlintide_daemon.entry import exchange
+from dunlintide_daemon.entry import limits
+import hypothesis
+from hypothesis import strategies
+
+WAIT_SECONDS = 30.0
+KEY = ('member', 'rule')
+LIMIT = 7
+RULE = configuration.Rule(
+    'rule', configuration.When(), configuration.Then(concurrency=10)
+)
+
+
+@attrs.define
+class Actor:
+    """One entry on a virtual clock; it keeps each slot that it is granted."""
+
+    name: str
+    lease: core.Lease = attrs.field(factory=core.Lease)
+    coordinator: core.Coordinator = attrs.field(factory=core.Coordinator)
+    need: core.Need = core.Need()
+
+
+def simulate(seed, count, loss, slowest):
+    """Yield the sum of the shares and of the slots at each moment."""
+    rng = random.Random(seed)
+    actors = {f'e{number}': Actor(f'e{number}') for number in range(count)}
+    fraction = 1.0 / count
+    mail, cut = [], {}
+    for step in range(400):
+        now = step * 0.25
+        if step % 40 == 0:
+            cut = {name: rng.random() < 0.3 for name in actors}
+        for one in [one for one in mail if one[0] <= now]:
+            mail.remove(one)
+            _, source, target, sequence, acknowledged, needs, grants = one
+            if cut[source] != cut[target] or rng.random() < loss:
+                continue
+            if grants is not None:
+                actors[target].lease.accept(sequence, grants)
+                continue
+            granted = actors[target].coordinator.answer(
+                source, fraction, sequence, acknowledged, needs, now
+            )
+            due = now + rng.uniform(0, slowest)
+            mail.append((due, target, source, sequence, 0, None, granted))
+        for actor in actors.values():
+            if rng.random() > 0.4:
+                continue
+            wanted = rng.choice((0, 1, LIMIT))
+            actor.need = core.Need(rng.random(), wanted, 0, LIMIT)
+            # Entries need not agree on who coordinates.
+            chosen = rng.choice(('e0', 'e1'))
+            if actor.lease.choose(chosen, now):
+                sequence = actor.lease.send(now)
+                due = now + rng.uniform(0, slowest)
+                letter = (due, actor.name, actor.lease.coordinator, sequence)
+                needs = {KEY: actor.need}
+                mail.append((*letter, actor.lease.acknowledged, needs, None))
+        found = [
+            actor.lease.find(KEY, fraction, LIMIT, now)
+            for actor in actors.values()
+        ]
+        yield sum(one.rate for one in found), sum(one.slots for one in found)
+
+
+@behave.then(
+    'at any moment shares and slots of all entries stay within the limit'
+)
+def check_sums(context):
+    @hypothesis.settings(
+        derandomize=True, deadline=None, max_examples=60, database=None
+    )
+    @hypothesis.given(
+        strategies.integers(0, 1 << 32),
+        strategies.integers(2, 7),
+        strategies.sampled_from((0.0, 0.1, 0.5)),
+        strategies.sampled_from((0.1, 1.0, core.SLACK_SECONDS)),
+    )
+    def check(seed, count, loss, slowest):
+        peak = 0.0
+        for rate, slots in simulate(seed, count, loss, slowest):
+            assert rate <= 1 + 1e-6, rate
+            assert slots <= LIMIT, slots
+            peak = max(peak, rate)
+        assert peak > 0.5, 'nothing was shared'
+
+    check()
+
+
+class Node:
+    """The limits of one entry, on a real port."""
+
+    def __init__(self, stack, name):
+        self.name = name
+        self.admitted = []
+        self.limits = limits.Limits(self.connect, grant_wait=0.0)
+        self.limits.exchange.start()
+        stack.callback(self.limits.exchange.stop)
+        self.role = 'entry'
+        self.address = f'127.0.0.1:{self.limits.exchange.port}'
+
+    def connect(self, take):
+        return exchange.Exchange(self.name, '127.0.0.1:0', self.hello, take)
+
+    def hello(self):
+        return link_pb2.Hello(name=self.name, role='entry', incarnation=1)
+
+    def ask(self):
+        """Ask once; the refusal, or None."""
+        request_id = f'{self.name}-{time.monotonic_ns()}'
+        refusal = self.limits.admit(request_id, 'member', RULE)
+        if refusal is None:
+            self.admitted.append(request_id)
+        return refusal
+
+
+def ask_until(context, node, count):
+    deadline = time.monotonic() + WAIT_SECONDS
+    while len(node.admitted) < count:
+        assert time.monotonic() < deadline, len(node.admitted)
+        node.ask()
+        for one in context.nodes:
+            one.limits.renew()
+        time.sleep(0.01)
+
+
+@behave.given('two linked entries that share limits')
+@behave.given('two entries that cannot reach each other share limits')
+def start_nodes(context):
+    stack = context.stack.enter_context(contextlib.ExitStack())
+    context.nodes = [Node(stack, f'entry-{n}') for n in range(2)]
+    if 'cannot' in context.scenario.steps[0].name:
+        for node in context.nodes:
+            node.address = '127.0.0.1:1'
+    for node in context.nodes:
+        node.limits.exchange.update(context.nodes)
+
+
+@behave.when(
+    'both are asked {count:d} times for a member with 10 requests in flight'
+)
+def ask_both(context, count):
+    context.refusals = [
+        node.ask() for _ in range(count) for node in context.nodes
+    ]
+
+
+@behave.when(
+    'one is asked until a member has {count:d} requests in flight there'
+)
+def ask_one(context, count):
+    ask_until(context, context.nodes[0], count)
+
+
+@behave.when('these requests end')
+def end_requests(context):
+    first = context.nodes[0]
+    for request_id in first.admitted:
+        first.limits.release(request_id)
+
+
+@behave.then('{count:d} of these are admitted and the rest refused as not run')
+def check_admitted(context, count):
+    refused = [one for one in context.refusals if one is not None]
+    assert len(context.refusals) - len(refused) == count, len(refused)
+    for one in refused:
+        assert one.code is outcomes.FailCode.RATE_LIMITED
+        assert one.outcome is outcomes.Outcome.NOT_RUN
+        assert one.retry_after > 0
+
+
+@behave.then('the other entry refuses the member as not run')
+def check_other_refuses(context):
+    for _ in range(20):
+        refusal = context.nodes[1].ask()
+        assert refusal is not None
+        assert refusal.outcome is outcomes.Outcome.NOT_RUN
+        for one in context.nodes:
+            one.limits.renew()
+
+
+@behave.then('the other entry comes to admit {count:d} requests')
+def check_other_admits(context, count):
+    ask_until(context, context.nodes[1], count)
--- a/packages/daemon/src/dunlintide_daemon/entry/answers.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/answers.py
@@ -1,5 +1,6 @@
 """Answers of completions and services, and the outcomes they settle."""
 
+import inspect
 from typing import Callable, Iterator
 
 from absl import logging
@@ -11,6 +12,7 @@
 from dunlintide_daemon.entry import dispatch
 from dunlintide_daemon.entry import headers as filtering
 from dunlintide_daemon.entry import history
+from dunlintide_daemon.entry import limits
 from dunlintide_daemon.entry import openai
 from dunlintide_daemon.entry import problems
 from dunlintide_daemon.entry import requests
@@ -64,11 +66,13 @@
 
     history: history.History
     router: router.Router
+    limiter: limits.Limits
 
     def end(
         self, caller: router.Caller, refusal: outcomes.Refusal | None
     ) -> None:
         """Note an outcome; None stands for a whole answer."""
+        self.limiter.release(caller.request_id)
         self.history.end(caller.request_id, caller.member, refusal)
         logging.info(
             'request %s of %s: %s',
@@ -166,6 +170,8 @@
     def _abandon(self) -> None:
         """End a stream that was closed before it was begun."""
         self._events.close()
+        refusal = outcomes.refuse(outcomes.FailCode.CANCELLED, ran=True)
+        self._ledger.end(self._caller, refusal)
 
     def _send(self, first: completions.Piece | completions.End):
         refusal = outcomes.refuse(outcomes.FailCode.CANCELLED, ran=True)
@@ -213,5 +219,7 @@
         return self._chunks
 
     def close(self) -> None:
+        state = inspect.getgeneratorstate(self._chunks)
         self._chunks.close()
-        self._abandon()
+        if state == inspect.GEN_CREATED:
+            self._abandon()
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/exchange.py
@@ -0,0 +1,204 @@
+"""Links between entries, for what they share about members' limits.
+
+An entry dials a few others only: the two first choices to coordinate each
+shard of the members, which all entries rank alike.
+"""
+
+import threading
+import time
+from typing import Callable, Iterable, Protocol
+
+import attrs
+
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import fleet
+from dunlintide_core import hashing
+
+__all__ = [
+    'CHOICES',
+    'SHARDS',
+    'Exchange',
+    'Host',
+    'identify',
+]
+
+SHARDS = 4
+CHOICES = 2
+# Demands follow each other by about a second, so pings only serve links
+# on which nothing else is said.
+TIMING = links.LinkTiming(ping=2.0, silence=6.0, redial=2.0)
+
+
+# How long the first choice may be out of reach before another is taken;
+# entries that turn to different ones only divide among themselves.
+PATIENCE_SECONDS = 4.0
+
+
+class Host(Protocol):
+    """One host of the platform's list, as far as it matters here."""
+
+    name: str
+    role: str
+    address: str
+
+
+def identify(hello: link_pb2.Hello) -> str:
+    """Name a process in one life of it."""
+    return f'{hello.name}@{hello.incarnation}'
+
+
+def _rank(names: Iterable[str], shard: int) -> tuple[str, ...]:
+    ranked = sorted(names, key=lambda name: hashing.hash_text(name, shard))
+    return tuple(ranked[:CHOICES])
+
+
+@attrs.frozen
+class _View:
+    """The entries as listed.
+
+    :ivar choices: names that may coordinate, by shard
+    """
+
+    count: int
+    choices: tuple[tuple[str, ...], ...]
+
+
+class Exchange:
+    """Accepts links of other entries and dials those that coordinate."""
+
+    def __init__(
+        self,
+        name: str,
+        listen: str,
+        hello: Callable[[], link_pb2.Hello],
+        take: Callable[[links.Link, list[link_pb2.Frame]], None],
+    ) -> None:
+        """Bind the address.
+
+        :param name: this entry's name
+        :param take: called with frames of other entries
+        :raises OSError: when the port is taken
+        """
+        self._name = name
+        self._hello = hello
+        self._take = take
+        self._lock = threading.Lock()
+        self._dialers: dict[str, links.Dialer] = {}
+        self._linked: dict[str, links.Link] = {}
+        self._stopped = False
+        self._reached = [time.monotonic()] * SHARDS
+        self._view = self._build_view(())
+        accepted = links.Handlers(
+            lambda link: None, take, lambda link, reason: None
+        )
+        self._server = links.LinkServer(listen, hello, accepted, TIMING)
+
+    @property
+    def port(self) -> int:
+        """Port for other processes."""
+        return self._server.port
+
+    @property
+    def count(self) -> int:
+        """Number of entries, this one included."""
+        return self._view.count
+
+    def _build_view(self, names: Iterable[str]) -> _View:
+        known = {self._name, *names}
+        choices = tuple(_rank(known, shard) for shard in range(SHARDS))
+        return _View(len(known), choices)
+
+    def update(self, hosts: Iterable[Host]) -> None:
+        """Take in the host list."""
+        listed = {
+            host.name: host.address
+            for host in hosts
+            if host.role == fleet.Role.ENTRY
+        }
+        view = self._build_view(listed)
+        wanted = {
+            listed[name]
+            for ranked in view.choices
+            for name in ranked
+            if name != self._name
+        }
+        with self._lock:
+            if self._stopped:
+                return
+            self._view = view
+            gone = [
+                self._dialers.pop(address)
+                for address in self._dialers.keys() - wanted
+            ]
+            added = [
+                self._dial(address)
+                for address in wanted - self._dialers.keys()
+            ]
+        for dialer in gone:
+            dialer.stop()
+        for dialer in added:
+            dialer.start()
+
+    def _dial(self, address: str) -> links.Dialer:
+        handlers = links.Handlers(self._up, self._take, self._down)
+        dialer = links.Dialer(address, self._hello, handlers, TIMING)
+        self._dialers[address] = dialer
+        return dialer
+
+    def _up(self, link: links.Link) -> None:
+        with self._lock:
+            self._linked[link.peer.name] = link
+
+    def _down(self, link: links.Link, reason: str) -> None:
+        with self._lock:
+            if self._linked.get(link.peer.name) is link:
+                del self._linked[link.peer.name]
+
+    def choose(self, shard: int) -> str:
+        """Return who should coordinate a shard, in this life of it.
+
+        :returns: empty when that is not known, or nobody is reachable
+        """
+        now = time.monotonic()
+        with self._lock:
+            first, *others = self._view.choices[shard]
+            found = self._find(first)
+            if found:
+                self._reached[shard] = now
+            if found or now < self._reached[shard] + PATIENCE_SECONDS:
+                return found
+            return next(filter(None, map(self._find, others)), '')
+
+    def _find(self, name: str) -> str:
+        if name == self._name:
+            return self.identify()
+        link = self._linked.get(name)
+        return identify(link.peer) if link is not None else ''
+
+    def identify(self) -> str:
+        """Name this entry in this life of it."""
+        return identify(self._hello())
+
+    def send(self, coordinator: str, frame: link_pb2.Frame) -> bool:
+        """Send a frame; False when that life is not reachable."""
+        name = coordinator.rpartition('@')[0]
+        with self._lock:
+            link = self._linked.get(name)
+        if link is None or identify(link.peer) != coordinator:
+            return False
+        return link.send(frame)
+
+    def start(self) -> None:
+        """Accept links."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close all links and free the port."""
+        with self._lock:
+            self._stopped = True
+            dialers = list(self._dialers.values())
+            self._dialers.clear()
+        for dialer in dialers:
+            dialer.stop()
+        self._server.stop()
--- a/packages/daemon/src/dunlintide_daemon/entry/front.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/front.py
@@ -14,6 +14,7 @@
 from dunlintide_daemon.entry import dispatch
 from dunlintide_daemon.entry import headers
 from dunlintide_daemon.entry import history
+from dunlintide_daemon.entry import limits
 from dunlintide_daemon.entry import openai
 from dunlintide_daemon.entry import problems
 from dunlintide_daemon.entry import requests
@@ -40,6 +41,7 @@
     holder: holders.Holder
     router: router.Router
     history: history.History
+    limiter: limits.Limits
     rng: random.Random
 
 
@@ -84,7 +86,9 @@
     def __init__(self, parts: Parts) -> None:
         """Serve with the given parts."""
         self._parts = parts
-        self._ledger = answers.Ledger(parts.history, parts.router)
+        self._ledger = answers.Ledger(
+            parts.history, parts.router, parts.limiter
+        )
 
     def __call__(
         self, environ: Mapping[str, Any], start_response: StartResponse
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -26,9 +26,11 @@
 from dunlintide_daemon.entry import configuration
 from dunlintide_daemon.entry import dispatch
 from dunlintide_daemon.entry import dump
+from dunlintide_daemon.entry import exchange
 from dunlintide_daemon.entry import fleet
 from dunlintide_daemon.entry import front
 from dunlintide_daemon.entry import history
+from dunlintide_daemon.entry import limits
 from dunlintide_daemon.entry import planning
 from dunlintide_daemon.entry import problems
 from dunlintide_daemon.entry import router
@@ -96,6 +98,11 @@
             links.LinkTiming(timing.ping, timing.silence, timing.redial),
         )
         self._planner = planning.Planner(self._fleet, self._rng)
+        self._limits = limits.Limits(
+            lambda take: exchange.Exchange(
+                settings.name, settings.link_listen, self._build_hello, take
+            )
+        )
         self._http = self._build_server()
         self._admin = admin.AdminServer.from_config(
             settings.admin_listen,
@@ -147,13 +154,19 @@
             self._planner,
             self._holder,
             binder,
+            self._limits,
             settings.failure_domain,
         )
         context = dispatch.Context(
             self._fleet, self._planner, self._sessions, self._retries
         )
         parts = front.Parts(
-            context, self._holder, route, self._history, self._rng
+            context,
+            self._holder,
+            route,
+            self._history,
+            self._limits,
+            self._rng,
         )
         return httpserver.HttpServer.from_config(
             front.Front(parts),
@@ -183,6 +196,7 @@
             self._retries,
             self._history,
         )
+        state['limits'] = self._limits.describe()
         state['plans'] = self._planner.describe()
         return {'name': self.settings.name, 'leaving': self.leaving} | state
 
@@ -222,6 +236,7 @@
             hosts = self._outside.read_hosts()
             if isinstance(hosts, result.Ok):
                 self._fleet.update(hosts.ok_value)
+                self._limits.exchange.update(hosts.ok_value)
             else:
                 logging.warning('host list not read: %s', hosts.err_value)
             self.done.wait(pause)
@@ -235,6 +250,9 @@
     def _follow_configuration(self) -> None:
         self._outside.follow_configuration(self._holder.adopt, self.done)
 
+    def _renew_limits(self) -> None:
+        self._limits.follow(self.done)
+
     def _start(self, target, name: str) -> None:
         thread = threading.Thread(target=target, name=name, daemon=True)
         thread.start()
@@ -246,10 +264,13 @@
         with self._stack as stack:
             stack.callback(self._outside.close)
             stack.callback(self._fleet.stop)
+            self._limits.exchange.start()
+            stack.callback(self._limits.exchange.stop)
             self._admin.start()
             stack.callback(self._admin.stop)
             self._start(self._poll_hosts, 'hosts')
             self._start(self._plan, 'planner')
+            self._start(self._renew_limits, 'limits')
             self._start(self._follow_configuration, 'configuration')
             stack.callback(self.done.set)
             self._http.start()
--- a/packages/daemon/src/dunlintide_daemon/entry/router.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/router.py
@@ -17,6 +17,7 @@
 from dunlintide_daemon.entry import configuration as holders
 from dunlintide_daemon.entry import dispatch
 from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import limits
 from dunlintide_daemon.entry import planning
 from dunlintide_daemon.entry import requests
 
@@ -120,6 +121,7 @@
         planner: planning.Planner,
         holder: holders.Holder,
         binder: claims.Binder,
+        limiter: limits.Limits,
         failure_domain: str,
     ) -> None:
         """Remember what decisions rest on.
@@ -130,11 +132,16 @@
         self._planner = planner
         self._holder = holder
         self._binder = binder
+        self._limiter = limiter
         self._failure_domain = failure_domain
 
     def _match(
-        self, snapshot: holders.Snapshot, request: matching.Query
+        self,
+        snapshot: holders.Snapshot,
+        caller: Caller,
+        request: matching.Query,
     ) -> result.Result[configuration.Rule, outcomes.Refusal]:
+        """Find the rule and count the request against its limits."""
         rule = snapshot.index.find(request)
         if rule is None:
             code = outcomes.FailCode.NO_RULE
@@ -142,6 +149,9 @@
         if rule.then.action is configuration.Action.REFUSE:
             code = outcomes.FailCode.REFUSED_BY_RULE
             return _refuse(code, rule.then.reason or 'a rule refuses it')
+        refusal = self._limiter.admit(caller.request_id, caller.member, rule)
+        if refusal is not None:
+            return result.Err(refusal)
         return result.Ok(rule)
 
     def route_completion(
@@ -166,7 +176,7 @@
             adapter=completion.adapter,
             prompt_tokens=requests.estimate_tokens(completion.prompt),
         )
-        matched = self._match(snapshot, request)
+        matched = self._match(snapshot, caller, request)
         if isinstance(matched, result.Err):
             return matched
         rule = matched.ok_value
@@ -271,7 +281,7 @@
         if service is None:
             code = outcomes.FailCode.NOT_FOUND
             return _refuse(code, 'there is no such service')
-        matched = self._match(snapshot, request)
+        matched = self._match(snapshot, caller, request)
         if isinstance(matched, result.Err):
             return matched
         rule = matched.ok_value
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/cases/limits.py
@@ -0,0 +1,217 @@
+"""Limits of a member over entries, against no and fixed coordination.
+
+Entries run in one process on a virtual clock; what they tell each other
+arrives late, and some of it never.
+"""
+
+import heapq
+import itertools
+import random
+from typing import Callable, Iterator
+
+import attrs
+
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import configuration
+from dunlintide_core import limits as core_limits
+from dunlintide_daemon.entry import exchange
+from dunlintide_daemon.entry import limits
+from dunlintide_trials import figures
+
+__all__ = ['CASES']
+
+ENTRIES = 8
+RATE = 100.0
+OFFERED = 300.0
+SECONDS = 90.0
+WINDOW = 10.0
+SHIFT_SECONDS = 5.0
+SKEW = 0.9
+LAG = (0.02, 0.4)
+LOSS = 0.02
+CUT = (30.0, 60.0)
+# What the design allows in a window: the rate, a burst of a second, and
+# one request an entry.
+BOUND = 1 + (RATE * core_limits.BURST_SECONDS + ENTRIES) / (RATE * WINDOW)
+# Losses and shifts may leave part of the limit unused for a while.
+USE_BOUND = 0.6
+SEED = 5
+
+_RULE = configuration.Rule(
+    'limited', configuration.When(), configuration.Then(rate=RATE)
+)
+
+
+class _Network:
+    """Delivers frames late on a virtual clock."""
+
+    def __init__(self, is_cut: Callable[[float], bool]) -> None:
+        self.now = 0.0
+        self.nodes: list['_Node'] = []
+        self._is_cut = is_cut
+        self._rng = random.Random(SEED)
+        self._queue: list = []
+        self._order = itertools.count()
+
+    def send(self, source: int, target: int, frame: link_pb2.Frame) -> None:
+        half = len(self.nodes) // 2
+        parted = (source < half) != (target < half)
+        lost = self._rng.random() < LOSS
+        if lost or parted and self._is_cut(self.now):
+            return
+        due = self.now + self._rng.uniform(*LAG)
+        item = (due, next(self._order), source, target, frame)
+        heapq.heappush(self._queue, item)
+
+    def deliver(self, until: float) -> None:
+        while self._queue and self._queue[0][0] <= until:
+            due, _, source, target, frame = heapq.heappop(self._queue)
+            self.now = due
+            self.nodes[target].take(_Link(self, source, target), [frame])
+        self.now = until
+
+
+@attrs.frozen
+class _Link:
+    """A link as its receiver sees it."""
+
+    network: _Network
+    source: int
+    target: int
+
+    @property
+    def peer(self) -> link_pb2.Hello:
+        return link_pb2.Hello(name=str(self.source), incarnation=1)
+
+    def send(self, frame: link_pb2.Frame) -> None:
+        self.network.send(self.target, self.source, frame)
+
+
+class _Node:
+    """Stands for an entry's links to the others."""
+
+    def __init__(self, network: _Network, number: int, take) -> None:
+        self.take = take
+        self.count = ENTRIES
+        self._network = network
+        self._number = number
+        network.nodes.append(self)
+
+    def identify(self) -> str:
+        return f'{self._number}@1'
+
+    def choose(self, shard: int) -> str:
+        return f'{shard % exchange.CHOICES}@1'
+
+    def send(self, coordinator: str, frame: link_pb2.Frame) -> None:
+        target = int(coordinator.partition('@')[0])
+        self._network.send(self._number, target, frame)
+
+
+Admit = Callable[[int, float], bool]
+
+
+def _run(admit: Admit, advance: Callable[[float], None]) -> list[float]:
+    """Offer skewed, shifting demand; return when requests were admitted."""
+    rng = random.Random(SEED)
+    now, admitted = 0.0, []
+    while now < SECONDS:
+        now += rng.expovariate(OFFERED)
+        advance(now)
+        entry = int(now / SHIFT_SECONDS) % ENTRIES
+        if rng.random() > SKEW:
+            entry = rng.randrange(ENTRIES)
+        if admit(entry, now):
+            admitted.append(now)
+    return admitted
+
+
+def _run_shared(is_cut: Callable[[float], bool]) -> list[float]:
+    network = _Network(is_cut)
+    entries = [
+        limits.Limits(
+            lambda take, number=number: _Node(network, number, take),
+            lambda: network.now,
+            grant_wait=0.0,
+        )
+        for number in range(ENTRIES)
+    ]
+    # Renewals of different entries fall at different moments.
+    last = [number / ENTRIES - 1 for number in range(ENTRIES)]
+
+    def tell_due(number: int) -> float:
+        return last[number] + entries[number].pause
+
+    def advance(now: float) -> None:
+        while tell_due(first := min(range(ENTRIES), key=tell_due)) <= now:
+            last[first] = max(network.now, tell_due(first))
+            network.deliver(last[first])
+            entries[first].renew()
+        network.deliver(now)
+
+    def admit(number: int, now: float) -> bool:
+        return entries[number].admit('', 'member', _RULE) is None
+
+    return _run(admit, advance)
+
+
+def _run_fixed(rate: float) -> list[float]:
+    buckets = [core_limits.Bucket(0.0) for _ in range(ENTRIES)]
+    return _run(
+        lambda number, now: not buckets[number].take(now, rate),
+        lambda now: None,
+    )
+
+
+def _find_peak(admitted: list[float]) -> float:
+    """Return the most in any window over what the rate gives it."""
+    peak = first = 0
+    for last, moment in enumerate(admitted):
+        while admitted[first] < moment - WINDOW:
+            first += 1
+        peak = max(peak, last - first + 1)
+    return round(peak / (RATE * WINDOW), 4)
+
+
+def _find_use(admitted: list[float]) -> float:
+    return round(len(admitted) / (RATE * SECONDS), 4)
+
+
+def measure_overshoot() -> Iterator[figures.Figure]:
+    """Measure what is admitted of three times the limit."""
+    shared = _run_shared(lambda now: False)
+    fixed = _run_fixed(RATE / ENTRIES)
+    alone = _run_fixed(RATE)
+    note = (
+        f'most admitted in {WINDOW:g} s over the limit, {ENTRIES} entries, '
+        f'{SKEW:.0%} of the demand on one, which changes each '
+        f'{SHIFT_SECONDS:g} s; baseline: no coordination'
+    )
+    yield figures.at_most(
+        'limits.overshoot',
+        _find_peak(shared),
+        'ratio',
+        round(BOUND, 4),
+        _find_peak(alone),
+        note,
+    )
+    yield figures.at_least(
+        'limits.overshoot.use',
+        _find_use(shared),
+        'ratio',
+        USE_BOUND,
+        _find_use(fixed),
+        'admitted over the limit in the whole run; baseline: static split',
+    )
+    cut = _run_shared(lambda now: CUT[0] <= now < CUT[1])
+    yield figures.at_most(
+        'limits.overshoot.cut',
+        _find_peak(cut),
+        'ratio',
+        round(BOUND, 4),
+        _find_peak(alone),
+        'the same, two halves cut apart for a third of the time',
+    )
+
+
+CASES = [measure_overshoot]
