--- a/features/settings.feature
+++ b/features/settings.feature
@@ -8,6 +8,11 @@
     Given the settings of an agent
     Then the settings are accepted with layers 0 to 8 of 24
 
+  Scenario: A spare engine names no model and no layers
+    Given the settings of an agent
+    When the model and the layers are left out of the settings
+    Then the settings are accepted with layers 0 to 0 of 0
+
   Scenario Outline: A mistake is told with its place
     Given the settings of an agent
     When the text <old> of the settings becomes <new>
--- a/features/steps/settings.py
+++ b/features/steps/settings.py
@@ -40,6 +40,13 @@
     context.settings_text = context.settings_text.replace(old, new)
 
 
+@behave.when('the model and the layers are left out of the settings')
+def leave_out_layers(context):
+    text = context.settings_text
+    begin, end = text.index(', "model"'), text.index('},\n  "timing"')
+    context.settings_text = text[:begin] + text[end:]
+
+
 @behave.then('the settings are accepted with a body limit of {size:d} bytes')
 def check_entry(context, size):
     read = settings.load_settings(context.settings_text, _FILE).unwrap()
--- a/packages/adapters/src/dunlintide_adapters/peercodec.py
+++ b/packages/adapters/src/dunlintide_adapters/peercodec.py
@@ -30,6 +30,7 @@
         tokens_per_second=endpoint.tokens_per_second,
         checks_fence=endpoint.checks_fence,
         max_in_flight=endpoint.max_in_flight,
+        max_layers=endpoint.max_layers,
     )
 
 
@@ -50,6 +51,7 @@
         tokens_per_second=message.tokens_per_second,
         checks_fence=message.checks_fence,
         max_in_flight=message.max_in_flight,
+        max_layers=message.max_layers,
     )
 
 
--- a/packages/core/src/dunlintide_core/configuration.py
+++ b/packages/core/src/dunlintide_core/configuration.py
@@ -49,12 +49,15 @@
     :ivar version: version that is served
     :ivar layers: number of layers, numbered from 0
     :ivar adapters: adapters that endpoints may load on it
+    :ivar replicas: endpoints wanted for each layer range, as far as
+        spare ones allow
     """
 
     name: str
     layers: int
     version: str = '1'
     adapters: tuple[str, ...] = ()
+    replicas: int = 1
 
 
 @attrs.frozen
--- a/packages/core/src/dunlintide_core/coverage.py
+++ b/packages/core/src/dunlintide_core/coverage.py
@@ -71,6 +71,8 @@
     engines = collections.defaultdict(list)
     for endpoint in endpoints:
         if endpoint.kind is fleet.EndpointKind.ENGINE:
+            if endpoint.is_spare:
+                continue
             engines[endpoint.model, endpoint.version].append(endpoint)
     return engines
 
--- a/packages/core/src/dunlintide_core/fleet.py
+++ b/packages/core/src/dunlintide_core/fleet.py
@@ -37,6 +37,7 @@
     :ivar checks_fence: whether the engine itself refuses an order that
         carries an old fencing number
     :ivar max_in_flight: fixed bound on concurrent requests, 0 for none
+    :ivar max_layers: most layers that it can hold, 0 for any number
     """
 
     kind: EndpointKind
@@ -50,6 +51,15 @@
     tokens_per_second: float = 0.0
     checks_fence: bool = False
     max_in_flight: int = 0
+    max_layers: int = 0
+
+    @property
+    def is_spare(self) -> bool:
+        """Whether it is an engine that holds no layers."""
+        return (
+            self.kind is EndpointKind.ENGINE
+            and self.layer_start >= self.layer_end
+        )
 
 
 @attrs.frozen
--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -18,6 +18,7 @@
     'Log',
     'LogFormat',
     'LogLevel',
+    'Placement',
     'Settings',
     'Timing',
     'load_settings',
@@ -65,6 +66,8 @@
 class EndpointSettings:
     """The endpoint beside an agent; other fields as in fleet.Endpoint.
 
+    An engine without a model and layers is a spare one, which loads
+    what a leader orders.
     :ivar url: base URL of the endpoint, on the same host
     """
 
@@ -80,6 +83,7 @@
     tokens_per_second: Rate = 0.0
     checks_fence: bool = False
     max_in_flight: Natural = 0
+    max_layers: Natural = 0
 
     def to_endpoint(self) -> fleet.Endpoint:
         """Give the part that peers are told."""
@@ -111,6 +115,25 @@
     configuration_poll: Seconds = 30.0
 
 
+@attrs.frozen
+class Placement:
+    """How an entry leads the placement of layers; times in seconds.
+
+    :ivar lease: time that a leadership lives without renewal
+    :ivar candidates: entries that try to lead a model
+    :ivar patience: time for which a layer range must be lost before an
+        endpoint is ordered to load it
+    :ivar max_orders: orders of one model that are open at a time
+    :ivar order_timeout: time after which an order counts as failed
+    """
+
+    lease: Count = 6
+    candidates: Count = 3
+    patience: Seconds = 5.0
+    max_orders: Count = 2
+    order_timeout: Seconds = 600.0
+
+
 @attrs.frozen
 class Limits:
     """Bounds on what one process holds.
@@ -153,6 +176,7 @@
     log: Log = Log()
     timing: Timing = Timing()
     limits: Limits = Limits()
+    placement: Placement = Placement()
 
 
 def _is_name(value: str) -> bool:
@@ -238,19 +262,23 @@
 
 
 def _list_engine_faults(endpoint: EndpointSettings) -> list[tuple[str, str]]:
-    faults = [
+    faults = []
+    if endpoint.service:
+        faults.append(('service', 'an engine has no service'))
+    start, end = endpoint.layer_start, endpoint.layer_end
+    if not (start or end or endpoint.layer_count or endpoint.model):
+        # A spare engine: what it will hold comes with an order.
+        return faults
+    faults += [
         (name, 'an engine needs it, expected a name, got ""')
         for name in ('model', 'version')
         if not getattr(endpoint, name)
     ]
-    start, end = endpoint.layer_start, endpoint.layer_end
     count = endpoint.layer_count
     if not start < end:
         faults.append(('layer_end', f'expected more than {start}, got {end}'))
     if end > count:
         faults.append(('layer_count', f'expected {end} or more, got {count}'))
-    if endpoint.service:
-        faults.append(('service', 'an engine has no service'))
     return faults
 
 
--- a/packages/core/src/dunlintide_core/validation.py
+++ b/packages/core/src/dunlintide_core/validation.py
@@ -85,7 +85,7 @@
     for index, model in enumerate(models):
         path = ('models', index)
         yield from _check_name((*path, 'name'), model.name, _MODEL_NAME)
-        yield from _check_above_zero(path, model, 'layers')
+        yield from _check_above_zero(path, model, 'layers', 'replicas')
 
 
 def _check_services(
