--- /dev/null
+++ b/features/placement.feature
@@ -0,0 +1,46 @@
+Feature: Placement of layer ranges by a leader for each model
+
+  Background:
+    Given a model of 24 layers in ranges of 8, each held twice
+
+  Scenario: A range that all its holders lost is loaded by a spare engine
+    Given spare engines with 3 and 1 requests
+    When the holders of layers 8 to 16 vanish at 100.0 s
+    Then nothing is ordered until 105.0 s
+    And at 105.1 s the spare engine with 1 requests is to hold layers 8 to 16
+    And nothing more is ordered until 200.0 s
+
+  Scenario: A host that was away for two seconds is waited for
+    Given spare engines with 0 and 0 requests
+    When the holders of layers 8 to 16 vanish at 100.0 s
+    And they are back at 102.0 s
+    And the holders of layers 8 to 16 vanish at 103.0 s
+    Then nothing is ordered until 108.0 s
+
+  Scenario: Without spares the least busy member of the largest range moves
+    Given a further holder of layers 16 to 24 with 2 requests
+    When the holders of layers 0 to 8 vanish at 100.0 s
+    Then at 105.1 s one holder of layers 16 to 24 is to hold layers 0 to 8
+    And the last holder of a range never moves
+
+  Scenario: The loss of a failure domain makes few orders at a time
+    Given 8 spare engines that hold at most 4 layers each
+    When every holder vanishes at 100.0 s
+    Then at 105.1 s there are 2 orders and not more while they are open
+    And each order that ends lets one more begin until all 24 layers are held
+
+  Scenario: A leader that sees less than half of the agents does nothing
+    Then one that sees 3 of 6 agents orders and one that sees 2 of 6 does not
+
+  Scenario: Missing ranges are the fewest layers that let a chain exist
+    Then for any ranges the missing ones complete a chain and none is needless
+
+  Scenario: A paused leader wakes up after its lease and knows it
+    Given a leader whose renewal at 100.0 s was answered at 103.0 s
+    Then at 105.3 s it leads and at 105.5 s it has lapsed
+    And an answer that comes later than it lapsed makes it lead again
+
+  Scenario: Few candidates are picked, in different failure domains
+    Given 370 entries in 7 failure domains
+    Then each model has 3 candidates in 3 failure domains
+    And the loss of an entry changes candidates only where it was one
