Stop an agent whose vital threads have died

A driver, reaper or ticker thread that raised was gone without a word, and the agent went on without deadlines or engine calls. It now logs the error and its state and ends with status 1. Signal handlers and the hook are put back at the end of the run.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -98,6 +98,10 @@
     And each request gets exactly the model's tokens and an end mark
     And the head ends by itself without a fault
 
+  Scenario: An agent that cannot go on stops with a fault
+    Given an agent process whose ticker fails
+    Then the agent process ends with status 1
+
   Scenario: A plain service is called once for a claimed call
     Given an agent before a plain service
     When a claimed call is made twice
--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -2,12 +2,14 @@
 
 import threading
 import time
+from unittest import mock
 
 import behave
 from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
 from dunlintide_core import settings
+from dunlintide_daemon.agent import gate
 from dunlintide_daemon.agent import role
 from dunlintide_standins.engine import server as engines
 from dunlintide_standins import reference
@@ -535,6 +537,22 @@
     assert not context.agents[0].failed
 
 
+@behave.given('an agent process whose ticker fails')
+def break_ticker(context):
+    endpoint = settings.EndpointSettings(
+        kind=fleet.EndpointKind.SERVICE,
+        url='http://127.0.0.1:1',
+        service='orders',
+    )
+    with mock.patch.object(gate.Gate, 'tick', side_effect=RuntimeError):
+        context.status = role.run(make_settings('agent-x', endpoint))
+
+
+@behave.then('the agent process ends with status {status:d}')
+def check_status(context, status):
+    assert context.status == status
+
+
 @behave.given('an agent before a plain service')
 def start_service(context):
     context.service = services.Service.from_config(services.Config())
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -4,7 +4,7 @@
 import signal
 import threading
 import time
-from typing import Any, Callable
+from typing import Any, Callable, Iterator
 
 from absl import logging
 import prometheus_client
@@ -39,6 +39,7 @@
 MAX_IN_FLIGHT = 256
 SERVICE_THREADS = 32
 FAILED = 1
+VITAL_THREADS = frozenset(('driver', 'reaper', 'ticker'))
 
 
 def _build_endpoint(endpoint: fleet.Endpoint, cap: int) -> link_pb2.Endpoint:
@@ -241,7 +242,9 @@
                 return True
             return not len(self.pipeline) and not self.pipeline.is_open()
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
+        """End the process for a fault of its own, with a state dump."""
+        logging.error('state: %s', self.describe())
         self.failed = True
         self.done.set()
 
@@ -311,7 +314,7 @@
             leave=self._leave,
             is_idle=self._is_idle,
             stop=self.done.set,
-            crash=self._crash,
+            crash=self.crash,
         )
         self._supervisor = supervisor.Supervisor.start(
             self.gate, self._engine, hooks
@@ -345,7 +348,9 @@
             self._server.start()
             stack.callback(self._server.stop)
             stack.callback(self._peers.close)
-            ticker = threading.Thread(target=self._tick, daemon=True)
+            ticker = threading.Thread(
+                target=self._tick, name='ticker', daemon=True
+            )
             ticker.start()
             stack.callback(ticker.join)
             stack.callback(self.done.set)
@@ -356,11 +361,46 @@
         self._stack.close()
 
 
-def _watch_signals(drain: Callable[[], None]) -> None:
+@contextlib.contextmanager
+def _watch_signals(drain: Callable[[], None]) -> Iterator[None]:
+    """Begin a planned stop on a signal, within the block."""
     if threading.current_thread() is not threading.main_thread():
+        yield
         return
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: drain())
+    previous = {
+        number: signal.signal(number, lambda *_: drain())
+        for number in (signal.SIGTERM, signal.SIGINT)
+    }
+    try:
+        yield
+    finally:
+        for number, handler in previous.items():
+            signal.signal(number, handler)
+
+
+@contextlib.contextmanager
+def _watch_threads(crash: Callable[[], None]) -> Iterator[None]:
+    """Stop the process when a vital thread dies, within the block."""
+
+    def take(details: threading.ExceptHookArgs) -> None:
+        name = details.thread.name if details.thread else ''
+        logging.error(
+            'thread %s failed',
+            name,
+            exc_info=(
+                details.exc_type,
+                details.exc_value,
+                details.exc_traceback,
+            ),
+        )
+        if name in VITAL_THREADS:
+            crash()
+
+    previous, threading.excepthook = threading.excepthook, take
+    try:
+        yield
+    finally:
+        threading.excepthook = previous
 
 
 def run(settings: settings_module.Settings) -> int:
@@ -369,8 +409,10 @@
     :returns: exit status, 0 after a planned stop
     :raises OSError: when a port is taken
     """
-    with Agent(settings) as agent:
-        _watch_signals(agent.drain)
+    with contextlib.ExitStack() as stack:
+        agent = stack.enter_context(Agent(settings))
+        stack.enter_context(_watch_signals(agent.drain))
+        stack.enter_context(_watch_threads(agent.crash))
         logging.info('agent %s serves at %s', settings.name, agent.address)
         agent.done.wait()
     return FAILED if agent.failed else 0
