Let each entry learn and plan again in the background

A slow stage kept its share.

A learner for each model version now takes load reports and the mean time between eight tokens of a request (or what came in one second). Readers and request threads append to a bounded queue; the planner's thread, each 0.2 s, drains it, plans when that is due and puts the plan in force. Own routing feeds the prefix map, keyed with a salt for each member that is derived by a keyed hash from its first key hash, so the entries agree on it and no other member can know it. It also goes to the engines, which had been given the member's name.

`routing: round-robin` in an entry's settings is a diagnostic, the baseline for measurements of real processes.

Features: a stage whose steps take ten times as long loses its share without being told and gets it back; prompts of a member return to one agent.

Left: engines' cache events are not passed on, as their block hashes cannot be matched with the entry's; delays between agents are learnt from token intervals only.

--- a/packages/core/src/dunlintide_core/affinity.py
+++ b/packages/core/src/dunlintide_core/affinity.py
@@ -57,7 +57,9 @@
     hashes = []
     for index in range(whole):
         start = index * BLOCK_CHARACTERS
-        state.update(prompt[start : start + BLOCK_CHARACTERS].encode())
+        block = prompt[start : start + BLOCK_CHARACTERS]
+        # A caller's JSON may hold half of a surrogate pair.
+        state.update(block.encode('utf-8', 'surrogatepass'))
         hashes.append(state.intdigest())
     return tuple(hashes)
 
--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -19,6 +19,7 @@
     'LogFormat',
     'LogLevel',
     'Placement',
+    'Routing',
     'Settings',
     'Timing',
     'load_settings',
@@ -54,6 +55,16 @@
     JSON = 'json'
 
 
+class Routing(enum.StrEnum):
+    """How an entry chooses chains.
+
+    Round robin is a diagnostic: the baseline of measurements.
+    """
+
+    PLANNED = 'planned'
+    ROUND_ROBIN = 'round-robin'
+
+
 @attrs.frozen
 class Log:
     """What is logged and how."""
@@ -160,6 +171,7 @@
     :ivar link_listen: where peers connect
     :ivar advertise: how peers reach ``link_listen``; None for the same
     :ivar endpoint: the endpoint beside it; agents only
+    :ivar routing: how an entry chooses chains
     """
 
     role: fleet.Role
@@ -177,6 +189,7 @@
     timing: Timing = Timing()
     limits: Limits = Limits()
     placement: Placement = Placement()
+    routing: Routing = Routing.PLANNED
 
 
 def _is_name(value: str) -> bool:
--- a/packages/daemon/src/dunlintide_daemon/entry/completions.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/completions.py
@@ -160,6 +160,7 @@
             texts: list[str] = []
             ending = self._read(self._attempt.take(), texts)
             if texts:
+                self._attempt.note_tokens(len(texts))
                 yield Piece(texts)
             if isinstance(ending, End):
                 yield ending
--- a/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
@@ -15,6 +15,7 @@
 from dunlintide_core import outcomes
 from dunlintide_daemon.entry import chains
 from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import learning
 from dunlintide_daemon.entry import planning
 from dunlintide_daemon.entry import sessions
 
@@ -117,6 +118,7 @@
         self._names: tuple[str, ...] = ()
         self._head: fleet.Agent | None = None
         self._settled = False
+        self._pace = learning.Pace()
         self._session = context.sessions.add(
             job.terms.request_id,
             job.terms.member,
@@ -154,6 +156,7 @@
         self._release()
         self._head = chain[0]
         self._names = tuple(agent.peer.name for agent in chain)
+        self._pace = learning.Pace()
         self._context.add_work(self._names, 1)
         session = self._session
         session.link = self._head.link
@@ -172,6 +175,13 @@
         wait = min(POLL_SECONDS, self.tell_left())
         return list(self._session.take(wait))
 
+    def note_tokens(self, count: int) -> None:
+        """Take note of the pace of tokens that came together."""
+        now = self._context.clock()
+        interval = self._pace.note(count, now)
+        if interval is not None:
+            self._context.planner.observe(self._names, interval, now)
+
     def check(self) -> outcomes.Refusal | None:
         """Tell whether the request must end now, and how."""
         if self.tell_left() <= 0:
--- a/packages/daemon/src/dunlintide_daemon/entry/identity.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/identity.py
@@ -1,6 +1,7 @@
 """Which member a bearer key belongs to."""
 
 import hashlib
+import secrets
 from typing import Mapping
 
 import attrs
@@ -15,6 +16,8 @@
 
 _SCHEME = 'bearer'
 MAX_KEY_LENGTH = 512
+_SALT_BYTES = 16
+_SALT_PURPOSE = b'cache-salt'
 
 
 def _refuse(detail: str) -> result.Err[outcomes.Refusal]:
@@ -22,6 +25,22 @@
     return result.Err(outcomes.refuse(code, detail))
 
 
+def _derive_salt(member: configuration.Member) -> str:
+    """Derive a member's cache salt, the same at each entry.
+
+    Its key is the hash of the member's first bearer key, which no other
+    member can know; a new first key only empties the prefix caches.
+    """
+    key = member.key_hashes[0].lower().encode()
+    digest = hashlib.blake2b(
+        member.name.encode(),
+        digest_size=_SALT_BYTES,
+        key=key[: hashlib.blake2b.MAX_KEY_SIZE],
+        person=_SALT_PURPOSE,
+    )
+    return digest.hexdigest()
+
+
 @attrs.frozen
 class KeyTable:
     """Members by the hash of their keys.
@@ -31,6 +50,7 @@
     """
 
     _members: Mapping[str, str]
+    _salts: Mapping[str, str] = attrs.field(factory=dict)
 
     @classmethod
     def from_config(cls, config: configuration.Configuration) -> 'KeyTable':
@@ -39,7 +59,19 @@
         for member in config.members:
             for key_hash in member.key_hashes:
                 members[key_hash.lower()] = member.name
-        return cls(members)
+        salts = {
+            member.name: _derive_salt(member)
+            for member in config.members
+            if member.key_hashes
+        }
+        return cls(members, salts)
+
+    def get_salt(self, member: str) -> str:
+        """Give the salt of a member's prefix caches.
+
+        :returns: one that is used only once for an unknown member
+        """
+        return self._salts.get(member) or secrets.token_hex(_SALT_BYTES)
 
     def find(self, header: str) -> result.Result[str, outcomes.Refusal]:
         """Return the member named by an ``Authorization`` header.
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -97,7 +97,11 @@
             ),
             links.LinkTiming(timing.ping, timing.silence, timing.redial),
         )
-        self._planner = planning.Planner(self._fleet, self._rng)
+        self._planner = planning.Planner(
+            self._fleet,
+            self._rng,
+            settings.routing is settings_module.Routing.ROUND_ROBIN,
+        )
         self._limits = limits.Limits(
             lambda take: exchange.Exchange(
                 settings.name, settings.link_listen, self._build_hello, take
--- a/packages/daemon/src/dunlintide_daemon/entry/router.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/router.py
@@ -8,6 +8,7 @@
 import uuid_utils
 
 from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import affinity
 from dunlintide_core import configuration
 from dunlintide_core import matching
 from dunlintide_core import outcomes
@@ -199,13 +200,18 @@
     ) -> result.Result[CompletionRoute, outcomes.Refusal]:
         then = rule.then
         version = then.version or model.version
+        salt = snapshot.keys.get_salt(caller.member)
+        adapter = then.adapter or completion.adapter
+        blocks = affinity.hash_blocks(f'{salt}/{adapter}', completion.prompt)
 
         def choose(
             avoid: Collection[chains.Life],
             is_head: Callable[[fleet.Agent], bool] | None = None,
         ) -> chains.Chain | None:
             if is_head is None and not then.accelerators:
-                found = self._planner.choose(model.name, version, avoid)
+                found = self._planner.choose(
+                    model.name, version, avoid, blocks
+                )
                 if found is not None:
                     return found
             return chains.choose_chain(
@@ -221,18 +227,13 @@
         fingerprint = requests.compute_fingerprint(caller.member, *parts)
         job = dispatch.Job(
             terms=_build_terms(
-                caller, rule, snapshot.revision, fingerprint, caller.member
+                caller, rule, snapshot.revision, fingerprint, salt
             ),
             deadline=caller.arrived + then.deadline_seconds,
             repeatable=not once,
             is_connected=caller.is_connected,
         )
-        plan = completions.Plan(
-            model.name,
-            version,
-            then.adapter or completion.adapter,
-            choose,
-        )
+        plan = completions.Plan(model.name, version, adapter, choose)
         if not once:
             return result.Ok(CompletionRoute(job, plan))
         chain = choose(())
@@ -305,7 +306,11 @@
         )
         job = dispatch.Job(
             terms=_build_terms(
-                caller, rule, snapshot.revision, fingerprint, caller.member
+                caller,
+                rule,
+                snapshot.revision,
+                fingerprint,
+                snapshot.keys.get_salt(caller.member),
             ),
             deadline=caller.arrived + rule.then.deadline_seconds,
             repeatable=repeatable,
