Send nothing new to an agent whose engine is away

A soak found it: with one engine of a stage dead, entries went on choosing its agent, spent their retry budget, and then failed requests that the stage's other engine could have run.

An agent's load report now says that its endpoint is away, at once when that changes, and entries leave it out as they do one that is leaving.

--- a/features/product.feature
+++ b/features/product.feature
@@ -37,3 +37,8 @@
     When a caller sends a request with a header over the limit
     Then it is refused with a 4xx status
     And the endpoints recorded no new run
+
+  Scenario: While an engine is away no new request goes to its agent
+    When engine "copy-7b-8-0" is killed and entry 0 knows
+    Then 40 completions from entry 0 are all whole
+    And engine "copy-7b-8-0" serves again after a restart
--- a/features/steps/product.py
+++ b/features/steps/product.py
@@ -6,14 +6,17 @@
 import behave
 import openai
 
+from dunlintide_core import outcomes
 from dunlintide_standins import reference
 from dunlintide_trials import deployment
 from dunlintide_trials import launcher
+from dunlintide_trials import processes
 from dunlintide_trials import records
 
 PROMPT = 'Write the dinner specials of a diner on the interstate'
 PATH = '/v1/completions'
 OVERSIZE = 3 << 20
+PATIENCE_SECONDS = 30
 
 
 @behave.given('the small deployment runs')
@@ -187,3 +190,47 @@
 @behave.then('the endpoints recorded no new run')
 def check_no_run(context):
     assert _count_runs(context) == context.before
+
+
+def _is_away(context, entry, engine):
+    state = context.running.read_state(f'entry-{entry}')
+    agents = {one['name']: one for one in state['fleet']['agents']}
+    return agents[f'agent-{engine}']['away']
+
+
+@behave.when('engine "{engine}" is killed and entry {entry:d} knows')
+def kill_engine(context, engine, entry):
+    running = context.running
+    running.started[engine].kill()
+    # The feature's other scenarios go on with the same deployment.
+    context.stack.callback(
+        lambda: running.started[engine].is_running or running.restart(engine)
+    )
+    assert processes.wait_for(
+        lambda: _is_away(context, entry, engine), PATIENCE_SECONDS
+    )
+
+
+@behave.then('{count:d} completions from entry {entry:d} are all whole')
+def check_whole(context, count, entry):
+    caller = _make_caller(context, entry)
+    answers = [
+        caller.complete(
+            f'{PROMPT} {number}', model=context.running.model, max_tokens=2
+        )
+        for number in range(count)
+    ]
+    found = [(one.outcome, one.code) for one in answers]
+    assert found == [(outcomes.Outcome.COMPLETE, '')] * count, found
+
+
+@behave.then('engine "{engine}" serves again after a restart')
+def restart_engine(context, engine):
+    context.running.restart(engine)
+    caller = _make_caller(context, 0)
+
+    def serves():
+        caller.complete(PROMPT, model=context.running.model, max_tokens=1)
+        return bool(context.running.read_endpoint_runs(engine))
+
+    assert processes.wait_for(serves, PATIENCE_SECONDS)
--- a/packages/core/src/dunlintide_core/fleet.py
+++ b/packages/core/src/dunlintide_core/fleet.py
@@ -85,6 +85,7 @@
     """Load of one agent as it last told it.
 
     :ivar age: seconds since it was received
+    :ivar away: whether the endpoint does not answer
     :ivar step_seconds: recent mean duration of one engine step
     """
 
@@ -96,3 +97,4 @@
     tokens_per_second: float = 0.0
     generation: int = 0
     age: float = 0.0
+    away: bool = False
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -260,6 +260,7 @@
                 tokens_per_second=load.tokens_per_second,
                 generation=gate.ledger.generation,
                 steps=self.driver.steps if self.driver else 0,
+                away=bool(gate.fault),
             )
         self._broadcast(link_pb2.Frame(load=self._load))
 
--- a/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
@@ -124,6 +124,11 @@
         self._gate.set_fault('the engine is away')
         # A process that answers no more has lost its KV cache.
         self._hooks.lose_sessions('the engine is away')
+        self._report_soon()
+
+    def _report_soon(self) -> None:
+        """Let the next poll report, for entries to choose by."""
+        self._reported = 0.0
 
     def _probe(self) -> None:
         if self._engine.check_health().is_ok():
@@ -131,6 +136,7 @@
             self._strikes = 0
             logging.info('the engine is back')
             self._gate.set_fault('')
+            self._report_soon()
 
     def _poll(self) -> None:
         if self._down:
--- a/packages/daemon/src/dunlintide_daemon/entry/fleet.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/fleet.py
@@ -115,6 +115,7 @@
         step_seconds=message.step_seconds,
         tokens_per_second=message.tokens_per_second,
         generation=message.generation,
+        away=message.away,
     )
 
 
@@ -239,7 +240,9 @@
             return [
                 agent
                 for name, agent in self._agents.items()
-                if not agent.leaving and name not in self._listed_leaving
+                if not agent.leaving
+                and not agent.load.away
+                and name not in self._listed_leaving
             ]
 
     def list_engines(self, model: str, version: str) -> list[Agent]:
@@ -301,6 +304,7 @@
                 'incarnation': agent.peer.incarnation,
                 'address': agent.peer.address,
                 'leaving': agent.leaving,
+                'away': agent.load.away,
                 'outstanding': agent.outstanding,
                 'running': agent.load.running,
                 'queued': agent.load.queued,
