Ask peers that were not asked before when starting

A new process drew seeds at random, so with one seed it called that one again and again and was ready only after the next read of the host list, 11 s in the scenario.

--- a/packages/core/src/dunlintide_core/replicas.py
+++ b/packages/core/src/dunlintide_core/replicas.py
@@ -168,13 +168,26 @@
             target = self._target(self._next.pop())
             if target is not None:
                 return target
+        if len(self._asked) < _READY_PEERS:
+            target = self._draw_unasked()
+            if target is not None:
+                return target
         name = self._draw()
-        new = len(self._asked) < _READY_PEERS
-        alone = new or name is None or self._rng.random() < _SEED_SHARE
+        alone = name is None or self._rng.random() < _SEED_SHARE
         if self._seeds and alone:
             return exchanges.Target(self._rng.choice(self._seeds))
         return self._target(name) if name is not None else None
 
+    def _draw_unasked(self) -> exchanges.Target | None:
+        targets = [exchanges.Target(address) for address in self._seeds]
+        targets += [self._target(name) for name in self.near.names]
+        targets = [
+            each
+            for each in targets
+            if each and each.address not in self._asked
+        ]
+        return self._rng.choice(targets) if targets else None
+
     def _target(self, name: str) -> exchanges.Target | None:
         record = self.members.get(name)
         if record is None or record.dead:
