Let entries and agents hold the fleet's state

Every entry followed the store by itself, so that store calls grew with entries, and one started while the store was away could not serve.

Both roles now keep a replica and exchange it with peers; an entry takes its configuration from there and is ready once several peers were asked. Both announce there that they leave, and show the state in their dump.

--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -9,7 +9,9 @@
 
 from dunlintide_adapters import configstore
 from dunlintide_adapters import hostlist
+from dunlintide_adapters import links
 from dunlintide_adapters import peers as peer_calls
+from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
 from dunlintide_core import records
 from dunlintide_core import replicas
@@ -47,8 +49,10 @@
     if not hasattr(context, 'states'):
         context.states, context.hosts, context.configs = {}, [], {}
     cell = []
-    server = peer_calls.Server(
-        '127.0.0.1:0', lambda request, most: cell[0].answer(request, most)
+    handlers = links.Handlers(print, print, print)
+    server = links.LinkServer('127.0.0.1:0', link_pb2.Hello, handlers)
+    peer_calls.add_service(
+        server.server, lambda request, most: cell[0].answer(request, most)
     )
     address = f'127.0.0.1:{server.port}'
     me = fleet.Peer(name, fleet.Role.ENTRY, 1, f'domain-{name}', '', address)
--- a/packages/adapters/src/dunlintide_adapters/peers.py
+++ b/packages/adapters/src/dunlintide_adapters/peers.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-from concurrent import futures
 import threading
 import time
 from typing import Callable
@@ -19,15 +18,13 @@
 from dunlintide_adapters.wire import link_pb2_grpc
 from dunlintide_core import exchanges
 
-__all__ = ['Answer', 'Client', 'Server', 'add_service']
+__all__ = ['Answer', 'Client', 'add_service']
 
 CALL_SECONDS = 1.0
 MAX_MESSAGE_BYTES = 1 << 20
 MAX_CHANNELS = 24
 CHUNK_BYTES_PER_SECOND = 256 << 10
 CHUNK_BURST_BYTES = 2 << 20
-SERVER_THREADS = 4
-_STOP_SECONDS = 1.0
 _MAX_CHUNKS_BYTES = 192 << 10
 
 # Answers a request with at most so many bytes of chunks.
@@ -95,33 +92,6 @@
     link_pb2_grpc.add_PeerServicer_to_server(_Servicer(answer), server)
 
 
-class Server:
-    """A gRPC server for anti-entropy alone, where no links come in."""
-
-    def __init__(self, address: str, answer: Answer) -> None:
-        """Bind the address; ``start`` begins.
-
-        :param address: ``host:port`` to listen on
-        :raises OSError: when the port is taken
-        """
-        pool = futures.ThreadPoolExecutor(SERVER_THREADS)
-        options = (*_OPTIONS, ('grpc.so_reuseport', 0))
-        self._server = grpc.server(pool, options=options)
-        add_service(self._server, answer)
-        try:
-            self.port = self._server.add_insecure_port(address)
-        except RuntimeError as error:
-            raise OSError(f'cannot listen on {address}: {error}') from error
-
-    def start(self) -> None:
-        """Accept calls."""
-        self._server.start()
-
-    def stop(self) -> None:
-        """Refuse calls and free the port."""
-        self._server.stop(_STOP_SECONDS).wait()
-
-
 class Client:
     """Calls peers; keeps the channels that were used last.
 
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -14,6 +14,7 @@
 from dunlintide_adapters import engine as engines
 from dunlintide_adapters import links
 from dunlintide_adapters import metrics
+from dunlintide_adapters import peers as peer_calls
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import caps
 from dunlintide_core import fleet
@@ -29,6 +30,7 @@
 from dunlintide_daemon.agent import services
 from dunlintide_daemon.agent import supervisor
 from dunlintide_daemon.agent import table as tables
+from dunlintide_daemon import peers as fleet_state
 
 __all__ = [
     'Agent',
@@ -66,9 +68,15 @@
     :ivar failed: whether it ends for a fault of its own
     """
 
-    def __init__(self, settings: settings_module.Settings) -> None:
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        shared: fleet_state.Outside | None = None,
+    ) -> None:
         """Build all parts; binds the link port.
 
+        :param shared: what the fleet's state is drawn from; without it
+            this agent takes no part in passing that state on
         :raises OSError: when a port is taken
         """
         self.settings = settings
@@ -98,6 +106,7 @@
         self._server = links.LinkServer(
             settings.link_listen, self._build_hello, handlers, self._timing
         )
+        self._state = self._build_state(shared) if shared else None
         self.pipeline: pipelines.Pipeline | None = None
         self.driver: drivers.Driver | None = None
         self._engine: engines.Engine | None = None
@@ -112,6 +121,16 @@
         self._load = link_pb2.Load()
         self._stack = contextlib.ExitStack()
 
+    def _build_state(
+        self, shared: fleet_state.Outside
+    ) -> fleet_state.FleetState:
+        me = fleet_state.make_peer(
+            self.settings, self.incarnation, self.address
+        )
+        state = fleet_state.FleetState(me, shared)
+        peer_calls.add_service(self._server.server, state.answer)
+        return state
+
     def _build_gate(self) -> gates.Gate:
         default = MAX_IN_FLIGHT
         if self.endpoint.kind is fleet.EndpointKind.SERVICE:
@@ -224,6 +243,8 @@
         self._tell(supervisor.Drain())
 
     def _leave(self) -> None:
+        if self._state is not None:
+            self._state.depart()
         if self.pipeline is not None:
             self.pipeline.leave()
         leaving = link_pb2.Leaving(
@@ -282,6 +303,8 @@
             'links': sorted(link.peer.name for link in self._server.links()),
             'peers': self._peers.list_addresses(),
         }
+        if self._state is not None:
+            state['state'] = self._state.dump()
         if self.pipeline is not None:
             state['stages'] = self.pipeline.count_stages()
             state['engine'] = {
@@ -346,6 +369,8 @@
             )
             self._admin.start()
             stack.callback(self._admin.stop)
+            if self._state is not None:
+                stack.enter_context(self._state)
             self._server.start()
             stack.callback(self._server.stop)
             stack.callback(self._peers.close)
@@ -410,8 +435,9 @@
     :returns: exit status, 0 after a planned stop
     :raises OSError: when a port is taken
     """
+    shared = fleet_state.Outside.from_config(settings)
     with contextlib.ExitStack() as stack:
-        agent = stack.enter_context(Agent(settings))
+        agent = stack.enter_context(Agent(settings, shared))
         stack.enter_context(_watch_signals(agent.drain))
         stack.enter_context(_watch_threads(agent.crash))
         logging.info('agent %s serves at %s', settings.name, agent.address)
--- a/packages/daemon/src/dunlintide_daemon/entry/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/exchange.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+import grpc
+
 from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
@@ -99,6 +101,11 @@
         """Port for other processes."""
         return self._server.port
 
+    @property
+    def server(self) -> grpc.Server:
+        """The gRPC server, for adding further services before start."""
+        return self._server.server
+
     @property
     def count(self) -> int:
         """Number of entries, this one included."""
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -17,6 +17,7 @@
 from dunlintide_adapters import httpserver
 from dunlintide_adapters import links
 from dunlintide_adapters import metrics
+from dunlintide_adapters import peers as peer_calls
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import budget
 from dunlintide_core import fleet as core_fleet
@@ -36,6 +37,7 @@
 from dunlintide_daemon.entry import router
 from dunlintide_daemon.entry import sessions
 from dunlintide_daemon.entry import sources
+from dunlintide_daemon import peers
 
 __all__ = [
     'Entry',
@@ -65,10 +67,13 @@
         settings: settings_module.Settings,
         outside: sources.Sources,
         lame_duck: float = LAME_DUCK_SECONDS,
+        shared: peers.Outside | None = None,
     ) -> None:
         """Bind the ports; entering the context begins to serve.
 
         :param lame_duck: seconds between not ready and closing the port
+        :param shared: what the fleet's state is drawn from; without it
+            the configuration comes from ``outside`` alone
         :raises OSError: when a port is taken
         """
         self.settings = settings
@@ -115,6 +120,7 @@
             self.done.set,
             self._registry,
         )
+        self._state = self._build_state(shared) if shared else None
         self._watch_gauges()
         self._stack = contextlib.ExitStack()
 
@@ -123,6 +129,16 @@
         """Port for callers."""
         return self._http.port
 
+    def _build_state(self, shared: peers.Outside) -> peers.FleetState:
+        settings = self.settings
+        host = settings.link_listen.rpartition(':')[0]
+        port = self._limits.exchange.port
+        address = settings.advertise or f'{host}:{port}'
+        me = peers.make_peer(settings, self._incarnation, address)
+        state = peers.FleetState(me, shared)
+        peer_calls.add_service(self._limits.exchange.server, state.answer)
+        return state
+
     def _build_hello(self) -> link_pb2.Hello:
         settings = self.settings
         return link_pb2.Hello(
@@ -202,6 +218,8 @@
         )
         state['limits'] = self._limits.describe()
         state['plans'] = self._planner.describe()
+        if self._state is not None:
+            state['state'] = self._state.dump()
         return {'name': self.settings.name, 'leaving': self.leaving} | state
 
     def check_readiness(self) -> admin.Readiness:
@@ -210,7 +228,9 @@
         snapshot = self._holder.snapshot
         if self.leaving:
             reasons.append('leaving')
-        if snapshot is None:
+        if self._state is not None and self._state.why_not_ready():
+            reasons.append(self._state.why_not_ready())
+        elif snapshot is None:
             reasons.append('no configuration yet')
         else:
             reasons += self._list_unserved(snapshot)
@@ -257,6 +277,15 @@
     def _renew_limits(self) -> None:
         self._limits.follow(self.done)
 
+    def _start_configuration(self) -> None:
+        if self._state is None:
+            self._start(self._follow_configuration, 'configuration')
+            return
+        self._state.on_snapshot(
+            lambda snapshot: sources.take_up(self._holder.adopt, snapshot)
+        )
+        self._stack.enter_context(self._state)
+
     def _start(self, target, name: str) -> None:
         thread = threading.Thread(target=target, name=name, daemon=True)
         thread.start()
@@ -268,6 +297,7 @@
         with self._stack as stack:
             stack.callback(self._outside.close)
             stack.callback(self._fleet.stop)
+            self._start_configuration()
             self._limits.exchange.start()
             stack.callback(self._limits.exchange.stop)
             self._admin.start()
@@ -275,7 +305,6 @@
             self._start(self._poll_hosts, 'hosts')
             self._start(self._plan, 'planner')
             self._start(self._renew_limits, 'limits')
-            self._start(self._follow_configuration, 'configuration')
             stack.callback(self.done.set)
             self._http.start()
             # Runs first: what is in flight still needs all the rest.
@@ -286,6 +315,8 @@
     def _leave(self) -> None:
         """Take no new requests and finish those in flight."""
         self.leaving = True
+        if self._state is not None:
+            self._state.depart()
         self._fleet.announce(self._build_hello())
         time.sleep(self._lame_duck)
         self._http.stop()
@@ -315,7 +346,9 @@
     :returns: exit status, 0 after a planned stop
     :raises OSError: when a port is taken
     """
-    with Entry(settings, sources.Sources.from_config(settings)) as entry:
+    outside = sources.Sources.from_config(settings)
+    shared = peers.Outside.from_config(settings)
+    with Entry(settings, outside, shared=shared) as entry:
         _watch_signals(entry)
         logging.info('entry %s serves port %d', settings.name, entry.port)
         entry.done.wait()
--- a/packages/daemon/src/dunlintide_daemon/entry/sources.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/sources.py
@@ -15,6 +15,7 @@
 from dunlintide_core import configuration
 from dunlintide_core import documents
 from dunlintide_core import settings as settings_module
+from dunlintide_core import spread
 from dunlintide_daemon.entry import claims
 from dunlintide_daemon.entry import fleet
 from dunlintide_daemon.entry import hosts
@@ -22,13 +23,17 @@
 __all__ = [
     'Adopt',
     'Sources',
+    'take_up',
 ]
 
 # Takes a revision and its configuration; False when it is not newer.
 Adopt = Callable[[int, configuration.Configuration], bool]
 
 
-def _adopt(adopt: Adopt, snapshot: configstore.Snapshot) -> None:
+def take_up(
+    adopt: Adopt, snapshot: configstore.Snapshot | spread.Snapshot
+) -> None:
+    """Decode a configuration and hand it on, or log why not."""
     revision = snapshot.head.revision
     decoded = documents.decode_configuration(snapshot.document)
     if isinstance(decoded, result.Err):
@@ -89,7 +94,7 @@
 
             def follow(adopt: Adopt, stopped: threading.Event) -> None:
                 configs.watch(
-                    lambda snapshot: _adopt(adopt, snapshot),
+                    lambda snapshot: take_up(adopt, snapshot),
                     stopped,
                     poll_seconds=timing.configuration_poll,
                 )
