Choose the agents of each entry by balanced rendezvous hashing

A full mesh of 370 entries and 600 agents has 222,000 connections.

Each entry now can take a few agents of every layer range, from different failure domains where there are any, passing over agents that have their share. Entries do not use it yet.

--- /dev/null
+++ b/packages/core/src/dunlintide_core/subset.py
@@ -0,0 +1,122 @@
+"""Which agents each entry connects to, the same on every process.
+
+Agents that can stand in for each other form a group: one layer range of
+one model version, or one plain service. Each entry takes a few of every
+group, so that it can tile each model with a choice at each range. Within
+a group the entries pick in turn by rendezvous hashing, and an agent that
+has its fair share of entries is passed over.
+"""
+
+import math
+from typing import Iterable, Mapping, NamedTuple, Sequence
+
+from dunlintide_core import fleet
+from dunlintide_core import hashing
+
+__all__ = ['DEFAULT_AGENTS', 'assign']
+
+DEFAULT_AGENTS = 24
+LEAST_CHOICES = 2
+# An agent takes at most so much of the mean number of entries.
+_SLACK = 1.15
+
+
+class _Group(NamedTuple):
+    """What the agents of one group have in common."""
+
+    kind: str
+    model: str
+    version: str
+    layer_start: int
+    layer_end: int
+    service: str
+
+
+def _group(
+    agents: Iterable[fleet.Peer],
+) -> dict[_Group, list[fleet.Peer]]:
+    groups: dict[_Group, list[fleet.Peer]] = {}
+    for agent in agents:
+        endpoint = agent.endpoint
+        if endpoint is None:
+            continue
+        key = _Group(
+            endpoint.kind,
+            endpoint.model,
+            endpoint.version,
+            endpoint.layer_start,
+            endpoint.layer_end,
+            endpoint.service,
+        )
+        groups.setdefault(key, []).append(agent)
+    return groups
+
+
+def _rank(entry: fleet.Peer, agents: list[fleet.Peer]) -> list[fleet.Peer]:
+    return sorted(
+        agents,
+        key=lambda agent: hashing.hash_text(f'{entry.name}/{agent.name}'),
+    )
+
+
+def _pick(
+    ranked: list[fleet.Peer],
+    taken: Sequence[fleet.Peer],
+    links: Mapping[str, int],
+    most: int,
+) -> fleet.Peer:
+    """Pick the next agent of a group for one entry.
+
+    One of a failure domain that the entry has none of goes first, then
+    one that is not full.
+    """
+    domains = {agent.failure_domain for agent in taken}
+    free = [agent for agent in ranked if agent not in taken]
+    return min(
+        free,
+        key=lambda agent: (
+            links[agent.name] >= most,
+            agent.failure_domain in domains,
+        ),
+    )
+
+
+def _assign_group(
+    entries: Sequence[fleet.Peer], agents: list[fleet.Peer], choices: int
+) -> dict[str, list[fleet.Peer]]:
+    choices = min(choices, len(agents))
+    most = math.ceil(_SLACK * choices * len(entries) / len(agents))
+    links = {agent.name: 0 for agent in agents}
+    chosen: dict[str, list[fleet.Peer]] = {e.name: [] for e in entries}
+    ranks = {entry.name: _rank(entry, agents) for entry in entries}
+    for _ in range(choices):
+        for entry in entries:
+            taken = chosen[entry.name]
+            agent = _pick(ranks[entry.name], taken, links, most)
+            links[agent.name] += 1
+            taken.append(agent)
+    return chosen
+
+
+def assign(
+    entries: Iterable[fleet.Peer],
+    agents: Iterable[fleet.Peer],
+    target: int = DEFAULT_AGENTS,
+) -> dict[str, tuple[fleet.Peer, ...]]:
+    """Assign agents to every entry.
+
+    :param target: agents an entry should have; more when that is needed
+        for two choices in each group
+    :return: agents by the entry's name
+    """
+    entries = sorted(entries, key=lambda peer: hashing.hash_text(peer.name))
+    groups = _group(agents)
+    if not groups:
+        return {entry.name: () for entry in entries}
+    choices = max(LEAST_CHOICES, target // len(groups))
+    result: dict[str, list[fleet.Peer]] = {e.name: [] for e in entries}
+    for key in sorted(groups):
+        members = sorted(groups[key], key=lambda agent: agent.name)
+        for name, chosen in _assign_group(entries, members, choices).items():
+            result[name].extend(chosen)
+    return {name: tuple(chosen) for name, chosen in result.items()}
