Let an engine drop the tail of a session, and keep activations

A stage that ran ahead of tokens which died with the head and the last stage must go back before it goes on. A step may now truncate; real engines drop the blocks of a tail. The store keeps what a stage sent on in bounded memory and gives up the sessions that began first.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -44,9 +44,10 @@
     Then stand-in session "a" has the tokens of the reference
 
     Examples:
-      | how                          |
-      | with the state that was kept |
-      | from the prompt and 4 tokens |
+      | how                             |
+      | with the state that was kept    |
+      | with a wrong position truncated |
+      | from the prompt and 4 tokens    |
 
   Scenario: KV memory is bounded and comes back
     Given a stand-in engine with 10 tokens of KV memory
--- a/features/steps/standin_engine.py
+++ b/features/steps/standin_engine.py
@@ -110,6 +110,22 @@
     finish(context, name, dict(step, epoch=2))
 
 
+@behave.when(
+    'stand-in session "{name}" goes on in epoch 2 '
+    'with a wrong position truncated'
+)
+def resume_truncated(context, name):
+    keys = ('prompt_tokens', 'position', 'tokens')
+    step = {key: context.step[key] for key in keys}
+    wrong = dict(step, tokens=[1], epoch=1, max_tokens=99)
+    for engine in context.engines:
+        result = run_step(engine, session=name, **wrong)
+        assert result['count'] == 1, result
+        wrong.pop('tokens', None)
+        wrong['activations'] = result.get('activations')
+    finish(context, name, dict(step, epoch=2, truncate=True))
+
+
 @behave.when(
     'stand-in session "{name}" goes on in epoch 2 '
     'from the prompt and 4 tokens'
--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -54,6 +54,7 @@
     :ivar activations: input of later layer ranges
     :ivar last_stage: asks for a sampled token
     :ivar prompt_tokens: 0 while nobody knows it yet
+    :ivar truncate: drops what the engine holds behind the position
     """
 
     session: str
@@ -69,6 +70,7 @@
     last_stage: bool = False
     max_tokens: int = 0
     prompt_tokens: int = 0
+    truncate: bool = False
 
 
 @attrs.frozen
@@ -122,6 +124,8 @@
         'max_tokens': step.max_tokens,
         'prompt_tokens': step.prompt_tokens,
     }
+    if step.truncate:
+        fields['truncate'] = True
     if step.prompt is not None:
         fields['prompt'] = step.prompt
     if step.tokens is not None:
--- /dev/null
+++ b/packages/core/src/dunlintide_core/activations.py
@@ -0,0 +1,105 @@
+"""Activations that a stage has sent on, kept in bounded memory.
+
+A later stage that dies takes its KV cache along; its replacement needs
+all that was sent to it. When memory is full, the sessions that began
+first are given up whole, as a part of one is of no use.
+"""
+
+import collections
+
+import attrs
+
+__all__ = [
+    'Span',
+    'Store',
+]
+
+
+@attrs.frozen
+class Span:
+    """Activations of some positions.
+
+    :ivar position: the first one
+    :ivar count: number of positions
+    """
+
+    position: int
+    count: int
+    data: bytes
+
+
+@attrs.define
+class _Kept:
+    width: int
+    end: int = 0
+    data: bytearray = attrs.field(factory=bytearray)
+
+
+class Store:
+    """Activations of many sessions, each from position 0 on.
+
+    :ivar used: bytes that are kept
+    :ivar evicted: sessions that were given up for room
+    """
+
+    def __init__(self, limit: int) -> None:
+        """Begin empty.
+
+        :param limit: bytes of activations, 0 to keep none
+        """
+        self.used = 0
+        self.evicted = 0
+        self._limit = limit
+        self._kept: collections.OrderedDict[str, _Kept] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._kept)
+
+    def add(self, session: str, span: Span) -> None:
+        """Keep a span behind what is kept of a session.
+
+        One that does not begin there is of a session that was given up.
+        """
+        kept = self._kept.get(session)
+        if kept is None:
+            if span.position or not self._limit:
+                return
+            kept = _Kept(len(span.data) // span.count)
+            self._kept[session] = kept
+        if span.position != kept.end:
+            self.drop(session)
+            return
+        kept.data += span.data
+        kept.end += span.count
+        self.used += len(span.data)
+        while self.used > self._limit:
+            self.drop(next(iter(self._kept)))
+            self.evicted += 1
+
+    def read(self, session: str, start: int, end: int) -> Span | None:
+        """Return the positions from ``start`` up to ``end``.
+
+        :returns: None when not all of them are kept
+        """
+        kept = self._kept.get(session)
+        if kept is None or kept.end < end:
+            return None
+        data = kept.data[start * kept.width : end * kept.width]
+        return Span(start, end - start, bytes(data))
+
+    def truncate(self, session: str, end: int) -> None:
+        """Forget the positions from ``end`` on."""
+        kept = self._kept.get(session)
+        if kept is None or kept.end <= end:
+            return
+        self.used -= (kept.end - end) * kept.width
+        del kept.data[end * kept.width :]
+        kept.end = end
+
+    def drop(self, session: str) -> None:
+        """Forget a session."""
+        kept = self._kept.pop(session, None)
+        if kept is not None:
+            self.used -= len(kept.data)
--- a/packages/core/src/dunlintide_core/positions.py
+++ b/packages/core/src/dunlintide_core/positions.py
@@ -87,6 +87,15 @@
         self.next_position = end
         return Verdict(Kind.TRIM, trim) if trim else _ACCEPT
 
+    def renew(self, epoch: int) -> None:
+        """Go on in a newer epoch with the positions that have run."""
+        self.epoch = epoch
+        self.failed = False
+
+    def rewind(self, position: int) -> None:
+        """Let the positions from this one on run again."""
+        self.next_position = min(position, self.next_position)
+
 
 class Fences:
     """Newest ended epochs of recent requests, bounded in number.
--- a/packages/standins/src/dunlintide_standins/engine/messages.py
+++ b/packages/standins/src/dunlintide_standins/engine/messages.py
@@ -47,6 +47,7 @@
     last_stage: bool = False
     max_tokens: int = 1
     prompt_tokens: int = 0
+    truncate: bool = False
 
 
 class Steps(msgspec.Struct):
@@ -97,6 +98,7 @@
     position: int
     prompt_tokens: int
     layers: list[int]
+    inputs: list[int]
 
 
 def fail(step: Step, code: Code) -> Result:
--- a/packages/standins/src/dunlintide_standins/engine/sessions.py
+++ b/packages/standins/src/dunlintide_standins/engine/sessions.py
@@ -59,6 +59,7 @@
     position: int
     prompt_tokens: int
     layers: list[int]
+    inputs: list[int]
     run: Run | None = None
 
 
@@ -124,10 +125,23 @@
         if session is None or step.epoch > session.epoch:
             if step.position == 0:
                 return Ok(None)
-        if session is None or step.position != session.position:
+        if session is None:
+            return Err(messages.Code.POSITION)
+        if step.truncate and step.position < session.position:
+            self._truncate(session, step.position)
+        if step.position != session.position:
             return Err(messages.Code.POSITION)
         return Ok(session)
 
+    def _truncate(self, session: _Session, position: int) -> None:
+        """Forget the positions behind one; a real engine drops blocks."""
+        self.used -= session.position - position
+        session.position = position
+        del session.inputs[position:]
+        session.layers = [0] * len(session.layers)
+        constants = self.holding.constants
+        reference.run_layers(constants, session.layers, session.inputs)
+
     def _fits(self, session: _Session | None, step, count: int) -> bool:
         freed = 0
         if session is None and step.session in self._sessions:
@@ -143,7 +157,7 @@
             prompt_tokens = step.prompt_tokens
             if not prompt_tokens:
                 prompt_tokens = count - len(step.tokens or ())
-            session = _Session(step.epoch, 0, prompt_tokens, [0] * layers)
+            session = _Session(step.epoch, 0, prompt_tokens, [0] * layers, [])
             self._sessions[step.session] = session
         if session.run is None or session.epoch != step.epoch:
             session.epoch = step.epoch
@@ -166,6 +180,7 @@
         session = self._open(admitted.unwrap(), step, count)
         constants = self.holding.constants
         values = reference.run_layers(constants, session.layers, activations)
+        session.inputs += activations
         session.position += count
         self.used += count
         session.run.positions += count
@@ -204,6 +219,7 @@
             session.position,
             session.prompt_tokens,
             list(session.layers),
+            list(session.inputs),
         )
 
     def take(self, session_id: str, state: messages.State) -> bool:
@@ -225,7 +241,11 @@
             return False
         self.free(session_id)
         self._sessions[session_id] = _Session(
-            state.epoch, state.position, state.prompt_tokens, state.layers
+            state.epoch,
+            state.position,
+            state.prompt_tokens,
+            state.layers,
+            state.inputs,
         )
         self.used += state.position
         return True
