--- a/packages/daemon/src/dunlintide_daemon/entry/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/exchange.py
@@ -9,7 +9,6 @@
 from typing import Callable, Iterable, Protocol
 
 import attrs
-
 import grpc
 
 from dunlintide_adapters import links
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/cases/membership.py
@@ -0,0 +1,79 @@
+"""Loss and return of a failure domain, and of half the fleet."""
+
+from typing import Callable, Iterator
+
+from dunlintide_trials import figures
+from dunlintide_trials import fleets
+from dunlintide_trials import network
+
+__all__ = ['CASES']
+
+_HOUR = 3600.0
+_MINUTES = 120.0
+# Larger fleets are cut for a shorter time, to bound the run.
+_LARGEST_FOR_AN_HOUR = 100
+_SIZES = (50, 100, 200, 400)
+_MOST_SECONDS = 600.0
+AGREE_BOUND = 120.0
+_CALLS_BOUND = 4.0
+
+
+def _cut(net: network.Network, inside: Callable[[int], bool]) -> None:
+    for host in net.hosts.values():
+        domain = int(host.peer.failure_domain.rpartition('-')[2])
+        host.cut = int(inside(domain))
+
+
+def _agree(net: network.Network) -> bool:
+    views = [host.replica.members for host in net.up()]
+    if len({view.hash for view in views}) > 1:
+        return False
+    return all(len(view.usable()) == len(views) for view in views)
+
+
+def _measure_cut(
+    name: str, size: int, inside: Callable[[int], bool]
+) -> Iterator[figures.Figure]:
+    net = fleets.make_fleet(size, fleets.size_message)
+    cut = _HOUR if size <= _LARGEST_FOR_AN_HOUR else _MINUTES
+    _cut(net, inside)
+    net.run(cut)
+    _cut(net, lambda domain: False)
+    start, calls = net.now, net.calls
+    before = sum(host.sent_bytes for host in net.up())
+    agreed = net.run_until(lambda: _agree(net), _MOST_SECONDS)
+    seconds = net.now - start
+    sent = sum(host.sent_bytes for host in net.up()) - before
+    deaths = sum(host.replica.members.deaths for host in net.up())
+    note = f'after {cut:.0f} s apart'
+    prefix = f'membership.convergence.{name}.{size}'
+    yield figures.at_most(
+        f'{prefix}.seconds',
+        round(seconds if agreed else _MOST_SECONDS, 1),
+        's',
+        AGREE_BOUND,
+        note=note,
+    )
+    yield figures.at_most(
+        f'{prefix}.deaths', deaths, 'processes', 0, note='declared in error'
+    )
+    yield figures.at_most(
+        f'{prefix}.calls',
+        round((net.calls - calls) / size / seconds, 2),
+        'calls/s',
+        _CALLS_BOUND,
+        note='a process, until all agree',
+    )
+    yield figures.plain(
+        f'{prefix}.bytes', round(sent / size / seconds), 'B/s', note=note
+    )
+
+
+def measure_convergence() -> Iterator[figures.Figure]:
+    """Time until all views agree again, with calls and false deaths."""
+    for size in _SIZES:
+        yield from _measure_cut('domain', size, lambda domain: domain == 2)
+        yield from _measure_cut('half', size, lambda domain: domain < 4)
+
+
+CASES = [measure_convergence]
