Find connections to engines that went silent, and show life to callers

Cause: a call to an engine over a connection that had gone silent held its sessions for 10 s and more, and so did an engine that hung; idle connections that were silent too cost further calls. A caller could not tell a slow stream from a dead one.

Change: a call that is late is looked into. When the engine is well, the same steps are asked for on a new connection; the engine refuses what it has run, so the answer, the loss or the slowness shows. Health checks and load reports use new connections, and so do calls of services. A stream carries a comment when no token comes for timing.heartbeat.

--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -28,6 +28,7 @@
 TRANSFER_SECONDS = 30.0
 _HTTP_OK = 200
 _JSON = {'Content-Type': 'application/json'}
+_JSON_ONCE = _JSON | {'Connection': 'close'}
 _quote = functools.partial(parse.quote, safe='')
 
 
@@ -37,11 +38,13 @@
 
     :ivar sent: whether the engine may have acted on it
     :ivar status: HTTP status, 0 without an answer
+    :ivar lost: whether the connection failed and the engine is well
     """
 
     detail: str
     sent: bool = True
     status: int = 0
+    lost: bool = False
 
 
 @attrs.frozen
@@ -164,33 +167,54 @@
 class Engine:
     """Connections to one engine."""
 
-    def __init__(self, url: str) -> None:
+    def __init__(self, url: str, quick: float = QUICK_SECONDS) -> None:
         """Remember where the engine is; connections open on demand.
 
         :param url: base address, such as ``http://127.0.0.1:8000``
+        :param quick: seconds for connecting and for short answers
         """
-        self._pool = urllib3.connection_from_url(
-            url.rstrip('/'),
-            maxsize=MAX_CONNECTIONS,
-            retries=False,
-            timeout=urllib3.Timeout(QUICK_SECONDS),
+        self._url = url.rstrip('/')
+        self._quick = quick
+        self._pool = self._make_pool()
+        self._once = self._make_pool()
+
+    def _make_pool(self) -> urllib3.HTTPConnectionPool:
+        return urllib3.connection_from_url(
+            self._url, maxsize=MAX_CONNECTIONS, retries=False
         )
 
+    def renew(self) -> None:
+        """Use none of the idle connections again."""
+        old, self._pool = self._pool, self._make_pool()
+        old.close()
+
     def close(self) -> None:
         """Close the idle connections."""
         self._pool.close()
+        self._once.close()
 
     def _call(
-        self, method: str, path: str, body: Any, seconds: float
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        seconds: float,
+        *,
+        anew: bool = False,
     ) -> result.Result[bytes, EngineError]:
+        """Call the engine.
+
+        :param anew: over a new connection, as an idle one may be silent
+        """
         data = None if body is None else json.dumps(body).encode()
+        pool = self._once if anew else self._pool
         try:
-            answer = self._pool.request(
+            answer = pool.request(
                 method,
                 path,
                 body=data,
-                headers=_JSON,
-                timeout=urllib3.Timeout(connect=QUICK_SECONDS, read=seconds),
+                headers=_JSON_ONCE if anew else _JSON,
+                timeout=urllib3.Timeout(connect=self._quick, read=seconds),
                 redirect=False,
             )
         except urllib3.exceptions.ConnectTimeoutError as error:
@@ -205,14 +229,15 @@
         return result.Ok(answer.data)
 
     def run_steps(
-        self, steps: list[Step], seconds: float
+        self, steps: list[Step], seconds: float, *, anew: bool = False
     ) -> result.Result[list[StepResult], EngineError]:
         """Run steps as one call; it returns once all have run.
 
         :param seconds: how long the whole call may take
+        :param anew: over a new connection
         """
         body = {'steps': [_write_step(step) for step in steps]}
-        called = self._call('POST', '/v1/steps', body, seconds)
+        called = self._call('POST', '/v1/steps', body, seconds, anew=anew)
         if called.is_err():
             return called
         try:
@@ -222,15 +247,20 @@
             return result.Err(EngineError(detail))
 
     def free(self, session: str) -> result.Result[None, EngineError]:
-        """Free a session's KV cache; unknown sessions are no error."""
+        """Free a session's KV cache; unknown sessions are no error.
+
+        As it is idempotent, it is asked once more over a new connection
+        when an idle one has failed.
+        """
         path = f'/v1/sessions/{_quote(session)}'
-        return self._call('DELETE', path, None, QUICK_SECONDS).map(
-            lambda _: None
-        )
+        called = self._call('DELETE', path, None, self._quick)
+        if called.is_err() and called.err_value.sent:
+            called = self._call('DELETE', path, None, self._quick, anew=True)
+        return called.map(lambda _: None)
 
     def read_load(self) -> result.Result[EngineLoad, EngineError]:
         """Read the load that the engine publishes."""
-        called = self._call('GET', '/v1/load', None, QUICK_SECONDS)
+        called = self._call('GET', '/v1/load', None, self._quick, anew=True)
         if called.is_err():
             return called
         try:
@@ -241,7 +271,7 @@
 
     def check_health(self) -> result.Result[None, EngineError]:
         """Ask the engine for its health check."""
-        called = self._call('GET', '/healthz', None, QUICK_SECONDS)
+        called = self._call('GET', '/healthz', None, self._quick, anew=True)
         return called.map(lambda _: None)
 
     def export_session(
--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -111,7 +111,11 @@
     :ivar silence: silence after which a link counts as lost
     :ivar redial: longest pause before a link is dialled again
     :ivar store_timeout: bound on one call to the store
-    :ivar endpoint_timeout: bound on connecting to the endpoint
+    :ivar endpoint_timeout: bound on connecting to the endpoint and on
+        its health check
+    :ivar endpoint_silence: least time after which a call to an engine
+        that has no answer yet is looked into
+    :ivar heartbeat: longest pause in a stream to a caller
     :ivar host_list_poll: pause between two reads of the host list
     :ivar configuration_poll: pause between two reads of the head that
         make up for a silent watch
@@ -122,6 +126,8 @@
     redial: Seconds = 1.0
     store_timeout: Seconds = 2.0
     endpoint_timeout: Seconds = 2.0
+    endpoint_silence: Seconds = 3.0
+    heartbeat: Seconds = 5.0
     host_list_poll: Seconds = 2.0
     configuration_poll: Seconds = 30.0
 
--- a/packages/daemon/src/dunlintide_daemon/agent/driver.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/driver.py
@@ -12,8 +12,10 @@
 from typing import Any, Callable
 
 import attrs
+import result
 
 from dunlintide_adapters import engine as engines
+from dunlintide_daemon.agent import rescue
 
 __all__ = [
     'Driver',
@@ -27,6 +29,10 @@
 # A slow batch must not look like a hung engine.
 BASE_SECONDS = 10.0
 SECONDS_PER_POSITION = 0.01
+# Past this a call is looked into; see ``rescue``.
+SILENCE_SECONDS = 3.0
+_HAS_RUN = 'position'
+_HAS_NEWER = 'stale-epoch'
 _STOP_SECONDS = 5.0
 
 
@@ -71,18 +77,42 @@
     free_again: bool = False
 
 
+def _is_lost(found: engines.StepResult) -> bool:
+    # The engine has run it, so its first answer is what was lost.
+    return found.error in (_HAS_RUN, _HAS_NEWER)
+
+
 class Driver:
-    """Threads that call one engine."""
+    """Threads that call one engine.
 
-    def __init__(self, engine: engines.Engine, handlers: Handlers) -> None:
+    :ivar rescued: calls that were given up for a silent connection
+    """
+
+    def __init__(
+        self,
+        engine: engines.Engine,
+        handlers: Handlers,
+        silence: float = SILENCE_SECONDS,
+    ) -> None:
+        """Prepare the threads; ``start`` begins.
+
+        :param silence: seconds after which a call may be late
+        """
         self._engine = engine
         self._handlers = handlers
         self._lanes: dict[str, _Lane] = {}
         self._ready: collections.deque[str] = collections.deque()
         self._wake = threading.Condition()
+        self._jobs: dict[rescue.Flight, list[Job]] = {}
         self._frees: queue.SimpleQueue[str | None] = queue.SimpleQueue()
         self._stopped = False
+        self._ended = threading.Event()
+        self._flights = rescue.Flights(silence)
+        self._rescuer = rescue.Rescuer(
+            engine, self._flights, self._take_over, self._drop
+        )
         self.calls = 0
+        self.rescued = 0
         self.steps = 0
         self.busy_seconds = 0.0
         self._threads = [
@@ -92,6 +122,14 @@
         self._threads.append(
             threading.Thread(target=self._reap, name='reaper', daemon=True)
         )
+        self._threads.append(
+            threading.Thread(
+                target=self._rescuer.run,
+                args=(self._ended,),
+                name='rescuer',
+                daemon=True,
+            )
+        )
 
     def start(self) -> None:
         """Begin to call the engine."""
@@ -103,6 +141,7 @@
         with self._wake:
             self._stopped = True
             self._wake.notify_all()
+        self._ended.set()
         self._frees.put(None)
         for thread in self._threads:
             thread.join(_STOP_SECONDS)
@@ -176,15 +215,32 @@
     def _run(self) -> None:
         while not self._stopped:
             jobs = self._take()
-            if jobs:
-                self._call(jobs)
-
-    def _call(self, jobs: list[Job]) -> None:
-        positions = sum(job.positions for job in jobs)
-        seconds = BASE_SECONDS + SECONDS_PER_POSITION * positions
-        began = time.monotonic()
-        called = self._engine.run_steps([job.step for job in jobs], seconds)
-        self.busy_seconds += time.monotonic() - began
+            if jobs and not self._call(jobs):
+                return
+
+    def _call(self, jobs: list[Job]) -> bool:
+        """Make one call; False when another thread has replaced this one."""
+        work = SECONDS_PER_POSITION * sum(job.positions for job in jobs)
+        seconds = BASE_SECONDS + work
+        steps = [job.step for job in jobs]
+        flight = self._flights.begin(steps, work, seconds)
+        with self._wake:
+            self._jobs[flight] = jobs
+        called = self._engine.run_steps(steps, seconds)
+        if not self._flights.settle(flight):
+            return False
+        with self._wake:
+            del self._jobs[flight]
+        self._finish(flight, jobs, called)
+        return True
+
+    def _finish(
+        self,
+        flight: rescue.Flight,
+        jobs: list[Job],
+        called: result.Result[list[engines.StepResult], engines.EngineError],
+    ) -> None:
+        self.busy_seconds += time.monotonic() - flight.began
         self.calls += 1
         self.steps += len(jobs)
         if called.is_err():
@@ -193,6 +249,33 @@
             self._hand_on(jobs, called.ok_value)
         self._release(jobs)
 
+    def _take_over(
+        self, flight: rescue.Flight, results: list[engines.StepResult]
+    ) -> None:
+        """Finish a call whose thread waits on a silent connection."""
+        with self._wake:
+            jobs = self._jobs.pop(flight)
+        self.rescued += 1
+        threading.Thread(target=self._run, name='driver', daemon=True).start()
+        lost = {found.session for found in results if _is_lost(found)}
+        gone = [job for job in jobs if job.step.session in lost]
+        if gone:
+            detail = 'the connection to the engine went silent'
+            error = engines.EngineError(detail, lost=True)
+            self._handlers.failed(gone, error)
+            self._release(gone)
+        kept = [job for job in jobs if job.step.session not in lost]
+        if kept:
+            self._finish(flight, kept, result.Ok(results))
+
+    def _drop(self, results: list[engines.StepResult]) -> None:
+        """Undo steps that were asked for again in vain, if they ran."""
+        for found in results:
+            with self._wake:
+                known = found.session in self._lanes
+            if not found.error and not known:
+                self.free(found.session)
+
     def _hand_on(
         self, jobs: list[Job], results: list[engines.StepResult]
     ) -> None:
--- a/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
@@ -182,13 +182,16 @@
     ) -> None:
         """End the sessions of a call that the engine did not answer."""
         code = outcomes.FailCode.ENDPOINT_FAILED
+        if error.lost:
+            code = outcomes.FailCode.LINK_LOST
         with self._lock:
             for job in jobs:
                 session = job.owner
                 if self._table.holds(session):
                     ran = error.sent or session.ran
                     self._table.fail(session, code, error.detail, ran=ran)
-        suspects = _list_suspects(jobs) if error.sent else []
+        crashed = error.sent and not error.lost
+        suspects = _list_suspects(jobs) if crashed else []
         if suspects:
             message = link_pb2.Suspects(suspects=suspects)
             self._announce(link_pb2.Frame(suspects=message))
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -159,13 +159,18 @@
         )
         table = tables.Table(identity, self.gate, self._peers, self.counts)
         self.pipeline = pipelines.Pipeline(table, self._broadcast)
-        self._engine = engines.Engine(self.settings.endpoint.url)
+        timing = self.settings.timing
+        self._engine = engines.Engine(
+            self.settings.endpoint.url, timing.endpoint_timeout
+        )
         handlers = drivers.Handlers(
             self.pipeline.take_results,
             self._take_engine_failure,
             self.pipeline.limit_batch,
         )
-        self.driver = drivers.Driver(self._engine, handlers)
+        self.driver = drivers.Driver(
+            self._engine, handlers, timing.endpoint_silence
+        )
         table.driver = self.driver
 
     def _build_service_side(self) -> None:
@@ -232,7 +237,8 @@
             'a call of %d steps failed: %s', len(jobs), error.detail
         )
         self.pipeline.fail_jobs(jobs, error)
-        self._tell(supervisor.EngineFailed(error.detail))
+        if not error.lost:
+            self._tell(supervisor.EngineFailed(error.detail))
 
     def _tell(self, message: Any) -> None:
         with contextlib.suppress(pykka.ActorDeadError):
@@ -311,6 +317,7 @@
                 'calls': self.driver.calls,
                 'steps': self.driver.steps,
                 'busy_seconds': round(self.driver.busy_seconds, 3),
+                'rescued': self.driver.rescued,
             }
         return state
 
--- a/packages/daemon/src/dunlintide_daemon/agent/services.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/services.py
@@ -109,9 +109,8 @@
         self._clock = clock
         self._pool = futures.ThreadPoolExecutor(threads, 'service')
         self._path = urllib3.util.parse_url(url).path or ''
-        self._http = urllib3.connection_from_url(
-            url, maxsize=threads, retries=False
-        )
+        # A kept connection may have gone silent, or be closed by the
+        # service just as it is used; on the same host a new one is cheap.
         self._once = urllib3.connection_from_url(
             url, maxsize=threads, retries=False
         )
@@ -121,7 +120,6 @@
     def close(self) -> None:
         """Wait for the calls under way and close all connections."""
         self._pool.shutdown()
-        self._http.close()
         self._once.close()
 
     def call(self, link: links.Link, call: link_pb2.Call) -> None:
@@ -167,14 +165,9 @@
             self._gate.fail(work, code, 'the deadline has passed', ran=False)
             return
         headers = _build_headers(call)
-        pool = self._http
-        if call.HasField('claim'):
-            # A kept connection may be closed by the service just as it is
-            # used, which would leave the outcome unknown.
-            pool = self._once
-            headers['Connection'] = 'close'
+        headers['Connection'] = 'close'
         try:
-            answer = pool.urlopen(
+            answer = self._once.urlopen(
                 call.method,
                 self._path.rstrip('/') + call.path,
                 body=call.body or None,
--- a/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
@@ -26,7 +26,7 @@
 
 REPORT_SECONDS = 1.0
 # A busy engine may be slow to answer; one that refuses connections is gone.
-MAX_STRIKES = 3
+MAX_STRIKES = 2
 # Below this the size of the KV cache cannot be told from its usage.
 _LEAST_USAGE = 0.01
 
@@ -117,6 +117,7 @@
             self._strikes = 0
             return
         self._strikes += 1
+        self._report_soon()
         if checked.err_value.sent and self._strikes < MAX_STRIKES:
             return
         self._down = True
--- a/packages/daemon/src/dunlintide_daemon/entry/answers.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/answers.py
@@ -1,6 +1,7 @@
 """Answers of completions and services, and the outcomes they settle."""
 
 import inspect
+import time
 from typing import Callable, Iterator
 
 from absl import logging
@@ -106,13 +107,18 @@
         completion: requests.Completion,
         route: router.CompletionRoute,
         rendering: openai.Rendering,
+        heartbeat: float,
     ) -> None:
-        """Begin the run; nothing is sent before an answer is asked for."""
+        """Begin the run; nothing is sent before an answer is asked for.
+
+        :param heartbeat: longest pause in a stream, in seconds
+        """
         self._ledger = ledger
         self._caller = caller
         self._completion = completion
         self._route = route
         self._rendering = rendering
+        self._heartbeat = heartbeat
         self._events = completions.run(
             context, route.job, completion, route.plan
         )
@@ -177,9 +183,12 @@
         refusal = outcomes.refuse(outcomes.FailCode.CANCELLED, ran=True)
         finished = False
         event = first
+        said = time.monotonic()
         try:
             while True:
+                now = time.monotonic()
                 if isinstance(event, completions.Piece):
+                    said = now
                     yield b''.join(
                         map(self._rendering.render_token, event.texts)
                     )
@@ -197,6 +206,9 @@
                     )
                     finished = True
                     return
+                elif now - said >= self._heartbeat:
+                    said = now
+                    yield openai.HEARTBEAT
                 event = next(self._events)
         finally:
             self._events.close()
--- a/packages/daemon/src/dunlintide_daemon/entry/front.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/front.py
@@ -28,6 +28,7 @@
 ]
 
 PRIORITY_HEADER = 'HTTP_DUNLINTIDE_PRIORITY'
+HEARTBEAT_SECONDS = 5.0
 _NO_CONFIGURATION_RETRY_SECONDS = 2.0
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
@@ -35,7 +36,10 @@
 
 @attrs.frozen
 class Parts:
-    """What the front works with."""
+    """What the front works with.
+
+    :ivar heartbeat: longest pause in a stream, in seconds
+    """
 
     context: dispatch.Context
     holder: holders.Holder
@@ -43,6 +47,7 @@
     history: history.History
     limiter: limits.Limits
     rng: random.Random
+    heartbeat: float = HEARTBEAT_SECONDS
 
 
 @attrs.frozen
@@ -257,5 +262,6 @@
             completion,
             routed.ok_value,
             rendering,
+            self._parts.heartbeat,
         )
         return answer.stream() if completion.stream else answer.gather()
--- a/packages/daemon/src/dunlintide_daemon/entry/openai.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/openai.py
@@ -10,11 +10,14 @@
 
 __all__ = [
     'END_MARK',
+    'HEARTBEAT',
     'Rendering',
     'list_models',
     'render_error_event',
 ]
 
+# A comment, which clients skip; so a slow stream differs from a dead one.
+HEARTBEAT = b':\n\n'
 END_MARK = b'data: [DONE]\n\n'
 _CHUNK_KIND = {True: 'chat.completion.chunk', False: 'text_completion'}
 _WHOLE_KIND = {True: 'chat.completion', False: 'text_completion'}
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -187,6 +187,7 @@
             self._history,
             self._limits,
             self._rng,
+            settings.timing.heartbeat,
         )
         return httpserver.HttpServer.from_config(
             front.Front(parts),
