Load ordered layers from the weight store; tell what is held

An engine that is told to hold other layers took them at once, and neither it nor its agent could notice a step meant for other layers.

The stand-in engine reads the layers that it lacks from the weight store (--weights_url), serves the old ones meanwhile, tells its holding and the highest fence at GET /v1/holding, and refuses a step whose layers it doesn't hold. The agent names the layers in each step.

--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -17,6 +17,7 @@
 __all__ = [
     'Engine',
     'EngineError',
+    'EngineHolding',
     'EngineLoad',
     'Step',
     'StepResult',
@@ -26,6 +27,7 @@
 MAX_CONNECTIONS = 8
 QUICK_SECONDS = 2.0
 TRANSFER_SECONDS = 30.0
+OLD_FENCE_STATUS = 409
 _HTTP_OK = 200
 _JSON = {'Content-Type': 'application/json'}
 _JSON_ONCE = _JSON | {'Connection': 'close'}
@@ -58,6 +60,8 @@
     :ivar last_stage: asks for a sampled token
     :ivar prompt_tokens: 0 while nobody knows it yet
     :ivar truncate: drops what the engine holds behind the position
+    :ivar layers: range that is to run, so that an engine which holds
+        another one refuses; None to leave it out
     """
 
     session: str
@@ -74,6 +78,7 @@
     max_tokens: int = 0
     prompt_tokens: int = 0
     truncate: bool = False
+    layers: tuple[int, int] | None = None
 
 
 @attrs.frozen
@@ -114,6 +119,24 @@
     tokens_per_second: float = 0.0
 
 
+@attrs.frozen
+class EngineHolding:
+    """What the engine holds.
+
+    :ivar layer_count: layers of the whole model, 0 where it isn't told
+    :ivar fence: highest fencing number that it has seen
+    :ivar loading: whether it carries out an order just now
+    """
+
+    model: str = ''
+    version: str = ''
+    layer_start: int = 0
+    layer_end: int = 0
+    layer_count: int = 0
+    fence: int = 0
+    loading: bool = False
+
+
 def _write_step(step: Step) -> dict[str, Any]:
     fields = {
         'session': step.session,
@@ -129,6 +152,8 @@
     }
     if step.truncate:
         fields['truncate'] = True
+    if step.layers is not None:
+        fields['layers'] = step.layers
     if step.prompt is not None:
         fields['prompt'] = step.prompt
     if step.tokens is not None:
@@ -158,10 +183,10 @@
     return [_read_result(fields) for fields in json.loads(body)['results']]
 
 
-def _read_load(body: bytes) -> EngineLoad:
+def _read_known(body: bytes, kind: type) -> Any:
     fields = json.loads(body)
-    names = [field.name for field in attrs.fields(EngineLoad)]
-    return EngineLoad(**{name: fields.get(name, 0) for name in names})
+    known = attrs.fields(kind)
+    return kind(**{f.name: fields.get(f.name, f.default) for f in known})
 
 
 class Engine:
@@ -260,11 +285,18 @@
 
     def read_load(self) -> result.Result[EngineLoad, EngineError]:
         """Read the load that the engine publishes."""
-        called = self._call('GET', '/v1/load', None, self._quick, anew=True)
+        return self._read('/v1/load', EngineLoad)
+
+    def read_holding(self) -> result.Result[EngineHolding, EngineError]:
+        """Read what the engine holds; status 404 where it doesn't tell."""
+        return self._read('/v1/holding', EngineHolding)
+
+    def _read(self, path: str, kind: type) -> result.Result[Any, EngineError]:
+        called = self._call('GET', path, None, self._quick, anew=True)
         if called.is_err():
             return called
         try:
-            return result.Ok(_read_load(called.ok_value))
+            return result.Ok(_read_known(called.ok_value, kind))
         except (ValueError, TypeError, AttributeError) as error:
             detail = f'unusable answer: {type(error).__name__}'
             return result.Err(EngineError(detail))
@@ -300,21 +332,22 @@
         )
 
     def give_order(
-        self,
-        fence: int,
-        model: str,
-        version: str,
-        layer_start: int,
-        layer_end: int,
+        self, fence: int, holding: EngineHolding, seconds: float
     ) -> result.Result[None, EngineError]:
-        """Tell the engine what to hold; status 409 is an old fence."""
+        """Tell the engine what to hold; it answers once that is loaded.
+
+        :param holding: model, version and layers
+        :param seconds: how long loading may take
+        :returns: on an old fence an error with ``OLD_FENCE_STATUS``
+        """
         body = {
             'fence': fence,
-            'model': model,
-            'version': version,
-            'layer_start': layer_start,
-            'layer_end': layer_end,
+            'model': holding.model,
+            'version': holding.version,
+            'layer_start': holding.layer_start,
+            'layer_end': holding.layer_end,
+            'layer_count': holding.layer_count,
         }
-        return self._call('POST', '/v1/orders', body, TRANSFER_SECONDS).map(
+        return self._call('POST', '/v1/orders', body, seconds).map(
             lambda _: None
         )
--- a/packages/daemon/src/dunlintide_daemon/agent/sessions.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/sessions.py
@@ -85,6 +85,7 @@
 def _build_job(
     session: Session, position: int, count: int, **span
 ) -> drivers.Job:
+    stage = session.chain[session.stage]
     step = engines.Step(
         session=session.request_id,
         epoch=session.epoch,
@@ -96,6 +97,7 @@
         last_stage=session.is_last,
         max_tokens=session.max_tokens,
         prompt_tokens=session.prompt_tokens,
+        layers=(stage.layer_start, stage.layer_end),
         **span,
     )
     return drivers.Job(step, session, count)
--- a/packages/standins/src/dunlintide_standins/engine/batching.py
+++ b/packages/standins/src/dunlintide_standins/engine/batching.py
@@ -136,7 +136,10 @@
 
     def _read_input(self, step: messages.Step) -> list[int]:
         """Give a step's input activations, none for a malformed step."""
-        first = self._sessions.holding.layer_start == 0
+        holding = self._sessions.holding
+        if holding.layer_start >= holding.layer_end:
+            return []
+        first = holding.layer_start == 0
         if first != (step.activations is None):
             return []
         if not first:
--- a/packages/standins/src/dunlintide_standins/engine/messages.py
+++ b/packages/standins/src/dunlintide_standins/engine/messages.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     'Code',
+    'Held',
     'Order',
     'Result',
     'State',
@@ -26,6 +27,7 @@
     """Why a step didn't run."""
 
     BAD_STEP = 'bad-step'
+    LAYERS = 'layers'
     KV_FULL = 'kv-full'
     POSITION = 'position'
     STALE_EPOCH = 'stale-epoch'
@@ -48,6 +50,7 @@
     max_tokens: int = 1
     prompt_tokens: int = 0
     truncate: bool = False
+    layers: tuple[int, int] | None = None
 
 
 class Steps(msgspec.Struct):
@@ -85,6 +88,19 @@
     version: str
     layer_start: int
     layer_end: int
+    layer_count: int = 0
+
+
+class Held(msgspec.Struct):
+    """What the engine holds and the highest fencing number it has seen."""
+
+    model: str
+    version: str
+    layer_start: int
+    layer_end: int
+    layer_count: int
+    fence: int
+    loading: bool
 
 
 class State(msgspec.Struct):
--- a/packages/standins/src/dunlintide_standins/engine/server.py
+++ b/packages/standins/src/dunlintide_standins/engine/server.py
@@ -11,6 +11,7 @@
 
 from dunlintide_standins.engine import batching
 from dunlintide_standins.engine import cache as caches
+from dunlintide_standins.engine import loading
 from dunlintide_standins.engine import messages
 from dunlintide_standins.engine import sessions as session_store
 from dunlintide_standins import faults
@@ -60,6 +61,9 @@
     checks_fence: bool = process.setting(
         False, 'refuse orders with an old fencing number'
     )
+    weights_url: str = process.setting(
+        '', 'weight store to load ordered layers from, empty for none'
+    )
 
 
 class _Control(faults.Fault):
@@ -110,11 +114,14 @@
             self._sessions, self._cache, timing, lambda: self._gate.hang
         )
         self._fence = 0
+        self._layer_count = 0
+        self._loading = loading.Loader(config.weights_url)
         self._orders: list[messages.Order] = []
         self._routes: dict[tuple[str, str], web.Handler] = {
             ('POST', '/v1/steps'): self._run_steps,
             ('POST', '/v1/orders'): self._take_order,
             ('GET', '/v1/orders'): self._show_orders,
+            ('GET', '/v1/holding'): self._show_holding,
             ('GET', '/v1/load'): self._show_load,
             ('GET', '/v1/cache_events'): self._show_cache_events,
             ('GET', '/healthz'): lambda _: web.json_answer({}),
@@ -233,20 +240,48 @@
         self._batcher.note_change()
         return web.json_answer({}) if taken else _refuse('no fit', 409)
 
+    def _is_old(self, order: messages.Order) -> bool:
+        """Check an order's fence; the batcher's lock is held."""
+        if self._config.checks_fence and order.fence < self._fence:
+            return True
+        self._fence = max(self._fence, order.fence)
+        return False
+
     def _take_order(self, request: web.Request) -> web.Answer:
         order = web.decode_json(request, messages.Order)
+        with self._loading.lock:
+            with self._batcher.lock:
+                if self._is_old(order):
+                    return _refuse('old fencing number', 409)
+                held = self._sessions.holding
+            # The old layers are served until the new ones are here.
+            if not self._loading.load(held, order):
+                return _refuse('the weight store failed', 503)
+            self._hold(order)
+        if self._gate.drop_answer():
+            return web.dropped()
+        return web.json_answer({})
+
+    def _hold(self, order: messages.Order) -> None:
         with self._batcher.lock:
-            if self._config.checks_fence and order.fence < self._fence:
-                return _refuse('old fencing number', 409)
-            self._fence = max(self._fence, order.fence)
             holding = session_store.Holding(
                 order.model, order.version, order.layer_start, order.layer_end
             )
             self._sessions.load(holding)
+            self._layer_count = order.layer_count
             self._cache.clear()
             self._orders.append(order)
             del self._orders[:-_KEPT_ORDERS]
-        return web.json_answer({})
+
+    def _show_holding(self, _request: web.Request) -> web.Answer:
+        with self._batcher.lock:
+            held = messages.Held(
+                **attrs.asdict(self._sessions.holding),
+                layer_count=self._layer_count,
+                fence=self._fence,
+                loading=self._loading.lock.locked(),
+            )
+        return web.json_answer(held)
 
     def _show_orders(self, _request: web.Request) -> web.Answer:
         return web.json_answer(self._orders)
--- a/packages/standins/src/dunlintide_standins/engine/sessions.py
+++ b/packages/standins/src/dunlintide_standins/engine/sessions.py
@@ -119,6 +119,9 @@
         self, step: messages.Step
     ) -> Result[_Session | None, messages.Code]:
         """Find the session that a step goes on with, None for a new one."""
+        holding = self.holding
+        if step.layers not in (None, (holding.layer_start, holding.layer_end)):
+            return Err(messages.Code.LAYERS)
         session = self._sessions.get(step.session)
         if session is not None and step.epoch < session.epoch:
             return Err(messages.Code.STALE_EPOCH)
