Let agents carry out the orders of the current leader

An agent passed no orders on, and one that has just started knows no fencing number with which to refuse the order of an old leader.

One actor takes orders in turn. An order counts only while its number is that of the leader's key in the store, read for each order, and not below the highest that this agent or its engine has seen; it also says what the endpoint must hold, so one made from an old view changes nothing. New sessions of the old layers are refused before the engine is told, and peers hear of the new layers once they are loaded. The agent follows what its engine says it holds, also at its own start.

--- a/packages/core/src/dunlintide_core/placement.py
+++ b/packages/core/src/dunlintide_core/placement.py
@@ -35,6 +35,7 @@
     HOLDS_OTHER = 'holds-other'
     LEAVING = 'leaving'
     BUSY = 'busy'
+    ENGINE_AWAY = 'engine-away'
     LOAD_FAILED = 'load-failed'
 
 
--- a/packages/daemon/src/dunlintide_daemon/agent/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/dispatch.py
@@ -1,5 +1,7 @@
 """Hands frames off the links to the part that they concern."""
 
+from typing import Callable
+
 from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_daemon.agent import gate as gates
@@ -20,12 +22,15 @@
         gate: gates.Gate,
         pipeline: pipelines.Pipeline | None,
         services: service_calls.Services | None,
+        take_order: Callable[[links.Link, link_pb2.Order], None],
     ) -> None:
         """Remember where frames go.
 
         :param pipeline: None before a plain service
         :param services: None before an engine
+        :param take_order: called with orders to the engine
         """
+        self._take_order = take_order
         self._gate = gate
         self._pipeline = pipeline
         self._services = services
@@ -64,6 +69,8 @@
             pipeline.take_fail(frame.fail)
         elif body == 'cancel':
             pipeline.take_cancel(link, frame.cancel)
+        elif body == 'order':
+            self._take_order(link, frame.order)
 
     def _attach(self, link: links.Link, attach: link_pb2.Attach) -> None:
         request_id = attach.terms.request_id
--- a/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
@@ -6,10 +6,13 @@
 
 from typing import Callable
 
+import attrs
+
 from dunlintide_adapters import engine as engines
 from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import outcomes
+from dunlintide_core import placement
 from dunlintide_daemon.agent import driver as drivers
 from dunlintide_daemon.agent import heads
 from dunlintide_daemon.agent import sessions
@@ -75,6 +78,13 @@
                     found.add(session.head.address)
             return found
 
+    def adopt(self, holding: placement.Holding) -> None:
+        """Take new sessions for other layers than before."""
+        with self._lock:
+            self._table.identity = attrs.evolve(
+                self._table.identity, **attrs.asdict(holding)
+            )
+
     def limit_batch(self) -> int:
         """Return how many steps one call to the engine may take."""
         return self._table.limit_batch()
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -7,17 +7,21 @@
 from typing import Any, Callable, Iterator
 
 from absl import logging
+import attrs
 import prometheus_client
 import pykka
 
 from dunlintide_adapters import admin
 from dunlintide_adapters import engine as engines
+from dunlintide_adapters import leaders
 from dunlintide_adapters import links
 from dunlintide_adapters import metrics
 from dunlintide_adapters import peers as peer_calls
+from dunlintide_adapters import store
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import caps
 from dunlintide_core import fleet
+from dunlintide_core import placement
 from dunlintide_core import queueing
 from dunlintide_core import settings as settings_module
 from dunlintide_daemon.agent import counts as counting
@@ -25,6 +29,7 @@
 from dunlintide_daemon.agent import driver as drivers
 from dunlintide_daemon.agent import dump
 from dunlintide_daemon.agent import gate as gates
+from dunlintide_daemon.agent import orders
 from dunlintide_daemon.agent import peers as peering
 from dunlintide_daemon.agent import pipeline as pipelines
 from dunlintide_daemon.agent import services
@@ -57,6 +62,7 @@
         tokens_per_second=endpoint.tokens_per_second,
         checks_fence=endpoint.checks_fence,
         max_in_flight=cap,
+        max_layers=endpoint.max_layers,
     )
 
 
@@ -87,6 +93,7 @@
         self.endpoint = settings.endpoint.to_endpoint()
         self.gate = self._build_gate()
         self._supervisor = None
+        self._orders = None
         self._timing = links.LinkTiming(
             settings.timing.ping,
             settings.timing.silence,
@@ -116,7 +123,7 @@
         else:
             self._build_service_side()
         self._dispatcher = dispatch.Dispatcher(
-            self.gate, self.pipeline, self._services
+            self.gate, self.pipeline, self._services, self._take_order
         )
         self._load = link_pb2.Load()
         self._stack = contextlib.ExitStack()
@@ -172,6 +179,10 @@
             self._engine, handlers, timing.endpoint_silence
         )
         table.driver = self.driver
+        self._store = store.Store.from_url(
+            self.settings.store_url,
+            timing=store.StoreTiming(read=self.settings.timing.store_timeout),
+        )
 
     def _build_service_side(self) -> None:
         self._services = services.Services(
@@ -275,6 +286,54 @@
         self.failed = True
         self.done.set()
 
+    def _take_order(self, link: links.Link, order: link_pb2.Order) -> None:
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._orders.tell(orders.Take(link, order))
+
+    def _look(self) -> None:
+        if self._orders is not None and self._orders.actor_inbox.empty():
+            with contextlib.suppress(pykka.ActorDeadError):
+                self._orders.tell(orders.Refresh())
+
+    def _get_holding(self) -> placement.Holding:
+        endpoint = self.endpoint
+        return placement.Holding(
+            endpoint.model,
+            endpoint.version,
+            endpoint.layer_start,
+            endpoint.layer_end,
+        )
+
+    def _adopt(self, holding: placement.Holding, layer_count: int) -> None:
+        logging.info('the engine holds %s', holding)
+        if layer_count == 0 and holding.model == self.endpoint.model:
+            layer_count = self.endpoint.layer_count
+        with self.gate.lock:
+            self.pipeline.adopt(holding)
+            self.endpoint = attrs.evolve(
+                self.endpoint,
+                **attrs.asdict(holding),
+                layer_count=layer_count,
+            )
+        hello = link_pb2.Frame(hello=self._build_hello())
+        self._broadcast(hello)
+        self._peers.broadcast(hello)
+
+    def _start_orders(self) -> None:
+        hooks = orders.Hooks(
+            get_holding=self._get_holding,
+            adopt=self._adopt,
+            count_sessions=lambda: len(self.pipeline),
+            lose_sessions=self._lose_sessions,
+            is_leaving=lambda: self.gate.leaving,
+            crash=self.crash,
+        )
+        keys = leaders.Leaders(self._store)
+        self._orders = orders.Orders.start(self._engine, keys, hooks)
+        self._stack.callback(self._orders.stop, block=False)
+        # Peers are told what the engine holds, not what it once held.
+        self._orders.ask(orders.Refresh())
+
     def _report(self, load: engines.EngineLoad) -> None:
         gate = self.gate
         with gate.lock:
@@ -312,6 +371,7 @@
         if self._state is not None:
             state['state'] = self._state.dump()
         if self.pipeline is not None:
+            state['holding'] = attrs.asdict(self._get_holding())
             state['stages'] = self.pipeline.count_stages()
             state['engine'] = {
                 'calls': self.driver.calls,
@@ -346,6 +406,7 @@
             is_idle=self._is_idle,
             stop=self.done.set,
             crash=self.crash,
+            look=self._look,
         )
         self._supervisor = supervisor.Supervisor.start(
             self.gate, self._engine, hooks
@@ -361,6 +422,8 @@
             self._stack = stack
             if self._engine is not None:
                 stack.callback(self._engine.close)
+                stack.callback(self._store.close)
+                self._start_orders()
             else:
                 stack.callback(self._services.close)
             self._start_supervisor()
--- a/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
@@ -57,6 +57,7 @@
     :ivar leave: tells all peers that this agent leaves
     :ivar is_idle: whether nothing is in flight any more
     :ivar stop: lets the process end
+    :ivar look: looks at what the engine holds, in the background
     :ivar crash: lets the process end, since the supervisor has failed
     """
 
@@ -66,6 +67,7 @@
     is_idle: Callable[[], bool]
     stop: Callable[[], None]
     crash: Callable[[], None]
+    look: Callable[[], None] = lambda: None
 
 
 class Supervisor(pykka.ThreadingActor):
@@ -133,6 +135,8 @@
 
     def _probe(self) -> None:
         if self._engine.check_health().is_ok():
+            # It may hold again what it was started with.
+            self._hooks.look()
             self._down = False
             self._strikes = 0
             logging.info('the engine is back')
@@ -161,6 +165,7 @@
     def _report(self) -> None:
         load = engines.EngineLoad()
         if self._engine is not None and not self._down:
+            self._hooks.look()
             read = self._engine.read_load()
             if read.is_ok():
                 load = read.ok_value
