Send claims to the entry that owns their bucket

Cause: entries that commit to the same buckets lose transactions to each other, and each lost one costs a second; and nothing kept all writers together within the store's writes at many entries. Change: rendezvous hashing over the listed entries names an owner for each bucket; one call at a time carries what has gathered to it. Without an answer the claim is committed here, as the bucket's head is the fence. Owners pace their commits so that all together make 200 a second. The scenario finds no conflict while routed, and the same executors after an owner has died.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -49,3 +49,12 @@
     Given a bucket with claims kept for 60, 600 and 6000 seconds
     When 700 seconds have passed for the bucket
     Then the bucket knows only the claim kept for 6000 seconds
+
+  Scenario: An owner that dies leaves its buckets to the others
+    Given 3 claim writers on one store that send claims to their owners
+    When each writer binds the same 40 keys at once
+    Then every key has one executor in all answers
+    And no claim writer has met a conflict
+    When the first owner dies
+    And each writer but the first binds the same 40 keys at once
+    Then every key has the same executor as before
--- a/features/steps/claims.py
+++ b/features/steps/claims.py
@@ -4,9 +4,11 @@
 import unittest.mock
 
 import behave
+import grpc
 import msgspec
 import result
 
+from dunlintide_adapters import claimroutes
 from dunlintide_adapters import claims as writers
 from dunlintide_adapters import store as stores
 from dunlintide_core import claims
@@ -79,8 +81,65 @@
     context.standin.gate.change(faults.Fault(down=False))
 
 
+@behave.given(
+    '{count:d} claim writers on one store that send claims to their owners'
+)
+def start_routed(context, count):
+    start_writers(context, count)
+    context.plain = context.writers
+    context.servers = [_serve(context, writer) for writer in context.plain]
+    addresses = [address for _, address in context.servers]
+
+    def build(writer, own):
+        def find(bucket):
+            address = claims.choose_owner(bucket, addresses)
+            return None if address == own else address
+
+        timing = claimroutes.RouteTiming(answer=WAIT_SECONDS)
+        routed = claimroutes.RoutedWriter(writer, find, timing)
+        context.stack.callback(routed.close)
+        return routed
+
+    context.writers = list(map(build, context.plain, addresses))
+
+
+def _serve(context, writer):
+    server = grpc.server(futures.ThreadPoolExecutor(32))
+    claimroutes.add_service(server, writer)
+    port = server.add_insecure_port('127.0.0.1:0')
+    server.start()
+    context.stack.callback(lambda: server.stop(None).wait())
+    return server, f'127.0.0.1:{port}'
+
+
+@behave.then('no claim writer has met a conflict')
+def check_conflicts(context):
+    assert [writer.conflicts for writer in context.plain] == [0, 0, 0]
+
+
+@behave.when('the first owner dies')
+def kill_owner(context):
+    server, _ = context.servers[0]
+    server.stop(None).wait()
+    context.writers[0].close()
+    context.before = context.answers
+
+
+@behave.when('each writer but the first binds the same {count:d} keys at once')
+def bind_rest(context, count):
+    bind_same(context, count, first=1)
+
+
+@behave.then('every key has the same executor as before')
+def check_unchanged(context):
+    bound = {key: answer.unwrap().attempt for key, answer in context.before}
+    assert context.answers
+    for key, answer in context.answers:
+        assert answer.unwrap().attempt == bound[key], key
+
+
 @behave.when('each writer binds the same {count:d} keys at once')
-def bind_same(context, count):
+def bind_same(context, count, first=0):
     def bind(number, key):
         wanted = _build(f'k{key}', f'agent-{number}', f'{number}-{key}')
         return key, context.writers[number].bind(wanted, WAIT_SECONDS)
@@ -89,7 +148,7 @@
         jobs = [
             pool.submit(bind, number, key)
             for key in range(count)
-            for number in range(len(context.writers))
+            for number in range(first, len(context.writers))
         ]
     context.answers = [job.result() for job in jobs]
 
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -235,6 +235,9 @@
             return result.Err(claims.ReusedKey(held))
         return result.Ok(held)
 
+    def pace(self, writers):
+        pass
+
     def release(self, binding, timeout):
         self.held.pop(binding.key_digest, None)
         return result.Ok(binding)
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/claimroutes.py
@@ -0,0 +1,281 @@
+"""Claims sent to the entry that owns their bucket.
+
+One writer a bucket meets no conflicts. It is an optimisation only: where
+the owner cannot be reached, the claim is committed here, and the heads of
+the buckets keep both from succeeding.
+"""
+
+import threading
+import time
+from typing import Callable
+
+import attrs
+import grpc
+import result
+
+from dunlintide_adapters import claims as writers
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_adapters.wire import link_pb2_grpc
+from dunlintide_core import claims
+
+__all__ = [
+    'Owner',
+    'RoutedWriter',
+    'RouteTiming',
+    'add_service',
+]
+
+MAX_BATCH = 1000
+_CHANNEL_OPTIONS = (
+    # A claim is tried again in one place only: at the writer here.
+    ('grpc.enable_retries', 0),
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+)
+
+# Address of the entry that owns a bucket, None for this one.
+Owner = Callable[[int], str | None]
+
+_Status = link_pb2.BindOutcome.Status
+
+
+@attrs.frozen
+class RouteTiming:
+    """Time constants of a route, in seconds.
+
+    :ivar answer: longest wait for the owner, before the claim is made
+        here
+    :ivar rest: how long an owner that failed is left alone
+    """
+
+    answer: float = 1.0
+    rest: float = 2.0
+
+
+def _encode(outcome: writers.Outcome) -> link_pb2.BindOutcome:
+    if isinstance(outcome, result.Ok):
+        data = claims.encode_binding(outcome.ok_value)
+        return link_pb2.BindOutcome(status=_Status.BOUND, binding=data)
+    error = outcome.err_value
+    if isinstance(error, claims.ReusedKey):
+        data = claims.encode_binding(error.binding)
+        return link_pb2.BindOutcome(status=_Status.REUSED, binding=data)
+    return link_pb2.BindOutcome(status=_Status.UNBOUND, detail=error.detail)
+
+
+def _decode(answer: link_pb2.BindOutcome) -> writers.Outcome:
+    if answer.status == _Status.BOUND:
+        return result.Ok(claims.decode_binding(answer.binding))
+    if answer.status == _Status.REUSED:
+        binding = claims.decode_binding(answer.binding)
+        return result.Err(claims.ReusedKey(binding))
+    return result.Err(writers.Unbound(answer.detail))
+
+
+class _Servicer(link_pb2_grpc.ClaimsServicer):
+    """Commits what other entries send."""
+
+    def __init__(self, writer: writers.ClaimWriter) -> None:
+        self._writer = writer
+
+    def Bind(self, request, context):
+        timeout = request.timeout_ms / 1000
+        waiting = [
+            self._writer.submit(claims.decode_binding(data), timeout)
+            for data in request.bindings
+        ]
+        outcomes = [_encode(pending.wait()) for pending in waiting]
+        return link_pb2.BindReply(outcomes=outcomes)
+
+
+def add_service(server: grpc.Server, writer: writers.ClaimWriter) -> None:
+    """Let other entries send claims to a writer.
+
+    :param server: not started yet
+    """
+    servicer = _Servicer(writer)
+    link_pb2_grpc.add_ClaimsServicer_to_server(servicer, server)
+
+
+class _Route:
+    """Claims on their way to one owner, one call at a time.
+
+    What gathers while a call is open goes with the next one.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        timing: RouteTiming,
+        divert: Callable[[writers.Pending], None],
+    ) -> None:
+        self._timing = timing
+        self._divert = divert
+        self._channel = grpc.insecure_channel(address, _CHANNEL_OPTIONS)
+        self._stub = link_pb2_grpc.ClaimsStub(self._channel)
+        self._lock = threading.Lock()
+        self._queue: list[writers.Pending] = []
+        self._open = False
+        self._rests_until = 0.0
+
+    def put(self, pending: writers.Pending) -> None:
+        """Send a claim, or divert it while the owner is left alone."""
+        with self._lock:
+            resting = time.monotonic() < self._rests_until
+            if not resting:
+                self._queue.append(pending)
+        if resting:
+            self._divert(pending)
+        else:
+            self._send()
+
+    def close(self) -> None:
+        """End open calls; their claims are diverted."""
+        self._channel.close()
+
+    def _take(self) -> list[writers.Pending]:
+        with self._lock:
+            if self._open:
+                return []
+            batch = self._queue[:MAX_BATCH]
+            del self._queue[:MAX_BATCH]
+            self._open = bool(batch)
+            return batch
+
+    def _send(self) -> None:
+        batch = self._take()
+        if not batch:
+            return
+        request = link_pb2.BindRequest(
+            bindings=[claims.encode_binding(one.wanted) for one in batch],
+            timeout_ms=int(self._timing.answer * 1000),
+        )
+        try:
+            call = self._stub.Bind.future(request, timeout=self._timing.answer)
+        except ValueError:
+            # The channel was closed while a claim was on its way.
+            self._end(batch, None)
+            return
+        call.add_done_callback(lambda done: self._finish(batch, done))
+
+    def _finish(self, batch: list[writers.Pending], call) -> None:
+        answered = call.code() is grpc.StatusCode.OK
+        self._end(batch, call.result() if answered else None)
+        self._send()
+
+    def _end(
+        self,
+        batch: list[writers.Pending],
+        reply: link_pb2.BindReply | None,
+    ) -> None:
+        with self._lock:
+            self._open = False
+            if reply is None:
+                self._rests_until = time.monotonic() + self._timing.rest
+                batch = batch + self._queue
+                self._queue = []
+        if reply is None:
+            for pending in batch:
+                self._divert(pending)
+            return
+        for pending, answer in zip(batch, reply.outcomes, strict=True):
+            if answer.status == _Status.UNBOUND:
+                self._divert(pending)
+            else:
+                pending.settle(_decode(answer))
+
+
+class RoutedWriter:
+    """Makes claims at the owners of their buckets, or here."""
+
+    def __init__(
+        self,
+        writer: writers.ClaimWriter,
+        owner: Owner,
+        timing: RouteTiming = RouteTiming(),
+    ) -> None:
+        """Remember where to send claims.
+
+        :param writer: commits the claims of this entry's own buckets
+        :param owner: tells who owns a bucket
+        """
+        self.diverted = 0
+        self._writer = writer
+        self._owner = owner
+        self._timing = timing
+        self._lock = threading.Lock()
+        self._routes: dict[str, _Route] = {}
+
+    def bind(self, wanted: claims.Binding, timeout: float) -> writers.Outcome:
+        """Make a claim, or find the one that holds.
+
+        :param timeout: seconds to wait at most
+        """
+        address = self._find_owner(wanted)
+        if address is None:
+            return self._writer.bind(wanted, timeout)
+        return self._send(address, wanted, timeout)
+
+    def release(
+        self, binding: claims.Binding, timeout: float
+    ) -> writers.Outcome:
+        """Free the key of a claim that its executor has sealed unrun.
+
+        :param timeout: seconds to wait at most
+        """
+        address = self._find_owner(binding)
+        if address is None:
+            return self._writer.release(binding, timeout)
+        return self._send(address, claims.build_release(binding), timeout)
+
+    def keep(self, addresses: set[str]) -> None:
+        """Close the routes to entries that own nothing any more.
+
+        :param addresses: the other owners
+        """
+        self._writer.pace(len(addresses) + 1)
+        self._close_others(addresses)
+
+    def _close_others(self, addresses: set[str]) -> None:
+        with self._lock:
+            gone = [
+                self._routes.pop(address)
+                for address in self._routes.keys() - addresses
+            ]
+        for route in gone:
+            route.close()
+
+    def close(self) -> None:
+        """Close all routes."""
+        self._close_others(set())
+
+    def dump(self) -> dict:
+        """Tell the state, without keys."""
+        own = self._writer.dump()
+        return own | {'routes': len(self._routes), 'diverted': self.diverted}
+
+    def _find_owner(self, binding: claims.Binding) -> str | None:
+        return self._owner(claims.choose_bucket(binding.key_digest))
+
+    def _send(
+        self, address: str, wanted: claims.Binding, timeout: float
+    ) -> writers.Outcome:
+        pending = writers.Pending(wanted, time.monotonic() + timeout)
+        self._find_route(address).put(pending)
+        return pending.wait()
+
+    def _find_route(self, address: str) -> _Route:
+        with self._lock:
+            route = self._routes.get(address)
+            if route is None:
+                route = _Route(address, self._timing, self._divert)
+                self._routes[address] = route
+            return route
+
+    def _divert(self, pending: writers.Pending) -> None:
+        """Commit here what the owner did not.
+
+        It may have done so after all; then its claim is found here.
+        """
+        self.diverted += 1
+        self._writer.put(pending)
--- a/packages/adapters/src/dunlintide_adapters/claims.py
+++ b/packages/adapters/src/dunlintide_adapters/claims.py
@@ -24,10 +24,14 @@
 __all__ = [
     'ClaimTiming',
     'ClaimWriter',
+    'Outcome',
+    'Pending',
     'Unbound',
 ]
 
 PREFIX = '/dunlintide/claims/'
+# What all writers together may ask of a store that takes several hundred.
+WRITES_PER_SECOND = 200.0
 MAX_CLAIMS_PER_COMMIT = 2000
 # A store transaction takes at most 128 operations; each bucket needs two.
 MAX_BUCKETS_PER_COMMIT = 48
@@ -56,16 +60,33 @@
     detail: str
 
 
+# The claim that holds, or why there is none.
+Outcome = result.Result[claims.Binding, claims.ReusedKey | Unbound]
+
+
 @attrs.define(eq=False)
-class _Pending:
+class Pending:
+    """A claim that waits to be made.
+
+    :ivar deadline: monotonic time in seconds
+    """
+
     wanted: claims.Binding
     deadline: float
-    done: threading.Event = attrs.field(factory=threading.Event)
-    outcome: result.Result | None = None
+    _done: threading.Event = attrs.field(factory=threading.Event, init=False)
+    _outcome: Outcome | None = attrs.field(default=None, init=False)
+
+    def settle(self, outcome: Outcome) -> None:
+        """Give the outcome to the thread that waits."""
+        self._outcome = outcome
+        self._done.set()
 
-    def settle(self, outcome: result.Result) -> None:
-        self.outcome = outcome
-        self.done.set()
+    def wait(self) -> Outcome:
+        """Wait for the outcome, until the deadline at most."""
+        self._done.wait(max(0.0, self.deadline - time.monotonic()))
+        if self._outcome is None:
+            return result.Err(Unbound('not bound in time'))
+        return self._outcome
 
 
 def _bucket_prefix(number: int) -> str:
@@ -104,7 +125,8 @@
         self._store = store
         self._wall_clock = wall_clock
         self._timing = timing
-        self._queue: collections.deque[_Pending] = collections.deque()
+        self._interval = timing.interval
+        self._queue: collections.deque[Pending] = collections.deque()
         self._ready = threading.Condition()
         self._stopped = False
         self._buckets: dict[int, claims.Bucket] = {}
@@ -128,9 +150,7 @@
             self._ready.notify_all()
         self._thread.join()
 
-    def bind(
-        self, wanted: claims.Binding, timeout: float
-    ) -> result.Result[claims.Binding, claims.ReusedKey | Unbound]:
+    def bind(self, wanted: claims.Binding, timeout: float) -> Outcome:
         """Make a claim, or find the one that holds.
 
         The caller compares the attempt in the answer with its own to
@@ -138,20 +158,28 @@
         :param wanted: the claim
         :param timeout: seconds to wait at most
         """
-        pending = _Pending(wanted, time.monotonic() + timeout)
+        return self.submit(wanted, timeout).wait()
+
+    def submit(self, wanted: claims.Binding, timeout: float) -> Pending:
+        """Queue a claim without waiting for it.
+
+        :param wanted: the claim
+        :param timeout: seconds after which it need not be made
+        """
+        pending = Pending(wanted, time.monotonic() + timeout)
+        self.put(pending)
+        return pending
+
+    def put(self, pending: Pending) -> None:
+        """Queue a claim that somebody waits for already."""
         with self._ready:
-            if self._stopped:
-                return result.Err(Unbound('the writer has stopped'))
-            self._queue.append(pending)
-            self._ready.notify()
-        pending.done.wait(timeout)
-        if pending.outcome is None:
-            return result.Err(Unbound('the store did not answer in time'))
-        return pending.outcome
-
-    def release(
-        self, binding: claims.Binding, timeout: float
-    ) -> result.Result[claims.Binding, claims.ReusedKey | Unbound]:
+            if not self._stopped:
+                self._queue.append(pending)
+                self._ready.notify()
+                return
+        pending.settle(result.Err(Unbound('the writer has stopped')))
+
+    def release(self, binding: claims.Binding, timeout: float) -> Outcome:
         """Free the key of a claim that its executor has sealed unrun.
 
         :param binding: the claim, as ``bind`` gave it
@@ -171,14 +199,14 @@
             },
         }
 
-    def _take(self) -> list[_Pending]:
+    def _take(self) -> list[Pending]:
         with self._ready:
             while not self._queue and not self._stopped:
                 self._ready.wait()
             if self._stopped:
                 return []
             now = time.monotonic()
-            taken: list[_Pending] = []
+            taken: list[Pending] = []
             touched: set[int] = set()
             while self._queue and len(taken) < MAX_CLAIMS_PER_COMMIT:
                 number = claims.choose_bucket(self._queue[0].wanted.key_digest)
@@ -198,9 +226,9 @@
             if batch:
                 self._settle(batch)
             spent = time.monotonic() - started
-            time.sleep(max(0.0, self._timing.interval - spent))
+            time.sleep(max(0.0, self._interval - spent))
 
-    def _settle(self, batch: list[_Pending]) -> None:
+    def _settle(self, batch: list[Pending]) -> None:
         while not self._stopped:
             batch = self._settle_known(batch)
             now = time.monotonic()
@@ -208,9 +236,9 @@
             if not batch or self._commit(batch):
                 return
 
-    def _settle_known(self, batch: list[_Pending]) -> list[_Pending]:
+    def _settle_known(self, batch: list[Pending]) -> list[Pending]:
         """Settle what the buckets answer; keep one claim of each key."""
-        rest: dict[bytes, _Pending] = {}
+        rest: dict[bytes, Pending] = {}
         for pending in batch:
             digest = pending.wanted.key_digest
             found = self._bucket(claims.choose_bucket(digest)).find(
@@ -222,24 +250,20 @@
                 pending.settle(result.Err(found))
             elif digest in rest:
                 # Its twin is committed first; it meets that claim next.
-                self._requeue(pending)
+                self.put(pending)
             else:
                 rest[digest] = pending
         return list(rest.values())
 
-    def _requeue(self, pending: _Pending) -> None:
-        with self._ready:
-            self._queue.append(pending)
-
     def _bucket(self, number: int) -> claims.Bucket:
         bucket = self._buckets.get(number)
         if bucket is None:
             bucket = self._buckets[number] = claims.Bucket()
         return bucket
 
-    def _commit(self, batch: list[_Pending]) -> bool:
+    def _commit(self, batch: list[Pending]) -> bool:
         """Try one transaction; True when the batch has been settled."""
-        groups: dict[int, list[_Pending]] = {}
+        groups: dict[int, list[Pending]] = {}
         for pending in batch:
             number = claims.choose_bucket(pending.wanted.key_digest)
             groups.setdefault(number, []).append(pending)
@@ -350,7 +374,7 @@
                 return tuple(rest)
             last = page.ok_value[-1]
 
-    def _ensure_lease(self, batch: list[_Pending]) -> int | None:
+    def _ensure_lease(self, batch: list[Pending]) -> int | None:
         """Give a lease that outlives every claim of the batch."""
         now = time.monotonic()
         retention = max(pending.wanted.retention for pending in batch)
--- a/packages/core/src/dunlintide_core/claims.py
+++ b/packages/core/src/dunlintide_core/claims.py
@@ -13,6 +13,8 @@
 import attrs
 import msgspec
 
+from dunlintide_core import hashing
+
 __all__ = [
     'BUCKETS',
     'Binding',
@@ -22,9 +24,12 @@
     'Segment',
     'build_release',
     'choose_bucket',
+    'choose_owner',
+    'decode_binding',
     'decode_head',
     'decode_segment',
     'digest_key',
+    'encode_binding',
     'encode_head',
     'encode_segment',
     'fingerprint_request',
@@ -96,7 +101,16 @@
     binding: Binding
 
 
-def _decode_binding(data: bytes) -> Binding:
+def encode_binding(binding: Binding) -> bytes:
+    """Encode one claim."""
+    return msgspec.msgpack.encode(binding)
+
+
+def decode_binding(data: bytes) -> Binding:
+    """Decode one claim.
+
+    :raises msgspec.DecodeError: when it is not a claim
+    """
     return msgspec.msgpack.decode(data, type=Binding)
 
 
@@ -148,6 +162,15 @@
     return int.from_bytes(key_digest[:4], 'big') % BUCKETS
 
 
+def choose_owner(bucket: int, names: Iterable[str]) -> str:
+    """Tell which process commits a bucket's claims, as all see it.
+
+    A name that comes or goes moves only the buckets that it owns.
+    :param names: the processes to choose from, at least one
+    """
+    return max(names, key=lambda name: hashing.hash_text(name, bucket))
+
+
 def encode_head(sequence: int) -> bytes:
     """Encode a bucket's head.
 
@@ -208,7 +231,7 @@
 
     def _get(self, digest: bytes) -> Binding | None:
         data = self._held.get(digest)
-        return None if data is None else _decode_binding(data)
+        return None if data is None else decode_binding(data)
 
     def _apply(self, binding: Binding) -> None:
         digest = binding.key_digest
@@ -217,7 +240,7 @@
             if held is not None and held.attempt == binding.attempt:
                 del self._held[digest]
         elif digest not in self._held:
-            self._held[digest] = msgspec.msgpack.encode(binding)
+            self._held[digest] = encode_binding(binding)
             minute = _end_minute(binding)
             self._expiries.setdefault(minute, []).append(digest)
 
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -14,6 +14,7 @@
 import result
 
 from dunlintide_adapters import admin
+from dunlintide_adapters import claimroutes
 from dunlintide_adapters import httpserver
 from dunlintide_adapters import links
 from dunlintide_adapters import metrics
@@ -32,6 +33,7 @@
 from dunlintide_daemon.entry import front
 from dunlintide_daemon.entry import history
 from dunlintide_daemon.entry import limits
+from dunlintide_daemon.entry import owners
 from dunlintide_daemon.entry import planning
 from dunlintide_daemon.entry import problems
 from dunlintide_daemon.entry import router
@@ -112,6 +114,11 @@
                 settings.name, settings.link_listen, self._build_hello, take
             )
         )
+        self._owners = owners.Owners(settings.name)
+        self._claims = claimroutes.RoutedWriter(
+            outside.writer, self._owners.find
+        )
+        claimroutes.add_service(self._limits.exchange.server, outside.writer)
         self._http = self._build_server()
         self._admin = admin.AdminServer.from_config(
             settings.admin_listen,
@@ -168,7 +175,7 @@
 
     def _build_server(self) -> httpserver.HttpServer:
         settings = self.settings
-        binder = claims.Binder(self._outside.writer, self._fleet, time.time)
+        binder = claims.Binder(self._claims, self._fleet, time.time)
         route = router.Router(
             self._fleet,
             self._planner,
@@ -217,6 +224,7 @@
             self._retries,
             self._history,
         )
+        state['claims'] = self._claims.dump()
         state['limits'] = self._limits.describe()
         state['plans'] = self._planner.describe()
         if self._state is not None:
@@ -262,6 +270,7 @@
             if isinstance(hosts, result.Ok):
                 self._fleet.update(hosts.ok_value)
                 self._limits.exchange.update(hosts.ok_value)
+                self._claims.keep(self._owners.update(hosts.ok_value))
             else:
                 logging.warning('host list not read: %s', hosts.err_value)
             self.done.wait(pause)
@@ -297,6 +306,7 @@
     def __enter__(self) -> 'Entry':
         with self._stack as stack:
             stack.callback(self._outside.close)
+            stack.callback(self._claims.close)
             stack.callback(self._fleet.stop)
             self._start_configuration()
             self._limits.exchange.start()
