Give suspects their time anew when a failure domain returns

After a failure domain had been away for longer than the time to declare a death, its first half to answer lifted the hold, and the rest was declared dead at once: 20 times over all views in a fleet of 50 that was apart for an hour. The scenario had looked before the return only; it now looks after it, and failed for both of its fleets.

The wait now starts anew whenever the time that a suspect is given becomes shorter. features/fleet.feature: 10 scenarios pass.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -40,8 +40,8 @@
   Scenario Outline: A failure domain is lost at once and comes back
     Given a fleet of <count> processes in <domains> failure domains
     When a failure domain is cut off for 3600 seconds
-    Then nobody was declared dead
-    And all views agree within 120 seconds of its return
+    Then all views agree within 120 seconds of its return
+    And nobody was declared dead
     And no process cleared itself more than 3 times
 
     Examples:
--- a/packages/core/src/dunlintide_core/membership.py
+++ b/packages/core/src/dunlintide_core/membership.py
@@ -74,6 +74,7 @@
         self._records: dict[str, records.Record] = {}
         self._since: dict[str, float] = {}
         self._sends: dict[str, int] = {}
+        self._waits: dict[str, tuple[float, float]] = {}
         self._doubtful: set[str] = set()
         self._tombstones: set[str] = set()
         self._hashes = [0] * BUCKETS
@@ -146,6 +147,8 @@
             self._tombstones.add(name)
         elif record.witnesses:
             self._doubtful.add(name)
+            return
+        self._waits.pop(name, None)
 
     def merge(self, now: float, record: records.Record) -> bool:
         """Take in a record from a peer; True when it told something new.
@@ -260,6 +263,15 @@
             return self._timing.suspect_same_domain
         return self._timing.suspect
 
+    def _is_due(self, now: float, name: str, patience: float) -> bool:
+        # When most of a failure domain is back, the rest gets its time
+        # anew to say so: it was held for longer than that before.
+        before, start = self._waits.get(name, (0.0, self._since[name]))
+        if patience < before:
+            start = now
+        self._waits[name] = (patience, start)
+        return now - start >= patience
+
     def settle(self, now: float) -> list[str]:
         """Declare deaths that are due and forget old tombstones.
 
@@ -271,7 +283,7 @@
             record = self._records[name]
             if len(record.witnesses) < _NEEDED_WITNESSES:
                 continue
-            if now - self._since[name] >= self._patience(record, counts):
+            if self._is_due(now, name, self._patience(record, counts)):
                 dead.append(name)
         for name in dead:
             record = self._records[name]
