--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/streams.py
@@ -0,0 +1,331 @@
+"""Many streams at the pace of real tokens through one real entry.
+
+The entry, its agents and the callers are three processes, so that the
+entry's CPU time and memory are its own.
+"""
+
+import contextlib
+import hashlib
+import json
+import multiprocessing
+import selectors
+import socket
+import threading
+import time
+from typing import Callable, Iterator
+
+import attrs
+import psutil
+import result
+import waitress
+
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import claims
+from dunlintide_core import configuration
+from dunlintide_core import settings
+from dunlintide_daemon.entry import hosts
+from dunlintide_daemon.entry import role
+from dunlintide_daemon.entry import sources
+
+__all__ = [
+    'STEP_SECONDS',
+    'Usage',
+    'run_entry',
+    'run_toy',
+]
+
+STEP_SECONDS = 0.026
+# As many links as would carry an entry's streams in a large deployment.
+AGENTS = 16
+THREADS = 256
+WARMUP_SECONDS = 0.8
+_START_SECONDS = 30.0
+_KEY = 'bench'
+_MODEL = 'copy'
+_LAYERS = 24
+_MICRO = 1e6
+_MB = 1e6
+_CONTEXT = multiprocessing.get_context('spawn')
+_EVENT = b'data: {'
+
+Serve = Callable[[list[str]], contextlib.AbstractContextManager[int]]
+
+
+@attrs.frozen
+class Usage:
+    """What a server spent on streams.
+
+    :ivar cpu_token: CPU time for one token, in microseconds
+    :ivar resident: resident memory in MB while all streams ran
+    :ivar complete: streams that ended whole
+    """
+
+    cpu_token: float
+    resident: float
+    threads: int
+    complete: int
+
+
+class _Agent:
+    """An agent whose endpoint makes a token for each session at a step."""
+
+    def __init__(self, number: int) -> None:
+        self.name = f'agent-{number}'
+        self._sessions: dict[str, list] = {}
+        self._lock = threading.Lock()
+        handlers = links.Handlers(
+            lambda link: None, self._take, lambda link, reason: None
+        )
+        self._server = links.LinkServer('127.0.0.1:0', self._hello, handlers)
+        self.address = f'127.0.0.1:{self._server.port}'
+        self._server.start()
+        threading.Thread(target=self._step, daemon=True).start()
+
+    def _hello(self) -> link_pb2.Hello:
+        endpoint = link_pb2.Endpoint(
+            kind='engine',
+            model=_MODEL,
+            version='1',
+            layer_end=_LAYERS,
+            layer_count=_LAYERS,
+        )
+        return link_pb2.Hello(
+            name=self.name, role='agent', incarnation=1, endpoint=endpoint
+        )
+
+    def _take(self, link: links.Link, frames: list[link_pb2.Frame]) -> None:
+        for frame in frames:
+            if frame.WhichOneof('body') == 'open':
+                with self._lock:
+                    request_id = frame.open.terms.request_id
+                    self._sessions[request_id] = [link, frame.open, 0]
+
+    def _step(self) -> None:
+        due = time.monotonic()
+        while True:
+            due += STEP_SECONDS
+            time.sleep(max(0.0, due - time.monotonic()))
+            with self._lock:
+                sessions = list(self._sessions.values())
+            for session in sessions:
+                self._send(session)
+
+    def _send(self, session: list) -> None:
+        link, asked, index = session
+        request_id = asked.terms.request_id
+        token = link_pb2.Token(
+            request_id=request_id,
+            epoch=asked.epoch,
+            index=index,
+            id=index,
+            text=f' word{index}',
+        )
+        link.send(link_pb2.Frame(token=token))
+        session[2] += 1
+        if session[2] < asked.max_tokens:
+            return
+        done = link_pb2.Done(
+            request_id=request_id,
+            epoch=asked.epoch,
+            tokens=session[2],
+            finish_reason='length',
+        )
+        link.send(link_pb2.Frame(done=done))
+        with self._lock:
+            del self._sessions[request_id]
+
+
+class _Writer:
+    """No request of the load is bound to an executor."""
+
+    def bind(self, wanted: claims.Binding, timeout: float):
+        return result.Err('no store')
+
+    def release(self, binding: claims.Binding, timeout: float):
+        return result.Err('no store')
+
+
+@contextlib.contextmanager
+def _serve_entry(addresses: list[str]) -> Iterator[int]:
+    config = configuration.Configuration(
+        members=(
+            configuration.Member(
+                _KEY, (hashlib.sha256(_KEY.encode()).hexdigest(),)
+            ),
+        ),
+        models=(configuration.Model(_MODEL, _LAYERS),),
+        rules=(
+            configuration.Rule(
+                'all', configuration.When(), configuration.Then()
+            ),
+        ),
+    )
+    listed = [
+        hosts.ListedHost(f'agent-{number}', 'agent', address)
+        for number, address in enumerate(addresses)
+    ]
+
+    def follow(adopt, stopped) -> None:
+        adopt(1, config)
+        stopped.wait()
+
+    outside = sources.Sources(lambda: result.Ok(listed), follow, _Writer())
+    chosen = settings.Settings(
+        role='entry',
+        name='entry',
+        failure_domain='a',
+        admin_listen='127.0.0.1:0',
+        link_listen='127.0.0.1:0',
+        store_url='http://127.0.0.1:1',
+        host_list_url='http://127.0.0.1:1',
+        listen='127.0.0.1:0',
+        limits=settings.Limits(threads=THREADS),
+    )
+    with role.Entry(chosen, outside, lame_duck=0.0) as entry:
+        deadline = time.monotonic() + _START_SECONDS
+        while len(entry.describe()['fleet']['agents']) < len(addresses):
+            if time.monotonic() > deadline:
+                raise TimeoutError('agents were not reached')
+            time.sleep(0.01)
+        yield entry.port
+
+
+def _stream_toy(environ, start_response) -> Iterator[bytes]:
+    """Stream the same events without any router's code."""
+    size = int(environ['CONTENT_LENGTH'])
+    asked = json.loads(environ['wsgi.input'].read(size))
+    head = json.dumps({'id': 'cmpl-toy', 'object': 'text_completion'})
+    start_response('200 OK', [('Content-Type', 'text/event-stream')])
+    due = time.monotonic()
+    for index in range(asked['max_tokens']):
+        due += STEP_SECONDS
+        time.sleep(max(0.0, due - time.monotonic()))
+        yield f'data: {head[:-1]}, "text": " word{index}"}}\n\n'.encode()
+    yield b'data: [DONE]\n\n'
+
+
+@contextlib.contextmanager
+def _serve_toy(addresses: list[str]) -> Iterator[int]:
+    server = waitress.create_server(
+        _stream_toy,
+        listen='127.0.0.1:0',
+        threads=THREADS,
+        connection_limit=THREADS * 4,
+    )
+    threading.Thread(target=server.run, daemon=True).start()
+    yield int(server.effective_port)
+
+
+def _host_server(pipe, serve: Serve, addresses: list[str]) -> None:
+    with serve(addresses) as port:
+        pipe.send(port)
+        pipe.recv()
+
+
+def _host_agents(pipe) -> None:
+    agents = [_Agent(number) for number in range(AGENTS)]
+    pipe.send([agent.address for agent in agents])
+    pipe.recv()
+
+
+@contextlib.contextmanager
+def _start(target: Callable, *arguments) -> Iterator[tuple[object, int]]:
+    """Run a child process; gives what it first says, and its pid."""
+    ours, theirs = _CONTEXT.Pipe()
+    child = _CONTEXT.Process(
+        target=target, args=(theirs, *arguments), daemon=True
+    )
+    child.start()
+    try:
+        if not ours.poll(_START_SECONDS):
+            raise TimeoutError('a child process did not start')
+        yield ours.recv(), child.pid
+    finally:
+        child.terminate()
+        child.join()
+
+
+def _build_request(tokens: int) -> bytes:
+    body = json.dumps(
+        {
+            'model': _MODEL,
+            'prompt': 'soup',
+            'max_tokens': tokens,
+            'stream': True,
+        }
+    )
+    return (
+        'POST /v1/completions HTTP/1.1\r\nHost: bench\r\n'
+        f'Authorization: Bearer {_KEY}\r\n'
+        f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n{body}'
+    ).encode()
+
+
+class _Callers:
+    """Callers that only count what they get."""
+
+    def __init__(self, port: int, count: int, tokens: int) -> None:
+        self.events = 0
+        self.complete = 0
+        self.open = count
+        self._selector = selectors.DefaultSelector()
+        for _ in range(count):
+            caller = socket.create_connection(('127.0.0.1', port))
+            caller.sendall(_build_request(tokens))
+            caller.setblocking(False)
+            self._selector.register(caller, selectors.EVENT_READ)
+
+    def read(self, until: float) -> None:
+        """Read until a moment, or until all streams have ended."""
+        while self.open and (left := until - time.monotonic()) > 0:
+            for key, _ in self._selector.select(left):
+                self._take(key.fileobj)
+
+    def _take(self, caller: socket.socket) -> None:
+        data = caller.recv(1 << 16)
+        # An event may be split, but its mark seldom is; all have one size.
+        self.events += data.count(_EVENT)
+        self.complete += data.count(b'[DONE]')
+        if not data:
+            self._selector.unregister(caller)
+            caller.close()
+            self.open -= 1
+
+
+def _measure(port: int, pid: int, count: int, seconds: float) -> Usage:
+    tokens = int((WARMUP_SECONDS * 2 + seconds) / STEP_SECONDS)
+    process = psutil.Process(pid)
+
+    def read_cpu() -> float:
+        times = process.cpu_times()
+        return times.user + times.system
+
+    callers = _Callers(port, count, tokens)
+    callers.read(time.monotonic() + WARMUP_SECONDS)
+    cpu, events = read_cpu(), callers.events
+    callers.read(time.monotonic() + seconds)
+    cpu, events = read_cpu() - cpu, callers.events - events
+    resident = process.memory_info().rss / _MB
+    threads = process.num_threads()
+    callers.read(time.monotonic() + _START_SECONDS)
+    return Usage(cpu / events * _MICRO, resident, threads, callers.complete)
+
+
+def run_entry(count: int, seconds: float) -> Usage:
+    """Stream through an entry and measure it.
+
+    :param count: streams at once
+    :param seconds: time that is measured
+    """
+    with (
+        _start(_host_agents) as (addresses, _),
+        _start(_host_server, _serve_entry, addresses) as (port, pid),
+    ):
+        return _measure(port, pid, count, seconds)
+
+
+def run_toy(count: int, seconds: float) -> Usage:
+    """Stream the same from a program that does nothing else."""
+    with _start(_host_server, _serve_toy, []) as (port, pid):
+        return _measure(port, pid, count, seconds)
