Send a piece of an answer straight to the socket

waitress copies each piece through a buffer before it sends it. When nothing waits before it, it is now sent at once and only what the socket does not take is buffered; pieces that need no cutting are not sliced.

--- a/packages/adapters/src/dunlintide_adapters/httpserver.py
+++ b/packages/adapters/src/dunlintide_adapters/httpserver.py
@@ -94,10 +94,37 @@
 
 
 class _Channel(waitress.channel.HTTPChannel):
-    """Connection whose error pages are the application's own."""
+    """Connection whose error pages are the application's own.
+
+    What is written goes straight to the socket when nothing waits before
+    it; waitress would copy each piece through a buffer.
+    """
 
     error_task_class = _ErrorTask
 
+    def write_soon(self, data: bytes) -> int:
+        if self.total_outbufs_len or not data or not self.connected:
+            return super().write_soon(data)
+        size = len(data)
+        with self.outbuf_lock:
+            if not self.total_outbufs_len:
+                data = data[self._send_now(data) :]
+            if data and self.connected:
+                super().write_soon(data)
+        return size
+
+    def _send_now(self, data: bytes) -> int:
+        """Send what the socket takes; all is dropped when it is broken."""
+        try:
+            sent = self.send(data, do_close=False)
+        except OSError:
+            # As waitress does: the loop closes, the next write tells.
+            self.will_close = True
+            self.server.pull_trigger()
+            return len(data)
+        self.last_activity = time.time()
+        return sent
+
 
 class _Body:
     """Body of an answer in pieces that the output buffer bounds.
@@ -113,6 +140,9 @@
 
     def __iter__(self):
         for chunk in self._chunks:
+            if len(chunk) <= _PIECE_BYTES:
+                yield chunk
+                continue
             for start in range(0, len(chunk), _PIECE_BYTES):
                 yield chunk[start : start + _PIECE_BYTES]
 
