Take a request's tokens without generators and checks

For each token a generator was made, an empty queue raised, and the caller's connection looked at. Events are now taken as a list by the queue's size; the connection is looked at only while nothing comes, at most each 0.5 s, as a write tells it otherwise.

--- a/packages/daemon/src/dunlintide_daemon/entry/answers.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/answers.py
@@ -184,14 +184,13 @@
         finished = False
         event = first
         said = time.monotonic()
+        render_token = self._rendering.render_token
         try:
             while True:
                 now = time.monotonic()
                 if isinstance(event, completions.Piece):
                     said = now
-                    yield b''.join(
-                        map(self._rendering.render_token, event.texts)
-                    )
+                    yield b''.join(map(render_token, event.texts))
                 elif isinstance(event, outcomes.Refusal):
                     refusal = event
                     request_id = self._caller.request_id
--- a/packages/daemon/src/dunlintide_daemon/entry/completions.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/completions.py
@@ -21,9 +21,12 @@
 ]
 
 
-@attrs.frozen
+@attrs.define
 class Piece:
-    """Texts of tokens that came together."""
+    """Texts of tokens that came together.
+
+    Not frozen, as one is made for each token and that costs more.
+    """
 
     texts: list[str]
 
@@ -162,6 +165,8 @@
             if texts:
                 self._attempt.note_tokens(len(texts))
                 yield Piece(texts)
+                if ending is None and not self._attempt.is_late():
+                    continue
             if isinstance(ending, End):
                 yield ending
                 return
--- a/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
@@ -26,8 +26,9 @@
     'pick_avoiding',
 ]
 
-# How often a waiting request looks whether its caller is still there.
-POLL_SECONDS = 0.25
+# How often a request that waits looks whether its caller is still there;
+# one that sends learns it from the connection.
+POLL_SECONDS = 0.5
 # An attempt that fails may be the request's own doing, so one request
 # gets few of them and cannot take down one endpoint after another.
 MAX_ATTEMPTS = 3
@@ -173,7 +174,11 @@
     def take(self) -> list[sessions.Event]:
         """Wait a little for events of the current attempt."""
         wait = min(POLL_SECONDS, self.tell_left())
-        return list(self._session.take(wait))
+        return self._session.take(wait)
+
+    def is_late(self) -> bool:
+        """Tell whether the deadline has passed."""
+        return self._context.clock() >= self._job.deadline
 
     def note_tokens(self, count: int) -> None:
         """Take note of the pace of tokens that came together."""
@@ -184,7 +189,7 @@
 
     def check(self) -> outcomes.Refusal | None:
         """Tell whether the request must end now, and how."""
-        if self.tell_left() <= 0:
+        if self.is_late():
             code = outcomes.FailCode.DEADLINE
             return outcomes.refuse(code, 'the deadline passed', ran=True)
         if not self._job.is_connected():
--- a/packages/daemon/src/dunlintide_daemon/entry/openai.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/openai.py
@@ -23,6 +23,7 @@
 _WHOLE_KIND = {True: 'chat.completion', False: 'text_completion'}
 _ID_PREFIX = {True: 'chatcmpl-', False: 'cmpl-'}
 _OWNER = 'dunlintide'
+_encode = msgspec.json.Encoder().encode
 
 
 def _encode_event(data: object) -> bytes:
@@ -96,7 +97,7 @@
         It is put together from parts encoded once, since this runs for
         each token.
         """
-        return self.prefix + msgspec.json.encode(text) + self.suffix
+        return self.prefix + _encode(text) + self.suffix
 
     def render_end(
         self,
--- a/packages/daemon/src/dunlintide_daemon/entry/sessions.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/sessions.py
@@ -7,7 +7,7 @@
 
 import queue
 import threading
-from typing import Iterator, Mapping
+from typing import Mapping
 
 import attrs
 
@@ -82,25 +82,22 @@
         if self.link is link:
             self._events.put(Lost(epoch))
 
-    def take(self, timeout: float) -> Iterator[Event]:
-        """Yield what has come for the current epoch.
+    def take(self, timeout: float) -> list[Event]:
+        """Return what has come for the current epoch.
 
         :param timeout: longest wait for the first event, in seconds
         """
+        events = self._events
         try:
-            event = self._events.get(timeout=max(0.0, timeout))
+            taken = [events.get(timeout=max(0.0, timeout))]
         except queue.Empty:
-            return
-        for taken in range(MAX_TAKEN):
-            if taken:
-                try:
-                    event = self._events.get_nowait()
-                except queue.Empty:
-                    return
-            if event.epoch == self.epoch:
-                yield event
-            else:
-                self.counts.stale += 1
+            return []
+        # Only this thread takes, so what the queue holds stays there.
+        for _ in range(min(events.qsize(), MAX_TAKEN)):
+            taken.append(events.get())
+        current = [event for event in taken if event.epoch == self.epoch]
+        self.counts.stale += len(taken) - len(current)
+        return current
 
 
 class Sessions:
@@ -130,12 +127,13 @@
 
     def route(self, link: links.Link, frames: list[link_pb2.Frame]) -> None:
         """Hand frames to the requests that they belong to."""
+        find = self._sessions.get
         for frame in frames:
             body = frame.WhichOneof('body')
             if body not in _ROUTED:
                 continue
             event = getattr(frame, body)
-            session = self._sessions.get(event.request_id)
+            session = find(event.request_id)
             if session is None:
                 self.counts.orphan += 1
             else:
