Count tokens, times, drops and retries at the entry

Only outcomes were counted. The first token, the distance of the others, the tokens, the length of requests, dropped frames by reason and retries are now in the metrics; distances once for each batch of tokens.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -119,3 +119,14 @@
     Then the entry answers 429 with the outcome "not-run"
     And the caller is told when to try again
     And the agents of the entry got 1 request in all
+
+  Scenario: Tokens, times and drops show in the metrics
+    Given the agents send each token twice and under an older epoch
+    When a caller streams a completion of 5 tokens from the entry
+    Then the entry's metrics come to show
+      | name                                                      | value |
+      | dunlintide_tokens_total                                   | 5     |
+      | dunlintide_first_token_seconds_count                      | 1     |
+      | dunlintide_request_seconds_count                          | 1     |
+      | dunlintide_frames_dropped_total{reason="duplicate"}       | 4     |
+      | dunlintide_frames_dropped_total{reason="stale-epoch"}     | 4     |
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -15,6 +15,7 @@
 from dunlintide_core import settings
 from dunlintide_daemon.entry import role
 from dunlintide_daemon.entry import sources
+import prometheus_client
 import result
 import urllib3
 
@@ -531,3 +532,23 @@
 @behave.then('the caller is told when to try again')
 def check_retry_after(context):
     assert int(context.answer.headers['Retry-After']) >= 1
+
+
+@behave.then("the entry's metrics come to show")
+def check_metrics(context):
+    def read():
+        text = prometheus_client.generate_latest(context.entry.role._registry)
+        return dict(
+            line.rsplit(' ', 1)
+            for line in text.decode().splitlines()
+            if not line.startswith('#')
+        )
+
+    wanted = {row['name']: float(row['value']) for row in context.table}
+    wait_until(
+        lambda: wanted['dunlintide_tokens_total']
+        == float(read()['dunlintide_tokens_total'])
+    )
+    found = read()
+    for name, value in wanted.items():
+        assert float(found.get(name, -1)) >= value, (name, found.get(name))
--- a/packages/daemon/src/dunlintide_daemon/entry/answers.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/answers.py
@@ -14,6 +14,7 @@
 from dunlintide_daemon.entry import headers as filtering
 from dunlintide_daemon.entry import history
 from dunlintide_daemon.entry import limits
+from dunlintide_daemon.entry import meter
 from dunlintide_daemon.entry import openai
 from dunlintide_daemon.entry import problems
 from dunlintide_daemon.entry import requests
@@ -68,12 +69,14 @@
     history: history.History
     router: router.Router
     limiter: limits.Limits
+    meter: meter.Meter
 
     def end(
         self, caller: router.Caller, refusal: outcomes.Refusal | None
     ) -> None:
         """Note an outcome; None stands for a whole answer."""
         self.limiter.release(caller.request_id)
+        self.meter.end(caller.arrived)
         self.history.end(caller.request_id, caller.member, refusal)
         logging.info(
             'request %s of %s: %s',
@@ -119,6 +122,7 @@
         self._route = route
         self._rendering = rendering
         self._heartbeat = heartbeat
+        self._meter = ledger.meter.begin(caller.arrived)
         self._events = completions.run(
             context, route.job, completion, route.plan
         )
@@ -136,6 +140,7 @@
         texts: list[str] = []
         for event in self._events:
             if isinstance(event, completions.Piece):
+                self._meter.note(len(event.texts), time.monotonic())
                 texts += event.texts
             elif isinstance(event, outcomes.Refusal):
                 return self._refuse(event)
@@ -146,6 +151,7 @@
                     event.prompt_tokens,
                     event.tokens,
                 )
+                self._meter.close()
                 self._ledger.end(self._caller, None)
                 request_id = self._caller.request_id
                 return result.Ok(respond_json(body, request_id))
@@ -190,6 +196,7 @@
                 now = time.monotonic()
                 if isinstance(event, completions.Piece):
                     said = now
+                    self._meter.note(len(event.texts), now)
                     yield b''.join(map(render_token, event.texts))
                 elif isinstance(event, outcomes.Refusal):
                     refusal = event
@@ -211,6 +218,7 @@
                 event = next(self._events)
         finally:
             self._events.close()
+            self._meter.close()
             self._ledger.end(self._caller, None if finished else refusal)
 
 
--- a/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
@@ -61,6 +61,7 @@
     """What requests run with.
 
     :ivar retries: budget that all requests of this entry share
+    :ivar count_retry: called for each attempt beyond a first
     """
 
     fleet: fleet.Fleet
@@ -68,6 +69,7 @@
     sessions: sessions.Sessions
     retries: budget.RetryBudget
     clock: Callable[[], float] = time.monotonic
+    count_retry: Callable[[], None] = lambda: None
 
     def add_work(self, names: Iterable[str], amount: int) -> None:
         """Count work of agents; negative when it ends."""
@@ -243,7 +245,10 @@
             return False
         if self.check() is not None:
             return False
-        return self._context.retries.spend()
+        if not self._context.retries.spend():
+            return False
+        self._context.count_retry()
+        return True
 
     def refuse_unsent(self, detail: str) -> outcomes.Refusal:
         """Build the answer when no agent was there to send it to."""
@@ -286,7 +291,7 @@
 
     def drop_gap(self) -> link_pb2.Fail:
         """Take note of a missing token and return it as a failure."""
-        self._session.counts.gaps += 1
+        self._session.counts.drop_gap()
         return link_pb2.Fail(
             code=outcomes.FailCode.GAP.value,
             detail='a token is missing',
@@ -295,7 +300,7 @@
 
     def drop_duplicate(self) -> None:
         """Take note of a token that had come before."""
-        self._session.counts.duplicate += 1
+        self._session.counts.drop_duplicate()
 
     def settle(self) -> None:
         """Take note that the executor has ended the request itself."""
--- a/packages/daemon/src/dunlintide_daemon/entry/front.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/front.py
@@ -15,6 +15,7 @@
 from dunlintide_daemon.entry import headers
 from dunlintide_daemon.entry import history
 from dunlintide_daemon.entry import limits
+from dunlintide_daemon.entry import meter
 from dunlintide_daemon.entry import openai
 from dunlintide_daemon.entry import problems
 from dunlintide_daemon.entry import requests
@@ -46,6 +47,7 @@
     router: router.Router
     history: history.History
     limiter: limits.Limits
+    meter: meter.Meter
     rng: random.Random
     heartbeat: float = HEARTBEAT_SECONDS
 
@@ -92,7 +94,7 @@
         """Serve with the given parts."""
         self._parts = parts
         self._ledger = answers.Ledger(
-            parts.history, parts.router, parts.limiter
+            parts.history, parts.router, parts.limiter, parts.meter
         )
 
     def __call__(
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/meter.py
@@ -0,0 +1,67 @@
+"""Times and tokens of answers, counted once for each batch of tokens."""
+
+import time
+
+import attrs
+
+from dunlintide_adapters import metrics
+
+__all__ = [
+    'Meter',
+    'TokenMeter',
+]
+
+
+@attrs.define
+class TokenMeter:
+    """Measures the tokens of one answer.
+
+    :ivar last: monotonic time of the last tokens, or of the arrival
+    """
+
+    shared: metrics.Metrics
+    last: float
+    tokens: int = 0
+
+    def note(self, count: int, now: float) -> None:
+        """Take note of tokens that came together.
+
+        They count as one observation of their mean distance.
+        """
+        gap = now - self.last
+        if self.tokens:
+            self.shared.inter_token_seconds.observe(gap / count)
+        else:
+            self.shared.first_token_seconds.observe(gap)
+        self.last = now
+        self.tokens += count
+
+    def close(self) -> None:
+        """Count the tokens of the whole answer."""
+        self.shared.tokens.inc(self.tokens)
+
+
+@attrs.frozen
+class Meter:
+    """Measures requests."""
+
+    shared: metrics.Metrics
+
+    def begin(self, arrived: float) -> TokenMeter:
+        """Begin to measure an answer.
+
+        :param arrived: monotonic time of the request, in seconds
+        """
+        return TokenMeter(self.shared, arrived)
+
+    def end(self, arrived: float) -> None:
+        """Take note that a request has ended."""
+        self.shared.request_seconds.observe(time.monotonic() - arrived)
+
+    def count_drop(self, reason: metrics.DropReason, count: int) -> None:
+        """Count dropped frames."""
+        self.shared.frames_dropped.labels(reason.value).inc(count)
+
+    def count_retry(self) -> None:
+        """Count an attempt beyond the first."""
+        self.shared.retries.inc()
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -33,6 +33,7 @@
 from dunlintide_daemon.entry import front
 from dunlintide_daemon.entry import history
 from dunlintide_daemon.entry import limits
+from dunlintide_daemon.entry import meter
 from dunlintide_daemon.entry import owners
 from dunlintide_daemon.entry import planning
 from dunlintide_daemon.entry import problems
@@ -86,11 +87,12 @@
         self._rng = random.Random()
         # The wall clock only orders the lives of one name.
         self._incarnation = time.time_ns()
-        self._sessions = sessions.Sessions()
         self._registry = prometheus_client.CollectorRegistry()
         self._metrics = metrics.Metrics.from_registry(
             self._registry, core_fleet.Role.ENTRY
         )
+        self._meter = meter.Meter(self._metrics)
+        self._sessions = sessions.Sessions(self._meter.count_drop)
         self._history = history.History(self._count_outcome)
         self._holder = configuration.Holder()
         self._retries = budget.RetryBudget()
@@ -185,7 +187,11 @@
             settings.failure_domain,
         )
         context = dispatch.Context(
-            self._fleet, self._planner, self._sessions, self._retries
+            self._fleet,
+            self._planner,
+            self._sessions,
+            self._retries,
+            count_retry=self._meter.count_retry,
         )
         parts = front.Parts(
             context,
@@ -193,6 +199,7 @@
             route,
             self._history,
             self._limits,
+            self._meter,
             self._rng,
             settings.timing.heartbeat,
         )
--- a/packages/daemon/src/dunlintide_daemon/entry/sessions.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/sessions.py
@@ -7,11 +7,12 @@
 
 import queue
 import threading
-from typing import Mapping
+from typing import Callable, Mapping
 
 import attrs
 
 from dunlintide_adapters import links
+from dunlintide_adapters import metrics
 from dunlintide_adapters.wire import link_pb2
 
 __all__ = [
@@ -36,6 +37,7 @@
     epoch: int
 
 
+Observe = Callable[[metrics.DropReason, int], None]
 Event = link_pb2.Token | link_pb2.Done | link_pb2.Fail | link_pb2.Reply | Lost
 
 
@@ -43,6 +45,8 @@
 class Counts:
     """Frames that were dropped, by reason.
 
+    :ivar observe: called with each reason and the number of frames
+
     :ivar stale: of an older epoch
     :ivar duplicate: tokens that had come before
     :ivar orphan: of a request that has ended here
@@ -53,6 +57,36 @@
     duplicate: int = 0
     orphan: int = 0
     gaps: int = 0
+    observe: Observe = lambda reason, count: None
+
+    def drop_stale(self, count: int) -> None:
+        """Count frames of an older epoch."""
+        self.stale += count
+        self.observe(metrics.DropReason.STALE_EPOCH, count)
+
+    def drop_duplicate(self) -> None:
+        """Count a token that had come before."""
+        self.duplicate += 1
+        self.observe(metrics.DropReason.DUPLICATE, 1)
+
+    def drop_orphan(self) -> None:
+        """Count a frame of a request that has ended here."""
+        self.orphan += 1
+        self.observe(metrics.DropReason.UNKNOWN_REQUEST, 1)
+
+    def drop_gap(self) -> None:
+        """Count an epoch that failed for a missing token."""
+        self.gaps += 1
+        self.observe(metrics.DropReason.GAP, 1)
+
+    def describe(self) -> dict[str, int]:
+        """Return the counts for a dump."""
+        return {
+            'stale': self.stale,
+            'duplicate': self.duplicate,
+            'orphan': self.orphan,
+            'gaps': self.gaps,
+        }
 
 
 @attrs.define(eq=False)
@@ -96,15 +130,16 @@
         for _ in range(min(events.qsize(), MAX_TAKEN)):
             taken.append(events.get())
         current = [event for event in taken if event.epoch == self.epoch]
-        self.counts.stale += len(taken) - len(current)
+        if len(current) < len(taken):
+            self.counts.drop_stale(len(taken) - len(current))
         return current
 
 
 class Sessions:
     """All running requests by their ids."""
 
-    def __init__(self) -> None:
-        self.counts = Counts()
+    def __init__(self, observe: Observe = lambda reason, count: None) -> None:
+        self.counts = Counts(observe=observe)
         self._sessions: dict[str, Session] = {}
         self._lock = threading.Lock()
 
@@ -135,7 +170,7 @@
             event = getattr(frame, body)
             session = find(event.request_id)
             if session is None:
-                self.counts.orphan += 1
+                self.counts.drop_orphan()
             else:
                 session.put(event)
 
@@ -161,4 +196,4 @@
             }
             for one in self.list()
         ]
-        return {'dropped': attrs.asdict(self.counts), 'sessions': sessions}
+        return {'dropped': self.counts.describe(), 'sessions': sessions}
