Part the choice of peers from the replica, and bound its state

A process with fewer than three peers made ten rounds a second for good, since it never got to ask three, and what it knew of peers by name outlived them.

contacts.py now holds whom to call and what calls tell; the quick rounds of a start end when nobody is left to ask, and names go with the process. features fleet, peers, product: 25 scenarios pass; config.spread stays within its bounds.

--- a/packages/core/src/dunlintide_core/replicas.py
+++ b/packages/core/src/dunlintide_core/replicas.py
@@ -6,12 +6,10 @@
 state. The caller drives it: nothing here reads a clock or sends bytes.
 """
 
-import collections
 import random
 from typing import Iterable
 
-import attrs
-
+from dunlintide_core import contacts
 from dunlintide_core import exchanges
 from dunlintide_core import fleet
 from dunlintide_core import membership
@@ -23,33 +21,10 @@
 
 __all__ = ['Replica', 'Timing']
 
+Timing = contacts.Timing
 CHUNK_BYTES = 192 << 10
 _DIGESTS = 256
 _RECORDS = 400
-_FAILURES_TO_ACCUSE = 2
-_OUTCOMES = 10
-# A process whose own calls mostly fail accuses nobody.
-_HEALTHY_SHARE = 0.4
-_SUSPECT_SHARE = 0.25
-_SEED_SHARE = 0.02
-_JITTER = 0.25
-_READY_PEERS = 3
-
-
-@attrs.frozen
-class Timing:
-    """Pauses between rounds, in seconds.
-
-    :ivar round: between two rounds
-    :ivar eager: between two rounds after something newer arrived
-    :ivar eager_rounds: how many of those
-    :ivar reconcile: least time between two comparisons of whole views
-    """
-
-    round: float = 1.0
-    eager: float = 0.1
-    eager_rounds: int = 6
-    reconcile: float = 5.0
 
 
 class Replica:
@@ -63,38 +38,24 @@
         self,
         me: fleet.Peer,
         rng: random.Random,
-        timing: Timing = Timing(),
+        timing: contacts.Timing = contacts.Timing(),
         membership_timing: membership.Timing = membership.Timing(),
     ) -> None:
         self.members = membership.View(me, membership_timing)
         self.spread = spread.Spread()
         self._rng = rng
         self._timing = timing
-        self._seeds: tuple[str, ...] = ()
+        self._contacts = contacts.Contacts(self.members, rng, timing)
         self._introduced: set[str] = set()
-        self._failures: dict[str, int] = {}
-        self._outcomes: collections.deque[bool] = collections.deque(
-            maxlen=_OUTCOMES
-        )
-        self._told: dict[str, int] = {}
-        self._eager = 0
-        self._next: list[str] = []
         self._reconciled = 0.0
-        self._asked: set[str] = set()
         self._was_ready = False
-        self._population = -1
         self._generation = -1
         self._is_watcher = False
-        self._neighbours = neighbours.Neighbours()
 
     @property
     def near(self) -> neighbours.Neighbours:
         """Peers that this process talks to."""
-        if self._population != self.members.population:
-            self._population = self.members.population
-            present = [each.peer for each in self.members.present()]
-            self._neighbours = neighbours.find(self.members.me.peer, present)
-        return self._neighbours
+        return self._contacts.near
 
     @property
     def is_watcher(self) -> bool:
@@ -116,16 +77,10 @@
             return 'no configuration, neither from the store nor a peer'
         if self._was_ready:
             return ''
-        known = {*self._seeds}
-        known.update(
-            each.peer.address
-            for each in self.members.present()
-            if each.peer.name != self.members.name
-        )
-        needed = min(_READY_PEERS, len(known))
-        if len(self._asked) < needed:
-            return f'asked {len(self._asked)} of {needed} peers'
-        newest = max(self._told.values(), default=0)
+        asked, needed = self._contacts.count_asked()
+        if asked < needed:
+            return f'asked {asked} of {needed} peers'
+        newest = self._contacts.newest
         if newest > self.spread.revision:
             return f'still fetching revision {newest}'
         self._was_ready = True
@@ -136,90 +91,26 @@
 
         :param addresses: ``host:port``, from the host list or settings
         """
-        own = self.members.me.peer.address
-        self._seeds = tuple(a for a in addresses if a != own)
+        self._contacts.add_seeds(addresses)
 
     @property
     def urgent(self) -> bool:
         """Whether the next round should not wait for its turn."""
-        return bool(self._next) or self._eager > 0
+        return self._contacts.urgent
 
     def pause(self) -> float:
         """Return seconds until the next round."""
-        if self._next:
-            return 0.0
-        base = self._timing.round
-        if self._eager > 0 or len(self._asked) < _READY_PEERS:
-            base = self._timing.eager
-        return base * self._rng.uniform(1 - _JITTER, 1 + _JITTER)
+        return self._contacts.pause()
 
     def settle(self, now: float) -> list[str]:
         """Declare deaths that are due; return their names."""
         dead = self.members.settle(now)
-        for name in dead:
-            self._failures.pop(name, None)
-            self._introduced.discard(name)
-            self._told.pop(name, None)
+        self._introduced.difference_update(dead)
         return dead
 
     def choose(self) -> exchanges.Target | None:
         """Choose the peer of the next round, or None when alone."""
-        while self._next:
-            target = self._target(self._next.pop())
-            if target is not None:
-                return target
-        if len(self._asked) < _READY_PEERS:
-            target = self._draw_unasked()
-            if target is not None:
-                return target
-        name = self._draw()
-        alone = name is None or self._rng.random() < _SEED_SHARE
-        if self._seeds and alone:
-            return exchanges.Target(self._rng.choice(self._seeds))
-        return self._target(name) if name is not None else None
-
-    def _draw_unasked(self) -> exchanges.Target | None:
-        targets = [exchanges.Target(address) for address in self._seeds]
-        targets += [self._target(name) for name in self.near.names]
-        targets = [
-            each
-            for each in targets
-            if each and each.address not in self._asked
-        ]
-        return self._rng.choice(targets) if targets else None
-
-    def _target(self, name: str) -> exchanges.Target | None:
-        record = self.members.get(name)
-        if record is None or record.dead:
-            return None
-        return exchanges.Target(record.peer.address, name)
-
-    def _draw(self) -> str | None:
-        near = self.near
-        if self._eager > 0:
-            self._eager -= 1
-            name = self._draw_uninformed(near)
-            if name is not None:
-                return name
-        name = near.choose(self._rng)
-        record = self.members.get(name) if name else None
-        doubted = record is not None and record.witnesses
-        if doubted and self._rng.random() > _SUSPECT_SHARE:
-            name = near.choose(self._rng)
-        return name
-
-    def _draw_uninformed(self, near: neighbours.Neighbours) -> str | None:
-        revision = self.spread.revision
-        names = [
-            name
-            for name in near.names
-            if self._told.get(name, 0) < revision and not self._doubted(name)
-        ]
-        return self._rng.choice(names) if names else None
-
-    def _doubted(self, name: str) -> bool:
-        record = self.members.get(name)
-        return record is None or bool(record.witnesses)
+        return self._contacts.choose(self.spread.revision)
 
     def open(self, now: float, target: exchanges.Target) -> exchanges.Request:
         """Begin a round.
@@ -267,8 +158,7 @@
     ) -> None:
         name = sender.peer.name
         self.members.merge(now, sender)
-        self._told[name] = offer.revision
-        self._failures.pop(name, None)
+        self._contacts.hear(name, offer.revision)
         self.spread.compare(offer)
 
     def answer(
@@ -287,8 +177,7 @@
         wanted = [] if self.members.get(name) else [name]
         lacking, unknown = self._reconcile(request)
         if request.offer.revision > self.spread.known_revision:
-            if name not in self._next:
-                self._next.append(name)
+            self._contacts.call_next(name)
         head = b''
         if self.spread.revision > request.known_revision:
             head = self.spread.snapshot.body
@@ -338,9 +227,7 @@
         :return: a request to send to the same peer at once, or None
         """
         name = reply.sender.peer.name
-        self._outcomes.append(True)
-        self._asked.add(target.address)
-        self._failures.pop(target.name, None)
+        self._contacts.note_answer(target)
         self._introduced.add(name)
         self._hear(now, reply.sender, reply.offer)
         self._merge(now, reply.changes)
@@ -349,19 +236,19 @@
         self.spread.take_chunks(reply.chunks)
         self.adopt()
         # The peer pulls what it now knows of; no need to tell it again.
-        self._told[name] = max(self._told[name], self.spread.revision)
+        self._contacts.hear(name, self.spread.revision)
         return self._follow(name, reply)
 
     def take_stored(self, head: revisions.Head, document: bytes) -> None:
         """Take a configuration as the store gave it."""
         if self.spread.take_stored(head, document) is not None:
-            self._eager = self._timing.eager_rounds
+            self._contacts.hurry()
 
     def adopt(self) -> spread.Snapshot | None:
         """Put a pulled configuration in force once it is whole."""
         snapshot = self.spread.adopt()
         if snapshot is not None:
-            self._eager = self._timing.eager_rounds
+            self._contacts.hurry()
         return snapshot
 
     def _follow(
@@ -408,19 +295,4 @@
 
     def fail(self, now: float, target: exchanges.Target) -> None:
         """Take note that a peer did not answer."""
-        self._outcomes.append(False)
-        self._asked.add(target.address)
-        name = target.name
-        record = self.members.get(name)
-        if record is None or record.dead:
-            return
-        failures = self._failures.get(name, 0) + 1
-        self._failures[name] = failures
-        if failures < _FAILURES_TO_ACCUSE:
-            if not record.witnesses:
-                self._next.append(name)
-            return
-        answered = sum(self._outcomes) / len(self._outcomes)
-        if answered >= _HEALTHY_SHARE:
-            domain = self.members.me.peer.failure_domain
-            self.members.accuse(now, name, domain)
+        self._contacts.note_failure(now, target)
