--- a/features/configstore.feature
+++ b/features/configstore.feature
@@ -50,3 +50,7 @@
     Given a process that follows the configuration from the store
     When the store is restored while it was away and then changed
     Then the process comes to the member "after-restore" at revision 4
+
+  Scenario: Whoever follows the configuration ends soon after a stop
+    When the configuration is followed with a pause of 600 s and stopped
+    Then nobody follows the configuration after some seconds
--- a/features/steps/configstore.py
+++ b/features/steps/configstore.py
@@ -2,12 +2,14 @@
 
 import threading
 import time
+from unittest import mock
 import uuid
 
 import behave
 from dunlintide_adapters import circuit
 from dunlintide_adapters import configkeys
 from dunlintide_adapters import configstore
+from dunlintide_adapters import configwatch
 from dunlintide_adapters import store
 from dunlintide_adapters import storefailures
 from dunlintide_adapters import storewatch
@@ -281,3 +283,27 @@
     assert context.seen[-1].head.revision == revision
     revisions = [snapshot.head.revision for snapshot in context.seen]
     assert revisions == sorted(set(revisions)), revisions
+
+
+@behave.when(
+    'the configuration is followed with a pause of {pause:d} s and stopped'
+)
+def follow_and_stop(context, pause):
+    polled, stop = threading.Event(), threading.Event()
+    configs = mock.Mock()
+    configs.read_mark.side_effect = lambda: polled.set() or result.Err('away')
+    context.follower = threading.Thread(
+        target=configwatch.watch,
+        args=(configs, lambda snapshot: None, stop),
+        kwargs={'poll_seconds': pause},
+        daemon=True,
+    )
+    context.follower.start()
+    assert polled.wait(20)
+    stop.set()
+
+
+@behave.then('nobody follows the configuration after some seconds')
+def check_followed(context):
+    context.follower.join(20)
+    assert not context.follower.is_alive()
--- a/packages/adapters/src/dunlintide_adapters/configwatch.py
+++ b/packages/adapters/src/dunlintide_adapters/configwatch.py
@@ -9,6 +9,7 @@
 
 import random
 import threading
+import time
 from typing import Any, Callable
 
 from absl import logging
@@ -30,6 +31,8 @@
 # One read in this many looks at the head even if its mark is the same.
 _FULL_READ_EVERY = 15
 _JOIN_SECONDS = 2.0
+# How often a pause looks whether it should end.
+_STOP_CHECK_SECONDS = 0.5
 
 
 def choose_repair(
@@ -114,6 +117,16 @@
             logging.warning('revision %d was not written', revision)
 
 
+def _pause(
+    wake: threading.Event, stop: threading.Event, seconds: float
+) -> None:
+    """Wait for a change, the end of the pause or a stop."""
+    until = time.monotonic() + seconds
+    while not stop.is_set() and (left := until - time.monotonic()) > 0:
+        if wake.wait(min(left, _STOP_CHECK_SECONDS)):
+            return
+
+
 def watch(
     configs: Any,
     on_snapshot: Callable[[configtypes.Snapshot], None],
@@ -138,7 +151,7 @@
     follower = _Follower(configs, on_snapshot, held, on_read)
     while not stop.is_set():
         follower.poll()
-        wake.wait(poll_seconds * random.uniform(0.5, 1.0))
+        _pause(wake, stop, poll_seconds * random.uniform(0.5, 1.0))
         wake.clear()
     configs.store.interrupt()
     watcher.join(_JOIN_SECONDS)
