Cut off a caller that holds up its answer by not reading

A thread that waits for room in the output buffer waited for as long as the caller took a byte now and then, whatever the request's deadline. An application can now say when its answer must end; a thread that waits looks at the time each 0.25 s and then gives up, which ends the answer without its end mark and closes the application's body.

--- a/features/httpserver.feature
+++ b/features/httpserver.feature
@@ -40,3 +40,8 @@
   Scenario: The application sees that its caller has gone
     When a caller asks to be waited for and hangs up
     Then the HTTP application sees the hang-up
+
+  Scenario: A caller that does not read is cut off when its time is up
+    When a caller reads none of an answer that must end soon
+    Then the HTTP application is told to end and its thread is free
+    And what the caller can still read is not a whole answer
--- a/features/steps/httpserver.py
+++ b/features/steps/httpserver.py
@@ -31,12 +31,16 @@
         self.runs = 0
         self.produced = 0
         self.saw_hang_up = threading.Event()
+        self.closed = threading.Event()
         self.release = threading.Event()
 
     def _produce(self, chunks):
-        for _ in range(chunks):
-            self.produced += len(CHUNK)
-            yield CHUNK
+        try:
+            for _ in range(chunks):
+                self.produced += len(CHUNK)
+                yield CHUNK
+        finally:
+            self.closed.set()
 
     def __call__(self, environ, start_response):
         self.runs += 1
@@ -44,6 +48,9 @@
         start_response('200 OK', [('Content-Type', 'text/plain')])
         if path.startswith('/big/'):
             return self._produce(int(path.rpartition('/')[2]))
+        if path == '/late':
+            environ[httpserver.END_BY](time.monotonic() + 0.5)
+            return self._produce(64)
         if path == '/hold':
             self.release.wait(WAIT_SECONDS)
         if path == '/gone':
@@ -182,3 +189,24 @@
 @behave.then('the HTTP application sees the hang-up')
 def check_hang_up(context):
     assert context.application.saw_hang_up.wait(WAIT_SECONDS)
+
+
+@behave.when('a caller reads none of an answer that must end soon')
+def ask_late(context):
+    context.answer = fetch(context, 'GET', '/late', preload_content=False)
+
+
+@behave.then('the HTTP application is told to end and its thread is free')
+def check_late(context):
+    assert context.application.closed.wait(WAIT_SECONDS)
+    assert context.application.produced < 64 * len(CHUNK)
+    wait_until(lambda: context.server.in_flight == 0)
+
+
+@behave.then('what the caller can still read is not a whole answer')
+def check_cut(context):
+    try:
+        received = sum(map(len, context.answer.stream(1 << 20)))
+    except urllib3.exceptions.HTTPError:
+        return
+    raise AssertionError(f'{received} bytes looked like a whole answer')
--- a/packages/adapters/src/dunlintide_adapters/httpserver.py
+++ b/packages/adapters/src/dunlintide_adapters/httpserver.py
@@ -22,11 +22,17 @@
 import waitress.task
 
 __all__ = [
+    'END_BY',
     'ErrorPage',
     'HttpServer',
     'render_error',
 ]
 
+# Key of a function in the environment of a request: it takes the moment
+# (monotonic, in seconds) after which a caller that holds up the answer by
+# not reading is cut off.
+END_BY = 'dunlintide.end_by'
+
 DEFAULT_MAX_BODY_BYTES = 4 << 20
 DEFAULT_MAX_HEADER_BYTES = 32 << 10
 DEFAULT_MAX_CONNECTIONS = 2048
@@ -41,6 +47,8 @@
 _HIGH_WATERMARK_BYTES = 256 << 10
 _PIECE_BYTES = 64 << 10
 _LOOKAHEAD = 1
+# How often a thread that waits for its caller looks at the time.
+_STALL_CHECK_SECONDS = 0.25
 _LOOP_SECONDS = 1.0
 _STOP_LOOP_SECONDS = 0.05
 _CLEANUP_SECONDS = 5
@@ -93,6 +101,19 @@
         self.write(page.body)
 
 
+class _Task(waitress.task.WSGITask):
+    """Runs the application, which may say when its answer must end."""
+
+    def get_environment(self) -> dict:
+        if self.environ is None:
+            self.channel.end_by = None
+            super().get_environment()[END_BY] = self._end_by
+        return self.environ
+
+    def _end_by(self, moment: float) -> None:
+        self.channel.end_by = moment
+
+
 class _Channel(waitress.channel.HTTPChannel):
     """Connection whose error pages are the application's own.
 
@@ -101,6 +122,29 @@
     """
 
     error_task_class = _ErrorTask
+    task_class = _Task
+    end_by: float | None = None
+
+    def _flush_outbufs_below_high_watermark(self) -> None:
+        # In place of waitress's, which waits for as long as it takes.
+        if self.total_outbufs_len <= self.adj.outbuf_high_watermark:
+            return
+        with self.outbuf_lock:
+            _, failed = self._flush_exception(self._flush_some, do_close=False)
+            while self.connected and (failed or self._is_full()):
+                self._check_end()
+                self.server.pull_trigger()
+                self.outbuf_lock.wait(_STALL_CHECK_SECONDS)
+
+    def _is_full(self) -> bool:
+        return self.total_outbufs_len > self.adj.outbuf_high_watermark
+
+    def _check_end(self) -> None:
+        if self.end_by is None or time.monotonic() < self.end_by:
+            return
+        self.will_close = True
+        self.server.pull_trigger()
+        raise waitress.channel.ClientDisconnected
 
     def write_soon(self, data: bytes) -> int:
         if self.total_outbufs_len or not data or not self.connected:
