Bound held answers, late writes and the loss of the last word

Answers of services were gathered up to 8 MiB each, 2 GiB with 256 threads. They now share 64 MiB: a call is refused as not run while half of it is held, and one that grows beyond all of it ends as unknown.

A completion whose link was lost after its last token, before the word that it is whole, was sent again; it is now complete.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -130,3 +130,19 @@
       | dunlintide_request_seconds_count                          | 1     |
       | dunlintide_frames_dropped_total{reason="duplicate"}       | 4     |
       | dunlintide_frames_dropped_total{reason="stale-epoch"}     | 4     |
+
+  Scenario: An answer that lacks only the word of its end is complete
+    Given the first agent that is asked loses its link before the end after 9 tokens
+    When a caller streams a completion of 5 tokens from the entry
+    Then the stream holds each of the 5 tokens once and its end mark
+    And the agents of the entry got 1 request in all
+
+  Scenario: A service is not called when there is no room for its answer
+    Given the entry has no room for answers
+    When a caller calls the service under the key "order-7" with "one"
+    Then the entry answers 503 with the outcome "not-run"
+    And the service was called 0 times
+    When the entry has room for answers again
+    And a caller calls the service under the key "order-8" with "one"
+    Then the service was called 1 time
+    And the entry holds no answer any more
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -187,6 +187,9 @@
             if self.faults.noisy:
                 self.send(link, asked, index, asked.epoch)
                 self.send(link, asked, index + 1, asked.epoch - 1)
+        if fault == 'loses its link before the end':
+            link.close()
+            return
         done = link_pb2.Done(
             request_id=asked.terms.request_id,
             epoch=asked.epoch,
@@ -552,3 +555,22 @@
     found = read()
     for name, value in wanted.items():
         assert float(found.get(name, -1)) >= value, (name, found.get(name))
+
+
+@behave.given('the entry has no room for answers')
+def fill_room(context):
+    room = context.entry.role._room
+    context.taken = room.limit // 2 + 1
+    assert room.take(context.taken)
+    assert not room.take(context.taken)
+
+
+@behave.when('the entry has room for answers again')
+def empty_room(context):
+    context.entry.role._room.give_back(context.taken)
+
+
+@behave.then('the entry holds no answer any more')
+def check_room(context):
+    room = context.entry.role._room
+    wait_until(lambda: room.held == 0)
--- a/packages/daemon/src/dunlintide_daemon/entry/answers.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/answers.py
@@ -48,10 +48,24 @@
     return problems.Response(problems.render_status(200), headers, [body])
 
 
+class _Held:
+    """Body that says when it has been sent or dropped."""
+
+    def __init__(self, body: bytes, release: Callable[[], None]) -> None:
+        self._body = body
+        self.close = release
+
+    def __iter__(self) -> Iterator[bytes]:
+        yield self._body
+
+
 def respond_service(
-    answer: services.Answer, request_id: str
+    answer: services.Answer, request_id: str, release: Callable[[], None]
 ) -> problems.Response:
-    """Build the answer for a plain service's answer."""
+    """Build the answer for a plain service's answer.
+
+    :param release: called when the answer is held no more
+    """
     headers = [
         *filtering.filter_answer_headers(answer.headers),
         ('Content-Length', str(len(answer.body))),
@@ -59,7 +73,7 @@
         (problems.REQUEST_ID_HEADER, request_id),
     ]
     status = problems.render_status(answer.status)
-    return problems.Response(status, headers, [answer.body])
+    return problems.Response(status, headers, _Held(answer.body, release))
 
 
 @attrs.frozen
--- a/packages/daemon/src/dunlintide_daemon/entry/completions.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/completions.py
@@ -153,6 +153,17 @@
                 return event
         return None
 
+    def _is_whole(self) -> bool:
+        return len(self._tokens) >= self._request.max_tokens
+
+    def _end(self) -> End:
+        """Build the end that the head could not tell.
+
+        The size of the prompt is an estimate here.
+        """
+        prompt = requests.estimate_tokens(self._request.prompt)
+        return End('length', prompt, len(self._tokens))
+
     def run(self) -> Iterator[Piece | Wait | End | outcomes.Refusal]:
         if not self._open():
             yield self._attempt.refuse_unsent(
@@ -170,6 +181,10 @@
             if isinstance(ending, End):
                 yield ending
                 return
+            if ending is not None and self._is_whole():
+                # Only the word that it is whole was lost.
+                yield self._end()
+                return
             refusal = self._attempt.check()
             if refusal is None and ending is not None:
                 failure = self._attempt.read_failure(ending)
--- a/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
@@ -17,6 +17,7 @@
 from dunlintide_daemon.entry import fleet
 from dunlintide_daemon.entry import learning
 from dunlintide_daemon.entry import planning
+from dunlintide_daemon.entry import room
 from dunlintide_daemon.entry import sessions
 
 __all__ = [
@@ -61,6 +62,7 @@
     """What requests run with.
 
     :ivar retries: budget that all requests of this entry share
+    :ivar answer_room: memory that gathered answers share
     :ivar count_retry: called for each attempt beyond a first
     """
 
@@ -70,6 +72,7 @@
     retries: budget.RetryBudget
     clock: Callable[[], float] = time.monotonic
     count_retry: Callable[[], None] = lambda: None
+    answer_room: room.Room = attrs.field(factory=room.Room)
 
     def add_work(self, names: Iterable[str], amount: int) -> None:
         """Count work of agents; negative when it ends."""
--- a/packages/daemon/src/dunlintide_daemon/entry/front.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/front.py
@@ -8,6 +8,7 @@
 import result
 import uuid_utils
 
+from dunlintide_adapters import httpserver
 from dunlintide_core import outcomes
 from dunlintide_daemon.entry import answers
 from dunlintide_daemon.entry import configuration as holders
@@ -30,6 +31,8 @@
 
 PRIORITY_HEADER = 'HTTP_DUNLINTIDE_PRIORITY'
 HEARTBEAT_SECONDS = 5.0
+# What is left to send at the deadline may take this long.
+SENDING_SECONDS = 1.0
 _NO_CONFIGURATION_RETRY_SECONDS = 2.0
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
@@ -81,6 +84,13 @@
     return lambda: not is_gone()
 
 
+def _limit_sending(environ: Mapping[str, Any], deadline: float) -> None:
+    """Have a caller that reads too slowly cut off behind the deadline."""
+    end_by = environ.get(httpserver.END_BY)
+    if end_by is not None:
+        end_by(deadline + SENDING_SECONDS)
+
+
 def _refuse(
     code: outcomes.FailCode, detail: str
 ) -> result.Err[outcomes.Refusal]:
@@ -222,6 +232,7 @@
             self._ledger.end(caller, routed.err_value)
             return routed
         route = routed.ok_value
+        _limit_sending(environ, route.job.deadline)
         answer = services.run(
             self._parts.context, route.job, call, route.choose
         )
@@ -230,7 +241,14 @@
             self._ledger.end(caller, answer)
             return result.Err(answer)
         self._ledger.end(caller, None)
-        return result.Ok(answers.respond_service(answer, caller.request_id))
+        room = self._parts.context.answer_room
+        return result.Ok(
+            answers.respond_service(
+                answer,
+                caller.request_id,
+                lambda: room.give_back(len(answer.body)),
+            )
+        )
 
     def _complete(
         self, exchange: _Exchange, *, chat: bool
@@ -254,6 +272,8 @@
         if isinstance(routed, result.Err):
             self._ledger.end(caller, routed.err_value)
             return routed
+        deadline = routed.ok_value.job.deadline
+        _limit_sending(exchange.environ, deadline)
         rendering = openai.Rendering(
             caller.request_id, completion.model, int(time.time()), chat
         )
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -37,6 +37,7 @@
 from dunlintide_daemon.entry import owners
 from dunlintide_daemon.entry import planning
 from dunlintide_daemon.entry import problems
+from dunlintide_daemon.entry import room
 from dunlintide_daemon.entry import router
 from dunlintide_daemon.entry import sessions
 from dunlintide_daemon.entry import sources
@@ -91,6 +92,7 @@
         self._metrics = metrics.Metrics.from_registry(
             self._registry, core_fleet.Role.ENTRY
         )
+        self._room = room.Room()
         self._meter = meter.Meter(self._metrics)
         self._sessions = sessions.Sessions(self._meter.count_drop)
         self._history = history.History(self._count_outcome)
@@ -192,6 +194,7 @@
             self._sessions,
             self._retries,
             count_retry=self._meter.count_retry,
+            answer_room=self._room,
         )
         parts = front.Parts(
             context,
--- a/packages/daemon/src/dunlintide_daemon/entry/services.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/services.py
@@ -62,6 +62,15 @@
     return outcomes.refuse(code, 'the answer is too large', ran=True)
 
 
+def _refuse_full(*, ran: bool) -> outcomes.Refusal:
+    return outcomes.refuse(
+        outcomes.FailCode.NO_CAPACITY,
+        'the entry holds too many answers at the same time',
+        ran=ran,
+        retry_after=None if ran else dispatch.RETRY_AFTER_SECONDS,
+    )
+
+
 class _Run:
     """State of one call."""
 
@@ -76,6 +85,8 @@
         self._call = call
         self._choose = choose
         self._attempt = dispatch.Attempt(context, job)
+        self._room = context.answer_room
+        self._held = 0
 
     def _build_call(self, epoch: int) -> link_pb2.Frame:
         headers = [
@@ -113,6 +124,9 @@
                     return self._attempt.drop_gap()
                 if parts.size > MAX_ANSWER_BYTES:
                     return _refuse_large()
+                if not self._room.take(len(event.body)):
+                    return _refuse_full(ran=True)
+                self._held += len(event.body)
                 if event.last:
                     self._attempt.settle()
                     return parts.build()
@@ -124,6 +138,21 @@
         return None
 
     def run(self) -> Answer | outcomes.Refusal:
+        answer = None
+        try:
+            answer = self._run()
+        finally:
+            if not isinstance(answer, Answer):
+                self._give_back()
+        return answer
+
+    def _give_back(self) -> None:
+        self._room.give_back(self._held)
+        self._held = 0
+
+    def _run(self) -> Answer | outcomes.Refusal:
+        if self._room.is_scarce():
+            return _refuse_full(ran=False)
         if not self._open():
             return self._attempt.refuse_unsent(
                 'no endpoint of the service is reachable'
@@ -142,6 +171,7 @@
             refusal = self._attempt.recover(failure, self._open)
             if refusal is not None:
                 return refusal
+            self._give_back()
             parts = _Parts()
 
     def close(self) -> None:
@@ -156,6 +186,8 @@
 ) -> Answer | outcomes.Refusal:
     """Run a call and wait for its whole answer.
 
+    An answer holds room in ``context`` until it is given back.
+
     :param choose: returns an agent other than the given ones, or None
     """
     one = _Run(context, job, call, choose)
