Test what callers get under dead, stopped and paused processes

Change: scenarios over one deployment with relays: an entry killed with keyed requests in flight, a caller that leaves, planned stops of an entry, a head and a later stage, a leaving endpoint with the store down and a host list that never changes, processes paused for three times each silence, the store down, slow and losing answers, and a stream that cannot be finished.

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -49,3 +49,71 @@
       | head   |
       | middle |
       | last   |
+
+  Scenario: An entry that dies leaves its callers' keys with their answers
+    Given the engines take 20 ms a step
+    And the services take 1.5 s a call
+    When entry 0 is killed with a keyed order and a keyed stream in flight
+    And both are repeated at once through entry 1
+    Then the repeats are complete and each key ran once
+
+  Scenario: A caller that goes away frees every stage
+    Given the engines take 20 ms a step
+    When a caller of a long stream goes away
+    Then no agent has a session any more within 3 s
+
+  Scenario Outline: A planned stop cuts nothing in flight
+    Given the engines take 20 ms a step
+    When the <role> is told to stop with 4 streams of 25 tokens in flight
+    Then all of these streams are the reference answers
+    And the <role> ended with exit code 0
+    And each of these streams ran over one chain
+
+    Examples:
+      | role         |
+      | entry        |
+      | head agent   |
+      | middle agent |
+
+  Scenario: A leaving endpoint gets no new work, whatever the platform says
+    Given the engines take 20 ms a step
+    When the store is down and the host list shows no change
+    And the middle agent of a long stream is told to stop
+    Then 2 s later no new request runs at its engine
+    And the stream is the reference answer
+
+  Scenario Outline: A process that is paused and goes on doubles nothing
+    Given the engines take 20 ms a step
+    And the services take 0.5 s a call
+    When the <role> is paused for 3 s with requests and repeats in flight
+    Then each of these answers is right or honest about what ran
+    And a last repeat of each key is honest and no key ran twice
+
+    Examples:
+      | role          |
+      | entry         |
+      | head agent    |
+      | middle agent  |
+      | middle engine |
+      | store         |
+
+  Scenario: While the store is away only new keys wait
+    When the store is down and the host list shows no change
+    Then a completion is complete
+    And a new order is refused as "not-run" for "store-unavailable"
+    When the store is back
+    Then that order is complete in time and ran once
+
+  Scenario Outline: A store that is slow or loses answers doubles no order
+    When the store is told to <fault>
+    Then a new order is complete and ran once, also when repeated
+
+    Examples:
+      | fault           |
+      | answer late     |
+      | lose 3 answers  |
+
+  Scenario: A stream that cannot be finished looks unfinished
+    Given the engines take 20 ms a step
+    When all agents of the last stage are killed in mid-stream
+    Then the stream ends with an error event and without an end mark
--- a/features/steps/outcomes_scene.py
+++ b/features/steps/outcomes_scene.py
@@ -23,6 +23,7 @@
 TIMING = {
     'ping': 0.2,
     'silence': 1.0,
+    'redial': 0.3,
     'store_timeout': 1.0,
     'configuration_poll': 1.0,
     'host_list_poll': 1.0,
@@ -68,6 +69,9 @@
         blueprint = blueprints.load_blueprint(example)
         rules = operators.load_rules(example.parent / blueprint.rules)
         rules['rules'][0]['then']['deadline_seconds'] = ORDER_SECONDS
+        for rule in rules['rules']:
+            # Limits of members have a feature of their own.
+            rule['then'].pop('concurrency', None)
         folder = tempfile.TemporaryDirectory(prefix='dunlintide-')
         enter = context.feature_stack.enter_context
         self.running = enter(
@@ -83,6 +87,7 @@
         self.rules = copy.deepcopy(self.running.rules)
         self.agents = {a.name: a for a in self.running.plan.agents}
         self.count = 0
+        self.stopping = []
 
     def heal(self):
         """End all faults and wait until all is well again."""
@@ -90,6 +95,9 @@
         for one in running.relays.values():
             one.resume()
             one.shape()
+        for process in self.stopping:
+            process.wait()
+        self.stopping.clear()
         for process in running.started.values():
             process.resume()
             if not process.is_running:
@@ -227,6 +235,12 @@
         wait_until(look, 'a request runs at every stage')
         return [found[start] for start in sorted(found)]
 
+    def stop(self, name):
+        process = self.running.started[name]
+        self.stopping.append(process)
+        process.terminate()
+        return process
+
     def find_relay(self, hop, chain):
         """Give the relay on a hop of a running request."""
         if hop is layout.Hop.ENTRY_AGENT:
