--- a/packages/trials/src/dunlintide_trials/blueprints.py
+++ b/packages/trials/src/dunlintide_trials/blueprints.py
@@ -51,12 +51,16 @@
 
 @attrs.frozen
 class Pipeline:
-    """One model version in stages."""
+    """One model version in stages.
+
+    :ivar spares: engines beside them that hold nothing
+    """
 
     model: str
     layers: int
     stages: tuple[Stage, ...]
     version: str = '1'
+    spares: int = 0
 
 
 @attrs.frozen
--- a/packages/trials/src/dunlintide_trials/layout.py
+++ b/packages/trials/src/dunlintide_trials/layout.py
@@ -216,8 +216,10 @@
     name: str,
     failure_domain: str,
     port: int,
+    weights_url: str,
 ) -> EndpointPlan:
     flags = (
+        f'--weights_url={weights_url}',
         f'--model={pipeline.model}',
         f'--version={pipeline.version}',
         f'--layer_start={stage.layer_start}',
@@ -243,7 +245,9 @@
 
 
 def _plan_engines(
-    blueprint: blueprints.Blueprint, reserved: ports.Reservations
+    blueprint: blueprints.Blueprint,
+    reserved: ports.Reservations,
+    weights_url: str,
 ) -> list[EndpointPlan]:
     domains = blueprint.failure_domains
     return [
@@ -255,6 +259,7 @@
             # chain crosses failure domains.
             domains[(number + replica) % len(domains)],
             reserved.reserve(),
+            weights_url,
         )
         for pipeline in blueprint.pipelines
         for number, stage in enumerate(pipeline.stages)
@@ -262,6 +267,35 @@
     ]
 
 
+def _plan_spares(
+    blueprint: blueprints.Blueprint,
+    reserved: ports.Reservations,
+    weights_url: str,
+) -> list[EndpointPlan]:
+    domains = blueprint.failure_domains
+    flags = (
+        '--model=',
+        '--version=',
+        '--layer_start=0',
+        '--layer_end=0',
+        f'--weights_url={weights_url}',
+    )
+    return [
+        EndpointPlan(
+            StandinPlan(
+                f'{pipeline.model}-spare-{number}',
+                'engine',
+                reserved.reserve(),
+                flags,
+            ),
+            domains[number % len(domains)],
+            {'kind': 'engine'},
+        )
+        for pipeline in blueprint.pipelines
+        for number in range(pipeline.spares)
+    ]
+
+
 def _plan_services(
     blueprint: blueprints.Blueprint, reserved: ports.Reservations
 ) -> list[EndpointPlan]:
@@ -289,7 +323,9 @@
     :param folder: work folder, for the file of hosts
     """
     reserve = reserved.reserve
-    endpoints = _plan_engines(blueprint, reserved)
+    weight_store = StandinPlan('weight-store', 'weights', reserve())
+    endpoints = _plan_engines(blueprint, reserved, weight_store.url)
+    endpoints += _plan_spares(blueprint, reserved, weight_store.url)
     endpoints += _plan_services(blueprint, reserved)
     agents = tuple(
         AgentPlan(
@@ -317,7 +353,7 @@
         blueprint,
         StandinPlan('store', 'store', reserve()),
         StandinPlan('host-list', 'hosts', reserve(), (hosts,)),
-        StandinPlan('weight-store', 'weights', reserve()),
+        weight_store,
         agents,
         entries,
     )
