Lead the placement of each model by a store lease

Nobody ordered anything: lost layer ranges stayed lost.

A few entries, picked by rendezvous hashing over the host list and in different failure domains, try to lead a model; the others ask the store nothing. The leader renews its lease three times in its life, judges by its own deadline before each order, and says in its state dump who leads, what is missing and which orders are open. An order that was refused for an old number or by the store's word makes it resign. A leader that sees less than half of the listed agents orders nothing. An agent's new layer range now reaches the planner, and spare engines are no part of plans.

--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -348,6 +348,5 @@
             'layer_end': holding.layer_end,
             'layer_count': holding.layer_count,
         }
-        return self._call('POST', '/v1/orders', body, seconds).map(
-            lambda _: None
-        )
+        called = self._call('POST', '/v1/orders', body, seconds, anew=True)
+        return called.map(lambda _: None)
--- a/packages/core/src/dunlintide_core/placement.py
+++ b/packages/core/src/dunlintide_core/placement.py
@@ -195,11 +195,9 @@
         """Return the ranges that are short of engines, as last seen."""
         return sorted(self._short_since)
 
-    def reset(self) -> None:
-        """Forget orders and waits, as at the start of a leadership."""
+    def wait(self) -> None:
+        """Let ranges that are short wait anew, as the view is in doubt."""
         self._short_since.clear()
-        self._open.clear()
-        self._avoid.clear()
 
     def fail(self, agent: str, now: float) -> None:
         """Take note that an agent did not carry out its order."""
--- a/packages/daemon/src/dunlintide_daemon/entry/fleet.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/fleet.py
@@ -22,7 +22,7 @@
     'Listeners',
 ]
 
-_CONTROL = frozenset(('hello', 'load', 'leaving'))
+_CONTROL = frozenset(('hello', 'load', 'leaving', 'order_reply'))
 _LEAVING = 'leaving'
 
 
@@ -61,11 +61,15 @@
     :ivar frames: called with frames that belong to requests
     :ivar down: called with a link that was lost
     :ivar load: called with an agent that has just told its load
+    :ivar reply: called with an agent's answer to an order
     """
 
     frames: Callable[[links.Link, list[link_pb2.Frame]], None]
     down: Callable[[links.Link], None]
     load: Callable[['Agent'], None] = lambda agent: None
+    reply: Callable[[links.Link, link_pb2.OrderReply], None] = (
+        lambda link, reply: None
+    )
 
 
 def _read_endpoint(message: link_pb2.Endpoint) -> fleet.Endpoint | None:
@@ -85,6 +89,7 @@
         tokens_per_second=message.tokens_per_second,
         checks_fence=message.checks_fence,
         max_in_flight=message.max_in_flight,
+        max_layers=message.max_layers,
     )
 
 
@@ -190,7 +195,9 @@
                 agent = Agent(peer, link, leaving=peer.leaving)
             else:
                 leaving = known.leaving or peer.leaving
-                agent = attrs.evolve(known, link=link, leaving=leaving)
+                agent = attrs.evolve(
+                    known, peer=peer, link=link, leaving=leaving
+                )
             self._agents[peer.name] = agent
 
     def _down(self, link: links.Link, reason: str) -> None:
@@ -216,6 +223,9 @@
         if body == 'hello':
             self._up(link)
             return
+        if body == 'order_reply':
+            self._listeners.reply(link, frame.order_reply)
+            return
         with self._lock:
             agent = self._agents.get(link.peer.name)
             if agent is None or agent.link is not link:
@@ -251,6 +261,7 @@
             agent
             for agent in self.list_usable()
             if agent.peer.endpoint.kind is fleet.EndpointKind.ENGINE
+            and not agent.peer.endpoint.is_spare
             and agent.peer.endpoint.model == model
             and agent.peer.endpoint.version == version
         ]
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/leader.py
@@ -0,0 +1,291 @@
+"""Leadership of one model at an entry, and the orders that it gives.
+
+An actor of its own for each model, since a slow store must not keep the
+renewal of one lease from another. It is ticked some times a second.
+"""
+
+import random
+import time
+from typing import Callable
+import uuid
+
+from absl import logging
+import attrs
+import pykka
+import result
+
+from dunlintide_adapters import leaders as leader_keys
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import leadership
+from dunlintide_core import placement
+from dunlintide_core import settings as settings_module
+
+__all__ = [
+    'Leader',
+    'Reply',
+    'Resign',
+    'Status',
+    'Tick',
+    'View',
+]
+
+# A candidate looks at the leader's key after such a part of a lease.
+_LEAST_PAUSE, _MOST_PAUSE = 0.4, 0.8
+_DEPOSED = (placement.Refusal.OLD_FENCE, placement.Refusal.NOT_LEADER)
+
+
+@attrs.frozen
+class Tick:
+    """Do what is due.
+
+    :ivar targets: versions of the model that are to be placed
+    :ivar candidate: whether this entry should try to lead
+    """
+
+    targets: tuple[placement.Target, ...]
+    candidate: bool
+
+
+@attrs.frozen
+class Reply:
+    """Answer of an agent to an order."""
+
+    reply: link_pb2.OrderReply
+
+
+@attrs.frozen
+class Resign:
+    """Give the leadership up."""
+
+
+@attrs.frozen
+class View:
+    """The fleet as a leader sees it.
+
+    :ivar list_engines: engines that take work, of any model
+    :ivar sees_enough: whether it sees enough agents to judge
+    :ivar send: sends an order to a named agent; False when it can't
+    """
+
+    list_engines: Callable[[], list[placement.Engine]]
+    sees_enough: Callable[[], bool]
+    send: Callable[[str, link_pb2.Order], bool]
+
+
+@attrs.frozen
+class Status:
+    """What operators are told of one model.
+
+    :ivar leader: name of the leader, as last seen here
+    :ivar missing: layer ranges that are short of engines
+    :ivar orders: orders that are open
+    """
+
+    phase: leadership.Phase = leadership.Phase.CANDIDATE
+    leader: str = ''
+    fence: int = 0
+    sees_enough: bool = True
+    missing: tuple[tuple[int, int], ...] = ()
+    orders: tuple[placement.Order, ...] = ()
+    refusals: int = 0
+
+
+def _build_order(
+    order: placement.Order, fence: int, leader: str
+) -> link_pb2.Order:
+    return link_pb2.Order(
+        order_id=uuid.uuid4().hex,
+        fence=fence,
+        leader=leader,
+        layer_count=order.layer_count,
+        held=link_pb2.Holding(**attrs.asdict(order.held)),
+        **attrs.asdict(order.holding),
+    )
+
+
+class Leader(pykka.ThreadingActor):
+    """Tries to lead a model, and places its layers while it does."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        model: str,
+        name: str,
+        keys: leader_keys.Leaders,
+        view: View,
+        settings: settings_module.Placement,
+        publish: Callable[[Status], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Begin as a candidate.
+
+        :param name: of this process
+        :param publish: called with the status after each tick
+        """
+        super().__init__()
+        self._model = model
+        self._name = name
+        self._keys = keys
+        self._view = view
+        self._settings = settings
+        self._publish = publish
+        self._clock = clock
+        self._leadership = leadership.Leadership(
+            leadership.LeaseTiming(settings.lease)
+        )
+        self._next_try = 0.0
+        self._placers: dict[placement.Target, placement.Placer] = {}
+        self._given: dict[str, tuple[placement.Placer, str]] = {}
+        self._status = Status()
+
+    def on_receive(self, message) -> None:
+        """Handle one message."""
+        if isinstance(message, Tick):
+            self._tick(message)
+        elif isinstance(message, Reply):
+            self._take_reply(message.reply)
+        elif isinstance(message, Resign):
+            self._resign()
+
+    def on_failure(self, exception_type, exception_value, traceback) -> None:
+        """Say so; another actor takes its place and the lease lapses."""
+        logging.error('leader failed: %r', exception_value)
+
+    def _tick(self, tick: Tick) -> None:
+        now = self._clock()
+        if self._leadership.term is None:
+            if tick.candidate and now >= self._next_try:
+                self._campaign()
+        elif self._leadership.needs_renewal(now):
+            self._renew()
+        self._place(tick.targets)
+        self._report()
+
+    def _pause(self) -> None:
+        share = random.uniform(_LEAST_PAUSE, _MOST_PAUSE)
+        self._next_try = self._clock() + self._settings.lease * share
+
+    def _campaign(self) -> None:
+        self._pause()
+        read = self._keys.read(self._model)
+        if isinstance(read, result.Err):
+            return
+        if read.ok_value is not None:
+            self._set(leader=read.ok_value.name, fence=read.ok_value.fence)
+            return
+        lease = self._settings.lease
+        acquired = self._keys.acquire(self._model, self._name, lease)
+        if isinstance(acquired, result.Err) or acquired.ok_value is None:
+            return
+        term = acquired.ok_value
+        self._leadership.begin(term)
+        self._placers.clear()
+        self._given.clear()
+        self._set(leader=self._name, fence=term.fence)
+        logging.info('leads model %s, fence %d', self._model, term.fence)
+
+    def _renew(self) -> None:
+        renewed = self._keys.renew(self._leadership.term)
+        if isinstance(renewed, result.Err):
+            # The own deadline goes on; the next tick tries again.
+            return
+        if renewed.ok_value is None:
+            logging.warning('the lease for %s has lapsed', self._model)
+            self._end()
+        else:
+            self._leadership.renew(renewed.ok_value)
+
+    def _end(self) -> None:
+        self._leadership.end()
+        self._placers.clear()
+        self._given.clear()
+        self._set(leader='', fence=0)
+        self._pause()
+
+    def _resign(self) -> None:
+        term = self._leadership.term
+        if term is not None:
+            logging.info('gives up the lead of model %s', self._model)
+            self._end()
+            self._keys.resign(term)
+
+    def _place(self, targets: tuple[placement.Target, ...]) -> None:
+        now = self._clock()
+        if self._leadership.get_fence(now) is None:
+            return
+        enough = self._view.sees_enough()
+        self._set(sees_enough=enough)
+        engines = self._view.list_engines()
+        for target in targets:
+            placer = self._find_placer(target)
+            if not enough:
+                placer.wait()
+                continue
+            for order in placer.decide(now, engines):
+                self._give(placer, order)
+        for target in self._placers.keys() - set(targets):
+            del self._placers[target]
+
+    def _find_placer(self, target: placement.Target) -> placement.Placer:
+        placer = self._placers.get(target)
+        if placer is None:
+            settings = placement.PlacerSettings(
+                self._settings.patience,
+                self._settings.max_orders,
+                self._settings.order_timeout,
+            )
+            placer = placement.Placer(target, settings)
+            self._placers[target] = placer
+        return placer
+
+    def _give(self, placer: placement.Placer, order: placement.Order) -> None:
+        # Asked for each order: this process may have been paused since
+        # the last time.
+        now = self._clock()
+        fence = self._leadership.get_fence(now)
+        if fence is None:
+            placer.fail(order.agent, now)
+            return
+        message = _build_order(order, fence, self._name)
+        self._given[message.order_id] = placer, order.agent
+        logging.info('orders %s to hold %s', order.agent, order.holding)
+        if not self._view.send(order.agent, message):
+            placer.fail(order.agent, now)
+
+    def _take_reply(self, reply: link_pb2.OrderReply) -> None:
+        given = self._given.get(reply.order_id)
+        if given is None or reply.accepted:
+            return
+        placer, agent = given
+        logging.warning('%s refused an order: %s', agent, reply.detail)
+        self._set(refusals=self._status.refusals + 1)
+        placer.fail(agent, self._clock())
+        if reply.detail in _DEPOSED:
+            # Another leads, or the engine has seen a higher number from
+            # the leader of another model: a new term has a higher one.
+            self._resign()
+
+    def _set(self, **fields) -> None:
+        self._status = attrs.evolve(self._status, **fields)
+
+    def _report(self) -> None:
+        placers = self._placers.values()
+        opened = {
+            order.agent: order
+            for placer in placers
+            for order in placer.list_open()
+        }
+        self._given = {
+            order_id: given
+            for order_id, given in self._given.items()
+            if given[1] in opened
+        }
+        self._set(
+            phase=self._leadership.get_phase(self._clock()),
+            orders=tuple(opened.values()),
+            missing=tuple(
+                span for placer in placers for span in placer.list_missing()
+            ),
+        )
+        self._publish(self._status)
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/placement.py
@@ -0,0 +1,179 @@
+"""The models whose placement this entry leads or may come to lead."""
+
+import collections
+import threading
+from typing import Any, Iterable, Protocol
+
+import attrs
+import pykka
+
+from dunlintide_adapters import leaders as leader_keys
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import fleet as core_fleet
+from dunlintide_core import leadership
+from dunlintide_core import placement
+from dunlintide_core import settings as settings_module
+from dunlintide_daemon.entry import configuration
+from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import leader
+
+__all__ = [
+    'Placement',
+]
+
+TICK_SECONDS = 0.25
+_RESIGN_SECONDS = 3.0
+_LIVE = 'live'
+
+
+class _Host(Protocol):
+    """One host of the platform's list."""
+
+    name: str
+    role: str
+    state: str
+    failure_domain: str
+
+
+def _build_engine(agent: fleet.Agent) -> placement.Engine:
+    endpoint = agent.peer.endpoint
+    holding = placement.Holding(
+        endpoint.model,
+        endpoint.version,
+        endpoint.layer_start,
+        endpoint.layer_end,
+    )
+    work = agent.load.running + agent.load.queued
+    name = agent.peer.name
+    return placement.Engine(name, holding, work, endpoint.max_layers)
+
+
+class Placement:
+    """Keeps a leader actor for each model that has this candidate."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        keys: leader_keys.Leaders,
+        fleet_view: fleet.Fleet,
+        holder: configuration.Holder,
+    ) -> None:
+        """Begin without models."""
+        self._settings = settings
+        self._keys = keys
+        self._fleet = fleet_view
+        self._holder = holder
+        self._entries: tuple[leadership.Candidate, ...] = ()
+        self._listed = 0
+        # Each change of these is one assignment, by one thread.
+        self._actors: dict[str, pykka.ActorRef] = {}
+        self._status: dict[str, leader.Status] = {}
+        self._view = leader.View(
+            self._list_engines, self._sees_enough, self._send
+        )
+
+    def note_hosts(self, hosts: Iterable[_Host]) -> None:
+        """Take in the host list."""
+        live = [host for host in hosts if host.state == _LIVE]
+        self._entries = tuple(
+            leadership.Candidate(host.name, host.failure_domain)
+            for host in live
+            if host.role == core_fleet.Role.ENTRY
+        )
+        self._listed = sum(host.role == core_fleet.Role.AGENT for host in live)
+
+    def _list_engines(self) -> list[placement.Engine]:
+        return [
+            _build_engine(agent)
+            for agent in self._fleet.list_usable()
+            if agent.peer.endpoint.kind is core_fleet.EndpointKind.ENGINE
+        ]
+
+    def _sees_enough(self) -> bool:
+        linked = len(self._fleet.list_agents())
+        return placement.sees_enough(linked, self._listed)
+
+    def _send(self, name: str, order: link_pb2.Order) -> bool:
+        for agent in self._fleet.list_usable():
+            if agent.peer.name == name:
+                return agent.link.send(link_pb2.Frame(order=order))
+        return False
+
+    def take_reply(self, link: links.Link, reply: link_pb2.OrderReply) -> None:
+        """Hand an agent's answer to the leaders; one knows the order."""
+        for actor in self._actors.values():
+            if actor.is_alive():
+                actor.tell(leader.Reply(reply))
+
+    def run(self, done: threading.Event) -> None:
+        """Tick the leaders until the event is set."""
+        while not done.wait(TICK_SECONDS):
+            snapshot = self._holder.snapshot
+            if snapshot is not None:
+                self._tick(snapshot)
+
+    def _tick(self, snapshot: configuration.Snapshot) -> None:
+        targets = collections.defaultdict(list)
+        for model in snapshot.config.models:
+            target = placement.Target(
+                model.name, model.version, model.layers, model.replicas
+            )
+            targets[model.name].append(target)
+        for name, wanted in targets.items():
+            self._tick_model(name, tuple(wanted))
+        for name in self._actors.keys() - targets.keys():
+            self._actors[name].tell(leader.Resign())
+
+    def _tick_model(
+        self, name: str, targets: tuple[placement.Target, ...]
+    ) -> None:
+        candidates = leadership.pick_candidates(
+            name, self._entries, self._settings.placement.candidates
+        )
+        candidate = self._settings.name in candidates
+        actor = self._actors.get(name)
+        if actor is None or not actor.is_alive():
+            if not candidate:
+                return
+            actor = self._start(name)
+        # One tick at a time: a slow store must not fill the mailbox.
+        if actor.actor_inbox.empty():
+            actor.tell(leader.Tick(targets, candidate))
+
+    def _start(self, name: str) -> pykka.ActorRef:
+        def publish(status: leader.Status) -> None:
+            self._status = self._status | {name: status}
+
+        actor = leader.Leader.start(
+            name,
+            self._settings.name,
+            self._keys,
+            self._view,
+            self._settings.placement,
+            publish,
+        )
+        self._actors = self._actors | {name: actor}
+        return actor
+
+    def stop(self) -> None:
+        """Give up all leaderships; call it once ``run`` has ended."""
+        asked = [
+            actor.ask(leader.Resign(), block=False)
+            for actor in self._actors.values()
+            if actor.is_alive()
+        ]
+        for future in asked:
+            try:
+                future.get(timeout=_RESIGN_SECONDS)
+            except (pykka.Timeout, pykka.ActorDeadError):
+                # The lease lapses by itself.
+                continue
+        for actor in self._actors.values():
+            actor.stop(block=False)
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state for a dump: status by model."""
+        return {
+            name: attrs.asdict(status) for name, status in self._status.items()
+        }
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -35,6 +35,7 @@
 from dunlintide_daemon.entry import limits
 from dunlintide_daemon.entry import meter
 from dunlintide_daemon.entry import owners
+from dunlintide_daemon.entry import placement
 from dunlintide_daemon.entry import planning
 from dunlintide_daemon.entry import problems
 from dunlintide_daemon.entry import room
@@ -105,6 +106,7 @@
                 self._sessions.route,
                 self._sessions.lose,
                 lambda agent: self._planner.report(agent),
+                lambda link, reply: self._placement.take_reply(link, reply),
             ),
             links.LinkTiming(timing.ping, timing.silence, timing.redial),
         )
@@ -132,6 +134,9 @@
             self._registry,
         )
         self._state = self._build_state(shared) if shared else None
+        self._placement = placement.Placement(
+            settings, outside.leaders, self._fleet, self._holder
+        )
         self._watch_gauges()
         self._stack = contextlib.ExitStack()
 
@@ -237,6 +242,7 @@
         state['claims'] = self._claims.dump()
         state['limits'] = self._limits.describe()
         state['plans'] = self._planner.describe()
+        state['placement'] = self._placement.describe()
         if self._state is not None:
             state['state'] = self._state.dump()
         return {'name': self.settings.name, 'leaving': self.leaving} | state
@@ -281,6 +287,7 @@
                 self._fleet.update(hosts.ok_value)
                 self._limits.exchange.update(hosts.ok_value)
                 self._claims.keep(self._owners.update(hosts.ok_value))
+                self._placement.note_hosts(hosts.ok_value)
             else:
                 logging.warning('host list not read: %s', hosts.err_value)
             self.done.wait(pause)
@@ -294,6 +301,9 @@
     def _follow_configuration(self) -> None:
         self._outside.follow_configuration(self._holder.adopt, self.done)
 
+    def _place(self) -> None:
+        self._placement.run(self.done)
+
     def _renew_limits(self) -> None:
         self._limits.follow(self.done)
 
@@ -325,6 +335,9 @@
             stack.callback(self._admin.stop)
             self._start(self._poll_hosts, 'hosts')
             self._start(self._plan, 'planner')
+            if self._outside.leaders is not None:
+                stack.callback(self._placement.stop)
+                self._start(self._place, 'placement')
             self._start(self._renew_limits, 'limits')
             stack.callback(self.done.set)
             self._http.start()
--- a/packages/daemon/src/dunlintide_daemon/entry/sources.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/sources.py
@@ -10,6 +10,7 @@
 
 from dunlintide_adapters import claims as claim_writers
 from dunlintide_adapters import configstore
+from dunlintide_adapters import leaders as leader_keys
 from dunlintide_adapters import metrics
 from dunlintide_adapters import store
 from dunlintide_core import configuration
@@ -57,12 +58,15 @@
     :ivar follow_configuration: hands on each new configuration until the
         event is set
     :ivar writer: makes claims
+    :ivar leaders: leaderships in the store; without them this entry
+        leads nothing
     :ivar close: closes all of them
     """
 
     read_hosts: Callable[[], result.Result[Iterable[fleet.Host], object]]
     follow_configuration: Callable[[Adopt, threading.Event], None]
     writer: claims.Writer
+    leaders: leader_keys.Leaders | None = None
     close: Callable[[], None] = lambda: None
 
     @classmethod
@@ -99,4 +103,10 @@
                     poll_seconds=timing.configuration_poll,
                 )
 
-            return cls(listed.read, follow, writer, stack.pop_all().close)
+            return cls(
+                listed.read,
+                follow,
+                writer,
+                leader_keys.Leaders(client),
+                stack.pop_all().close,
+            )
