Measure throughput and reaction with real processes

The bound and the reaction to a slow stage were only measured in an event model. `throughput.bound` and `throughput.degraded` now also start twelve engines of six kinds, 50 to 600 tokens/s each, behind agents and entries. Their steps sleep, so that a full batch of 16 delivers what was declared, and all processes together use about one core.

--- a/packages/trials/src/dunlintide_trials/blueprints.py
+++ b/packages/trials/src/dunlintide_trials/blueprints.py
@@ -35,6 +35,8 @@
     :ivar replicas: number of engines, spread over the failure domains
     :ivar tokens_per_second: declared capacity of one
     :ivar step_seconds: fixed time of one step of the engine
+    :ivar token_seconds: time that a token adds to a step
+    :ivar step_tokens: bound on the tokens of a step
     :ivar max_in_flight: bound on its concurrent requests, 0 for none
     :ivar checks_fence: whether it refuses orders with an old fence
     """
@@ -45,6 +47,8 @@
     accelerator: str = ''
     tokens_per_second: float = 0.0
     step_seconds: float = 0.002
+    token_seconds: float = 0.0001
+    step_tokens: int = 8192
     max_in_flight: int = 0
     checks_fence: bool = False
 
--- a/packages/trials/src/dunlintide_trials/cases/throughput.py
+++ b/packages/trials/src/dunlintide_trials/cases/throughput.py
@@ -1,7 +1,8 @@
-"""Throughput over the max-flow bound, in an event model of the stages.
+"""Throughput over the max-flow bound, in an event model and in processes.
 
-These figures come from ``dunlintide_trials.stages``, not from processes;
-its docstring gives the assumptions. Six fleets are drawn, each with six
+Figures named ``processes`` come from real processes, all others from
+``dunlintide_trials.stages``; its docstring gives the assumptions. Six
+fleets are drawn, each with six
 kinds of accelerator in each of four layer ranges, three failure domains
 and links that differ a hundredfold; three entries route. The value is
 that of the worst fleet.
@@ -9,6 +10,7 @@
 
 from collections.abc import Callable, Iterator
 import random
+import time
 
 import attrs
 
@@ -16,6 +18,7 @@
 from dunlintide_trials import figures
 from dunlintide_trials import mixes
 from dunlintide_trials import routing
+from dunlintide_trials import saturation
 from dunlintide_trials import stages
 
 __all__ = ['CASES']
@@ -36,6 +39,12 @@
 REACTED_SECONDS = 5.0
 SLOWDOWN = 10.0
 
+# Callers that fill the batches of all processes' engines twice.
+STREAMS = 384
+PROCESS_WARM_UP_SECONDS = 10.0
+PROCESS_OFFERED = 0.8
+
+_PROCESSES = '12 engines of 6 kinds, a process each'
 _MEAN_TOKENS = sum(stages.SESSION_TOKENS) / 2
 _MODEL = 'event model, worst of 6 fleets'
 
@@ -102,8 +111,78 @@
     return model.rate(WARM_UP_SECONDS, end) / plan.bound
 
 
+def _saturate(running, entries: tuple[int, ...]) -> float:
+    with saturation.Streams(running, entries, STREAMS) as streams:
+        time.sleep(PROCESS_WARM_UP_SECONDS)
+        rate = streams.measure(WINDOW_SECONDS)
+        if streams.count_failed():
+            raise RuntimeError(f'{streams.count_failed()} streams failed')
+        return rate
+
+
+def _measure_bound_processes() -> Iterator[figures.Figure]:
+    """Measure real processes with enough streams to fill all chains."""
+    routings = ('planned', 'planned', 'round-robin', 'round-robin')
+    with saturation.run(routings) as running:
+        bound = saturation.find_bound(saturation.list_stops(running))
+        planned = _saturate(running, (0, 1))
+        in_turn = _saturate(running, (2, 3))
+    yield figures.at_least(
+        'throughput.bound.processes',
+        planned / bound,
+        '1',
+        BOUND_TARGET,
+        in_turn / bound,
+        f'{_PROCESSES}, {STREAMS} callers; bound {bound:.0f} tokens/s; '
+        'baseline: round robin',
+    )
+
+
+def _measure_degraded_processes() -> Iterator[figures.Figure]:
+    """Measure real processes from 5 s to 10 s after a stage slows.
+
+    The busiest endpoint's steps take ten times as long. Requests come
+    at a rate that the deployment carried before.
+    """
+    with saturation.run(('planned', 'planned')) as running:
+        stops = saturation.list_stops(running)
+        before = saturation.find_bound(stops)
+        slow = max(stops, key=lambda stop: stop.capacity)
+        after = saturation.find_bound(
+            (
+                attrs.evolve(stop, capacity=stop.capacity / SLOWDOWN)
+                if stop is slow
+                else stop
+            )
+            for stop in stops
+        )
+        arrivals = PROCESS_OFFERED * before / saturation.MEAN_TOKENS
+        entries = (0, 1)
+        with saturation.Streams(
+            running, entries, arrivals=arrivals
+        ) as streams:
+            time.sleep(PROCESS_WARM_UP_SECONDS)
+            sound = streams.measure(WINDOW_SECONDS)
+            engine = slow.agent.removeprefix('agent-')
+            running.control(engine, slow_factor=SLOWDOWN)
+            time.sleep(REACTION_SECONDS)
+            reacted = streams.measure(REACTED_SECONDS)
+            failed = streams.count_failed()
+    yield figures.at_least(
+        'throughput.degraded.processes',
+        reacted / after,
+        '1',
+        DEGRADED_TARGET,
+        sound / before,
+        f'{_PROCESSES}, arrivals at {PROCESS_OFFERED} of the bound; bound '
+        f'{before:.0f}, then {after:.0f} tokens/s; {failed} failed; '
+        'baseline: before the fault, of the old bound',
+    )
+
+
 def measure_bound() -> Iterator[figures.Figure]:
     """Measure policies with enough sessions to fill all chains."""
+    yield from _measure_bound_processes()
     reached = {
         policy: min(_reach(policy, seed) for seed in SEEDS)
         for policy in (_route, _take_turns, _take_least, _take_shares)
@@ -188,6 +267,8 @@
     stage ask for nothing else; that is given beside arrivals at a rate.
     """
 
+    yield from _measure_degraded_processes()
+
     def worst(policy: _Policy, slow, opened: bool) -> float:
         return min(_react(policy, slow, opened, seed) for seed in SEEDS)
 
--- a/packages/trials/src/dunlintide_trials/client.py
+++ b/packages/trials/src/dunlintide_trials/client.py
@@ -160,13 +160,16 @@
         path: str,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        answer: Answer | None = None,
     ) -> Answer:
         """Send any request and read its answer.
 
         :param path: path under the entry's URL
         :param headers: added to the bearer key
+        :param answer: filled in place, for a thread that watches it
         """
-        answer = Answer(started=time.monotonic())
+        answer = Answer() if answer is None else answer
+        answer.started = time.monotonic()
         try:
             response = self._pool.request(
                 method,
@@ -194,8 +197,12 @@
         max_tokens: int = 16,
         stream: bool = False,
         idempotency_key: str | None = None,
+        answer: Answer | None = None,
     ) -> Answer:
-        """Ask for a completion."""
+        """Ask for a completion.
+
+        :param answer: as for ``send``
+        """
         request = {
             'model': model,
             'prompt': prompt,
@@ -206,7 +213,8 @@
         if idempotency_key is not None:
             headers['Idempotency-Key'] = idempotency_key
         body = json.dumps(request).encode()
-        return self.send('POST', '/v1/completions', body, headers)
+        path = '/v1/completions'
+        return self.send('POST', path, body, headers, answer)
 
     def call_service(
         self,
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/direct.py
@@ -0,0 +1,102 @@
+"""Drives the engines of a chain without dunlintide, as a baseline.
+
+It sends the same steps over HTTP from one loop, one after the other, with
+no process in between.
+"""
+
+import time
+from typing import Iterable
+
+import attrs
+import urllib3
+
+from dunlintide_trials import deployment
+
+__all__ = ['Chain', 'Times']
+
+_MS = 1000.0
+
+
+@attrs.frozen
+class Times:
+    """Times of one request, in milliseconds."""
+
+    first: float
+    between: float
+
+    @classmethod
+    def from_moments(cls, start: float, moments: list[float]) -> 'Times':
+        """Compute them from when the request and its tokens came."""
+        span = (moments[-1] - moments[0]) / (len(moments) - 1)
+        return cls((moments[0] - start) * _MS, span * _MS)
+
+
+class Chain:
+    """Drives the engines of a chain without dunlintide."""
+
+    def __init__(self, urls: Iterable[str], prompt: str, tokens: int) -> None:
+        """Remember what to ask.
+
+        :param urls: engines in the order of their layers
+        :param tokens: number of tokens of each answer
+        """
+        self._urls = list(urls)
+        self._prompt = prompt
+        self._tokens = tokens
+        self._http = urllib3.PoolManager(retries=False)
+
+    @classmethod
+    def from_first(
+        cls, running: deployment.Deployment, prompt: str, tokens: int
+    ) -> 'Chain':
+        """Take the first engine of each range of layers."""
+        found: dict[int, str] = {}
+        for agent in running.plan.agents:
+            endpoint = agent.endpoint
+            if endpoint.kind == deployment.ENGINE:
+                start = endpoint.settings['layer_start']
+                found.setdefault(start, endpoint.standin.url)
+        pipeline = running.plan.blueprint.pipelines[0]
+        starts = sorted({stage.layer_start for stage in pipeline.stages})
+        return cls((found[start] for start in starts), prompt, tokens)
+
+    def _step(self, url: str, step: dict) -> dict:
+        answer = self._http.request(
+            'POST', f'{url}/v1/steps', json={'steps': [step]}
+        )
+        return answer.json()['results'][0]
+
+    def _run_stages(self, session: str, position: int, span: dict) -> dict:
+        """Run a span through all stages; returns the token."""
+        result = span
+        for index, url in enumerate(self._urls):
+            is_last = index == len(self._urls) - 1
+            step = {
+                'session': session,
+                'epoch': 1,
+                'member': 'bench',
+                'position': position,
+                'max_tokens': self._tokens,
+                'prompt_tokens': len(self._prompt.split()),
+                'last_stage': is_last,
+            }
+            result = self._step(url, step | span)
+            span = {'activations': result.get('activations')}
+        return result['token']
+
+    def run(self, session: str) -> Times:
+        """Run one request to its end."""
+        start = time.monotonic()
+        moments = []
+        position = 0
+        span: dict = {'prompt': self._prompt}
+        size = len(self._prompt.split())
+        for _ in range(self._tokens):
+            token = self._run_stages(session, position, span)
+            moments.append(time.monotonic())
+            position += size
+            size = 1
+            span = {'tokens': [token['id']]}
+        for url in self._urls:
+            self._http.request('DELETE', f'{url}/v1/sessions/{session}')
+        return Times.from_moments(start, moments)
--- a/packages/trials/src/dunlintide_trials/launcher.py
+++ b/packages/trials/src/dunlintide_trials/launcher.py
@@ -148,6 +148,7 @@
     *,
     hops: Iterable[layout.Hop] = (),
     timing: Mapping[str, float] | None = None,
+    routings: Iterable[str] = (),
 ) -> Iterator[deployment.Deployment]:
     """Start a deployment and stop all of it at the end of the block.
 
@@ -157,6 +158,7 @@
     :param folder: empty work folder
     :param hops: where to put relays, which ``Deployment.relays`` has
     :param timing: the ``timing`` part of the daemons' settings
+    :param routings: the ``routing`` of the entries, in their order
     :raises processes.StartError: when a process doesn't become ready
     """
     with contextlib.ExitStack() as stack:
@@ -169,6 +171,7 @@
             plan,
             relayed={place: one.port for place, one in relays.items()},
             timing=dict(timing or {}),
+            routings=tuple(routings),
         )
         layout.write_files(plan, folder)
         keys = layout.make_keys([one['name'] for one in rules['members']])
--- a/packages/trials/src/dunlintide_trials/layout.py
+++ b/packages/trials/src/dunlintide_trials/layout.py
@@ -1,5 +1,6 @@
 """Names, addresses and settings of the processes of a deployment."""
 
+import collections
 import enum
 import json
 import pathlib
@@ -172,10 +173,14 @@
         """Build the settings of the daemon."""
         settings = self._build_settings(plan, 'entry')
         store = plan.find_port(Hop.ENTRY_STORE, self.name, plan.store.port)
-        return settings | {
+        settings |= {
             'listen': _make_address(self.port),
             'store_url': _make_url(store),
         }
+        number = plan.entries.index(self)
+        if number < len(plan.routings):
+            settings['routing'] = plan.routings[number]
+        return settings
 
 
 @attrs.frozen
@@ -184,6 +189,7 @@
 
     :ivar relayed: port of the relay on a hop, by hop and daemon
     :ivar timing: the ``timing`` part of every daemon's settings
+    :ivar routings: the ``routing`` of entries, by their numbers
     """
 
     blueprint: blueprints.Blueprint
@@ -194,6 +200,7 @@
     entries: tuple[EntryPlan, ...]
     relayed: dict[tuple[Hop, str], int] = attrs.field(factory=dict)
     timing: dict[str, float] = attrs.field(factory=dict)
+    routings: tuple[str, ...] = ()
 
     def find_port(self, hop: Hop, daemon: str, port: int) -> int:
         """Give the port of the relay on a hop, or the given one."""
@@ -225,6 +232,8 @@
         f'--layer_start={stage.layer_start}',
         f'--layer_end={stage.layer_end}',
         f'--base_seconds={stage.step_seconds}',
+        f'--seconds_per_token={stage.token_seconds}',
+        f'--max_batch_tokens={stage.step_tokens}',
         f'--checks_fence={str(stage.checks_fence).lower()}',
         f'--crash_marker={blueprints.CRASH_MARKER}',
     )
@@ -250,21 +259,29 @@
     weights_url: str,
 ) -> list[EndpointPlan]:
     domains = blueprint.failure_domains
-    return [
-        _plan_engine(
-            pipeline,
-            stage,
-            f'{pipeline.model}-{stage.layer_start}-{replica}',
-            # Neighbouring stages of one replica stand apart, so that a
-            # chain crosses failure domains.
-            domains[(number + replica) % len(domains)],
-            reserved.reserve(),
-            weights_url,
-        )
-        for pipeline in blueprint.pipelines
-        for number, stage in enumerate(pipeline.stages)
-        for replica in range(stage.replicas)
-    ]
+    planned = []
+    for pipeline in blueprint.pipelines:
+        # Stages of several accelerators may hold the same layers.
+        counts: collections.Counter[int] = collections.Counter()
+        starts = sorted({stage.layer_start for stage in pipeline.stages})
+        for stage in pipeline.stages:
+            for _ in range(stage.replicas):
+                number = starts.index(stage.layer_start)
+                replica = counts[stage.layer_start]
+                counts[stage.layer_start] += 1
+                planned.append(
+                    _plan_engine(
+                        pipeline,
+                        stage,
+                        f'{pipeline.model}-{stage.layer_start}-{replica}',
+                        # Neighbouring stages of one replica stand apart,
+                        # so that a chain crosses failure domains.
+                        domains[(number + replica) % len(domains)],
+                        reserved.reserve(),
+                        weights_url,
+                    )
+                )
+    return planned
 
 
 def _plan_spares(
