--- a/packages/daemon/src/dunlintide_daemon/entry/fleet.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/fleet.py
@@ -14,6 +14,7 @@
 from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
+from dunlintide_daemon.entry import hellos
 
 __all__ = [
     'Agent',
@@ -72,58 +73,6 @@
     )
 
 
-def _read_endpoint(message: link_pb2.Endpoint) -> fleet.Endpoint | None:
-    try:
-        kind = fleet.EndpointKind(message.kind)
-    except ValueError:
-        return None
-    return fleet.Endpoint(
-        kind=kind,
-        model=message.model,
-        version=message.version,
-        layer_start=message.layer_start,
-        layer_end=message.layer_end,
-        layer_count=message.layer_count,
-        accelerator=message.accelerator,
-        service=message.service,
-        tokens_per_second=message.tokens_per_second,
-        checks_fence=message.checks_fence,
-        max_in_flight=message.max_in_flight,
-        max_layers=message.max_layers,
-    )
-
-
-def _read_peer(hello: link_pb2.Hello) -> fleet.Peer | None:
-    if hello.role != fleet.Role.AGENT or not hello.HasField('endpoint'):
-        return None
-    endpoint = _read_endpoint(hello.endpoint)
-    if endpoint is None:
-        return None
-    return fleet.Peer(
-        name=hello.name,
-        role=fleet.Role.AGENT,
-        incarnation=hello.incarnation,
-        failure_domain=hello.failure_domain,
-        region=hello.region,
-        address=hello.address,
-        endpoint=endpoint,
-        leaving=hello.leaving,
-    )
-
-
-def _read_load(message: link_pb2.Load) -> fleet.LoadReport:
-    return fleet.LoadReport(
-        running=message.running,
-        queued=message.queued,
-        cap=message.cap,
-        kv_usage=message.kv_usage,
-        step_seconds=message.step_seconds,
-        tokens_per_second=message.tokens_per_second,
-        generation=message.generation,
-        away=message.away,
-    )
-
-
 class Fleet:
     """Keeps a link to each listed agent and tells which are usable."""
 
@@ -186,7 +135,7 @@
         return [self._dialers.pop(address) for address in gone]
 
     def _up(self, link: links.Link) -> None:
-        peer = _read_peer(link.peer)
+        peer = hellos.read_peer(link.peer)
         if peer is None:
             return
         with self._lock:
@@ -233,7 +182,7 @@
             if body == 'leaving':
                 agent = attrs.evolve(agent, leaving=True)
             else:
-                load = _read_load(frame.load)
+                load = hellos.read_load(frame.load)
                 agent = attrs.evolve(agent, load=load, heard=time.monotonic())
             self._agents[link.peer.name] = agent
         if body == 'load':
--- a/packages/trials/src/dunlintide_trials/streams.py
+++ b/packages/trials/src/dunlintide_trials/streams.py
@@ -145,6 +145,12 @@
     def release(self, binding: claims.Binding, timeout: float):
         return result.Err('no store')
 
+    def pace(self, writers: int) -> None:
+        pass
+
+    def dump(self) -> dict:
+        return {}
+
 
 @contextlib.contextmanager
 def _serve_entry(addresses: list[str]) -> Iterator[int]:
