--- a/features/agent.feature
+++ b/features/agent.feature
@@ -25,6 +25,13 @@
     Then each request gets exactly the model's tokens and an end mark
     And the second agent has counted "duplicate-step", "stale-step" and "unknown-step"
 
+  Scenario: Frames of other epochs and requests do not reach an answer
+    Given 3 agents of 4 layers each
+    And each engine step takes 0.02 s
+    When two requests for 12 tokens run while their answers' frames come twice, late and crossed
+    Then each request gets exactly the model's tokens and an end mark
+    And the head has counted "duplicate-token", "stale-token" and "unknown-token"
+
   Scenario: A gap ends the epoch and not the answer's order
     Given 3 agents of 4 layers each
     And each engine step takes 0.05 s
--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -300,9 +300,42 @@
     )
 
 
+@behave.when(
+    "two requests for {tokens:d} tokens run while their answers' frames come "
+    'twice, late and crossed'
+)
+def cross(context, tokens):
+    context.asked = {}
+    for name in ('r1', 'r2'):
+        open_request(context, name, tokens, epoch=3)
+        wait_tokens(context, name, 2)
+    rogue = Caller(context.agents[0].address)
+    context.stack.callback(rogue.dialer.stop)
+    # What the other request got, as if it were this one's.
+    crossed = {'id': 1, 'text': 'wrong', 'request_id': 'r1'}
+    for name, epoch, index in (
+        ('r1', 3, 0),
+        ('r1', 2, 2),
+        ('r1', 4, 2),
+        ('gone', 3, 2),
+    ):
+        fields = crossed | {'request_id': name}
+        token = link_pb2.Token(epoch=epoch, index=index, **fields)
+        rogue.send(token=token)
+        rogue.send(token=token)
+    rogue.send(done=link_pb2.Done(request_id='r1', epoch=2, tokens=2))
+    rogue.send(fail=link_pb2.Fail(request_id='r2', epoch=2, code='gap'))
+    rogue.send(cancel=link_pb2.Cancel(request_id='r2', epoch=3))
+
+
+@behave.then('the head has counted "{a}", "{b}" and "{c}"')
+def check_head_drops(context, a, b, c):
+    check_drops(context, a, b, c, agent=0)
+
+
 @behave.then('the second agent has counted "{a}", "{b}" and "{c}"')
-def check_drops(context, a, b, c):
-    counts = context.agents[1].counts
+def check_drops(context, a, b, c, agent=1):
+    counts = context.agents[agent].counts
     wait_until(
         lambda: all(counts.get_drops().get(name) for name in (a, b, c)),
         'drops',
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/cases/recovery.py
@@ -0,0 +1,193 @@
+"""How long callers wait when processes die."""
+
+import collections
+import statistics
+import threading
+import time
+from typing import Callable, Iterator
+
+from dunlintide_core import outcomes
+from dunlintide_trials import client
+from dunlintide_trials import deployment
+from dunlintide_trials import figures
+from dunlintide_trials import launcher
+from dunlintide_trials import processes
+from dunlintide_trials import records
+from dunlintide_trials import steady
+
+__all__ = ['CASES']
+
+ROUNDS = 5
+TOKENS = 60
+PROMPT = 'Write the dinner specials of a diner on the interstate'
+ENTRY_BOUND_SECONDS = 5.0
+
+THREADS = 6
+SHORT_TOKENS = 8
+WARM_SECONDS = 4.0
+AFTER_SECONDS = 12.0
+# A request that takes so many times what is usual counts as disturbed.
+SLOWNESS = 4.0
+# The host list shows a failure so late; the brief has it lag a minute.
+LIST_LAG_SECONDS = 10.0
+DOMAIN_BOUND_SECONDS = 8.0
+_WAIT_SECONDS = 30.0
+_REPEAT_SECONDS = 0.1
+# Links are lost at once when hosts die, and when they vanish only by
+# their silence.
+_HARMS: dict[str, Callable[[processes.Process], None]] = {
+    'killed': processes.Process.kill,
+    'vanished': processes.Process.pause,
+}
+
+
+def _wait_tokens(running: deployment.Deployment, key: str) -> None:
+    """Wait until a keyed request has some tokens."""
+
+    def has_tokens() -> bool:
+        return any(
+            run['idempotency_key'] == key and run['positions'] > TOKENS // 2
+            for run in running.read_runs(deployment.ENGINE)
+        )
+
+    if not processes.wait_for(has_tokens, _WAIT_SECONDS, pause=0.005):
+        raise RuntimeError('the request did not run')
+
+
+def _kill_entry(running: deployment.Deployment, key: str, again: str) -> float:
+    """Kill an entry in mid-stream; returns the seconds to the answer.
+
+    :param key: idempotency key of the request
+    :param again: key under which it is repeated at once
+    """
+    member = next(iter(running.keys))
+    callers = [running.make_caller(entry, member) for entry in (0, 1)]
+
+    def ask(caller: client.Caller, key: str) -> client.Answer:
+        return caller.complete(
+            PROMPT,
+            model=running.model,
+            max_tokens=TOKENS,
+            stream=True,
+            idempotency_key=key,
+        )
+
+    first = threading.Thread(target=ask, args=(callers[0], key))
+    first.start()
+    _wait_tokens(running, key)
+    killed = time.monotonic()
+    running.started['entry-0'].kill()
+    answer = ask(callers[1], again)
+    while answer.outcome == outcomes.Outcome.NOT_RUN:
+        # As a caller does that is told that it may send it again.
+        time.sleep(_REPEAT_SECONDS)
+        answer = ask(callers[1], again)
+    first.join()
+    asked = records.Asked(member, answer, PROMPT, TOKENS)
+    wrong = records.check_text(
+        asked, model=running.model, layers=running.layers
+    )
+    if wrong or not answer.is_complete:
+        raise RuntimeError(f'{answer.outcome}: {answer.error} {wrong}')
+    running.restart('entry-0')
+    return answer.ended - killed
+
+
+def measure_entry() -> Iterator[figures.Figure]:
+    """Measure from an entry's death to the answer through another one."""
+    found, anew = [], []
+    with launcher.run_small() as running:
+        for agent in running.plan.agents:
+            if agent.endpoint.kind == deployment.ENGINE:
+                name = agent.endpoint.standin.name
+                running.control(name, slow_factor=3.0)
+        for number in range(ROUNDS):
+            key = f'recovery-{number}'
+            found.append(_kill_entry(running, key, key))
+            other = f'recovery-other-{number}'
+            anew.append(_kill_entry(running, other, f'{other}-anew'))
+    yield figures.at_most(
+        'recovery.entry',
+        round(statistics.median(found), 3),
+        's',
+        ENTRY_BOUND_SECONDS,
+        round(statistics.median(anew), 3),
+        f'median of {ROUNDS}, kill -9 in the midst of {TOKENS} tokens to the '
+        'whole answer under the same key; baseline: asked anew',
+    )
+
+
+def _show_hosts(
+    running: deployment.Deployment, gone: str, since: float
+) -> float:
+    """Take a domain off the host list; returns when that showed."""
+    name = running.plan.host_list.name
+    url = f'{running.plan.host_list.url}/hosts'
+    hosts = running.get_json(url)['hosts']
+    kept = [one for one in hosts if one['failure_domain'] != gone]
+    running.control(name, hosts=kept, lag_seconds=LIST_LAG_SECONDS)
+    running.control(name, hosts=kept)
+
+    def shows() -> bool:
+        return len(running.get_json(url)['hosts']) == len(kept)
+
+    if not processes.wait_for(shows, 2 * LIST_LAG_SECONDS):
+        raise RuntimeError('the host list did not change')
+    return time.monotonic() - since
+
+
+def _lose_domain(
+    harm: str, domain: str
+) -> tuple[steady.SteadyLoad, float, float]:
+    """Lose a failure domain under load.
+
+    :returns: the load, the moment of the loss, and the seconds until the
+        host list showed it
+    """
+    with launcher.run_small() as running:
+        entries = [
+            number
+            for number, entry in enumerate(running.plan.entries)
+            if entry.failure_domain != domain
+        ]
+        load = steady.SteadyLoad(running, entries, THREADS, SHORT_TOKENS)
+        load.start()
+        time.sleep(WARM_SECONDS)
+        lost = time.monotonic()
+        for process in running.started.values():
+            if process.failure_domain == domain:
+                _HARMS[harm](process)
+        listed = _show_hosts(running, domain, lost)
+        time.sleep(max(0.0, AFTER_SECONDS - listed))
+        load.stop()
+    return load, lost, listed
+
+
+def measure_domain() -> Iterator[figures.Figure]:
+    """Measure how long the loss of a failure domain disturbs requests."""
+    for harm in _HARMS:
+        # The last domain of the small deployment has no plain service.
+        load, lost, listed = _lose_domain(harm, 'temple')
+        disturbed = load.find_disturbed(lost, SLOWNESS)
+        last = max((one.ended for one in disturbed), default=lost)
+        after = [one for one in load.samples if one.ended > lost]
+        failed = collections.Counter(
+            f'{one.outcome} ({one.code})' if one.code else one.outcome
+            for one in after
+            if not one.is_complete
+        )
+        kinds = ', '.join(f'{n} {name}' for name, n in failed.items())
+        yield figures.at_most(
+            f'recovery.domain.{harm}',
+            round(last - lost, 3),
+            's',
+            DOMAIN_BOUND_SECONDS,
+            round(listed, 3),
+            f'until all requests are complete in under {SLOWNESS:.0f} times '
+            f'the usual; {len(after)} requests after the loss, '
+            f'{len(disturbed)} disturbed, not complete: {kinds or "none"}; '
+            'baseline: until the host list showed the loss',
+        )
+
+
+CASES = [measure_entry, measure_domain]
