Grant the free part of a member's slots too

Cause: an entry was granted only as many slots as it used and one more, so a member whose limit was 96 was refused its third request in a burst.

Change: slots that nobody asked for are spread, as rates are.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -18,3 +18,8 @@
     When one is asked until a member has 10 requests in flight there
     And these requests end
     Then the other entry comes to admit 10 requests
+
+  Scenario: A burst is admitted while most of the limit is free
+    Given two linked entries that share limits
+    When one is asked until a member has 1 requests in flight there
+    Then 4 more are admitted there at once
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -195,3 +195,17 @@
 @behave.then('the other entry comes to admit {count:d} requests')
 def check_other_admits(context, count):
     ask_until(context, context.nodes[1], count)
+
+
+@behave.then('{count:d} more are admitted there at once')
+def check_burst(context, count):
+    first = context.nodes[0].limits
+    key = ('member', RULE.name)
+    deadline = time.monotonic() + WAIT_SECONDS
+    while first._find_grant(key, first._uses[key]).slots <= count:
+        assert time.monotonic() < deadline, 'no room for a burst'
+        for one in context.nodes:
+            one.limits.renew()
+        time.sleep(0.05)
+    refusals = [context.nodes[0].ask() for _ in range(count)]
+    assert not any(refusals), refusals
--- a/packages/core/src/dunlintide_core/limits.py
+++ b/packages/core/src/dunlintide_core/limits.py
@@ -137,7 +137,11 @@
 
 
 def divide_whole(total: int, wants: Mapping[str, int]) -> dict[str, int]:
-    """Divide whole slots as ``divide`` does, without spreading the rest."""
+    """Divide whole slots as ``divide`` does.
+
+    The rest is spread as well, or the second request of a burst would be
+    refused while most of the limit is free.
+    """
     left, shares = total, {}
     waiting = len(wants)
     for name, want in sorted(wants.items(), key=lambda item: item[::-1]):
@@ -145,7 +149,8 @@
         shares[name] = min(want, math.ceil(left / waiting))
         left -= shares[name]
         waiting -= 1
-    return shares
+    rest = left // len(wants)
+    return {name: share + rest for name, share in shares.items()}
 
 
 @attrs.define
