Let stages keep their state when another one of the chain dies

A stage's death made every layer run again over the prompt and all tokens. A stage whose neighbour is lost now holds its session for 10 s, keeps what it sent on in 64 MiB an agent at most, and goes on with a chain that Resume names: the reply says from where activations are wanted, so only the replacement runs positions again. The head holds the run and tells the entry so; without anything kept a stage runs its own layers again. Tokens that the last stage sampled are sent again by index, so none is sampled twice.

--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -19,6 +19,7 @@
     'LogFormat',
     'LogLevel',
     'Placement',
+    'Recovery',
     'Routing',
     'Settings',
     'Timing',
@@ -65,6 +66,17 @@
     ROUND_ROBIN = 'round-robin'
 
 
+class Recovery(enum.StrEnum):
+    """What runs again after the death of a stage.
+
+    With ``replay`` the other stages keep their state; with ``restart``
+    all layers run again.
+    """
+
+    REPLAY = 'replay'
+    RESTART = 'restart'
+
+
 @attrs.frozen
 class Log:
     """What is logged and how."""
@@ -160,12 +172,15 @@
     :ivar threads: requests that an entry serves at the same time
     :ivar queue_per_member: requests that a member may have queued at an
         agent
+    :ivar kept_activation_bytes: activations that an agent keeps, to
+        replay them to the replacement of a lost stage; 0 for none
     """
 
     max_body_bytes: Count = 1 << 20
     max_header_bytes: Count = 64 << 10
     threads: Count = 256
     queue_per_member: Count = 256
+    kept_activation_bytes: Natural = 64 << 20
 
 
 @attrs.frozen
@@ -177,6 +192,7 @@
     :ivar link_listen: where peers connect
     :ivar advertise: how peers reach ``link_listen``; None for the same
     :ivar endpoint: the endpoint beside it; agents only
+    :ivar recovery: what runs again when a stage dies; entries only
     :ivar routing: how an entry chooses chains
     """
 
@@ -195,6 +211,7 @@
     timing: Timing = Timing()
     limits: Limits = Limits()
     placement: Placement = Placement()
+    recovery: Recovery = Recovery.REPLAY
     routing: Routing = Routing.PLANNED
 
 
--- a/packages/daemon/src/dunlintide_daemon/agent/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/dispatch.py
@@ -59,6 +59,8 @@
         pipeline = self._pipeline
         if body == 'step':
             pipeline.take_step(link, frame.step)
+        elif body == 'resume':
+            pipeline.take_resume(link, frame.resume)
         elif body == 'token':
             pipeline.take_token(frame.token)
         elif body == 'done':
--- a/packages/daemon/src/dunlintide_daemon/agent/gate.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/gate.py
@@ -23,12 +23,15 @@
 from dunlintide_daemon.agent import works
 
 __all__ = [
+    'HOLD_SECONDS',
     'Gate',
     'GateSettings',
     'Obstacle',
 ]
 
 _RATE_WEIGHT = 0.3
+# Longer than an entry looks for another chain.
+HOLD_SECONDS = 10.0
 
 
 @attrs.frozen
@@ -163,7 +166,11 @@
         return True
 
     def _adopt(
-        self, work: works.Work, subscriber: works.Subscriber, skip: int
+        self,
+        work: works.Work,
+        subscriber: works.Subscriber,
+        skip: int,
+        obstacle: Obstacle | None,
     ) -> bool:
         """Give a run that nobody takes to a newer epoch of its request.
 
@@ -176,13 +183,37 @@
         if work.epoch <= newest:
             self.counts.drop('stale-open')
             return True
-        if old.detached is None or old.chain_key != work.chain_key:
+        same = old.chain_key == work.chain_key and old.detached is not None
+        if old.held is None and same:
+            self.counts.add('adopted')
+        elif old.finished or obstacle is None and work.take_over(old):
+            self.counts.add('resumed')
+        else:
             self.end(old, stop=True)
             return False
-        self.counts.add('adopted')
         self._answers.attach(old, subscriber, skip)
+        if old.finished:
+            self.end(old)
         return True
 
+    def _attach_claimed(
+        self,
+        entry: ledgers.Entry,
+        work: works.Work,
+        subscriber: works.Subscriber,
+        skip: int,
+        obstacle: Obstacle | None,
+    ) -> None:
+        """Give a claim's run to a repeat, and its chain to a held run."""
+        verdict = ledgers.Verdict.ATTACH
+        self._answers.settle_claim(verdict, entry, subscriber, skip)
+        old = entry.work
+        if old.finished:
+            self.end(old)
+        elif old.held is not None and obstacle is None:
+            if work.take_over(old):
+                self.counts.add('resumed')
+
     def open(
         self,
         work: works.Work,
@@ -201,6 +232,11 @@
         with self.lock:
             if claim is not None:
                 verdict, entry = self.ledger.open(works.read_claim(claim))
+                if verdict is ledgers.Verdict.ATTACH:
+                    self._attach_claimed(
+                        entry, work, subscriber, skip, obstacle
+                    )
+                    return
                 if verdict is not ledgers.Verdict.START:
                     self._answers.settle_claim(
                         verdict, entry, subscriber, skip
@@ -218,7 +254,7 @@
             elif self.fences.has_ended(work.request_id, work.epoch):
                 self.counts.drop('stale-open')
                 return
-            elif self._adopt(work, subscriber, skip):
+            elif self._adopt(work, subscriber, skip, obstacle):
                 return
             if not self._enqueue(work, subscriber, obstacle):
                 if work.entry is not None:
@@ -328,6 +364,42 @@
             if entry is not None and not ran:
                 self.ledger.seal(entry)
 
+    def hold(
+        self,
+        work: works.Work,
+        code: outcomes.FailCode,
+        detail: str,
+        agent: str,
+    ) -> None:
+        """Keep a run that lost a later stage, and ask for another one.
+
+        :param agent: agent at fault
+        """
+        with self.lock:
+            if work.phase is not works.Phase.RUNNING:
+                return
+            work.held = self._clock()
+            self.counts.add(f'held-{code}')
+            frame = works.build_fail(
+                work.request_id,
+                work.epoch,
+                code,
+                detail,
+                ran=True,
+                agent=agent,
+                held=True,
+            )
+            for subscriber in work.subscribers:
+                subscriber.send(frame)
+
+    def finish(self, work: works.Work) -> None:
+        """Take the end of an answer; one that is held waits to be asked."""
+        with self.lock:
+            if work.held is None:
+                self.end(work)
+            else:
+                work.finished = True
+
     def cancel(self, request_id: str, epoch: int, link: links.Link) -> None:
         """Stop a request on its caller's word.
 
@@ -387,12 +459,22 @@
         with self.lock:
             self.leaving = True
 
+    def _give_up(self, work: works.Work) -> None:
+        if work.finished:
+            self.end(work)
+            return
+        code = outcomes.FailCode.LINK_LOST
+        self.fail(work, code, 'a stage was lost and none took its place')
+
     def _check_work(self, work: works.Work, now: float) -> None:
         if now > work.deadline:
             self.fail(
                 work, outcomes.FailCode.DEADLINE, 'the deadline has passed'
             )
             return
+        if work.held is not None and now - work.held > HOLD_SECONDS:
+            self._give_up(work)
+            return
         if work.detached is None or work.entry is not None:
             return
         if now - work.detached > self._settings.detach_grace:
--- a/packages/daemon/src/dunlintide_daemon/agent/heads.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/heads.py
@@ -11,6 +11,7 @@
 from dunlintide_core import queueing
 from dunlintide_daemon.agent import gate as gates
 from dunlintide_daemon.agent import peers as peering
+from dunlintide_daemon.agent import recovery as recoveries
 from dunlintide_daemon.agent import sessions
 from dunlintide_daemon.agent import table as tables
 from dunlintide_daemon.agent import works
@@ -33,11 +34,21 @@
         return outcomes.FailCode.INTERNAL
 
 
+def _make_chain_key(message: link_pb2.Open) -> tuple:
+    return tuple(
+        (stage.address, stage.incarnation, stage.layer_start)
+        for stage in message.chain
+    )
+
+
 class Heads:
     """The head's part of the stage logic."""
 
-    def __init__(self, table: tables.Table) -> None:
+    def __init__(
+        self, table: tables.Table, recovery: recoveries.Recovery
+    ) -> None:
         self._table = table
+        self._recovery = recovery
         self._gate = table.gate
         self._peers = table.peers
         self._counts = table.counts
@@ -81,12 +92,25 @@
             prompt_tokens + decoded,
             start=lambda started: self._start(started, message),
             stop=self._stop,
-            chain_key=tuple(
-                (stage.address, stage.incarnation, stage.layer_start)
-                for stage in message.chain
-            ),
+            chain_key=_make_chain_key(message),
+            take_over=lambda held: self._take_over(held, message),
         )
 
+    def _take_over(self, work: works.Work, message: link_pb2.Open) -> bool:
+        """Go on with a held run over the chain of a newer Open."""
+        session = self._table.find(work.request_id)
+        if session is None or session.work is not work:
+            return False
+        if not message.keep_state or not session.ran_end:
+            return False
+        if len(message.resumed_tokens) > session.generated:
+            return False
+        self._recovery.resume(session, message)
+        work.epoch = session.epoch
+        work.chain_key = _make_chain_key(message)
+        work.held = None
+        return True
+
     def _start(self, work: works.Work, message: link_pb2.Open) -> None:
         resumed = tuple(message.resumed_tokens)
         session = sessions.Session(
@@ -102,6 +126,10 @@
             positions.Cursor(work.epoch),
             generated=len(resumed),
             work=work,
+            prompt=message.prompt,
+            tokens=list(resumed),
+            known=len(resumed),
+            resuming=message.keep_state,
         )
         self._table.replace(session)
         session.first = sessions.build_prompt_job(
@@ -173,6 +201,7 @@
             self._fail_gap(session)
             return
         session.generated += 1
+        session.tokens.append(token.id)
         self._gate.send(session.work, link_pb2.Frame(token=token))
         if not token.final:
             job = sessions.build_token_job(session, token.id)
@@ -195,7 +224,7 @@
         self._gate.send(session.work, link_pb2.Frame(done=done))
         self._counts.add('tokens', session.generated)
         self._table.release(session)
-        self._gate.end(session.work)
+        self._gate.finish(session.work)
 
     def take_fail(self, fail: link_pb2.Fail) -> None:
         """Take the failure of a later stage."""
--- a/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
@@ -15,6 +15,7 @@
 from dunlintide_core import placement
 from dunlintide_daemon.agent import driver as drivers
 from dunlintide_daemon.agent import heads
+from dunlintide_daemon.agent import recovery
 from dunlintide_daemon.agent import sessions
 from dunlintide_daemon.agent import stages
 from dunlintide_daemon.agent import table as tables
@@ -53,8 +54,9 @@
         :param announce: sends a frame to all entries
         """
         self._table = table
-        self._heads = heads.Heads(table)
         self._stages = stages.Stages(table)
+        self._recovery = recovery.Recovery(table, self._stages)
+        self._heads = heads.Heads(table, self._recovery)
         self._announce = announce
         self._lock = table.gate.lock
 
@@ -128,6 +130,7 @@
         self, session: sessions.Session, found: engines.StepResult
     ) -> None:
         session.ran = True
+        session.ran_end = found.position + found.count
         if session.is_head and not session.cursor.next_position:
             session.prompt_tokens = found.count - session.generated
             session.cursor.accept(session.epoch, 0, found.count)
@@ -143,6 +146,12 @@
     def _pass_step(
         self, session: sessions.Session, found: engines.StepResult
     ) -> None:
+        self._recovery.keep(session, found)
+        if session.held is not None or session.waiting:
+            return
+        if session.resuming and not session.announced:
+            self._recovery.announce(session)
+            return
         step = link_pb2.Step(
             request_id=session.request_id,
             epoch=session.epoch,
@@ -166,6 +175,19 @@
         session: sessions.Session,
         index: int,
         sampled: engines.SampledToken,
+    ) -> None:
+        if index < session.known:
+            self._table.counts.drop('replayed-token')
+            return
+        session.sampled.append((index, sampled))
+        if session.held is None:
+            self._send_token(session, index, sampled)
+
+    def _send_token(
+        self,
+        session: sessions.Session,
+        index: int,
+        sampled: engines.SampledToken,
     ) -> None:
         token = sessions.build_token(session, index, sampled)
         done = sessions.build_done(session, index, sampled)
@@ -226,6 +248,17 @@
         with self._lock:
             self._stages.take_step(link, step)
 
+    def take_resume(self, link: links.Link, resume: link_pb2.Resume) -> None:
+        """Take a new chain of the stage before, or a reply to one."""
+        with self._lock:
+            if resume.reply:
+                self._recovery.take_reply(resume)
+                return
+            session = self._recovery.take_resume(link, resume)
+            if session is not None:
+                for index, sampled in tuple(session.sampled):
+                    self._send_token(session, index, sampled)
+
     def take_token(self, token: link_pb2.Token) -> None:
         """Take a token of the last stage."""
         with self._lock:
@@ -248,10 +281,12 @@
             if session is None or session.is_head:
                 gate = self._table.gate
                 gate.cancel(cancel.request_id, cancel.epoch, link)
-            elif cancel.epoch >= session.epoch:
-                self._table.release(session)
-            else:
+            elif cancel.epoch < session.epoch:
                 self._table.counts.drop('stale-cancel')
+            elif cancel.hold:
+                self._recovery.hold(session)
+            else:
+                self._table.release(session)
 
     # Links and time.
 
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/agent/recovery.py
@@ -0,0 +1,274 @@
+"""Going on with a new chain after the death of a stage.
+
+Each stage tells the next one of the new epoch with ``Resume``; the reply
+says from which position on activations are wanted. So only a replacement
+runs positions again, fed with what the stage before it has kept. Methods
+run under the gate's lock and must not block.
+"""
+
+import attrs
+
+from dunlintide_adapters import engine as engines
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import activations
+from dunlintide_core import outcomes
+from dunlintide_core import positions
+from dunlintide_daemon.agent import sessions
+from dunlintide_daemon.agent import stages
+from dunlintide_daemon.agent import table as tables
+
+__all__ = [
+    'Recovery',
+]
+
+# Well under the largest message; one frame more costs little.
+MAX_SPAN_BYTES = 1 << 20
+
+
+def _split(span: activations.Span) -> list[activations.Span]:
+    width = len(span.data) // span.count
+    size = max(1, MAX_SPAN_BYTES // width)
+    return [
+        activations.Span(
+            span.position + start,
+            min(size, span.count - start),
+            span.data[start * width : (start + size) * width],
+        )
+        for start in range(0, span.count, size)
+    ]
+
+
+class Recovery:
+    """Changes of the chain of sessions that have begun."""
+
+    def __init__(self, table: tables.Table, later: stages.Stages) -> None:
+        self._table = table
+        self._stages = later
+
+    def keep(
+        self, session: sessions.Session, found: engines.StepResult
+    ) -> None:
+        """Keep a result for the replacement of the next stage."""
+        span = activations.Span(found.position, found.count, found.activations)
+        self._table.kept.add(session.request_id, span)
+
+    def hold(self, session: sessions.Session) -> None:
+        """Keep a session whose chain has ended, for a Resume."""
+        if session.held is None:
+            session.held = self._table.clock()
+            self._table.cancel_next(session, hold=True)
+
+    def announce(self, session: sessions.Session) -> None:
+        """Tell the next stage of the chain and ask what it lacks."""
+        if session.is_last:
+            return
+        session.announced = True
+        session.waiting = True
+        resume = link_pb2.Resume(
+            request_id=session.request_id,
+            epoch=session.epoch,
+            stage=session.stage + 1,
+            setup=sessions.build_setup(session, self._table.clock()),
+            next_position=session.cursor.next_position,
+        )
+        self._send(session, link_pb2.Frame(resume=resume))
+
+    def _send(self, session: sessions.Session, frame: link_pb2.Frame) -> bool:
+        if self._table.peers.send(session.next.address, frame):
+            return True
+        code = outcomes.FailCode.LINK_LOST
+        detail = 'the link to the next stage is backed up'
+        self._table.fail(session, code, detail, session.next.agent)
+        return False
+
+    def _begin_epoch(
+        self,
+        session: sessions.Session,
+        epoch: int,
+        chain: tuple[link_pb2.Stage, ...],
+    ) -> None:
+        self._cancel_dropped(session, chain)
+        session.epoch = epoch
+        session.cursor.renew(epoch)
+        session.held = None
+        session.announced = False
+        self._table.rechain(session, chain)
+
+    def _cancel_dropped(
+        self, session: sessions.Session, chain: tuple[link_pb2.Stage, ...]
+    ) -> None:
+        """Free stages that are no longer in the chain but may be alive."""
+        if not session.is_head:
+            return
+        cancel = link_pb2.Cancel(
+            request_id=session.request_id, epoch=session.epoch, hold=True
+        )
+        kept = {stage.address for stage in chain}
+        for stage in session.chain[1:]:
+            peers = self._table.peers
+            if stage.address in kept:
+                continue
+            if peers.get_incarnation(stage.address) is not None:
+                peers.send(stage.address, link_pb2.Frame(cancel=cancel))
+
+    def resume(
+        self, session: sessions.Session, message: link_pb2.Open
+    ) -> None:
+        """Go on as head over the chain of a newer Open."""
+        # A claimed run may be asked for under another id and epoch.
+        epoch = max(session.epoch + 1, message.epoch)
+        self._begin_epoch(session, epoch, tuple(message.chain))
+        session.known = session.generated
+        self.announce(session)
+
+    def take_resume(
+        self, link: links.Link, resume: link_pb2.Resume
+    ) -> sessions.Session | None:
+        """Take the chain of a newer epoch from the stage before.
+
+        :returns: the session, None when it cannot go on here
+        """
+        session = self._table.find(resume.request_id)
+        if session is not None:
+            if session.is_head or resume.epoch <= session.epoch:
+                self._table.counts.drop('stale-resume')
+                return None
+        if session is None or not self._fits(resume):
+            session = self._stages.set_up(link, resume)
+            if session is None:
+                return None
+        else:
+            session = self._renew(session, link, resume)
+        self._reply(session)
+        self.announce(session)
+        return session if self._table.holds(session) else None
+
+    def _fits(self, resume: link_pb2.Resume) -> bool:
+        chain = resume.setup.chain
+        if not 0 < resume.stage < len(chain):
+            return False
+        return self._table.identity.fits(chain[resume.stage])
+
+    def _renew(
+        self,
+        session: sessions.Session,
+        link: links.Link,
+        resume: link_pb2.Resume,
+    ) -> sessions.Session:
+        setup = resume.setup
+        self._begin_epoch(session, resume.epoch, tuple(setup.chain))
+        self._table.counts.add('stage-resumed')
+        session.stage = resume.stage
+        session.upstream = link
+        session.known = setup.known_tokens
+        if session.is_last:
+            session = self._check_sampled(session)
+        else:
+            self._table.peers.prepare(session.next.address)
+        self._table.peers.prepare(session.head.address)
+        end = session.cursor.next_position
+        session.ahead = end > session.boundary
+        return session
+
+    def _check_sampled(self, session: sessions.Session) -> sessions.Session:
+        """Go back to sample a token that nobody has any more."""
+        wanted = [
+            (index, sampled)
+            for index, sampled in session.sampled
+            if index >= session.known
+        ]
+        session.sampled.clear()
+        session.sampled.extend(wanted)
+        if session.ran_end < session.boundary:
+            return session
+        if wanted and wanted[0][0] == session.known:
+            return session
+        return self._rewind(session, session.boundary - 1)
+
+    def _rewind(
+        self, session: sessions.Session, position: int
+    ) -> sessions.Session:
+        """Drop the positions from one on; a copy drops late results."""
+        self._table.counts.add('rewound')
+        self._table.kept.truncate(session.request_id, position)
+        last = position - session.prompt_tokens
+        sampled = [pair for pair in session.sampled if pair[0] <= last]
+        copy = attrs.evolve(
+            session,
+            cursor=positions.Cursor(session.epoch, position),
+            ran_end=min(position, session.ran_end),
+            ahead=False,
+            truncate=True,
+            sampled=type(session.sampled)(sampled, sessions.MAX_SAMPLED),
+        )
+        self._table.swap(copy)
+        return copy
+
+    def _reply(self, session: sessions.Session) -> None:
+        reply = link_pb2.Resume(
+            request_id=session.request_id,
+            epoch=session.epoch,
+            next_position=session.cursor.next_position,
+            reply=True,
+        )
+        session.upstream.send(link_pb2.Frame(resume=reply))
+
+    def take_reply(self, reply: link_pb2.Resume) -> None:
+        """Send the next stage what it lacks."""
+        session = self._table.find(reply.request_id)
+        if session is None or session.epoch != reply.epoch:
+            self._table.counts.drop('stale-resume')
+            return
+        wanted = reply.next_position
+        if session.ahead and wanted <= session.boundary:
+            session = self._rewind(session, session.boundary)
+            self._reply(session)
+        session.waiting = False
+        if wanted >= session.ran_end:
+            return
+        kept = self._table.kept
+        span = kept.read(session.request_id, wanted, session.ran_end)
+        if span is None:
+            self._run_again(session)
+            return
+        self._table.counts.add('replayed-positions', span.count)
+        for part in _split(span):
+            if not self._send_span(session, part):
+                return
+
+    def _send_span(
+        self, session: sessions.Session, span: activations.Span
+    ) -> bool:
+        step = link_pb2.Step(
+            request_id=session.request_id,
+            epoch=session.epoch,
+            stage=session.stage + 1,
+            position=span.position,
+            count=span.count,
+            activations=span.data,
+        )
+        return self._send(session, link_pb2.Frame(step=step))
+
+    def _run_again(self, session: sessions.Session) -> None:
+        """Run this stage's layers again: what was sent on is not kept."""
+        self._table.counts.add('run-again')
+        self._table.kept.drop(session.request_id)
+        self._table.driver.free(session.request_id)
+        copy = attrs.evolve(
+            session,
+            cursor=positions.Cursor(session.epoch),
+            ran_end=0,
+            ahead=False,
+            truncate=False,
+        )
+        self._table.swap(copy)
+        if not copy.is_head:
+            self._reply(copy)
+            return
+        count = copy.prompt_tokens + copy.generated
+        copy.cursor.accept(copy.epoch, 0, count)
+        job = sessions.build_prompt_job(
+            copy, copy.prompt, tuple(copy.tokens), count
+        )
+        self._table.driver.submit(job)
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -19,6 +19,7 @@
 from dunlintide_adapters import peers as peer_calls
 from dunlintide_adapters import store
 from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import activations
 from dunlintide_core import caps
 from dunlintide_core import fleet
 from dunlintide_core import placement
@@ -164,7 +165,12 @@
             endpoint.layer_start,
             endpoint.layer_end,
         )
-        table = tables.Table(identity, self.gate, self._peers, self.counts)
+        self._kept = activations.Store(
+            self.settings.limits.kept_activation_bytes
+        )
+        table = tables.Table(
+            identity, self.gate, self._peers, self.counts, self._kept
+        )
         self.pipeline = pipelines.Pipeline(table, self._broadcast)
         timing = self.settings.timing
         self._engine = engines.Engine(
@@ -373,6 +379,11 @@
         if self.pipeline is not None:
             state['holding'] = attrs.asdict(self._get_holding())
             state['stages'] = self.pipeline.count_stages()
+            state['kept_activations'] = {
+                'sessions': len(self._kept),
+                'bytes': self._kept.used,
+                'evicted': self._kept.evicted,
+            }
             state['engine'] = {
                 'calls': self.driver.calls,
                 'steps': self.driver.steps,
--- a/packages/daemon/src/dunlintide_daemon/agent/sessions.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/sessions.py
@@ -1,5 +1,7 @@
 """State of one request at one stage of its chain."""
 
+import collections
+
 import attrs
 
 from dunlintide_adapters import engine as engines
@@ -11,6 +13,7 @@
 
 __all__ = [
     'Session',
+    'MAX_SAMPLED',
     'build_activation_job',
     'build_done',
     'build_prompt_job',
@@ -19,6 +22,13 @@
     'build_token_job',
 ]
 
+# Tokens that a last stage keeps, should the head die with some of them.
+MAX_SAMPLED = 64
+
+
+def _make_sampled() -> collections.deque:
+    return collections.deque(maxlen=MAX_SAMPLED)
+
 
 @attrs.define(eq=False)
 class Session:
@@ -35,6 +45,18 @@
     :ivar ran: whether a step may have run on this agent's engine
     :ivar first: the head's first step, until the next stage is linked
     :ivar waits_until: monotonic time at which that wait ends
+    :ivar prompt: text; at the head
+    :ivar tokens: ids of all generated tokens; at the head
+    :ivar ran_end: position behind the last one whose result has come
+    :ivar known: tokens that the head had when this epoch began
+    :ivar held: monotonic time since which a stage of the chain is lost
+    :ivar resuming: whether the next stage is told to keep its state
+    :ivar waiting: whether the next stage has yet to say what it lacks
+    :ivar ahead: whether positions ran on tokens that the head lacked
+        when this epoch began
+    :ivar truncate: whether the next step drops what ran behind it
+    :ivar spares: whether later stages keep their state at the end
+    :ivar sampled: newest tokens with their indices; at the last stage
     """
 
     request_id: str
@@ -55,6 +77,19 @@
     ran: bool = False
     first: drivers.Job | None = None
     waits_until: float = 0.0
+    prompt: str = ''
+    tokens: list[int] = attrs.field(factory=list)
+    ran_end: int = 0
+    known: int = 0
+    held: float | None = None
+    resuming: bool = False
+    waiting: bool = False
+    ahead: bool = False
+    truncate: bool = False
+    spares: bool = False
+    sampled: collections.deque[tuple[int, engines.SampledToken]] = attrs.field(
+        factory=_make_sampled
+    )
 
     @property
     def is_head(self) -> bool:
@@ -66,6 +101,11 @@
         """Whether this agent runs the last layer range."""
         return self.stage == len(self.chain) - 1
 
+    @property
+    def boundary(self) -> int:
+        """Position behind the tokens that the head had."""
+        return self.prompt_tokens + self.known
+
     @property
     def head(self) -> link_pb2.Stage:
         """The stage that runs the first layer range."""
@@ -86,7 +126,9 @@
     session: Session, position: int, count: int, **span
 ) -> drivers.Job:
     stage = session.chain[session.stage]
+    truncate, session.truncate = session.truncate, False
     step = engines.Step(
+        truncate=truncate,
         session=session.request_id,
         epoch=session.epoch,
         member=session.terms.member,
@@ -150,6 +192,7 @@
         version=session.version,
         prompt_tokens=session.prompt_tokens,
         max_tokens=session.max_tokens,
+        known_tokens=session.known,
     )
 
 
--- a/packages/daemon/src/dunlintide_daemon/agent/stages.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/stages.py
@@ -7,6 +7,7 @@
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import outcomes
 from dunlintide_core import positions
+from dunlintide_daemon.agent import gate as gates
 from dunlintide_daemon.agent import sessions
 from dunlintide_daemon.agent import table as tables
 
@@ -43,7 +44,7 @@
         session = self._table.find(step.request_id)
         if step.HasField('setup'):
             if session is None or step.epoch > session.epoch:
-                session = self._set_up(link, step)
+                session = self.set_up(link, step)
         if session is None:
             self._table.counts.drop('unknown-step')
             return
@@ -61,7 +62,7 @@
             self._table.fail(session, code, 'positions are missing')
 
     def _build(
-        self, link: links.Link, step: link_pb2.Step
+        self, link: links.Link, step: link_pb2.Step | link_pb2.Resume
     ) -> sessions.Session:
         setup = step.setup
         return sessions.Session(
@@ -77,10 +78,11 @@
             positions.Cursor(step.epoch),
             prompt_tokens=setup.prompt_tokens,
             upstream=link,
+            known=setup.known_tokens,
         )
 
     def _find_obstacle(
-        self, step: link_pb2.Step
+        self, step: link_pb2.Step | link_pb2.Resume
     ) -> tuple[outcomes.FailCode, str] | None:
         if not self._table.identity.fits(step.setup.chain[step.stage]):
             code = outcomes.FailCode.NO_CAPACITY
@@ -92,9 +94,10 @@
             return code, self._table.gate.fault
         return None
 
-    def _set_up(
-        self, link: links.Link, step: link_pb2.Step
+    def set_up(
+        self, link: links.Link, step: link_pb2.Step | link_pb2.Resume
     ) -> sessions.Session | None:
+        """Begin a session; None when it may not begin here."""
         if self._table.fences.has_ended(step.request_id, step.epoch):
             return None
         if not 0 < step.stage < len(step.setup.chain):
@@ -118,3 +121,6 @@
             if now > session.deadline + SLACK_SECONDS:
                 self._table.counts.drop('forgotten-session')
                 self._table.release(session)
+            elif session.held and now > session.held + gates.HOLD_SECONDS:
+                self._table.counts.add('hold-expired')
+                self._table.release(session)
--- a/packages/daemon/src/dunlintide_daemon/agent/table.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/table.py
@@ -6,6 +6,7 @@
 import attrs
 
 from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import activations
 from dunlintide_core import outcomes
 from dunlintide_core import positions
 from dunlintide_daemon.agent import counts as counting
@@ -20,6 +21,15 @@
     'Table',
 ]
 
+# Failures of one stage that leave the state of the others usable.
+_RECOVERABLE = frozenset(
+    (
+        outcomes.FailCode.LINK_LOST,
+        outcomes.FailCode.ENDPOINT_FAILED,
+        outcomes.FailCode.LEAVING,
+    )
+)
+
 
 @attrs.frozen
 class Identity:
@@ -47,6 +57,7 @@
 
     :ivar driver: set before the first use
     :ivar fences: epochs that have ended here
+    :ivar kept: what was sent to the next stages
     """
 
     def __init__(
@@ -55,8 +66,10 @@
         gate: gates.Gate,
         peers: peering.Peers,
         counts: counting.Counts,
+        kept: activations.Store,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self.kept = kept
         self.identity = identity
         self.gate = gate
         self.peers = peers
@@ -108,6 +121,18 @@
         self._sessions[session.request_id] = session
         self._count_head(session, 1)
 
+    def swap(self, session: sessions.Session) -> None:
+        """Put a changed copy in place; late results of the old are lost."""
+        self._sessions[session.request_id] = session
+
+    def rechain(
+        self, session: sessions.Session, chain: tuple[link_pb2.Stage, ...]
+    ) -> None:
+        """Give a head's session another chain."""
+        self._count_head(session, -1)
+        session.chain = chain
+        self._count_head(session, 1)
+
     def release(self, session: sessions.Session) -> None:
         """Free a session here and in the stages behind."""
         if not self.holds(session):
@@ -116,12 +141,30 @@
         self._count_head(session, -1)
         self.fences.end(session.request_id, session.epoch)
         self.driver.free(session.request_id)
-        if session.announced:
-            cancel = link_pb2.Cancel(
-                request_id=session.request_id, epoch=session.epoch
-            )
-            frame = link_pb2.Frame(cancel=cancel)
-            self.peers.send(session.next.address, frame)
+        self.kept.drop(session.request_id)
+        self.cancel_next(session, hold=session.spares)
+
+    def cancel_next(
+        self, session: sessions.Session, *, hold: bool = False
+    ) -> None:
+        """Tell the next stage that this epoch has ended.
+
+        :param hold: whether the stage keeps its state for a Resume
+        """
+        if not session.announced:
+            return
+        cancel = link_pb2.Cancel(
+            request_id=session.request_id, epoch=session.epoch, hold=hold
+        )
+        frame = link_pb2.Frame(cancel=cancel)
+        self.peers.send(session.next.address, frame)
+
+    def _may_hold(
+        self, session: sessions.Session, code: outcomes.FailCode, agent: str
+    ) -> bool:
+        if code not in _RECOVERABLE or session.is_last:
+            return False
+        return agent != self.identity.name and session.ran_end > 0
 
     def fail(
         self,
@@ -137,11 +180,24 @@
         :param ran: False only when nothing ran; counts at the head
         """
         agent = agent or self.identity.name
+        lost = code is outcomes.FailCode.LINK_LOST
+        if session.held is not None and lost:
+            return
+        if session.is_head and ran and self._may_hold(session, code, agent):
+            if session.held is None:
+                session.held = self.clock()
+                self.gate.hold(session.work, code, detail, agent)
+            return
+        session.spares = code in _RECOVERABLE
         if session.is_head:
             # Ending the work stops the session.
             self.gate.fail(session.work, code, detail, agent, ran)
             return
-        self.release(session)
+        if lost:
+            # Its own state is whole; a Resume may ask for it.
+            session.held = self.clock()
+        else:
+            self.release(session)
         frame = works.build_fail(
             session.request_id,
             session.epoch,
--- a/packages/daemon/src/dunlintide_daemon/agent/works.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/works.py
@@ -66,6 +66,11 @@
     :ivar log: frames sent so far, for repeats
     :ivar keeps_log: whether a repeat may ask for the answer
     :ivar detached: time since which nobody takes the answer
+    :ivar held: time since which a stage is lost and the run waits for an
+        entry to name another one
+    :ivar finished: whether the whole answer came while it was held
+    :ivar take_over: goes on with another request's held run over the
+        chain of this one; False when it cannot
     """
 
     request_id: str
@@ -86,6 +91,9 @@
     log_bytes: int = 0
     detached: float | None = None
     begun: float = 0.0
+    held: float | None = None
+    finished: bool = False
+    take_over: Callable[['Work'], bool] = lambda other: False
 
 
 def read_claim(claim: link_pb2.Claim) -> ledger.Claim:
@@ -109,6 +117,7 @@
     agent: str,
     retry_after: float | None = None,
     sealed: bool = False,
+    held: bool = False,
 ) -> link_pb2.Frame:
     """Build a Fail frame.
 
@@ -116,6 +125,7 @@
     :param agent: agent at fault
     :param retry_after: seconds
     :param sealed: whether the claimed attempt never ran and never will
+    :param held: whether the run waits for an Open that names a new chain
     """
     return link_pb2.Frame(
         fail=link_pb2.Fail(
@@ -127,5 +137,6 @@
             agent=agent,
             retry_after_ms=int((retry_after or 0.0) * 1000),
             sealed=sealed,
+            held=held,
         )
     )
