Replace only the stage that failed

The entry opened a failed request anew on any chain. It now keeps the agents that did not fail, asks them to go on with what they hold, and lets a head that holds the run resume it; under a claim too, as that is no second run. The setting recovery is replay or restart.

--- a/packages/core/src/dunlintide_core/outcomes.py
+++ b/packages/core/src/dunlintide_core/outcomes.py
@@ -78,6 +78,7 @@
     :ivar retry_after: seconds after which a repeat makes sense, or None
     :ivar sealed: whether the executor of its claim said that it never ran
         and never will
+    :ivar held: whether the executor keeps the run for a new chain
     """
 
     code: FailCode
@@ -85,6 +86,7 @@
     detail: str = ''
     retry_after: float | None = None
     sealed: bool = False
+    held: bool = False
 
     @property
     def status(self) -> int:
--- a/packages/daemon/src/dunlintide_daemon/entry/chains.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/chains.py
@@ -16,6 +16,8 @@
 ]
 
 Chain = tuple[fleet.Agent, ...]
+# More than any load, so that as few agents as possible are replaced.
+_REPLACEMENT_COST = 1_000_000
 # Name and incarnation: an agent that was started anew is another one.
 Life = tuple[str, int]
 
@@ -47,6 +49,12 @@
     return not accelerators or endpoint.accelerator in accelerators
 
 
+def _tell_cost(agent: fleet.Agent, keep: Collection[Life]) -> int:
+    if tell_life(agent) in keep:
+        return 0
+    return 1 + _tell_load(agent) + (_REPLACEMENT_COST if keep else 0)
+
+
 def choose_chain(
     agents: Iterable[fleet.Agent],
     layers: int,
@@ -54,6 +62,7 @@
     accelerators: Collection[str] = (),
     avoid: Collection[Life] = (),
     is_head: Callable[[fleet.Agent], bool] = lambda agent: True,
+    keep: Collection[Life] = (),
 ) -> Chain | None:
     """Tile the layers with the agents that have the least work.
 
@@ -61,6 +70,7 @@
     :param layers: number of layers of the model
     :param accelerators: kinds that may serve, empty for any
     :param avoid: agents that are not to be chosen
+    :param keep: agents to be chosen wherever that is possible
     :param is_head: tells whether an agent may hold the first layers
     :returns: agents whose ranges tile all layers, or None
     """
@@ -78,7 +88,7 @@
             continue
         if endpoint.layer_end <= endpoint.layer_start:
             continue
-        cost = known[0] + 1 + _tell_load(agent)
+        cost = known[0] + _tell_cost(agent, keep)
         reached = best.get(endpoint.layer_end)
         if reached is None or cost < reached[0]:
             best[endpoint.layer_end] = (cost, (*known[1], agent))
--- a/packages/daemon/src/dunlintide_daemon/entry/completions.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/completions.py
@@ -21,6 +21,16 @@
 ]
 
 
+# Failures of a stage that leave the state of the others usable.
+_RECOVERABLE = frozenset(
+    (
+        outcomes.FailCode.LINK_LOST,
+        outcomes.FailCode.ENDPOINT_FAILED,
+        outcomes.FailCode.LEAVING,
+    )
+)
+
+
 @attrs.define
 class Piece:
     """Texts of tokens that came together.
@@ -52,6 +62,7 @@
     :ivar choose: returns a chain without the given agents, or None
     :ivar find_holder: returns the executor of the claim, None when there
         is no claim or no link to it
+    :ivar repair: replaces the given agents of a chain, or returns None
     """
 
     model: str
@@ -59,6 +70,9 @@
     adapter: str
     choose: Callable[[Collection[chains.Life]], chains.Chain | None]
     find_holder: Callable[[], fleet.Agent | None] = lambda: None
+    repair: Callable[
+        [chains.Chain, Collection[chains.Life]], chains.Chain | None
+    ] = lambda chain, avoid: None
 
 
 class _Run:
@@ -77,6 +91,8 @@
         self._plan = plan
         self._attempt = dispatch.Attempt(context, job)
         self._tokens: list[int] = []
+        self._chain: chains.Chain = ()
+        self._keeps = False
 
     def _build_open(self, chain: chains.Chain, epoch: int) -> link_pb2.Frame:
         message = link_pb2.Open(
@@ -90,6 +106,7 @@
             model=self._plan.model,
             version=self._plan.version,
             adapter=self._plan.adapter,
+            keep_state=self._keeps,
         )
         return link_pb2.Frame(open=message)
 
@@ -112,10 +129,21 @@
         self._attempt.send((holder,), self._build_attach)
         return True
 
+    def _choose(self) -> chains.Chain | None:
+        avoid = self._attempt.avoid
+        if self._keeps:
+            chain = dispatch.pick_avoiding(
+                lambda others: self._plan.repair(self._chain, others), avoid
+            )
+            if chain is not None:
+                return chain
+        return dispatch.pick_avoiding(self._plan.choose, avoid)
+
     def _open(self) -> bool:
-        chain = dispatch.pick_avoiding(self._plan.choose, self._attempt.avoid)
+        chain = self._choose()
         if chain is None:
             return self._attach()
+        self._chain = chain
         self._attempt.send(chain, lambda epoch: self._build_open(chain, epoch))
         return True
 
@@ -147,7 +175,8 @@
                     event.finish_reason, event.prompt_tokens, event.tokens
                 )
             elif isinstance(event, link_pb2.Fail):
-                self._attempt.settle()
+                if not event.held:
+                    self._attempt.settle()
                 return event
             elif isinstance(event, sessions.Lost):
                 return event
@@ -164,6 +193,12 @@
         prompt = requests.estimate_tokens(self._request.prompt)
         return End('length', prompt, len(self._tokens))
 
+    def _may_keep(self, failure: outcomes.Refusal) -> bool:
+        """Tell whether stages may go on with what they hold."""
+        if not self._context.replays or not self._attempt.ran:
+            return False
+        return failure.held or failure.code in _RECOVERABLE
+
     def run(self) -> Iterator[Piece | Wait | End | outcomes.Refusal]:
         if not self._open():
             yield self._attempt.refuse_unsent(
@@ -188,6 +223,7 @@
             refusal = self._attempt.check()
             if refusal is None and ending is not None:
                 failure = self._attempt.read_failure(ending)
+                self._keeps = self._may_keep(failure)
                 refusal = self._attempt.recover(failure, self._open)
             if refusal is not None:
                 yield refusal
--- a/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
@@ -64,6 +64,7 @@
     :ivar retries: budget that all requests of this entry share
     :ivar answer_room: memory that gathered answers share
     :ivar count_retry: called for each attempt beyond a first
+    :ivar replays: whether stages that survive a failure keep their state
     """
 
     fleet: fleet.Fleet
@@ -73,6 +74,7 @@
     clock: Callable[[], float] = time.monotonic
     count_retry: Callable[[], None] = lambda: None
     answer_room: room.Room = attrs.field(factory=room.Room)
+    replays: bool = True
 
     def add_work(self, names: Iterable[str], amount: int) -> None:
         """Count work of agents; negative when it ends."""
@@ -124,6 +126,7 @@
         self._names: tuple[str, ...] = ()
         self._head: fleet.Agent | None = None
         self._settled = False
+        self._held = False
         self._pace = learning.Pace()
         self._session = context.sessions.add(
             job.terms.request_id,
@@ -159,6 +162,9 @@
         A link that is lost already shows as any later loss does.
         :param build: makes the first frame from the attempt's number
         """
+        if self._held and self._leads(chain):
+            # Its head goes on with the run that it holds.
+            self._settled = True
         self._release()
         self._head = chain[0]
         self._names = tuple(agent.peer.name for agent in chain)
@@ -176,6 +182,11 @@
             )
             session.put(fail)
 
+    def _leads(self, chain: chains.Chain) -> bool:
+        if self._head is None or not self._context.replays:
+            return False
+        return chains.tell_life(chain[0]) == chains.tell_life(self._head)
+
     def take(self) -> list[sessions.Event]:
         """Wait a little for events of the current attempt."""
         wait = min(POLL_SECONDS, self.tell_left())
@@ -215,7 +226,8 @@
         retry_after = event.retry_after_ms / 1000 or None
         code = _read_code(event.code)
         refusal = self._blame(code, event.detail, event.agent, retry_after)
-        return attrs.evolve(refusal, sealed=event.sealed)
+        self._held = event.held
+        return attrs.evolve(refusal, sealed=event.sealed, held=event.held)
 
     def _blame(
         self,
@@ -287,6 +299,8 @@
     def _is_safe_again(self, refusal: outcomes.Refusal) -> bool:
         if self._job.repeatable:
             return True
+        if refusal.held and self._context.replays:
+            return True
         # Under a claim the one executor attaches to the run that it has,
         # so a lost link costs no second run.
         lost = refusal.code is outcomes.FailCode.LINK_LOST
@@ -322,6 +336,7 @@
             self._cancel(self._head.link)
         self._head = None
         self._settled = False
+        self._held = False
 
     def _cancel(self, link: links.Link) -> None:
         cancel = link_pb2.Cancel(
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -200,6 +200,7 @@
             self._retries,
             count_retry=self._meter.count_retry,
             answer_room=self._room,
+            replays=settings.recovery is settings_module.Recovery.REPLAY,
         )
         parts = front.Parts(
             context,
--- a/packages/daemon/src/dunlintide_daemon/entry/router.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/router.py
@@ -207,8 +207,9 @@
         def choose(
             avoid: Collection[chains.Life],
             is_head: Callable[[fleet.Agent], bool] | None = None,
+            keep: Collection[chains.Life] = (),
         ) -> chains.Chain | None:
-            if is_head is None and not then.accelerators:
+            if is_head is None and not keep and not then.accelerators:
                 found = self._planner.choose(
                     model.name, version, avoid, blocks
                 )
@@ -220,8 +221,13 @@
                 accelerators=then.accelerators,
                 avoid=avoid,
                 is_head=is_head or (lambda agent: True),
+                keep=keep,
             )
 
+        def repair(chain: chains.Chain, avoid: Collection[chains.Life]):
+            keep = {chains.tell_life(agent) for agent in chain}
+            return choose(avoid, keep=keep - set(avoid))
+
         once = bool(caller.key) or then.repeatable is False
         caller = _give_key(caller, once)
         fingerprint = requests.compute_fingerprint(caller.member, *parts)
@@ -233,7 +239,9 @@
             repeatable=not once,
             is_connected=caller.is_connected,
         )
-        plan = completions.Plan(model.name, version, adapter, choose)
+        plan = completions.Plan(
+            model.name, version, adapter, choose, repair=repair
+        )
         if not once:
             return result.Ok(CompletionRoute(job, plan))
         chain = choose(())
@@ -251,12 +259,21 @@
                 return current
             return choose(avoid, lambda agent: _is_held(held, agent))
 
+        def repair_held(chain: chains.Chain, avoid: Collection[chains.Life]):
+            life = (held.binding.executor, held.binding.incarnation)
+            keep = {chains.tell_life(agent) for agent in chain} | {life}
+            avoid = set(avoid) - {life}
+            return choose(
+                avoid, lambda agent: _is_held(held, agent), keep - avoid
+            )
+
         return result.Ok(
             CompletionRoute(
                 _bind_job(job, held),
                 attrs.evolve(
                     plan,
                     choose=choose_held,
+                    repair=repair_held,
                     find_holder=lambda: self._find_held(held),
                 ),
                 held,
