Measure the recovery of a layer range lost everywhere

Nothing told how long a model stays away when all holders of a range die. The case recovery.range kills the only engine and agent of a range in a deployment of real processes and waits for the next whole answer.

--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -287,8 +287,8 @@
             if isinstance(hosts, result.Ok):
                 self._fleet.update(hosts.ok_value)
                 self._limits.exchange.update(hosts.ok_value)
-                self._claims.keep(self._owners.update(hosts.ok_value))
                 self._placement.note_hosts(hosts.ok_value)
+                self._claims.keep(self._owners.update(hosts.ok_value))
             else:
                 logging.warning('host list not read: %s', hosts.err_value)
             self.done.wait(pause)
--- a/packages/trials/src/dunlintide_trials/blueprints.py
+++ b/packages/trials/src/dunlintide_trials/blueprints.py
@@ -6,6 +6,7 @@
 
 from dunlintide_core import jsonc
 from dunlintide_core import schemas
+from dunlintide_core import settings
 
 __all__ = [
     'CRASH_MARKER',
@@ -84,6 +85,7 @@
     """A deployment of processes on one machine.
 
     :ivar rules: operators' configuration, a path beside the file
+    :ivar placement: that part of the entries' settings
     """
 
     name: str
@@ -93,6 +95,7 @@
     rules: str
     pipelines: tuple[Pipeline, ...]
     services: tuple[PlainService, ...]
+    placement: settings.Placement = settings.Placement()
 
 
 def load_blueprint(path: pathlib.Path) -> Blueprint:
--- a/packages/trials/src/dunlintide_trials/cases/__init__.py
+++ b/packages/trials/src/dunlintide_trials/cases/__init__.py
@@ -3,7 +3,8 @@
 Each module here has a list ``CASES`` of functions without arguments that
 yield ``figures.Figure``. The case of ``measure_first_token`` in
 ``overhead.py`` is called ``overhead.first_token``; the figures of a case
-carry its name, or its name and a dotted suffix.
+carry its name, or its name and a dotted suffix. A module's ``GROUP``
+stands in place of its name, where several modules share a subject.
 """
 
 import importlib
@@ -26,5 +27,6 @@
         module = importlib.import_module(f'{__name__}.{info.name}')
         for case in module.CASES:
             name = case.__name__.removeprefix(_PREFIX)
-            found[f'{info.name}.{name}'] = case
+            group = getattr(module, 'GROUP', info.name)
+            found[f'{group}.{name}'] = case
     return dict(sorted(found.items()))
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/cases/placement.py
@@ -0,0 +1,123 @@
+"""Recovery of a layer range that all of its holders have lost."""
+
+import contextlib
+import pathlib
+import tempfile
+import time
+from typing import Iterator
+
+from dunlintide_core import settings
+from dunlintide_trials import blueprints
+from dunlintide_trials import deployment
+from dunlintide_trials import figures
+from dunlintide_trials import launcher
+from dunlintide_trials import processes
+
+__all__ = ['CASES', 'GROUP', 'find_leader', 'lose_range', 'run_with_spare']
+
+GROUP = 'recovery'
+MODEL = 'copy-7b'
+LAYERS = 24
+LAYERS_PER_STAGE = 8
+LOST_STAGE = 8
+PATIENCE_SECONDS = 3.0
+LEASE_SECONDS = 3
+# The stand-in's layers have a megabyte each.
+LAYER_BYTES = 1_000_000
+BYTES_PER_SECOND = 2_000_000.0
+# For noticing the loss, the order, the new plan and the request itself.
+SLACK_SECONDS = 3.0
+_MEMBER = 'diner'
+_TOKENS = 4
+_WAIT_SECONDS = 60.0
+_RULES = {
+    'members': [{'name': _MEMBER, 'key_hashes': []}],
+    'models': [{'name': MODEL, 'layers': LAYERS}],
+    'rules': [{'name': 'all', 'when': {}, 'then': {'deadline_seconds': 5}}],
+}
+
+
+@contextlib.contextmanager
+def run_with_spare() -> Iterator[deployment.Deployment]:
+    """Start a pipeline with one engine a stage, and one spare engine."""
+    stages = tuple(
+        blueprints.Stage(start, start + LAYERS_PER_STAGE, 1)
+        for start in range(0, LAYERS, LAYERS_PER_STAGE)
+    )
+    blueprint = blueprints.Blueprint(
+        'placement',
+        'texas',
+        ('austin', 'waco', 'temple'),
+        3,
+        '',
+        (blueprints.Pipeline(MODEL, LAYERS, stages, spares=1),),
+        (),
+        settings.Placement(lease=LEASE_SECONDS, patience=PATIENCE_SECONDS),
+    )
+    with tempfile.TemporaryDirectory(prefix='dunlintide-') as folder:
+        with launcher.run(blueprint, _RULES, pathlib.Path(folder)) as running:
+            running.control('weight-store', bytes_per_second=BYTES_PER_SECOND)
+            yield running
+
+
+def find_leader(running: deployment.Deployment, avoid: str = '') -> str | None:
+    """Name the entry that leads the model, as it says itself.
+
+    :param avoid: entry that is not asked, as it is paused
+    """
+    for entry in running.plan.entries:
+        if entry.name != avoid:
+            status = running.read_state(entry.name)['placement'].get(MODEL)
+            if status and status['phase'] == 'leader':
+                return entry.name
+    return None
+
+
+def lose_range(running: deployment.Deployment) -> None:
+    """Kill all agents and engines of one layer range."""
+    for name, process in running.started.items():
+        if f'{MODEL}-{LOST_STAGE}-' in name:
+            process.kill()
+
+
+def _measure_once(running: deployment.Deployment) -> float:
+    caller = running.make_caller(0, _MEMBER)
+
+    def is_served() -> bool:
+        answer = caller.complete('specials', model=MODEL, max_tokens=_TOKENS)
+        return answer.is_complete
+
+    if not processes.wait_for(is_served, _WAIT_SECONDS):
+        raise processes.StartError('the model is not served at all')
+    found = processes.wait_for(
+        lambda: find_leader(running) is not None, _WAIT_SECONDS
+    )
+    if not found:
+        raise processes.StartError('no entry leads the model')
+    lose_range(running)
+    lost = time.monotonic()
+    if not processes.wait_for(is_served, _WAIT_SECONDS):
+        raise processes.StartError('the lost range was not restored')
+    return time.monotonic() - lost
+
+
+def measure_range() -> Iterator[figures.Figure]:
+    """Measure from the loss of a range to the next whole answer.
+
+    The baseline is the weight store's own time for the lost layers.
+    """
+    with run_with_spare() as running:
+        seconds = _measure_once(running)
+    loading = LAYERS_PER_STAGE * LAYER_BYTES / BYTES_PER_SECOND
+    yield figures.at_most(
+        'recovery.range',
+        round(seconds, 3),
+        's',
+        PATIENCE_SECONDS + loading + SLACK_SECONDS,
+        loading,
+        f'patience {PATIENCE_SECONDS} s; baseline: {LAYERS_PER_STAGE} layers'
+        f' of {LAYER_BYTES} bytes at {BYTES_PER_SECOND:.0f} bytes/s',
+    )
+
+
+CASES = [measure_range]
--- a/packages/trials/src/dunlintide_trials/layout.py
+++ b/packages/trials/src/dunlintide_trials/layout.py
@@ -176,6 +176,7 @@
         settings |= {
             'listen': _make_address(self.port),
             'store_url': _make_url(store),
+            'placement': attrs.asdict(plan.blueprint.placement),
         }
         number = plan.entries.index(self)
         if number < len(plan.routings):
