Test orders of old leaders; describe placement

Two leaders at once were not tried: with a deposed leader before an agent whose engine checks numbers or ignores them, also after the agent has started anew; with a clock that jumps under a paused leader; and with real processes, where the leading entry is stopped beyond its lease. Letting the deadline, the read of the leader's key or the compare of numbers pass in a scratch copy fails scenarios in each case.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -44,3 +44,33 @@
     Given 370 entries in 7 failure domains
     Then each model has 3 candidates in 3 failure domains
     And the loss of an entry changes candidates only where it was one
+
+  Scenario Outline: The order of a deposed leader changes nothing
+    Given a spare endpoint whose engine <checks> the numbers of orders
+    And a leader that was deposed by another without knowing it
+    Then the agent refuses an order of the old leader: not-leader
+    When the new leader orders layers 8 to 16
+    Then the agent refuses an order of the old leader: old-fence
+    And an order made from an old view is refused: holds-other
+    When the agent of the spare endpoint is started anew
+    Then the agent tells that it holds layers 8 to 16
+    And the agent refuses an order of the old leader: old-fence
+    When the store of the leaders is away
+    Then the agent refuses an order of the new leader: store-away
+
+    Examples:
+      | checks  |
+      | checks  |
+      | ignores |
+
+  Scenario: A leader that was paused beyond its lease orders nothing
+    Given two candidates that see a lost range, the first one leading
+    When the first is paused for 30.0 s and its lease ends
+    Then the second has ordered once, and the first orders nothing
+    And while the store is away the second lapses and orders nothing
+
+  Scenario: Two leaders at once, as processes, do no harm
+    Given a deployment of real processes with a spare endpoint
+    When the leading entry is stopped in its tracks and a range is lost
+    Then another entry leads and restores the range by one order
+    And the first entry follows once it runs again, and one order stays
--- /dev/null
+++ b/features/steps/placement_orders.py
@@ -0,0 +1,334 @@
+"""Steps of placement.feature with a store, an agent and an engine."""
+
+import time
+
+import attrs
+import behave
+from dunlintide_adapters import leaders
+from dunlintide_adapters import links
+from dunlintide_adapters import store as stores
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import fleet
+from dunlintide_core import placement
+from dunlintide_core import settings
+from dunlintide_daemon.agent import role
+from dunlintide_daemon.entry import leader as leading
+from dunlintide_standins.engine import server as engines
+from dunlintide_standins import faults
+from dunlintide_standins.store import server as standin_stores
+from dunlintide_trials.cases import placement as trial
+from dunlintide_trials import processes
+import urllib3
+
+WAIT_SECONDS = 60.0
+MODEL = 'copy-7b'
+LEASE_SECONDS = 60
+
+
+def wait_until(condition):
+    assert processes.wait_for(condition, WAIT_SECONDS), condition
+
+
+class Leader:
+    """A leader's link to the agent, with the term that it believes in."""
+
+    def __init__(self, context, name):
+        self.name, self.answers = name, []
+        hello = link_pb2.Hello(name=name, role='entry')
+        handlers = links.Handlers(lambda _: None, self.take, lambda *_: None)
+        self.dialer = links.Dialer(
+            context.agent.address, lambda: hello, handlers
+        )
+        self.dialer.start()
+        context.stack.callback(self.dialer.stop)
+        acquired = context.keys.acquire(MODEL, name, LEASE_SECONDS)
+        self.term = acquired.unwrap()
+        assert self.term is not None
+
+    def take(self, link, frames):
+        self.answers += [
+            frame.order_reply
+            for frame in frames
+            if frame.WhichOneof('body') == 'order_reply'
+        ]
+
+    def order(self, held, start, end):
+        """Send an order and give the agent's first answer to it."""
+        wait_until(lambda: self.dialer.link is not None)
+        order = link_pb2.Order(
+            order_id=f'{self.name}-{time.monotonic_ns()}',
+            fence=self.term.fence,
+            leader=self.name,
+            model=MODEL,
+            version='1',
+            layer_start=start,
+            layer_end=end,
+            layer_count=24,
+            held=link_pb2.Holding(**held),
+        )
+        self.dialer.link.send(link_pb2.Frame(order=order))
+
+        def find():
+            return [a for a in self.answers if a.order_id == order.order_id]
+
+        wait_until(find)
+        return find()[0]
+
+
+def start_store(context):
+    store = standin_stores.Store.from_config(
+        standin_stores.Config('127.0.0.1:0')
+    )
+    store.start()
+    context.stack.callback(store.stop)
+    context.store = store
+    context.store_url = f'http://127.0.0.1:{store.port}'
+
+
+def make_keys(context, clock=time.monotonic):
+    client = stores.Store.from_url(context.store_url)
+    context.stack.callback(client.close)
+    return leaders.Leaders(client, clock)
+
+
+def start_agent(context):
+    endpoint = settings.EndpointSettings(
+        kind=fleet.EndpointKind.ENGINE,
+        url=f'http://127.0.0.1:{context.engine.port}',
+    )
+    context.agent = role.Agent(
+        settings.Settings(
+            role=fleet.Role.AGENT,
+            name='spare',
+            failure_domain='austin-a',
+            admin_listen='127.0.0.1:0',
+            link_listen='127.0.0.1:0',
+            store_url=context.store_url,
+            host_list_url='http://127.0.0.1:1',
+            endpoint=endpoint,
+        )
+    )
+    context.agent.__enter__()
+
+
+def read_engine(context, path):
+    url = f'http://127.0.0.1:{context.engine.port}{path}'
+    return urllib3.request('GET', url, retries=False).json()
+
+
+@behave.given('a spare endpoint whose engine {checks} the numbers of orders')
+def start_spare(context, checks):
+    start_store(context)
+    context.keys = make_keys(context)
+    config = engines.Config(
+        model='',
+        version='',
+        layer_end=0,
+        checks_fence=checks == 'checks',
+    )
+    context.engine = engines.Engine.from_config(config)
+    context.engine.start()
+    context.stack.callback(context.engine.stop)
+    start_agent(context)
+    context.stack.callback(lambda: context.agent.__exit__(None, None, None))
+
+
+@behave.given('a leader that was deposed by another without knowing it')
+def depose(context):
+    context.old = Leader(context, 'entry-old')
+    context.keys.resign(context.old.term)
+    context.new = Leader(context, 'entry-new')
+    assert context.new.term.fence > context.old.term.fence
+
+
+@behave.then('the agent refuses an order of the {which} leader: {detail}')
+def check_refused(context, which, detail):
+    held = attrs.asdict(context.agent.endpoint)
+    held = {name: held[name] for name in attrs.asdict(placement.Holding())}
+    before = read_engine(context, '/v1/holding')
+    taken = read_engine(context, '/v1/orders')
+    answer = getattr(context, which).order(held, 0, 8)
+    assert (answer.accepted, answer.detail) == (False, detail), answer
+    assert read_engine(context, '/v1/holding') == before
+    assert read_engine(context, '/v1/orders') == taken
+
+
+@behave.then('an order made from an old view is refused: {detail}')
+def check_old_view(context, detail):
+    answer = context.new.order({}, 0, 8)
+    assert (answer.accepted, answer.detail) == (False, detail), answer
+
+
+@behave.when('the new leader orders layers {start:d} to {end:d}')
+def give_order(context, start, end):
+    answer = context.new.order({}, start, end)
+    assert answer.accepted, answer
+
+    def is_told():
+        # Entries hear of the new layers over the open link.
+        told = context.new.dialer.link.peer.endpoint
+        return (told.layer_start, told.layer_end) == (start, end)
+
+    wait_until(is_told)
+    assert context.new.dialer.link.peer.endpoint.layer_count == 24
+
+
+@behave.when('the agent of the spare endpoint is started anew')
+def restart_agent(context):
+    context.agent.__exit__(None, None, None)
+    start_agent(context)
+    for name in ('old', 'new'):
+        one = getattr(context, name)
+        one.dialer.stop()
+        hello = link_pb2.Hello(name=name, role='entry')
+        handlers = links.Handlers(lambda _: None, one.take, lambda *_: None)
+        one.dialer = links.Dialer(
+            context.agent.address, lambda hello=hello: hello, handlers
+        )
+        one.dialer.start()
+        context.stack.callback(one.dialer.stop)
+
+
+@behave.then('the agent tells that it holds layers {start:d} to {end:d}')
+def check_told(context, start, end):
+    endpoint = context.agent.endpoint
+    assert (endpoint.layer_start, endpoint.layer_end) == (start, end)
+
+
+@behave.when('the store of the leaders is away')
+def lose_store(context):
+    context.store.gate.change(faults.Fault(down=True))
+
+
+class Candidate:
+    """A leader actor with a clock of its own and a view made up."""
+
+    def __init__(self, context, name):
+        self.now, self.sent, self.status = 1000.0, [], None
+        view = leading.View(
+            lambda: [placement.Engine('spare', placement.Holding())],
+            lambda: True,
+            lambda agent, order: self.sent.append(order) or True,
+        )
+        self.actor = leading.Leader.start(
+            MODEL,
+            name,
+            make_keys(context, lambda: self.now),
+            view,
+            settings.Placement(lease=6, patience=5.0),
+            self.publish,
+            lambda: self.now,
+        )
+
+    def publish(self, status):
+        self.status = status
+
+    def tick(self, seconds=0.0):
+        self.now += seconds
+        target = placement.Target(MODEL, '1', 24)
+        self.actor.ask(leading.Tick((target,), True))
+        return self.status.phase
+
+
+@behave.given('two candidates that see a lost range, the first one leading')
+def start_candidates(context):
+    start_store(context)
+    context.first = Candidate(context, 'entry-1')
+    context.second = Candidate(context, 'entry-2')
+    assert context.first.tick() == 'leader'
+    assert context.second.tick() == 'candidate'
+
+
+@behave.when('the first is paused for {seconds:f} s and its lease ends')
+def pause_first(context, seconds):
+    client = stores.Store.from_url(context.store_url)
+    context.stack.callback(client.close)
+    (value,) = client.get_range(leaders.PREFIX).unwrap()
+    client.revoke(value.lease).unwrap()
+    assert context.second.tick(10.0) == 'leader'
+    for _ in range(6):
+        context.second.tick(1.0)
+    context.first.now += seconds
+
+
+@behave.then('the second has ordered once, and the first orders nothing')
+def check_orders(context):
+    first, second = context.first, context.second
+    assert len(second.sent) == 1
+    # It learns from the store that its lease has ended.
+    assert first.tick() == 'candidate'
+    assert first.tick(30.0) == 'candidate'
+    assert not first.sent
+    assert first.status.leader == 'entry-2'
+    assert first.status.fence == second.sent[0].fence
+
+
+@behave.then('while the store is away the second lapses and orders nothing')
+def check_lapse(context):
+    lose_store(context)
+    assert context.second.tick(5.5) == 'lapsed'
+    # Its order is given up, and would be repeated, if it still led.
+    assert context.second.tick(600.0) == 'lapsed'
+    for _ in range(30):
+        assert context.second.tick(1.0) == 'lapsed'
+    assert len(context.second.sent) == 1
+
+
+@behave.given('a deployment of real processes with a spare endpoint')
+def start_deployment(context):
+    context.running = context.stack.enter_context(trial.run_with_spare())
+    wait_until(lambda: trial.find_leader(context.running) is not None)
+    context.leader = trial.find_leader(context.running)
+
+
+@behave.when('the leading entry is stopped in its tracks and a range is lost')
+def stop_leader(context):
+    context.running.started[context.leader].pause()
+    context.stack.callback(context.running.started[context.leader].resume)
+    trial.lose_range(context.running)
+
+
+def read_orders(context):
+    return [
+        order
+        for agent in context.running.plan.agents
+        if context.running.started[agent.endpoint.standin.name].is_running
+        for order in context.running.get_json(
+            f'{agent.endpoint.standin.url}/v1/orders'
+        )
+    ]
+
+
+@behave.then('another entry leads and restores the range by one order')
+def check_restored(context):
+    running, old = context.running, context.leader
+    wait_until(lambda: trial.find_leader(running, avoid=old) is not None)
+    wait_until(lambda: read_orders(context))
+    (order,) = read_orders(context)
+    assert (order['layer_start'], order['layer_end']) == (8, 16)
+    context.fence = order['fence']
+
+
+@behave.then('the first entry follows once it runs again, and one order stays')
+def check_follower(context):
+    running, old = context.running, context.leader
+    running.started[old].resume()
+
+    def follows():
+        status = running.read_state(old)['placement'][MODEL]
+        return (status['phase'], status['fence']) == (
+            'candidate',
+            context.fence,
+        )
+
+    wait_until(follows)
+    assert len(read_orders(context)) == 1
+    number = [entry.name for entry in running.plan.entries].index(old)
+    caller = running.make_caller(number, 'diner')
+    context.stack.callback(caller.close)
+
+    def is_served():
+        answer = caller.complete('specials', model=MODEL, max_tokens=4)
+        return answer.is_complete
+
+    wait_until(is_served)
