Give the engine eight smaller calls in place of two large ones

A call's results come when all its steps have run. Two calls of up to 256 steps each meant that an engine with room for 16 tokens a step ran one call in several steps, held back what was ready, and then all sessions moved on together, so other stages were idle.

Eight calls are now under way, each with at most an eighth of the sessions at the agent, or 8 steps; a head's bound of a batch for each stage stays.

What it costs in processor time is not measured here.

--- a/packages/daemon/src/dunlintide_daemon/agent/driver.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/driver.py
@@ -1,8 +1,9 @@
-"""Feeds the engine: gathers ready steps into few, large calls.
+"""Feeds the engine: gathers ready steps into calls.
 
-Two calls are under way at a time, so the engine need not wait for HTTP;
-what becomes ready meanwhile gathers for the next one. A session has one
-step under way at most, which keeps its results in order.
+Several calls are under way at a time, which the engine merges: it always
+has work, and a call of few steps has its results soon. What becomes ready
+meanwhile gathers for the next call. A session has one step under way at
+most, which keeps its results in order.
 """
 
 import collections
@@ -23,7 +24,9 @@
     'Job',
 ]
 
-CALLS = 2
+CALLS = 8
+# Smaller calls cost more processor time than their results' wait.
+LEAST_STEPS = 8
 MAX_STEPS = 256
 MAX_POSITIONS = 16_384
 # A slow batch must not look like a hung engine.
@@ -182,7 +185,8 @@
         with self._wake:
             while not self._ready and not self._stopped:
                 self._wake.wait()
-            limit = min(self._handlers.limit(), MAX_STEPS)
+            share = -(-len(self._lanes) // CALLS)
+            limit = min(self._handlers.limit(), max(LEAST_STEPS, share))
             while self._ready and len(jobs) < limit:
                 session = self._ready[0]
                 lane = self._lanes[session]
