Measure a member beside one that floods all entries

Cause: nothing showed what a member at its share notices of another at 20 times its share.

Change: fairness.flood, real processes in two stages; the flood comes from a process of its own over all entries, with many keys and connections. Agents take "queueing": "fifo" as the baseline and "cap" to compare caps; the launcher passes further settings to daemons.

--- a/packages/core/src/dunlintide_core/queueing.py
+++ b/packages/core/src/dunlintide_core/queueing.py
@@ -43,6 +43,7 @@
     :ivar max_cost: more than this counts as this
     :ivar ageing: seconds of waiting worth one priority
     :ivar aged_every: each so manieth pick goes by age
+    :ivar fair: False for first come, first served over all members
     """
 
     per_member: int = 256
@@ -51,6 +52,7 @@
     max_cost: float = 65536.0
     ageing: float = 2.0
     aged_every: int = 8
+    fair: bool = True
 
 
 @attrs.define(eq=False)
@@ -195,11 +197,14 @@
         ticket.weight = min(max(ticket.weight, MIN_WEIGHT), MAX_WEIGHT)
         ticket.cost = min(max(ticket.cost, 1.0), self._limits.max_cost)
         ticket.priority = min(max(ticket.priority, 0), PRIORITIES - 1)
+        if not self._limits.fair:
+            ticket.member, ticket.priority = '', 0
         wait = self.estimate_wait(
             ticket.member, ticket.weight, ticket.cost, rate
         )
         full = (
             self._counts.get(ticket.member, 0) >= self._limits.per_member
+            and self._limits.fair
             or len(self) >= self._limits.total
         )
         if full:
--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -18,7 +18,9 @@
     'Log',
     'LogFormat',
     'LogLevel',
+    'CapPolicy',
     'Placement',
+    'Queueing',
     'Recovery',
     'Routing',
     'Settings',
@@ -66,6 +68,28 @@
     ROUND_ROBIN = 'round-robin'
 
 
+class Queueing(enum.StrEnum):
+    """In which order an agent starts what waits.
+
+    First come, first served over all members is a diagnostic: the
+    baseline of measurements.
+    """
+
+    FAIR = 'fair'
+    FIFO = 'fifo'
+
+
+class CapPolicy(enum.StrEnum):
+    """What bounds the requests in flight before an engine.
+
+    All but the budget are diagnostics; see ``dunlintide_core.caps``.
+    """
+
+    BUDGET = 'budget'
+    FIXED = 'fixed'
+    ADAPTIVE = 'adaptive'
+
+
 class Recovery(enum.StrEnum):
     """What runs again after the death of a stage.
 
@@ -194,6 +218,8 @@
     :ivar endpoint: the endpoint beside it; agents only
     :ivar recovery: what runs again when a stage dies; entries only
     :ivar routing: how an entry chooses chains
+    :ivar queueing: order of what waits; agents only
+    :ivar cap: bound on what is in flight; agents of engines only
     """
 
     role: fleet.Role
@@ -213,6 +239,8 @@
     placement: Placement = Placement()
     recovery: Recovery = Recovery.REPLAY
     routing: Routing = Routing.PLANNED
+    queueing: Queueing = Queueing.FAIR
+    cap: CapPolicy = CapPolicy.BUDGET
 
 
 def _is_name(value: str) -> bool:
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -45,6 +45,7 @@
 
 TICK_SECONDS = 0.1
 MAX_IN_FLIGHT = 256
+ADAPTIVE_START = 16
 SERVICE_THREADS = 32
 FAILED = 1
 VITAL_THREADS = frozenset(('driver', 'reaper', 'ticker'))
@@ -145,15 +146,24 @@
             default = SERVICE_THREADS
         self._max_in_flight = self.endpoint.max_in_flight or default
         limits = queueing.Limits(
-            per_member=self.settings.limits.queue_per_member
+            per_member=self.settings.limits.queue_per_member,
+            fair=self.settings.queueing is settings_module.Queueing.FAIR,
         )
         settings = gates.GateSettings(
             self.settings.name, self.incarnation, queue=limits
         )
-        cap = caps.budget(self._max_in_flight)
+        return gates.Gate(settings, self._build_cap(), self.counts)
+
+    def _build_cap(self) -> caps.Cap:
+        policy = self.settings.cap
         if self.endpoint.kind is fleet.EndpointKind.SERVICE:
-            cap = caps.fix(self._max_in_flight)
-        return gates.Gate(settings, cap, self.counts)
+            policy = settings_module.CapPolicy.FIXED
+        match policy:
+            case settings_module.CapPolicy.FIXED:
+                return caps.fix(self._max_in_flight)
+            case settings_module.CapPolicy.ADAPTIVE:
+                return caps.adapt(ADAPTIVE_START, self._max_in_flight)
+        return caps.budget(self._max_in_flight)
 
     def _build_engine_side(self) -> None:
         endpoint = self.endpoint
--- a/packages/trials/src/dunlintide_trials/blueprints.py
+++ b/packages/trials/src/dunlintide_trials/blueprints.py
@@ -39,6 +39,7 @@
     :ivar token_seconds: time that a token adds to a step
     :ivar step_tokens: bound on the tokens of a step
     :ivar max_in_flight: bound on its concurrent requests, 0 for none
+    :ivar kv_tokens: positions that its KV cache holds
     :ivar checks_fence: whether it refuses orders with an old fence
     """
 
@@ -51,6 +52,7 @@
     token_seconds: float = 0.0001
     step_tokens: int = 8192
     max_in_flight: int = 0
+    kv_tokens: int = 100_000
     checks_fence: bool = False
 
 
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/cases/fairness.py
@@ -0,0 +1,275 @@
+"""What a member notices of another one that floods all entries.
+
+Real processes: two stages, whose engines' modelled steps are the bound.
+"""
+
+import contextlib
+import pathlib
+import random
+import secrets
+import statistics
+import tempfile
+import threading
+import time
+from typing import Any, Iterator
+
+import attrs
+
+from dunlintide_trials import blueprints
+from dunlintide_trials import client
+from dunlintide_trials import deployment
+from dunlintide_trials import figures
+from dunlintide_trials import floods
+from dunlintide_trials import launcher
+from dunlintide_trials import operators
+
+__all__ = ['CASES']
+
+VICTIM = 'victim'
+FLOODER = 'flooder'
+VICTIM_PART = 0.25
+TIMES_SHARE = 20
+MODEL = 'bench'
+SLOTS = 16
+STAGES = 2
+LAYERS_EACH = 4
+STEP_SECONDS = 0.03
+TOKEN_SECONDS = 0.0005
+TOKENS = 16
+ENTRIES = 2
+ENTRY_THREADS = 64
+CONNECTIONS = 160
+KEYS = 16
+ALONE_SECONDS = 15.0
+FLOOD_SECONDS = 20.0
+WARM_UP_SECONDS = 4.0
+DEADLINE_SECONDS = 10
+FIRST_TOKEN_BOUND = 1.3
+THROUGHPUT_BOUND = 0.95
+_LATE_SECONDS = 3.0
+
+# A step of a full batch at each stage; the stages work side by side.
+_BATCH = SLOTS // STAGES
+CAPACITY = _BATCH / (STEP_SECONDS + _BATCH * TOKEN_SECONDS)
+SHARE = VICTIM_PART * CAPACITY
+
+
+def _make_stage(number: int) -> blueprints.Stage:
+    return blueprints.Stage(
+        layer_start=number * LAYERS_EACH,
+        layer_end=(number + 1) * LAYERS_EACH,
+        replicas=1,
+        tokens_per_second=CAPACITY,
+        step_seconds=STEP_SECONDS,
+        token_seconds=TOKEN_SECONDS,
+        max_in_flight=SLOTS,
+    )
+
+
+_BLUEPRINT = blueprints.Blueprint(
+    name='fairness',
+    region='here',
+    failure_domains=('east', 'west'),
+    entries=ENTRIES,
+    rules='',
+    pipelines=(
+        blueprints.Pipeline(
+            MODEL,
+            STAGES * LAYERS_EACH,
+            tuple(_make_stage(number) for number in range(STAGES)),
+        ),
+    ),
+    services=(),
+)
+
+
+def _make_rules(keys: list[str]) -> dict[str, Any]:
+    hashes = [operators.hash_key(key) for key in keys]
+    terms = {'deadline_seconds': DEADLINE_SECONDS}
+    weights = {VICTIM: VICTIM_PART, FLOODER: 1.0 - VICTIM_PART}
+    return {
+        'members': [
+            {'name': VICTIM, 'key_hashes': []},
+            {'name': FLOODER, 'key_hashes': hashes},
+        ],
+        'models': [{'name': MODEL, 'layers': STAGES * LAYERS_EACH}],
+        'rules': [
+            {
+                'name': member,
+                'when': {'member': member},
+                'then': terms | {'weight': weight},
+            }
+            for member, weight in weights.items()
+        ],
+    }
+
+
+@attrs.define
+class _Victim:
+    """Steady requests at the share of a member, over all entries."""
+
+    running: deployment.Deployment
+    answers: list[client.Answer] = attrs.field(factory=list)
+    _threads: list[threading.Thread] = attrs.field(factory=list)
+
+    def run(self, seconds: float) -> list[client.Answer]:
+        """Ask for so long; gives the answers in the order of starts."""
+        rng = random.Random(0)
+        callers = [
+            self.running.make_caller(entry, VICTIM) for entry in range(ENTRIES)
+        ]
+        pause = TOKENS / SHARE
+        end = time.monotonic() + seconds
+        answers: list[client.Answer] = []
+        threads = []
+        while time.monotonic() < end:
+            answer = client.Answer()
+            answers.append(answer)
+            thread = threading.Thread(
+                target=callers[len(answers) % ENTRIES].complete,
+                args=(f'steady {len(answers)} of the victim',),
+                kwargs={
+                    'model': MODEL,
+                    'max_tokens': TOKENS,
+                    'stream': True,
+                    'answer': answer,
+                },
+                daemon=True,
+            )
+            thread.start()
+            threads.append(thread)
+            time.sleep(pause * rng.uniform(0.8, 1.2))
+        for thread in threads:
+            thread.join(DEADLINE_SECONDS + _LATE_SECONDS)
+        return answers
+
+
+@attrs.frozen
+class _Seen:
+    """What the victim saw in a window.
+
+    :ivar first_token: 95th percentile in seconds; an answer without a
+        token counts as the deadline
+    :ivar served: complete answers, of those asked for
+    :ivar other: tokens a second of the flood, from its counts
+    """
+
+    first_token: float
+    median: float
+    served: float
+    asked: int
+    flood: dict[str, int] = attrs.field(factory=dict)
+
+
+def _look(answers: list[client.Answer], flood: dict[str, int]) -> _Seen:
+    waits = [
+        (
+            answer.times[0] - answer.started
+            if answer.times
+            else float(DEADLINE_SECONDS)
+        )
+        for answer in answers
+    ]
+    return _Seen(
+        statistics.quantiles(waits, n=20)[-1],
+        statistics.median(waits),
+        sum(answer.is_complete for answer in answers) / len(answers),
+        len(answers),
+        flood,
+    )
+
+
+def _measure(queueing: str, alone: bool) -> dict[str, _Seen]:
+    keys = [secrets.token_urlsafe(16) for _ in range(KEYS)]
+    found = {}
+    with contextlib.ExitStack() as stack:
+        folder = stack.enter_context(
+            tempfile.TemporaryDirectory(prefix='dunlintide-')
+        )
+        running = stack.enter_context(
+            launcher.run(
+                _BLUEPRINT,
+                _make_rules(keys),
+                pathlib.Path(folder),
+                extras={
+                    'agent': {'queueing': queueing},
+                    'entry': {'limits': {'threads': ENTRY_THREADS}},
+                },
+            )
+        )
+        victim = _Victim(running)
+        if alone:
+            victim.run(WARM_UP_SECONDS)
+            found['alone'] = _look(victim.run(ALONE_SECONDS), {})
+        plan = floods.Plan(
+            urls=tuple(
+                running.plan.find_url(entry) for entry in running.plan.entries
+            ),
+            keys=tuple(keys),
+            model=MODEL,
+            connections=CONNECTIONS,
+            rate=TIMES_SHARE * (1.0 - VICTIM_PART) * CAPACITY / TOKENS,
+            seconds=WARM_UP_SECONDS + FLOOD_SECONDS,
+            max_tokens=TOKENS,
+        )
+        with floods.Flood.start(plan) as flood:
+            time.sleep(WARM_UP_SECONDS)
+            answers = victim.run(FLOOD_SECONDS - _LATE_SECONDS)
+        found['flooded'] = _look(answers, flood.counts)
+    return found
+
+
+def measure_flood() -> Iterator[figures.Figure]:
+    """Measure a member beside another at 20 times its share."""
+    fair = _measure('fair', alone=True)
+    fifo = _measure('fifo', alone=False)['flooded']
+    alone, flooded = fair['alone'], fair['flooded']
+    note = (
+        f'{alone.first_token * 1000:.0f} ms alone, {flooded.asked} requests; '
+        f'flood over {ENTRIES} entries, {KEYS} keys, {CONNECTIONS} '
+        f'connections: {flooded.flood}; '
+        'baseline: first come, first served at the agent'
+    )
+    yield figures.at_most(
+        'fairness.flood.first_token',
+        round(flooded.first_token / alone.first_token, 3),
+        '1',
+        FIRST_TOKEN_BOUND,
+        round(fifo.first_token / alone.first_token, 3),
+        note,
+    )
+    yield figures.plain(
+        'fairness.flood.first_token.median',
+        round(flooded.median / alone.median, 3),
+        '1',
+        round(fifo.median / alone.median, 3),
+        f'{alone.median * 1000:.0f} ms alone',
+    )
+    yield figures.at_least(
+        'fairness.flood.throughput',
+        round(flooded.served, 3),
+        '1',
+        THROUGHPUT_BOUND,
+        round(fifo.served, 3),
+        'complete answers over requests at its share of '
+        f'{SHARE:.0f} tokens/s; same baseline',
+    )
+    complete = flooded.flood.get('complete', 0) * TOKENS
+    seconds = WARM_UP_SECONDS + FLOOD_SECONDS
+    yield figures.plain(
+        'fairness.flood.used',
+        round((complete / seconds + flooded.served * SHARE) / CAPACITY, 3),
+        '1',
+        round(
+            (
+                fifo.flood.get('complete', 0) * TOKENS / seconds
+                + fifo.served * SHARE
+            )
+            / CAPACITY,
+            3,
+        ),
+        f'tokens/s of both over the modelled {CAPACITY:.0f}',
+    )
+
+
+CASES = [measure_flood]
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/floods.py
@@ -0,0 +1,156 @@
+"""A flood of requests from a process of its own.
+
+Usage: ``python -m dunlintide_trials.floods`` with a ``Plan`` as JSON on
+the standard input. It prints the counts of answers by kind as JSON once
+its time is over.
+"""
+
+import collections
+import contextlib
+import json
+import random
+import subprocess
+import sys
+import threading
+import time
+from typing import Any, Iterator
+
+import attrs
+
+from dunlintide_trials import client
+
+__all__ = ['Flood', 'Plan', 'main']
+
+_READ_SECONDS = 30.0
+_DRAIN_SECONDS = 5.0
+_STOP_SECONDS = 30.0
+
+
+@attrs.frozen
+class Plan:
+    """What a flood sends.
+
+    :ivar urls: entries, asked in turn
+    :ivar keys: bearer keys of one member, used in turn
+    :ivar connections: requests that may be open at once
+    :ivar rate: requests a second, while a connection is free
+    """
+
+    urls: tuple[str, ...]
+    keys: tuple[str, ...]
+    model: str
+    connections: int
+    rate: float
+    seconds: float
+    prompt_words: int = 6
+    max_tokens: int = 16
+
+
+class _Pace:
+    """Hands out the moments of requests; missed ones are lost."""
+
+    def __init__(self, rate: float, seconds: float) -> None:
+        self._lock = threading.Lock()
+        self._interval = 1.0 / rate
+        self._next = time.monotonic()
+        self._end = self._next + seconds
+        self.count = 0
+
+    def wait(self) -> int | None:
+        """Wait for the next moment; None once the time is over."""
+        with self._lock:
+            moment = max(self._next, time.monotonic())
+            self._next = moment + self._interval
+            self.count += 1
+            count = self.count
+        if moment >= self._end:
+            return None
+        time.sleep(max(0.0, moment - time.monotonic()))
+        return count
+
+
+def _describe(answer: client.Answer) -> str:
+    return answer.code or answer.outcome
+
+
+def _run(
+    plan: Plan,
+    number: int,
+    pace: _Pace,
+    counts: collections.Counter[str],
+) -> None:
+    url = plan.urls[number % len(plan.urls)]
+    key = plan.keys[number % len(plan.keys)]
+    caller = client.Caller(url, key, read_seconds=_READ_SECONDS)
+    rng = random.Random(number)
+    while (count := pace.wait()) is not None:
+        words = (f'{count}-{word}' for word in range(plan.prompt_words))
+        answer = caller.complete(
+            ' '.join(words),
+            model=plan.model,
+            max_tokens=plan.max_tokens,
+            stream=rng.random() < 0.5,
+        )
+        # One operation of the interpreter; the counts need no lock.
+        counts[_describe(answer)] += 1
+    caller.close()
+
+
+def main() -> None:
+    """Run the flood that the standard input describes."""
+    plan = Plan(**json.load(sys.stdin))
+    pace = _Pace(plan.rate, plan.seconds)
+    counts: list[collections.Counter[str]] = []
+    threads = []
+    for number in range(plan.connections):
+        counts.append(collections.Counter())
+        thread = threading.Thread(
+            target=_run, args=(plan, number, pace, counts[-1]), daemon=True
+        )
+        thread.start()
+        threads.append(thread)
+    end = time.monotonic() + plan.seconds + _DRAIN_SECONDS
+    for thread in threads:
+        thread.join(max(0.0, end - time.monotonic()))
+    total = sum(counts, collections.Counter())
+    total['open at the end'] = sum(one.is_alive() for one in threads)
+    print(json.dumps(total), flush=True)
+
+
+@attrs.define
+class Flood:
+    """A running flood.
+
+    :ivar counts: answers by kind, once it has ended
+    """
+
+    process: subprocess.Popen
+    counts: dict[str, int] = attrs.field(factory=dict)
+
+    @classmethod
+    @contextlib.contextmanager
+    def start(cls, plan: Plan) -> Iterator['Flood']:
+        """Start a flood and wait for its end behind the block."""
+        process = subprocess.Popen(
+            (sys.executable, '-m', 'dunlintide_trials.floods'),
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        flood = cls(process)
+        try:
+            process.stdin.write(json.dumps(attrs.asdict(plan)))
+            process.stdin.close()
+            yield flood
+            flood.counts = flood._read()
+        finally:
+            process.kill()
+            process.wait()
+
+    def _read(self) -> dict[str, Any]:
+        self.process.wait(_STOP_SECONDS)
+        return json.loads(self.process.stdout.read() or '{}')
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/trials/src/dunlintide_trials/launcher.py
+++ b/packages/trials/src/dunlintide_trials/launcher.py
@@ -149,6 +149,7 @@
     hops: Iterable[layout.Hop] = (),
     timing: Mapping[str, float] | None = None,
     routings: Iterable[str] = (),
+    extras: Mapping[str, Mapping[str, Any]] | None = None,
 ) -> Iterator[deployment.Deployment]:
     """Start a deployment and stop all of it at the end of the block.
 
@@ -159,6 +160,7 @@
     :param hops: where to put relays, which ``Deployment.relays`` has
     :param timing: the ``timing`` part of the daemons' settings
     :param routings: the ``routing`` of the entries, in their order
+    :param extras: further settings of daemons, by role
     :raises processes.StartError: when a process doesn't become ready
     """
     with contextlib.ExitStack() as stack:
@@ -172,6 +174,7 @@
             relayed={place: one.port for place, one in relays.items()},
             timing=dict(timing or {}),
             routings=tuple(routings),
+            extras=extras or {},
         )
         layout.write_files(plan, folder)
         keys = layout.make_keys([one['name'] for one in rules['members']])
--- a/packages/trials/src/dunlintide_trials/layout.py
+++ b/packages/trials/src/dunlintide_trials/layout.py
@@ -6,7 +6,7 @@
 import pathlib
 import secrets
 import sys
-from typing import Any
+from typing import Any, Mapping
 
 import attrs
 
@@ -135,6 +135,7 @@
             'store_url': plan.store.url,
             'host_list_url': f'{plan.host_list.url}/hosts',
             'timing': plan.timing,
+            **plan.extras.get(role, {}),
         }
 
 
@@ -191,6 +192,7 @@
     :ivar relayed: port of the relay on a hop, by hop and daemon
     :ivar timing: the ``timing`` part of every daemon's settings
     :ivar routings: the ``routing`` of entries, by their numbers
+    :ivar extras: further settings of daemons, by role
     """
 
     blueprint: blueprints.Blueprint
@@ -202,6 +204,7 @@
     relayed: dict[tuple[Hop, str], int] = attrs.field(factory=dict)
     timing: dict[str, float] = attrs.field(factory=dict)
     routings: tuple[str, ...] = ()
+    extras: Mapping[str, Mapping[str, Any]] = attrs.field(factory=dict)
 
     def find_port(self, hop: Hop, daemon: str, port: int) -> int:
         """Give the port of the relay on a hop, or the given one."""
@@ -235,6 +238,7 @@
         f'--base_seconds={stage.step_seconds}',
         f'--seconds_per_token={stage.token_seconds}',
         f'--max_batch_tokens={stage.step_tokens}',
+        f'--kv_tokens={stage.kv_tokens}',
         f'--checks_fence={str(stage.checks_fence).lower()}',
         f'--crash_marker={blueprints.CRASH_MARKER}',
     )
--- a/packages/trials/src/dunlintide_trials/operators.py
+++ b/packages/trials/src/dunlintide_trials/operators.py
@@ -16,6 +16,7 @@
     'Report',
     'apply_rules',
     'fill_keys',
+    'hash_key',
     'load_rules',
     'run_command',
 ]
@@ -80,10 +81,15 @@
     return parsed.unwrap().value
 
 
+def hash_key(key: str) -> str:
+    """Return the hash by which the configuration knows a bearer key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
 def fill_keys(rules: dict[str, Any], keys: dict[str, str]) -> dict[str, Any]:
-    """Return the configuration with the hash of each member's key."""
+    """Return the configuration with the hash of each member's key added."""
     filled = copy.deepcopy(rules)
     for member in filled['members']:
         key = keys[member['name']]
-        member['key_hashes'] = [hashlib.sha256(key.encode()).hexdigest()]
+        member['key_hashes'].append(hash_key(key))
     return filled
