Keep slow links alive while they carry a large frame

Cause: a link counts as silent when no whole message has come for 2 s. A message held up to 256 KB and a frame of any size, so a narrow link that carried a long prompt was cut in its midst, again and again. gRPC may also drop the generator that serves a link, which left the link in the list of open ones.

Change: messages hold 16 KB, a larger frame goes in pieces, and a server pings when it has sent nothing for half the silence, since the pings of its peer may wait behind a large frame. A link is always taken off the list.

--- /dev/null
+++ b/features/steps/links.py
@@ -0,0 +1,98 @@
+"""Steps for links through a relay."""
+
+import random
+import time
+
+import behave
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_standins import relay
+
+WAIT_SECONDS = 30.0
+FEW = 3
+
+
+def wait_until(condition, what):
+    end = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        assert time.monotonic() < end, f'not in time: {what}'
+        time.sleep(0.01)
+
+
+class Side:
+    """What one end of a link has seen."""
+
+    def __init__(self, name):
+        self.name = name
+        self.up = []
+        self.lost = []
+        self.frames = []
+
+    def hello(self):
+        return link_pb2.Hello(name=self.name)
+
+    def make_handlers(self):
+        return links.Handlers(
+            self.up.append,
+            lambda _, frames: self.frames.extend(frames),
+            lambda _, reason: self.lost.append(reason),
+        )
+
+
+@behave.given('a link of {seconds:d} s silence through a relay')
+def start_link(context, seconds):
+    timing = links.LinkTiming(ping=0.2, silence=seconds, redial=0.2)
+    context.sides = {name: Side(name) for name in ('dialer', 'server')}
+    far, near = context.sides['server'], context.sides['dialer']
+    server = links.LinkServer(
+        '127.0.0.1:0', far.hello, far.make_handlers(), timing
+    )
+    context.stack.enter_context(links.serve(server))
+    context.relay = relay.Relay('127.0.0.1:0', f'127.0.0.1:{server.port}')
+    context.stack.callback(context.relay.stop)
+    dialer = links.Dialer(
+        f'127.0.0.1:{context.relay.port}',
+        near.hello,
+        near.make_handlers(),
+        timing,
+    )
+    dialer.start()
+    context.stack.callback(dialer.stop)
+    wait_until(lambda: near.up and far.up, 'a link')
+
+
+@behave.when(
+    'the relay passes {rate:d} bytes a second and the {side} sends {size:d} '
+    'bytes'
+)
+def send_large(context, rate, side, size):
+    context.relay.shape(rate=rate)
+    context.receiver = next(s for n, s in context.sides.items() if n != side)
+    body = random.Random(1).randbytes(size)
+    context.sent = [link_pb2.Call(path=str(n)) for n in range(FEW)]
+    context.sent.insert(1, link_pb2.Call(body=body))
+    link = context.sides[side].up[0]
+    for call in context.sent:
+        assert link.send(link_pb2.Frame(call=call))
+
+
+@behave.then('the other side gets them whole, in order, over the same link')
+def check_large(context):
+    receiver = context.receiver
+    count = len(context.sent)
+    wait_until(lambda: len(receiver.frames) >= count, 'all frames')
+    assert [frame.call for frame in receiver.frames] == context.sent
+    for side in context.sides.values():
+        assert len(side.up) == 1 and not side.lost, (side.name, side.lost)
+
+
+@behave.when('the relay goes silent for the open connection')
+def go_silent(context):
+    context.relay.stall()
+
+
+@behave.then('both sides lose the link and a new one is up')
+def check_replaced(context):
+    sides = context.sides.values()
+    wait_until(lambda: all(len(s.up) == 2 for s in sides), 'a new link')
+    wait_until(lambda: all(len(s.lost) == 1 for s in sides), 'the loss')
--- a/packages/adapters/src/dunlintide_adapters/links.py
+++ b/packages/adapters/src/dunlintide_adapters/links.py
@@ -11,10 +11,11 @@
 import random
 import threading
 import time
-from typing import Callable, Iterator
+from typing import Callable, Iterable, Iterator
 
 from absl import logging
 import attrs
+from google.protobuf import message
 import grpc
 
 from dunlintide_adapters.wire import link_pb2
@@ -29,7 +30,9 @@
 ]
 
 MAX_MESSAGE_BYTES = 4 << 20
-BATCH_BYTES = 256 << 10
+# A message shows that the link is alive only once it is whole, so one must
+# be small enough for a slow link to carry it well within the silence.
+BATCH_BYTES = 16 << 10
 MAX_BACKLOG_FRAMES = 100_000
 MAX_SERVER_LINKS = 512
 _STOP_GRACE_SECONDS = 2.0
@@ -86,6 +89,14 @@
     return type(error).__name__
 
 
+def _cut(frame: link_pb2.Frame) -> Iterator[link_pb2.Envelope]:
+    """Yield a large frame in pieces."""
+    data = frame.SerializeToString()
+    for start in range(0, len(data), BATCH_BYTES):
+        end = start + BATCH_BYTES
+        yield link_pb2.Envelope(piece=data[start:end], more=end < len(data))
+
+
 class _Outbox:
     """Frames that wait for the writer, bounded in number."""
 
@@ -123,12 +134,16 @@
             envelope = link_pb2.Envelope()
             size = 0
             for frame in frames:
-                envelope.frames.append(frame)
-                size += frame.ByteSize()
-                if size >= BATCH_BYTES:
+                length = frame.ByteSize()
+                if envelope.frames and size + length > BATCH_BYTES:
                     yield envelope
                     envelope = link_pb2.Envelope()
                     size = 0
+                if length > BATCH_BYTES:
+                    yield from _cut(frame)
+                    continue
+                envelope.frames.append(frame)
+                size += length
             if envelope.frames:
                 yield envelope
 
@@ -137,18 +152,24 @@
     """One open stream to a peer.
 
     :ivar peer: what the peer said of itself, None before that
+    :ivar heard: monotonic time of the last message that came
+    :ivar sent: monotonic time at which a frame was last queued
     """
 
     def __init__(self, handlers: Handlers, hello: link_pb2.Hello) -> None:
         self.peer: link_pb2.Hello | None = None
         self.heard = time.monotonic()
+        self.sent = self.heard
         self._handlers = handlers
         self._outbox = _Outbox()
         self._outbox.put(link_pb2.Frame(hello=hello))
         self._sequence = 0
+        self._pieces: list[bytes] = []
+        self._size = 0
 
     def send(self, frame: link_pb2.Frame) -> bool:
         """Queue a frame; False when the link is closed or backed up."""
+        self.sent = time.monotonic()
         return self._outbox.put(frame)
 
     def close(self) -> None:
@@ -157,6 +178,7 @@
 
     def ping(self) -> None:
         """Queue a ping, so that a silent link shows."""
+        self.sent = time.monotonic()
         self._sequence += 1
         ping = link_pb2.Ping(sequence=self._sequence)
         self._outbox.put(link_pb2.Frame(ping=ping))
@@ -176,6 +198,21 @@
             return False
         return body == 'pong'
 
+    def _unpack(self, envelope: link_pb2.Envelope) -> Iterable[link_pb2.Frame]:
+        """Give the frames of a message, a large one with its last piece."""
+        if not envelope.piece:
+            return envelope.frames
+        self._pieces.append(envelope.piece)
+        self._size += len(envelope.piece)
+        if self._size > MAX_MESSAGE_BYTES:
+            raise ValueError('a frame is larger than a message may be')
+        if envelope.more:
+            return ()
+        data = b''.join(self._pieces)
+        self._pieces.clear()
+        self._size = 0
+        return (link_pb2.Frame.FromString(data),)
+
     def _read(self, envelopes: Iterator[link_pb2.Envelope]) -> str:
         reason = 'closed by the peer'
         try:
@@ -183,13 +220,16 @@
                 self.heard = time.monotonic()
                 rest = [
                     frame
-                    for frame in envelope.frames
+                    for frame in self._unpack(envelope)
                     if not self._take_control(frame)
                 ]
                 if rest:
                     self._handlers.frames(self, rest)
         except grpc.RpcError as error:
             reason = _describe(error)
+        except (ValueError, message.DecodeError) as error:
+            # Whoever sent it is not one of ours, or is broken.
+            reason = str(error)
         self._outbox.close()
         if self.peer is not None:
             self._handlers.down(self, reason)
@@ -300,8 +340,11 @@
         )
         self._server.add(link, context)
         reader.start()
-        yield from link._outbox.envelopes()
-        self._server.discard(link)
+        try:
+            yield from link._outbox.envelopes()
+        finally:
+            # gRPC may drop this generator instead of running it to its end.
+            self._server.discard(link)
 
 
 class LinkServer:
@@ -379,6 +422,9 @@
                 if now - link.heard > self._timing.silence:
                     link.close()
                     context.cancel()
+                elif now - link.sent > self._timing.silence / 2:
+                    # The peer's pings may wait behind what it sends.
+                    link.ping()
 
 
 @contextlib.contextmanager
