Test that layers change under load without a wrong answer

An order to an endpoint that serves was tried only while idle. Six callers now run against a deployment of real processes while one of two holders of a range is ordered to hold the next one; each whole answer is compared with the reference.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -74,3 +74,8 @@
     When the leading entry is stopped in its tracks and a range is lost
     Then another entry leads and restores the range by one order
     And the first entry follows once it runs again, and one order stays
+
+  Scenario: Layers change under load and no answer mixes old and new ones
+    Given a deployment with two holders of each range, under load
+    When a holder of layers 0 to 8 is ordered to hold 8 to 16
+    Then the new holder runs steps and no answer is wrong
--- a/features/steps/placement_orders.py
+++ b/features/steps/placement_orders.py
@@ -1,5 +1,7 @@
 """Steps of placement.feature with a store, an agent and an engine."""
 
+from concurrent import futures
+import threading
 import time
 
 import attrs
@@ -15,6 +17,7 @@
 from dunlintide_daemon.entry import leader as leading
 from dunlintide_standins.engine import server as engines
 from dunlintide_standins import faults
+from dunlintide_standins import reference
 from dunlintide_standins.store import server as standin_stores
 from dunlintide_trials.cases import placement as trial
 from dunlintide_trials import processes
@@ -29,18 +32,22 @@
     assert processes.wait_for(condition, WAIT_SECONDS), condition
 
 
+def dial(context, address, name, take):
+    hello = link_pb2.Hello(name=name, role='entry')
+    handlers = links.Handlers(lambda _: None, take, lambda *_: None)
+    dialer = links.Dialer(address, lambda: hello, handlers)
+    dialer.start()
+    context.stack.callback(dialer.stop)
+    wait_until(lambda: dialer.link is not None)
+    return dialer
+
+
 class Leader:
     """A leader's link to the agent, with the term that it believes in."""
 
     def __init__(self, context, name):
         self.name, self.answers = name, []
-        hello = link_pb2.Hello(name=name, role='entry')
-        handlers = links.Handlers(lambda _: None, self.take, lambda *_: None)
-        self.dialer = links.Dialer(
-            context.agent.address, lambda: hello, handlers
-        )
-        self.dialer.start()
-        context.stack.callback(self.dialer.stop)
+        self.dialer = dial(context, context.agent.address, name, self.take)
         acquired = context.keys.acquire(MODEL, name, LEASE_SECONDS)
         self.term = acquired.unwrap()
         assert self.term is not None
@@ -54,7 +61,6 @@
 
     def order(self, held, start, end):
         """Send an order and give the agent's first answer to it."""
-        wait_until(lambda: self.dialer.link is not None)
         order = link_pb2.Order(
             order_id=f'{self.name}-{time.monotonic_ns()}',
             fence=self.term.fence,
@@ -180,13 +186,8 @@
     for name in ('old', 'new'):
         one = getattr(context, name)
         one.dialer.stop()
-        hello = link_pb2.Hello(name=name, role='entry')
-        handlers = links.Handlers(lambda _: None, one.take, lambda *_: None)
-        one.dialer = links.Dialer(
-            context.agent.address, lambda hello=hello: hello, handlers
-        )
-        one.dialer.start()
-        context.stack.callback(one.dialer.stop)
+        address = context.agent.address
+        one.dialer = dial(context, address, name, one.take)
 
 
 @behave.then('the agent tells that it holds layers {start:d} to {end:d}')
@@ -332,3 +333,81 @@
         return answer.is_complete
 
     wait_until(is_served)
+
+
+@behave.given('a deployment with two holders of each range, under load')
+def start_load(context):
+    running = context.stack.enter_context(trial.run_with_spare(2))
+    wait_until(lambda: trial.find_leader(running) is not None)
+    context.running, stop = running, threading.Event()
+    context.answers = []
+
+    def ask(worker):
+        caller = running.make_caller(worker % 3, 'diner')
+        number = 0
+        while not stop.is_set():
+            number += 1
+            prompt = f'blurb {worker} {number}'
+            answer = caller.complete(prompt, model=MODEL, max_tokens=64)
+            context.answers.append((prompt, answer))
+        caller.close()
+
+    pool = futures.ThreadPoolExecutor(6)
+    context.workers = [pool.submit(ask, worker) for worker in range(6)]
+    context.stop_load = stop
+    context.stack.callback(pool.shutdown)
+    context.stack.callback(stop.set)
+    wait_until(lambda: len(context.answers) > 20)
+
+
+@behave.when('a holder of layers 0 to 8 is ordered to hold 8 to 16')
+def move_holder(context):
+    running = context.running
+    client = stores.Store.from_url(running.plan.store.url)
+    context.stack.callback(client.close)
+    fence = leaders.Leaders(client).read(MODEL).unwrap().fence
+    agent = next(
+        one for one in running.plan.agents if f'{MODEL}-0-1' in one.name
+    )
+    held = link_pb2.Holding(model=MODEL, version='1', layer_end=8)
+    order = link_pb2.Order(
+        order_id='move',
+        fence=fence,
+        leader='test',
+        model=MODEL,
+        version='1',
+        layer_start=8,
+        layer_end=16,
+        layer_count=24,
+        held=held,
+    )
+    dialer = dial(context, agent.address, 'test', lambda *_: None)
+    dialer.link.send(link_pb2.Frame(order=order))
+
+    def is_moved():
+        holding = running.read_state(agent.name)['holding']
+        return (holding['layer_start'], holding['layer_end']) == (8, 16)
+
+    wait_until(is_moved)
+    context.moved = agent
+
+
+@behave.then('the new holder runs steps and no answer is wrong')
+def check_answers(context):
+    running = context.running
+    engine = context.moved.endpoint.standin.name
+
+    def works():
+        runs = running.read_endpoint_runs(engine)
+        return any(run['layer_start'] == 8 for run in runs)
+
+    wait_until(works)
+    context.stop_load.set()
+    for worker in context.workers:
+        worker.result()
+    complete = [(p, a) for p, a in context.answers if a.is_complete]
+    for prompt, answer in complete:
+        tokens = reference.expected_tokens(prompt, 64, 24, MODEL)
+        assert answer.text == ''.join(token.text for token in tokens), prompt
+    # The endpoint moves; its requests go on elsewhere.
+    assert len(complete) >= 0.9 * len(context.answers), len(complete)
--- a/packages/trials/src/dunlintide_trials/cases/placement.py
+++ b/packages/trials/src/dunlintide_trials/cases/placement.py
@@ -38,10 +38,13 @@
 
 
 @contextlib.contextmanager
-def run_with_spare() -> Iterator[deployment.Deployment]:
-    """Start a pipeline with one engine a stage, and one spare engine."""
+def run_with_spare(replicas: int = 1) -> Iterator[deployment.Deployment]:
+    """Start a pipeline and one spare engine.
+
+    :param replicas: engines for each stage
+    """
     stages = tuple(
-        blueprints.Stage(start, start + LAYERS_PER_STAGE, 1)
+        blueprints.Stage(start, start + LAYERS_PER_STAGE, replicas)
         for start in range(0, LAYERS, LAYERS_PER_STAGE)
     )
     blueprint = blueprints.Blueprint(
