Let no member take all threads of an entry

Change: a request counts to its member once that is known. A member may hold four times the threads that are free now (dynamic thresholds, as in switches with shared memory): alone it gets 4/5 of them, and whoever comes next always finds some. Beyond that it is refused at once with queue-full and Retry-After.

--- a/packages/adapters/src/dunlintide_adapters/httpserver.py
+++ b/packages/adapters/src/dunlintide_adapters/httpserver.py
@@ -6,6 +6,8 @@
 run at once are refused at once by spare threads, so none waits unseen.
 """
 
+import collections
+import functools
 import http
 import json
 import logging as standard_logging
@@ -21,8 +23,11 @@
 import waitress.server
 import waitress.task
 
+from dunlintide_core import thresholds
+
 __all__ = [
     'END_BY',
+    'JOIN',
     'ErrorPage',
     'HttpServer',
     'render_error',
@@ -33,6 +38,10 @@
 # not reading is cut off.
 END_BY = 'dunlintide.end_by'
 
+# Key of a function in the environment of a request: it counts the request
+# to a group and tells whether the group may run another one now.
+JOIN = 'dunlintide.join'
+
 DEFAULT_MAX_BODY_BYTES = 4 << 20
 DEFAULT_MAX_HEADER_BYTES = 32 << 10
 DEFAULT_MAX_CONNECTIONS = 2048
@@ -207,8 +216,19 @@
             self._release()
 
 
+@attrs.define(eq=False)
+class _Seat:
+    """One running request and the group that it counts to."""
+
+    group: str = ''
+
+
 class _Gate:
-    """Runs at most so many requests at once and refuses the others."""
+    """Runs at most so many requests at once and refuses the others.
+
+    A group of requests may hold a multiple of what is free, so that none
+    takes all threads.
+    """
 
     def __init__(
         self,
@@ -221,6 +241,7 @@
         self._limit = limit
         self._render = render
         self._lock = threading.Lock()
+        self._groups: collections.Counter[str] = collections.Counter()
 
     def _enter(self) -> bool:
         with self._lock:
@@ -229,9 +250,24 @@
             self.in_flight += 1
             return True
 
-    def _leave(self) -> None:
+    def _join(self, seat: _Seat, group: str) -> bool:
+        with self._lock:
+            free = self._limit - self.in_flight
+            # Its own place may be the last one.
+            if not thresholds.admits(self._groups[group], free + 1):
+                return False
+            seat.group = group
+            self._groups[group] += 1
+            return True
+
+    def _leave(self, seat: _Seat) -> None:
         with self._lock:
             self.in_flight -= 1
+            if not seat.group:
+                return
+            self._groups[seat.group] -= 1
+            if not self._groups[seat.group]:
+                del self._groups[seat.group]
 
     def _refuse(self, start_response: Callable) -> list[bytes]:
         status = http.HTTPStatus.SERVICE_UNAVAILABLE
@@ -244,12 +280,14 @@
     def __call__(self, environ: dict, start_response: Callable):
         if not self._enter():
             return self._refuse(start_response)
+        seat = _Seat()
+        environ[JOIN] = functools.partial(self._join, seat)
         try:
             chunks = self._app(environ, start_response)
         except BaseException:
-            self._leave()
+            self._leave(seat)
             raise
-        return _Body(chunks, self._leave)
+        return _Body(chunks, functools.partial(self._leave, seat))
 
 
 def _list_socket_options(stall_seconds: float) -> list[tuple]:
--- a/packages/daemon/src/dunlintide_daemon/entry/front.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/front.py
@@ -34,6 +34,7 @@
 # What is left to send at the deadline may take this long.
 SENDING_SECONDS = 1.0
 _NO_CONFIGURATION_RETRY_SECONDS = 2.0
+_CROWDED_RETRY_SECONDS = 1.0
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
@@ -91,6 +92,18 @@
         end_by(deadline + SENDING_SECONDS)
 
 
+def _join(environ: Mapping[str, Any], member: str) -> outcomes.Refusal | None:
+    """Count a request to its member; no member takes all threads."""
+    join = environ.get(httpserver.JOIN)
+    if join is None or join(member):
+        return None
+    return outcomes.refuse(
+        outcomes.FailCode.QUEUE_FULL,
+        'too many requests of the member are in flight at this entry',
+        retry_after=_CROWDED_RETRY_SECONDS,
+    )
+
+
 def _refuse(
     code: outcomes.FailCode, detail: str
 ) -> result.Err[outcomes.Refusal]:
@@ -151,6 +164,9 @@
         member = snapshot.keys.find(environ.get('HTTP_AUTHORIZATION', ''))
         if isinstance(member, result.Err):
             return member
+        crowded = _join(environ, member.ok_value)
+        if crowded is not None:
+            return result.Err(crowded)
         key = requests.check_key(environ.get('HTTP_IDEMPOTENCY_KEY'))
         if isinstance(key, result.Err):
             return key
