Let an entry use its own part of a limit without a grant

Cause: an entry had nothing under a key without a grant, and the first entry that a member used was granted all slots that were free. A second entry then got a grant of 0 slots and refused the member until the first had shrunk, while nearly nothing of the limit was used. A new bucket was also empty, so the second of two requests at a fresh key was refused at any rate.

Change: under a key that its coordinator says nothing about an entry has the 1/N that it owns. A coordinator takes that part only when those that ask want more than the rest, and grants it once the owner has acknowledged. Free limit is spread over those that asked. A bucket begins full, as one that nobody used would be. Up to 8 requests wait for a key's first grant, also for one that had a grant before and was idle.

The scenario of random loss and delay now also has a larger limit and entries that fall silent about a key; it is as strict as before.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -23,3 +23,15 @@
     Given two linked entries that share limits
     When one is asked until a member has 1 requests in flight there
     Then 4 more are admitted there at once
+
+  Scenario Outline: An entry that is new to a member admits a burst at once
+    Given three linked entries that share limits
+    When one is asked until a member has 2 requests in flight there
+    And all entries have settled their shares
+    Then 2 requests under the <limit> are admitted at once by the next entry
+
+    Examples:
+      | limit                 |
+      | limit in flight       |
+      | rate                  |
+      | limit below one each  |
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -1,7 +1,9 @@
 """Steps for the limits of members over entries."""
 
+from concurrent import futures
 import contextlib
 import random
+import threading
 import time
 
 import attrs
@@ -12,6 +14,7 @@
 from dunlintide_core import outcomes
 from dunlintide_daemon.entry import exchange
 from dunlintide_daemon.entry import limits
+from dunlintide_daemon.entry import shares
 import hypothesis
 from hypothesis import strategies
 
@@ -21,6 +24,15 @@
 RULE = configuration.Rule(
     'rule', configuration.When(), configuration.Then(concurrency=10)
 )
+RULES = {
+    'limit in flight': RULE,
+    'rate': configuration.Rule(
+        'rule', configuration.When(), configuration.Then(rate=30.0)
+    ),
+    'limit below one each': configuration.Rule(
+        'small', configuration.When(), configuration.Then(concurrency=2)
+    ),
+}
 
 
 @attrs.define
@@ -33,7 +45,7 @@
     need: core.Need = core.Need()
 
 
-def simulate(seed, count, loss, slowest):
+def simulate(seed, count, loss, slowest, limit):
     """Yield the sum of the shares and of the slots at each moment."""
     rng = random.Random(seed)
     actors = {f'e{number}': Actor(f'e{number}') for number in range(count)}
@@ -59,18 +71,18 @@
         for actor in actors.values():
             if rng.random() > 0.4:
                 continue
-            wanted = rng.choice((0, 1, LIMIT))
-            actor.need = core.Need(rng.random(), wanted, 0, LIMIT)
+            wanted = rng.choice((0, 1, limit))
+            actor.need = core.Need(rng.random(), wanted, 0, limit)
             # Entries need not agree on who coordinates.
             chosen = rng.choice(('e0', 'e1'))
             if actor.lease.choose(chosen, now):
                 sequence = actor.lease.send(now)
                 due = now + rng.uniform(0, slowest)
                 letter = (due, actor.name, actor.lease.coordinator, sequence)
-                needs = {KEY: actor.need}
+                needs = {KEY: actor.need} if rng.random() < 0.7 else {}
                 mail.append((*letter, actor.lease.acknowledged, needs, None))
         found = [
-            actor.lease.find(KEY, fraction, LIMIT, now)
+            actor.lease.find(KEY, fraction, limit, now)
             for actor in actors.values()
         ]
         yield sum(one.rate for one in found), sum(one.slots for one in found)
@@ -88,12 +100,13 @@
         strategies.integers(2, 7),
         strategies.sampled_from((0.0, 0.1, 0.5)),
         strategies.sampled_from((0.1, 1.0, core.SLACK_SECONDS)),
+        strategies.sampled_from((LIMIT, 8 * LIMIT)),
     )
-    def check(seed, count, loss, slowest):
+    def check(seed, count, loss, slowest, limit):
         peak = 0.0
-        for rate, slots in simulate(seed, count, loss, slowest):
+        for rate, slots in simulate(seed, count, loss, slowest, limit):
             assert rate <= 1 + 1e-6, rate
-            assert slots <= LIMIT, slots
+            assert slots <= limit, slots
             peak = max(peak, rate)
         assert peak > 0.5, 'nothing was shared'
 
@@ -103,10 +116,10 @@
 class Node:
     """The limits of one entry, on a real port."""
 
-    def __init__(self, stack, name):
+    def __init__(self, stack, name, grant_wait=0.0):
         self.name = name
         self.admitted = []
-        self.limits = limits.Limits(self.connect, grant_wait=0.0)
+        self.limits = limits.Limits(self.connect, grant_wait=grant_wait)
         self.limits.exchange.start()
         stack.callback(self.limits.exchange.stop)
         self.role = 'entry'
@@ -118,10 +131,10 @@
     def hello(self):
         return link_pb2.Hello(name=self.name, role='entry', incarnation=1)
 
-    def ask(self):
+    def ask(self, rule=RULE):
         """Ask once; the refusal, or None."""
         request_id = f'{self.name}-{time.monotonic_ns()}'
-        refusal = self.limits.admit(request_id, 'member', RULE)
+        refusal = self.limits.admit(request_id, 'member', rule)
         if refusal is None:
             self.admitted.append(request_id)
         return refusal
@@ -149,6 +162,49 @@
         node.limits.exchange.update(context.nodes)
 
 
+@behave.given('three linked entries that share limits')
+def start_followed_nodes(context):
+    stack = context.stack.enter_context(contextlib.ExitStack())
+    context.nodes = [
+        Node(stack, f'entry-{n}', grant_wait=WAIT_SECONDS) for n in range(3)
+    ]
+    done = threading.Event()
+    for node in context.nodes:
+        node.limits.exchange.update(context.nodes)
+        follower = threading.Thread(target=node.limits.follow, args=(done,))
+        follower.start()
+        stack.callback(follower.join)
+    stack.callback(done.set)
+
+
+@behave.when('all entries have settled their shares')
+def settle(context):
+    def count_renewed(node):
+        shard = shares.find_shard(('member', RULE.name))
+        return node.limits._shares._leases[shard].acknowledged
+
+    wanted = [count_renewed(node) + 3 for node in context.nodes]
+    deadline = time.monotonic() + WAIT_SECONDS
+    while any(
+        count_renewed(node) < count
+        for node, count in zip(context.nodes, wanted)
+    ):
+        assert time.monotonic() < deadline, 'no shares'
+        time.sleep(0.05)
+
+
+@behave.then(
+    '2 requests under the {limit} are admitted at once by the next entry'
+)
+def check_fresh(context, limit):
+    with futures.ThreadPoolExecutor(2) as pool:
+        asked = [
+            pool.submit(context.nodes[1].ask, RULES[limit]) for _ in range(2)
+        ]
+    refusals = [one.result() for one in asked]
+    assert refusals == [None, None], refusals
+
+
 @behave.when(
     'both are asked {count:d} times for a member with 10 requests in flight'
 )
--- a/packages/core/src/dunlintide_core/limits.py
+++ b/packages/core/src/dunlintide_core/limits.py
@@ -1,8 +1,11 @@
 """Limits for a member over all entries, without a shared counter.
 
-Each of N entries owns 1/N of every limit. An entry lends what it owns to
-a coordinator, which divides what it was lent by demand and grants parts
-of it for a short time (a lease). What is granted never passes what was
+Each of N entries owns 1/N of every limit and uses that without asking.
+It lends what it owns to a coordinator, which divides what it was lent by
+demand and grants parts of it for a short time (a lease). Under a key that
+a coordinator says nothing about, an entry keeps what it owns; the part of
+an entry that did not ask is granted to others only after that entry has
+acknowledged that it gave it up. What may be used never passes what was
 lent, so the sum over all entries stays within the limit whatever is lost
 on the way and wherever the entries are cut apart:
 
@@ -19,23 +22,25 @@
 ``rate * BURST_SECONDS`` plus one request an entry.
 """
 
+import functools
 import math
-from typing import Mapping
+from typing import Iterable, Mapping
 
 import attrs
 
 __all__ = [
     'BURST_SECONDS',
     'LEASE_SECONDS',
+    'MAX_LENT',
     'SLACK_SECONDS',
     'Bucket',
     'Coordinator',
+    'Division',
     'Grant',
     'Key',
     'Lease',
     'Need',
     'divide',
-    'divide_whole',
 ]
 
 BURST_SECONDS = 1.0
@@ -46,6 +51,8 @@
 _EPSILON = 1e-9
 # A share that shrinks by more is acknowledged at once.
 _NOTABLE = 0.02
+# Bounds the keys of which an entry is told to give up what it owns.
+MAX_LENT = 64
 
 # Member and rule: all keys and connections of a member count as one.
 Key = tuple[str, str]
@@ -56,12 +63,21 @@
     """Token bucket that may be one request in debt.
 
     A debt is remembered until it is paid, so one first request is served
-    at once at an entry that holds no share yet, and none is free.
+    at once at an entry that holds no share yet, and none is free. It
+    begins with what has gathered while nobody asked.
     """
 
     updated: float
     tokens: float = 0.0
 
+    @classmethod
+    def from_share(cls, now: float, rate: float) -> 'Bucket':
+        """Build a full one.
+
+        :param rate: tokens a second of this entry's share
+        """
+        return cls(now, rate * BURST_SECONDS)
+
     def take(self, now: float, rate: float) -> float:
         """Take a token.
 
@@ -109,8 +125,13 @@
     rate: float = 0.0
     slots: int = 0
 
+    def plus(self, other: 'Grant') -> 'Grant':
+        """Return the sum of both."""
+        return Grant(self.rate + other.rate, self.slots + other.slots)
 
-_NOTHING = Grant()
+
+def _add(grants: Iterable[Grant]) -> Grant:
+    return functools.reduce(Grant.plus, grants, Grant())
 
 
 def _find_less(one: Grant, other: Grant) -> Grant:
@@ -121,47 +142,17 @@
     return Grant(fraction, math.floor(limit * fraction + _EPSILON))
 
 
-def divide(total: float, wants: Mapping[str, float]) -> dict[str, float]:
-    """Divide by demand: small wants are met in full, the rest is even.
-
-    What is left when all are met is spread evenly, so that each has room
-    to grow.
-    """
-    left, shares = total, {}
-    waiting = len(wants)
-    for name, want in sorted(wants.items(), key=lambda item: item[1]):
-        shares[name] = min(want, left / waiting)
-        left -= shares[name]
-        waiting -= 1
-    return {name: share + left / len(wants) for name, share in shares.items()}
-
-
-def divide_whole(total: int, wants: Mapping[str, int]) -> dict[str, int]:
-    """Divide whole slots as ``divide`` does.
-
-    The rest is spread as well, or the second request of a burst would be
-    refused while most of the limit is free.
-    """
-    left, shares = total, {}
-    waiting = len(wants)
-    for name, want in sorted(wants.items(), key=lambda item: item[::-1]):
-        # Rounded up, so that a single slot goes to somebody.
-        shares[name] = min(want, math.ceil(left / waiting))
-        left -= shares[name]
-        waiting -= 1
-    rest = left // len(wants)
-    return {name: share + rest for name, share in shares.items()}
-
-
 @attrs.define
 class _Lent:
     """What one entry has lent, for all keys.
 
-    :ivar counted: whether the entry is known to have given up its own
+    :ivar answered: newest of its demands that was answered
+    :ivar counted: whether the entry is known to heed what it is granted
     """
 
     fraction: float
     until: float
+    answered: int
     counted: bool = False
 
 
@@ -172,19 +163,24 @@
     :ivar grants: sequence, grant and end of each that may be in use
     """
 
-    need: Need
+    need: Need | None = None
     grants: list[tuple[int, Grant, float]] = attrs.field(factory=list)
 
     def drop(self, acknowledged: int) -> None:
         """Forget grants that were replaced."""
         self.grants = [one for one in self.grants if one[0] >= acknowledged]
 
+    def is_plain(self, own: Grant) -> bool:
+        """Tell whether it uses no more and no less than it owns."""
+        plain = all(grant == own for _, grant, _ in self.grants)
+        return self.need is None and plain
+
     def find_most(self, own: Grant, now: float) -> Grant:
         """Return the most that it may be using.
 
         :param own: what the entry owns, to which an ended grant shrinks
         """
-        rate, slots = 0.0, self.need.in_flight
+        rate, slots = 0.0, self.need.in_flight if self.need else 0
         for _, grant, until in self.grants:
             if until <= now:
                 grant = _find_less(grant, own)
@@ -193,12 +189,98 @@
         return Grant(rate, slots)
 
 
+def _meet_rates(total: float, wants: Mapping[str, float]) -> dict[str, float]:
+    """Meet small wants in full and divide the rest evenly."""
+    shares, waiting = {}, len(wants)
+    for name, want in sorted(wants.items(), key=lambda item: item[1]):
+        shares[name] = min(want, total / waiting)
+        total -= shares[name]
+        waiting -= 1
+    return shares
+
+
+def _meet_slots(total: int, wants: Mapping[str, int]) -> dict[str, int]:
+    shares, waiting = {}, len(wants)
+    for name, want in sorted(wants.items(), key=lambda item: item[::-1]):
+        # Rounded up, so that a single slot goes to somebody.
+        shares[name] = min(want, math.ceil(total / waiting))
+        total -= shares[name]
+        waiting -= 1
+    return shares
+
+
+@attrs.frozen
+class Division:
+    """How one limit is divided among entries.
+
+    :ivar shares: of the entries that asked, with room to grow
+    :ivar kept: part of what the others own that they keep, 0 to 1
+    """
+
+    shares: Mapping[str, Grant]
+    kept: float = 1.0
+
+
+def divide(
+    total: float, limit: int, needs: Mapping[str, Need], unasked: Grant
+) -> Division:
+    """Divide by demand: small wants are met in full, the rest is even.
+
+    Next come the entries that did not ask, which keep what they own, so
+    that a first burst there needs no word of anybody. What is then left
+    is spread evenly over those that asked.
+
+    :param total: share of the limit that there is to divide
+    :param limit: the limit in flight, 0 for none
+    :param unasked: what entries that did not ask own together
+    """
+    rates = _meet_rates(total, {n: one.rate for n, one in needs.items()})
+    left = max(0.0, total - math.fsum(rates.values()))
+    slots = _meet_slots(
+        math.floor(limit * total + _EPSILON),
+        {name: one.slots for name, one in needs.items()},
+    )
+    free = math.floor(limit * total + _EPSILON) - sum(slots.values())
+    kept = min(
+        1.0,
+        left / unasked.rate if unasked.rate > _EPSILON else 1.0,
+        free / unasked.slots if unasked.slots else 1.0,
+    )
+    if kept > 1 - _EPSILON:
+        kept = 1.0
+    count = max(1, len(needs))
+    rest = (left - kept * unasked.rate) / count
+    room = (free - math.ceil(kept * unasked.slots - _EPSILON)) // count
+    return Division(
+        {
+            name: Grant(rates[name] + rest, slots[name] + room)
+            for name in needs
+        },
+        kept,
+    )
+
+
+@attrs.define
+class _Limit:
+    """One key as its coordinator sees it.
+
+    :ivar size: the limit in flight, 0 for none
+    :ivar entries: what may be used, by entry; one that is not here uses
+        what it owns at most
+    :ivar pressed: whether entries that did not ask must give up a part
+    """
+
+    size: int = 0
+    entries: dict[str, _Held] = attrs.field(factory=dict)
+    pressed: bool = False
+
+
 @attrs.define
 class Coordinator:
     """Divides among entries what they have lent to it."""
 
     _lent: dict[str, _Lent] = attrs.field(factory=dict)
-    _keys: dict[Key, dict[str, _Held]] = attrs.field(factory=dict)
+    _keys: dict[Key, _Limit] = attrs.field(factory=dict)
 
     def answer(
         self,
@@ -215,16 +297,38 @@
         :param fraction: what it lends of each limit
         :param acknowledged: newest of its demands whose answer it applies,
             0 before the first
-        :returns: its grants; it has none under any other key
+        :returns: its grants in the order of its needs, then those under
+            further keys of which others need what it owns; it has what
+            it owns under any other key
         """
         self._drop(now)
         until = now + LEASE_SECONDS
-        self._lent[entry] = _Lent(fraction, until, counted=acknowledged > 0)
+        counted = acknowledged > 0
+        before = self._lent.get(entry)
+        # Demands may overtake each other.
+        answered = max(sequence - 1, before.answered if before else 0)
+        self._lent[entry] = _Lent(
+            fraction, until, max(sequence, answered), counted
+        )
         self._note(entry, acknowledged, needs)
-        grants = {key: self._grant(entry, key, now) for key in needs}
-        for key, grant in grants.items():
-            held = self._keys[key][entry]
+        grants = {}
+        # One that was forgotten may have given up more than is known.
+        returned = counted and before is None
+        for key in [*needs, *self._list_lent(entry, needs, returned)]:
+            limit = self._keys[key]
+            own = _own(fraction, limit.size)
+            if entry not in limit.entries:
+                limit.entries[entry] = _Held()
+                if counted or before is not None:
+                    # No answer before this one took it what it owns.
+                    old = (answered, own, math.inf)
+                    limit.entries[entry].grants.append(old)
+            held = limit.entries[entry]
+            held.need = needs.get(key)
+            grant = self._grant(entry, limit, now)
             held.grants.append((sequence, grant, until))
+            if key in needs or grant != own:
+                grants[key] = grant
         return grants
 
     def _drop(self, now: float) -> None:
@@ -232,57 +336,106 @@
         self._lent = {
             name: one for name, one in self._lent.items() if one.until > now
         }
-        for key, entries in list(self._keys.items()):
-            for name in entries.keys() - self._lent.keys():
-                del entries[name]
-            if not entries:
+        for key, limit in list(self._keys.items()):
+            for name in limit.entries.keys() - self._lent.keys():
+                del limit.entries[name]
+            if not limit.entries:
                 del self._keys[key]
 
     def _note(
         self, entry: str, acknowledged: int, needs: Mapping[Key, Need]
     ) -> None:
-        for key, entries in self._keys.items():
-            held = entries.get(entry)
+        fraction = self._lent[entry].fraction
+        for key, limit in list(self._keys.items()):
+            held = limit.entries.get(entry)
             if held is None:
                 continue
-            held.need = needs.get(key, Need())
+            held.need = needs.get(key)
             held.drop(acknowledged)
-            if key not in needs and not held.grants:
-                del entries[entry]
+            if not limit.pressed and held.is_plain(_own(fraction, limit.size)):
+                del limit.entries[entry]
+            if not limit.entries:
+                del self._keys[key]
         for key, need in needs.items():
-            self._keys.setdefault(key, {}).setdefault(entry, _Held(need))
+            self._keys.setdefault(key, _Limit()).size = need.limit
+
+    def _list_lent(
+        self, entry: str, needs: Mapping[Key, Need], returned: bool
+    ) -> list[Key]:
+        """List keys without a need of which others may need its part.
+
+        Those listed before stay: they may not fall back to what the
+        entry owns before there is room.
 
-    def _grant(self, entry: str, key: Key, now: float) -> Grant:
-        entries = self._keys[key]
-        total = math.fsum(
-            one.fraction
+        :param returned: whether to list all that may have been listed
+        """
+        counted = self._lent[entry].counted
+        known, new = [], []
+        for key, limit in self._keys.items():
+            if key in needs:
+                continue
+            if returned or entry in limit.entries:
+                known.append(key)
+            elif limit.pressed and counted:
+                new.append(key)
+        return known + new[: max(0, MAX_LENT - len(known))]
+
+    def _grant(self, entry: str, limit: _Limit, now: float) -> Grant:
+        fractions = {
+            name: one.fraction
             for name, one in self._lent.items()
             if one.counted or name == entry
+        }
+        total = min(1.0, math.fsum(fractions.values()))
+        needs = {
+            name: held.need
+            for name, held in limit.entries.items()
+            if held.need is not None
+        }
+        unasked = _add(
+            _own(part, limit.size)
+            for name, part in fractions.items()
+            if name not in needs
         )
-        total = min(1.0, total)
-        limit = entries[entry].need.limit
-        others = [
-            one.find_most(_own(self._lent[name].fraction, limit), now)
-            for name, one in entries.items()
+        division = divide(total, limit.size, needs, unasked)
+        limit.pressed = division.kept < 1.0
+        target = division.shares.get(entry)
+        if target is None:
+            part = fractions[entry] * division.kept
+            target = _own(part, limit.size)
+        used = self._find_used(entry, limit, fractions, now)
+        slots = math.floor(limit.size * total + _EPSILON) - used.slots
+        rate = total - used.rate
+        if rate > target.rate - _EPSILON:
+            rate = target.rate
+        return Grant(max(0.0, rate), max(0, min(target.slots, slots)))
+
+    def _find_used(
+        self,
+        entry: str,
+        limit: _Limit,
+        fractions: Mapping[str, float],
+        now: float,
+    ) -> Grant:
+        """Return the most that others may be using."""
+        plain = _add(
+            _own(part, limit.size)
+            for name, part in fractions.items()
+            if name != entry and name not in limit.entries
+        )
+        return _add(
+            held.find_most(_own(self._lent[name].fraction, limit.size), now)
+            for name, held in limit.entries.items()
             if name != entry
-        ]
-        used = math.fsum(one.rate for one in others)
-        taken = sum(one.slots for one in others)
-        needs = {name: one.need for name, one in entries.items()}
-        rates = {
-            name: need.rate
-            for name, need in needs.items()
-            if need.rate > 0 or name == entry
-        }
-        wants = {name: need.slots for name, need in needs.items()}
-        slots = math.floor(limit * total + _EPSILON)
-        rate = min(divide(total, rates)[entry], total - used)
-        granted = min(divide_whole(slots, wants)[entry], slots - taken)
-        return Grant(max(0.0, rate), max(0, granted))
+        ).plus(plain)
 
     def describe(self) -> dict[str, int]:
         """Return how much it coordinates."""
-        return {'entries': len(self._lent), 'keys': len(self._keys)}
+        return {
+            'entries': len(self._lent),
+            'keys': len(self._keys),
+            'pressed': sum(one.pressed for one in self._keys.values()),
+        }
 
 
 @attrs.define
@@ -355,9 +508,9 @@
         return True
 
     def is_shrunk_by(self, grants: Mapping[Key, Grant]) -> bool:
-        """Tell whether these grants are less than those in force."""
+        """Tell whether any grant is less than the one in force."""
         for key, old in self._grants.items():
-            new = grants.get(key, _NOTHING)
+            new = grants.get(key, old)
             if new.rate < old.rate - _NOTABLE or new.slots < old.slots:
                 return True
         return False
@@ -371,5 +524,9 @@
         own = _own(fraction, limit)
         if self.is_free(now):
             return own
-        grant = self._grants.get(key, _NOTHING)
+        grant = self._grants.get(key, own)
         return grant if self.tell_live(now) else _find_less(grant, own)
+
+    def covers(self, key: Key, now: float) -> bool:
+        """Tell whether a grant under a key is in force."""
+        return self.tell_live(now) and key in self._grants
--- a/packages/daemon/src/dunlintide_daemon/entry/limits.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/limits.py
@@ -44,7 +44,7 @@
 _REPAYMENT = 0.25
 # A first request under a key waits for its first grant, but few do.
 GRANT_WAIT_SECONDS = 1.0
-_MAX_WAITING = 2
+_MAX_WAITING = 8
 _KEEP_SECONDS = 30.0
 _HEADROOM = 1.1
 _MAX_RETRY_SECONDS = 60.0
@@ -65,7 +65,6 @@
     short: int = 0
     in_flight: int = 0
     waiting: int = 0
-    granted: bool = False
 
     @property
     def slots(self) -> int:
@@ -146,11 +145,18 @@
     def _find_grant(self, key: limits.Key, use: _Use) -> limits.Grant:
         return self._shares.find(key, self._fraction, use.slots)
 
+    def _build_use(
+        self, key: limits.Key, then: configuration.Then, now: float
+    ) -> _Use:
+        grant = self._shares.find(key, self._fraction, then.concurrency or 0)
+        rate = grant.rate * (then.rate or 0.0)
+        return _Use(then, limits.Bucket.from_share(now, rate), now)
+
     def _find_use(self, key: limits.Key, then: configuration.Then) -> _Use:
         now = self._clock()
         use = self._uses.get(key)
         if use is None:
-            use = self._uses[key] = _Use(then, limits.Bucket(now), now)
+            use = self._uses[key] = self._build_use(key, then, now)
             self._wake.set()
         use.then = then
         use.touched = now
@@ -207,13 +213,13 @@
     def _await_grant(self, key: limits.Key, use: _Use) -> bool:
         """Wait for a key's first grant; False when none came."""
         alone = self.exchange.count == 1
-        if alone or use.granted or use.waiting >= _MAX_WAITING:
+        if alone or use.waiting >= _MAX_WAITING or self._shares.covers(key):
             return False
         use.waiting += 1
         self._wake.set()
         try:
             return self._changed.wait_for(
-                lambda: use.granted, self._grant_wait
+                lambda: self._shares.covers(key), self._grant_wait
             )
         finally:
             use.waiting -= 1
@@ -275,10 +281,7 @@
             if shares.find_shard(key) == shard:
                 self._refill(key, use)
 
-    def _note_grants(self, keys: tuple[limits.Key, ...], shrunk: bool) -> None:
-        for key in keys:
-            if key in self._uses:
-                self._uses[key].granted = True
+    def _note_grants(self, shrunk: bool) -> None:
         if shrunk:
             # Others get what was given up once that is acknowledged.
             self._wake.set()
--- a/packages/daemon/src/dunlintide_daemon/entry/shares.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/shares.py
@@ -22,6 +22,7 @@
 MAX_NEEDS = 64
 
 Needs = Mapping[limits.Key, limits.Need]
+Grants = Mapping[limits.Key, limits.Grant]
 
 
 def find_shard(key: limits.Key) -> int:
@@ -64,14 +65,14 @@
         lock: threading.Condition,
         clock: Callable[[], float],
         before: Callable[[int], None],
-        after: Callable[[tuple[limits.Key, ...], bool], None],
+        after: Callable[[bool], None],
     ) -> None:
         """Begin with what the entry owns.
 
         :param before: called with a shard whose grants are about to
             change, under the lock
-        :param after: called with the keys that were granted, and whether
-            any of them got less than before, under it
+        :param after: called after a change, under it, with whether any
+            key got less than before
         """
         shards = range(exchange.SHARDS)
         self._lock = lock
@@ -91,6 +92,10 @@
         lease = self._leases[find_shard(key)]
         return lease.find(key, fraction, limit, self._clock())
 
+    def covers(self, key: limits.Key) -> bool:
+        """Tell whether a grant under a key is in force."""
+        return self._leases[find_shard(key)].covers(key, self._clock())
+
     def ask(self, shard: int, needs: Needs, peers: exchange.Exchange) -> None:
         """Tell the coordinator of a shard what is needed."""
         # Alone, an entry owns all and has nothing to lend.
@@ -112,7 +117,7 @@
                 granted = self._coordinators[shard].answer(
                     own, fraction, sequence, acknowledged, needs, now
                 )
-                self._accept(shard, sequence, list(granted.values()))
+                self._accept(shard, sequence, granted)
                 return
         message = link_pb2.Demand(
             sequence=sequence,
@@ -123,14 +128,11 @@
         )
         peers.send(coordinator, link_pb2.Frame(demand=message))
 
-    def _accept(
-        self, shard: int, sequence: int, grants: list[limits.Grant]
-    ) -> None:
+    def _accept(self, shard: int, sequence: int, granted: Grants) -> None:
         asked = self._asked[shard].get(sequence)
-        if asked is None or len(asked) != len(grants):
+        if asked is None:
             return
         self._before(shard)
-        granted = dict(zip(asked, grants))
         shrunk = self._leases[shard].is_shrunk_by(granted)
         if not self._leases[shard].accept(sequence, granted):
             return
@@ -139,7 +141,7 @@
             for number, keys in self._asked[shard].items()
             if number > sequence
         }
-        self._after(asked, shrunk)
+        self._after(shrunk)
 
     def take(self, link: links.Link, frames: list[link_pb2.Frame]) -> None:
         """Take in frames of other entries."""
@@ -151,13 +153,14 @@
                 self._take_grant(frame.grant)
 
     def _take_demand(self, link: links.Link, message: link_pb2.Demand) -> None:
+        needs = _read_needs(message)
         with self._lock:
             granted = self._coordinators[message.shard].answer(
                 exchange.identify(link.peer),
                 message.fraction,
                 message.sequence,
                 message.acknowledged,
-                _read_needs(message),
+                needs,
                 self._clock(),
             )
         answer = link_pb2.Grant(
@@ -165,6 +168,10 @@
             shard=message.shard,
             rates=[one.rate for one in granted.values()],
             slots=[one.slots for one in granted.values()],
+            lent=[
+                link_pb2.LimitKey(member=member, rule=rule)
+                for member, rule in list(granted)[len(needs) :]
+            ],
         )
         link.send(link_pb2.Frame(grant=answer))
 
@@ -173,8 +180,14 @@
             limits.Grant(rate, slots)
             for rate, slots in zip(message.rates, message.slots)
         ]
+        lent = tuple((one.member, one.rule) for one in message.lent)
         with self._lock:
-            self._accept(message.shard, message.sequence, grants)
+            asked = self._asked[message.shard].get(message.sequence, ())
+            keys = asked + lent
+            if len(keys) != len(grants):
+                return
+            granted = dict(zip(keys, grants))
+            self._accept(message.shard, message.sequence, granted)
 
     def describe(self) -> list[dict[str, Any]]:
         """Return the state of each shard for a dump."""
