Pace the writers of claims for real

Cause: the routed writer told its writer how many others there are by a method that only a test's stand-in had, so the thread of the entry that reads the host list died after its first poll; the same stand-in lacked the dump that the entry's own dump asks for. Change: ClaimWriter.pace exists; its interval shows in the dump; the scenario of routed writers runs it on real ones. Measured: the scenario fails without the method and passes with it; claims, entry and replanning: 41 scenarios pass. Conclusion: a stand-in may not offer more than what it stands in for.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -55,6 +55,8 @@
     When each writer binds the same 40 keys at once
     Then every key has one executor in all answers
     And no claim writer has met a conflict
+    When every writer is told of the other owners
+    Then the writers together start at most 200 commits a second
     When the first owner dies
     And each writer but the first binds the same 40 keys at once
     Then every key has the same executor as before
--- a/features/steps/claims.py
+++ b/features/steps/claims.py
@@ -117,6 +117,19 @@
     assert [writer.conflicts for writer in context.plain] == [0, 0, 0]
 
 
+@behave.when('every writer is told of the other owners')
+def tell_owners(context):
+    addresses = {address for _, address in context.servers}
+    for writer, (_, own) in zip(context.writers, context.servers):
+        writer.keep(addresses - {own})
+
+
+@behave.then('the writers together start at most {count:d} commits a second')
+def check_pace(context, count):
+    rates = [1 / writer.dump()['interval'] for writer in context.writers]
+    assert sum(rates) <= count * 1.001, rates
+
+
 @behave.when('the first owner dies')
 def kill_owner(context):
     server, _ = context.servers[0]
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -242,6 +242,9 @@
     def pace(self, writers):
         pass
 
+    def dump(self):
+        return {'claims': len(self.held)}
+
     def release(self, binding, timeout):
         self.held.pop(binding.key_digest, None)
         return result.Ok(binding)
--- a/packages/adapters/src/dunlintide_adapters/claims.py
+++ b/packages/adapters/src/dunlintide_adapters/claims.py
@@ -150,6 +150,15 @@
             self._ready.notify_all()
         self._thread.join()
 
+    def pace(self, writers: int) -> None:
+        """Keep to this writer's part of the store's writes.
+
+        :param writers: how many processes commit claims
+        """
+        self._interval = max(
+            self._timing.interval, writers / WRITES_PER_SECOND
+        )
+
     def bind(self, wanted: claims.Binding, timeout: float) -> Outcome:
         """Make a claim, or find the one that holds.
 
@@ -192,6 +201,7 @@
         return {
             'commits': self.commits,
             'conflicts': self.conflicts,
+            'interval': self._interval,
             'waiting': len(self._queue),
             'buckets': {
                 number: {'claims': len(bucket), 'commits': bucket.sequence}
