Stop requests that crash each endpoint that runs them

A prompt that crashed its engine was dispatched up to three times for each sending, and the caller could send it for ever: nothing read the list of suspects that agents announced.

A crash now accuses the requests whose steps were under way. The list of the accused spreads over all links, ahead of the failed attempts, and only ever shrinks, so copies merge in any order. An accused step runs alone on its endpoint until it gets past where it was accused, which clears it; crashes on two endpoints (or three on one), one of them alone, put it in quarantine until the crashes are forgotten. A member with three crashes of its own has its unknown requests run alone.

A crash is the engine's process being gone, not silence. The agent now tells entries at once that its endpoint is away: before, those that lost their sessions used up their attempts on an agent that could only refuse.

--- /dev/null
+++ b/features/poison.feature
@@ -0,0 +1,21 @@
+Feature: A request that crashes endpoints is stopped and harms no other
+
+  Scenario: The culprits are found and nobody else is
+    Given requests of three members, a few of which crash what runs them
+    Then each costs at most 3 crashes and all others run to the end
+
+  Scenario: A member whose requests crash endpoints accuses no other
+    Given a member that has crashed 3 endpoints with different requests
+    Then its new requests run alone until one has run
+    And those of another member run in batches
+
+  Scenario: A quarantine ends
+    Given a request that crashed two endpoints alone
+    Then it is quarantined until the crashes are forgotten
+
+  Scenario: A poison prompt is stopped at every entry
+    Given a deployment whose crashed engines are started again
+    When a member sends a crashing prompt 10 times among others' streams
+    Then at most 3 engines crashed, and the last sends were refused
+    And the others' streams are the reference answers
+    And every entry shows the quarantine until it ends
--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -155,6 +155,8 @@
     :ivar host_list_poll: pause between two reads of the host list
     :ivar configuration_poll: pause between two reads of the head that
         make up for a silent watch
+    :ivar quarantine: how long a crash counts against requests, and so
+        the longest quarantine
     """
 
     ping: Seconds = 0.5
@@ -166,6 +168,7 @@
     heartbeat: Seconds = 5.0
     host_list_poll: Seconds = 2.0
     configuration_poll: Seconds = 30.0
+    quarantine: Seconds = 600.0
 
 
 @attrs.frozen
--- a/packages/daemon/src/dunlintide_daemon/agent/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/dispatch.py
@@ -8,6 +8,7 @@
 from dunlintide_daemon.agent import pipeline as pipelines
 from dunlintide_daemon.agent import services as service_calls
 from dunlintide_daemon.agent import works
+from dunlintide_daemon import suspicion as suspicions
 
 __all__ = [
     'Dispatcher',
@@ -23,6 +24,7 @@
         pipeline: pipelines.Pipeline | None,
         services: service_calls.Services | None,
         take_order: Callable[[links.Link, link_pb2.Order], None],
+        suspicion: suspicions.Suspicion,
     ) -> None:
         """Remember where frames go.
 
@@ -34,6 +36,7 @@
         self._gate = gate
         self._pipeline = pipeline
         self._services = services
+        self._suspicion = suspicion
 
     def take(self, link: links.Link, frames: list[link_pb2.Frame]) -> None:
         """Hand on a batch of frames of one link."""
@@ -43,7 +46,9 @@
 
     def _take_one(self, link: links.Link, frame: link_pb2.Frame) -> None:
         body = frame.WhichOneof('body')
-        if body == 'attach':
+        if body == 'suspects':
+            self._suspicion.take(link, frame.suspects)
+        elif body == 'attach':
             self._attach(link, frame.attach)
         elif self._pipeline is not None:
             self._take_for_engine(link, body, frame)
--- a/packages/daemon/src/dunlintide_daemon/agent/driver.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/driver.py
@@ -3,7 +3,8 @@
 Several calls are under way at a time, which the engine merges: it always
 has work, and a call of few steps has its results soon. What becomes ready
 meanwhile gathers for the next call. A session has one step under way at
-most, which keeps its results in order.
+most, which keeps its results in order. A step that may crash the
+engine runs while no other does, in turn with the rest.
 """
 
 import collections
@@ -58,11 +59,13 @@
     :ivar results: gets each finished call, in order for each session
     :ivar failed: gets the jobs of a call without a usable answer
     :ivar limit: returns the most steps that the next call may take
+    :ivar runs_alone: tells whether a step must share the engine with none
     """
 
     results: Callable[[list[tuple[Job, engines.StepResult]]], None]
     failed: Callable[[list[Job], engines.EngineError], None]
     limit: Callable[[], int] = lambda: MAX_STEPS
+    runs_alone: Callable[[Job], bool] = lambda job: False
 
 
 @attrs.define(eq=False)
@@ -105,6 +108,13 @@
         self._handlers = handlers
         self._lanes: dict[str, _Lane] = {}
         self._ready: collections.deque[str] = collections.deque()
+        # Sessions whose next step runs alone, and whether one is next.
+        self._aside: collections.deque[str] = collections.deque()
+        self._alone_next = False
+        self._exclusive = False
+        self._running: set[Job] = set()
+        # Of those running, the ones that a crash was put down to.
+        self._accused: set[Job] = set()
         self._wake = threading.Condition()
         self._jobs: dict[rescue.Flight, list[Job]] = {}
         self._frees: queue.SimpleQueue[str | None] = queue.SimpleQueue()
@@ -179,33 +189,85 @@
             lane.free_again = lane.busy
         self._frees.put(session)
 
+    def accuse(self, failed: list[Job] | None = None) -> list[Job]:
+        """Return the jobs under way when the engine crashed.
+
+        :param failed: jobs of the call that shows the crash; nothing is
+            returned when an earlier one had shown the same crash
+        """
+        with self._wake:
+            if failed and self._accused.issuperset(failed):
+                return []
+            found = self._running - self._accused
+            self._accused |= found
+            return list(found)
+
     def _take(self) -> list[Job]:
-        jobs: list[Job] = []
-        positions = 0
         with self._wake:
-            while not self._ready and not self._stopped:
+            while not self._stopped:
+                jobs = [] if self._exclusive else self._gather()
+                if jobs:
+                    self._running.update(jobs)
+                    return jobs
                 self._wake.wait()
-            share = -(-len(self._lanes) // CALLS)
-            limit = min(self._handlers.limit(), max(LEAST_STEPS, share))
-            while self._ready and len(jobs) < limit:
-                session = self._ready[0]
-                lane = self._lanes[session]
-                if not lane.pending or lane.freeing:
-                    self._ready.popleft()
-                    lane.queued = False
-                    self._offer(session, lane)
-                    continue
-                positions += lane.pending[0].positions
-                if jobs and positions > MAX_POSITIONS:
-                    break
+        return []
+
+    def _gather(self) -> list[Job]:
+        if self._aside and self._alone_next:
+            return self._gather_alone()
+        jobs = self._gather_batch()
+        self._alone_next = bool(self._aside)
+        if not jobs and self._aside:
+            return self._gather_alone()
+        return jobs
+
+    def _gather_alone(self) -> list[Job]:
+        """Take the step that runs next by itself, once no other runs."""
+        if self._running:
+            return []
+        self._alone_next = False
+        session = self._aside.popleft()
+        lane = self._lanes[session]
+        lane.queued = False
+        if not lane.pending or lane.freeing:
+            self._offer(session, lane)
+            return self._gather()
+        self._exclusive = True
+        lane.busy = True
+        return [lane.pending.popleft()]
+
+    def _gather_batch(self) -> list[Job]:
+        jobs: list[Job] = []
+        positions = 0
+        share = -(-len(self._lanes) // CALLS)
+        limit = min(self._handlers.limit(), max(LEAST_STEPS, share))
+        while self._ready and len(jobs) < limit:
+            session = self._ready[0]
+            lane = self._lanes[session]
+            if not lane.pending or lane.freeing:
                 self._ready.popleft()
                 lane.queued = False
-                lane.busy = True
-                jobs.append(lane.pending.popleft())
+                self._offer(session, lane)
+                continue
+            if self._handlers.runs_alone(lane.pending[0]):
+                self._aside.append(self._ready.popleft())
+                continue
+            positions += lane.pending[0].positions
+            if jobs and positions > MAX_POSITIONS:
+                break
+            self._ready.popleft()
+            lane.queued = False
+            lane.busy = True
+            jobs.append(lane.pending.popleft())
         return jobs
 
     def _release(self, jobs: list[Job]) -> None:
         with self._wake:
+            self._running.difference_update(jobs)
+            self._accused.difference_update(jobs)
+            if self._exclusive or self._aside:
+                self._exclusive = False
+                self._wake.notify_all()
             for job in jobs:
                 session = job.step.session
                 lane = self._lanes[session]
--- a/packages/daemon/src/dunlintide_daemon/agent/gate.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/gate.py
@@ -32,6 +32,7 @@
 _RATE_WEIGHT = 0.3
 # Longer than an entry looks for another chain.
 HOLD_SECONDS = 10.0
+_QUARANTINED = 'the request has crashed endpoints'
 
 
 @attrs.frozen
@@ -74,6 +75,7 @@
         self.lock = threading.RLock()
         self.leaving = False
         self.fault = ''
+        self.is_quarantined: Callable[[bytes], bool] = lambda digest: False
         self.rate = 0.0
         self.queue = queueing.Queue(settings.queue)
         self.ledger = ledgers.Ledger(settings.incarnation, settings.ledger)
@@ -132,6 +134,12 @@
     ) -> bool:
         obstacle = obstacle or self._find_obstacle(work)
         sealed = work.entry is not None
+        if self.is_quarantined(work.terms.fingerprint):
+            code = outcomes.FailCode.QUARANTINED
+            self._answers.refuse(
+                subscriber, code, _QUARANTINED, False, sealed=sealed
+            )
+            return False
         if obstacle is not None:
             self._answers.refuse(
                 subscriber,
@@ -454,6 +462,16 @@
                 if work.phase is works.Phase.QUEUED:
                     self.fail(work, outcomes.FailCode.NO_CAPACITY, detail)
 
+    def drop_quarantined(self) -> None:
+        """Refuse what waits of requests that are now quarantined."""
+        with self.lock:
+            for work in list(self._works.values()):
+                if work.phase is not works.Phase.QUEUED:
+                    continue
+                if self.is_quarantined(work.terms.fingerprint):
+                    code = outcomes.FailCode.QUARANTINED
+                    self.fail(work, code, _QUARANTINED)
+
     def leave(self) -> None:
         """Refuse new work from now on."""
         with self.lock:
--- a/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
@@ -4,8 +4,6 @@
 takes the gate's lock, and none blocks.
 """
 
-from typing import Callable
-
 import attrs
 
 from dunlintide_adapters import engine as engines
@@ -13,28 +11,28 @@
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import outcomes
 from dunlintide_core import placement
+from dunlintide_core import poison
 from dunlintide_daemon.agent import driver as drivers
 from dunlintide_daemon.agent import heads
 from dunlintide_daemon.agent import recovery
 from dunlintide_daemon.agent import sessions
 from dunlintide_daemon.agent import stages
 from dunlintide_daemon.agent import table as tables
+from dunlintide_daemon import suspicion as suspicions
 
 __all__ = [
     'Pipeline',
 ]
 
-SUSPECT_SECONDS = 600
 _NO_ROOM = 'kv-full'
 
 
-def _list_suspects(jobs: list[drivers.Job]) -> list[link_pb2.Suspect]:
+def _list_suspects(jobs: list[drivers.Job]) -> list[poison.Suspect]:
     return [
-        link_pb2.Suspect(
-            fingerprint=job.owner.terms.fingerprint,
-            crashes=1,
-            ttl_ms=SUSPECT_SECONDS * 1000,
-            member=job.owner.terms.member,
+        poison.Suspect(
+            job.owner.terms.fingerprint,
+            job.owner.terms.member,
+            job.step.position,
         )
         for job in jobs
         if job.owner.terms.fingerprint
@@ -47,22 +45,26 @@
     def __init__(
         self,
         table: tables.Table,
-        announce: Callable[[link_pb2.Frame], None],
+        suspicion: suspicions.Suspicion,
     ) -> None:
-        """Remember what to work with.
-
-        :param announce: sends a frame to all entries
-        """
+        """Remember what to work with."""
         self._table = table
+        self._suspicion = suspicion
         self._stages = stages.Stages(table)
         self._recovery = recovery.Recovery(table, self._stages)
         self._heads = heads.Heads(table, self._recovery)
-        self._announce = announce
         self._lock = table.gate.lock
 
     def __len__(self) -> int:
         return len(self._table)
 
+    @property
+    def _place(self) -> poison.Place:
+        identity = self._table.identity
+        return poison.Place(
+            identity.model, identity.layer_start, identity.layer_end
+        )
+
     def count_stages(self) -> dict[str, int]:
         """Return how many sessions are here as head and as later stage."""
         with self._lock:
@@ -107,6 +109,18 @@
         self, pairs: list[tuple[drivers.Job, engines.StepResult]]
     ) -> None:
         """Pass on what the engine has run."""
+        self._suspicion.note_steps(
+            self._place,
+            [
+                suspicions.Passed(
+                    job.owner.terms.fingerprint,
+                    found.position,
+                    found.position + found.count,
+                )
+                for job, found in pairs
+                if not found.error
+            ],
+        )
         with self._lock:
             for job, found in pairs:
                 session = job.owner
@@ -222,11 +236,40 @@
                 if self._table.holds(session):
                     ran = error.sent or session.ran
                     self._table.fail(session, code, error.detail, ran=ran)
-        crashed = error.sent and not error.lost
-        suspects = _list_suspects(jobs) if crashed else []
+
+    # Crashes.
+
+    def accuse(self, failed: list[drivers.Job] | None = None) -> None:
+        """Put a crash of the engine down to what it was running.
+
+        :param failed: jobs that the crash was seen by
+        """
+        suspects = _list_suspects(self._table.driver.accuse(failed))
         if suspects:
-            message = link_pb2.Suspects(suspects=suspects)
-            self._announce(link_pb2.Frame(suspects=message))
+            identity = self._table.identity
+            self._suspicion.accuse(
+                identity.name, identity.incarnation, self._place, suspects
+            )
+            self.drop_quarantined()
+
+    def runs_alone(self, job: drivers.Job) -> bool:
+        """Tell whether a step must share the engine with none."""
+        terms = job.owner.terms
+        return self._suspicion.runs_alone(
+            terms.fingerprint, terms.member, self._place
+        )
+
+    def drop_quarantined(self) -> None:
+        """End what waits or runs of requests that are now quarantined."""
+        is_quarantined = self._suspicion.is_quarantined
+        code = outcomes.FailCode.QUARANTINED
+        detail = 'the request has crashed endpoints'
+        with self._lock:
+            self._table.gate.drop_quarantined()
+            for session in self._table.list():
+                if is_quarantined(session.terms.fingerprint):
+                    ran = session.first is None
+                    self._table.fail(session, code, detail, ran=ran)
 
     def fail_all(self, detail: str) -> None:
         """End all sessions: the engine has lost their state."""
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -23,6 +23,7 @@
 from dunlintide_core import caps
 from dunlintide_core import fleet
 from dunlintide_core import placement
+from dunlintide_core import poison
 from dunlintide_core import queueing
 from dunlintide_core import settings as settings_module
 from dunlintide_daemon.agent import counts as counting
@@ -37,6 +38,7 @@
 from dunlintide_daemon.agent import supervisor
 from dunlintide_daemon.agent import table as tables
 from dunlintide_daemon import peers as fleet_state
+from dunlintide_daemon import suspicion
 
 __all__ = [
     'Agent',
@@ -49,6 +51,8 @@
 SERVICE_THREADS = 32
 FAILED = 1
 VITAL_THREADS = frozenset(('driver', 'reaper', 'ticker'))
+CRASH_SECONDS = 0.5
+CRASH_POLL_SECONDS = 0.02
 
 
 def _build_endpoint(endpoint: fleet.Endpoint, cap: int) -> link_pb2.Endpoint:
@@ -96,6 +100,11 @@
         self.gate = self._build_gate()
         self._supervisor = None
         self._orders = None
+        self._suspicion = suspicion.Suspicion(
+            self._spread,
+            poison.Limits(seconds=settings.timing.quarantine),
+        )
+        self.gate.is_quarantined = self._suspicion.is_quarantined
         self._timing = links.LinkTiming(
             settings.timing.ping,
             settings.timing.silence,
@@ -125,7 +134,11 @@
         else:
             self._build_service_side()
         self._dispatcher = dispatch.Dispatcher(
-            self.gate, self.pipeline, self._services, self._take_order
+            self.gate,
+            self.pipeline,
+            self._services,
+            self._take_order,
+            self._suspicion,
         )
         self._load = link_pb2.Load()
         self._stack = contextlib.ExitStack()
@@ -181,7 +194,8 @@
         table = tables.Table(
             identity, self.gate, self._peers, self.counts, self._kept
         )
-        self.pipeline = pipelines.Pipeline(table, self._broadcast)
+        self.pipeline = pipelines.Pipeline(table, self._suspicion)
+        self._suspicion.on_news = self.pipeline.drop_quarantined
         timing = self.settings.timing
         self._engine = engines.Engine(
             self.settings.endpoint.url, timing.endpoint_timeout
@@ -190,6 +204,7 @@
             self.pipeline.take_results,
             self._take_engine_failure,
             self.pipeline.limit_batch,
+            self.pipeline.runs_alone,
         )
         self.driver = drivers.Driver(
             self._engine, handlers, timing.endpoint_silence
@@ -234,7 +249,14 @@
         for link in self._server.links():
             link.send(frame)
 
+    def _spread(self, frame: link_pb2.Frame, source: links.Link) -> None:
+        for link in self._server.links():
+            if link is not source:
+                link.send(frame)
+        self._peers.broadcast(frame)
+
     def _welcome(self, link: links.Link) -> None:
+        self._suspicion.welcome(link.send)
         # A new entry needs the generation before its first claim.
         link.send(link_pb2.Frame(load=self._load))
 
@@ -250,6 +272,7 @@
             self.pipeline.lose_link(link)
 
     def _raise_peer(self, address: str) -> None:
+        self._suspicion.welcome(lambda one: self._peers.send(address, one))
         if self.pipeline is not None:
             self.pipeline.raise_peer(address)
 
@@ -263,9 +286,15 @@
         logging.warning(
             'a call of %d steps failed: %s', len(jobs), error.detail
         )
+        # Whoever hears that an attempt failed must know of the crash.
+        answered = error.status or error.lost or not error.sent
+        crashed = not answered and self._has_crashed()
+        if crashed:
+            self.pipeline.accuse(jobs)
+            self._go_away(supervisor.AWAY)
         self.pipeline.fail_jobs(jobs, error)
         if not error.lost:
-            self._tell(supervisor.EngineFailed(error.detail))
+            self._tell(supervisor.EngineFailed(error.detail, crashed))
 
     def _tell(self, message: Any) -> None:
         with contextlib.suppress(pykka.ActorDeadError):
@@ -369,6 +398,7 @@
     def _tick(self) -> None:
         while not self.done.wait(TICK_SECONDS):
             self.gate.tick()
+            self._suspicion.tick()
             if self.pipeline is not None:
                 self.pipeline.tick()
                 self._peers.tick(self.pipeline.list_addresses())
@@ -383,6 +413,7 @@
             'gate': dump.describe_gate(self.gate, time.monotonic()),
             'links': sorted(link.peer.name for link in self._server.links()),
             'peers': self._peers.list_addresses(),
+            'poison': self._suspicion.describe(),
         }
         if self._state is not None:
             state['state'] = self._state.dump()
@@ -434,9 +465,33 @@
         )
         self._stack.callback(self._supervisor.stop)
 
+    def _has_crashed(self) -> bool:
+        """Tell whether the engine's process is gone, not just silent."""
+        until = time.monotonic() + CRASH_SECONDS
+        while time.monotonic() < until:
+            checked = self._engine.check_health()
+            if checked.is_ok():
+                return False
+            if not checked.err_value.sent:
+                return True
+            # Its connections end a little before its port is free.
+            time.sleep(CRASH_POLL_SECONDS)
+        return False
+
+    def _go_away(self, detail: str) -> None:
+        """Refuse work until the engine is back; entries hear it first."""
+        with self.gate.lock:
+            load = link_pb2.Load()
+            load.CopyFrom(self._load)
+            load.away = True
+        self._broadcast(link_pb2.Frame(load=load))
+        self.gate.set_fault(detail)
+
     def _lose_sessions(self, detail: str) -> None:
-        if self.pipeline is not None:
-            self.pipeline.fail_all(detail)
+        if not self.gate.fault and self._has_crashed():
+            self.pipeline.accuse()
+        self._go_away(detail)
+        self.pipeline.fail_all(detail)
 
     def __enter__(self) -> 'Agent':
         with contextlib.ExitStack() as stack:
--- a/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
@@ -25,6 +25,7 @@
 ]
 
 REPORT_SECONDS = 1.0
+AWAY = 'the engine is away'
 # A busy engine may be slow to answer; one that refuses connections is gone.
 MAX_STRIKES = 2
 # Below this the size of the KV cache cannot be told from its usage.
@@ -33,9 +34,13 @@
 
 @attrs.frozen
 class EngineFailed:
-    """A call to the engine had no usable answer."""
+    """A call to the engine had no usable answer.
+
+    :ivar crashed: whether the engine's process is known to be gone
+    """
 
     detail: str
+    crashed: bool = False
 
 
 @attrs.frozen
@@ -52,7 +57,8 @@
 class Hooks:
     """What a supervisor does beyond its own state.
 
-    :ivar lose_sessions: ends all sessions, with the reason
+    :ivar lose_sessions: takes no new work and ends all sessions, with
+        the reason
     :ivar report: sends a load report
     :ivar leave: tells all peers that this agent leaves
     :ivar is_idle: whether nothing is in flight any more
@@ -100,7 +106,7 @@
     def on_receive(self, message) -> None:
         """Handle one message."""
         if isinstance(message, EngineFailed):
-            self._check_engine(message.detail)
+            self._check_engine(message.detail, message.crashed)
         elif isinstance(message, Poll):
             self._poll()
         elif isinstance(message, Drain):
@@ -111,22 +117,24 @@
         logging.error('supervisor failed: %r', exception_value)
         self._hooks.crash()
 
-    def _check_engine(self, detail: str) -> None:
-        if self._down:
-            return
+    def _is_away(self) -> bool:
         checked = self._engine.check_health()
         if checked.is_ok():
             self._strikes = 0
-            return
+            return False
         self._strikes += 1
         self._report_soon()
-        if checked.err_value.sent and self._strikes < MAX_STRIKES:
+        return not checked.err_value.sent or self._strikes >= MAX_STRIKES
+
+    def _check_engine(self, detail: str, crashed: bool = False) -> None:
+        if self._down:
+            return
+        if not crashed and not self._is_away():
             return
         self._down = True
         logging.warning('the engine is away: %s', detail)
-        self._gate.set_fault('the engine is away')
         # A process that answers no more has lost its KV cache.
-        self._hooks.lose_sessions('the engine is away')
+        self._hooks.lose_sessions(AWAY)
         self._report_soon()
 
     def _report_soon(self) -> None:
--- a/packages/daemon/src/dunlintide_daemon/entry/fleet.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/fleet.py
@@ -63,6 +63,7 @@
     :ivar down: called with a link that was lost
     :ivar load: called with an agent that has just told its load
     :ivar reply: called with an agent's answer to an order
+    :ivar up: called with a link to an agent that has just opened
     """
 
     frames: Callable[[links.Link, list[link_pb2.Frame]], None]
@@ -71,6 +72,7 @@
     reply: Callable[[links.Link, link_pb2.OrderReply], None] = (
         lambda link, reply: None
     )
+    up: Callable[[links.Link], None] = lambda link: None
 
 
 class Fleet:
@@ -118,7 +120,7 @@
     def _add(self, addresses: set[str]) -> list[links.Dialer]:
         if self._stopped:
             return []
-        handlers = links.Handlers(self._up, self._take, self._down)
+        handlers = links.Handlers(self._greet, self._take, self._down)
         added = []
         for address in addresses - self._dialers.keys():
             dialer = links.Dialer(address, self._hello, handlers, self._timing)
@@ -134,6 +136,10 @@
         ]
         return [self._dialers.pop(address) for address in gone]
 
+    def _greet(self, link: links.Link) -> None:
+        self._up(link)
+        self._listeners.up(link)
+
     def _up(self, link: links.Link) -> None:
         peer = hellos.read_peer(link.peer)
         if peer is None:
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -23,6 +23,7 @@
 from dunlintide_core import budget
 from dunlintide_core import fleet as core_fleet
 from dunlintide_core import outcomes
+from dunlintide_core import poison
 from dunlintide_core import settings as settings_module
 from dunlintide_daemon.entry import claims
 from dunlintide_daemon.entry import configuration
@@ -43,6 +44,7 @@
 from dunlintide_daemon.entry import sessions
 from dunlintide_daemon.entry import sources
 from dunlintide_daemon import peers
+from dunlintide_daemon import suspicion
 
 __all__ = [
     'Entry',
@@ -99,14 +101,19 @@
         self._history = history.History(self._count_outcome)
         self._holder = configuration.Holder()
         self._retries = budget.RetryBudget()
+        self._suspicion = suspicion.Suspicion(
+            self._spread,
+            poison.Limits(seconds=settings.timing.quarantine),
+        )
         timing = settings.timing
         self._fleet = fleet.Fleet(
             self._build_hello,
             fleet.Listeners(
-                self._sessions.route,
+                self._take_frames,
                 self._sessions.lose,
                 lambda agent: self._planner.report(agent),
                 lambda link, reply: self._placement.take_reply(link, reply),
+                lambda link: self._suspicion.welcome(link.send),
             ),
             links.LinkTiming(timing.ping, timing.silence, timing.redial),
         )
@@ -155,6 +162,20 @@
         peer_calls.add_service(self._limits.exchange.server, state.answer)
         return state
 
+    def _spread(self, frame: link_pb2.Frame, source: links.Link) -> None:
+        for agent in self._fleet.list_agents():
+            if agent.link is not source:
+                agent.link.send(frame)
+
+    def _take_frames(
+        self, link: links.Link, frames: list[link_pb2.Frame]
+    ) -> None:
+        # An attempt that failed in a crash comes behind word of it.
+        for frame in frames:
+            if frame.WhichOneof('body') == 'suspects':
+                self._suspicion.take(link, frame.suspects)
+        self._sessions.route(link, frames)
+
     def _build_hello(self) -> link_pb2.Hello:
         settings = self.settings
         return link_pb2.Hello(
@@ -192,6 +213,7 @@
             binder,
             self._limits,
             settings.failure_domain,
+            self._suspicion.is_quarantined,
         )
         context = dispatch.Context(
             self._fleet,
@@ -246,6 +268,7 @@
         state['placement'] = self._placement.describe()
         if self._state is not None:
             state['state'] = self._state.dump()
+        state['poison'] = self._suspicion.describe()
         return {'name': self.settings.name, 'leaving': self.leaving} | state
 
     def check_readiness(self) -> admin.Readiness:
@@ -295,6 +318,7 @@
 
     def _plan(self) -> None:
         while not self.done.wait(planning.REFRESH_SECONDS):
+            self._suspicion.tick()
             snapshot = self._holder.snapshot
             if snapshot is not None:
                 self._planner.refresh(snapshot)
--- a/packages/daemon/src/dunlintide_daemon/entry/router.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/router.py
@@ -124,11 +124,15 @@
         binder: claims.Binder,
         limiter: limits.Limits,
         failure_domain: str,
+        is_quarantined: Callable[[bytes], bool] = lambda digest: False,
     ) -> None:
         """Remember what decisions rest on.
 
         :param failure_domain: where this entry is, for rules
+        :param is_quarantined: tells by its fingerprint whether a request
+            has crashed endpoints
         """
+        self._is_quarantined = is_quarantined
         self._fleet = fleet_view
         self._planner = planner
         self._holder = holder
@@ -231,6 +235,10 @@
         once = bool(caller.key) or then.repeatable is False
         caller = _give_key(caller, once)
         fingerprint = requests.compute_fingerprint(caller.member, *parts)
+        # Under a key it may have run before, which its executor knows.
+        if not once and self._is_quarantined(fingerprint):
+            code = outcomes.FailCode.QUARANTINED
+            return _refuse(code, 'the request has crashed endpoints')
         job = dispatch.Job(
             terms=_build_terms(
                 caller, rule, snapshot.revision, fingerprint, salt
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/suspicion.py
@@ -0,0 +1,243 @@
+"""Evidence about crashes at one process, shared with its neighbours.
+
+What is new here is passed on to every process that is linked, apart from
+the one that told it. A link's frames keep their order, so who hears of a
+failed attempt over a link has heard of the crash before.
+"""
+
+import threading
+import time
+from typing import Any, Callable, Iterable, Sequence
+
+from absl import logging
+import attrs
+
+from dunlintide_adapters import links
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import poison
+
+__all__ = [
+    'Passed',
+    'Suspicion',
+]
+
+_DIGEST_SHOWN = 12
+
+# Sends a frame to all linked processes but one.
+Spread = Callable[[link_pb2.Frame, links.Link | None], None]
+
+
+@attrs.frozen
+class Passed:
+    """A step that an endpoint has run.
+
+    :ivar position: first position of the step
+    :ivar end: position behind it
+    """
+
+    fingerprint: bytes
+    position: int
+    end: int
+
+
+def _write_crash(crash: poison.Crash, now: float) -> link_pb2.Crash:
+    suspects = [
+        link_pb2.Suspect(
+            fingerprint=one.fingerprint,
+            member=one.member,
+            position=one.position,
+        )
+        for one in crash.suspects
+    ]
+    return link_pb2.Crash(
+        name=crash.name,
+        endpoint=crash.endpoint,
+        model=crash.place.model,
+        layer_start=crash.place.layer_start,
+        layer_end=crash.place.layer_end,
+        ttl_ms=max(0, int((crash.expires - now) * 1000)),
+        suspects=suspects,
+    )
+
+
+def _read_crash(
+    message: link_pb2.Crash, now: float, longest: float
+) -> poison.Crash:
+    suspects = tuple(
+        poison.Suspect(one.fingerprint, one.member, one.position)
+        for one in message.suspects
+    )
+    place = poison.Place(message.model, message.layer_start, message.layer_end)
+    seconds = min(message.ttl_ms / 1000, longest)
+    return poison.Crash(
+        message.name, message.endpoint, place, suspects, now + seconds
+    )
+
+
+class Suspicion:
+    """Thread-safe evidence that spreads over links.
+
+    :ivar on_news: called without locks when others have told of crashes
+    """
+
+    def __init__(
+        self,
+        spread: Spread,
+        limits: poison.Limits = poison.Limits(),
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Begin with no crash.
+
+        :param spread: sends to the linked processes; must not block
+        """
+        self.on_news: Callable[[], None] = lambda: None
+        self._spread = spread
+        self._limits = limits
+        self._clock = clock
+        self._evidence = poison.Evidence(limits)
+        self._lock = threading.Lock()
+        self._count = 0
+
+    def accuse(
+        self,
+        endpoint: str,
+        life: int,
+        place: poison.Place,
+        suspects: Iterable[poison.Suspect],
+    ) -> None:
+        """Take note of a crash of the own endpoint and tell of it.
+
+        :param endpoint: name of its agent
+        :param life: incarnation of its agent
+        :param suspects: requests whose steps were under way
+        """
+        now = self._clock()
+        with self._lock:
+            self._count += 1
+            name = f'{endpoint}/{life}/{self._count}'
+            expires = now + self._limits.seconds
+            crash = poison.Crash(
+                name, endpoint, place, tuple(suspects), expires
+            )
+            self._evidence.add(crash, now)
+            self._send([_write_crash(crash, now)], [], None)
+        logging.warning(
+            'crash %s accuses %d requests', name, len(crash.suspects)
+        )
+
+    def _send(
+        self,
+        crashes: Sequence[link_pb2.Crash],
+        cleared: Sequence[link_pb2.Clearance],
+        source: links.Link | None,
+    ) -> None:
+        if crashes or cleared:
+            message = link_pb2.Suspects(crashes=crashes, cleared=cleared)
+            self._spread(link_pb2.Frame(suspects=message), source)
+
+    def take(self, link: links.Link, message: link_pb2.Suspects) -> None:
+        """Take in what a neighbour knows, and pass on what is new."""
+        now = self._clock()
+        longest = self._limits.seconds
+        # The lock also keeps a crash ahead of its clearances on a link.
+        with self._lock:
+            crashes = [
+                one
+                for one in message.crashes
+                if self._evidence.add(_read_crash(one, now, longest), now)
+            ]
+            cleared = [
+                one
+                for one in message.cleared
+                if self._evidence.clear(one.crash, one.fingerprint)
+            ]
+            self._send(crashes, cleared, link)
+        if crashes:
+            self.on_news()
+
+    def welcome(self, send: Callable[[link_pb2.Frame], object]) -> None:
+        """Tell a new neighbour all that is known.
+
+        :param send: sends it a frame; must not block
+        """
+        now = self._clock()
+        with self._lock:
+            self._evidence.expire(now)
+            crashes = [
+                _write_crash(crash, now)
+                for crash in self._evidence.list_crashes()
+            ]
+            if crashes:
+                message = link_pb2.Suspects(crashes=crashes)
+                send(link_pb2.Frame(suspects=message))
+
+    def note_steps(self, place: poison.Place, steps: Iterable[Passed]) -> None:
+        """Take note of steps that ran well, and tell who is cleared."""
+        # Most steps say nothing new, so they cost no lock.
+        told = [
+            step
+            for step in steps
+            if step.fingerprint
+            and (
+                not step.position
+                or self._evidence.is_accused(step.fingerprint)
+            )
+        ]
+        if not told:
+            return
+        with self._lock:
+            cleared = [
+                link_pb2.Clearance(crash=name, fingerprint=step.fingerprint)
+                for step in told
+                for name in self._evidence.note_step(
+                    step.fingerprint, place, step.end
+                )
+            ]
+            self._send([], cleared, None)
+
+    def is_quarantined(self, fingerprint: bytes) -> bool:
+        """Tell whether a request is to be refused."""
+        return self._evidence.is_quarantined(fingerprint)
+
+    def runs_alone(
+        self, fingerprint: bytes, member: str, place: poison.Place
+    ) -> bool:
+        """Tell whether a request's step must share the endpoint with none."""
+        evidence = self._evidence
+        if not evidence.is_accused(fingerprint):
+            if not evidence.is_watched(member):
+                return False
+        with self._lock:
+            return evidence.runs_alone(fingerprint, member, place)
+
+    def tick(self) -> None:
+        """Forget what has expired; call it a few times a second."""
+        if len(self._evidence):
+            with self._lock:
+                self._evidence.expire(self._clock())
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state for a dump, without content."""
+        now = self._clock()
+        with self._lock:
+            self._evidence.expire(now)
+            return {
+                'quarantined': [
+                    {
+                        'fingerprint': one.fingerprint.hex()[:_DIGEST_SHOWN],
+                        'member': one.member,
+                        'crashes': one.crashes,
+                        'seconds_left': round(one.seconds, 1),
+                    }
+                    for one in self._evidence.list_quarantines(now)
+                ],
+                'watched_members': self._evidence.list_watched(),
+                'crashes': [
+                    {
+                        'name': crash.name,
+                        'accused': len(crash.suspects),
+                        'seconds_left': round(crash.expires - now, 1),
+                    }
+                    for crash in self._evidence.list_crashes()
+                ],
+            }
