--- a/features/steps/poison.py
+++ b/features/steps/poison.py
@@ -176,6 +176,7 @@
     for rule in rules['rules']:
         # A limit would refuse the repeats before the quarantine does.
         rule['then'].pop('rate', None)
+        rule['then'].pop('concurrency', None)
     folder = pathlib.Path(
         context.stack.enter_context(tempfile.TemporaryDirectory())
     )
