Keep the entry's long-lived threads from ending in silence

Cause: an unexpected exception ended the thread that polls the host list, and likewise planner, limits, placement and the configuration's follower, while the entry went on looking healthy. One in the handling of frames ended the dialer's thread, so that the agent was never dialled again. A leader's actor that had failed could make the placement's thread fail, as telling it raises.

Change: periodic work is begun anew after an error, which is logged and counted in the dump. An error over frames closes the link, which is dialled anew. Threads whose state decides what is true stop the process. The standard hook for threads is replaced: it wrote tracebacks past the masking of keys.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -146,3 +146,15 @@
     And a caller calls the service under the key "order-8" with "one"
     Then the service was called 1 time
     And the entry holds no answer any more
+
+  Scenario: A thread that meets an unexpected error goes on
+    Given reading the host list breaks unexpectedly 2 times
+    When the service's agent is started anew
+    Then the entry counts the errors of its thread "hosts"
+    And 2 further calls of the service are answered
+
+  Scenario: An error over an agent's frames costs one link, not the agent
+    Given handling the first token at the entry breaks unexpectedly
+    When a caller streams a completion of 5 tokens from the entry
+    Then the stream holds each of the 5 tokens once and its end mark
+    And the entry comes to have links to all agents
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -270,13 +270,18 @@
             Agent(name, engine, self.faults) for name in ('agent-1', 'agent-2')
         ]
         self.service = Agent('agent-3', service, self.faults)
-        outside = sources.Sources(
-            lambda: result.Ok(self.agents()), self.follow, self.writer
-        )
+        self.breaks = 0
+        outside = sources.Sources(self.read_hosts, self.follow, self.writer)
         self.role = role.Entry(SETTINGS, outside, lame_duck=0.0)
         self.fleet = self.role._fleet
         self.pool = urllib3.PoolManager(retries=False, timeout=WAIT_SECONDS)
 
+    def read_hosts(self):
+        if self.breaks:
+            self.breaks -= 1
+            raise ZeroDivisionError('made by a test')
+        return result.Ok(self.agents())
+
     def follow(self, adopt, stopped):
         adopt(2, CONFIG)
         adopt(1, configuration.Configuration())
@@ -577,3 +582,43 @@
 def check_room(context):
     room = context.entry.role._room
     wait_until(lambda: room.held == 0)
+
+
+@behave.given('reading the host list breaks unexpectedly {count:d} times')
+def break_hosts(context, count):
+    context.entry.breaks = count
+    wait_until(lambda: not context.entry.breaks)
+
+
+@behave.then('the entry counts the errors of its thread "{name}"')
+def check_thread_errors(context, name):
+    errors = context.entry.role.describe()['thread_errors']
+    assert errors == {name: 2}, errors
+
+
+@behave.then('{count:d} further calls of the service are answered')
+def check_calls_answered(context, count):
+    for number in range(count):
+        call_once(context, f'thread-{number}', 'one')
+        assert context.answer.status == 200, context.answer.data
+
+
+@behave.given('handling the first token at the entry breaks unexpectedly')
+def break_frames(context):
+    route = context.entry.fleet._listeners.frames
+    broken = []
+
+    def break_once(link, frames):
+        if not broken:
+            broken.append(link)
+            raise ZeroDivisionError('made by a test')
+        route(link, frames)
+
+    context.entry.fleet._listeners = attrs.evolve(
+        context.entry.fleet._listeners, frames=break_once
+    )
+
+
+@behave.then('the entry comes to have links to all agents')
+def check_links(context):
+    wait_until(lambda: len(context.entry.fleet.list_usable()) == 3)
--- a/packages/daemon/src/dunlintide_daemon/entry/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/exchange.py
@@ -15,6 +15,7 @@
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
 from dunlintide_core import hashing
+from dunlintide_daemon.entry import threads
 
 __all__ = [
     'CHOICES',
@@ -83,7 +84,7 @@
         """
         self._name = name
         self._hello = hello
-        self._take = take
+        self._take = threads.guard_frames(take)
         self._lock = threading.Lock()
         self._dialers: dict[str, links.Dialer] = {}
         self._linked: dict[str, links.Link] = {}
@@ -91,7 +92,7 @@
         self._reached = [time.monotonic()] * SHARDS
         self._view = self._build_view(())
         accepted = links.Handlers(
-            lambda link: None, take, lambda link, reason: None
+            lambda link: None, self._take, lambda link, reason: None
         )
         self._server = links.LinkServer(listen, hello, accepted, TIMING)
 
--- a/packages/daemon/src/dunlintide_daemon/entry/fleet.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/fleet.py
@@ -15,6 +15,7 @@
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
 from dunlintide_daemon.entry import hellos
+from dunlintide_daemon.entry import threads
 
 __all__ = [
     'Agent',
@@ -120,7 +121,8 @@
     def _add(self, addresses: set[str]) -> list[links.Dialer]:
         if self._stopped:
             return []
-        handlers = links.Handlers(self._greet, self._take, self._down)
+        take = threads.guard_frames(self._take)
+        handlers = links.Handlers(self._greet, take, self._down)
         added = []
         for address in addresses - self._dialers.keys():
             dialer = links.Dialer(address, self._hello, handlers, self._timing)
--- a/packages/daemon/src/dunlintide_daemon/entry/leader.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/leader.py
@@ -150,7 +150,8 @@
 
     def on_failure(self, exception_type, exception_value, traceback) -> None:
         """Say so; another actor takes its place and the lease lapses."""
-        logging.error('leader failed: %r', exception_value)
+        error = exception_type, exception_value, traceback
+        logging.error('leader of %s failed', self._model, exc_info=error)
 
     def _tick(self, tick: Tick) -> None:
         now = self._clock()
--- a/packages/daemon/src/dunlintide_daemon/entry/placement.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/placement.py
@@ -1,6 +1,7 @@
 """The models whose placement this entry leads or may come to lead."""
 
 import collections
+import contextlib
 import threading
 from typing import Any, Iterable, Protocol
 
@@ -49,6 +50,12 @@
     return placement.Engine(name, holding, work, endpoint.max_layers)
 
 
+def _tell(actor: pykka.ActorRef, message: Any) -> None:
+    # One that failed is replaced at the next tick.
+    with contextlib.suppress(pykka.ActorDeadError):
+        actor.tell(message)
+
+
 class Placement:
     """Keeps a leader actor for each model that has this candidate."""
 
@@ -103,8 +110,7 @@
     def take_reply(self, link: links.Link, reply: link_pb2.OrderReply) -> None:
         """Hand an agent's answer to the leaders; one knows the order."""
         for actor in self._actors.values():
-            if actor.is_alive():
-                actor.tell(leader.Reply(reply))
+            _tell(actor, leader.Reply(reply))
 
     def run(self, done: threading.Event) -> None:
         """Tick the leaders until the event is set."""
@@ -123,7 +129,7 @@
         for name, wanted in targets.items():
             self._tick_model(name, tuple(wanted))
         for name in self._actors.keys() - targets.keys():
-            self._actors[name].tell(leader.Resign())
+            _tell(self._actors[name], leader.Resign())
 
     def _tick_model(
         self, name: str, targets: tuple[placement.Target, ...]
@@ -139,7 +145,7 @@
             actor = self._start(name)
         # One tick at a time: a slow store must not fill the mailbox.
         if actor.actor_inbox.empty():
-            actor.tell(leader.Tick(targets, candidate))
+            _tell(actor, leader.Tick(targets, candidate))
 
     def _start(self, name: str) -> pykka.ActorRef:
         def publish(status: leader.Status) -> None:
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -43,6 +43,7 @@
 from dunlintide_daemon.entry import router
 from dunlintide_daemon.entry import sessions
 from dunlintide_daemon.entry import sources
+from dunlintide_daemon.entry import threads
 from dunlintide_daemon import peers
 from dunlintide_daemon import suspicion
 
@@ -145,6 +146,7 @@
             settings, outside.leaders, self._fleet, self._holder
         )
         self._watch_gauges()
+        self._keeper = threads.Keeper(self.done)
         self._stack = contextlib.ExitStack()
 
     @property
@@ -266,6 +268,7 @@
         state['limits'] = self._limits.describe()
         state['plans'] = self._planner.describe()
         state['placement'] = self._placement.describe()
+        state['thread_errors'] = self._keeper.describe()
         if self._state is not None:
             state['state'] = self._state.dump()
         state['poison'] = self._suspicion.describe()
@@ -342,8 +345,7 @@
         self._stack.enter_context(self._state)
 
     def _start(self, target, name: str) -> None:
-        thread = threading.Thread(target=target, name=name, daemon=True)
-        thread.start()
+        thread = self._keeper.start(name, target)
         # The configuration's follower sleeps through a stop for as long
         # as it pauses between two reads; it holds nothing that needs it.
         self._stack.callback(thread.join, _JOIN_SECONDS)
@@ -405,6 +407,7 @@
     :returns: exit status, 0 after a planned stop
     :raises OSError: when a port is taken
     """
+    threads.watch_errors()
     outside = sources.Sources.from_config(settings)
     shared = peers.Outside.from_config(settings)
     with Entry(settings, outside, shared=shared) as entry:
