--- a/features/agent.feature
+++ b/features/agent.feature
@@ -82,6 +82,11 @@
     And a claim on it with another body is refused with "key-reused"
     And the engines ran the claimed request once
 
+  Scenario: A claim that ran without an answer is told so
+    Given 1 agents of 4 layers each
+    When a claimed request for 20 tokens is done and its answer not kept
+    Then its repeat fails with "answer-gone" as one that may have run
+
   Scenario: A caller that is gone frees every stage
     Given 3 agents of 4 layers each
     And each engine step takes 0.02 s
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -59,6 +59,13 @@
     When a caller asks for a completion under the key "order-6"
     Then both requests went to one agent with the same claim
 
+  Scenario: An order whose answer is not kept is not run again
+    Given the first agent that is asked has no answer any more after 0 tokens
+    When a caller asks for a completion under the key "order-9"
+    Then the entry answers 409 with the outcome "unknown"
+    And the problem that the entry names is "answer-gone"
+    And the agents of the entry got 1 request in all
+
   Scenario: A repeat under a key goes to the first executor
     When a caller asks for a completion under the key "order-2"
     And a caller asks for a completion under the key "order-2"
--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -4,6 +4,7 @@
 import time
 from unittest import mock
 
+import attrs
 import behave
 from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
@@ -467,6 +468,23 @@
     return caller
 
 
+@behave.when(
+    'a claimed request for {tokens:d} tokens is done and its answer not kept'
+)
+def finish_unkept(context, tokens):
+    ledger = context.agents[0].gate.ledger
+    ledger._limits = attrs.evolve(ledger._limits, answer_bytes=0)
+    open_request(context, 'r1', tokens, claim=build_claim(context, b'key'))
+    context.caller.wait_end('r1')
+
+
+@behave.then('its repeat fails with "{code}" as one that may have run')
+def check_unkept(context, code):
+    wait_until(lambda: not context.agents[0].gate._works, 'end of work')
+    end = repeat(context, 'again').wait_end('again')
+    assert (end.code, end.ran) == (code, True), end
+
+
 @behave.when('it is repeated under another id')
 def repeat_other(context):
     context.repeat = repeat(context, 'other')
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -213,6 +213,15 @@
                 sealed=fault == 'seals',
             )
             link.send(link_pb2.Frame(fail=fail))
+        elif fault == 'has no answer any more':
+            fail = link_pb2.Fail(
+                request_id=asked.terms.request_id,
+                epoch=asked.epoch,
+                code='answer-gone',
+                ran=True,
+                agent=self.name,
+            )
+            link.send(link_pb2.Frame(fail=fail))
         elif fault == 'fails':
             fail = link_pb2.Fail(
                 request_id=asked.terms.request_id,
@@ -479,6 +488,11 @@
     assert answer.json()['outcome'] == outcome, answer.data
 
 
+@behave.then('the problem that the entry names is "{code}"')
+def check_code(context, code):
+    assert context.answer.json()['code'] == code, context.answer.data
+
+
 @behave.then('no agent of the entry was sent anything')
 def check_nothing_ran(context):
     assert not context.entry.asked(), context.entry.asked()
--- a/packages/core/src/dunlintide_core/outcomes.py
+++ b/packages/core/src/dunlintide_core/outcomes.py
@@ -31,6 +31,7 @@
     TOO_LARGE = 'too-large'
     KEY_REUSED = 'key-reused'
     KEY_EXPIRED = 'key-expired'
+    ANSWER_GONE = 'answer-gone'
     NO_CAPACITY = 'no-capacity'
     RATE_LIMITED = 'rate-limited'
     QUEUE_FULL = 'queue-full'
@@ -57,6 +58,7 @@
     FailCode.TOO_LARGE: 413,
     FailCode.KEY_REUSED: 422,
     FailCode.KEY_EXPIRED: 422,
+    FailCode.ANSWER_GONE: 409,
     FailCode.RATE_LIMITED: 429,
     FailCode.QUARANTINED: 422,
     FailCode.ENDPOINT_FAILED: 502,
--- a/packages/daemon/src/dunlintide_daemon/agent/answers.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/answers.py
@@ -16,9 +16,9 @@
 # What a claim that may not start is told: code, ran, detail.
 _CLAIM_REFUSALS = {
     ledgers.Verdict.DROPPED: (
-        outcomes.FailCode.KEY_EXPIRED,
+        outcomes.FailCode.ANSWER_GONE,
         True,
-        'it may have run; no answer of it is kept',
+        'it may have run and will not run again; no answer of it is kept',
     ),
     ledgers.Verdict.SEALED: (
         outcomes.FailCode.CANCELLED,
--- a/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
@@ -49,6 +49,7 @@
         outcomes.FailCode.TOO_LARGE,
         outcomes.FailCode.KEY_REUSED,
         outcomes.FailCode.KEY_EXPIRED,
+        outcomes.FailCode.ANSWER_GONE,
         outcomes.FailCode.RATE_LIMITED,
         outcomes.FailCode.DEADLINE,
         outcomes.FailCode.QUARANTINED,
