Measure the work that retries add; say when to ask again

The entry's retry budget was not measured, and a repeatable request that had run when the budget was spent was answered without Retry-After.

Nothing else repeats work: all HTTP pools have retries off, all gRPC channels too.

The new scenario fails without the change (no Retry-After) and passes with it; the 62 scenarios of the entry and the stand-ins pass.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -43,6 +43,14 @@
       | fails          |
       | skips a token  |
 
+  Scenario: A request that fails when the retry budget is spent ends at once
+    Given the first agent that is asked fails after 0 tokens
+    And the entry has spent its retry budget
+    When a caller streams a completion of 5 tokens from the entry
+    Then the entry answers 502 with the outcome "unknown"
+    And the caller is told when to try again
+    And the agents of the entry got 1 request in all
+
   Scenario: A stream that cannot be finished looks unfinished
     Given both agents fail after 2 tokens of a new request
     When a caller streams a completion of 5 tokens from the entry
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -342,6 +342,13 @@
     context.entry.faults.after = count
 
 
+@behave.given('the entry has spent its retry budget')
+def spend_budget(context):
+    budget = context.entry.role._retries
+    while budget.spend():
+        pass
+
+
 @behave.given('both agents fail after {count:d} tokens of a new request')
 def set_fault(context, count):
     context.entry.faults.always = 'fails'
--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -199,6 +199,8 @@
     :ivar threads: requests that an entry serves at the same time
     :ivar queue_per_member: requests that a member may have queued at an
         agent
+    :ivar retry_ratio: retries that an entry may make for each request,
+        over all of its requests
     :ivar kept_activation_bytes: activations that an agent keeps, to
         replay them to the replacement of a lost stage; 0 for none
     """
@@ -207,6 +209,7 @@
     max_header_bytes: Count = 64 << 10
     threads: Count = 256
     queue_per_member: Count = 256
+    retry_ratio: Rate = 0.1
     kept_activation_bytes: Natural = 64 << 20
 
 
--- a/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
@@ -276,6 +276,13 @@
             code, detail, ran=self.ran, retry_after=RETRY_AFTER_SECONDS
         )
 
+    def _advise(self, refusal: outcomes.Refusal) -> outcomes.Refusal:
+        """Tell the caller of what may run again when to ask again."""
+        told = refusal.retry_after is not None
+        if told or not self._job.repeatable or refusal.code in _FINAL:
+            return refusal
+        return attrs.evolve(refusal, retry_after=RETRY_AFTER_SECONDS)
+
     def recover(
         self, refusal: outcomes.Refusal, open_again: Callable[[], bool]
     ) -> outcomes.Refusal | None:
@@ -286,7 +293,7 @@
         :returns: None when it was dispatched, else the final answer
         """
         if not self._may_retry(refusal):
-            return refusal
+            return self._advise(refusal)
         until = self._context.clock() + RECOVERY_SECONDS
         while not open_again():
             ending = self.check()
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -101,7 +101,7 @@
         self._sessions = sessions.Sessions(self._meter.count_drop)
         self._history = history.History(self._count_outcome)
         self._holder = configuration.Holder()
-        self._retries = budget.RetryBudget()
+        self._retries = budget.RetryBudget(settings.limits.retry_ratio)
         self._suspicion = suspicion.Suspicion(
             self._spread,
             poison.Limits(seconds=settings.timing.quarantine),
--- a/packages/standins/src/dunlintide_standins/engine/messages.py
+++ b/packages/standins/src/dunlintide_standins/engine/messages.py
@@ -27,6 +27,7 @@
     """Why a step didn't run."""
 
     BAD_STEP = 'bad-step'
+    INJECTED = 'injected'
     LAYERS = 'layers'
     KV_FULL = 'kv-full'
     POSITION = 'position'
--- a/packages/standins/src/dunlintide_standins/engine/server.py
+++ b/packages/standins/src/dunlintide_standins/engine/server.py
@@ -57,7 +57,9 @@
     cache_event_loss: float = process.setting(
         0.1, 'share of cache events that is never published'
     )
-    seed: int = process.setting(0, 'seed of the lost cache events')
+    seed: int = process.setting(
+        0, 'seed of the lost cache events and of failing sessions'
+    )
     checks_fence: bool = process.setting(
         False, 'refuse orders with an old fencing number'
     )
@@ -67,9 +69,13 @@
 
 
 class _Control(faults.Fault):
-    """Faults, a factor on the time of each step, and a crash."""
+    """Faults, a factor on the time of each step, and a crash.
+
+    :ivar fail_rate: share of sessions whose first step fails
+    """
 
     slow_factor: float | None = None
+    fail_rate: float | None = None
     crash: bool = False
 
 
@@ -113,6 +119,8 @@
         self._batcher = batching.Batcher(
             self._sessions, self._cache, timing, lambda: self._gate.hang
         )
+        self._fail_rate = 0.0
+        self._failures = random.Random(config.seed)
         self._fence = 0
         self._layer_count = 0
         self._loading = loading.Loader(config.weights_url)
@@ -167,6 +175,8 @@
             self._gate.change(control)
             if control.slow_factor is not None:
                 self._batcher.slow_factor = control.slow_factor
+            if control.fail_rate is not None:
+                self._fail_rate = control.fail_rate
             if control.crash:
                 self._crash()
                 return web.dropped()
@@ -174,6 +184,7 @@
             'cache_hits': self._cache.hits,
             'cache_misses': self._cache.misses,
             'slow_factor': self._batcher.slow_factor,
+            'fail_rate': self._fail_rate,
             'fence': self._fence,
         }
         return web.json_answer(self._gate.state() | cache)
@@ -191,10 +202,25 @@
         if any(self._is_marked(step) for step in steps):
             self._crash()
             return web.dropped()
+        failed, steps = self._fail_some(steps)
         results = self._batcher.run(steps)
         if results is None or self._gate.drop_answer():
             return web.dropped()
-        return web.json_answer({'results': results})
+        return web.json_answer({'results': failed + results})
+
+    def _fail_some(
+        self, steps: list[messages.Step]
+    ) -> tuple[list[messages.Result], list[messages.Step]]:
+        """Part the steps that are made to fail from those to run."""
+        failed = []
+        rest = []
+        for step in steps:
+            first = step.position == 0
+            if first and self._failures.random() < self._fail_rate:
+                failed.append(messages.fail(step, messages.Code.INJECTED))
+            else:
+                rest.append(step)
+        return failed, rest
 
     def _show_load(self, _request: web.Request) -> web.Answer:
         return web.json_answer(attrs.asdict(self._batcher.read_load()))
