--- a/packages/adapters/src/dunlintide_adapters/links.py
+++ b/packages/adapters/src/dunlintide_adapters/links.py
@@ -100,7 +100,8 @@
 class _Outbox:
     """Frames that wait for the writer, bounded in number."""
 
-    def __init__(self) -> None:
+    def __init__(self, batch_bytes: int) -> None:
+        self._batch_bytes = batch_bytes
         self._frames: list[link_pb2.Frame] = []
         self._ready = threading.Condition()
         self._closed = False
@@ -135,7 +136,7 @@
             size = 0
             for frame in frames:
                 length = frame.ByteSize()
-                if envelope.frames and size + length > BATCH_BYTES:
+                if envelope.frames and size + length > self._batch_bytes:
                     yield envelope
                     envelope = link_pb2.Envelope()
                     size = 0
@@ -156,12 +157,17 @@
     :ivar sent: monotonic time at which a frame was last queued
     """
 
-    def __init__(self, handlers: Handlers, hello: link_pb2.Hello) -> None:
+    def __init__(
+        self,
+        handlers: Handlers,
+        hello: link_pb2.Hello,
+        batch_bytes: int = BATCH_BYTES,
+    ) -> None:
         self.peer: link_pb2.Hello | None = None
         self.heard = time.monotonic()
         self.sent = self.heard
         self._handlers = handlers
-        self._outbox = _Outbox()
+        self._outbox = _Outbox(batch_bytes)
         self._outbox.put(link_pb2.Frame(hello=hello))
         self._sequence = 0
         self._pieces: list[bytes] = []
@@ -245,16 +251,19 @@
         hello: Callable[[], link_pb2.Hello],
         handlers: Handlers,
         timing: LinkTiming = LinkTiming(),
+        batch_bytes: int = BATCH_BYTES,
     ) -> None:
         """Remember what to dial; ``start`` begins.
 
         :param address: ``host:port``
         :param hello: builds what this process says of itself
+        :param batch_bytes: a message holds no more than this, or one frame
         """
         self.address = address
         self._hello = hello
         self._handlers = handlers
         self._timing = timing
+        self._batch_bytes = batch_bytes
         self._stopped = threading.Event()
         self._link: Link | None = None
         self._stream = None
@@ -295,7 +304,7 @@
             stream.cancel()
 
     def _connect(self) -> str:
-        link = Link(self._handlers, self._hello())
+        link = Link(self._handlers, self._hello(), self._batch_bytes)
         with grpc.insecure_channel(
             self.address, options=_CHANNEL_OPTIONS
         ) as channel:
