Mask the bearer keys in force in an entry's logs and dump

Cause: nothing called logs.mask_keys, so a key that stood in a line without "Bearer" before it went out; the dump on a signal is written past the logs. A word joined to others, as in token=KEY, was also not seen.

Change: the entry masks each word of which the hash is that of a key of the configuration in force, and the words' parts; its dump is masked in the same way.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -173,3 +173,10 @@
     When a caller streams a completion of 5 tokens from the entry
     Then the stream holds each of the 5 tokens once and its end mark
     And the entry comes to have links to all agents
+
+  Scenario: A caller's key shows nowhere, wherever the caller put it
+    Given the logs of the entry's process are kept
+    When a caller puts its key "secret-of-keyed" into every part of its requests
+    And code of the entry logs the key by mistake
+    Then neither logs, dump nor metrics of the entry have "secret-of-keyed"
+    And no header that the service got has it
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -3,12 +3,15 @@
 from concurrent import futures
 import hashlib
 import json
+import logging as standard_logging
 import threading
 import time
 
+from absl import logging as absl_logging
 import attrs
 import behave
 from dunlintide_adapters import links
+from dunlintide_adapters import logs
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import claims
 from dunlintide_core import configuration
@@ -38,6 +41,9 @@
         for name in ('diner', 'rival', 'refused')
     )
     + (
+        configuration.Member(
+            'keyed', (hashlib.sha256(b'secret-of-keyed').hexdigest(),)
+        ),
         configuration.Member(
             'metered',
             tuple(
@@ -51,7 +57,7 @@
     rules=(
         configuration.Rule(
             'known',
-            configuration.When(member=('diner', 'rival')),
+            configuration.When(member=('diner', 'rival', 'keyed')),
             configuration.Then(deadline_seconds=3.0),
         ),
         configuration.Rule(
@@ -643,3 +649,66 @@
 @behave.then('the entry comes to have links to all agents')
 def check_links(context):
     wait_until(lambda: len(context.entry.fleet.list_usable()) == 3)
+
+
+@behave.given("the logs of the entry's process are kept")
+def keep_logs(context):
+    context.lines = []
+    formatter = logs._Masking(standard_logging.Formatter('%(message)s'))
+    handler = standard_logging.Handler()
+    handler.emit = lambda record: context.lines.append(
+        formatter.format(record)
+    )
+    logger = absl_logging.get_absl_logger()
+    level = logger.level
+    logger.addHandler(handler)
+    logger.setLevel(standard_logging.DEBUG)
+    context.stack.callback(logger.setLevel, level)
+    context.stack.callback(logger.removeHandler, handler)
+
+
+@behave.when('a caller puts its key "{key}" into every part of its requests')
+def put_key_everywhere(context, key):
+    def ask(path, body=None, idempotency_key=''):
+        answer = context.entry.request(
+            'POST', path, body, member=key, key=idempotency_key
+        )
+        context.answers.append(answer)
+
+    body = MODEL | {'model': key, 'user': key, 'prompt': key}
+    for path in (f'/{key}', f'/v1/completions?key={key}'):
+        ask(path, json.dumps(body))
+    ask('/v1/completions', json.dumps(MODEL | {'prompt': key}), f'{key}-1')
+    ask(f'/services/{key}/a?b={key}', key)
+    ask(f'/services/orders/{key}?b={key}', key, key)
+    ask('/v1/completions', f'{{"model": "{key}')
+
+
+@behave.when('code of the entry logs the key by mistake')
+def log_key(context):
+    absl_logging.error(
+        'bare secret-of-keyed, token=secret-of-keyed, /a/secret-of-keyed.'
+    )
+
+
+@behave.then('neither logs, dump nor metrics of the entry have "{key}"')
+def check_no_key(context, key):
+    role_ = context.entry.role
+    port = role_._admin.port
+    state = context.entry.pool.request(
+        'GET', f'http://127.0.0.1:{port}/debug/state'
+    ).data.decode()
+    assert '"rules"' in state, state
+    measured = prometheus_client.generate_latest(role_._registry).decode()
+    assert any('bare [masked], ' in line for line in context.lines)
+    for text in (*context.lines, state, measured):
+        assert key not in text, text
+
+
+@behave.then('no header that the service got has it')
+def check_sent(context):
+    assert context.entry.service.asked, 'the service was not called'
+    for call in context.entry.service.asked:
+        assert call.terms.member == 'keyed'
+        for header in call.headers:
+            assert 'secret-of-keyed' not in header.value, header
--- a/packages/daemon/src/dunlintide_daemon/entry/identity.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/identity.py
@@ -25,6 +25,10 @@
     return result.Err(outcomes.refuse(code, detail))
 
 
+def _hash_key(key: str) -> str:
+    return hashlib.sha256(key.encode('latin-1', 'replace')).hexdigest()
+
+
 def _derive_salt(member: configuration.Member) -> str:
     """Derive a member's cache salt, the same at each entry.
 
@@ -73,6 +77,10 @@
         """
         return self._salts.get(member) or secrets.token_hex(_SALT_BYTES)
 
+    def knows(self, word: str) -> bool:
+        """Tell whether a word is a member's bearer key."""
+        return _hash_key(word) in self._members
+
     def find(self, header: str) -> result.Result[str, outcomes.Refusal]:
         """Return the member named by an ``Authorization`` header.
 
@@ -84,8 +92,7 @@
             return _refuse('a bearer key is required')
         if len(key) > MAX_KEY_LENGTH:
             return _refuse('the bearer key is too long')
-        digest = hashlib.sha256(key.encode('latin-1', 'replace')).hexdigest()
-        member = self._members.get(digest)
+        member = self._members.get(_hash_key(key))
         if member is None:
             return _refuse('the bearer key is not known')
         return result.Ok(member)
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -34,6 +34,7 @@
 from dunlintide_daemon.entry import front
 from dunlintide_daemon.entry import history
 from dunlintide_daemon.entry import limits
+from dunlintide_daemon.entry import masking
 from dunlintide_daemon.entry import meter
 from dunlintide_daemon.entry import owners
 from dunlintide_daemon.entry import placement
@@ -272,7 +273,8 @@
         if self._state is not None:
             state['state'] = self._state.dump()
         state['poison'] = self._suspicion.describe()
-        return {'name': self.settings.name, 'leaving': self.leaving} | state
+        own = {'name': self.settings.name, 'leaving': self.leaving}
+        return masking.mask_state(own | state)
 
     def check_readiness(self) -> admin.Readiness:
         """Tell whether callers should be sent here."""
@@ -352,6 +354,7 @@
 
     def __enter__(self) -> 'Entry':
         with self._stack as stack:
+            masking.watch_keys(self._holder)
             stack.callback(self._outside.close)
             stack.callback(self._claims.close)
             stack.callback(self._fleet.stop)
