Measure the death of a stage, replay against restarting all

Three stages of two engines, 16 streams with 64 tokens each; the middle agent or engine is killed.

An engine truncates only in the first step of an epoch, since a step that is asked for again must not run again.

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -72,3 +72,10 @@
     And holding lasts 0.5 s
     When a request for 900 tokens runs over a stage that dies
     Then the first agent ends it and frees its engine
+
+  Scenario: A stage of real processes that was only paused changes nothing
+    Given a small deployment of processes with streams of 300 tokens
+    When the agent of a middle stage is paused until the streams have ended
+    Then each stream got exactly the model's tokens
+    When the paused agent goes on
+    Then it frees what it held and has answered no stream twice
--- a/features/steps/recovery.py
+++ b/features/steps/recovery.py
@@ -1,5 +1,6 @@
 """Steps for the recovery of streams, with an entry that names chains."""
 
+from concurrent import futures
 import time
 from unittest import mock
 
@@ -11,6 +12,8 @@
 from dunlintide_daemon.agent import role
 from dunlintide_standins.engine import server as engines
 from dunlintide_standins import reference
+from dunlintide_trials import launcher
+from dunlintide_trials import records
 import urllib3
 
 WAIT_SECONDS = 60.0
@@ -335,3 +338,87 @@
     agent, engine = context.agents[0], context.engines[0]
     wait_until(lambda: not len(agent.gate), 'end')
     wait_until(lambda: not call(engine, '/v1/load')['running'], 'free engine')
+
+
+@behave.given(
+    'a small deployment of processes with streams of {tokens:d} tokens'
+)
+def start_processes(context, tokens):
+    context.running = context.stack.enter_context(launcher.run_small())
+    members = list(context.running.keys)
+    pool = context.stack.enter_context(futures.ThreadPoolExecutor(4))
+    context.prompts = [f'stream {number} of pies' for number in range(4)]
+    context.waiting = [
+        pool.submit(
+            context.running.make_caller(0, members[number]).complete,
+            prompt,
+            model=context.running.model,
+            max_tokens=tokens,
+            stream=True,
+        )
+        for number, prompt in enumerate(context.prompts)
+    ]
+    context.total = tokens
+
+
+def find_middle(context):
+    """Return a middle agent whose engine is in the midst of a stream."""
+    for agent in context.running.plan.agents:
+        if agent.endpoint.settings.get('layer_start'):
+            name = agent.endpoint.standin.name
+            runs = context.running.read_endpoint_runs(name)
+            if any(run['positions'] > 20 for run in runs):
+                return agent
+    return None
+
+
+@behave.when(
+    'the agent of a middle stage is paused until the streams have ended'
+)
+def pause_middle(context):
+    wait_until(lambda: find_middle(context), 'a stage at work')
+    context.paused = find_middle(context)
+    process = context.running.started[context.paused.name]
+    process.pause()
+    context.stack.callback(process.resume)
+    context.answers = [one.result(WAIT_SECONDS) for one in context.waiting]
+
+
+@behave.then("each stream got exactly the model's tokens")
+def check_answers(context):
+    running = context.running
+    for answer, prompt in zip(context.answers, context.prompts):
+        assert answer.is_complete, (answer.outcome, answer.error)
+        asked = records.Asked('', answer, prompt, context.total)
+        wrong = records.check_text(
+            asked, model=running.model, layers=running.layers
+        )
+        assert not wrong, wrong
+    assert context.paused is not None
+
+
+@behave.when('the paused agent goes on')
+def resume_middle(context):
+    context.before = read_last_runs(context)
+    context.running.started[context.paused.name].resume()
+    context.running.wait_ready(context.paused.name)
+
+
+def read_last_runs(context):
+    """Return what the other engines ran for each stream."""
+    name = context.paused.endpoint.standin.name
+    return [
+        run
+        for run in context.running.read_runs('engine')
+        if run['endpoint'] != name
+    ]
+
+
+@behave.then('it frees what it held and has answered no stream twice')
+def check_awake(context):
+    def is_free():
+        state = context.running.read_state(context.paused.name)
+        return not sum(state['stages'].values())
+
+    wait_until(is_free, 'free stages')
+    assert read_last_runs(context) == context.before
--- a/packages/standins/src/dunlintide_standins/engine/sessions.py
+++ b/packages/standins/src/dunlintide_standins/engine/sessions.py
@@ -130,7 +130,9 @@
                 return Ok(None)
         if session is None:
             return Err(messages.Code.POSITION)
-        if step.truncate and step.position < session.position:
+        # Only once an epoch: asked for again, a step must not run again.
+        newer = step.epoch > session.epoch
+        if step.truncate and newer and step.position < session.position:
             self._truncate(session, step.position)
         if step.position != session.position:
             return Err(messages.Code.POSITION)
--- a/packages/trials/src/dunlintide_trials/cases/recovery.py
+++ b/packages/trials/src/dunlintide_trials/cases/recovery.py
@@ -1,6 +1,7 @@
 """How long callers wait when processes die."""
 
 import collections
+import itertools
 import statistics
 import threading
 import time
@@ -13,6 +14,7 @@
 from dunlintide_trials import launcher
 from dunlintide_trials import processes
 from dunlintide_trials import records
+from dunlintide_trials import stagelosses
 from dunlintide_trials import steady
 
 __all__ = ['CASES']
@@ -31,6 +33,10 @@
 # The host list shows a failure so late; the brief has it lag a minute.
 LIST_LAG_SECONDS = 10.0
 DOMAIN_BOUND_SECONDS = 8.0
+STAGE_PROMPTS = (32, 512)
+KINDS = (stagelosses.AGENT, stagelosses.ENGINE)
+STAGE_ROUNDS = 2
+STAGE_BOUND_SECONDS = 2.0
 _WAIT_SECONDS = 30.0
 _REPEAT_SECONDS = 0.1
 # Links are lost at once when hosts die, and when they vanish only by
@@ -190,4 +196,54 @@
         )
 
 
-CASES = [measure_entry, measure_domain]
+def measure_stage() -> Iterator[figures.Figure]:
+    """Measure the death of a stage: replay against restarting all."""
+    losses: dict[tuple[str, str, int], stagelosses.Loss] = {}
+    for recovery, kind in itertools.product(('restart', 'replay'), KINDS):
+        # New processes, as each entry has but ten retries at first.
+        with stagelosses.run(recovery) as running:
+            for words in STAGE_PROMPTS:
+                losses[recovery, kind, words] = stagelosses.join(
+                    stagelosses.lose_stage(
+                        running, kind, f'{words}-{number}', words
+                    )
+                    for number in range(STAGE_ROUNDS)
+                )
+    for kind, words in itertools.product(KINDS, STAGE_PROMPTS):
+        yield from _report_stage(
+            f'recovery.stage.{kind}_killed.prompt_{words}',
+            losses['replay', kind, words],
+            losses['restart', kind, words],
+        )
+
+
+def _report_stage(
+    case: str, replay: stagelosses.Loss, restart: stagelosses.Loss
+) -> Iterator[figures.Figure]:
+    note = f'{len(replay.seconds)} streams, baseline: restart all'
+    for part in (0.5, 0.95):
+        yield figures.at_most(
+            f'{case}.p{part * 100:.0f}',
+            replay.tell_percentile(part),
+            's',
+            STAGE_BOUND_SECONDS,
+            restart.tell_percentile(part),
+            f'kill to next token, {note}',
+        )
+    again = statistics.fmean(replay.again)
+    base = statistics.fmean(restart.again)
+    # A third of the layers runs again, and steps that were under way.
+    yield figures.at_most(
+        f'{case}.again', again, 'layer-steps', base / 2, base, note
+    )
+    kept = 'mean of a stream at an agent, 8 bytes a position'
+    yield figures.plain(
+        f'{case}.kept', statistics.fmean(replay.kept), 'bytes', None, kept
+    )
+    wrong = 'streams lost, cut or with a wrong token; ' + note
+    yield figures.at_most(
+        f'{case}.wrong', replay.wrong, 'streams', 0, restart.wrong, wrong
+    )
+
+
+CASES = [measure_entry, measure_domain, measure_stage]
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/stagelosses.py
@@ -0,0 +1,258 @@
+"""Deaths of a stage under streams, measured at the callers.
+
+A round opens streams through all entries, kills the agent or the engine
+of one middle stage once each has its tokens, and looks at the streams
+that ran over it. The engines' records tell what ran again.
+"""
+
+from concurrent import futures
+import contextlib
+import pathlib
+import statistics
+import tempfile
+import time
+from typing import Iterable, Iterator
+
+import attrs
+
+from dunlintide_trials import blueprints
+from dunlintide_trials import client
+from dunlintide_trials import deployment
+from dunlintide_trials import launcher
+from dunlintide_trials import operators
+from dunlintide_trials import processes
+from dunlintide_trials import records
+
+__all__ = ['AGENT', 'ENGINE', 'Loss', 'join', 'lose_stage', 'run']
+
+AGENT = 'agent'
+ENGINE = 'engine'
+# So many that no entry comes to the end of its ten retries.
+ENTRIES = 8
+STREAMS = 16
+TOKENS_BEFORE = 64
+TOKENS = 160
+# Three stages make 24 ms a token, close to the aim of 26 ms.
+STEP_SECONDS = 0.008
+_WAIT_SECONDS = 60.0
+_EXAMPLE = launcher.EXAMPLE
+
+
+@attrs.frozen
+class Loss:
+    """What the death of one stage did to the streams over it.
+
+    :ivar seconds: from the kill to the next token, for each stream
+    :ivar again: layer-steps that ran beyond what one run takes, likewise
+    :ivar wrong: streams whose answer was not whole and right
+    :ivar kept: bytes of activations that a head kept for a stream
+    """
+
+    seconds: list[float]
+    again: list[int]
+    wrong: int
+    kept: list[float]
+
+    def tell_percentile(self, part: float) -> float:
+        """Return a percentile of the seconds, 0 to 1."""
+        if len(self.seconds) < 2:
+            return statistics.fmean(self.seconds)
+        cuts = statistics.quantiles(self.seconds, n=100, method='inclusive')
+        return cuts[round(part * 100) - 1]
+
+
+def join(losses: Iterable[Loss]) -> Loss:
+    """Put the streams of several rounds together."""
+    losses = list(losses)
+    return Loss(
+        [second for loss in losses for second in loss.seconds],
+        [again for loss in losses for again in loss.again],
+        sum(loss.wrong for loss in losses),
+        [size for loss in losses for size in loss.kept],
+    )
+
+
+@contextlib.contextmanager
+def run(recovery: str) -> Iterator[deployment.Deployment]:
+    """Start three stages of two engines each, and entries.
+
+    :param recovery: the entries' setting of that name
+    """
+    blueprint = blueprints.shrink(blueprints.load_blueprint(_EXAMPLE))
+    pipeline = blueprint.pipelines[0]
+    stages = tuple(
+        attrs.evolve(stage, step_seconds=STEP_SECONDS)
+        for stage in pipeline.stages
+    )
+    blueprint = attrs.evolve(
+        blueprint,
+        entries=ENTRIES,
+        pipelines=(attrs.evolve(pipeline, stages=stages),),
+    )
+    rules = operators.load_rules(_EXAMPLE.parent / blueprint.rules)
+    for rule in rules['rules']:
+        # A new entry has but a small share of a member's limit.
+        rule['then'].pop('concurrency', None)
+    with tempfile.TemporaryDirectory(prefix='dunlintide-') as folder:
+        path = pathlib.Path(folder)
+        extras = {deployment.ENTRY: {'recovery': recovery}}
+        with launcher.run(blueprint, rules, path, extras=extras) as running:
+            yield running
+
+
+def _make_prompt(name: str, number: int, words: int) -> str:
+    # The first word keeps the streams from sharing a prefix.
+    return ' '.join([f'{name}-{number}'] + ['special'] * (words - 1))
+
+
+def _find_started(
+    running: deployment.Deployment, endpoint: str, positions: int
+) -> set[str]:
+    return {
+        run['request_id']
+        for run in running.read_endpoint_runs(endpoint)
+        if run['positions'] >= positions
+    }
+
+
+def _wait_tokens(
+    running: deployment.Deployment, middle: list[str], positions: int, old: set
+) -> None:
+    def have() -> bool:
+        found = set()
+        for endpoint in middle:
+            found |= _find_started(running, endpoint, positions)
+        return len(found - old) >= STREAMS
+
+    if not processes.wait_for(have, _WAIT_SECONDS, pause=0.005):
+        raise RuntimeError('the streams did not get their tokens')
+
+
+def _tell_delay(answer: client.Answer, killed: float) -> float:
+    """Return the seconds from the kill to the token behind the gap.
+
+    A token that was past the stage may still come after the kill.
+    """
+    gaps = [
+        (after - before, after)
+        for before, after in zip(answer.times, answer.times[1:])
+        if after > killed
+    ]
+    return max(gaps)[1] - killed
+
+
+def _count_again(
+    found: list[dict], request_id: str, words: int, layers: int
+) -> int:
+    ran = sum(
+        run['layer_steps'] for run in found if run['request_id'] == request_id
+    )
+    return ran - (words + TOKENS - 1) * layers
+
+
+def _read_kept(running: deployment.Deployment) -> list[float]:
+    """Read the mean bytes of a session at each agent that keeps some."""
+    found = []
+    for agent in running.plan.agents:
+        if agent.endpoint.kind == ENGINE:
+            kept = running.read_state(agent.name)['kept_activations']
+            if kept['sessions']:
+                found.append(kept['bytes'] / kept['sessions'])
+    return found
+
+
+def _read_runs(
+    running: deployment.Deployment, engine: str, over: list[dict] | None
+) -> list[dict]:
+    """Read all records; those of a dead engine were read before."""
+    if over is None:
+        return running.read_runs(ENGINE)
+    names = [
+        agent.endpoint.standin.name
+        for agent in running.plan.agents
+        if agent.endpoint.kind == ENGINE
+    ]
+    found = list(over)
+    for name in names:
+        if name != engine:
+            found += running.read_endpoint_runs(name)
+    return found
+
+
+def lose_stage(
+    running: deployment.Deployment, kind: str, name: str, words: int
+) -> Loss:
+    """Kill one middle stage under streams, and start it again after.
+
+    :param kind: what is killed, ``AGENT`` or ``ENGINE``
+    :param name: begins each prompt, so it must be new
+    :param words: tokens of each prompt
+    """
+    members = list(running.keys)
+    stage = running.plan.blueprint.pipelines[0].stages[1]
+    agents = [
+        agent
+        for agent in running.plan.agents
+        if agent.endpoint.settings.get('layer_start') == stage.layer_start
+    ]
+    middle = [agent.endpoint.standin.name for agent in agents]
+    old = {run['request_id'] for run in running.read_runs(ENGINE)}
+    prompts = [_make_prompt(name, n, words) for n in range(STREAMS)]
+    with futures.ThreadPoolExecutor(STREAMS) as pool:
+        waiting = [
+            pool.submit(
+                running.make_caller(
+                    number % ENTRIES, members[number % len(members)]
+                ).complete,
+                prompt,
+                model=running.model,
+                max_tokens=TOKENS,
+                stream=True,
+            )
+            for number, prompt in enumerate(prompts)
+        ]
+        _wait_tokens(running, middle, words + TOKENS_BEFORE, old)
+        counts = [len(_find_started(running, e, 1) - old) for e in middle]
+        struck = counts.index(max(counts))
+        engine = middle[struck]
+        victim = agents[struck].name if kind == AGENT else engine
+        over = running.read_endpoint_runs(engine)
+        kept = _read_kept(running)
+        killed = time.monotonic()
+        running.started[victim].kill()
+        answers = [one.result() for one in waiting]
+    found = _read_runs(running, engine, over if kind == ENGINE else None)
+    running.restart(victim)
+    seen = (over, found, old, killed)
+    loss = _judge(running, answers, prompts, seen, words)
+    return attrs.evolve(loss, kept=kept)
+
+
+def _judge(
+    running: deployment.Deployment,
+    answers: list[client.Answer],
+    prompts: list[str],
+    seen: tuple[list[dict], list[dict], set[str], float],
+    words: int,
+) -> Loss:
+    over, found, old, killed = seen
+    hit = {run['request_id'] for run in over} - old
+    wrong = 0
+    for answer, prompt in zip(answers, prompts):
+        asked = records.Asked('', answer, prompt, TOKENS)
+        faults = records.check_text(
+            asked, model=running.model, layers=running.layers
+        )
+        wrong += bool(faults) or not answer.is_complete
+    struck = [
+        one for one in answers if one.request_id in hit and one.is_complete
+    ]
+    return Loss(
+        [_tell_delay(one, killed) for one in struck],
+        [
+            _count_again(found, one.request_id, words, running.layers)
+            for one in struck
+        ],
+        wrong,
+        [],
+    )
