Split routing, dispatch and lending by job

Change: routes has what routes are and how they are built, jobs what a request and its context are, chains also the choice around failed agents; division and lending hold the coordinator's side of limits. Readiness, signals and the HTTP server's own refusals left role.

--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -10,6 +10,7 @@
 import behave
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import configuration
+from dunlintide_core import lending
 from dunlintide_core import limits as core
 from dunlintide_core import outcomes
 from dunlintide_daemon.entry import exchange
@@ -41,7 +42,7 @@
 
     name: str
     lease: core.Lease = attrs.field(factory=core.Lease)
-    coordinator: core.Coordinator = attrs.field(factory=core.Coordinator)
+    coordinator: lending.Coordinator = attrs.field(factory=lending.Coordinator)
     need: core.Need = core.Need()
 
 
--- a/packages/core/src/dunlintide_core/limits.py
+++ b/packages/core/src/dunlintide_core/limits.py
@@ -22,25 +22,23 @@
 ``rate * BURST_SECONDS`` plus one request an entry.
 """
 
-import functools
 import math
-from typing import Iterable, Mapping
+from typing import Mapping
 
 import attrs
 
 __all__ = [
     'BURST_SECONDS',
+    'EPSILON',
     'LEASE_SECONDS',
-    'MAX_LENT',
     'SLACK_SECONDS',
     'Bucket',
-    'Coordinator',
-    'Division',
     'Grant',
     'Key',
     'Lease',
     'Need',
-    'divide',
+    'find_less',
+    'find_own',
 ]
 
 BURST_SECONDS = 1.0
@@ -48,11 +46,10 @@
 # Longest time on the way for which the bound is exact. A demand that was
 # longer on its way lets its entry count 1/N twice for the rest.
 SLACK_SECONDS = 2.0
-_EPSILON = 1e-9
+# Bound on the rounding errors of sums of shares.
+EPSILON = 1e-9
 # A share that shrinks by more is acknowledged at once.
 _NOTABLE = 0.02
-# Bounds the keys of which an entry is told to give up what it owns.
-MAX_LENT = 64
 
 # Member and rule: all keys and connections of a member count as one.
 Key = tuple[str, str]
@@ -86,7 +83,7 @@
             infinite without a share
         """
         self.refill(now, rate)
-        if self.tokens >= -_EPSILON:
+        if self.tokens >= -EPSILON:
             self.tokens -= 1.0
             return 0.0
         return -self.tokens / rate if rate > 0 else math.inf
@@ -130,312 +127,18 @@
         return Grant(self.rate + other.rate, self.slots + other.slots)
 
 
-def _add(grants: Iterable[Grant]) -> Grant:
-    return functools.reduce(Grant.plus, grants, Grant())
-
-
-def _find_less(one: Grant, other: Grant) -> Grant:
+def find_less(one: Grant, other: Grant) -> Grant:
+    """Return the smaller part of each."""
     return Grant(min(one.rate, other.rate), min(one.slots, other.slots))
 
 
-def _own(fraction: float, limit: int) -> Grant:
-    return Grant(fraction, math.floor(limit * fraction + _EPSILON))
-
-
-@attrs.define
-class _Lent:
-    """What one entry has lent, for all keys.
-
-    :ivar answered: newest of its demands that was answered
-    :ivar counted: whether the entry is known to heed what it is granted
-    """
-
-    fraction: float
-    until: float
-    answered: int
-    counted: bool = False
-
-
-@attrs.define
-class _Held:
-    """What one entry may be using under one key.
-
-    :ivar grants: sequence, grant and end of each that may be in use
-    """
-
-    need: Need | None = None
-    grants: list[tuple[int, Grant, float]] = attrs.field(factory=list)
-
-    def drop(self, acknowledged: int) -> None:
-        """Forget grants that were replaced."""
-        self.grants = [one for one in self.grants if one[0] >= acknowledged]
-
-    def is_plain(self, own: Grant) -> bool:
-        """Tell whether it uses no more and no less than it owns."""
-        plain = all(grant == own for _, grant, _ in self.grants)
-        return self.need is None and plain
-
-    def find_most(self, own: Grant, now: float) -> Grant:
-        """Return the most that it may be using.
-
-        :param own: what the entry owns, to which an ended grant shrinks
-        """
-        rate, slots = 0.0, self.need.in_flight if self.need else 0
-        for _, grant, until in self.grants:
-            if until <= now:
-                grant = _find_less(grant, own)
-            rate = max(rate, grant.rate)
-            slots = max(slots, grant.slots)
-        return Grant(rate, slots)
-
-
-def _meet_rates(total: float, wants: Mapping[str, float]) -> dict[str, float]:
-    """Meet small wants in full and divide the rest evenly."""
-    shares, waiting = {}, len(wants)
-    for name, want in sorted(wants.items(), key=lambda item: item[1]):
-        shares[name] = min(want, total / waiting)
-        total -= shares[name]
-        waiting -= 1
-    return shares
-
-
-def _meet_slots(total: int, wants: Mapping[str, int]) -> dict[str, int]:
-    shares, waiting = {}, len(wants)
-    for name, want in sorted(wants.items(), key=lambda item: item[::-1]):
-        # Rounded up, so that a single slot goes to somebody.
-        shares[name] = min(want, math.ceil(total / waiting))
-        total -= shares[name]
-        waiting -= 1
-    return shares
-
+def find_own(fraction: float, limit: int) -> Grant:
+    """Return what an entry owns, in whole slots.
 
-@attrs.frozen
-class Division:
-    """How one limit is divided among entries.
-
-    :ivar shares: of the entries that asked, with room to grow
-    :ivar kept: part of what the others own that they keep, 0 to 1
-    """
-
-    shares: Mapping[str, Grant]
-    kept: float = 1.0
-
-
-def divide(
-    total: float, limit: int, needs: Mapping[str, Need], unasked: Grant
-) -> Division:
-    """Divide by demand: small wants are met in full, the rest is even.
-
-    Next come the entries that did not ask, which keep what they own, so
-    that a first burst there needs no word of anybody. What is then left
-    is spread evenly over those that asked.
-
-    :param total: share of the limit that there is to divide
+    :param fraction: what it owns of each limit
     :param limit: the limit in flight, 0 for none
-    :param unasked: what entries that did not ask own together
     """
-    rates = _meet_rates(total, {n: one.rate for n, one in needs.items()})
-    left = max(0.0, total - math.fsum(rates.values()))
-    slots = _meet_slots(
-        math.floor(limit * total + _EPSILON),
-        {name: one.slots for name, one in needs.items()},
-    )
-    free = math.floor(limit * total + _EPSILON) - sum(slots.values())
-    kept = min(
-        1.0,
-        left / unasked.rate if unasked.rate > _EPSILON else 1.0,
-        free / unasked.slots if unasked.slots else 1.0,
-    )
-    if kept > 1 - _EPSILON:
-        kept = 1.0
-    count = max(1, len(needs))
-    rest = (left - kept * unasked.rate) / count
-    room = (free - math.ceil(kept * unasked.slots - _EPSILON)) // count
-    return Division(
-        {
-            name: Grant(rates[name] + rest, slots[name] + room)
-            for name in needs
-        },
-        kept,
-    )
-
-
-@attrs.define
-class _Limit:
-    """One key as its coordinator sees it.
-
-    :ivar size: the limit in flight, 0 for none
-    :ivar entries: what may be used, by entry; one that is not here uses
-        what it owns at most
-    :ivar pressed: whether entries that did not ask must give up a part
-    """
-
-    size: int = 0
-    entries: dict[str, _Held] = attrs.field(factory=dict)
-    pressed: bool = False
-
-
-@attrs.define
-class Coordinator:
-    """Divides among entries what they have lent to it."""
-
-    _lent: dict[str, _Lent] = attrs.field(factory=dict)
-    _keys: dict[Key, _Limit] = attrs.field(factory=dict)
-
-    def answer(
-        self,
-        entry: str,
-        fraction: float,
-        sequence: int,
-        acknowledged: int,
-        needs: Mapping[Key, Need],
-        now: float,
-    ) -> dict[Key, Grant]:
-        """Take in an entry's demand and grant it what can be granted.
-
-        :param entry: name of the entry in this life of it
-        :param fraction: what it lends of each limit
-        :param acknowledged: newest of its demands whose answer it applies,
-            0 before the first
-        :returns: its grants in the order of its needs, then those under
-            further keys of which others need what it owns; it has what
-            it owns under any other key
-        """
-        self._drop(now)
-        until = now + LEASE_SECONDS
-        counted = acknowledged > 0
-        before = self._lent.get(entry)
-        # Demands may overtake each other.
-        answered = max(sequence - 1, before.answered if before else 0)
-        self._lent[entry] = _Lent(
-            fraction, until, max(sequence, answered), counted
-        )
-        self._note(entry, acknowledged, needs)
-        grants = {}
-        # One that was forgotten may have given up more than is known.
-        returned = counted and before is None
-        for key in [*needs, *self._list_lent(entry, needs, returned)]:
-            limit = self._keys[key]
-            own = _own(fraction, limit.size)
-            if entry not in limit.entries:
-                limit.entries[entry] = _Held()
-                if counted or before is not None:
-                    # No answer before this one took it what it owns.
-                    old = (answered, own, math.inf)
-                    limit.entries[entry].grants.append(old)
-            held = limit.entries[entry]
-            held.need = needs.get(key)
-            grant = self._grant(entry, limit, now)
-            held.grants.append((sequence, grant, until))
-            if key in needs or grant != own:
-                grants[key] = grant
-        return grants
-
-    def _drop(self, now: float) -> None:
-        """Forget entries that have been silent for a whole lease."""
-        self._lent = {
-            name: one for name, one in self._lent.items() if one.until > now
-        }
-        for key, limit in list(self._keys.items()):
-            for name in limit.entries.keys() - self._lent.keys():
-                del limit.entries[name]
-            if not limit.entries:
-                del self._keys[key]
-
-    def _note(
-        self, entry: str, acknowledged: int, needs: Mapping[Key, Need]
-    ) -> None:
-        fraction = self._lent[entry].fraction
-        for key, limit in list(self._keys.items()):
-            held = limit.entries.get(entry)
-            if held is None:
-                continue
-            held.need = needs.get(key)
-            held.drop(acknowledged)
-            if not limit.pressed and held.is_plain(_own(fraction, limit.size)):
-                del limit.entries[entry]
-            if not limit.entries:
-                del self._keys[key]
-        for key, need in needs.items():
-            self._keys.setdefault(key, _Limit()).size = need.limit
-
-    def _list_lent(
-        self, entry: str, needs: Mapping[Key, Need], returned: bool
-    ) -> list[Key]:
-        """List keys without a need of which others may need its part.
-
-        Those listed before stay: they may not fall back to what the
-        entry owns before there is room.
-
-        :param returned: whether to list all that may have been listed
-        """
-        counted = self._lent[entry].counted
-        known, new = [], []
-        for key, limit in self._keys.items():
-            if key in needs:
-                continue
-            if returned or entry in limit.entries:
-                known.append(key)
-            elif limit.pressed and counted:
-                new.append(key)
-        return known + new[: max(0, MAX_LENT - len(known))]
-
-    def _grant(self, entry: str, limit: _Limit, now: float) -> Grant:
-        fractions = {
-            name: one.fraction
-            for name, one in self._lent.items()
-            if one.counted or name == entry
-        }
-        total = min(1.0, math.fsum(fractions.values()))
-        needs = {
-            name: held.need
-            for name, held in limit.entries.items()
-            if held.need is not None
-        }
-        unasked = _add(
-            _own(part, limit.size)
-            for name, part in fractions.items()
-            if name not in needs
-        )
-        division = divide(total, limit.size, needs, unasked)
-        limit.pressed = division.kept < 1.0
-        target = division.shares.get(entry)
-        if target is None:
-            part = fractions[entry] * division.kept
-            target = _own(part, limit.size)
-        used = self._find_used(entry, limit, fractions, now)
-        slots = math.floor(limit.size * total + _EPSILON) - used.slots
-        rate = total - used.rate
-        if rate > target.rate - _EPSILON:
-            rate = target.rate
-        return Grant(max(0.0, rate), max(0, min(target.slots, slots)))
-
-    def _find_used(
-        self,
-        entry: str,
-        limit: _Limit,
-        fractions: Mapping[str, float],
-        now: float,
-    ) -> Grant:
-        """Return the most that others may be using."""
-        plain = _add(
-            _own(part, limit.size)
-            for name, part in fractions.items()
-            if name != entry and name not in limit.entries
-        )
-        return _add(
-            held.find_most(_own(self._lent[name].fraction, limit.size), now)
-            for name, held in limit.entries.items()
-            if name != entry
-        ).plus(plain)
-
-    def describe(self) -> dict[str, int]:
-        """Return how much it coordinates."""
-        return {
-            'entries': len(self._lent),
-            'keys': len(self._keys),
-            'pressed': sum(one.pressed for one in self._keys.values()),
-        }
+    return Grant(fraction, math.floor(limit * fraction + EPSILON))
 
 
 @attrs.define
@@ -521,11 +224,11 @@
         :param fraction: what the entry owns of each limit
         :param limit: the limit in flight, 0 for none
         """
-        own = _own(fraction, limit)
+        own = find_own(fraction, limit)
         if self.is_free(now):
             return own
         grant = self._grants.get(key, own)
-        return grant if self.tell_live(now) else _find_less(grant, own)
+        return grant if self.tell_live(now) else find_less(grant, own)
 
     def covers(self, key: Key, now: float) -> bool:
         """Tell whether a grant under a key is in force."""
--- a/packages/daemon/src/dunlintide_daemon/entry/answers.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/answers.py
@@ -10,15 +10,16 @@
 
 from dunlintide_core import outcomes
 from dunlintide_daemon.entry import completions
-from dunlintide_daemon.entry import dispatch
 from dunlintide_daemon.entry import headers as filtering
 from dunlintide_daemon.entry import history
+from dunlintide_daemon.entry import jobs
 from dunlintide_daemon.entry import limits
 from dunlintide_daemon.entry import meter
 from dunlintide_daemon.entry import openai
 from dunlintide_daemon.entry import problems
 from dunlintide_daemon.entry import requests
 from dunlintide_daemon.entry import router
+from dunlintide_daemon.entry import routes
 from dunlintide_daemon.entry import services
 
 __all__ = [
@@ -86,7 +87,7 @@
     meter: meter.Meter
 
     def end(
-        self, caller: router.Caller, refusal: outcomes.Refusal | None
+        self, caller: routes.Caller, refusal: outcomes.Refusal | None
     ) -> None:
         """Note an outcome; None stands for a whole answer."""
         self.limiter.release(caller.request_id)
@@ -101,7 +102,7 @@
 
     def release(
         self,
-        route: router.CompletionRoute | router.ServiceRoute,
+        route: routes.CompletionRoute | routes.ServiceRoute,
         refusal: outcomes.Refusal,
     ) -> None:
         """Free the key of a request that never ran and never will.
@@ -118,11 +119,11 @@
 
     def __init__(
         self,
-        context: dispatch.Context,
+        context: jobs.Context,
         ledger: Ledger,
-        caller: router.Caller,
+        caller: routes.Caller,
         completion: requests.Completion,
-        route: router.CompletionRoute,
+        route: routes.CompletionRoute,
         rendering: openai.Rendering,
         heartbeat: float,
     ) -> None:
--- a/packages/daemon/src/dunlintide_daemon/entry/chains.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/chains.py
@@ -12,6 +12,7 @@
     'build_stages',
     'choose_chain',
     'choose_least',
+    'pick_avoiding',
     'tell_life',
 ]
 
@@ -108,3 +109,14 @@
         )
         for agent in chain
     ]
+
+
+def pick_avoiding(
+    choose: Callable[[Collection[Life]], Chain | None],
+    avoid: Collection[Life],
+) -> Chain | None:
+    """Choose without the agents that failed, or with them if need be.
+
+    A lost link often leaves the agent well, and it may be the only one.
+    """
+    return choose(avoid) or (choose(()) if avoid else None)
--- a/packages/daemon/src/dunlintide_daemon/entry/completions.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/completions.py
@@ -9,6 +9,7 @@
 from dunlintide_daemon.entry import chains
 from dunlintide_daemon.entry import dispatch
 from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import jobs
 from dunlintide_daemon.entry import requests
 from dunlintide_daemon.entry import sessions
 
@@ -80,8 +81,8 @@
 
     def __init__(
         self,
-        context: dispatch.Context,
-        job: dispatch.Job,
+        context: jobs.Context,
+        job: jobs.Job,
         request: requests.Completion,
         plan: Plan,
     ) -> None:
@@ -132,12 +133,12 @@
     def _choose(self) -> chains.Chain | None:
         avoid = self._attempt.avoid
         if self._keeps:
-            chain = dispatch.pick_avoiding(
+            chain = chains.pick_avoiding(
                 lambda others: self._plan.repair(self._chain, others), avoid
             )
             if chain is not None:
                 return chain
-        return dispatch.pick_avoiding(self._plan.choose, avoid)
+        return chains.pick_avoiding(self._plan.choose, avoid)
 
     def _open(self) -> bool:
         chain = self._choose()
@@ -236,8 +237,8 @@
 
 
 def run(
-    context: dispatch.Context,
-    job: dispatch.Job,
+    context: jobs.Context,
+    job: jobs.Job,
     request: requests.Completion,
     plan: Plan,
 ) -> Iterator[Piece | Wait | End | outcomes.Refusal]:
--- a/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
@@ -5,26 +5,21 @@
 """
 
 import time
-from typing import Callable, Collection, Iterable
+from typing import Callable
 
 import attrs
 
 from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
-from dunlintide_core import budget
 from dunlintide_core import outcomes
 from dunlintide_daemon.entry import chains
 from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import jobs
 from dunlintide_daemon.entry import learning
-from dunlintide_daemon.entry import planning
-from dunlintide_daemon.entry import room
 from dunlintide_daemon.entry import sessions
 
 __all__ = [
     'Attempt',
-    'Context',
-    'Job',
-    'pick_avoiding',
 ]
 
 # How often a request that waits looks whether its caller is still there;
@@ -33,77 +28,10 @@
 # An attempt that fails may be the request's own doing, so one request
 # gets few of them and cannot take down one endpoint after another.
 MAX_ATTEMPTS = 3
-RETRY_AFTER_SECONDS = 2.0
 # How long a request that lost its agents waits for others to appear.
 RECOVERY_SECONDS = 5.0
 _RECOVERY_POLL_SECONDS = 0.05
 
-# Failures that another attempt would only meet again.
-_FINAL = frozenset(
-    (
-        outcomes.FailCode.BAD_REQUEST,
-        outcomes.FailCode.UNAUTHENTICATED,
-        outcomes.FailCode.NO_RULE,
-        outcomes.FailCode.REFUSED_BY_RULE,
-        outcomes.FailCode.NOT_FOUND,
-        outcomes.FailCode.TOO_LARGE,
-        outcomes.FailCode.KEY_REUSED,
-        outcomes.FailCode.KEY_EXPIRED,
-        outcomes.FailCode.ANSWER_GONE,
-        outcomes.FailCode.RATE_LIMITED,
-        outcomes.FailCode.DEADLINE,
-        outcomes.FailCode.QUARANTINED,
-        outcomes.FailCode.CANCELLED,
-    )
-)
-
-
-@attrs.frozen
-class Context:
-    """What requests run with.
-
-    :ivar retries: budget that all requests of this entry share
-    :ivar answer_room: memory that gathered answers share
-    :ivar count_retry: called for each attempt beyond a first
-    :ivar replays: whether stages that survive a failure keep their state
-    """
-
-    fleet: fleet.Fleet
-    planner: planning.Planner
-    sessions: sessions.Sessions
-    retries: budget.RetryBudget
-    clock: Callable[[], float] = time.monotonic
-    count_retry: Callable[[], None] = lambda: None
-    answer_room: room.Room = attrs.field(factory=room.Room)
-    replays: bool = True
-
-    def add_work(self, names: Iterable[str], amount: int) -> None:
-        """Count work of agents; negative when it ends."""
-        self.fleet.add_work(names, amount)
-        self.planner.add_work(names, amount)
-
-
-@attrs.frozen
-class Job:
-    """One request on its way, apart from what kind it is.
-
-    :ivar terms: what is fixed for its life; the deadline is set anew
-        for each attempt
-    :ivar deadline: monotonic time in seconds
-    :ivar repeatable: whether it may run again after it may have run
-    :ivar is_connected: tells whether the caller still waits
-    :ivar claim: binding to its one executor, if it needs one
-    :ivar repeated: whether an earlier request made that claim, so that
-        it may have run already
-    """
-
-    terms: link_pb2.Terms
-    deadline: float
-    repeatable: bool
-    is_connected: Callable[[], bool] = lambda: True
-    claim: link_pb2.Claim | None = None
-    repeated: bool = False
-
 
 def _read_code(code: str) -> outcomes.FailCode:
     try:
@@ -119,7 +47,7 @@
     :ivar avoid: agents that failed this request
     """
 
-    def __init__(self, context: Context, job: Job) -> None:
+    def __init__(self, context: jobs.Context, job: jobs.Job) -> None:
         self.ran = job.repeated
         self.avoid: set[chains.Life] = set()
         self._context = context
@@ -244,16 +172,16 @@
         if at_fault == self._head.peer.name:
             self.avoid.add(chains.tell_life(self._head))
         sealed = code is outcomes.FailCode.CANCELLED
-        passing = sealed or code not in _FINAL
+        passing = sealed or code not in jobs.FINAL
         if not self.ran and retry_after is None and passing:
-            retry_after = RETRY_AFTER_SECONDS
+            retry_after = jobs.RETRY_AFTER_SECONDS
         return outcomes.refuse(
             code, detail, ran=self.ran, retry_after=retry_after
         )
 
     def _may_retry(self, refusal: outcomes.Refusal) -> bool:
         """Tell whether the request may be dispatched again, and pay."""
-        if refusal.code in _FINAL or self.epoch >= MAX_ATTEMPTS:
+        if refusal.code in jobs.FINAL or self.epoch >= MAX_ATTEMPTS:
             return False
         if refusal.sealed:
             return False
@@ -273,15 +201,15 @@
             code = outcomes.FailCode.EXECUTOR_GONE
             detail = 'the endpoint that the key is bound to cannot be reached'
         return outcomes.refuse(
-            code, detail, ran=self.ran, retry_after=RETRY_AFTER_SECONDS
+            code, detail, ran=self.ran, retry_after=jobs.RETRY_AFTER_SECONDS
         )
 
     def _advise(self, refusal: outcomes.Refusal) -> outcomes.Refusal:
         """Tell the caller of what may run again when to ask again."""
         told = refusal.retry_after is not None
-        if told or not self._job.repeatable or refusal.code in _FINAL:
+        if told or not self._job.repeatable or refusal.code in jobs.FINAL:
             return refusal
-        return attrs.evolve(refusal, retry_after=RETRY_AFTER_SECONDS)
+        return attrs.evolve(refusal, retry_after=jobs.RETRY_AFTER_SECONDS)
 
     def recover(
         self, refusal: outcomes.Refusal, open_again: Callable[[], bool]
@@ -351,14 +279,3 @@
             request_id=self._session.request_id, epoch=self.epoch
         )
         link.send(link_pb2.Frame(cancel=cancel))
-
-
-def pick_avoiding(
-    choose: Callable[[Collection[chains.Life]], chains.Chain | None],
-    avoid: Collection[chains.Life],
-) -> chains.Chain | None:
-    """Choose without the agents that failed, or with them if need be.
-
-    A lost link often leaves the agent well, and it may be the only one.
-    """
-    return choose(avoid) or (choose(()) if avoid else None)
--- a/packages/daemon/src/dunlintide_daemon/entry/front.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/front.py
@@ -12,15 +12,16 @@
 from dunlintide_core import outcomes
 from dunlintide_daemon.entry import answers
 from dunlintide_daemon.entry import configuration as holders
-from dunlintide_daemon.entry import dispatch
 from dunlintide_daemon.entry import headers
 from dunlintide_daemon.entry import history
+from dunlintide_daemon.entry import jobs
 from dunlintide_daemon.entry import limits
 from dunlintide_daemon.entry import meter
 from dunlintide_daemon.entry import openai
 from dunlintide_daemon.entry import problems
 from dunlintide_daemon.entry import requests
 from dunlintide_daemon.entry import router
+from dunlintide_daemon.entry import routes
 from dunlintide_daemon.entry import services
 from dunlintide_daemon.entry import table
 
@@ -46,7 +47,7 @@
     :ivar heartbeat: longest pause in a stream, in seconds
     """
 
-    context: dispatch.Context
+    context: jobs.Context
     holder: holders.Holder
     router: router.Router
     history: history.History
@@ -61,7 +62,7 @@
     """One request and the answer that it is given."""
 
     environ: Mapping[str, Any]
-    caller: router.Caller
+    caller: routes.Caller
     snapshot: holders.Snapshot
 
 
@@ -173,7 +174,7 @@
         priority = _read_priority(environ)
         if isinstance(priority, result.Err):
             return priority
-        caller = router.Caller(
+        caller = routes.Caller(
             request_id=request_id,
             member=member.ok_value,
             key=key.ok_value,
--- a/packages/daemon/src/dunlintide_daemon/entry/problems.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/problems.py
@@ -8,6 +8,7 @@
 import attrs
 import msgspec
 
+from dunlintide_adapters import httpserver
 from dunlintide_core import outcomes
 
 __all__ = [
@@ -16,6 +17,7 @@
     'Response',
     'build_fields',
     'render',
+    'render_server_error',
     'render_status',
 ]
 
@@ -26,6 +28,13 @@
 # Callers that were refused together must not come back together.
 _JITTER = (0.5, 1.5)
 _LEAST_RETRY_SECONDS = 1
+_BUSY_RETRY_SECONDS = 1.0
+# What the HTTP server refuses by itself, by its status.
+_SERVER_CODES = {
+    413: outcomes.FailCode.TOO_LARGE,
+    431: outcomes.FailCode.TOO_LARGE,
+    503: outcomes.FailCode.NO_CAPACITY,
+}
 
 
 @attrs.frozen
@@ -93,3 +102,24 @@
         seconds = max(_LEAST_RETRY_SECONDS, math.ceil(seconds))
         headers.append(('Retry-After', str(seconds)))
     return Response(render_status(refusal.status), headers, [body])
+
+
+def render_server_error(
+    status: int, detail: str, rng: random.Random
+) -> httpserver.ErrorPage:
+    """Build the answer for what the HTTP server refuses by itself.
+
+    :param rng: source of the jitter on ``Retry-After``
+    """
+    code = _SERVER_CODES.get(status, outcomes.FailCode.BAD_REQUEST)
+    busy = code is outcomes.FailCode.NO_CAPACITY
+    refusal = outcomes.refuse(
+        code, detail, retry_after=_BUSY_RETRY_SECONDS if busy else None
+    )
+    page = render(refusal, '', rng)
+    headers = tuple(
+        (name, value)
+        for name, value in page.headers
+        if value and name != 'Content-Length'
+    )
+    return httpserver.ErrorPage(b''.join(page.body), headers)
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -1,10 +1,7 @@
 """The entry role: wires callers, routing, agents and the platform."""
 
 import contextlib
-import json
 import random
-import signal
-import sys
 import threading
 import time
 from typing import Any
@@ -22,17 +19,16 @@
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import budget
 from dunlintide_core import fleet as core_fleet
-from dunlintide_core import outcomes
 from dunlintide_core import poison
 from dunlintide_core import settings as settings_module
 from dunlintide_daemon.entry import claims
 from dunlintide_daemon.entry import configuration
-from dunlintide_daemon.entry import dispatch
 from dunlintide_daemon.entry import dump
 from dunlintide_daemon.entry import exchange
 from dunlintide_daemon.entry import fleet
 from dunlintide_daemon.entry import front
 from dunlintide_daemon.entry import history
+from dunlintide_daemon.entry import jobs
 from dunlintide_daemon.entry import limits
 from dunlintide_daemon.entry import masking
 from dunlintide_daemon.entry import meter
@@ -40,9 +36,11 @@
 from dunlintide_daemon.entry import placement
 from dunlintide_daemon.entry import planning
 from dunlintide_daemon.entry import problems
+from dunlintide_daemon.entry import readiness
 from dunlintide_daemon.entry import room
 from dunlintide_daemon.entry import router
 from dunlintide_daemon.entry import sessions
+from dunlintide_daemon.entry import signals
 from dunlintide_daemon.entry import sources
 from dunlintide_daemon.entry import threads
 from dunlintide_daemon import peers
@@ -53,16 +51,9 @@
     'run',
 ]
 
-_BUSY_RETRY_SECONDS = 1.0
 # Time for the balancer to see that this entry is not ready any more.
 LAME_DUCK_SECONDS = 1.0
 _JOIN_SECONDS = 1.0
-# What the HTTP server refuses by itself, by its status.
-_SERVER_CODES = {
-    413: outcomes.FailCode.TOO_LARGE,
-    431: outcomes.FailCode.TOO_LARGE,
-    503: outcomes.FailCode.NO_CAPACITY,
-}
 
 
 class Entry:
@@ -192,20 +183,6 @@
             leaving=self.leaving,
         )
 
-    def _render_error(self, status: int, detail: str) -> httpserver.ErrorPage:
-        code = _SERVER_CODES.get(status, outcomes.FailCode.BAD_REQUEST)
-        busy = code is outcomes.FailCode.NO_CAPACITY
-        refusal = outcomes.refuse(
-            code, detail, retry_after=_BUSY_RETRY_SECONDS if busy else None
-        )
-        page = problems.render(refusal, '', self._rng)
-        headers = tuple(
-            (name, value)
-            for name, value in page.headers
-            if value and name != 'Content-Length'
-        )
-        return httpserver.ErrorPage(b''.join(page.body), headers)
-
     def _build_server(self) -> httpserver.HttpServer:
         settings = self.settings
         binder = claims.Binder(self._claims, self._fleet, time.time)
@@ -218,7 +195,7 @@
             settings.failure_domain,
             self._suspicion.is_quarantined,
         )
-        context = dispatch.Context(
+        context = jobs.Context(
             self._fleet,
             self._planner,
             self._sessions,
@@ -243,7 +220,9 @@
             settings.limits.threads,
             settings.limits.max_body_bytes,
             settings.limits.max_header_bytes,
-            render_error=self._render_error,
+            render_error=lambda status, detail: problems.render_server_error(
+                status, detail, self._rng
+            ),
         )
 
     def _watch_gauges(self) -> None:
@@ -278,36 +257,15 @@
 
     def check_readiness(self) -> admin.Readiness:
         """Tell whether callers should be sent here."""
-        reasons = []
-        snapshot = self._holder.snapshot
-        if self.leaving:
-            reasons.append('leaving')
-        if self._state is not None and self._state.why_not_ready():
-            reasons.append(self._state.why_not_ready())
-        elif snapshot is None:
-            reasons.append('no configuration yet')
+        reasons = ['leaving'] if self.leaving else []
+        unready = self._state.why_not_ready() if self._state else ''
+        if unready:
+            reasons.append(unready)
         else:
-            reasons += self._list_unserved(snapshot)
+            snapshot = self._holder.snapshot
+            reasons += readiness.list_reasons(snapshot, self._fleet)
         return admin.Readiness(tuple(reasons))
 
-    def _list_unserved(self, snapshot: configuration.Snapshot) -> list[str]:
-        """Name what no agent serves, when nothing at all is served.
-
-        One model that is down must not take the entry from the others.
-        """
-        unserved = [
-            f'no agent for model {model.name}'
-            for model in snapshot.models.values()
-            if not self._fleet.list_engines(model.name, model.version)
-        ]
-        unserved += [
-            f'no agent for service {service}'
-            for service in snapshot.services
-            if not self._fleet.list_services(service)
-        ]
-        offered = len(snapshot.models) + len(snapshot.services)
-        return unserved if len(unserved) == offered else []
-
     def _poll_hosts(self) -> None:
         pause = self.settings.timing.host_list_poll
         while not self.done.is_set():
@@ -389,21 +347,6 @@
         self._stack.close()
 
 
-def _watch_signals(entry: Entry) -> None:
-    def show(*_) -> None:
-        json.dump(entry.describe(), sys.stderr, default=str)
-        sys.stderr.write('\n')
-
-    def dump_aside(*_) -> None:
-        # A handler interrupts any line of the main thread, so it must
-        # not wait for a lock itself.
-        threading.Thread(target=show, daemon=True).start()
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: entry.done.set())
-    signal.signal(signal.SIGUSR1, dump_aside)
-
-
 def run(settings: settings_module.Settings) -> int:
     """Run an entry until it is told to stop.
 
@@ -414,7 +357,7 @@
     outside = sources.Sources.from_config(settings)
     shared = peers.Outside.from_config(settings)
     with Entry(settings, outside, shared=shared) as entry:
-        _watch_signals(entry)
+        signals.watch(entry.done, entry.describe)
         logging.info('entry %s serves port %d', settings.name, entry.port)
         entry.done.wait()
         logging.info('entry %s stops', settings.name)
--- a/packages/daemon/src/dunlintide_daemon/entry/router.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/router.py
@@ -5,9 +5,7 @@
 
 import attrs
 import result
-import uuid_utils
 
-from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import affinity
 from dunlintide_core import configuration
 from dunlintide_core import matching
@@ -16,17 +14,15 @@
 from dunlintide_daemon.entry import claims
 from dunlintide_daemon.entry import completions
 from dunlintide_daemon.entry import configuration as holders
-from dunlintide_daemon.entry import dispatch
 from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import jobs
 from dunlintide_daemon.entry import limits
 from dunlintide_daemon.entry import planning
 from dunlintide_daemon.entry import requests
+from dunlintide_daemon.entry import routes
 
 __all__ = [
-    'Caller',
-    'CompletionRoute',
     'Router',
-    'ServiceRoute',
 ]
 
 # Claims whose request never ran are freed, but no caller waits for long
@@ -34,85 +30,6 @@
 _RELEASE_SECONDS = 1.0
 
 
-@attrs.frozen
-class Caller:
-    """Who asks, and what a request's headers say.
-
-    :ivar key: idempotency key, empty for none
-    :ivar arrived: monotonic time in seconds
-    :ivar is_connected: tells whether the caller still waits
-    """
-
-    request_id: str
-    member: str
-    key: str = ''
-    priority: int | None = None
-    arrived: float = attrs.field(factory=time.monotonic)
-    is_connected: Callable[[], bool] = lambda: True
-
-
-@attrs.frozen
-class CompletionRoute:
-    """Where and on what terms a completion runs."""
-
-    job: dispatch.Job
-    plan: completions.Plan
-    bound: claims.Bound | None = None
-
-
-@attrs.frozen
-class ServiceRoute:
-    """Where and on what terms a service call runs."""
-
-    job: dispatch.Job
-    choose: Callable[[Collection[chains.Life]], fleet.Agent | None]
-    bound: claims.Bound | None = None
-
-
-def _refuse(
-    code: outcomes.FailCode, detail: str, retry_after: float | None = None
-) -> result.Err[outcomes.Refusal]:
-    return result.Err(outcomes.refuse(code, detail, retry_after=retry_after))
-
-
-def _refuse_capacity(detail: str) -> result.Err[outcomes.Refusal]:
-    code = outcomes.FailCode.NO_CAPACITY
-    return _refuse(code, detail, dispatch.RETRY_AFTER_SECONDS)
-
-
-def _refuse_gone() -> result.Err[outcomes.Refusal]:
-    code = outcomes.FailCode.EXECUTOR_GONE
-    detail = 'the endpoint that the key is bound to is gone'
-    return result.Err(outcomes.refuse(code, detail, ran=True))
-
-
-def _build_terms(
-    caller: Caller,
-    rule: configuration.Rule,
-    revision: int,
-    fingerprint: bytes,
-    salt: str,
-) -> link_pb2.Terms:
-    then = rule.then
-    return link_pb2.Terms(
-        request_id=caller.request_id,
-        member=caller.member,
-        weight=then.weight,
-        priority=_choose_priority(caller, then),
-        idempotency_key=caller.key,
-        cache_salt=salt,
-        revision=revision,
-        rule=rule.name,
-        member_concurrency=then.concurrency or 0,
-        fingerprint=fingerprint,
-    )
-
-
-def _choose_priority(caller: Caller, then: configuration.Then) -> int:
-    # A caller may step back behind what its rule grants, never ahead.
-    return max(then.priority, caller.priority or 0)
-
-
 class Router:
     """Decides about requests by the configuration in force."""
 
@@ -143,17 +60,17 @@
     def _match(
         self,
         snapshot: holders.Snapshot,
-        caller: Caller,
+        caller: routes.Caller,
         request: matching.Query,
     ) -> result.Result[configuration.Rule, outcomes.Refusal]:
         """Find the rule and count the request against its limits."""
         rule = snapshot.index.find(request)
         if rule is None:
             code = outcomes.FailCode.NO_RULE
-            return _refuse(code, 'no rule matches the request')
+            return routes.refuse(code, 'no rule matches the request')
         if rule.then.action is configuration.Action.REFUSE:
             code = outcomes.FailCode.REFUSED_BY_RULE
-            return _refuse(code, rule.then.reason or 'a rule refuses it')
+            return routes.refuse(code, rule.then.reason or 'a rule refuses it')
         refusal = self._limiter.admit(caller.request_id, caller.member, rule)
         if refusal is not None:
             return result.Err(refusal)
@@ -162,24 +79,17 @@
     def route_completion(
         self,
         snapshot: holders.Snapshot,
-        caller: Caller,
+        caller: routes.Caller,
         completion: requests.Completion,
         path: str,
         content: bytes,
-    ) -> result.Result[CompletionRoute, outcomes.Refusal]:
+    ) -> result.Result[routes.CompletionRoute, outcomes.Refusal]:
         """Route a completion; a non-idempotent one is bound first.
 
         :param content: the body, for the fingerprint
         """
-        request = matching.Query(
-            member=caller.member,
-            model=completion.model,
-            method='POST',
-            path=path,
-            priority=caller.priority,
-            failure_domain=self._failure_domain,
-            adapter=completion.adapter,
-            prompt_tokens=requests.estimate_tokens(completion.prompt),
+        request = routes.describe_completion(
+            caller, completion, path, self._failure_domain
         )
         matched = self._match(snapshot, caller, request)
         if isinstance(matched, result.Err):
@@ -188,7 +98,7 @@
         model = snapshot.models.get(rule.then.model or completion.model)
         if model is None:
             code = outcomes.FailCode.NOT_FOUND
-            return _refuse(code, 'there is no such model')
+            return routes.refuse(code, 'there is no such model')
         return self._place_completion(
             snapshot, caller, completion, (path, content), rule, model
         )
@@ -196,12 +106,12 @@
     def _place_completion(
         self,
         snapshot: holders.Snapshot,
-        caller: Caller,
+        caller: routes.Caller,
         completion: requests.Completion,
         parts: tuple[str, bytes],
         rule: configuration.Rule,
         model: configuration.Model,
-    ) -> result.Result[CompletionRoute, outcomes.Refusal]:
+    ) -> result.Result[routes.CompletionRoute, outcomes.Refusal]:
         then = rule.then
         version = then.version or model.version
         salt = snapshot.keys.get_salt(caller.member)
@@ -233,14 +143,14 @@
             return choose(avoid, keep=keep - set(avoid))
 
         once = bool(caller.key) or then.repeatable is False
-        caller = _give_key(caller, once)
+        caller = routes.give_key(caller, once)
         fingerprint = requests.compute_fingerprint(caller.member, *parts)
         # Under a key it may have run before, which its executor knows.
         if not once and self._is_quarantined(fingerprint):
             code = outcomes.FailCode.QUARANTINED
-            return _refuse(code, 'the request has crashed endpoints')
-        job = dispatch.Job(
-            terms=_build_terms(
+            return routes.refuse(code, 'the request has crashed endpoints')
+        job = jobs.Job(
+            terms=routes.build_terms(
                 caller, rule, snapshot.revision, fingerprint, salt
             ),
             deadline=caller.arrived + then.deadline_seconds,
@@ -251,10 +161,12 @@
             model.name, version, adapter, choose, repair=repair
         )
         if not once:
-            return result.Ok(CompletionRoute(job, plan))
+            return result.Ok(routes.CompletionRoute(job, plan))
         chain = choose(())
         if chain is None:
-            return _refuse_capacity('no chain holds all layers of the model')
+            return routes.refuse_capacity(
+                'no chain holds all layers of the model'
+            )
         bound = self._bind(caller, rule, job, chain[0])
         if isinstance(bound, result.Err):
             return bound
@@ -263,21 +175,21 @@
         def choose_held(avoid: Collection[chains.Life]):
             names = [agent.peer.name for agent in chain]
             current = self._fleet.pick_usable(names)
-            if not avoid and current and _is_held(held, current[0]):
+            if not avoid and current and routes.is_held(held, current[0]):
                 return current
-            return choose(avoid, lambda agent: _is_held(held, agent))
+            return choose(avoid, lambda agent: routes.is_held(held, agent))
 
         def repair_held(chain: chains.Chain, avoid: Collection[chains.Life]):
             life = (held.binding.executor, held.binding.incarnation)
             keep = {chains.tell_life(agent) for agent in chain} | {life}
             avoid = set(avoid) - {life}
             return choose(
-                avoid, lambda agent: _is_held(held, agent), keep - avoid
+                avoid, lambda agent: routes.is_held(held, agent), keep - avoid
             )
 
         return result.Ok(
-            CompletionRoute(
-                _bind_job(job, held),
+            routes.CompletionRoute(
+                routes.bind_job(job, held),
                 attrs.evolve(
                     plan,
                     choose=choose_held,
@@ -291,22 +203,15 @@
     def route_service(
         self,
         snapshot: holders.Snapshot,
-        caller: Caller,
+        caller: routes.Caller,
         call: requests.ServiceCall,
-    ) -> result.Result[ServiceRoute, outcomes.Refusal]:
+    ) -> result.Result[routes.ServiceRoute, outcomes.Refusal]:
         """Route a service call; a non-idempotent one is bound first."""
-        request = matching.Query(
-            member=caller.member,
-            service=call.service,
-            method=call.method,
-            path=call.path.partition('?')[0],
-            priority=caller.priority,
-            failure_domain=self._failure_domain,
-        )
+        request = routes.describe_call(caller, call, self._failure_domain)
         service = snapshot.services.get(call.service)
         if service is None:
             code = outcomes.FailCode.NOT_FOUND
-            return _refuse(code, 'there is no such service')
+            return routes.refuse(code, 'there is no such service')
         matched = self._match(snapshot, caller, request)
         if isinstance(matched, result.Err):
             return matched
@@ -319,18 +224,18 @@
     def _place_call(
         self,
         snapshot: holders.Snapshot,
-        caller: Caller,
+        caller: routes.Caller,
         call: requests.ServiceCall,
         rule: configuration.Rule,
         repeatable: bool,
-    ) -> result.Result[ServiceRoute, outcomes.Refusal]:
+    ) -> result.Result[routes.ServiceRoute, outcomes.Refusal]:
         once = not repeatable
-        caller = _give_key(caller, once)
+        caller = routes.give_key(caller, once)
         fingerprint = requests.compute_fingerprint(
             caller.member, call.service, call.method, call.path, call.body
         )
-        job = dispatch.Job(
-            terms=_build_terms(
+        job = jobs.Job(
+            terms=routes.build_terms(
                 caller,
                 rule,
                 snapshot.revision,
@@ -347,17 +252,19 @@
             return chains.choose_least(agents, avoid)
 
         if not once:
-            return result.Ok(ServiceRoute(job, choose))
+            return result.Ok(routes.ServiceRoute(job, choose))
         proposed = choose(())
         if proposed is None:
-            return _refuse_capacity('no endpoint of the service is reachable')
+            return routes.refuse_capacity(
+                'no endpoint of the service is reachable'
+            )
         bound = self._bind(caller, rule, job, proposed)
         if isinstance(bound, result.Err):
             return bound
         held = bound.ok_value
         return result.Ok(
-            ServiceRoute(
-                _bind_job(job, held),
+            routes.ServiceRoute(
+                routes.bind_job(job, held),
                 lambda avoid: self._find_held(held),
                 held,
             )
@@ -369,9 +276,9 @@
 
     def _bind(
         self,
-        caller: Caller,
+        caller: routes.Caller,
         rule: configuration.Rule,
-        job: dispatch.Job,
+        job: jobs.Job,
         proposed: fleet.Agent,
     ) -> result.Result[claims.Bound, outcomes.Refusal]:
         left = job.deadline - time.monotonic()
@@ -384,31 +291,9 @@
             max(0.0, left),
         )
         if isinstance(bound, result.Ok) and bound.ok_value.executor is None:
-            return _refuse_gone()
+            return routes.refuse_gone()
         return bound
 
     def release(self, bound: claims.Bound) -> None:
         """Free the key of a request that never ran and never will."""
         self._binder.release(bound, _RELEASE_SECONDS)
-
-
-def _give_key(caller: Caller, once: bool) -> Caller:
-    """Give a request that must not run twice a key of its own.
-
-    It was sent without one, so no repeat can be told from a new request;
-    the key only keeps the router itself from running it again.
-    """
-    if not once or caller.key:
-        return caller
-    return attrs.evolve(caller, key=f'server-{uuid_utils.uuid7()}')
-
-
-def _bind_job(job: dispatch.Job, bound: claims.Bound) -> dispatch.Job:
-    return attrs.evolve(
-        job, claim=bound.build_claim(), repeated=bound.repeated
-    )
-
-
-def _is_held(bound: claims.Bound, agent: fleet.Agent) -> bool:
-    binding = bound.binding
-    return chains.tell_life(agent) == (binding.executor, binding.incarnation)
--- a/packages/daemon/src/dunlintide_daemon/entry/services.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/services.py
@@ -9,6 +9,7 @@
 from dunlintide_daemon.entry import chains
 from dunlintide_daemon.entry import dispatch
 from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import jobs
 from dunlintide_daemon.entry import requests
 from dunlintide_daemon.entry import sessions
 
@@ -67,7 +68,7 @@
         outcomes.FailCode.NO_CAPACITY,
         'the entry holds too many answers at the same time',
         ran=ran,
-        retry_after=None if ran else dispatch.RETRY_AFTER_SECONDS,
+        retry_after=None if ran else jobs.RETRY_AFTER_SECONDS,
     )
 
 
@@ -76,8 +77,8 @@
 
     def __init__(
         self,
-        context: dispatch.Context,
-        job: dispatch.Job,
+        context: jobs.Context,
+        job: jobs.Job,
         call: requests.ServiceCall,
         choose: Callable[[Collection[chains.Life]], fleet.Agent | None],
     ) -> None:
@@ -109,7 +110,7 @@
         return (agent,) if agent is not None else None
 
     def _open(self) -> bool:
-        chain = dispatch.pick_avoiding(self._pick, self._attempt.avoid)
+        chain = chains.pick_avoiding(self._pick, self._attempt.avoid)
         if chain is None:
             return False
         self._attempt.send(chain, self._build_call)
@@ -179,8 +180,8 @@
 
 
 def run(
-    context: dispatch.Context,
-    job: dispatch.Job,
+    context: jobs.Context,
+    job: jobs.Job,
     call: requests.ServiceCall,
     choose: Callable[[Collection[chains.Life]], fleet.Agent | None],
 ) -> Answer | outcomes.Refusal:
--- a/packages/daemon/src/dunlintide_daemon/entry/shares.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/shares.py
@@ -10,6 +10,7 @@
 from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import hashing
+from dunlintide_core import lending
 from dunlintide_core import limits
 from dunlintide_daemon.entry import exchange
 
@@ -80,7 +81,7 @@
         self._before = before
         self._after = after
         self._leases = [limits.Lease() for _ in shards]
-        self._coordinators = [limits.Coordinator() for _ in shards]
+        self._coordinators = [lending.Coordinator() for _ in shards]
         self._asked: list[dict[int, tuple[limits.Key, ...]]] = [
             {} for _ in shards
         ]
