Give the victim of a flood its share of what is really delivered

Cause: fairness.flood took full batches for the capacity.

Change: the case first measures what a flood alone gets; the victim asks for its weight's part of that. Steps take 60 ms in place of 30 and requests 8 tokens in place of 16, so that engines rather than the machine are the bound.

--- a/packages/trials/src/dunlintide_trials/cases/fairness.py
+++ b/packages/trials/src/dunlintide_trials/cases/fairness.py
@@ -33,13 +33,14 @@
 SLOTS = 16
 STAGES = 2
 LAYERS_EACH = 4
-STEP_SECONDS = 0.03
+STEP_SECONDS = 0.06
 TOKEN_SECONDS = 0.0005
-TOKENS = 16
+TOKENS = 8
 ENTRIES = 2
 ENTRY_THREADS = 64
 CONNECTIONS = 160
 KEYS = 16
+SATURATED_SECONDS = 8.0
 ALONE_SECONDS = 15.0
 FLOOD_SECONDS = 20.0
 WARM_UP_SECONDS = 4.0
@@ -51,7 +52,6 @@
 # A step of a full batch at each stage; the stages work side by side.
 _BATCH = SLOTS // STAGES
 CAPACITY = _BATCH / (STEP_SECONDS + _BATCH * TOKEN_SECONDS)
-SHARE = VICTIM_PART * CAPACITY
 
 
 def _make_stage(number: int) -> blueprints.Stage:
@@ -106,11 +106,13 @@
 
 @attrs.define
 class _Victim:
-    """Steady requests at the share of a member, over all entries."""
+    """Steady requests at the share of a member, over all entries.
+
+    :ivar share: tokens a second
+    """
 
     running: deployment.Deployment
-    answers: list[client.Answer] = attrs.field(factory=list)
-    _threads: list[threading.Thread] = attrs.field(factory=list)
+    share: float
 
     def run(self, seconds: float) -> list[client.Answer]:
         """Ask for so long; gives the answers in the order of starts."""
@@ -118,7 +120,7 @@
         callers = [
             self.running.make_caller(entry, VICTIM) for entry in range(ENTRIES)
         ]
-        pause = TOKENS / SHARE
+        pause = TOKENS / self.share
         end = time.monotonic() + seconds
         answers: list[client.Answer] = []
         threads = []
@@ -151,17 +153,20 @@
     :ivar first_token: 95th percentile in seconds; an answer without a
         token counts as the deadline
     :ivar served: complete answers, of those asked for
-    :ivar other: tokens a second of the flood, from its counts
+    :ivar rate: tokens a second of all members
     """
 
     first_token: float
     median: float
     served: float
     asked: int
-    flood: dict[str, int] = attrs.field(factory=dict)
+    flood: dict[str, int]
+    rate: float
 
 
-def _look(answers: list[client.Answer], flood: dict[str, int]) -> _Seen:
+def _look(
+    answers: list[client.Answer], flood: dict[str, int], rate: float
+) -> _Seen:
     waits = [
         (
             answer.times[0] - answer.started
@@ -176,54 +181,80 @@
         sum(answer.is_complete for answer in answers) / len(answers),
         len(answers),
         flood,
+        rate,
     )
 
 
-def _measure(queueing: str, alone: bool) -> dict[str, _Seen]:
-    keys = [secrets.token_urlsafe(16) for _ in range(KEYS)]
-    found = {}
-    with contextlib.ExitStack() as stack:
-        folder = stack.enter_context(
-            tempfile.TemporaryDirectory(prefix='dunlintide-')
-        )
-        running = stack.enter_context(
-            launcher.run(
-                _BLUEPRINT,
-                _make_rules(keys),
-                pathlib.Path(folder),
-                extras={
-                    'agent': {'queueing': queueing},
-                    'entry': {'limits': {'threads': ENTRY_THREADS}},
-                },
-            )
-        )
-        victim = _Victim(running)
-        if alone:
-            victim.run(WARM_UP_SECONDS)
-            found['alone'] = _look(victim.run(ALONE_SECONDS), {})
-        plan = floods.Plan(
-            urls=tuple(
-                running.plan.find_url(entry) for entry in running.plan.entries
-            ),
-            keys=tuple(keys),
-            model=MODEL,
-            connections=CONNECTIONS,
-            rate=TIMES_SHARE * (1.0 - VICTIM_PART) * CAPACITY / TOKENS,
-            seconds=WARM_UP_SECONDS + FLOOD_SECONDS,
-            max_tokens=TOKENS,
-        )
-        with floods.Flood.start(plan) as flood:
-            time.sleep(WARM_UP_SECONDS)
-            answers = victim.run(FLOOD_SECONDS - _LATE_SECONDS)
-        found['flooded'] = _look(answers, flood.counts)
-    return found
+@contextlib.contextmanager
+def _run(queueing: str, keys: list[str]) -> Iterator[deployment.Deployment]:
+    extras = {
+        'agent': {'queueing': queueing},
+        'entry': {'limits': {'threads': ENTRY_THREADS}},
+    }
+    with tempfile.TemporaryDirectory(prefix='dunlintide-') as folder:
+        with launcher.run(
+            _BLUEPRINT, _make_rules(keys), pathlib.Path(folder), extras=extras
+        ) as running:
+            yield running
+
+
+def _plan_flood(
+    running: deployment.Deployment, keys: list[str], seconds: float
+) -> floods.Plan:
+    return floods.Plan(
+        urls=tuple(
+            running.plan.find_url(entry) for entry in running.plan.entries
+        ),
+        keys=tuple(keys),
+        model=MODEL,
+        connections=CONNECTIONS,
+        rate=TIMES_SHARE * (1.0 - VICTIM_PART) * CAPACITY / TOKENS,
+        seconds=seconds,
+        max_tokens=TOKENS,
+    )
+
+
+def _count_finished(running: deployment.Deployment) -> int:
+    head = running.plan.agents[0].name
+    return running.read_state(head)['gate']['in_flight']['finished']
+
+
+def _saturate(running: deployment.Deployment, keys: list[str]) -> float:
+    """Measure the tokens a second that a flood alone gets."""
+    seconds = WARM_UP_SECONDS + SATURATED_SECONDS
+    with floods.Flood.start(_plan_flood(running, keys, seconds)):
+        time.sleep(WARM_UP_SECONDS)
+        before, began = _count_finished(running), time.monotonic()
+        time.sleep(SATURATED_SECONDS - 1.0)
+        done = _count_finished(running) - before
+        return done * TOKENS / (time.monotonic() - began)
+
+
+def _flood(
+    running: deployment.Deployment, keys: list[str], share: float
+) -> _Seen:
+    seconds = WARM_UP_SECONDS + FLOOD_SECONDS
+    with floods.Flood.start(_plan_flood(running, keys, seconds)) as flood:
+        time.sleep(WARM_UP_SECONDS)
+        before, began = _count_finished(running), time.monotonic()
+        answers = _Victim(running, share).run(FLOOD_SECONDS - _LATE_SECONDS)
+        done = _count_finished(running) - before
+        rate = done * TOKENS / (time.monotonic() - began)
+    return _look(answers, flood.counts, rate)
 
 
 def measure_flood() -> Iterator[figures.Figure]:
     """Measure a member beside another at 20 times its share."""
-    fair = _measure('fair', alone=True)
-    fifo = _measure('fifo', alone=False)['flooded']
-    alone, flooded = fair['alone'], fair['flooded']
+    keys = [secrets.token_urlsafe(16) for _ in range(KEYS)]
+    with _run('fair', keys) as running:
+        capacity = _saturate(running, keys)
+        share = VICTIM_PART * capacity
+        victim = _Victim(running, share)
+        victim.run(WARM_UP_SECONDS)
+        alone = _look(victim.run(ALONE_SECONDS), {}, 0.0)
+        flooded = _flood(running, keys, share)
+    with _run('fifo', keys) as running:
+        fifo = _flood(running, keys, share)
     note = (
         f'{alone.first_token * 1000:.0f} ms alone, {flooded.asked} requests; '
         f'flood over {ENTRIES} entries, {KEYS} keys, {CONNECTIONS} '
@@ -252,23 +283,15 @@
         THROUGHPUT_BOUND,
         round(fifo.served, 3),
         'complete answers over requests at its share of '
-        f'{SHARE:.0f} tokens/s; same baseline',
+        f'{share:.0f} tokens/s; same baseline',
     )
-    complete = flooded.flood.get('complete', 0) * TOKENS
-    seconds = WARM_UP_SECONDS + FLOOD_SECONDS
     yield figures.plain(
         'fairness.flood.used',
-        round((complete / seconds + flooded.served * SHARE) / CAPACITY, 3),
+        round(flooded.rate / capacity, 3),
         '1',
-        round(
-            (
-                fifo.flood.get('complete', 0) * TOKENS / seconds
-                + fifo.served * SHARE
-            )
-            / CAPACITY,
-            3,
-        ),
-        f'tokens/s of both over the modelled {CAPACITY:.0f}',
+        round(fifo.rate / capacity, 3),
+        f'tokens/s of both over the {capacity:.0f} of a flood alone, which '
+        f'are {capacity / CAPACITY:.2f} of full batches',
     )
 
 
