Pay for turns in small rounds and correct estimated costs

Cause: a quantum of 2048 gave a member of weight 0.75 some twenty requests of 74 in a row before another's turn. Costs were estimates (bytes of the prompt, max_tokens) that nobody corrected, so a member whose estimates are low got more than its share.

Change: deficit round robin in its surplus form: a lane with something to spend may go below 0 once, and a debt is kept until rounds of 64 have paid it, also while the lane is empty. A lane without a debt goes before the ring. Rounds in which nobody could go are granted at once. What a request really cost (positions filled, tokens decoded) is charged when it ends.

--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -142,7 +142,7 @@
 def check_empty(context):
     queue = context.emptied
     assert not queue.count_members() and not queue.cost
-    assert not any(level.lanes for level in queue._levels)
+    assert not any(level.list_lanes() for level in queue._levels)
 
 
 @behave.given('an adaptive cap of {cap:d} with {count:d} requests in flight')
--- a/packages/core/src/dunlintide_core/queueing.py
+++ b/packages/core/src/dunlintide_core/queueing.py
@@ -1,8 +1,8 @@
 """Fair queue between the members that share an endpoint.
 
-Deficit round robin by cost, one ring of lanes for each priority. Lower
-priorities get a bounded share of the picks once their oldest request has
-waited, so none starves. A member without waiting requests has no lane.
+Deficit round robin by cost in its surplus form, one ring of lanes for each
+priority. Lower priorities get a bounded share of the picks once their
+oldest request has waited, so none starves.
 """
 
 import collections
@@ -39,7 +39,7 @@
 
     :ivar per_member: waiting requests of one member
     :ivar total: waiting requests of all members
-    :ivar quantum: cost that a lane of weight 1 may spend in a round
+    :ivar quantum: cost that a round grants a member of weight 1
     :ivar max_cost: more than this counts as this
     :ivar ageing: seconds of waiting worth one priority
     :ivar aged_every: each so manieth pick goes by age
@@ -48,7 +48,7 @@
 
     per_member: int = 256
     total: int = 4096
-    quantum: float = 2048.0
+    quantum: float = 64.0
     max_cost: float = 65536.0
     ageing: float = 2.0
     aged_every: int = 8
@@ -81,67 +81,130 @@
 
 @attrs.define(eq=False)
 class _Lane:
-    """Waiting requests of one member at one priority."""
+    """Requests of one member at one priority.
+
+    :ivar account: cost that it may still spend; below 0 it has had more
+        than its share and waits until rounds have paid for it
+    """
 
     weight: float
+    account: float
     tickets: collections.deque = attrs.field(factory=collections.deque)
-    deficit: float = 0.0
-    granted: bool = False
+
+
+_Lanes = collections.OrderedDict[str, _Lane]
 
 
 class _Level:
-    """Lanes of one priority: a ring for turns, a line for age."""
+    """Lanes of one priority: a ring for turns, a line for age.
 
-    def __init__(self) -> None:
-        self.lanes: collections.OrderedDict[str, _Lane] = (
-            collections.OrderedDict()
-        )
+    A lane with something to spend may go below 0 once. One that comes
+    without a debt goes before the ring, so that a member below its share
+    waits for no round of the others. An empty lane stays until its debt
+    is paid, so nobody gains by coming and going.
+    """
+
+    def __init__(self, quantum: float) -> None:
+        self._quantum = quantum
+        self._fresh: _Lanes = collections.OrderedDict()
+        self._ring: _Lanes = collections.OrderedDict()
         self._line: collections.deque[Ticket] = collections.deque()
 
+    def list_lanes(self) -> list[str]:
+        """Return the members that something is known of."""
+        return [*self._fresh, *self._ring]
+
+    def _find(self, member: str) -> _Lane | None:
+        return self._fresh.get(member) or self._ring.get(member)
+
     def push(self, ticket: Ticket) -> None:
-        lane = self.lanes.get(ticket.member)
+        """Add a waiting request."""
+        member = ticket.member
+        lane = self._find(member)
         if lane is None:
-            lane = self.lanes[ticket.member] = _Lane(ticket.weight)
+            account = self._quantum * ticket.weight
+            lane = self._fresh[member] = _Lane(ticket.weight, account)
+        elif not lane.tickets and lane.account > 0 and member in self._ring:
+            self._fresh[member] = self._ring.pop(member)
         lane.weight = ticket.weight
         lane.tickets.append(ticket)
         self._line.append(ticket)
 
     def find_oldest(self) -> Ticket | None:
+        """Return the request that has waited longest."""
         line = self._line
         while line and not line[0].waiting:
             line.popleft()
+        if not line:
+            # Nobody is left whose share a debt would have cost.
+            self._fresh.clear()
+            self._ring.clear()
         return line[0] if line else None
 
-    def _skip_gone(self, member: str, lane: _Lane) -> bool:
+    def _has_turn(self, lane: _Lane) -> bool:
         while lane.tickets and not lane.tickets[0].waiting:
             lane.tickets.popleft()
-        if lane.tickets:
-            return True
-        del self.lanes[member]
-        return False
-
-    def turn(self, quantum: float) -> Ticket | None:
-        """Return the request whose turn it is, without taking it."""
-        while self.lanes:
-            member, lane = next(iter(self.lanes.items()))
-            if not self._skip_gone(member, lane):
+        return bool(lane.tickets) and lane.account > 0
+
+    def _skip_rounds(self) -> None:
+        """Grant at once the rounds in which nobody could go."""
+        owed = (
+            -lane.account / (self._quantum * lane.weight)
+            for lane in self._ring.values()
+            if lane.tickets
+        )
+        # Below 0 for a lane that may go in the round to come.
+        rounds = max(0, int(min(owed, default=0.0)))
+        for lane in self._ring.values():
+            lane.account += rounds * self._quantum * lane.weight
+
+    def turn(self) -> Ticket | None:
+        """Return the request whose turn it is, without taking it.
+
+        A request must be waiting.
+        """
+        while self._fresh:
+            member, lane = next(iter(self._fresh.items()))
+            if self._has_turn(lane):
+                return lane.tickets[0]
+            self._ring[member] = self._fresh.pop(member)
+        passed = 0
+        while self._ring:
+            member, lane = next(iter(self._ring.items()))
+            if self._has_turn(lane):
+                return lane.tickets[0]
+            lane.account += self._quantum * lane.weight
+            if not lane.tickets and lane.account > 0:
+                del self._ring[member]
                 continue
-            if not lane.granted:
-                lane.deficit += quantum * lane.weight
-                lane.granted = True
-            ticket = lane.tickets[0]
-            if lane.deficit >= ticket.cost or len(self.lanes) == 1:
-                return ticket
-            lane.granted = False
-            self.lanes.move_to_end(member)
+            self._ring.move_to_end(member)
+            passed += 1
+            if passed >= len(self._ring):
+                self._skip_rounds()
+                passed = 0
+        return None
+
+    def find(self, may: Callable[[str], bool]) -> Ticket | None:
+        """Return the first request of a member that may start one."""
+        for lanes in (self._fresh, self._ring):
+            for member, lane in lanes.items():
+                self._has_turn(lane)
+                if lane.tickets and may(member):
+                    return lane.tickets[0]
         return None
 
     def take(self, ticket: Ticket) -> None:
-        """Take what ``turn`` returned."""
-        lane = self.lanes[ticket.member]
+        """Take what ``turn`` or ``find`` returned."""
+        lane = self._find(ticket.member)
         lane.tickets.popleft()
-        lane.deficit = max(0.0, lane.deficit - ticket.cost)
-        self._skip_gone(ticket.member, lane)
+        lane.account -= ticket.cost
+
+    def correct(self, member: str, cost: float, most: float) -> None:
+        """Charge a lane for what a request cost beyond its estimate."""
+        lane = self._find(member)
+        if lane is not None:
+            account = lane.account - cost
+            lane.account = min(max(account, -most), most)
 
 
 class Queue:
@@ -149,7 +212,7 @@
 
     def __init__(self, limits: Limits = Limits()) -> None:
         self._limits = limits
-        self._levels = [_Level() for _ in range(PRIORITIES)]
+        self._levels = [_Level(limits.quantum) for _ in range(PRIORITIES)]
         self._counts: collections.Counter[str] = collections.Counter()
         self._costs: collections.Counter[str] = collections.Counter()
         self._weights: dict[str, float] = {}
@@ -250,6 +313,16 @@
         self._forget(ticket)
         return True
 
+    def correct(self, ticket: Ticket, cost: float) -> None:
+        """Charge what a request really cost in place of its estimate.
+
+        :param ticket: as it was picked
+        :param cost: what it really cost
+        """
+        level = self._levels[ticket.priority]
+        most = self._limits.max_cost
+        level.correct(ticket.member, cost - ticket.cost, most)
+
     def _choose(self, now: float) -> _Level | None:
         aged = self._picks % self._limits.aged_every == 0
         best, best_rank = None, float('inf')
@@ -264,8 +337,20 @@
                 best, best_rank = level, rank
         return best
 
+    def _find_other(
+        self, level: _Level, may: Callable[[str], bool]
+    ) -> tuple[_Level, Ticket] | None:
+        for one in (level, *self._levels):
+            ticket = one.find(may)
+            if ticket is not None:
+                return one, ticket
+        return None
+
     def pick(
-        self, now: float, admits: Callable[[Ticket], bool]
+        self,
+        now: float,
+        admits: Callable[[Ticket], bool],
+        may: Callable[[str], bool] = lambda member: True,
     ) -> Ticket | None:
         """Take the request whose turn it is, if it may start now.
 
@@ -274,11 +359,14 @@
 
         :param now: monotonic time in seconds
         :param admits: whether the in-flight cap lets a request start
+        :param may: whether a member may start one; others pass it by
         """
         level = self._choose(now)
         if level is None:
             return None
-        ticket = level.turn(self._limits.quantum)
+        ticket = level.turn()
+        if ticket is not None and not may(ticket.member):
+            level, ticket = self._find_other(level, may) or (level, None)
         if ticket is None or not admits(ticket):
             return None
         self._picks += 1
--- a/packages/daemon/src/dunlintide_daemon/agent/heads.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/heads.py
@@ -34,6 +34,15 @@
         return outcomes.FailCode.INTERNAL
 
 
+def _note_cost(session: sessions.Session) -> None:
+    """Tell the queue what ran in place of what was estimated."""
+    prefilled = session.prompt_tokens + session.known
+    decoded = session.generated - session.known
+    if not session.prompt_tokens:
+        prefilled = decoded = 0
+    session.work.spent = queueing.weigh(prefilled, decoded)
+
+
 def _make_chain_key(message: link_pb2.Open) -> tuple:
     return tuple(
         (stage.address, stage.incarnation, stage.layer_start)
@@ -142,6 +151,7 @@
     def _stop(self, work: works.Work) -> None:
         session = self._table.find(work.request_id)
         if session is not None and session.work is work:
+            _note_cost(session)
             self._table.release(session)
 
     def _begin(self, session: sessions.Session) -> None:
@@ -223,6 +233,7 @@
             return
         self._gate.send(session.work, link_pb2.Frame(done=done))
         self._counts.add('tokens', session.generated)
+        _note_cost(session)
         self._table.release(session)
         self._gate.finish(session.work)
 
--- a/packages/daemon/src/dunlintide_daemon/agent/works.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/works.py
@@ -61,6 +61,7 @@
     :ivar deadline: monotonic time in seconds
     :ivar cost: in the queue's unit
     :ivar tokens: KV cache positions that it may come to need
+    :ivar spent: what it really cost so far; None when not known
     :ivar start: begins the run; must not block
     :ivar stop: ends the run early; must not block
     :ivar log: frames sent so far, for repeats
@@ -86,6 +87,7 @@
     entry: ledger.Entry | None = None
     phase: Phase = Phase.QUEUED
     ticket: queueing.Ticket | None = None
+    spent: float | None = None
     subscribers: list[Subscriber] = attrs.field(factory=list)
     log: list[link_pb2.Frame] = attrs.field(factory=list)
     log_bytes: int = 0
