Keep the slots that a member used lately free for it

Cause: with turns in small rounds the victim was next, but waited until one of the flood's requests freed a slot of the agent's cap.

Change: of the slots in flight, what a member wanted at once in the last 5 to 10 s, up to its share by weight, stays free for it. A member that is passed over for that leaves its turn to the others. Nothing is kept for members that sent nothing lately; one alone fills all slots.

--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -9,3 +9,27 @@
     Then it runs beside them
     When all of them have ended
     Then no group holds a thread
+
+  Scenario: A member below its share waits for nobody's round
+    Given a fair queue that member "flood" fills with requests of cost 500
+    When 20 requests are picked and member "steady" queues one of cost 500
+    Then the next pick is of member "steady"
+
+  Scenario Outline: <kind> gain a member nothing
+    Given a fair queue that member "flood" fills with requests of cost 500
+    When member "other" sends <kind> while 400 requests are picked
+    Then the real cost of "other" is from 0.40 to 0.55 of all
+
+    Examples:
+      | kind                          |
+      | requests one at a time        |
+      | requests of four times the cost that was estimated |
+      | many tiny requests            |
+      | huge requests                 |
+
+  Scenario: Slots that a member used lately are kept for it
+    Given 16 slots of which member "steady" of weight 1 uses 4 at most
+    And member "flood" of weight 3 wants as many as it can get
+    When members come and go for 1000 moments
+    Then a slot was free each time that "steady" came
+    And "flood" had all 16 slots once "steady" had been away for 10 s
--- a/features/steps/fairness.py
+++ b/features/steps/fairness.py
@@ -1,11 +1,15 @@
 """Steps for what members leave to each other."""
 
+import collections
 from concurrent import futures
+import random
 import threading
 import time
 
 import behave
 from dunlintide_adapters import httpserver
+from dunlintide_core import queueing
+from dunlintide_core import slots
 import urllib3
 
 WAIT_SECONDS = 20.0
@@ -105,3 +109,153 @@
     context.grouped.release.clear()
     open_requests(context, 20, 'other')
     check_ran(context, 8)
+
+
+def queue_one(context, member, cost):
+    ticket = queueing.Ticket(member, 1.0, 1, cost, 0.0, None)
+    assert context.fair.push(ticket, 1e9, 0.0) is None
+
+
+def pick_one(context):
+    ticket = context.fair.pick(0.0, lambda _: True)
+    if ticket.member == 'flood':
+        queue_one(context, 'flood', ticket.cost)
+    return ticket
+
+
+@behave.given(
+    'a fair queue that member "flood" fills with requests of cost {cost:d}'
+)
+def fill_fair(context, cost):
+    context.fair = queueing.Queue()
+    for _ in range(200):
+        queue_one(context, 'flood', cost)
+
+
+@behave.when(
+    '{count:d} requests are picked and member "{member}" queues one of cost '
+    '{cost:d}'
+)
+def pick_and_queue(context, count, member, cost):
+    for _ in range(count):
+        pick_one(context)
+    queue_one(context, member, cost)
+
+
+@behave.then('the next pick is of member "{member}"')
+def check_next(context, member):
+    assert pick_one(context).member == member
+
+
+# How many wait at a time, their estimated and their real cost.
+KINDS = {
+    'requests one at a time': (1, 500, 500),
+    'requests of four times the cost that was estimated': (50, 125, 500),
+    'many tiny requests': (200, 5, 5),
+    'huge requests': (50, 60_000, 60_000),
+}
+
+
+@behave.when(
+    'member "{member}" sends {kind} while {count:d} requests are picked'
+)
+def pick_mixed(context, member, kind, count):
+    waiting, estimate, real = KINDS[kind]
+    for _ in range(waiting):
+        queue_one(context, member, estimate)
+    spent = collections.Counter()
+    least = count * 500
+    while sum(spent.values()) < least or max(spent.values()) < 20 * real:
+        ticket = pick_one(context)
+        cost = ticket.cost
+        if ticket.member == member:
+            cost = real
+            queue_one(context, member, estimate)
+        context.fair.correct(ticket, cost)
+        spent[ticket.member] += cost
+    context.spent = spent
+
+
+@behave.then(
+    'the real cost of "{member}" is from {least:f} to {most:f} of all'
+)
+def check_spent(context, member, least, most):
+    part = context.spent[member] / sum(context.spent.values())
+    assert least <= part <= most, part
+
+
+@behave.given(
+    '{limit:d} slots of which member "{member}" of weight {weight:d} uses '
+    '{most:d} at most'
+)
+def make_slots(context, limit, member, weight, most):
+    context.slots = slots.Slots(0.0)
+    context.limit = limit
+    context.steady = (member, weight, most)
+
+
+@behave.given(
+    'member "{member}" of weight {weight:d} wants as many as it can get'
+)
+def want_all(context, member, weight):
+    context.flood = member
+    for _ in range(100):
+        context.slots.want(member, weight)
+
+
+def fill_slots(context, running):
+    while sum(running.values()) < context.limit and context.slots.may_start(
+        context.flood, sum(running.values()), context.limit
+    ):
+        context.slots.start(context.flood)
+        running[context.flood] += 1
+
+
+@behave.when('members come and go for {count:d} moments')
+def come_and_go(context, count):
+    rng = random.Random(0)
+    member, weight, most = context.steady
+    running = collections.Counter()
+    context.missed = []
+    for moment in range(count):
+        now = moment * 0.01
+        context.slots.tick(now)
+        if running[member] < most and rng.random() < 0.7:
+            context.slots.want(member, weight)
+            total = sum(running.values())
+            if total >= context.limit and now > 1.0:
+                context.missed.append(now)
+            if total < context.limit:
+                context.slots.start(member)
+                running[member] += 1
+            else:
+                context.slots.end(member, False)
+        elif running[member]:
+            context.slots.end(member, True)
+            running[member] -= 1
+        if running[context.flood] and rng.random() < 0.5:
+            context.slots.end(context.flood, True)
+            context.slots.want(context.flood, 3.0)
+            running[context.flood] -= 1
+        fill_slots(context, running)
+    context.running = running
+
+
+@behave.then('a slot was free each time that "{member}" came')
+def check_missed(context, member):
+    assert context.running[member] and not context.missed, context.missed
+
+
+@behave.then(
+    '"{flood}" had all {limit:d} slots once "{member}" had been away for '
+    '{seconds:d} s'
+)
+def check_work_conserving(context, flood, limit, member, seconds):
+    for _ in range(context.running.pop(member)):
+        context.slots.end(member, True)
+    end = 10.0 + seconds
+    for now in (end - 5.0, end):
+        fill_slots(context, context.running)
+        context.slots.tick(now)
+    fill_slots(context, context.running)
+    assert context.running[flood] == limit, context.running
--- a/packages/daemon/src/dunlintide_daemon/agent/gate.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/gate.py
@@ -18,6 +18,7 @@
 from dunlintide_core import outcomes
 from dunlintide_core import positions
 from dunlintide_core import queueing
+from dunlintide_core import slots
 from dunlintide_daemon.agent import answers
 from dunlintide_daemon.agent import counts as counting
 from dunlintide_daemon.agent import works
@@ -91,6 +92,7 @@
         self._finished_cost = 0.0
         self._ticked = clock()
         self._generation_began = clock()
+        self._slots = slots.Slots(clock())
 
     def __len__(self) -> int:
         return len(self._works)
@@ -171,6 +173,7 @@
                 sealed=sealed,
             )
             return False
+        self._slots.want(work.ticket.member, work.ticket.weight)
         return True
 
     def _adopt(
@@ -275,6 +278,10 @@
             self.counts.add('opened')
             self.pump()
 
+    def _may_start(self, member: str) -> bool:
+        limit = self.cap.limit(self.in_flight)
+        return self._slots.may_start(member, self.in_flight.requests, limit)
+
     def _admits(self, ticket: queueing.Ticket) -> bool:
         return self.cap.admits(self.in_flight, ticket.item.tokens)
 
@@ -282,10 +289,13 @@
         """Start what may start."""
         with self.lock:
             now = self._clock()
-            while ticket := self.queue.pick(now, self._admits):
+            while ticket := self.queue.pick(
+                now, self._admits, self._may_start
+            ):
                 work = ticket.item
                 work.phase = works.Phase.RUNNING
                 work.begun = now
+                self._slots.start(ticket.member)
                 self.in_flight.requests += 1
                 self.in_flight.tokens += work.tokens
                 if work.entry is not None:
@@ -307,12 +317,16 @@
         self._members[member] -= 1
         if not self._members[member]:
             del self._members[member]
-        if work.phase is works.Phase.QUEUED:
+        queued = work.phase is works.Phase.QUEUED
+        self._slots.end(work.ticket.member, not queued)
+        if queued:
             self.queue.remove(work.ticket)
         else:
             self.in_flight.requests -= 1
             self.in_flight.tokens -= work.tokens
             self.in_flight.finished += 1
+            if work.spent is not None:
+                self.queue.correct(work.ticket, work.spent)
             self._finished_cost += work.cost
         work.phase = works.Phase.ENDED
         self._answers.forget(work)
@@ -516,6 +530,7 @@
             now = self._clock()
             for work in list(self._works.values()):
                 self._check_work(work, now)
+            self._slots.tick(now)
             if now - self._ticked >= 1.0:
                 self._measure_rate(now)
             seconds = ledgers.GENERATION_SECONDS
