Let the engine stand-in preempt when its KV memory is full

Cause: caps could not be compared under KV pressure: the stand-in refused steps, while real engines preempt the newest sessions and run them again.

A step that older sessions leave no room for is answered kv-wait and not run; the agent asks again, so the results of others in the call do not wait for it. /control counts preemptions and positions run again.

--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -33,3 +33,10 @@
     When members come and go for 1000 moments
     Then a slot was free each time that "steady" came
     And "flood" had all 16 slots once "steady" had been away for 10 s
+
+  Scenario: A full KV memory preempts the newest session of the stand-in
+    Given stand-in sessions in a KV memory of 20 positions that preempts
+    When sessions "old" and "new" of the stand-in fill 9 positions each
+    Then "old" gets room for 5 more, and "new" has to wait for its next step
+    When the stand-in's session "old" is freed
+    Then "new" goes on after 9 positions have been run again
--- a/features/steps/fairness.py
+++ b/features/steps/fairness.py
@@ -10,6 +10,8 @@
 from dunlintide_adapters import httpserver
 from dunlintide_core import queueing
 from dunlintide_core import slots
+from dunlintide_standins.engine import messages
+from dunlintide_standins.engine import sessions as standin
 import urllib3
 
 WAIT_SECONDS = 20.0
@@ -259,3 +261,50 @@
         context.slots.tick(now)
     fill_slots(context, context.running)
     assert context.running[flood] == limit, context.running
+
+
+def run_positions(context, name, position, count):
+    step = messages.Step(session=name, position=position)
+    return context.kv.run(step, [1] * count)
+
+
+@behave.given(
+    'stand-in sessions in a KV memory of {size:d} positions that preempts'
+)
+def make_memory(context, size):
+    holding = standin.Holding('m', '1', 0, 1)
+    context.kv = standin.Sessions(holding, size, 0)
+
+
+@behave.when(
+    'sessions "{old}" and "{new}" of the stand-in fill {count:d} positions '
+    'each'
+)
+def fill_memory(context, old, new, count):
+    for name in (old, new):
+        assert context.kv.make_room(name, count) == 0
+        assert run_positions(context, name, 0, count).error is None
+
+
+@behave.then(
+    '"{old}" gets room for {count:d} more, and "{new}" has to wait for its '
+    'next step'
+)
+def check_preempted(context, old, count, new):
+    assert context.kv.make_room(new, count) is None
+    assert context.kv.make_room(old, count) == 0
+    assert run_positions(context, old, 9, count).error is None
+    assert context.kv.preempted == 1
+    assert context.kv.make_room(new, 1) is None
+
+
+@behave.when('the stand-in\'s session "{name}" is freed')
+def free_session(context, name):
+    assert context.kv.free(name)
+
+
+@behave.then('"{name}" goes on after {count:d} positions have been run again')
+def check_recomputed(context, name, count):
+    assert context.kv.make_room(name, 1) == count
+    assert run_positions(context, name, count, 1).error is None
+    assert context.kv.used == count + 1
--- a/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
@@ -25,6 +25,8 @@
 ]
 
 _NO_ROOM = 'kv-full'
+# The engine has not run the step and wants to be asked again.
+_WAIT = 'kv-wait'
 
 
 def _list_suspects(jobs: list[drivers.Job]) -> list[poison.Suspect]:
@@ -126,6 +128,8 @@
                 session = job.owner
                 if not self._table.holds(session):
                     self._table.counts.drop('late-result')
+                elif found.error == _WAIT:
+                    self._table.driver.submit(job)
                 elif found.error:
                     self._take_error(session, found.error)
                 else:
--- a/packages/standins/src/dunlintide_standins/engine/batching.py
+++ b/packages/standins/src/dunlintide_standins/engine/batching.py
@@ -28,12 +28,15 @@
     :ivar per_token: seconds for each token in it
     :ivar max_tokens: bound on the tokens of a step
     :ivar load_lag: age in seconds of the load that is reported
+    :ivar preempts: whether a full KV memory preempts the newest session
+        in place of refusing steps
     """
 
     base: float
     per_token: float
     max_tokens: int
     load_lag: float
+    preempts: bool = False
 
 
 @attrs.frozen
@@ -175,6 +178,15 @@
         with self.lock:
             for work in batch:
                 step = work.step
+                again = 0
+                if self._timing.preempts:
+                    count = len(work.activations)
+                    again = self._sessions.make_room(step.session, count)
+                if again is None:
+                    code = messages.Code.KV_WAIT
+                    results.append(messages.fail(step, code))
+                    continue
+                tokens += again
                 result = self._sessions.run(step, work.activations)
                 results.append(result)
                 tokens += result.count
--- a/packages/standins/src/dunlintide_standins/engine/messages.py
+++ b/packages/standins/src/dunlintide_standins/engine/messages.py
@@ -30,6 +30,7 @@
     INJECTED = 'injected'
     LAYERS = 'layers'
     KV_FULL = 'kv-full'
+    KV_WAIT = 'kv-wait'
     POSITION = 'position'
     STALE_EPOCH = 'stale-epoch'
 
--- a/packages/standins/src/dunlintide_standins/engine/server.py
+++ b/packages/standins/src/dunlintide_standins/engine/server.py
@@ -45,6 +45,9 @@
     )
     max_batch_tokens: int = process.setting(8192, 'bound on one step')
     kv_tokens: int = process.setting(100_000, 'KV memory in tokens')
+    preempts: bool = process.setting(
+        False, 'make room in a full KV memory by preempting the newest'
+    )
     load_lag_seconds: float = process.setting(0.5, 'age of reported load')
     crash_marker: str = process.setting('', 'text in a prompt that crashes')
     stop_modulus: int = process.setting(
@@ -115,6 +118,7 @@
             config.seconds_per_token,
             config.max_batch_tokens,
             config.load_lag_seconds,
+            config.preempts,
         )
         self._batcher = batching.Batcher(
             self._sessions, self._cache, timing, lambda: self._gate.hang
@@ -186,6 +190,8 @@
             'slow_factor': self._batcher.slow_factor,
             'fail_rate': self._fail_rate,
             'fence': self._fence,
+            'preempted': self._sessions.preempted,
+            'recomputed': self._sessions.recomputed,
         }
         return web.json_answer(self._gate.state() | cache)
 
--- a/packages/standins/src/dunlintide_standins/engine/sessions.py
+++ b/packages/standins/src/dunlintide_standins/engine/sessions.py
@@ -1,6 +1,7 @@
 """Sessions of the engine: KV state, positions and the record of runs."""
 
 import collections
+import itertools
 from typing import Any
 
 import attrs
@@ -60,11 +61,17 @@
     prompt_tokens: int
     layers: list[int]
     inputs: list[int]
+    order: int
     run: Run | None = None
+    swapped: bool = False
 
 
 class Sessions:
-    """KV state of all sessions; the engine's lock guards it."""
+    """KV state of all sessions; the engine's lock guards it.
+
+    :ivar preempted: times that a session lost its place in the KV memory
+    :ivar recomputed: positions that were run again for it
+    """
 
     def __init__(
         self, holding: Holding, kv_tokens: int, stop_modulus: int
@@ -75,6 +82,9 @@
         self._stop_modulus = stop_modulus
         self._sessions: dict[str, _Session] = {}
         self._runs: collections.deque[Run] = collections.deque(maxlen=MAX_RUNS)
+        self._orders = itertools.count()
+        self.preempted = 0
+        self.recomputed = 0
 
     def __len__(self) -> int:
         return len(self._sessions)
@@ -95,7 +105,7 @@
         session = self._sessions.pop(session_id, None)
         if session is None:
             return False
-        self.used -= session.position
+        self.used -= 0 if session.swapped else session.position
         return True
 
     def runs(self) -> list[dict[str, Any]]:
@@ -148,11 +158,52 @@
         reference.run_layers(constants, session.layers, session.inputs)
 
     def _fits(self, session: _Session | None, step, count: int) -> bool:
+        old = self._sessions.get(step.session)
         freed = 0
-        if session is None and step.session in self._sessions:
-            freed = self._sessions[step.session].position
+        if session is None and old is not None and not old.swapped:
+            freed = old.position
         return self.used - freed + count <= self._kv_tokens
 
+    def _list_newer(self, session: _Session | None) -> list[_Session]:
+        """List what holds memory and is newer than a session."""
+        if session is None:
+            return []
+        return [
+            one
+            for one in self._sessions.values()
+            if not one.swapped and one.order > session.order
+        ]
+
+    def make_room(self, session_id: str, count: int) -> int | None:
+        """Preempt the newest sessions until a step of one fits.
+
+        What was preempted is run again before its next step.
+        :returns: positions that must run again first, None when the step
+            has to wait for older sessions
+        """
+        session = self._sessions.get(session_id)
+        again = 0
+        if session is not None and session.swapped:
+            again = session.position
+        newer = self._list_newer(session)
+        free = self._kv_tokens - self.used
+        possible = free + sum(one.position for one in newer)
+        if possible < count + again:
+            alone = possible == self._kv_tokens
+            # One that never fits is refused by the step itself.
+            return 0 if alone and not again else None
+        newer.sort(key=lambda one: one.order)
+        while self.used + count + again > self._kv_tokens:
+            newest = newer.pop()
+            newest.swapped = True
+            self.used -= newest.position
+            self.preempted += 1
+        if again:
+            session.swapped = False
+            self.used += again
+            self.recomputed += again
+        return again
+
     def _open(
         self, session: _Session | None, step: messages.Step, count: int
     ) -> _Session:
@@ -162,7 +213,14 @@
             prompt_tokens = step.prompt_tokens
             if not prompt_tokens:
                 prompt_tokens = count - len(step.tokens or ())
-            session = _Session(step.epoch, 0, prompt_tokens, [0] * layers, [])
+            session = _Session(
+                step.epoch,
+                0,
+                prompt_tokens,
+                [0] * layers,
+                [],
+                next(self._orders),
+            )
             self._sessions[step.session] = session
         if session.run is None or session.epoch != step.epoch:
             session.epoch = step.epoch
@@ -251,6 +309,7 @@
             state.prompt_tokens,
             state.layers,
             state.inputs,
+            next(self._orders),
         )
         self.used += state.position
         return True
--- a/packages/trials/src/dunlintide_trials/blueprints.py
+++ b/packages/trials/src/dunlintide_trials/blueprints.py
@@ -40,6 +40,7 @@
     :ivar step_tokens: bound on the tokens of a step
     :ivar max_in_flight: bound on its concurrent requests, 0 for none
     :ivar kv_tokens: positions that its KV cache holds
+    :ivar preempts: whether it makes room by running the newest again
     :ivar checks_fence: whether it refuses orders with an old fence
     """
 
@@ -53,6 +54,7 @@
     step_tokens: int = 8192
     max_in_flight: int = 0
     kv_tokens: int = 100_000
+    preempts: bool = False
     checks_fence: bool = False
 
 
--- a/packages/trials/src/dunlintide_trials/layout.py
+++ b/packages/trials/src/dunlintide_trials/layout.py
@@ -239,6 +239,7 @@
         f'--seconds_per_token={stage.token_seconds}',
         f'--max_batch_tokens={stage.step_tokens}',
         f'--kv_tokens={stage.kv_tokens}',
+        f'--preempts={str(stage.preempts).lower()}',
         f'--checks_fence={str(stage.checks_fence).lower()}',
         f'--crash_marker={blueprints.CRASH_MARKER}',
     )
