--- a/packages/daemon/src/dunlintide_daemon/entry/hellos.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/hellos.py
@@ -1,9 +1,11 @@
-"""What agents say of themselves, from messages to the core's types."""
+"""What processes say of themselves: own words, and agents' as types."""
 
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
+from dunlintide_core import settings as settings_module
 
 __all__ = [
+    'build_own',
     'read_load',
     'read_peer',
 ]
@@ -61,3 +63,25 @@
         generation=message.generation,
         away=message.away,
     )
+
+
+def build_own(
+    settings: settings_module.Settings,
+    incarnation: int,
+    revision: int,
+    leaving: bool,
+) -> link_pb2.Hello:
+    """Build what this entry says of itself.
+
+    :param revision: of the configuration in force
+    """
+    return link_pb2.Hello(
+        name=settings.name,
+        role=fleet.Role.ENTRY,
+        incarnation=incarnation,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        address=settings.advertise or settings.link_listen,
+        revision=revision,
+        leaving=leaving,
+    )
--- a/packages/daemon/src/dunlintide_daemon/entry/hosts.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/hosts.py
@@ -1,5 +1,9 @@
 """Reading of the platform's host list."""
 
+import threading
+from typing import Callable
+
+from absl import logging
 import msgspec
 import result
 import urllib3
@@ -7,6 +11,7 @@
 __all__ = [
     'HostList',
     'ListedHost',
+    'follow',
 ]
 
 MAX_LIST_BYTES = 4 << 20
@@ -67,3 +72,22 @@
     def close(self) -> None:
         """Close its connections."""
         self._pool.clear()
+
+
+def follow(
+    read: Callable[[], result.Result[list[ListedHost], object]],
+    take: Callable[[list[ListedHost]], None],
+    pause: float,
+    done: threading.Event,
+) -> None:
+    """Hand on what the list says until the event is set.
+
+    :param pause: seconds from one reading to the next
+    """
+    while not done.is_set():
+        listed = read()
+        if isinstance(listed, result.Ok):
+            take(listed.ok_value)
+        else:
+            logging.warning('host list not read: %s', listed.err_value)
+        done.wait(pause)
--- a/packages/daemon/src/dunlintide_daemon/entry/meter.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/meter.py
@@ -1,6 +1,7 @@
 """Times and tokens of answers, counted once for each batch of tokens."""
 
 import time
+from typing import Callable
 
 import attrs
 
@@ -65,3 +66,18 @@
     def count_retry(self) -> None:
         """Count an attempt beyond the first."""
         self.shared.retries.inc()
+
+    def count_outcome(self, outcome: str, code: str) -> None:
+        """Count a request by its outcome; no code for a whole answer."""
+        self.shared.requests.labels(outcome, code or metrics.OK_CODE).inc()
+
+    def watch(
+        self,
+        in_flight: Callable[[], int],
+        links: Callable[[], int],
+        revision: Callable[[], int],
+    ) -> None:
+        """Show what is read off the entry at each scrape."""
+        self.shared.in_flight.set_function(in_flight)
+        self.shared.links.set_function(links)
+        self.shared.config_revision.set_function(revision)
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -8,14 +8,12 @@
 
 from absl import logging
 import prometheus_client
-import result
 
 from dunlintide_adapters import admin
 from dunlintide_adapters import claimroutes
 from dunlintide_adapters import httpserver
 from dunlintide_adapters import links
 from dunlintide_adapters import metrics
-from dunlintide_adapters import peers as peer_calls
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import budget
 from dunlintide_core import fleet as core_fleet
@@ -27,7 +25,9 @@
 from dunlintide_daemon.entry import exchange
 from dunlintide_daemon.entry import fleet
 from dunlintide_daemon.entry import front
+from dunlintide_daemon.entry import hellos
 from dunlintide_daemon.entry import history
+from dunlintide_daemon.entry import hosts
 from dunlintide_daemon.entry import jobs
 from dunlintide_daemon.entry import limits
 from dunlintide_daemon.entry import masking
@@ -42,6 +42,7 @@
 from dunlintide_daemon.entry import sessions
 from dunlintide_daemon.entry import signals
 from dunlintide_daemon.entry import sources
+from dunlintide_daemon.entry import states
 from dunlintide_daemon.entry import threads
 from dunlintide_daemon import peers
 from dunlintide_daemon import suspicion
@@ -91,7 +92,7 @@
         self._room = room.Room()
         self._meter = meter.Meter(self._metrics)
         self._sessions = sessions.Sessions(self._meter.count_drop)
-        self._history = history.History(self._count_outcome)
+        self._history = history.History(self._meter.count_outcome)
         self._holder = configuration.Holder()
         self._retries = budget.RetryBudget(settings.limits.retry_ratio)
         self._suspicion = suspicion.Suspicion(
@@ -133,11 +134,21 @@
             self.done.set,
             self._registry,
         )
-        self._state = self._build_state(shared) if shared else None
+        self._state = (
+            states.build(
+                settings, self._incarnation, self._limits.exchange, shared
+            )
+            if shared
+            else None
+        )
         self._placement = placement.Placement(
             settings, outside.leaders, self._fleet, self._holder
         )
-        self._watch_gauges()
+        self._meter.watch(
+            lambda: len(self._sessions.list()),
+            lambda: len(self._fleet.list_agents()),
+            lambda: self._holder.revision,
+        )
         self._keeper = threads.Keeper(self.done)
         self._stack = contextlib.ExitStack()
 
@@ -146,16 +157,6 @@
         """Port for callers."""
         return self._http.port
 
-    def _build_state(self, shared: peers.Outside) -> peers.FleetState:
-        settings = self.settings
-        host = settings.link_listen.rpartition(':')[0]
-        port = self._limits.exchange.port
-        address = settings.advertise or f'{host}:{port}'
-        me = peers.make_peer(settings, self._incarnation, address)
-        state = peers.FleetState(me, shared)
-        peer_calls.add_service(self._limits.exchange.server, state.answer)
-        return state
-
     def _spread(self, frame: link_pb2.Frame, source: links.Link) -> None:
         for agent in self._fleet.list_agents():
             if agent.link is not source:
@@ -171,16 +172,11 @@
         self._sessions.route(link, frames)
 
     def _build_hello(self) -> link_pb2.Hello:
-        settings = self.settings
-        return link_pb2.Hello(
-            name=settings.name,
-            role=core_fleet.Role.ENTRY,
-            incarnation=self._incarnation,
-            failure_domain=settings.failure_domain,
-            region=settings.region,
-            address=settings.advertise or settings.link_listen,
-            revision=self._holder.revision,
-            leaving=self.leaving,
+        return hellos.build_own(
+            self.settings,
+            self._incarnation,
+            self._holder.revision,
+            self.leaving,
         )
 
     def _build_server(self) -> httpserver.HttpServer:
@@ -225,16 +221,6 @@
             ),
         )
 
-    def _watch_gauges(self) -> None:
-        shared = self._metrics
-        shared.in_flight.set_function(lambda: len(self._sessions.list()))
-        shared.links.set_function(lambda: len(self._fleet.list_agents()))
-        shared.config_revision.set_function(lambda: self._holder.revision)
-
-    def _count_outcome(self, outcome: str, code: str) -> None:
-        code = code or metrics.OK_CODE
-        self._metrics.requests.labels(outcome, code).inc()
-
     def describe(self) -> dict[str, Any]:
         """Return the state of the process, fit for JSON."""
         state = dump.describe(
@@ -266,18 +252,15 @@
             reasons += readiness.list_reasons(snapshot, self._fleet)
         return admin.Readiness(tuple(reasons))
 
-    def _poll_hosts(self) -> None:
+    def _follow_hosts(self) -> None:
+        def take(listed: list[hosts.ListedHost]) -> None:
+            self._fleet.update(listed)
+            self._limits.exchange.update(listed)
+            self._placement.note_hosts(listed)
+            self._claims.keep(self._owners.update(listed))
+
         pause = self.settings.timing.host_list_poll
-        while not self.done.is_set():
-            hosts = self._outside.read_hosts()
-            if isinstance(hosts, result.Ok):
-                self._fleet.update(hosts.ok_value)
-                self._limits.exchange.update(hosts.ok_value)
-                self._placement.note_hosts(hosts.ok_value)
-                self._claims.keep(self._owners.update(hosts.ok_value))
-            else:
-                logging.warning('host list not read: %s', hosts.err_value)
-            self.done.wait(pause)
+        hosts.follow(self._outside.read_hosts, take, pause, self.done)
 
     def _plan(self) -> None:
         while not self.done.wait(planning.REFRESH_SECONDS):
@@ -286,18 +269,12 @@
             if snapshot is not None:
                 self._planner.refresh(snapshot)
 
-    def _follow_configuration(self) -> None:
-        self._outside.follow_configuration(self._holder.adopt, self.done)
-
-    def _place(self) -> None:
-        self._placement.run(self.done)
-
-    def _renew_limits(self) -> None:
-        self._limits.follow(self.done)
-
     def _start_configuration(self) -> None:
         if self._state is None:
-            self._start(self._follow_configuration, 'configuration')
+            follow = self._outside.follow_configuration
+            self._start(
+                lambda: follow(self._holder.adopt, self.done), 'configuration'
+            )
             return
         self._state.on_snapshot(
             lambda snapshot: sources.take_up(self._holder.adopt, snapshot)
@@ -321,12 +298,14 @@
             stack.callback(self._limits.exchange.stop)
             self._admin.start()
             stack.callback(self._admin.stop)
-            self._start(self._poll_hosts, 'hosts')
+            self._start(self._follow_hosts, 'hosts')
             self._start(self._plan, 'planner')
             if self._outside.leaders is not None:
                 stack.callback(self._placement.stop)
-                self._start(self._place, 'placement')
-            self._start(self._renew_limits, 'limits')
+                self._start(
+                    lambda: self._placement.run(self.done), 'placement'
+                )
+            self._start(lambda: self._limits.follow(self.done), 'limits')
             stack.callback(self.done.set)
             self._http.start()
             # Runs first: what is in flight still needs all the rest.
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/entry/states.py
@@ -0,0 +1,29 @@
+"""The fleet's state, served at the port for other entries."""
+
+from dunlintide_adapters import peers as peer_calls
+from dunlintide_core import settings as settings_module
+from dunlintide_daemon.entry import exchange
+from dunlintide_daemon import peers
+
+__all__ = [
+    'build',
+]
+
+
+def build(
+    settings: settings_module.Settings,
+    incarnation: int,
+    served: exchange.Exchange,
+    outside: peers.Outside,
+) -> peers.FleetState:
+    """Build the state and add its service to a port.
+
+    :param served: whose port serves it, before it is started
+    :param outside: what the state is drawn from
+    """
+    host = settings.link_listen.rpartition(':')[0]
+    address = settings.advertise or f'{host}:{served.port}'
+    me = peers.make_peer(settings, incarnation, address)
+    state = peers.FleetState(me, outside)
+    peer_calls.add_service(served.server, state.answer)
+    return state
--- a/packages/daemon/src/dunlintide_daemon/entry/threads.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/threads.py
@@ -25,8 +25,8 @@
 PAUSE_SECONDS = 1.0
 # Threads of libraries and adapters by the beginning of their names.
 # Claims and configuration are decided by what these hold, and without
-# the HTTP server's loop no caller is served.
-_CRITICAL = ('claims', 'http-', 'store-watch')
+# their loops no caller is served and no agent reached.
+_CRITICAL = ('claims', 'http-', 'store-watch', 'event-loop')
 
 Take = Callable[[links.Link, list[link_pb2.Frame]], None]
 
