Encode what a process says of itself in one place

Cause: an endpoint and a peer were turned to and from messages in three modules, so a new field had to be added to each. Change: peercodec serves the links as well.

--- a/packages/adapters/src/dunlintide_adapters/peercodec.py
+++ b/packages/adapters/src/dunlintide_adapters/peercodec.py
@@ -8,9 +8,11 @@
 
 __all__ = [
     'decode_endpoint',
+    'decode_peer',
     'decode_reply',
     'decode_request',
     'encode_endpoint',
+    'encode_peer',
     'encode_reply',
     'encode_request',
 ]
@@ -55,7 +57,8 @@
     )
 
 
-def _encode_peer(peer: fleet.Peer) -> link_pb2.Hello:
+def encode_peer(peer: fleet.Peer) -> link_pb2.Hello:
+    """Encode what a process says of itself; in short without an address."""
     short = not peer.address
     endpoint = None
     if peer.endpoint is not None:
@@ -72,7 +75,11 @@
     )
 
 
-def _decode_peer(message: link_pb2.Hello) -> fleet.Peer:
+def decode_peer(message: link_pb2.Hello) -> fleet.Peer:
+    """Decode what a process says of itself.
+
+    :raises ValueError: for a role or kind that is not known
+    """
     endpoint = None
     if message.HasField('endpoint'):
         endpoint = decode_endpoint(message.endpoint)
@@ -93,7 +100,7 @@
 def _encode_record(record: records.Record) -> link_pb2.MemberRecord:
     alive = record.state is records.State.ALIVE
     return link_pb2.MemberRecord(
-        hello=_encode_peer(record.peer),
+        hello=encode_peer(record.peer),
         version=record.version,
         state='' if alive else record.state,
         witnesses=record.witnesses,
@@ -102,7 +109,7 @@
 
 def _decode_record(message: link_pb2.MemberRecord) -> records.Record:
     return records.Record(
-        peer=_decode_peer(message.hello),
+        peer=decode_peer(message.hello),
         version=message.version,
         dead=message.state == records.State.DEAD,
         witnesses=tuple(message.witnesses),
@@ -131,7 +138,7 @@
 def encode_request(request: exchanges.Request) -> link_pb2.ExchangeRequest:
     """Encode a request."""
     return link_pb2.ExchangeRequest(
-        sender=_encode_peer(request.sender.peer),
+        sender=encode_peer(request.sender.peer),
         version=request.sender.version,
         revision=request.offer.revision,
         head_digest=bytes.fromhex(request.offer.digest),
@@ -151,7 +158,7 @@
     :raises ValueError: for a value that this version does not know
     """
     return exchanges.Request(
-        sender=records.Record(_decode_peer(message.sender), message.version),
+        sender=records.Record(decode_peer(message.sender), message.version),
         offer=spread.Offer(message.revision, message.head_digest.hex()),
         known_revision=message.known_revision,
         members_hash=message.members_hash,
@@ -166,7 +173,7 @@
 def encode_reply(reply: exchanges.Reply) -> link_pb2.ExchangeReply:
     """Encode a reply."""
     return link_pb2.ExchangeReply(
-        sender=_encode_peer(reply.sender.peer),
+        sender=encode_peer(reply.sender.peer),
         version=reply.sender.version,
         revision=reply.offer.revision,
         head_digest=bytes.fromhex(reply.offer.digest),
@@ -184,7 +191,7 @@
     :raises ValueError: for a value that this version does not know
     """
     return exchanges.Reply(
-        sender=records.Record(_decode_peer(message.sender), message.version),
+        sender=records.Record(decode_peer(message.sender), message.version),
         offer=spread.Offer(message.revision, message.head_digest.hex()),
         head=message.head,
         chunks=tuple(each.data for each in message.chunks),
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -16,6 +16,7 @@
 from dunlintide_adapters import leaders
 from dunlintide_adapters import links
 from dunlintide_adapters import metrics
+from dunlintide_adapters import peercodec
 from dunlintide_adapters import peers as peer_calls
 from dunlintide_adapters import store
 from dunlintide_adapters.wire import link_pb2
@@ -56,20 +57,8 @@
 
 
 def _build_endpoint(endpoint: fleet.Endpoint, cap: int) -> link_pb2.Endpoint:
-    return link_pb2.Endpoint(
-        kind=endpoint.kind,
-        model=endpoint.model,
-        version=endpoint.version,
-        layer_start=endpoint.layer_start,
-        layer_end=endpoint.layer_end,
-        layer_count=endpoint.layer_count,
-        accelerator=endpoint.accelerator,
-        service=endpoint.service,
-        tokens_per_second=endpoint.tokens_per_second,
-        checks_fence=endpoint.checks_fence,
-        max_in_flight=cap,
-        max_layers=endpoint.max_layers,
-    )
+    shown = attrs.evolve(endpoint, max_in_flight=cap)
+    return peercodec.encode_endpoint(shown)
 
 
 class Agent:
--- a/packages/daemon/src/dunlintide_daemon/entry/hellos.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/hellos.py
@@ -1,5 +1,6 @@
 """What processes say of themselves: own words, and agents' as types."""
 
+from dunlintide_adapters import peercodec
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
 from dunlintide_core import settings as settings_module
@@ -11,44 +12,15 @@
 ]
 
 
-def _read_endpoint(message: link_pb2.Endpoint) -> fleet.Endpoint | None:
-    try:
-        kind = fleet.EndpointKind(message.kind)
-    except ValueError:
-        return None
-    return fleet.Endpoint(
-        kind=kind,
-        model=message.model,
-        version=message.version,
-        layer_start=message.layer_start,
-        layer_end=message.layer_end,
-        layer_count=message.layer_count,
-        accelerator=message.accelerator,
-        service=message.service,
-        tokens_per_second=message.tokens_per_second,
-        checks_fence=message.checks_fence,
-        max_in_flight=message.max_in_flight,
-        max_layers=message.max_layers,
-    )
-
-
 def read_peer(hello: link_pb2.Hello) -> fleet.Peer | None:
     """Return the agent that a process says it is, None for no agent."""
     if hello.role != fleet.Role.AGENT or not hello.HasField('endpoint'):
         return None
-    endpoint = _read_endpoint(hello.endpoint)
-    if endpoint is None:
+    try:
+        return peercodec.decode_peer(hello)
+    except ValueError:
+        # It stands before a kind of endpoint that is not known here.
         return None
-    return fleet.Peer(
-        name=hello.name,
-        role=fleet.Role.AGENT,
-        incarnation=hello.incarnation,
-        failure_domain=hello.failure_domain,
-        region=hello.region,
-        address=hello.address,
-        endpoint=endpoint,
-        leaving=hello.leaving,
-    )
 
 
 def read_load(message: link_pb2.Load) -> fleet.LoadReport:
