Test that full chains with crossed later stages go on

A request holds a slot at its head only; later stages run what comes and wait for nothing. So no request holds one stage while it waits for another. The scenario runs 24 requests over two heads and four later stages with a cap of one each; all end, over three or more combinations of later stages.

--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -40,3 +40,9 @@
     Then "old" gets room for 5 more, and "new" has to wait for its next step
     When the stand-in's session "old" is freed
     Then "new" goes on after 9 positions have been run again
+
+  Scenario: Chains that share later stages crosswise do not block each other
+    Given two heads and four later stages that take one request at a time
+    When 24 completions are asked for at once
+    Then all of them are answered whole
+    And chains over later stages in at least 3 combinations ran
--- a/features/steps/fairness.py
+++ b/features/steps/fairness.py
@@ -12,6 +12,8 @@
 from dunlintide_core import slots
 from dunlintide_standins.engine import messages
 from dunlintide_standins.engine import sessions as standin
+from dunlintide_trials import blueprints
+from dunlintide_trials import launcher
 import urllib3
 
 WAIT_SECONDS = 20.0
@@ -308,3 +310,65 @@
     assert context.kv.make_room(name, 1) == count
     assert run_positions(context, name, count, 1).error is None
     assert context.kv.used == count + 1
+
+
+@behave.given(
+    'two heads and four later stages that take one request at a time'
+)
+def start_crossed(context):
+    # Unequal capacities, so that the plan must cross the later stages.
+    capacities = {0: (400.0, 400.0), 4: (600.0, 200.0), 8: (400.0, 400.0)}
+    stages = tuple(
+        blueprints.Stage(start, start + 4, 1, '', rate, max_in_flight=1)
+        for start, rates in capacities.items()
+        for rate in rates
+    )
+    blueprint = blueprints.Blueprint(
+        name='crossed',
+        region='here',
+        failure_domains=('east', 'west'),
+        entries=1,
+        rules='',
+        pipelines=(blueprints.Pipeline('m', 12, stages),),
+        services=(),
+    )
+    rules = {
+        'members': [{'name': 'a', 'key_hashes': []}],
+        'models': [{'name': 'm', 'layers': 12}],
+        'rules': [
+            {'name': 'all', 'when': {}, 'then': {'deadline_seconds': 120}}
+        ],
+    }
+    context.crossed = context.stack.enter_context(
+        launcher.run(blueprint, rules, context.make_folder())
+    )
+
+
+@behave.when('{count:d} completions are asked for at once')
+def ask_crossed(context, count):
+    caller = context.crossed.make_caller(0, 'a')
+    with futures.ThreadPoolExecutor(count) as pool:
+        context.crossed_answers = list(
+            pool.map(
+                lambda number: caller.complete(
+                    f'crossed {number}', model='m', max_tokens=8
+                ),
+                range(count),
+            )
+        )
+
+
+@behave.then('all of them are answered whole')
+def check_crossed(context):
+    outcomes = [one.outcome for one in context.crossed_answers]
+    assert set(outcomes) == {'complete'}, outcomes
+
+
+@behave.then('chains over later stages in at least {count:d} combinations ran')
+def check_combinations(context, count):
+    chains = collections.defaultdict(set)
+    for run in context.crossed.read_runs('engine'):
+        if run['layer_start']:
+            chains[run['request_id']].add(run['endpoint'])
+    found = {frozenset(chain) for chain in chains.values()}
+    assert len(found) >= count, found
