Begin with few requests before an engine of unknown size

Cause: the token budget bounded only the number until the engine's first report told the size of its KV cache.

Change: 16 requests at first, twice as many with each report that finds so many in flight and still does not tell the size.

--- a/features/queueing.feature
+++ b/features/queueing.feature
@@ -56,3 +56,11 @@
     Then with 0 tokens in flight a request of 5000 may start
     And with 800 tokens in flight a request of 100 may start
     And with 800 tokens in flight a request of 101 may not start
+
+  Scenario: The token budget starts small before an engine of unknown size
+    Given a token budget of 100 requests before an engine of unknown size
+    Then with 15 requests in flight another may start
+    And with 16 requests in flight another may not start
+    When the engine reports nothing of its size with 16 in flight
+    Then with 31 requests in flight another may start
+    And with 32 requests in flight another may not start
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -200,3 +200,21 @@
 def check_budget(context, tokens, size, answer):
     in_flight = caps.InFlight(requests=bool(tokens), tokens=tokens)
     assert context.cap.admits(in_flight, size) == (answer == 'start')
+
+
+@behave.given(
+    'a token budget of {requests:d} requests before an engine of unknown size'
+)
+def make_unsized(context, requests):
+    context.cap = caps.budget(requests)
+
+
+@behave.when('the engine reports nothing of its size with {count:d} in flight')
+def observe_unsized(context, count):
+    context.cap.observe(caps.InFlight(requests=count), caps.Usage())
+
+
+@behave.then('with {count:d} requests in flight another may {answer}')
+def check_unsized(context, count, answer):
+    in_flight = caps.InFlight(requests=count)
+    assert context.cap.admits(in_flight, 1) == (answer == 'start')
--- a/packages/core/src/dunlintide_core/caps.py
+++ b/packages/core/src/dunlintide_core/caps.py
@@ -5,6 +5,7 @@
 import attrs
 
 __all__ = [
+    'START',
     'Cap',
     'InFlight',
     'Usage',
@@ -17,6 +18,8 @@
 LOW_USAGE = 0.6
 CUT = 0.7
 GROWTH = 1.25
+# Requests before anything is known of an engine.
+START = 16
 
 
 @attrs.define
@@ -76,28 +79,34 @@
 def budget(requests: int, part: float = 0.9) -> Cap:
     """Build a cap on the KV cache positions that may come to be needed.
 
-    Until the engine has told its size, only the number is bounded. One
-    request may always start, so a large one does not wait for ever.
+    Until the engine has told its size, a few requests may run, and twice
+    as many with each report that finds so many in flight. One request may
+    always start, so a large one does not wait for ever.
 
     :param requests: bound on the number as well
     :param part: part of the cache to hand out, 0 to 1
     """
     size = 0
+    unsized = min(START, requests)
 
     def admits(in_flight: InFlight, tokens: int) -> bool:
-        if in_flight.requests >= requests:
+        if in_flight.requests >= (requests if size else unsized):
             return False
         if not size or not in_flight.requests:
             return True
         return in_flight.tokens + tokens <= size * part
 
     def observe(in_flight: InFlight, usage: Usage) -> None:
-        nonlocal size
+        nonlocal size, unsized
         # A report may leave it out; the cache does not change its size.
         size = usage.kv_tokens or size
+        if not size and in_flight.requests >= unsized:
+            unsized = min(requests, 2 * unsized)
 
     def limit(in_flight: InFlight) -> int:
-        if not size or not in_flight.requests:
+        if not size:
+            return unsized
+        if not in_flight.requests:
             return requests
         mean = max(in_flight.tokens / in_flight.requests, 1.0)
         return max(1, min(requests, int(size * part / mean)))
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -48,7 +48,6 @@
 
 TICK_SECONDS = 0.1
 MAX_IN_FLIGHT = 256
-ADAPTIVE_START = 16
 SERVICE_THREADS = 32
 FAILED = 1
 VITAL_THREADS = frozenset(('driver', 'reaper', 'ticker'))
@@ -164,7 +163,7 @@
             case settings_module.CapPolicy.FIXED:
                 return caps.fix(self._max_in_flight)
             case settings_module.CapPolicy.ADAPTIVE:
-                return caps.adapt(ADAPTIVE_START, self._max_in_flight)
+                return caps.adapt(caps.START, self._max_in_flight)
         return caps.budget(self._max_in_flight)
 
     def _build_engine_side(self) -> None:
