--- a/packages/daemon/src/dunlintide_daemon/entry/problems.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/problems.py
@@ -105,7 +105,7 @@
 
 
 def render_server_error(
-    status: int, detail: str, rng: random.Random
+    rng: random.Random, status: int, detail: str
 ) -> httpserver.ErrorPage:
     """Build the answer for what the HTTP server refuses by itself.
 
--- a/packages/daemon/src/dunlintide_daemon/entry/readiness.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/readiness.py
@@ -8,16 +8,13 @@
 ]
 
 
-def list_reasons(
-    snapshot: configuration.Snapshot | None, fleet_view: fleet.Fleet
+def _list_unserved(
+    snapshot: configuration.Snapshot, fleet_view: fleet.Fleet
 ) -> list[str]:
     """Name what no agent serves, when nothing at all is served.
 
     One model that is down must not take the entry from the others.
-    :returns: reasons not to send callers here, empty when it is ready
     """
-    if snapshot is None:
-        return ['no configuration yet']
     unserved = [
         f'no agent for model {model.name}'
         for model in snapshot.models.values()
@@ -30,3 +27,24 @@
     ]
     offered = len(snapshot.models) + len(snapshot.services)
     return unserved if len(unserved) == offered else []
+
+
+def list_reasons(
+    leaving: bool,
+    unready: str,
+    snapshot: configuration.Snapshot | None,
+    fleet_view: fleet.Fleet,
+) -> list[str]:
+    """List reasons not to send callers here.
+
+    :param unready: why the fleet's state is not ready, empty when it is
+    :returns: empty when the entry is ready
+    """
+    reasons = ['leaving'] if leaving else []
+    if unready:
+        reasons.append(unready)
+    elif snapshot is None:
+        reasons.append('no configuration yet')
+    else:
+        reasons += _list_unserved(snapshot, fleet_view)
+    return reasons
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -1,12 +1,12 @@
 """The entry role: wires callers, routing, agents and the platform."""
 
 import contextlib
+import functools
 import random
 import threading
 import time
-from typing import Any
+from typing import Any, Callable
 
-from absl import logging
 import prometheus_client
 
 from dunlintide_adapters import admin
@@ -21,6 +21,7 @@
 from dunlintide_core import settings as settings_module
 from dunlintide_daemon.entry import claims
 from dunlintide_daemon.entry import configuration
+from dunlintide_daemon.entry import crashes
 from dunlintide_daemon.entry import dump
 from dunlintide_daemon.entry import exchange
 from dunlintide_daemon.entry import fleet
@@ -40,7 +41,6 @@
 from dunlintide_daemon.entry import room
 from dunlintide_daemon.entry import router
 from dunlintide_daemon.entry import sessions
-from dunlintide_daemon.entry import signals
 from dunlintide_daemon.entry import sources
 from dunlintide_daemon.entry import states
 from dunlintide_daemon.entry import threads
@@ -49,7 +49,6 @@
 
 __all__ = [
     'Entry',
-    'run',
 ]
 
 # Time for the balancer to see that this entry is not ready any more.
@@ -96,14 +95,14 @@
         self._holder = configuration.Holder()
         self._retries = budget.RetryBudget(settings.limits.retry_ratio)
         self._suspicion = suspicion.Suspicion(
-            self._spread,
+            lambda *told: crashes.spread(self._fleet, *told),
             poison.Limits(seconds=settings.timing.quarantine),
         )
         timing = settings.timing
         self._fleet = fleet.Fleet(
             self._build_hello,
             fleet.Listeners(
-                self._take_frames,
+                crashes.hear(self._suspicion.take, self._sessions.route),
                 self._sessions.lose,
                 lambda agent: self._planner.report(agent),
                 lambda link, reply: self._placement.take_reply(link, reply),
@@ -134,12 +133,8 @@
             self.done.set,
             self._registry,
         )
-        self._state = (
-            states.build(
-                settings, self._incarnation, self._limits.exchange, shared
-            )
-            if shared
-            else None
+        self._state = states.build(
+            settings, self._incarnation, self._limits.exchange, shared
         )
         self._placement = placement.Placement(
             settings, outside.leaders, self._fleet, self._holder
@@ -157,20 +152,6 @@
         """Port for callers."""
         return self._http.port
 
-    def _spread(self, frame: link_pb2.Frame, source: links.Link) -> None:
-        for agent in self._fleet.list_agents():
-            if agent.link is not source:
-                agent.link.send(frame)
-
-    def _take_frames(
-        self, link: links.Link, frames: list[link_pb2.Frame]
-    ) -> None:
-        # An attempt that failed in a crash comes behind word of it.
-        for frame in frames:
-            if frame.WhichOneof('body') == 'suspects':
-                self._suspicion.take(link, frame.suspects)
-        self._sessions.route(link, frames)
-
     def _build_hello(self) -> link_pb2.Hello:
         return hellos.build_own(
             self.settings,
@@ -216,8 +197,8 @@
             settings.limits.threads,
             settings.limits.max_body_bytes,
             settings.limits.max_header_bytes,
-            render_error=lambda status, detail: problems.render_server_error(
-                status, detail, self._rng
+            render_error=functools.partial(
+                problems.render_server_error, self._rng
             ),
         )
 
@@ -243,13 +224,10 @@
 
     def check_readiness(self) -> admin.Readiness:
         """Tell whether callers should be sent here."""
-        reasons = ['leaving'] if self.leaving else []
         unready = self._state.why_not_ready() if self._state else ''
-        if unready:
-            reasons.append(unready)
-        else:
-            snapshot = self._holder.snapshot
-            reasons += readiness.list_reasons(snapshot, self._fleet)
+        reasons = readiness.list_reasons(
+            self.leaving, unready, self._holder.snapshot, self._fleet
+        )
         return admin.Readiness(tuple(reasons))
 
     def _follow_hosts(self) -> None:
@@ -272,17 +250,14 @@
     def _start_configuration(self) -> None:
         if self._state is None:
             follow = self._outside.follow_configuration
-            self._start(
-                lambda: follow(self._holder.adopt, self.done), 'configuration'
-            )
+            self._start('configuration', follow, self._holder.adopt, self.done)
             return
-        self._state.on_snapshot(
-            lambda snapshot: sources.take_up(self._holder.adopt, snapshot)
-        )
+        take_up = functools.partial(sources.take_up, self._holder.adopt)
+        self._state.on_snapshot(take_up)
         self._stack.enter_context(self._state)
 
-    def _start(self, target, name: str) -> None:
-        thread = self._keeper.start(name, target)
+    def _start(self, name: str, work: Callable[..., None], *arguments) -> None:
+        thread = self._keeper.start(name, functools.partial(work, *arguments))
         # The configuration's follower sleeps through a stop for as long
         # as it pauses between two reads; it holds nothing that needs it.
         self._stack.callback(thread.join, _JOIN_SECONDS)
@@ -298,14 +273,12 @@
             stack.callback(self._limits.exchange.stop)
             self._admin.start()
             stack.callback(self._admin.stop)
-            self._start(self._follow_hosts, 'hosts')
-            self._start(self._plan, 'planner')
+            self._start('hosts', self._follow_hosts)
+            self._start('planner', self._plan)
             if self._outside.leaders is not None:
                 stack.callback(self._placement.stop)
-                self._start(
-                    lambda: self._placement.run(self.done), 'placement'
-                )
-            self._start(lambda: self._limits.follow(self.done), 'limits')
+                self._start('placement', self._placement.run, self.done)
+            self._start('limits', self._limits.follow, self.done)
             stack.callback(self.done.set)
             self._http.start()
             # Runs first: what is in flight still needs all the rest.
@@ -324,20 +297,3 @@
 
     def __exit__(self, *details) -> None:
         self._stack.close()
-
-
-def run(settings: settings_module.Settings) -> int:
-    """Run an entry until it is told to stop.
-
-    :returns: exit status, 0 after a planned stop
-    :raises OSError: when a port is taken
-    """
-    threads.watch_errors()
-    outside = sources.Sources.from_config(settings)
-    shared = peers.Outside.from_config(settings)
-    with Entry(settings, outside, shared=shared) as entry:
-        signals.watch(entry.done, entry.describe)
-        logging.info('entry %s serves port %d', settings.name, entry.port)
-        entry.done.wait()
-        logging.info('entry %s stops', settings.name)
-    return 0
--- a/packages/daemon/src/dunlintide_daemon/entry/states.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/states.py
@@ -14,13 +14,15 @@
     settings: settings_module.Settings,
     incarnation: int,
     served: exchange.Exchange,
-    outside: peers.Outside,
-) -> peers.FleetState:
+    outside: peers.Outside | None,
+) -> peers.FleetState | None:
     """Build the state and add its service to a port.
 
     :param served: whose port serves it, before it is started
-    :param outside: what the state is drawn from
+    :param outside: what the state is drawn from; None for no state
     """
+    if outside is None:
+        return None
     host = settings.link_listen.rpartition(':')[0]
     address = settings.advertise or f'{host}:{served.port}'
     me = peers.make_peer(settings, incarnation, address)
