Notice a crashed engine behind a port forwarder

A prompt that crashes engines then crashed 12 of them with 4 sendings: the agent took an engine for crashed only when its port refuses, and a forwarder in front of a dead engine takes each connection and ends it. No crash was ever accused, so nothing was quarantined.

Three new connections in a row that end without an answer now count as a crash too. One that was cut does not: the next one is answered. An engine that hangs does not either, as its connections time out.

The scenario of a poison prompt now runs behind forwarders as well.

--- a/features/poison.feature
+++ b/features/poison.feature
@@ -13,9 +13,14 @@
     Given a request that crashed two endpoints alone
     Then it is quarantined until the crashes are forgotten
 
-  Scenario: A poison prompt is stopped at every entry
-    Given a deployment whose crashed engines are started again
+  Scenario Outline: A poison prompt is stopped at every entry
+    Given a deployment whose crashed engines, <reached>, are started again
     When a member sends a crashing prompt 10 times among others' streams
     Then at most 3 engines crashed, and the last sends were refused
     And the others' streams are the reference answers
     And every entry shows the quarantine until it ends
+
+    Examples:
+      | reached                    |
+      | reached directly           |
+      | reached through forwarders |
--- a/features/steps/poison.py
+++ b/features/steps/poison.py
@@ -13,6 +13,7 @@
 from dunlintide_trials import blueprints
 from dunlintide_trials import deployment
 from dunlintide_trials import launcher
+from dunlintide_trials import layout
 from dunlintide_trials import operators
 from dunlintide_trials import processes
 from dunlintide_trials import records
@@ -168,8 +169,12 @@
                 running.restart(engine.name)
 
 
-@behave.given('a deployment whose crashed engines are started again')
-def start_deployment(context):
+@behave.given(
+    'a deployment whose crashed engines, reached {way}, are started again'
+)
+def start_deployment(context, way):
+    # A forwarder takes connections also while the engine is gone.
+    hops = () if way == 'directly' else (layout.Hop.AGENT_ENGINE,)
     example = context.root / launcher.EXAMPLE
     blueprint = blueprints.load_blueprint(example)
     rules = operators.load_rules(example.parent / blueprint.rules)
@@ -183,7 +188,11 @@
     small = blueprints.shrink(blueprint)
     context.running = context.stack.enter_context(
         launcher.run(
-            small, rules, folder, timing={'quarantine': QUARANTINE_SECONDS}
+            small,
+            rules,
+            folder,
+            hops=hops,
+            timing={'quarantine': QUARANTINE_SECONDS},
         )
     )
     stopped = threading.Event()
--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -41,12 +41,14 @@
     :ivar sent: whether the engine may have acted on it
     :ivar status: HTTP status, 0 without an answer
     :ivar lost: whether the connection failed and the engine is well
+    :ivar ended: whether the connection was ended without an answer
     """
 
     detail: str
     sent: bool = True
     status: int = 0
     lost: bool = False
+    ended: bool = False
 
 
 @attrs.frozen
@@ -246,6 +248,8 @@
             return result.Err(EngineError(type(error).__name__, sent=False))
         except urllib3.exceptions.NewConnectionError as error:
             return result.Err(EngineError(type(error).__name__, sent=False))
+        except urllib3.exceptions.ProtocolError as error:
+            return result.Err(EngineError(type(error).__name__, ended=True))
         except urllib3.exceptions.HTTPError as error:
             return result.Err(EngineError(type(error).__name__))
         if answer.status != _HTTP_OK:
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -53,6 +53,9 @@
 VITAL_THREADS = frozenset(('driver', 'reaper', 'ticker'))
 CRASH_SECONDS = 0.5
 CRASH_POLL_SECONDS = 0.02
+# New connections in a row that end without an answer, where only one
+# could have been cut. Few, as an engine may soon be started again.
+CRASH_ENDS = 3
 
 
 def _build_endpoint(endpoint: fleet.Endpoint, cap: int) -> link_pb2.Endpoint:
@@ -454,7 +457,12 @@
         self._stack.callback(self._supervisor.stop)
 
     def _has_crashed(self) -> bool:
-        """Tell whether the engine's process is gone, not just silent."""
+        """Tell whether the engine's process is gone, not just silent.
+
+        Where something between takes connections in its place, such as a
+        port forwarder, they end without an answer, each new one too.
+        """
+        ended = 0
         until = time.monotonic() + CRASH_SECONDS
         while time.monotonic() < until:
             checked = self._engine.check_health()
@@ -462,6 +470,9 @@
                 return False
             if not checked.err_value.sent:
                 return True
+            ended = ended + 1 if checked.err_value.ended else 0
+            if ended >= CRASH_ENDS:
+                return True
             # Its connections end a little before its port is free.
             time.sleep(CRASH_POLL_SECONDS)
         return False
