Add link faults, operators' races and poison to the soak

New faults: stalled, cut and slow connections on four hops, plain services killed and paused, entries stopped, pauses longer than every lease, two operators over one revision, prompts that crash engines, two faults at once and the same one twice on a target. The load has keyed completions whose repeats go through other entries.

New promises: a keyed completion begins in one life of one endpoint and once in each epoch; a prompt crashes at most 3 engines; no entry shows a lower revision, and all show the newest accepted one; planned stops end with 0; everything serves within 60 s of the last fault.

An endpoint hangs while its record is read before a kill, and an engine leaves its record in the log when a prompt crashes it, so no run is lost to the checks. Restarts run beside the faults, since one that waits for a store under a fault held up the end of that fault.

--- a/packages/standins/src/dunlintide_standins/engine/server.py
+++ b/packages/standins/src/dunlintide_standins/engine/server.py
@@ -137,7 +137,6 @@
             ('GET', '/v1/load'): self._show_load,
             ('GET', '/v1/cache_events'): self._show_cache_events,
             ('GET', '/healthz'): lambda _: web.json_answer({}),
-            ('GET', '/runs'): self._show_runs,
         }
         self._server = web.Server(config.listen, self._handle)
         self.port = self._server.port
@@ -165,6 +164,8 @@
     def _handle(self, request: web.Request) -> web.Answer:
         if request.path == '/control':
             return self._control(request)
+        if request.path == '/runs':
+            return self._show_runs(request)
         stopped = self._gate.enter()
         if stopped is not None:
             return stopped
@@ -205,7 +206,9 @@
 
     def _run_steps(self, request: web.Request) -> web.Answer:
         steps = web.decode_json(request, messages.Steps).steps
-        if any(self._is_marked(step) for step in steps):
+        marked = [step.prompt for step in steps if self._is_marked(step)]
+        if marked:
+            self._leave_records(marked)
             self._crash()
             return web.dropped()
         failed, steps = self._fail_some(steps)
@@ -214,6 +217,12 @@
             return web.dropped()
         return web.json_answer({'results': failed + results})
 
+    def _leave_records(self, prompts: list[str | None]) -> None:
+        """Print the record of runs, which ends with the process."""
+        with self._batcher.lock:
+            left = {'crashed_by': prompts, 'runs': self._sessions.runs()}
+        print(msgspec.json.encode(left).decode(), flush=True)
+
     def _fail_some(
         self, steps: list[messages.Step]
     ) -> tuple[list[messages.Result], list[messages.Step]]:
--- a/packages/standins/src/dunlintide_standins/relay.py
+++ b/packages/standins/src/dunlintide_standins/relay.py
@@ -157,8 +157,8 @@
             tasks = [self._read(lane) for lane in lanes]
             tasks += [self._write(lane) for lane in lanes]
             await asyncio.gather(*tasks)
-        except OSError:
-            pass  # One end is gone, and so is the connection.
+        except (OSError, asyncio.CancelledError):
+            pass  # One end or the relay is gone, and so is the connection.
         finally:
             self._connections.discard(connection)
             connection.abort()
--- a/packages/standins/src/dunlintide_standins/service.py
+++ b/packages/standins/src/dunlintide_standins/service.py
@@ -102,11 +102,11 @@
     def _handle(self, request: web.Request) -> web.Answer:
         if request.path == '/control':
             return self._control(request)
+        if request.method == 'GET' and request.path == '/runs':
+            return web.json_answer(self.runs())
         stopped = self._gate.enter()
         if stopped is not None:
             return stopped
-        if request.method == 'GET' and request.path == '/runs':
-            return web.json_answer(self.runs())
         if request.method == 'GET' and request.path == '/healthz':
             return web.json_answer({})
         return self._serve(request)
--- a/packages/trials/src/dunlintide_trials/faults.py
+++ b/packages/trials/src/dunlintide_trials/faults.py
@@ -1,4 +1,4 @@
-"""Faults that a soak puts on a running deployment.
+"""Faults that a soak puts on the processes of a deployment.
 
 A fault is a function that takes a ``Field``, does its harm and returns
 what heals it, or None when it found nothing to harm. Faults overlap; a
@@ -6,79 +6,27 @@
 fault is a function here and a line in ``FAULTS``.
 """
 
-import random
-import threading
-from typing import Any, Callable
-
-import attrs
+from typing import Any
 
 from dunlintide_trials import deployment
+from dunlintide_trials import field as fields
 from dunlintide_trials import processes
-from dunlintide_trials import records
 
-__all__ = ['FAULTS', 'Fault', 'Field', 'Heal']
+__all__ = ['FAULTS', 'SECONDS']
 
-Heal = Callable[[], None]
+Field = fields.Field
+Heal = fields.Heal
 
 _SLOW_SECONDS = (0.05, 0.5)
 _MAX_DROPPED = 5
-
-
-@attrs.define(eq=False)
-class Field:
-    """What faults work on.
-
-    :ivar runs: records that would be lost with a killed endpoint
-    :ivar taken: names of processes under a fault
-    :ivar rng: used by the thread that applies faults only
-    """
-
-    running: deployment.Deployment
-    runs: records.Records
-    rng: random.Random
-    taken: set[str] = attrs.field(factory=set)
-    lock: threading.Lock = attrs.field(factory=threading.Lock)
-
-    def take(self, role: str, spare: int = 0) -> processes.Process | None:
-        """Choose a process of a role that is under no fault.
-
-        :param spare: number of processes of the role to leave alone
-        """
-        with self.lock:
-            free = [
-                one
-                for one in self.running.list_processes(role)
-                if one.name not in self.taken and one.is_running
-            ]
-            if len(free) <= spare:
-                return None
-            chosen = self.rng.choice(free)
-            self.taken.add(chosen.name)
-            return chosen
-
-    def take_name(self, name: str) -> bool:
-        """Take one process by name; False when a fault has it."""
-        with self.lock:
-            if name in self.taken:
-                return False
-            self.taken.add(name)
-            return True
-
-    def release(self, name: str) -> None:
-        """Leave a process to other faults again."""
-        with self.lock:
-            self.taken.discard(name)
-
-
-Fault = Callable[[Field], Heal | None]
+# The longest rule of the examples, and a margin.
+_STOP_SECONDS = 75.0
+# Longer than any lease or silence of the default timing.
+_LONG_SECONDS = (8.0, 15.0)
 
 
 def _restart(field: Field, process: processes.Process) -> Heal:
-    def heal() -> None:
-        field.running.restart(process.name)
-        field.release(process.name)
-
-    return heal
+    return lambda: field.restart(process)
 
 
 def _kill(field: Field, role: str, spare: int) -> Heal | None:
@@ -89,6 +37,14 @@
     return _restart(field, process)
 
 
+def _kill_endpoint(field: Field, role: str, spare: int) -> Heal | None:
+    process = field.take(role, spare)
+    if process is None:
+        return None
+    field.kill_endpoint(process)
+    return _restart(field, process)
+
+
 def kill_agent(field: Field) -> Heal | None:
     """Kill an agent and start it again."""
     return _kill(field, deployment.AGENT, spare=1)
@@ -101,33 +57,45 @@
 
 def kill_engine(field: Field) -> Heal | None:
     """Kill an engine, its KV cache with it, and start it again."""
-    process = field.take(deployment.ENGINE, spare=1)
-    if process is None:
-        return None
-    runs = field.running.read_endpoint_runs(process.name)
-    field.runs.keep(process.name, runs)
-    process.kill()
-    field.runs.end_life(process.name)
-    return _restart(field, process)
+    return _kill_endpoint(field, deployment.ENGINE, spare=1)
+
+
+def kill_service(field: Field) -> Heal | None:
+    """Kill a plain service and start it again."""
+    return _kill_endpoint(field, deployment.SERVICE, spare=0)
 
 
 def stop_agent(field: Field) -> Heal | None:
     """Stop an agent gracefully, as in a replacement of its host."""
-    process = field.take(deployment.AGENT, spare=1)
+    return _stop(field, deployment.AGENT)
+
+
+def stop_entry(field: Field) -> Heal | None:
+    """Stop an entry gracefully."""
+    return _stop(field, deployment.ENTRY)
+
+
+def _stop(field: Field, role: str) -> Heal | None:
+    process = field.take(role, spare=1)
     if process is None:
         return None
     process.terminate()
 
-    def heal() -> None:
-        process.stop()
+    def end() -> None:
+        if not process.wait(_STOP_SECONDS):
+            field.wrong.append(f'{process.name} did not stop in time')
+            process.kill()
+        elif process.exit_code:
+            code = process.exit_code
+            field.wrong.append(f'{process.name} stopped with {code}')
         field.running.restart(process.name)
         field.release(process.name)
 
-    return heal
+    return lambda: field.work(end)
 
 
-def _pause(field: Field, role: str) -> Heal | None:
-    process = field.take(role, spare=1)
+def _pause(field: Field, role: str, spare: int = 1) -> Heal | None:
+    process = field.take(role, spare)
     if process is None:
         return None
     process.pause()
@@ -154,6 +122,26 @@
     return _pause(field, deployment.ENGINE)
 
 
+def pause_agent_long(field: Field) -> Heal | None:
+    """Halt an agent for longer than every lease."""
+    return _pause(field, deployment.AGENT)
+
+
+def pause_entry_long(field: Field) -> Heal | None:
+    """Halt an entry for longer than every lease."""
+    return _pause(field, deployment.ENTRY)
+
+
+def pause_engine_long(field: Field) -> Heal | None:
+    """Halt an engine for longer than it is waited for."""
+    return _pause(field, deployment.ENGINE)
+
+
+def pause_service(field: Field) -> Heal | None:
+    """Halt a plain service."""
+    return _pause(field, deployment.SERVICE, spare=0)
+
+
 def _fault_store(
     field: Field, harm: dict[str, Any], cure: dict[str, Any]
 ) -> Heal | None:
@@ -208,17 +196,29 @@
     return heal
 
 
-FAULTS: tuple[Fault, ...] = (
+FAULTS: tuple[fields.Fault, ...] = (
     kill_agent,
     kill_entry,
     kill_engine,
+    kill_service,
     stop_agent,
+    stop_entry,
     pause_agent,
     pause_entry,
     pause_engine,
+    pause_service,
+    pause_agent_long,
+    pause_entry_long,
+    pause_engine_long,
     fail_store,
     hang_store,
     slow_store,
     drop_store_answers,
     drop_service_answers,
 )
+# Least and most seconds of the faults that don't last as usual.
+SECONDS: dict[fields.Fault, tuple[float, float]] = {
+    pause_agent_long: _LONG_SECONDS,
+    pause_entry_long: _LONG_SECONDS,
+    pause_engine_long: _LONG_SECONDS,
+}
--- a/packages/trials/src/dunlintide_trials/load.py
+++ b/packages/trials/src/dunlintide_trials/load.py
@@ -21,8 +21,9 @@
 _PAUSE_SECONDS = (0.0, 0.1)
 _MAX_REPEATS = 3
 _REPEAT_RATE = 0.4
-_STREAM_SHARE = 0.5
-_WHOLE_SHARE = 0.2
+_STREAM_SHARE = 0.35
+_WHOLE_SHARE = 0.15
+_KEYED_SHARE = 0.2
 _ORDER_SHARE = 0.2
 
 
@@ -57,13 +58,36 @@
         return wrong
 
 
+def _repeat(
+    send: Callable[[client.Caller], client.Answer],
+    callers: list[client.Caller],
+    rng: random.Random,
+) -> list[client.Answer]:
+    """Send under a key until it is complete, and some once more.
+
+    Each repeat goes through another entry.
+    """
+    answers: list[client.Answer] = []
+    while len(answers) <= _MAX_REPEATS:
+        answer = send(callers[len(answers) % len(callers)])
+        answers.append(answer)
+        if answer.is_complete and rng.random() > _REPEAT_RATE:
+            break
+    return answers
+
+
 class Load:
     """Threads that send requests until they are stopped."""
 
     def __init__(
-        self, running: deployment.Deployment, seed: int, threads: int
+        self,
+        running: deployment.Deployment,
+        members: list[str],
+        seed: int,
+        threads: int,
     ) -> None:
         """Prepare the threads; ``start`` begins."""
+        self._members = members
         self.completions: list[records.Asked] = []
         self.calls: list[ServiceCall] = []
         self._running = running
@@ -99,7 +123,7 @@
         count = 0
         while not self._stopped.is_set():
             count += 1
-            member = rng.choice(list(self._running.keys))
+            member = rng.choice(self._members)
             callers = [
                 self._running.make_caller(entry, member)
                 for entry in range(len(self._running.plan.entries))
@@ -114,7 +138,10 @@
         draw = rng.random()
         if draw < _STREAM_SHARE + _WHOLE_SHARE:
             return self._complete
-        if draw < _STREAM_SHARE + _WHOLE_SHARE + _ORDER_SHARE:
+        draw -= _STREAM_SHARE + _WHOLE_SHARE
+        if draw < _KEYED_SHARE:
+            return self._complete_keyed
+        if draw < _KEYED_SHARE + _ORDER_SHARE:
             return self._order
         return self._read
 
@@ -139,6 +166,35 @@
         with self._lock:
             self.completions.append(asked)
 
+    def _complete_keyed(
+        self,
+        member: str,
+        callers: list[client.Caller],
+        rng: random.Random,
+        name: str,
+    ) -> None:
+        words = rng.choices(_WORDS, k=rng.randint(*_PROMPT_WORDS))
+        prompt = ' '.join([name, *words])
+        key = f'copy-{name}-{rng.getrandbits(32):08x}'
+        max_tokens = rng.randint(1, _MAX_TOKENS)
+        stream = rng.random() < _STREAM_SHARE
+
+        def send(caller: client.Caller) -> client.Answer:
+            return caller.complete(
+                prompt,
+                model=self._running.model,
+                max_tokens=max_tokens,
+                stream=stream,
+                idempotency_key=key,
+            )
+
+        asked = [
+            records.Asked(member, answer, prompt, max_tokens, key)
+            for answer in _repeat(send, callers, rng)
+        ]
+        with self._lock:
+            self.completions += asked
+
     def _order(
         self,
         member: str,
@@ -149,18 +205,17 @@
         service = self._running.plan.blueprint.services[0]
         key = f'order-{name}-{rng.getrandbits(32):08x}'
         body = json.dumps({'order': key}).encode()
-        answers: list[client.Answer] = []
-        while len(answers) <= _MAX_REPEATS:
-            answer = callers[len(answers) % len(callers)].call_service(
+
+        def send(caller: client.Caller) -> client.Answer:
+            return caller.call_service(
                 service.name,
                 service.path,
                 method='POST',
                 body=body,
                 idempotency_key=key,
             )
-            answers.append(answer)
-            if answer.is_complete and rng.random() > _REPEAT_RATE:
-                break
+
+        answers = _repeat(send, callers, rng)
         call = ServiceCall(member, key, body, tuple(answers))
         with self._lock:
             self.calls.append(call)
@@ -178,10 +233,19 @@
         with self._lock:
             self.calls.append(ServiceCall(member, '', b'', (answer,)))
 
+    def count_keyed(self) -> tuple[int, int]:
+        """Count the requests under a key, and their repeats."""
+        asked = [one.key for one in self.completions if one.key]
+        asked += [c.key for c in self.calls if c.key for _ in c.answers]
+        return len(set(asked)), len(asked) - len(set(asked))
+
     def count_outcomes(self) -> dict[str, int]:
         """Count the answers by kind of request and outcome."""
         counts: dict[str, int] = {}
-        answers = [('completion', one.answer) for one in self.completions]
+        answers = [
+            ('keyed completion' if one.key else 'completion', one.answer)
+            for one in self.completions
+        ]
         answers += [
             ('order' if call.key else 'read', answer)
             for call in self.calls
--- a/packages/trials/src/dunlintide_trials/promises.py
+++ b/packages/trials/src/dunlintide_trials/promises.py
@@ -1,11 +1,14 @@
 """What must always hold, checked after a soak."""
 
+import collections
+from typing import Iterable
+
 from dunlintide_trials import deployment
 from dunlintide_trials import load
 from dunlintide_trials import processes
 from dunlintide_trials import records
 
-__all__ = ['check', 'check_recovered']
+__all__ = ['check', 'check_crashes', 'check_recovered', 'check_revisions']
 
 _RECOVERY_SECONDS = 30.0
 _PROMPT = 'Is all well again?'
@@ -28,8 +31,8 @@
     """List the promises that were broken.
 
     A complete answer is the right one; a refused request did not run; a
-    non-idempotent call ran at most once, and once when it was complete;
-    no answer is another request's.
+    non-idempotent request ran at most once, and once when it was
+    complete; no answer is another request's.
     """
     wrong: list[str] = []
     for asked in requests.completions:
@@ -41,6 +44,8 @@
     wrong += runs.check_members([*requests.completions, *calls])
     keyed = [call for call in requests.calls if call.key]
     wrong += runs.check_once((call.member, call.key) for call in keyed)
+    keyed = [one for one in requests.completions if one.key]
+    wrong += runs.check_heads((one.member, one.key) for one in keyed)
     counts = runs.count_by_key()
     for call in requests.calls:
         wrong += call.check()
@@ -50,6 +55,35 @@
     return wrong
 
 
+def check_crashes(crashes: Iterable[str], limit: int) -> list[str]:
+    """List the prompts that crashed too many engines.
+
+    :param crashes: prompt of each crash
+    """
+    counts = collections.Counter(crashes)
+    return [
+        f'{prompt}: crashed {count} engines, more than {limit}'
+        for prompt, count in sorted(counts.items())
+        if count > limit
+    ]
+
+
+def check_revisions(shown: dict[str, int], accepted: list[int]) -> list[str]:
+    """List the entries that are not at the newest accepted revision.
+
+    :param shown: revision that each entry shows
+    """
+    newest = max(accepted, default=0)
+    wrong = [
+        f'{name} shows revision {revision}, {newest} was accepted'
+        for name, revision in shown.items()
+        if revision < newest
+    ]
+    if len(set(shown.values())) > 1:
+        wrong.append(f'entries show different revisions: {shown}')
+    return wrong
+
+
 def check_recovered(running: deployment.Deployment) -> list[str]:
     """Check that every entry completes a request again."""
     member = next(iter(running.keys))
--- a/packages/trials/src/dunlintide_trials/records.py
+++ b/packages/trials/src/dunlintide_trials/records.py
@@ -61,12 +61,12 @@
     """Runs that the endpoints recorded, kept over their restarts."""
 
     def __init__(self) -> None:
-        self._runs: dict[str, list[dict[str, Any]]] = {}
+        self._runs: dict[tuple[str, int], list[dict[str, Any]]] = {}
         self._lives: collections.Counter[str] = collections.Counter()
 
     def keep(self, endpoint: str, runs: list[dict[str, Any]]) -> None:
         """Replace what is known of an endpoint's present life."""
-        self._runs[f'{endpoint}#{self._lives[endpoint]}'] = runs
+        self._runs[endpoint, self._lives[endpoint]] = runs
 
     def end_life(self, endpoint: str) -> None:
         """Begin a new record: the endpoint lost its own."""
@@ -111,6 +111,27 @@
             if counts.get((member, key), 0) > 1
         ]
 
+    def check_heads(self, keys: Iterable[tuple[str, str]]) -> list[str]:
+        """List the keyed completions that began more than once.
+
+        The first layers of one may run in one life of one endpoint, for
+        one request, and only once in each epoch.
+        :param keys: member and idempotency key of each completion
+        """
+        begun = collections.defaultdict(list)
+        for life, runs in self._runs.items():
+            for run in runs:
+                if run.get('layer_start') == 0 and run['idempotency_key']:
+                    key = (run['member'], run['idempotency_key'])
+                    begun[key].append((life, run['request_id'], run['epoch']))
+        wrong = []
+        for member, key in sorted(set(keys)):
+            found = begun.get((member, key), [])
+            lineages = {(life, request) for life, request, _ in found}
+            if len(lineages) > 1 or len(set(found)) < len(found):
+                wrong.append(f'{member}, key {key}: began as {found}')
+        return wrong
+
     def check_members(self, asked: Iterable[Asked]) -> list[str]:
         """List the requests that ran in another member's name."""
         members = {one.answer.request_id: one.member for one in asked}
--- a/packages/trials/src/dunlintide_trials/soak.py
+++ b/packages/trials/src/dunlintide_trials/soak.py
@@ -20,23 +20,46 @@
 from dunlintide_trials import blueprints
 from dunlintide_trials import deployment
 from dunlintide_trials import faults
+from dunlintide_trials import field as fields
 from dunlintide_trials import launcher
+from dunlintide_trials import linkfaults
 from dunlintide_trials import load
 from dunlintide_trials import operators
+from dunlintide_trials import people
 from dunlintide_trials import processes
 from dunlintide_trials import promises
 from dunlintide_trials import records
 from dunlintide_trials import signals
+from dunlintide_trials import watching
 
 __all__ = ['Driver', 'main', 'run']
 
-THREADS = 6
+THREADS = 16
 EXAMPLE = pathlib.Path('examples/cooperative.jsonc')
 EXIT_BROKEN = 1
+# Most seconds from the end of the faults until everything serves.
+RECOVERY_SECONDS = 60.0
 _GAP_SECONDS = (0.2, 2.0)
 _FAULT_SECONDS = (0.5, 5.0)
 _POLL_SECONDS = 0.05
 _SETTLE_SECONDS = 60.0
+_PAIR_RATE = 0.2
+_TWICE_RATE = 0.15
+_FAULTS = (*faults.FAULTS, *linkfaults.FAULTS, *people.FAULTS)
+_LASTING = faults.SECONDS | linkfaults.SECONDS
+
+
+@attrs.frozen(order=False)
+class _Running:
+    """A fault that has to be healed.
+
+    :ivar again: whether the same harm comes once more to the same target
+    """
+
+    fault: fields.Fault
+    heal: fields.Heal
+    target: str
+    again: bool
 
 
 @attrs.define(eq=False)
@@ -44,49 +67,90 @@
     """Applies faults and heals them when their time has come.
 
     :ivar counts: faults applied, by name
-    :ivar wrong: processes that ended without a fault
     """
 
-    field: faults.Field
+    field: fields.Field
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
-    wrong: list[str] = attrs.field(factory=list)
-    _heals: list[tuple[float, int, faults.Heal]] = attrs.field(factory=list)
+    _heals: list[tuple[float, int, _Running]] = attrs.field(factory=list)
     _number: itertools.count = attrs.field(factory=itertools.count)
+    _seconds: list[_Running] = attrs.field(factory=list)
+
+    def apply(self, fault: fields.Fault, again: bool) -> bool:
+        """Apply a fault and plan its end.
 
-    def apply(self, fault: faults.Fault) -> None:
-        """Apply a fault and plan its end."""
+        :param again: apply it to the same target when it has ended
+        :returns: whether it found something to harm
+        """
         heal = fault(self.field)
         if heal is None:
-            return
+            return False
         self.counts[fault.__name__] += 1
-        due = time.monotonic() + self.field.rng.uniform(*_FAULT_SECONDS)
-        heapq.heappush(self._heals, (due, next(self._number), heal))
+        least, most = _LASTING.get(fault, _FAULT_SECONDS)
+        due = time.monotonic() + self.field.rng.uniform(least, most)
+        running = _Running(fault, heal, self.field.last, again)
+        heapq.heappush(self._heals, (due, next(self._number), running))
+        return True
 
     def heal_due(self, now: float) -> None:
         """Heal the faults whose time is over."""
         while self._heals and self._heals[0][0] <= now:
-            heapq.heappop(self._heals)[2]()
+            ended = heapq.heappop(self._heals)[2]
+            ended.heal()
+            if ended.again and now != float('inf'):
+                self._apply_again(ended)
+
+    def _apply_again(self, ended: _Running) -> None:
+        """Apply a fault anew where it was; a restart is awaited first."""
+
+        def wait() -> None:
+            free = processes.wait_for(
+                lambda: ended.target not in self.field.taken, _SETTLE_SECONDS
+            )
+            if free:
+                self._seconds.append(ended)
+
+        self.field.work(wait)
+
+    def _apply_seconds(self) -> None:
+        while self._seconds:
+            ended = self._seconds.pop()
+            self.field.wanted = ended.target
+            done = self.apply(ended.fault, again=False)
+            if done and self.field.last == ended.target:
+                self.counts['twice in a row on one target'] += 1
+            self.field.wanted = ''
 
     def check_processes(self) -> None:
         """Take note of processes that ended on their own."""
         for process in self.field.running.started.values():
             if process.is_running or not self.field.take_name(process.name):
                 continue
+            if self.field.take_crash(process):
+                continue
             tail = process.read_log().splitlines()[-1:]
-            self.wrong.append(
+            self.field.wrong.append(
                 f'{process.name} ended on its own with '
                 f'{process.exit_code}: {tail}'
             )
 
+    def _apply_some(self) -> None:
+        rng = self.field.rng
+        again = rng.random() < _TWICE_RATE
+        applied = self.apply(rng.choice(_FAULTS), again)
+        if rng.random() < _PAIR_RATE:
+            second = self.apply(rng.choice(_FAULTS), False)
+            self.counts['two at once'] += applied and second
+
     def run(self, seconds: float) -> None:
         """Apply random faults for so long, then heal them all."""
         rng = self.field.rng
         end = time.monotonic() + seconds
         while (now := time.monotonic()) < end:
-            self.apply(rng.choice(faults.FAULTS))
+            self._apply_some()
             pause_end = now + rng.uniform(*_GAP_SECONDS)
             while (now := time.monotonic()) < min(pause_end, end):
                 self.heal_due(now)
+                self._apply_seconds()
                 self.check_processes()
                 time.sleep(_POLL_SECONDS)
         self.heal_due(float('inf'))
@@ -106,31 +170,83 @@
         print(f'  {count:6d} {name}')
 
 
+def _wait_recovered(driver: Driver) -> list[str]:
+    """Wait until everything serves again, and tell how long it took."""
+    field = driver.field
+    begin = time.monotonic()
+    try:
+        field.running.wait_all_ready()
+        wrong = promises.check_recovered(field.running)
+    except processes.StartError as error:
+        wrong = [f'no recovery: {error}']
+    seconds = time.monotonic() - begin
+    print(f'everything served {seconds:.1f} s after the last fault')
+    if seconds > RECOVERY_SECONDS:
+        wrong.append(f'recovery took {seconds:.1f} s')
+    return wrong
+
+
+def _check_revisions(field: fields.Field) -> list[str]:
+    def find_wrong() -> list[str]:
+        shown = {
+            one.name: field.running.read_state(one.name)['configuration'][
+                'revision'
+            ]
+            for one in field.running.plan.entries
+        }
+        return promises.check_revisions(shown, field.accepted)
+
+    processes.wait_for(lambda: not find_wrong(), RECOVERY_SECONDS, pause=0.2)
+    return find_wrong() + field.watch.wrong
+
+
+def _print_field(field: fields.Field, requests: load.Load) -> None:
+    notes = collections.Counter(field.notes)
+    _print_counts('races of operators', notes)
+    crashes = collections.Counter(collections.Counter(field.crashes).values())
+    told = {f'prompts, {n} crashes each': m for n, m in crashes.items()}
+    _print_counts('prompts that crashed engines', told)
+    answers = collections.Counter(
+        f'{one.outcome} ({one.code})' for one in field.poisoned
+    )
+    _print_counts('requests that crash engines', answers)
+    keys, repeats = requests.count_keyed()
+    ran = len(field.runs.count_by_key())
+    print(f'non-idempotent: {keys} asked, {ran} ran, {repeats} repeats')
+    print(f'states of entries read: {field.watch.looks}')
+    print(f'records lost with an endpoint: {field.lost_lives}')
+
+
 def run(
     running: deployment.Deployment, seed: int, seconds: float
 ) -> list[str]:
     """Put load and faults on a deployment; return broken promises."""
     runs = records.Records()
-    field = faults.Field(running, runs, random.Random(seed))
+    *members, poison_member = running.keys
+    watch = watching.Watch(running)
+    rng = random.Random(seed)
+    field = fields.Field(running, runs, rng, poison_member, watch)
     driver = Driver(field)
-    requests = load.Load(running, seed, THREADS)
+    requests = load.Load(running, members, seed, THREADS)
     requests.start()
-    wrong: list[str] = []
-    try:
-        driver.run(seconds)
-        running.wait_all_ready()
-    except processes.StartError as error:
-        wrong.append(f'no recovery: {error}')
+    driver.run(seconds)
+    wrong = _wait_recovered(driver)
+    field.join(_SETTLE_SECONDS)
     waiting = requests.stop(_SETTLE_SECONDS)
     if waiting:
         wrong.append(f'{waiting} requests had no answer in time')
+    # What crashed or ended after the last fault counts too.
+    driver.check_processes()
+    field.join(_SETTLE_SECONDS)
     _collect_runs(running, runs)
-    wrong += driver.wrong
     wrong += promises.check(running, requests, runs)
-    wrong += promises.check_recovered(running)
+    wrong += promises.check_crashes(field.crashes, people.MAX_CRASHES)
+    wrong += _check_revisions(field)
+    watch.stop()
     _print_counts('requests', requests.count_outcomes())
     _print_counts('faults', driver.counts)
-    return wrong
+    _print_field(field, requests)
+    return wrong + field.wrong
 
 
 def _parse(arguments: list[str]) -> argparse.Namespace:
@@ -155,7 +271,9 @@
             temporary = tempfile.TemporaryDirectory(prefix='dunlintide-soak-')
             folder = pathlib.Path(stack.enter_context(temporary))
         folder.mkdir(exist_ok=True)
-        running = stack.enter_context(launcher.run(small, rules, folder))
+        running = stack.enter_context(
+            launcher.run(small, rules, folder, hops=linkfaults.HOPS)
+        )
         wrong = run(running, options.seed, options.seconds)
     print(f'broken promises: {len(wrong)} (seed {options.seed})')
     for each in wrong:
