Explain rules that did not match again

Cause: a renaming had run through a function's name, so `rules explain` ended with a traceback as soon as an earlier rule had not matched; its scenario had only a rule that matched. Change: the right name; the scenario has a rule before the deciding one. Measured: run by hand against a small deployment it crashed; the scenario fails with the old line and passes now.

--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -3,6 +3,7 @@
 import contextlib
 import io
 import itertools
+import json
 import pathlib
 import tempfile
 import threading
@@ -96,6 +97,10 @@
 
 def _apply(context, names, *more):
     _write(context, names)
+    _apply_file(context, *more)
+
+
+def _apply_file(context, *more):
     file = str(context.rules_file)
     store = '--store', context.store_url
     _run(context, 'rules', 'apply', file, *store, '--author', 'ann', *more)
@@ -106,6 +111,18 @@
     _apply(context, names)
 
 
+@behave.when('the operator puts a rule for member "{name}" before "{names}"')
+def apply_after_member(context, names, name):
+    _write(context, names)
+    document = json.loads(context.rules_file.read_text())
+    document['members'].append({'name': name, 'key_hashes': ['0' * 64]})
+    document['rules'].insert(
+        0, {'name': name, 'when': {'member': name}, 'then': {}}
+    )
+    context.rules_file.write_text(json.dumps(document))
+    _apply_file(context)
+
+
 @behave.when(
     'the operator applies rules "{names}" made from revision {base:d}'
 )
--- a/packages/cli/src/dunlintide_cli/checking.py
+++ b/packages/cli/src/dunlintide_cli/checking.py
@@ -64,7 +64,7 @@
     listed = ', '.join(map(schemas.describe_value, wanted[:_MAX_WANTED]))
     if len(wanted) > _MAX_WANTED:
         listed += f' and {len(wanted) - _MAX_WANTED} more'
-    found = schemas.describecommands.build_option(miss.found)
+    found = schemas.describe_value(miss.found)
     return f'{miss.condition} is {listed}, but the request has {found}'
 
 
