--- a/packages/trials/src/dunlintide_trials/cases/fairness.py
+++ b/packages/trials/src/dunlintide_trials/cases/fairness.py
@@ -53,6 +53,12 @@
 _BATCH = SLOTS // STAGES
 CAPACITY = _BATCH / (STEP_SECONDS + _BATCH * TOKEN_SECONDS)
 
+_KINDS: dict[str, dict[str, Any]] = {
+    'huge_prompts': {'prompt_words': 1500},
+    'claims': {'claims': True},
+    'abandoned': {'read_seconds': 0.1},
+}
+
 
 def _make_stage(number: int) -> blueprints.Stage:
     return blueprints.Stage(
@@ -199,9 +205,12 @@
 
 
 def _plan_flood(
-    running: deployment.Deployment, keys: list[str], seconds: float
+    running: deployment.Deployment,
+    keys: list[str],
+    seconds: float,
+    **kind: Any,
 ) -> floods.Plan:
-    return floods.Plan(
+    plan = floods.Plan(
         urls=tuple(
             running.plan.find_url(entry) for entry in running.plan.entries
         ),
@@ -212,6 +221,7 @@
         seconds=seconds,
         max_tokens=TOKENS,
     )
+    return attrs.evolve(plan, **kind)
 
 
 def _count_finished(running: deployment.Deployment) -> int:
@@ -231,10 +241,14 @@
 
 
 def _flood(
-    running: deployment.Deployment, keys: list[str], share: float
+    running: deployment.Deployment,
+    keys: list[str],
+    share: float,
+    **kind: Any,
 ) -> _Seen:
     seconds = WARM_UP_SECONDS + FLOOD_SECONDS
-    with floods.Flood.start(_plan_flood(running, keys, seconds)) as flood:
+    plan = _plan_flood(running, keys, seconds, **kind)
+    with floods.Flood.start(plan) as flood:
         time.sleep(WARM_UP_SECONDS)
         before, began = _count_finished(running), time.monotonic()
         answers = _Victim(running, share).run(FLOOD_SECONDS - _LATE_SECONDS)
@@ -295,4 +309,28 @@
     )
 
 
-CASES = [measure_flood]
+def measure_kinds() -> Iterator[figures.Figure]:
+    """Measure a member beside floods that aim at other parts."""
+    keys = [secrets.token_urlsafe(16) for _ in range(KEYS)]
+    with _run('fair', keys) as running:
+        share = VICTIM_PART * _saturate(running, keys)
+        alone = _look(_Victim(running, share).run(ALONE_SECONDS), {}, 0.0)
+        for name, kind in _KINDS.items():
+            seen = _flood(running, keys, share, **kind)
+            note = f'{seen.asked} requests; flood: {seen.flood}'
+            yield figures.at_least(
+                f'fairness.kinds.{name}.throughput',
+                round(seen.served, 3),
+                '1',
+                THROUGHPUT_BOUND,
+                note=note,
+            )
+            yield figures.plain(
+                f'fairness.kinds.{name}.first_token',
+                round(seen.first_token / alone.first_token, 3),
+                '1',
+                note=f'p95 over {alone.first_token * 1000:.0f} ms alone',
+            )
+
+
+CASES = [measure_flood, measure_kinds]
--- a/packages/trials/src/dunlintide_trials/floods.py
+++ b/packages/trials/src/dunlintide_trials/floods.py
@@ -34,6 +34,8 @@
     :ivar keys: bearer keys of one member, used in turn
     :ivar connections: requests that may be open at once
     :ivar rate: requests a second, while a connection is free
+    :ivar claims: whether each request has an idempotency key
+    :ivar read_seconds: silence after which an answer is given up
     """
 
     urls: tuple[str, ...]
@@ -44,6 +46,8 @@
     seconds: float
     prompt_words: int = 6
     max_tokens: int = 16
+    claims: bool = False
+    read_seconds: float = _READ_SECONDS
 
 
 class _Pace:
@@ -81,7 +85,7 @@
 ) -> None:
     url = plan.urls[number % len(plan.urls)]
     key = plan.keys[number % len(plan.keys)]
-    caller = client.Caller(url, key, read_seconds=_READ_SECONDS)
+    caller = client.Caller(url, key, read_seconds=plan.read_seconds)
     rng = random.Random(number)
     while (count := pace.wait()) is not None:
         words = (f'{count}-{word}' for word in range(plan.prompt_words))
@@ -90,6 +94,7 @@
             model=plan.model,
             max_tokens=plan.max_tokens,
             stream=rng.random() < 0.5,
+            idempotency_key=f'flood-{count}' if plan.claims else None,
         )
         # One operation of the interpreter; the counts need no lock.
         counts[_describe(answer)] += 1
