Serve again after an order has changed an agent's layers

The hook by which orders end sessions had come to mark the endpoint as away as well, which only the supervisor undoes, so an agent that had carried out an order never became ready again. Seen when all agents of the last stage were killed and a holder of the first was moved there: it was not ready for 60 s and more. Losing the engine has a hook of its own now; orders only end sessions, and accuse nobody.

--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -443,7 +443,7 @@
 
     def _start_supervisor(self) -> None:
         hooks = supervisor.Hooks(
-            lose_sessions=self._lose_sessions,
+            lose_engine=self._lose_engine,
             report=self._report,
             leave=self._leave,
             is_idle=self._is_idle,
@@ -486,10 +486,13 @@
         self._broadcast(link_pb2.Frame(load=load))
         self.gate.set_fault(detail)
 
-    def _lose_sessions(self, detail: str) -> None:
+    def _lose_engine(self, detail: str) -> None:
         if not self.gate.fault and self._has_crashed():
             self.pipeline.accuse()
         self._go_away(detail)
+        self._lose_sessions(detail)
+
+    def _lose_sessions(self, detail: str) -> None:
         self.pipeline.fail_all(detail)
 
     def __enter__(self) -> 'Agent':
--- a/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
@@ -57,7 +57,7 @@
 class Hooks:
     """What a supervisor does beyond its own state.
 
-    :ivar lose_sessions: takes no new work and ends all sessions, with
+    :ivar lose_engine: takes no new work and ends all sessions, with
         the reason
     :ivar report: sends a load report
     :ivar leave: tells all peers that this agent leaves
@@ -67,7 +67,7 @@
     :ivar crash: lets the process end, since the supervisor has failed
     """
 
-    lose_sessions: Callable[[str], None]
+    lose_engine: Callable[[str], None]
     report: Callable[[engines.EngineLoad], None]
     leave: Callable[[], None]
     is_idle: Callable[[], bool]
@@ -134,7 +134,7 @@
         self._down = True
         logging.warning('the engine is away: %s', detail)
         # A process that answers no more has lost its KV cache.
-        self._hooks.lose_sessions(AWAY)
+        self._hooks.lose_engine(AWAY)
         self._report_soon()
 
     def _report_soon(self) -> None:
