Split membership and the fleet's state by job

Change: hashes of a view are in buckets, the patience with silent processes in suspicion; watching the store, the dump and what a process says of itself left the fleet's state.

--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies
 
 from dunlintide_core import fleet
-from dunlintide_core import membership
 from dunlintide_core import records
+from dunlintide_core import suspicion
 from dunlintide_trials import network
 
 _PEERS = strategies.builds(
@@ -231,7 +231,7 @@
     )
     view = witness.replica.members
     view.merge(context.start, other.replica.members.get(name))
-    timing = membership.Timing()
+    timing = suspicion.Timing()
     assert view.settle(context.start + timing.suspect / 2) == []
     assert view.settle(context.start + timing.suspect) == [name]
 
--- a/packages/core/src/dunlintide_core/membership.py
+++ b/packages/core/src/dunlintide_core/membership.py
@@ -4,57 +4,18 @@
 
 import attrs
 
-
+from dunlintide_core import buckets
 from dunlintide_core import fleet
-from dunlintide_core import hashing
 from dunlintide_core import records
+from dunlintide_core import suspicion
 
-__all__ = ['BUCKETS', 'HOST_LIST', 'Timing', 'View', 'bucket_of']
+__all__ = ['HOST_LIST', 'View']
 
-BUCKETS = 64
 HOST_LIST = 'host-list'
 _DELTA_RECORDS = 16
-_NEEDED_WITNESSES = 2
-_MANY = 4
-_MANY_SHARE = 1 / 16
 _SENDS_PER_LOG2 = 2
 
 
-@attrs.frozen
-class Timing:
-    """Time constants of membership, in seconds.
-
-    :ivar suspect: from two witnesses of different failure domains to death
-    :ivar suspect_same_domain: same, when both share a failure domain
-    :ivar suspect_many: same, while several processes are silent and the
-        news of more may be under way
-    :ivar held: most time a process is held suspect while most of its
-        failure domain or a large part of the fleet is silent; longer
-        than a region is cut off
-    :ivar tombstone: how long a dead process is remembered
-    """
-
-    suspect: float = 10.0
-    suspect_same_domain: float = 20.0
-    suspect_many: float = 60.0
-    held: float = 7200.0
-    tombstone: float = 10800.0
-
-
-def bucket_of(name: str) -> int:
-    """Return the bucket that holds a name."""
-    return hashing.hash_text(name) % BUCKETS
-
-
-def _fingerprint(record: records.Record) -> int:
-    # Tombstones expire at different times, so they stay out of the hash.
-    if record.dead:
-        return 0
-    peer = record.peer
-    text = f'{peer.name}/{peer.incarnation}/{record.version}/{record.state}'
-    return hashing.hash_text(text)
-
-
 class View:
     """What one process knows of all.
 
@@ -65,7 +26,11 @@
     :ivar deaths: processes that this view itself declared dead
     """
 
-    def __init__(self, me: fleet.Peer, timing: Timing = Timing()) -> None:
+    def __init__(
+        self,
+        me: fleet.Peer,
+        timing: suspicion.Timing = suspicion.Timing(),
+    ) -> None:
         self.name = me.name
         self.generation = 0
         self.population = 0
@@ -79,8 +44,7 @@
         self._waits: dict[str, tuple[float, float]] = {}
         self._doubtful: set[str] = set()
         self._tombstones: set[str] = set()
-        self._hashes = [0] * BUCKETS
-        self._buckets: list[dict[str, None]] = [{} for _ in range(BUCKETS)]
+        self._buckets = buckets.Buckets()
         self._listed: set[str] = set()
         self._store(0.0, records.Record(me))
 
@@ -92,15 +56,12 @@
     @property
     def bucket_hashes(self) -> tuple[int, ...]:
         """Hash of each bucket's records."""
-        return tuple(self._hashes)
+        return self._buckets.hashes
 
     @property
     def hash(self) -> int:
         """Hash of all records; equal views have equal hashes."""
-        total = 0
-        for value in self._hashes:
-            total ^= value
-        return total
+        return self._buckets.hash
 
     def get(self, name: str) -> records.Record | None:
         """Return the record of a process."""
@@ -125,11 +86,7 @@
     def _store(self, now: float, record: records.Record) -> None:
         name = record.peer.name
         old = self._records.get(name)
-        bucket = bucket_of(name)
-        if old is not None:
-            self._hashes[bucket] ^= _fingerprint(old)
-        self._hashes[bucket] ^= _fingerprint(record)
-        self._buckets[bucket][name] = None
+        self._buckets.replace(old, record)
         self._records[name] = record
         if old is None or (old.peer, old.state) != (record.peer, record.state):
             self.changes += 1
@@ -139,7 +96,7 @@
             self._since[name] = now
             if old is None or old.dead != record.dead:
                 self.population += 1
-        elif doubted < _NEEDED_WITNESSES <= len(record.witnesses):
+        elif doubted < suspicion.NEEDED_WITNESSES <= len(record.witnesses):
             self._since[name] = now
         self._track(name, record)
         self._sends[name] = 0
@@ -216,8 +173,8 @@
         known = self._domains(record)
         if self.name in record.witnesses:
             return
-        if len(record.witnesses) >= _NEEDED_WITNESSES:
-            if domain in known or len(known) >= _NEEDED_WITNESSES:
+        if len(record.witnesses) >= suspicion.NEEDED_WITNESSES:
+            if domain in known or len(known) >= suspicion.NEEDED_WITNESSES:
                 return
         self._add_witness(now, record, self.name)
 
@@ -247,36 +204,6 @@
                 self._add_witness(now, self._records[name], HOST_LIST)
         self._listed = self._listed & self._records.keys() | live
 
-    def _count_silent(self) -> dict[str, tuple[int, int]]:
-        """Count silent and all processes of each failure domain."""
-        counts: dict[str, tuple[int, int]] = {}
-        if not self._doubtful:
-            return counts
-        for record in self.present():
-            domain = record.peer.failure_domain
-            silent, total = counts.get(domain, (0, 0))
-            counts[domain] = (silent + bool(record.witnesses), total + 1)
-        return counts
-
-    def _patience(
-        self, record: records.Record, counts: dict[str, tuple[int, int]]
-    ) -> float:
-        silent, total = counts[record.peer.failure_domain]
-        if 2 * silent > total >= _MANY:
-            return self._timing.held
-        silent = sum(each for each, _ in counts.values())
-        total = sum(each for _, each in counts.values())
-        # This process may be the one that is cut off: a small part of
-        # the fleet cannot probe most of the others, so a majority of
-        # each failure domain need not show.
-        if silent >= max(_MANY, total * _MANY_SHARE):
-            return self._timing.held
-        if silent >= _MANY:
-            return self._timing.suspect_many
-        if len(self._domains(record)) < _NEEDED_WITNESSES:
-            return self._timing.suspect_same_domain
-        return self._timing.suspect
-
     def _is_due(self, now: float, name: str, patience: float) -> bool:
         # When most of a failure domain is back, the rest gets its time
         # anew to say so: it was held for longer than that before.
@@ -291,13 +218,20 @@
 
         :return: names declared dead
         """
-        counts = self._count_silent()
         dead = []
+        if self._doubtful:
+            counts = suspicion.count_silent(self.present())
         for name in sorted(self._doubtful):
             record = self._records[name]
-            if len(record.witnesses) < _NEEDED_WITNESSES:
+            if len(record.witnesses) < suspicion.NEEDED_WITNESSES:
                 continue
-            if self._is_due(now, name, self._patience(record, counts)):
+            patience = suspicion.find_patience(
+                record.peer.failure_domain,
+                len(self._domains(record)),
+                counts,
+                self._timing,
+            )
+            if self._is_due(now, name, patience):
                 dead.append(name)
         for name in dead:
             record = self._records[name]
@@ -311,7 +245,7 @@
         old = [n for n in self._tombstones if self._since[n] <= limit]
         for name in old:
             self._tombstones.discard(name)
-            self._buckets[bucket_of(name)].pop(name)
+            self._buckets.forget(name)
             for table in (self._records, self._since, self._sends):
                 table.pop(name, None)
 
@@ -333,4 +267,4 @@
 
     def bucket(self, index: int) -> list[records.Record]:
         """Return the records of one bucket, tombstones too."""
-        return [self._records[name] for name in self._buckets[index]]
+        return [self._records[name] for name in self._buckets.names(index)]
--- a/packages/core/src/dunlintide_core/replicas.py
+++ b/packages/core/src/dunlintide_core/replicas.py
@@ -17,6 +17,7 @@
 from dunlintide_core import records
 from dunlintide_core import revisions
 from dunlintide_core import spread
+from dunlintide_core import suspicion
 from dunlintide_core import watchers
 
 __all__ = ['Replica', 'Timing']
@@ -39,7 +40,7 @@
         me: fleet.Peer,
         rng: random.Random,
         timing: contacts.Timing = contacts.Timing(),
-        membership_timing: membership.Timing = membership.Timing(),
+        membership_timing: suspicion.Timing = suspicion.Timing(),
     ) -> None:
         self.members = membership.View(me, membership_timing)
         self.spread = spread.Spread()
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -38,8 +38,10 @@
 from dunlintide_daemon.agent import services
 from dunlintide_daemon.agent import supervisor
 from dunlintide_daemon.agent import table as tables
+from dunlintide_daemon import lives
 from dunlintide_daemon import peers as fleet_state
 from dunlintide_daemon import suspicion
+from dunlintide_daemon import watching
 
 __all__ = [
     'Agent',
@@ -74,7 +76,7 @@
     def __init__(
         self,
         settings: settings_module.Settings,
-        shared: fleet_state.Outside | None = None,
+        shared: watching.Outside | None = None,
     ) -> None:
         """Build all parts; binds the link port.
 
@@ -134,12 +136,8 @@
         self._load = link_pb2.Load()
         self._stack = contextlib.ExitStack()
 
-    def _build_state(
-        self, shared: fleet_state.Outside
-    ) -> fleet_state.FleetState:
-        me = fleet_state.make_peer(
-            self.settings, self.incarnation, self.address
-        )
+    def _build_state(self, shared: watching.Outside) -> fleet_state.FleetState:
+        me = lives.make_peer(self.settings, self.incarnation, self.address)
         state = fleet_state.FleetState(me, shared)
         peer_calls.add_service(self._server.server, state.answer)
         return state
@@ -585,7 +583,7 @@
     :returns: exit status, 0 after a planned stop
     :raises OSError: when a port is taken
     """
-    shared = fleet_state.Outside.from_config(settings)
+    shared = watching.Outside.from_config(settings)
     with contextlib.ExitStack() as stack:
         agent = stack.enter_context(Agent(settings, shared))
         stack.enter_context(_watch_signals(agent.drain))
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -46,6 +46,7 @@
 from dunlintide_daemon.entry import threads
 from dunlintide_daemon import peers
 from dunlintide_daemon import suspicion
+from dunlintide_daemon import watching
 
 __all__ = [
     'Entry',
@@ -69,7 +70,7 @@
         settings: settings_module.Settings,
         outside: sources.Sources,
         lame_duck: float = LAME_DUCK_SECONDS,
-        shared: peers.Outside | None = None,
+        shared: watching.Outside | None = None,
     ) -> None:
         """Bind the ports; entering the context begins to serve.
 
--- a/packages/daemon/src/dunlintide_daemon/entry/states.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/states.py
@@ -3,7 +3,9 @@
 from dunlintide_adapters import peers as peer_calls
 from dunlintide_core import settings as settings_module
 from dunlintide_daemon.entry import exchange
+from dunlintide_daemon import lives
 from dunlintide_daemon import peers
+from dunlintide_daemon import watching
 
 __all__ = [
     'build',
@@ -14,8 +16,13 @@
     settings: settings_module.Settings,
     incarnation: int,
     served: exchange.Exchange,
+<<<<<<< HEAD
     outside: peers.Outside | None,
 ) -> peers.FleetState | None:
+=======
+    outside: watching.Outside,
+) -> peers.FleetState:
+>>>>>>> 541842b (Split membership and the fleet's state by job)
     """Build the state and add its service to a port.
 
     :param served: whose port serves it, before it is started
@@ -25,7 +32,7 @@
         return None
     host = settings.link_listen.rpartition(':')[0]
     address = settings.advertise or f'{host}:{served.port}'
-    me = peers.make_peer(settings, incarnation, address)
+    me = lives.make_peer(settings, incarnation, address)
     state = peers.FleetState(me, outside)
     peer_calls.add_service(served.server, state.answer)
     return state
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/lives.py
@@ -0,0 +1,25 @@
+"""This process in its present life, as its peers know it."""
+
+from dunlintide_core import fleet
+from dunlintide_core import settings as settings_module
+
+__all__ = ['make_peer']
+
+
+def make_peer(
+    settings: settings_module.Settings, incarnation: int, address: str
+) -> fleet.Peer:
+    """Describe this process to its peers.
+
+    :param address: ``host:port`` at which they reach it
+    """
+    endpoint = settings.endpoint
+    return fleet.Peer(
+        name=settings.name,
+        role=settings.role,
+        incarnation=incarnation,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        address=address,
+        endpoint=endpoint.to_endpoint() if endpoint else None,
+    )
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/peerdump.py
@@ -0,0 +1,37 @@
+"""The fleet's state at a process, for operators."""
+
+from typing import Any
+
+from dunlintide_core import records
+from dunlintide_core import replicas
+
+__all__ = ['describe']
+
+
+def describe(replica: replicas.Replica) -> dict[str, Any]:
+    """Return configuration and membership, fit for JSON."""
+    share = replica.spread
+    counts: dict[str, int] = {}
+    for record in replica.members.everything():
+        counts[record.state] = counts.get(record.state, 0) + 1
+    return {
+        'revision': share.revision,
+        'store_revision': share.store_revision,
+        'store_behind': share.store_behind,
+        'conflicts': sorted(share.conflicts),
+        'refused': share.refused,
+        'watcher': replica.is_watcher,
+        'neighbours': list(replica.near.names),
+        'members': counts,
+        'not_alive': [
+            {
+                'name': record.peer.name,
+                'state': record.state,
+                'witnesses': list(record.witnesses),
+            }
+            for record in replica.members.everything()
+            if record.state is not records.State.ALIVE
+        ],
+        'refutations': replica.members.refutations,
+        'deaths': replica.members.deaths,
+    }
--- a/packages/daemon/src/dunlintide_daemon/peers.py
+++ b/packages/daemon/src/dunlintide_daemon/peers.py
@@ -1,34 +1,31 @@
 """The fleet's state at this process: configuration and membership.
 
 An actor owns the replica. One thread runs the rounds with peers, one
-keeps the upkeep that goes by time, one hands new configurations on, and
-one follows the store while this process is a watcher.
+keeps the upkeep that goes by time, and one hands new configurations on.
 """
 
 import contextlib
 import random
 import threading
 import time
-from typing import Any, Callable, Iterable, Protocol
+from typing import Any, Callable
 
 from absl import logging
-import attrs
 import pykka
 import result
 
 from dunlintide_adapters import configstore
-from dunlintide_adapters import hostlist
 from dunlintide_adapters import peers as peer_calls
-from dunlintide_adapters import store
 from dunlintide_core import exchanges
 from dunlintide_core import fleet
 from dunlintide_core import records
 from dunlintide_core import replicas
-from dunlintide_core import settings as settings_module
 from dunlintide_core import spread
 from dunlintide_daemon import delivery
+from dunlintide_daemon import peerdump
+from dunlintide_daemon import watching
 
-__all__ = ['FleetState', 'Outside', 'make_peer']
+__all__ = ['FleetState']
 
 UPKEEP_SECONDS = 1.0
 # Others than watchers read the list only to find peers that they lost.
@@ -40,77 +37,6 @@
 _Action = Callable[[replicas.Replica], Any]
 
 
-class _Configs(Protocol):
-    """The store's configuration, as ``configstore.ConfigStore`` has it."""
-
-    def watch(
-        self,
-        on_snapshot: Callable[[configstore.Snapshot], None],
-        stop: threading.Event,
-        held: configstore.Snapshot | None,
-        poll_seconds: float,
-        on_read: Callable[[int], None],
-    ) -> None:
-        """Deliver each new revision until ``stop`` is set."""
-
-
-@attrs.frozen
-class Outside:
-    """What the state is drawn from besides peers.
-
-    :ivar read_hosts: reads the host list, or says why it could not
-    :ivar configs: configuration in the store
-    :ivar poll_seconds: longest time between two reads of a watcher
-    :ivar hosts_seconds: between two reads of the host list by a watcher
-    :ivar close: closes them
-    """
-
-    read_hosts: Callable[[], result.Result[Iterable[hostlist.Host], object]]
-    configs: _Configs
-    poll_seconds: float = 30.0
-    hosts_seconds: float = 2.0
-    close: Callable[[], None] = lambda: None
-
-    @classmethod
-    def from_config(cls, settings: settings_module.Settings) -> 'Outside':
-        """Build clients of the store and the host list."""
-        timing = settings.timing
-        with contextlib.ExitStack() as stack:
-            client = store.Store.from_url(
-                settings.store_url,
-                timing=store.StoreTiming(read=timing.store_timeout),
-            )
-            stack.callback(client.close)
-            hosts = hostlist.HostList.from_url(settings.host_list_url)
-            stack.callback(hosts.close)
-            return cls(
-                hosts.poll,
-                configstore.ConfigStore.from_store(client),
-                timing.configuration_poll,
-                timing.host_list_poll,
-                stack.pop_all().close,
-            )
-
-
-def make_peer(
-    settings: settings_module.Settings, incarnation: int, address: str
-) -> fleet.Peer:
-    """Describe this process to its peers.
-
-    :param address: ``host:port`` at which they reach it
-    """
-    endpoint = settings.endpoint
-    return fleet.Peer(
-        name=settings.name,
-        role=settings.role,
-        incarnation=incarnation,
-        failure_domain=settings.failure_domain,
-        region=settings.region,
-        address=address,
-        endpoint=endpoint.to_endpoint() if endpoint else None,
-    )
-
-
 class _Owner(pykka.ThreadingActor):
     """Runs one action on the replica at a time."""
 
@@ -133,7 +59,7 @@
     def __init__(
         self,
         me: fleet.Peer,
-        outside: Outside,
+        outside: watching.Outside,
         timing: replicas.Timing = replicas.Timing(),
     ) -> None:
         """Begin with nothing known; entering the context starts it.
@@ -150,7 +76,9 @@
         self._delivery = delivery.Delivery()
         self._wake = threading.Event()
         self._done = threading.Event()
-        self._watch: threading.Event | None = None
+        self._watch = watching.StoreWatch(
+            outside, lambda: self.snapshot, self._take_stored, self._note_store
+        )
         self._hosts_read = float('-inf')
         self._reason = 'starting'
         self._stack = contextlib.ExitStack()
@@ -230,7 +158,7 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state, fit for JSON."""
-        return self._do(_describe) | {'not_ready': self._reason}
+        return self._do(peerdump.describe) | {'not_ready': self._reason}
 
     def _run_rounds(self) -> None:
         while not self._done.is_set():
@@ -302,7 +230,7 @@
             if now - self._hosts_read >= pause:
                 self._hosts_read = now
                 self._read_hosts(now)
-            self._switch_watch(watcher)
+            self._watch.switch(watcher)
             self._done.wait(UPKEEP_SECONDS)
 
     def _read_hosts(self, now: float) -> None:
@@ -318,32 +246,6 @@
 
         self._do(take)
 
-    def _switch_watch(self, watcher: bool) -> None:
-        """Follow the store while this process is a watcher."""
-        if not watcher and self._watch is not None:
-            self._watch.set()
-            self._watch = None
-        if watcher and self._watch is None:
-            self._watch = threading.Event()
-            threading.Thread(
-                target=self._follow,
-                args=(self._watch,),
-                name='store-watch',
-                daemon=True,
-            ).start()
-
-    def _follow(self, stop: threading.Event) -> None:
-        held = self.snapshot
-        if held is not None:
-            held = configstore.Snapshot(held.head, held.document)
-        self._outside.configs.watch(
-            self._take_stored,
-            stop,
-            held,
-            self._outside.poll_seconds,
-            self._note_store,
-        )
-
     def _guard(self, target: Callable[[], None]) -> None:
         try:
             target()
@@ -377,36 +279,7 @@
         self._done.set()
         self._wake.set()
         self._delivery.close()
-        if self._watch is not None:
-            self._watch.set()
+        self._watch.switch(False)
 
     def __exit__(self, *details) -> None:
         self._stack.close()
-
-
-def _describe(replica: replicas.Replica) -> dict[str, Any]:
-    share = replica.spread
-    counts: dict[str, int] = {}
-    for record in replica.members.everything():
-        counts[record.state] = counts.get(record.state, 0) + 1
-    return {
-        'revision': share.revision,
-        'store_revision': share.store_revision,
-        'store_behind': share.store_behind,
-        'conflicts': sorted(share.conflicts),
-        'refused': share.refused,
-        'watcher': replica.is_watcher,
-        'neighbours': list(replica.near.names),
-        'members': counts,
-        'not_alive': [
-            {
-                'name': record.peer.name,
-                'state': record.state,
-                'witnesses': list(record.witnesses),
-            }
-            for record in replica.members.everything()
-            if record.state is not records.State.ALIVE
-        ],
-        'refutations': replica.members.refutations,
-        'deaths': replica.members.deaths,
-    }
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/watching.py
@@ -0,0 +1,116 @@
+"""The store and the host list, as the few that watch them see them."""
+
+import contextlib
+import threading
+from typing import Callable, Iterable, Protocol
+
+import attrs
+import result
+
+from dunlintide_adapters import configstore
+from dunlintide_adapters import hostlist
+from dunlintide_adapters import store
+from dunlintide_core import settings as settings_module
+from dunlintide_core import spread
+
+__all__ = ['Outside', 'StoreWatch']
+
+
+class _Configs(Protocol):
+    """The store's configuration, as ``configstore.ConfigStore`` has it."""
+
+    def watch(
+        self,
+        on_snapshot: Callable[[configstore.Snapshot], None],
+        stop: threading.Event,
+        held: configstore.Snapshot | None,
+        poll_seconds: float,
+        on_read: Callable[[int], None],
+    ) -> None:
+        """Deliver each new revision until ``stop`` is set."""
+
+
+@attrs.frozen
+class Outside:
+    """What the state is drawn from besides peers.
+
+    :ivar read_hosts: reads the host list, or says why it could not
+    :ivar configs: configuration in the store
+    :ivar poll_seconds: longest time between two reads of a watcher
+    :ivar hosts_seconds: between two reads of the host list by a watcher
+    :ivar close: closes them
+    """
+
+    read_hosts: Callable[[], result.Result[Iterable[hostlist.Host], object]]
+    configs: _Configs
+    poll_seconds: float = 30.0
+    hosts_seconds: float = 2.0
+    close: Callable[[], None] = lambda: None
+
+    @classmethod
+    def from_config(cls, settings: settings_module.Settings) -> 'Outside':
+        """Build clients of the store and the host list."""
+        timing = settings.timing
+        with contextlib.ExitStack() as stack:
+            client = store.Store.from_url(
+                settings.store_url,
+                timing=store.StoreTiming(read=timing.store_timeout),
+            )
+            stack.callback(client.close)
+            hosts = hostlist.HostList.from_url(settings.host_list_url)
+            stack.callback(hosts.close)
+            return cls(
+                hosts.poll,
+                configstore.ConfigStore.from_store(client),
+                timing.configuration_poll,
+                timing.host_list_poll,
+                stack.pop_all().close,
+            )
+
+
+class StoreWatch:
+    """Follows the store's configuration while this process is a watcher."""
+
+    def __init__(
+        self,
+        outside: Outside,
+        find_held: Callable[[], spread.Snapshot | None],
+        take: Callable[[configstore.Snapshot], None],
+        note: Callable[[int], None],
+    ) -> None:
+        """Begin without watching.
+
+        :param find_held: returns the configuration in force
+        :param take: called with each newer one of the store
+        :param note: called with the store's revision at each read
+        """
+        self._outside = outside
+        self._find_held = find_held
+        self._take = take
+        self._note = note
+        self._stop: threading.Event | None = None
+
+    def switch(self, watcher: bool) -> None:
+        """Begin to follow the store, or end that.
+
+        :param watcher: whether this process has to watch
+        """
+        if not watcher and self._stop is not None:
+            self._stop.set()
+            self._stop = None
+        if watcher and self._stop is None:
+            self._stop = threading.Event()
+            threading.Thread(
+                target=self._follow,
+                args=(self._stop,),
+                name='store-watch',
+                daemon=True,
+            ).start()
+
+    def _follow(self, stop: threading.Event) -> None:
+        held = self._find_held()
+        if held is not None:
+            held = configstore.Snapshot(held.head, held.document)
+        self._outside.configs.watch(
+            self._take, stop, held, self._outside.poll_seconds, self._note
+        )
