--- a/features/steps/threads.py
+++ b/features/steps/threads.py
@@ -9,8 +9,8 @@
 from dunlintide_core import configuration as core_configuration
 from dunlintide_core import settings
 from dunlintide_daemon.entry import configuration
-from dunlintide_daemon.entry import hosts
 from dunlintide_daemon.entry import placement
+from dunlintide_daemon.entry import roster
 import result
 
 WAIT_SECONDS = 30.0
@@ -70,7 +70,7 @@
     )
     context.leaders = Leaders()
     placing = placement.Placement(mine, context.leaders, Fleet(), holder)
-    placing.note_hosts([hosts.ListedHost('entry', 'entry', '')])
+    placing.note_hosts([roster.Host('entry', 'entry', '', 'live')])
     done = threading.Event()
     ticker = threading.Thread(target=placing.run, args=(done,))
     ticker.start()
