--- a/packages/core/src/dunlintide_core/membership.py
+++ b/packages/core/src/dunlintide_core/membership.py
@@ -12,7 +12,7 @@
 __all__ = ['HOST_LIST', 'View']
 
 HOST_LIST = 'host-list'
-_DELTA_RECORDS = 16
+_DELTA_RECORDS = 10
 _SENDS_PER_LOG2 = 2
 
 
