--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -44,7 +44,6 @@
 from dunlintide_daemon.entry import sources
 from dunlintide_daemon.entry import states
 from dunlintide_daemon.entry import threads
-from dunlintide_daemon import peers
 from dunlintide_daemon import suspicion
 from dunlintide_daemon import watching
 
