--- a/packages/daemon/src/dunlintide_daemon/entry/states.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/states.py
@@ -16,13 +16,8 @@
     settings: settings_module.Settings,
     incarnation: int,
     served: exchange.Exchange,
-<<<<<<< HEAD
-    outside: peers.Outside | None,
+    outside: watching.Outside | None,
 ) -> peers.FleetState | None:
-=======
-    outside: watching.Outside,
-) -> peers.FleetState:
->>>>>>> 541842b (Split membership and the fleet's state by job)
     """Build the state and add its service to a port.
 
     :param served: whose port serves it, before it is started
