--- a/features/promises.feature
+++ b/features/promises.feature
@@ -15,12 +15,35 @@
       | an order that never ran              | complete, but never ran     |
       | a run in another member's name       | ran as rival                |
       | two answers to one order             | repeats got different       |
+      | a keyed completion begun at two ends | began as                    |
+      | a keyed completion begun twice       | began as                    |
 
   Scenario: Good requests break no promise
     Given records of good requests and nothing else
     When the promises are checked
     Then none is reported
 
+  Scenario: A prompt that crashes too many engines is found
+    When 3 engines crashed by one prompt and 4 by another
+    Then exactly one is reported, about "crashed 4 engines"
+
+  Scenario Outline: An entry with old rules is found
+    When entries show revisions <shown> after 4 and 5 were accepted
+    Then exactly one is reported, about "<words>"
+
+    Examples:
+      | shown | words               |
+      | 4, 4  | 5 was accepted      |
+      | 6, 5  | different revisions |
+
+  Scenario: An entry that falls back to old rules is found
+    When an entry shows revisions 4, 5, 0, 5, 4
+    Then exactly one is reported, about "went from 5 to 4"
+
+  Scenario: Records of an engine that a prompt crashed are read
+    When an engine crashes by a prompt
+    Then its record of runs is found in what it printed
+
   Scenario Outline: The count of a test run is honest
     Given a report with <passed> passed, <failed> failed and "<listed>" listed
     When the run is tallied
--- a/features/steps/promises.py
+++ b/features/steps/promises.py
@@ -1,21 +1,29 @@
 """Steps about the checks of a soak and the count of a test run."""
 
+import contextlib
+import io
 import json
 import subprocess
 import sys
+import threading
 from unittest import mock
 
 import behave
+import urllib3
 
 from dunlintide_core import outcomes
+from dunlintide_standins.engine import server as engine
 from dunlintide_trials import client
+from dunlintide_trials import field
 from dunlintide_trials import load
 from dunlintide_trials import promises
 from dunlintide_trials import records
+from dunlintide_trials import watching
 
 MODEL = 'copy-7b'
 LAYERS = 6
 TOKENS = 4
+WAIT_SECONDS = 10.0
 COMPLETE = outcomes.Outcome.COMPLETE
 
 
@@ -49,9 +57,18 @@
     context.requests.calls.append(call)
 
 
-def _add_run(context, request_id, key='', member='diner'):
+def _add_run(context, request_id, key='', member='diner', **more):
     run = {'request_id': request_id, 'member': member, 'idempotency_key': key}
-    context.kept.append(run)
+    context.kept.append(run | more)
+
+
+def _add_keyed(context, name, *epochs):
+    answer = _answer(name, text=_write(f'prompt {name}'))
+    asked = records.Asked('diner', answer, f'prompt {name}', TOKENS, name)
+    context.requests.completions.append(asked)
+    for epoch in epochs:
+        _add_run(context, name, name, layer_start=0, epoch=epoch)
+        _add_run(context, name, name, layer_start=3, epoch=epoch)
 
 
 def _break(context, fault):
@@ -77,6 +94,12 @@
         case "a run in another member's name":
             _add_completion(context, 'bad', text)
             _add_run(context, 'bad', member='rival')
+        case 'a keyed completion begun at two ends':
+            _add_keyed(context, 'bad', 1)
+            run = context.kept[-2] | {'request_id': 'bad-2', 'epoch': 2}
+            context.kept.append(run)
+        case 'a keyed completion begun twice':
+            _add_keyed(context, 'bad', 1, 1)
         case 'two answers to one order':
             _add_order(context, 'bad', 1, 2)
             _add_run(context, 'bad-1', 'bad')
@@ -93,6 +116,7 @@
     _add_run(context, 'good')
     _add_order(context, 'order', 1, 1)
     _add_run(context, 'order-1', 'order')
+    _add_keyed(context, 'keyed', 1, 2)
     _break(context, fault)
 
 
@@ -104,6 +128,57 @@
     context.wrong = promises.check(running, context.requests, runs)
 
 
+@behave.when('3 engines crashed by one prompt and 4 by another')
+def count_crashes(context):
+    context.wrong = promises.check_crashes(['good'] * 3 + ['bad'] * 4, 3)
+
+
+@behave.when('entries show revisions {shown} after 4 and 5 were accepted')
+def compare_revisions(context, shown):
+    first, second = map(int, shown.split(', '))
+    entries = {'entry-0': first, 'entry-1': second}
+    context.wrong = [
+        line
+        for line in promises.check_revisions(entries, [5, 4])
+        if not line.startswith('entry-1 shows')
+    ]
+
+
+@behave.when('an entry shows revisions {shown}')
+def show_revisions(context, shown):
+    watch = watching.Watch(mock.Mock())
+    watch.stop()
+    for revision in shown.split(', '):
+        watch.note('entry-0', int(revision))
+    context.wrong = watch.wrong
+
+
+@behave.when('an engine crashes by a prompt')
+def crash_engine(context):
+    config = engine.Config(crash_marker='bang', layer_end=2)
+    crashed = threading.Event()
+    one = engine.Engine.from_config(config, crashed.set)
+    context.stack.callback(one.stop)
+    one.start()
+    printed = io.StringIO()
+    url = f'http://127.0.0.1:{one.port}/v1/steps'
+    with contextlib.redirect_stdout(printed):
+        for prompt in ('well', 'bang'):
+            step = {'session': prompt, 'prompt': prompt, 'member': 'diner'}
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                body = {'steps': [step]}
+                urllib3.request('POST', url, json=body, retries=False)
+        assert crashed.wait(WAIT_SECONDS)
+    context.left = field.find_left_records(printed.getvalue())
+
+
+@behave.then('its record of runs is found in what it printed')
+def check_left(context):
+    assert context.left['crashed_by'] == ['bang'], context.left
+    ran = [run['request_id'] for run in context.left['runs']]
+    assert ran == ['well'], context.left
+
+
 @behave.then('exactly one is reported, about "{words}"')
 def check_one(context, words):
     assert len(context.wrong) == 1, context.wrong
