--- a/packages/trials/src/dunlintide_trials/field.py
+++ b/packages/trials/src/dunlintide_trials/field.py
@@ -38,7 +38,7 @@
 
     :ivar runs: records that would be lost with a killed endpoint
     :ivar poison_member: member that sends what crashes engines
-    :ivar watch: what revisions entries show
+    :ivar watch: what revisions daemons show
     :ivar rng: used by the thread that applies faults only
     :ivar taken: names of processes and relays under a fault
     :ivar last: the one that was taken last
--- a/packages/trials/src/dunlintide_trials/promises.py
+++ b/packages/trials/src/dunlintide_trials/promises.py
@@ -69,9 +69,9 @@
 
 
 def check_revisions(shown: dict[str, int], accepted: list[int]) -> list[str]:
-    """List the entries that are not at the newest accepted revision.
+    """List the daemons that are not at the newest accepted revision.
 
-    :param shown: revision that each entry shows
+    :param shown: revision that each daemon shows
     """
     newest = max(accepted, default=0)
     wrong = [
@@ -80,7 +80,7 @@
         if revision < newest
     ]
     if len(set(shown.values())) > 1:
-        wrong.append(f'entries show different revisions: {shown}')
+        wrong.append(f'daemons show different revisions: {shown}')
     return wrong
 
 
--- a/packages/trials/src/dunlintide_trials/soak.py
+++ b/packages/trials/src/dunlintide_trials/soak.py
@@ -189,10 +189,10 @@
 def _check_revisions(field: fields.Field) -> list[str]:
     def find_wrong() -> list[str]:
         shown = {
-            one.name: field.running.read_state(one.name)['configuration'][
-                'revision'
-            ]
-            for one in field.running.plan.entries
+            one.name: watching.read_revision(
+                field.running.read_state(one.name)
+            )
+            for one in field.running.plan.daemons
         }
         return promises.check_revisions(shown, field.accepted)
 
@@ -213,7 +213,7 @@
     keys, repeats = requests.count_keyed()
     ran = len(field.runs.count_by_key())
     print(f'non-idempotent: {keys} asked, {ran} ran, {repeats} repeats')
-    print(f'states of entries read: {field.watch.looks}')
+    print(f'states of daemons read: {field.watch.looks}')
     print(f'records lost with an endpoint: {field.lost_lives}')
 
 
--- a/packages/trials/src/dunlintide_trials/watching.py
+++ b/packages/trials/src/dunlintide_trials/watching.py
@@ -1,26 +1,36 @@
-"""Watches the revisions that entries show during a soak."""
+"""Watches the revisions that daemons show during a soak."""
 
 import threading
+from typing import Any
 
 import attrs
 import urllib3
 
 from dunlintide_trials import deployment
 
-__all__ = ['Watch']
+__all__ = ['Watch', 'read_revision']
 
 _PAUSE_SECONDS = 0.3
 _ANSWER_SECONDS = 1.0
 
 
+def read_revision(state: dict[str, Any]) -> int:
+    """Read which configuration a daemon's state says is in force.
+
+    Entries act on it; agents only hold and pass it on.
+    :param state: what ``/debug/state`` gave
+    """
+    held = state.get('configuration') or state.get('state') or {}
+    return held.get('revision') or 0
+
+
 @attrs.define(eq=False)
 class Watch:
-    """A thread that reads the state of every entry again and again.
+    """A thread that reads the state of every daemon again and again.
 
-    Entries are the daemons that hold a configuration. One that has none
-    yet, as after its start, shows 0.
-    :ivar highest: highest revision that each entry has shown
-    :ivar wrong: entries that showed a lower one than before
+    One that has no configuration yet, as after its start, shows 0.
+    :ivar highest: highest revision that each daemon has shown
+    :ivar wrong: daemons that showed a lower one than before
     :ivar looks: number of states read
     """
 
@@ -42,7 +52,7 @@
         self._thread.join()
 
     def note(self, name: str, revision: int) -> None:
-        """Take note of a revision that an entry shows."""
+        """Take note of a revision that a daemon shows."""
         self.looks += 1
         highest = self.highest.get(name, 0)
         if 0 < revision < highest:
@@ -51,13 +61,12 @@
 
     def _run(self) -> None:
         pool = urllib3.PoolManager(retries=False, timeout=_ANSWER_SECONDS)
-        entries = self.running.plan.entries
+        daemons = self.running.plan.daemons
         while not self._stopped.wait(_PAUSE_SECONDS):
-            for entry in entries:
-                url = f'{entry.admin_url}/debug/state'
+            for daemon in daemons:
+                url = f'{daemon.admin_url}/debug/state'
                 try:
                     state = pool.request('GET', url).json()
                 except urllib3.exceptions.HTTPError:
                     continue  # It is paused, dead or starting.
-                revision = state['configuration']['revision'] or 0
-                self.note(entry.name, revision)
+                self.note(daemon.name, read_revision(state))
