End the look into a late call whose time is up

The soak found agents with "thread rescue failed": a call that had become late while its engine was paused was looked into after its time was up, and a timeout of 0 s is refused by urllib3. The call itself ends at that time, so nothing is left to do.

The test has such a call on an engine that is well; it failed before.

--- a/packages/daemon/src/dunlintide_daemon/agent/rescue.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/rescue.py
@@ -150,6 +150,8 @@
             self._flights.put_off(flight)
             return
         left = self._flights.tell_left(flight)
+        if not left:
+            return  # The call ends by itself now.
         asked = self._engine.run_steps(flight.steps, left, anew=True)
         if asked.is_err():
             return
