Keep half more than a member's share of the slots for it

Cause: a member at its share holds its share of the slots on the average, so half of the time it wants one more than is kept.

Change: up to 1.5 times the share is kept, as far as it was wanted lately. A member with nothing in flight may always start when its turn comes and a slot is free.

--- a/packages/core/src/dunlintide_core/slots.py
+++ b/packages/core/src/dunlintide_core/slots.py
@@ -2,7 +2,7 @@
 
 A queue decides who is next, but not how soon a slot frees: a flood of
 long requests would hold them all. So what a member has used in the last
-seconds, up to its share of the slots, is kept for it. Members that sent
+seconds, up to half more than its share, is kept for it. Members that sent
 nothing lately have nothing kept, and one alone may fill all slots.
 """
 
@@ -11,6 +11,9 @@
 __all__ = ['Slots']
 
 WINDOW_SECONDS = 5.0
+# A member at its share holds just as many slots on the average, so more
+# than that half of the time.
+HEADROOM = 1.5
 
 
 @attrs.define
@@ -78,6 +81,9 @@
     def _share(self, use: _Use, limit: int) -> int:
         return int(limit * use.weight / self._weights)
 
+    def _keep(self, use: _Use, limit: int) -> int:
+        return int(HEADROOM * limit * use.weight / self._weights)
+
     def may_start(self, member: str, running: int, limit: int) -> bool:
         """Return whether a further request leaves others their slots.
 
@@ -88,10 +94,10 @@
             # The shares are below one slot.
             return True
         own = self._uses[member]
-        if own.running < self._share(own, limit):
+        if not own.running or own.running < self._share(own, limit):
             return True
         kept = sum(
-            max(0, min(self._share(use, limit), use.recent) - use.running)
+            max(0, min(self._keep(use, limit), use.recent) - use.running)
             for use in self._uses.values()
             if use is not own
         )
