--- a/packages/daemon/src/dunlintide_daemon/entry/fleet.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/fleet.py
@@ -346,6 +346,7 @@
                 'name': agent.peer.name,
                 'incarnation': agent.peer.incarnation,
                 'address': agent.peer.address,
+                'endpoint': attrs.asdict(agent.peer.endpoint),
                 'leaving': agent.leaving,
                 'away': agent.load.away,
                 'outstanding': agent.outstanding,
