Print the soak's exceptions and combined faults apart

The total of faults held those that came in pairs or again, which are faults already counted. Exceptions in the logs of daemons are counted by their last line, as one that a thread survives breaks no promise but should be known. Non-idempotent calls without a key are part of the load and must run once at most.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -15,6 +15,7 @@
       | an order that never ran              | complete, but never ran     |
       | a run in another member's name       | ran as rival                |
       | two answers to one order             | repeats got different       |
+      | an order without a key, run twice    | ran 2 times, without a key  |
       | a keyed completion begun at two ends | began as                    |
       | a keyed completion begun twice       | began as                    |
 
--- a/features/steps/promises.py
+++ b/features/steps/promises.py
@@ -98,6 +98,13 @@
             _add_keyed(context, 'bad', 1)
             run = context.kept[-2] | {'request_id': 'bad-2', 'epoch': 2}
             context.kept.append(run)
+        case 'an order without a key, run twice':
+            echo = {'member': 'diner', 'idempotency_key': ''}
+            answer = _answer('bad', body=json.dumps(echo).encode())
+            call = load.ServiceCall('diner', '', b'order', (answer,))
+            context.requests.calls.append(call)
+            _add_run(context, 'bad')
+            _add_run(context, 'bad')
         case 'a keyed completion begun twice':
             _add_keyed(context, 'bad', 1, 1)
         case 'two answers to one order':
--- a/packages/trials/src/dunlintide_trials/load.py
+++ b/packages/trials/src/dunlintide_trials/load.py
@@ -25,14 +25,15 @@
 _WHOLE_SHARE = 0.15
 _KEYED_SHARE = 0.2
 _ORDER_SHARE = 0.2
+_ORDER_ONCE_SHARE = 0.05
 
 
 @attrs.frozen
 class ServiceCall:
     """A call of a plain service with all its repeats.
 
-    :ivar key: idempotency key, empty for an idempotent call
-    :ivar body: what was sent
+    :ivar key: idempotency key, empty without one
+    :ivar body: what was sent, empty for an idempotent call
     """
 
     member: str
@@ -58,6 +59,12 @@
         return wrong
 
 
+def _name_call(call: ServiceCall) -> str:
+    if call.key:
+        return 'order'
+    return 'order without a key' if call.body else 'read'
+
+
 def _repeat(
     send: Callable[[client.Caller], client.Answer],
     callers: list[client.Caller],
@@ -143,6 +150,8 @@
             return self._complete_keyed
         if draw < _KEYED_SHARE + _ORDER_SHARE:
             return self._order
+        if draw < _KEYED_SHARE + _ORDER_SHARE + _ORDER_ONCE_SHARE:
+            return self._order_once
         return self._read
 
     def _complete(
@@ -220,6 +229,22 @@
         with self._lock:
             self.calls.append(call)
 
+    def _order_once(
+        self,
+        member: str,
+        callers: list[client.Caller],
+        rng: random.Random,
+        name: str,
+    ) -> None:
+        """Send what must not run twice without a key, so only once."""
+        service = self._running.plan.blueprint.services[0]
+        body = json.dumps({'order': name}).encode()
+        answer = callers[0].call_service(
+            service.name, service.path, method='POST', body=body
+        )
+        with self._lock:
+            self.calls.append(ServiceCall(member, '', body, (answer,)))
+
     def _read(
         self,
         member: str,
@@ -247,7 +272,7 @@
             for one in self.completions
         ]
         answers += [
-            ('order' if call.key else 'read', answer)
+            (_name_call(call), answer)
             for call in self.calls
             for answer in call.answers
         ]
--- a/packages/trials/src/dunlintide_trials/promises.py
+++ b/packages/trials/src/dunlintide_trials/promises.py
@@ -44,6 +44,12 @@
     wrong += runs.check_members([*requests.completions, *calls])
     keyed = [call for call in requests.calls if call.key]
     wrong += runs.check_once((call.member, call.key) for call in keyed)
+    wrong += runs.check_single(
+        answer.request_id
+        for call in requests.calls
+        if call.body and not call.key
+        for answer in call.answers
+    )
     keyed = [one for one in requests.completions if one.key]
     wrong += runs.check_heads((one.member, one.key) for one in keyed)
     counts = runs.count_by_key()
--- a/packages/trials/src/dunlintide_trials/records.py
+++ b/packages/trials/src/dunlintide_trials/records.py
@@ -111,6 +111,18 @@
             if counts.get((member, key), 0) > 1
         ]
 
+    def check_single(self, request_ids: Iterable[str]) -> list[str]:
+        """List the requests that ran more than once.
+
+        :param request_ids: of non-idempotent calls without a key
+        """
+        counts = collections.Counter(run['request_id'] for run in self._list())
+        return [
+            f'{one}: ran {counts[one]} times, without a key'
+            for one in sorted(set(request_ids))
+            if one and counts[one] > 1
+        ]
+
     def check_heads(self, keys: Iterable[tuple[str, str]]) -> list[str]:
         """List the keyed completions that began more than once.
 
--- a/packages/trials/src/dunlintide_trials/soak.py
+++ b/packages/trials/src/dunlintide_trials/soak.py
@@ -30,6 +30,7 @@
 from dunlintide_trials import promises
 from dunlintide_trials import records
 from dunlintide_trials import signals
+from dunlintide_trials import summary
 from dunlintide_trials import watching
 
 __all__ = ['Driver', 'main', 'run']
@@ -67,10 +68,14 @@
     """Applies faults and heals them when their time has come.
 
     :ivar counts: faults applied, by name
+    :ivar combined: those that came in pairs or again, by how
     """
 
     field: fields.Field
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    combined: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
     _heals: list[tuple[float, int, _Running]] = attrs.field(factory=list)
     _number: itertools.count = attrs.field(factory=itertools.count)
     _seconds: list[_Running] = attrs.field(factory=list)
@@ -117,7 +122,7 @@
             self.field.wanted = ended.target
             done = self.apply(ended.fault, again=False)
             if done and self.field.last == ended.target:
-                self.counts['twice in a row on one target'] += 1
+                self.combined['twice in a row on one target'] += 1
             self.field.wanted = ''
 
     def check_processes(self) -> None:
@@ -139,7 +144,7 @@
         applied = self.apply(rng.choice(_FAULTS), again)
         if rng.random() < _PAIR_RATE:
             second = self.apply(rng.choice(_FAULTS), False)
-            self.counts['two at once'] += applied and second
+            self.combined['two at once'] += applied and second
 
     def run(self, seconds: float) -> None:
         """Apply random faults for so long, then heal them all."""
@@ -164,12 +169,6 @@
         runs.keep(name, running.read_endpoint_runs(name))
 
 
-def _print_counts(title: str, counts: dict[str, int]) -> None:
-    print(f'{title}: {sum(counts.values())}')
-    for name, count in sorted(counts.items()):
-        print(f'  {count:6d} {name}')
-
-
 def _wait_recovered(driver: Driver) -> list[str]:
     """Wait until everything serves again, and tell how long it took."""
     field = driver.field
@@ -200,23 +199,6 @@
     return find_wrong() + field.watch.wrong
 
 
-def _print_field(field: fields.Field, requests: load.Load) -> None:
-    notes = collections.Counter(field.notes)
-    _print_counts('races of operators', notes)
-    crashes = collections.Counter(collections.Counter(field.crashes).values())
-    told = {f'prompts, {n} crashes each': m for n, m in crashes.items()}
-    _print_counts('prompts that crashed engines', told)
-    answers = collections.Counter(
-        f'{one.outcome} ({one.code})' for one in field.poisoned
-    )
-    _print_counts('requests that crash engines', answers)
-    keys, repeats = requests.count_keyed()
-    ran = len(field.runs.count_by_key())
-    print(f'non-idempotent: {keys} asked, {ran} ran, {repeats} repeats')
-    print(f'states of daemons read: {field.watch.looks}')
-    print(f'records lost with an endpoint: {field.lost_lives}')
-
-
 def run(
     running: deployment.Deployment, seed: int, seconds: float
 ) -> list[str]:
@@ -243,9 +225,10 @@
     wrong += promises.check_crashes(field.crashes, people.MAX_CRASHES)
     wrong += _check_revisions(field)
     watch.stop()
-    _print_counts('requests', requests.count_outcomes())
-    _print_counts('faults', driver.counts)
-    _print_field(field, requests)
+    summary.print_load(requests)
+    summary.print_counts('faults', driver.counts)
+    summary.print_counts('faults that were combined', driver.combined)
+    summary.print_field(field, requests)
     return wrong + field.wrong
 
 
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/summary.py
@@ -0,0 +1,54 @@
+"""What a soak prints at its end."""
+
+import collections
+import json
+import pathlib
+from typing import Mapping
+
+from dunlintide_trials import field as fields
+from dunlintide_trials import load
+
+__all__ = ['count_exceptions', 'print_counts', 'print_field', 'print_load']
+
+_EXCEPTION = '"exc_info"'
+
+
+def print_counts(title: str, counts: Mapping[str, int]) -> None:
+    """Print a total and what it is made of."""
+    print(f'{title}: {sum(counts.values())}')
+    for name, count in sorted(counts.items()):
+        print(f'  {count:6d} {name}')
+
+
+def print_load(requests: load.Load) -> None:
+    """Print requests by kind and outcome."""
+    print_counts('requests', requests.count_outcomes())
+
+
+def count_exceptions(folder: pathlib.Path) -> collections.Counter[str]:
+    """Count the exceptions that daemons logged, by their last line."""
+    counts: collections.Counter[str] = collections.Counter()
+    for log in folder.glob('*.log'):
+        for line in log.read_text(errors='replace').splitlines():
+            if _EXCEPTION in line and line.endswith('}'):
+                text = json.loads(line).get('exc_info', '')
+                counts[text.strip().splitlines()[-1]] += 1
+    return counts
+
+
+def print_field(field: fields.Field, requests: load.Load) -> None:
+    """Print what the faults met and what the records hold."""
+    print_counts('races of operators', collections.Counter(field.notes))
+    crashes = collections.Counter(collections.Counter(field.crashes).values())
+    told = {f'with {crashed}': count for crashed, count in crashes.items()}
+    print_counts('prompts by the engines that they crashed', told)
+    answers = collections.Counter(
+        f'{one.outcome} ({one.code})' for one in field.poisoned
+    )
+    print_counts('requests that crash engines', answers)
+    keys, repeats = requests.count_keyed()
+    ran = len(field.runs.count_by_key())
+    print(f'non-idempotent: {keys} asked, {ran} ran, {repeats} repeats')
+    print(f'states of daemons read: {field.watch.looks}')
+    print(f'records lost with an endpoint: {field.lost_lives}')
+    print_counts('exceptions logged', count_exceptions(field.folder))
