Keep lost layers lost in the scenarios of outcomes

Cause: since a leader loads a lost layer range on another endpoint, the stream whose last stage is killed everywhere is finished after all, and the scenario of a stream that cannot be finished had lost its premise. Change: placement waits an hour in this feature's deployment; the check is the same.

--- a/features/steps/outcomes_scene.py
+++ b/features/steps/outcomes_scene.py
@@ -5,6 +5,8 @@
 import tempfile
 import threading
 
+import attrs
+from dunlintide_core import settings
 from dunlintide_standins import relay
 from dunlintide_trials import blueprints
 from dunlintide_trials import client
@@ -40,6 +42,11 @@
         raise AssertionError(f'not within {seconds} s: {what}')
 
 
+# What is lost stays lost here: a range that is loaded anew has a feature
+# of its own, and would let a stream end that has to be cut.
+HELD = settings.Placement(patience=3600.0)
+
+
 class Stream:
     """A request that is made on a thread of its own."""
 
@@ -76,7 +83,7 @@
         enter = context.feature_stack.enter_context
         self.running = enter(
             launcher.run(
-                blueprints.shrink(blueprint),
+                attrs.evolve(blueprints.shrink(blueprint), placement=HELD),
                 rules,
                 pathlib.Path(enter(folder)),
                 hops=layout.Hop,
