Give no new work to hosts that the platform calls leaving

Cause: since entries follow the membership, the platform's list no longer kept new work from a host that it means to stop, only the host's own word did; a host that is not told itself went on getting requests. Change: entries read the list again, at a pace that bounds all of them together to 50 reads a second, and heed it while it stands there.

--- a/features/steps/subset.py
+++ b/features/steps/subset.py
@@ -5,7 +5,9 @@
 
 import attrs
 import behave
+import result
 
+from dunlintide_adapters import hostlist
 from dunlintide_adapters import links
 from dunlintide_adapters import peercodec
 from dunlintide_adapters.wire import link_pb2
@@ -97,7 +99,25 @@
             return None
         return context.view.changes, context.view.present()
 
-    source = roster.follow_members(list_present)
+    context.leaving = set()
+    context.now = 0.0
+    source = roster.heed_list(
+        roster.follow_members(list_present),
+        lambda: result.Ok(
+            [
+                hostlist.Host(
+                    peer.name,
+                    peer.role,
+                    peer.address,
+                    peer.failure_domain,
+                    '',
+                    'leaving' if peer.name in context.leaving else 'live',
+                )
+                for peer in context.agents.values()
+            ]
+        ),
+        lambda: context.now,
+    )
     context.roster = roster.Roster('entry-0', source, 4, 4)
     _take(context)
 
@@ -207,3 +227,28 @@
     assert context.view.merge(3.0, context.engine.me)
     held = context.view.get('agent-1')
     assert held.peer.endpoint.layer_start == 4, held
+
+
+@behave.when("the platform's list says that its agents are leaving")
+def list_leaving(context):
+    context.before = set(context.roster.wanted)
+    _wait_for(lambda: _list_linked(context) == context.before)
+    context.leaving = context.before
+    _take(context)
+
+
+@behave.then(
+    'other agents are linked instead, and the old ones get no new {_}'
+)
+def check_instead(context, _):
+    wanted = set(context.roster.wanted)
+    assert not wanted & context.before, wanted
+    _wait_for(lambda: _list_linked(context) == wanted)
+
+
+@behave.when("the platform's list says that they stay")
+def list_staying(context):
+    context.leaving = set()
+    _take(context)
+    context.fleet.drop_idle(time.monotonic() + 10 * entry_fleet.IDLE_SECONDS)
+    context.fleet.drop_idle(time.monotonic() + 20 * entry_fleet.IDLE_SECONDS)
--- a/features/subset.feature
+++ b/features/subset.feature
@@ -17,6 +17,14 @@
     And its agents are suspected while their links are up
     Then other agents are linked besides, and the old ones are usable
 
+  Scenario: What the platform's list says is leaving gets no new work
+    Given 12 agents of two layer ranges and 6 entries in three failure domains
+    When an entry that may have 4 agents follows the membership
+    And the platform's list says that its agents are leaving
+    Then other agents are linked instead, and the old ones get no new work
+    When the platform's list says that they stay
+    Then it has links to 2 agents of each layer range in 2 failure domains
+
   Scenario: A life that is gone is not reached
     Given 12 agents of two layer ranges and 6 entries in three failure domains
     When an entry that may have 4 agents follows the membership
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -237,7 +237,10 @@
             source = roster.follow_list(self._outside.read_hosts)
             pause = self.settings.timing.host_list_poll
         else:
-            source = roster.follow_members(self._state.list_present)
+            source = roster.heed_list(
+                roster.follow_members(self._state.list_present),
+                self._outside.read_hosts,
+            )
             pause = FLEET_SECONDS
         known = roster.Roster(self.settings.name, source)
         entries = None
--- a/packages/daemon/src/dunlintide_daemon/entry/roster.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/roster.py
@@ -12,6 +12,7 @@
 import attrs
 import result
 
+from dunlintide_adapters import hostlist
 from dunlintide_core import fleet
 from dunlintide_core import records
 from dunlintide_core import subset
@@ -22,8 +23,14 @@
     'Source',
     'follow_list',
     'follow_members',
+    'heed_list',
 ]
 
+# The platform's list is read by each entry, since only the platform knows
+# which hosts it means to stop; so many reads a second by all together.
+LIST_READS_PER_SECOND = 50.0
+LIST_SECONDS = 2.0
+
 # Least pause between two computations of the subset, as a multiple of the
 # processor time that the last one took: at most a hundredth of a core.
 _PAUSE_RATIO = 100.0
@@ -109,6 +116,53 @@
     return take
 
 
+def heed_list(
+    source: Source,
+    read: Callable[[], result.Result[Iterable[hostlist.Host], object]],
+    clock: Callable[[], float] = time.monotonic,
+) -> Source:
+    """Add to a source which hosts the platform's list says are leaving.
+
+    That word is not passed on to other processes: the list lags, and may
+    speak of a life of the host that has ended; it counts while it stands.
+    :param clock: monotonic time in seconds
+    """
+    hosts: list[Host] = []
+    leaving: frozenset[str] = frozenset()
+    due = float('-inf')
+
+    def read_leaving() -> frozenset[str]:
+        nonlocal due
+        entries = sum(host.role == fleet.Role.ENTRY for host in hosts)
+        due = clock() + max(LIST_SECONDS, entries / LIST_READS_PER_SECOND)
+        listed = read()
+        if isinstance(listed, result.Err):
+            return leaving
+        return frozenset(
+            host.name
+            for host in listed.ok_value
+            if host.state == hostlist.HostState.LEAVING
+        )
+
+    def mark(host: Host) -> Host:
+        if host.name in leaving and host.state == records.State.ALIVE:
+            return attrs.evolve(host, state=records.State.LEAVING)
+        return host
+
+    def take() -> list[Host] | None:
+        nonlocal hosts, leaving
+        changed = source()
+        if changed is not None:
+            hosts = changed
+        told = read_leaving() if clock() >= due else leaving
+        if changed is None and told == leaving:
+            return None
+        leaving = told
+        return [mark(host) for host in hosts]
+
+    return take
+
+
 class Roster:
     """Processes of the fleet, and the agents to keep links to.
 
