--- a/packages/trials/src/dunlintide_trials/load.py
+++ b/packages/trials/src/dunlintide_trials/load.py
@@ -264,6 +264,17 @@
         asked += [c.key for c in self.calls if c.key for _ in c.answers]
         return len(set(asked)), len(asked) - len(set(asked))
 
+    def count_quiet_seconds(self) -> tuple[int, int]:
+        """Count the seconds in which no completion ended whole.
+
+        :returns: them, and all seconds from the first answer to the last
+        """
+        answers = [one.answer for one in self.completions]
+        ends = {int(one.ended) for one in answers}
+        whole = {int(one.ended) for one in answers if one.is_complete}
+        span = max(ends) - min(ends) + 1 if ends else 0
+        return span - len(whole), span
+
     def count_outcomes(self) -> dict[str, int]:
         """Count the answers by kind of request and outcome."""
         counts: dict[str, int] = {}
--- a/packages/trials/src/dunlintide_trials/summary.py
+++ b/packages/trials/src/dunlintide_trials/summary.py
@@ -23,6 +23,8 @@
 def print_load(requests: load.Load) -> None:
     """Print requests by kind and outcome."""
     print_counts('requests', requests.count_outcomes())
+    quiet, span = requests.count_quiet_seconds()
+    print(f'seconds without a whole completion: {quiet} of {span}')
 
 
 def count_exceptions(folder: pathlib.Path) -> collections.Counter[str]:
