Tell an answer to an order without a key by its request id

Without a key of the caller the echo's member and request id must be those of the call now, for reads too, which were compared by an empty key before. A crossed answer to such an order is tested.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -6,18 +6,19 @@
     Then exactly one is reported, about "<words>"
 
     Examples:
-      | fault                                | words                       |
-      | a complete answer that lacks a token | not the right text          |
-      | a stream with a doubled token        | not a beginning of the      |
-      | an answer of another request         | not the right text          |
-      | a refused request that ran           | told not-run                |
-      | an order that ran twice              | ran 2 times                 |
-      | an order that never ran              | complete, but never ran     |
-      | a run in another member's name       | ran as rival                |
-      | two answers to one order             | repeats got different       |
-      | an order without a key, run twice    | ran 2 times, without a key  |
-      | a keyed completion begun at two ends | began as                    |
-      | a keyed completion begun twice       | began as                    |
+      | fault                                           | words                      |
+      | a complete answer that lacks a token            | not the right text         |
+      | a stream with a doubled token                   | not a beginning of the     |
+      | an answer of another request                    | not the right text         |
+      | a refused request that ran                      | told not-run               |
+      | an order that ran twice                         | ran 2 times                |
+      | an order that never ran                         | complete, but never ran    |
+      | a run in another member's name                  | ran as rival               |
+      | two answers to one order                        | repeats got different      |
+      | an order without a key, run twice               | ran 2 times, without a key |
+      | another call's answer to an order without a key | answer of                  |
+      | a keyed completion begun at two ends            | began as                   |
+      | a keyed completion begun twice                  | began as                   |
 
   Scenario: Good requests break no promise
     Given records of good requests and nothing else
--- a/features/steps/promises.py
+++ b/features/steps/promises.py
@@ -57,6 +57,15 @@
     context.requests.calls.append(call)
 
 
+def _add_order_without_key(context, name, ran):
+    # The router makes a key of its own for it.
+    key = f'server-{ran}'
+    echo = {'member': 'diner', 'idempotency_key': key, 'request_id': ran}
+    answer = _answer(name, body=json.dumps(echo).encode())
+    call = load.ServiceCall('diner', '', b'order', (answer,))
+    context.requests.calls.append(call)
+
+
 def _add_run(context, request_id, key='', member='diner', **more):
     run = {'request_id': request_id, 'member': member, 'idempotency_key': key}
     context.kept.append(run | more)
@@ -99,12 +108,11 @@
             run = context.kept[-2] | {'request_id': 'bad-2', 'epoch': 2}
             context.kept.append(run)
         case 'an order without a key, run twice':
-            echo = {'member': 'diner', 'idempotency_key': ''}
-            answer = _answer('bad', body=json.dumps(echo).encode())
-            call = load.ServiceCall('diner', '', b'order', (answer,))
-            context.requests.calls.append(call)
+            _add_order_without_key(context, 'bad', 'bad')
             _add_run(context, 'bad')
             _add_run(context, 'bad')
+        case "another call's answer to an order without a key":
+            _add_order_without_key(context, 'bad', 'other')
         case 'a keyed completion begun twice':
             _add_keyed(context, 'bad', 1, 1)
         case 'two answers to one order':
@@ -124,6 +132,7 @@
     _add_order(context, 'order', 1, 1)
     _add_run(context, 'order-1', 'order')
     _add_keyed(context, 'keyed', 1, 2)
+    _add_order_without_key(context, 'single', 'single')
     _break(context, fault)
 
 
--- a/packages/trials/src/dunlintide_trials/load.py
+++ b/packages/trials/src/dunlintide_trials/load.py
@@ -45,14 +45,19 @@
         """List what is wrong with the answers, compared with each other.
 
         The stand-in echoes the key and the member, so an answer that
-        belongs to another call shows.
+        belongs to another call shows. Without a key of the caller, where
+        the router may make one, it shows by the request's id.
         """
         whole = [one for one in self.answers if one.is_complete]
         wrong = []
         for answer in whole:
             echo = json.loads(answer.body)
             found = (echo['member'], echo['idempotency_key'])
-            if found != (self.member, self.key):
+            right = found == (self.member, self.key)
+            if not self.key:
+                found = (echo['member'], echo['request_id'])
+                right = found == (self.member, answer.request_id)
+            if not right:
                 wrong.append(f'{answer.request_id}: answer of {found}')
         if self.key and len({one.body for one in whole}) > 1:
             wrong.append(f'key {self.key}: repeats got different answers')
