Run one long span at a time on an engine

Cause: a flood of prompts of 1,500 words starved everybody, as an engine's step took in up to 16 of them at once and lasted past all deadlines. Change: the driver has one span of more than 256 positions under way at a time; shorter spans go on beside it.

--- /dev/null
+++ b/features/driver.feature
@@ -0,0 +1,8 @@
+Feature: The driver keeps an engine's batches short
+
+  Scenario: Long spans run one at a time, and short ones go beside them
+    Given a driver whose engine holds its calls
+    When 3 spans of 1500 positions and 4 of 1 position become ready
+    Then the engine has one long span and all short ones
+    When the engine answers all its calls until the driver has nothing left
+    Then each span has run once and no two long ones together
--- a/packages/daemon/src/dunlintide_daemon/agent/driver.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/driver.py
@@ -30,6 +30,9 @@
 LEAST_STEPS = 16
 MAX_STEPS = 256
 MAX_POSITIONS = 16_384
+# Past this a span holds up every step that the engine runs with it, so
+# one such span is under way at a time.
+LONG_POSITIONS = 256
 # A slow batch must not look like a hung engine.
 BASE_SECONDS = 10.0
 SECONDS_PER_POSITION = 0.01
@@ -88,6 +91,10 @@
     return found.error in (_HAS_RUN, _HAS_NEWER)
 
 
+def _is_long(job: Job) -> bool:
+    return job.positions > LONG_POSITIONS
+
+
 class Driver:
     """Threads that call one engine.
 
@@ -241,6 +248,8 @@
         positions = 0
         share = -(-len(self._lanes) // CALLS)
         limit = min(self._handlers.limit(), max(LEAST_STEPS, share))
+        long = any(map(_is_long, self._running))
+        waiting: list[str] = []
         while self._ready and len(jobs) < limit:
             session = self._ready[0]
             lane = self._lanes[session]
@@ -252,6 +261,11 @@
             if self._handlers.runs_alone(lane.pending[0]):
                 self._aside.append(self._ready.popleft())
                 continue
+            if _is_long(lane.pending[0]):
+                if long:
+                    waiting.append(self._ready.popleft())
+                    continue
+                long = True
             positions += lane.pending[0].positions
             if jobs and positions > MAX_POSITIONS:
                 break
@@ -259,13 +273,14 @@
             lane.queued = False
             lane.busy = True
             jobs.append(lane.pending.popleft())
+        self._ready.extendleft(reversed(waiting))
         return jobs
 
     def _release(self, jobs: list[Job]) -> None:
         with self._wake:
             self._running.difference_update(jobs)
             self._accused.difference_update(jobs)
-            if self._exclusive or self._aside:
+            if self._exclusive or self._aside or any(map(_is_long, jobs)):
                 self._exclusive = False
                 self._wake.notify_all()
             for job in jobs:
