Wait for faults that go on before a soak looks for recovery

A daemon that was still being stopped when the faults ended would have been reported as one that never became ready, and an engine that a late prompt crashed would have stayed away. An interrupted soak starts no process any more once it stops all. Neither was seen in a run.

--- a/packages/trials/src/dunlintide_trials/faults.py
+++ b/packages/trials/src/dunlintide_trials/faults.py
@@ -88,8 +88,7 @@
         elif process.exit_code:
             code = process.exit_code
             field.wrong.append(f'{process.name} stopped with {code}')
-        field.running.restart(process.name)
-        field.release(process.name)
+        field.restart(process)
 
     return lambda: field.work(end)
 
--- a/packages/trials/src/dunlintide_trials/field.py
+++ b/packages/trials/src/dunlintide_trials/field.py
@@ -20,6 +20,7 @@
 
 # Time for work that a hanging stand-in had begun to reach its record.
 _SETTLE_SECONDS = 0.02
+_CLOSE_SECONDS = 10.0
 
 Heal = Callable[[], None]
 
@@ -67,6 +68,7 @@
     lost_lives: list[str] = attrs.field(factory=list)
     accepted: list[int] = attrs.field(factory=list)
     _workers: list[threading.Thread] = attrs.field(factory=list)
+    _closed: threading.Event = attrs.field(factory=threading.Event)
 
     def _choose(self, names: list[str], spare: int) -> str | None:
         with self.lock:
@@ -128,6 +130,11 @@
             if thread.is_alive():
                 self.wrong.append('work of a fault did not end in time')
 
+    def close(self) -> None:
+        """Start no process any more, as all are about to be stopped."""
+        self._closed.set()
+        self.join(_CLOSE_SECONDS)
+
     def restart(self, process: processes.Process) -> None:
         """Start a process again, beside the faults, then release it.
 
@@ -135,6 +142,8 @@
         """
 
         def start() -> None:
+            if self._closed.is_set():
+                return
             self.running.restart(process.name)
             self.release(process.name)
 
--- a/packages/trials/src/dunlintide_trials/soak.py
+++ b/packages/trials/src/dunlintide_trials/soak.py
@@ -173,6 +173,13 @@
     """Wait until everything serves again, and tell how long it took."""
     field = driver.field
     begin = time.monotonic()
+
+    def has_ended() -> bool:
+        # A prompt that was sent before the end may still crash one.
+        driver.check_processes()
+        return not field.taken
+
+    processes.wait_for(has_ended, RECOVERY_SECONDS)
     try:
         field.running.wait_all_ready()
         wrong = promises.check_recovered(field.running)
@@ -211,7 +218,12 @@
     driver = Driver(field)
     requests = load.Load(running, members, seed, THREADS)
     requests.start()
-    driver.run(seconds)
+    try:
+        driver.run(seconds)
+    except BaseException:
+        # All processes are stopped next, and none may come back.
+        field.close()
+        raise
     wrong = _wait_recovered(driver)
     field.join(_SETTLE_SECONDS)
     waiting = requests.stop(_SETTLE_SECONDS)
