Give the soak's kinds of request one parameter

Cause: five functions of the load repeated the same four parameters, and two of them the same drawing of a prompt. Change: a turn holds them and draws the prompt; random draws keep their order.

--- a/packages/trials/src/dunlintide_trials/load.py
+++ b/packages/trials/src/dunlintide_trials/load.py
@@ -64,6 +64,25 @@
         return wrong
 
 
+@attrs.frozen
+class _Turn:
+    """What one request is made with.
+
+    :ivar callers: one for each entry, in the order to ask them
+    :ivar name: unique in the run
+    """
+
+    member: str
+    callers: list[client.Caller]
+    rng: random.Random
+    name: str
+
+    def draw_prompt(self) -> str:
+        """Return a prompt of random length that no other turn sends."""
+        count = self.rng.randint(*_PROMPT_WORDS)
+        return ' '.join([self.name, *self.rng.choices(_WORDS, k=count)])
+
+
 def _name_call(call: ServiceCall) -> str:
     if call.key:
         return 'order'
@@ -141,12 +160,13 @@
                 for entry in range(len(self._running.plan.entries))
             ]
             rng.shuffle(callers)
-            self._choose(rng)(member, callers, rng, f'{number}-{count}')
+            turn = _Turn(member, callers, rng, f'{number}-{count}')
+            self._choose(rng)(turn)
             for caller in callers:
                 caller.close()
             self._stopped.wait(rng.uniform(*_PAUSE_SECONDS))
 
-    def _choose(self, rng: random.Random) -> Callable[..., None]:
+    def _choose(self, rng: random.Random) -> Callable[[_Turn], None]:
         draw = rng.random()
         if draw < _STREAM_SHARE + _WHOLE_SHARE:
             return self._complete
@@ -159,37 +179,25 @@
             return self._order_once
         return self._read
 
-    def _complete(
-        self,
-        member: str,
-        callers: list[client.Caller],
-        rng: random.Random,
-        name: str,
-    ) -> None:
-        words = rng.choices(_WORDS, k=rng.randint(*_PROMPT_WORDS))
-        prompt = ' '.join([name, *words])
+    def _complete(self, turn: _Turn) -> None:
+        rng = turn.rng
+        prompt = turn.draw_prompt()
         max_tokens = rng.randint(1, _MAX_TOKENS)
         stream = rng.random() * (_STREAM_SHARE + _WHOLE_SHARE) < _STREAM_SHARE
-        answer = callers[0].complete(
+        answer = turn.callers[0].complete(
             prompt,
             model=self._running.model,
             max_tokens=max_tokens,
             stream=stream,
         )
-        asked = records.Asked(member, answer, prompt, max_tokens)
+        asked = records.Asked(turn.member, answer, prompt, max_tokens)
         with self._lock:
             self.completions.append(asked)
 
-    def _complete_keyed(
-        self,
-        member: str,
-        callers: list[client.Caller],
-        rng: random.Random,
-        name: str,
-    ) -> None:
-        words = rng.choices(_WORDS, k=rng.randint(*_PROMPT_WORDS))
-        prompt = ' '.join([name, *words])
-        key = f'copy-{name}-{rng.getrandbits(32):08x}'
+    def _complete_keyed(self, turn: _Turn) -> None:
+        rng = turn.rng
+        prompt = turn.draw_prompt()
+        key = f'copy-{turn.name}-{rng.getrandbits(32):08x}'
         max_tokens = rng.randint(1, _MAX_TOKENS)
         stream = rng.random() < _STREAM_SHARE
 
@@ -203,21 +211,15 @@
             )
 
         asked = [
-            records.Asked(member, answer, prompt, max_tokens, key)
-            for answer in _repeat(send, callers, rng)
+            records.Asked(turn.member, answer, prompt, max_tokens, key)
+            for answer in _repeat(send, turn.callers, turn.rng)
         ]
         with self._lock:
             self.completions += asked
 
-    def _order(
-        self,
-        member: str,
-        callers: list[client.Caller],
-        rng: random.Random,
-        name: str,
-    ) -> None:
+    def _order(self, turn: _Turn) -> None:
         service = self._running.plan.blueprint.services[0]
-        key = f'order-{name}-{rng.getrandbits(32):08x}'
+        key = f'order-{turn.name}-{turn.rng.getrandbits(32):08x}'
         body = json.dumps({'order': key}).encode()
 
         def send(caller: client.Caller) -> client.Answer:
@@ -229,39 +231,27 @@
                 idempotency_key=key,
             )
 
-        answers = _repeat(send, callers, rng)
-        call = ServiceCall(member, key, body, tuple(answers))
+        answers = _repeat(send, turn.callers, turn.rng)
+        call = ServiceCall(turn.member, key, body, tuple(answers))
         with self._lock:
             self.calls.append(call)
 
-    def _order_once(
-        self,
-        member: str,
-        callers: list[client.Caller],
-        rng: random.Random,
-        name: str,
-    ) -> None:
+    def _order_once(self, turn: _Turn) -> None:
         """Send what must not run twice without a key, so only once."""
         service = self._running.plan.blueprint.services[0]
-        body = json.dumps({'order': name}).encode()
-        answer = callers[0].call_service(
+        body = json.dumps({'order': turn.name}).encode()
+        answer = turn.callers[0].call_service(
             service.name, service.path, method='POST', body=body
         )
         with self._lock:
-            self.calls.append(ServiceCall(member, '', body, (answer,)))
+            self.calls.append(ServiceCall(turn.member, '', body, (answer,)))
 
-    def _read(
-        self,
-        member: str,
-        callers: list[client.Caller],
-        rng: random.Random,
-        name: str,
-    ) -> None:
+    def _read(self, turn: _Turn) -> None:
         service = self._running.plan.blueprint.services[-1]
-        path = f'{service.path}/{name}'
-        answer = callers[0].call_service(service.name, path)
+        path = f'{service.path}/{turn.name}'
+        answer = turn.callers[0].call_service(service.name, path)
         with self._lock:
-            self.calls.append(ServiceCall(member, '', b'', (answer,)))
+            self.calls.append(ServiceCall(turn.member, '', b'', (answer,)))
 
     def count_keyed(self) -> tuple[int, int]:
         """Count the requests under a key, and their repeats."""
