Name what the links module offers and the server it has

Cause: `serve` was used by others but not listed, and the exchange's server was still described as gRPC's blocking one. Change: a name in `__all__` and an annotation. Conclusion: behaviour unchanged.

--- a/packages/adapters/src/dunlintide_adapters/links.py
+++ b/packages/adapters/src/dunlintide_adapters/links.py
@@ -38,6 +38,7 @@
     'Link',
     'LinkServer',
     'LinkTiming',
+    'serve',
 ]
 
 MAX_MESSAGE_BYTES = packing.MAX_FRAME_BYTES
--- a/packages/daemon/src/dunlintide_daemon/entry/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/exchange.py
@@ -102,7 +102,7 @@
         return self._server.port
 
     @property
-    def server(self) -> grpc.Server:
+    def server(self) -> grpc.aio.Server:
         """The gRPC server, for adding further services before start."""
         return self._server.server
 
