--- a/packages/adapters/src/dunlintide_adapters/links.py
+++ b/packages/adapters/src/dunlintide_adapters/links.py
@@ -15,7 +15,6 @@
 import time
 from typing import (
     AsyncIterable,
-    AsyncIterator,
     Awaitable,
     Callable,
     Iterable,
@@ -28,6 +27,7 @@
 import grpc
 
 from dunlintide_adapters import eventloop
+from dunlintide_adapters import outboxes
 from dunlintide_adapters import packing
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_adapters.wire import link_pb2_grpc
@@ -42,7 +42,6 @@
 ]
 
 MAX_MESSAGE_BYTES = packing.MAX_FRAME_BYTES
-MAX_BACKLOG_FRAMES = 100_000
 CALL_THREADS = 64
 _STOP_GRACE_SECONDS = 2.0
 
@@ -108,61 +107,6 @@
     return type(error).__name__
 
 
-class _Outbox:
-    """Frames that wait for the writer, bounded in number.
-
-    :ivar taken: monotonic time at which the writer last took some
-    """
-
-    def __init__(self, batch_bytes: int) -> None:
-        self.taken = time.monotonic()
-        self._batch_bytes = batch_bytes
-        self._frames: list[link_pb2.Frame] = []
-        self._lock = threading.Lock()
-        self._ready = asyncio.Event()
-        self._closed = False
-
-    def put(self, frame: link_pb2.Frame) -> bool:
-        """Append a frame; False when closed or full."""
-        with self._lock:
-            if self._closed or len(self._frames) >= MAX_BACKLOG_FRAMES:
-                return False
-            self._frames.append(frame)
-            first = len(self._frames) == 1
-        if first:
-            self._wake()
-        return True
-
-    def close(self) -> None:
-        """Let the writer end once it has taken what is queued."""
-        with self._lock:
-            self._closed = True
-        self._wake()
-
-    def _wake(self) -> None:
-        if eventloop.is_current():
-            self._ready.set()
-        else:
-            eventloop.call(self._ready.set)
-
-    async def _take(self) -> list[link_pb2.Frame]:
-        while True:
-            self._ready.clear()
-            with self._lock:
-                frames, self._frames = self._frames, []
-                closed = self._closed
-            if frames or closed:
-                self.taken = time.monotonic()
-                return frames
-            await self._ready.wait()
-
-    async def envelopes(self) -> AsyncIterator[link_pb2.Envelope]:
-        """Yield queued frames in messages of bounded size."""
-        while frames := await self._take():
-            for envelope in packing.pack(frames, self._batch_bytes):
-                yield envelope
-
-
 class Link:
     """One open stream to a peer.
 
@@ -180,7 +124,7 @@
         self._heard = time.monotonic()
         self._handlers = handlers
         self._timing = timing
-        self._outbox = _Outbox(batch_bytes)
+        self._outbox = outboxes.Outbox(batch_bytes)
         self._outbox.put(link_pb2.Frame(hello=hello))
         self._sequence = 0
 
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/outboxes.py
@@ -0,0 +1,72 @@
+"""Frames that wait to be written to a link."""
+
+import asyncio
+import threading
+import time
+from typing import AsyncIterator
+
+from dunlintide_adapters import eventloop
+from dunlintide_adapters import packing
+from dunlintide_adapters.wire import link_pb2
+
+__all__ = [
+    'MAX_BACKLOG_FRAMES',
+    'Outbox',
+]
+
+MAX_BACKLOG_FRAMES = 100_000
+
+
+class Outbox:
+    """Frames that wait for the writer, bounded in number.
+
+    :ivar taken: monotonic time at which the writer last took some
+    """
+
+    def __init__(self, batch_bytes: int) -> None:
+        self.taken = time.monotonic()
+        self._batch_bytes = batch_bytes
+        self._frames: list[link_pb2.Frame] = []
+        self._lock = threading.Lock()
+        self._ready = asyncio.Event()
+        self._closed = False
+
+    def put(self, frame: link_pb2.Frame) -> bool:
+        """Append a frame; False when closed or full."""
+        with self._lock:
+            if self._closed or len(self._frames) >= MAX_BACKLOG_FRAMES:
+                return False
+            self._frames.append(frame)
+            first = len(self._frames) == 1
+        if first:
+            self._wake()
+        return True
+
+    def close(self) -> None:
+        """Let the writer end once it has taken what is queued."""
+        with self._lock:
+            self._closed = True
+        self._wake()
+
+    def _wake(self) -> None:
+        if eventloop.is_current():
+            self._ready.set()
+        else:
+            eventloop.call(self._ready.set)
+
+    async def _take(self) -> list[link_pb2.Frame]:
+        while True:
+            self._ready.clear()
+            with self._lock:
+                frames, self._frames = self._frames, []
+                closed = self._closed
+            if frames or closed:
+                self.taken = time.monotonic()
+                return frames
+            await self._ready.wait()
+
+    async def envelopes(self) -> AsyncIterator[link_pb2.Envelope]:
+        """Yield queued frames in messages of bounded size."""
+        while frames := await self._take():
+            for envelope in packing.pack(frames, self._batch_bytes):
+                yield envelope
