Free the thread of a service call that nobody wants

Cause: an agent cut the connection of a cancelled call only once the service's answer had begun. A service that takes calls and never answers kept each thread until its call's deadline, though the callers had left, so later calls waited in the pool, unseen by the gate's queue.

Ruled out: a shorter read timeout, which would cut slow services; a poll of the socket, which urllib3 does not offer.

Change: a call's socket is known from the moment it is open, and is shut when the call is stopped.

Before: with 2 calls at a time, both cancelled, a later call had no answer in 60 s (the scenario's bound). After: it is answered while the service still sleeps over the first two.

Conclusion: cancelling a call frees its place and its thread.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -122,3 +122,9 @@
     When the service is gone
     And a call is made
     Then the call fails with "endpoint-failed" and did not run
+
+  Scenario: Calls whose callers have left hold up no other call
+    Given an agent that makes 2 calls at a time to a service that is slow
+    When 2 calls are made and cancelled while the service has them
+    And the service is slow no more
+    Then a later call is answered though the service has the first 2 still
--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -21,6 +21,8 @@
 LAYERS = 12
 WAIT_SECONDS = 60.0
 DEADLINE_MS = 60_000
+# Longer than any scenario lasts.
+SLOW_SECONDS = 600.0
 
 
 def wait_until(condition, what, seconds=WAIT_SECONDS):
@@ -604,21 +606,65 @@
     assert context.status == status
 
 
-@behave.given('an agent before a plain service')
-def start_service(context):
-    context.service = services.Service.from_config(services.Config())
+def start_service_agent(context, max_in_flight=0, **more):
+    context.service = services.Service.from_config(services.Config(**more))
     context.service.start()
     context.stack.callback(context.service.stop)
     endpoint = settings.EndpointSettings(
         kind=fleet.EndpointKind.SERVICE,
         url=f'http://127.0.0.1:{context.service.port}',
         service='orders',
+        max_in_flight=max_in_flight,
     )
     context.agents = [start_agent(context, 'agent-s', endpoint)]
     context.caller = Caller(context.agents[0].address)
     context.stack.callback(context.caller.dialer.stop)
 
 
+@behave.given('an agent before a plain service')
+def start_service(context):
+    start_service_agent(context)
+
+
+@behave.given(
+    'an agent that makes {count:d} calls at a time to a service that is slow'
+)
+def start_slow_service(context, count):
+    start_service_agent(context, count, delay_seconds=SLOW_SECONDS)
+
+
+@behave.when(
+    '{count:d} calls are made and cancelled while the service has them'
+)
+def cancel_calls(context, count):
+    names = [f'c{number}' for number in range(count)]
+    for name in names:
+        call_service(context, name)
+    wait_until(lambda: len(context.service.runs()) == count, 'runs')
+    for name in names:
+        cancel = link_pb2.Cancel(request_id=name, epoch=1)
+        context.caller.send(cancel=cancel)
+    for name in names:
+        check_fail(context, name, 'cancelled', True)
+
+
+@behave.when('the service is slow no more')
+def mend_service(context):
+    url = f'http://127.0.0.1:{context.service.port}/control'
+    body = {'delay_seconds': 0.0}
+    answer = urllib3.request('POST', url, json=body, retries=False)
+    assert answer.status == 200, answer.data
+
+
+@behave.then(
+    'a later call is answered though the service has the first {count:d} still'
+)
+def check_later_call(context, count):
+    call_service(context, 'later')
+    assert wait_reply(context, 'later')[0].status == 200
+    assert len(context.service.runs()) == count + 1
+
+
 def call_service(context, request_id, **more):
     terms = link_pb2.Terms(
         request_id=request_id,
--- a/packages/daemon/src/dunlintide_daemon/agent/services.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/services.py
@@ -5,6 +5,8 @@
 """
 
 from concurrent import futures
+import contextlib
+import socket
 import threading
 import time
 from typing import Callable, Iterator
@@ -90,6 +92,20 @@
     return not isinstance(error, never_connected)
 
 
+def _watch(
+    kind: type[urllib3.connection.HTTPConnection],
+    take: Callable[[socket.socket], None],
+) -> type[urllib3.connection.HTTPConnection]:
+    """Return a kind of connection that hands on its socket once open."""
+
+    class Watched(kind):
+        def connect(self) -> None:
+            super().connect()
+            take(self.sock)
+
+    return Watched
+
+
 class Services:
     """Threads that call one service."""
 
@@ -114,8 +130,13 @@
         self._once = urllib3.connection_from_url(
             url, maxsize=threads, retries=False
         )
+        self._once.ConnectionCls = _watch(
+            self._once.ConnectionCls, self._take_socket
+        )
         self._lock = threading.Lock()
-        self._answers: dict[works.Work, urllib3.BaseHTTPResponse] = {}
+        # Calls that are wanted, with their connections once these are open.
+        self._wanted: dict[works.Work, socket.socket | None] = {}
+        self._current = threading.local()
 
     def close(self) -> None:
         """Wait for the calls under way and close all connections."""
@@ -141,14 +162,32 @@
         self._gate.open(work, claim, subscriber)
 
     def _start(self, work: works.Work, call: link_pb2.Call) -> None:
+        with self._lock:
+            self._wanted[work] = None
         self._pool.submit(self._run_safely, work, call)
 
     def _stop(self, work: works.Work) -> None:
         with self._lock:
-            answer = self._answers.pop(work, None)
-        if answer is not None:
-            # Unblocks the reading thread; the answer is not wanted.
-            answer.shutdown()
+            self._shut(self._wanted.pop(work, None))
+
+    def _shut(self, opened: socket.socket | None) -> None:
+        """Unblock the thread that waits for an answer nobody wants."""
+        if opened is None:
+            return
+        with contextlib.suppress(OSError):
+            opened.shutdown(socket.SHUT_RDWR)
+
+    def _take_socket(self, opened: socket.socket) -> None:
+        work = self._current.work
+        with self._lock:
+            if work in self._wanted:
+                self._wanted[work] = opened
+            else:
+                self._shut(opened)
+
+    def _is_wanted(self, work: works.Work) -> bool:
+        with self._lock:
+            return work in self._wanted
 
     def _run_safely(self, work: works.Work, call: link_pb2.Call) -> None:
         try:
@@ -160,12 +199,15 @@
 
     def _run(self, work: works.Work, call: link_pb2.Call) -> None:
         seconds = work.deadline - self._clock()
-        if seconds <= 0 or work.phase is works.Phase.ENDED:
+        if not self._is_wanted(work):
+            return
+        if seconds <= 0:
             code = outcomes.FailCode.DEADLINE
             self._gate.fail(work, code, 'the deadline has passed', ran=False)
             return
         headers = _build_headers(call)
         headers['Connection'] = 'close'
+        self._current.work = work
         try:
             answer = self._once.urlopen(
                 call.method,
@@ -179,8 +221,6 @@
                 preload_content=False,
                 decode_content=False,
             )
-            with self._lock:
-                self._answers[work] = answer
             self._forward(work, call, answer)
             self._gate.end(work)
         except urllib3.exceptions.HTTPError as error:
@@ -189,7 +229,7 @@
             self._gate.fail(work, code, detail, ran=_has_run(error))
         finally:
             with self._lock:
-                self._answers.pop(work, None)
+                self._wanted.pop(work, None)
 
     def _forward(
         self,
