Let a new entry ask for callers once it can serve all that is offered

Cause: an entry was ready as soon as one agent of any model or service was linked, so one with one of three stages took callers and refused them with "not run". Callers that the balancer sent to an entry that had just started met that, and so did trials that send at once: the scenario of poison prompts waits for six streams at all entries and failed once where the test run shared its machine, probably since one of them was refused (its record was not kept, so this cause is likely and not proved).

Ruled out: ports taken by other processes between two starts, as they are reserved below the range for outgoing connections.

For the first 5 s of its life an entry is ready when all that is offered is served, later when anything is, so one model that is down takes no entry from the others.

Before: "layers 0-8" of 24 alone was ready.

--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import math
 import random
 import threading
 import time
@@ -147,6 +148,7 @@
             lambda: self._holder.revision,
         )
         self._keeper = threads.Keeper(self.done)
+        self._settled = math.inf
         self._stack = contextlib.ExitStack()
 
     @property
@@ -228,7 +230,11 @@
         """Tell whether callers should be sent here."""
         unready = self._state.why_not_ready() if self._state else ''
         reasons = readiness.list_reasons(
-            self.leaving, unready, self._holder.snapshot, self._fleet
+            self.leaving,
+            unready,
+            self._holder.snapshot,
+            self._fleet,
+            settling=time.monotonic() < self._settled,
         )
         return admin.Readiness(tuple(reasons))
 
@@ -285,6 +291,7 @@
         self._stack.callback(thread.join, _JOIN_SECONDS)
 
     def __enter__(self) -> 'Entry':
+        self._settled = time.monotonic() + readiness.SETTLE_SECONDS
         with self._stack as stack:
             masking.watch_keys(self._holder)
             stack.callback(self._outside.close)
