Measure entries' tokens at four sizes, with whole streams

entry.cpu_token stopped at its larger size: '205 of 256 streams whole'. Cause: all streams came from one member, and one member may hold 4/5 of an entry's threads since the front counts them. Ruled out: the machine's load, as it was 205 = 4/5 of 256 at a load average of 13. The same ran unnoticed in entry.memory_stream, which does not look. Each stream now has a member of its own. links.batching named a constant that had moved to the module packing, so it could not run.

--- a/packages/trials/src/dunlintide_trials/cases/entry.py
+++ b/packages/trials/src/dunlintide_trials/cases/entry.py
@@ -8,7 +8,7 @@
 
 __all__ = ['CASES']
 
-STREAMS = (100, 256)
+STREAMS = (32, 96, 160, 256)
 SECONDS = 2.0
 # A bound on the ratio, since all on a busy machine gets slower together.
 CPU_BOUND_RATIO = 6.0
--- a/packages/trials/src/dunlintide_trials/cases/links.py
+++ b/packages/trials/src/dunlintide_trials/cases/links.py
@@ -13,6 +13,7 @@
 import attrs
 
 from dunlintide_adapters import links
+from dunlintide_adapters import packing
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_standins import relay
 from dunlintide_trials import figures
@@ -115,7 +116,7 @@
 
 def measure_batching() -> Iterator[figures.Figure]:
     """Measure how steps share messages, and what that carries."""
-    together = _run(links.BATCH_BYTES)
+    together = _run(packing.BATCH_BYTES)
     alone = _run(1)
     where = (
         f'{SESSIONS} sessions, {DELAY_SECONDS * 1000:.0f} ms each way, '
--- a/packages/trials/src/dunlintide_trials/streams.py
+++ b/packages/trials/src/dunlintide_trials/streams.py
@@ -41,7 +41,6 @@
 THREADS = 256
 WARMUP_SECONDS = 0.8
 _START_SECONDS = 30.0
-_KEY = 'bench'
 _MODEL = 'copy'
 _LAYERS = 24
 _MICRO = 1e6
@@ -152,14 +151,21 @@
         return {}
 
 
+def _make_key(number: int) -> str:
+    # A stream each, as one member may not take all of an entry's threads.
+    return f'bench-{number}'
+
+
+def _make_member(number: int) -> configuration.Member:
+    key = _make_key(number)
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return configuration.Member(key, (digest,))
+
+
 @contextlib.contextmanager
 def _serve_entry(addresses: list[str]) -> Iterator[int]:
     config = configuration.Configuration(
-        members=(
-            configuration.Member(
-                _KEY, (hashlib.sha256(_KEY.encode()).hexdigest(),)
-            ),
-        ),
+        members=tuple(map(_make_member, range(THREADS))),
         models=(configuration.Model(_MODEL, _LAYERS),),
         rules=(
             configuration.Rule(
@@ -252,7 +258,7 @@
         child.join()
 
 
-def _build_request(tokens: int) -> bytes:
+def _build_request(key: str, tokens: int) -> bytes:
     body = json.dumps(
         {
             'model': _MODEL,
@@ -263,7 +269,7 @@
     )
     return (
         'POST /v1/completions HTTP/1.1\r\nHost: bench\r\n'
-        f'Authorization: Bearer {_KEY}\r\n'
+        f'Authorization: Bearer {key}\r\n'
         f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n{body}'
     ).encode()
 
@@ -276,9 +282,10 @@
         self.complete = 0
         self.open = count
         self._selector = selectors.DefaultSelector()
-        for _ in range(count):
+        for number in range(count):
+            key = _make_key(number)
             caller = socket.create_connection(('127.0.0.1', port))
-            caller.sendall(_build_request(tokens))
+            caller.sendall(_build_request(key, tokens))
             caller.setblocking(False)
             self._selector.register(caller, selectors.EVENT_READ)
 
