Cut off callers that fall silent within a request

Cause: a caller that sent half a request and then nothing kept its connection as long as an idle one, 75 s, and 2,048 of them make an entry deaf to all others for that time. The 30 s for a caller that reads nothing were fixed and no scenario showed them.

Change: a connection that stops within a request is closed after timing.caller_silence (30 s by default), the bound that also holds for a caller that takes none of its answer. A write to a connection that the loop had closed in between no longer raises: whether it is open is read under the lock.

Shown by: httpserver.feature, with 1 s: half a head and half a request were still open after 20 s, now closed; a caller that reads nothing was cut before and after, by the kernel. outcomes.feature, with real processes and connections that had worked: half a request is closed; a stream whose caller went silent ends at its deadline (3 s in the scenario), as it did before, and holds neither thread nor stage.

Conclusion: a silent caller holds nothing for longer than its deadline plus 1 s, or caller_silence plus 1 s where there is no request yet.

--- a/features/httpserver.feature
+++ b/features/httpserver.feature
@@ -45,3 +45,20 @@
     When a caller reads none of an answer that must end soon
     Then the HTTP application is told to end and its thread is free
     And what the caller can still read is not a whole answer
+
+  Scenario: A caller that takes none of its answer is cut off
+    Given an HTTP server that bears 1 s of a caller's silence
+    When a caller asks for 64 MB and reads none of it
+    Then the HTTP application is told to end and its thread is free
+    And what the caller can still read is not a whole answer
+
+  Scenario Outline: A caller that falls silent within a request is cut off
+    Given an HTTP server that bears 1 s of a caller's silence
+    When a caller sends the <part> of a request and falls silent
+    Then its HTTP connection is closed
+    And the HTTP application ran 0 times
+
+    Examples:
+      | part                    |
+      | first half of the head  |
+      | head and half the body  |
--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -50,6 +50,17 @@
       | middle |
       | last   |
 
+  Scenario: A caller that falls silent in a stream holds nothing for ever
+    Given the engines take 20 ms a step
+    And completions have 3 s
+    When a caller whose connection has worked falls silent in a stream
+    Then the entry settles the request as "deadline" and holds none
+    And no agent comes to have a session any more
+
+  Scenario: A caller that falls silent within a request holds nothing
+    When a caller whose connection has worked sends half a request
+    Then the entry closes that connection and holds no request
+
   Scenario: An entry that dies leaves its callers' keys with their answers
     Given the engines take 20 ms a step
     And the services take 1.5 s a call
--- a/features/steps/httpserver.py
+++ b/features/steps/httpserver.py
@@ -65,6 +65,18 @@
     )
 
 
+def serve(context, threads, **options):
+    context.application = Application()
+    context.server = httpserver.HttpServer.from_config(
+        context.application, '127.0.0.1:0', threads, **options
+    )
+    context.server.start()
+    context.add_cleanup(context.server.stop, 0)
+    context.add_cleanup(context.application.release.set)
+    context.url = f'http://127.0.0.1:{context.server.port}'
+    context.http = urllib3.PoolManager(maxsize=8)
+
+
 @behave.given(
     'an HTTP server for {threads:d} requests at once and bodies of '
     '{size:d} bytes'
@@ -78,15 +90,33 @@
     # Cleaned up last, as its threads wait for the server.
     context.pool = futures.ThreadPoolExecutor(8)
     context.add_cleanup(context.pool.shutdown)
-    context.application = Application()
-    context.server = httpserver.HttpServer.from_config(
-        context.application, '127.0.0.1:0', threads, max_body=size
-    )
-    context.server.start()
-    context.add_cleanup(context.server.stop, 0)
-    context.add_cleanup(context.application.release.set)
-    context.url = f'http://127.0.0.1:{context.server.port}'
-    context.http = urllib3.PoolManager(maxsize=8)
+    serve(context, threads, max_body=size)
+
+
+@behave.given("an HTTP server that bears {seconds:d} s of a caller's silence")
+def start_impatient(context, seconds):
+    serve(context, 2, stall_seconds=float(seconds))
+
+
+HALVES = {
+    'first half of the head': b'POST / HTTP/1.1\r\nHost',
+    'head and half the body': (
+        b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 20\r\n\r\nhalf'
+    ),
+}
+
+
+@behave.when('a caller sends the {part} of a request and falls silent')
+def fall_silent(context, part):
+    address = ('127.0.0.1', context.server.port)
+    context.silent = socket.create_connection(address, WAIT_SECONDS)
+    context.add_cleanup(context.silent.close)
+    context.silent.sendall(HALVES[part])
+
+
+@behave.then('its HTTP connection is closed')
+def check_closed(context):
+    assert context.silent.recv(1) == b''
 
 
 @behave.when('an HTTP body of {size:d} bytes is posted')
--- /dev/null
+++ b/features/steps/outcomes_callers.py
@@ -0,0 +1,101 @@
+"""Steps about callers that fall silent."""
+
+import copy
+import http.client
+import json
+
+import behave
+from dunlintide_standins import relay
+from dunlintide_trials import layout
+import outcomes_scene
+
+ENTRY = 'entry-0'
+HALF = (
+    b'POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 99\r\n\r\n{'
+)
+
+
+def connect(context):
+    """Connect to an entry and have a request answered."""
+    scene = context.scene
+    entry = scene.running.plan.entries[0]
+    address = scene.running.plan.find_url(entry).removeprefix('http://')
+    connection = http.client.HTTPConnection(
+        address, timeout=outcomes_scene.WAIT_SECONDS
+    )
+    context.stack.callback(connection.close)
+    ask(context, connection, 1, stream=False)
+    answer = connection.getresponse()
+    assert answer.status == 200, answer.read()
+    answer.read()
+    return connection
+
+
+def ask(context, connection, tokens, *, stream):
+    scene = context.scene
+    body = {
+        'model': scene.running.model,
+        'prompt': scene.name_prompt(),
+        'max_tokens': tokens,
+        'stream': stream,
+    }
+    key = scene.running.keys[scene.member]
+    headers = {'Authorization': f'Bearer {key}'}
+    connection.request('POST', '/v1/completions', json.dumps(body), headers)
+
+
+def read_revision(scene):
+    return scene.running.read_state(ENTRY)['configuration']['revision']
+
+
+@behave.given('completions have {seconds:d} s')
+def limit_time(context, seconds):
+    scene = context.scene
+    rules = copy.deepcopy(scene.rules)
+    for rule in rules['rules']:
+        if 'model' in rule['when']:
+            rule['then']['deadline_seconds'] = seconds
+    before = read_revision(scene)
+    scene.running.apply_rules(rules).check()
+
+    def has_changed():
+        return read_revision(scene) > before
+
+    outcomes_scene.wait_until(has_changed, 'the rules')
+
+
+def count_outcomes(context, code):
+    state = context.scene.running.read_state(ENTRY)
+    return state['outcomes'].get(code, 0)
+
+
+@behave.when('a caller whose connection has worked falls silent in a stream')
+def fall_silent(context):
+    connection = connect(context)
+    context.settled = count_outcomes(context, 'deadline')
+    ask(context, connection, 300, stream=True)
+    context.scene.find_chain()
+    hop = layout.Hop.CALLER_ENTRY, ENTRY
+    context.scene.running.relays[hop].stall(relay.Direction.BOTH)
+
+
+def holds_none(context):
+    return not context.scene.running.read_state(ENTRY)['in_flight']
+
+
+@behave.then('the entry settles the request as "{code}" and holds none')
+def check_settled(context, code):
+    outcomes_scene.wait_until(lambda: holds_none(context), 'none is held')
+    assert count_outcomes(context, code) == context.settled + 1
+
+
+@behave.when('a caller whose connection has worked sends half a request')
+def send_half(context):
+    context.connection = connect(context)
+    context.connection.sock.sendall(HALF)
+
+
+@behave.then('the entry closes that connection and holds no request')
+def check_closed(context):
+    assert context.connection.sock.recv(1) == b''
+    assert holds_none(context)
--- a/features/steps/outcomes_scene.py
+++ b/features/steps/outcomes_scene.py
@@ -34,6 +34,7 @@
     'endpoint_timeout': 0.5,
     'endpoint_silence': 0.8,
     'heartbeat': 0.5,
+    'caller_silence': 2.0,
 }
 STAGES = ('head', 'middle', 'last')
 CURE = {'down': False, 'hang': False, 'slow_seconds': 0.0, 'drop_answers': 0}
--- a/packages/adapters/src/dunlintide_adapters/httpserver.py
+++ b/packages/adapters/src/dunlintide_adapters/httpserver.py
@@ -46,8 +46,9 @@
 DEFAULT_MAX_HEADER_BYTES = 32 << 10
 DEFAULT_MAX_CONNECTIONS = 2048
 DEFAULT_IDLE_SECONDS = 75.0
-# A client that takes no byte of its answer for so long is cut off, as it
-# would hold a thread for ever.
+# A client that for so long takes no byte of its answer, or sends none of a
+# request that it has begun, is cut off, as it would hold a thread or a
+# connection for ever.
 DEFAULT_STALL_SECONDS = 30.0
 
 # Threads beyond those that may run the application; they only refuse.
@@ -160,7 +161,8 @@
             return super().write_soon(data)
         size = len(data)
         with self.outbuf_lock:
-            if not self.total_outbufs_len:
+            # The loop may have closed it since.
+            if self.connected and not self.total_outbufs_len:
                 data = data[self._send_now(data) :]
             if data and self.connected:
                 super().write_soon(data)
@@ -317,10 +319,15 @@
     """
 
     def __init__(
-        self, server: waitress.server.TcpWSGIServer, gate: _Gate
+        self,
+        server: waitress.server.TcpWSGIServer,
+        gate: _Gate,
+        stall_seconds: float,
     ) -> None:
         """Wrap a bound server; use ``from_config`` instead."""
         self._server = server
+        self._stall_seconds = stall_seconds
+        self._looked = 0.0
         self._gate = gate
         self._stopping = threading.Event()
         self._deadline: float | None = None
@@ -353,7 +360,7 @@
         :param max_connections: open connections; more wait in the kernel
         :param idle_seconds: life of a connection without requests
         :param stall_seconds: time after which a client that takes none of
-            its answer is cut off
+            its answer, or stops within a request, is cut off
         :param render_error: builds the page for a refusal by the server
             itself, from the HTTP status and one sentence
         :raises OSError: when the port is taken
@@ -382,7 +389,7 @@
         server.adj.socket_options = _list_socket_options(stall_seconds)
         server.channel_class = _Channel
         server.render_error = render_error
-        return cls(server, gate)
+        return cls(server, gate, stall_seconds)
 
     @property
     def port(self) -> int:
@@ -423,12 +430,27 @@
     def _run(self) -> None:
         while not self._stopping.is_set():
             self._poll(_LOOP_SECONDS)
+            self._close_silent(time.time())
         self._stop_accepting()
         while self._is_busy():
             self._poll(_STOP_LOOP_SECONDS)
             self._close_idle()
         self._close()
 
+    def _close_silent(self, now: float) -> None:
+        """Close connections whose caller stopped within a request.
+
+        waitress closes them only with the idle ones. What a caller does
+        not take of an answer is the kernel's matter.
+        """
+        if now - self._looked < _LOOP_SECONDS:
+            return
+        self._looked = now
+        for channel in self._server.active_channels.values():
+            quiet = now - channel.last_activity
+            if channel.request is not None and quiet > self._stall_seconds:
+                channel.will_close = True
+
     def _stop_accepting(self) -> None:
         # What the kernel has accepted already would be reset by closing.
         server = self._server
--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -152,6 +152,8 @@
     :ivar endpoint_silence: least time after which a call to an engine
         that has no answer yet is looked into
     :ivar heartbeat: longest pause in a stream to a caller
+    :ivar caller_silence: time after which a caller that stops within its
+        request, or takes none of its answer, is cut off
     :ivar host_list_poll: pause between two reads of the host list by one
         of the few processes that follow it
     :ivar configuration_poll: pause between two reads of the head that
@@ -167,6 +169,7 @@
     endpoint_timeout: Seconds = 2.0
     endpoint_silence: Seconds = 3.0
     heartbeat: Seconds = 5.0
+    caller_silence: Seconds = 30.0
     host_list_poll: Seconds = 2.0
     configuration_poll: Seconds = 30.0
     quarantine: Seconds = 600.0
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -201,6 +201,7 @@
             settings.limits.threads,
             settings.limits.max_body_bytes,
             settings.limits.max_header_bytes,
+            stall_seconds=settings.timing.caller_silence,
             render_error=functools.partial(
                 problems.render_server_error, self._rng
             ),
@@ -223,6 +224,7 @@
         if self._state is not None:
             state['state'] = self._state.dump()
         state['poison'] = self._suspicion.describe()
+        state['in_flight'] = self._http.in_flight
         own = {'name': self.settings.name, 'leaving': self.leaving}
         return masking.mask_state(own | state)
 
