Secure connections between processes with mutual TLS

Nothing told one process from another: whoever reached the link port could open sessions, send orders to engines or join the membership.

An optional tls section of the settings names certificate, key and authorities. Every connection between processes (links, anti-entropy, claims) then needs a certificate of these authorities on both sides. A certificate names its process by DNS names, NAME.ROLE.DOMAIN and ROLE.DOMAIN: gRPC for Python shows the accepted peer's names to the server but nothing to the client, which can only ask for a DNS name, so a URI would serve one side. A first message that claims another role or name, or a later one that changes them, ends the link; a side that accepts says nothing before. With the role known, frames that only the other role may send are dropped, claims are taken from entries only, and the sender of anti-entropy must be who it says. All are counted (dunlintide_tls_refused) and logged.

Files are looked at again at each handshake, a second apart at most; new ones serve connections from then on and open ones go on. Files that don't fit together, are expired, or name another process are logged once and the former kept. The same checks run on start, so a mistake is told with its field.

Ruled out: inotify and a watching thread (files matter only at a handshake); names as URIs (above); checking roles without TLS (a role is then only a claim).

--- a/packages/adapters/src/dunlintide_adapters/claimroutes.py
+++ b/packages/adapters/src/dunlintide_adapters/claimroutes.py
@@ -14,9 +14,11 @@
 import result
 
 from dunlintide_adapters import claims as writers
+from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_adapters.wire import link_pb2_grpc
 from dunlintide_core import claims
+from dunlintide_core import fleet
 
 __all__ = [
     'Owner',
@@ -75,10 +77,16 @@
 class _Servicer(link_pb2_grpc.ClaimsServicer):
     """Commits what other entries send."""
 
-    def __init__(self, writer: writers.ClaimWriter) -> None:
+    def __init__(
+        self, writer: writers.ClaimWriter, transport: transports.Transport
+    ) -> None:
         self._writer = writer
+        self._transport = transport
 
     def Bind(self, request, context):
+        fault = self._transport.find_fault(context, fleet.Role.ENTRY)
+        if fault:
+            context.abort(grpc.StatusCode.PERMISSION_DENIED, fault)
         timeout = request.timeout_ms / 1000
         waiting = [
             self._writer.submit(claims.decode_binding(data), timeout)
@@ -88,12 +96,16 @@
         return link_pb2.BindReply(outcomes=outcomes)
 
 
-def add_service(server: grpc.Server, writer: writers.ClaimWriter) -> None:
+def add_service(
+    server: grpc.Server,
+    writer: writers.ClaimWriter,
+    transport: transports.Transport = transports.PLAIN,
+) -> None:
     """Let other entries send claims to a writer.
 
     :param server: not started yet
     """
-    servicer = _Servicer(writer)
+    servicer = _Servicer(writer, transport)
     link_pb2_grpc.add_ClaimsServicer_to_server(servicer, server)
 
 
@@ -108,10 +120,11 @@
         address: str,
         timing: RouteTiming,
         divert: Callable[[writers.Pending], None],
+        transport: transports.Transport,
     ) -> None:
         self._timing = timing
         self._divert = divert
-        self._channel = grpc.insecure_channel(address, _CHANNEL_OPTIONS)
+        self._channel = transport.dial(address, _CHANNEL_OPTIONS)
         self._stub = link_pb2_grpc.ClaimsStub(self._channel)
         self._lock = threading.Lock()
         self._queue: list[writers.Pending] = []
@@ -193,6 +206,7 @@
         writer: writers.ClaimWriter,
         owner: Owner,
         timing: RouteTiming = RouteTiming(),
+        transport: transports.Transport = transports.PLAIN,
     ) -> None:
         """Remember where to send claims.
 
@@ -203,6 +217,7 @@
         self._writer = writer
         self._owner = owner
         self._timing = timing
+        self._transport = transport
         self._lock = threading.Lock()
         self._routes: dict[str, _Route] = {}
 
@@ -268,7 +283,9 @@
         with self._lock:
             route = self._routes.get(address)
             if route is None:
-                route = _Route(address, self._timing, self._divert)
+                route = _Route(
+                    address, self._timing, self._divert, self._transport
+                )
                 self._routes[address] = route
             return route
 
--- a/packages/adapters/src/dunlintide_adapters/links.py
+++ b/packages/adapters/src/dunlintide_adapters/links.py
@@ -29,6 +29,7 @@
 from dunlintide_adapters import eventloop
 from dunlintide_adapters import outboxes
 from dunlintide_adapters import packing
+from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_adapters.wire import link_pb2_grpc
 
@@ -44,6 +45,9 @@
 MAX_MESSAGE_BYTES = packing.MAX_FRAME_BYTES
 CALL_THREADS = 64
 _STOP_GRACE_SECONDS = 2.0
+_HANDSHAKE = 'handshake'
+# gRPC tells only in words that the far side's certificate was refused.
+_HANDSHAKE_MARKS = ('handshake failed', 'verification check failed')
 
 _CHANNEL_OPTIONS = (
     # The router retries in one layer only, so gRPC must not.
@@ -93,6 +97,10 @@
     down: Callable[['Link', str], None]
 
 
+class _Refused(Exception):
+    """The far side is not who it says it is."""
+
+
 @attrs.frozen
 class _Stream:
     """Both directions of a gRPC stream."""
@@ -103,6 +111,9 @@
 
 def _describe(error: grpc.RpcError) -> str:
     if isinstance(error, grpc.aio.AioRpcError):
+        details = error.details() or ''
+        if any(mark in details.lower() for mark in _HANDSHAKE_MARKS):
+            return f'{_HANDSHAKE}: {details}'
         return str(error.code())
     return type(error).__name__
 
@@ -119,13 +130,17 @@
         hello: link_pb2.Hello,
         timing: LinkTiming,
         batch_bytes: int = packing.BATCH_BYTES,
+        guard: transports.Guard | None = None,
     ) -> None:
         self.peer: link_pb2.Hello | None = None
         self._heard = time.monotonic()
         self._handlers = handlers
         self._timing = timing
         self._outbox = outboxes.Outbox(batch_bytes)
-        self._outbox.put(link_pb2.Frame(hello=hello))
+        self._hello = hello
+        self._guard = guard or transports.Guard()
+        if not self._guard.answers:
+            self._greet()
         self._sequence = 0
 
     def send(self, frame: link_pb2.Frame) -> bool:
@@ -138,15 +153,27 @@
 
     def _take_control(self, frame: link_pb2.Frame) -> bool:
         body = frame.WhichOneof('body')
+        if not self._guard.permits(body):
+            return True
         if body == 'hello':
-            first = self.peer is None
-            self.peer = frame.hello
-            if first:
-                self._handlers.up(self)
-                return True
-            return False
+            return self._take_hello(frame.hello)
         return body == 'ping'
 
+    def _greet(self) -> None:
+        self._outbox.put(link_pb2.Frame(hello=self._hello))
+
+    def _take_hello(self, hello: link_pb2.Hello) -> bool:
+        fault = self._guard.admit(hello.role, hello.name, self._hello.role)
+        if fault:
+            raise _Refused(fault)
+        first = self.peer is None
+        self.peer = hello
+        if first:
+            if self._guard.answers:
+                self._greet()
+            self._handlers.up(self)
+        return first
+
     def _take(self, frames: Iterable[link_pb2.Frame]) -> None:
         rest = [frame for frame in frames if not self._take_control(frame)]
         if rest:
@@ -163,6 +190,8 @@
                 return str(error)
             try:
                 self._take(frames)
+            except _Refused as refused:
+                return f'refused: {refused}'
             except Exception:
                 # One frame that cannot be handled must not end the link,
                 # and with it the work of others.
@@ -239,13 +268,20 @@
         handlers: Handlers,
         timing: LinkTiming = LinkTiming(),
         batch_bytes: int = packing.BATCH_BYTES,
+        *,
+        transport: transports.Transport = transports.PLAIN,
+        role: str = '',
     ) -> None:
         """Remember what to dial; ``start`` begins.
 
         :param address: ``host:port``
         :param hello: builds what this process says of itself
         :param batch_bytes: a message holds no more than this, or one frame
+        :param transport: how to connect
+        :param role: role that the far side must have; empty for any
         """
+        self._transport = transport
+        self._role = role
         self.address = address
         self._hello = hello
         self._handlers = handlers
@@ -276,10 +312,14 @@
 
     async def _connect(self) -> str:
         link = Link(
-            self._handlers, self._hello(), self._timing, self._batch_bytes
+            self._handlers,
+            self._hello(),
+            self._timing,
+            self._batch_bytes,
+            self._transport.guard_dialled(self._role),
         )
-        async with grpc.aio.insecure_channel(
-            self.address, options=_CHANNEL_OPTIONS
+        async with self._transport.dial_async(
+            self.address, self._role, _CHANNEL_OPTIONS
         ) as channel:
             call = link_pb2_grpc.LinkStub(channel).Connect()
             self._link = link
@@ -291,15 +331,23 @@
         link._end(reason)
         return reason
 
+    def _note(self, reason: str, former: str) -> None:
+        logging.debug('link to %s lost: %s', self.address, reason)
+        if reason.startswith(_HANDSHAKE) and reason != former:
+            detail = f'a link to {self.address}: {reason}'
+            self._transport.refusals.add(_HANDSHAKE, detail)
+
     async def _run(self) -> None:
+        reason = ''
         while not self._stopped:
+            former = reason
             try:
                 reason = await self._connect()
             except grpc.RpcError as error:
                 reason = _describe(error)
             if self._stopped:
                 return
-            logging.debug('link to %s lost: %s', self.address, reason)
+            self._note(reason, former)
             pause = self._timing.redial * random.uniform(0.1, 1.0)
             await asyncio.sleep(pause)
 
@@ -312,7 +360,12 @@
 
     async def Connect(self, request_iterator, context) -> None:
         server = self._server
-        link = Link(server.handlers, server.hello(), server.timing)
+        link = Link(
+            server.handlers,
+            server.hello(),
+            server.timing,
+            guard=server.transport.guard_accepted(context),
+        )
         server.add(link)
         reason = 'cancelled'
         try:
@@ -331,6 +384,8 @@
         hello: Callable[[], link_pb2.Hello],
         handlers: Handlers,
         timing: LinkTiming = LinkTiming(),
+        *,
+        transport: transports.Transport = transports.PLAIN,
     ) -> None:
         """Bind the address; the port is also the host-local lock.
 
@@ -340,11 +395,12 @@
         self.hello = hello
         self.handlers = handlers
         self.timing = timing
+        self.transport = transport
         self._links: set[Link] = set()
         self._lock = threading.Lock()
         self._server = eventloop.run(self._build())
         try:
-            self.port = self._server.add_insecure_port(address)
+            self.port = transport.listen(self._server, address)
         except RuntimeError as error:
             raise OSError(f'cannot listen on {address}: {error}') from error
 
--- a/packages/adapters/src/dunlintide_adapters/peers.py
+++ b/packages/adapters/src/dunlintide_adapters/peers.py
@@ -15,6 +15,7 @@
 import result
 
 from dunlintide_adapters import peercodec
+from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2_grpc
 from dunlintide_core import exchanges
 
@@ -67,8 +68,11 @@
 
 
 class _Servicer(link_pb2_grpc.PeerServicer):
-    def __init__(self, answer: Answer) -> None:
+    def __init__(
+        self, answer: Answer, transport: transports.Transport
+    ) -> None:
         self._answer = answer
+        self._transport = transport
         self._allowance = _Allowance(CHUNK_BYTES_PER_SECOND, CHUNK_BURST_BYTES)
 
     def Exchange(self, request, context):
@@ -78,18 +82,29 @@
             decoded = peercodec.decode_request(request)
         except ValueError as error:
             context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+        sender = request.sender
+        # What a peer says of others is hearsay; of itself it must be true.
+        fault = self._transport.find_fault(context, sender.role, sender.name)
+        if fault:
+            context.abort(grpc.StatusCode.PERMISSION_DENIED, fault)
         limit = min(_MAX_CHUNKS_BYTES, self._allowance.left())
         reply = self._answer(decoded, limit)
         self._allowance.spend(sum(map(len, reply.chunks)))
         return peercodec.encode_reply(reply)
 
 
-def add_service(server: grpc.Server, answer: Answer) -> None:
+def add_service(
+    server: grpc.Server,
+    answer: Answer,
+    transport: transports.Transport = transports.PLAIN,
+) -> None:
     """Add anti-entropy to a gRPC server that has not started.
 
     :param answer: called on the server's threads
     """
-    link_pb2_grpc.add_PeerServicer_to_server(_Servicer(answer), server)
+    link_pb2_grpc.add_PeerServicer_to_server(
+        _Servicer(answer, transport), server
+    )
 
 
 class Client:
@@ -98,12 +113,17 @@
     Not safe for use by several threads, but for ``close``.
     """
 
-    def __init__(self, timeout: float = CALL_SECONDS) -> None:
+    def __init__(
+        self,
+        timeout: float = CALL_SECONDS,
+        transport: transports.Transport = transports.PLAIN,
+    ) -> None:
         """Begin without channels.
 
         :param timeout: bound on one call, in seconds
         """
         self._timeout = timeout
+        self._transport = transport
         self._channels: collections.OrderedDict[str, grpc.Channel] = (
             collections.OrderedDict()
         )
@@ -133,7 +153,7 @@
     def _open(self, address: str) -> grpc.Channel:
         channel = self._channels.pop(address, None)
         if channel is None:
-            channel = grpc.insecure_channel(address, options=_OPTIONS)
+            channel = self._transport.dial(address, _OPTIONS)
         self._channels[address] = channel
         if len(self._channels) > MAX_CHANNELS:
             _, oldest = self._channels.popitem(last=False)
--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -9,6 +9,7 @@
 import result
 
 from dunlintide_core import fleet
+from dunlintide_core import identities
 from dunlintide_core import jsonc
 from dunlintide_core import schemas
 
@@ -25,6 +26,7 @@
     'Routing',
     'Settings',
     'Timing',
+    'Tls',
     'load_settings',
 ]
 
@@ -37,6 +39,11 @@
 Count = NewType('Count', int)
 Natural = NewType('Natural', int)
 Rate = NewType('Rate', float)
+File = NewType('File', str)
+HostName = NewType('HostName', str)
+
+# A field and what is wrong with it.
+Fault = tuple[jsonc.Path, str]
 
 _MAX_PORT = 65535
 
@@ -217,6 +224,25 @@
     kept_activation_bytes: Natural = 64 << 20
 
 
+@attrs.frozen
+class Tls:
+    """Mutual TLS between processes; files in PEM.
+
+    :ivar certificate: file of this process's certificate and, behind it,
+        what lies between it and a root
+    :ivar key: file of its private key, without a password
+    :ivar authorities: file of the roots of all processes' certificates
+    :ivar domain: ends the DNS names in certificates; the same for all
+    :ivar reload: shortest time between two looks at the files, in seconds
+    """
+
+    certificate: File
+    key: File
+    authorities: File
+    domain: HostName = 'dunlintide.internal'
+    reload: Seconds = 1.0
+
+
 @attrs.frozen
 class Settings:
     """Settings of one daemon; addresses are ``host:port``.
@@ -230,6 +256,7 @@
     :ivar routing: how an entry chooses chains
     :ivar queueing: order of what waits; agents only
     :ivar cap: bound on what is in flight; agents of engines only
+    :ivar tls: TLS between processes; None for plain connections
     """
 
     role: fleet.Role
@@ -251,6 +278,7 @@
     routing: Routing = Routing.PLANNED
     queueing: Queueing = Queueing.FAIR
     cap: CapPolicy = CapPolicy.BUDGET
+    tls: Tls | None = None
 
 
 def _is_name(value: str) -> bool:
@@ -292,6 +320,8 @@
     (Count, int, _is_positive, 'a whole number above 0'),
     (Natural, int, _is_natural, 'a whole number of at least 0'),
     (Rate, float, _is_natural, 'a number of at least 0'),
+    (File, str, bool, 'the name of a file'),
+    (HostName, str, identities.is_host_name, 'a DNS name'),
 )
 
 
@@ -368,7 +398,7 @@
     return faults
 
 
-def _list_faults(settings: Settings) -> list[tuple[jsonc.Path, str]]:
+def _list_faults(settings: Settings) -> list[Fault]:
     faults = [((n,), text) for n, text in _list_role_faults(settings)]
     endpoint = settings.endpoint
     if endpoint and endpoint.kind == fleet.EndpointKind.ENGINE:
@@ -377,6 +407,9 @@
     if endpoint and endpoint.kind == fleet.EndpointKind.SERVICE:
         found = _list_service_faults(endpoint)
         faults += [(('endpoint', n), text) for n, text in found]
+    if settings.tls and not identities.is_host_name(settings.name):
+        text = 'with tls, expected a DNS name, got '
+        faults.append((('name',), f'{text}{settings.name!r}'))
     ping, silence = settings.timing.ping, settings.timing.silence
     if ping >= silence:
         text = f'expected more than timing.ping ({ping}), got {silence}'
@@ -385,12 +418,15 @@
 
 
 def load_settings(
-    text: str, file: str
+    text: str,
+    file: str,
+    find_faults: Callable[[Settings], list[Fault]] = lambda settings: [],
 ) -> result.Result[Settings, list[jsonc.Problem]]:
     """Read a daemon's settings.
 
     :param text: JSON with comments
     :param file: its name, for messages
+    :param find_faults: lists what else is wrong, by field
     :returns: the settings, or every problem that was found
     """
     parsed = jsonc.parse(text, file)
@@ -400,7 +436,7 @@
     read = schemas.structure(document, Settings, _converter)
     if read.is_err():
         return read
-    faults = _list_faults(read.unwrap())
+    faults = _list_faults(read.unwrap()) or find_faults(read.unwrap())
     if faults:
         found = [document.report(path, text) for path, text in faults]
         return result.Err(jsonc.sort_problems(found))
--- a/packages/daemon/src/dunlintide_daemon/agent/peers.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/peers.py
@@ -12,7 +12,9 @@
 import attrs
 
 from dunlintide_adapters import links
+from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import fleet
 
 __all__ = [
     'Handlers',
@@ -57,11 +59,13 @@
         handlers: Handlers,
         timing: links.LinkTiming = links.LinkTiming(),
         clock: Callable[[], float] = time.monotonic,
+        transport: transports.Transport = transports.PLAIN,
     ) -> None:
         """Remember whom to tell; links open on demand."""
         self._hello = hello
         self._handlers = handlers
         self._timing = timing
+        self._transport = transport
         self._clock = clock
         self._lock = threading.Lock()
         self._peers: dict[str, _Peer] = {}
@@ -103,7 +107,14 @@
             frames=lambda link, frames: self._note(address, link, frames),
             down=lambda link, reason: self._drop(address, link, reason),
         )
-        dialer = links.Dialer(address, self._hello, handlers, self._timing)
+        dialer = links.Dialer(
+            address,
+            self._hello,
+            handlers,
+            self._timing,
+            transport=self._transport,
+            role=fleet.Role.AGENT,
+        )
         peer = _Peer(dialer, used=self._clock())
         self._peers[address] = peer
         dialer.start()
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -19,6 +19,7 @@
 from dunlintide_adapters import peercodec
 from dunlintide_adapters import peers as peer_calls
 from dunlintide_adapters import store
+from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import activations
 from dunlintide_core import caps
@@ -90,6 +91,7 @@
         self.failed = False
         self.counts = counting.Counts()
         self.endpoint = settings.endpoint.to_endpoint()
+        self._transport = transports.build(settings)
         self.gate = self._build_gate()
         self._supervisor = None
         self._orders = None
@@ -109,13 +111,18 @@
                 self._take_frames, self._raise_peer, self._lose_peer
             ),
             self._timing,
+            transport=self._transport,
         )
         handlers = links.Handlers(
             self._welcome, self._take_frames, self._lose_link
         )
         # The port is the host-local lock against a second agent.
         self._server = links.LinkServer(
-            settings.link_listen, self._build_hello, handlers, self._timing
+            settings.link_listen,
+            self._build_hello,
+            handlers,
+            self._timing,
+            transport=self._transport,
         )
         self._state = self._build_state(shared) if shared else None
         self.pipeline: pipelines.Pipeline | None = None
@@ -138,8 +145,10 @@
 
     def _build_state(self, shared: watching.Outside) -> fleet_state.FleetState:
         me = lives.make_peer(self.settings, self.incarnation, self.address)
-        state = fleet_state.FleetState(me, shared)
-        peer_calls.add_service(self._server.server, state.answer)
+        state = fleet_state.FleetState(me, shared, transport=self._transport)
+        peer_calls.add_service(
+            self._server.server, state.answer, self._transport
+        )
         return state
 
     def _build_gate(self) -> gates.Gate:
@@ -405,6 +414,7 @@
             'links': sorted(link.peer.name for link in self._server.links()),
             'peers': self._peers.list_addresses(),
             'poison': self._suspicion.describe(),
+            'tls': self._transport.describe(),
         }
         if self._state is not None:
             state['state'] = self._state.dump()
@@ -439,6 +449,7 @@
         shared.in_flight.set_function(lambda: self.gate.in_flight.requests)
         shared.links.set_function(lambda: len(self._server.links()))
         self.counts.register(registry)
+        registry.register(self._transport.refusals)
         return registry
 
     def _start_supervisor(self) -> None:
--- a/packages/daemon/src/dunlintide_daemon/entry/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/exchange.py
@@ -12,6 +12,7 @@
 import grpc
 
 from dunlintide_adapters import links
+from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
 from dunlintide_core import hashing
@@ -75,6 +76,7 @@
         listen: str,
         hello: Callable[[], link_pb2.Hello],
         take: Callable[[links.Link, list[link_pb2.Frame]], None],
+        transport: transports.Transport = transports.PLAIN,
     ) -> None:
         """Bind the address.
 
@@ -83,6 +85,7 @@
         :raises OSError: when the port is taken
         """
         self._name = name
+        self._transport = transport
         self._hello = hello
         self._take = threads.guard_frames(take)
         self._lock = threading.Lock()
@@ -94,7 +97,9 @@
         accepted = links.Handlers(
             lambda link: None, self._take, lambda link, reason: None
         )
-        self._server = links.LinkServer(listen, hello, accepted, TIMING)
+        self._server = links.LinkServer(
+            listen, hello, accepted, TIMING, transport=transport
+        )
 
     @property
     def port(self) -> int:
@@ -149,7 +154,14 @@
 
     def _dial(self, address: str) -> links.Dialer:
         handlers = links.Handlers(self._up, self._take, self._down)
-        dialer = links.Dialer(address, self._hello, handlers, TIMING)
+        dialer = links.Dialer(
+            address,
+            self._hello,
+            handlers,
+            TIMING,
+            transport=self._transport,
+            role=fleet.Role.ENTRY,
+        )
         self._dialers[address] = dialer
         return dialer
 
--- a/packages/daemon/src/dunlintide_daemon/entry/fleet.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/fleet.py
@@ -12,6 +12,7 @@
 import attrs
 
 from dunlintide_adapters import links
+from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
 from dunlintide_daemon.entry import hellos
@@ -87,6 +88,7 @@
         hello: Callable[[], link_pb2.Hello],
         listeners: Listeners,
         timing: links.LinkTiming = links.LinkTiming(),
+        transport: transports.Transport = transports.PLAIN,
     ) -> None:
         """Begin with no agents.
 
@@ -95,6 +97,7 @@
         self._hello = hello
         self._listeners = listeners
         self._timing = timing
+        self._transport = transport
         self._lock = threading.Lock()
         self._dialers: dict[str, links.Dialer] = {}
         self._agents: dict[str, Agent] = {}
@@ -196,7 +199,14 @@
         handlers = links.Handlers(self._greet, take, self._down)
         added = []
         for address in addresses - self._dialers.keys():
-            dialer = links.Dialer(address, self._hello, handlers, self._timing)
+            dialer = links.Dialer(
+                address,
+                self._hello,
+                handlers,
+                self._timing,
+                transport=self._transport,
+                role=fleet.Role.AGENT,
+            )
             self._dialers[address] = dialer
             added.append(dialer)
         return added
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -15,6 +15,7 @@
 from dunlintide_adapters import httpserver
 from dunlintide_adapters import links
 from dunlintide_adapters import metrics
+from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import budget
 from dunlintide_core import fleet as core_fleet
@@ -92,6 +93,8 @@
             self._registry, core_fleet.Role.ENTRY
         )
         self._room = room.Room()
+        self._transport = transports.build(settings)
+        self._registry.register(self._transport.refusals)
         self._meter = meter.Meter(self._metrics)
         self._sessions = sessions.Sessions(self._meter.count_drop)
         self._history = history.History(self._meter.count_outcome)
@@ -112,6 +115,7 @@
                 lambda link: self._suspicion.welcome(link.send),
             ),
             links.LinkTiming(timing.ping, timing.silence, timing.redial),
+            self._transport,
         )
         self._planner = planning.Planner(
             self._fleet,
@@ -120,14 +124,20 @@
         )
         self._limits = limits.Limits(
             lambda take: exchange.Exchange(
-                settings.name, settings.link_listen, self._build_hello, take
+                settings.name,
+                settings.link_listen,
+                self._build_hello,
+                take,
+                self._transport,
             )
         )
         self._owners = owners.Owners(settings.name)
         self._claims = claimroutes.RoutedWriter(
-            outside.writer, self._owners.find
+            outside.writer, self._owners.find, transport=self._transport
+        )
+        claimroutes.add_service(
+            self._limits.exchange.server, outside.writer, self._transport
         )
-        claimroutes.add_service(self._limits.exchange.server, outside.writer)
         self._http = self._build_server()
         self._admin = admin.AdminServer.from_config(
             settings.admin_listen,
@@ -137,7 +147,11 @@
             self._registry,
         )
         self._state = states.build(
-            settings, self._incarnation, self._limits.exchange, shared
+            settings,
+            self._incarnation,
+            self._limits.exchange,
+            shared,
+            self._transport,
         )
         self._placement = placement.Placement(
             settings, outside.leaders, self._fleet, self._holder
@@ -225,6 +239,7 @@
             state['state'] = self._state.dump()
         state['poison'] = self._suspicion.describe()
         state['in_flight'] = self._http.in_flight
+        state['tls'] = self._transport.describe()
         own = {'name': self.settings.name, 'leaving': self.leaving}
         return masking.mask_state(own | state)
 
--- a/packages/daemon/src/dunlintide_daemon/entry/states.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/states.py
@@ -1,6 +1,7 @@
 """The fleet's state, served at the port for other entries."""
 
 from dunlintide_adapters import peers as peer_calls
+from dunlintide_adapters import transports
 from dunlintide_core import settings as settings_module
 from dunlintide_daemon.entry import exchange
 from dunlintide_daemon import lives
@@ -17,6 +18,7 @@
     incarnation: int,
     served: exchange.Exchange,
     outside: watching.Outside | None,
+    transport: transports.Transport,
 ) -> peers.FleetState | None:
     """Build the state and add its service to a port.
 
@@ -28,6 +30,6 @@
     host = settings.link_listen.rpartition(':')[0]
     address = settings.advertise or f'{host}:{served.port}'
     me = lives.make_peer(settings, incarnation, address)
-    state = peers.FleetState(me, outside)
-    peer_calls.add_service(served.server, state.answer)
+    state = peers.FleetState(me, outside, transport=transport)
+    peer_calls.add_service(served.server, state.answer, transport)
     return state
--- a/packages/daemon/src/dunlintide_daemon/peers.py
+++ b/packages/daemon/src/dunlintide_daemon/peers.py
@@ -16,6 +16,7 @@
 
 from dunlintide_adapters import configstore
 from dunlintide_adapters import peers as peer_calls
+from dunlintide_adapters import transports
 from dunlintide_core import exchanges
 from dunlintide_core import fleet
 from dunlintide_core import records
@@ -61,6 +62,7 @@
         me: fleet.Peer,
         outside: watching.Outside,
         timing: replicas.Timing = replicas.Timing(),
+        transport: transports.Transport = transports.PLAIN,
     ) -> None:
         """Begin with nothing known; entering the context starts it.
 
@@ -72,7 +74,7 @@
         self._replica = replicas.Replica(me, random.Random(), timing)
         self._endpoint = me.endpoint
         self._owner: pykka.ActorRef | None = None
-        self._client = peer_calls.Client()
+        self._client = peer_calls.Client(transport=transport)
         self._delivery = delivery.Delivery()
         self._wake = threading.Event()
         self._done = threading.Event()
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/authority.py
@@ -0,0 +1,112 @@
+"""A certificate authority for tests and the demo, and what it issues."""
+
+import datetime
+import ipaddress
+import pathlib
+
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography import x509
+from cryptography.x509 import oid
+
+from dunlintide_core import identities
+
+__all__ = [
+    'Authority',
+    'DOMAIN',
+]
+
+DOMAIN = 'dunlintide.internal'
+_LIFE = datetime.timedelta(days=2)
+_LOOPBACK = ipaddress.ip_address('127.0.0.1')
+
+
+def _make_name(text: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, text)])
+
+
+def _encode_key(key: ec.EllipticCurvePrivateKey) -> bytes:
+    return key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+
+
+class Authority:
+    """Issues certificates; its own lives as long as the object.
+
+    :ivar certificate: its certificate in PEM
+    """
+
+    def __init__(self, name: str = 'trial authority') -> None:
+        self._name = _make_name(name)
+        self._key = ec.generate_private_key(ec.SECP256R1())
+        issued = self._build(self._name, self._key, _LIFE).add_extension(
+            x509.BasicConstraints(ca=True, path_length=None), critical=True
+        )
+        self.certificate = self._sign(issued)
+
+    def _build(
+        self,
+        subject: x509.Name,
+        key: ec.EllipticCurvePrivateKey,
+        life: datetime.timedelta,
+    ) -> x509.CertificateBuilder:
+        now = datetime.datetime.now(datetime.timezone.utc)
+        return (
+            x509.CertificateBuilder()
+            .subject_name(subject)
+            .issuer_name(self._name)
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - _LIFE)
+            .not_valid_after(now + life)
+        )
+
+    def _sign(self, built: x509.CertificateBuilder) -> bytes:
+        signed = built.sign(self._key, hashes.SHA256())
+        return signed.public_bytes(serialization.Encoding.PEM)
+
+    def issue(
+        self, role: str, name: str, life: datetime.timedelta = _LIFE
+    ) -> tuple[bytes, bytes]:
+        """Issue a certificate for a process; also good for 127.0.0.1.
+
+        :param life: time left, negative for one that has expired
+        :returns: certificate and key in PEM
+        """
+        identity = identities.Identity(role, name)
+        names = identities.list_names(identity, DOMAIN)
+        shown = [x509.DNSName(one) for one in names]
+        key = ec.generate_private_key(ec.SECP256R1())
+        built = self._build(_make_name(name), key, life).add_extension(
+            x509.SubjectAlternativeName([*shown, x509.IPAddress(_LOOPBACK)]),
+            critical=False,
+        )
+        return self._sign(built), _encode_key(key)
+
+    def write(
+        self,
+        folder: pathlib.Path,
+        role: str,
+        name: str,
+        life: datetime.timedelta = _LIFE,
+    ) -> dict[str, str]:
+        """Issue a certificate into files, in place of former ones.
+
+        :returns: the ``tls`` part of the settings of that process
+        """
+        certificate, key = self.issue(role, name, life)
+        contents = {
+            'certificate': certificate,
+            'key': key,
+            'authorities': self.certificate,
+        }
+        found = {}
+        for field, data in contents.items():
+            path = folder / f'{name}.{field}.pem'
+            path.write_bytes(data)
+            found[field] = str(path)
+        return found
