Give members headroom in the slots that a flood gives up

The flood held 12 of 16 slots at all times: a member below its share could always start, and half more than its share was kept for the flood too. So the other member was bound by its own share of 4 slots, but at its share of tokens it wants 4.4, as steps take longer beside others: its queue grew.

A member's reserve is its share and the square root of that. One that wants twice its reserve floods: nothing is kept for it, and it gives up the square root of its share.

--- /dev/null
+++ b/features/steps/slots.py
@@ -0,0 +1,129 @@
+"""Steps of slots.feature: a queue and its slots on one event queue."""
+
+import heapq
+import itertools
+import random
+import statistics
+
+import behave
+
+from dunlintide_core import queueing
+from dunlintide_core import slots
+
+LIMIT = 16
+SERVICE_SECONDS = 1.5
+COST = 40.0
+BACKLOG = 100
+TICK_SECONDS = 0.25
+
+
+class Endpoint:
+    """Requests of several members, served as the agent's gate does."""
+
+    def __init__(self):
+        self.queue = queueing.Queue()
+        self.slots = slots.Slots(0.0, self.queue.owes)
+        self.rng = random.Random(0)
+        self.now = 0.0
+        self.running = 0
+        self.waits = {}
+        self.events = []
+        self.order = itertools.count()
+        self.at(0.0, self.tick)
+
+    def at(self, when, call, *arguments):
+        event = when, next(self.order), call, arguments
+        heapq.heappush(self.events, event)
+
+    def run(self, until):
+        while self.events[0][0] <= until:
+            self.now, _, call, arguments = heapq.heappop(self.events)
+            call(*arguments)
+
+    def tick(self):
+        self.slots.tick(self.now)
+        self.pump()
+        self.at(self.now + TICK_SECONDS, self.tick)
+
+    def ask(self, member, weight, again):
+        ticket = queueing.Ticket(member, weight, 1, COST, self.now, again)
+        assert self.queue.push(ticket, 1e9, 0.0) is None
+        self.slots.want(member, weight)
+        self.pump()
+
+    def ask_steadily(self, member, weight, rate):
+        self.ask(member, weight, False)
+        pause = self.rng.uniform(0.8, 1.2) / rate
+        self.at(self.now + pause, self.ask_steadily, member, weight, rate)
+
+    def pump(self):
+        while ticket := self.queue.pick(
+            self.now, lambda ticket: self.running < LIMIT, self.may_start
+        ):
+            self.slots.start(ticket.member)
+            self.running += 1
+            waits = self.waits.setdefault(ticket.member, [])
+            waits.append(self.now - ticket.since)
+            seconds = SERVICE_SECONDS * self.rng.uniform(0.9, 1.1)
+            self.at(self.now + seconds, self.end, ticket)
+
+    def may_start(self, member):
+        return self.slots.may_start(member, self.running, LIMIT)
+
+    def end(self, ticket):
+        self.running -= 1
+        self.slots.end(ticket.member, True)
+        if ticket.item:
+            self.ask(ticket.member, ticket.weight, True)
+        self.pump()
+
+
+@behave.given('an endpoint whose queue member "{member}" fills')
+def fill(context, member):
+    context.endpoint = Endpoint()
+    for _ in range(BACKLOG):
+        context.endpoint.ask(member, 1.0, True)
+
+
+@behave.given(
+    'member "{member}" of {weight:g} times its weight asks for {part:g} of '
+    'its share'
+)
+def ask_share(context, member, weight, part):
+    rate = part * LIMIT / SERVICE_SECONDS * weight / (1.0 + weight)
+    context.endpoint.ask_steadily(member, weight, rate)
+
+
+@behave.given('member "{member}" always wants {count:d} slots')
+def want_always(context, member, count):
+    for _ in range(count):
+        context.endpoint.ask(member, 1.0, True)
+
+
+@behave.when('{seconds:d} s have passed')
+def pass_time(context, seconds):
+    context.endpoint.run(seconds)
+
+
+@behave.then(
+    '{percent:d} of 100 requests of "{member}" waited under {seconds:g} s'
+)
+def check_waits(context, percent, member, seconds):
+    waits = context.endpoint.waits[member]
+    quantile = statistics.quantiles(waits, n=100)[percent - 1]
+    assert quantile < seconds, quantile
+
+
+@behave.then('"{member}" got from {least:g} to {most:g} of the service')
+def check_part(context, member, least, most):
+    waits = context.endpoint.waits
+    part = len(waits[member]) / sum(map(len, waits.values()))
+    assert least <= part <= most, part
+
+
+@behave.then('at least {part:g} of the slots were in use')
+def check_used(context, part):
+    endpoint = context.endpoint
+    served = sum(map(len, endpoint.waits.values())) * SERVICE_SECONDS
+    used = served / LIMIT / endpoint.now
+    assert used >= part, used
--- a/packages/core/src/dunlintide_core/queueing.py
+++ b/packages/core/src/dunlintide_core/queueing.py
@@ -199,6 +199,13 @@
         lane.tickets.popleft()
         lane.account -= ticket.cost
 
+    def owes(self, member: str) -> float:
+        """Return the rounds that it takes to pay a member's debt."""
+        lane = self._find(member)
+        if lane is None:
+            return 0.0
+        return max(0.0, -lane.account / (self._quantum * lane.weight))
+
     def correct(self, member: str, cost: float, most: float) -> None:
         """Charge a lane for what a request cost beyond its estimate."""
         lane = self._find(member)
@@ -323,6 +330,10 @@
         most = self._limits.max_cost
         level.correct(ticket.member, cost - ticket.cost, most)
 
+    def owes(self, member: str) -> float:
+        """Return the rounds by which a member is ahead of its share."""
+        return max(level.owes(member) for level in self._levels)
+
     def _choose(self, now: float) -> _Level | None:
         aged = self._picks % self._limits.aged_every == 0
         best, best_rank = None, float('inf')
--- a/packages/core/src/dunlintide_core/slots.py
+++ b/packages/core/src/dunlintide_core/slots.py
@@ -2,18 +2,26 @@
 
 A queue decides who is next, but not how soon a slot frees: a flood of
 long requests would hold them all. So what a member has used in the last
-seconds, up to half more than its share, is kept for it. Members that sent
-nothing lately have nothing kept, and one alone may fill all slots.
+seconds, up to its share and a headroom, is kept for it. A member that
+wants far more has nothing kept: it takes its turns in the queue.
+Nor do members that sent nothing lately, and one alone may fill all slots.
 """
 
+import math
+from typing import Callable
+
 import attrs
 
 __all__ = ['Slots']
 
 WINDOW_SECONDS = 5.0
-# A member at its share holds just as many slots on the average, so more
-# than that half of the time.
-HEADROOM = 1.5
+# Beside a flood a member's requests take longer, so it has more at once.
+GROWTH = 1.5
+# Wanting this many times its reserve, a member floods.
+FLOOD = 2.0
+# Rounds of the queue that a member may be ahead and still has headroom.
+# So it bears bursts, and gains no more than these rounds by it.
+AHEAD_ROUNDS = 32.0
 
 
 @attrs.define
@@ -39,10 +47,18 @@
 class Slots:
     """Slots of one endpoint, by member."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(
+        self, now: float, owes: Callable[[str], float] = lambda member: 0.0
+    ) -> None:
+        """Begin with nobody.
+
+        :param now: time in seconds
+        :param owes: returns the rounds by which a member is ahead
+        """
         self._uses: dict[str, _Use] = {}
         self._weights = 0.0
         self._began = now
+        self._owes = owes
 
     def want(self, member: str, weight: float) -> None:
         """Take note of a request that waits or starts."""
@@ -78,11 +94,36 @@
                 del self._uses[member]
         self._weights = sum(use.weight for use in self._uses.values())
 
-    def _share(self, use: _Use, limit: int) -> int:
-        return int(limit * use.weight / self._weights)
+    def _share(self, use: _Use, limit: int) -> float:
+        return limit * use.weight / self._weights
 
-    def _keep(self, use: _Use, limit: int) -> int:
-        return int(HEADROOM * limit * use.weight / self._weights)
+    def _reserve(self, member: str, use: _Use, limit: int) -> int:
+        """Return the share and its headroom.
+
+        A member at its share holds just that many slots on the average,
+        so more than that half of the time: square-root staffing.
+        """
+        share = self._share(use, limit)
+        ahead = self._owes(member) > AHEAD_ROUNDS
+        return int(share if ahead else share + math.sqrt(share))
+
+    def _floods(self, member: str, use: _Use, limit: int) -> bool:
+        return use.wanted > FLOOD * self._reserve(member, use, limit)
+
+    def _keep(self, member: str, use: _Use, limit: int) -> int:
+        if self._floods(member, use, limit):
+            return 0
+        expected = int(GROWTH * use.recent)
+        reserve = min(expected, self._reserve(member, use, limit))
+        return max(0, reserve - use.running)
+
+    def _is_due(self, member: str, use: _Use, limit: int) -> bool:
+        """Return whether a member may start whatever is kept."""
+        share = self._share(use, limit)
+        if self._floods(member, use, limit):
+            # It gives the others their headroom.
+            share -= math.sqrt(share)
+        return use.running < max(1, int(share))
 
     def may_start(self, member: str, running: int, limit: int) -> bool:
         """Return whether a further request leaves others their slots.
@@ -93,12 +134,11 @@
         if len(self._uses) > limit:
             # The shares are below one slot.
             return True
-        own = self._uses[member]
-        if not own.running or own.running < self._share(own, limit):
+        if self._is_due(member, self._uses[member], limit):
             return True
         kept = sum(
-            max(0, min(self._keep(use, limit), use.recent) - use.running)
-            for use in self._uses.values()
-            if use is not own
+            self._keep(other, use, limit)
+            for other, use in self._uses.items()
+            if other != member
         )
         return running + 1 + kept <= limit
--- a/packages/daemon/src/dunlintide_daemon/agent/gate.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/gate.py
@@ -92,7 +92,7 @@
         self._finished_cost = 0.0
         self._ticked = clock()
         self._generation_began = clock()
-        self._slots = slots.Slots(clock())
+        self._slots = slots.Slots(clock(), self.queue.owes)
 
     def __len__(self) -> int:
         return len(self._works)
