Show that poison at a middle or last stage is stopped

Cause: only the first stage sees the prompt, so the stand-ins crashed there alone, and the accusation by later stages had no scenario with real processes.

Change: a stand-in engine of later layers can crash on the activations that a marked first word gives behind the layers below it, which is all that a later stage gets of a prompt. Each later stage of a trial deployment has a word of its own.

Ruled out: a fault by the control address, which goes with the process that crashes; a mark in the step, which no engine would get.

Figures: 10 sends through all entries among 6 streams of other members, engines started again: at most 3 crashes, the sends behind them refused with 422, all streams right, one quarantine at each entry, which ends.

Conclusion: no change to the product was needed.

--- a/features/poison.feature
+++ b/features/poison.feature
@@ -13,6 +13,18 @@
     Given a request that crashed two endpoints alone
     Then it is quarantined until the crashes are forgotten
 
+  Scenario Outline: A prompt that crashes a later stage is stopped too
+    Given a deployment whose crashed engines, reached directly, are started again
+    When a member sends a prompt that crashes the <stage> stage 10 times among others' streams
+    Then at most 3 engines crashed, and the last sends were refused
+    And the others' streams are the reference answers
+    And every entry shows the quarantine until it ends
+
+    Examples:
+      | stage  |
+      | middle |
+      | last   |
+
   Scenario Outline: A poison prompt is stopped at every entry
     Given a deployment whose crashed engines, <reached>, are started again
     When a member sends a crashing prompt 10 times among others' streams
--- a/features/standins.feature
+++ b/features/standins.feature
@@ -139,6 +139,10 @@
       | hosts   |
       | weights |
 
+  Scenario: A marked first word crashes the process of later layers
+    When a stand-in engine process of later layers gets a marked first word
+    Then the stand-in engine process has exited with status 1
+
   Scenario: A marked prompt crashes the engine's process
     When a stand-in engine process gets a prompt with its crash marker
     Then the stand-in engine process has exited with status 1
--- a/features/steps/poison.py
+++ b/features/steps/poison.py
@@ -227,6 +227,21 @@
     "a member sends a crashing prompt {count:d} times among others' streams"
 )
 def send_poison(context, count):
+    send_among(context, f'Tonight {blueprints.CRASH_MARKER} only', count)
+
+
+@behave.when(
+    'a member sends a prompt that crashes the {stage} stage {count:d} times '
+    "among others' streams"
+)
+def send_later_poison(context, stage, count):
+    [pipeline] = context.running.plan.blueprint.pipelines
+    crashing = pipeline.stages[('first', 'middle', 'last').index(stage)]
+    word = blueprints.make_crash_word(crashing.layer_start)
+    send_among(context, f'{word} tonight only', count)
+
+
+def send_among(context, prompt, count):
     running = context.running
     member, *others = running.keys
     entries = len(running.plan.entries)
@@ -249,7 +264,6 @@
         lambda: len(running.read_runs(deployment.ENGINE)) >= 3 * STREAMS,
         WAIT_SECONDS,
     ), show_begun(context)
-    prompt = f'Tonight {blueprints.CRASH_MARKER} only'
     context.answers = [
         ask(context, number % entries, member, prompt, 4)
         for number in range(count)
--- a/features/steps/standins.py
+++ b/features/steps/standins.py
@@ -3,6 +3,7 @@
 Running any of the stand-ins as a process is tested here, too.
 """
 
+import base64
 from concurrent import futures
 import json
 import subprocess
@@ -10,7 +11,9 @@
 import time
 
 import behave
+from dunlintide_standins.engine import messages
 from dunlintide_standins import hosts
+from dunlintide_standins import reference
 from dunlintide_standins import service
 from dunlintide_standins import weights
 import standin_calls
@@ -125,6 +128,30 @@
     standin_calls.expect_no_answer(engine, 'POST', '/v1/steps', steps)
 
 
+@behave.when(
+    'a stand-in engine process of later layers gets a marked first word'
+)
+def crash_later(context):
+    engine = Process(
+        context,
+        'engine',
+        '--layer_start=4',
+        '--layer_end=8',
+        '--crash_word=BOOM',
+    )
+    context.process = engine
+    constants = reference.get_constants('copy-7b', '1', 0, 4)
+    for prompt, crashes in (('not BOOM', False), ('BOOM it goes', True)):
+        inputs = reference.embed(reference.tokenize(prompt))
+        values = reference.run_layers(constants, [0] * 4, inputs)
+        data = base64.b64encode(messages.pack(values)).decode()
+        steps = {'steps': [{'session': prompt, 'activations': data}]}
+        if crashes:
+            standin_calls.expect_no_answer(engine, 'POST', '/v1/steps', steps)
+        else:
+            standin_calls.post(engine, '/v1/steps', steps)
+
+
 @behave.then('the stand-in engine process has exited with status 1')
 def check_crash(context):
     assert context.process.child.wait(standin_calls.WAIT_SECONDS) == 1
--- a/packages/standins/src/dunlintide_standins/engine/server.py
+++ b/packages/standins/src/dunlintide_standins/engine/server.py
@@ -16,6 +16,7 @@
 from dunlintide_standins.engine import sessions as session_store
 from dunlintide_standins import faults
 from dunlintide_standins import process
+from dunlintide_standins import reference
 from dunlintide_standins import web
 
 __all__ = ['Config', 'Engine', 'exit_process']
@@ -50,6 +51,9 @@
     )
     load_lag_seconds: float = process.setting(0.5, 'age of reported load')
     crash_marker: str = process.setting('', 'text in a prompt that crashes')
+    crash_word: str = process.setting(
+        '', 'first word of a prompt that crashes layers behind the first'
+    )
     stop_modulus: int = process.setting(
         0, 'token ids divisible by it stop the answer, 0 for none'
     )
@@ -197,16 +201,30 @@
         return web.json_answer(self._gate.state() | cache)
 
     def _is_marked(self, step: messages.Step) -> bool:
+        if step.prompt is None:
+            return self._begins_marked(step)
         marker = self._config.crash_marker
-        return (
-            bool(marker)
-            and step.prompt is not None
-            and (marker in step.prompt)
+        return bool(marker) and marker in step.prompt
+
+    def _begins_marked(self, step: messages.Step) -> bool:
+        """Tell a marked prompt by its activations, all that comes here."""
+        word = self._config.crash_word
+        if not word or step.position or not step.activations:
+            return False
+        held = self._sessions.holding
+        marked = reference.compute_first(
+            word, held.model, held.version, held.layer_start
         )
+        first = step.activations[: messages.ACTIVATION_BYTES]
+        return messages.unpack(first) == [marked]
 
     def _run_steps(self, request: web.Request) -> web.Answer:
         steps = web.decode_json(request, messages.Steps).steps
-        marked = [step.prompt for step in steps if self._is_marked(step)]
+        marked = [
+            step.prompt or self._config.crash_word
+            for step in steps
+            if self._is_marked(step)
+        ]
         if marked:
             self._leave_records(marked)
             self._crash()
@@ -217,7 +235,7 @@
             return web.dropped()
         return web.json_answer({'results': failed + results})
 
-    def _leave_records(self, prompts: list[str | None]) -> None:
+    def _leave_records(self, prompts: list[str]) -> None:
         """Print the record of runs, which ends with the process."""
         with self._batcher.lock:
             left = {'crashed_by': prompts, 'runs': self._sessions.runs()}
--- a/packages/standins/src/dunlintide_standins/reference.py
+++ b/packages/standins/src/dunlintide_standins/reference.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     'Token',
+    'compute_first',
     'embed',
     'expected_tokens',
     'get_constants',
@@ -106,6 +107,13 @@
     return values
 
 
+def compute_first(word: str, model: str, version: str, layers: int) -> int:
+    """Give the activation of a prompt's first word behind some layers."""
+    constants = get_constants(model, version, 0, layers)
+    inputs = embed(tokenize(word))
+    return run_layers(constants, [0] * layers, inputs)[0]
+
+
 def make_token(
     activation: int, index: int, max_tokens: int, stop_modulus: int = 0
 ) -> Token:
--- a/packages/trials/src/dunlintide_trials/blueprints.py
+++ b/packages/trials/src/dunlintide_trials/blueprints.py
@@ -16,6 +16,7 @@
     'PlainService',
     'Stage',
     'load_blueprint',
+    'make_crash_word',
     'shrink',
 ]
 
@@ -102,6 +103,11 @@
     placement: settings.Placement = settings.Placement()
 
 
+def make_crash_word(layer_start: int) -> str:
+    """Give the first word of a prompt that crashes one later stage."""
+    return f'crash-layer-{layer_start}'
+
+
 def load_blueprint(path: pathlib.Path) -> Blueprint:
     """Read a deployment file.
 
--- a/packages/trials/src/dunlintide_trials/layout.py
+++ b/packages/trials/src/dunlintide_trials/layout.py
@@ -242,6 +242,7 @@
         f'--preempts={str(stage.preempts).lower()}',
         f'--checks_fence={str(stage.checks_fence).lower()}',
         f'--crash_marker={blueprints.CRASH_MARKER}',
+        f'--crash_word={blueprints.make_crash_word(stage.layer_start)}',
     )
     settings = {
         'kind': 'engine',
