Let trials begin once every entry reaches every agent

Cause: the scenario of poison prompts failed again, in one of thirteen runs under a load average of 20: four of its six first streams were refused as 'not run' with 'no chain of endpoints holds all layers of the model' by two entries that were ready. Agents and entries start together, and an entry that has waited 5 s is ready for the little that it then serves.

Change: the launcher waits until each entry lists every agent as usable, where entries link to all of them. What entries do is unchanged.

Before: 1 of 13 runs of the scenario failed. After: features/poison.feature and features/product.feature pass once at a load of 20; the run that failed is too rare to say more.

--- a/packages/trials/src/dunlintide_trials/deployment.py
+++ b/packages/trials/src/dunlintide_trials/deployment.py
@@ -7,6 +7,7 @@
 import attrs
 import urllib3
 
+from dunlintide_core import subset
 from dunlintide_standins import relay
 from dunlintide_trials import client
 from dunlintide_trials import layout
@@ -147,12 +148,26 @@
         return client.Caller(url, self.keys[member])
 
     def wait_all_ready(self) -> None:
-        """Wait until every daemon takes work.
+        """Wait until every daemon takes work and entries reach all agents.
+
+        An entry is also ready while agents are still starting, and then
+        refuses what none of the others can serve.
 
         :raises processes.StartError: when one ends or takes too long
         """
         for daemon in self.plan.daemons:
             self.wait_ready(daemon.name)
+        if len(self.plan.agents) > subset.FULL_MESH:
+            return
+        for entry in self.plan.entries:
+            self.started[entry.name].wait_ready(
+                lambda name=entry.name: self._reaches_all(name)
+            )
+
+    def _reaches_all(self, entry: str) -> bool:
+        agents = self.read_state(entry)['fleet']['agents']
+        usable = {one['name'] for one in agents if not one['away']}
+        return usable >= {one.name for one in self.plan.agents}
 
     def apply_rules(self, document: dict[str, Any]) -> operators.Report:
         """Put an operators' configuration in force."""
