Show that a stage ahead of a new head goes back

Cause: the rewind of a session, and truncate in the step to the engine, had no scenario in which agents use it: only the stand-in's own.

Change: three rows in recovery.feature. The head dies with tokens that no entry got, more than the last stage remembers, and the last two stages go back; head and last stage die together, and the middle stage goes back. Each row compares the tokens with the model's and reads in the engine's record that the second epoch began before the end of the first one, once for each request.

Conclusion: no change to the product was needed.

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -58,6 +58,22 @@
     Then each recoverable request gets exactly the model's tokens
     And they were counted as "stale-step" and "stale-token"
 
+  Scenario Outline: A stage that is ahead of a new head goes back
+    Given 3 agents of 4 layers each
+    And a spare agent for each of them
+    And each engine step takes 0.01 s
+    And a last stage remembers <kept> tokens
+    When 3 recoverable requests for 90 tokens have 30 tokens each
+    And <dead> with the last <lost> tokens of each
+    Then each recoverable request gets exactly the model's tokens
+    And each engine of stage <back> went back in every request
+
+    Examples:
+      | dead                       | lost | kept | back |
+      | the agent of stage 1 dies  | 20   | 4    | 2    |
+      | the agent of stage 1 dies  | 20   | 4    | 3    |
+      | those of stages 1, 3 die   | 2    | 64   | 2    |
+
   Scenario: A claimed request outlives a later stage and runs once
     Given 3 agents of 4 layers each
     And a spare agent for each of them
--- a/features/steps/recovery.py
+++ b/features/steps/recovery.py
@@ -10,6 +10,7 @@
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_daemon.agent import gate
 from dunlintide_daemon.agent import role
+from dunlintide_daemon.agent import sessions
 from dunlintide_standins.engine import server as engines
 from dunlintide_standins import reference
 from dunlintide_trials import launcher
@@ -217,6 +218,49 @@
     agent.__exit__(None, None, None)
 
 
+@behave.given('a last stage remembers {count:d} tokens')
+def limit_sampled(context, count):
+    patch = mock.patch.object(sessions, 'MAX_SAMPLED', count)
+    context.stack.enter_context(patch)
+
+
+def lose_tokens(context, count):
+    """Take away what was on its way from a head that died."""
+    entry = context.entry
+    wait_until(lambda: 'agent-0' in entry.events, 'the loss of the head')
+    del entry.events[: entry.events.index('agent-0')]
+    for stream in entry.streams.values():
+        del stream.tokens[-count:]
+
+
+@behave.when(
+    'the agent of stage 1 dies with the last {count:d} tokens of each'
+)
+def end_head(context, count):
+    end_agent(context, 1)
+    lose_tokens(context, count)
+
+
+@behave.when('those of stages 1, 3 die with the last {count:d} tokens of each')
+def end_outer(context, count):
+    end_agent(context, 1)
+    end_agent(context, 3)
+    context.entry.avoid.add(context.agents[2].settings.name)
+    lose_tokens(context, count)
+
+
+@behave.then('each engine of stage {stage:d} went back in every request')
+def check_rewound(context, stage):
+    runs = call(context.engines[stage - 1], '/runs')
+    for name in context.entry.streams:
+        found = [run for run in runs if run['request_id'] == name]
+        assert len(found) == 2, found
+        first, second = found
+        assert 0 < second['first_position'] < first['positions'], runs
+    rewound = context.agents[stage - 1].counts.get_events().get('rewound')
+    assert rewound == len(context.entry.streams), rewound
+
+
 @behave.when('the engine of stage {stage:d} dies')
 def end_engine(context, stage):
     context.engines[stage - 1].stop()
