Call an engine anew over a connection that no call had before

Cause: calls that ask for a new connection shared a pool of their own. A connection goes back to it after each answer, and when the engine's end of it is seen late, the next such call goes out on it. The look into a late call makes two in a row, the health check and the steps asked for again: in a trial behind a relay 4 of 8 doubles failed with a protocol error, and the late call then waited for its time-out of 10 s instead of going on.

Ruled out: the relay (it passes the end on, only later than the answer) and the server's lack of 'Connection: close' (it does end each).

Change: each such call has a pool of one connection for itself.

The new scenario fails without the change (read time-out of the second call) and passes with it.

--- a/features/steps/rescue.py
+++ b/features/steps/rescue.py
@@ -1,5 +1,6 @@
 """Steps about late calls to an engine."""
 
+from http import server as http_server
 import threading
 from unittest import mock
 
@@ -50,3 +51,50 @@
     assert not context.errors, context.errors
     assert context.flight.examined
     assert not context.flight.settled.is_set()
+
+
+class LateHandler(http_server.BaseHTTPRequestHandler):
+    """Answers one request and keeps the connection until it is told."""
+
+    protocol_version = 'HTTP/1.1'
+    ended = threading.Event()
+
+    def do_GET(self):
+        self.server.answered += 1
+        self.send_response(200)
+        self.send_header('Content-Length', '2')
+        self.end_headers()
+        self.wfile.write(b'{}')
+
+    def finish(self):
+        self.wfile.flush()
+        self.ended.wait(SECONDS)
+        super().finish()
+
+    def log_message(self, *_arguments):
+        pass
+
+
+@behave.given('an engine that answers and ends connections late')
+def start_late_engine(context):
+    LateHandler.ended.clear()
+    late = http_server.ThreadingHTTPServer(('127.0.0.1', 0), LateHandler)
+    context.stack.callback(late.server_close)
+    context.stack.callback(late.shutdown)
+    context.stack.callback(LateHandler.ended.set)
+    late.answered = 0
+    threading.Thread(target=late.serve_forever, daemon=True).start()
+    context.late = late
+    context.engine = engines.Engine(f'http://127.0.0.1:{late.server_port}')
+    context.stack.callback(context.engine.close)
+
+
+@behave.when('its health is asked for twice')
+def ask_twice(context):
+    context.answers = [context.engine.check_health() for _ in range(2)]
+
+
+@behave.then('both calls are answered, each over a connection of its own')
+def check_answers(context):
+    assert all(one.is_ok() for one in context.answers), context.answers
+    assert context.late.answered == 2, context.late.answered
--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -202,23 +202,21 @@
         """
         self._url = url.rstrip('/')
         self._quick = quick
-        self._pool = self._make_pool()
-        self._once = self._make_pool()
+        self._pool = self._make_pool(MAX_CONNECTIONS)
 
-    def _make_pool(self) -> urllib3.HTTPConnectionPool:
+    def _make_pool(self, size: int) -> urllib3.HTTPConnectionPool:
         return urllib3.connection_from_url(
-            self._url, maxsize=MAX_CONNECTIONS, retries=False
+            self._url, maxsize=size, retries=False
         )
 
     def renew(self) -> None:
         """Use none of the idle connections again."""
-        old, self._pool = self._pool, self._make_pool()
+        old, self._pool = self._pool, self._make_pool(MAX_CONNECTIONS)
         old.close()
 
     def close(self) -> None:
         """Close the idle connections."""
         self._pool.close()
-        self._once.close()
 
     def _call(
         self,
@@ -233,14 +231,28 @@
 
         :param anew: over a new connection, as an idle one may be silent
         """
+        if not anew:
+            return self._ask(self._pool, method, path, body, seconds, _JSON)
+        # One that the engine is about to end must not be taken again.
+        with self._make_pool(1) as pool:
+            return self._ask(pool, method, path, body, seconds, _JSON_ONCE)
+
+    def _ask(
+        self,
+        pool: urllib3.HTTPConnectionPool,
+        method: str,
+        path: str,
+        body: Any,
+        seconds: float,
+        headers: dict[str, str],
+    ) -> result.Result[bytes, EngineError]:
         data = None if body is None else json.dumps(body).encode()
-        pool = self._once if anew else self._pool
         try:
             answer = pool.request(
                 method,
                 path,
                 body=data,
-                headers=_JSON_ONCE if anew else _JSON,
+                headers=headers,
                 timeout=urllib3.Timeout(connect=self._quick, read=seconds),
                 redirect=False,
             )
