Free no session whose first step may still arrive

The session goes on, ends and is freed; then the silent connection goes on, and the engine, which knows nothing of a freed session, runs its first step again in the same epoch.

Ruled out: doubles of later steps (an unknown session takes position 0 only), steps submitted again after kv-wait (not run).

It replaces the undoing of doubles that ran in vain, which came after the fact.

--- a/packages/daemon/src/dunlintide_daemon/agent/driver.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/driver.py
@@ -17,6 +17,7 @@
 import result
 
 from dunlintide_adapters import engine as engines
+from dunlintide_daemon.agent import leftovers
 from dunlintide_daemon.agent import rescue
 
 __all__ = [
@@ -38,9 +39,9 @@
 SECONDS_PER_POSITION = 0.01
 # Past this a call is looked into; see ``rescue``.
 SILENCE_SECONDS = 3.0
-_HAS_RUN = 'position'
-_HAS_NEWER = 'stale-epoch'
 _STOP_SECONDS = 5.0
+# Between looks for sessions whose end was put off.
+_SWEEP_SECONDS = 0.5
 
 
 @attrs.frozen(eq=False)
@@ -86,11 +87,6 @@
     free_again: bool = False
 
 
-def _is_lost(found: engines.StepResult) -> bool:
-    # The engine has run it, so its first answer is what was lost.
-    return found.error in (_HAS_RUN, _HAS_NEWER)
-
-
 def _is_long(job: Job) -> bool:
     return job.positions > LONG_POSITIONS
 
@@ -106,10 +102,12 @@
         engine: engines.Engine,
         handlers: Handlers,
         silence: float = SILENCE_SECONDS,
+        hold: float = leftovers.HOLD_SECONDS,
     ) -> None:
         """Prepare the threads; ``start`` begins.
 
         :param silence: seconds after which a call may be late
+        :param hold: seconds for which a step may arrive late
         """
         self._engine = engine
         self._handlers = handlers
@@ -128,8 +126,9 @@
         self._stopped = False
         self._ended = threading.Event()
         self._flights = rescue.Flights(silence)
+        self._leftovers = leftovers.Leftovers(hold)
         self._rescuer = rescue.Rescuer(
-            engine, self._flights, self._take_over, self._drop
+            engine, self._flights, self._take_over, self._leftovers
         )
         self.calls = 0
         self.rescued = 0
@@ -180,6 +179,7 @@
         """Queue a step; never blocks."""
         session = job.step.session
         with self._wake:
+            self._leftovers.cancel(session)
             lane = self._lanes.setdefault(session, _Lane())
             lane.pending.append(job)
             self._offer(session, lane)
@@ -187,15 +187,29 @@
     def free(self, session: str) -> None:
         """Drop what is queued for a session and free its KV cache.
 
-        Steps that are submitted later wait until that has been done.
+        Steps that are submitted later wait until that has been done. While
+        a first step of the session may still arrive, its cache is kept.
         """
         with self._wake:
             lane = self._lanes.setdefault(session, _Lane())
             lane.pending.clear()
+            if self._leftovers.put_off(session):
+                self._offer(session, lane)
+                return
             lane.freeing += 1
             lane.free_again = lane.busy
         self._frees.put(session)
 
+    def is_free(self, session: str) -> bool:
+        """Return whether nothing of a session is queued or under way."""
+        with self._wake:
+            return session not in self._lanes
+
+    @property
+    def kept(self) -> int:
+        """Sessions that the engine keeps against a late first step."""
+        return len(self._leftovers)
+
     def accuse(self, failed: list[Job] | None = None) -> list[Job]:
         """Return the jobs under way when the engine crashed.
 
@@ -309,6 +323,7 @@
             self._jobs[flight] = jobs
         called = self._engine.run_steps(steps, seconds)
         if not self._flights.settle(flight):
+            self._leftovers.end(flight.begun, answered=rescue.is_over(called))
             return False
         with self._wake:
             del self._jobs[flight]
@@ -338,7 +353,7 @@
             jobs = self._jobs.pop(flight)
         self.rescued += 1
         threading.Thread(target=self._run, name='driver', daemon=True).start()
-        lost = {found.session for found in results if _is_lost(found)}
+        lost = {found.session for found in results if rescue.is_lost(found)}
         gone = [job for job in jobs if job.step.session in lost]
         if gone:
             detail = 'the connection to the engine went silent'
@@ -349,14 +364,6 @@
         if kept:
             self._finish(flight, kept, result.Ok(results))
 
-    def _drop(self, results: list[engines.StepResult]) -> None:
-        """Undo steps that were asked for again in vain, if they ran."""
-        for found in results:
-            with self._wake:
-                known = found.session in self._lanes
-            if not found.error and not known:
-                self.free(found.session)
-
     def _hand_on(
         self, jobs: list[Job], results: list[engines.StepResult]
     ) -> None:
@@ -376,7 +383,15 @@
             self._handlers.failed(missing, error)
 
     def _reap(self) -> None:
-        while (session := self._frees.get()) is not None:
+        while True:
+            for session in self._leftovers.take_due():
+                self.free(session)
+            try:
+                session = self._frees.get(timeout=_SWEEP_SECONDS)
+            except queue.Empty:
+                continue
+            if session is None:
+                return
             self._engine.free(session)
             with self._wake:
                 lane = self._lanes[session]
--- a/packages/daemon/src/dunlintide_daemon/agent/rescue.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/rescue.py
@@ -5,7 +5,9 @@
 may take. A call that is late is looked into: when the engine is well, the
 same steps are asked for once more over a new connection. The engine
 refuses positions that it has run, so nothing runs twice, and it takes
-steps in turn, so a call that is only slow is answered first.
+steps in turn, so a call that is only slow is answered first. It knows
+that of sessions which it holds only, so none is freed while either call
+may bring its first step; see ``leftovers``.
 """
 
 import threading
@@ -13,13 +15,17 @@
 from typing import Callable
 
 import attrs
+import result
 
 from dunlintide_adapters import engine as engines
+from dunlintide_daemon.agent import leftovers
 
 __all__ = [
     'Flight',
     'Flights',
     'Rescuer',
+    'is_lost',
+    'is_over',
 ]
 
 CHECK_SECONDS = 0.1
@@ -28,6 +34,8 @@
 _SMOOTHING = 0.2
 # A slow answer and the refusal of its double leave the engine together.
 GRACE_SECONDS = 0.5
+_HAS_RUN = 'position'
+_HAS_NEWER = 'stale-epoch'
 
 
 @attrs.define(eq=False)
@@ -46,6 +54,25 @@
     settled: threading.Event = attrs.field(factory=threading.Event)
     examined: bool = False
 
+    @property
+    def begun(self) -> list[str]:
+        """Sessions whose first step this is."""
+        return [step.session for step in self.steps if not step.position]
+
+
+def is_lost(found: engines.StepResult) -> bool:
+    """Return whether the engine had run a step: its answer was lost."""
+    return found.error in (_HAS_RUN, _HAS_NEWER)
+
+
+def is_over(
+    called: result.Result[list[engines.StepResult], engines.EngineError],
+) -> bool:
+    """Return whether no step of a call can reach the engine any more."""
+    if called.is_ok():
+        return True
+    return bool(called.err_value.status) or not called.err_value.sent
+
 
 class Flights:
     """The calls under way; each is settled by one thread only."""
@@ -120,18 +147,18 @@
         engine: engines.Engine,
         flights: Flights,
         take_over: Callable[[Flight, list[engines.StepResult]], None],
-        drop: Callable[[list[engines.StepResult]], None],
+        kept: leftovers.Leftovers,
     ) -> None:
         """Remember whom to ask and whom to tell.
 
         :param take_over: gets a call whose connection is silent, settled,
             and what its steps gave when they were asked for again
-        :param drop: gets what the steps gave in vain
+        :param kept: hears which first steps are asked for again
         """
         self._engine = engine
         self._flights = flights
         self._take_over = take_over
-        self._drop = drop
+        self._kept = kept
 
     def run(self, stopped: threading.Event) -> None:
         """Look into late calls until the event is set."""
@@ -152,13 +179,15 @@
         left = self._flights.tell_left(flight)
         if not left:
             return  # The call ends by itself now.
+        self._kept.begin(flight.begun)
         asked = self._engine.run_steps(flight.steps, left, anew=True)
-        if asked.is_err():
-            return
-        flight.settled.wait(GRACE_SECONDS)
-        if not self._flights.settle(flight):
-            self._drop(asked.ok_value)
+        if asked.is_ok():
+            flight.settled.wait(GRACE_SECONDS)
+        if asked.is_err() or not self._flights.settle(flight):
+            self._kept.end(flight.begun, answered=is_over(asked))
+            self._flights.put_off(flight)
             return
+        # From now on it is the first call that may be late; see ``Driver``.
         # Idle connections may have gone silent with this one.
         self._engine.renew()
         self._take_over(flight, asked.ok_value)
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -432,6 +432,7 @@
                 'steps': self.driver.steps,
                 'busy_seconds': round(self.driver.busy_seconds, 3),
                 'rescued': self.driver.rescued,
+                'kept': self.driver.kept,
             }
         return state
 
