Keep no connection of a service call that asked for a new one

Cause: calls of services ask with "Connection: close" through a pool that outlives the call. A service that closes need not say so in its answer (the stand-in doesn't), and then the pool keeps the connection and gives it to the next call. If the close has not arrived by then, that call ends without an answer and is told "unknown" though it never ran.

Change: a service call has a pool of its own, closed with the call.

--- a/packages/daemon/src/dunlintide_daemon/agent/services.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/services.py
@@ -124,24 +124,27 @@
         self._gate = gate
         self._clock = clock
         self._pool = futures.ThreadPoolExecutor(threads, 'service')
+        self._url = url
         self._path = urllib3.util.parse_url(url).path or ''
-        # A kept connection may have gone silent, or be closed by the
-        # service just as it is used; on the same host a new one is cheap.
-        self._once = urllib3.connection_from_url(
-            url, maxsize=threads, retries=False
-        )
-        self._once.ConnectionCls = _watch(
-            self._once.ConnectionCls, self._take_socket
-        )
         self._lock = threading.Lock()
         # Calls that are wanted, with their connections once these are open.
         self._wanted: dict[works.Work, socket.socket | None] = {}
         self._current = threading.local()
 
     def close(self) -> None:
-        """Wait for the calls under way and close all connections."""
+        """Wait for the calls under way."""
         self._pool.shutdown()
-        self._once.close()
+
+    def _connect(self) -> urllib3.HTTPConnectionPool:
+        """Make a pool for one call.
+
+        A kept connection may have gone silent, or be closed by the
+        service, with or without a word, just as it is used; on the same
+        host a new one is cheap.
+        """
+        pool = urllib3.connection_from_url(self._url, maxsize=1, retries=False)
+        pool.ConnectionCls = _watch(pool.ConnectionCls, self._take_socket)
+        return pool
 
     def call(self, link: links.Link, call: link_pb2.Call) -> None:
         """Take in a call for the service."""
@@ -209,19 +212,20 @@
         headers['Connection'] = 'close'
         self._current.work = work
         try:
-            answer = self._once.urlopen(
-                call.method,
-                self._path.rstrip('/') + call.path,
-                body=call.body or None,
-                headers=headers,
-                timeout=urllib3.Timeout(
-                    connect=min(CONNECT_SECONDS, seconds), read=seconds
-                ),
-                redirect=False,
-                preload_content=False,
-                decode_content=False,
-            )
-            self._forward(work, call, answer)
+            with self._connect() as pool:
+                answer = pool.urlopen(
+                    call.method,
+                    self._path.rstrip('/') + call.path,
+                    body=call.body or None,
+                    headers=headers,
+                    timeout=urllib3.Timeout(
+                        connect=min(CONNECT_SECONDS, seconds), read=seconds
+                    ),
+                    redirect=False,
+                    preload_content=False,
+                    decode_content=False,
+                )
+                self._forward(work, call, answer)
             self._gate.end(work)
         except urllib3.exceptions.HTTPError as error:
             code = outcomes.FailCode.ENDPOINT_FAILED
