Show which settings of TLS are refused, and where

Eight mistakes in the tls and admin_tls sections and in what their files hold are told with the field.

--- a/features/steps/tls.py
+++ b/features/steps/tls.py
@@ -1,6 +1,7 @@
 """Steps of tls.feature: links and calls between certified processes."""
 
 import datetime
+import json
 import logging
 import pathlib
 import threading
@@ -13,6 +14,7 @@
 from dunlintide_adapters import claims as writers
 from dunlintide_adapters import links
 from dunlintide_adapters import peers
+from dunlintide_adapters import tlschecks
 from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_adapters.wire import link_pb2_grpc
@@ -21,6 +23,7 @@
 from dunlintide_core import fleet
 from dunlintide_core import identities
 from dunlintide_core import records
+from dunlintide_core import settings
 from dunlintide_core import spread
 from dunlintide_trials import authority
 import result
@@ -441,3 +444,60 @@
     secret = [x for x in context.key.splitlines() if not x.startswith('-')]
     for line in context.lines.texts:
         assert not any(part in line for part in secret), line
+
+
+@behave.given('the files and settings of agent "{name}" with TLS')
+def write_settings(context, name):
+    issuer = find_fleet(context)
+    context.server = Process(context, 'agent', name, None)
+    context.settings = {
+        'role': 'agent',
+        'name': name,
+        'failure_domain': 'austin-a',
+        'admin_listen': '127.0.0.1:0',
+        'link_listen': '127.0.0.1:0',
+        'store_url': 'http://127.0.0.1:2379',
+        'host_list_url': 'http://127.0.0.1:2480/hosts',
+        'endpoint': {
+            'kind': 'service',
+            'url': 'http://127.0.0.1:8000',
+            'service': 'orders',
+        },
+        'tls': issuer.write(context.folder, 'agent', name),
+    }
+    assert load(context).is_ok(), load(context)
+
+
+def load(context):
+    return settings.load_settings(
+        json.dumps(context.settings, indent=1),
+        'agent.jsonc',
+        tlschecks.find_faults,
+    )
+
+
+@behave.when('its settings name it "{name}"')
+def rename(context, name):
+    context.settings['name'] = name
+
+
+@behave.when('its settings have "key" for admin_tls')
+def set_admin(context):
+    key = context.settings['tls']['key']
+    context.settings['admin_tls'] = {'certificate': key, 'key': key}
+
+
+@behave.when('its settings leave out the key')
+def leave_out_key(context):
+    del context.settings['tls']['key']
+
+
+@behave.then('the settings with TLS are refused at "{field}" with "{message}"')
+def check_settings(context, field, message):
+    problems = load(context).unwrap_err()
+    found = [(one.path, one.message) for one in problems]
+    assert len(found) == 1, found
+    path, told = found[0]
+    assert field in f'{path}: {told}' and message in told, found
+    # A field that is there is pointed at.
+    assert 'missing' in told or problems[0].line > 1, problems
--- a/features/tls.feature
+++ b/features/tls.feature
@@ -97,3 +97,19 @@
       | key         | another key           | is not the certificate's   |
       | key         | cut short             | expected a private key     |
       | authorities | missing               | authorities: cannot read   |
+
+  Scenario Outline: Settings with TLS that cannot work are refused at the field
+    Given the files and settings of agent "agent-1" with TLS
+    When <change>
+    Then the settings with TLS are refused at "<field>" with "<message>"
+
+    Examples:
+      | change                                   | field           | message                     |
+      | its certificate file becomes text        | tls.certificate | expected a certificate      |
+      | its certificate file becomes an expired one | tls.certificate | expired                  |
+      | its key file becomes another key         | tls.key         | is not the certificate's    |
+      | its authorities file becomes missing     | tls.authorities | cannot read                 |
+      | its settings name it "agent-2"           | tls.certificate | expected the DNS names      |
+      | its settings name it "agent_1"           | name            | expected a DNS name         |
+      | its settings have "key" for admin_tls    | admin_tls.certificate | expected a certificate |
+      | its settings leave out the key           | tls.key         | the field is missing        |
