Keep what services are asked for out of the logs

With the log level debug, urllib3 wrote the path and query of each call to a service into the agent's log; a member's key in the query stood there, and an agent knows no keys to mask. The library now logs errors only.

Found by a scan of all logs, dumps and metrics of a deployment with TLS, at level debug, after requests with good and bad keys in headers, paths, queries and bodies, and after the death of an agent: 1 place before (log of the service's agent), none after. A key is looked for also among the processes' private ones: none. Ruled out: masking at agents, which must not learn members' key hashes for that.

--- a/packages/adapters/src/dunlintide_adapters/logs.py
+++ b/packages/adapters/src/dunlintide_adapters/logs.py
@@ -142,4 +142,7 @@
     handler.python_handler.stream = sys.stderr
     handler.python_handler.setFormatter(_Masking(build(fields)))
     logging.use_absl_handler()
+    # It logs what is asked for, query and all, and who asks has its say
+    # in that.
+    standard_logging.getLogger('urllib3').setLevel('ERROR')
     logging.set_verbosity(level)
