Give the waits of the steps one module

Cause: twelve modules of steps had a wait of their own, alike but for the patience and the words of a failure.

Change: waiting.make_wait builds it from a module's patience, which stays as it was, as do all bounds that a step passes itself. A few waits look every 20 ms that looked every 5 or 10 ms.

--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -1,7 +1,6 @@
 """Steps for agents over real links, with engines in this process."""
 
 import threading
-import time
 from unittest import mock
 
 import attrs
@@ -16,22 +15,17 @@
 from dunlintide_standins import reference
 from dunlintide_standins import service as services
 import urllib3
+import waiting
 
 MODEL = 'copy-7b'
 LAYERS = 12
 WAIT_SECONDS = 60.0
+wait_until = waiting.make_wait(WAIT_SECONDS)
 DEADLINE_MS = 60_000
 # Longer than any scenario lasts.
 SLOW_SECONDS = 600.0
 
 
-def wait_until(condition, what, seconds=WAIT_SECONDS):
-    end = time.monotonic() + seconds
-    while not condition():
-        assert time.monotonic() < end, f'not within {seconds} s: {what}'
-        time.sleep(0.01)
-
-
 class Caller:
     """An entry's end of one link: sends frames and keeps the answers."""
 
--- a/features/steps/configstore.py
+++ b/features/steps/configstore.py
@@ -1,7 +1,6 @@
 """Steps for the configuration in the store."""
 
 import threading
-import time
 from unittest import mock
 import uuid
 
@@ -17,8 +16,10 @@
 import msgspec
 import result
 import urllib3
+import waiting
 
 WAIT_SECONDS = 20.0
+wait_until = waiting.make_wait(WAIT_SECONDS)
 POLL_SECONDS = 0.1
 TIMING = store.StoreTiming(
     connect=1.0,
@@ -28,15 +29,6 @@
 )
 
 
-def wait_until(condition):
-    """Wait until the condition holds, or fail."""
-    deadline = time.monotonic() + WAIT_SECONDS
-    while not condition():
-        if time.monotonic() > deadline:
-            raise AssertionError('condition not met in time')
-        time.sleep(0.01)
-
-
 def encode(names):
     members = [{'name': name} for name in sorted(names)]
     return msgspec.json.encode({'members': members})
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -5,7 +5,6 @@
 import json
 import logging as standard_logging
 import threading
-import time
 
 from absl import logging as absl_logging
 import attrs
@@ -21,8 +20,10 @@
 import prometheus_client
 import result
 import urllib3
+import waiting
 
 WAIT_SECONDS = 30.0
+wait_until = waiting.make_wait(WAIT_SECONDS)
 MODEL = {'model': 'copy', 'prompt': 'soup', 'max_tokens': 5}
 BODIES = {
     'a completion': json.dumps(MODEL),
@@ -83,14 +84,6 @@
 )
 
 
-def wait_until(condition):
-    deadline = time.monotonic() + WAIT_SECONDS
-    while not condition():
-        if time.monotonic() > deadline:
-            raise AssertionError('condition not met in time')
-        time.sleep(0.01)
-
-
 @attrs.define
 class Faults:
     """What agents do wrong; ``first`` applies to one attempt only."""
--- a/features/steps/fairness.py
+++ b/features/steps/fairness.py
@@ -4,7 +4,6 @@
 from concurrent import futures
 import random
 import threading
-import time
 
 import behave
 from dunlintide_adapters import httpserver
@@ -15,8 +14,10 @@
 from dunlintide_trials import blueprints
 from dunlintide_trials import launcher
 import urllib3
+import waiting
 
 WAIT_SECONDS = 20.0
+wait_until = waiting.make_wait(WAIT_SECONDS)
 
 
 class Grouped:
@@ -57,14 +58,6 @@
     context.held = []
 
 
-def wait_until(condition):
-    """Wait until the condition holds, or fail."""
-    end = time.monotonic() + WAIT_SECONDS
-    while not condition():
-        assert time.monotonic() < end, 'condition not met in time'
-        time.sleep(0.01)
-
-
 def open_request(context, group):
     """Send one; true when it runs, false when it was refused."""
     running = [one for one in context.held if not one.done()]
--- a/features/steps/httpserver.py
+++ b/features/steps/httpserver.py
@@ -16,20 +16,13 @@
 from dunlintide_adapters import tlssockets
 from dunlintide_trials import authority
 import urllib3
+import waiting
 
 WAIT_SECONDS = 20.0
+wait_until = waiting.make_wait(WAIT_SECONDS)
 CHUNK = b'x' * (1 << 20)
 
 
-def wait_until(condition):
-    """Wait until the condition holds, or fail."""
-    deadline = time.monotonic() + WAIT_SECONDS
-    while not condition():
-        if time.monotonic() > deadline:
-            raise AssertionError('condition not met in time')
-        time.sleep(0.01)
-
-
 class Application:
     """Answers by path, and keeps count."""
 
--- a/features/steps/links.py
+++ b/features/steps/links.py
@@ -1,24 +1,18 @@
 """Steps for links through a relay."""
 
 import random
-import time
 
 import behave
 from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_standins import relay
+import waiting
 
 WAIT_SECONDS = 30.0
+wait_until = waiting.make_wait(WAIT_SECONDS)
 FEW = 3
 
 
-def wait_until(condition, what):
-    end = time.monotonic() + WAIT_SECONDS
-    while not condition():
-        assert time.monotonic() < end, f'not in time: {what}'
-        time.sleep(0.01)
-
-
 class Side:
     """What one end of a link has seen."""
 
--- a/features/steps/outcomes_scene.py
+++ b/features/steps/outcomes_scene.py
@@ -16,12 +16,13 @@
 from dunlintide_trials import launcher
 from dunlintide_trials import layout
 from dunlintide_trials import operators
-from dunlintide_trials import processes
 from dunlintide_trials import records
 import urllib3
+import waiting
 
 PROMPT = 'Announce the harvest supper on Saturday'
 WAIT_SECONDS = 40.0
+wait_until = waiting.make_wait(WAIT_SECONDS)
 ORDER_SECONDS = 4
 # Shorter than in production, so that the scenarios are short.
 TIMING = {
@@ -40,11 +41,6 @@
 CURE = {'down': False, 'hang': False, 'slow_seconds': 0.0, 'drop_answers': 0}
 
 
-def wait_until(condition, what, seconds=WAIT_SECONDS):
-    if not processes.wait_for(condition, seconds):
-        raise AssertionError(f'not within {seconds} s: {what}')
-
-
 # What is lost stays lost here: a range that is loaded anew has a feature
 # of its own, and would let a stream end that has to be cut.
 HELD = settings.Placement(patience=3600.0)
--- a/features/steps/placement_orders.py
+++ b/features/steps/placement_orders.py
@@ -20,18 +20,15 @@
 from dunlintide_standins import reference
 from dunlintide_standins.store import server as standin_stores
 from dunlintide_trials.cases import placement as trial
-from dunlintide_trials import processes
 import urllib3
+import waiting
 
 WAIT_SECONDS = 60.0
+wait_until = waiting.make_wait(WAIT_SECONDS)
 MODEL = 'copy-7b'
 LEASE_SECONDS = 60
 
 
-def wait_until(condition):
-    assert processes.wait_for(condition, WAIT_SECONDS), condition
-
-
 def dial(context, address, name, take):
     hello = link_pb2.Hello(name=name, role='entry')
     handlers = links.Handlers(lambda _: None, take, lambda *_: None)
--- a/features/steps/recovery.py
+++ b/features/steps/recovery.py
@@ -1,7 +1,6 @@
 """Steps for the recovery of streams, with an entry that names chains."""
 
 from concurrent import futures
-import time
 from unittest import mock
 
 import attrs
@@ -16,8 +15,10 @@
 from dunlintide_trials import launcher
 from dunlintide_trials import records
 import urllib3
+import waiting
 
 WAIT_SECONDS = 60.0
+wait_until = waiting.make_wait(WAIT_SECONDS)
 MODEL = 'copy-7b'
 LAYERS = 12
 
@@ -130,13 +131,6 @@
         )
 
 
-def wait_until(condition, what):
-    end = time.monotonic() + WAIT_SECONDS
-    while not condition():
-        assert time.monotonic() < end, f'never: {what}'
-        time.sleep(0.005)
-
-
 def call(engine, path):
     url = f'http://127.0.0.1:{engine.port}{path}'
     return urllib3.request('GET', url, retries=False).json()
--- a/features/steps/standin_calls.py
+++ b/features/steps/standin_calls.py
@@ -1,25 +1,17 @@
 """Calls to stand-ins, for the steps that test them."""
 
 import json
-import time
 
 import urllib3
+import waiting
 
 WAIT_SECONDS = 20.0
+wait_until = waiting.make_wait(WAIT_SECONDS)
 HTTP = urllib3.PoolManager(
     retries=False, timeout=urllib3.Timeout(WAIT_SECONDS)
 )
 
 
-def wait_until(condition):
-    """Wait until the condition holds, or fail."""
-    deadline = time.monotonic() + WAIT_SECONDS
-    while not condition():
-        if time.monotonic() > deadline:
-            raise AssertionError('condition not met in time')
-        time.sleep(0.02)
-
-
 def start(context, standin):
     standin.start()
     context.stack.callback(standin.stop)
--- a/features/steps/store.py
+++ b/features/steps/store.py
@@ -1,7 +1,6 @@
 """Steps for the client of the store."""
 
 import threading
-import time
 
 import behave
 from dunlintide_adapters import circuit
@@ -13,9 +12,11 @@
 from dunlintide_standins.store import server
 import prometheus_client
 import urllib3
+import waiting
 
 KEY = '/test/key'
 WAIT_SECONDS = 20.0
+wait_until = waiting.make_wait(WAIT_SECONDS)
 TIMING = store.StoreTiming(
     connect=1.0,
     read=0.5,
@@ -24,15 +25,6 @@
 )
 
 
-def wait_until(condition):
-    """Wait until the condition holds, or fail."""
-    deadline = time.monotonic() + WAIT_SECONDS
-    while not condition():
-        if time.monotonic() > deadline:
-            raise AssertionError('condition not met in time')
-        time.sleep(0.01)
-
-
 def start_standin(context, port=0):
     context.standin = server.Store(f'127.0.0.1:{port}')
     context.standin.start()
--- a/features/steps/tls.py
+++ b/features/steps/tls.py
@@ -27,8 +27,10 @@
 from dunlintide_core import spread
 from dunlintide_trials import authority
 import result
+import waiting
 
 WAIT_SECONDS = 30.0
+wait_until = waiting.make_wait(WAIT_SECONDS)
 TRIES = 3
 EXPIRED = datetime.timedelta(hours=-1)
 LIFE = datetime.timedelta(days=1)
@@ -36,13 +38,6 @@
 _NOT_CERTIFIED = ', without TLS'
 
 
-def wait_until(condition, what):
-    end = time.monotonic() + WAIT_SECONDS
-    while not condition():
-        assert time.monotonic() < end, f'not in time: {what}'
-        time.sleep(0.01)
-
-
 class Lines(logging.Handler):
     """Keeps what is logged."""
 
