Tell denied retries beside the streams that a lost stage cut

Cause: recovery.stage with six entries had counted 2 answers of each row with 512 words wrong in both ways. They were put down to the retry budget; nothing showed it.

Change: the case reads what the budgets denied and says it beside the wrong streams, so that the next such row explains itself.

--- a/packages/trials/src/dunlintide_trials/cases/recovery.py
+++ b/packages/trials/src/dunlintide_trials/cases/recovery.py
@@ -240,7 +240,10 @@
     yield figures.plain(
         f'{case}.kept', statistics.fmean(replay.kept), 'bytes', None, kept
     )
-    wrong = 'streams lost, cut or with a wrong token; ' + note
+    wrong = (
+        'streams lost, cut or with a wrong token; the budgets denied '
+        f'{replay.denied} retries, in the baseline {restart.denied}; {note}'
+    )
     yield figures.at_most(
         f'{case}.wrong', replay.wrong, 'streams', 0, restart.wrong, wrong
     )
--- a/packages/trials/src/dunlintide_trials/stagelosses.py
+++ b/packages/trials/src/dunlintide_trials/stagelosses.py
@@ -46,12 +46,14 @@
     :ivar again: layer-steps that ran beyond what one run takes, likewise
     :ivar wrong: streams whose answer was not whole and right
     :ivar kept: bytes of activations that a head kept for a stream
+    :ivar denied: retries that the entries' budgets did not cover
     """
 
     seconds: list[float]
     again: list[int]
     wrong: int
     kept: list[float]
+    denied: int = 0
 
     def tell_percentile(self, part: float) -> float:
         """Return a percentile of the seconds, 0 to 1."""
@@ -69,6 +71,7 @@
         [again for loss in losses for again in loss.again],
         sum(loss.wrong for loss in losses),
         [size for loss in losses for size in loss.kept],
+        sum(loss.denied for loss in losses),
     )
 
 
@@ -161,6 +164,13 @@
     return found
 
 
+def _count_denied(running: deployment.Deployment) -> int:
+    return sum(
+        running.read_state(entry.name)['retries']['denied']
+        for entry in running.plan.entries
+    )
+
+
 def _read_runs(
     running: deployment.Deployment, engine: str, over: list[dict] | None
 ) -> list[dict]:
@@ -218,6 +228,7 @@
         victim = agents[struck].name if kind == AGENT else engine
         over = running.read_endpoint_runs(engine)
         kept = _read_kept(running)
+        denied = _count_denied(running)
         killed = time.monotonic()
         running.started[victim].kill()
         answers = [one.result() for one in waiting]
@@ -225,7 +236,8 @@
     running.restart(victim)
     seen = (over, found, old, killed)
     loss = _judge(running, answers, prompts, seen, words)
-    return attrs.evolve(loss, kept=kept)
+    denied = _count_denied(running) - denied
+    return attrs.evolve(loss, kept=kept, denied=denied)
 
 
 def _judge(
