Put the fleet's faults on the soak

The promises are those that stand: no daemon shows a lower revision than before, all end at the newest, all entries complete requests again.

Left out: a store restored to an older state, since the claims in it are lost too; docs/design/soak.md says so.

The work folder also gets faults.txt, when each fault came and went, to trace what the load met.

--- a/packages/trials/src/dunlintide_trials/soak.py
+++ b/packages/trials/src/dunlintide_trials/soak.py
@@ -21,6 +21,7 @@
 from dunlintide_trials import deployment
 from dunlintide_trials import faults
 from dunlintide_trials import field as fields
+from dunlintide_trials import fleetfaults
 from dunlintide_trials import launcher
 from dunlintide_trials import linkfaults
 from dunlintide_trials import load
@@ -38,6 +39,8 @@
 THREADS = 16
 EXAMPLE = pathlib.Path('examples/cooperative.jsonc')
 EXIT_BROKEN = 1
+# In the work folder: when each fault came and went.
+NOTES = 'faults.txt'
 # Most seconds from the end of the faults until everything serves.
 RECOVERY_SECONDS = 60.0
 _GAP_SECONDS = (0.2, 2.0)
@@ -46,8 +49,13 @@
 _SETTLE_SECONDS = 60.0
 _PAIR_RATE = 0.2
 _TWICE_RATE = 0.15
-_FAULTS = (*faults.FAULTS, *linkfaults.FAULTS, *people.FAULTS)
-_LASTING = faults.SECONDS | linkfaults.SECONDS
+_FAULTS = (
+    *faults.FAULTS,
+    *fleetfaults.FAULTS,
+    *linkfaults.FAULTS,
+    *people.FAULTS,
+)
+_LASTING = faults.SECONDS | fleetfaults.SECONDS | linkfaults.SECONDS
 
 
 @attrs.frozen(order=False)
@@ -90,17 +98,24 @@
         if heal is None:
             return False
         self.counts[fault.__name__] += 1
+        self._note('begins', fault.__name__, self.field.last)
         least, most = _LASTING.get(fault, _FAULT_SECONDS)
         due = time.monotonic() + self.field.rng.uniform(least, most)
         running = _Running(fault, heal, self.field.last, again)
         heapq.heappush(self._heals, (due, next(self._number), running))
         return True
 
+    def _note(self, what: str, fault: str, target: str) -> None:
+        """Write down when a fault comes and goes, for a look afterwards."""
+        with (self.field.folder / NOTES).open('a') as notes:
+            print(f'{time.time():.2f} {what} {fault}: {target}', file=notes)
+
     def heal_due(self, now: float) -> None:
         """Heal the faults whose time is over."""
         while self._heals and self._heals[0][0] <= now:
             ended = heapq.heappop(self._heals)[2]
             ended.heal()
+            self._note('ends', ended.fault.__name__, ended.target)
             if ended.again and now != float('inf'):
                 self._apply_again(ended)
 
