Judge layer ranges by the membership, not by a leader's links

Cause: a leader of a model's placement dialled every agent, since only a link told it what an engine holds.

Change: a leader sees engines by their records, corrected by the links that it has anyway. Records say now whether an engine answers its agent. An agent is gone when two processes of two failure domains miss it, the leader being one of them when its own link breaks; with less it is in doubt: it is neither replaced nor relied on, but the wait begins. So a leader's own broken paths, and a cut between two failure domains that a third still reaches, reload nothing. An entry whose link breaks calls that agent by the membership's way at once, at most four at a time. A link is opened to give an order and kept while that is open; at most 32 links outside the subset stay open without work.

The scenarios of the judgement and of the order over a link of its own fail on the former code, which has no such view. The step that makes up a leader's view gives the same engine in its new form.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -17,6 +17,32 @@
     And the holders of layers 8 to 16 vanish at 103.0 s
     Then nothing is ordered until 108.0 s
 
+  Scenario: A doubt begins the wait, and only what is certain is replaced
+    Given spare engines with 0 and 0 requests
+    When the holders of layers 8 to 16 are in doubt from 100.0 s
+    Then nothing is ordered until 110.0 s
+    When the holders of layers 8 to 16 vanish at 110.0 s
+    Then at 110.1 s the spare engine with 0 requests is to hold layers 8 to 16
+
+  Scenario: What is in doubt is neither ordered nor counted on
+    Given spare engines with 0 and 0 requests
+    And every spare engine is in doubt
+    And one holder of layers 16 to 24 is in doubt
+    When the holders of layers 0 to 8 vanish at 100.0 s
+    Then at 105.1 s one holder of layers 8 to 16 is to hold layers 0 to 8
+
+  Scenario Outline: Who misses a process decides whether it is gone
+    Then in <domains> failure domains one missed by <witnesses> is <standing>
+
+    Examples:
+      | domains | witnesses          | standing |
+      | 3       | nobody             | present  |
+      | 3       | a of A             | doubted  |
+      | 3       | a of A, b of A     | doubted  |
+      | 3       | a of A, b of B     | gone     |
+      | 1       | a of A             | doubted  |
+      | 1       | a of A, b of A     | gone     |
+
   Scenario: Without spares the least busy member of the largest range moves
     Given a further holder of layers 16 to 24 with 2 requests
     When the holders of layers 0 to 8 vanish at 100.0 s
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -7,6 +7,8 @@
 from dunlintide_core import coverage
 from dunlintide_core import leadership
 from dunlintide_core import placement
+from dunlintide_core import records
+from dunlintide_core import standing
 import hypothesis
 from hypothesis import strategies
 
@@ -91,6 +93,42 @@
         del context.engines[engine.agent]
 
 
+def doubt(context, engines):
+    for engine in engines:
+        doubted = attrs.evolve(engine, doubted=True)
+        context.engines[engine.agent] = doubted
+
+
+@behave.when(
+    'the holders of layers {start:d} to {end:d} are in doubt from {at:f} s'
+)
+def doubt_range(context, start, end, at):
+    assert not decide(context, at)
+    doubt(context, list_holders(context, start, end))
+
+
+@behave.given('every spare engine is in doubt')
+def doubt_spares(context):
+    doubt(context, list_holders(context, 0, 0))
+
+
+@behave.given('one holder of layers {start:d} to {end:d} is in doubt')
+def doubt_one(context, start, end):
+    doubt(context, list_holders(context, start, end)[:1])
+
+
+@behave.then(
+    'in {domains:d} failure domains one missed by {witnesses} is {held}'
+)
+def check_standing(context, domains, witnesses, held):
+    missed = {}
+    if witnesses != 'nobody':
+        missed = dict(one.split(' of ') for one in witnesses.split(', '))
+    needed = standing.count_needed_domains('ABC'[:domains])
+    judged = standing.judge(records.State.ALIVE, missed, needed)
+    assert judged.name.lower() == held, judged
+
+
 @behave.when('every holder vanishes at {at:f} s')
 def lose_all(context, at):
     for start in (0, 8, 16):
--- a/features/steps/subset.py
+++ b/features/steps/subset.py
@@ -14,8 +14,11 @@
 from dunlintide_core import fleet
 from dunlintide_core import membership
 from dunlintide_core import records
+from dunlintide_core import settings
 from dunlintide_daemon.entry import fleet as entry_fleet
+from dunlintide_daemon.entry import placement
 from dunlintide_daemon.entry import roster
+from dunlintide_daemon.entry import sightings
 
 _LAYERS = 8
 _WAIT_SECONDS = 30.0
@@ -58,13 +61,18 @@
     def ignore(*_):
         pass
 
-    handlers = links.Handlers(ignore, ignore, ignore)
+    def take(link, frames):
+        orders = [f.order for f in frames if f.WhichOneof('body') == 'order']
+        context.orders += [(cell[0].name, order) for order in orders]
+
+    handlers = links.Handlers(ignore, take, ignore)
     server = links.LinkServer('127.0.0.1:0', say_hello, handlers)
     start = number // 3 % 2 * _LAYERS
     address = f'127.0.0.1:{server.port}'
     cell.append(_make_peer(fleet.Role.AGENT, number, address, start))
     server.start()
     context.stack.callback(server.stop)
+    context.servers[cell[0].name] = server
     return cell[0]
 
 
@@ -77,6 +85,7 @@
         for number in range(6)
     ]
     context.view = membership.View(entries[0])
+    context.orders, context.servers = [], {}
     agents = [_start_agent(context, number) for number in range(12)]
     context.agents = {agent.name: agent for agent in agents}
     for peer in entries[1:] + agents:
@@ -100,7 +109,7 @@
         return context.view.changes, context.view.present()
 
     context.leaving = set()
-    context.now = 0.0
+    context.now = context.later = 0.0
     source = roster.heed_list(
         roster.follow_members(list_present),
         lambda: result.Ok(
@@ -127,6 +136,8 @@
     context.now = getattr(context, 'now', 0.0) + 1000.0
     assert context.roster.refresh(context.now)
     context.fleet.update(context.roster.hosts, context.roster.wanted)
+    if 'sightings' in context:
+        context.sightings.note_hosts(context.roster.hosts)
 
 
 def _list_linked(context):
@@ -252,3 +263,123 @@
     _take(context)
     context.fleet.drop_idle(time.monotonic() + 10 * entry_fleet.IDLE_SECONDS)
     context.fleet.drop_idle(time.monotonic() + 20 * entry_fleet.IDLE_SECONDS)
+
+
+def _look(context):
+    if 'sightings' not in context:
+        context.sightings = sightings.Sightings(
+            'entry-0', 'domain-0', context.fleet
+        )
+        context.sightings.note_hosts(context.roster.hosts)
+    return context.sightings.look()
+
+
+def _count_doubted(context):
+    engines = _look(context).engines
+    return len(engines), sum(one.doubted for one in engines)
+
+
+@behave.then('it sees 12 engines for placement, none in doubt, over 4 links')
+def check_seen(context):
+    _wait_for(lambda: _list_linked(context) == context.roster.wanted)
+    assert _count_doubted(context) == (12, 0)
+    assert _look(context).enough
+    assert len(context.fleet.describe()['dialled']) == 4
+
+
+@behave.when('the only spare engine is outside its subset and gets an order')
+def order_outside(context):
+    context.outside = min(context.agents.keys() - context.roster.wanted)
+    keeper = placement.Placement(
+        settings.Settings(
+            role=fleet.Role.ENTRY,
+            name='entry-0',
+            failure_domain='domain-0',
+            admin_listen='127.0.0.1:0',
+            link_listen='127.0.0.1:0',
+            store_url='http://127.0.0.1:1',
+            host_list_url='http://127.0.0.1:1',
+        ),
+        None,
+        context.fleet,
+        None,
+    )
+    keeper.note_hosts(context.roster.hosts)
+    order = link_pb2.Order(order_id='one')
+    assert keeper._view.send(context.outside, order)
+
+
+@behave.then(
+    'the order comes there, over a link that is closed once it is {_}'
+)
+def check_order(context, _):
+    _wait_for(lambda: context.orders)
+    (taken,) = context.orders
+    assert taken[0] == context.outside and taken[1].order_id == 'one'
+    later = time.monotonic() + 0.9 * entry_fleet.IDLE_SECONDS
+    context.fleet.touch([context.outside])
+    context.fleet.drop_idle(later)
+    assert context.fleet.find(context.outside, 2) is not None
+    context.fleet.drop_idle(later + entry_fleet.IDLE_SECONDS)
+    _wait_for(lambda: _list_linked(context) == context.roster.wanted)
+
+
+@behave.when('each of its links breaks and cannot be made again')
+def break_links(context):
+    _wait_for(lambda: _list_linked(context) == context.roster.wanted)
+    for name in context.roster.wanted:
+        context.servers[name].stop()
+    _wait_for(lambda: not _list_linked(context))
+
+
+@behave.then(
+    'it sees {count:d} engines for placement, {doubted:d} of them in doubt'
+)
+def check_doubted(context, count, doubted):
+    assert _count_doubted(context) == (count, doubted)
+
+
+@behave.when('a process of {whose} failure domain misses the same agents')
+def miss(context, whose):
+    witness = 'entry-3' if whose == 'its' else 'entry-1'
+    assert context.view.get(witness).peer.failure_domain == (
+        'domain-0' if whose == 'its' else 'domain-1'
+    )
+    # The links stay wanted, as the subset is computed but now and then.
+    for name in context.roster.wanted:
+        record = context.view.get(name)
+        context.view.merge(1.0, attrs.evolve(record, witnesses=(witness,)))
+    context.roster._due = float('inf')
+    assert context.roster.refresh(context.now)
+    context.sightings.note_hosts(context.roster.hosts)
+
+
+@behave.when('an agent outside its subset tells that its engine is away')
+def tell_away(context):
+    _wait_for(lambda: _list_linked(context) == context.roster.wanted)
+    name = min(context.agents.keys() - context.roster.wanted)
+    agent = membership.View(context.agents[name])
+    endpoint = attrs.evolve(agent.me.peer.endpoint, away=True)
+    agent.update_endpoint(1.0, endpoint)
+    message = peercodec.encode_peer(agent.me.peer)
+    told = attrs.evolve(agent.me, peer=peercodec.decode_peer(message))
+    assert context.view.merge(2.0, told)
+    _take(context)
+
+
+@behave.then(
+    'of 3 links that it may have besides, the oldest without work {_}'
+)
+def check_spare(context, _):
+    wanted = set(context.roster.wanted)
+    outside = sorted(context.agents.keys() - wanted)[:4]
+    busy, oldest, *others = outside
+    before, entry_fleet.MAX_SPARE = entry_fleet.MAX_SPARE, 3
+    context.stack.callback(setattr, entry_fleet, 'MAX_SPARE', before)
+    for name in (busy, oldest, *others):
+        # A link counts as used for as long as its opening may take.
+        _wait_for(lambda: time.monotonic() > context.later)
+        assert context.fleet.reach(name, None) is not None
+        context.fleet.add_work([name], int(name == busy))
+        context.later = time.monotonic() + entry_fleet.REACH_SECONDS
+    _wait_for(lambda: _list_linked(context) == wanted | {busy, *others})
--- a/features/subset.feature
+++ b/features/subset.feature
@@ -34,3 +34,31 @@
     Given a process that knows an engine by its first record
     When a suspicion of the engine comes in short after it took other layers
     Then the process holds nothing new until the whole record comes
+
+  Scenario: Whoever leads a model sees all engines over its subset's links
+    Given 12 agents of two layer ranges and 6 entries in three failure domains
+    When an entry that may have 4 agents follows the membership
+    Then it sees 12 engines for placement, none in doubt, over 4 links
+    When the only spare engine is outside its subset and gets an order
+    Then the order comes there, over a link that is closed once it is done
+
+  Scenario: The broken paths of a leader alone lose no layers
+    Given 12 agents of two layer ranges and 6 entries in three failure domains
+    When an entry that may have 4 agents follows the membership
+    And each of its links breaks and cannot be made again
+    Then it sees 12 engines for placement, 4 of them in doubt
+    When a process of its failure domain misses the same agents
+    Then it sees 12 engines for placement, 4 of them in doubt
+    When a process of another failure domain misses the same agents
+    Then it sees 8 engines for placement, 0 of them in doubt
+
+  Scenario: An engine that is away counts as lost without a link to it
+    Given 12 agents of two layer ranges and 6 entries in three failure domains
+    When an entry that may have 4 agents follows the membership
+    And an agent outside its subset tells that its engine is away
+    Then it sees 11 engines for placement, 0 of them in doubt
+
+  Scenario: Links outside the subset are few, and the oldest gives way
+    Given 12 agents of two layer ranges and 6 entries in three failure domains
+    When an entry that may have 4 agents follows the membership
+    Then of 3 links that it may have besides, the oldest without work closes
--- a/packages/adapters/src/dunlintide_adapters/peercodec.py
+++ b/packages/adapters/src/dunlintide_adapters/peercodec.py
@@ -33,6 +33,7 @@
         checks_fence=endpoint.checks_fence,
         max_in_flight=endpoint.max_in_flight,
         max_layers=endpoint.max_layers,
+        away=endpoint.away,
     )
 
 
@@ -54,6 +55,7 @@
         checks_fence=message.checks_fence,
         max_in_flight=message.max_in_flight,
         max_layers=message.max_layers,
+        away=message.away,
     )
 
 
--- a/packages/core/src/dunlintide_core/contacts.py
+++ b/packages/core/src/dunlintide_core/contacts.py
@@ -15,6 +15,7 @@
 READY_PEERS = 3
 _FAILURES_TO_ACCUSE = 2
 _OUTCOMES = 10
+_MAX_PROBES = 4
 # A process whose own calls mostly fail accuses nobody.
 _HEALTHY_SHARE = 0.4
 _SUSPECT_SHARE = 0.25
@@ -113,6 +114,14 @@
         if name not in self._next:
             self._next.append(name)
 
+    def probe(self, name: str) -> None:
+        """As ``call_next``, but not for more than a few at a time.
+
+        Calls to the dead take their time, which news would wait for.
+        """
+        if len(self._next) < _MAX_PROBES:
+            self.call_next(name)
+
     def choose(self, revision: int) -> exchanges.Target | None:
         """Choose the peer of the next round, or None when alone.
 
--- a/packages/core/src/dunlintide_core/fleet.py
+++ b/packages/core/src/dunlintide_core/fleet.py
@@ -38,6 +38,7 @@
         carries an old fencing number
     :ivar max_in_flight: fixed bound on concurrent requests, 0 for none
     :ivar max_layers: most layers that it can hold, 0 for any number
+    :ivar away: whether it does not answer its agent
     """
 
     kind: EndpointKind
@@ -52,6 +53,7 @@
     checks_fence: bool = False
     max_in_flight: int = 0
     max_layers: int = 0
+    away: bool = False
 
     @property
     def is_spare(self) -> bool:
--- a/packages/core/src/dunlintide_core/membership.py
+++ b/packages/core/src/dunlintide_core/membership.py
@@ -16,12 +16,18 @@
 _SENDS_PER_LOG2 = 2
 
 
+def _tell_shown(record: records.Record) -> tuple[object, ...]:
+    """Return what others than this view go by."""
+    return record.peer, record.state, record.witnesses
+
+
 class View:
     """What one process knows of all.
 
     :ivar generation: rises whenever the state of a process changes
     :ivar population: rises whenever a process comes or dies
-    :ivar changes: rises whenever a process or its state changes
+    :ivar changes: rises whenever a process, its state or who misses it
+        changes
     :ivar refutations: times this process had to contradict a suspicion
     :ivar deaths: processes that this view itself declared dead
     """
@@ -88,7 +94,7 @@
         old = self._records.get(name)
         self._buckets.replace(old, record)
         self._records[name] = record
-        if old is None or (old.peer, old.state) != (record.peer, record.state):
+        if old is None or _tell_shown(old) != _tell_shown(record):
             self.changes += 1
         doubted = len(old.witnesses) if old is not None else 0
         if old is None or old.state is not record.state:
--- a/packages/core/src/dunlintide_core/placement.py
+++ b/packages/core/src/dunlintide_core/placement.py
@@ -72,12 +72,15 @@
 
     :ivar work: requests that it runs or queues
     :ivar max_layers: most layers that it can hold, 0 for any number
+    :ivar doubted: whether it may be gone; it gets no order, and what it
+        holds is neither relied on nor replaced
     """
 
     agent: str
     holding: Holding
     work: int = 0
     max_layers: int = 0
+    doubted: bool = False
 
 
 @attrs.frozen
@@ -112,7 +115,8 @@
 class PlacerSettings:
     """Pace of a leader; times in seconds.
 
-    :ivar patience: time for which a range must be short of engines
+    :ivar patience: time for which a range must be short of engines, from
+        the first doubt on
     :ivar max_orders: orders of one model that are open at a time
     :ivar order_timeout: time after which an order counts as failed
     :ivar backoff: time for which an agent that failed one gets no other
@@ -130,15 +134,15 @@
     since: float
 
 
-def sees_enough(linked: int, listed: int) -> bool:
+def sees_enough(present: int, listed: int) -> bool:
     """Tell whether a leader sees enough agents to order anything.
 
     One that is cut off from most of them would replace what is well.
 
-    :param linked: agents that it has a link to
-    :param listed: agents on the host list
+    :param present: agents that it holds to be there
+    :param listed: agents that are known and not dead
     """
-    return linked > 0 and 2 * linked >= listed
+    return present > 0 and 2 * present >= listed
 
 
 def _count_ranges(holdings: Iterable[Holding]) -> dict[Span, int]:
@@ -214,11 +218,14 @@
         known = {engine.agent: engine for engine in engines}
         self._settle(now, known)
         ours = list(self._list_ours(known))
+        certain = ours
+        if any(engine.doubted for engine in known.values()):
+            certain = list(self._list_ours(known, False))
         self._boundaries.update(
             edge for holding in ours for edge in holding.span
         )
         orders = []
-        for span in self._list_due(now, ours):
+        for span in self._list_due(now, ours, certain):
             if len(self._open) >= self._settings.max_orders:
                 break
             order = self._assign(span, known, now)
@@ -247,9 +254,16 @@
             and holding.layer_end <= target.layers
         )
 
-    def _list_ours(self, known: Mapping[str, Engine]) -> Iterator[Holding]:
-        """Give what is held of the model once open orders are done."""
+    def _list_ours(
+        self, known: Mapping[str, Engine], doubted: bool = True
+    ) -> Iterator[Holding]:
+        """Give what is held of the model once open orders are done.
+
+        :param doubted: whether to count engines that may be gone
+        """
         for agent, engine in known.items():
+            if engine.doubted and not doubted:
+                continue
             if agent in self._open:
                 yield self._open[agent].order.holding
             elif self._is_ours(engine.holding):
@@ -265,8 +279,17 @@
             key=lambda span: (counts[span], span),
         )
 
-    def _list_due(self, now: float, ours: Sequence[Holding]) -> list[Span]:
-        short = self._list_short(ours)
+    def _list_due(
+        self, now: float, ours: Sequence[Holding], certain: Sequence[Holding]
+    ) -> list[Span]:
+        """List ranges that have been short for long enough.
+
+        :param certain: what is held without doubt: the wait begins with
+            the first doubt, an order needs certainty
+        """
+        short = doubtful = self._list_short(ours)
+        if certain is not ours:
+            doubtful = self._list_short(certain)
         before = self._short_since
 
         def find_since(span: Span) -> float:
@@ -278,7 +301,9 @@
             ]
             return min(wider, default=now)
 
-        self._short_since = {span: find_since(span) for span in short}
+        self._short_since = {
+            span: find_since(span) for span in (*short, *doubtful)
+        }
         patience = self._settings.patience
         return [
             span for span in short if now - self._short_since[span] >= patience
@@ -290,9 +315,11 @@
         free = [
             engine
             for agent, engine in known.items()
-            if agent not in self._open and agent not in self._avoid
+            if agent not in self._open
+            and agent not in self._avoid
+            and not engine.doubted
         ]
-        ours = list(self._list_ours(known))
+        ours = list(self._list_ours(known, False))
         chosen = self._pick_spare(span, free)
         if chosen is None and span not in _count_ranges(ours):
             chosen = self._pick_replica(free, ours)
--- a/packages/core/src/dunlintide_core/replicas.py
+++ b/packages/core/src/dunlintide_core/replicas.py
@@ -109,6 +109,10 @@
         # Peers know this process by its old record only.
         self._introduced.clear()
 
+    def probe(self, name: str) -> None:
+        """Call a process soon, as something else says that it is gone."""
+        self._contacts.probe(name)
+
     def settle(self, now: float) -> list[str]:
         """Declare deaths that are due; return their names."""
         dead = self.members.settle(now)
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -359,12 +359,21 @@
                 **attrs.asdict(holding),
                 layer_count=layer_count,
             )
-        if self._state is not None:
-            self._state.update_endpoint(self.endpoint)
+        self._tell_fleet()
         hello = link_pb2.Frame(hello=self._build_hello())
         self._broadcast(hello)
         self._peers.broadcast(hello)
 
+    def _tell_fleet(self) -> None:
+        """Have the membership say what the endpoint holds and if it is away.
+
+        Told again with each report, so no crossing of two lasts.
+        """
+        if self._state is not None:
+            away = bool(self.gate.fault)
+            told = attrs.evolve(self.endpoint, away=away)
+            self._state.update_endpoint(told)
+
     def _start_orders(self) -> None:
         hooks = orders.Hooks(
             get_holding=self._get_holding,
@@ -395,6 +404,7 @@
                 away=bool(gate.fault),
             )
         self._broadcast(link_pb2.Frame(load=self._load))
+        self._tell_fleet()
 
     def _tick(self) -> None:
         while not self.done.wait(TICK_SECONDS):
--- a/packages/daemon/src/dunlintide_daemon/entry/fleet.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/fleet.py
@@ -28,6 +28,8 @@
 _CONTROL = frozenset(('hello', 'load', 'leaving', 'order_reply'))
 # Links outside the subset stay open for so long after their last use.
 IDLE_SECONDS = 60.0
+# Beyond so many of them the longest unused one makes room.
+MAX_SPARE = 32
 # Bound on opening a link that one request needs.
 REACH_SECONDS = 1.0
 
@@ -153,38 +155,53 @@
         :param now: monotonic time in seconds
         """
         with self._lock:
-            busy = {
-                agent.link
-                for agent in self._agents.values()
-                if agent.outstanding
-            }
-            for address in self._spare:
-                if self._dialers[address].link in busy:
-                    self._spare[address] = now
+            self._note_busy(now)
             idle = [
                 address
                 for address, used in self._spare.items()
                 if now - used > IDLE_SECONDS
             ]
-            for address in idle:
-                del self._spare[address]
-            dropped = [self._dialers.pop(address) for address in idle]
+            dropped = self._take_spare(idle)
         for dialer in dropped:
             dialer.stop()
 
-    def reach(self, name: str, incarnation: int) -> Agent | None:
+    def _note_busy(self, now: float) -> None:
+        busy = {
+            agent.link for agent in self._agents.values() if agent.outstanding
+        }
+        for address in self._spare:
+            if self._dialers[address].link in busy:
+                self._spare[address] = now
+
+    def _take_spare(self, addresses: Iterable[str]) -> list[links.Dialer]:
+        taken = []
+        for address in addresses:
+            del self._spare[address]
+            taken.append(self._dialers.pop(address))
+        return taken
+
+    def _make_room(self, now: float) -> list[links.Dialer]:
+        """Give up the longest unused link when there are many."""
+        self._note_busy(now)
+        free = [address for address, used in self._spare.items() if used < now]
+        if len(self._spare) < MAX_SPARE or not free:
+            return []
+        return self._take_spare([min(free, key=self._spare.__getitem__)])
+
+    def reach(self, name: str, incarnation: int | None) -> Agent | None:
         """Return an agent, dialling it when it is outside the subset.
 
+        :param incarnation: the life of it that is meant, None for any
         :returns: None when that life of it is not reached in time
         """
-        end = time.monotonic() + REACH_SECONDS
+        now = time.monotonic()
+        end = now + REACH_SECONDS
         with self._changed:
             host = self._listed.get(name)
             if host is None or name in self._agents:
                 return self._find(name, incarnation)
-            for dialer in self._add({host.address}):
-                self._spare[host.address] = end
-                dialer.start()
+            if host.address not in self._dialers:
+                self._open_spare(host.address, now)
             # One of the subset without a link is being dialled anyway.
             if host.address in self._spare:
                 self._changed.wait_for(
@@ -192,6 +209,31 @@
                 )
             return self._find(name, incarnation)
 
+    def _open_spare(self, address: str, now: float) -> None:
+        for dialer in self._make_room(now):
+            dialer.stop()
+        for dialer in self._add({address}):
+            self._spare[address] = now + REACH_SECONDS
+            dialer.start()
+
+    def touch(self, names: Iterable[str]) -> None:
+        """Count agents as used now, so that their links stay open."""
+        now = time.monotonic()
+        with self._lock:
+            for name in names:
+                host = self._listed.get(name)
+                if host is not None and host.address in self._spare:
+                    self._spare[host.address] = now
+
+    def list_unreached(self) -> frozenset[str]:
+        """Return the names of listed agents that are dialled in vain."""
+        with self._lock:
+            return frozenset(
+                name
+                for name, host in self._listed.items()
+                if name not in self._agents and host.address in self._dialers
+            )
+
     def _add(self, addresses: set[str]) -> list[links.Dialer]:
         if self._stopped:
             return []
@@ -319,11 +361,12 @@
         with self._lock:
             return self._find(name, incarnation)
 
-    def _find(self, name: str, incarnation: int) -> Agent | None:
+    def _find(self, name: str, incarnation: int | None) -> Agent | None:
         agent = self._agents.get(name)
-        if agent is None or agent.peer.incarnation != incarnation:
+        if agent is None:
             return None
-        return agent
+        same = incarnation in (None, agent.peer.incarnation)
+        return agent if same else None
 
     def pick_usable(self, names: Iterable[str]) -> tuple[Agent, ...] | None:
         """Return the named agents, or None unless all are usable."""
--- a/packages/daemon/src/dunlintide_daemon/entry/leader.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/leader.py
@@ -19,6 +19,7 @@
 from dunlintide_core import leadership
 from dunlintide_core import placement
 from dunlintide_core import settings as settings_module
+from dunlintide_daemon.entry import sightings
 
 __all__ = [
     'Leader',
@@ -62,13 +63,11 @@
 class View:
     """The fleet as a leader sees it.
 
-    :ivar list_engines: engines that take work, of any model
-    :ivar sees_enough: whether it sees enough agents to judge
+    :ivar look: returns the engines, of any model
     :ivar send: sends an order to a named agent; False when it can't
     """
 
-    list_engines: Callable[[], list[placement.Engine]]
-    sees_enough: Callable[[], bool]
+    look: Callable[[], sightings.Sight]
     send: Callable[[str, link_pb2.Order], bool]
 
 
@@ -215,15 +214,14 @@
         now = self._clock()
         if self._leadership.get_fence(now) is None:
             return
-        enough = self._view.sees_enough()
-        self._set(sees_enough=enough)
-        engines = self._view.list_engines()
+        sight = self._view.look()
+        self._set(sees_enough=sight.enough)
         for target in targets:
             placer = self._find_placer(target)
-            if not enough:
+            if not sight.enough:
                 placer.wait()
                 continue
-            for order in placer.decide(now, engines):
+            for order in placer.decide(now, sight.engines):
                 self._give(placer, order)
         for target in self._placers.keys() - set(targets):
             del self._placers[target]
--- a/packages/daemon/src/dunlintide_daemon/entry/placement.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/placement.py
@@ -3,7 +3,7 @@
 import collections
 import contextlib
 import threading
-from typing import Any, Iterable, Protocol
+from typing import Any, Iterable
 
 import attrs
 import pykka
@@ -14,11 +14,11 @@
 from dunlintide_core import fleet as core_fleet
 from dunlintide_core import leadership
 from dunlintide_core import placement
-from dunlintide_core import records
 from dunlintide_core import settings as settings_module
 from dunlintide_daemon.entry import configuration
 from dunlintide_daemon.entry import fleet
 from dunlintide_daemon.entry import leader
+from dunlintide_daemon.entry import sightings
 
 __all__ = [
     'Placement',
@@ -26,39 +26,6 @@
 
 TICK_SECONDS = 0.25
 _RESIGN_SECONDS = 3.0
-# An engine without a link to it is the last to be given an order.
-_UNREACHED_WORK = 1 << 30
-
-
-class _Host(Protocol):
-    """One process of the fleet."""
-
-    name: str
-    role: str
-    state: str
-    failure_domain: str
-    is_leaving: bool
-    peer: core_fleet.Peer | None
-
-
-def _build_engine(peer: core_fleet.Peer, work: int) -> placement.Engine:
-    endpoint = peer.endpoint
-    holding = placement.Holding(
-        endpoint.model,
-        endpoint.version,
-        endpoint.layer_start,
-        endpoint.layer_end,
-    )
-    return placement.Engine(peer.name, holding, work, endpoint.max_layers)
-
-
-def _holds_layers(peer: core_fleet.Peer) -> bool:
-    endpoint = peer.endpoint
-    return (
-        endpoint is not None
-        and endpoint.kind is core_fleet.EndpointKind.ENGINE
-        and not endpoint.is_spare
-    )
 
 
 def _tell(actor: pykka.ActorRef, message: Any) -> None:
@@ -83,60 +50,31 @@
         self._fleet = fleet_view
         self._holder = holder
         self._entries: tuple[leadership.Candidate, ...] = ()
-        self._listed = 0
-        self._alive: tuple[core_fleet.Peer, ...] = ()
+        self._sightings = sightings.Sightings(
+            settings.name, settings.failure_domain, fleet_view
+        )
         # Each change of these is one assignment, by one thread.
         self._actors: dict[str, pykka.ActorRef] = {}
         self._status: dict[str, leader.Status] = {}
-        self._view = leader.View(
-            self._list_engines, self._sees_enough, self._send
-        )
+        self._view = leader.View(self._sightings.look, self._send)
 
-    def note_hosts(self, hosts: Iterable[_Host]) -> None:
-        """Take in the host list."""
-        live = [host for host in hosts if not host.is_leaving]
-        self._alive = tuple(
-            host.peer
-            for host in live
-            if host.state == records.State.ALIVE and host.peer is not None
-        )
+    def note_hosts(self, hosts: Iterable[sightings.Host]) -> None:
+        """Take in the fleet as it is known now."""
+        hosts = list(hosts)
+        self._sightings.note_hosts(hosts)
         self._entries = tuple(
             leadership.Candidate(host.name, host.failure_domain)
-            for host in live
-            if host.role == core_fleet.Role.ENTRY
+            for host in hosts
+            if host.role == core_fleet.Role.ENTRY and not host.is_leaving
         )
-        self._listed = sum(host.role == core_fleet.Role.AGENT for host in live)
-
-    def _list_engines(self) -> list[placement.Engine]:
-        linked = {agent.peer.name for agent in self._fleet.list_agents()}
-        return [
-            _build_engine(agent.peer, agent.load.running + agent.load.queued)
-            for agent in self._fleet.list_usable()
-            if agent.peer.endpoint.kind is core_fleet.EndpointKind.ENGINE
-        ] + [
-            # Only this entry's own link is missing; the layers are there.
-            _build_engine(peer, _UNREACHED_WORK)
-            for peer in self._alive
-            if peer.name not in linked and _holds_layers(peer)
-        ]
-
-    @property
-    def leads(self) -> bool:
-        """Whether this entry leads the placement of any model."""
-        return any(
-            one.phase is leadership.Phase.LEADER
-            for one in self._status.values()
-        )
-
-    def _sees_enough(self) -> bool:
-        linked = len(self._fleet.list_agents())
-        return placement.sees_enough(linked, self._listed)
 
     def _send(self, name: str, order: link_pb2.Order) -> bool:
-        for agent in self._fleet.list_usable():
-            if agent.peer.name == name:
-                return agent.link.send(link_pb2.Frame(order=order))
-        return False
+        """Send an order, for which a link may have to be opened."""
+        # What it must hold when the order comes is in the order.
+        agent = self._fleet.reach(name, None)
+        if agent is None or agent.leaving:
+            return False
+        return agent.link.send(link_pb2.Frame(order=order))
 
     def take_reply(self, link: links.Link, reply: link_pb2.OrderReply) -> None:
         """Hand an agent's answer to the leaders; one knows the order."""
@@ -149,6 +87,12 @@
             snapshot = self._holder.snapshot
             if snapshot is not None:
                 self._tick(snapshot)
+            # An agent answers an order when it is done, minutes later.
+            self._fleet.touch(
+                order.agent
+                for status in self._status.values()
+                for order in status.orders
+            )
 
     def _tick(self, snapshot: configuration.Snapshot) -> None:
         targets = collections.defaultdict(list)
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -110,7 +110,7 @@
             self._build_hello,
             fleet.Listeners(
                 crashes.hear(self._suspicion.take, self._sessions.route),
-                self._sessions.lose,
+                self._lose_link,
                 lambda agent: self._planner.report(agent),
                 lambda link, reply: self._placement.take_reply(link, reply),
                 lambda link: self._suspicion.welcome(link.send),
@@ -258,6 +258,12 @@
         )
         return admin.Readiness(tuple(reasons))
 
+    def _lose_link(self, link: links.Link) -> None:
+        self._sessions.lose(link)
+        if self._state is not None:
+            # Whoever places layers waits for others that miss it too.
+            self._state.probe(link.peer.name)
+
     def _follow_fleet(self) -> None:
         if self._state is None:
             source = roster.follow_list(self._outside.read_hosts)
@@ -270,12 +276,11 @@
             pause = FLEET_SECONDS
         known = roster.Roster(self.settings.name, source)
         entries = None
-        leads = None
         while not self.done.is_set():
             now = time.monotonic()
-            led, leads = leads, self._placement.leads
-            if known.refresh(now) or leads is not led:
-                self._take_agents(known, leads)
+            if known.refresh(now):
+                self._fleet.update(known.hosts, known.wanted)
+                self._placement.note_hosts(known.hosts)
             if known.map_entries() != entries:
                 entries = known.map_entries()
                 self._limits.exchange.update(known.hosts)
@@ -283,11 +288,6 @@
             self._fleet.drop_idle(now)
             self.done.wait(pause)
 
-    def _take_agents(self, known: roster.Roster, leads: bool) -> None:
-        # Whoever places layers has to see all engines.
-        self._fleet.update(known.hosts, None if leads else known.wanted)
-        self._placement.note_hosts(known.hosts)
-
     def _plan(self) -> None:
         while not self.done.wait(planning.REFRESH_SECONDS):
             self._suspicion.tick()
--- a/packages/daemon/src/dunlintide_daemon/entry/roster.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/roster.py
@@ -43,6 +43,7 @@
     :ivar state: what the membership says, or ``live`` or ``leaving``
         where it comes from the host list
     :ivar peer: None where it comes from the host list
+    :ivar witnesses: names of those who could not reach it
     """
 
     name: str
@@ -51,6 +52,7 @@
     state: str
     failure_domain: str = ''
     peer: fleet.Peer | None = None
+    witnesses: tuple[str, ...] = ()
 
     @property
     def is_leaving(self) -> bool:
@@ -109,6 +111,7 @@
                 each.state,
                 each.peer.failure_domain,
                 each.peer,
+                each.witnesses,
             )
             for each in present
         ]
--- a/packages/daemon/src/dunlintide_daemon/peers.py
+++ b/packages/daemon/src/dunlintide_daemon/peers.py
@@ -147,10 +147,23 @@
 
     def update_endpoint(self, endpoint: fleet.Endpoint) -> None:
         """Tell the fleet that this process stands before something else."""
+        if endpoint == self._endpoint:
+            return
         self._endpoint = endpoint
         if self._owner is not None:
             self._tell_endpoint()
 
+    def probe(self, name: str) -> None:
+        """Call a process at once, as a link to it was lost."""
+
+        def act(replica: replicas.Replica) -> None:
+            replica.probe(name)
+            self._wake.set()
+
+        # Links are lost at the very end too.
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._owner.tell(act)
+
     def _tell_endpoint(self) -> None:
         now, endpoint = time.monotonic(), self._endpoint
         # An engine may be looked at until the very end of its agent.
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/cases/leader.py
@@ -0,0 +1,95 @@
+"""What leading a model costs an entry beside what each entry does.
+
+The fleet is made up; what judges it is the real thing. The entry has no
+link, so that all engines are judged by the membership.
+"""
+
+import time
+from typing import Iterator
+
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import fleet as core_fleet
+from dunlintide_core import placement
+from dunlintide_core import records
+from dunlintide_core import subset
+from dunlintide_daemon.entry import fleet
+from dunlintide_daemon.entry import placement as keeper
+from dunlintide_daemon.entry import roster
+from dunlintide_daemon.entry import sightings
+from dunlintide_trials import figures
+from dunlintide_trials import network
+
+__all__ = ['CASES']
+
+AGENTS = (75, 150, 300, 600)
+ENTRIES = 370
+DOMAINS = 7
+MODEL, LAYERS = 'model-0', 24
+CPU_BOUND = 0.037
+# Links of an entry that leads nothing, two of each of 15 layer ranges.
+LINKS_BOUND = 32
+_TICKS = 200
+
+
+def _ignore(*_: object) -> None:
+    pass
+
+
+def _make_hosts(agents: int) -> list[roster.Host]:
+    peers = network.make_peers(ENTRIES, agents, DOMAINS)
+    taken = roster.follow_members(
+        lambda seen: (1, [records.Record(peer) for peer in peers])
+    )
+    return taken()
+
+
+def _time_tick(hosts: list[roster.Host]) -> float:
+    """Return processor seconds of one look at the fleet."""
+    view = fleet.Fleet(link_pb2.Hello, fleet.Listeners(_ignore, _ignore))
+    seen = sightings.Sightings(hosts[0].name, 'domain-0', view)
+    seen.note_hosts(hosts)
+    target = placement.Target(MODEL, '1', LAYERS)
+    placer = placement.Placer(target, placement.PlacerSettings())
+    start = time.thread_time()
+    for tick in range(_TICKS):
+        sight = seen.look()
+        if not sight.enough or placer.decide(tick, sight.engines):
+            raise AssertionError('a whole fleet was not seen as such')
+    return (time.thread_time() - start) / _TICKS
+
+
+def _count_links(hosts: list[roster.Host]) -> int:
+    known = roster.Roster(hosts[0].name, lambda: hosts)
+    known.refresh(0.0)
+    if known.wanted is None:
+        return sum(host.role == core_fleet.Role.AGENT for host in hosts)
+    return len(known.wanted)
+
+
+def measure_links() -> Iterator[figures.Figure]:
+    """Links of an entry that leads a model."""
+    for agents in AGENTS:
+        yield figures.at_most(
+            f'leader.links.{agents}',
+            _count_links(_make_hosts(agents)),
+            'links',
+            LINKS_BOUND,
+            agents,
+            f'at most {subset.FULL_MESH} agents are all linked; baseline:'
+            ' links to all agents',
+        )
+
+
+def measure_cpu() -> Iterator[figures.Figure]:
+    """Processor time of an entry that leads a model."""
+    for agents in AGENTS:
+        yield figures.at_most(
+            f'leader.cpu.{agents}',
+            round(_time_tick(_make_hosts(agents)) / keeper.TICK_SECONDS, 6),
+            'cores',
+            CPU_BOUND,
+            note='looks at the fleet and decisions, one model, quiet',
+        )
+
+
+CASES = [measure_links, measure_cpu]
