Charge requests that are given up, and keep their slots until they rest

A request cancelled in its first step had cost nothing ("spent" 0, as the engine had told no prompt size yet) and its slot was freed at once, while the engine ran the step all the same. Two things followed. The flood's account in the queue went down at each start and up at each cancel, so it never fell to 0: no round was granted, and a member in debt had no turn (seen: 6.5 s with 11 waiting, none running, beside 15 of the flood). And the engine ran steps of up to 17 requests with 10 slots of the flood in use, 1,907 results came too late for anybody.

Ruled out: the entry's threads (queue-full went to the flood only), losses on the links (all answers that were not whole had met their deadline), the later stage (2 ms waited, as alone).

A request that was handed to the engine costs at least its prompt. A work counts its steps under way, and its slot is free once it has ended and none is.

The new scenario of agent.feature fails without the change: the slot was free while the engine ran the step.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -130,3 +130,11 @@
     When 2 calls are made and cancelled while the service has them
     And the service is slow no more
     Then a later call is answered though the service has the first 2 still
+
+  Scenario: A request that is given up in its first step holds its slot
+    Given 1 agents of 12 layers each
+    And the head's engine holds its calls
+    When a request for 8 tokens is cancelled while its first step runs
+    Then it holds its slot, and its member pays for the prompt
+    When the head's engine answers its calls
+    Then no slot is held
--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -744,3 +744,52 @@
 @behave.then('the call fails with "{code}" and did not run')
 def check_call_failed(context, code):
     check_fail(context, 'c3', code, False)
+
+
+@behave.given("the head's engine holds its calls")
+def hold_calls(context):
+    driver = context.agents[0].driver
+    take = driver._engine.run_steps
+    context.held_calls = threading.Semaphore(0)
+    context.go_on = threading.Event()
+    context.stack.callback(context.go_on.set)
+
+    def hold(steps, seconds):
+        context.held_calls.release()
+        context.go_on.wait(WAIT_SECONDS)
+        return take(steps, seconds)
+
+    driver._engine.run_steps = hold
+
+
+@behave.when(
+    'a request for {tokens:d} tokens is cancelled while its first step runs'
+)
+def cancel_first(context, tokens):
+    admission = context.agents[0].gate
+    context.paid = []
+    admission.queue.correct = lambda ticket, cost: context.paid.append(cost)
+    open_request(context, 'r1', tokens, prompt='word ' * 40)
+    assert context.held_calls.acquire(timeout=WAIT_SECONDS)
+    cancel = link_pb2.Cancel(request_id='r1', epoch=1)
+    context.caller.send(cancel=cancel)
+    wait_until(lambda: not len(admission), 'cancel')
+
+
+@behave.then('it holds its slot, and its member pays for the prompt')
+def check_slot(context):
+    assert context.agents[0].gate.in_flight.requests == 1
+    prompt = context.asked['r1'].prompt
+    assert context.paid == [len(prompt) // 4], context.paid
+
+
+@behave.when("the head's engine answers its calls")
+def let_calls_go(context):
+    context.go_on.set()
+
+
+@behave.then('no slot is held')
+def check_no_slot(context):
+    in_flight = context.agents[0].gate.in_flight
+    wait_until(lambda: not in_flight.requests, 'slots free')
+    assert not in_flight.tokens, in_flight
--- a/packages/daemon/src/dunlintide_daemon/agent/driver.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/driver.py
@@ -184,21 +184,25 @@
             lane.pending.append(job)
             self._offer(session, lane)
 
-    def free(self, session: str) -> None:
+    def free(self, session: str) -> int:
         """Drop what is queued for a session and free its KV cache.
 
         Steps that are submitted later wait until that has been done. While
         a first step of the session may still arrive, its cache is kept.
+
+        :returns: steps that were dropped, which no handler hears of
         """
         with self._wake:
             lane = self._lanes.setdefault(session, _Lane())
+            dropped = len(lane.pending)
             lane.pending.clear()
             if self._leftovers.put_off(session):
                 self._offer(session, lane)
-                return
+                return dropped
             lane.freeing += 1
             lane.free_again = lane.busy
         self._frees.put(session)
+        return dropped
 
     def is_free(self, session: str) -> bool:
         """Return whether nothing of a session is queued or under way."""
--- a/packages/daemon/src/dunlintide_daemon/agent/gate.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/gate.py
@@ -310,6 +310,23 @@
                 return
             self._answers.send(work, frame)
 
+    def _free_slot(self, work: works.Work) -> None:
+        self._slots.end(work.ticket.member, True)
+        self.in_flight.requests -= 1
+        self.in_flight.tokens -= work.tokens
+
+    def note_back(self, work: works.Work) -> None:
+        """Take note that the engine is done with a step of a request.
+
+        One that ended meanwhile has held its slot: else a flood of
+        requests that are given up fills the engine past its cap.
+        """
+        with self.lock:
+            work.under_way -= 1
+            if work.phase is works.Phase.ENDED and not work.under_way:
+                self._free_slot(work)
+                self.pump()
+
     def _forget(self, work: works.Work) -> None:
         if self._works.get(work.request_id) is work:
             del self._works[work.request_id]
@@ -317,17 +334,16 @@
         self._members[member] -= 1
         if not self._members[member]:
             del self._members[member]
-        queued = work.phase is works.Phase.QUEUED
-        self._slots.end(work.ticket.member, not queued)
-        if queued:
+        if work.phase is works.Phase.QUEUED:
+            self._slots.end(work.ticket.member, False)
             self.queue.remove(work.ticket)
         else:
-            self.in_flight.requests -= 1
-            self.in_flight.tokens -= work.tokens
             self.in_flight.finished += 1
             if work.spent is not None:
                 self.queue.correct(work.ticket, work.spent)
             self._finished_cost += work.cost
+            if not work.under_way:
+                self._free_slot(work)
         work.phase = works.Phase.ENDED
         self._answers.forget(work)
         self.fences.end(work.request_id, work.epoch)
--- a/packages/daemon/src/dunlintide_daemon/agent/heads.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/heads.py
@@ -38,8 +38,12 @@
     """Tell the queue what ran in place of what was estimated."""
     prefilled = session.prompt_tokens + session.known
     decoded = session.generated - session.known
-    if not session.prompt_tokens:
+    if session.first is not None:
         prefilled = decoded = 0
+    elif not session.prompt_tokens:
+        # The engine runs the prompt although nobody waits for it.
+        asked = max(0, session.max_tokens - session.known)
+        prefilled = session.work.tokens - asked
     session.work.spent = queueing.weigh(prefilled, decoded)
 
 
@@ -169,7 +173,7 @@
                 self._fail_unreached(session, 'the next stage has restarted')
                 return
         job, session.first = session.first, None
-        self._table.driver.submit(job)
+        self._table.submit(job)
 
     def _fail_unreached(self, session: sessions.Session, detail: str) -> None:
         code = outcomes.FailCode.LINK_LOST
@@ -215,7 +219,7 @@
         self._gate.send(session.work, link_pb2.Frame(token=token))
         if not token.final:
             job = sessions.build_token_job(session, token.id)
-            self._table.driver.submit(job)
+            self._table.submit(job)
 
     def _fail_gap(self, session: sessions.Session) -> None:
         self._counts.drop('gap-token')
--- a/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
@@ -126,10 +126,11 @@
         with self._lock:
             for job, found in pairs:
                 session = job.owner
+                self._table.note_back(session)
                 if not self._table.holds(session):
                     self._table.counts.drop('late-result')
                 elif found.error == _WAIT:
-                    self._table.driver.submit(job)
+                    self._table.submit(job)
                 elif found.error:
                     self._take_error(session, found.error)
                 else:
@@ -237,6 +238,7 @@
         with self._lock:
             for job in jobs:
                 session = job.owner
+                self._table.note_back(session)
                 if self._table.holds(session):
                     ran = error.sent or session.ran
                     self._table.fail(session, code, error.detail, ran=ran)
--- a/packages/daemon/src/dunlintide_daemon/agent/recovery.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/recovery.py
@@ -254,7 +254,7 @@
         """Run this stage's layers again: what was sent on is not kept."""
         self._table.counts.add('run-again')
         self._table.kept.drop(session.request_id)
-        self._table.driver.free(session.request_id)
+        self._table.free(session)
         copy = attrs.evolve(
             session,
             cursor=positions.Cursor(session.epoch),
@@ -271,4 +271,4 @@
         job = sessions.build_prompt_job(
             copy, copy.prompt, tuple(copy.tokens), count
         )
-        self._table.driver.submit(job)
+        self._table.submit(job)
--- a/packages/daemon/src/dunlintide_daemon/agent/stages.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/stages.py
@@ -54,7 +54,7 @@
         verdict = session.cursor.accept(step.epoch, step.position, step.count)
         if verdict.runs:
             job = sessions.build_activation_job(session, step, verdict.trim)
-            self._table.driver.submit(job)
+            self._table.submit(job)
             return
         self._table.counts.drop(f'{verdict.kind}-step')
         if verdict.kind is positions.Kind.GAP:
--- a/packages/daemon/src/dunlintide_daemon/agent/table.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/table.py
@@ -133,6 +133,24 @@
         session.chain = chain
         self._count_head(session, 1)
 
+    def submit(self, job: drivers.Job) -> None:
+        """Have the engine run a step."""
+        work = job.owner.work
+        if work is not None:
+            work.under_way += 1
+        self.driver.submit(job)
+
+    def free(self, session: sessions.Session) -> None:
+        """Drop a session's steps and its KV cache on the engine."""
+        dropped = self.driver.free(session.request_id)
+        if session.work is not None:
+            session.work.under_way -= dropped
+
+    def note_back(self, session: sessions.Session) -> None:
+        """Take note that the engine is done with a step, however."""
+        if session.work is not None:
+            self.gate.note_back(session.work)
+
     def release(self, session: sessions.Session) -> None:
         """Free a session here and in the stages behind."""
         if not self.holds(session):
@@ -140,7 +158,7 @@
         del self._sessions[session.request_id]
         self._count_head(session, -1)
         self.fences.end(session.request_id, session.epoch)
-        self.driver.free(session.request_id)
+        self.free(session)
         self.kept.drop(session.request_id)
         self.cancel_next(session, hold=session.spares)
 
--- a/packages/daemon/src/dunlintide_daemon/agent/works.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/works.py
@@ -62,6 +62,7 @@
     :ivar cost: in the queue's unit
     :ivar tokens: KV cache positions that it may come to need
     :ivar spent: what it really cost so far; None when not known
+    :ivar under_way: steps that the engine has yet to run
     :ivar start: begins the run; must not block
     :ivar stop: ends the run early; must not block
     :ivar log: frames sent so far, for repeats
@@ -88,6 +89,7 @@
     phase: Phase = Phase.QUEUED
     ticket: queueing.Ticket | None = None
     spent: float | None = None
+    under_way: int = 0
     subscribers: list[Subscriber] = attrs.field(factory=list)
     log: list[link_pb2.Frame] = attrs.field(factory=list)
     log_bytes: int = 0
