Call a service's silence at the deadline by its name

Cause: the time limit of an agent's connection to a service was the time left to the deadline, so it raced with the deadline of gate and entry. A service that had accepted and never answered was reported now as 504 deadline, now as 502 endpoint-failed with the service blamed.

Found by new scenarios for the hop agent-service, which had none: a service that has answered before takes calls and never answers, or runs them while its answers stall in the connection. An order is unknown at its deadline, so are its repeats through each entry, at once and later, and its record shows 0 runs in the first case and 1 in the second; a new order is then complete and ran once. A repeatable call is unknown too.

Change: the connection bears 5 s more than the deadline; the gate ends the call and shuts its socket, which it can since a call's socket is known.

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -84,6 +84,31 @@
     When a caller of a service goes away
     Then the service's agent has ended the call as cancelled
 
+  Scenario Outline: A service that goes silent runs no order twice
+    Given the service of orders has answered
+    When it <fault>
+    Then an order is unknown at its deadline, and so is each repeat
+    When it is well again
+    Then a last repeat is unknown too and the order ran <runs> times
+    And a new order is complete and ran once
+
+    Examples:
+      | fault                            | runs |
+      | takes calls and never answers    | 0    |
+      | runs calls and its answers stall | 1    |
+
+  Scenario Outline: A service that goes silent costs a repeatable call its time
+    Given the service of playlists has answered
+    When it <fault>
+    Then a call is unknown at its deadline
+    When it is well again
+    Then calls are complete at once
+
+    Examples:
+      | fault                            |
+      | takes calls and never answers    |
+      | runs calls and its answers stall |
+
   Scenario Outline: A planned stop cuts nothing in flight
     Given the engines take 20 ms a step
     When the <role> is told to stop with 4 streams of 25 tokens in flight
--- a/packages/daemon/src/dunlintide_daemon/agent/services.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/services.py
@@ -26,6 +26,9 @@
 
 PART_BYTES = 256 << 10
 CONNECT_SECONDS = 2.0
+# The gate ends a call at its deadline, as such; a time limit of the
+# connection would race with it and look like the service's failure.
+SLACK_SECONDS = 5.0
 BYTES_PER_COST = 1024.0
 CALL_COST = 64.0
 
@@ -219,7 +222,8 @@
                     body=call.body or None,
                     headers=headers,
                     timeout=urllib3.Timeout(
-                        connect=min(CONNECT_SECONDS, seconds), read=seconds
+                        connect=min(CONNECT_SECONDS, seconds),
+                        read=seconds + SLACK_SECONDS,
                     ),
                     redirect=False,
                     preload_content=False,
