Split the steps of agents by job

Change: agent_scene.py has what both drive, agent_services.py the steps of plain services; moved as they were, sorted lines compared.

The 18 scenarios of features/agent.feature pass as before.

--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -1,105 +1,31 @@
-"""Steps for agents over real links, with engines in this process."""
+"""Steps for agents before engines."""
 
 import threading
 from unittest import mock
 
+import agent_scene
 import attrs
 import behave
-from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
 from dunlintide_core import settings
 from dunlintide_daemon.agent import gate
 from dunlintide_daemon.agent import role
-from dunlintide_standins.engine import server as engines
 from dunlintide_standins import reference
-from dunlintide_standins import service as services
 import urllib3
-import waiting
-
-MODEL = 'copy-7b'
-LAYERS = 12
-WAIT_SECONDS = 60.0
-wait_until = waiting.make_wait(WAIT_SECONDS)
-DEADLINE_MS = 60_000
-# Longer than any scenario lasts.
-SLOW_SECONDS = 600.0
-
-
-class Caller:
-    """An entry's end of one link: sends frames and keeps the answers."""
-
-    def __init__(self, address):
-        self.frames = []
-        self.up = threading.Event()
-        self.down = threading.Event()
-        hello = link_pb2.Hello(name='entry-1', role='entry')
-        handlers = links.Handlers(
-            lambda _: self.up.set(),
-            lambda _, frames: self.frames.extend(frames),
-            lambda *_: self.down.set(),
-        )
-        self.dialer = links.Dialer(address, lambda: hello, handlers)
-        self.dialer.start()
-        assert self.up.wait(WAIT_SECONDS)
-
-    def send(self, **body):
-        assert self.dialer.link.send(link_pb2.Frame(**body))
-
-    def take(self, request_id, kind):
-        return [
-            getattr(frame, kind)
-            for frame in list(self.frames)
-            if frame.WhichOneof('body') == kind
-            and getattr(frame, kind).request_id == request_id
-        ]
-
-    def hears(self, kind):
-        return any(f.WhichOneof('body') == kind for f in list(self.frames))
-
-    def wait_end(self, request_id):
-        def ended():
-            done = self.take(request_id, 'done')
-            return done or self.take(request_id, 'fail')
-
-        wait_until(ended, f'end of {request_id}')
-        return ended()[0]
-
-
-def make_settings(name, endpoint):
-    return settings.Settings(
-        role=fleet.Role.AGENT,
-        name=name,
-        failure_domain='austin-a',
-        admin_listen='127.0.0.1:0',
-        link_listen='127.0.0.1:0',
-        store_url='http://127.0.0.1:1',
-        host_list_url='http://127.0.0.1:1',
-        endpoint=endpoint,
-    )
-
-
-def start_agent(context, name, endpoint):
-    agent = role.Agent(make_settings(name, endpoint))
-    context.stack.enter_context(agent)
-    return agent
 
-
-def start_engine(context, stage, listen='127.0.0.1:0'):
-    start, end = context.ranges[stage]
-    config = engines.Config(
-        listen=listen, layer_start=start, layer_end=end, load_lag_seconds=0.0
-    )
-    engine = engines.Engine.from_config(config)
-    engine.start()
-    context.stack.callback(engine.stop)
-    return engine
+WAIT_SECONDS = agent_scene.WAIT_SECONDS
+wait_until = agent_scene.wait_until
+MODEL = agent_scene.MODEL
+LAYERS = agent_scene.LAYERS
 
 
 @behave.given('{count:d} agents of {layers:d} layers each')
 def start_agents(context, count, layers):
     context.ranges = [(i * layers, (i + 1) * layers) for i in range(count)]
-    context.engines = [start_engine(context, i) for i in range(count)]
+    context.engines = [
+        agent_scene.start_engine(context, i) for i in range(count)
+    ]
     context.agents = []
     for index, engine in enumerate(context.engines):
         endpoint = settings.EndpointSettings(
@@ -111,118 +37,45 @@
             layer_end=context.ranges[index][1],
             layer_count=LAYERS,
         )
-        agent = start_agent(context, f'agent-{index}', endpoint)
+        agent = agent_scene.start_agent(context, f'agent-{index}', endpoint)
         context.agents.append(agent)
-    context.caller = Caller(context.agents[0].address)
+    context.caller = agent_scene.Caller(context.agents[0].address)
     context.stack.callback(context.caller.dialer.stop)
     context.asked = {}
 
 
-def ask_engine(context, stage, method, path, body=None):
-    url = f'http://127.0.0.1:{context.engines[stage].port}{path}'
-    answer = urllib3.request(method, url, json=body, retries=False)
-    assert answer.status == 200, answer.data
-    return answer.json()
-
-
 @behave.given('each engine step takes {seconds:f} s')
 def slow_engines(context, seconds):
     for stage in range(len(context.engines)):
         # An empty step takes 2 ms.
         body = {'slow_factor': seconds / 0.002}
-        ask_engine(context, stage, 'POST', '/control', body)
-
-
-def build_chain(context, count=None):
-    return [
-        link_pb2.Stage(
-            agent=agent.settings.name,
-            address=agent.address,
-            incarnation=agent.incarnation,
-            layer_start=span[0],
-            layer_end=span[1],
-        )
-        for agent, span in list(zip(context.agents, context.ranges))[:count]
-    ]
-
-
-def build_claim(context, key, fingerprint=b'body'):
-    return link_pb2.Claim(
-        key_digest=key,
-        fingerprint=fingerprint,
-        executor_incarnation=context.agents[0].incarnation,
-        attempt='attempt-1',
-    )
-
-
-def build_open(context, request_id, tokens, prompt=None, stages=None, **more):
-    terms = link_pb2.Terms(
-        request_id=request_id,
-        member='diner',
-        weight=1.0,
-        priority=1,
-        deadline_ms=DEADLINE_MS,
-        idempotency_key='key-1' if 'claim' in more else '',
-    )
-    fields = {'epoch': 1, 'model': MODEL, 'version': '1'} | more
-    return link_pb2.Open(
-        terms=terms,
-        chain=build_chain(context, stages),
-        prompt=prompt or f'daily special of {request_id}',
-        max_tokens=tokens,
-        **fields,
-    )
-
-
-def open_request(context, request_id, tokens, **more):
-    message = build_open(context, request_id, tokens, **more)
-    context.asked[request_id] = message
-    context.caller.send(open=message)
-    return message
-
-
-def expect_tokens(message):
-    layers = message.chain[-1].layer_end
-    return reference.expected_tokens(
-        message.prompt, message.max_tokens, layers, MODEL
-    )
-
-
-def check_answer(caller, request_id, message, skip=0):
-    end = caller.wait_end(request_id)
-    assert isinstance(end, link_pb2.Done), end
-    expected = expect_tokens(message)
-    got = caller.take(request_id, 'token')
-    assert [t.index for t in got] == list(range(skip, len(expected)))
-    want = [(t.id, t.text) for t in expected][skip:]
-    assert [(t.id, t.text) for t in got] == want
-    assert end.tokens == len(expected)
-    assert end.finish_reason == 'length'
-    assert len(caller.take(request_id, 'done')) == 1
+        agent_scene.ask_engine(context, stage, 'POST', '/control', body)
 
 
 @behave.when('{count:d} requests for {tokens:d} tokens go to the head')
 def open_many(context, count, tokens):
     context.asked = {}
     for index in range(count):
-        open_request(context, f'r{len(context.caller.frames)}-{index}', tokens)
+        agent_scene.open_request(
+            context, f'r{len(context.caller.frames)}-{index}', tokens
+        )
 
 
 @behave.when('a request for {tokens:d} tokens goes to the head')
 def open_one(context, tokens):
-    open_request(context, 'r1', tokens)
+    agent_scene.open_request(context, 'r1', tokens)
 
 
 @behave.then("each request gets exactly the model's tokens and an end mark")
 def check_answers(context):
     for request_id, message in context.asked.items():
-        check_answer(context.caller, request_id, message)
+        agent_scene.check_answer(context.caller, request_id, message)
 
 
 @behave.then('each engine ran each position of each request once')
 def check_runs(context):
     for stage in range(len(context.engines)):
-        runs = ask_engine(context, stage, 'GET', '/runs')
+        runs = agent_scene.ask_engine(context, stage, 'GET', '/runs')
         assert len(runs) == len(context.asked), runs
         for run in runs:
             message = context.asked[run['request_id']]
@@ -235,7 +88,7 @@
 def check_free(context, seconds):
     def is_free():
         loads = [
-            ask_engine(context, stage, 'GET', '/v1/load')
+            agent_scene.ask_engine(context, stage, 'GET', '/v1/load')
             for stage in range(len(context.engines))
         ]
         stages = sum(len(agent.pipeline) for agent in context.agents)
@@ -249,8 +102,8 @@
     'resumed'
 )
 def open_resumed(context, tokens, skip):
-    message = build_open(context, 'r1', tokens, epoch=2)
-    known = [token.id for token in expect_tokens(message)[:skip]]
+    message = agent_scene.build_open(context, 'r1', tokens, epoch=2)
+    known = [token.id for token in agent_scene.expect_tokens(message)[:skip]]
     message.resumed_tokens.extend(known)
     context.asked = {'r1': message}
     context.caller.send(open=message)
@@ -260,7 +113,7 @@
 def check_resumed(context):
     message = context.asked['r1']
     skip = len(message.resumed_tokens)
-    check_answer(context.caller, 'r1', message, skip)
+    agent_scene.check_answer(context.caller, 'r1', message, skip)
 
 
 def wait_tokens(context, request_id, count):
@@ -271,7 +124,7 @@
 
 
 def send_steps(context, *steps):
-    other = Caller(context.agents[1].address)
+    other = agent_scene.Caller(context.agents[1].address)
     context.stack.callback(other.dialer.stop)
     for request_id, epoch, position in steps:
         step = link_pb2.Step(
@@ -290,7 +143,7 @@
     'and of old epochs'
 )
 def disturb(context, tokens):
-    open_request(context, 'r1', tokens, epoch=3)
+    agent_scene.open_request(context, 'r1', tokens, epoch=3)
     wait_tokens(context, 'r1', 2)
     send_steps(
         context, ('r1', 3, 0), ('r1', 3, 1), ('r1', 2, 0), ('gone', 1, 0)
@@ -304,9 +157,9 @@
 def cross(context, tokens):
     context.asked = {}
     for name in ('r1', 'r2'):
-        open_request(context, name, tokens, epoch=3)
+        agent_scene.open_request(context, name, tokens, epoch=3)
         wait_tokens(context, name, 2)
-    rogue = Caller(context.agents[0].address)
+    rogue = agent_scene.Caller(context.agents[0].address)
     context.stack.callback(rogue.dialer.stop)
     # What the other request got, as if it were this one's.
     crossed = {'id': 1, 'text': 'wrong', 'request_id': 'r1'}
@@ -345,25 +198,19 @@
     'position comes'
 )
 def send_gap(context, tokens):
-    open_request(context, 'r1', tokens)
+    agent_scene.open_request(context, 'r1', tokens)
     wait_tokens(context, 'r1', 2)
     send_steps(context, ('r1', 1, 1000))
 
 
 @behave.then('its head says "{code}" and that it may have run')
 def check_failed(context, code):
-    check_fail(context, 'r1', code, True)
+    agent_scene.check_fail(context, 'r1', code, True)
 
 
 @behave.then('its head says "{code}" and that it did not run')
 def check_refused(context, code):
-    check_fail(context, 'r1', code, False)
-
-
-def check_fail(context, request_id, code, ran):
-    end = context.caller.wait_end(request_id)
-    assert isinstance(end, link_pb2.Fail), end
-    assert (end.code, end.ran) == (code, ran), end
+    agent_scene.check_fail(context, 'r1', code, False)
 
 
 @behave.when(
@@ -372,8 +219,8 @@
 )
 def open_mixed(context, count, tokens):
     for index in range(count):
-        open_request(context, f'r{index}', tokens)
-    open_request(context, 'short', tokens, stages=1)
+        agent_scene.open_request(context, f'r{index}', tokens)
+    agent_scene.open_request(context, 'short', tokens, stages=1)
     for request_id in context.asked:
         wait_tokens(context, request_id, 2)
 
@@ -387,19 +234,19 @@
 def check_crashed(context, code):
     for request_id in list(context.asked):
         if request_id != 'short':
-            check_fail(context, request_id, code, True)
+            agent_scene.check_fail(context, request_id, code, True)
 
 
 @behave.then('the other request gets exactly its tokens')
 def check_short(context):
-    check_answer(context.caller, 'short', context.asked['short'])
+    agent_scene.check_answer(context.caller, 'short', context.asked['short'])
 
 
 @behave.when('the second engine is back')
 def restart_engine(context):
     wait_until(lambda: context.agents[1].gate.fault, 'fault')
     listen = f'127.0.0.1:{context.engines[1].port}'
-    context.engines[1] = start_engine(context, 1, listen)
+    context.engines[1] = agent_scene.start_engine(context, 1, listen)
     wait_until(lambda: not context.agents[1].gate.fault, 'engine back')
 
 
@@ -411,7 +258,9 @@
 
 @behave.when('a claimed request comes whose next stage cannot be reached')
 def open_unreachable(context):
-    message = build_open(context, 'r1', 4, claim=build_claim(context, b'key'))
+    message = agent_scene.build_open(
+        context, 'r1', 4, claim=agent_scene.build_claim(context, b'key')
+    )
     (port,) = context.pick_ports(1)
     message.chain[1].address = f'127.0.0.1:{port}'
     context.caller.send(open=message)
@@ -420,38 +269,38 @@
 @behave.then('no engine ran anything')
 def check_no_runs(context):
     for stage in range(len(context.engines)):
-        assert not ask_engine(context, stage, 'GET', '/runs')
+        assert not agent_scene.ask_engine(context, stage, 'GET', '/runs')
 
 
 @behave.when('a request for {tokens:d} tokens runs and its engine hangs')
 def hang_engine(context, tokens):
-    open_request(context, 'r1', tokens)
+    agent_scene.open_request(context, 'r1', tokens)
     wait_tokens(context, 'r1', 2)
-    ask_engine(context, 0, 'POST', '/control', {'hang': True})
+    agent_scene.ask_engine(context, 0, 'POST', '/control', {'hang': True})
 
 
 @behave.when('the engine hangs no more')
 def mend_engine(context):
     wait_until(lambda: context.agents[0].gate.fault, 'fault')
-    ask_engine(context, 0, 'POST', '/control', {'hang': False})
+    agent_scene.ask_engine(context, 0, 'POST', '/control', {'hang': False})
     wait_until(lambda: not context.agents[0].gate.fault, 'engine back')
 
 
 @behave.when('a claimed request for {tokens:d} tokens loses its caller midway')
 def lose_caller(context, tokens):
-    claim = build_claim(context, b'key')
-    open_request(context, 'r1', tokens, claim=claim)
+    claim = agent_scene.build_claim(context, b'key')
+    agent_scene.open_request(context, 'r1', tokens, claim=claim)
     wait_tokens(context, 'r1', 3)
     context.caller.dialer.stop()
     assert context.caller.down.wait(WAIT_SECONDS)
 
 
 def repeat(context, request_id, stages=None, **more):
-    caller = Caller(context.agents[0].address)
+    caller = agent_scene.Caller(context.agents[0].address)
     context.stack.callback(caller.dialer.stop)
     original = context.asked['r1']
-    claim = build_claim(context, b'key', **more)
-    message = build_open(
+    claim = agent_scene.build_claim(context, b'key', **more)
+    message = agent_scene.build_open(
         context,
         request_id,
         original.max_tokens,
@@ -470,7 +319,9 @@
 def finish_unkept(context, tokens):
     ledger = context.agents[0].gate.ledger
     ledger._limits = attrs.evolve(ledger._limits, answer_bytes=0)
-    open_request(context, 'r1', tokens, claim=build_claim(context, b'key'))
+    agent_scene.open_request(
+        context, 'r1', tokens, claim=agent_scene.build_claim(context, b'key')
+    )
     context.caller.wait_end('r1')
 
 
@@ -488,20 +339,20 @@
 
 @behave.then("the repeat gets exactly the model's tokens and an end mark")
 def check_repeat(context):
-    check_answer(context.repeat, 'other', context.asked['r1'])
+    agent_scene.check_answer(context.repeat, 'other', context.asked['r1'])
     assert context.repeat.take('other', 'token')[0].epoch == 4
 
 
 @behave.then('a later repeat gets the same answer')
 def check_later(context):
     caller = repeat(context, 'later')
-    check_answer(caller, 'later', context.asked['r1'])
+    agent_scene.check_answer(caller, 'later', context.asked['r1'])
 
 
 @behave.then('a repeat over a chain that is gone gets the same answer')
 def check_other_chain(context):
     caller = repeat(context, 'gone', stages=0)
-    check_answer(caller, 'gone', context.asked['r1'])
+    agent_scene.check_answer(caller, 'gone', context.asked['r1'])
 
 
 @behave.then('a claim on it with another body is refused with "{code}"')
@@ -514,7 +365,7 @@
 @behave.then('the engines ran the claimed request once')
 def check_once(context):
     for stage in range(len(context.engines)):
-        runs = ask_engine(context, stage, 'GET', '/runs')
+        runs = agent_scene.ask_engine(context, stage, 'GET', '/runs')
         assert [run['idempotency_key'] for run in runs] == ['key-1'], runs
 
 
@@ -522,7 +373,7 @@
     "a request for {tokens:d} tokens runs and its caller's link is lost"
 )
 def lose_link(context, tokens):
-    open_request(context, 'r1', tokens)
+    agent_scene.open_request(context, 'r1', tokens)
     wait_tokens(context, 'r1', 2)
     context.before = count_positions(context)
     context.caller.dialer.stop()
@@ -532,7 +383,7 @@
     return [
         sum(
             run['positions']
-            for run in ask_engine(context, stage, 'GET', '/runs')
+            for run in agent_scene.ask_engine(context, stage, 'GET', '/runs')
         )
         for stage in range(len(context.engines))
     ]
@@ -548,7 +399,7 @@
 
 @behave.when('a request for {tokens:d} tokens runs and is cancelled')
 def cancel_request(context, tokens):
-    open_request(context, 'r1', tokens)
+    agent_scene.open_request(context, 'r1', tokens)
     wait_tokens(context, 'r1', 2)
     context.before = count_positions(context)
     cancel = link_pb2.Cancel(request_id='r1', epoch=1)
@@ -593,9 +444,9 @@
 
 @behave.then('a new request is refused with "{code}" and did not run')
 def check_new(context, code):
-    late = build_open(context, 'late', 4)
+    late = agent_scene.build_open(context, 'late', 4)
     context.caller.send(open=late)
-    check_fail(context, 'late', code, False)
+    agent_scene.check_fail(context, 'late', code, False)
 
 
 @behave.then('the head ends by itself without a fault')
@@ -612,7 +463,9 @@
         service='orders',
     )
     with mock.patch.object(gate.Gate, 'tick', side_effect=RuntimeError):
-        context.status = role.run(make_settings('agent-x', endpoint))
+        context.status = role.run(
+            agent_scene.make_settings('agent-x', endpoint)
+        )
 
 
 @behave.then('the agent process ends with status {status:d}')
@@ -620,132 +473,6 @@
     assert context.status == status
 
 
-def start_service_agent(context, max_in_flight=0, **more):
-    context.service = services.Service.from_config(services.Config(**more))
-    context.service.start()
-    context.stack.callback(context.service.stop)
-    endpoint = settings.EndpointSettings(
-        kind=fleet.EndpointKind.SERVICE,
-        url=f'http://127.0.0.1:{context.service.port}',
-        service='orders',
-        max_in_flight=max_in_flight,
-    )
-    context.agents = [start_agent(context, 'agent-s', endpoint)]
-    context.caller = Caller(context.agents[0].address)
-    context.stack.callback(context.caller.dialer.stop)
-
-
-@behave.given('an agent before a plain service')
-def start_service(context):
-    start_service_agent(context)
-
-
-@behave.given(
-    'an agent that makes {count:d} calls at a time to a service that is slow'
-)
-def start_slow_service(context, count):
-    start_service_agent(context, count, delay_seconds=SLOW_SECONDS)
-
-
-@behave.when(
-    '{count:d} calls are made and cancelled while the service has them'
-)
-def cancel_calls(context, count):
-    names = [f'c{number}' for number in range(count)]
-    for name in names:
-        call_service(context, name)
-    wait_until(lambda: len(context.service.runs()) == count, 'runs')
-    for name in names:
-        cancel = link_pb2.Cancel(request_id=name, epoch=1)
-        context.caller.send(cancel=cancel)
-    for name in names:
-        check_fail(context, name, 'cancelled', True)
-
-
-@behave.when('the service is slow no more')
-def mend_service(context):
-    url = f'http://127.0.0.1:{context.service.port}/control'
-    body = {'delay_seconds': 0.0}
-    answer = urllib3.request('POST', url, json=body, retries=False)
-    assert answer.status == 200, answer.data
-
-
-@behave.then(
-    'a later call is answered though the service has the first {count:d} still'
-)
-def check_later_call(context, count):
-    call_service(context, 'later')
-    assert wait_reply(context, 'later')[0].status == 200
-    assert len(context.service.runs()) == count + 1
-
-
-def call_service(context, request_id, **more):
-    terms = link_pb2.Terms(
-        request_id=request_id,
-        member='diner',
-        weight=1.0,
-        deadline_ms=DEADLINE_MS,
-        idempotency_key='key-1' if more else '',
-    )
-    call = link_pb2.Call(
-        terms=terms,
-        epoch=1,
-        method='POST',
-        path='/orders/new?size=2',
-        headers=[link_pb2.Header(name='Connection', value='x-secret')],
-        body=b'{}',
-        **more,
-    )
-    context.caller.send(call=call)
-
-
-@behave.when('a claimed call is made twice')
-def call_twice(context):
-    for request_id in ('c1', 'c2'):
-        claim = build_claim(context, b'key')
-        call_service(context, request_id, claim=claim)
-
-
-def wait_reply(context, request_id):
-    def is_whole():
-        replies = context.caller.take(request_id, 'reply')
-        return replies and replies[-1].last
-
-    wait_until(is_whole, f'reply to {request_id}')
-    return context.caller.take(request_id, 'reply')
-
-
-@behave.then('both callers get the same echoed answer')
-def check_replies(context):
-    first, second = (wait_reply(context, name) for name in ('c1', 'c2'))
-    assert first[0].status == second[0].status == 200
-    body = b''.join(part.body for part in first)
-    assert b'/orders/new' in body
-    assert b''.join(part.body for part in second) == body
-
-
-@behave.then('the service ran one call, with the member and the key')
-def check_service_runs(context):
-    (run,) = context.service.runs()
-    assert run['request_id'] == 'c1', run
-    assert (run['member'], run['idempotency_key']) == ('diner', 'key-1')
-
-
-@behave.when('the service is gone')
-def stop_service(context):
-    context.service.stop()
-
-
-@behave.when('a call is made')
-def call_once(context):
-    call_service(context, 'c3')
-
-
-@behave.then('the call fails with "{code}" and did not run')
-def check_call_failed(context, code):
-    check_fail(context, 'c3', code, False)
-
-
 @behave.given("the head's engine holds its calls")
 def hold_calls(context):
     driver = context.agents[0].driver
@@ -769,7 +496,7 @@
     admission = context.agents[0].gate
     context.paid = []
     admission.queue.correct = lambda ticket, cost: context.paid.append(cost)
-    open_request(context, 'r1', tokens, prompt='word ' * 40)
+    agent_scene.open_request(context, 'r1', tokens, prompt='word ' * 40)
     assert context.held_calls.acquire(timeout=WAIT_SECONDS)
     cancel = link_pb2.Cancel(request_id='r1', epoch=1)
     context.caller.send(cancel=cancel)
