--- a/packages/trials/src/dunlintide_trials/cases/idle_links.py
+++ b/packages/trials/src/dunlintide_trials/cases/idle_links.py
@@ -1,7 +1,5 @@
 """What idle links cost both sides: pings, and a load report a second."""
 
-import contextlib
-import multiprocessing
 from multiprocessing import connection
 import statistics
 import threading
@@ -9,13 +7,12 @@
 from typing import Iterator
 
 import attrs
-import psutil
-
 from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_trials import figures
+from dunlintide_trials import pairs
 
-__all__ = ['CASES', 'GROUP']
+__all__ = ['CASES', 'GROUP', 'Usage', 'measure']
 
 GROUP = 'links'
 
@@ -27,12 +24,11 @@
 _SETTLE_SECONDS = 2.0
 # Far above the budget of 3.7%, since the machine does other work too.
 _CPU_BOUND = 0.12
-_CONTEXT = multiprocessing.get_context('spawn')
 _KB = 1e3
 
 
 @attrs.frozen
-class _Usage:
+class Usage:
     """What one process used.
 
     :ivar cores: share of a core
@@ -48,11 +44,14 @@
     pass
 
 
-def _accept(pipe: connection.Connection) -> None:
+def _accept(pipe: connection.Connection, folder: str | None) -> None:
     """Be an agent: accept links and report a load a second to all."""
     handlers = links.Handlers(_ignore, _ignore, _ignore)
     hello = link_pb2.Hello(name='agent', role='agent', incarnation=1)
-    server = links.LinkServer('127.0.0.1:0', lambda: hello, handlers)
+    transport = pairs.open_transport(folder, 'agent', 'agent')
+    server = links.LinkServer(
+        '127.0.0.1:0', lambda: hello, handlers, transport=transport
+    )
     load = link_pb2.Load(running=10, queued=2, cap=64, kv_usage=0.5)
     with links.serve(server):
         pipe.send(server.port)
@@ -61,13 +60,22 @@
                 link.send(link_pb2.Frame(load=load))
 
 
-def _dial(pipe: connection.Connection, port: int, count: int) -> None:
+def _dial(
+    pipe: connection.Connection, port: int, count: int, folder: str | None
+) -> None:
     """Be an entry: dial some agents, which all stand behind one port."""
     up = threading.Semaphore(0)
     handlers = links.Handlers(lambda link: up.release(), _ignore, _ignore)
     hello = link_pb2.Hello(name='entry', role='entry', incarnation=1)
+    transport = pairs.open_transport(folder, 'entry', 'entry')
     dialers = [
-        links.Dialer(f'127.0.0.1:{port}', lambda: hello, handlers)
+        links.Dialer(
+            f'127.0.0.1:{port}',
+            lambda: hello,
+            handlers,
+            transport=transport,
+            role='agent',
+        )
         for _ in range(count)
     ]
     for dialer in dialers:
@@ -81,55 +89,36 @@
         dialer.stop()
 
 
-@contextlib.contextmanager
-def _start(target, *arguments) -> Iterator[tuple[int, int]]:
-    """Run a process; give its id and the first that it sends."""
-    near, far = _CONTEXT.Pipe()
-    process = _CONTEXT.Process(
-        target=target, args=(far, *arguments), daemon=True
-    )
-    process.start()
-    try:
-        if not near.poll(_START_SECONDS):
-            raise TimeoutError('a process did not start')
-        yield process.pid, near.recv()
-        near.send(None)
-        process.join(_START_SECONDS)
-    finally:
-        process.kill()
-
-
-def _read_time(process: psutil.Process) -> float:
-    times = process.cpu_times()
-    return times.user + times.system
+def measure(count: int, folder: str | None = None) -> tuple[Usage, Usage]:
+    """Return what the dialling and the accepting process used.
 
-
-def _measure(count: int) -> tuple[_Usage, _Usage]:
-    """Return what the dialling and the accepting process used."""
+    :param count: idle links
+    :param folder: certificates of both processes; None for no TLS
+    """
     with (
-        _start(_accept) as (accepting, port),
-        _start(_dial, port, count) as (dialling, _),
+        pairs.start(_accept, folder) as accepting,
+        pairs.start(_dial, accepting.first, count, folder) as dialling,
     ):
-        processes = [psutil.Process(dialling), psutil.Process(accepting)]
+        both = [dialling, accepting]
         time.sleep(_SETTLE_SECONDS)
-        before = [_read_time(each) for each in processes]
+        before = [each.read_time() for each in both]
         start = time.monotonic()
         time.sleep(_SECONDS)
         spent = time.monotonic() - start
         dialled, accepted = (
-            _Usage(
-                (_read_time(each) - earlier) / spent,
-                each.memory_info().rss,
-                each.num_threads(),
+            Usage(
+                (each.read_time() - earlier) / spent,
+                each.process.memory_info().rss,
+                each.process.num_threads(),
             )
-            for each, earlier in zip(processes, before)
+            for each, earlier in zip(both, before)
         )
     return dialled, accepted
 
 
 def measure_idle() -> Iterator[figures.Figure]:
     """Measure processor time, memory and threads for an idle link."""
-    used = [_measure(count) for count in LINKS]
+    used = [measure(count) for count in LINKS]
     for side, name in enumerate(('dialled', 'accepted')):
         mine = [pair[side] for pair in used]
         cores = statistics.linear_regression(
