Load what reads certificates only with TLS

Every process imported the cryptography library, TLS or not: 8.5 MB more than an entry's other imports (67.8 MB), read twice. Reading and checking PEM is a module of its own now, pem, loaded by name with the first certificate; entry and agent without TLS don't import the library. tls, https and packages pass.

--- a/packages/adapters/src/dunlintide_adapters/certificates.py
+++ b/packages/adapters/src/dunlintide_adapters/certificates.py
@@ -6,6 +6,7 @@
 """
 
 import datetime
+import importlib
 import pathlib
 import threading
 import time
@@ -13,9 +14,6 @@
 
 from absl import logging
 import attrs
-from cryptography import exceptions
-from cryptography.hazmat.primitives import serialization
-from cryptography import x509
 import result
 
 __all__ = [
@@ -26,6 +24,8 @@
     'read',
 ]
 
+_READER = 'dunlintide_adapters.pem'
+
 Signature = tuple[tuple[int, int, int], ...]
 
 
@@ -68,78 +68,11 @@
     detail: str
 
 
-class _Unusable(Exception):
-    pass
-
-
-def _load(path: pathlib.Path, what: str, parse: Callable) -> tuple:
-    try:
-        data = path.read_bytes()
-    except OSError as error:
-        raise _Unusable(f'cannot read {str(path)!r}: {error.strerror}')
-    try:
-        return data, parse(data)
-    except (ValueError, TypeError, exceptions.UnsupportedAlgorithm):
-        # The library's words may quote what it read, a key among it.
-        raise _Unusable(f'expected {what} in PEM in {str(path)!r}')
-
-
-def _load_key(data: bytes):
-    return serialization.load_pem_private_key(data, password=None)
-
-
-def _encode(public_key) -> bytes:
-    return public_key.public_bytes(
-        serialization.Encoding.DER,
-        serialization.PublicFormat.SubjectPublicKeyInfo,
-    )
-
-
-def _list_names(certificate: x509.Certificate) -> tuple[str, ...]:
-    kind = x509.SubjectAlternativeName
-    try:
-        found = certificate.extensions.get_extension_for_class(kind).value
-    except (x509.ExtensionNotFound, ValueError):
-        return ()
-    return tuple(found.get_values_for_type(x509.DNSName))
-
-
-def _check_dates(certificate: x509.Certificate, now: datetime.datetime):
-    if now >= certificate.not_valid_after_utc:
-        ended = certificate.not_valid_after_utc
-        raise _Unusable(f'expected a valid one, got one expired at {ended}')
-    if now < certificate.not_valid_before_utc:
-        begin = certificate.not_valid_before_utc
-        raise _Unusable(f'expected a valid one, got one valid from {begin}')
-
-
-def _read(paths: Paths, at: list[str]) -> Bundle:
-    at[0] = 'certificate'
-    parse = x509.load_pem_x509_certificates
-    chain, found = _load(paths.certificate, 'a certificate', parse)
-    leaf = found[0]
-    _check_dates(leaf, datetime.datetime.now(datetime.timezone.utc))
-    at[0] = 'key'
-    key, private = _load(
-        paths.key, 'a private key without password', _load_key
-    )
-    if _encode(private.public_key()) != _encode(leaf.public_key()):
-        raise _Unusable(f'{str(paths.key)!r} is not the certificate\'s key')
-    at[0] = 'authorities'
-    authorities = b''
-    if paths.authorities is not None:
-        authorities, _ = _load(paths.authorities, 'certificates', parse)
-    names = _list_names(leaf)
-    return Bundle(chain, key, authorities, names, leaf.not_valid_after_utc)
-
-
 def read(paths: Paths) -> result.Result[Bundle, Fault]:
     """Read the files and check that they can be used together."""
-    at = ['']
-    try:
-        return result.Ok(_read(paths, at))
-    except _Unusable as error:
-        return result.Err(Fault(at[0], str(error)))
+    # Loaded by name: the library behind it takes 8 MB, which a process
+    # without TLS need not carry.
+    return importlib.import_module(_READER).read(paths)
 
 
 def _sign(paths: Paths) -> Signature | None:
