Show when certificates end and how their files fare

An operator could see refusals but not that a renewal had failed: the metrics dunlintide_tls_expiry_timestamp_seconds and dunlintide_tls_reload_failures_total tell, and reading them looks at the files, so broken ones are noticed without a handshake. What a registry takes for metrics (describe) is no longer the dump's.

--- a/features/security.feature
+++ b/features/security.feature
@@ -10,6 +10,7 @@
     Then the stream is whole
     And a completion from entry 1 is whole
     And each agent has used its new files and refused nothing
+    And each process tells when its certificate ends
 
   Scenario: Keys are in no log, dump or metric
     When callers ask with good keys and bad ones, rightly and wrongly
--- a/features/steps/security.py
+++ b/features/steps/security.py
@@ -1,6 +1,8 @@
 """Steps of security.feature: a deployment of real processes with TLS."""
 
+import re
 import threading
+import time
 
 import behave
 from dunlintide_trials import authority
@@ -15,6 +17,7 @@
 PROMPT = 'Announce the harvest supper on Saturday'
 SHORT_TOKENS = 8
 FEW_TOKENS = 3
+EXPIRY = re.compile(r'^dunlintide_tls_expiry_timestamp_seconds (\S+)', re.M)
 BAD_KEY = 'Zm9yZ290dGVuLWtleS1vZi1ub2JvZHk'
 DEBUG = {'log': {'level': 'debug', 'format': 'json'}}
 
@@ -120,6 +123,14 @@
         assert state['reloads'] == 1 and not state['refused'], state
 
 
+@behave.then('each process tells when its certificate ends')
+def check_expiry(context):
+    now = time.time()
+    for name, page in read_metric_pages(context.running):
+        found = EXPIRY.findall(page)
+        assert len(found) == 1 and float(found[0]) > now, (name, found)
+
+
 def read_metric_pages(running):
     http = urllib3.PoolManager()
     for daemon in running.plan.daemons:
--- a/features/steps/tls.py
+++ b/features/steps/tls.py
@@ -241,7 +241,7 @@
 )
 def check_counted(context, side, reason, word):
     process = getattr(context, side)
-    counts = process.transport.refusals.describe
+    counts = process.transport.refusals.get_counts
     wait_until(lambda: counts().get(reason), f'a refusal for {reason}')
     told = [x for x in context.lines.texts if f'refused ({reason})' in x]
     assert any(word in line for line in told), context.lines.texts
@@ -249,7 +249,7 @@
 
 @behave.then('the server counts a refusal for "{reason}"')
 def check_server_counted(context, reason):
-    counts = context.server.transport.refusals.describe
+    counts = context.server.transport.refusals.get_counts
     wait_until(lambda: counts().get(reason), f'a refusal for {reason}')
 
 
--- a/packages/adapters/src/dunlintide_adapters/links.py
+++ b/packages/adapters/src/dunlintide_adapters/links.py
@@ -27,6 +27,7 @@
 import grpc
 
 from dunlintide_adapters import eventloop
+from dunlintide_adapters import guards
 from dunlintide_adapters import outboxes
 from dunlintide_adapters import packing
 from dunlintide_adapters import transports
@@ -130,7 +131,7 @@
         hello: link_pb2.Hello,
         timing: LinkTiming,
         batch_bytes: int = packing.BATCH_BYTES,
-        guard: transports.Guard | None = None,
+        guard: guards.Guard | None = None,
     ) -> None:
         self.peer: link_pb2.Hello | None = None
         self._heard = time.monotonic()
@@ -138,7 +139,7 @@
         self._timing = timing
         self._outbox = outboxes.Outbox(batch_bytes)
         self._hello = hello
-        self._guard = guard or transports.Guard()
+        self._guard = guard or guards.Guard()
         if not self._guard.answers:
             self._greet()
         self._sequence = 0
--- a/packages/adapters/src/dunlintide_adapters/transports.py
+++ b/packages/adapters/src/dunlintide_adapters/transports.py
@@ -5,26 +5,26 @@
 serve all connections made from then on; open ones go on.
 """
 
-import collections
+import datetime
 import functools
 import pathlib
-import threading
-from typing import Any, Callable, Iterable, Protocol
+from typing import Any, Callable, Iterable, Iterator, Protocol
 
-from absl import logging
+import attrs
 import grpc
 from prometheus_client import core as metrics_core
 
 from dunlintide_adapters import certificates
+from dunlintide_adapters import guards
 from dunlintide_core import identities
 from dunlintide_core import settings as settings_module
 
 __all__ = [
     'PLAIN',
-    'Guard',
+    'Collector',
+    'FilesState',
     'Mutual',
     'Plain',
-    'Refusals',
     'Transport',
     'build',
     'list_paths',
@@ -38,93 +38,24 @@
 _TARGET = 'grpc.ssl_target_name_override'
 
 
-class Refusals:
-    """Counts and logs what was refused, by reason; thread-safe.
+@attrs.frozen
+class FilesState:
+    """How the files of a transport fare.
 
-    The reasons are ``identity``, ``role`` and ``handshake``.
+    :ivar expires: end of the certificate in use
+    :ivar reloads: times that new files were taken up
+    :ivar failures: times that new files were refused
     """
 
-    def __init__(self) -> None:
-        self._counts: collections.Counter[str] = collections.Counter()
-        self._lock = threading.Lock()
-
-    def add(self, reason: str, detail: str) -> None:
-        """Count a refusal and log why."""
-        with self._lock:
-            self._counts[reason] += 1
-        logging.warning('tls: refused (%s): %s', reason, detail)
-
-    def describe(self) -> dict[str, int]:
-        """Return the counts."""
-        with self._lock:
-            return dict(self._counts)
-
-    def collect(self):
-        """Yield the counts in the form of the metrics library."""
-        family = metrics_core.CounterMetricFamily(
-            'dunlintide_tls_refused',
-            'Connections, calls and frames refused, by reason',
-            labels=['reason'],
-        )
-        for reason, number in self.describe().items():
-            family.add_metric([reason], number)
-        yield family
-
-
-class Guard:
-    """Holds one link to what the certificate of its far side allows.
-
-    :ivar answers: whether to say nothing before the far side is admitted
-    """
-
-    def __init__(
-        self,
-        find_fault: Callable[[str, str], str] | None = None,
-        refusals: Refusals | None = None,
-        answers: bool = False,
-    ) -> None:
-        """Begin before the far side has said who it is.
-
-        :param find_fault: says what is wrong with a role and a name; None
-            allows everything
-        """
-        self.answers = answers
-        self._find_fault = find_fault
-        self._refusals = refusals
-        self._permitted: frozenset[str] | None = None
-        self._dropped = False
-        if find_fault is not None:
-            self._permitted = frozenset(('hello',))
-
-    def admit(self, role: str, name: str, receiver: str) -> str:
-        """Say why a peer is refused; empty when it may go on.
-
-        :param role: what it says that it is
-        :param receiver: this side's role
-        """
-        if self._find_fault is None:
-            return ''
-        fault = self._find_fault(role, name)
-        if fault:
-            self._refusals.add('identity', f'a link: {fault}')
-            return fault
-        self._permitted = identities.list_permitted(role, receiver)
-        return ''
-
-    def permits(self, body: str | None) -> bool:
-        """Tell whether a frame may come from the far side."""
-        if self._permitted is None or body in self._permitted:
-            return True
-        if not self._dropped:
-            self._dropped = True
-            self._refusals.add('role', f'frames of kind {body!r}')
-        return False
+    expires: datetime.datetime
+    reloads: int
+    failures: int
 
 
 class Transport(Protocol):
     """How a process connects to others of the fleet."""
 
-    refusals: Refusals
+    refusals: guards.Refusals
 
     def listen(self, server: grpc.aio.Server, address: str) -> int:
         """Bind an address and return the port."""
@@ -137,10 +68,10 @@
     ) -> grpc.aio.Channel:
         """Open a channel to a process of a role, on the event loop."""
 
-    def guard_accepted(self, context: grpc.ServicerContext) -> Guard:
+    def guard_accepted(self, context: grpc.ServicerContext) -> guards.Guard:
         """Make the guard of a link that was accepted."""
 
-    def guard_dialled(self, role: str) -> Guard:
+    def guard_dialled(self, role: str) -> guards.Guard:
         """Make the guard of a link to a process of a role."""
 
     def find_fault(
@@ -155,12 +86,15 @@
     def describe(self) -> dict[str, Any]:
         """Return the state for a dump."""
 
+    def read_files(self) -> FilesState | None:
+        """Return how the files fare, None without TLS."""
+
 
 class Plain:
     """Connections without TLS; nobody can be told from another."""
 
     def __init__(self) -> None:
-        self.refusals = Refusals()
+        self.refusals = guards.Refusals()
 
     def listen(self, server: grpc.aio.Server, address: str) -> int:
         """Bind an address and return the port."""
@@ -176,13 +110,13 @@
         """Open a channel on the event loop."""
         return grpc.aio.insecure_channel(address, options=options)
 
-    def guard_accepted(self, context: grpc.ServicerContext) -> Guard:
+    def guard_accepted(self, context: grpc.ServicerContext) -> guards.Guard:
         """Make a guard that allows everything."""
-        return Guard()
+        return guards.Guard()
 
-    def guard_dialled(self, role: str) -> Guard:
+    def guard_dialled(self, role: str) -> guards.Guard:
         """Make a guard that allows everything."""
-        return Guard()
+        return guards.Guard()
 
     def find_fault(
         self, context: grpc.ServicerContext, role: str, name: str = ''
@@ -194,6 +128,9 @@
         """Return the state for a dump."""
         return {'mutual': False}
 
+    def read_files(self) -> FilesState | None:
+        """Return None, as there are no files."""
+
 
 PLAIN = Plain()
 
@@ -209,7 +146,7 @@
 
     def __init__(self, files: certificates.Files, domain: str) -> None:
         """Use files; see ``identities`` for the names in certificates."""
-        self.refusals = Refusals()
+        self.refusals = guards.Refusals()
         self._files = files
         self._domain = domain
         self._served: certificates.Bundle | None = None
@@ -268,17 +205,17 @@
         names = [name.decode('ascii', 'replace') for name in shown]
         return identities.read_identity(names, self._domain)
 
-    def guard_accepted(self, context: grpc.ServicerContext) -> Guard:
+    def guard_accepted(self, context: grpc.ServicerContext) -> guards.Guard:
         """Make the guard of a link that was accepted."""
         find = functools.partial(
             identities.find_fault, self._identify(context)
         )
-        return Guard(find, self.refusals, answers=True)
+        return guards.Guard(find, self.refusals, answers=True)
 
-    def guard_dialled(self, role: str) -> Guard:
+    def guard_dialled(self, role: str) -> guards.Guard:
         """Make the guard of a link to a process of a role."""
         find = functools.partial(_find_role_fault, role)
-        return Guard(find, self.refusals)
+        return guards.Guard(find, self.refusals)
 
     def find_fault(
         self, context: grpc.ServicerContext, role: str, name: str = ''
@@ -295,14 +232,54 @@
 
     def describe(self) -> dict[str, Any]:
         """Return the state for a dump, without keys."""
+        state = self.read_files()
         return {
             'mutual': True,
-            'expires': self._files.get().expires.isoformat(),
-            'reloads': self._files.reloads,
-            'reload_failures': self._files.failures,
-            'refused': self.refusals.describe(),
+            'expires': state.expires.isoformat(),
+            'reloads': state.reloads,
+            'reload_failures': state.failures,
+            'refused': self.refusals.get_counts(),
         }
 
+    def read_files(self) -> FilesState | None:
+        """Return how the files fare; looks at them."""
+        bundle = self._files.get()
+        return FilesState(
+            bundle.expires, self._files.reloads, self._files.failures
+        )
+
+
+class Collector:
+    """Gives the metrics of a transport to a registry."""
+
+    def __init__(self, transport: Transport) -> None:
+        self._transport = transport
+
+    def collect(self) -> Iterator[metrics_core.Metric]:
+        """Yield them in the form of the metrics library."""
+        refused = metrics_core.CounterMetricFamily(
+            'dunlintide_tls_refused',
+            'Connections, calls and frames refused, by reason',
+            labels=['reason'],
+        )
+        counts = self._transport.refusals.get_counts()
+        for reason, number in counts.items():
+            refused.add_metric([reason], number)
+        yield refused
+        state = self._transport.read_files()
+        if state is None:
+            return
+        yield metrics_core.GaugeMetricFamily(
+            'dunlintide_tls_expiry_timestamp_seconds',
+            'End of the certificate in use',
+            value=state.expires.timestamp(),
+        )
+        yield metrics_core.CounterMetricFamily(
+            'dunlintide_tls_reload_failures',
+            'Times that new files were refused',
+            value=state.failures,
+        )
+
 
 def list_paths(tls: settings_module.Tls) -> certificates.Paths:
     """List the files that settings name."""
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -461,7 +461,7 @@
         shared.in_flight.set_function(lambda: self.gate.in_flight.requests)
         shared.links.set_function(lambda: len(self._server.links()))
         self.counts.register(registry)
-        registry.register(self._transport.refusals)
+        registry.register(transports.Collector(self._transport))
         return registry
 
     def _start_supervisor(self) -> None:
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -95,7 +95,7 @@
         )
         self._room = room.Room()
         self._transport = transports.build(settings)
-        self._registry.register(self._transport.refusals)
+        self._registry.register(transports.Collector(self._transport))
         self._meter = meter.Meter(self._metrics)
         self._sessions = sessions.Sessions(self._meter.count_drop)
         self._history = history.History(self._meter.count_outcome)
