Drop what is flushed to a connection that was closed meanwhile

Cause, by reading: when the loop closes a connection it forgets its socket, but bytes may stay in the output buffer, and a thread or the loop that flushes them afterwards calls send on nothing. Which of the flushes it was there isn't known, as no traceback was kept.

Change: sending to a forgotten socket sends nothing, as to a closed one.

The new scenario fails without the change (the exception is logged) and passes with it; the other 11 of httpserver.feature pass.

--- a/features/httpserver.feature
+++ b/features/httpserver.feature
@@ -43,6 +43,11 @@
     And is told below 64 MB that a piece must wait
     And the caller can read each piece once and in order
 
+  Scenario: What is flushed after its connection was closed is dropped
+    When 1 HTTP requests are held by the application
+    And its connection is closed with a piece of the answer left
+    Then flushing the piece logs no error
+
   Scenario: The application sees that its caller has gone
     When a caller asks to be waited for and hangs up
     Then the HTTP application sees the hang-up
--- a/features/steps/httpserver.py
+++ b/features/steps/httpserver.py
@@ -379,3 +379,19 @@
     except urllib3.exceptions.HTTPError:
         return
     raise AssertionError(f'{received} bytes looked like a whole answer')
+
+
+@behave.when('its connection is closed with a piece of the answer left')
+def close_with_rest(context):
+    (context.channel,) = context.server._server.active_channels.values()
+    context.channel.outbufs[-1].append(b'late')
+    context.channel.handle_close()
+
+
+@behave.then('flushing the piece logs no error')
+def check_flush(context):
+    channel = context.channel
+    with mock.patch.object(channel.logger, 'exception') as logged:
+        flushed = channel._flush_exception(channel._flush_some, False)
+    assert not logged.called, logged.call_args
+    assert flushed == (False, False), flushed
--- a/packages/adapters/src/dunlintide_adapters/httpserver.py
+++ b/packages/adapters/src/dunlintide_adapters/httpserver.py
@@ -167,6 +167,16 @@
         else:
             self.connected = False
 
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        # Threads flush what waits, also after the loop has closed the
+        # socket and forgotten it.
+        try:
+            return super().send(data, do_close)
+        except AttributeError:
+            if self.socket is not None:
+                raise
+            return 0
+
     def _flush_outbufs_below_high_watermark(self) -> None:
         # In place of waitress's, which waits for as long as it takes.
         if self.total_outbufs_len <= self.adj.outbuf_high_watermark:
