Leave time between long spans to the short steps of other members

The queue, whose rate then fell, refused more.

After a long span the driver leaves the engine to short steps for three times what that took, while another member had such steps in the last 5 s. A member that is alone is not held up.

Ruled out: more slots or another order in the queue (it waits in the step). Splitting prompts is not open to agents, as they do not know their tokens.

The scenario of driver.feature fails without the change.

--- a/features/driver.feature
+++ b/features/driver.feature
@@ -6,3 +6,14 @@
     Then the engine has one long span and all short ones
     When the engine answers all its calls until the driver has nothing left
     Then each span has run once and no two long ones together
+
+  Scenario Outline: Long spans leave time to short steps of <whom>
+    Given a driver whose engine holds its calls
+    When member "flood" has 2 long spans and <whom> has a short step
+    And the engine answers its calls after 0.1 s
+    Then the second long span begins <when>
+
+    Examples:
+      | whom            | when                    |
+      | member "steady" | 0.3 s after the first   |
+      | member "flood"  | as soon as it can       |
--- a/features/steps/driver.py
+++ b/features/steps/driver.py
@@ -1,6 +1,7 @@
 """Steps of driver.feature."""
 
 import threading
+import time
 
 import behave
 import result
@@ -20,9 +21,11 @@
         self.held = []
         self.ran = []
         self.most_long = 0
+        self.begun = []
 
     def run_steps(self, steps, seconds, *, anew=False):
         answered = threading.Event()
+        self.begun += [(step.session, time.monotonic()) for step in steps]
         with self.lock:
             self.held.append((steps, answered))
             self.most_long = max(self.most_long, self.count('long'))
@@ -55,7 +58,11 @@
 @behave.given('a driver whose engine holds its calls')
 def start_driver(context):
     context.engine = Engine()
-    handlers = drivers.Handlers(lambda pairs: None, lambda jobs, error: None)
+    handlers = drivers.Handlers(
+        lambda pairs: None,
+        lambda jobs, error: None,
+        find_member=lambda job: job.owner,
+    )
     # Past the scenario's time no call looks silent.
     context.driver = drivers.Driver(context.engine, handlers, 600.0)
     context.driver.start()
@@ -96,3 +103,40 @@
 def check_ran(context):
     assert sorted(context.engine.ran) == sorted(context.sessions)
     assert context.engine.most_long == 1, context.engine.most_long
+
+
+def _submit(context, session, member, positions):
+    step = engines.Step(session, 1, 'diner', 0)
+    context.driver.submit(drivers.Job(step, member, positions))
+
+
+@behave.when(
+    'member "{member}" has 2 long spans and member "{other}" has a short step'
+)
+def submit_two(context, member, other):
+    _submit(context, 'short', other, 1)
+    _wait(lambda: context.engine.count('short'), 'short step')
+    _submit(context, 'long-0', member, 1500)
+    _submit(context, 'long-1', member, 1500)
+    _wait(lambda: context.engine.count('long'), 'long span')
+
+
+@behave.when('the engine answers its calls after {seconds:f} s')
+def answer_late(context, seconds):
+    time.sleep(seconds)
+    context.ended = time.monotonic()
+    context.engine.answer()
+    _wait(lambda: context.engine.count('long'), 'second long span')
+    names = dict(context.engine.begun)
+    context.pause = names['long-1'] - context.ended
+
+
+@behave.then('the second long span begins {seconds:f} s after the first')
+def check_pause(context, seconds):
+    assert context.pause >= seconds, context.pause
+
+
+@behave.then('the second long span begins as soon as it can')
+def check_no_pause(context):
+    # A pause would have been at least three times the 0.1 s.
+    assert context.driver._spans.find_pause('flood', context.ended) == 0.0
--- a/packages/daemon/src/dunlintide_daemon/agent/driver.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/driver.py
@@ -17,6 +17,7 @@
 import result
 
 from dunlintide_adapters import engine as engines
+from dunlintide_core import spans
 from dunlintide_daemon.agent import leftovers
 from dunlintide_daemon.agent import rescue
 
@@ -31,9 +32,6 @@
 LEAST_STEPS = 16
 MAX_STEPS = 256
 MAX_POSITIONS = 16_384
-# Past this a span holds up every step that the engine runs with it, so
-# one such span is under way at a time.
-LONG_POSITIONS = 256
 # A slow batch must not look like a hung engine.
 BASE_SECONDS = 10.0
 SECONDS_PER_POSITION = 0.01
@@ -64,12 +62,14 @@
     :ivar failed: gets the jobs of a call without a usable answer
     :ivar limit: returns the most steps that the next call may take
     :ivar runs_alone: tells whether a step must share the engine with none
+    :ivar find_member: returns whom a step is for
     """
 
     results: Callable[[list[tuple[Job, engines.StepResult]]], None]
     failed: Callable[[list[Job], engines.EngineError], None]
     limit: Callable[[], int] = lambda: MAX_STEPS
     runs_alone: Callable[[Job], bool] = lambda job: False
+    find_member: Callable[[Job], str] = lambda job: ''
 
 
 @attrs.define(eq=False)
@@ -88,7 +88,7 @@
 
 
 def _is_long(job: Job) -> bool:
-    return job.positions > LONG_POSITIONS
+    return job.positions > spans.LONG_POSITIONS
 
 
 class Driver:
@@ -118,6 +118,9 @@
         self._alone_next = False
         self._exclusive = False
         self._running: set[Job] = set()
+        self._spans = spans.Spans()
+        # Seconds until a long span that has to wait may begin.
+        self._pause: float | None = None
         # Of those running, the ones that a crash was put down to.
         self._accused: set[Job] = set()
         self._wake = threading.Condition()
@@ -234,7 +237,7 @@
                 if jobs:
                     self._running.update(jobs)
                     return jobs
-                self._wake.wait()
+                self._wake.wait(self._pause)
         return []
 
     def _gather(self) -> list[Job]:
@@ -268,6 +271,7 @@
         limit = min(self._handlers.limit(), max(LEAST_STEPS, share))
         long = any(map(_is_long, self._running))
         waiting: list[str] = []
+        self._pause = None
         while self._ready and len(jobs) < limit:
             session = self._ready[0]
             lane = self._lanes[session]
@@ -280,7 +284,7 @@
                 self._aside.append(self._ready.popleft())
                 continue
             if _is_long(lane.pending[0]):
-                if long:
+                if long or self._must_pause(lane.pending[0]):
                     waiting.append(self._ready.popleft())
                     continue
                 long = True
@@ -294,6 +298,21 @@
         self._ready.extendleft(reversed(waiting))
         return jobs
 
+    def _must_pause(self, job: Job) -> bool:
+        member = self._handlers.find_member(job)
+        pause = self._spans.find_pause(member, time.monotonic())
+        if pause:
+            self._pause = min(pause, self._pause or pause)
+        return pause > 0.0
+
+    def _note_spans(self, jobs: list[Job], began: float) -> None:
+        now = time.monotonic()
+        if any(map(_is_long, jobs)):
+            self._spans.end_long(now - began, now)
+        for job in jobs:
+            if not _is_long(job):
+                self._spans.note_short(self._handlers.find_member(job), now)
+
     def _release(self, jobs: list[Job]) -> None:
         with self._wake:
             self._running.difference_update(jobs)
@@ -343,6 +362,8 @@
         self.busy_seconds += time.monotonic() - flight.began
         self.calls += 1
         self.steps += len(jobs)
+        with self._wake:
+            self._note_spans(jobs, flight.began)
         if called.is_err():
             self._handlers.failed(jobs, called.err_value)
         else:
