Let a refused caller read why before its connection ends

A caller that was still sending its body when it got 413 over TLS failed at sending (EOF in violation of protocol) and never read the refusal: urllib3 forgives a broken pipe, which plain connections give, but not TLS's form of it.

After an error page the server ends its own side (close_notify and the end of TCP's sending side) and throws away what still comes, for 2 s at most, then closes. Plain connections do the same. Ruled out: reading such bodies to their end (unbounded), telling clients to send Expect.

--- a/features/https.feature
+++ b/features/https.feature
@@ -11,6 +11,15 @@
     Then the HTTP status is 413
     And the HTTP application ran 1 times
 
+  Scenario: A caller that sends on after a refusal reads the refusal
+    When an HTTP body of 30000000 bytes is posted
+    Then the HTTP status is 413
+    And the HTTP application ran 0 times
+
+  Scenario: A refused caller that goes on sending is cut off
+    When a caller without end sends a body that is too large
+    Then it reads the refusal and is cut off
+
   Scenario: A caller that does not read pushes the application back
     When a caller asks for 64 MB and reads none of it
     Then the HTTP application is pushed back below 16 MB
@@ -50,3 +59,20 @@
     When an HTTPS caller connects and asks
     And the certificate of the HTTP server is renewed
     Then the same connection is answered, and a new one shows the new one
+
+  Scenario: Operators are served over TLS
+    Given an operators' port with TLS
+    Then its state is read over TLS, and not without
+
+  Scenario Outline: Clients of the platform check who answers
+    When the <client> asks the HTTPS server, whose authority is <named>
+    Then the client <outcome>
+
+    Examples:
+      | client    | named                 | outcome              |
+      | host list | in SSL_CERT_FILE      | gets an answer       |
+      | host list | not known             | fails and sends none |
+      | store     | in SSL_CERT_FILE      | gets an answer       |
+      | store     | not known             | fails and sends none |
+      | engine    | in SSL_CERT_FILE      | gets an answer       |
+      | engine    | not known             | fails and sends none |
--- a/features/steps/httpserver.py
+++ b/features/steps/httpserver.py
@@ -118,6 +118,7 @@
     context.client_tls = ssl.create_default_context(
         cadata=context.issuer.certificate.decode()
     )
+    context.secure = secure
     serve(context, threads, max_body=size, secure=secure)
 
 
@@ -183,6 +184,32 @@
     assert b'HTTP' not in received, received
 
 
+@behave.when('a caller without end sends a body that is too large')
+def send_endless(context):
+    context.endless = connect(context)
+    context.endless.sendall(
+        b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 999999999\r\n\r\n'
+    )
+
+
+@behave.then('it reads the refusal and is cut off')
+def check_endless(context):
+    connection = context.endless
+    received = b''
+    while piece := connection.recv(1 << 16):
+        received += piece
+    assert b' 413 ' in received, received
+
+    def is_cut_off():
+        try:
+            connection.sendall(b'x')
+        except OSError:
+            return True
+        return False
+
+    wait_until(is_cut_off)
+
+
 @behave.when('an HTTPS caller connects and asks')
 def connect_tls(context):
     context.connection = connect(context)
--- a/packages/adapters/src/dunlintide_adapters/httpserver.py
+++ b/packages/adapters/src/dunlintide_adapters/httpserver.py
@@ -74,6 +74,8 @@
 # A request that is only partly received may take this long to go on.
 _RECEIVE_SECONDS = 5.0
 _SHUTDOWN_SECONDS = 5.0
+# How long a refused caller's further bytes are taken and thrown away.
+_LINGER_SECONDS = 2.0
 _KEEPALIVE_SECONDS = 10
 _KEEPALIVE_PROBES = 3
 
@@ -116,6 +118,7 @@
         self.set_close_on_finish()
         self.content_length = len(page.body)
         self.write(page.body)
+        self.channel.lingers = True
 
 
 class _Task(waitress.task.WSGITask):
@@ -150,8 +153,52 @@
     error_task_class = _ErrorTask
     task_class = _Task
     end_by: float | None = None
+    # Whether to read on when it should be closed, and until when it does.
+    lingers = False
+    linger_end: float | None = None
+
+    def handle_close(self) -> None:
+        if self.lingers and self.connected:
+            self.lingers = False
+            self._linger()
+        else:
+            super().handle_close()
+
+    def _linger(self) -> None:
+        """Say no more, but take what the caller still sends for a while.
+
+        A caller that writes to a closed connection may not come to read
+        why it was refused.
+        """
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            super().handle_close()
+            return
+        self.will_close = False
+        self.close_when_flushed = False
+        self.linger_end = time.time() + _LINGER_SECONDS
+
+    def _discard(self) -> None:
+        try:
+            if time.time() < self.linger_end and self.recv(_PIECE_BYTES):
+                return
+        except BlockingIOError:
+            return
+        except OSError:
+            pass
+        # At the end of what comes it has been closed already.
+        if self.connected:
+            self.handle_close()
+
+    def has_lingered(self, now: float) -> bool:
+        """Tell whether enough time was spent on a refused caller."""
+        return self.linger_end is not None and now > self.linger_end
 
     def handle_read(self) -> None:
+        if self.linger_end is not None:
+            self._discard()
+            return
         # In place of waitress's, to which each failure is the end.
         try:
             data = self.recv(self.adj.recv_bytes)
@@ -528,6 +575,8 @@
             quiet = now - channel.last_activity
             if channel.request is not None and quiet > self._stall_seconds:
                 channel.will_close = True
+            if channel.has_lingered(now):
+                channel.will_close = True
 
     def _stop_accepting(self) -> None:
         # What the kernel has accepted already would be reset by closing.
--- a/packages/adapters/src/dunlintide_adapters/tlssockets.py
+++ b/packages/adapters/src/dunlintide_adapters/tlssockets.py
@@ -35,8 +35,12 @@
     """Server side of one connection; safe for several threads."""
 
     guard: threading.Lock
+    ended = False
 
     def recv(self, size: int, flags: int = 0) -> bytes:
+        if self.ended:
+            # Only taken to be thrown away, so it need not be deciphered.
+            return socket.socket.recv(self, size, flags)
         with self.guard:
             try:
                 return super().recv(size, flags)
@@ -50,11 +54,21 @@
             except _WAITS:
                 raise _WOULD_BLOCK from None
 
-    def close(self) -> None:
-        with self.guard:
-            # Tells the client that the end is meant; it need not answer.
+    def _end(self) -> None:
+        """Tell the client that the end is meant; it need not answer."""
+        if not self.ended:
+            self.ended = True
             with contextlib.suppress(OSError, ValueError):
                 self.unwrap()
+
+    def shutdown(self, how: int) -> None:
+        with self.guard:
+            self._end()
+            socket.socket.shutdown(self, how)
+
+    def close(self) -> None:
+        with self.guard:
+            self._end()
             super().close()
 
 
