--- a/features/steps/tls.py
+++ b/features/steps/tls.py
@@ -395,6 +395,27 @@
     assert not server.lost, server.lost
 
 
+def bundle(context):
+    both = (context.authority, context.other_authority)
+    return b''.join(one.certificate for one in both)
+
+
+@behave.when('its bundle of authorities gets another one beside the first')
+def add_authority(context):
+    path = context.folder / f'{context.server.name}.authorities.pem'
+    path.write_bytes(bundle(context))
+
+
+@behave.when('"{name}" with the bundle and the other authority dials it')
+def dial_other(context, name):
+    written = context.other_authority.write(context.folder, 'entry', name)
+    paths = {field: pathlib.Path(path) for field, path in written.items()}
+    paths['authorities'].write_bytes(bundle(context))
+    files = certificates.Files.open(certificates.Paths(**paths))
+    transport = transports.Mutual(files, authority.DOMAIN)
+    dial(context, 'entry', name, transport)
+
+
 def make_content(context, field, content):
     server = context.server
     path = context.folder / f'{server.name}.{field}.pem'
--- a/features/tls.feature
+++ b/features/tls.feature
@@ -81,6 +81,14 @@
     When "entry-3" dials it as entry
     Then the last dialer has no link after some tries
 
+  Scenario: While authorities are replaced, both are good
+    Given a process "agent-1" that serves as agent
+    When its bundle of authorities gets another one beside the first
+    And "entry-1" dials it as entry
+    Then the link is up on both sides
+    When "entry-2" with the bundle and the other authority dials it
+    Then the link is up on both sides
+
   Scenario Outline: New files that cannot be used are logged, the old ones kept
     Given a process "agent-1" that serves as agent
     When its <field> file becomes <content>
