End the run of a whole answer before the answer is given

Cause, by reading: since tokens pass through the answer's outlet, answer, outlet and run refer to each other in a circle. A whole answer left its run's generator open after the end, which the reference count closed at once before; now the garbage collector does, at any allocation of any thread. Closing takes the locks of the fleet and the sessions, and a thread that holds one of them when the collector runs waits for itself for ever. No stacks could be read from the process, so that this circle is what stopped it is an inference; that the run stayed open is shown.

Change: a whole answer closes its run, as a stream did already.

Before: the new scenario fails for a whole answer (the run is open once the answer is given), and passes for the three other cases. After: all four pass.

--- /dev/null
+++ b/features/answers.feature
@@ -0,0 +1,13 @@
+Feature: An answer ends its run
+
+  Scenario Outline: A run has ended when its answer is given
+    Given a run of a completion that ends with <ending>
+    When its <kind> answer is given and the garbage collector does not run
+    Then the run was closed before
+
+    Examples:
+      | kind     | ending    |
+      | whole    | all       |
+      | whole    | a refusal |
+      | streamed | all       |
+      | streamed | a refusal |
--- a/packages/daemon/src/dunlintide_daemon/entry/answers.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/answers.py
@@ -153,6 +153,14 @@
 
     def gather(self) -> result.Result[problems.Response, outcomes.Refusal]:
         """Return the answer as one JSON body."""
+        # The run must not be left to the garbage collector: it ends under
+        # locks, and the collector may run on a thread that holds them.
+        try:
+            return self._gather()
+        finally:
+            self._events.close()
+
+    def _gather(self) -> result.Result[problems.Response, outcomes.Refusal]:
         texts: list[str] = []
 
         def keep(text: str) -> bool:
