Tell entries which prefixes an engine's cache holds

Cause: affinity ran on each entry's own choices; a session whose turns come through other entries found its prefix by chance only.

Ruled out: reading events in the supervisor, since a silent engine would delay its health check by a time-out; a frame of its own for the news, which costs more framing than its hashes, so they ride in the load report that goes out each second anyway; hashing the prompt at the agent, under the gate's lock, as the entry has the hashes already.

Change: the entry sends the hashes of a prompt's blocks with Open (512 B at most), heads pass them on with Setup. Each engine's agent reads the events each second in a thread of its own (5,000 at most), waits one turn so that their sessions are known, and tells news of at most limits.cache_news prefixes with its load report; a new link gets all that was told, 256 at most, in place of what the entry knew. After a gap the cache is read anew, at most each 30 s; an engine that was started anew or lost empties the view. The dump of an agent has `cache`, of an entry `prefixes_told`, `prompts` and `prompts_known`; metrics count cache-gap, cache-told and cache-reread.

Shown by: real processes, events 1 s late with a tenth lost: six longer prompts through another entry ran on the engines that had run the first, over 0.8 of their start found in the caches, and another member's same prompt found nothing known.

--- a/features/affinity.feature
+++ b/features/affinity.feature
@@ -47,3 +47,11 @@
   Scenario: Load beats affinity beyond the stated point
     Given chains of which one holds drawn parts of a prompt
     Then it is taken up to 1 + 1.5 times what it saves and then by load alone
+
+  Scenario: Real engines' events bring a prompt back through another entry
+    Given a small deployment with cached prompts
+    When a member's prompt ran through entry 0
+    And entry 1 was told of it
+    Then longer prompts of the member through entry 1 run on the same engines
+    And another member's prompts through entry 1 find nothing known
+    And most of the longer prompts' start is found in the caches
--- a/features/steps/affinity.py
+++ b/features/steps/affinity.py
@@ -1,6 +1,7 @@
 """Steps of affinity.feature: views, news and choice."""
 
 import random
+import time
 
 import behave
 from dunlintide_core import affinity
@@ -9,6 +10,9 @@
 from dunlintide_core import plan
 from dunlintide_core import prefixes
 from dunlintide_standins.engine import cache
+from dunlintide_standins import reference
+from dunlintide_trials import deployment
+from dunlintide_trials import launcher
 
 _WORD = 4
 _START = 512
@@ -275,3 +279,114 @@
         taken += fits
         refused += not fits and by_load is not held
     assert taken > 50 and refused > 50, (taken, refused)
+
+
+_TEXT = 'Write the dinner specials of a diner on the interstate. ' * 24
+_WAIT_SECONDS = 60.0
+
+
+def _wait_until(condition, show):
+    deadline = time.monotonic() + _WAIT_SECONDS
+    while not condition():
+        assert time.monotonic() < deadline, show()
+        time.sleep(0.1)
+
+
+def _read_plans(context, entry):
+    name = context.running.plan.entries[entry].name
+    return context.running.read_state(name)['plans'][0]
+
+
+def _read_told(context):
+    """Number of prefixes that each agent which ran the prompt told."""
+    return [
+        context.running.read_state(agent.name)['cache']['told']
+        for agent in context.running.plan.agents
+        if agent.endpoint.standin.name in context.ran
+    ]
+
+
+def _is_idle(context, entry):
+    """Whether an entry knows of no work, which would count against it."""
+    plans = _read_plans(context, entry)
+    counts = [*plans['in_flight'].values(), *plans['reported'].values()]
+    return counts and not any(counts)
+
+
+def _ask(context, entry, member, prompt):
+    """Run a prompt; the names of the engines that ran it."""
+    running = context.running
+    caller = running.make_caller(entry, member)
+    context.stack.callback(caller.close)
+    answer = caller.complete(prompt, model=running.model, max_tokens=2)
+    assert answer.is_complete, (answer.status, answer.outcome)
+    return {
+        run['endpoint']
+        for run in running.read_runs(deployment.ENGINE)
+        if run['request_id'] == answer.request_id
+    }
+
+
+def _count_hits(context):
+    return sum(
+        context.running.control(agent.endpoint.standin.name)['cache_hits']
+        for agent in context.running.plan.agents
+        if agent.endpoint.kind == deployment.ENGINE
+    )
+
+
+@behave.given('a small deployment with cached prompts')
+def start_deployment(context):
+    example = context.root / launcher.EXAMPLE
+    context.running = context.stack.enter_context(launcher.run_small(example))
+    context.member, context.other = list(context.running.keys)[:2]
+
+
+@behave.when("a member's prompt ran through entry {entry:d}")
+def run_first(context, entry):
+    context.ran = _ask(context, entry, context.member, _TEXT)
+    assert len(context.ran) > 1, context.ran
+
+
+@behave.when('entry {entry:d} was told of it')
+def wait_told(context, entry):
+    def is_told():
+        told = _read_told(context)
+        heard = _read_plans(context, entry)['prefixes_told']
+        return min(told) > 0 and heard >= sum(told)
+
+    _wait_until(is_told, lambda: _read_told(context))
+
+
+@behave.then(
+    'longer prompts of the member through entry {entry:d} run on the same '
+    'engines'
+)
+def check_back(context, entry):
+    context.before = _count_hits(context)
+    for index in range(6):
+        _wait_until(
+            lambda: _is_idle(context, entry),
+            lambda: _read_plans(context, entry),
+        )
+        prompt = f'{_TEXT} And now number {index} of the longer ones.'
+        ran = _ask(context, entry, context.member, prompt)
+        assert ran == context.ran, (index, ran, context.ran)
+    context.hits = _count_hits(context) - context.before
+
+
+@behave.then(
+    "another member's prompts through entry {entry:d} find nothing known"
+)
+def check_other(context, entry):
+    before = _read_plans(context, entry)
+    _ask(context, entry, context.other, _TEXT)
+    after = _read_plans(context, entry)
+    assert after['prompts'] == before['prompts'] + 1, (before, after)
+    assert after['prompts_known'] == before['prompts_known'] > 0, after
+
+
+@behave.then("most of the longer prompts' start is found in the caches")
+def check_hits(context):
+    asked = 6 * len(context.ran) * len(reference.tokenize(_TEXT))
+    assert context.hits > 0.8 * asked, (context.hits, asked)
--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -307,8 +307,12 @@
         """Read what the engine holds; status 404 where it doesn't tell."""
         return self._read('/v1/holding', EngineHolding)
 
+    def read(self, path: str) -> result.Result[bytes, EngineError]:
+        """Read what the engine publishes, over a new connection."""
+        return self._call('GET', path, None, self._quick, anew=True)
+
     def _read(self, path: str, kind: type) -> result.Result[Any, EngineError]:
-        called = self._call('GET', path, None, self._quick, anew=True)
+        called = self.read(path)
         if called.is_err():
             return called
         try:
--- a/packages/core/src/dunlintide_core/affinity.py
+++ b/packages/core/src/dunlintide_core/affinity.py
@@ -119,4 +119,4 @@
     def _trusts(self, agent: str, when: float, now: float) -> bool:
         if now - when > _LIFE_SECONDS:
             return False
-        return when > self._lost.get(agent, -math.inf)
+        return when >= self._lost.get(agent, -math.inf)
--- a/packages/core/src/dunlintide_core/choose.py
+++ b/packages/core/src/dunlintide_core/choose.py
@@ -195,6 +195,10 @@
         """Give this process's requests in flight by agent."""
         return {name: load.own for name, load in self._loads.items()}
 
+    def reported(self) -> Mapping[str, float]:
+        """Give other processes' requests by agent, as last reported."""
+        return {name: load.others for name, load in self._loads.items()}
+
     def _forget(self, live: Iterable[str]) -> None:
         kept = set(live)
         for name in [name for name in self._loads if name not in kept]:
--- a/packages/core/src/dunlintide_core/prefixes.py
+++ b/packages/core/src/dunlintide_core/prefixes.py
@@ -11,7 +11,13 @@
 """
 
 import collections
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import (
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 
 import attrs
 
@@ -185,35 +191,51 @@
             else:
                 self._evict(event)
 
+    def clear(self) -> None:
+        """Forget what is held; the engine counts on."""
+        self._held.clear()
+        self._children.clear()
+        self._places.clear()
+
     def restart(self) -> None:
         """Forget all: the engine was started anew and counts from 1."""
+        self.clear()
         self.sequence = 0
         self.unsure = False
-        self._held.clear()
-        self._children.clear()
-        self._places.clear()
 
-    def replace(self, sequence: int, blocks: Iterable[Event]) -> None:
+    def replace(self, sequence: int, blocks: Sequence[Event]) -> None:
         """Take what the engine says that it holds in place of the view.
 
         :param sequence: of the last event that is contained in it
         """
-        self.restart()
         self.sequence = sequence
+        self.unsure = False
         counts: collections.Counter[int] = collections.Counter()
         found: dict[int, tuple[int, _Session]] = {}
         for event in blocks:
             place = self._place(event)
             if place is not None:
                 index, session = place
-                counts[session.blocks[index]] += 1
                 found[session.blocks[index]] = place
+            if event.block in self._places:
+                counts[self._places[event.block]] += 1
+        self._drop_missing({event.block for event in blocks}, counts)
         for block in sorted(found, key=lambda one: found[one][0]):
             index, session = found[block]
             whole = counts[block] >= session.count(index, self._grain)
             if whole and self._follows(session, index):
                 self._hold(session.blocks[: index + 1])
 
+    def _drop_missing(
+        self, names: Collection[int], counts: Mapping[int, int]
+    ) -> None:
+        """Drop blocks of which a part, or all, is not held any more."""
+        gone = [name for name in self._places if name not in names]
+        for name in gone:
+            self._drop(self._places.pop(name))
+        for block in [one for one in self._held if not counts.get(one)]:
+            self._drop(block)
+
     def _follows(self, session: _Session, index: int) -> bool:
         return not index or session.blocks[index - 1] in self._held
 
--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -215,6 +215,8 @@
         over all of its requests
     :ivar kept_activation_bytes: activations that an agent keeps, to
         replay them to the replacement of a lost stage; 0 for none
+    :ivar cache_news: prefixes in its engine's cache that an agent tells
+        each entry in a second; 0 to read no cache events
     """
 
     max_body_bytes: Count = 1 << 20
@@ -223,6 +225,7 @@
     queue_per_member: Count = 256
     retry_ratio: Rate = 0.1
     kept_activation_bytes: Natural = 64 << 20
+    cache_news: Natural = 8
 
 
 @attrs.frozen
--- a/packages/daemon/src/dunlintide_daemon/agent/heads.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/heads.py
@@ -143,6 +143,7 @@
             tokens=list(resumed),
             known=len(resumed),
             resuming=message.keep_state,
+            prefixes=message.prefixes,
         )
         self._table.replace(session)
         session.first = sessions.build_prompt_job(
--- a/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
@@ -153,6 +153,7 @@
         if session.is_head and not session.cursor.next_position:
             session.prompt_tokens = found.count - session.generated
             session.cursor.accept(session.epoch, 0, found.count)
+            self._table.note_prompt(session)
         if not session.is_last:
             self._pass_step(session, found)
         elif found.token is None:
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -12,6 +12,7 @@
 import pykka
 
 from dunlintide_adapters import admin
+from dunlintide_adapters import cacheevents
 from dunlintide_adapters import engine as engines
 from dunlintide_adapters import leaders
 from dunlintide_adapters import links
@@ -29,6 +30,7 @@
 from dunlintide_core import poison
 from dunlintide_core import queueing
 from dunlintide_core import settings as settings_module
+from dunlintide_daemon.agent import caching
 from dunlintide_daemon.agent import counts as counting
 from dunlintide_daemon.agent import dispatch
 from dunlintide_daemon.agent import driver as drivers
@@ -128,6 +130,7 @@
         self._state = self._build_state(shared) if shared else None
         self.pipeline: pipelines.Pipeline | None = None
         self.driver: drivers.Driver | None = None
+        self._caching: caching.Caching | None = None
         self._engine: engines.Engine | None = None
         self._services: services.Services | None = None
         if self.endpoint.kind is fleet.EndpointKind.ENGINE:
@@ -199,6 +202,11 @@
         self._engine = engines.Engine(
             self.settings.endpoint.url, timing.endpoint_timeout
         )
+        limit = self.settings.limits.cache_news
+        if limit:
+            source = cacheevents.Source(self._engine)
+            self._caching = caching.Caching(source, self.counts, limit)
+            table.note_prompt = self._caching.begin
         handlers = drivers.Handlers(
             self.pipeline.take_results,
             self._take_engine_failure,
@@ -258,7 +266,10 @@
     def _welcome(self, link: links.Link) -> None:
         self._suspicion.welcome(link.send)
         # A new entry needs the generation before its first claim.
-        link.send(link_pb2.Frame(load=self._load))
+        load = self._load
+        if self._caching is not None:
+            load = self._caching.tell_all(load)
+        link.send(link_pb2.Frame(load=load))
 
     def _take_frames(
         self, link: links.Link, frames: list[link_pb2.Frame]
@@ -404,7 +415,10 @@
                 steps=self.driver.steps if self.driver else 0,
                 away=bool(gate.fault),
             )
-        self._broadcast(link_pb2.Frame(load=self._load))
+        load = self._load
+        if self._caching is not None:
+            load = self._caching.tell(load)
+        self._broadcast(link_pb2.Frame(load=load))
         self._tell_fleet()
 
     def _tick(self) -> None:
@@ -430,6 +444,8 @@
         }
         if self._state is not None:
             state['state'] = self._state.dump()
+        if self._caching is not None:
+            state['cache'] = self._caching.describe()
         if self.pipeline is not None:
             state['holding'] = attrs.asdict(self._get_holding())
             state['stages'] = self.pipeline.count_stages()
@@ -517,6 +533,8 @@
         self._lose_sessions(detail)
 
     def _lose_sessions(self, detail: str) -> None:
+        if self._caching is not None:
+            self._caching.forget()
         self.pipeline.fail_all(detail)
 
     def __enter__(self) -> 'Agent':
@@ -526,6 +544,8 @@
                 stack.callback(self._engine.close)
                 stack.callback(self._store.close)
                 self._start_orders()
+                if self._caching is not None:
+                    stack.enter_context(self._caching)
             else:
                 stack.callback(self._services.close)
             self._start_supervisor()
--- a/packages/daemon/src/dunlintide_daemon/agent/sessions.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/sessions.py
@@ -57,6 +57,7 @@
     :ivar truncate: whether the next step drops what ran behind it
     :ivar spares: whether later stages keep their state at the end
     :ivar sampled: newest tokens with their indices; at the last stage
+    :ivar prefixes: hashes of the prompt's blocks, for cache events
     """
 
     request_id: str
@@ -90,6 +91,7 @@
     sampled: collections.deque[tuple[int, engines.SampledToken]] = attrs.field(
         factory=_make_sampled
     )
+    prefixes: link_pb2.Prefixes | None = None
 
     @property
     def is_head(self) -> bool:
@@ -193,6 +195,7 @@
         prompt_tokens=session.prompt_tokens,
         max_tokens=session.max_tokens,
         known_tokens=session.known,
+        prefixes=session.prefixes,
     )
 
 
--- a/packages/daemon/src/dunlintide_daemon/agent/stages.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/stages.py
@@ -79,6 +79,7 @@
             prompt_tokens=setup.prompt_tokens,
             upstream=link,
             known=setup.known_tokens,
+            prefixes=setup.prefixes,
         )
 
     def _find_obstacle(
@@ -104,6 +105,7 @@
             return None
         session = self._build(link, step)
         self._table.replace(session)
+        self._table.note_prompt(session)
         obstacle = self._find_obstacle(step)
         if obstacle is not None:
             self._table.fail(session, *obstacle)
--- a/packages/daemon/src/dunlintide_daemon/agent/table.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/table.py
@@ -58,6 +58,8 @@
     :ivar driver: set before the first use
     :ivar fences: epochs that have ended here
     :ivar kept: what was sent to the next stages
+    :ivar note_prompt: called with a session whose prompt's length has
+        become known; must not block
     """
 
     def __init__(
@@ -76,6 +78,9 @@
         self.counts = counts
         self.clock = clock
         self.driver: drivers.Driver | None = None
+        self.note_prompt: Callable[[sessions.Session], None] = (
+            lambda session: None
+        )
         self.fences = positions.Fences()
         self._sessions: dict[str, sessions.Session] = {}
         # Of the sessions that this agent heads over several stages.
--- a/packages/daemon/src/dunlintide_daemon/entry/completions.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/completions.py
@@ -73,6 +73,7 @@
 class Plan:
     """What a completion runs on.
 
+    :ivar prefixes: hashes of the prompt's blocks
     :ivar choose: returns a chain without the given agents, or None
     :ivar find_holder: returns the executor of the claim, None when there
         is no claim or no link to it
@@ -82,6 +83,7 @@
     model: str
     version: str
     adapter: str
+    prefixes: link_pb2.Prefixes
     choose: Callable[[Collection[chains.Life]], chains.Chain | None]
     find_holder: Callable[[], fleet.Agent | None] = lambda: None
     repair: Callable[
@@ -123,6 +125,7 @@
             version=self._plan.version,
             adapter=self._plan.adapter,
             keep_state=self._keeps,
+            prefixes=self._plan.prefixes,
         )
         return link_pb2.Frame(open=message)
 
--- a/packages/daemon/src/dunlintide_daemon/entry/fleet.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/fleet.py
@@ -70,6 +70,7 @@
     :ivar down: called with a link that was lost
     :ivar load: called with an agent that has just told its load
     :ivar reply: called with an agent's answer to an order
+    :ivar cache: called with an agent's name and news of its engine's cache
     :ivar up: called with a link to an agent that has just opened
     """
 
@@ -80,6 +81,7 @@
         lambda link, reply: None
     )
     up: Callable[[links.Link], None] = lambda link: None
+    cache: Callable[[str, link_pb2.CacheNews], None] = lambda name, news: None
 
 
 class Fleet:
@@ -319,6 +321,8 @@
             self._agents[link.peer.name] = agent
         if body == 'load':
             self._listeners.load(agent)
+            if frame.load.HasField('cache'):
+                self._listeners.cache(agent.peer.name, frame.load.cache)
 
     def list_agents(self) -> list[Agent]:
         """Return all agents with an open link."""
--- a/packages/daemon/src/dunlintide_daemon/entry/learning.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/learning.py
@@ -13,6 +13,7 @@
 import attrs
 
 from dunlintide_core import affinity
+from dunlintide_core import cachenews
 from dunlintide_core import choose
 from dunlintide_core import fleet as core_fleet
 from dunlintide_core import plan as plans
@@ -23,6 +24,7 @@
 __all__ = [
     'Interval',
     'Learner',
+    'News',
     'Pace',
     'Report',
     'build_stop',
@@ -49,6 +51,15 @@
     moment: float
 
 
+@attrs.frozen
+class News:
+    """What an agent tells of its engine's cache, and when it came."""
+
+    agent: str
+    news: cachenews.News
+    moment: float
+
+
 @attrs.frozen
 class Interval:
     """Mean time between some tokens that came over a chain."""
@@ -115,7 +126,7 @@
         """
         self.layers = layers
         self._replanner = replan.Replanner(layers, plans.Links())
-        self._waiting: collections.deque[Report | Interval] = (
+        self._waiting: collections.deque[Report | Interval | News] = (
             collections.deque(maxlen=_MAX_WAITING)
         )
         self._declared: dict[str, plans.Stop] = {}
@@ -126,8 +137,11 @@
         self._turns = turns.Turns() if in_turn else None
         self._described: dict[str, Any] = {}
         self._observations = 0
+        self._told = 0
+        self._prompts = 0
+        self._known = 0
 
-    def note(self, observation: Report | Interval) -> None:
+    def note(self, observation: Report | Interval | News) -> None:
         """Take an observation for later; never blocks."""
         self._waiting.append(observation)
 
@@ -162,6 +176,9 @@
     def _learn(self) -> None:
         for _ in range(len(self._waiting)):
             seen = self._waiting.popleft()
+            if isinstance(seen, News):
+                self._take_news(seen)
+                continue
             self._observations += 1
             if isinstance(seen, Report):
                 self._replanner.report(seen.agent, seen.load, seen.moment)
@@ -173,6 +190,14 @@
                 chain = plans.Chain(stops)
                 self._replanner.observe(chain, seen.seconds, seen.moment)
 
+    def _take_news(self, seen: News) -> None:
+        with self._lock:
+            if seen.news.all:
+                self._affinity.distrust(seen.agent, seen.moment)
+            self._affinity.record(seen.news.held, [seen.agent], seen.moment)
+            self._affinity.remove(seen.agent, seen.news.lost)
+            self._told += len(seen.news.held)
+
     def choose(
         self,
         rng: Any,
@@ -191,6 +216,8 @@
                 stops = list(self._declared.values())
                 return self._turns.choose(stops, self.layers, avoid)
             holders = self._affinity.find(blocks, now)
+            self._prompts += bool(blocks)
+            self._known += bool(holders)
             chain = self._chooser.choose(now, rng, avoid, holders)
             if chain is not None:
                 self._affinity.record(blocks, chain.agents, now)
@@ -237,5 +264,9 @@
         with self._lock:
             return self._described | {
                 'in_flight': dict(self._chooser.in_flight()),
+                'reported': dict(self._chooser.reported()),
                 'prefix_blocks': len(self._affinity),
+                'prefixes_told': self._told,
+                'prompts': self._prompts,
+                'prompts_known': self._known,
             }
--- a/packages/daemon/src/dunlintide_daemon/entry/planning.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/planning.py
@@ -5,10 +5,13 @@
 lost an agent is replaced by one tiled on the spot.
 """
 
+import collections
 import random
 import time
 from typing import Any, Collection, Iterable, Sequence
 
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import cachenews
 from dunlintide_daemon.entry import chains
 from dunlintide_daemon.entry import configuration
 from dunlintide_daemon.entry import fleet
@@ -19,6 +22,7 @@
 ]
 
 REFRESH_SECONDS = 0.2
+_EARLY = 8
 
 _Key = tuple[str, str]
 
@@ -43,6 +47,8 @@
         # One thread writes these, and each change is one assignment.
         self._learners: dict[_Key, learning.Learner] = {}
         self._by_agent: dict[str, learning.Learner] = {}
+        # News of agents that no plan knows yet.
+        self._early: dict[str, collections.deque[learning.News]] = {}
 
     def refresh(self, snapshot: configuration.Snapshot) -> None:
         """Learn, and plan where that is due; for one thread only."""
@@ -56,6 +62,8 @@
             learner.refresh(agents, time.monotonic())
             for agent in agents:
                 self._by_agent[agent.peer.name] = learner
+                for news in self._early.pop(agent.peer.name, ()):
+                    learner.note(news)
 
     def choose(
         self,
@@ -92,6 +100,20 @@
             report = learning.Report(agent.peer.name, agent.load, agent.heard)
             learner.note(report)
 
+    def take_news(self, name: str, news: link_pb2.CacheNews) -> None:
+        """Take an agent's news of its engine's cache."""
+        noted = learning.News(
+            name,
+            cachenews.News(tuple(news.held), tuple(news.lost), news.all),
+            time.monotonic(),
+        )
+        learner = self._by_agent.get(name)
+        if learner is not None:
+            learner.note(noted)
+            return
+        empty = collections.deque(maxlen=_EARLY)
+        self._early.setdefault(name, empty).append(noted)
+
     def observe(
         self, names: tuple[str, ...], interval: float, now: float
     ) -> None:
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -114,6 +114,7 @@
                 lambda agent: self._planner.report(agent),
                 lambda link, reply: self._placement.take_reply(link, reply),
                 lambda link: self._suspicion.welcome(link.send),
+                lambda name, news: self._planner.take_news(name, news),
             ),
             links.LinkTiming(timing.ping, timing.silence, timing.redial),
             self._transport,
--- a/packages/daemon/src/dunlintide_daemon/entry/router.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/router.py
@@ -6,6 +6,7 @@
 import attrs
 import result
 
+from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import affinity
 from dunlintide_core import configuration
 from dunlintide_core import matching
@@ -158,7 +159,14 @@
             is_connected=caller.is_connected,
         )
         plan = completions.Plan(
-            model.name, version, adapter, choose, repair=repair
+            model.name,
+            version,
+            adapter,
+            link_pb2.Prefixes(
+                blocks=blocks, characters=len(completion.prompt)
+            ),
+            choose,
+            repair=repair,
         )
         if not once:
             return result.Ok(routes.CompletionRoute(job, plan))
--- a/packages/standins/src/dunlintide_standins/engine/cache.py
+++ b/packages/standins/src/dunlintide_standins/engine/cache.py
@@ -142,6 +142,11 @@
         """List the blocks that are held, and the last sequence number."""
         return self._sequence, list(self._blocks.values())
 
+    @property
+    def published(self) -> int:
+        """Number of the last event, published or lost."""
+        return self._sequence
+
     def read_events(self, since: int) -> list[Event]:
         """Give the published events behind a sequence number."""
         before = self._clock() - self._lag
--- a/packages/standins/src/dunlintide_standins/engine/server.py
+++ b/packages/standins/src/dunlintide_standins/engine/server.py
@@ -140,6 +140,7 @@
             ('GET', '/v1/holding'): self._show_holding,
             ('GET', '/v1/load'): self._show_load,
             ('GET', '/v1/cache_events'): self._show_cache_events,
+            ('GET', '/v1/cache'): self._show_cache,
             ('GET', '/healthz'): lambda _: web.json_answer({}),
         }
         self._server = web.Server(config.listen, self._handle)
@@ -263,11 +264,23 @@
             return web.json_answer(self._sessions.runs())
 
     def _show_cache_events(self, request: web.Request) -> web.Answer:
-        text = request.query.get('since', '0')
-        if not text.isdecimal():
-            return _refuse('since must be a number', 400)
-        events = self._cache.read_events(int(text))
-        return web.json_answer({'events': events})
+        since = request.query.get('since', '0')
+        limit = request.query.get('limit', str(caches.MAX_EVENTS))
+        if not (since.isdecimal() and limit.isdecimal()):
+            return _refuse('since and limit must be numbers', 400)
+        with self._batcher.lock:
+            events = self._cache.read_events(int(since))[: int(limit)]
+            last = self._cache.published
+        return web.json_answer({'sequence': last, 'events': events})
+
+    def _show_cache(self, request: web.Request) -> web.Answer:
+        limit = request.query.get('limit', str(caches.MAX_EVENTS))
+        if not limit.isdecimal():
+            return _refuse('limit must be a number', 400)
+        with self._batcher.lock:
+            last, blocks = self._cache.list_held()
+        newest = blocks[-int(limit) :]
+        return web.json_answer({'sequence': last, 'blocks': newest})
 
     def _handle_session(self, request: web.Request) -> web.Answer:
         rest = request.path.removeprefix(_SESSIONS)
