Count a short step from its start when long spans are paced

When a long and a short call end together and the long one is noted first, the short one's member was not yet known, and the next long span began at once. That is a fault of the driver, not of the test: a member whose first step is under way counts as well.

--- a/packages/daemon/src/dunlintide_daemon/agent/driver.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/driver.py
@@ -236,6 +236,7 @@
                 jobs = [] if self._exclusive else self._gather()
                 if jobs:
                     self._running.update(jobs)
+                    self._note_short(jobs)
                     return jobs
                 self._wake.wait(self._pause)
         return []
@@ -305,14 +306,17 @@
             self._pause = min(pause, self._pause or pause)
         return pause > 0.0
 
-    def _note_spans(self, jobs: list[Job], began: float) -> None:
+    def _note_short(self, jobs: list[Job]) -> None:
         now = time.monotonic()
-        if any(map(_is_long, jobs)):
-            self._spans.end_long(now - began, now)
         for job in jobs:
             if not _is_long(job):
                 self._spans.note_short(self._handlers.find_member(job), now)
 
+    def _note_long(self, jobs: list[Job], began: float) -> None:
+        if any(map(_is_long, jobs)):
+            now = time.monotonic()
+            self._spans.end_long(now - began, now)
+
     def _release(self, jobs: list[Job]) -> None:
         with self._wake:
             self._running.difference_update(jobs)
@@ -363,7 +367,7 @@
         self.calls += 1
         self.steps += len(jobs)
         with self._wake:
-            self._note_spans(jobs, flight.began)
+            self._note_long(jobs, flight.began)
         if called.is_err():
             self._handlers.failed(jobs, called.err_value)
         else:
