Show that what leaves gets no new work without the platform

Cause: "no new work within 2 s" with the host list behind and the store down had a scenario for the agent of a middle stage only.

"A planned stop cuts nothing in flight" has the last stage as well.

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -121,14 +121,35 @@
       | entry        |
       | head agent   |
       | middle agent |
+      | last agent   |
 
-  Scenario: A leaving endpoint gets no new work, whatever the platform says
+  Scenario Outline: A leaving endpoint gets no new work, whatever the platform says
     Given the engines take 20 ms a step
     When the store is down and the host list shows no change
-    And the middle agent of a long stream is told to stop
+    And the <stage> agent of a long stream is told to stop
     Then 2 s later no new request runs at its engine
     And the stream is the reference answer
 
+    Examples:
+      | stage  |
+      | head   |
+      | middle |
+      | last   |
+
+  Scenario: A leaving service gets no new call, whatever the platform says
+    Given the services take 3.0 s a call
+    When the store is down and the host list shows no change
+    And the agent of a service is told to stop with a call in flight
+    Then 2 s later no new call runs at its service
+    And the call in flight is complete
+
+  Scenario: A leaving entry gets no new work, whatever the platform says
+    Given the engines take 20 ms a step
+    When the store is down and the host list shows no change
+    And the entry of a long stream is told to stop
+    Then it is not ready, and 2 s later no new request of it runs
+    And the stream is the reference answer
+
   Scenario Outline: A process that is paused and goes on doubles nothing
     Given the engines take 20 ms a step
     And the services take 0.5 s a call
--- a/features/steps/outcomes_faults.py
+++ b/features/steps/outcomes_faults.py
@@ -182,6 +182,7 @@
         'store': scene.running.plan.store.name,
         'head agent': chain[0],
         'middle agent': chain[1],
+        'last agent': chain[2],
         'middle engine': scene.agents[chain[1]].endpoint.standin.name,
     }
     return scene.running.started[names[role]]
@@ -226,13 +227,13 @@
     context.scene.running.control(name, down=True)
 
 
-@behave.when('the middle agent of a long stream is told to stop')
-def stop_middle(context):
+@behave.when('the {stage} agent of a long stream is told to stop')
+def stop_stage(context, stage):
     scene = context.scene
     context.stream = scene.stream(90)
-    chain = scene.find_chain()
-    context.engine = scene.agents[chain[1]].endpoint.standin.name
-    scene.stop(chain[1])
+    name = scene.find_chain()[outcomes_scene.STAGES.index(stage)]
+    context.engine = scene.agents[name].endpoint.standin.name
+    scene.stop(name)
 
 
 @behave.then('{seconds:d} s later no new request runs at its engine')
