Send the scenarios' raw requests through one place

What opened a connection by hand stood three times in the steps about outcomes, with the same body each time. Now the scene connects and asks, and the steps read or close what they have. No check changed.

--- a/features/steps/outcomes.py
+++ b/features/steps/outcomes.py
@@ -90,7 +90,11 @@
 
 @behave.when('a caller reads a raw stream of {tokens:d} tokens')
 def read_raw(context, tokens):
-    with context.scene.open_raw(tokens) as answer:
+    connection = context.scene.connect()
+    context.stack.callback(connection.close)
+    context.scene.ask(connection, tokens, stream=True)
+    with connection.getresponse() as answer:
+        assert answer.status == 200, answer.read()
         context.times = []
         while answer.read1():
             context.times.append(time.monotonic())
--- a/features/steps/outcomes_callers.py
+++ b/features/steps/outcomes_callers.py
@@ -1,8 +1,6 @@
 """Steps about callers that fall silent."""
 
 import copy
-import http.client
-import json
 
 import behave
 from dunlintide_standins import relay
@@ -17,33 +15,15 @@
 
 def connect(context):
     """Connect to an entry and have a request answered."""
-    scene = context.scene
-    entry = scene.running.plan.entries[0]
-    address = scene.running.plan.find_url(entry).removeprefix('http://')
-    connection = http.client.HTTPConnection(
-        address, timeout=outcomes_scene.WAIT_SECONDS
-    )
+    connection = context.scene.connect()
     context.stack.callback(connection.close)
-    ask(context, connection, 1, stream=False)
+    context.scene.ask(connection, 1, stream=False)
     answer = connection.getresponse()
     assert answer.status == 200, answer.read()
     answer.read()
     return connection
 
 
-def ask(context, connection, tokens, *, stream):
-    scene = context.scene
-    body = {
-        'model': scene.running.model,
-        'prompt': scene.name_prompt(),
-        'max_tokens': tokens,
-        'stream': stream,
-    }
-    key = scene.running.keys[scene.member]
-    headers = {'Authorization': f'Bearer {key}'}
-    connection.request('POST', '/v1/completions', json.dumps(body), headers)
-
-
 def read_revision(scene):
     return scene.running.read_state(ENTRY)['configuration']['revision']
 
@@ -73,7 +53,7 @@
 def fall_silent(context):
     connection = connect(context)
     context.settled = count_outcomes(context, 'deadline')
-    ask(context, connection, 300, stream=True)
+    context.scene.ask(connection, 300, stream=True)
     context.scene.find_chain()
     hop = layout.Hop.CALLER_ENTRY, ENTRY
     context.scene.running.relays[hop].stall(relay.Direction.BOTH)
--- a/features/steps/outcomes_faults.py
+++ b/features/steps/outcomes_faults.py
@@ -114,13 +114,14 @@
 def leave(context, answer):
     scene = context.scene
     # Left alone it takes 19 s, which its deadline allows.
-    leave = scene.begin_raw(300, stream=answer == 'stream')
+    connection = scene.connect()
+    scene.ask(connection, 300, stream=answer == 'stream')
     chain = scene.find_chain()
     context.engines = [
         scene.agents[name].endpoint.standin.name for name in chain
     ]
     context.before = count_positions(context)
-    leave()
+    connection.close()
 
 
 @behave.then(
@@ -138,14 +139,15 @@
     scene = context.scene
     service = scene.running.plan.blueprint.services[1]
     path = f'/services/{service.name}{service.path}'
-    leave = scene.send_raw('GET', path)
+    connection = scene.connect()
+    scene.send(connection, 'GET', path)
     context.agent = scene.find_service(service.name)
     outcomes_scene.wait_until(
         lambda: scene.read_gate(context.agent)['in_flight']['requests'],
         'the service is called',
     )
     context.left_at = time.monotonic()
-    leave()
+    connection.close()
 
 
 @behave.then("the service's agent has ended the call as cancelled")
--- a/features/steps/outcomes_scene.py
+++ b/features/steps/outcomes_scene.py
@@ -187,46 +187,26 @@
             self.member,
         )
 
-    def open_raw(self, tokens, entry=0):
-        """Open a stream and return the answer, to be read by hand."""
-        plan = self.running.plan
-        body = {
-            'model': self.running.model,
-            'prompt': self.name_prompt(),
-            'max_tokens': tokens,
-            'stream': True,
-        }
-        key = self.running.keys[self.member]
-        answer = urllib3.request(
-            'POST',
-            f'{plan.find_url(plan.entries[entry])}/v1/completions',
-            json=body,
-            headers={'Authorization': f'Bearer {key}'},
-            preload_content=False,
-            retries=False,
+    def connect(self, entry=0):
+        """Connect to an entry, for requests that are sent by hand."""
+        url = self.running.plan.find_url(self.running.plan.entries[entry])
+        return http.client.HTTPConnection(
+            url.removeprefix('http://'), timeout=WAIT_SECONDS
         )
-        assert answer.status == 200, answer.data
-        return answer
 
-    def send_raw(self, method, path, body=b''):
-        """Send a request to entry 0; return what ends the connection."""
-        plan = self.running.plan
-        address = urllib3.util.parse_url(plan.find_url(plan.entries[0]))
-        connection = http.client.HTTPConnection(address.host, address.port)
-        key = self.running.keys[self.member]
-        headers = {'Authorization': f'Bearer {key}'}
+    def send(self, connection, method, path, body=None):
+        headers = {'Authorization': f'Bearer {self.running.keys[self.member]}'}
         connection.request(method, path, body, headers)
-        return connection.close
 
-    def begin_raw(self, tokens, stream):
-        """Ask for a completion; return what ends the connection."""
+    def ask(self, connection, tokens, *, stream):
+        """Ask for a completion."""
         body = {
             'model': self.running.model,
             'prompt': self.name_prompt(),
             'max_tokens': tokens,
             'stream': stream,
         }
-        return self.send_raw('POST', '/v1/completions', json.dumps(body))
+        self.send(connection, 'POST', '/v1/completions', json.dumps(body))
 
     def find_service(self, name):
         """Name the agent of a service."""
