Wait for the agent to give up a call before its service is mended

Cause: the scenario "A service that goes silent runs no order twice" failed once in one run of the whole feature: the agent ends a call up to a quarter of a second after the entry's deadline, and the service was made well in between, so the answer that had stalled came after all and the last repeat got it. That is right: it ran once, and its answer was whole.

Change to the check: it waits until the agent holds no call, and then asks for unknown as before.

--- a/features/steps/outcomes_services.py
+++ b/features/steps/outcomes_services.py
@@ -94,6 +94,11 @@
 
 @behave.when('it is well again')
 def mend(context):
+    # Until the agent has given it up, too, it could still be answered.
+    outcomes_scene.wait_until(
+        lambda: not context.scene.read_gate(context.agent)['works'],
+        'the agent has given up the calls',
+    )
     find_relay(context).resume()
     context.scene.running.control(
         context.endpoint, hang=False, delay_seconds=0.0
