--- a/features/steps/httpserver.py
+++ b/features/steps/httpserver.py
@@ -12,6 +12,7 @@
 
 import behave
 from dunlintide_adapters import certificates
+from dunlintide_adapters import httpchannel
 from dunlintide_adapters import httpserver
 from dunlintide_adapters import tlssockets
 from dunlintide_trials import authority
@@ -56,10 +57,10 @@
         if path.startswith('/big/'):
             return self._produce(int(path.rpartition('/')[2]))
         if path == '/late':
-            environ[httpserver.END_BY](time.monotonic() + 0.5)
+            environ[httpchannel.END_BY](time.monotonic() + 0.5)
             return self._produce(64)
         if path == '/at-once':
-            return self._send_at_once(environ[httpserver.SEND_NOW])
+            return self._send_at_once(environ[httpchannel.SEND_NOW])
         if path == '/hold':
             self.release.wait(WAIT_SECONDS)
         if path == '/gone':
--- a/packages/adapters/src/dunlintide_adapters/admin.py
+++ b/packages/adapters/src/dunlintide_adapters/admin.py
@@ -11,6 +11,7 @@
 from prometheus_client import exposition
 from prometheus_client import registry as registries
 
+from dunlintide_adapters import httppages
 from dunlintide_adapters import httpserver
 from dunlintide_adapters import tlssockets
 
@@ -56,7 +57,7 @@
 
 
 def _refuse(status: http.HTTPStatus) -> _Page:
-    page = httpserver.render_error(status, status.description)
+    page = httppages.render_error(status, status.description)
     return _Page(status, page.body, dict(page.headers)['Content-Type'])
 
 
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/httpchannel.py
@@ -0,0 +1,237 @@
+"""Connections of the HTTP server, as waitress's but for what is said here.
+
+Pieces of an answer go straight to the socket, a caller that holds up its
+answer is cut off, and one that is refused can read why.
+"""
+
+import socket
+import time
+from typing import Callable
+
+import waitress.channel
+import waitress.task
+
+from dunlintide_adapters import httppages
+from dunlintide_adapters import tlssockets
+
+__all__ = [
+    'END_BY',
+    'SEND_NOW',
+    'Channel',
+    'make_channel_class',
+]
+
+# Key of a function in the environment of a request: it takes the moment
+# (monotonic, in seconds) after which a caller that holds up the answer by
+# not reading is cut off.
+END_BY = 'dunlintide.end_by'
+# Key in the environment of a function that takes a piece of the body from
+# any thread while the application's own makes none. It never waits: it
+# returns False, having sent nothing, while anything waits before the
+# piece, or before the head has been sent.
+SEND_NOW = 'dunlintide.send_now'
+
+_DISCARD_BYTES = 64 << 10
+# How often a thread that waits for its caller looks at the time.
+_STALL_CHECK_SECONDS = 0.25
+# How long a refused caller's further bytes are taken and thrown away.
+_LINGER_SECONDS = 2.0
+
+
+class _ErrorTask(waitress.task.ErrorTask):
+    """Refuses a request that waitress itself found faulty."""
+
+    def execute(self) -> None:
+        error = self.request.error
+        page = self.channel.server.render_error(error.code, error.reason)
+        self.status = httppages.build_status_line(error.code)
+        self.response_headers.extend(page.headers)
+        self.set_close_on_finish()
+        self.content_length = len(page.body)
+        self.write(page.body)
+        self.channel.lingers = True
+
+
+class _Task(waitress.task.WSGITask):
+    """Runs the application, which may say when its answer must end."""
+
+    def get_environment(self) -> dict:
+        if self.environ is None:
+            self.channel.end_by = None
+            environ = super().get_environment()
+            environ[END_BY] = self._end_by
+            environ[SEND_NOW] = self._send_now
+        return self.environ
+
+    def _end_by(self, moment: float) -> None:
+        self.channel.end_by = moment
+
+    def _send_now(self, data: bytes) -> bool:
+        if not self.wrote_header or self.content_length is not None:
+            return False
+        if self.chunked_response:
+            data = b'%X\r\n%b\r\n' % (len(data), data)
+        return self.channel.send_now(data)
+
+
+class Channel(waitress.channel.HTTPChannel):
+    """Connection whose error pages are the application's own.
+
+    What is written goes straight to the socket when nothing waits before
+    it; waitress would copy each piece through a buffer.
+    """
+
+    error_task_class = _ErrorTask
+    task_class = _Task
+    end_by: float | None = None
+    # Whether to read on when it should be closed, and until when it does.
+    lingers = False
+    linger_end: float | None = None
+
+    def handle_close(self) -> None:
+        if self.lingers and self.connected:
+            self.lingers = False
+            self._linger()
+        else:
+            super().handle_close()
+
+    def _linger(self) -> None:
+        """Say no more, but take what the caller still sends for a while.
+
+        A caller that writes to a closed connection may not come to read
+        why it was refused.
+        """
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            super().handle_close()
+            return
+        self.will_close = False
+        self.close_when_flushed = False
+        self.linger_end = time.time() + _LINGER_SECONDS
+
+    def _discard(self) -> None:
+        try:
+            if time.time() < self.linger_end and self.recv(_DISCARD_BYTES):
+                return
+        except BlockingIOError:
+            return
+        except OSError:
+            pass
+        # At the end of what comes it has been closed already.
+        if self.connected:
+            self.handle_close()
+
+    def has_lingered(self, now: float) -> bool:
+        """Tell whether enough time was spent on a refused caller."""
+        return self.linger_end is not None and now > self.linger_end
+
+    def handle_read(self) -> None:
+        if self.linger_end is not None:
+            self._discard()
+            return
+        # In place of waitress's, to which each failure is the end.
+        try:
+            data = self.recv(self.adj.recv_bytes)
+        except BlockingIOError:
+            # What came is a handshake, or part of a record.
+            return
+        except OSError:
+            self.handle_close()
+            return
+        if data:
+            self.last_activity = time.time()
+            self.received(data)
+        else:
+            self.connected = False
+
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        # Threads flush what waits, also after the loop has closed the
+        # socket and forgotten it.
+        try:
+            return super().send(data, do_close)
+        except AttributeError:
+            if self.socket is not None:
+                raise
+            return 0
+
+    def _flush_outbufs_below_high_watermark(self) -> None:
+        # In place of waitress's, which waits for as long as it takes.
+        if self.total_outbufs_len <= self.adj.outbuf_high_watermark:
+            return
+        with self.outbuf_lock:
+            _, failed = self._flush_exception(self._flush_some, do_close=False)
+            while self.connected and (failed or self._is_full()):
+                self._check_end()
+                self.server.pull_trigger()
+                self.outbuf_lock.wait(_STALL_CHECK_SECONDS)
+
+    def _is_full(self) -> bool:
+        return self.total_outbufs_len > self.adj.outbuf_high_watermark
+
+    def _check_end(self) -> None:
+        if self.end_by is None or time.monotonic() < self.end_by:
+            return
+        self.will_close = True
+        self.server.pull_trigger()
+        raise waitress.channel.ClientDisconnected
+
+    def write_soon(self, data: bytes) -> int:
+        if self.total_outbufs_len or not data or not self.connected:
+            return super().write_soon(data)
+        size = len(data)
+        with self.outbuf_lock:
+            # The loop may have closed it since.
+            if self.connected and not self.total_outbufs_len:
+                data = data[self._send_now(data) :]
+            if data and self.connected:
+                super().write_soon(data)
+        return size
+
+    def send_now(self, data: bytes) -> bool:
+        """Send without waiting; False when anything waits before it."""
+        if not self.outbuf_lock.acquire(blocking=False):
+            return False
+        try:
+            if self.total_outbufs_len or not self.connected:
+                return False
+            rest = data[self._send_now(data) :]
+            if rest:
+                super().write_soon(rest)
+        except waitress.channel.ClientDisconnected:
+            return False
+        finally:
+            self.outbuf_lock.release()
+        return True
+
+    def _send_now(self, data: bytes) -> int:
+        """Send what the socket takes; all is dropped when it is broken."""
+        try:
+            sent = self.send(data, do_close=False)
+        except OSError:
+            # As waitress does: the loop closes, the next write tells.
+            self.will_close = True
+            self.server.pull_trigger()
+            return len(data)
+        self.last_activity = time.time()
+        return sent
+
+
+def make_channel_class(secure: tlssockets.Wrapper | None) -> Callable:
+    """Make what waitress calls with each accepted connection.
+
+    :param secure: puts TLS on it; None for a plain one
+    """
+    if secure is None:
+        return Channel
+
+    def make(server, accepted: socket.socket, *rest, **options) -> None:
+        try:
+            wrapped = secure.wrap(accepted)
+        except OSError:
+            # The client has gone already.
+            accepted.close()
+            return
+        Channel(server, wrapped, *rest, **options)
+
+    return make
--- a/packages/daemon/src/dunlintide_daemon/entry/front.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/front.py
@@ -8,7 +8,8 @@
 import result
 import uuid_utils
 
-from dunlintide_adapters import httpserver
+from dunlintide_adapters import httpchannel
+from dunlintide_adapters import httpgate
 from dunlintide_core import outcomes
 from dunlintide_daemon.entry import answers
 from dunlintide_daemon.entry import configuration as holders
@@ -92,14 +93,14 @@
 
 def _limit_sending(environ: Mapping[str, Any], deadline: float) -> None:
     """Have a caller that reads too slowly cut off behind the deadline."""
-    end_by = environ.get(httpserver.END_BY)
+    end_by = environ.get(httpchannel.END_BY)
     if end_by is not None:
         end_by(deadline + SENDING_SECONDS)
 
 
 def _join(environ: Mapping[str, Any], member: str) -> outcomes.Refusal | None:
     """Count a request to its member; no member takes all threads."""
-    join = environ.get(httpserver.JOIN)
+    join = environ.get(httpgate.JOIN)
     if join is None or join(member):
         return None
     return outcomes.refuse(
@@ -184,7 +185,7 @@
             key=key.ok_value,
             priority=priority.ok_value,
             is_connected=_watch_caller(environ),
-            send_now=environ.get(httpserver.SEND_NOW, _send_never),
+            send_now=environ.get(httpchannel.SEND_NOW, _send_never),
         )
         return result.Ok(_Exchange(environ, caller, snapshot))
 
--- a/packages/daemon/src/dunlintide_daemon/entry/problems.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/problems.py
@@ -8,7 +8,7 @@
 import attrs
 import msgspec
 
-from dunlintide_adapters import httpserver
+from dunlintide_adapters import httppages
 from dunlintide_core import outcomes
 
 __all__ = [
@@ -106,7 +106,7 @@
 
 def render_server_error(
     rng: random.Random, status: int, detail: str
-) -> httpserver.ErrorPage:
+) -> httppages.ErrorPage:
     """Build the answer for what the HTTP server refuses by itself.
 
     :param rng: source of the jitter on ``Retry-After``
@@ -122,4 +122,4 @@
         for name, value in page.headers
         if value and name != 'Content-Length'
     )
-    return httpserver.ErrorPage(b''.join(page.body), headers)
+    return httppages.ErrorPage(b''.join(page.body), headers)
