--- a/features/steps/settings.py
+++ b/features/steps/settings.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from dunlintide_core import settings
+from dunlintide_core import settingsfile
 
 _FILE = 'agent.jsonc'
 _AGENT = '''{
@@ -49,13 +49,13 @@
 
 @behave.then('the settings are accepted with a body limit of {size:d} bytes')
 def check_entry(context, size):
-    read = settings.load_settings(context.settings_text, _FILE).unwrap()
+    read = settingsfile.load_settings(context.settings_text, _FILE).unwrap()
     assert read.limits.max_body_bytes == size
 
 
 @behave.then('the settings are accepted with layers {a:d} to {b:d} of {n:d}')
 def check_agent(context, a, b, n):
-    read = settings.load_settings(context.settings_text, _FILE).unwrap()
+    read = settingsfile.load_settings(context.settings_text, _FILE).unwrap()
     endpoint = read.endpoint.to_endpoint()
     layers = endpoint.layer_start, endpoint.layer_end, endpoint.layer_count
     assert layers == (a, b, n)
@@ -63,7 +63,7 @@
 
 @behave.then('the settings are refused at {place} with {message}')
 def check_refusal(context, place, message):
-    problems = settings.load_settings(
+    problems = settingsfile.load_settings(
         context.settings_text, _FILE
     ).unwrap_err()
     lines = [str(problem) for problem in problems]
--- a/features/steps/tls.py
+++ b/features/steps/tls.py
@@ -23,7 +23,7 @@
 from dunlintide_core import fleet
 from dunlintide_core import identities
 from dunlintide_core import records
-from dunlintide_core import settings
+from dunlintide_core import settingsfile
 from dunlintide_core import spread
 from dunlintide_trials import authority
 import result
@@ -485,7 +485,7 @@
 
 
 def load(context):
-    return settings.load_settings(
+    return settingsfile.load_settings(
         json.dumps(context.settings, indent=1),
         'agent.jsonc',
         tlschecks.find_faults,
--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -1,17 +1,11 @@
 """Settings with which a daemon starts."""
 
 import enum
-from typing import Any, Callable, NewType
-from urllib import parse
+from typing import NewType
 
 import attrs
-import cattrs
-import result
 
 from dunlintide_core import fleet
-from dunlintide_core import identities
-from dunlintide_core import jsonc
-from dunlintide_core import schemas
 
 __all__ = [
     'EndpointSettings',
@@ -28,7 +22,6 @@
     'Settings',
     'Timing',
     'Tls',
-    'load_settings',
 ]
 
 # Checked where they are read, so an error points at the field.
@@ -43,11 +36,6 @@
 File = NewType('File', str)
 HostName = NewType('HostName', str)
 
-# A field and what is wrong with it.
-Fault = tuple[jsonc.Path, str]
-
-_MAX_PORT = 65535
-
 
 class LogLevel(enum.StrEnum):
     """Least grave messages that are logged."""
@@ -302,167 +290,3 @@
     tls: Tls | None = None
     listen_tls: ServerTls | None = None
     admin_tls: ServerTls | None = None
-
-
-def _is_name(value: str) -> bool:
-    return bool(value) and all('!' <= char <= '~' for char in value)
-
-
-def _make_address_test(least_port: int) -> Callable[[str], bool]:
-    def test(value: str) -> bool:
-        host, _, port = value.rpartition(':')
-        if not host or not (port.isascii() and port.isdigit()):
-            return False
-        return least_port <= int(port) <= _MAX_PORT
-
-    return test
-
-
-def _is_url(value: str) -> bool:
-    try:
-        parts = parse.urlsplit(value)
-        return parts.scheme in ('http', 'https') and bool(parts.hostname)
-    except ValueError:
-        return False
-
-
-def _is_positive(value: float) -> bool:
-    return value > 0
-
-
-def _is_natural(value: float) -> bool:
-    return value >= 0
-
-
-_CHECKED = (
-    (Name, str, _is_name, 'a name of printable ASCII without spaces'),
-    (Listen, str, _make_address_test(0), '"HOST:PORT", port 0 to 65535'),
-    (Address, str, _make_address_test(1), '"HOST:PORT", port 1 to 65535'),
-    (Url, str, _is_url, 'an http:// or https:// URL'),
-    (Seconds, float, _is_positive, 'a number of seconds above 0'),
-    (Count, int, _is_positive, 'a whole number above 0'),
-    (Natural, int, _is_natural, 'a whole number of at least 0'),
-    (Rate, float, _is_natural, 'a number of at least 0'),
-    (File, str, bool, 'the name of a file'),
-    (HostName, str, identities.is_host_name, 'a DNS name'),
-)
-
-
-def _make_reader(
-    converter: cattrs.Converter, base: type, test: Callable, expected: str
-) -> Callable:
-    def read(value: Any, _: Any) -> Any:
-        read_value = converter.structure(value, base)
-        if not test(read_value):
-            raise schemas.Unexpected(
-                f'expected {expected}, got {schemas.describe_value(value)}'
-            )
-        return read_value
-
-    return read
-
-
-def _make_converter() -> cattrs.Converter:
-    converter = schemas.make_converter()
-    for kind, base, test, expected in _CHECKED:
-        reader = _make_reader(converter, base, test, expected)
-        converter.register_structure_hook(kind, reader)
-    return converter
-
-
-_converter = _make_converter()
-
-
-def _list_role_faults(settings: Settings) -> list[tuple[str, str]]:
-    faults = []
-    if settings.role == fleet.Role.ENTRY:
-        if settings.listen is None:
-            faults.append(('listen', 'an entry needs an address to listen on'))
-        if settings.endpoint is not None:
-            faults.append(('endpoint', 'an entry has no endpoint'))
-    if settings.role == fleet.Role.AGENT:
-        if settings.endpoint is None:
-            faults.append(('endpoint', 'an agent needs an endpoint'))
-        if settings.listen is not None:
-            faults.append(('listen', 'an agent takes no callers'))
-        if settings.listen_tls is not None:
-            faults.append(('listen_tls', 'an agent takes no callers'))
-    return faults
-
-
-def _list_engine_faults(endpoint: EndpointSettings) -> list[tuple[str, str]]:
-    faults = []
-    if endpoint.service:
-        faults.append(('service', 'an engine has no service'))
-    start, end = endpoint.layer_start, endpoint.layer_end
-    if not (start or end or endpoint.layer_count or endpoint.model):
-        # A spare engine: what it will hold comes with an order.
-        return faults
-    faults += [
-        (name, 'an engine needs it, expected a name, got ""')
-        for name in ('model', 'version')
-        if not getattr(endpoint, name)
-    ]
-    count = endpoint.layer_count
-    if not start < end:
-        faults.append(('layer_end', f'expected more than {start}, got {end}'))
-    if end > count:
-        faults.append(('layer_count', f'expected {end} or more, got {count}'))
-    return faults
-
-
-def _list_service_faults(endpoint: EndpointSettings) -> list[tuple[str, str]]:
-    names = ('model', 'version', 'layer_start', 'layer_end', 'layer_count')
-    faults = [
-        (name, 'a plain service has none')
-        for name in names
-        if getattr(endpoint, name)
-    ]
-    if not endpoint.service:
-        faults.append(('service', 'expected the name of a service, got ""'))
-    return faults
-
-
-def _list_faults(settings: Settings) -> list[Fault]:
-    faults = [((n,), text) for n, text in _list_role_faults(settings)]
-    endpoint = settings.endpoint
-    if endpoint and endpoint.kind == fleet.EndpointKind.ENGINE:
-        found = _list_engine_faults(endpoint)
-        faults += [(('endpoint', n), text) for n, text in found]
-    if endpoint and endpoint.kind == fleet.EndpointKind.SERVICE:
-        found = _list_service_faults(endpoint)
-        faults += [(('endpoint', n), text) for n, text in found]
-    if settings.tls and not identities.is_host_name(settings.name):
-        text = 'with tls, expected a DNS name, got '
-        faults.append((('name',), f'{text}{settings.name!r}'))
-    ping, silence = settings.timing.ping, settings.timing.silence
-    if ping >= silence:
-        text = f'expected more than timing.ping ({ping}), got {silence}'
-        faults.append((('timing', 'silence'), text))
-    return faults
-
-
-def load_settings(
-    text: str,
-    file: str,
-    find_faults: Callable[[Settings], list[Fault]] = lambda settings: [],
-) -> result.Result[Settings, list[jsonc.Problem]]:
-    """Read a daemon's settings.
-
-    :param text: JSON with comments
-    :param file: its name, for messages
-    :param find_faults: lists what else is wrong, by field
-    :returns: the settings, or every problem that was found
-    """
-    parsed = jsonc.parse(text, file)
-    if parsed.is_err():
-        return parsed
-    document = parsed.unwrap()
-    read = schemas.structure(document, Settings, _converter)
-    if read.is_err():
-        return read
-    faults = _list_faults(read.unwrap()) or find_faults(read.unwrap())
-    if faults:
-        found = [document.report(path, text) for path, text in faults]
-        return result.Err(jsonc.sort_problems(found))
-    return read
--- a/packages/daemon/src/dunlintide_daemon/main.py
+++ b/packages/daemon/src/dunlintide_daemon/main.py
@@ -13,6 +13,7 @@
 from dunlintide_core import fleet
 from dunlintide_core import jsonc
 from dunlintide_core import settings
+from dunlintide_core import settingsfile
 
 __all__ = [
     'main',
@@ -47,7 +48,7 @@
         text = path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         return result.Err([jsonc.Problem(str(path), 1, 1, '', str(error))])
-    return settings.load_settings(text, str(path), tlschecks.find_faults)
+    return settingsfile.load_settings(text, str(path), tlschecks.find_faults)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
