Split the agent's role by job

Change: admission.py builds the gate, crashes.py looks for crashes, process.py runs an agent as the entry's process.py runs an entry. Moved as they were; dunlintided loads process.py.

--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -10,7 +10,7 @@
 from dunlintide_core import fleet
 from dunlintide_core import settings
 from dunlintide_daemon.agent import gate
-from dunlintide_daemon.agent import role
+from dunlintide_daemon.agent import process
 from dunlintide_standins import reference
 import urllib3
 
@@ -463,7 +463,7 @@
         service='orders',
     )
     with mock.patch.object(gate.Gate, 'tick', side_effect=RuntimeError):
-        context.status = role.run(
+        context.status = process.run(
             agent_scene.make_settings('agent-x', endpoint)
         )
 
--- a/packages/daemon/src/dunlintide_daemon/agent/__init__.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/__init__.py
@@ -1,1 +1,1 @@
-"""The agent: the gate before one endpoint; ``role.run`` runs it."""
+"""The agent: the gate before one endpoint; ``process.run`` runs it."""
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -1,10 +1,9 @@
 """The agent role: wires links, gate, pipeline, driver and services."""
 
 import contextlib
-import signal
 import threading
 import time
-from typing import Any, Callable, Iterator
+from typing import Any
 
 from absl import logging
 import attrs
@@ -24,18 +23,17 @@
 from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import activations
-from dunlintide_core import caps
 from dunlintide_core import fleet
 from dunlintide_core import placement
 from dunlintide_core import poison
-from dunlintide_core import queueing
 from dunlintide_core import settings as settings_module
+from dunlintide_daemon.agent import admission
 from dunlintide_daemon.agent import caching
 from dunlintide_daemon.agent import counts as counting
+from dunlintide_daemon.agent import crashes
 from dunlintide_daemon.agent import dispatch
 from dunlintide_daemon.agent import driver as drivers
 from dunlintide_daemon.agent import dump
-from dunlintide_daemon.agent import gate as gates
 from dunlintide_daemon.agent import orders
 from dunlintide_daemon.agent import peers as peering
 from dunlintide_daemon.agent import pipeline as pipelines
@@ -49,19 +47,9 @@
 
 __all__ = [
     'Agent',
-    'run',
 ]
 
 TICK_SECONDS = 0.1
-MAX_IN_FLIGHT = 256
-SERVICE_THREADS = 32
-FAILED = 1
-VITAL_THREADS = frozenset(('driver', 'reaper', 'ticker'))
-CRASH_SECONDS = 0.5
-CRASH_POLL_SECONDS = 0.02
-# New connections in a row that end without an answer, where only one
-# could have been cut. Few, as an engine may soon be started again.
-CRASH_ENDS = 3
 
 
 def _build_endpoint(endpoint: fleet.Endpoint, cap: int) -> link_pb2.Endpoint:
@@ -95,7 +83,10 @@
         self.counts = counting.Counts()
         self.endpoint = settings.endpoint.to_endpoint()
         self._transport = transports.build(settings)
-        self.gate = self._build_gate()
+        self._max_in_flight = admission.count_slots(self.endpoint)
+        self.gate = admission.build_gate(
+            settings, self.endpoint, self.incarnation, self.counts
+        )
         self._supervisor = None
         self._orders = None
         self._suspicion = suspicion.Suspicion(
@@ -155,31 +146,6 @@
         )
         return state
 
-    def _build_gate(self) -> gates.Gate:
-        default = MAX_IN_FLIGHT
-        if self.endpoint.kind is fleet.EndpointKind.SERVICE:
-            default = SERVICE_THREADS
-        self._max_in_flight = self.endpoint.max_in_flight or default
-        limits = queueing.Limits(
-            per_member=self.settings.limits.queue_per_member,
-            fair=self.settings.queueing is settings_module.Queueing.FAIR,
-        )
-        settings = gates.GateSettings(
-            self.settings.name, self.incarnation, queue=limits
-        )
-        return gates.Gate(settings, self._build_cap(), self.counts)
-
-    def _build_cap(self) -> caps.Cap:
-        policy = self.settings.cap
-        if self.endpoint.kind is fleet.EndpointKind.SERVICE:
-            policy = settings_module.CapPolicy.FIXED
-        match policy:
-            case settings_module.CapPolicy.FIXED:
-                return caps.fix(self._max_in_flight)
-            case settings_module.CapPolicy.ADAPTIVE:
-                return caps.adapt(caps.START, self._max_in_flight)
-        return caps.budget(self._max_in_flight)
-
     def _build_engine_side(self) -> None:
         endpoint = self.endpoint
         identity = tables.Identity(
@@ -299,7 +265,7 @@
         )
         # Whoever hears that an attempt failed must know of the crash.
         answered = error.status or error.lost or not error.sent
-        crashed = not answered and self._has_crashed()
+        crashed = not answered and crashes.has_crashed(self._engine)
         if crashed:
             self.pipeline.accuse(jobs)
             self._go_away(supervisor.AWAY)
@@ -496,27 +462,6 @@
         )
         self._stack.callback(self._supervisor.stop)
 
-    def _has_crashed(self) -> bool:
-        """Tell whether the engine's process is gone, not just silent.
-
-        Where something between takes connections in its place, such as a
-        port forwarder, they end without an answer, each new one too.
-        """
-        ended = 0
-        until = time.monotonic() + CRASH_SECONDS
-        while time.monotonic() < until:
-            checked = self._engine.check_health()
-            if checked.is_ok():
-                return False
-            if not checked.err_value.sent:
-                return True
-            ended = ended + 1 if checked.err_value.ended else 0
-            if ended >= CRASH_ENDS:
-                return True
-            # Its connections end a little before its port is free.
-            time.sleep(CRASH_POLL_SECONDS)
-        return False
-
     def _go_away(self, detail: str) -> None:
         """Refuse work until the engine is back; entries hear it first."""
         with self.gate.lock:
@@ -527,7 +472,7 @@
         self.gate.set_fault(detail)
 
     def _lose_engine(self, detail: str) -> None:
-        if not self.gate.fault and self._has_crashed():
+        if not self.gate.fault and crashes.has_crashed(self._engine):
             self.pipeline.accuse()
         self._go_away(detail)
         self._lose_sessions(detail)
@@ -578,61 +523,3 @@
 
     def __exit__(self, *details) -> None:
         self._stack.close()
-
-
-@contextlib.contextmanager
-def _watch_signals(drain: Callable[[], None]) -> Iterator[None]:
-    """Begin a planned stop on a signal, within the block."""
-    if threading.current_thread() is not threading.main_thread():
-        yield
-        return
-    previous = {
-        number: signal.signal(number, lambda *_: drain())
-        for number in (signal.SIGTERM, signal.SIGINT)
-    }
-    try:
-        yield
-    finally:
-        for number, handler in previous.items():
-            signal.signal(number, handler)
-
-
-@contextlib.contextmanager
-def _watch_threads(crash: Callable[[], None]) -> Iterator[None]:
-    """Stop the process when a vital thread dies, within the block."""
-
-    def take(details: threading.ExceptHookArgs) -> None:
-        name = details.thread.name if details.thread else ''
-        logging.error(
-            'thread %s failed',
-            name,
-            exc_info=(
-                details.exc_type,
-                details.exc_value,
-                details.exc_traceback,
-            ),
-        )
-        if name in VITAL_THREADS:
-            crash()
-
-    previous, threading.excepthook = threading.excepthook, take
-    try:
-        yield
-    finally:
-        threading.excepthook = previous
-
-
-def run(settings: settings_module.Settings) -> int:
-    """Run an agent until it has drained.
-
-    :returns: exit status, 0 after a planned stop
-    :raises OSError: when a port is taken
-    """
-    shared = watching.Outside.from_config(settings)
-    with contextlib.ExitStack() as stack:
-        agent = stack.enter_context(Agent(settings, shared))
-        stack.enter_context(_watch_signals(agent.drain))
-        stack.enter_context(_watch_threads(agent.crash))
-        logging.info('agent %s serves at %s', settings.name, agent.address)
-        agent.done.wait()
-    return FAILED if agent.failed else 0
--- a/packages/daemon/src/dunlintide_daemon/main.py
+++ b/packages/daemon/src/dunlintide_daemon/main.py
@@ -24,7 +24,7 @@
 # Loaded by name, so that an entry need not carry an agent's code.
 _MODULES = {
     fleet.Role.ENTRY: 'dunlintide_daemon.entry.process',
-    fleet.Role.AGENT: 'dunlintide_daemon.agent.role',
+    fleet.Role.AGENT: 'dunlintide_daemon.agent.process',
 }
 
 
