--- a/packages/adapters/src/dunlintide_adapters/cacheevents.py
+++ b/packages/adapters/src/dunlintide_adapters/cacheevents.py
@@ -1,9 +1,8 @@
 """Cache events of a model engine, read over its HTTP interface."""
 
-import json
-from typing import Any
 from urllib import parse
 
+import msgspec
 import result
 
 from dunlintide_adapters import engine as engines
@@ -23,13 +22,30 @@
 _Read = result.Result[tuple[int, list[prefixes.Event]], engines.EngineError]
 
 
-def _read_event(fields: dict[str, Any]) -> prefixes.Event:
+class _Event(msgspec.Struct):
+    sequence: int
+    kind: str
+    session: str
+    block: int
+    tokens: int
+
+
+class _Answer(msgspec.Struct):
+    sequence: int
+    events: list[_Event] = []
+    blocks: list[_Event] = []
+
+
+_decoder = msgspec.json.Decoder(_Answer)
+
+
+def _convert(event: _Event) -> prefixes.Event:
     return prefixes.Event(
-        int(fields['sequence']),
-        fields['kind'] == _STORED,
-        str(fields['session']),
-        int(fields['block']),
-        int(fields['tokens']),
+        event.sequence,
+        event.kind == _STORED,
+        event.session,
+        event.block,
+        event.tokens,
     )
 
 
@@ -47,23 +63,29 @@
             published or lost, and the events
         """
         query = {'since': since, 'limit': MAX_EVENTS}
-        return self._read(_EVENTS, query, 'events')
+        read = self._read(_EVENTS, query)
+        return read.map(
+            lambda told: (told.sequence, [_convert(e) for e in told.events])
+        )
 
     def read_held(self) -> _Read:
         """Read the blocks that the engine holds, the newest if too many.
 
         :returns: the number of the last event, and the blocks
         """
-        return self._read(_HELD, {'limit': MAX_BLOCKS}, 'blocks')
-
-    def _read(self, path: str, query: dict[str, int], name: str) -> _Read:
+        read = self._read(_HELD, {'limit': MAX_BLOCKS})
+        return read.map(
+            lambda told: (told.sequence, [_convert(e) for e in told.blocks])
+        )
+
+    def _read(
+        self, path: str, query: dict[str, int]
+    ) -> result.Result[_Answer, engines.EngineError]:
         called = self._engine.read(f'{path}?{parse.urlencode(query)}')
         if called.is_err():
             return called
         try:
-            body = json.loads(called.ok_value)
-            found = [_read_event(fields) for fields in body[name]]
-            return result.Ok((int(body['sequence']), found))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            return result.Ok(_decoder.decode(called.ok_value))
+        except msgspec.MsgspecError as error:
             detail = f'unusable answer: {type(error).__name__}'
             return result.Err(engines.EngineError(detail))
--- a/packages/core/src/dunlintide_core/prefixes.py
+++ b/packages/core/src/dunlintide_core/prefixes.py
@@ -10,6 +10,7 @@
 prefill and nothing else.
 """
 
+import bisect
 import collections
 from collections.abc import (
     Collection,
@@ -83,10 +84,7 @@
 
     def find(self, tokens: int) -> int:
         """Give the index of the block that a position falls into."""
-        for index, end in enumerate(self.ends):
-            if tokens <= end:
-                return index
-        return len(self.ends)
+        return bisect.bisect_left(self.ends, tokens)
 
     def count(self, index: int, grain: int) -> int:
         """Count the engine's blocks that end in one of the prompt's.
@@ -259,7 +257,8 @@
         index, session = place
         # All before it was there when it was stored, events or not.
         whole = index + (event.tokens + self._grain > session.ends[index])
-        self._hold(session.blocks[:whole])
+        if whole and session.blocks[whole - 1] not in self._held:
+            self._hold(session.blocks[:whole])
 
     def _hold(self, blocks: Sequence[int]) -> None:
         before = None
--- a/packages/trials/src/dunlintide_trials/cases/cache.py
+++ b/packages/trials/src/dunlintide_trials/cases/cache.py
@@ -1,9 +1,15 @@
 """Choice of chains by prefix caches, in an event model with real code."""
 
 from collections.abc import Iterator
+import time
+import tracemalloc
 
 import attrs
 
+from dunlintide_adapters.wire import link_pb2
+from dunlintide_core import affinity
+from dunlintide_core import cachenews
+from dunlintide_core import prefixes
 from dunlintide_trials import figures
 from dunlintide_trials import prefixload
 
@@ -13,6 +19,16 @@
 _LATE_SECONDS = 5.0
 _LOST = 0.5
 
+MEMORY_BOUND = 256 << 20
+# Control of a node, of which the rest is spent elsewhere.
+BYTES_BOUND = 5_000.0
+_SIZES = (2_500, 5_000, 10_000, 20_000)
+_TOLD = (1, 2, 4, 8)
+_LINKS = 25
+_HOLDERS = 6
+_PROMPT_BLOCKS = 16
+_BLOCK_TOKENS = 64
+
 _Shape = prefixload.Shape
 _BUSY = _Shape(rate=4.0)
 _FULL = _Shape(rate=12.0, seconds=40.0)
@@ -92,4 +108,82 @@
     yield from _compare('subset.', _run(_SUBSET))
 
 
-CASES = [measure_affinity]
+def _make_prompts(blocks: int) -> Iterator[prefixes.Prefixes]:
+    """Make prompts that share nothing, until they have so many blocks."""
+    for index in range(blocks // _PROMPT_BLOCKS):
+        text = f'{index:>{_PROMPT_BLOCKS * affinity.BLOCK_CHARACTERS}}'
+        hashes = affinity.hash_blocks(f'salt-{index}', text)
+        yield prefixes.Prefixes(hashes, len(text))
+
+
+def _fill_view(blocks: int) -> tuple[prefixes.View, float]:
+    """Run prompts; gives microseconds of processor time an event too."""
+    view = prefixes.View()
+    tokens = _PROMPT_BLOCKS * _BLOCK_TOKENS
+    sequence = 0
+    spent = 0.0
+    for prompt in _make_prompts(blocks):
+        session = f'session-{sequence}'
+        events = [
+            prefixes.Event(sequence + n, True, session, sequence + n, n * 16)
+            for n in range(1, tokens // 16 + 1)
+        ]
+        sequence += len(events)
+        started = time.process_time()
+        view.begin(session, prompt, tokens)
+        view.take(events)
+        spent += time.process_time() - started
+    return view, spent / sequence * 1e6
+
+
+def _fill_map(blocks: int) -> affinity.AffinityMap:
+    held = affinity.AffinityMap()
+    agents = [f'agent-{index}' for index in range(_HOLDERS)]
+    for prompt in _make_prompts(blocks):
+        held.record(prompt.blocks, agents, 0.0)
+    return held
+
+
+def measure_view() -> Iterator[figures.Figure]:
+    """Measure memory of an agent's view and of an entry's map."""
+    for size in _SIZES:
+        for name, fill in (('view', _fill_view), ('map', _fill_map)):
+            tracemalloc.start()
+            held = fill(size)
+            used = tracemalloc.get_traced_memory()[0]
+            tracemalloc.stop()
+            del held
+            yield figures.at_most(
+                f'cache.view.{name}.{size}', used, 'B', MEMORY_BOUND
+            )
+        yield figures.plain(
+            f'cache.view.event.{size}', _fill_view(size)[1], 'us an event'
+        )
+
+
+def _size_news(prefixes_told: int) -> int:
+    """Give the bytes that news add to a load report."""
+    held = [1 << 63 | index for index in range(prefixes_told)]
+    plain = link_pb2.Frame(load=link_pb2.Load(running=1))
+    told = link_pb2.Frame(
+        load=link_pb2.Load(running=1, cache=link_pb2.CacheNews(held=held))
+    )
+    return told.ByteSize() - plain.ByteSize()
+
+
+def measure_bytes() -> Iterator[figures.Figure]:
+    """Measure what news take on a link, and at an agent with 25 links."""
+    for told in _TOLD:
+        size = _size_news(told)
+        yield figures.at_most(
+            f'cache.bytes.{told}',
+            size * _LINKS,
+            'B/s an agent',
+            BYTES_BOUND,
+            note=f'{size} B in each report, {_LINKS} links',
+        )
+    size = _size_news(cachenews.MAX_TOLD)
+    yield figures.plain('cache.bytes.all', size, 'B, once a new link')
+
+
+CASES = [measure_affinity, measure_view, measure_bytes]
