--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -59,3 +59,9 @@
     Then 2 processes watch the store in each failure domain
     When both watchers of a failure domain stop
     Then 2 others watch within 30 seconds
+
+  Scenario: Whoever lost a link to a process misses it after one call
+    Given a fleet of 24 processes in 3 failure domains
+    When a process stops without a word
+    And 2 that had links to it call it at once
+    Then both miss it within 3 seconds, whoever else does
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -24,6 +24,16 @@
     When the holders of layers 8 to 16 vanish at 110.0 s
     Then at 110.1 s the spare engine with 0 requests is to hold layers 8 to 16
 
+  Scenario: A range that was not seen held yet gets the time to start
+    Given spare engines with 0 and 0 requests
+    And a leader with a patience of 1.0 s that has just begun
+    And the holders of layers 8 to 16 have yet to start
+    Then nothing is ordered until 104.9 s
+    When they are back at 104.9 s
+    And the holders of layers 8 to 16 vanish at 110.0 s
+    Then nothing is ordered until 111.0 s
+    And at 111.1 s the spare engine with 0 requests is to hold layers 8 to 16
+
   Scenario: What is in doubt is neither ordered nor counted on
     Given spare engines with 0 and 0 requests
     And every spare engine is in doubt
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -353,3 +353,28 @@
     assert net.run_until(
         lambda: _count_watchers(net)['domain-2'] == count, seconds
     )
+
+
+@behave.when('{count:d} that had links to it call it at once')
+def probe_subject(context, count):
+    net, subject = context.net, context.subject.peer.name
+    first, *context.callers = net.up()[: count + 1]
+    for host in context.callers:
+        # They have heard that another misses it, and doubt it already.
+        record = host.replica.members.get(subject)
+        doubted = attrs.evolve(record, witnesses=(first.peer.name,))
+        host.replica.members.merge(net.now, doubted)
+        host.replica.probe(subject)
+        net._wake(host)
+
+
+@behave.then('both miss it within {seconds:d} seconds, whoever else does')
+def check_callers(context, seconds):
+    def all_miss():
+        return all(
+            host.peer.name
+            in host.replica.members.get(context.subject.peer.name).witnesses
+            for host in context.callers
+        )
+
+    assert context.net.run_until(all_miss, seconds)
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -135,6 +135,20 @@
         lose_range(context, start, start + 8, at)
 
 
+@behave.given('a leader with a patience of {seconds:f} s that has just begun')
+def begin_leader(context, seconds):
+    context.step = 100 * STEPS_PER_SECOND
+    settings = placement.PlacerSettings(patience=seconds, max_orders=2)
+    context.placer = placement.Placer(TARGET, settings)
+
+
+@behave.given('the holders of layers {start:d} to {end:d} have yet to start')
+def leave_out(context, start, end):
+    context.lost = list_holders(context, start, end)
+    for engine in context.lost:
+        del context.engines[engine.agent]
+
+
 @behave.when('they are back at {at:f} s')
 def return_holders(context, at):
     assert not decide(context, at)
--- a/packages/core/src/dunlintide_core/contacts.py
+++ b/packages/core/src/dunlintide_core/contacts.py
@@ -115,11 +115,13 @@
             self._next.append(name)
 
     def probe(self, name: str) -> None:
-        """As ``call_next``, but not for more than a few at a time.
+        """As ``call_next``, since a link to the process was lost.
 
-        Calls to the dead take their time, which news would wait for.
+        That counts as a call that failed. Not for more than a few at a
+        time: calls to the dead take their time, which news would wait for.
         """
         if len(self._next) < _MAX_PROBES:
+            self._failures.setdefault(name, 1)
             self.call_next(name)
 
     def choose(self, revision: int) -> exchanges.Target | None:
--- a/packages/core/src/dunlintide_core/placement.py
+++ b/packages/core/src/dunlintide_core/placement.py
@@ -117,12 +117,15 @@
 
     :ivar patience: time for which a range must be short of engines, from
         the first doubt on
+    :ivar first: least such time for a range that the leader has not seen
+        held, as its holders may only be starting
     :ivar max_orders: orders of one model that are open at a time
     :ivar order_timeout: time after which an order counts as failed
     :ivar backoff: time for which an agent that failed one gets no other
     """
 
     patience: float = 5.0
+    first: float = 5.0
     max_orders: int = 2
     order_timeout: float = 600.0
     backoff: float = 15.0
@@ -187,6 +190,7 @@
         self.target = target
         self._settings = settings
         self._boundaries: set[int] = set()
+        self._seen: set[Span] = set()
         self._short_since: dict[Span, float] = {}
         self._open: dict[str, _Open] = {}
         self._avoid: dict[str, float] = {}
@@ -221,6 +225,7 @@
         certain = ours
         if any(engine.doubted for engine in known.values()):
             certain = list(self._list_ours(known, False))
+        self._seen.update(holding.span for holding in certain)
         self._boundaries.update(
             edge for holding in ours for edge in holding.span
         )
@@ -304,11 +309,19 @@
         self._short_since = {
             span: find_since(span) for span in (*short, *doubtful)
         }
-        patience = self._settings.patience
         return [
-            span for span in short if now - self._short_since[span] >= patience
+            span
+            for span in short
+            if now - self._short_since[span] >= self._find_patience(span)
         ]
 
+    def _find_patience(self, span: Span) -> float:
+        patience = self._settings.patience
+        for start, end in self._seen:
+            if start <= span[0] and span[1] <= end:
+                return patience
+        return max(patience, self._settings.first)
+
     def _assign(
         self, span: Span, known: Mapping[str, Engine], now: float
     ) -> Order | None:
--- a/packages/daemon/src/dunlintide_daemon/entry/leader.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/leader.py
@@ -230,9 +230,9 @@
         placer = self._placers.get(target)
         if placer is None:
             settings = placement.PlacerSettings(
-                self._settings.patience,
-                self._settings.max_orders,
-                self._settings.order_timeout,
+                patience=self._settings.patience,
+                max_orders=self._settings.max_orders,
+                order_timeout=self._settings.order_timeout,
             )
             placer = placement.Placer(target, settings)
             self._placers[target] = placer
