--- a/features/steps/entry_scene.py
+++ b/features/steps/entry_scene.py
@@ -7,6 +7,7 @@
 
 import attrs
 from dunlintide_adapters import links
+from dunlintide_adapters import linkserver
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import claims
 from dunlintide_core import configuration
@@ -102,7 +103,7 @@
         handlers = links.Handlers(
             lambda link: None, self.take, lambda link, reason: None
         )
-        self.server = links.LinkServer(
+        self.server = linkserver.LinkServer(
             f'127.0.0.1:{port}', self.hello, handlers
         )
         self.role, self.state, self.failure_domain = 'agent', 'live', 'a'
--- a/features/steps/links.py
+++ b/features/steps/links.py
@@ -4,6 +4,7 @@
 
 import behave
 from dunlintide_adapters import links
+from dunlintide_adapters import linkserver
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_standins import relay
 import waiting
@@ -38,10 +39,10 @@
     timing = links.LinkTiming(ping=0.2, silence=seconds, redial=0.2)
     context.sides = {name: Side(name) for name in ('dialer', 'server')}
     far, near = context.sides['server'], context.sides['dialer']
-    server = links.LinkServer(
+    server = linkserver.LinkServer(
         '127.0.0.1:0', far.hello, far.make_handlers(), timing
     )
-    context.stack.enter_context(links.serve(server))
+    context.stack.enter_context(linkserver.serve(server))
     context.relay = relay.Relay('127.0.0.1:0', f'127.0.0.1:{server.port}')
     context.stack.callback(context.relay.stop)
     dialer = links.Dialer(
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -10,6 +10,7 @@
 from dunlintide_adapters import configstore
 from dunlintide_adapters import hostlist
 from dunlintide_adapters import links
+from dunlintide_adapters import linkserver
 from dunlintide_adapters import peers as peer_calls
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
@@ -51,7 +52,7 @@
         context.states, context.hosts, context.configs = {}, [], {}
     cell = []
     handlers = links.Handlers(print, print, print)
-    server = links.LinkServer('127.0.0.1:0', link_pb2.Hello, handlers)
+    server = linkserver.LinkServer('127.0.0.1:0', link_pb2.Hello, handlers)
     peer_calls.add_service(
         server.server, lambda request, most: cell[0].answer(request, most)
     )
--- a/features/steps/subset.py
+++ b/features/steps/subset.py
@@ -9,6 +9,7 @@
 
 from dunlintide_adapters import hostlist
 from dunlintide_adapters import links
+from dunlintide_adapters import linkserver
 from dunlintide_adapters import peercodec
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
@@ -66,7 +67,7 @@
         context.orders += [(cell[0].name, order) for order in orders]
 
     handlers = links.Handlers(ignore, take, ignore)
-    server = links.LinkServer('127.0.0.1:0', say_hello, handlers)
+    server = linkserver.LinkServer('127.0.0.1:0', say_hello, handlers)
     start = number // 3 % 2 * _LAYERS
     address = f'127.0.0.1:{server.port}'
     cell.append(_make_peer(fleet.Role.AGENT, number, address, start))
--- a/features/steps/tls.py
+++ b/features/steps/tls.py
@@ -13,6 +13,7 @@
 from dunlintide_adapters import claimroutes
 from dunlintide_adapters import claims as writers
 from dunlintide_adapters import links
+from dunlintide_adapters import linkserver
 from dunlintide_adapters import peers
 from dunlintide_adapters import tlschecks
 from dunlintide_adapters import transports
@@ -150,7 +151,7 @@
 
 def serve(context, role, name, transport):
     process = Process(context, role, name, transport)
-    server = links.LinkServer(
+    server = linkserver.LinkServer(
         '127.0.0.1:0',
         process.hello,
         process.make_handlers(),
@@ -159,7 +160,7 @@
     )
     peers.add_service(server.server, process.answer, transport)
     claimroutes.add_service(server.server, process, transport)
-    context.stack.enter_context(links.serve(server))
+    context.stack.enter_context(linkserver.serve(server))
     context.server = process
     context.address = f'127.0.0.1:{server.port}'
 
--- a/packages/adapters/src/dunlintide_adapters/links.py
+++ b/packages/adapters/src/dunlintide_adapters/links.py
@@ -9,16 +9,13 @@
 
 import asyncio
 from concurrent import futures
-import contextlib
 import random
-import threading
 import time
 from typing import (
     AsyncIterable,
     Awaitable,
     Callable,
     Iterable,
-    Iterator,
 )
 
 from absl import logging
@@ -38,14 +35,12 @@
     'Dialer',
     'Handlers',
     'Link',
-    'LinkServer',
+    'MAX_MESSAGE_BYTES',
+    'Stream',
     'LinkTiming',
-    'serve',
 ]
 
 MAX_MESSAGE_BYTES = packing.MAX_FRAME_BYTES
-CALL_THREADS = 64
-_STOP_GRACE_SECONDS = 2.0
 _HANDSHAKE = 'handshake'
 # gRPC tells only in words that the far side's certificate was refused.
 _HANDSHAKE_MARKS = ('handshake failed', 'verification check failed')
@@ -61,11 +56,6 @@
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.max_reconnect_backoff_ms', 1000),
 )
-_SERVER_OPTIONS = (
-    ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
-    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
-    ('grpc.so_reuseport', 0),
-)
 
 
 @attrs.frozen
@@ -103,7 +93,7 @@
 
 
 @attrs.frozen
-class _Stream:
+class Stream:
     """Both directions of a gRPC stream."""
 
     read: AsyncIterable[link_pb2.Envelope]
@@ -199,7 +189,7 @@
                 logging.exception('a frame was not handled')
         return 'closed by the peer'
 
-    async def _write(self, stream: _Stream) -> str:
+    async def _write(self, stream: Stream) -> str:
         async for envelope in self._outbox.envelopes():
             await stream.write(envelope)
         return 'closed'
@@ -221,7 +211,7 @@
                 ping = link_pb2.Ping(sequence=self._sequence)
                 self._outbox.put(link_pb2.Frame(ping=ping))
 
-    async def _run(self, stream: _Stream) -> str:
+    async def run(self, stream: Stream) -> str:
         """Read, write and watch until one of them ends; tell why."""
         tasks = [
             asyncio.ensure_future(work)
@@ -241,7 +231,8 @@
                 task.cancel()
             self._outbox.close()
 
-    def _end(self, reason: str) -> None:
+    def end(self, reason: str) -> None:
+        """Tell the handlers that the link is lost, if it was up."""
         if self.peer is not None:
             self._handlers.down(self, reason)
 
@@ -325,11 +316,11 @@
             call = link_pb2_grpc.LinkStub(channel).Connect()
             self._link = link
             try:
-                reason = await link._run(_Stream(call, call.write))
+                reason = await link.run(Stream(call, call.write))
             finally:
                 call.cancel()
                 self._link = None
-        link._end(reason)
+        link.end(reason)
         return reason
 
     def _note(self, reason: str, former: str) -> None:
@@ -351,107 +342,3 @@
             self._note(reason, former)
             pause = self._timing.redial * random.uniform(0.1, 1.0)
             await asyncio.sleep(pause)
-
-
-class _Servicer(link_pb2_grpc.LinkServicer):
-    """Server side of links."""
-
-    def __init__(self, server: 'LinkServer') -> None:
-        self._server = server
-
-    async def Connect(self, request_iterator, context) -> None:
-        server = self._server
-        link = Link(
-            server.handlers,
-            server.hello(),
-            server.timing,
-            guard=server.transport.guard_accepted(context),
-        )
-        server.add(link)
-        reason = 'cancelled'
-        try:
-            reason = await link._run(_Stream(request_iterator, context.write))
-        finally:
-            server.discard(link)
-            link._end(reason)
-
-
-class LinkServer:
-    """Accepts links from other processes."""
-
-    def __init__(
-        self,
-        address: str,
-        hello: Callable[[], link_pb2.Hello],
-        handlers: Handlers,
-        timing: LinkTiming = LinkTiming(),
-        *,
-        transport: transports.Transport = transports.PLAIN,
-    ) -> None:
-        """Bind the address; the port is also the host-local lock.
-
-        :param address: ``host:port`` to listen on
-        :raises OSError: when the port is taken
-        """
-        self.hello = hello
-        self.handlers = handlers
-        self.timing = timing
-        self.transport = transport
-        self._links: set[Link] = set()
-        self._lock = threading.Lock()
-        self._server = eventloop.run(self._build())
-        try:
-            self.port = transport.listen(self._server, address)
-        except RuntimeError as error:
-            raise OSError(f'cannot listen on {address}: {error}') from error
-
-    async def _build(self) -> grpc.aio.Server:
-        # Unary calls of further services may block, so they have threads.
-        pool = futures.ThreadPoolExecutor(
-            CALL_THREADS, thread_name_prefix='calls'
-        )
-        server = grpc.aio.server(pool, options=_SERVER_OPTIONS)
-        link_pb2_grpc.add_LinkServicer_to_server(_Servicer(self), server)
-        return server
-
-    @property
-    def server(self) -> grpc.aio.Server:
-        """The gRPC server, for adding further services before start."""
-        return self._server
-
-    def start(self) -> None:
-        """Accept links."""
-        eventloop.run(self._server.start())
-
-    def add(self, link: Link) -> None:
-        """Take note of a new link."""
-        with self._lock:
-            self._links.add(link)
-
-    def discard(self, link: Link) -> None:
-        """Forget a link that ended."""
-        with self._lock:
-            self._links.discard(link)
-
-    def links(self) -> list[Link]:
-        """Links whose peer is known."""
-        with self._lock:
-            return [link for link in self._links if link.peer is not None]
-
-    def stop(self) -> None:
-        """Close all links after what is queued, and free the port."""
-        with self._lock:
-            links = list(self._links)
-        for link in links:
-            link.close()
-        eventloop.run(self._server.stop(_STOP_GRACE_SECONDS))
-
-
-@contextlib.contextmanager
-def serve(server: LinkServer) -> Iterator[LinkServer]:
-    """Start a link server and stop it at the end of the block."""
-    server.start()
-    try:
-        yield server
-    finally:
-        server.stop()
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -15,6 +15,7 @@
 from dunlintide_adapters import engine as engines
 from dunlintide_adapters import leaders
 from dunlintide_adapters import links
+from dunlintide_adapters import linkserver
 from dunlintide_adapters import metrics
 from dunlintide_adapters import peercodec
 from dunlintide_adapters import peers as peer_calls
@@ -111,7 +112,7 @@
             self._welcome, self._take_frames, self._lose_link
         )
         # The port is the host-local lock against a second agent.
-        self._server = links.LinkServer(
+        self._server = linkserver.LinkServer(
             settings.link_listen,
             self._build_hello,
             handlers,
--- a/packages/daemon/src/dunlintide_daemon/entry/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/exchange.py
@@ -12,6 +12,7 @@
 import grpc
 
 from dunlintide_adapters import links
+from dunlintide_adapters import linkserver
 from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
@@ -97,7 +98,7 @@
         accepted = links.Handlers(
             lambda link: None, self._take, lambda link, reason: None
         )
-        self._server = links.LinkServer(
+        self._server = linkserver.LinkServer(
             listen, hello, accepted, TIMING, transport=transport
         )
 
--- a/packages/trials/src/dunlintide_trials/cases/fleet.py
+++ b/packages/trials/src/dunlintide_trials/cases/fleet.py
@@ -6,6 +6,7 @@
 from typing import Iterator
 
 from dunlintide_adapters import links
+from dunlintide_adapters import linkserver
 from dunlintide_adapters import peercodec
 from dunlintide_adapters import peers as peer_calls
 from dunlintide_adapters.wire import link_pb2
@@ -67,14 +68,14 @@
         pass
 
     handlers = links.Handlers(ignore, ignore, ignore)
-    server = links.LinkServer('127.0.0.1:0', link_pb2.Hello, handlers)
+    server = linkserver.LinkServer('127.0.0.1:0', link_pb2.Hello, handlers)
     peer_calls.add_service(
         server.server,
         lambda request, most: callee.answer(time.monotonic(), request, most),
     )
     client = peer_calls.Client()
     target = exchanges.Target(f'127.0.0.1:{server.port}')
-    with links.serve(server):
+    with linkserver.serve(server):
         for turn in range(2):
             start = time.process_time()
             for _ in range(_CALLS):
--- a/packages/trials/src/dunlintide_trials/cases/idle_links.py
+++ b/packages/trials/src/dunlintide_trials/cases/idle_links.py
@@ -8,6 +8,7 @@
 
 import attrs
 from dunlintide_adapters import links
+from dunlintide_adapters import linkserver
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_trials import figures
 from dunlintide_trials import pairs
@@ -49,11 +50,11 @@
     handlers = links.Handlers(_ignore, _ignore, _ignore)
     hello = link_pb2.Hello(name='agent', role='agent', incarnation=1)
     transport = pairs.open_transport(folder, 'agent', 'agent')
-    server = links.LinkServer(
+    server = linkserver.LinkServer(
         '127.0.0.1:0', lambda: hello, handlers, transport=transport
     )
     load = link_pb2.Load(running=10, queued=2, cap=64, kv_usage=0.5)
-    with links.serve(server):
+    with linkserver.serve(server):
         pipe.send(server.port)
         while not pipe.poll(1.0):
             for link in server.links():
--- a/packages/trials/src/dunlintide_trials/cases/links.py
+++ b/packages/trials/src/dunlintide_trials/cases/links.py
@@ -13,6 +13,7 @@
 import attrs
 
 from dunlintide_adapters import links
+from dunlintide_adapters import linkserver
 from dunlintide_adapters import packing
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_standins import relay
@@ -61,7 +62,7 @@
     return link_pb2.Frame(token=link_pb2.Token(request_id=session, epoch=1))
 
 
-def _serve(counts: _Counts) -> links.LinkServer:
+def _serve(counts: _Counts) -> linkserver.LinkServer:
     def take(link: links.Link, frames: list[link_pb2.Frame]) -> None:
         counts.messages += 1
         counts.frames += len(frames)
@@ -69,7 +70,9 @@
             link.send(_make_token(frame.step.request_id))
 
     handlers = links.Handlers(lambda link: None, take, lambda link, why: None)
-    return links.LinkServer('127.0.0.1:0', lambda: _make_hello('b'), handlers)
+    return linkserver.LinkServer(
+        '127.0.0.1:0', lambda: _make_hello('b'), handlers
+    )
 
 
 def _dial(port: int, batch_bytes: int, up: threading.Event) -> links.Dialer:
@@ -98,7 +101,7 @@
     """Give what arrived in the window."""
     counts = _Counts()
     with contextlib.ExitStack() as stack:
-        server = stack.enter_context(links.serve(_serve(counts)))
+        server = stack.enter_context(linkserver.serve(_serve(counts)))
         between = relay.Relay('127.0.0.1:0', f'127.0.0.1:{server.port}')
         stack.callback(between.stop)
         between.shape(delay=DELAY_SECONDS, rate=BYTES_PER_SECOND)
--- a/packages/trials/src/dunlintide_trials/cases/tls.py
+++ b/packages/trials/src/dunlintide_trials/cases/tls.py
@@ -17,6 +17,7 @@
 from dunlintide_adapters import certificates
 from dunlintide_adapters import httpserver
 from dunlintide_adapters import links
+from dunlintide_adapters import linkserver
 from dunlintide_adapters import tlssockets
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_trials import authority
@@ -65,13 +66,13 @@
 
     handlers = links.Handlers(lambda link: None, take, lambda link, why: None)
     hello = link_pb2.Hello(name='agent', role='agent', incarnation=1)
-    server = links.LinkServer(
+    server = linkserver.LinkServer(
         f'{_HOST}:0',
         lambda: hello,
         handlers,
         transport=pairs.open_transport(folder, 'agent', 'agent'),
     )
-    with links.serve(server):
+    with linkserver.serve(server):
         pipe.send(server.port)
         while pipe.recv() is not None:
             pipe.send(count)
--- a/packages/trials/src/dunlintide_trials/streams.py
+++ b/packages/trials/src/dunlintide_trials/streams.py
@@ -21,6 +21,7 @@
 
 from dunlintide_adapters import hostlist
 from dunlintide_adapters import links
+from dunlintide_adapters import linkserver
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import claims
 from dunlintide_core import configuration
@@ -76,7 +77,9 @@
         handlers = links.Handlers(
             lambda link: None, self._take, lambda link, reason: None
         )
-        self._server = links.LinkServer('127.0.0.1:0', self._hello, handlers)
+        self._server = linkserver.LinkServer(
+            '127.0.0.1:0', self._hello, handlers
+        )
         self.address = f'127.0.0.1:{self._server.port}'
         self._server.start()
         threading.Thread(target=self._step, daemon=True).start()
