--- a/features/affinity.feature
+++ b/features/affinity.feature
@@ -54,4 +54,5 @@
     And entry 1 was told of it
     Then longer prompts of the member through entry 1 run on the same engines
     And another member's prompts through entry 1 find nothing known
+    And entry 1's metrics count the prompts with a known holder
     And most of the longer prompts' start is found in the caches
--- a/features/steps/affinity.py
+++ b/features/steps/affinity.py
@@ -13,6 +13,7 @@
 from dunlintide_standins import reference
 from dunlintide_trials import deployment
 from dunlintide_trials import launcher
+import urllib3
 
 _WORD = 4
 _START = 512
@@ -386,6 +387,14 @@
     assert after['prompts_known'] == before['prompts_known'] > 0, after
 
 
+@behave.then("entry {entry:d}'s metrics count the prompts with a known holder")
+def check_metrics(context, entry):
+    plan = context.running.plan.entries[entry]
+    known = _read_plans(context, entry)['prompts_known']
+    text = urllib3.request('GET', f'{plan.admin_url}/metrics').data.decode()
+    assert f'dunlintide_prompts_total{{holder="known"}} {known}.0' in text
+
+
 @behave.then("most of the longer prompts' start is found in the caches")
 def check_hits(context):
     asked = 6 * len(context.ran) * len(reference.tokenize(_TEXT))
--- a/packages/daemon/src/dunlintide_daemon/entry/learning.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/learning.py
@@ -259,6 +259,11 @@
             },
         }
 
+    def count_prompts(self) -> tuple[int, int]:
+        """Count prompts, and those with a known holder of their start."""
+        with self._lock:
+            return self._prompts, self._known
+
     def describe(self) -> dict[str, Any]:
         """Return the state for a dump, as of the last refresh."""
         with self._lock:
--- a/packages/daemon/src/dunlintide_daemon/entry/planning.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/planning.py
@@ -126,6 +126,11 @@
         if learner is not None:
             learner.note(learning.Interval(names, interval, now))
 
+    def count_prompts(self) -> tuple[int, int]:
+        """Count prompts, and those with a known holder of their start."""
+        counts = [one.count_prompts() for one in self._learners.values()]
+        return sum(both for both, _ in counts), sum(one for _, one in counts)
+
     def describe(self) -> list[dict[str, Any]]:
         """Return the state for a dump."""
         return [
--- a/packages/daemon/src/dunlintide_daemon/entry/role.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/role.py
@@ -38,6 +38,7 @@
 from dunlintide_daemon.entry import owners
 from dunlintide_daemon.entry import placement
 from dunlintide_daemon.entry import planning
+from dunlintide_daemon.entry import prefixes
 from dunlintide_daemon.entry import problems
 from dunlintide_daemon.entry import readiness
 from dunlintide_daemon.entry import room
@@ -124,6 +125,8 @@
             self._rng,
             settings.routing is settings_module.Routing.ROUND_ROBIN,
         )
+        counter = prefixes.Collector(self._planner.count_prompts)
+        counter.register(self._registry)
         self._limits = limits.Limits(
             lambda take: exchange.Exchange(
                 settings.name,
