Test an agent's reader of cache events and a new link at the entry

The real processes' scenario shows the path only; a restart of the engine, events that cannot be read and the first news on a new link had no test.

--- a/features/affinity.feature
+++ b/features/affinity.feature
@@ -56,3 +56,16 @@
     And another member's prompts through entry 1 find nothing known
     And entry 1's metrics count the prompts with a known holder
     And most of the longer prompts' start is found in the caches
+
+  Scenario: An agent reads a stand-in's events and notices its restart
+    Given an agent's reader of a stand-in engine's cache events
+    When a prompt runs on that engine and the reader polls twice
+    Then the reader tells the end of the prompt, and all of it to a new link
+    When that engine is started anew and the reader polls
+    Then the reader takes back what it told
+    And events that cannot be read change nothing
+
+  Scenario: An entry drops what it knew of an agent with a new link
+    Given an entry's plan that was told prefixes of an agent
+    When the agent tells all anew without one of them
+    Then the entry finds the others only
