Warn in status of a restored store, conflicts and missed processes

Cause: an operator saw store_behind, conflicts and suspects in a dump only; an agent's revision was shown as "-", though it hands one on.

Change: status has a column (and JSON field) of warnings, and an agent's revision from its fleet state.

The new scenario fails without the change. The step that makes up a daemon takes further parts of its dump; what it made before is the same.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -80,3 +80,12 @@
     Given a daemon that knows one range of layers, for the command line
     When the operator checks rules "first" against the daemon
     Then the command ends with 0 and prints "chains end at layer 8"
+
+  Scenario: Status warns of a restored store and of what is missed
+    Given an agent's daemon at revision 4 whose fleet has trouble
+    When the operator asks for the status
+    Then it prints "the store holds revision 2, older than the fleet"
+    And it prints "revision 3 has two different heads"
+    And it prints "entry-7 is missed by 2"
+    And it prints no "entry-8"
+    And the first row has revision 4
--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -43,12 +43,13 @@
     assert answer.status == 200, answer.data
 
 
-def _start_daemon(context, revisions, agents=()):
+def _start_daemon(context, revisions, agents=(), **more):
     context.drained = threading.Event()
 
     def dump():
         configuration = next(revisions)
-        return {'configuration': configuration, 'fleet': {'agents': agents}}
+        known = {'agents': agents}
+        return {'configuration': configuration, 'fleet': known} | more
 
     daemon = admin.AdminServer.from_config(
         '127.0.0.1:0',
@@ -181,3 +182,36 @@
 @behave.then('it does not print "{text}"')
 def check_not_printed(context, text):
     assert text not in context.printed, context.printed
+
+
+@behave.given(
+    "an agent's daemon at revision {revision:d} whose fleet has trouble"
+)
+def start_troubled_daemon(context, revision):
+    state = {
+        'revision': revision,
+        'store_revision': 2,
+        'store_behind': True,
+        'conflicts': [3],
+        'not_alive': [
+            {'name': 'entry-7', 'state': 'suspect', 'witnesses': ['a', 'b']},
+            {'name': 'entry-8', 'state': 'leaving', 'witnesses': []},
+        ],
+    }
+    _start_daemon(context, itertools.repeat(None), state=state)
+
+
+@behave.when('the operator asks for the status')
+def ask_status(context):
+    _run(context, 'status', '--admin', context.daemon_url)
+
+
+@behave.then('it prints no "{text}"')
+def check_unprinted(context, text):
+    assert text not in context.printed, context.printed
+
+
+@behave.then('the first row has revision {revision:d}')
+def check_row(context, revision):
+    row = context.printed.splitlines()[1].split()
+    assert row[2] == str(revision), row
--- a/packages/cli/src/dunlintide_cli/processes.py
+++ b/packages/cli/src/dunlintide_cli/processes.py
@@ -1,6 +1,6 @@
 """Commands that ask daemons: status, dump and drain."""
 
-from typing import Any
+from typing import Any, Mapping
 
 from cleo import helpers
 import result
@@ -8,6 +8,7 @@
 from dunlintide_cli import commands
 from dunlintide_cli import daemons
 from dunlintide_cli import output
+from dunlintide_core import records
 
 __all__ = [
     'Drain',
@@ -19,18 +20,43 @@
 _UNKNOWN = '-'
 
 
+def _list_warnings(state: Mapping[str, Any]) -> list[str]:
+    """Tell what an operator should look into, of the fleet's state.
+
+    :param state: the dump's part of that name, of any version
+    """
+    found = []
+    if state.get('store_behind'):
+        found.append(
+            f'the store holds revision {state.get("store_revision")}, older'
+            ' than the fleet'
+        )
+    for revision in state.get('conflicts') or ():
+        found.append(f'revision {revision} has two different heads')
+    for member in state.get('not_alive') or ():
+        if member.get('state') == records.State.SUSPECT:
+            missing = len(member.get('witnesses', ()))
+            found.append(f'{member.get("name")} is missed by {missing}')
+    return found
+
+
 def _describe(
     url: str, read: result.Result[daemons.State, daemons.Unreachable]
 ) -> dict[str, Any]:
     row = {'url': url, 'name': '', 'ready': False, 'revision': None}
     if read.is_err():
-        return row | {'reasons': [read.err_value.message]}
+        return row | {'reasons': [read.err_value.message], 'warnings': []}
     state = read.ok_value
+    # An agent applies no configuration, but hands it on.
+    shared = state.dump.get('state')
+    shared = shared if isinstance(shared, dict) else {}
+    revision = state.revision
     return row | {
         'name': str(state.dump.get('name', '')),
         'ready': state.ready,
-        'revision': state.revision,
+        'revision': shared.get('revision') if revision is None else revision,
         'reasons': list(state.reasons),
+        'warnings': _list_warnings(shared),
     }
 
 
@@ -51,7 +77,7 @@
         if self.as_json:
             output.print_json(rows)
         else:
-            headers = ('daemon', 'ready', 'revision', 'reasons')
+            headers = ('daemon', 'ready', 'revision', 'reasons', 'warnings')
             output.print_table(
                 headers,
                 [
@@ -60,6 +86,7 @@
                         'yes' if row['ready'] else 'no',
                         row['revision'] or _UNKNOWN,
                         ', '.join(row['reasons']),
+                        ', '.join(row['warnings']),
                     )
                     for row in rows
                 ],
