Give the trials' switch of stand-ins and start of processes one place

Cause: faults of the store and of the host list each had the same switch of a stand-in, and the streams' measurement a start of processes like that of pairs.py.

Change: Field.control, and pairs.start in both.

--- a/packages/trials/src/dunlintide_trials/faults.py
+++ b/packages/trials/src/dunlintide_trials/faults.py
@@ -6,8 +6,6 @@
 fault is a function here and a line in ``FAULTS``.
 """
 
-from typing import Any
-
 from dunlintide_trials import deployment
 from dunlintide_trials import field as fields
 from dunlintide_trials import processes
@@ -141,43 +139,38 @@
     return _pause(field, deployment.SERVICE, spare=0)
 
 
-def _fault_store(
-    field: Field, harm: dict[str, Any], cure: dict[str, Any]
-) -> Heal | None:
-    name = field.running.plan.store.name
-    if not field.take_name(name):
-        return None
-    field.running.control(name, **harm)
-
-    def heal() -> None:
-        field.running.control(name, **cure)
-        field.release(name)
-
-    return heal
-
-
 def fail_store(field: Field) -> Heal | None:
     """Make the store close connections without an answer."""
-    return _fault_store(field, {'down': True}, {'down': False})
+    return field.control(
+        field.running.plan.store.name, {'down': True}, {'down': False}
+    )
 
 
 def hang_store(field: Field) -> Heal | None:
     """Make the store take calls and never answer them."""
-    return _fault_store(field, {'hang': True}, {'hang': False})
+    return field.control(
+        field.running.plan.store.name, {'hang': True}, {'hang': False}
+    )
 
 
 def slow_store(field: Field) -> Heal | None:
     """Make the store answer late."""
     seconds = field.rng.uniform(*_SLOW_SECONDS)
-    return _fault_store(
-        field, {'slow_seconds': seconds}, {'slow_seconds': 0.0}
+    return field.control(
+        field.running.plan.store.name,
+        {'slow_seconds': seconds},
+        {'slow_seconds': 0.0},
     )
 
 
 def drop_store_answers(field: Field) -> Heal | None:
     """Let writes take effect and lose the answers."""
     count = field.rng.randint(1, _MAX_DROPPED)
-    return _fault_store(field, {'drop_answers': count}, {'drop_answers': 0})
+    return field.control(
+        field.running.plan.store.name,
+        {'drop_answers': count},
+        {'drop_answers': 0},
+    )
 
 
 def drop_service_answers(field: Field) -> Heal | None:
--- a/packages/trials/src/dunlintide_trials/field.py
+++ b/packages/trials/src/dunlintide_trials/field.py
@@ -109,6 +109,24 @@
         with self.lock:
             self.taken.discard(name)
 
+    def control(
+        self, name: str, harm: dict[str, Any], cure: dict[str, Any]
+    ) -> Heal | None:
+        """Switch a fault of a stand-in on; None when it is under one.
+
+        :param harm: switches of the stand-in, as ``Deployment.control``
+        :param cure: switches that end the fault
+        """
+        if not self.take_name(name):
+            return None
+        self.running.control(name, **harm)
+
+        def heal() -> None:
+            self.running.control(name, **cure)
+            self.release(name)
+
+        return heal
+
     def work(self, function: Callable[[], None]) -> None:
         """Run something beside the faults; ``join`` waits for it."""
 
--- a/packages/trials/src/dunlintide_trials/fleetfaults.py
+++ b/packages/trials/src/dunlintide_trials/fleetfaults.py
@@ -172,21 +172,6 @@
     )
 
 
-def _control_hosts(
-    field: Field, harm: dict[str, object], cure: dict[str, object]
-) -> Heal | None:
-    name = field.running.plan.host_list.name
-    if not field.take_name(name):
-        return None
-    field.running.control(name, **harm)
-
-    def heal() -> None:
-        field.running.control(name, **cure)
-        field.release(name)
-
-    return heal
-
-
 def call_leaving(field: Field) -> Heal | None:
     """Let the list of hosts call some leaving that are not, with a lag."""
     listed = json.loads((field.folder / _HOSTS).read_text())['hosts']
@@ -197,8 +182,8 @@
         for host in listed
     ]
     lag = field.rng.uniform(*_LAG_SECONDS)
-    return _control_hosts(
-        field,
+    return field.control(
+        field.running.plan.host_list.name,
         {'hosts': changed, 'lag_seconds': lag},
         {'hosts': listed, 'lag_seconds': 0.0},
     )
@@ -206,12 +191,16 @@
 
 def fail_host_list(field: Field) -> Heal | None:
     """Make the list of hosts close connections without an answer."""
-    return _control_hosts(field, {'down': True}, {'down': False})
+    return field.control(
+        field.running.plan.host_list.name, {'down': True}, {'down': False}
+    )
 
 
 def hang_host_list(field: Field) -> Heal | None:
     """Make the list of hosts take calls and never answer them."""
-    return _control_hosts(field, {'hang': True}, {'hang': False})
+    return field.control(
+        field.running.plan.host_list.name, {'hang': True}, {'hang': False}
+    )
 
 
 FAULTS: tuple[fields.Fault, ...] = (
--- a/packages/trials/src/dunlintide_trials/streams.py
+++ b/packages/trials/src/dunlintide_trials/streams.py
@@ -7,7 +7,6 @@
 import contextlib
 import hashlib
 import json
-import multiprocessing
 import selectors
 import socket
 import threading
@@ -15,7 +14,6 @@
 from typing import Callable, Iterator
 
 import attrs
-import psutil
 import result
 import waitress
 
@@ -28,6 +26,7 @@
 from dunlintide_core import settings
 from dunlintide_daemon.entry import role
 from dunlintide_daemon.entry import sources
+from dunlintide_trials import pairs
 
 __all__ = [
     'STEP_SECONDS',
@@ -46,7 +45,6 @@
 _LAYERS = 24
 _MICRO = 1e6
 _MB = 1e6
-_CONTEXT = multiprocessing.get_context('spawn')
 _EVENT = b'data: {'
 
 Serve = Callable[[list[str]], contextlib.AbstractContextManager[int]]
@@ -244,23 +242,6 @@
     pipe.recv()
 
 
-@contextlib.contextmanager
-def _start(target: Callable, *arguments) -> Iterator[tuple[object, int]]:
-    """Run a child process; gives what it first says, and its pid."""
-    ours, theirs = _CONTEXT.Pipe()
-    child = _CONTEXT.Process(
-        target=target, args=(theirs, *arguments), daemon=True
-    )
-    child.start()
-    try:
-        if not ours.poll(_START_SECONDS):
-            raise TimeoutError('a child process did not start')
-        yield ours.recv(), child.pid
-    finally:
-        child.terminate()
-        child.join()
-
-
 def _build_request(key: str, tokens: int) -> bytes:
     body = json.dumps(
         {
@@ -309,19 +290,14 @@
             self.open -= 1
 
 
-def _measure(port: int, pid: int, count: int, seconds: float) -> Usage:
+def _measure(server: pairs.Started, count: int, seconds: float) -> Usage:
     tokens = int((WARMUP_SECONDS * 2 + seconds) / STEP_SECONDS)
-    process = psutil.Process(pid)
-
-    def read_cpu() -> float:
-        times = process.cpu_times()
-        return times.user + times.system
-
-    callers = _Callers(port, count, tokens)
+    process = server.process
+    callers = _Callers(server.first, count, tokens)
     callers.read(time.monotonic() + WARMUP_SECONDS)
-    cpu, events = read_cpu(), callers.events
+    cpu, events = server.read_time(), callers.events
     callers.read(time.monotonic() + seconds)
-    cpu, events = read_cpu() - cpu, callers.events - events
+    cpu, events = server.read_time() - cpu, callers.events - events
     resident = process.memory_info().rss / _MB
     threads = process.num_threads()
     callers.read(time.monotonic() + _START_SECONDS)
@@ -335,13 +311,13 @@
     :param seconds: time that is measured
     """
     with (
-        _start(_host_agents) as (addresses, _),
-        _start(_host_server, _serve_entry, addresses) as (port, pid),
+        pairs.start(_host_agents) as agents,
+        pairs.start(_host_server, _serve_entry, agents.first) as entry,
     ):
-        return _measure(port, pid, count, seconds)
+        return _measure(entry, count, seconds)
 
 
 def run_toy(count: int, seconds: float) -> Usage:
     """Stream the same from a program that does nothing else."""
-    with _start(_host_server, _serve_toy, []) as (port, pid):
-        return _measure(port, pid, count, seconds)
+    with pairs.start(_host_server, _serve_toy, []) as toy:
+        return _measure(toy, count, seconds)
