Ping idle links less often, and leave out reports of an idle agent

Cause: a link without work carried 3 to 4 messages a second: a load report, the reporting side's pings besides (it pinged after half of `ping` without a frame), and the other side's pings, all at about 0.2 ms of processor time. Ruled out: the watch of a link, a timer twice a second; and transport keepalive in place of pings, as it says nothing of a process whose own loop hangs.

Change: a link that has carried no work for 10 `ping` pings after 3 `ping` (1 s to 3 s) and counts as silent 2 `ping` later (5 s, not 3 s). Work in either direction brings both sides back to the close interval, and silence counts from that moment: who sends work to a peer that is gone learns it as soon as before. A ping is due after `ping`, as the setting says, not half of it. An agent without any work repeats the same report after 3 s; any change, and any report while it has work, goes out each second as before, so the reaction of the choice and of the estimates is the same.

--- a/features/steps/links.py
+++ b/features/steps/links.py
@@ -5,7 +5,9 @@
 import behave
 from dunlintide_adapters import links
 from dunlintide_adapters import linkserver
+from dunlintide_adapters import pulse
 from dunlintide_adapters.wire import link_pb2
+from dunlintide_daemon.agent import reports
 from dunlintide_standins import relay
 import waiting
 
@@ -91,3 +93,75 @@
     sides = context.sides.values()
     wait_until(lambda: all(len(s.up) == 2 for s in sides), 'a new link')
     wait_until(lambda: all(len(s.lost) == 1 for s in sides), 'the loss')
+
+
+TICK = 0.5
+EACH_SECOND = range(61)
+
+
+def read_numbers(text):
+    words = text.replace(',', ' ').split()
+    return [int(word) for word in words if word.isdecimal()]
+
+
+@behave.given(
+    'the signs of life of a link with pings each {ping:d} s and {silence:d} '
+    's of silence'
+)
+def make_pulse(context, ping, silence):
+    context.pulse = pulse.Pulse(ping, silence, 0.0)
+
+
+@behave.when(
+    'it carries work {work} and then runs for {end:d} s, heard until '
+    '{heard:d} s'
+)
+def run_pulse(context, work, end, heard):
+    moments = EACH_SECOND if work == 'each second' else read_numbers(work)
+    context.pings = []
+    context.silent = []
+    sent = 0.0
+    for tick in range(int(end / TICK)):
+        now = tick * TICK
+        if now <= heard:
+            context.pulse.hear(now)
+        if now in moments:
+            context.pulse.use(now)
+        if context.pulse.is_silent(now):
+            context.silent.append(now)
+        if context.pulse.is_due(sent, now):
+            context.pings.append(now)
+            sent = now
+
+
+@behave.then(
+    'it has sent {least:d} to {most:d} pings and counts as silent after '
+    '{first:d} to {last:d} s'
+)
+def check_pulse(context, least, most, first, last):
+    assert least <= len(context.pings) <= most, context.pings
+    assert first <= context.silent[0] <= last, context.silent[0]
+
+
+@behave.given("an agent's load reports, made each second")
+def make_reports(context):
+    context.reports = reports.Reports()
+
+
+@behave.when(
+    'it is idle for {before:d} s, has work for {busy:d} s and is idle for '
+    '{after:d} s'
+)
+def run_reports(context, before, busy, after):
+    running = [0] * before + [1] * busy + [0] * after
+    context.sent = [
+        second
+        for second, count in enumerate(running)
+        if context.reports.admit(link_pb2.Load(running=count), second)
+    ]
+
+
+@behave.then('the reports at {listed} s are sent')
+def check_reports(context, listed):
+    expected = read_numbers(listed)
+    assert context.sent == expected, context.sent
--- a/packages/adapters/src/dunlintide_adapters/links.py
+++ b/packages/adapters/src/dunlintide_adapters/links.py
@@ -27,6 +27,7 @@
 from dunlintide_adapters import guards
 from dunlintide_adapters import outboxes
 from dunlintide_adapters import packing
+from dunlintide_adapters import pulse
 from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_adapters.wire import link_pb2_grpc
@@ -58,12 +59,17 @@
 )
 
 
+# Frames without work for the other side; see ``pulse``.
+_IDLE_KINDS = frozenset(('hello', 'load', 'ping'))
+
+
 @attrs.frozen
 class LinkTiming:
     """Time constants of a link, in seconds.
 
-    :ivar ping: quiet time after which a side sends a ping
-    :ivar silence: silence after which the link counts as lost
+    :ivar ping: quiet time after which a side of a link in use pings
+    :ivar silence: silence after which a link in use counts as lost; an
+        idle one has wider bounds, see ``pulse``
     :ivar redial: longest pause before dialling again
     """
 
@@ -124,7 +130,9 @@
         guard: guards.Guard | None = None,
     ) -> None:
         self.peer: link_pb2.Hello | None = None
-        self._heard = time.monotonic()
+        self._pulse = pulse.Pulse(
+            timing.ping, timing.silence, time.monotonic()
+        )
         self._handlers = handlers
         self._timing = timing
         self._outbox = outboxes.Outbox(batch_bytes)
@@ -136,6 +144,8 @@
 
     def send(self, frame: link_pb2.Frame) -> bool:
         """Queue a frame; False when the link is closed or backed up."""
+        if frame.WhichOneof('body') not in _IDLE_KINDS:
+            self._pulse.use(time.monotonic())
         return self._outbox.put(frame)
 
     def close(self) -> None:
@@ -146,6 +156,8 @@
         body = frame.WhichOneof('body')
         if not self._guard.permits(body):
             return True
+        if body not in _IDLE_KINDS:
+            self._pulse.use(time.monotonic())
         if body == 'hello':
             return self._take_hello(frame.hello)
         return body == 'ping'
@@ -173,7 +185,7 @@
     async def _read(self, stream: AsyncIterable[link_pb2.Envelope]) -> str:
         unpacker = packing.Unpacker()
         async for envelope in stream:
-            self._heard = time.monotonic()
+            self._pulse.hear(time.monotonic())
             try:
                 frames = unpacker.unpack(envelope)
             except (ValueError, message.DecodeError) as error:
@@ -200,13 +212,12 @@
         Each side tells the other that it lives, by whatever it sends, so
         a link that carries frames in both directions needs no pings.
         """
-        timing = self._timing
         while True:
-            await asyncio.sleep(timing.ping / 2)
+            await asyncio.sleep(self._timing.ping / 2)
             now = time.monotonic()
-            if now - self._heard > timing.silence:
+            if self._pulse.is_silent(now):
                 return 'silent'
-            if now - self._outbox.taken >= timing.ping / 2:
+            if self._pulse.is_due(self._outbox.taken, now):
                 self._sequence += 1
                 ping = link_pb2.Ping(sequence=self._sequence)
                 self._outbox.put(link_pb2.Frame(ping=ping))
--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -139,8 +139,10 @@
 class Timing:
     """Time constants, in seconds.
 
-    :ivar ping: quiet time after which a side of a link sends a ping
-    :ivar silence: silence after which a link counts as lost
+    :ivar ping: quiet time after which a side of a link in use sends a
+        ping; one that is idle waits three times as long
+    :ivar silence: silence after which a link in use counts as lost; an
+        idle one has two ``ping`` more
     :ivar redial: longest pause before a link is dialled again
     :ivar store_timeout: bound on one call to the store
     :ivar endpoint_timeout: bound on connecting to the endpoint and on
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -38,6 +38,7 @@
 from dunlintide_daemon.agent import orders
 from dunlintide_daemon.agent import peers as peering
 from dunlintide_daemon.agent import pipeline as pipelines
+from dunlintide_daemon.agent import reports
 from dunlintide_daemon.agent import services
 from dunlintide_daemon.agent import supervisor
 from dunlintide_daemon.agent import table as tables
@@ -137,6 +138,7 @@
             self._suspicion,
         )
         self._load = link_pb2.Load()
+        self._reports = reports.Reports()
         self._stack = contextlib.ExitStack()
 
     def _build_state(self, shared: watching.Outside) -> fleet_state.FleetState:
@@ -385,7 +387,8 @@
         load = self._load
         if self._caching is not None:
             load = self._caching.tell(load)
-        self._broadcast(link_pb2.Frame(load=load))
+        if self._reports.admit(load, time.monotonic()):
+            self._broadcast(link_pb2.Frame(load=load))
         self._tell_fleet()
 
     def _tick(self) -> None:
@@ -469,6 +472,7 @@
             load = link_pb2.Load()
             load.CopyFrom(self._load)
             load.away = True
+        self._reports.admit(load, time.monotonic())
         self._broadcast(link_pb2.Frame(load=load))
         self.gate.set_fault(detail)
 
--- a/packages/trials/src/dunlintide_trials/cases/idle_links.py
+++ b/packages/trials/src/dunlintide_trials/cases/idle_links.py
@@ -1,4 +1,4 @@
-"""What idle links cost both sides: pings, and a load report a second."""
+"""What links without requests cost both sides: pings and load reports."""
 
 from multiprocessing import connection
 import statistics
@@ -10,6 +10,7 @@
 from dunlintide_adapters import links
 from dunlintide_adapters import linkserver
 from dunlintide_adapters.wire import link_pb2
+from dunlintide_daemon.agent import reports
 from dunlintide_trials import figures
 from dunlintide_trials import pairs
 
@@ -21,6 +22,7 @@
 # Links of an entry at the size that the design is for.
 _ENTRY_LINKS = 30
 _SECONDS = 8.0
+_OTHERS_REQUESTS = 10
 _START_SECONDS = 30.0
 _SETTLE_SECONDS = 2.0
 # Far above the budget of 3.7%, since the machine does other work too.
@@ -45,18 +47,23 @@
     pass
 
 
-def _accept(pipe: connection.Connection, folder: str | None) -> None:
-    """Be an agent: accept links and report a load a second to all."""
+def _accept(
+    pipe: connection.Connection, folder: str | None, running: int
+) -> None:
+    """Be an agent: accept links and report a load to all."""
     handlers = links.Handlers(_ignore, _ignore, _ignore)
     hello = link_pb2.Hello(name='agent', role='agent', incarnation=1)
     transport = pairs.open_transport(folder, 'agent', 'agent')
     server = linkserver.LinkServer(
         '127.0.0.1:0', lambda: hello, handlers, transport=transport
     )
-    load = link_pb2.Load(running=10, queued=2, cap=64, kv_usage=0.5)
+    load = link_pb2.Load(running=running, cap=64, kv_usage=0.5)
+    paced = reports.Reports()
     with linkserver.serve(server):
         pipe.send(server.port)
         while not pipe.poll(1.0):
+            if not paced.admit(load, time.monotonic()):
+                continue
             for link in server.links():
                 link.send(link_pb2.Frame(load=load))
 
@@ -90,14 +97,17 @@
         dialer.stop()
 
 
-def measure(count: int, folder: str | None = None) -> tuple[Usage, Usage]:
+def measure(
+    count: int, folder: str | None = None, running: int = 0
+) -> tuple[Usage, Usage]:
     """Return what the dialling and the accepting process used.
 
     :param count: idle links
     :param folder: certificates of both processes; None for no TLS
+    :param running: requests that the accepting side reports
     """
     with (
-        pairs.start(_accept, folder) as accepting,
+        pairs.start(_accept, folder, running) as accepting,
         pairs.start(_dial, accepting.first, count, folder) as dialling,
     ):
         both = [dialling, accepting]
@@ -117,9 +127,8 @@
     return dialled, accepted
 
 
-def measure_idle() -> Iterator[figures.Figure]:
-    """Measure processor time, memory and threads for an idle link."""
-    used = [measure(count) for count in LINKS]
+def _describe(case: str, running: int) -> Iterator[figures.Figure]:
+    used = [measure(count, running=running) for count in LINKS]
     for side, name in enumerate(('dialled', 'accepted')):
         mine = [pair[side] for pair in used]
         cores = statistics.linear_regression(
@@ -132,20 +141,20 @@
             f'{each.cores:.4f} at {count}' for count, each in zip(LINKS, mine)
         )
         yield figures.at_most(
-            f'links.idle.{name}',
+            f'{case}.{name}',
             round(cores.intercept + cores.slope * _ENTRY_LINKS, 4),
             'cores',
             _CPU_BOUND,
             note=f'line at {_ENTRY_LINKS} links: {listed}',
         )
         yield figures.plain(
-            f'links.idle.{name}.slope',
+            f'{case}.{name}.slope',
             round(cores.slope, 6),
             'cores',
             note='for one link more',
         )
         yield figures.plain(
-            f'links.idle.{name}.memory',
+            f'{case}.{name}.memory',
             round(memory.slope / _KB, 1),
             'kB',
             note=f'for one link more; threads at {LINKS[-1]}: '
@@ -153,4 +162,14 @@
         )
 
 
-CASES = [measure_idle]
+def measure_idle() -> Iterator[figures.Figure]:
+    """Measure an idle link to an agent without work."""
+    yield from _describe('links.idle', 0)
+
+
+def measure_reported() -> Iterator[figures.Figure]:
+    """Measure an idle link to an agent that others keep busy."""
+    yield from _describe('links.reported', _OTHERS_REQUESTS)
+
+
+CASES = [measure_idle, measure_reported]
