Let entries that need nothing ask their coordinator seldom

Cause: each entry asked the coordinator of each shard every second or two, whether it needed anything or not.

Ruled out: a longer period for all, which slows shares that are in use.

Change: an entry without needs, whose grants are what it owns, asks each 5 s, and once more after it was told to give something up. Leases take 8 s, not 4, so that what it lends stays lent meanwhile.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -35,3 +35,9 @@
       | limit in flight       |
       | rate                  |
       | limit below one each  |
+
+  Scenario: An entry that needs nothing asks seldom, and tells what it gave up
+    Given an entry that was granted nothing beyond what it owns at 0.0 s
+    Then it keeps quiet at 1.0 s but not at 5.0 s
+    When it is granted a share at 5.5 s and nothing more at 6.5 s
+    Then it asks once more at 7.0 s and then keeps quiet
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -266,3 +266,41 @@
         time.sleep(0.05)
     refusals = [context.nodes[0].ask() for _ in range(count)]
     assert not any(refusals), refusals
+
+
+def _exchange(context, now, grants):
+    assert context.lease.choose('e0', now)
+    sequence = context.lease.send(now)
+    assert context.lease.accept(sequence, grants)
+
+
+@behave.given(
+    'an entry that was granted nothing beyond what it owns at {now:f} s'
+)
+def make_lease(context, now):
+    context.lease = core.Lease()
+    _exchange(context, now, {})
+
+
+@behave.then('it keeps quiet at {early:f} s but not at {late:f} s')
+def check_quiet(context, early, late):
+    assert context.lease.is_quiet(early)
+    assert not context.lease.is_quiet(late)
+    # What it lends is still lent then, so no part of it is in doubt.
+    assert context.lease.tell_live(late + core.SLACK_SECONDS)
+
+
+@behave.when(
+    'it is granted a share at {first:f} s and nothing more at {second:f} s'
+)
+def give_and_take(context, first, second):
+    _exchange(context, first, {KEY: core.Grant(0.5, 1)})
+    assert not context.lease.is_quiet(first)
+    _exchange(context, second, {})
+
+
+@behave.then('it asks once more at {now:f} s and then keeps quiet')
+def check_told(context, now):
+    assert not context.lease.is_quiet(now)
+    _exchange(context, now, {})
+    assert context.lease.is_quiet(now + 1.0)
--- a/packages/core/src/dunlintide_core/limits.py
+++ b/packages/core/src/dunlintide_core/limits.py
@@ -42,10 +42,13 @@
 ]
 
 BURST_SECONDS = 1.0
-LEASE_SECONDS = 4.0
+LEASE_SECONDS = 8.0
 # Longest time on the way for which the bound is exact. A demand that was
 # longer on its way lets its entry count 1/N twice for the rest.
 SLACK_SECONDS = 2.0
+# One that needs nothing, and of which nothing is needed, asks so seldom:
+# in time for one more demand within its lease.
+QUIET_SECONDS = 5.0
 # Bound on the rounding errors of sums of shares.
 EPSILON = 1e-9
 # A share that shrinks by more is acknowledged at once.
@@ -157,6 +160,7 @@
     _confirmed: float = -math.inf
     _sent: dict[int, float] = attrs.field(factory=dict)
     _grants: Mapping[Key, Grant] = attrs.field(factory=dict)
+    _owes: bool = False
 
     def tell_live(self, now: float) -> bool:
         """Tell whether grants are in force."""
@@ -192,10 +196,21 @@
         self._sent = {}
         self._grants = {}
 
+    def is_quiet(self, now: float) -> bool:
+        """Tell whether a demand without needs can wait.
+
+        It can while no grant differs from what the entry owns, and the
+        coordinator knows that, as long as what it lends stays lent.
+        """
+        soon = now - self._last_sent < QUIET_SECONDS
+        settled = not self._grants and not self._owes
+        return soon and settled and self.tell_live(now)
+
     def send(self, now: float) -> int:
         """Return the number of a demand that is sent now."""
         self._sequence += 1
         self._last_sent = now
+        self._owes = False
         self._sent[self._sequence] = now
         return self._sequence
 
@@ -207,6 +222,8 @@
         self._sent = {n: at for n, at in self._sent.items() if n > sequence}
         self.acknowledged = sequence
         self._confirmed = sent
+        # Others get what is given up here once that is acknowledged.
+        self._owes = self._grants != grants
         self._grants = grants
         return True
 
--- a/packages/daemon/src/dunlintide_daemon/entry/shares.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/shares.py
@@ -110,6 +110,8 @@
             now = self._clock()
             if not lease.choose(chosen, now):
                 return
+            if not needs and lease.is_quiet(now):
+                return
             sequence = lease.send(now)
             self._asked[shard][sequence] = tuple(needs)
             acknowledged = lease.acknowledged
