Wait for agents too when rules are applied, and tell how many have them

Agents apply none, so each counted as done unasked, and so did a daemon that told nothing. What was missing was named, but not how much of the fleet had it.

Change: an agent's revision is that of its replica of the fleet's state, as in 'status', where the same choice stood twice. A daemon that tells no revision is named, and the command ends with 'in force at N of M daemons'.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -50,6 +50,17 @@
     Given a daemon stuck at revision 1 for the command line
     When the operator applies rules "first" and waits 0.3 seconds
     Then the command ends with 1 and prints "still at revision 1"
+    And it prints "in force at 0 of 1 daemons"
+
+  Scenario Outline: Waiting names an agent that has not got the revision
+    Given an agent's daemon that <tells> for the command line
+    When the operator applies rules "first" and waits 0.3 seconds
+    Then the command ends with 1 and prints "<tells>"
+
+    Examples:
+      | tells               |
+      | still at revision 1 |
+      | tells no revision   |
 
   Scenario: Explaining says which rule decides
     When the operator applies rules "first"
--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -76,6 +76,12 @@
     _start_daemon(context, itertools.repeat({'revision': revision}))
 
 
+@behave.given("an agent's daemon that {tells} for the command line")
+def start_agent_daemon(context, tells):
+    state = {} if tells == 'tells no revision' else {'revision': 1}
+    _start_daemon(context, itertools.repeat(None), state=state)
+
+
 @behave.given('a daemon that knows one range of layers, for the command line')
 def start_daemon_with_agents(context):
     kind = fleet.EndpointKind.ENGINE
--- a/packages/cli/src/dunlintide_cli/changes.py
+++ b/packages/cli/src/dunlintide_cli/changes.py
@@ -60,7 +60,9 @@
                 waiting[url] = str(state.err_value)
                 continue
             held = state.ok_value.revision
-            if held is None or held >= revision:
+            if held is None:
+                waiting[url] = f'{url}: tells no revision'
+            elif held >= revision:
                 del waiting[url]
             else:
                 waiting[url] = f'{url}: still at revision {held}'
@@ -143,10 +145,13 @@
         if wait is None:
             return output.ExitCode.OK
         until = time.monotonic() + wait
-        late = _find_laggards(self.option('admin'), head.revision, until)
+        asked = self.option('admin')
+        late = _find_laggards(asked, head.revision, until)
         for text in late:
             output.print_error(f'dunlintide: {text}')
         if late:
+            done = len(asked) - len(late)
+            output.print_error(f'in force at {done} of {len(asked)} daemons')
             return output.ExitCode.FAILED
         if not self.as_json:
             output.print_text('it is in force at every daemon asked')
--- a/packages/cli/src/dunlintide_cli/daemons.py
+++ b/packages/cli/src/dunlintide_cli/daemons.py
@@ -52,12 +52,21 @@
     reasons: tuple[str, ...]
     dump: Mapping[str, Any]
 
+    @property
+    def shared(self) -> Mapping[str, Any]:
+        """The daemon's replica of the fleet's state, empty without one."""
+        section = self.dump.get('state')
+        return section if isinstance(section, dict) else {}
+
     @property
     def revision(self) -> int | None:
-        """Revision in force, None where the daemon follows none."""
+        """Revision in force, None where the daemon tells none.
+
+        An agent applies no configuration, but holds it for its peers.
+        """
         section = self.dump.get('configuration')
         if not isinstance(section, dict):
-            return None
+            return self.shared.get('revision')
         revision = section.get('revision')
         return revision if isinstance(revision, int) else 0
 
--- a/packages/cli/src/dunlintide_cli/processes.py
+++ b/packages/cli/src/dunlintide_cli/processes.py
@@ -47,16 +47,12 @@
     if read.is_err():
         return row | {'reasons': [read.err_value.message], 'warnings': []}
     state = read.ok_value
-    # An agent applies no configuration, but hands it on.
-    shared = state.dump.get('state')
-    shared = shared if isinstance(shared, dict) else {}
-    revision = state.revision
     return row | {
         'name': str(state.dump.get('name', '')),
         'ready': state.ready,
-        'revision': shared.get('revision') if revision is None else revision,
+        'revision': state.revision,
         'reasons': list(state.reasons),
-        'warnings': _list_warnings(shared),
+        'warnings': _list_warnings(state.shared),
     }
 
 
