Measure an endpoint's rate over whole batches

And the first sample counted the short answers of the first batch only, as these end first.

Change: a rate is sampled over as many ends as requests are in flight, and weighed by the time that took; nothing ending for 30 s lets it fall. It is a class of the core now.

--- a/packages/daemon/src/dunlintide_daemon/agent/dump.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/dump.py
@@ -46,7 +46,7 @@
             'queue': {
                 'length': len(gate.queue),
                 'cost': round(gate.queue.cost, 1),
-                'cost_per_second': round(gate.rate, 1),
+                'cost_per_second': round(gate.rate.value, 1),
                 'members': gate.queue.count_members(),
             },
             'in_flight': {
--- a/packages/daemon/src/dunlintide_daemon/agent/gate.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/gate.py
@@ -18,6 +18,7 @@
 from dunlintide_core import outcomes
 from dunlintide_core import positions
 from dunlintide_core import queueing
+from dunlintide_core import rates
 from dunlintide_core import slots
 from dunlintide_daemon.agent import answers
 from dunlintide_daemon.agent import counts as counting
@@ -30,7 +31,6 @@
     'Obstacle',
 ]
 
-_RATE_WEIGHT = 0.3
 # Longer than an entry looks for another chain.
 HOLD_SECONDS = 10.0
 _QUARANTINED = 'the request has crashed endpoints'
@@ -77,7 +77,7 @@
         self.leaving = False
         self.fault = ''
         self.is_quarantined: Callable[[bytes], bool] = lambda digest: False
-        self.rate = 0.0
+        self.rate = rates.Rate(clock())
         self.queue = queueing.Queue(settings.queue)
         self.ledger = ledgers.Ledger(settings.incarnation, settings.ledger)
         self.in_flight = caps.InFlight()
@@ -89,7 +89,6 @@
         self._answers = answers.Answers(settings.name, counts, clock)
         self._works: dict[str, works.Work] = {}
         self._members: dict[str, int] = {}
-        self._finished_cost = 0.0
         self._ticked = clock()
         self._generation_began = clock()
         self._slots = slots.Slots(clock(), self.queue.owes)
@@ -162,7 +161,9 @@
             now,
             work,
         )
-        refusal = self.queue.push(work.ticket, work.deadline - now, self.rate)
+        refusal = self.queue.push(
+            work.ticket, work.deadline - now, self.rate.value
+        )
         if refusal is not None:
             self._answers.refuse(
                 subscriber,
@@ -341,7 +342,7 @@
             self.in_flight.finished += 1
             if work.spent is not None:
                 self.queue.correct(work.ticket, work.spent)
-            self._finished_cost += work.cost
+            self.rate.add(work.cost)
             if not work.under_way:
                 self._free_slot(work)
         work.phase = works.Phase.ENDED
@@ -530,16 +531,6 @@
                 work, outcomes.FailCode.LINK_LOST, 'nobody takes the answer'
             )
 
-    def _measure_rate(self, now: float) -> None:
-        # Only a busy endpoint shows what it can do.
-        elapsed, self._ticked = now - self._ticked, now
-        done, self._finished_cost = self._finished_cost, 0.0
-        if len(self.queue) and elapsed > 0:
-            sample = done / elapsed
-            if self.rate:
-                sample = self.rate + _RATE_WEIGHT * (sample - self.rate)
-            self.rate = sample
-
     def tick(self) -> None:
         """Do what time demands; call it a few times a second."""
         with self.lock:
@@ -548,7 +539,10 @@
                 self._check_work(work, now)
             self._slots.tick(now)
             if now - self._ticked >= 1.0:
-                self._measure_rate(now)
+                self._ticked = now
+                self.rate.sample(
+                    now, len(self.queue) > 0, self.in_flight.requests
+                )
             seconds = ledgers.GENERATION_SECONDS
             while now - self._generation_began >= seconds:
                 self._generation_began += seconds
--- a/packages/trials/src/dunlintide_trials/cases/throughput.py
+++ b/packages/trials/src/dunlintide_trials/cases/throughput.py
@@ -117,8 +117,8 @@
     with saturation.Streams(running, entries, STREAMS) as streams:
         time.sleep(PROCESS_WARM_UP_SECONDS)
         rate = streams.measure(WINDOW_SECONDS)
-        if streams.count_failed():
-            raise RuntimeError(f'{streams.count_failed()} streams failed')
+        if failed := streams.count_failed():
+            raise RuntimeError(f'streams failed: {dict(failed)}')
         return rate
 
 
@@ -169,7 +169,7 @@
             running.control(engine, slow_factor=SLOWDOWN)
             time.sleep(REACTION_SECONDS)
             reacted = streams.measure(REACTED_SECONDS)
-            failed = streams.count_failed()
+            failed = streams.count_failed().total()
     yield figures.at_least(
         'throughput.degraded.processes',
         reacted / after,
--- a/packages/trials/src/dunlintide_trials/saturation.py
+++ b/packages/trials/src/dunlintide_trials/saturation.py
@@ -5,6 +5,7 @@
 whose time is fixed. The capacities keep the machine far from its limit.
 """
 
+import collections
 import contextlib
 import pathlib
 import random
@@ -237,9 +238,10 @@
         )
         return tokens / (end - start)
 
-    def count_failed(self) -> int:
-        """Count the answers that have ended and were not complete."""
-        return sum(
-            answer.ended > 0.0 and not answer.is_complete
+    def count_failed(self) -> collections.Counter[tuple[str, str]]:
+        """Count answers that ended and were not complete, by why."""
+        return collections.Counter(
+            (str(answer.outcome), answer.code)
             for answer in self.answers
+            if answer.ended > 0.0 and not answer.is_complete
         )
