Give the made-up fleet of the placement test what a leader touches

Cause: a placement now keeps the links of agents with an order open, and the test's fleet could not; the thread that ticks ended, so no other leader began. The scenario failed in the full test run, and each time alone.

Change: the made-up fleet takes the call, and expects no names.

--- a/features/steps/threads.py
+++ b/features/steps/threads.py
@@ -53,6 +53,9 @@
 
     list_agents = list_usable
 
+    def touch(self, names):
+        assert not list(names)
+
 
 @behave.given('a placement whose store of leaders breaks unexpectedly once')
 def start_placement(context):
