--- a/features/steps/rules.py
+++ b/features/steps/rules.py
@@ -33,7 +33,7 @@
     model=_sample('m', 'n'),
     service=_sample('s', 'm'),
     method=_sample('GET', 'POST'),
-    path=strategies.sampled_from([None, None, '/*', '/a', '/a*', '/[!a]']),
+    path=strategies.sampled_from([None, None, '/*', '/a', '/a*', '/[!a]', '/a/*', '/a/b/*', '/b/*']),
     priority=_sample(0, 1),
     failure_domain=_sample('x', 'y'),
     adapter=_sample('p'),
@@ -46,7 +46,7 @@
     model=strategies.sampled_from(['', 'm', 'n']),
     service=strategies.sampled_from(['', 's', 'm']),
     method=strategies.sampled_from(['GET', 'POST']),
-    path=strategies.sampled_from(['/a', '/b', '/ab']),
+    path=strategies.sampled_from(['/a', '/b', '/ab', '/a/', '/a/b/c', '/b/a']),
     priority=strategies.sampled_from([None, 0, 1]),
     failure_domain=strategies.sampled_from('xy'),
     adapter=strategies.sampled_from(['', 'p']),
@@ -82,7 +82,7 @@
     whens = strategies.builds(
         configuration.When,
         member=_sample('a', 'b'),
-        path=strategies.sampled_from([None, '/*', '/a', '/a*', '/b*', '/?']),
+        path=strategies.sampled_from([None, '/*', '/a', '/a*', '/b*', '/?', '/a/*', '/a/b*']),
         prompt_tokens_min=_SIZES,
         prompt_tokens_max=_SIZES,
     )
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/callerhttp.py
@@ -0,0 +1,455 @@
+"""HTTP/1.1 towards callers on an event loop.
+
+A request is handed over once it has been read whole. Requests that a
+caller sends ahead on one connection wait their turn, so answers keep
+their order. Parsing is llhttp's, in its strict mode: what could be read
+in two ways is refused and ends the connection.
+"""
+
+import asyncio
+import collections
+from typing import Any, Callable, Coroutine, Sequence
+
+import attrs
+import httptools
+
+__all__ = [
+    'Bounds',
+    'CallerServer',
+    'Head',
+    'Reply',
+    'Request',
+]
+
+Headers = Sequence[tuple[str, str]]
+
+# Unsent bytes of an answer above which its source is paused, in bytes.
+_WRITE_HIGH = 256 << 10
+# Requests that a caller may send ahead before it is refused.
+_MAX_AHEAD = 16
+# How long a refused caller may go on sending so that it reads why, in
+# seconds; a close with unread bytes would reset the connection.
+_LINGER_SECONDS = 1.0
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_REASONS = {
+    200: 'OK',
+    400: 'Bad Request',
+    401: 'Unauthorized',
+    404: 'Not Found',
+    408: 'Request Timeout',
+    413: 'Content Too Large',
+    429: 'Too Many Requests',
+    431: 'Request Header Fields Too Large',
+    500: 'Internal Server Error',
+    502: 'Bad Gateway',
+    503: 'Service Unavailable',
+    504: 'Gateway Timeout',
+}
+
+
+@attrs.frozen
+class Bounds:
+    """Bounds on what a caller sends.
+
+    :ivar header_seconds: time for the whole head
+    :ivar idle_seconds: rest allowed between requests
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_seconds: float
+    idle_seconds: float
+
+
+@attrs.define
+class Request:
+    """One request, whole.
+
+    :ivar target: path and query as they were sent
+    :ivar headers: names in lower case, values as sent
+    :ivar arrived: loop time at which its first byte was read, in seconds
+    """
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    arrived: float
+    keep_alive: bool = True
+    version: str = '1.1'
+
+    def get(self, name: str) -> str | None:
+        """Give the value of a header, None if it is missing.
+
+        :param name: in lower case
+        """
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+@attrs.frozen
+class Head:
+    """Status line and headers of an answer.
+
+    :ivar length: size of the body, None for one sent in chunks
+    :ivar reason: reason phrase, empty for the usual one
+    """
+
+    status: int
+    headers: Headers = ()
+    length: int | None = 0
+    reason: str = ''
+
+
+class Reply:
+    """The answer to one request, as it is written.
+
+    :ivar gone: set when the caller has closed its side
+    """
+
+    def __init__(self, connection: '_Connection', request: Request) -> None:
+        self._connection = connection
+        self._request = request
+        self._chunked = False
+        self.started = False
+        self.ended = False
+        self.gone = asyncio.Event()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller can still be answered."""
+        return not self.gone.is_set() and not self.ended
+
+    def start(self, head: Head) -> None:
+        """Send the head of the answer."""
+        if self.started or not self.is_open:
+            return
+        self.started = True
+        self._chunked = head.length is None
+        connection = self._connection
+        keep = self._request.keep_alive and not connection.closing
+        if self._chunked and self._request.version == '1.0':
+            keep = False
+            self._chunked = False
+        reason = head.reason or _REASONS.get(head.status, 'Status')
+        lines = [f'HTTP/1.1 {head.status} {reason}']
+        lines += [f'{name}: {value}' for name, value in head.headers]
+        if self._chunked:
+            lines.append('Transfer-Encoding: chunked')
+        elif head.length is not None:
+            lines.append(f'Content-Length: {head.length}')
+        if not keep:
+            lines.append('Connection: close')
+            connection.closing = True
+        text = '\r\n'.join(lines) + '\r\n\r\n'
+        connection.write(text.encode('latin-1'))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not data or not self.is_open:
+            return
+        if self._chunked:
+            data = b'%x\r\n%b\r\n' % (len(data), data)
+        self._connection.write(data)
+
+    def finish(self, data: bytes = b'') -> None:
+        """Send the last part; the answer is whole then."""
+        if not self.is_open:
+            return
+        self.write(data)
+        if self._chunked:
+            self._connection.write(b'0\r\n\r\n')
+        self.ended = True
+
+    def send(self, head: Head, body: bytes = b'') -> None:
+        """Send a whole answer at once."""
+        self.start(attrs.evolve(head, length=len(body)))
+        self.finish(body)
+
+    def cut(self) -> None:
+        """Break the connection, so that the answer looks cut."""
+        self.ended = True
+        self._connection.abort()
+
+    async def drain(self) -> None:
+        """Wait until the caller has taken most of what was written."""
+        await self._connection.drain()
+
+
+Handler = Callable[[Request, Reply], Coroutine[Any, Any, None]]
+
+
+class CallerServer:
+    """Connections of callers to one address.
+
+    :ivar bounds: bounds on requests, replaced when they change
+    """
+
+    def __init__(
+        self,
+        handle: Handler,
+        bounds: Bounds,
+        report: Callable[[str, BaseException | None], None],
+    ) -> None:
+        """Make a server that does not listen yet.
+
+        :param handle: answers one request
+        :param report: told of each connection or request that failed
+        """
+        self.handle = handle
+        self.bounds = bounds
+        self.report = report
+        self.connections: set[_Connection] = set()
+        self.closing = False
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int, backlog: int = 512) -> int:
+        """Begin to listen.
+
+        :returns: the port
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self), host, port, backlog=backlog
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    def end_reuse(self) -> None:
+        """Close connections that rest, and others behind their answer."""
+        self.closing = True
+        for connection in list(self.connections):
+            connection.end_reuse()
+
+    def count_busy(self) -> int:
+        """Count the connections with a request that is not answered."""
+        return sum(1 for each in self.connections if each.is_busy)
+
+    def close(self) -> None:
+        """Stop to listen and break all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+
+class _Connection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, server: CallerServer) -> None:
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._ready: collections.deque[Request] = collections.deque()
+        self._reply: Reply | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._writable: asyncio.Future | None = None
+        self._paused = False
+        self._reading = False
+        self._failed = False
+        self._first: float | None = None
+        self._size = 0
+        self.closing = server.closing
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read or answered."""
+        return self._reply is not None or self._reading
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        transport.set_write_buffer_limits(high=_WRITE_HIGH)
+        self._server.connections.add(self)
+        self._watch(self._server.bounds.idle_seconds)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._server.connections.discard(self)
+        self._stop_timer()
+        self._set_writable()
+        self._leave()
+
+    def eof_received(self) -> bool:
+        self._leave()
+        return False
+
+    def _leave(self) -> None:
+        self._ready.clear()
+        if self._reply is not None:
+            self._reply.gone.set()
+
+    def _watch(self, seconds: float) -> None:
+        self._stop_timer()
+        self._timer = self._loop.call_later(seconds, self._expire)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire(self) -> None:
+        self._timer = None
+        if self._reading:
+            self._refuse(408)
+        elif self._reply is None:
+            self._transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        if self._failed:
+            return
+        if not self._reading and self._reply is None:
+            self._watch(self._server.bounds.header_seconds)
+        self._first = self._loop.time()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError as error:
+            if not self._failed:
+                self._server.report('bad request', error)
+                self._refuse(400)
+        self._start_next()
+
+    def on_message_begin(self) -> None:
+        self._reading = True
+        self._size = 0
+        self._request = Request('', '', [], b'', self._first)
+        self._target: list[bytes] = []
+        self._body: list[bytes] = []
+        self._body_size = 0
+
+    def on_url(self, url: bytes) -> None:
+        self._grow(len(url))
+        self._target.append(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._grow(len(name) + len(value) + 4)
+        pair = name.decode('latin-1').lower(), value.decode('latin-1')
+        self._request.headers.append(pair)
+
+    def _grow(self, size: int) -> None:
+        self._size += size
+        if self._size > self._server.bounds.header_bytes:
+            self._refuse(431)
+            raise ValueError('the head is too large')
+
+    def on_headers_complete(self) -> None:
+        request = self._request
+        request.method = self._parser.get_method().decode('latin-1')
+        request.target = b''.join(self._target).decode('latin-1')
+        request.keep_alive = self._parser.should_keep_alive()
+        request.version = self._parser.get_http_version()
+        length = request.get('content-length')
+        if length and int(length) > self._server.bounds.body_bytes:
+            self._refuse(413)
+            raise ValueError('the body is too large')
+        if (request.get('expect') or '').lower() == '100-continue':
+            if not self._ready and self._reply is None:
+                self.write(_CONTINUE)
+
+    def on_body(self, data: bytes) -> None:
+        self._body_size += len(data)
+        if self._body_size > self._server.bounds.body_bytes:
+            self._refuse(413)
+            raise ValueError('the body is too large')
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        self._reading = False
+        self._request.body = b''.join(self._body)
+        if self._reply is None:
+            self._stop_timer()
+        self._ready.append(self._request)
+        if len(self._ready) > _MAX_AHEAD:
+            self._refuse(400)
+            raise ValueError('too many requests were sent ahead')
+
+    def _refuse(self, status: int) -> None:
+        """Answer what can't be read, and read nothing more."""
+        if self._failed:
+            return
+        self._failed = True
+        self._reading = False
+        self._ready.clear()
+        self._stop_timer()
+        if self._reply is not None:
+            # An answer is under way: it ends whole, then the connection.
+            self.closing = True
+            return
+        reason = _REASONS[status]
+        text = (
+            f'HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\n'
+            'Connection: close\r\n\r\n'
+        )
+        self.write(text.encode('latin-1'))
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._loop.call_later(_LINGER_SECONDS, self.abort)
+
+    def _start_next(self) -> None:
+        if self._reply is not None or not self._ready:
+            return
+        request = self._ready.popleft()
+        self._stop_timer()
+        reply = Reply(self, request)
+        self._reply = reply
+        task = self._loop.create_task(self._server.handle(request, reply))
+        task.add_done_callback(self._end)
+
+    def _end(self, task: asyncio.Task) -> None:
+        reply, self._reply = self._reply, None
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self._server.report('request failed', error)
+        if self._transport is None or self._transport.is_closing():
+            return
+        if not reply.ended:
+            if not reply.started and not reply.gone.is_set():
+                reply.send(Head(500))
+            else:
+                self.abort()
+                return
+        if self.closing or self._server.closing or self._failed:
+            self._transport.close()
+            return
+        if self._ready:
+            self._start_next()
+        elif self._reading:
+            self._watch(self._server.bounds.header_seconds)
+        else:
+            self._watch(self._server.bounds.idle_seconds)
+
+    def end_reuse(self) -> None:
+        """Take no further request; close now if none is under way."""
+        self.closing = True
+        if not self.is_busy and self._transport is not None:
+            self._transport.close()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def abort(self) -> None:
+        """Break the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def pause_writing(self) -> None:
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        self._paused = False
+        self._set_writable()
+
+    def _set_writable(self) -> None:
+        self._paused = False
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+
+    async def drain(self) -> None:
+        """Wait until the transport takes more."""
+        if self._paused:
+            self._writable = self._loop.create_future()
+            await self._writable
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -0,0 +1,390 @@
+"""HTTP/1.1 towards endpoints and the platform's store, on an event loop.
+
+A connection carries one request at a time and is kept only when nothing
+about it is in doubt: the answer was whole, framed and the only bytes that
+came. A failure tells whether the request can have been read, since that
+decides whether it may be sent again.
+"""
+
+import asyncio
+import collections
+import enum
+from typing import Sequence
+
+import attrs
+import httptools
+
+__all__ = [
+    'AnswerHead',
+    'Broken',
+    'Connection',
+    'Fault',
+    'Pool',
+]
+
+Headers = Sequence[tuple[str, str]]
+
+# Rest after which a kept connection is not used again where the endpoint
+# names no time of its own, in seconds.
+DEFAULT_KEEP_SECONDS = 1.0
+# Part of a named keep-alive time that is used: the endpoint counts from
+# when it sent, and the last request still has to arrive.
+KEEP_PART = 0.7
+# Bytes of an answer that may wait unread before the endpoint is paused.
+_READ_HIGH = 256 << 10
+
+
+class Fault(enum.StrEnum):
+    """How a call failed."""
+
+    CONNECT = 'connect'
+    RESET = 'reset'
+    CLOSED = 'closed'
+    GARBLED = 'garbled'
+    TIMEOUT = 'timeout'
+
+
+class Broken(Exception):
+    """A call that got no whole answer; callers turn it into an outcome.
+
+    :ivar sent: whether the request may have been read
+    """
+
+    def __init__(self, fault: Fault, sent: bool, text: str = '') -> None:
+        super().__init__(f'{fault}: {text}' if text else str(fault))
+        self.fault = fault
+        self.sent = sent
+
+
+@attrs.define
+class AnswerHead:
+    """Status and headers of an answer.
+
+    :ivar headers: names in lower case
+    """
+
+    status: int
+    reason: str
+    headers: list[tuple[str, str]]
+
+    def get(self, name: str) -> str | None:
+        """Give the value of a header, None if it is missing."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class Connection(asyncio.Protocol):
+    """One connection, with at most one call on it."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._waiter: asyncio.Future | None = None
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._buffered = 0
+        self._head: AnswerHead | None = None
+        self._reason: list[bytes] = []
+        self._headers: list[tuple[str, str]] = []
+        self._complete = False
+        self._framed = False
+        self._fault: Fault | None = None
+        self._excess = False
+        self._bodiless = False
+        self.in_call = False
+        self.reused = False
+        self.rests_since = 0.0
+        self.keep_seconds = DEFAULT_KEEP_SECONDS
+
+    # What the transport calls.
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if not self._complete and self._fault is None:
+            self._fault = Fault.CLOSED if error is None else Fault.RESET
+        self._wake()
+
+    def eof_received(self) -> bool:
+        # An answer without a length ends with its connection.
+        if self.in_call and self._head is not None and not self._framed:
+            self._complete = True
+        elif not self._complete:
+            self._fault = Fault.CLOSED
+        self._excess = True
+        self._wake()
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        if not self.in_call or self._complete:
+            self._excess = True
+            if not self.in_call:
+                self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self._complete:
+                self._fault = Fault.GARBLED
+            self._excess = True
+        self._wake()
+
+    # What the parser calls.
+
+    def on_status(self, status: bytes) -> None:
+        self._reason.append(status)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._complete:
+            self._excess = True
+            return
+        pair = name.decode('latin-1').lower(), value.decode('latin-1')
+        self._headers.append(pair)
+
+    def on_headers_complete(self) -> None:
+        if self._complete:
+            self._excess = True
+            return
+        status = self._parser.get_status_code()
+        if 100 <= status < 200:
+            self._headers, self._reason = [], []
+            return
+        reason = b''.join(self._reason).decode('latin-1')
+        head = AnswerHead(status, reason, self._headers)
+        encoding = (head.get('transfer-encoding') or '').lower()
+        length = head.get('content-length')
+        empty = status in (204, 304) or self._bodiless
+        self._framed = encoding == 'chunked' or length is not None or empty
+        self._head = head
+        if self._bodiless:
+            self._complete = True
+
+    def on_body(self, data: bytes) -> None:
+        if self._complete:
+            self._excess = True
+            return
+        self._chunks.append(data)
+        self._buffered += len(data)
+        if self._buffered > _READ_HIGH:
+            self._transport.pause_reading()
+
+    def on_message_begin(self) -> None:
+        if self._complete:
+            self._excess = True
+
+    def on_message_complete(self) -> None:
+        if self._head is not None:
+            self._complete = True
+
+    # What callers use.
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can carry a call."""
+        transport = self._transport
+        return (
+            transport is not None
+            and not transport.is_closing()
+            and not self._excess
+            and self._fault is None
+        )
+
+    @property
+    def can_be_kept(self) -> bool:
+        """Whether the last call left nothing in doubt."""
+        if not (self.is_open and self._complete and self._framed):
+            return False
+        if self._transport.get_write_buffer_size():
+            return False
+        asked = (self._head.get('connection') or '').lower()
+        return 'close' not in asked
+
+    def send(self, data: bytes, bodiless: bool = False) -> None:
+        """Begin a call with the bytes of a whole request.
+
+        :param bodiless: whether the answer has no body, as to HEAD
+        """
+        self._parser = httptools.HttpResponseParser(self)
+        self._chunks.clear()
+        self._buffered = 0
+        self._head = None
+        self._reason, self._headers = [], []
+        self._complete = self._framed = False
+        self._bodiless = bodiless
+        self.in_call = True
+        self._transport.write(data)
+
+    async def read_head(self, deadline: float) -> AnswerHead:
+        """Wait for the head of the answer.
+
+        :param deadline: loop time in seconds
+        :raises Broken: when none comes
+        """
+        while self._head is None:
+            self._check()
+            await self._wait(deadline)
+        return self._head
+
+    async def read(self, deadline: float) -> bytes:
+        """Wait for more of the body, empty bytes at its whole end.
+
+        :param deadline: loop time in seconds
+        :raises Broken: when the body is cut or nothing comes in time
+        """
+        while not self._chunks:
+            if self._complete:
+                return b''
+            self._check()
+            await self._wait(deadline)
+        if len(self._chunks) == 1:
+            data = self._chunks.popleft()
+        else:
+            data = b''.join(self._chunks)
+            self._chunks.clear()
+        if self._buffered > _READ_HIGH and not self._transport.is_closing():
+            self._transport.resume_reading()
+        self._buffered = 0
+        return data
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole answer has come."""
+        return self._complete
+
+    def _check(self) -> None:
+        if self._fault is not None:
+            raise Broken(self._fault, True)
+
+    async def _wait(self, deadline: float) -> None:
+        left = deadline - self._loop.time()
+        if left <= 0:
+            raise Broken(Fault.TIMEOUT, True)
+        self._waiter = self._loop.create_future()
+        timer = self._loop.call_later(left, self._wake)
+        try:
+            await self._waiter
+        finally:
+            timer.cancel()
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def finish(self, now: float) -> None:
+        """Note that the call is over and how long it may rest.
+
+        :param now: loop time in seconds
+        """
+        self.in_call = False
+        self.reused = True
+        self.rests_since = now
+        named = self._head.get('keep-alive') if self._head else None
+        self.keep_seconds = _read_keep_alive(named)
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether a resting connection may be used again."""
+        return self.is_open and now - self.rests_since < self.keep_seconds
+
+    def close(self) -> None:
+        """Break the connection; an endpoint drops the request with it."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def _read_keep_alive(value: str | None) -> float:
+    for part in (value or '').split(','):
+        name, _, text = part.strip().partition('=')
+        if name.lower() == 'timeout' and text.strip().isdecimal():
+            return int(text) * KEEP_PART
+    return DEFAULT_KEEP_SECONDS
+
+
+class Pool:
+    """Connections to many addresses, kept while they rest.
+
+    :ivar opened: connections that were opened, for the metrics
+    """
+
+    def __init__(self) -> None:
+        self._resting: dict[str, list[Connection]] = {}
+        self.opened = 0
+
+    async def acquire(
+        self, address: str, timeout: float, newest: float | None = None
+    ) -> Connection:
+        """Take a kept connection or open one.
+
+        :param address: ``host:port``
+        :param timeout: longest time to connect, in seconds
+        :param newest: longest rest of a kept connection that will do, in
+            seconds; 0 for a new connection, None for what it allows
+        :raises Broken: when no connection can be had
+        """
+        loop = asyncio.get_running_loop()
+        resting = self._resting.get(address)
+        while resting:
+            connection = resting.pop()
+            now = loop.time()
+            rest = now - connection.rests_since
+            young = newest is None or rest < newest
+            if connection.is_fresh(now) and young:
+                return connection
+            connection.close()
+        return await self.open(address, timeout)
+
+    async def open(self, address: str, timeout: float) -> Connection:
+        """Open a connection.
+
+        :raises Broken: when that fails or takes too long
+        """
+        loop = asyncio.get_running_loop()
+        host, _, port = address.rpartition(':')
+        self.opened += 1
+        try:
+            async with asyncio.timeout(timeout):
+                _, connection = await loop.create_connection(
+                    Connection, host, int(port)
+                )
+        except TimeoutError as error:
+            raise Broken(Fault.TIMEOUT, False, 'to connect') from error
+        except OSError as error:
+            raise Broken(Fault.CONNECT, False, str(error)) from error
+        return connection
+
+    def release(self, address: str, connection: Connection) -> None:
+        """Keep a connection whose call is over, or close it."""
+        now = asyncio.get_running_loop().time()
+        if not connection.can_be_kept:
+            connection.close()
+            return
+        connection.finish(now)
+        self._resting.setdefault(address, []).append(connection)
+
+    def sweep(self) -> None:
+        """Close connections that have rested for too long."""
+        now = asyncio.get_running_loop().time()
+        for address, resting in list(self._resting.items()):
+            fresh = []
+            for connection in resting:
+                if connection.is_fresh(now):
+                    fresh.append(connection)
+                else:
+                    connection.close()
+            if fresh:
+                self._resting[address] = fresh
+            else:
+                del self._resting[address]
+
+    def drop(self, address: str) -> None:
+        """Close the connections that rest to an address."""
+        for connection in self._resting.pop(address, ()):
+            connection.close()
+
+    def close(self) -> None:
+        """Close all connections that rest."""
+        for address in list(self._resting):
+            self.drop(address)
--- a/packages/core/src/dunlintide_core/checker.py
+++ b/packages/core/src/dunlintide_core/checker.py
@@ -23,6 +23,7 @@
     'priority',
     'failure_domain',
     'adapter',
+    'host',
 )
 # Conditions that only a request to a model can meet.
 _MODEL_CONDITIONS = ('model', 'adapter')
@@ -82,7 +83,7 @@
     when = rules[position].when
     member = when.member[0] if when.member else None
     targets = dict.fromkeys((matching.list_targets(when)[0], None))
-    for earlier in index.list_candidates(member, targets):
+    for earlier in index.list_candidates(member, targets, when.path):
         if earlier >= position:
             return None
         if covers(rules[earlier].when, when):
--- a/packages/core/src/dunlintide_core/configuration.py
+++ b/packages/core/src/dunlintide_core/configuration.py
@@ -12,6 +12,7 @@
     'Model',
     'Rule',
     'Service',
+    'Share',
     'Then',
     'When',
 ]
@@ -35,10 +36,12 @@
 
     :ivar name: unique name
     :ivar key_hashes: SHA-256 of each of its bearer keys, lower-case hex
+    :ivar priority: 0 (first) and up; goes before that of a rule
     """
 
     name: str
     key_hashes: tuple[str, ...] = ()
+    priority: int | None = None
 
 
 @attrs.frozen
@@ -71,11 +74,23 @@
     repeatable: bool = True
 
 
+@attrs.frozen
+class Share:
+    """A service and its part of the requests of a rule.
+
+    :ivar weight: part of the requests, against the other weights
+    """
+
+    service: str
+    weight: float = DEFAULT_WEIGHT
+
+
 @attrs.frozen
 class When:
     """Conditions of a rule; one that is left out matches anything.
 
     Several values in one field are alternatives; all fields must match.
+    :ivar host: host name that was asked, without a port
     :ivar path: glob over the request's path
     :ivar prompt_tokens_min: least estimated prompt size, in tokens
     :ivar prompt_tokens_max: largest estimated prompt size, in tokens
@@ -92,6 +107,7 @@
     adapter: tuple[str, ...] = ()
     prompt_tokens_min: int | None = None
     prompt_tokens_max: int | None = None
+    host: tuple[str, ...] = ()
 
 
 CATCH_ALL = When()
@@ -112,6 +128,15 @@
     :ivar repeatable: whether the router may run the request again
     :ivar retention_seconds: how long an idempotency key is remembered
     :ivar reason: text of a refusal
+    :ivar services: services that share the requests, empty for the one
+        that was asked
+    :ivar public: whether requests need no key
+    :ivar stream: whether answers are streams of events
+    :ivar resumable: whether a stream may go on at another endpoint
+    :ivar attempts: most endpoints that one request is sent to
+    :ivar target_seconds: time to the answer, or the first event of a
+        stream, within which it has its full worth
+    :ivar gap_seconds: longest pause between two events of a stream
     """
 
     action: Action = Action.ROUTE
@@ -127,6 +152,13 @@
     repeatable: bool | None = None
     retention_seconds: float = DEFAULT_RETENTION_SECONDS
     reason: str = ''
+    services: tuple[Share, ...] = ()
+    public: bool = False
+    stream: bool = False
+    resumable: bool = False
+    attempts: int = 1
+    target_seconds: float | None = None
+    gap_seconds: float | None = None
 
 
 @attrs.frozen
--- a/packages/core/src/dunlintide_core/matching.py
+++ b/packages/core/src/dunlintide_core/matching.py
@@ -1,14 +1,15 @@
 """Which rule decides a request: the first whose conditions all hold.
 
-The index keeps, for each pair of member and target (a model or a
-service), the positions of the rules that name them. A request looks at
-four such lists, merged in the order of the rules, so rules about others
-cost it nothing.
+The index keeps, for each member, target (a model or a service) and first
+segment of a path, the positions of the rules that name them. A request
+looks at eight such lists, merged in the order of the rules, so rules about
+others cost it nothing.
 """
 
 import collections
 import fnmatch
 import heapq
+import re
 from typing import Any, Callable, Iterable, Iterator, Mapping, Sequence
 
 import attrs
@@ -31,7 +32,9 @@
 
 Target = tuple[str, str]
 Condition = Callable[['Query'], bool]
-_Key = tuple[str | None, Target | None]
+_Key = tuple[str | None, Target | None, str | None]
+# The first segment of a path, where a glob has no wildcard in it.
+_SEGMENT = re.compile(r'/[^/*?\[]+/')
 
 
 @attrs.frozen
@@ -54,6 +57,7 @@
     failure_domain: str = ''
     adapter: str = ''
     prompt_tokens: int = 0
+    host: str = ''
 
 
 @attrs.frozen
@@ -106,6 +110,7 @@
     'priority',
     'failure_domain',
     'adapter',
+    'host',
 )
 
 
@@ -176,14 +181,20 @@
     return [None]
 
 
+def _find_segment(path: str | None) -> str | None:
+    found = _SEGMENT.match(path) if path else None
+    return found[0] if found else None
+
+
 def _list_keys(when: configuration.When) -> Iterator[_Key]:
     members = when.member or (None,)
     targets = list_targets(when)
+    segment = _find_segment(when.path)
     if len(members) * len(targets) > MAX_PAIRS:
         targets = [None]
     for member in dict.fromkeys(members):
         for target in dict.fromkeys(targets):
-            yield member, target
+            yield member, target, segment
 
 
 def _get_targets(query: Query) -> list[Target | None]:
@@ -216,24 +227,32 @@
         return cls(tuple(rules), tuple(conditions), dict(positions))
 
     def list_candidates(
-        self, member: str | None, targets: Iterable[Target | None]
+        self,
+        member: str | None,
+        targets: Iterable[Target | None],
+        path: str | None = None,
     ) -> Iterator[int]:
         """Give the positions of rules that do not name others, in order.
 
         :param targets: None among them for the rules that name none
+        :param path: path or glob asked for, None for rules about any
         """
+        segments = dict.fromkeys((_find_segment(path), None))
         lists = [
-            self._positions[key, target]
+            self._positions[key, target, segment]
             for key in dict.fromkeys((member, None))
             for target in targets
-            if (key, target) in self._positions
+            for segment in segments
+            if (key, target, segment) in self._positions
         ]
         return iter(lists[0]) if len(lists) == 1 else heapq.merge(*lists)
 
     def find(self, query: Query) -> configuration.Rule | None:
         """Find the first rule that matches a request."""
         targets = _get_targets(query)
-        for position in self.list_candidates(query.member, targets):
+        for position in self.list_candidates(
+            query.member, targets, query.path
+        ):
             if all(check(query) for check in self._conditions[position]):
                 return self._rules[position]
         return None
--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about chains of engines that hold layer ranges."""
--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/deployments.py
@@ -0,0 +1,77 @@
+"""The configuration that an entry acts on, made ready for requests."""
+
+from typing import Mapping
+
+import attrs
+
+from dunlintide_core import configuration
+from dunlintide_core import matching
+from dunlintide_core.pipeline import profiles
+
+__all__ = [
+    'CallerLimits',
+    'Deployment',
+]
+
+
+@attrs.frozen
+class CallerLimits:
+    """Bounds on what a caller may send.
+
+    :ivar header_seconds: time for the whole head of a request
+    :ivar idle_seconds: time that a connection may rest between requests
+    """
+
+    header_bytes: int = 16 << 10
+    body_bytes: int = 4 << 20
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@attrs.frozen(eq=False)
+class Deployment:
+    """One version of the configuration.
+
+    :ivar version: rises with each change, in uneven steps
+    :ivar services: services by name
+    """
+
+    version: int
+    source: configuration.Configuration
+    services: Mapping[str, profiles.ServiceProfile]
+    limits: CallerLimits
+    _index: matching.RuleIndex
+    _owners: Mapping[str, configuration.Member]
+
+    @classmethod
+    def from_configuration(
+        cls,
+        version: int,
+        source: configuration.Configuration,
+        services: Mapping[str, profiles.ServiceProfile],
+        limits: CallerLimits,
+    ) -> 'Deployment':
+        """Index the rules and the keys."""
+        owners = {
+            digest: member
+            for member in source.members
+            for digest in member.key_hashes
+        }
+        index = matching.RuleIndex.from_rules(source.rules)
+        return cls(version, source, services, limits, index, owners)
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether requests need a key unless their rule is public."""
+        return bool(self.source.members)
+
+    def find_rule(self, query: matching.Query) -> configuration.Rule | None:
+        """Find the first rule that matches a request."""
+        return self._index.find(query)
+
+    def find_owner(self, digest: str) -> configuration.Member | None:
+        """Find whose key it is.
+
+        :param digest: SHA-256 of the key, lower-case hex
+        """
+        return self._owners.get(digest)
--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/endpoints.py
@@ -0,0 +1,60 @@
+"""Endpoints as the platform lists them."""
+
+import attrs
+
+__all__ = [
+    'Endpoint',
+    'Hop',
+    'covers_exactly',
+]
+
+
+@attrs.frozen
+class Endpoint:
+    """One life of an endpoint.
+
+    :ivar name: its incarnation; a restart has another one
+    :ivar address: ``host:port``
+    :ivar slots: requests that it runs at once
+    :ivar draining: whether it leaves and takes no new requests
+    :ivar kind: kind of its card, empty for a plain service
+    :ivar start: first layer that it holds
+    :ivar end: layer behind the last one; equal to ``start`` for none
+    :ivar cold_ms: how much longer it stays slow after its start
+    """
+
+    name: str
+    address: str
+    service: str
+    domain: str
+    slots: int
+    draining: bool = False
+    kind: str = ''
+    start: int = 0
+    end: int = 0
+    cold_ms: float = 0.0
+
+
+@attrs.frozen
+class Hop:
+    """Layers that one endpoint runs for a request, half open."""
+
+    endpoint: Endpoint
+    start: int
+    end: int
+
+
+def covers_exactly(hops: tuple[Hop, ...], layers: int) -> bool:
+    """Tell whether hops run each layer once, in order, as they are held.
+
+    :param layers: layers of the model
+    """
+    position = 0
+    seen = set()
+    for hop in hops:
+        held = hop.endpoint.start <= hop.start < hop.end <= hop.endpoint.end
+        if hop.start != position or not held or hop.endpoint.name in seen:
+            return False
+        seen.add(hop.endpoint.name)
+        position = hop.end
+    return position == layers
--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/occupancy.py
@@ -0,0 +1,131 @@
+"""What endpoints carry: own reservations and those told by other entries.
+
+Each entry reserves memory for its own requests before it sends them and
+tells the others the sums a few times a second, so a choice errs by at
+most what the others began since their last message.
+"""
+
+from typing import Iterable, Mapping
+
+import attrs
+
+from dunlintide_core.pipeline import endpoints as endpoints_module
+
+__all__ = [
+    'Occupancy',
+    'Reservation',
+    'Usage',
+]
+
+# Sums of an entry that fell silent count for this long, in seconds: three
+# messages may be lost, and a dead entry's requests end soon after it.
+REMOTE_SECONDS = 2.0
+
+
+@attrs.define
+class Usage:
+    """What requests take of one endpoint.
+
+    :ivar sequences: requests in flight
+    :ivar started: those whose chain begins there
+    :ivar cache: reserved memory, in tokens times layers
+    """
+
+    sequences: int = 0
+    started: int = 0
+    cache: int = 0
+
+    def add(self, other: 'Usage', sign: int = 1) -> None:
+        """Add what another use takes, or take it off with -1."""
+        self.sequences += sign * other.sequences
+        self.started += sign * other.started
+        self.cache += sign * other.cache
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is in use."""
+        return not (self.sequences or self.started or self.cache)
+
+
+@attrs.frozen(eq=False)
+class Reservation:
+    """What one run of a request takes, by name of endpoint."""
+
+    parts: tuple[tuple[str, Usage], ...]
+
+
+@attrs.define
+class _Remote:
+    heard: float
+    usages: Mapping[str, Usage]
+
+
+class Occupancy:
+    """Use of all endpoints as one entry knows it."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, Usage] = {}
+        self._remote: dict[str, _Remote] = {}
+        self._sums: dict[str, Usage] = {}
+
+    def reserve(
+        self, hops: Iterable[endpoints_module.Hop], tokens: int
+    ) -> Reservation:
+        """Take memory and a place at each endpoint of a chain.
+
+        :param tokens: tokens kept by each layer
+        """
+        parts = []
+        for index, hop in enumerate(hops):
+            cache = tokens * (hop.end - hop.start)
+            part = Usage(1, int(index == 0), cache)
+            self._change(hop.endpoint.name, part, 1)
+            parts.append((hop.endpoint.name, part))
+        return Reservation(tuple(parts))
+
+    def release(self, reservation: Reservation) -> None:
+        """Give back what a run took."""
+        for name, part in reservation.parts:
+            self._change(name, part, -1)
+
+    def _change(self, name: str, part: Usage, sign: int) -> None:
+        for table in (self._own, self._sums):
+            usage = table.setdefault(name, Usage())
+            usage.add(part, sign)
+            if usage.is_empty:
+                del table[name]
+
+    def get(self, name: str) -> Usage:
+        """Give the use of an endpoint by all entries."""
+        return self._sums.get(name) or Usage()
+
+    def list_own(self) -> Mapping[str, Usage]:
+        """Give the use by this entry, to tell the others."""
+        return self._own
+
+    def set_remote(
+        self, entry: str, usages: Mapping[str, Usage], now: float
+    ) -> None:
+        """Take in what another entry tells of its own use.
+
+        :param now: monotonic time in seconds
+        """
+        before = self._remote.get(entry)
+        if before is not None:
+            self._add_remote(before.usages, -1)
+        self._remote[entry] = _Remote(now, usages)
+        self._add_remote(usages, 1)
+
+    def expire(self, now: float) -> None:
+        """Forget what entries told that have been silent for long."""
+        for entry, remote in list(self._remote.items()):
+            if now - remote.heard > REMOTE_SECONDS:
+                self._add_remote(remote.usages, -1)
+                del self._remote[entry]
+
+    def _add_remote(self, usages: Mapping[str, Usage], sign: int) -> None:
+        for name, part in usages.items():
+            usage = self._sums.setdefault(name, Usage())
+            usage.add(part, sign)
+            if usage.is_empty:
+                del self._sums[name]
--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/profiles.py
@@ -0,0 +1,126 @@
+"""What is published of engines: cost of steps, memory and links."""
+
+from typing import Mapping
+
+import attrs
+
+__all__ = [
+    'Accelerator',
+    'EngineProfile',
+    'ServiceProfile',
+]
+
+_BITS_PER_BYTE = 8
+_MS_PER_SECOND = 1000.0
+_BYTES_PER_MB = 1e6
+
+
+@attrs.frozen
+class Accelerator:
+    """One kind of card.
+
+    :ivar memory_mb: memory for layers and for requests together
+    :ivar step_factor: time of a step against the published one
+    :ivar read_factor: time of reading a prompt against the published one
+    """
+
+    name: str
+    memory_mb: float
+    step_factor: float
+    read_factor: float
+
+
+@attrs.frozen
+class EngineProfile:
+    """Cost model of the engines of one service.
+
+    Times are for all layers on a card of factor 1; a part of the layers
+    takes its share of them.
+
+    :ivar layers: layers of the model, numbered from 0
+    :ivar layer_mb: memory of one layer
+    :ivar token_bytes: KV cache of one token over all layers
+    :ivar step_ms: fixed time of one token step
+    :ivar sequence_ms: time that each sequence in a batch adds to a step
+    :ivar context_ms: time that 1,000 tokens of context add to a step
+    :ivar read_per_second: prompt tokens read in a second
+    :ivar slots: sequences that a first endpoint takes at once
+    :ivar stride: steps of a pass, so tokens between two events at least
+    :ivar activation_bytes: what one token passes on to the next endpoint
+    :ivar link_mbps: bandwidth of an endpoint's own link
+    :ivar pipe_mbps: bandwidth that all share between two failure domains
+    :ivar load_seconds: time to load all layers, alone
+    :ivar loads_at_once: loads beyond which each slows down
+    :ivar usual_prompt: mean prompt, in tokens
+    :ivar usual_answer: mean answer, in tokens
+    :ivar accelerators: kinds of card by name
+    :ivar delays_ms: one-way delay between two failure domains
+    """
+
+    layers: int
+    layer_mb: float
+    token_bytes: float
+    step_ms: float
+    sequence_ms: float
+    context_ms: float
+    read_per_second: float
+    slots: int
+    stride: int
+    activation_bytes: float
+    link_mbps: float
+    pipe_mbps: float
+    load_seconds: float
+    loads_at_once: int
+    usual_prompt: int
+    usual_answer: int
+    accelerators: Mapping[str, Accelerator]
+    delays_ms: Mapping[tuple[str, str], float]
+
+    def count_max_layers(self, kind: str) -> int:
+        """Tell how many layers a card's memory holds, 0 if unknown."""
+        card = self.accelerators.get(kind)
+        return int(card.memory_mb // self.layer_mb) if card else 0
+
+    def count_cache(self, kind: str, held: int) -> float:
+        """Tell the room for requests, in tokens times layers.
+
+        :param held: layers that the card holds
+        """
+        card = self.accelerators.get(kind)
+        if card is None:
+            return 0.0
+        free_mb = card.memory_mb - held * self.layer_mb
+        return free_mb * _BYTES_PER_MB / (self.token_bytes / self.layers)
+
+    def time_transfer(self, tokens: float, across: bool) -> float:
+        """Tell how long activations take to the next endpoint, in ms.
+
+        :param across: whether they leave the failure domain
+        """
+        mbps = self.pipe_mbps if across else self.link_mbps
+        if not mbps:
+            return 0.0
+        bits = tokens * self.activation_bytes * _BITS_PER_BYTE
+        return bits / (mbps * _BYTES_PER_MB) * _MS_PER_SECOND
+
+    def get_delay(self, one: str, other: str) -> float:
+        """Give the delay between two failure domains, in ms."""
+        found = self.delays_ms.get((one, other))
+        if found is None:
+            found = self.delays_ms.get((other, one), 0.0)
+        return found
+
+
+@attrs.frozen
+class ServiceProfile:
+    """A service that requests are routed to.
+
+    :ivar health_path: path of its health check
+    :ivar max_connections: connections that each endpoint takes
+    :ivar engine: cost model of its engines, None for a plain service
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: EngineProfile | None = None
--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/resends.py
@@ -0,0 +1,66 @@
+"""How many second sends one entry may make, of a budget for all.
+
+The budget of a service is a share of its requests in a window plus a
+fixed number. The share needs no talk between entries, since each earns
+it by its own requests; the fixed number is divided among them.
+"""
+
+import collections
+
+import attrs
+
+__all__ = ['ResendBudget']
+
+# Part of the shared budget that is used: the rest covers entries that
+# restart and forget what they sent, and windows that differ by clock.
+SAFETY = 0.6
+
+
+@attrs.define
+class ResendBudget:
+    """Sends beyond the first of each request, over a sliding window.
+
+    :ivar ratio: sends allowed for each request in the window
+    :ivar slack: sends allowed besides, for all entries together
+    :ivar window: length of the window, in seconds
+    :ivar entries: entries that share the slack
+    """
+
+    ratio: float
+    slack: float
+    window: float
+    entries: int = 1
+    denied: int = 0
+    _requests: collections.deque[float] = attrs.field(
+        factory=collections.deque, init=False
+    )
+    _resends: collections.deque[float] = attrs.field(
+        factory=collections.deque, init=False
+    )
+
+    def _expire(self, now: float) -> None:
+        for times in (self._requests, self._resends):
+            while times and times[0] <= now - self.window:
+                times.popleft()
+
+    def earn(self, now: float) -> None:
+        """Take note of a request.
+
+        :param now: monotonic time in seconds
+        """
+        self._requests.append(now)
+
+    def count_left(self, now: float) -> float:
+        """Tell how many sends are left now."""
+        self._expire(now)
+        allowed = self.ratio * len(self._requests)
+        allowed += self.slack / max(1, self.entries)
+        return allowed * SAFETY - len(self._resends)
+
+    def spend(self, now: float) -> bool:
+        """Take one second send; False when none is left."""
+        if self.count_left(now) < 1.0:
+            self.denied += 1
+            return False
+        self._resends.append(now)
+        return True
--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/soundness.py
@@ -0,0 +1,118 @@
+"""Which endpoints are believed to work, from what own requests show.
+
+A stalled chain accuses only those of its endpoints through which nothing
+else has moved since: with many requests in flight the intersection names
+the culprit at once, without a probe. An accused endpoint is left out for
+a time that doubles with each failure, then one request at a time tries
+it, until something moves through it again.
+"""
+
+from typing import Iterable
+
+import attrs
+
+__all__ = ['Soundness']
+
+# First time for which an accused endpoint is left out, in seconds; a
+# restart takes some seconds, a mistake costs little with copies around.
+FIRST_BAN = 1.0
+# Longest such time, in seconds, so that what recovers is soon in use.
+LONGEST_BAN = 8.0
+# Failures this long ago don't count any more, in seconds.
+FORGET = 20.0
+# How long what another entry tells counts, in seconds: it is repeated
+# while it holds, and own progress refutes it.
+HEARSAY = 0.6
+
+
+@attrs.define
+class _Record:
+    """What is known of one endpoint; times are monotonic, in seconds."""
+
+    progress: float = float('-inf')
+    banned_until: float = float('-inf')
+    accused: float = float('-inf')
+    failures: int = 0
+    trial: bool = False
+    heard_until: float = float('-inf')
+
+
+class Soundness:
+    """Belief in each endpoint of an entry."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def _get(self, name: str) -> _Record:
+        return self._records.setdefault(name, _Record())
+
+    def report_progress(self, names: Iterable[str], now: float) -> None:
+        """Take note that work moved through endpoints."""
+        for name in names:
+            record = self._get(name)
+            record.progress = now
+            if record.failures and record.banned_until <= now:
+                record.failures = 0
+                record.trial = False
+
+    def find_still(self, names: Iterable[str], since: float) -> list[str]:
+        """List the endpoints through which nothing has moved since."""
+        return [name for name in names if self._get(name).progress <= since]
+
+    def accuse(self, name: str, now: float) -> bool:
+        """Leave an endpoint out for a while.
+
+        :returns: whether it was in use until now
+        """
+        record = self._get(name)
+        if now < record.banned_until:
+            return False
+        if now - record.accused > FORGET:
+            record.failures = 0
+        record.accused = now
+        pause = min(LONGEST_BAN, FIRST_BAN * 2**record.failures)
+        record.failures += 1
+        record.banned_until = now + pause
+        record.trial = False
+        return True
+
+    def is_open(self, name: str, now: float) -> bool:
+        """Tell whether an endpoint may get a request."""
+        record = self._records.get(name)
+        if record is None:
+            return True
+        if now < record.heard_until and now - record.progress > HEARSAY:
+            return False
+        if not record.failures:
+            return True
+        return record.banned_until <= now and not record.trial
+
+    def hear(self, name: str, now: float) -> None:
+        """Take note that another entry leaves an endpoint out."""
+        self._get(name).heard_until = now + HEARSAY
+
+    def begin(self, names: Iterable[str]) -> None:
+        """Take note of a request sent, a trial at what was left out."""
+        for name in names:
+            record = self._records.get(name)
+            if record is not None and record.failures:
+                record.trial = True
+
+    def end(self, names: Iterable[str]) -> None:
+        """Let the next request try what this one did not settle."""
+        for name in names:
+            record = self._records.get(name)
+            if record is not None:
+                record.trial = False
+
+    def forget(self, name: str) -> None:
+        """Drop the record of an endpoint that is gone."""
+        self._records.pop(name, None)
+
+    def list_banned(self, now: float) -> list[str]:
+        """List the endpoints that are left out now."""
+        return [
+            name
+            for name, record in self._records.items()
+            if record.banned_until > now
+        ]
--- a/packages/core/src/dunlintide_core/settingsfile.py
+++ b/packages/core/src/dunlintide_core/settingsfile.py
@@ -15,6 +15,7 @@
 __all__ = [
     'Fault',
     'load_settings',
+    'make_converter',
 ]
 
 # A field and what is wrong with it.
@@ -106,7 +107,8 @@
     return read
 
 
-def _make_converter() -> cattrs.Converter:
+def make_converter() -> cattrs.Converter:
+    """Build a converter that also knows the kinds of settings."""
     converter = schemas.make_converter()
     for kind, base, test, expected in _CHECKED:
         reader = _make_reader(converter, base, test, expected)
@@ -114,7 +116,7 @@
     return converter
 
 
-_converter = _make_converter()
+_converter = make_converter()
 
 
 def _list_role_faults(
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The entry on a platform's store: one event loop, no agents."""
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -0,0 +1,105 @@
+"""Operators' port of an entry: readiness, metrics and a state dump."""
+
+import json
+
+import attrs
+import prometheus_client
+
+from dunlintide_adapters import callerhttp
+from dunlintide_core import documents
+from dunlintide_daemon.gateway import state as state_module
+
+__all__ = [
+    'CONFIGURATION_PATH',
+    'Admin',
+]
+
+CONFIGURATION_PATH = '/internal/configuration'
+# When the balancer or an operator may ask an unready entry again, seconds.
+_JSON = ('Content-Type', 'application/json')
+
+
+class Admin:
+    """Answers operators and other entries."""
+
+    def __init__(self, state: state_module.State) -> None:
+        self._state = state
+
+    async def handle(
+        self, request: callerhttp.Request, reply: callerhttp.Reply
+    ) -> None:
+        """Answer one request on the operators' port."""
+        path = request.target.partition('?')[0]
+        if path == '/readyz':
+            await self.handle_ready(request, reply)
+        elif path == '/healthz':
+            reply.send(callerhttp.Head(200))
+        elif path == '/metrics':
+            await self.handle_metrics(request, reply)
+        elif path == '/debug/state':
+            self._send_json(reply, self._dump())
+        elif path == CONFIGURATION_PATH:
+            reply.send(
+                callerhttp.Head(200, [_JSON]), self._state.configuration_value
+            )
+        else:
+            reply.send(callerhttp.Head(404))
+
+    async def handle_ready(
+        self, request: callerhttp.Request, reply: callerhttp.Reply
+    ) -> None:
+        """Tell the balancer whether new connections are welcome."""
+        reply.send(callerhttp.Head(200 if self._state.is_ready else 503))
+
+    async def handle_metrics(
+        self, request: callerhttp.Request, reply: callerhttp.Reply
+    ) -> None:
+        """Give the metrics as Prometheus reads them."""
+        counters = self._state.counters
+        deployment = self._state.deployment
+        counters.version.set(deployment.version if deployment else 0)
+        text = prometheus_client.generate_latest(counters.registry)
+        headers = [('Content-Type', prometheus_client.CONTENT_TYPE_LATEST)]
+        reply.send(callerhttp.Head(200, headers), text)
+
+    @staticmethod
+    def _send_json(reply: callerhttp.Reply, value: object) -> None:
+        data = json.dumps(value, default=str).encode()
+        reply.send(callerhttp.Head(200, [_JSON]), data)
+
+    def _dump(self) -> dict[str, object]:
+        """Describe beliefs and holdings; no key and no content shows."""
+        state = self._state
+        now = state.now
+        deployment = state.deployment
+        usages = state.occupancy.list_own()
+        configuration = None
+        if deployment is not None:
+            text = documents.encode_configuration(deployment.source)
+            configuration = json.loads(text)
+        return {
+            'name': state.settings.name,
+            'role': state.settings.role,
+            'failure_domain': state.settings.failure_domain,
+            'ready': state.is_ready,
+            'stopping': state.stopping,
+            'entries': sorted(state.entries),
+            'listing_age': now - state.listed_at,
+            'version': deployment.version if deployment else None,
+            'configuration': configuration,
+            'endpoints': [
+                attrs.asdict(each) for each in state.endpoints.values()
+            ],
+            'in_flight': {
+                name: attrs.asdict(usage) for name, usage in usages.items()
+            },
+            'waiting': {
+                name: len(queue) for name, queue in state.backlogs.items()
+            },
+            'left_out': state.soundness.list_banned(now),
+            'resends_left': {
+                name: budget.count_left(now)
+                for name, budget in state.budgets.items()
+            },
+            'log_lines_dropped': state.log.dropped,
+        }
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/events.py
@@ -0,0 +1,98 @@
+"""Server-sent events on their way through an entry.
+
+Only whole events go to the caller, so that a run which breaks within one
+can go on elsewhere without a piece lost, doubled or joined wrongly.
+"""
+
+__all__ = [
+    'Sequence',
+    'Splitter',
+]
+
+_END = b'\n\n'
+_END_CRLF = b'\r\n\r\n'
+
+
+class Splitter:
+    """Cuts a byte stream behind whole events.
+
+    :ivar rest: bytes of an event that is not whole yet
+    """
+
+    def __init__(self) -> None:
+        self.rest = b''
+
+    def split(self, data: bytes) -> bytes:
+        """Take in bytes and give the whole events among them."""
+        data = self.rest + data
+        end = data.rfind(_END)
+        cut = end + len(_END) if end >= 0 else 0
+        end = data.rfind(_END_CRLF)
+        if end >= 0:
+            cut = max(cut, end + len(_END_CRLF))
+        self.rest = data[cut:]
+        return data[:cut]
+
+
+def _read_id(event: bytes) -> int | None:
+    for line in event.splitlines():
+        if line.startswith(b'id:'):
+            text = line[3:].strip()
+            return int(text) if text.isdigit() else None
+    return None
+
+
+class Sequence:
+    """Events that a caller has, over all runs of its stream.
+
+    :ivar last: id of its last event, None before the first
+    :ivar count: events that were passed on here
+    """
+
+    def __init__(self, after: str | None) -> None:
+        self.last = after
+        self.count = 0
+
+    def _get_last(self) -> int | None:
+        text = self.last
+        return int(text) if text is not None and text.isdecimal() else None
+
+    def admit(self, data: bytes) -> tuple[bytes, bool]:
+        """Take in whole events.
+
+        :returns: those that the caller does not have, and whether none
+            before them is missing
+        """
+        fresh = []
+        last = self._get_last()
+        for event in _cut(data):
+            number = _read_id(event)
+            if number is None:
+                fresh.append(event)
+                continue
+            if last is not None:
+                if number <= last:
+                    continue
+                if number != last + 1:
+                    return b''.join(fresh), False
+            last = number
+            fresh.append(event)
+            self.count += 1
+        if last is not None:
+            self.last = str(last)
+        return b''.join(fresh), True
+
+
+def _cut(data: bytes) -> list[bytes]:
+    events = []
+    start = 0
+    while start < len(data):
+        plain = data.find(_END, start)
+        crlf = data.find(_END_CRLF, start)
+        ends = [plain + len(_END)] if plain >= 0 else []
+        if crlf >= 0:
+            ends.append(crlf + len(_END_CRLF))
+        end = min(ends) if ends else len(data)
+        events.append(data[start:end])
+        start = end
+    return events
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
@@ -0,0 +1,79 @@
+"""One request at an entry: what is known of it and how it may end."""
+
+import enum
+
+import attrs
+
+from dunlintide_adapters import callerhttp
+from dunlintide_core import configuration
+from dunlintide_core.pipeline import asks
+
+__all__ = [
+    'Exchange',
+    'Outcome',
+    'refuse',
+]
+
+# Least time after which a refused caller is to return, in seconds.
+LEAST_RETRY_SECONDS = 0.05
+
+
+class Outcome(enum.StrEnum):
+    """How a request ended."""
+
+    COMPLETE = 'complete'
+    FAILED = 'failed'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+    CUT = 'cut'
+    GONE = 'gone'
+    DENIED = 'denied'
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """A request, its terms and its answer.
+
+    :ivar service: service that it was given to by its rule's shares
+    :ivar deadline: monotonic time by which it must have ended, in seconds
+    :ivar sends: endpoints that it was sent to
+    :ivar team: name of the team that owns its key, None without one
+    """
+
+    request: callerhttp.Request
+    reply: callerhttp.Reply
+    ask: asks.Ask
+    rule: configuration.Rule
+    service: str
+    deadline: float
+    version: int
+    priority: int
+    fingerprint: str
+    team: str | None = None
+    sends: int = 0
+    tried: list[str] = attrs.field(factory=list)
+
+    @property
+    def terms(self) -> configuration.Then:
+        """What the rule says."""
+        return self.rule.then
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether it may run again after it may have run."""
+        terms = self.terms
+        return bool(terms.repeatable) or (terms.stream and terms.resumable)
+
+
+def refuse(
+    reply: callerhttp.Reply, status: int, retry_after: float | None = None
+) -> None:
+    """Answer a request with a failure of the entry's own.
+
+    :param retry_after: seconds after which to return, None to say nothing
+    """
+    headers = []
+    if retry_after is not None:
+        seconds = max(LEAST_RETRY_SECONDS, retry_after)
+        headers.append(('Retry-After', f'{seconds:.2f}'))
+    reply.send(callerhttp.Head(status, headers))
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/front.py
@@ -0,0 +1,197 @@
+"""Takes callers' requests: finds the rule, the team and who serves."""
+
+import asyncio
+import hashlib
+
+from dunlintide_adapters import callerhttp
+from dunlintide_core import configuration
+from dunlintide_core import matching
+from dunlintide_core.pipeline import asks
+from dunlintide_core.pipeline import deployments
+from dunlintide_daemon.gateway import calls
+from dunlintide_daemon.gateway import exchange as exchange_module
+from dunlintide_daemon.gateway import state as state_module
+from dunlintide_daemon.gateway import streams
+from dunlintide_platform import requests
+
+__all__ = ['Front']
+
+Outcome = exchange_module.Outcome
+
+# When to return to an entry that knows no configuration yet, in seconds.
+UNREADY_SECONDS = 0.5
+# When to return with a request that seems to crash endpoints, in seconds.
+CRASHER_SECONDS = 5.0
+
+
+class Front:
+    """Answers each request of a caller."""
+
+    def __init__(self, state: state_module.State) -> None:
+        self._state = state
+        self._streams = streams.StreamServer(state)
+        self._calls = calls.CallServer(state)
+
+    async def handle(
+        self, request: callerhttp.Request, reply: callerhttp.Reply
+    ) -> None:
+        """Answer one request."""
+        ask = requests.decode(request)
+        exchange = self._admit(request, reply, ask)
+        if exchange is None:
+            return
+        terms = exchange.terms
+        kind = 'stream' if terms.stream else 'call'
+        outcome = Outcome.GONE
+        try:
+            outcome = await self._serve(exchange)
+        except asyncio.CancelledError:
+            if not reply.gone.is_set():
+                raise
+        finally:
+            self._note_end(exchange, kind, outcome)
+
+    def _note_end(
+        self,
+        exchange: exchange_module.Exchange,
+        kind: str,
+        outcome: Outcome,
+    ) -> None:
+        state = self._state
+        seconds = state.now - exchange.request.arrived
+        state.counters.requests.labels(kind, outcome).inc()
+        state.counters.request_seconds.labels(kind).observe(seconds)
+        state.log.write(
+            'request ended',
+            request=exchange.ask.name,
+            outcome=outcome,
+            rule=exchange.rule.name,
+            service=exchange.service,
+            sends=exchange.sends,
+            seconds=round(seconds, 4),
+            version=exchange.version,
+        )
+
+    async def _serve(self, exchange: exchange_module.Exchange) -> Outcome:
+        service = self._state.deployment.services.get(exchange.service)
+        if service is not None and service.engine is not None:
+            return await self._streams.serve(exchange, service.engine)
+        return await self._calls.serve(exchange)
+
+    def _admit(
+        self,
+        request: callerhttp.Request,
+        reply: callerhttp.Reply,
+        ask: asks.Ask,
+    ) -> exchange_module.Exchange | None:
+        """Find the terms of a request, or refuse it at once."""
+        deployment = self._state.deployment
+        if deployment is None or not self._state.listed:
+            self._deny(reply, ask, 503, 'no configuration', UNREADY_SECONDS)
+            return None
+        owner = deployment.find_owner(ask.key_digest)
+        rule = self._find_rule(deployment, ask, owner)
+        if rule is None:
+            self._deny(reply, ask, 404, 'no rule matches')
+            return None
+        if owner is None and deployment.needs_keys and not rule.then.public:
+            self._deny(reply, ask, 401, 'unknown key')
+            return None
+        exchange = self._build(deployment, request, reply, ask, rule, owner)
+        now = self._state.now
+        if self._state.crashers.is_refused(exchange.fingerprint, now):
+            self._deny(
+                reply, ask, 503, 'seems to crash endpoints', CRASHER_SECONDS
+            )
+            return None
+        self._state.get_budget(exchange.service).earn(now)
+        return exchange
+
+    def _find_rule(
+        self,
+        deployment: deployments.Deployment,
+        ask: asks.Ask,
+        owner: configuration.Member | None,
+    ) -> configuration.Rule | None:
+        query = matching.Query(
+            member=owner.name if owner else '',
+            model=ask.model,
+            method=ask.method,
+            path=ask.path,
+            failure_domain=self._state.settings.failure_domain,
+            prompt_tokens=ask.prompt,
+            host=ask.host,
+        )
+        rule = deployment.find_rule(query)
+        if rule is None or rule.then.action is configuration.Action.REFUSE:
+            return None
+        return rule
+
+    def _build(
+        self,
+        deployment: deployments.Deployment,
+        request: callerhttp.Request,
+        reply: callerhttp.Reply,
+        ask: asks.Ask,
+        rule: configuration.Rule,
+        owner: configuration.Member | None,
+    ) -> exchange_module.Exchange:
+        limit = rule.then.deadline_seconds
+        if ask.patience is not None:
+            limit = min(limit, ask.patience)
+        priority = rule.then.priority
+        if owner is not None and owner.priority is not None:
+            priority = owner.priority
+        return exchange_module.Exchange(
+            request=request,
+            reply=reply,
+            ask=ask,
+            rule=rule,
+            service=self._draw_service(rule),
+            deadline=request.arrived + limit,
+            version=deployment.version,
+            priority=priority,
+            fingerprint=_make_fingerprint(request, ask),
+            team=owner.name if owner else None,
+        )
+
+    def _draw_service(self, rule: configuration.Rule) -> str:
+        shares = rule.then.services
+        if len(shares) == 1:
+            return shares[0].service
+        weights = [share.weight for share in shares]
+        drawn = self._state.random.choices(shares, weights)
+        return drawn[0].service
+
+    def _deny(
+        self,
+        reply: callerhttp.Reply,
+        ask: asks.Ask,
+        status: int,
+        reason: str,
+        retry_after: float | None = None,
+    ) -> None:
+        deployment = self._state.deployment
+        self._state.counters.requests.labels('any', Outcome.DENIED).inc()
+        self._state.log.write(
+            'request denied',
+            request=ask.name,
+            status=status,
+            reason=reason,
+            host=ask.host,
+            version=deployment.version if deployment else None,
+            configuration_age=round(
+                self._state.now - self._state.configuration_at, 3
+            ),
+        )
+        exchange_module.refuse(reply, status, retry_after)
+
+
+def _make_fingerprint(request: callerhttp.Request, ask: asks.Ask) -> str:
+    """Name a request by what stays when its caller sends it again."""
+    digest = hashlib.blake2b(digest_size=9)
+    for part in (ask.host, request.target, ask.key_digest):
+        digest.update(part.encode('latin-1'))
+        digest.update(b'\0')
+    digest.update(request.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/leadership.py
@@ -0,0 +1,159 @@
+"""Who orders layers: the holder of a key under a lease."""
+
+import asyncio
+import random
+import time
+
+import attrs
+
+from dunlintide_daemon.gateway import state as state_module
+from dunlintide_platform import keys
+from dunlintide_platform import store as store_module
+
+__all__ = ['Leadership']
+
+# Time that a leadership lives without renewal, in seconds: engines stay
+# without orders for as long when a leader dies.
+LEASE_SECONDS = 3.0
+KEEP_SECONDS = 0.9
+# Part of the lease after which a leader that could not renew stops, since
+# the store counts from when the call arrived.
+SAFE_PART = 0.7
+# Pause before a free key is taken, in seconds, so that few try at once.
+CLAIM_SECONDS = (0.0, 0.25)
+IDLE_SECONDS = 0.5
+
+
+def _read_clock() -> float:
+    """Read a clock that also counts the time of a suspended host."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@attrs.frozen
+class _Seat:
+    """The key as it was last seen."""
+
+    holder: str
+    revision: int
+
+
+class Leadership:
+    """An entry's claim to lead.
+
+    :ivar fence: rises with each leader, 0 while not leading
+    """
+
+    def __init__(
+        self, state: state_module.State, store: store_module.Store
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._seat: _Seat | None = None
+        self._lease: int | None = None
+        self._kept = float('-inf')
+        self._changed = asyncio.Event()
+        self._identity = f'{state.settings.name}/{random.getrandbits(48):x}'
+        self.fence = 0
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether orders may be given now."""
+        if not self.fence:
+            return False
+        return _read_clock() - self._kept < LEASE_SECONDS * SAFE_PART
+
+    def handle_item(self, item: store_module.Item) -> None:
+        """Take note of a change of the key."""
+        if item.value is None:
+            self._seat = None
+        else:
+            holder = item.value.decode('utf-8', 'replace')
+            self._seat = _Seat(holder, item.revision)
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Lead whenever nobody else does, until cancelled."""
+        while True:
+            if self.fence:
+                await self._keep()
+            elif self._state.listed and not self._state.stopping:
+                await self._try_claim()
+            else:
+                await asyncio.sleep(IDLE_SECONDS)
+
+    async def _keep(self) -> None:
+        began = _read_clock()
+        kept = await self._store.keep_lease(self._lease)
+        if kept.is_ok():
+            self._kept = began
+            await asyncio.sleep(KEEP_SECONDS)
+            return
+        missing = kept.err_value.fault is store_module.Fault.MISSING
+        if missing or _read_clock() - self._kept > LEASE_SECONDS:
+            self._lose(str(kept.err_value.fault))
+            return
+        await asyncio.sleep(random.uniform(0.1, 0.3))
+
+    def _lose(self, reason: str) -> None:
+        self._state.log.write_always(
+            'leadership lost', fence=self.fence, reason=reason
+        )
+        self.fence = 0
+        self._lease = None
+
+    async def _wait(self, seconds: float) -> None:
+        self._changed.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
+
+    async def _try_claim(self) -> None:
+        if self._seat is not None:
+            await self._wait(IDLE_SECONDS)
+            return
+        await asyncio.sleep(random.uniform(*CLAIM_SECONDS))
+        if self._seat is not None:
+            return
+        began = _read_clock()
+        lease = await self._store.begin_lease(LEASE_SECONDS)
+        if lease.is_err():
+            await asyncio.sleep(random.uniform(0.2, 0.6))
+            return
+        write = store_module.Write(
+            keys.LEADER_KEY, self._identity.encode(), lease.ok_value
+        )
+        condition = store_module.Condition(keys.LEADER_KEY, 0)
+        written = await self._store.write((condition,), (write,))
+        if written.is_ok():
+            self._begin(lease.ok_value, written.ok_value, began)
+            return
+        if written.err_value.fault is store_module.Fault.UNKNOWN:
+            await self._settle(lease.ok_value, began)
+            return
+        await self._store.end_lease(lease.ok_value)
+        await self._wait(IDLE_SECONDS)
+
+    async def _settle(self, lease: int, began: float) -> None:
+        """Read whether a claim without an answer was done."""
+        read = await self._store.get(keys.LEADER_KEY)
+        if read.is_ok() and read.ok_value.value == self._identity.encode():
+            self._begin(lease, read.ok_value.revision, began)
+            return
+        # It may still come to pass; the lease takes the key along.
+        await self._store.end_lease(lease)
+        await self._wait(IDLE_SECONDS)
+
+    def _begin(self, lease: int, revision: int, began: float) -> None:
+        self._lease = lease
+        self._kept = began
+        self.fence = revision
+        self._state.log.write_always('leadership gained', fence=revision)
+
+    async def leave(self) -> None:
+        """Stop to lead at once, so that another begins soon."""
+        lease, self.fence = self._lease, 0
+        if lease is not None:
+            self._lease = None
+            await self._store.end_lease(lease)
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/placer.py
@@ -0,0 +1,196 @@
+"""Orders engines to hold layers, while this entry leads."""
+
+import asyncio
+
+import attrs
+
+from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_core.pipeline import layout
+from dunlintide_core.pipeline import profiles
+from dunlintide_daemon.gateway import leadership as leadership_module
+from dunlintide_daemon.gateway import state as state_module
+from dunlintide_platform import orders
+
+__all__ = ['Placer']
+
+TICK_SECONDS = 0.2
+# A first layout waits until no engine has been listed for this long, in
+# seconds, so that it sees all of them.
+SETTLE_SECONDS = 0.5
+# Time after which an order that shows no effect is looked into, in
+# seconds, beside the time to load.
+EFFECT_SECONDS = 2.5
+# Orders under way at the same time.
+MAX_SENDING = 16
+# Pause before an order that was not accepted is given anew, in seconds.
+RETRY_SECONDS = 0.8
+
+
+@attrs.define(eq=False)
+class _Order:
+    """An order that may have been carried out.
+
+    :ivar expected: orders that the engine should have accepted before
+    :ivar due: monotonic time by which its effect should show, in seconds
+    :ivar retry_at: when it is looked into and given anew
+    """
+
+    placement: layout.Placement
+    expected: int = 0
+    due: float = 0.0
+    retry_at: float = 0.0
+    checked: bool = True
+
+
+class Placer:
+    """Giver of orders, for all services with engines."""
+
+    def __init__(
+        self,
+        state: state_module.State,
+        leadership: leadership_module.Leadership,
+    ) -> None:
+        self._state = state
+        self._leadership = leadership
+        self._open: dict[str, _Order] = {}
+        self._seen: set[str] = set()
+        self._settled_at = float('inf')
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Give orders whenever this entry leads, until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            if not self._leadership.is_leading:
+                self._open.clear()
+                self._seen.clear()
+                continue
+            self._review()
+
+    def _list_engines(
+        self, service: str
+    ) -> list[endpoints_module.Endpoint]:
+        return [
+            each
+            for each in self._state.endpoints.values()
+            if each.service == service and not each.draining
+        ]
+
+    def _review(self) -> None:
+        deployment = self._state.deployment
+        if deployment is None:
+            return
+        now = self._state.now
+        known = set(self._state.endpoints)
+        if known - self._seen:
+            self._seen |= known
+            self._settled_at = now + SETTLE_SECONDS
+        if now < self._settled_at:
+            return
+        for service in deployment.services.values():
+            if service.engine is not None:
+                self._review_service(service.name, service.engine, now)
+
+    def _review_service(
+        self, service: str, profile: profiles.EngineProfile, now: float
+    ) -> None:
+        engines = self._list_engines(service)
+        names = {each.name for each in engines}
+        holding = []
+        empty = []
+        for engine in engines:
+            order = self._open.get(engine.name)
+            if order is not None and self._is_settled(order, engine):
+                del self._open[engine.name]
+                order = None
+            if order is not None:
+                holding.append(order.placement)
+                if now >= order.retry_at:
+                    self._send(order, profile, now)
+            elif engine.end > engine.start:
+                holding.append(
+                    layout.Placement(engine, engine.start, engine.end)
+                )
+            else:
+                empty.append(engine)
+        for name in [name for name in self._open if name not in names]:
+            order = self._open[name]
+            if order.placement.endpoint.service == service:
+                del self._open[name]
+        for placement in layout.plan_new(profile, holding, empty):
+            # A new engine has accepted none; another refuses and tells.
+            order = _Order(placement)
+            self._open[placement.endpoint.name] = order
+            self._send(order, profile, now)
+
+    @staticmethod
+    def _is_settled(
+        order: _Order, engine: endpoints_module.Endpoint
+    ) -> bool:
+        """Tell whether the listing shows the effect of an order."""
+        wanted = order.placement
+        return (engine.start, engine.end) == (wanted.start, wanted.end)
+
+    def _send(
+        self, order: _Order, profile: profiles.EngineProfile, now: float
+    ) -> None:
+        if len(self._tasks) >= MAX_SENDING:
+            return
+        share = order.placement.end - order.placement.start
+        load = profile.load_seconds * share / profile.layers
+        order.due = now + load + EFFECT_SECONDS
+        order.retry_at = float('inf')
+        task = asyncio.get_running_loop().create_task(self._give(order))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _give(self, order: _Order) -> None:
+        if not order.checked and not await self._check(order):
+            return
+        placement = order.placement
+        fence = self._leadership.fence
+        if not self._leadership.is_leading:
+            return
+        reception = await orders.send_placement(
+            placement.endpoint.address,
+            placement.start,
+            placement.end,
+            order.expected,
+            fence,
+        )
+        self._state.counters.orders.labels(reception).inc()
+        self._state.log.write_always(
+            'order given',
+            endpoint=placement.endpoint.name,
+            layers=[placement.start, placement.end],
+            expected=order.expected,
+            fence=fence,
+            reception=reception,
+        )
+        # Giving it anew is safe: the expected count admits it once.
+        order.checked = False
+        if reception in (orders.Reception.BEGUN, orders.Reception.HELD):
+            order.retry_at = order.due
+        else:
+            order.retry_at = self._state.now + RETRY_SECONDS
+
+    async def _check(self, order: _Order) -> bool:
+        """Ask an engine what became of an order.
+
+        :returns: whether it should be given again
+        """
+        endpoint = order.placement.endpoint
+        read = await orders.read_report(endpoint.address)
+        if read.is_err():
+            order.retry_at = self._state.now + RETRY_SECONDS
+            self._state.log.write(
+                'report missing', endpoint=endpoint.name, error=read.err_value
+            )
+            return False
+        report = read.ok_value
+        order.expected = report.orders
+        if report.busy or report.end > report.start:
+            # The listing will show it, or that it was lost again.
+            order.retry_at = self._state.now + EFFECT_SECONDS
+            return False
+        return True
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/registrar.py
@@ -0,0 +1,79 @@
+"""Keeps an entry listed in the store, so that others find it."""
+
+import asyncio
+import random
+
+import result
+
+from dunlintide_daemon.gateway import state as state_module
+from dunlintide_platform import keys
+from dunlintide_platform import store as store_module
+
+__all__ = ['Registrar']
+
+# Time after which a silent entry is not listed any more, in seconds.
+LEASE_SECONDS = 8.0
+# Pause between renewals, in seconds: two may fail in a row.
+KEEP_SECONDS = 2.5
+RETRY_SECONDS = (0.3, 0.8)
+
+
+class Registrar:
+    """Holder of the lease under which an entry is listed."""
+
+    def __init__(
+        self,
+        state: state_module.State,
+        store: store_module.Store,
+        entry: keys.Entry,
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._entry = entry
+        self._lease: int | None = None
+
+    async def run(self) -> None:
+        """Stay listed until cancelled."""
+        while True:
+            if self._lease is None:
+                done = await self._register()
+            else:
+                done = await self._keep()
+            if done.is_ok():
+                await asyncio.sleep(KEEP_SECONDS)
+            else:
+                await asyncio.sleep(random.uniform(*RETRY_SECONDS))
+
+    async def _register(self) -> result.Result[None, store_module.Refusal]:
+        begun = await self._store.begin_lease(LEASE_SECONDS)
+        if begun.is_err():
+            return begun
+        key = keys.make_entry_key(self._entry.name)
+        value = keys.encode_entry(self._entry)
+        write = store_module.Write(key, value, begun.ok_value)
+        # Without a condition: the newest life of a name replaces others,
+        # and a write that comes late says the same.
+        written = await self._store.write((), (write,))
+        if written.is_ok():
+            self._lease = begun.ok_value
+            self._state.log.write('registered', lease=self._lease)
+        return written.map(lambda _: None)
+
+    async def _keep(self) -> result.Result[None, store_module.Refusal]:
+        kept = await self._store.keep_lease(self._lease)
+        if kept.is_err() and kept.err_value.fault is (
+            store_module.Fault.MISSING
+        ):
+            self._state.log.write('registration lost', lease=self._lease)
+            self._lease = None
+        return kept
+
+    async def leave(self) -> None:
+        """End the lease, so that others stop to count on this entry."""
+        if self._lease is not None:
+            ended = await self._store.end_lease(self._lease)
+            if ended.is_err():
+                self._state.log.write(
+                    'registration kept', fault=ended.err_value.fault
+                )
+            self._lease = None
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -0,0 +1,233 @@
+"""What one entry knows and holds; all of it lives on the event loop."""
+
+import asyncio
+import random as random_module
+import time
+from typing import Callable, Iterable
+
+import attrs
+
+from dunlintide_adapters import decisionlog
+from dunlintide_adapters import endpointhttp
+from dunlintide_core.pipeline import backlog as backlog_module
+from dunlintide_core.pipeline import crashers as crashers_module
+from dunlintide_core.pipeline import deployments
+from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_core.pipeline import occupancy as occupancy_module
+from dunlintide_core.pipeline import resends
+from dunlintide_core.pipeline import settings as settings_module
+from dunlintide_core.pipeline import soundness as soundness_module
+from dunlintide_daemon.gateway import counters as counters_module
+
+__all__ = ['State']
+
+# Waiters that one end of a request wakes: its room may serve several
+# smaller ones.
+_WAKES = 4
+
+
+@attrs.define(eq=False)
+class State:
+    """Beliefs and holdings of an entry.
+
+    :ivar deployment: configuration in force, None before the first
+    :ivar endpoints: endpoints by name, leaving ones among them
+    :ivar listed: whether the endpoints were read at least once
+    :ivar entries: names of all entries that were ever seen
+    :ivar backlogs: waiting requests by service
+    :ivar stopping: whether the process takes no new connections
+    """
+
+    settings: settings_module.EdgeSettings
+    log: decisionlog.DecisionLog
+    counters: counters_module.Counters
+    pool: endpointhttp.Pool = attrs.field(factory=endpointhttp.Pool)
+    occupancy: occupancy_module.Occupancy = attrs.field(
+        factory=occupancy_module.Occupancy
+    )
+    soundness: soundness_module.Soundness = attrs.field(
+        factory=soundness_module.Soundness
+    )
+    crashers: crashers_module.Crashers = attrs.field(factory=crashers_module.Crashers)
+    random: random_module.Random = attrs.field(
+        factory=random_module.Random
+    )
+    deployment: deployments.Deployment | None = None
+    configuration_value: bytes = b''
+    configuration_at: float = 0.0
+    endpoints: dict[str, endpoints_module.Endpoint] = attrs.field(
+        factory=dict
+    )
+    leaving: dict[str, float] = attrs.field(factory=dict)
+    listed: bool = False
+    listed_at: float = 0.0
+    entries: set[str] = attrs.field(factory=set)
+    backlogs: dict[str, backlog_module.Backlog] = attrs.field(factory=dict)
+    budgets: dict[str, resends.ResendBudget] = attrs.field(factory=dict)
+    stopping: bool = False
+    listeners: list[Callable[[], None]] = attrs.field(factory=list)
+
+    @property
+    def now(self) -> float:
+        """Monotonic time in seconds, that of the event loop."""
+        return time.monotonic()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections are welcome."""
+        known = self.deployment is not None and self.listed
+        return known and not self.stopping
+
+    def adopt(self, deployment: deployments.Deployment, value: bytes) -> bool:
+        """Put a configuration in force unless it is not newer.
+
+        :param value: as it lies in the store, for other entries
+        :returns: whether it is in force now
+        """
+        held = self.deployment
+        if held is not None and deployment.version <= held.version:
+            return False
+        self.deployment = deployment
+        self.configuration_value = value
+        self.configuration_at = self.now
+        self.log.write_always(
+            'configuration in force',
+            version=deployment.version,
+            before=held.version if held else None,
+            rules=len(deployment.source.rules),
+            teams=len(deployment.source.members),
+        )
+        self.notify()
+        return True
+
+    def put_endpoint(self, endpoint: endpoints_module.Endpoint) -> None:
+        """Take in an endpoint or what changed of it."""
+        before = self.endpoints.get(endpoint.name)
+        if endpoint.name in self.leaving and not endpoint.draining:
+            # A listing that is older than what is known of its leaving.
+            endpoint = attrs.evolve(endpoint, draining=True)
+        if before == endpoint:
+            return
+        self.endpoints[endpoint.name] = endpoint
+        if before is None or (
+            before.draining != endpoint.draining
+            or (before.start, before.end) != (endpoint.start, endpoint.end)
+        ):
+            self.log.write(
+                'endpoint listed',
+                endpoint=endpoint.name,
+                address=endpoint.address,
+                service=endpoint.service,
+                domain=endpoint.domain,
+                draining=endpoint.draining,
+                layers=[endpoint.start, endpoint.end],
+            )
+        if endpoint.draining:
+            self.pool.drop(endpoint.address)
+        self.notify()
+
+    def mark_leaving(self, name: str, source: str) -> None:
+        """Send nothing new to an endpoint that leaves.
+
+        :param source: who told, for the log
+        """
+        if name in self.leaving:
+            return
+        self.leaving[name] = self.now
+        self.log.write('endpoint leaves', endpoint=name, source=source)
+        endpoint = self.endpoints.get(name)
+        if endpoint is not None and not endpoint.draining:
+            self.put_endpoint(attrs.evolve(endpoint, draining=True))
+
+    def drop_endpoint(self, name: str) -> None:
+        """Forget an endpoint that is gone from the listing."""
+        endpoint = self.endpoints.pop(name, None)
+        if endpoint is None:
+            return
+        self.log.write(
+            'endpoint gone', endpoint=name, address=endpoint.address
+        )
+        self.pool.drop(endpoint.address)
+        self.soundness.forget(name)
+        self.notify()
+
+    def list_endpoints(
+        self, service: str
+    ) -> list[endpoints_module.Endpoint]:
+        """List the endpoints of a service that take new requests."""
+        now = self.now
+        return [
+            each
+            for each in self.endpoints.values()
+            if each.service == service
+            and not each.draining
+            and self.soundness.is_open(each.name, now)
+        ]
+
+    def get_backlog(self, service: str) -> backlog_module.Backlog:
+        """Give the queue of a service."""
+        return self.backlogs.setdefault(service, backlog_module.Backlog())
+
+    def get_budget(self, service: str) -> resends.ResendBudget:
+        """Give the budget of second sends for a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            retries = self.settings.retries
+            budget = resends.ResendBudget(
+                retries.ratio, retries.slack, retries.window
+            )
+            self.budgets[service] = budget
+        budget.entries = max(1, len(self.entries))
+        return budget
+
+    def accuse(self, names: Iterable[str], reason: str, request: str) -> None:
+        """Leave endpoints out for a while, and log why.
+
+        :param request: id of the request that showed it
+        """
+        now = self.now
+        for name in names:
+            if self.soundness.accuse(name, now):
+                self.counters.accusations.inc()
+                self.log.write(
+                    'endpoint left out',
+                    request=request,
+                    endpoint=name,
+                    reason=reason,
+                )
+
+    def release(
+        self, service: str, reservation: occupancy_module.Reservation
+    ) -> None:
+        """Give back what a run took and let others try."""
+        self.occupancy.release(reservation)
+        self.wake(service)
+
+    def wake(self, service: str) -> None:
+        """Let the first that wait try again."""
+        queue = self.backlogs.get(service)
+        if not queue:
+            return
+        for waiter in list(queue)[:_WAKES]:
+            waiter.wake()
+
+    def notify(self) -> None:
+        """Tell what depends on endpoints or configuration of a change."""
+        for listener in self.listeners:
+            listener()
+        for service in self.backlogs:
+            self.wake(service)
+
+    def find_by_address(
+        self, address: str
+    ) -> endpoints_module.Endpoint | None:
+        """Find the endpoint that is listed at an address."""
+        for endpoint in self.endpoints.values():
+            if endpoint.address == address:
+                return endpoint
+        return None
+
+
+async def pause(seconds: float) -> None:
+    """Sleep on the event loop."""
+    await asyncio.sleep(seconds)
--- a/packages/daemon/src/dunlintide_daemon/main.py
+++ b/packages/daemon/src/dunlintide_daemon/main.py
@@ -2,14 +2,13 @@
 
 import argparse
 import importlib
+import os
 import pathlib
 import sys
 from typing import Sequence
 
 import result
 
-from dunlintide_adapters import logs
-from dunlintide_adapters import tlschecks
 from dunlintide_core import fleet
 from dunlintide_core import jsonc
 from dunlintide_core import settings
@@ -21,6 +20,10 @@
 
 PROGRAM = 'dunlintided'
 BAD_SETTINGS = 2
+# Names the settings file where the command line does not.
+SETTINGS_VARIABLE = 'DUNLINTIDE_NODE_FILE'
+# The role of an entry on a platform's store, which has settings of its own.
+EDGE = 'edge'
 # Loaded by name, so that an entry need not carry an agent's code.
 _MODULES = {
     fleet.Role.ENTRY: 'dunlintide_daemon.entry.process',
@@ -33,7 +36,14 @@
         PROGRAM, description='Run the entry or agent role of dunlintide.'
     )
     parser.add_argument(
-        'settings', type=pathlib.Path, help='settings, JSON with comments'
+        'settings',
+        type=pathlib.Path,
+        nargs='?',
+        default=os.environ.get(SETTINGS_VARIABLE),
+        help=f'settings, JSON with comments; else named by {SETTINGS_VARIABLE}',
+    )
+    parser.add_argument(
+        '--role', choices=[EDGE], help='role that has settings of its own'
     )
     parser.add_argument(
         '--check', action='store_true', help='check the settings and stop'
@@ -41,14 +51,47 @@
     return parser.parse_args(arguments)
 
 
-def _load(
+def _read(
     path: pathlib.Path,
-) -> result.Result[settings.Settings, list[jsonc.Problem]]:
+) -> result.Result[str, list[jsonc.Problem]]:
     try:
-        text = path.read_text(encoding='utf-8')
+        return result.Ok(path.read_text(encoding='utf-8'))
     except (OSError, UnicodeDecodeError) as error:
         return result.Err([jsonc.Problem(str(path), 1, 1, '', str(error))])
-    return settingsfile.load_settings(text, str(path), tlschecks.find_faults)
+
+
+def _print_problems(problems: list[jsonc.Problem]) -> int:
+    for problem in problems:
+        print(problem, file=sys.stderr)
+    return BAD_SETTINGS
+
+
+def _run_edge(path: pathlib.Path, check: bool) -> int:
+    """Run an entry on a platform's store.
+
+    Only this role's code is loaded: it starts on small hosts.
+    """
+    loader = importlib.import_module('dunlintide_core.pipeline.settings')
+    loaded = _read(path).and_then(
+        lambda text: loader.load_settings(text, str(path))
+    )
+    if isinstance(loaded, result.Err):
+        return _print_problems(loaded.err_value)
+    if check:
+        return 0
+    process = importlib.import_module('dunlintide_daemon.gateway.process')
+    return process.run(loaded.ok_value, path)
+
+
+def _load(
+    path: pathlib.Path,
+) -> result.Result[settings.Settings, list[jsonc.Problem]]:
+    tlschecks = importlib.import_module('dunlintide_adapters.tlschecks')
+    return _read(path).and_then(
+        lambda text: settingsfile.load_settings(
+            text, str(path), tlschecks.find_faults
+        )
+    )
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -59,14 +102,18 @@
     :returns: exit status; 2 for bad settings
     """
     parsed = _parse_arguments(arguments)
+    if parsed.settings is None:
+        print(f'{PROGRAM}: no settings file is named', file=sys.stderr)
+        return BAD_SETTINGS
+    if parsed.role == EDGE:
+        return _run_edge(parsed.settings, parsed.check)
     loaded = _load(parsed.settings)
     if isinstance(loaded, result.Err):
-        for problem in loaded.err_value:
-            print(problem, file=sys.stderr)
-        return BAD_SETTINGS
+        return _print_problems(loaded.err_value)
     if parsed.check:
         return 0
     found = loaded.ok_value
+    logs = importlib.import_module('dunlintide_adapters.logs')
     logs.configure(
         found.name,
         found.role,
