Reserve memory for the expected answer, and log the pace of streams

Cause: each stream reserved room for its longest answer, so requests were refused while memory was two thirds free. Change: the caller's hint, else the usual answer, and 0.7 of it.

--- a/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
@@ -38,6 +38,10 @@
     :ivar deadline: monotonic time by which it must have ended, in seconds
     :ivar sends: endpoints that it was sent to
     :ivar team: name of the team that owns its key, None without one
+    :ivar tried: names of endpoints that failed it
+    :ivar events: events that its caller got
+    :ivar first_event: seconds from its arrival to the first one
+    :ivar longest_gap: longest pause between two, in seconds
     """
 
     request: callerhttp.Request
@@ -52,6 +56,9 @@
     team: str | None = None
     sends: int = 0
     tried: list[str] = attrs.field(factory=list)
+    events: int = 0
+    first_event: float | None = None
+    longest_gap: float = 0.0
 
     @property
     def terms(self) -> configuration.Then:
--- a/packages/daemon/src/dunlintide_daemon/gateway/front.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/front.py
@@ -69,6 +69,9 @@
             service=exchange.service,
             sends=exchange.sends,
             seconds=round(seconds, 4),
+            events=exchange.events,
+            first_event=exchange.first_event,
+            longest_gap=round(exchange.longest_gap, 4),
             version=exchange.version,
         )
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -32,6 +32,10 @@
 # A run that stays still for so much longer is moved though nothing else
 # shows which of its endpoints is at fault.
 PATIENCE_FACTOR = 2.0
+# Part of the expected answer for which memory is reserved: streams that
+# share an engine are at all points of their answers, so they take little
+# more than half of it on average.
+ANSWER_PART = 0.7
 # Usual time to come back where nothing better is known, in seconds.
 RETRY_SECONDS = 0.4
 # Answers at least this late after the send blame a dead endpoint, sooner
@@ -180,16 +184,8 @@
         sequence: events.Sequence,
     ) -> tuple[endpoints_module.Hop, ...] | None:
         state = self._state
-        written = sequence.count * profile.stride
         ask = exchange.ask
-        answer = max(1, ask.answer - written)
-        expected = min(answer, ask.hint or profile.usual_answer or answer)
-        demand = chains.Demand(
-            prompt=ask.prompt + written,
-            answer=expected,
-            tokens=ask.prompt + written + answer,
-            domain=state.settings.failure_domain,
-        )
+        demand = self._estimate(exchange, profile, sequence)
 
         def get_load(endpoint: endpoints_module.Endpoint) -> chains.Load:
             usage = state.occupancy.get(endpoint.name)
@@ -221,6 +217,26 @@
             return None
         return hops
 
+    def _estimate(
+        self,
+        exchange: exchange_module.Exchange,
+        profile: profiles.EngineProfile,
+        sequence: events.Sequence,
+    ) -> chains.Demand:
+        """Tell what a run from here on will take."""
+        ask = exchange.ask
+        written = sequence.count * profile.stride
+        most = max(1, ask.answer - written)
+        usual = ask.hint or profile.usual_answer or ask.answer
+        expected = max(1, min(most, usual - written))
+        prompt = ask.prompt + written
+        return chains.Demand(
+            prompt=prompt,
+            answer=expected,
+            tokens=prompt + int(expected * ANSWER_PART),
+            domain=self._state.settings.failure_domain,
+        )
+
     async def _find_chain(
         self,
         exchange: exchange_module.Exchange,
@@ -263,9 +279,7 @@
     ) -> Outcome:
         state = self._state
         now = state.now
-        ask = exchange.ask
-        written = sequence.count * profile.stride
-        tokens = ask.prompt + max(ask.answer, written)
+        tokens = self._estimate(exchange, profile, sequence).tokens
         pipes = chains.list_pipes(hops)
         reservation = state.occupancy.reserve(hops, tokens, pipes)
         run = _Run(hops, reservation, now, now)
@@ -520,10 +534,14 @@
         counters = self._state.counters
         if first:
             arrived = exchange.request.arrived
+            exchange.first_event = now - arrived
             counters.first_event_seconds.observe(now - arrived)
         else:
-            counters.gap_seconds.observe(now - run.moved)
+            gap = now - run.moved
+            exchange.longest_gap = max(exchange.longest_gap, gap)
+            counters.gap_seconds.observe(gap)
         run.events += 1
+        exchange.events += 1
         run.moved = now
         self._state.soundness.report_progress(run.names, now)
 
