--- a/packages/adapters/src/dunlintide_adapters/callerhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/callerhttp.py
@@ -106,7 +106,7 @@
 class Reply:
     """The answer to one request, as it is written.
 
-    :ivar gone: set when the caller has closed its side
+    :ivar gone: whether the caller has closed its side
     """
 
     def __init__(self, connection: '_Connection', request: Request) -> None:
@@ -115,12 +115,12 @@
         self._chunked = False
         self.started = False
         self.ended = False
-        self.gone = asyncio.Event()
+        self.gone = False
 
     @property
     def is_open(self) -> bool:
         """Whether the caller can still be answered."""
-        return not self.gone.is_set() and not self.ended
+        return not self.gone and not self.ended
 
     def start(self, head: Head) -> None:
         """Send the head of the answer."""
@@ -244,6 +244,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._ready: collections.deque[Request] = collections.deque()
         self._reply: Reply | None = None
+        self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future | None = None
         self._paused = False
@@ -275,9 +276,11 @@
         return False
 
     def _leave(self) -> None:
+        """Give up what runs for a caller that has closed its side."""
         self._ready.clear()
         if self._reply is not None:
-            self._reply.gone.set()
+            self._reply.gone = True
+            self._task.cancel()
 
     def _watch(self, seconds: float) -> None:
         self._stop_timer()
@@ -394,8 +397,11 @@
         self._stop_timer()
         reply = Reply(self, request)
         self._reply = reply
-        task = self._loop.create_task(self._server.handle(request, reply))
-        task.add_done_callback(self._end)
+        # A caller that leaves cancels it, which frees the endpoint.
+        self._task = self._loop.create_task(
+            self._server.handle(request, reply)
+        )
+        self._task.add_done_callback(self._end)
 
     def _end(self, task: asyncio.Task) -> None:
         reply, self._reply = self._reply, None
@@ -405,7 +411,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         if not reply.ended:
-            if not reply.started and not reply.gone.is_set():
+            if not reply.started and not reply.gone:
                 reply.send(Head(500))
             else:
                 self.abort()
--- a/packages/daemon/src/dunlintide_daemon/gateway/front.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/front.py
@@ -46,7 +46,7 @@
         try:
             outcome = await self._serve(exchange)
         except asyncio.CancelledError:
-            if not reply.gone.is_set():
+            if not reply.gone:
                 raise
         finally:
             self._note_end(exchange, kind, outcome)
