Test the edge role against stand-ins of the platform

Cause: the new role had no test without the users' machines. Settings that change within the first second are noticed: the text read at the start is what a change is measured by, not the first look.

--- a/.ci/tally.py
+++ b/.ci/tally.py
@@ -1,4 +1,4 @@
-"""Count the scenarios of a behave report; known failures stand apart.
+"""Count the scenarios of behave's reports; known failures stand apart.
 
 The last line printed is ``N passed, N failed``. The exit code is 1 when
 a scenario failed that is not listed, when nothing ran, when the list is
@@ -14,13 +14,22 @@
 MAX_KNOWN = 3
 
 
-def _read_scenarios(path: pathlib.Path) -> list[tuple[str, str]]:
-    """Read the name and status of each scenario that was reported."""
-    try:
-        features = json.loads(path.read_text())
-    except (OSError, ValueError) as error:
-        print(f'no report of the tests: {error}')
-        return []
+def _read_scenarios(folder: pathlib.Path) -> list[tuple[str, str]]:
+    """Read the name and status of each scenario that was reported.
+
+    A report that can't be read counts as one scenario that failed.
+    """
+    scenarios = []
+    for path in sorted(folder.glob('*.json')):
+        try:
+            scenarios += _read_report(path)
+        except (OSError, ValueError) as error:
+            scenarios.append((f'{path.stem}: no report: {error}', 'failed'))
+    return scenarios
+
+
+def _read_report(path: pathlib.Path) -> list[tuple[str, str]]:
+    features = json.loads(path.read_text())
     return [
         (element['name'], element.get('status', 'untested'))
         for feature in features
@@ -44,9 +53,9 @@
     return next((line for line in known if line.startswith(starts)), None)
 
 
-def main(report: str, known_red: str, behave_code: str) -> int:
+def main(reports: str, known_red: str, behave_code: str) -> int:
     """Print the count and return the exit code."""
-    scenarios = _read_scenarios(pathlib.Path(report))
+    scenarios = _read_scenarios(pathlib.Path(reports))
     known = _read_known(pathlib.Path(known_red))
     passed = [name for name, status in scenarios if status == 'passed']
     skipped = [name for name, status in scenarios if status == 'skipped']
--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,11 @@
 STAMP := $(VENV)/.installed
 PACKAGES := core adapters daemon cli standins trials
 TOOLS := behave black flake8 hacking
-SOURCES := packages features
+SOURCES := packages platform features .ci
 
 PIP := PIP_CONSTRAINT=constraints.txt $(BIN)/python -m pip -qq \
 	--disable-pip-version-check --no-input
-EDITABLE := $(PACKAGES:%=--editable packages/%)
+EDITABLE := $(PACKAGES:%=--editable packages/%) --editable platform
 
 # Hashing is fixed, so that a failing test fails again.
 # exec, so that a signal to make reaches the program itself.
@@ -25,27 +25,31 @@
 # soak: the seed of the faults, and how long they last.
 SEED ?= 1
 SECONDS ?= 60
-# test: further arguments of behave; a file for the report in JSON.
+# test: further arguments of behave, for one run of them all in turn.
 ARGS ?=
-REPORT ?=
+# test-parallel: a folder for the reports in JSON; processes at a time.
+REPORTS ?= .ci/out
+JOBS ?=
 
 .DEFAULT_GOAL := help
-.PHONY: help install test lint format demo bench soak clean
+.PHONY: help install test test-parallel lint format demo bench soak clean
 
 help:
-	@echo 'targets: install test lint format demo bench soak clean'
+	@echo 'targets: install test test-parallel lint format demo bench soak clean'
 
 install: $(STAMP)
 
-$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(PIP) install setuptools
 	$(PIP) install --no-build-isolation $(EDITABLE) $(TOOLS)
 	@touch $@
 
 test: $(STAMP)
-	$(RUN) $(BIN)/behave $(if $(REPORT),--format json --outfile $(REPORT)) \
-		--format progress $(ARGS) features
+	$(RUN) $(BIN)/behave --format progress $(ARGS) features
+
+test-parallel: $(STAMP)
+	$(RUN) $(BIN)/python .ci/features.py $(REPORTS) $(JOBS)
 
 lint: $(STAMP)
 	$(BIN)/flake8 $(SOURCES)
--- a/features/packages.feature
+++ b/features/packages.feature
@@ -8,11 +8,15 @@
       | package  | allowed                                |
       | core     |                                        |
       | adapters | core                                   |
-      | daemon   | adapters, core                         |
+      | daemon   | adapters, core, platform               |
       | cli      | adapters, core                         |
       | standins |                                        |
-      | trials   | adapters, cli, core, daemon, standins  |
+      | platform | adapters, core                         |
+      | trials   | adapters, cli, core, daemon, standins, platform |
 
   Scenario: The decisions import nothing that does I/O or reads a clock
     When the imports of package "core" are read
     Then they leave out "asyncio, grpc, os, socket, subprocess, threading, time, urllib3, waitress"
+
+  Scenario: Names of the platform's protocol stand in the adapter alone
+    Then outside of the platform package no module names its headers, calls or fields
--- a/features/steps/packages.py
+++ b/features/steps/packages.py
@@ -1,10 +1,18 @@
 """Steps about the imports between the packages."""
 
 import ast
+import re
 
 import behave
 
 PREFIX = 'dunlintide_'
+# Headers, calls and fields of the platform's protocol.
+PLATFORM_NAMES = re.compile(
+    'Attempt-Id|Hop-Count|Server-Stamp|Token-Count|Prefix-Hash|At-Server'
+    '|Not-Executed|Expect-Instance|Deadline-Ms|kv-txn|kv-range|kv-watch'
+    '|kv-lease|route_list|route_type|traffic_split|handoff_mode',
+    re.IGNORECASE,
+)
 
 
 def _split(text: str) -> set[str]:
@@ -25,6 +33,8 @@
 @behave.when('the imports of package "{package}" are read')
 def read_package(context, package):
     folder = context.root / 'packages' / package / 'src'
+    if not folder.exists():
+        folder = context.root / package / 'src'
     modules = list(folder.rglob('*.py'))
     assert modules, f'no modules in {folder}'
     context.package = package
@@ -49,3 +59,18 @@
 def check_forbidden(context, forbidden):
     found = context.imports & _split(forbidden)
     assert not found, f'{context.package} imports {sorted(found)}'
+
+
+@behave.then(
+    'outside of the platform package no module names its headers, calls or'
+    ' fields'
+)
+def check_names(context):
+    found = [
+        str(module.relative_to(context.root))
+        for module in (context.root / 'packages').rglob('*.py')
+        if 'standins' not in module.parts
+        and 'build' not in module.parts
+        and PLATFORM_NAMES.search(module.read_text())
+    ]
+    assert not found, f'names of the platform in {found}'
--- a/features/steps/rules.py
+++ b/features/steps/rules.py
@@ -33,7 +33,9 @@
     model=_sample('m', 'n'),
     service=_sample('s', 'm'),
     method=_sample('GET', 'POST'),
-    path=strategies.sampled_from([None, None, '/*', '/a', '/a*', '/[!a]', '/a/*', '/a/b/*', '/b/*']),
+    path=strategies.sampled_from(
+        [None, None, '/*', '/a', '/a*', '/[!a]', '/a/*', '/a/b/*', '/b/*']
+    ),
     priority=_sample(0, 1),
     failure_domain=_sample('x', 'y'),
     adapter=_sample('p'),
@@ -82,7 +84,9 @@
     whens = strategies.builds(
         configuration.When,
         member=_sample('a', 'b'),
-        path=strategies.sampled_from([None, '/*', '/a', '/a*', '/b*', '/?', '/a/*', '/a/b*']),
+        path=strategies.sampled_from(
+            [None, '/*', '/a', '/a*', '/b*', '/?', '/a/*', '/a/b*']
+        ),
         prompt_tokens_min=_SIZES,
         prompt_tokens_max=_SIZES,
     )
--- a/packages/core/src/dunlintide_core/pipeline/chains.py
+++ b/packages/core/src/dunlintide_core/pipeline/chains.py
@@ -173,7 +173,14 @@
     states: dict[int, _State] = {}
     for begin, end in zip(cuts, cuts[1:]):
         states = _advance(
-            states, holders, loads, rates, begin, end, demand, crossing,
+            states,
+            holders,
+            loads,
+            rates,
+            begin,
+            end,
+            demand,
+            crossing,
             profile.slots,
         )
         if not states:
@@ -243,9 +250,7 @@
         options = []
         if held is not None:
             options.append(
-                _State(
-                    held.cost + work, index, held.hops, held.before, first
-                )
+                _State(held.cost + work, index, held.hops, held.before, first)
             )
         if begin == 0:
             if load.started >= slots:
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -6,8 +6,8 @@
 
 from dunlintide_adapters import callerhttp
 from dunlintide_adapters import endpointhttp
-from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import balance
+from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import requests
@@ -124,9 +124,7 @@
             return False
         return self._pay(exchange, 'call')
 
-    def _pay(
-        self, exchange: exchange_module.Exchange, reason: str
-    ) -> bool:
+    def _pay(self, exchange: exchange_module.Exchange, reason: str) -> bool:
         budget = self._state.get_budget(exchange.service)
         if not budget.spend(self._state.now):
             return False
@@ -261,9 +259,7 @@
             return _Answer(endpoint, True, 'answer to another request')
         if verdict.not_run:
             if verdict.misdirected:
-                state.accuse(
-                    [endpoint.name], 'misdirected', exchange.ask.name
-                )
+                state.accuse([endpoint.name], 'misdirected', exchange.ask.name)
             return _Answer(endpoint, False, f'refused with {head.status}')
         if not verdict.signed and head.status < 300:
             return _Answer(endpoint, True, 'answer without a signature')
--- a/packages/daemon/src/dunlintide_daemon/gateway/placer.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/placer.py
@@ -67,9 +67,7 @@
                 continue
             self._review()
 
-    def _list_engines(
-        self, service: str
-    ) -> list[endpoints_module.Endpoint]:
+    def _list_engines(self, service: str) -> list[endpoints_module.Endpoint]:
         return [
             each
             for each in self._state.endpoints.values()
@@ -124,9 +122,7 @@
             self._send(order, profile, now)
 
     @staticmethod
-    def _is_settled(
-        order: _Order, engine: endpoints_module.Endpoint
-    ) -> bool:
+    def _is_settled(order: _Order, engine: endpoints_module.Endpoint) -> bool:
         """Tell whether the listing shows the effect of an order."""
         wanted = order.placement
         return (engine.start, engine.end) == (wanted.start, wanted.end)
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -63,9 +63,11 @@
 class _Process:
     """The parts of an entry and their lives."""
 
-    def __init__(self, settings: Settings, path: pathlib.Path) -> None:
+    def __init__(
+        self, settings: Settings, path: pathlib.Path, text: str
+    ) -> None:
         self._path = path
-        self._text = ''
+        self._text = text
         log = decisionlog.DecisionLog(settings.name, rate=settings.log_rate)
         metrics = counters.Counters.from_registry(
             registries.CollectorRegistry()
@@ -260,9 +262,7 @@
             return
         if text == self._text:
             return
-        first, self._text = not self._text, text
-        if first:
-            return
+        self._text = text
         loaded = settings_module.load_settings(text, str(self._path))
         if loaded.is_err():
             state.log.write_always(
@@ -316,15 +316,16 @@
         )
 
 
-def run(settings: Settings, path: pathlib.Path) -> int:
+def run(settings: Settings, path: pathlib.Path, text: str) -> int:
     """Run an entry until it is told to stop.
 
     :param path: settings file, read again when it changes
+    :param text: what it held when the settings were read
     :returns: exit status
     """
 
     async def serve() -> None:
-        await _Process(settings, path).run()
+        await _Process(settings, path, text).run()
 
     # What start-up made lives on; leaving it out shortens collections.
     gc.collect()
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -48,16 +48,14 @@
     soundness: soundness_module.Soundness = attrs.field(
         factory=soundness_module.Soundness
     )
-    crashers: crashers_module.Crashers = attrs.field(factory=crashers_module.Crashers)
-    random: random_module.Random = attrs.field(
-        factory=random_module.Random
+    crashers: crashers_module.Crashers = attrs.field(
+        factory=crashers_module.Crashers
     )
+    random: random_module.Random = attrs.field(factory=random_module.Random)
     deployment: deployments.Deployment | None = None
     configuration_value: bytes = b''
     configuration_at: float = 0.0
-    endpoints: dict[str, endpoints_module.Endpoint] = attrs.field(
-        factory=dict
-    )
+    endpoints: dict[str, endpoints_module.Endpoint] = attrs.field(factory=dict)
     leaving: dict[str, float] = attrs.field(factory=dict)
     listed: bool = False
     listed_at: float = 0.0
@@ -151,9 +149,7 @@
         self.soundness.forget(name)
         self.notify()
 
-    def list_endpoints(
-        self, service: str
-    ) -> list[endpoints_module.Endpoint]:
+    def list_endpoints(self, service: str) -> list[endpoints_module.Endpoint]:
         """List the endpoints of a service that take new requests."""
         now = self.now
         return [
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -360,9 +360,7 @@
                 )
             if not verdict.signed:
                 raise _End(True, 'answer without a signature')
-            await self._pass_events(
-                exchange, run, connection, head, sequence
-            )
+            await self._pass_events(exchange, run, connection, head, sequence)
         except endpointhttp.Broken as broken:
             self._note_break(exchange, run, broken)
             raise _End(True, f'run broke: {broken}') from broken
--- a/packages/daemon/src/dunlintide_daemon/main.py
+++ b/packages/daemon/src/dunlintide_daemon/main.py
@@ -40,7 +40,7 @@
         type=pathlib.Path,
         nargs='?',
         default=os.environ.get(SETTINGS_VARIABLE),
-        help=f'settings, JSON with comments; else named by {SETTINGS_VARIABLE}',
+        help=f'settings, JSON with comments; else by {SETTINGS_VARIABLE}',
     )
     parser.add_argument(
         '--role', choices=[EDGE], help='role that has settings of its own'
@@ -72,15 +72,14 @@
     Only this role's code is loaded: it starts on small hosts.
     """
     loader = importlib.import_module('dunlintide_core.pipeline.settings')
-    loaded = _read(path).and_then(
-        lambda text: loader.load_settings(text, str(path))
-    )
+    read = _read(path)
+    loaded = read.and_then(lambda text: loader.load_settings(text, str(path)))
     if isinstance(loaded, result.Err):
         return _print_problems(loaded.err_value)
     if check:
         return 0
     process = importlib.import_module('dunlintide_daemon.gateway.process')
-    return process.run(loaded.ok_value, path)
+    return process.run(loaded.ok_value, path, read.ok_value)
 
 
 def _load(
--- /dev/null
+++ b/packages/standins/src/dunlintide_standins/fleet/store.py
@@ -0,0 +1,279 @@
+"""Stand-in of the platform's metadata store."""
+
+import asyncio
+import base64
+import collections
+import json
+import time
+from typing import Any
+
+import attrs
+
+from dunlintide_standins.fleet import wire
+
+__all__ = ['Faults', 'Store']
+
+_PAGE = 50
+_SWEEP_SECONDS = 0.05
+
+
+@attrs.define
+class Faults:
+    """What is wrong with the store.
+
+    :ivar refuse: status with which calls are refused, 0 for none
+    :ivar silent: whether calls get no answer and do nothing
+    :ivar slow: seconds before each answer
+    :ivar lose: writes that are done and not answered, a count
+    :ivar late: seconds after which a lost write is done, 0 for at once
+    """
+
+    refuse: int = 0
+    silent: bool = False
+    slow: float = 0.0
+    lose: int = 0
+    late: float = 0.0
+
+
+@attrs.define
+class _Item:
+    value: str
+    revision: int
+    created: int
+    lease: int
+
+
+@attrs.define
+class _Lease:
+    ttl: float
+    expires: float
+
+
+class Store:
+    """Keys, leases, history and calls.
+
+    :ivar calls: calls by method and path
+    :ivar port: port that it listens on
+    """
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.port = 0
+        self.revision = 5
+        self._items: dict[str, _Item] = {}
+        self._leases: dict[int, _Lease] = {}
+        self._next_lease = 100
+        self._history: list[dict[str, Any]] = []
+        self._compacted = 5
+        self._changed = asyncio.Condition()
+
+    async def start(self) -> None:
+        """Listen, and expire leases in the background."""
+        server = await wire.listen(self._handle)
+        self.port = server.sockets[0].getsockname()[1]
+        self._server = server
+        self._sweeper = asyncio.ensure_future(self._sweep())
+
+    # What the platform itself does.
+
+    async def put(self, key: str, value: Any, lease: int = 0) -> int:
+        """Write a key as the operator or an endpoint does."""
+        data = value if isinstance(value, bytes) else json.dumps(value)
+        if isinstance(data, str):
+            data = data.encode()
+        async with self._changed:
+            self.revision += 1
+            self._set(key, base64.b64encode(data).decode(), lease)
+            self._changed.notify_all()
+        return self.revision
+
+    async def remove(self, key: str) -> None:
+        """Remove a key."""
+        async with self._changed:
+            if key in self._items:
+                self.revision += 1
+                self._delete(key)
+                self._changed.notify_all()
+
+    def get(self, key: str) -> bytes | None:
+        """Read a key."""
+        item = self._items.get(key)
+        return base64.b64decode(item.value) if item else None
+
+    def list_keys(self, prefix: str) -> list[str]:
+        """List the keys with a prefix."""
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self._history.clear()
+        self._compacted = self.revision
+
+    # Storage.
+
+    def _set(self, key: str, value: str, lease: int) -> None:
+        old = self._items.get(key)
+        created = old.created if old else self.revision
+        self._items[key] = _Item(value, self.revision, created, lease)
+        self._history.append(self._describe(key))
+
+    def _delete(self, key: str) -> None:
+        del self._items[key]
+        self._history.append(
+            {'key': key, 'revision': self.revision, 'deleted': True}
+        )
+
+    def _describe(self, key: str) -> dict[str, Any]:
+        item = self._items[key]
+        return {'key': key, **attrs.asdict(item)}
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_SECONDS)
+            now = time.monotonic()
+            ended = [
+                number
+                for number, lease in self._leases.items()
+                if lease.expires <= now
+            ]
+            for number in ended:
+                await self._end_lease(number)
+
+    async def _end_lease(self, number: int) -> bool:
+        if self._leases.pop(number, None) is None:
+            return False
+        keys = [
+            key for key, item in self._items.items() if item.lease == number
+        ]
+        for key in keys:
+            await self.remove(key)
+        return True
+
+    # Calls.
+
+    async def _handle(
+        self, request: wire.Request, channel: wire.Channel
+    ) -> None:
+        self.calls[f'{request.method} {request.path.rsplit("/", 1)[0]}'] += 1
+        faults = self.faults
+        if faults.silent:
+            await asyncio.sleep(3600)
+        if faults.slow:
+            await asyncio.sleep(faults.slow)
+        if faults.refuse:
+            await channel.answer(faults.refuse, b'{}')
+            return
+        writes = request.method != 'GET'
+        if writes and faults.lose > 0:
+            faults.lose -= 1
+            if faults.late:
+                loop = asyncio.get_running_loop()
+                loop.call_later(
+                    faults.late,
+                    lambda: asyncio.ensure_future(self._run(request)),
+                )
+            else:
+                await self._run(request)
+            await asyncio.sleep(3600)
+        status, body = await self._run(request)
+        await channel.answer(
+            status,
+            json.dumps(body).encode(),
+            {'Content-Type': 'application/json'},
+        )
+
+    async def _run(self, request: wire.Request) -> tuple[int, dict]:
+        path = request.path
+        body = json.loads(request.body) if request.body else {}
+        if path == '/kv-key':
+            return self._read_key(request.query['key'])
+        if path == '/kv-range':
+            return self._read_range(request.query)
+        if path == '/kv-watch':
+            return await self._watch(request.query)
+        if path == '/kv-txn':
+            return await self._write(body)
+        if path == '/kv-lease':
+            return self._begin_lease(body)
+        number = int(path.rsplit('/', 1)[1])
+        if path.startswith('/kv-keep/'):
+            return self._keep_lease(number)
+        ended = await self._end_lease(number)
+        return (200, {}) if ended else (404, {})
+
+    def _read_key(self, key: str) -> tuple[int, dict]:
+        if key not in self._items:
+            return 404, {'current_rev': self.revision}
+        return 200, {**self._describe(key), 'current_rev': self.revision}
+
+    def _read_range(self, query: dict[str, str]) -> tuple[int, dict]:
+        prefix, after = query['prefix'], query.get('after')
+        keys = [
+            key
+            for key in self.list_keys(prefix)
+            if after is None or key > after
+        ]
+        return 200, {
+            'entries': [self._describe(key) for key in keys[:_PAGE]],
+            'truncated': len(keys) > _PAGE,
+            'current_rev': self.revision,
+        }
+
+    def _find_events(self, prefix: str, after: int) -> list[dict]:
+        return [
+            event
+            for event in self._history
+            if event['revision'] > after and event['key'].startswith(prefix)
+        ]
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, dict]:
+        prefix, after = query['prefix'], int(query['after'])
+        wait = int(query['wait_ms']) / 1000
+        if after < self._compacted and after != self.revision:
+            return 410, {}
+        async with self._changed:
+            try:
+                async with asyncio.timeout(wait):
+                    await self._changed.wait_for(
+                        lambda: self._find_events(prefix, after)
+                    )
+            except TimeoutError:
+                pass
+        return 200, {
+            'events': self._find_events(prefix, after),
+            'current_rev': self.revision,
+        }
+
+    async def _write(self, body: dict) -> tuple[int, dict]:
+        for condition in body['precondition']:
+            item = self._items.get(condition['key'])
+            if (item.revision if item else 0) != condition['revision']:
+                return 412, {'entries': []}
+        for row in body['set_keys']:
+            if row['lease'] and row['lease'] not in self._leases:
+                return 404, {}
+            if row['key'].startswith(('op/', 'servers/')):
+                return 403, {}
+        async with self._changed:
+            self.revision += 1
+            for row in body['set_keys']:
+                self._set(row['key'], row['value'], row['lease'])
+            for key in body['remove']:
+                if key in self._items:
+                    self._delete(key)
+            self._changed.notify_all()
+        return 200, {'revision': self.revision}
+
+    def _begin_lease(self, body: dict) -> tuple[int, dict]:
+        self._next_lease += 1
+        ttl = body['ttl_ms'] / 1000
+        self._leases[self._next_lease] = _Lease(ttl, time.monotonic() + ttl)
+        return 200, {'lease': self._next_lease, 'ttl_ms': body['ttl_ms']}
+
+    def _keep_lease(self, number: int) -> tuple[int, dict]:
+        lease = self._leases.get(number)
+        if lease is None:
+            return 404, {}
+        lease.expires = time.monotonic() + lease.ttl
+        return 200, {'ttl_ms': int(lease.ttl * 1000)}
