Test the decisions about chains over made-up fleets

Change: property tests of chains, layouts, reservations, second sends and events; tables of scenes for accusations and refusals.

--- /dev/null
+++ b/features/pipeline.feature
@@ -0,0 +1,52 @@
+Feature: Decisions about chains of engines
+  Pure decisions, over many made-up fleets.
+
+  Scenario: A chain covers each layer once, whatever the fleet
+    Then any chain that is found covers all layers in order with room for its request
+    And a chain is found whenever idle engines hold all layers
+    And no chain crosses a pipe that is full
+
+  Scenario: A calm caller's chain stays in its failure domain
+    Given engines in "a" and "b" that each hold all 12 layers in 3 parts
+    Then the chain of a caller in "a" stays in "a"
+    And with 10 more requests in "a" it still keeps to one failure domain
+
+  Scenario: A chain leaves out engines without room
+    Given engines in "a" and "b" that each hold all 12 layers in 3 parts
+    When an engine of "a" has no room
+    Then the chain of a caller in "a" still covers all layers
+
+  Scenario: A layout gives each domain whole copies where it can
+    Then no layout holds more than a card takes
+    And every domain whose cards can hold the model holds it whole
+    And an engine that comes back gets what its domain lacks
+
+  Scenario: Reservations of all entries add up
+    Then what is reserved is released to the last token, in any order
+    And what a silent entry told is forgotten after 2 seconds
+
+  Scenario: Only engines without other progress are accused
+    Given a chain through "x", "y" and "z" that stands still since 10.0
+    When another request moved through "x" and "z" at 10.2
+    Then only "y" is accused at 10.3
+    And "y" gets one trial after 1 second and is in use again once it moves
+    And a second failure leaves "y" out for 2 seconds
+
+  Scenario: Second sends of all entries stay within the shared budget
+    Then 29 entries that send all they may stay within the budget in any window
+
+  Scenario: A request that breaks run after run is refused
+    When runs of a request broke at 2 endpoints
+    Then it is not refused yet
+    When one more run of it broke at the first endpoint
+    Then it is not refused yet
+    When a run of it broke at a third endpoint
+    Then it is refused, until 60 seconds have passed
+
+  Scenario: Events pass whole, once and in order
+    Then any cut of a stream into pieces passes the same events
+    And a second run that overlaps the first adds only what is new
+    And a second run that begins too late is noticed
+
+  Scenario: Waiting requests go by priority, then by arrival
+    Then any order of arrivals leaves by priority and arrival
--- /dev/null
+++ b/features/steps/pipeline.py
@@ -0,0 +1,474 @@
+"""Steps about decisions on chains of engines."""
+
+import random
+
+import behave
+from dunlintide_core.pipeline import backlog
+from dunlintide_core.pipeline import chains
+from dunlintide_core.pipeline import crashers
+from dunlintide_core.pipeline import endpoints
+from dunlintide_core.pipeline import layout
+from dunlintide_core.pipeline import occupancy
+from dunlintide_core.pipeline import profiles
+from dunlintide_core.pipeline import resends
+from dunlintide_core.pipeline import soundness
+from dunlintide_daemon.gateway import events
+import hypothesis
+from hypothesis import strategies
+
+LAYERS = 12
+CARDS = {
+    'large': profiles.Accelerator('large', 9000.0, 2.0, 3.0),
+    'small': profiles.Accelerator('small', 5000.0, 5.0, 7.0),
+}
+PROFILE = profiles.EngineProfile(
+    layers=LAYERS,
+    layer_mb=1000.0,
+    token_bytes=120_000,
+    step_ms=1.0,
+    sequence_ms=0.01,
+    context_ms=0.01,
+    read_per_second=164_000.0,
+    slots=16,
+    stride=4,
+    activation_bytes=59_000,
+    link_mbps=400_000.0,
+    pipe_mbps=16_000.0,
+    load_seconds=14.0,
+    loads_at_once=6,
+    usual_prompt=775,
+    usual_answer=220,
+    accelerators=CARDS,
+    delays_ms={('a', 'b'): 0.3},
+)
+SPANS = strategies.tuples(
+    strategies.integers(0, LAYERS - 1), strategies.integers(1, LAYERS)
+).map(lambda pair: (pair[0], min(LAYERS, pair[0] + pair[1])))
+ENGINES = strategies.lists(
+    strategies.tuples(
+        SPANS,
+        strategies.sampled_from('abc'),
+        strategies.sampled_from(sorted(CARDS)),
+        strategies.integers(0, 40),
+        strategies.integers(0, 20_000),
+    ),
+    max_size=14,
+)
+
+
+def make_engine(name, span, domain, kind='large'):
+    return endpoints.Endpoint(
+        name=name,
+        address=f'{name}:1',
+        service='llm',
+        domain=domain,
+        slots=16,
+        kind=kind,
+        start=span[0],
+        end=span[1],
+    )
+
+
+def make_demand(domain='a', tokens=1000):
+    return chains.Demand(800, 200, tokens, domain)
+
+
+def make_fleet(rows):
+    engines = []
+    loads = {}
+    for index, (span, domain, kind, running, room) in enumerate(rows):
+        engine = make_engine(f'e{index}', span, domain, kind)
+        engines.append(engine)
+        loads[engine.name] = chains.Load(running, 0, room)
+    return engines, loads
+
+
+def repeat(check, *given):
+    hypothesis.settings(max_examples=300, deadline=None)(
+        hypothesis.given(*given)(check)
+    )()
+
+
+@behave.then(
+    'any chain that is found covers all layers in order with room for its'
+    ' request'
+)
+def check_chains(context):
+    def check(rows, tokens):
+        engines, loads = make_fleet(rows)
+        hops = chains.choose_chain(
+            PROFILE,
+            engines,
+            lambda engine: loads[engine.name],
+            make_demand(tokens=tokens),
+        )
+        if hops is None:
+            return
+        assert endpoints.covers_exactly(hops, LAYERS), hops
+        for hop in hops:
+            need = tokens * (hop.end - hop.start)
+            assert need <= loads[hop.endpoint.name].room, hop
+
+    repeat(check, ENGINES, strategies.integers(1, 2000))
+
+
+@behave.then('a chain is found whenever idle engines hold all layers')
+def check_found(context):
+    def check(rows):
+        engines, _ = make_fleet(rows)
+        idle = chains.Load(0, 0, float('inf'))
+        hops = chains.choose_chain(
+            PROFILE, engines, lambda engine: idle, make_demand()
+        )
+        held = set()
+        for engine in engines:
+            held.update(range(engine.start, engine.end))
+        assert (hops is not None) == (len(held) == LAYERS), (hops, held)
+
+    repeat(check, ENGINES)
+
+
+@behave.then('no chain crosses a pipe that is full')
+def check_pipes(context):
+    def check(rows):
+        engines, _ = make_fleet(rows)
+        idle = chains.Load(0, 0, float('inf'))
+        hops = chains.choose_chain(
+            PROFILE,
+            engines,
+            lambda engine: idle,
+            make_demand(),
+            lambda pipe: 1000.0 if pipe == 'a|b' else 0.0,
+        )
+        if hops is not None:
+            assert 'a|b' not in chains.list_pipes(hops), hops
+
+    repeat(check, ENGINES)
+
+
+@behave.given(
+    'engines in "{one}" and "{other}" that each hold all 12 layers in 3 parts'
+)
+def make_copies(context, one, other):
+    spans = ((0, 4), (4, 8), (8, 12))
+    context.engines = [
+        make_engine(f'{domain}{span[0]}', span, domain)
+        for domain in (one, other)
+        for span in spans
+    ]
+    context.loads = {
+        engine.name: chains.Load(0, 0, 100_000) for engine in context.engines
+    }
+
+
+def choose(context, domain):
+    return chains.choose_chain(
+        PROFILE,
+        context.engines,
+        lambda engine: context.loads[engine.name],
+        make_demand(domain),
+    )
+
+
+@behave.then('the chain of a caller in "{domain}" stays in "{same}"')
+def check_domain(context, domain, same):
+    hops = choose(context, domain)
+    assert {hop.endpoint.domain for hop in hops} == {same}, hops
+
+
+@behave.then(
+    'with {count:d} more requests in "{domain}" it still keeps to one'
+    ' failure domain'
+)
+def check_busy_domain(context, count, domain):
+    for engine in context.engines:
+        if engine.domain == domain:
+            context.loads[engine.name] = chains.Load(count, 0, 100_000)
+    hops = choose(context, domain)
+    assert len({hop.endpoint.domain for hop in hops}) == 1, hops
+
+
+@behave.when('an engine of "{domain}" has no room')
+def fill_engine(context, domain):
+    context.loads[f'{domain}4'] = chains.Load(16, 0, 0)
+
+
+@behave.then('the chain of a caller in "{domain}" still covers all layers')
+def check_detour(context, domain):
+    hops = choose(context, domain)
+    assert endpoints.covers_exactly(hops, LAYERS)
+    assert f'{domain}4' not in {hop.endpoint.name for hop in hops}
+
+
+FLEETS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from('abc'), strategies.sampled_from(sorted(CARDS))
+    ),
+    min_size=1,
+    max_size=20,
+)
+
+
+def make_empty(rows):
+    return [
+        make_engine(f'e{index}', (0, 0), domain, kind)
+        for index, (domain, kind) in enumerate(rows)
+    ]
+
+
+@behave.then('no layout holds more than a card takes')
+def check_layout_size(context):
+    def check(rows):
+        for each in layout.plan_new(PROFILE, (), make_empty(rows)):
+            held = each.end - each.start
+            most = PROFILE.count_max_layers(each.endpoint.kind)
+            assert 0 < held <= most
+            assert 0 <= each.start < each.end <= LAYERS
+
+    repeat(check, FLEETS)
+
+
+@behave.then('every domain whose cards can hold the model holds it whole')
+def check_whole(context):
+    def check(rows):
+        placed = layout.plan_new(PROFILE, (), make_empty(rows))
+        for domain in 'abc':
+            held = [each for each in placed if each.endpoint.domain == domain]
+            total = sum(each.end - each.start for each in held)
+            covered = set()
+            for each in held:
+                covered.update(range(each.start, each.end))
+            # Windows of unequal cards may overlap by the smaller one.
+            if total >= LAYERS + PROFILE.count_max_layers('large'):
+                assert len(covered) == LAYERS, placed
+
+    repeat(check, FLEETS)
+
+
+@behave.then('an engine that comes back gets what its domain lacks')
+def check_return(context):
+    placed = layout.plan_new(PROFILE, (), make_empty([('a', 'large')] * 3))
+    for lost in placed:
+        rest = [each for each in placed if each is not lost]
+        (again,) = layout.plan_new(PROFILE, rest, [lost.endpoint])
+        covered = set()
+        for each in [*rest, again]:
+            covered.update(range(each.start, each.end))
+        assert len(covered) == LAYERS, (rest, again)
+
+
+@behave.then('what is reserved is released to the last token, in any order')
+def check_reservations(context):
+    def check(spans, seed):
+        table = occupancy.Occupancy()
+        held = []
+        for index, span in enumerate(spans):
+            engine = make_engine(f'e{index % 3}', span, 'a')
+            hop = endpoints.Hop(engine, *span)
+            held.append(table.reserve((hop,), 10 * (index + 1), ('a|b',)))
+        total = sum(usage.cache for usage in table.list_own().values())
+        expected = sum(
+            10 * (index + 1) * (span[1] - span[0])
+            for index, span in enumerate(spans)
+        )
+        assert total == expected
+        random.Random(seed).shuffle(held)
+        for reservation in held:
+            table.release(reservation)
+        assert not table.list_own()
+
+    repeat(check, strategies.lists(SPANS, max_size=8), strategies.integers())
+
+
+@behave.then('what a silent entry told is forgotten after 2 seconds')
+def check_silence(context):
+    table = occupancy.Occupancy()
+    table.set_remote('two', {'e0': occupancy.Usage(2, 1, 30)}, 10.0)
+    table.set_remote('two', {'e0': occupancy.Usage(3, 1, 50)}, 11.0)
+    table.expire(12.9)
+    assert table.get('e0') == occupancy.Usage(3, 1, 50)
+    table.expire(13.1)
+    assert table.get('e0') == occupancy.Usage()
+
+
+@behave.given(
+    'a chain through "x", "y" and "z" that stands still since {since:f}'
+)
+def make_still(context, since):
+    context.belief = soundness.Soundness()
+    context.belief.report_progress('xyz', since)
+    context.since = since
+
+
+@behave.when('another request moved through "x" and "z" at {now:f}')
+def move(context, now):
+    context.belief.report_progress('xz', now)
+
+
+@behave.then('only "y" is accused at {now:f}')
+def check_accused(context, now):
+    assert context.belief.find_still('xyz', context.since) == ['y']
+    assert context.belief.accuse('y', now)
+    assert not context.belief.accuse('y', now)
+    assert not context.belief.is_open('y', now)
+    assert context.belief.is_open('x', now)
+    context.accused = now
+
+
+@behave.then(
+    '"y" gets one trial after 1 second and is in use again once it moves'
+)
+def check_trial(context):
+    belief, now = context.belief, context.accused
+    assert not belief.is_open('y', now + 0.9)
+    assert belief.is_open('y', now + 1.1)
+    belief.begin('y')
+    assert not belief.is_open('y', now + 1.2)
+    belief.report_progress('y', now + 1.3)
+    assert belief.is_open('y', now + 1.4)
+
+
+@behave.then('a second failure leaves "y" out for 2 seconds')
+def check_second(context):
+    belief, now = context.belief, context.accused + 1.5
+    belief.accuse('y', now)
+    belief.accuse('y', now + 1.1)
+    assert not belief.is_open('y', now + 1.1 + 1.9)
+    assert belief.is_open('y', now + 1.1 + 2.1)
+
+
+@behave.then(
+    '29 entries that send all they may stay within the budget in any window'
+)
+def check_budget(context):
+    ratio, slack, window, entries = 0.2, 198, 10.0, 29
+    draw = random.Random(7)
+    budgets = [
+        resends.ResendBudget(ratio, slack, window, entries)
+        for _ in range(entries)
+    ]
+    asked, sent = [], []
+    now = 0.0
+    while now < 60.0:
+        now += 0.01
+        budget = draw.choice(budgets)
+        # A storm from second 20 to 30, and little before and after.
+        if 20 < now < 30 or draw.random() < 0.1:
+            budget.earn(now)
+            asked.append(now)
+        if budget.spend(now):
+            sent.append(now)
+    for end in range(10, 60):
+        low = end - window
+        requests = sum(1 for at in asked if low < at <= end)
+        repeats = sum(1 for at in sent if low < at <= end)
+        assert repeats <= ratio * requests + slack, (end, repeats)
+
+
+@behave.when('runs of a request broke at 2 endpoints')
+def break_two(context):
+    context.crashers = crashers.Crashers()
+    context.crashers.report('r', 'one', 10.0)
+    context.crashers.report('r', 'two', 11.0)
+
+
+@behave.when('one more run of it broke at the first endpoint')
+def break_again(context):
+    context.crashers.report('r', 'one', 12.0)
+
+
+@behave.when('a run of it broke at a third endpoint')
+def break_third(context):
+    context.crashers.report('r', 'three', 13.0)
+
+
+@behave.then('it is not refused yet')
+def check_not_refused(context):
+    assert not context.crashers.is_refused('r', 12.5)
+
+
+@behave.then('it is refused, until 60 seconds have passed')
+def check_refused(context):
+    assert context.crashers.is_refused('r', 13.5)
+    assert not context.crashers.is_refused('other', 13.5)
+    assert not context.crashers.is_refused('r', 73.5)
+    assert context.crashers.clear('r')
+    assert not context.crashers.is_refused('r', 13.5)
+
+
+def make_events(first, last):
+    return [
+        b'id: %d\ndata: piece %d\n\n' % (number, number)
+        for number in range(first, last + 1)
+    ]
+
+
+def cut(data, places):
+    marks = [0, *sorted(place % (len(data) + 1) for place in places)]
+    marks.append(len(data))
+    return [data[a:b] for a, b in zip(marks, marks[1:])]
+
+
+def relay(sequence, pieces):
+    splitter = events.Splitter()
+    passed = []
+    for piece in pieces:
+        whole = splitter.split(piece)
+        fresh, intact = sequence.admit(whole)
+        assert intact
+        passed.append(fresh)
+    return b''.join(passed)
+
+
+PLACES = strategies.lists(strategies.integers(0, 10_000), max_size=12)
+
+
+@behave.then('any cut of a stream into pieces passes the same events')
+def check_pieces(context):
+    def check(count, places):
+        data = b''.join(make_events(1, count))
+        sequence = events.Sequence(None)
+        assert relay(sequence, cut(data, places)) == data
+        assert sequence.count == count
+
+    repeat(check, strategies.integers(0, 20), PLACES)
+
+
+@behave.then('a second run that overlaps the first adds only what is new')
+def check_overlap(context):
+    def check(places, end, start):
+        sequence = events.Sequence(None)
+        first = b''.join(make_events(1, end)) + b'id: 99\nda'
+        got = relay(sequence, cut(first, places))
+        second = b''.join(make_events(min(start, end + 1), 20))
+        got += relay(sequence, cut(second, places))
+        assert got == b''.join(make_events(1, 20)), got
+
+    repeat(
+        check, PLACES, strategies.integers(1, 19), strategies.integers(1, 20)
+    )
+
+
+@behave.then('a second run that begins too late is noticed')
+def check_missing(context):
+    sequence = events.Sequence(None)
+    sequence.admit(b''.join(make_events(1, 3)))
+    _, intact = sequence.admit(b''.join(make_events(5, 6)))
+    assert not intact
+    assert sequence.last == '3'
+
+
+@behave.then('any order of arrivals leaves by priority and arrival')
+def check_backlog(context):
+    def check(priorities):
+        queue = backlog.Backlog()
+        waiters = [
+            queue.add(priority, 1.0, lambda: None) for priority in priorities
+        ]
+        expected = sorted(waiters, key=lambda w: (w.priority, w.order))
+        assert list(queue) == expected
+        for waiter in waiters:
+            queue.remove(waiter)
+        assert not len(queue)
+
+    repeat(check, strategies.lists(strategies.integers(0, 3), max_size=10))
