Tell use by digests of names, and other domains less often

Cause: bytes between failure domains are scarce; a message named each endpoint in full. Change: digests of 4 bytes, memory in thousands; every third message also goes to the other domains.

--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -1,23 +1,33 @@
 """What entries tell each other, by datagrams.
 
 Each message holds the whole of what its sender carries, so a lost one is
-made good by the next.
+made good by the next. Endpoints go by a short digest of their names, which
+makes a message half as long; one that is not known here is left out.
 """
 
 import asyncio
+import functools
+import zlib
 
 import msgspec
 
+from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import occupancy
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import keys
 
 __all__ = ['Gossip']
 
-# Pause between two messages to each entry, in seconds, for few entries;
-# it grows with their number so that the bytes of one entry stay bounded.
+# Pause between two messages to an entry of the same failure domain, in
+# seconds, for few entries; it grows with their number so that the bytes of
+# one entry stay bounded.
 PAUSE_SECONDS = 0.15
 ENTRIES_AT_PAUSE = 6
+# Every so many of them also goes to the other domains, whose entries
+# seldom use the same endpoints: bytes between domains are scarce.
+AWAY_MESSAGES = 3
+# Reserved memory is told in as many tokens times layers.
+CACHE_UNIT = 1000
 # How long news of a leaving endpoint or a broken run is repeated, in
 # seconds.
 REPEAT_SECONDS = 3.0
@@ -28,20 +38,26 @@
 
     :ivar sender: name of the entry
     :ivar version: configuration in force there, 0 for none
-    :ivar usages: endpoint, sequences, started and reserved memory
-    :ivar leaving: endpoints that leave
-    :ivar banned: endpoints that are left out
+    :ivar usages: digest of an endpoint or a pipe, sequences, started and
+        reserved memory in its unit
+    :ivar leaving: digests of endpoints that leave
+    :ivar banned: digests of endpoints that are left out
     :ivar broken: fingerprints and the endpoints at which they broke
     """
 
     sender: str
     version: int
-    usages: list[tuple[str, int, int, int]]
-    leaving: list[str]
-    banned: list[str]
+    usages: list[tuple[int, int, int, int]]
+    leaving: list[int]
+    banned: list[int]
     broken: list[tuple[str, str]]
 
 
+@functools.lru_cache(maxsize=4096)
+def _digest(name: str) -> int:
+    return zlib.crc32(name.encode())
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_Message)
 
@@ -78,12 +94,14 @@
 
     async def run(self) -> None:
         """Tell the others until cancelled."""
+        turn = 0
         while True:
             count = max(1, len(self.entries) / ENTRIES_AT_PAUSE)
             await asyncio.sleep(PAUSE_SECONDS * count)
             self._state.occupancy.expire(self._state.now)
+            turn += 1
             if self.entries:
-                self._tell()
+                self._tell(turn % AWAY_MESSAGES == 0)
 
     def _build(self) -> _Message:
         state = self._state
@@ -93,20 +111,43 @@
             state.settings.name,
             state.deployment.version if state.deployment else 0,
             [
-                (name, usage.sequences, usage.started, usage.cache)
+                (
+                    _digest(name),
+                    usage.sequences,
+                    usage.started,
+                    usage.cache // CACHE_UNIT,
+                )
                 for name, usage in state.occupancy.list_own().items()
             ],
-            [name for name, at in state.leaving.items() if at >= since],
-            state.soundness.list_banned(now),
+            [
+                _digest(name)
+                for name, at in state.leaving.items()
+                if at >= since
+            ],
+            list(map(_digest, state.soundness.list_banned(now))),
             state.crashers.list_recent(since),
         )
 
-    def _tell(self) -> None:
+    def _tell(self, everywhere: bool) -> None:
         data = _encoder.encode(self._build())
+        domain = self._state.settings.failure_domain
         for entry in self.entries.values():
+            if not everywhere and entry.domain != domain:
+                continue
             host, _, port = entry.gossip.rpartition(':')
             self._transport.sendto(data, (host, int(port)))
 
+    def _name_digests(self) -> dict[int, str]:
+        """List what a digest may stand for."""
+        state = self._state
+        names = {_digest(name): name for name in state.endpoints}
+        domains = sorted({each.domain for each in state.endpoints.values()})
+        for index, one in enumerate(domains):
+            for other in domains[index + 1 :]:
+                pipe = chains.name_pipe(one, other)
+                names[_digest(pipe)] = pipe
+        return names
+
     def datagram_received(self, data: bytes, address: tuple) -> None:
         try:
             message = _decoder.decode(data)
@@ -118,15 +159,21 @@
     def _take(self, message: _Message) -> None:
         state = self._state
         now = state.now
+        names = self._name_digests()
         usages = {
-            name: occupancy.Usage(sequences, started, cache)
-            for name, sequences, started, cache in message.usages
+            names[digest]: occupancy.Usage(
+                sequences, started, cache * CACHE_UNIT
+            )
+            for digest, sequences, started, cache in message.usages
+            if digest in names
         }
         state.occupancy.set_remote(message.sender, usages, now)
-        for name in message.leaving:
-            state.mark_leaving(name, message.sender)
-        for name in message.banned:
-            state.soundness.hear(name, now)
+        for digest in message.leaving:
+            if digest in names:
+                state.mark_leaving(names[digest], message.sender)
+        for digest in message.banned:
+            if digest in names:
+                state.soundness.hear(names[digest], now)
         for fingerprint, endpoint in message.broken:
             state.crashers.report(fingerprint, endpoint, now)
         held = state.deployment.version if state.deployment else 0
