Keep room by failure domain, and leave a still run only for another

Cause: all cards kept room for 40,000 tokens; on larger fleets memory, not copies, bound: 2,395 of 5,607 arrivals were refused for want of it. A run that stood still was ended before the budget and a chain for its next run were at hand, which cut streams that were only slow (LOST). Change: a domain keeps as much room as 1.3 copies of the model leave; a tenth of it is not given out; the next chain is found and paid for first.

--- a/packages/core/src/dunlintide_core/pipeline/layout.py
+++ b/packages/core/src/dunlintide_core/pipeline/layout.py
@@ -15,14 +15,23 @@
 
 __all__ = [
     'Placement',
+    'choose_room',
     'count_layers',
     'plan_new',
 ]
 
-# Tokens for which each card keeps room: some 30 requests of 1,000 tokens
-# with the answers reserved at their most. The same for all cards, since a
-# request takes as many tokens at each part of its chain.
-ROOM_TOKENS = 40_000
+_BYTES_PER_MB = 1e6
+
+# Copies of the model that a failure domain holds at least, where its cards
+# can: one is whole without any small card, and what is left of the memory
+# carries requests. Measured on unequal cards, see docs/MEASUREMENTS.md.
+COPIES = 1.3
+# Tokens for which a card may keep room, from most to least. The same for
+# all cards of a domain, since a request takes as many at each part of its
+# chain. Beyond the most, slots and time bind sooner than memory.
+ROOMS = range(200_000, 10_000, -10_000)
+# Room where a domain's cards can't hold the copies wanted with any.
+LEAST_ROOM = 30_000
 
 
 @attrs.frozen
@@ -34,18 +43,33 @@
     end: int
 
 
-def count_layers(profile: profiles.EngineProfile, kind: str) -> int:
-    """Tell how many layers a card takes beside its room for requests."""
+def count_layers(profile: profiles.EngineProfile, kind: str, room: int) -> int:
+    """Tell how many layers a card takes beside its room for requests.
+
+    :param room: tokens for which each of its layers keeps memory
+    """
     card = profile.accelerators.get(kind)
     if card is None:
         return 0
-    token_mb = profile.token_bytes / profile.layers / 1e6
-    each_mb = profile.layer_mb + ROOM_TOKENS * token_mb
-    wanted = int(card.memory_mb // each_mb)
+    token_mb = profile.token_bytes / profile.layers / _BYTES_PER_MB
+    wanted = int(card.memory_mb // (profile.layer_mb + room * token_mb))
     most = profile.count_max_layers(kind)
     return max(1, min(wanted, most, profile.layers)) if most else 0
 
 
+def choose_room(profile: profiles.EngineProfile, kinds: Sequence[str]) -> int:
+    """Choose the room that a failure domain's cards keep, in tokens.
+
+    :param kinds: kind of each card in the domain
+    """
+    wanted = COPIES * profile.layers
+    for room in ROOMS:
+        held = sum(count_layers(profile, kind, room) for kind in kinds)
+        if held >= wanted:
+            return room
+    return LEAST_ROOM
+
+
 def _rate(profile: profiles.EngineProfile, kind: str, held: int) -> float:
     """Tokens a ms that a card passes through the layers it holds."""
     card = profile.accelerators[kind]
@@ -85,6 +109,7 @@
     :param holding: ranges that are held or ordered already
     :param empty: engines without layers; large cards choose first
     """
+    holding = list(holding)
     everywhere = [0.0] * profile.layers
     local: dict[str, list[float]] = {}
     for each in holding:
@@ -96,9 +121,11 @@
         cover = local.setdefault(domain, [0.0] * profile.layers)
         _add(everywhere, each.start, each.end, rate)
         _add(cover, each.start, each.end, rate)
+    empty = sorted(empty, key=_make_order(profile))
+    rooms = _choose_rooms(profile, [each.endpoint for each in holding], empty)
     placements = []
-    for engine in sorted(empty, key=_make_order(profile)):
-        held = count_layers(profile, engine.kind)
+    for engine in empty:
+        held = count_layers(profile, engine.kind, rooms[engine.domain])
         if not held:
             continue
         cover = local.setdefault(engine.domain, [0.0] * profile.layers)
@@ -110,6 +137,19 @@
     return placements
 
 
+def _choose_rooms(
+    profile: profiles.EngineProfile,
+    *groups: Iterable[endpoints_module.Endpoint],
+) -> dict[str, int]:
+    kinds: dict[str, list[str]] = {}
+    for group in groups:
+        for engine in group:
+            kinds.setdefault(engine.domain, []).append(engine.kind)
+    return {
+        domain: choose_room(profile, found) for domain, found in kinds.items()
+    }
+
+
 def _make_order(profile: profiles.EngineProfile):
     kinds: Mapping[str, profiles.Accelerator] = profile.accelerators
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -19,13 +19,12 @@
 __all__ = ['Gossip']
 
 # Pause between two messages to an entry of the same failure domain, in
-# seconds, for few entries; it grows with their number so that the bytes of
-# one entry stay bounded.
+# seconds: about a tenth of the time that a stream is under way.
 PAUSE_SECONDS = 0.15
-ENTRIES_AT_PAUSE = 6
-# Every so many of them also goes to the other domains, whose entries
-# seldom use the same endpoints: bytes between domains are scarce.
-AWAY_MESSAGES = 3
+# Entries of other domains seldom use the same endpoints, and bytes between
+# domains are scarce: for so many entries every third message goes to them,
+# for more entries fewer.
+ENTRIES_AT_THIRD = 6
 # Reserved memory is told in as many tokens times layers.
 CACHE_UNIT = 1000
 # How long news of a leaving endpoint or a broken run is repeated, in
@@ -96,12 +95,15 @@
         """Tell the others until cancelled."""
         turn = 0
         while True:
-            count = max(1, len(self.entries) / ENTRIES_AT_PAUSE)
-            await asyncio.sleep(PAUSE_SECONDS * count)
+            await asyncio.sleep(PAUSE_SECONDS)
             self._state.occupancy.expire(self._state.now)
             turn += 1
             if self.entries:
-                self._tell(turn % AWAY_MESSAGES == 0)
+                self._tell(turn % self._count_turns() == 0)
+
+    def _count_turns(self) -> int:
+        """Tell which of the messages also goes to other domains."""
+        return 3 * max(1, round(len(self.entries) / ENTRIES_AT_THIRD))
 
     def _build(self) -> _Message:
         state = self._state
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -32,6 +32,9 @@
 # A run that stays still for so much longer is moved though nothing else
 # shows which of its endpoints is at fault.
 PATIENCE_FACTOR = 2.0
+# Part of an engine's memory that is given out: other entries' use is known
+# a little late, and engines keep memory in blocks.
+ROOM_PART = 0.9
 # Part of the expected answer for which memory is reserved: streams that
 # share an engine are at all points of their answers, so they take little
 # more than half of it on average.
@@ -74,13 +77,21 @@
     :ivar ran: whether it may have run
     :ivar reason: for the log
     :ivar retry: whether another chain may do better
+    :ivar hops: the chain on which it goes on, paid for, None to find one
     """
 
-    def __init__(self, ran: bool, reason: str, retry: bool = True) -> None:
+    def __init__(
+        self,
+        ran: bool,
+        reason: str,
+        retry: bool = True,
+        hops: tuple[endpoints_module.Hop, ...] | None = None,
+    ) -> None:
         super().__init__(reason)
         self.ran = ran
         self.reason = reason
         self.retry = retry
+        self.hops = hops
 
 
 class StreamServer:
@@ -97,12 +108,14 @@
         """Answer a request whose rule names engines."""
         sequence = events.Sequence(exchange.ask.after)
         ran = False
+        hops = None
         while True:
-            hops = await self._find_chain(exchange, profile, sequence)
             if hops is None:
-                return self._give_up(exchange, ran, 'no room')
-            if exchange.sends and not self._may_send_again(exchange):
-                return self._give_up(exchange, ran, 'no budget')
+                hops = await self._find_chain(exchange, profile, sequence)
+                if hops is None:
+                    return self._give_up(exchange, ran, 'no room')
+                if exchange.sends and not self._may_send_again(exchange):
+                    return self._give_up(exchange, ran, 'no budget')
             try:
                 return await self._run(exchange, profile, hops, sequence)
             except _End as end:
@@ -110,6 +123,7 @@
                 self._log_end(exchange, hops, sequence, end)
                 if not end.retry or not self._can_go_on(exchange, ran):
                     return self._give_up(exchange, ran, end.reason)
+                hops = end.hops
 
     def _log_end(
         self,
@@ -190,7 +204,8 @@
         def get_load(endpoint: endpoints_module.Endpoint) -> chains.Load:
             usage = state.occupancy.get(endpoint.name)
             held = endpoint.end - endpoint.start
-            room = profile.count_cache(endpoint.kind, held) - usage.cache
+            room = profile.count_cache(endpoint.kind, held) * ROOM_PART
+            room -= usage.cache
             return chains.Load(usage.sequences, usage.started, room)
 
         candidates = [
@@ -288,7 +303,9 @@
         connection = None
         try:
             connection = await self._connect(exchange, run)
-            return await self._relay(exchange, run, connection, sequence)
+            return await self._relay(
+                exchange, profile, run, connection, sequence
+            )
         finally:
             state.soundness.end(run.names)
             state.release(exchange.service, reservation)
@@ -341,13 +358,16 @@
     async def _relay(
         self,
         exchange: exchange_module.Exchange,
+        profile: profiles.EngineProfile,
         run: _Run,
         connection: endpointhttp.Connection,
         sequence: events.Sequence,
     ) -> Outcome:
         self._send(exchange, run, connection, sequence)
         try:
-            head = await self._read_head(exchange, run, connection)
+            head = await self._read_head(
+                exchange, profile, run, connection, sequence
+            )
             verdict = requests.judge(head)
             if verdict.name not in (None, exchange.ask.name):
                 raise _End(True, 'answer to another request')
@@ -360,7 +380,9 @@
                 )
             if not verdict.signed:
                 raise _End(True, 'answer without a signature')
-            await self._pass_events(exchange, run, connection, head, sequence)
+            await self._pass_events(
+                exchange, profile, run, connection, head, sequence
+            )
         except endpointhttp.Broken as broken:
             self._note_break(exchange, run, broken)
             raise _End(True, f'run broke: {broken}') from broken
@@ -408,8 +430,10 @@
     async def _read_head(
         self,
         exchange: exchange_module.Exchange,
+        profile: profiles.EngineProfile,
         run: _Run,
         connection: endpointhttp.Connection,
+        sequence: events.Sequence,
     ) -> endpointhttp.AnswerHead:
         target = exchange.terms.target_seconds or WAIT_SECONDS
         limit = target * FIRST_PART
@@ -420,33 +444,46 @@
             except endpointhttp.Broken as broken:
                 if broken.fault is not endpointhttp.Fault.TIMEOUT:
                     raise
-                limit = self._judge_silence(exchange, run, limit, target)
+                limit = self._judge_silence(
+                    exchange, profile, run, sequence, target
+                )
 
     def _judge_silence(
         self,
         exchange: exchange_module.Exchange,
+        profile: profiles.EngineProfile,
         run: _Run,
-        limit: float,
+        sequence: events.Sequence,
         target: float,
     ) -> float:
         """Decide whether a still run is moved to another chain.
 
+        It is left only for a chain that is at hand and paid for, since a
+        slow run is worth more than none.
+
         :returns: how long to wait from its last event, in seconds
         """
         state = self._state
         now = state.now
         if now >= exchange.deadline:
             raise _End(True, 'deadline', retry=False)
+        silence = now - run.moved
+        again = silence + target * GAP_PART
+        if not self._can_go_on(exchange, True):
+            return exchange.deadline - run.moved
         still = state.soundness.find_still(run.names, run.moved)
         certain = 0 < len(still) < len(run.names)
-        patient = now - run.moved < target * PATIENCE_FACTOR
-        if not certain and patient:
+        if not certain and silence < target * PATIENCE_FACTOR:
             return target * PATIENCE_FACTOR
-        if not self._can_go_on(exchange, True):
-            return exchange.deadline - run.moved
+        if certain:
+            state.accuse(still, 'still', exchange.ask.name)
+        before = list(exchange.tried)
         exchange.tried.extend(still)
-        state.accuse(still, 'still', exchange.ask.name)
-        raise _End(True, f'still for {now - run.moved:.3f} s')
+        hops = self._choose(exchange, profile, sequence)
+        if hops is None or not self._may_send_again(exchange):
+            exchange.tried[:] = before
+            return again
+        raise _End(True, f'still for {silence:.3f} s', hops=hops)
 
     async def _pass_failure(
         self,
@@ -475,6 +512,7 @@
     async def _pass_events(
         self,
         exchange: exchange_module.Exchange,
+        profile: profiles.EngineProfile,
         run: _Run,
         connection: endpointhttp.Connection,
         head: endpointhttp.AnswerHead,
@@ -485,7 +523,9 @@
         splitter = events.Splitter()
         first = not sequence.count
         while True:
-            data = await self._read_events(exchange, run, connection)
+            data = await self._read_events(
+                exchange, profile, run, connection, sequence
+            )
             if not data:
                 break
             now = state.now
@@ -546,8 +586,10 @@
     async def _read_events(
         self,
         exchange: exchange_module.Exchange,
+        profile: profiles.EngineProfile,
         run: _Run,
         connection: endpointhttp.Connection,
+        sequence: events.Sequence,
     ) -> bytes:
         terms = exchange.terms
         if run.events:
@@ -563,7 +605,9 @@
             except endpointhttp.Broken as broken:
                 if broken.fault is not endpointhttp.Fault.TIMEOUT:
                     raise
-                limit = self._judge_silence(exchange, run, limit, target)
+                limit = self._judge_silence(
+                    exchange, profile, run, sequence, target
+                )
 
 
 def _describe(hops: tuple[endpoints_module.Hop, ...]) -> str:
