--- a/packages/daemon/src/dunlintide_daemon/gateway/front.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/front.py
@@ -20,6 +20,14 @@
 
 # When to return to an entry that knows no configuration yet, in seconds.
 UNREADY_SECONDS = 0.5
+# Time after SIGTERM from which on streams are refused, in seconds: later
+# ones could not end before the process must, and by then the balancer has
+# had two answers that the entry isn't ready.
+LAST_STREAM_SECONDS = 2.8
+# Time before the process must end from which on calls are refused too.
+LAST_CALL_SECONDS = 1.5
+# When to return to an entry that stops, in seconds: at once, to another.
+STOPPING_SECONDS = 0.1
 # When to return with a request that seems to crash endpoints, in seconds.
 CRASHER_SECONDS = 5.0
 
@@ -107,9 +115,24 @@
                 reply, ask, 503, 'seems to crash endpoints', CRASHER_SECONDS
             )
             return None
+        if self._is_too_late(exchange, now):
+            self._deny(reply, ask, 503, 'stopping', STOPPING_SECONDS)
+            return None
         self._state.get_budget(exchange.service).earn(now)
         return exchange
 
+    def _is_too_late(
+        self, exchange: exchange_module.Exchange, now: float
+    ) -> bool:
+        """Tell whether the process ends before it could answer."""
+        state = self._state
+        if not state.stopping:
+            return False
+        if exchange.terms.stream:
+            return now - state.stopping_at > LAST_STREAM_SECONDS
+        last = state.settings.grace - LAST_CALL_SECONDS
+        return now - state.stopping_at > last
+
     def _find_rule(
         self,
         deployment: deployments.Deployment,
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -298,7 +298,7 @@
         """Finish what is under way, as long as the time allows."""
         state = self._state
         state.stopping = True
-        began = state.now
+        began = state.stopping_at = state.now
         state.log.write_always('stopping', busy=self._callers.count_busy())
         last = began + state.settings.grace - MARGIN_SECONDS
         with contextlib.suppress(TimeoutError):
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -36,6 +36,7 @@
     :ivar entries: names of all entries that were ever seen
     :ivar backlogs: waiting requests by service
     :ivar stopping: whether the process takes no new connections
+    :ivar stopping_at: monotonic time of SIGTERM, in seconds
     """
 
     settings: settings_module.EdgeSettings
@@ -63,6 +64,7 @@
     backlogs: dict[str, backlog_module.Backlog] = attrs.field(factory=dict)
     budgets: dict[str, resends.ResendBudget] = attrs.field(factory=dict)
     stopping: bool = False
+    stopping_at: float = 0.0
     listeners: list[Callable[[], None]] = attrs.field(factory=list)
 
     @property
