Leave out what was just full, and hold the room of runs that were left

Cause: after a dead engine, first endpoints refused 600 requests while 9 to 18 were in flight there by the entries' count: engines hold on to runs whose chain has a dead part after their connection has closed. The choice fell on the same endpoint again at once. Change: an endpoint that refused as full is left out for 0.3 s; a run that was left for another chain keeps its reservation for 1.5 s.

--- a/packages/core/src/dunlintide_core/pipeline/soundness.py
+++ b/packages/core/src/dunlintide_core/pipeline/soundness.py
@@ -20,6 +20,10 @@
 LONGEST_BAN = 8.0
 # Failures this long ago don't count any more, in seconds.
 FORGET = 20.0
+# How long an endpoint that refused a request as full gets no other one, in
+# seconds: the choice would fall on it again at once, as its use here looks
+# low. Requests that others gave up hold their places a while longer.
+FULL = 0.3
 # How long what another entry tells counts, in seconds: it is repeated
 # while it holds, and own progress refutes it.
 HEARSAY = 0.6
@@ -35,6 +39,7 @@
     failures: int = 0
     trial: bool = False
     heard_until: float = float('-inf')
+    full_until: float = float('-inf')
 
 
 class Soundness:
@@ -87,6 +92,15 @@
             return True
         return record.banned_until <= now and not record.trial
 
+    def fill(self, name: str, now: float) -> None:
+        """Take note that an endpoint refused a request as full."""
+        self._get(name).full_until = now + FULL
+
+    def is_full(self, name: str, now: float) -> bool:
+        """Tell whether an endpoint was full a moment ago."""
+        record = self._records.get(name)
+        return record is not None and now < record.full_until
+
     def hear(self, name: str, now: float) -> None:
         """Take note that another entry leaves an endpoint out."""
         self._get(name).heard_until = now + HEARSAY
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -45,6 +45,9 @@
 # Part of an engine's memory that is given out: other entries' use is known
 # a little late, and engines keep memory in blocks.
 ROOM_PART = 0.9
+# How long engines hold on to a run that was left because one of its parts
+# stood still, in seconds: those before it wait for the dead one.
+LINGER_SECONDS = 1.5
 # Part of the expected answer for which memory is reserved: streams that
 # share an engine are at all points of their answers, so they take little
 # more than half of it on average.
@@ -60,6 +63,7 @@
 
     :ivar began: monotonic time of its send, in seconds
     :ivar moved: when its last event came
+    :ivar lingers: whether its endpoints hold it for a while after its end
     """
 
     hops: tuple[endpoints_module.Hop, ...]
@@ -67,6 +71,7 @@
     began: float
     moved: float
     events: int = 0
+    lingers: bool = False
 
     @property
     def first(self) -> endpoints_module.Endpoint:
@@ -216,6 +221,8 @@
             held = endpoint.end - endpoint.start
             room = profile.count_cache(endpoint.kind, held) * ROOM_PART
             room -= usage.cache
+            if state.soundness.is_full(endpoint.name, state.now):
+                room = 0.0
             return chains.Load(usage.sequences, usage.started, room)
 
         candidates = [
@@ -333,12 +340,27 @@
             return await self._relay(
                 exchange, profile, run, connection, sequence
             )
+        except _End as end:
+            if end.hops is not None:
+                run.lingers = True
+            raise
         finally:
             state.soundness.end(run.names)
-            state.release(exchange.service, reservation)
+            self._release(exchange.service, run)
             if connection is not None:
                 state.pool.release(address, connection)
 
+    def _release(self, service: str, run: _Run) -> None:
+        """Give back what a run took, later if its engines still hold it."""
+        state = self._state
+        if not run.lingers:
+            state.release(service, run.reservation)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            LINGER_SECONDS, state.release, service, run.reservation
+        )
+
     async def _connect(
         self, exchange: exchange_module.Exchange, run: _Run
     ) -> endpointhttp.Connection:
@@ -400,7 +422,8 @@
                 raise _End(True, 'answer to another request')
             if verdict.not_run:
                 self._blame_refusal(exchange, run, verdict)
-                raise _End(False, f'refused with {head.status}')
+                where = verdict.culprit or run.first.address
+                raise _End(False, f'refused with {head.status} by {where}')
             if head.status != 200:
                 return await self._pass_failure(
                     exchange, run, connection, head
@@ -429,6 +452,7 @@
                     culprit = hop.endpoint
         exchange.tried.append(culprit.name)
         late = self._state.now - run.began >= DEAD_SECONDS
+        self._state.soundness.fill(culprit.name, self._state.now)
         if late or verdict.misdirected:
             reason = 'misdirected' if verdict.misdirected else 'stalled'
             self._state.accuse([culprit.name], reason, exchange.ask.name)
