--- a/packages/core/src/dunlintide_core/pipeline/chains.py
+++ b/packages/core/src/dunlintide_core/pipeline/chains.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from typing import Callable, Iterable
+from typing import Callable, Iterable, NamedTuple
 
 import attrs
 
@@ -105,9 +105,16 @@
     return max(1.0, PIPE_PART * PIPE_SECONDS / seconds)
 
 
-@attrs.define
-class _State:
-    """Best way to the end of a segment, by the endpoint that runs it."""
+class _State(NamedTuple):
+    """Best way to the end of a segment, by the endpoint that runs it.
+
+    A named tuple, since a choice makes some hundred of them.
+
+    :ivar holder: index of that endpoint
+    :ivar hops: parts of the chain so far
+    :ivar before: the way to the first layer of its part
+    :ivar begin: first layer of its part
+    """
 
     cost: float
     holder: int
@@ -166,32 +173,118 @@
     :param count_crossing: requests that cross a pipe now, by its name
     """
     holders = [each for each in candidates if each.end > each.start]
-    loads = [get_load(each) for each in holders]
+    if not holders:
+        return None
+    search = _Search(profile, holders, get_load, demand, count_crossing)
     cuts = _cut(holders, profile.layers)
-    rates = [
-        _time_layer(profile, holder, load, demand)
-        for holder, load in zip(holders, loads)
-    ]
-    crossing = _make_crossing(profile, demand, count_crossing)
     states: dict[int, _State] = {}
     for begin, end in zip(cuts, cuts[1:]):
-        states = _advance(
-            states,
-            holders,
-            loads,
-            rates,
-            begin,
-            end,
-            demand,
-            crossing,
-            profile.slots,
-        )
+        if begin == 0:
+            states = search.start(end)
+        else:
+            states = search.extend(states, begin, end)
         if not states:
             return None
     best = min(states.values(), key=lambda state: state.cost)
     return _trace(best, holders, profile.layers)
 
 
+class _Search:
+    """Steps of the shortest path over segments of layers."""
+
+    def __init__(
+        self,
+        profile: profiles.EngineProfile,
+        holders: list[endpoints_module.Endpoint],
+        get_load: Callable[[endpoints_module.Endpoint], Load],
+        demand: Demand,
+        count_crossing: Callable[[str], float],
+    ) -> None:
+        self._holders = holders
+        self._demand = demand
+        self._slots = profile.slots * SLOT_PART
+        self._crossing = _make_crossing(profile, demand, count_crossing)
+        loads = [get_load(each) for each in holders]
+        self._loads = loads
+        self._rates = [
+            _time_layer(profile, holder, load, demand)
+            for holder, load in zip(holders, loads)
+        ]
+        # Layers for which each has room.
+        self._rooms = [load.room / demand.tokens for load in loads]
+
+    def _list_holders(self, begin: int, end: int) -> list[int]:
+        length = end - begin
+        return [
+            index
+            for index, holder in enumerate(self._holders)
+            if holder.start <= begin
+            and holder.end >= end
+            and self._rooms[index] >= length
+        ]
+
+    def start(self, end: int) -> dict[int, _State]:
+        """Begin at each endpoint that takes more requests."""
+        states = {}
+        for index in self._list_holders(0, end):
+            if self._loads[index].started >= self._slots:
+                continue
+            cost = self._rates[index] * end
+            if self._holders[index].domain != self._demand.domain:
+                cost += ENTRY_CROSSING_MS
+            states[index] = _State(cost, index, 1, None, 0)
+        return states
+
+    def extend(
+        self, states: dict[int, _State], begin: int, end: int
+    ) -> dict[int, _State]:
+        """Extend the best ways by one segment."""
+        cheapest = self._find_cheapest(states)
+        arrivals: dict[str, tuple[float, _State | None]] = {}
+        found = {}
+        for index in self._list_holders(begin, end):
+            domain = self._holders[index].domain
+            if domain not in arrivals:
+                arrivals[domain] = self._find_arrival(cheapest, domain)
+            cost, before = arrivals[domain]
+            work = self._rates[index] * (end - begin)
+            best = None
+            if before is not None and not _visits(before, index):
+                best = _State(
+                    cost + work, index, before.hops + 1, before, begin
+                )
+            held = states.get(index)
+            if held is not None and self._rooms[index] >= end - held.begin:
+                cost = held.cost + work
+                if best is None or cost <= best.cost:
+                    best = held._replace(cost=cost)
+            if best is not None:
+                found[index] = best
+        return found
+
+    def _find_cheapest(self, states: dict[int, _State]) -> dict[str, _State]:
+        """Find the best way that ends in each failure domain."""
+        cheapest: dict[str, _State] = {}
+        for state in states.values():
+            domain = self._holders[state.holder].domain
+            if domain not in cheapest or state.cost < cheapest[domain].cost:
+                cheapest[domain] = state
+        return cheapest
+
+    def _find_arrival(
+        self, cheapest: dict[str, _State], domain: str
+    ) -> tuple[float, _State | None]:
+        """Find the best way to pass a request on to a failure domain."""
+        best_cost, best = math.inf, None
+        for source, state in cheapest.items():
+            if state.hops >= MAX_HOPS:
+                continue
+            cost = state.cost + self._crossing(source, domain)
+            if cost < best_cost:
+                best_cost, best = cost, state
+        return best_cost, best
+
+
 def _make_crossing(
     profile: profiles.EngineProfile,
     demand: Demand,
@@ -221,62 +314,6 @@
     return recall
 
 
-def _advance(
-    states: dict[int, _State],
-    holders: list[endpoints_module.Endpoint],
-    loads: list[Load],
-    rates: list[float],
-    begin: int,
-    end: int,
-    demand: Demand,
-    crossing: Callable[[str, str], float],
-    slots: int,
-) -> dict[int, _State]:
-    """Extend the best ways by one segment."""
-    cheapest: dict[str, _State] = {}
-    for state in states.values():
-        domain = holders[state.holder].domain
-        if domain not in cheapest or state.cost < cheapest[domain].cost:
-            cheapest[domain] = state
-    found: dict[int, _State] = {}
-    for index, holder in enumerate(holders):
-        if holder.start > begin or holder.end < end:
-            continue
-        load = loads[index]
-        held = states.get(index)
-        first = held.begin if held else begin
-        if demand.tokens * (end - first) > load.room:
-            held = None
-            if demand.tokens * (end - begin) > load.room:
-                continue
-        work = rates[index] * (end - begin)
-        options = []
-        if held is not None:
-            options.append(
-                _State(held.cost + work, index, held.hops, held.before, first)
-            )
-        if begin == 0:
-            if load.started >= slots * SLOT_PART:
-                continue
-            away = holder.domain != demand.domain
-            cost = work + (ENTRY_CROSSING_MS if away else 0.0)
-            options.append(_State(cost, index, 1, None, begin))
-        else:
-            for domain, state in cheapest.items():
-                if state.holder == index or state.hops >= MAX_HOPS:
-                    continue
-                if _visits(state, index):
-                    continue
-                cost = state.cost + crossing(domain, holder.domain) + work
-                options.append(
-                    _State(cost, index, state.hops + 1, state, begin)
-                )
-        best = min(options, key=lambda option: option.cost, default=None)
-        if best is not None and best.cost < math.inf:
-            found[index] = best
-    return found
-
-
 def _visits(state: _State, index: int) -> bool:
     current: _State | None = state
     while current is not None:
