Count runs, not refused sends, against the attempts of a request

Cause: a send that an engine refused as full counted as an attempt, so a stream that had broken once was cut when the next engine was full; and a full engine was left out for good. A refused stream that has not run waits like a fresh one.

--- a/features/edge.feature
+++ b/features/edge.feature
@@ -54,6 +54,13 @@
     Then "s-1" got 20 events in order, once and whole
     And "s-1" ran 2 times
 
+  Scenario: A stream that a full engine refuses after it broke goes on
+    Given every engine cuts its next stream within an event
+    And an engine with the first layer refuses its next 2 streams as full
+    When a caller streams 20 events as "s-1"
+    Then "s-1" got 20 events in order, once and whole
+    And "s-1" ran 2 times
+
   Scenario: A stream whose chain stands still goes on elsewhere
     When a caller starts to stream 60 events as "s-1"
     And one engine of its chain stands still
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -269,6 +269,8 @@
     state = {'cut': False}
 
     class Once:
+        full = False
+
         def take(self, name):
             if name == 'cut' and not state['cut']:
                 state['cut'] = True
@@ -282,6 +284,33 @@
         engine.faults = Once()
 
 
+@behave.given(
+    'an engine with the first layer refuses its next {count:d} streams as'
+    ' full'
+)
+def refuse_streams(context, count):
+    # Once a stream was cut, the sends that follow meet full engines.
+    state = {'left': count}
+    engines = context.scene.list_engines()
+    cut = engines[0].faults
+
+    class Full:
+        def take(self, name):
+            return cut.take(name)
+
+        def __getattr__(self, name):
+            if name == 'full':
+                began = any(engine.runs for engine in engines)
+                if began and state['left'] > 0:
+                    state['left'] -= 1
+                    return True
+                return False
+            return None if name == 'stall_after' else 0
+
+    for engine in engines:
+        engine.faults = Full()
+
+
 @behave.when('one engine of its chain stands still')
 def stall_one(context):
     fleet = context.scene.fleet
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -121,7 +121,7 @@
         ran = any(answer.ran for answer in answers)
         if ran and not exchange.may_repeat:
             return False
-        if exchange.sends >= max(1, exchange.terms.attempts):
+        if not exchange.may_run_again:
             return False
         return self._pay(exchange, 'call')
 
@@ -137,7 +137,7 @@
     ) -> asyncio.Task | None:
         if not exchange.may_repeat:
             return None
-        if exchange.sends >= max(1, exchange.terms.attempts):
+        if not exchange.may_run_again:
             return None
         endpoint = self._choose(exchange)
         if endpoint is None or not self._pay(exchange, 'hedge'):
@@ -217,6 +217,7 @@
             state.accuse([endpoint.name], str(broken), exchange.ask.name)
             return _Answer(endpoint, False, f'no connection: {broken}')
         exchange.sends += 1
+        exchange.runs += 1
         try:
             return await self._exchange(exchange, endpoint, connection)
         except endpointhttp.Broken as broken:
@@ -260,6 +261,7 @@
         if verdict.name not in (None, exchange.ask.name):
             return _Answer(endpoint, True, 'answer to another request')
         if verdict.not_run:
+            exchange.runs -= 1
             if verdict.misdirected:
                 state.accuse([endpoint.name], 'misdirected', exchange.ask.name)
             return _Answer(endpoint, False, f'refused with {head.status}')
--- a/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
@@ -16,6 +16,9 @@
 
 # Least time after which a refused caller is to return, in seconds.
 LEAST_RETRY_SECONDS = 0.05
+# Times that endpoints may refuse a request before its caller hears of it:
+# they answer in milliseconds, and each costs a part of the shared budget.
+MAX_REFUSALS = 2
 
 
 class Outcome(enum.StrEnum):
@@ -36,7 +39,8 @@
 
     :ivar service: service that it was given to by its rule's shares
     :ivar deadline: monotonic time by which it must have ended, in seconds
-    :ivar sends: endpoints that it was sent to
+    :ivar sends: times that it was sent
+    :ivar runs: sends that may have run; a refused one is none
     :ivar team: name of the team that owns its key, None without one
     :ivar digest: names this request, and not one like it, over its
         caller's retries
@@ -60,6 +64,7 @@
     returned: bool = False
     team: str | None = None
     sends: int = 0
+    runs: int = 0
     tried: list[str] = attrs.field(factory=list)
     events: int = 0
     first_event: float | None = None
@@ -70,6 +75,12 @@
         """What the rule says."""
         return self.rule.then
 
+    @property
+    def may_run_again(self) -> bool:
+        """Whether another endpoint may get it."""
+        attempts = max(1, self.terms.attempts)
+        return self.runs < attempts and self.sends < attempts + MAX_REFUSALS
+
     @property
     def may_repeat(self) -> bool:
         """Whether it may run again after it may have run."""
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -167,7 +167,7 @@
     ) -> bool:
         if ran and not exchange.may_repeat:
             return False
-        if exchange.sends >= max(1, exchange.terms.attempts):
+        if not exchange.may_run_again:
             return False
         return exchange.deadline > self._state.now
 
@@ -306,7 +306,7 @@
         now = self._state.now
         arrived = exchange.request.arrived
         target = exchange.terms.target_seconds or USUAL_TARGET
-        if exchange.sends or sequence.count:
+        if exchange.runs:
             standing = backlog.Standing.UNDER_WAY
             expires = now + UNDER_WAY_SECONDS
         elif exchange.returned:
@@ -391,6 +391,7 @@
             after=sequence.last,
         )
         exchange.sends += 1
+        exchange.runs += 1
         run.began = run.moved = self._state.now
         connection.send(requests.encode(exchange.request, relayed))
         self._state.log.write(
@@ -421,6 +422,7 @@
             if verdict.name not in (None, exchange.ask.name):
                 raise _End(True, 'answer to another request')
             if verdict.not_run:
+                exchange.runs -= 1
                 self._blame_refusal(exchange, run, verdict)
                 where = verdict.culprit or run.first.address
                 raise _End(False, f'refused with {head.status} by {where}')
@@ -450,10 +452,11 @@
             for hop in run.hops:
                 if hop.endpoint.address == verdict.culprit:
                     culprit = hop.endpoint
-        exchange.tried.append(culprit.name)
-        late = self._state.now - run.began >= DEAD_SECONDS
+        # A full one may serve it a moment later; a dead one will not.
         self._state.soundness.fill(culprit.name, self._state.now)
+        late = self._state.now - run.began >= DEAD_SECONDS
         if late or verdict.misdirected:
+            exchange.tried.append(culprit.name)
             reason = 'misdirected' if verdict.misdirected else 'stalled'
             self._state.accuse([culprit.name], reason, exchange.ask.name)
 
