--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -6,12 +6,7 @@
 import time
 
 import behave
-
-import edge_scene
-
-
-def _streams(context):
-    return context.scene, context.entry
+from dunlintide_trials.edge import scene as edge_scene
 
 
 @behave.given(
@@ -19,7 +14,8 @@
     ' "{other}"'
 )
 def make_platform(context, one, other):
-    context.scene = edge_scene.Scene(context)
+    context.scene = edge_scene.Scene(context.pick_ports, context.make_folder())
+    context.stack.callback(context.scene.close)
     context.scene.configure(edge_scene.make_configuration())
     context.scene.add_runners((one, other))
     context.answers = {}
@@ -49,17 +45,6 @@
     raise AssertionError(f'no entry {name}')
 
 
-def _stream_request(name, count):
-    return edge_scene.build_request(
-        name,
-        '/copy/x',
-        body=b'a prompt',
-        Model='m0',
-        Token_Count=f'100,{count}',
-        Prefix_Hash='5c:100',
-    )
-
-
 @behave.when('a caller streams {count:d} events as "{name}"')
 def stream(context, count, name):
     start_stream(context, count, name)
@@ -68,7 +53,7 @@
 @behave.when('a caller starts to stream {count:d} events as "{name}"')
 def start_stream(context, count, name):
     caller = edge_scene.Caller(context.entry.listen)
-    caller.send(_stream_request(name, count))
+    caller.send(edge_scene.build_stream(name, count))
     context.callers[name] = caller
     context.stack.callback(caller.close)
 
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Trials of the edge role against stand-ins of the platform."""
--- /dev/null
+++ b/packages/trials/src/dunlintide_trials/edge/soak.py
@@ -0,0 +1,143 @@
+"""A soak of the edge role: real entries under load and seeded faults.
+
+At the end every promise is checked against what callers and endpoints
+saw. The exit code is 1 when one was broken.
+"""
+
+import argparse
+import collections
+import contextlib
+import json
+import pathlib
+import random
+import socket
+import sys
+import tempfile
+import time
+from typing import Sequence
+
+from dunlintide_trials.edge import faults
+from dunlintide_trials.edge import field as fields
+from dunlintide_trials.edge import promises
+
+__all__ = ['main', 'run']
+
+CALLERS = 12
+EXIT_BROKEN = 1
+# Pause between two faults and how long one lasts, in seconds; faults
+# overlap and come in series.
+GAP_SECONDS = (0.1, 1.2)
+FAULT_SECONDS = (0.3, 4.0)
+# Time after the last fault within which everything serves, in seconds.
+RECOVERY_SECONDS = 15.0
+# Requests in a row that must succeed then.
+SOUND_REQUESTS = 20
+
+
+def pick_ports(count: int) -> list[int]:
+    """Find free ports on loopback; all are held while looking."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(('127.0.0.1', 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+def _harm(field: fields.Field, draw: random.Random, seconds: float) -> int:
+    """Put faults on until the time is over, then heal all of them."""
+    end = time.monotonic() + seconds
+    healing: list[tuple[float, int, faults.Heal]] = []
+    count = 0
+    while time.monotonic() < end:
+        now = time.monotonic()
+        due = [each for each in healing if each[0] <= now]
+        for each in due:
+            healing.remove(each)
+            each[2]()
+        fault = draw.choice(faults.FAULTS)
+        count += 1
+        heal = fault(field, draw)
+        healing.append((now + draw.uniform(*FAULT_SECONDS), count, heal))
+        time.sleep(draw.uniform(*GAP_SECONDS))
+    for _, _, heal in sorted(healing, key=lambda each: each[1]):
+        heal()
+    return count
+
+
+def _recover(field: fields.Field) -> list[str]:
+    """Wait until all entries serve again.
+
+    :returns: what does not
+    """
+    for entry in field.scene.entries:
+        entry.write_settings()
+        if entry.process.poll() is not None:
+            entry.start()
+    end = time.monotonic() + RECOVERY_SECONDS
+    good = 0
+    while good < SOUND_REQUESTS and time.monotonic() < end:
+        entry = field.scene.entries[good % len(field.scene.entries)]
+        try:
+            answer = entry.call(f'sound-{time.monotonic_ns()}', '/lists/x')
+            good = good + 1 if answer.status == 200 else 0
+        except (OSError, ValueError):
+            good = 0
+        if not good:
+            time.sleep(0.1)
+    if good < SOUND_REQUESTS:
+        return [f'not sound {RECOVERY_SECONDS} s after the faults']
+    return []
+
+
+def run(seed: int, seconds: float, folder: pathlib.Path) -> dict:
+    """Run one soak.
+
+    :returns: figures, with the broken promises under ``broken``
+    """
+    draw = random.Random(seed)
+    with contextlib.ExitStack() as stack:
+        field = fields.Field(pick_ports, folder, stack)
+        field.start_callers(CALLERS, seed)
+        stack.callback(field.stop_callers)
+        count = _harm(field, draw, seconds)
+        broken = _recover(field)
+        field.stop_callers()
+        broken += promises.list_broken(field)
+        statuses = collections.Counter(
+            f'{asked.kind} {asked.status}' for asked in field.asked
+        )
+    return {
+        'seed': seed,
+        'faults': count,
+        'requests': len(field.asked),
+        'statuses': dict(sorted(statuses.items())),
+        'broken': broken,
+    }
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run soaks of several seeds and print a JSON line for each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1, help='first seed')
+    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--seconds', type=float, default=20.0)
+    parser.add_argument('--keep', type=pathlib.Path, help='folder for logs')
+    parsed = parser.parse_args(arguments)
+    status = 0
+    for seed in range(parsed.seed, parsed.seed + parsed.seeds):
+        with contextlib.ExitStack() as stack:
+            if parsed.keep:
+                folder = parsed.keep / str(seed)
+                folder.mkdir(parents=True, exist_ok=True)
+            else:
+                made = tempfile.TemporaryDirectory(prefix='dunlintide-')
+                folder = pathlib.Path(stack.enter_context(made))
+            figures = run(seed, parsed.seconds, folder)
+        print(json.dumps(figures), flush=True)
+        if figures['broken']:
+            status = EXIT_BROKEN
+    return status
+
+
+if __name__ == '__main__':
+    sys.exit(main())
