--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,10 @@
 EXAMPLE ?= examples/cooperative.jsonc
 # bench: a glob over the names of cases.
 CASE ?= *
-# soak: the seed of the faults, and how long they last.
+# soak, edge-soak: the seed of the faults, and how long they last; how
+# many seeds edge-soak plays in turn.
 SEED ?= 1
+SEEDS ?= 1
 SECONDS ?= 60
 # test: further arguments of behave, for one run of them all in turn.
 ARGS ?=
@@ -32,10 +34,10 @@
 JOBS ?=
 
 .DEFAULT_GOAL := help
-.PHONY: help install test test-parallel lint format demo bench soak clean
+.PHONY: help install test test-parallel lint format demo bench soak edge-soak clean
 
 help:
-	@echo 'targets: install test test-parallel lint format demo bench soak clean'
+	@echo 'targets: install test test-parallel lint format demo bench soak edge-soak clean'
 
 install: $(STAMP)
 
@@ -69,5 +71,9 @@
 	@$(RUN) $(BIN)/python -m dunlintide_trials.soak \
 		--seed $(SEED) --seconds $(SECONDS)
 
+edge-soak: $(STAMP)
+	@$(RUN) $(BIN)/python -m dunlintide_trials.edge.soak \
+		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 clean:
 	rm -rf $(VENV) .demo .ci/out
--- /dev/null
+++ b/features/edgesoak.feature
@@ -0,0 +1,11 @@
+Feature: The edge role under series of faults
+  A short soak with a fixed seed; longer ones run by hand.
+
+  Scenario Outline: No promise is broken under overlapping faults
+    When the edge role is soaked for <seconds> seconds with seed <seed>
+    Then no promise was broken in the soak of at least <least> requests
+
+    Examples:
+      | seed | seconds | least |
+      | 1    | 8       | 50    |
+      | 2    | 8       | 50    |
