--- a/.ci/tally.py
+++ b/.ci/tally.py
@@ -14,13 +14,15 @@
 MAX_KNOWN = 3
 
 
-def _read_scenarios(folder: pathlib.Path) -> list[tuple[str, str]]:
+def _read_scenarios(reports: pathlib.Path) -> list[tuple[str, str]]:
     """Read the name and status of each scenario that was reported.
 
     A report that can't be read counts as one scenario that failed.
+    :param reports: a report, or a folder of them
     """
     scenarios = []
-    for path in sorted(folder.glob('*.json')):
+    paths = sorted(reports.glob('*.json')) if reports.is_dir() else [reports]
+    for path in paths:
         try:
             scenarios += _read_report(path)
         except (OSError, ValueError) as error:
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -16,8 +16,8 @@
 # endpoint may still be used.
 WATCH_SECONDS = 1.6
 # Pause between two watches, in seconds: changes that come together cost
-# one call.
-BATCH_SECONDS = 0.1
+# one call, and a tenth of the time in which they must be in force is lost.
+BATCH_SECONDS = 0.25
 # Pauses between tries while the store fails, in seconds, with jitter so
 # that entries do not return together.
 RETRY_SECONDS = (0.1, 0.4)
