--- a/features/edge.feature
+++ b/features/edge.feature
@@ -25,6 +25,8 @@
   Scenario: The longest prefix decides
     When a caller calls "/lists/public/x" as "c-1"
     Then the entry's log says that rule "public" decided "c-1"
+    And the command line explains that "public" decides a call of "/lists/public/x"
+    And the command line explains that "lists" decides a call of "/lists/x"
 
   Scenario: A caller that leaves frees the engine
     When a caller that soon leaves streams 500 events as "s-1"
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import subprocess
 import threading
 import time
 
@@ -518,7 +519,7 @@
 @behave.then('the state dump shows the rules and no key')
 def check_dump(context):
     state = context.entry.read_state()
-    rules = state['configuration']['rules']
+    rules = state['document']['rules']
     assert [rule['name'] for rule in rules][0] == 'public', rules
     assert edge_scene.KEY not in json.dumps(state)
 
@@ -535,3 +536,15 @@
     scene.wait_until(
         lambda: scene.store.get('dunlintide/leader'), 'a leader is written'
     )
+
+
+@behave.then(
+    'the command line explains that "{rule}" decides a call of "{path}"'
+)
+def explain_rule(context, rule, path):
+    command = ['dunlintide', 'rules', 'explain', '--member', 'diner']
+    command += ['--host', edge_scene.HOST, '--path', path]
+    command += ['--admin', f'http://{context.entry.admin}']
+    done = subprocess.run(command, capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+    assert f'"{rule}" decides' in done.stdout, done.stdout
--- a/packages/cli/src/dunlintide_cli/checking.py
+++ b/packages/cli/src/dunlintide_cli/checking.py
@@ -1,5 +1,6 @@
 """Commands that judge a document: check and explain."""
 
+import json
 from typing import Iterator
 
 import result
@@ -11,6 +12,7 @@
 from dunlintide_cli import sources
 from dunlintide_core import checker
 from dunlintide_core import configuration
+from dunlintide_core import documents
 from dunlintide_core import fleet
 from dunlintide_core import matching
 from dunlintide_core import schemas
@@ -92,7 +94,9 @@
     options = [
         commands.JSON,
         commands.STORE,
+        commands.ADMIN,
         commands.build_option('member', 'Member that sends the request.'),
+        commands.build_option('host', 'Host name asked; for an edge.'),
         commands.build_option('model', 'Model asked for.'),
         commands.build_option('service', 'Service called.'),
         commands.build_option('method', 'HTTP method; POST if left out.'),
@@ -113,7 +117,7 @@
         if built.is_err():
             return self.reject(built.err_value)
         query = built.ok_value
-        source = self.read_source()
+        source = self._read_rules()
         if source.is_err():
             return source.err_value
         for text in _list_unknown(source.ok_value, query):
@@ -125,10 +129,26 @@
             self._print(found)
         return output.ExitCode.OK
 
+    def _read_rules(
+        self,
+    ) -> result.Result[configuration.Configuration, int]:
+        """Read what an edge has in force, else a file or the store."""
+        if not self.option('admin'):
+            return self.read_source()
+        read = daemons.read_state(self.option('admin')[0])
+        if read.is_err():
+            return read.map_err(self.fail)
+        document = read.ok_value.dump.get('document')
+        if document is None:
+            return result.Err(self.fail('the daemon shows no rules'))
+        decoded = documents.decode_configuration(json.dumps(document))
+        return decoded.map_err(lambda damage: self.fail(damage.message))
+
     def _build_query(self) -> result.Result[matching.Query, str]:
         if not self.option('member'):
             return result.Err('give the --member that sends the request')
-        if bool(self.option('model')) == bool(self.option('service')):
+        both = bool(self.option('model')) == bool(self.option('service'))
+        if both and not self.option('host'):
             return result.Err('give either --model or --service')
         numbers: dict[str, int] = {}
         for name in ('priority', 'prompt-tokens'):
@@ -140,6 +160,7 @@
         return result.Ok(
             matching.Query(
                 member=self.option('member'),
+                host=self.option('host') or '',
                 model=self.option('model') or '',
                 service=self.option('service') or '',
                 method=self.option('method') or 'POST',
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -15,7 +15,6 @@
 ]
 
 CONFIGURATION_PATH = '/internal/configuration'
-# When the balancer or an operator may ask an unready entry again, seconds.
 _JSON = ('Content-Type', 'application/json')
 
 
@@ -49,7 +48,11 @@
         self, request: callerhttp.Request, reply: callerhttp.Reply
     ) -> None:
         """Tell the balancer whether new connections are welcome."""
-        reply.send(callerhttp.Head(200 if self._state.is_ready else 503))
+        state = self._state
+        ready = state.is_ready
+        body = {'ready': ready, 'reasons': state.list_unready()}
+        head = callerhttp.Head(200 if ready else 503, [_JSON])
+        reply.send(head, json.dumps(body).encode())
 
     async def handle_metrics(
         self, request: callerhttp.Request, reply: callerhttp.Reply
@@ -73,10 +76,11 @@
         now = state.now
         deployment = state.deployment
         usages = state.occupancy.list_own()
-        configuration = None
+        document = None
         if deployment is not None:
             text = documents.encode_configuration(deployment.source)
-            configuration = json.loads(text)
+            document = json.loads(text)
+        version = deployment.version if deployment else 0
         return {
             'name': state.settings.name,
             'role': state.settings.role,
@@ -85,8 +89,8 @@
             'stopping': state.stopping,
             'entries': sorted(state.entries),
             'listing_age': now - state.listed_at,
-            'version': deployment.version if deployment else None,
-            'configuration': configuration,
+            'configuration': {'revision': version},
+            'document': document,
             'endpoints': [
                 attrs.asdict(each) for each in state.endpoints.values()
             ],
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -86,6 +86,15 @@
         known = self.deployment is not None and self.listed
         return known and not self.stopping
 
+    def list_unready(self) -> list[str]:
+        """Tell why new connections are not welcome."""
+        reasons = (
+            (self.deployment is None, 'no configuration'),
+            (not self.listed, 'endpoints not listed yet'),
+            (self.stopping, 'stopping'),
+        )
+        return [reason for holds, reason in reasons if holds]
+
     def adopt(self, deployment: deployments.Deployment, value: bytes) -> bool:
         """Put a configuration in force unless it is not newer.
 
