Move spare engines to layers that their domain has lost

Change: engines all of whose layers others hold too move, least used first, two at a time in a domain; orders keep the expected count.

--- a/features/pipeline.feature
+++ b/features/pipeline.feature
@@ -21,6 +21,12 @@
     And every domain whose cards can hold the model holds it whole
     And an engine that comes back gets what its domain lacks
 
+  Scenario: A spare engine moves to layers that its domain has lost
+    Given a layout of "a" with 6 cards of kind "large"
+    When any one of its engines leaves
+    Then moves of spare engines make the domain whole again
+    And without a loss nothing moves
+
   Scenario: Reservations of all entries add up
     Then what is reserved is released to the last token, in any order
     And what a silent entry told is forgotten after 2 seconds
--- a/features/steps/pipeline.py
+++ b/features/steps/pipeline.py
@@ -480,3 +480,55 @@
         strategies.integers(0, 3), strategies.sampled_from(backlog.Standing)
     )
     repeat(check, strategies.lists(ranks, max_size=10))
+
+
+@behave.given('a layout of "{domain}" with {count:d} cards of kind "{kind}"')
+def make_layout(context, domain, count, kind):
+    context.placed = layout.plan_new(
+        PROFILE, (), make_empty([(domain, kind)] * count)
+    )
+    context.placed = [
+        layout.Placement(
+            make_engine(each.endpoint.name, (each.start, each.end), domain),
+            each.start,
+            each.end,
+        )
+        for each in context.placed
+    ]
+
+
+def list_held(placed):
+    held = set()
+    for each in placed:
+        held.update(range(each.start, each.end))
+    return held
+
+
+def plan_moves(placed):
+    names = {each.endpoint.name for each in placed}
+    return layout.plan_moves(PROFILE, placed, names, lambda name: 0.0)
+
+
+@behave.when('any one of its engines leaves')
+def lose_engine(context):
+    context.rests = [
+        [each for each in context.placed if each is not lost]
+        for lost in context.placed
+    ]
+
+
+@behave.then('moves of spare engines make the domain whole again')
+def check_moves(context):
+    moved = 0
+    for rest in context.rests:
+        moves = plan_moves(rest)
+        moved += len(moves)
+        names = {move.endpoint.name for move in moves}
+        after = [each for each in rest if each.endpoint.name not in names]
+        assert len(list_held([*after, *moves])) == LAYERS, (rest, moves)
+    assert moved, 'no loss needed a move'
+
+
+@behave.then('without a loss nothing moves')
+def check_no_moves(context):
+    assert not plan_moves(context.placed)
--- a/packages/core/src/dunlintide_core/pipeline/layout.py
+++ b/packages/core/src/dunlintide_core/pipeline/layout.py
@@ -6,7 +6,7 @@
 of each card is room for requests.
 """
 
-from typing import Iterable, Mapping, Sequence
+from typing import Callable, Container, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -17,6 +17,7 @@
     'Placement',
     'choose_room',
     'count_layers',
+    'plan_moves',
     'plan_new',
 ]
 
@@ -30,6 +31,9 @@
 # spare: an engine bounds the requests that come to it as the first of
 # their chain, so with one of them it bounds the whole domain.
 HEADS = 2
+# Moves at a time in a failure domain: each takes its engine out for the time
+# of a load, and loads slow each other down.
+MAX_MOVES = 2
 # Tokens for which a card may keep room, from most to least. The same for
 # all cards of a domain, since a request takes as many at each part of its
 # chain. Beyond the most, slots and time bind sooner than memory.
@@ -153,6 +157,75 @@
     return placements
 
 
+def plan_moves(
+    profile: profiles.EngineProfile,
+    holding: Iterable[Placement],
+    movable: Container[str],
+    count_use: Callable[[str], float],
+) -> list[Placement]:
+    """Move spare engines to layers that their failure domain has lost.
+
+    Answers this pattern: engines are replaced one after the other, each
+    new one before its old one leaves. The new one was given layers that
+    were scarce then; when the old one leaves, its own are held by nobody,
+    and all chains of the domain cross pipes until something changes.
+
+    :param holding: ranges that are held or ordered
+    :param movable: names of engines without an open order
+    :param count_use: requests in flight at an engine, by name; of equal
+        engines the least used moves
+    """
+    holding = list(holding)
+    domains = {each.endpoint.domain for each in holding}
+    rooms = _choose_rooms(profile, [each.endpoint for each in holding])
+    moves = []
+    for domain in sorted(domains):
+        held = [each for each in holding if each.endpoint.domain == domain]
+        moves += _fill_gaps(profile, held, movable, count_use, rooms[domain])
+    return moves
+
+
+def _count_holders(
+    profile: profiles.EngineProfile, held: Iterable[Placement]
+) -> list[int]:
+    counts = [0] * profile.layers
+    for each in held:
+        for layer in range(each.start, each.end):
+            counts[layer] += 1
+    return counts
+
+
+def _fill_gaps(
+    profile: profiles.EngineProfile,
+    held: list[Placement],
+    movable: Container[str],
+    count_use: Callable[[str], float],
+    room: int,
+) -> list[Placement]:
+    moves: list[Placement] = []
+    held = list(held)
+    while len(moves) < MAX_MOVES:
+        counts = _count_holders(profile, held)
+        gap = [layer for layer, count in enumerate(counts) if not count]
+        spare = [
+            each
+            for each in held
+            if each.endpoint.name in movable
+            and each not in moves
+            and all(counts[n] > 1 for n in range(each.start, each.end))
+        ]
+        if not gap or not spare:
+            break
+        chosen = min(spare, key=lambda each: count_use(each.endpoint.name))
+        size = count_layers(profile, chosen.endpoint.kind, room)
+        start = min(gap[0], profile.layers - size)
+        move = Placement(chosen.endpoint, start, start + size)
+        held.remove(chosen)
+        held.append(move)
+        moves.append(move)
+    return moves
+
+
 def _choose_rooms(
     profile: profiles.EngineProfile,
     *groups: Iterable[endpoints_module.Endpoint],
--- a/packages/daemon/src/dunlintide_daemon/gateway/placer.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/placer.py
@@ -20,6 +20,9 @@
 # Time after which an order that shows no effect is looked into, in
 # seconds, beside the time to load.
 EFFECT_SECONDS = 2.5
+# Time for which layers must be lost before an engine is moved to them, in
+# seconds: an engine that comes back empty is given them at once.
+LOST_SECONDS = 0.4
 # Orders under way at the same time.
 MAX_SENDING = 16
 # Pause before an order that was not accepted is given anew, in seconds.
@@ -55,6 +58,7 @@
         self._open: dict[str, _Order] = {}
         self._seen: set[str] = set()
         self._settled_at = float('inf')
+        self._lost_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
@@ -117,9 +121,50 @@
                 del self._open[name]
         for placement in layout.plan_new(profile, holding, empty):
             # A new engine has accepted none; another refuses and tells.
-            order = _Order(placement)
-            self._open[placement.endpoint.name] = order
-            self._send(order, profile, now)
+            self._begin(_Order(placement), profile, now)
+        if not empty:
+            self._repair(service, profile, holding, now)
+
+    def _repair(
+        self,
+        service: str,
+        profile: profiles.EngineProfile,
+        holding: list[layout.Placement],
+        now: float,
+    ) -> None:
+        """Move spare engines where layers have been lost for a while."""
+        movable = {
+            each.endpoint.name
+            for each in holding
+            if each.endpoint.name not in self._open
+        }
+        moves = layout.plan_moves(
+            profile,
+            holding,
+            movable,
+            lambda name: self._state.occupancy.get(name).sequences,
+        )
+        if not moves:
+            self._lost_at.pop(service, None)
+            return
+        if now - self._lost_at.setdefault(service, now) < LOST_SECONDS:
+            return
+        for placement in moves:
+            name = placement.endpoint.name
+            self._state.log.write_always(
+                'engine moved',
+                endpoint=name,
+                before=[placement.endpoint.start, placement.endpoint.end],
+                layers=[placement.start, placement.end],
+                in_use=self._state.occupancy.get(name).sequences,
+            )
+            self._begin(_Order(placement, checked=False), profile, now)
+
+    def _begin(
+        self, order: _Order, profile: profiles.EngineProfile, now: float
+    ) -> None:
+        self._open[order.placement.endpoint.name] = order
+        self._send(order, profile, now)
 
     @staticmethod
     def _is_settled(order: _Order, engine: endpoints_module.Endpoint) -> bool:
@@ -185,7 +230,11 @@
             return False
         report = read.ok_value
         order.expected = report.orders
-        if report.busy or report.end > report.start:
+        held = (report.start, report.end)
+        placement = order.placement
+        wanted = (placement.start, placement.end)
+        before = (endpoint.start, endpoint.end)
+        if report.busy or held not in (before, (0, 0)) or held == wanted:
             # The listing will show it, or that it was lost again.
             order.retry_at = self._state.now + EFFECT_SECONDS
             return False
