Refuse at once what could not be served in time

Cause: in overload a fresh request waited its 0.3 s and was refused then, though the queue ahead of it could not pass in that time. Change: those ahead against the pace of the last second decide at arrival.

--- a/features/pipeline.feature
+++ b/features/pipeline.feature
@@ -56,3 +56,10 @@
 
   Scenario: Waiting requests go by priority, standing and arrival
     Then any order of arrivals leaves by priority, standing and arrival
+
+  Scenario: What can't be served in time is refused at once
+    Given a queue from which 10 requests a second find a place
+    Then a request with 2 ahead waits for 0.3 seconds
+    And a request with 4 ahead is refused at once
+    And a request with 4 ahead waits for 1.2 seconds
+    And a request with 1 ahead waits though nothing was served for a while
--- a/features/steps/pipeline.py
+++ b/features/steps/pipeline.py
@@ -532,3 +532,41 @@
 @behave.then('without a loss nothing moves')
 def check_no_moves(context):
     assert not plan_moves(context.placed)
+
+
+@behave.given('a queue from which {count:d} requests a second find a place')
+def make_queue(context, count):
+    context.queue = backlog.Backlog()
+    for number in range(2 * count):
+        context.queue.note_served(8.0 + number / count)
+
+
+def is_hopeless(context, ahead, wait, now=9.95):
+    waiters = [
+        context.queue.add(1, backlog.Standing.ON_TIME, 20.0, lambda: None)
+        for _ in range(ahead)
+    ]
+    found = context.queue.is_hopeless(
+        1, backlog.Standing.ON_TIME, now, now + wait
+    )
+    for waiter in waiters:
+        context.queue.remove(waiter)
+    return found
+
+
+@behave.then('a request with {ahead:d} ahead waits for {wait:f} seconds')
+def check_waits(context, ahead, wait):
+    assert not is_hopeless(context, ahead, wait)
+
+
+@behave.then('a request with {ahead:d} ahead is refused at once')
+def check_refused_at_once(context, ahead):
+    assert is_hopeless(context, ahead, 0.3)
+
+
+@behave.then(
+    'a request with {ahead:d} ahead waits though nothing was served for a'
+    ' while'
+)
+def check_first_waits(context, ahead):
+    assert not is_hopeless(context, ahead, 0.3, 30.0)
--- a/packages/core/src/dunlintide_core/pipeline/backlog.py
+++ b/packages/core/src/dunlintide_core/pipeline/backlog.py
@@ -8,6 +8,7 @@
 """
 
 import bisect
+import collections
 import enum
 from typing import Callable, Iterator
 
@@ -50,12 +51,19 @@
     return (waiter.priority, waiter.standing, waiter.order)
 
 
+# Time over which the pace of the queue is measured, in seconds.
+PACE_SECONDS = 1.0
+# Requests that wait in any case: fewer tell nothing of the pace.
+LEAST_WAITERS = 2
+
+
 class Backlog:
     """Waiting requests, by priority, standing and arrival."""
 
     def __init__(self) -> None:
         self._waiters: list[Waiter] = []
         self._order = 0
+        self._served: collections.deque[float] = collections.deque()
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -81,6 +89,31 @@
         if waiter in self._waiters:
             self._waiters.remove(waiter)
 
+    def note_served(self, now: float) -> None:
+        """Take note that a request found its place.
+
+        :param now: monotonic time in seconds
+        """
+        self._served.append(now)
+        while self._served[0] <= now - PACE_SECONDS:
+            self._served.popleft()
+
+    def is_hopeless(
+        self, priority: int, standing: Standing, now: float, expires: float
+    ) -> bool:
+        """Tell whether those ahead take longer than a request may wait.
+
+        Such a request is refused at once instead of at the end of a wait
+        that could not help it.
+
+        :param expires: monotonic time until which it would wait
+        """
+        ahead = self.count_ahead(priority, standing)
+        if ahead < LEAST_WAITERS:
+            return False
+        served = sum(1 for at in self._served if at > now - PACE_SECONDS)
+        return ahead * PACE_SECONDS > served * max(0.0, expires - now)
+
     def count_ahead(self, priority: int, standing: Standing) -> int:
         """Count those that go before a new request."""
         rank = (priority, standing, self._order + 1)
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -281,7 +281,12 @@
         if not queue.count_ahead(exchange.priority, standing):
             hops = self._choose(exchange, profile, sequence)
             if hops is not None:
+                queue.note_served(self._state.now)
                 return hops
+        if queue.is_hopeless(
+            exchange.priority, standing, self._state.now, expires
+        ):
+            return None
         loop = asyncio.get_running_loop()
         awake = asyncio.Event()
         waiter = queue.add(exchange.priority, standing, expires, awake.set)
@@ -292,6 +297,8 @@
                 await awake.wait()
                 awake.clear()
                 hops = self._choose(exchange, profile, sequence)
+                if hops is not None:
+                    queue.note_served(self._state.now)
                 if hops is not None or self._state.now >= expires:
                     return hops
         finally:
