Part finding a chain, running on it and ending a stream

Change: chainfinder, runs and streams; a Stream holds the request, the cost model and the events. Behaviour as before.

--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -123,14 +123,7 @@
             return False
         if not exchange.may_run_again:
             return False
-        return self._pay(exchange, 'call')
-
-    def _pay(self, exchange: exchange_module.Exchange, reason: str) -> bool:
-        budget = self._state.get_budget(exchange.service)
-        if not budget.spend(self._state.now):
-            return False
-        self._state.counters.resends.labels(reason).inc()
-        return True
+        return self._state.pay_resend(exchange.service, 'call')
 
     def _start_hedge(
         self, exchange: exchange_module.Exchange, answers: list[_Answer]
@@ -140,7 +133,9 @@
         if not exchange.may_run_again:
             return None
         endpoint = self._choose(exchange)
-        if endpoint is None or not self._pay(exchange, 'hedge'):
+        if endpoint is None:
+            return None
+        if not self._state.pay_resend(exchange.service, 'hedge'):
             return None
         return self._start(exchange, endpoint)
 
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -0,0 +1,155 @@
+"""Finds a chain with room for a stream, waiting a while if there is none."""
+
+import asyncio
+
+from dunlintide_core.pipeline import backlog
+from dunlintide_core.pipeline import chains
+from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_daemon.gateway import exchange as exchange_module
+from dunlintide_daemon.gateway import state as state_module
+
+__all__ = [
+    'USUAL_TARGET',
+    'ChainFinder',
+    'describe',
+]
+
+Hops = tuple[endpoints_module.Hop, ...]
+Stream = exchange_module.Stream
+
+# Target for the first event and pause where the rule has none, in seconds.
+USUAL_TARGET = 0.5
+# Part of the target within which a stream must have found its chain to be
+# on time: reading its prompt takes the rest.
+ON_TIME_PART = 0.6
+# How long a stream waits that was refused before, in seconds: it can't be
+# on time any more, and its caller does not ask a third time. Callers leave
+# after two seconds without an event, and the prompt is still to be read.
+RETURNED_SECONDS = 1.2
+# How long a stream waits that lost its chain midway, from its last event
+# in seconds: callers leave after two.
+UNDER_WAY_SECONDS = 1.5
+# Part of an engine's memory that is given out: other entries' use is known
+# a little late, and engines keep memory in blocks.
+ROOM_PART = 0.9
+# Part of the expected answer for which memory is reserved: streams that
+# share an engine are at all points of their answers, so they take little
+# more than half of it on average.
+ANSWER_PART = 0.7
+
+
+def describe(hops: Hops) -> str:
+    """Write a chain for the log."""
+    return ','.join(
+        f'{hop.endpoint.name}:{hop.start}-{hop.end}' for hop in hops
+    )
+
+
+class ChainFinder:
+    """Chooses chains with the beliefs of one entry."""
+
+    def __init__(self, state: state_module.State) -> None:
+        self._state = state
+
+    def estimate(self, stream: Stream) -> chains.Demand:
+        """Tell what a run from here on will take."""
+        ask, profile = stream.exchange.ask, stream.profile
+        written = stream.sequence.count * profile.stride
+        most = max(1, ask.answer - written)
+        usual = ask.hint or profile.usual_answer or ask.answer
+        expected = max(1, min(most, usual - written))
+        prompt = ask.prompt + written
+        return chains.Demand(
+            prompt=prompt,
+            answer=expected,
+            tokens=prompt + int(expected * ANSWER_PART),
+            domain=self._state.settings.failure_domain,
+        )
+
+    def _get_load(
+        self, stream: Stream, endpoint: endpoints_module.Endpoint
+    ) -> chains.Load:
+        state = self._state
+        usage = state.occupancy.get(endpoint.name)
+        held = endpoint.end - endpoint.start
+        room = stream.profile.count_cache(endpoint.kind, held) * ROOM_PART
+        room -= usage.cache
+        if state.soundness.is_full(endpoint.name, state.now):
+            room = 0.0
+        return chains.Load(usage.sequences, usage.started, room)
+
+    def choose(self, stream: Stream) -> Hops | None:
+        """Find a chain with room now, None if there is none."""
+        state = self._state
+        exchange, profile = stream.exchange, stream.profile
+        candidates = [
+            each
+            for each in state.list_endpoints(exchange.service)
+            if each.name not in exchange.tried
+            and each.kind in profile.accelerators
+        ]
+        hops = chains.choose_chain(
+            profile,
+            candidates,
+            lambda endpoint: self._get_load(stream, endpoint),
+            self.estimate(stream),
+            lambda pipe: state.occupancy.get(pipe).sequences,
+        )
+        if hops is None:
+            return None
+        if not endpoints_module.covers_exactly(hops, profile.layers):
+            state.log.write_always(
+                'chain is not exact',
+                request=exchange.ask.name,
+                chain=describe(hops),
+            )
+            return None
+        return hops
+
+    async def find(self, stream: Stream) -> Hops | None:
+        """Find a chain, waiting in turn; None when that is of no use."""
+        state = self._state
+        exchange = stream.exchange
+        queue = state.get_backlog(exchange.service)
+        standing, expires = self._rank(exchange)
+        if not queue.count_ahead(exchange.priority, standing):
+            hops = self.choose(stream)
+            if hops is not None:
+                queue.note_served(state.now)
+                return hops
+        if queue.is_hopeless(exchange.priority, standing, state.now, expires):
+            return None
+        awake = asyncio.Event()
+        waiter = queue.add(exchange.priority, standing, expires, awake.set)
+        timer = asyncio.get_running_loop().call_at(expires, awake.set)
+        state.counters.waiting.inc()
+        try:
+            while True:
+                await awake.wait()
+                awake.clear()
+                hops = self.choose(stream)
+                if hops is not None:
+                    queue.note_served(state.now)
+                if hops is not None or state.now >= expires:
+                    return hops
+        finally:
+            state.counters.waiting.dec()
+            timer.cancel()
+            queue.remove(waiter)
+
+    def _rank(
+        self, exchange: exchange_module.Exchange
+    ) -> tuple[backlog.Standing, float]:
+        """Tell what is at stake for a stream and how long it waits."""
+        arrived = exchange.request.arrived
+        target = exchange.terms.target_seconds or USUAL_TARGET
+        if exchange.runs:
+            standing = backlog.Standing.UNDER_WAY
+            expires = self._state.now + UNDER_WAY_SECONDS
+        elif exchange.returned:
+            standing = backlog.Standing.RETURNED
+            expires = arrived + RETURNED_SECONDS
+        else:
+            standing = backlog.Standing.ON_TIME
+            expires = arrived + target * ON_TIME_PART
+        return standing, min(expires, exchange.deadline)
--- a/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
@@ -7,10 +7,13 @@
 from dunlintide_adapters import callerhttp
 from dunlintide_core import configuration
 from dunlintide_core.pipeline import asks
+from dunlintide_core.pipeline import profiles
+from dunlintide_daemon.gateway import events
 
 __all__ = [
     'Exchange',
     'Outcome',
+    'Stream',
     'refuse',
 ]
 
@@ -81,6 +84,16 @@
         attempts = max(1, self.terms.attempts)
         return self.runs < attempts and self.sends < attempts + MAX_REFUSALS
 
+    def can_go_on(self, ran: bool, now: float) -> bool:
+        """Tell whether another run may serve it.
+
+        :param ran: whether one may have run so far
+        :param now: monotonic time in seconds
+        """
+        if ran and not self.may_repeat:
+            return False
+        return self.may_run_again and self.deadline > now
+
     @property
     def may_repeat(self) -> bool:
         """Whether it may run again after it may have run."""
@@ -88,6 +101,19 @@
         return bool(terms.repeatable) or (terms.stream and terms.resumable)
 
 
+@attrs.frozen(eq=False)
+class Stream:
+    """A request for a stream, over all of its runs.
+
+    :ivar profile: cost model of the engines that serve it
+    :ivar sequence: events that its caller has
+    """
+
+    exchange: Exchange
+    profile: profiles.EngineProfile
+    sequence: events.Sequence
+
+
 def refuse(
     reply: callerhttp.Reply, status: int, retry_after: float | None = None
 ) -> None:
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -0,0 +1,386 @@
+"""One run of a stream on a chain: its send, its events, its end."""
+
+import asyncio
+
+import attrs
+
+from dunlintide_adapters import callerhttp
+from dunlintide_adapters import endpointhttp
+from dunlintide_core.pipeline import chains
+from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_core.pipeline import occupancy
+from dunlintide_daemon.gateway import chainfinder
+from dunlintide_daemon.gateway import events
+from dunlintide_daemon.gateway import exchange as exchange_module
+from dunlintide_daemon.gateway import state as state_module
+from dunlintide_platform import requests
+
+__all__ = [
+    'RunEnded',
+    'RunServer',
+]
+
+Hops = tuple[endpoints_module.Hop, ...]
+Outcome = exchange_module.Outcome
+Stream = exchange_module.Stream
+
+# Time to connect to an engine, in seconds: links take under a
+# millisecond, and a lost packet is sent again only after a second.
+CONNECT_SECONDS = 0.25
+# Part of the target for the first event after which a still run is moved.
+FIRST_PART = 0.6
+# Part of the longest allowed pause after which a still run is moved.
+GAP_PART = 0.6
+# A run that stays still for so much longer is moved though nothing else
+# shows which of its endpoints is at fault.
+PATIENCE_FACTOR = 2.0
+# How long engines hold on to a run that was left because one of its parts
+# stood still, in seconds: those before it wait for the dead one.
+LINGER_SECONDS = 1.5
+# Answers at least this late after the send blame a dead endpoint, sooner
+# ones a full or leaving one, in seconds.
+DEAD_SECONDS = 0.5
+
+
+@attrs.define(eq=False)
+class _Run:
+    """One run of a stream on a chain.
+
+    :ivar began: monotonic time of its send, in seconds
+    :ivar moved: when its last event came
+    :ivar lingers: whether its endpoints hold it for a while after its end
+    """
+
+    hops: Hops
+    reservation: occupancy.Reservation
+    began: float
+    moved: float
+    events: int = 0
+    lingers: bool = False
+
+    @property
+    def first(self) -> endpoints_module.Endpoint:
+        """The endpoint that receives the request."""
+        return self.hops[0].endpoint
+
+    @property
+    def names(self) -> list[str]:
+        """Names of its endpoints."""
+        return [hop.endpoint.name for hop in self.hops]
+
+
+class RunEnded(Exception):
+    """How a run ended without a whole answer; its stream decides on.
+
+    :ivar ran: whether it may have run
+    :ivar reason: for the log
+    :ivar retry: whether another chain may do better
+    :ivar hops: the chain on which it goes on, paid for, None to find one
+    """
+
+    def __init__(
+        self,
+        ran: bool,
+        reason: str,
+        retry: bool = True,
+        hops: Hops | None = None,
+    ) -> None:
+        super().__init__(reason)
+        self.ran = ran
+        self.reason = reason
+        self.retry = retry
+        self.hops = hops
+
+
+def _make_head(
+    head: endpointhttp.AnswerHead, length: int | None
+) -> callerhttp.Head:
+    """Build what the caller gets of an endpoint's head."""
+    headers = requests.list_reply_headers(head)
+    return callerhttp.Head(head.status, headers, length, head.reason)
+
+
+class RunServer:
+    """Runs streams on chains with the beliefs of one entry."""
+
+    def __init__(
+        self, state: state_module.State, finder: chainfinder.ChainFinder
+    ) -> None:
+        self._state = state
+        self._finder = finder
+
+    async def run(self, stream: Stream, hops: Hops) -> Outcome:
+        """Run a stream on a chain.
+
+        :raises RunEnded: when it ends without a whole answer
+        """
+        state = self._state
+        now = state.now
+        tokens = self._finder.estimate(stream).tokens
+        pipes = chains.list_pipes(hops)
+        reservation = state.occupancy.reserve(hops, tokens, pipes)
+        run = _Run(hops, reservation, now, now)
+        state.soundness.begin(run.names)
+        connection = None
+        try:
+            connection = await self._connect(stream.exchange, run)
+            return await self._relay(stream, run, connection)
+        except RunEnded as ended:
+            run.lingers = ended.hops is not None
+            raise
+        finally:
+            state.soundness.end(run.names)
+            self._release(stream.exchange.service, run)
+            if connection is not None:
+                state.pool.release(run.first.address, connection)
+
+    def _release(self, service: str, run: _Run) -> None:
+        """Give back what a run took, later if its engines still hold it."""
+        state = self._state
+        if not run.lingers:
+            state.release(service, run.reservation)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            LINGER_SECONDS, state.release, service, run.reservation
+        )
+
+    async def _connect(
+        self, exchange: exchange_module.Exchange, run: _Run
+    ) -> endpointhttp.Connection:
+        state = self._state
+        try:
+            return await state.pool.acquire(run.first.address, CONNECT_SECONDS)
+        except endpointhttp.Broken as broken:
+            exchange.tried.append(run.first.name)
+            state.accuse([run.first.name], str(broken), exchange.ask.name)
+            raise RunEnded(False, f'no connection: {broken}') from broken
+
+    def _send(
+        self, stream: Stream, run: _Run, connection: endpointhttp.Connection
+    ) -> None:
+        state = self._state
+        exchange = stream.exchange
+        relayed = requests.Relayed(
+            endpoint=run.first,
+            left=exchange.deadline - state.now,
+            team=exchange.team,
+            hops=run.hops,
+            priority=exchange.priority,
+            after=stream.sequence.last,
+        )
+        exchange.sends += 1
+        exchange.runs += 1
+        run.began = run.moved = state.now
+        connection.send(requests.encode(exchange.request, relayed))
+        state.log.write(
+            'stream sent',
+            request=exchange.ask.name,
+            chain=chainfinder.describe(run.hops),
+            send=exchange.sends,
+            after=stream.sequence.last,
+            rule=exchange.rule.name,
+            version=exchange.version,
+            listing_age=round(state.now - state.listed_at, 3),
+        )
+
+    async def _relay(
+        self, stream: Stream, run: _Run, connection: endpointhttp.Connection
+    ) -> Outcome:
+        exchange = stream.exchange
+        self._send(stream, run, connection)
+        try:
+            head = await self._read_head(stream, run, connection)
+            verdict = requests.judge(head)
+            if verdict.name not in (None, exchange.ask.name):
+                raise RunEnded(True, 'answer to another request')
+            if verdict.not_run:
+                exchange.runs -= 1
+                self._blame_refusal(exchange, run, verdict)
+                where = verdict.culprit or run.first.address
+                reason = f'refused with {head.status} by {where}'
+                raise RunEnded(False, reason)
+            if head.status != 200:
+                return await self._pass_failure(stream, run, connection, head)
+            if not verdict.signed:
+                raise RunEnded(True, 'answer without a signature')
+            await self._pass_events(stream, run, connection, head)
+        except endpointhttp.Broken as broken:
+            self._note_break(exchange, run, broken)
+            raise RunEnded(True, f'run broke: {broken}') from broken
+        return Outcome.COMPLETE
+
+    # What a run's end says of endpoints.
+
+    def _blame_refusal(
+        self,
+        exchange: exchange_module.Exchange,
+        run: _Run,
+        verdict: requests.Verdict,
+    ) -> None:
+        """Leave out the endpoint at fault, the first if none is named."""
+        state = self._state
+        culprit = run.first
+        for hop in run.hops:
+            if hop.endpoint.address == verdict.culprit:
+                culprit = hop.endpoint
+        # A full one may serve it a moment later; a dead one will not.
+        state.soundness.fill(culprit.name, state.now)
+        late = state.now - run.began >= DEAD_SECONDS
+        if late or verdict.misdirected:
+            exchange.tried.append(culprit.name)
+            reason = 'misdirected' if verdict.misdirected else 'stalled'
+            state.accuse([culprit.name], reason, exchange.ask.name)
+
+    def _note_break(
+        self,
+        exchange: exchange_module.Exchange,
+        run: _Run,
+        broken: endpointhttp.Broken,
+    ) -> None:
+        state = self._state
+        if broken.fault is endpointhttp.Fault.TIMEOUT:
+            return
+        exchange.tried.append(run.first.name)
+        count = state.crashers.report(
+            exchange.fingerprint, run.first.name, state.now
+        )
+        state.log.write(
+            'run broken',
+            request=exchange.ask.name,
+            endpoint=run.first.name,
+            fault=broken.fault,
+            broken_runs=count,
+        )
+
+    def _judge_silence(
+        self, stream: Stream, run: _Run, target: float
+    ) -> float:
+        """Decide whether a still run is moved to another chain.
+
+        It is left only for a chain that is at hand and paid for, since a
+        slow run is worth more than none.
+
+        :returns: how long to wait from its last event, in seconds
+        """
+        state = self._state
+        exchange = stream.exchange
+        now = state.now
+        if now >= exchange.deadline:
+            raise RunEnded(True, 'deadline', retry=False)
+        if not exchange.can_go_on(True, now):
+            return exchange.deadline - run.moved
+        silence = now - run.moved
+        still = state.soundness.find_still(run.names, run.moved)
+        certain = 0 < len(still) < len(run.names)
+        if not certain and silence < target * PATIENCE_FACTOR:
+            return target * PATIENCE_FACTOR
+        if certain:
+            state.accuse(still, 'still', exchange.ask.name)
+        before = list(exchange.tried)
+        exchange.tried.extend(still)
+        hops = self._finder.choose(stream)
+        if hops is None or not state.pay_resend(exchange.service, 'stream'):
+            exchange.tried[:] = before
+            return silence + target * GAP_PART
+        raise RunEnded(True, f'still for {silence:.3f} s', hops=hops)
+
+    # What the caller gets.
+
+    async def _read_head(
+        self, stream: Stream, run: _Run, connection: endpointhttp.Connection
+    ) -> endpointhttp.AnswerHead:
+        deadline = stream.exchange.deadline
+        target = stream.exchange.terms.target_seconds
+        target = target or chainfinder.USUAL_TARGET
+        limit = target * FIRST_PART
+        while True:
+            due = min(run.moved + limit, deadline)
+            try:
+                return await connection.read_head(due)
+            except endpointhttp.Broken as broken:
+                if broken.fault is not endpointhttp.Fault.TIMEOUT:
+                    raise
+                limit = self._judge_silence(stream, run, target)
+
+    async def _read_events(
+        self, stream: Stream, run: _Run, connection: endpointhttp.Connection
+    ) -> bytes:
+        terms = stream.exchange.terms
+        target = terms.gap_seconds if run.events else terms.target_seconds
+        target = target or chainfinder.USUAL_TARGET
+        limit = target * (GAP_PART if run.events else FIRST_PART)
+        while True:
+            due = min(run.moved + limit, stream.exchange.deadline)
+            try:
+                return await connection.read(due)
+            except endpointhttp.Broken as broken:
+                if broken.fault is not endpointhttp.Fault.TIMEOUT:
+                    raise
+                limit = self._judge_silence(stream, run, target)
+
+    async def _pass_failure(
+        self,
+        stream: Stream,
+        run: _Run,
+        connection: endpointhttp.Connection,
+        head: endpointhttp.AnswerHead,
+    ) -> Outcome:
+        """Try elsewhere after an endpoint's own failure, or pass it on."""
+        exchange = stream.exchange
+        again = exchange.can_go_on(True, self._state.now)
+        if again and head.status >= 500:
+            exchange.tried.append(run.first.name)
+            raise RunEnded(True, f'failed with {head.status}')
+        parts = []
+        while part := await connection.read(exchange.deadline):
+            parts.append(part)
+        if exchange.reply.started:
+            raise RunEnded(True, f'failed with {head.status}', retry=False)
+        exchange.reply.send(_make_head(head, 0), b''.join(parts))
+        return Outcome.FAILED
+
+    async def _pass_events(
+        self,
+        stream: Stream,
+        run: _Run,
+        connection: endpointhttp.Connection,
+        head: endpointhttp.AnswerHead,
+    ) -> None:
+        """Pass whole events on until the answer is whole."""
+        exchange, sequence = stream.exchange, stream.sequence
+        reply = exchange.reply
+        splitter = events.Splitter()
+        while data := await self._read_events(stream, run, connection):
+            now = self._state.now
+            fresh, intact = sequence.admit(splitter.split(data))
+            if not intact:
+                raise RunEnded(True, 'an event is missing')
+            if not fresh:
+                continue
+            if not reply.started:
+                reply.start(_make_head(head, None))
+            reply.write(fresh)
+            self._observe(exchange, run, now)
+        if splitter.rest.strip():
+            raise RunEnded(True, 'ended within an event')
+        if not reply.started:
+            reply.start(_make_head(head, None))
+        reply.finish(splitter.rest)
+        self._state.crashers.clear(exchange.fingerprint)
+
+    def _observe(
+        self, exchange: exchange_module.Exchange, run: _Run, now: float
+    ) -> None:
+        counters = self._state.counters
+        if exchange.first_event is None:
+            exchange.first_event = now - exchange.request.arrived
+            counters.first_event_seconds.observe(exchange.first_event)
+        else:
+            gap = now - run.moved
+            exchange.longest_gap = max(exchange.longest_gap, gap)
+            counters.gap_seconds.observe(gap)
+        run.events += 1
+        exchange.events += 1
+        run.moved = now
+        self._state.soundness.report_progress(run.names, now)
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -195,6 +195,13 @@
         budget.entries = max(1, len(self.entries))
         return budget
 
+    def pay_resend(self, service: str, reason: str) -> bool:
+        """Pay for another send from the shared budget, if it allows."""
+        if not self.get_budget(service).spend(self.now):
+            return False
+        self.counters.resends.labels(reason).inc()
+        return True
+
     def accuse(self, names: Iterable[str], reason: str, request: str) -> None:
         """Leave endpoints out for a while, and log why.
 
