Keep the platform's names out of the trials

Cause: the soak's scene wrote configurations and requests in the platform's words, which only the adapter and the stand-ins may know. Change: operators and callers are stand-ins.

--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -7,6 +7,9 @@
 import time
 
 import behave
+from dunlintide_standins.fleet import callers
+from dunlintide_standins.fleet import operators
+from dunlintide_standins.fleet import runners
 from dunlintide_trials.edge import scene as edge_scene
 
 
@@ -17,7 +20,7 @@
 def make_platform(context, one, other):
     context.scene = edge_scene.Scene(context.pick_ports, context.make_folder())
     context.stack.callback(context.scene.close)
-    context.scene.configure(edge_scene.make_configuration())
+    context.scene.configure(operators.make_configuration())
     context.scene.add_runners((one, other))
     context.answers = {}
     context.callers = {}
@@ -53,8 +56,8 @@
 
 @behave.when('a caller starts to stream {count:d} events as "{name}"')
 def start_stream(context, count, name):
-    caller = edge_scene.Caller(context.entry.listen)
-    caller.send(edge_scene.build_stream(name, count))
+    caller = callers.Caller(context.entry.listen)
+    caller.send(callers.build_stream(name, count))
     context.callers[name] = caller
     context.stack.callback(caller.close)
 
@@ -92,7 +95,7 @@
         for _, first, last in run.hops:
             assert first == position, run.hops
             position = last
-        assert position == edge_scene.LAYERS, run.hops
+        assert position == operators.LAYERS, run.hops
 
 
 @behave.then('"{name}" ran {count:d} time')
@@ -126,11 +129,11 @@
 
 @behave.when('one connection calls "{path}" {count:d} times')
 def call_on_one(context, path, count):
-    caller = edge_scene.Caller(context.entry.listen)
+    caller = callers.Caller(context.entry.listen)
     context.stack.callback(caller.close)
     context.many = []
     for number in range(count):
-        caller.send(edge_scene.build_request(f'c-{number}', path))
+        caller.send(callers.build_request(f'c-{number}', path))
         context.many.append(caller.read_answer())
 
 
@@ -174,7 +177,7 @@
     (run,) = context.scene.fleet.list_runs(name)
     assert run.headers['tenant'] == team
     assert 'authorization' not in run.headers
-    assert edge_scene.KEY not in str(run.headers)
+    assert operators.KEY not in str(run.headers)
 
 
 @behave.then('calling "{path}" with key "{key}" gets status {status:d}')
@@ -345,7 +348,7 @@
 )
 def add_late_engine(context, kind, seconds):
     scene = context.scene
-    engine = edge_scene.runners.Runner(scene.fleet, 'llm', 'a', kind)
+    engine = runners.Runner(scene.fleet, 'llm', 'a', kind)
     engine.faults.lose_orders = 1
     engine.faults.order_delay = float(seconds)
     scene.fleet.runners.append(engine)
@@ -367,27 +370,21 @@
 
 @behave.when('the operator moves "{prefix}" to another service name "{name}"')
 def move_route(context, prefix, name):
-    configuration = edge_scene.make_configuration(9)
-    for route in configuration['route_list']:
-        if route['prefix'] == prefix:
-            route['service'] = name
-    context.scene.configure(configuration)
+    configuration = operators.make_configuration(9)
+    context.scene.configure(
+        operators.rename_service(configuration, prefix, name)
+    )
 
 
 @behave.when('the operator writes a configuration that can\'t be read')
 def break_configuration(context):
-    context.scene.configure({'version': 11, 'route_list': [{'name': 'x'}]})
+    context.scene.configure(operators.make_broken_configuration(11))
 
 
 @behave.when('the operator removes the route "{prefix}"')
 def remove_route(context, prefix):
-    configuration = edge_scene.make_configuration(9)
-    configuration['route_list'] = [
-        route
-        for route in configuration['route_list']
-        if not route['prefix'].startswith(prefix)
-    ]
-    context.scene.configure(configuration)
+    configuration = operators.make_configuration(9)
+    context.scene.configure(operators.remove_routes(configuration, prefix))
 
 
 @behave.then('the entry\'s log has a line "{event}"')
@@ -521,7 +518,7 @@
     state = context.entry.read_state()
     rules = state['document']['rules']
     assert [rule['name'] for rule in rules][0] == 'public', rules
-    assert edge_scene.KEY not in json.dumps(state)
+    assert operators.KEY not in json.dumps(state)
 
 
 @behave.given('the store loses the answers of the next {count:d} writes')
@@ -543,7 +540,7 @@
 )
 def explain_rule(context, rule, path):
     command = ['dunlintide', 'rules', 'explain', '--member', 'diner']
-    command += ['--host', edge_scene.HOST, '--path', path]
+    command += ['--host', operators.HOST, '--path', path]
     command += ['--admin', f'http://{context.entry.admin}']
     done = subprocess.run(command, capture_output=True, text=True)
     assert done.returncode == 0, done.stderr
--- /dev/null
+++ b/packages/standins/src/dunlintide_standins/fleet/callers.py
@@ -0,0 +1,118 @@
+"""Callers of the platform, down to the bytes that they send and get."""
+
+import socket
+
+import attrs
+
+from dunlintide_standins.fleet import operators
+
+__all__ = [
+    'Answer',
+    'Caller',
+    'build_request',
+    'build_stream',
+]
+
+WAIT_SECONDS = 10
+
+
+@attrs.frozen
+class Answer:
+    """What a caller got.
+
+    :ivar headers: by lower-case name
+    :ivar whole: whether it looked complete
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class Caller:
+    """A connection that sends bytes and reads answers as they are."""
+
+    def __init__(self, address: str) -> None:
+        """Connect.
+
+        :param address: ``host:port``
+        :raises OSError: when nobody listens
+        """
+        host, _, port = address.rpartition(':')
+        self.socket = socket.create_connection((host, int(port)))
+        self.socket.settimeout(WAIT_SECONDS)
+        self.file = self.socket.makefile('rb')
+
+    def send(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        self.socket.sendall(data)
+
+    def read_head(self) -> tuple[int, dict[str, str]]:
+        """Read the status and the headers of an answer."""
+        first = self.file.readline()
+        if not first:
+            raise ConnectionResetError('closed without an answer')
+        status = int(first.split()[1])
+        headers = {}
+        while line := self.file.readline().strip():
+            name, _, value = line.decode('latin-1').partition(':')
+            headers[name.lower()] = value.strip()
+        return status, headers
+
+    def read_answer(self) -> Answer:
+        """Read an answer, also one that is cut."""
+        status, headers = self.read_head()
+        body = b''
+        try:
+            if headers.get('transfer-encoding') == 'chunked':
+                while size := int(self.file.readline(), 16):
+                    body += self.file.read(size)
+                    self.file.readline()
+                self.file.readline()
+            elif 'content-length' in headers:
+                body = self.file.read(int(headers['content-length']))
+        except (OSError, ValueError):
+            return Answer(status, headers, body, False)
+        return Answer(status, headers, body, True)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.file.close()
+        self.socket.close()
+
+
+def build_request(
+    name: str,
+    path: str,
+    method: str = 'POST',
+    body: bytes = b'',
+    key: str | None = operators.KEY,
+    **headers: str,
+) -> bytes:
+    """Build a request; underscores in names of headers become dashes."""
+    fields = {
+        'Host': operators.HOST,
+        'Attempt-Id': name,
+        'Deadline-Ms': '8000',
+        'Content-Length': str(len(body)),
+    }
+    if key:
+        fields['Authorization'] = f'Bearer {key}'
+    for field, value in headers.items():
+        fields[field.replace('_', '-')] = value
+    lines = [f'{method} {path} HTTP/1.1']
+    lines += [f'{field}: {value}' for field, value in fields.items()]
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode() + body
+
+
+def build_stream(name: str, count: int) -> bytes:
+    """Build a request for a stream of events."""
+    return build_request(
+        name,
+        '/copy/x',
+        body=b'a prompt',
+        Model='m0',
+        Token_Count=f'100,{count}',
+        Prefix_Hash='5c:100',
+    )
--- /dev/null
+++ b/packages/standins/src/dunlintide_standins/fleet/operators.py
@@ -0,0 +1,138 @@
+"""What an operator of the platform writes: routes, services and keys."""
+
+import random
+from typing import Any
+
+__all__ = [
+    'CARDS',
+    'HOST',
+    'KEY',
+    'LAYERS',
+    'LAYER_MB',
+    'make_broken_configuration',
+    'make_configuration',
+    'remove_routes',
+    'rename_service',
+    'shuffle_routes',
+]
+
+KEY = 'key-of-the-diner'
+OTHER_KEY = 'key-of-the-church'
+HOST = 'screens.example'
+LAYERS = 12
+LAYER_MB = 1000.0
+CARDS = {'large': 9000.0, 'small': 5000.0}
+
+Configuration = dict[str, Any]
+
+
+def _make_route(
+    name: str, prefix: str, kind: str, service: str, **more: Any
+) -> Configuration:
+    route = {
+        'name': name,
+        'hostname': HOST,
+        'prefix': prefix,
+        'route_type': kind,
+        'timeout_ms': 8000,
+        'target_latency_ms': 500,
+        'priority': 1,
+        'service': service,
+        'max_attempts': 2,
+        'public': False,
+    }
+    route.update(more)
+    return route
+
+
+def make_configuration(version: int = 7) -> Configuration:
+    """Build a configuration with a model, a service and two teams."""
+    engine = {
+        'slots': 16,
+        'kv_capacity': 50000,
+        'kv_token_bytes': 120000,
+        'link_mbps': 400000.0,
+        'stride': 4,
+        'models': [{'name': 'm0', 'pace': 1.0, 'load_s': 1.0}],
+        'step_ms': 1.0,
+        'per_seq_ms': 0.01,
+        'context_per_k': 0.01,
+        'read_per_s': 164000.0,
+        'loads_at_once': 6,
+        'delays': [{'from': 'a', 'to': 'b', 'delay_ms': 0.3}],
+        'usual': {'prompt': 100, 'answer': 40},
+        'layers': LAYERS,
+        'layer_mb': LAYER_MB,
+        'act_bytes': 1000,
+        'pipe_mbps': 16000.0,
+        'kinds': [
+            {'name': name, 'size_mb': size, 'pace': 2.0, 'read_factor': 3.0}
+            for name, size in CARDS.items()
+        ],
+    }
+    return {
+        'version': version,
+        'route_list': [
+            _make_route(
+                'copy',
+                '/copy/',
+                'streaming',
+                'llm',
+                sticky=True,
+                resumable=True,
+                gap_target_ms=250,
+            ),
+            _make_route('orders', '/orders/', 'non_idempotent', 'web'),
+            _make_route('lists', '/lists/', 'idempotent', 'web'),
+            _make_route(
+                'public', '/lists/public/', 'idempotent', 'web', public=True
+            ),
+        ],
+        'services': [
+            {'name': 'llm', 'health_path': '/h', 'engine': engine},
+            {'name': 'web', 'health_path': '/h', 'max_conns': 50},
+        ],
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 100000,
+            'header_timeout_ms': 1000,
+            'idle_timeout_ms': 5000,
+        },
+        'tenants': [
+            {'name': 'diner', 'api_keys': [KEY], 'priority': 1},
+            {'name': 'church', 'api_keys': [OTHER_KEY], 'priority': 1},
+        ],
+    }
+
+
+def make_broken_configuration(version: int) -> Configuration:
+    """Build a configuration whose route lacks nearly all it needs."""
+    return {'version': version, 'route_list': [{'name': 'x'}]}
+
+
+def rename_service(
+    configuration: Configuration, prefix: str, service: str
+) -> Configuration:
+    """Send the requests of a route to another service."""
+    for route in configuration['route_list']:
+        if route['prefix'] == prefix:
+            route['service'] = service
+    return configuration
+
+
+def remove_routes(configuration: Configuration, prefix: str) -> Configuration:
+    """Take away the routes below a prefix."""
+    configuration['route_list'] = [
+        route
+        for route in configuration['route_list']
+        if not route['prefix'].startswith(prefix)
+    ]
+    return configuration
+
+
+def shuffle_routes(
+    configuration: Configuration, draw: random.Random
+) -> Configuration:
+    """List the routes in another order, which changes nothing."""
+    draw.shuffle(configuration['route_list'])
+    return configuration
--- a/packages/trials/src/dunlintide_trials/edge/faults.py
+++ b/packages/trials/src/dunlintide_trials/edge/faults.py
@@ -8,8 +8,8 @@
 import signal
 from typing import Callable
 
+from dunlintide_standins.fleet import operators
 from dunlintide_trials.edge import field as fields
-from dunlintide_trials.edge import scene as scenes
 
 __all__ = ['FAULTS']
 
@@ -188,9 +188,8 @@
     """Write new versions in quick succession."""
     for _ in range(draw.randint(1, 4)):
         field.version += draw.randint(1, 5)
-        found = scenes.make_configuration(field.version)
-        draw.shuffle(found['route_list'])
-        field.scene.configure(found)
+        found = operators.make_configuration(field.version)
+        field.scene.configure(operators.shuffle_routes(found, draw))
     return _do_nothing
 
 
--- a/packages/trials/src/dunlintide_trials/edge/field.py
+++ b/packages/trials/src/dunlintide_trials/edge/field.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from dunlintide_standins.fleet import callers
+from dunlintide_standins.fleet import operators
 from dunlintide_standins.fleet import runners as runners_module
 from dunlintide_standins import relay as relay_module
 from dunlintide_trials.edge import scene as scenes
@@ -72,7 +74,7 @@
 
     def _start(self, stack: contextlib.ExitStack) -> None:
         scene = self.scene
-        scene.configure(scenes.make_configuration(self.version))
+        scene.configure(operators.make_configuration(self.version))
         scene.add_runners(DOMAINS)
         scene.add_runners(DOMAINS)
         for index, name in enumerate(ENTRIES):
@@ -151,7 +153,7 @@
             entry = draw.choice(self.scene.entries)
             kept = draw.randint(1, 6)
             try:
-                caller = scenes.Caller(entry.listen)
+                caller = callers.Caller(entry.listen)
             except OSError:
                 time.sleep(PAUSE_SECONDS[1])
                 continue
@@ -171,15 +173,15 @@
             self.asked.append(asked)
         return asked
 
-    def ask(self, caller: scenes.Caller, draw: random.Random) -> bool:
+    def ask(self, caller: callers.Caller, draw: random.Random) -> bool:
         """Ask once; False when the connection can't be used again."""
         asked = self._make(draw)
         try:
             if asked.kind == STREAM:
-                data = scenes.build_stream(asked.name, asked.count)
+                data = callers.build_stream(asked.name, asked.count)
             else:
                 path = '/orders/x' if asked.kind == ONCE else '/lists/x'
-                data = scenes.build_request(asked.name, path)
+                data = callers.build_request(asked.name, path)
             caller.send(data)
             answer = caller.read_answer()
         except (OSError, ValueError, IndexError):
--- a/packages/trials/src/dunlintide_trials/edge/promises.py
+++ b/packages/trials/src/dunlintide_trials/edge/promises.py
@@ -2,8 +2,8 @@
 
 from typing import Iterator
 
+from dunlintide_standins.fleet import operators
 from dunlintide_trials.edge import field as fields
-from dunlintide_trials.edge import scene as scenes
 
 __all__ = ['list_broken']
 
@@ -60,7 +60,7 @@
             yield f'{asked.name}: layers {run.hops}'
             return
         position = last
-    if run.hops and position != scenes.LAYERS:
+    if run.hops and position != operators.LAYERS:
         yield f'{asked.name}: layers {run.hops}'
 
 
--- a/packages/trials/src/dunlintide_trials/edge/scene.py
+++ b/packages/trials/src/dunlintide_trials/edge/scene.py
@@ -7,30 +7,21 @@
 import asyncio
 import json
 import os
-import socket
 import subprocess
 import sys
 import threading
 import time
 
+from dunlintide_standins.fleet import callers
+from dunlintide_standins.fleet import operators
 from dunlintide_standins.fleet import runners
 from dunlintide_standins.fleet import store as stores
 
 __all__ = [
-    'Caller',
     'Entry',
     'Scene',
-    'build_request',
-    'build_stream',
-    'make_configuration',
 ]
 
-KEY = 'key-of-the-diner'
-OTHER_KEY = 'key-of-the-church'
-HOST = 'screens.example'
-LAYERS = 12
-LAYER_MB = 1000.0
-CARDS = {'large': 9000.0, 'small': 5000.0}
 WAIT_SECONDS = 10
 
 
@@ -62,163 +53,6 @@
         self.loop.close()
 
 
-def make_route(name, prefix, kind, service, **more):
-    route = {
-        'name': name,
-        'hostname': HOST,
-        'prefix': prefix,
-        'route_type': kind,
-        'timeout_ms': 8000,
-        'target_latency_ms': 500,
-        'priority': 1,
-        'service': service,
-        'max_attempts': 2,
-        'public': False,
-    }
-    route.update(more)
-    return route
-
-
-def make_configuration(version=7):
-    engine = {
-        'slots': 16,
-        'kv_capacity': 50000,
-        'kv_token_bytes': 120000,
-        'link_mbps': 400000.0,
-        'stride': 4,
-        'models': [{'name': 'm0', 'pace': 1.0, 'load_s': 1.0}],
-        'step_ms': 1.0,
-        'per_seq_ms': 0.01,
-        'context_per_k': 0.01,
-        'read_per_s': 164000.0,
-        'loads_at_once': 6,
-        'delays': [{'from': 'a', 'to': 'b', 'delay_ms': 0.3}],
-        'usual': {'prompt': 100, 'answer': 40},
-        'layers': LAYERS,
-        'layer_mb': LAYER_MB,
-        'act_bytes': 1000,
-        'pipe_mbps': 16000.0,
-        'kinds': [
-            {'name': name, 'size_mb': size, 'pace': 2.0, 'read_factor': 3.0}
-            for name, size in CARDS.items()
-        ],
-    }
-    return {
-        'version': version,
-        'route_list': [
-            make_route(
-                'copy',
-                '/copy/',
-                'streaming',
-                'llm',
-                sticky=True,
-                resumable=True,
-                gap_target_ms=250,
-            ),
-            make_route('orders', '/orders/', 'non_idempotent', 'web'),
-            make_route('lists', '/lists/', 'idempotent', 'web'),
-            make_route(
-                'public', '/lists/public/', 'idempotent', 'web', public=True
-            ),
-        ],
-        'services': [
-            {'name': 'llm', 'health_path': '/h', 'engine': engine},
-            {'name': 'web', 'health_path': '/h', 'max_conns': 50},
-        ],
-        'limits': {
-            'max_header_bytes': 16384,
-            'max_body_bytes': 100000,
-            'header_timeout_ms': 1000,
-            'idle_timeout_ms': 5000,
-        },
-        'tenants': [
-            {'name': 'diner', 'api_keys': [KEY], 'priority': 1},
-            {'name': 'church', 'api_keys': [OTHER_KEY], 'priority': 1},
-        ],
-    }
-
-
-class Answer:
-    """What a caller got: status, headers, body, and whether it was whole."""
-
-    def __init__(self, status, headers, body, whole):
-        self.status = status
-        self.headers = headers
-        self.body = body
-        self.whole = whole
-
-
-class Caller:
-    """A connection that sends bytes and reads answers as they are."""
-
-    def __init__(self, address):
-        host, _, port = address.rpartition(':')
-        self.socket = socket.create_connection((host, int(port)))
-        self.socket.settimeout(WAIT_SECONDS)
-        self.file = self.socket.makefile('rb')
-
-    def send(self, data):
-        self.socket.sendall(data)
-
-    def read_head(self):
-        first = self.file.readline()
-        if not first:
-            raise ConnectionResetError('closed without an answer')
-        status = int(first.split()[1])
-        headers = {}
-        while line := self.file.readline().strip():
-            name, _, value = line.decode('latin-1').partition(':')
-            headers[name.lower()] = value.strip()
-        return status, headers
-
-    def read_answer(self):
-        status, headers = self.read_head()
-        body = b''
-        try:
-            if headers.get('transfer-encoding') == 'chunked':
-                while size := int(self.file.readline(), 16):
-                    body += self.file.read(size)
-                    self.file.readline()
-                self.file.readline()
-            elif 'content-length' in headers:
-                body = self.file.read(int(headers['content-length']))
-        except (OSError, ValueError):
-            return Answer(status, headers, body, False)
-        return Answer(status, headers, body, True)
-
-    def close(self):
-        self.file.close()
-        self.socket.close()
-
-
-def build_request(name, path, method='POST', body=b'', key=KEY, **headers):
-    fields = {
-        'Host': HOST,
-        'Attempt-Id': name,
-        'Deadline-Ms': '8000',
-        'Content-Length': str(len(body)),
-    }
-    if key:
-        fields['Authorization'] = f'Bearer {key}'
-    for field, value in headers.items():
-        fields[field.replace('_', '-')] = value
-    lines = [f'{method} {path} HTTP/1.1']
-    lines += [f'{field}: {value}' for field, value in fields.items()]
-    return ('\r\n'.join(lines) + '\r\n\r\n').encode() + body
-
-
-def build_stream(name, count):
-    """Build a request for a stream of events."""
-    return build_request(
-        name,
-        '/copy/x',
-        body=b'a prompt',
-        Model='m0',
-        Token_Count=f'100,{count}',
-        Prefix_Hash='5c:100',
-    )
-
-
 class Entry:
     """A process of the daemon in its edge role."""
 
@@ -264,15 +98,15 @@
             self.process.wait()
 
     def call(self, name, path, **more):
-        caller = Caller(self.listen)
+        caller = callers.Caller(self.listen)
         try:
-            caller.send(build_request(name, path, **more))
+            caller.send(callers.build_request(name, path, **more))
             return caller.read_answer()
         finally:
             caller.close()
 
     def ask(self, address, path):
-        caller = Caller(address)
+        caller = callers.Caller(address)
         try:
             caller.send(f'GET {path} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
             return caller.read_answer()
@@ -310,7 +144,9 @@
         self.store = stores.Store()
         self.run(self.store.start())
         self.store_address = f'127.0.0.1:{self.store.port}'
-        self.fleet = runners.Fleet(self.store, LAYERS, LAYER_MB, CARDS)
+        self.fleet = runners.Fleet(
+            self.store, operators.LAYERS, operators.LAYER_MB, operators.CARDS
+        )
 
     def run(self, work):
         return self.loop.run(work)
