Draw ports of side-by-side trials below those of outgoing connections

Ruled out: the product; the entry ended as it should on a taken port. Change: the scenes and soaks use the ports module that the launcher has.

--- a/features/environment.py
+++ b/features/environment.py
@@ -3,11 +3,11 @@
 import contextlib
 import faulthandler
 import pathlib
-import socket
 import sys
 import tempfile
 
 from absl import logging
+from dunlintide_trials import ports
 import hypothesis
 
 SCENARIO_SECONDS = 300
@@ -20,15 +20,6 @@
 hypothesis.settings.load_profile('repeatable')
 
 
-def _pick_ports(count: int) -> list[int]:
-    """Find free ports on loopback; all are held while looking."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(('127.0.0.1', 0))
-        return [each.getsockname()[1] for each in sockets]
-
-
 def _stop_actors() -> None:
     """Stop actors that a scenario left, when it used any."""
     pykka = sys.modules.get('pykka')
@@ -40,7 +31,7 @@
     """Keep the logs of the code under test out of the report."""
     logging.set_verbosity(logging.ERROR)
     context.root = pathlib.Path(__file__).resolve().parent.parent
-    context.pick_ports = _pick_ports
+    context.pick_ports = ports.pick_ports
 
 
 def before_feature(context, feature):
--- a/packages/trials/src/dunlintide_trials/edge/soak.py
+++ b/packages/trials/src/dunlintide_trials/edge/soak.py
@@ -10,7 +10,6 @@
 import json
 import pathlib
 import random
-import socket
 import sys
 import tempfile
 import time
@@ -19,6 +18,7 @@
 from dunlintide_trials.edge import faults
 from dunlintide_trials.edge import field as fields
 from dunlintide_trials.edge import promises
+from dunlintide_trials import ports
 
 __all__ = ['main', 'run']
 
@@ -34,15 +34,6 @@
 SOUND_REQUESTS = 20
 
 
-def pick_ports(count: int) -> list[int]:
-    """Find free ports on loopback; all are held while looking."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(('127.0.0.1', 0))
-        return [each.getsockname()[1] for each in sockets]
-
-
 def _harm(field: fields.Field, draw: random.Random, seconds: float) -> int:
     """Put faults on until the time is over, then heal all of them."""
     end = time.monotonic() + seconds
@@ -96,7 +87,7 @@
     """
     draw = random.Random(seed)
     with contextlib.ExitStack() as stack:
-        field = fields.Field(pick_ports, folder, stack)
+        field = fields.Field(ports.pick_ports, folder, stack)
         field.start_callers(CALLERS, seed)
         stack.callback(field.stop_callers)
         count = _harm(field, draw, seconds)
--- a/packages/trials/src/dunlintide_trials/ports.py
+++ b/packages/trials/src/dunlintide_trials/ports.py
@@ -1,9 +1,10 @@
 """Free ports on loopback, kept until their process takes them."""
 
+import contextlib
 import random
 import socket
 
-__all__ = ['HOST', 'Reservations']
+__all__ = ['HOST', 'Reservations', 'pick_ports']
 
 HOST = '127.0.0.1'
 # Below the range that the kernel draws from for outgoing connections, so
@@ -47,3 +48,12 @@
         """Free all ports."""
         for port in list(self._held):
             self.release(port)
+
+
+def pick_ports(count: int) -> list[int]:
+    """Find free ports for processes that bind them soon.
+
+    Drawn from many, so that trials side by side seldom pick the same.
+    """
+    with contextlib.closing(Reservations()) as reservations:
+        return [reservations.reserve() for _ in range(count)]
