Drop what nothing calls in the edge role

Cause: a reading of the change found attributes and functions without use. Change: removed; behaviour as before.

--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -94,7 +94,6 @@
         self._excess = False
         self._bodiless = False
         self.in_call = False
-        self.reused = False
         self.rests_since = 0.0
         self.keep_seconds = DEFAULT_KEEP_SECONDS
 
@@ -249,11 +248,6 @@
         self._buffered = 0
         return data
 
-    @property
-    def is_complete(self) -> bool:
-        """Whether the whole answer has come."""
-        return self._complete
-
     def _check(self) -> None:
         if self._fault is not None:
             raise Broken(self._fault, True)
@@ -280,7 +274,6 @@
         :param now: loop time in seconds
         """
         self.in_call = False
-        self.reused = True
         self.rests_since = now
         named = self._head.get('keep-alive') if self._head else None
         self.keep_seconds = _read_keep_alive(named)
@@ -304,14 +297,10 @@
 
 
 class Pool:
-    """Connections to many addresses, kept while they rest.
-
-    :ivar opened: connections that were opened, for the metrics
-    """
+    """Connections to many addresses, kept while they rest."""
 
     def __init__(self) -> None:
         self._resting: dict[str, list[Connection]] = {}
-        self.opened = 0
 
     async def acquire(
         self, address: str, timeout: float, newest: float | None = None
@@ -343,7 +332,6 @@
         """
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(':')
-        self.opened += 1
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
--- a/packages/core/src/dunlintide_core/pipeline/resends.py
+++ b/packages/core/src/dunlintide_core/pipeline/resends.py
@@ -30,7 +30,6 @@
     slack: float
     window: float
     entries: int = 1
-    denied: int = 0
     _requests: collections.deque[float] = attrs.field(
         factory=collections.deque, init=False
     )
@@ -60,7 +59,6 @@
     def spend(self, now: float) -> bool:
         """Take one second send; False when none is left."""
         if self.count_left(now) < 1.0:
-            self.denied += 1
             return False
         self._resends.append(now)
         return True
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -5,7 +5,6 @@
 from typing import Callable
 
 from dunlintide_daemon.gateway import state as state_module
-from dunlintide_platform import keys
 from dunlintide_platform import listings
 from dunlintide_platform import store as store_module
 
@@ -31,10 +30,7 @@
 
 
 class Follower:
-    """Reads the store and applies what changes.
-
-    :ivar reached: monotonic time of the last good answer, in seconds
-    """
+    """Reads the store and applies what changes."""
 
     def __init__(
         self,
@@ -54,7 +50,6 @@
         self._revisions: dict[str, int] = {}
         self._lost_at: float | None = None
         self._returned_at = float('-inf')
-        self.reached = float('-inf')
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -68,7 +63,6 @@
 
     def _note_answer(self) -> None:
         now = self._state.now
-        self.reached = now
         if self._lost_at is None:
             return
         lost, self._lost_at = now - self._lost_at, None
@@ -191,8 +185,3 @@
         for name in self._missing:
             self._state.drop_endpoint(name)
         self._missing.clear()
-
-
-def is_own(key: str) -> bool:
-    """Tell whether entries write a key themselves."""
-    return key.startswith(keys.ENTRY_PREFIX) or key == keys.LEADER_KEY
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -248,12 +248,3 @@
         for listener in self.listeners:
             listener()
         self.wake_all()
-
-    def find_by_address(
-        self, address: str
-    ) -> endpoints_module.Endpoint | None:
-        """Find the endpoint that is listed at an address."""
-        for endpoint in self.endpoints.values():
-            if endpoint.address == address:
-                return endpoint
-        return None
