--- a/features/affinity.feature
+++ b/features/affinity.feature
@@ -1,30 +1,30 @@
 Feature: Prefix caches weighed against load
 
-  Scenario: A member's prefix never matches another's
-    Then in 300 drawn pairs of members and prompts no hash is shared
-    And a longer prompt of one member shares the hashes of its start
+  Scenario: A team's prefix never matches another's
+    Then in 300 drawn pairs of teams and prompts no hash is shared
+    And a longer prompt of one team shares the hashes of its start
 
   Scenario: Events tell which prefixes an engine holds
     Given a view of an engine's prefix cache
-    When 4 prompts of one member with a common start are run
+    When 4 prompts of one team with a common start are run
     Then the view holds each of them as far as the engine does
     And it tells first where the prompts parted
 
   Scenario: Late events change the view late and no further
     Given a view of an engine's prefix cache whose events are 5 s late
-    When 4 prompts of one member with a common start are run
+    When 4 prompts of one team with a common start are run
     Then the view holds nothing of them before 5 s have passed
     And the view holds each of them as far as the engine does
 
   Scenario: What the engine evicts is lost in the view
     Given a view of an engine's prefix cache of 2048 tokens
-    When 40 prompts of one member with a common start are run
+    When 40 prompts of one team with a common start are run
     Then the view holds nothing that the engine does not hold
 
   Scenario: A gap makes the view unsure until it is read anew
     Given a view of an engine's prefix cache of 2048 tokens
     And 7 in 10 of its events are lost
-    When 40 prompts of one member with a common start are run
+    When 40 prompts of one team with a common start are run
     Then the view is unsure, with gaps counted
     When what the engine holds is read anew
     Then the view is sure again
@@ -32,13 +32,13 @@
 
   Scenario: An engine that was started anew holds nothing
     Given a view of an engine's prefix cache
-    When 4 prompts of one member with a common start are run
+    When 4 prompts of one team with a common start are run
     And the engine is started anew and runs one prompt
     Then the view holds that prompt and no other
 
   Scenario: Views, news and what entries remember are bounded
     Given a view of an engine's prefix cache that keeps 100 blocks
-    When 200 prompts of many members are run
+    When 200 prompts of many teams are run
     Then the view keeps no more than 100 blocks
     And no news has more than 8 prefixes
     And entries are told of no more than 16 prefixes at a time
@@ -50,10 +50,10 @@
 
   Scenario: Real engines' events bring a prompt back through another entry
     Given a small deployment with cached prompts
-    When a member's prompt ran through entry 0
+    When a team's prompt ran through entry 0
     And entry 1 was told of it
-    Then longer prompts of the member through entry 1 run on the same engines
-    And another member's prompts through entry 1 find nothing known
+    Then longer prompts of the team through entry 1 run on the same engines
+    And another team's prompts through entry 1 find nothing known
     And entry 1's metrics count the prompts with a known holder
     And most of the longer prompts' start is found in the caches
 
--- a/features/agent.feature
+++ b/features/agent.feature
@@ -120,7 +120,7 @@
     Given an agent before a plain service
     When a claimed call is made twice
     Then both callers get the same echoed answer
-    And the service ran one call, with the member and the key
+    And the service ran one call, with the team and the key
     When the service is gone
     And a call is made
     Then the call fails with "endpoint-failed" and did not run
@@ -135,6 +135,6 @@
     Given 1 agents of 12 layers each
     And the head's engine holds its calls
     When a request for 8 tokens is cancelled while its first step runs
-    Then it holds its slot, and its member pays for the prompt
+    Then it holds its slot, and its team pays for the prompt
     When the head's engine answers its calls
     Then no slot is held
--- a/features/commands.feature
+++ b/features/commands.feature
@@ -66,7 +66,7 @@
     When the operator applies rules "first"
     And the operator runs "rules explain --member diner --model copy-7b"
     Then the command ends with 0 and prints "rule 0 "first" decides"
-    When the operator puts a rule for member "rival" before "first"
+    When the operator puts a rule for team "rival" before "first"
     And the operator runs "rules explain --member diner --model copy-7b"
     Then the command ends with 0 and prints "rule 1 "first" decides"
     And it prints "member is "rival", but the request has "diner""
--- a/features/driver.feature
+++ b/features/driver.feature
@@ -9,11 +9,11 @@
 
   Scenario Outline: Long spans leave time to short steps of <whom>
     Given a driver whose engine holds its calls
-    When member "flood" has 2 long spans and <whom> has a short step
+    When team "flood" has 2 long spans and <whom> has a short step
     And the engine answers its calls after 0.1 s
     Then the second long span begins <when>
 
     Examples:
       | whom            | when                    |
-      | member "steady" | 0.3 s after the first   |
-      | member "flood"  | as soon as it can       |
+      | team "steady" | 0.3 s after the first   |
+      | team "flood"  | as soon as it can       |
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -6,15 +6,15 @@
   Scenario: A stream is complete and says so
     When a caller streams a completion of 5 tokens from the entry
     Then the stream holds each of the 5 tokens once and its end mark
-    And the entry reports the outcome "complete" to that member only
+    And the entry reports the outcome "complete" to that team only
 
   Scenario Outline: A faulty request is refused and nothing runs
-    When a caller posts <body> with key "<key>" as member "<member>"
+    When a caller posts <body> with key "<key>" as team "<team>"
     Then the entry answers <status> with the outcome "not-run"
     And no agent of the entry was sent anything
 
     Examples:
-      | body         | key  | member  | status |
+      | body         | key  | team  | status |
       | a completion |      | nobody  | 401    |
       | broken JSON  |      | diner   | 400    |
       | wrong types  |      | diner   | 400    |
@@ -135,10 +135,10 @@
     When the entry is told to stop in mid-stream
     Then the stream holds each of the 5 tokens once and its end mark
 
-  Scenario: Several keys of a member share one limit
-    When a caller posts a completion with key "" as member "metered"
+  Scenario: Several keys of a team share one limit
+    When a caller posts a completion with key "" as team "metered"
     Then the agents of the entry got 1 request in all
-    When a caller posts a completion with key "" as member "metered-2"
+    When a caller posts a completion with key "" as team "metered-2"
     Then the entry answers 429 with the outcome "not-run"
     And the caller is told when to try again
     And the agents of the entry got 1 request in all
--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -1,7 +1,7 @@
-Feature: No member takes what the others need
-  A member that floods gets its share of what is contended and no more.
+Feature: No team takes what the others need
+  A team that floods gets its share of what is contended and no more.
 
-  Scenario: Requests of one member leave threads of an entry to others
+  Scenario: Requests of one team leave threads of an entry to others
     Given an HTTP server of 10 threads whose requests name their groups
     When 20 requests of group "flood" are open
     Then 8 of them run and the others are refused by the application
@@ -10,14 +10,14 @@
     When all of them have ended
     Then no group holds a thread
 
-  Scenario: A member below its share waits for nobody's round
-    Given a fair queue that member "flood" fills with requests of cost 500
-    When 20 requests are picked and member "steady" queues one of cost 500
-    Then the next pick is of member "steady"
+  Scenario: A team below its share waits for nobody's round
+    Given a fair queue that team "flood" fills with requests of cost 500
+    When 20 requests are picked and team "steady" queues one of cost 500
+    Then the next pick is of team "steady"
 
-  Scenario Outline: <kind> gain a member nothing
-    Given a fair queue that member "flood" fills with requests of cost 500
-    When member "other" sends <kind> while 400 requests are picked
+  Scenario Outline: <kind> gain a team nothing
+    Given a fair queue that team "flood" fills with requests of cost 500
+    When team "other" sends <kind> while 400 requests are picked
     Then the real cost of "other" is from 0.40 to 0.55 of all
 
     Examples:
@@ -27,10 +27,10 @@
       | many tiny requests            |
       | huge requests                 |
 
-  Scenario: Slots that a member used lately are kept for it
-    Given 16 slots of which member "steady" of weight 1 uses 4 at most
-    And member "flood" of weight 3 wants as many as it can get
-    When members come and go for 1000 moments
+  Scenario: Slots that a team used lately are kept for it
+    Given 16 slots of which team "steady" of weight 1 uses 4 at most
+    And team "flood" of weight 3 wants as many as it can get
+    When teams come and go for 1000 moments
     Then a slot was free each time that "steady" came
     And "flood" had all 16 slots once "steady" had been away for 10 s
 
--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -36,8 +36,8 @@
 
   Scenario: A silent watch does not keep a new configuration away
     When the entry-store connections go silent
-    And the operators refuse a member's completions
-    Then every entry refuses that member within 8 s
+    And the operators refuse a team's completions
+    Then every entry refuses that team within 8 s
 
   Scenario Outline: A stage that is killed in mid-stream costs no token
     Given the engines take 20 ms a step
--- a/features/planning.feature
+++ b/features/planning.feature
@@ -41,10 +41,10 @@
 
   Scenario: A prompt's holder is preferred until its load is too high
     Given a planned fleet of two endpoints for each of three ranges
-    And a chain that ran a prompt of a member
-    Then the member's next request with that prompt takes that chain
+    And a chain that ran a prompt of a team
+    Then the team's next request with that prompt takes that chain
     And of two chains the one is taken that saves more of the prefill
-    And another member's request with that prompt finds no holder
+    And another team's request with that prompt finds no holder
     And the chain is not kept once its load is three times another's
     And an agent with a gap in its cache events alone is no holder any more
     And 1000 other prompts leave no more than 100 blocks remembered
--- a/features/product.feature
+++ b/features/product.feature
@@ -4,7 +4,7 @@
     Given the small deployment runs
 
   Scenario: A streamed completion is the reference answer
-    When a member streams a completion of 24 tokens from entry 0
+    When a team streams a completion of 24 tokens from entry 0
     Then the caller gets the reference tokens and the end mark
     And each stage ran each position of it once
 
@@ -13,7 +13,7 @@
     Then the client gets the reference tokens of its chat
 
   Scenario: A repeated order gets the first answer and runs once
-    When a member sends an order to entry 0 and again to entry 2
+    When a team sends an order to entry 0 and again to entry 2
     Then both callers get the same answer and the order ran once
 
   Scenario Outline: A malformed request is refused and nothing of it runs
--- a/features/promises.feature
+++ b/features/promises.feature
@@ -13,7 +13,7 @@
       | a refused request that ran                      | told not-run               |
       | an order that ran twice                         | ran 2 times                |
       | an order that never ran                         | complete, but never ran    |
-      | a run in another member's name                  | ran as rival               |
+      | a run in another team's name                  | ran as rival               |
       | two answers to one order                        | repeats got different      |
       | an order without a key, run twice               | ran 2 times, without a key |
       | another call's answer to an order without a key | answer of                  |
--- a/features/replanning.feature
+++ b/features/replanning.feature
@@ -11,7 +11,7 @@
     When the first agent's steps are fast again
     Then the entry's plan gives the first agent over two fifths
 
-  Scenario: A member's prompts return to where their prefix is cached
+  Scenario: A team's prompts return to where their prefix is cached
     When "diner" and "rival" each send one long prompt 8 times
-    Then each member's prompts went to one agent
-    And the agents saw a salt for each member that its name does not give
+    Then each team's prompts went to one agent
+    And the agents saw a salt for each team that its name does not give
--- a/features/rules.feature
+++ b/features/rules.feature
@@ -14,8 +14,8 @@
         "prompt_tokens_min": 100}, "then": {"weight": 2}},
       {"name": "rest", "when": {}, "then": {}}
       """
-    Then member "diner" with 20 prompt tokens gets rule "rest" because "claims" fails on service and "long" on prompt_tokens_min
-    And member "church" with 200 prompt tokens gets rule "long"
+    Then team "diner" with 20 prompt tokens gets rule "rest" because "claims" fails on service and "long" on prompt_tokens_min
+    And team "church" with 200 prompt tokens gets rule "long"
     And the canonical form of the rules document comes back unchanged
 
   Scenario Outline: A mistake in a rule is told with its place
@@ -41,8 +41,8 @@
       | {"path": "/v1/chat/*", "member": "diner"} | {}  | 7:1: error: rules[1]: rule "second" is unreachable: rules[0] "first" |
       | {"member": "diner"}     | {"accelerators": "l4"} | endpoints with l4 cannot tile model "copy-7b": chains end at layer 8 of 24 |
 
-  Scenario: What a member's key is never shows in a message
-    Given a rules document whose member has the key hash "sk-secret-key"
+  Scenario: What a team's key is never shows in a message
+    Given a rules document whose team has the key hash "sk-secret-key"
     Then it is refused without showing "sk-secret-key"
 
   Scenario: A model whose ranges leave a gap is told
--- a/features/security.feature
+++ b/features/security.feature
@@ -4,7 +4,7 @@
     Given a small deployment with TLS runs and logs all that it can
 
   Scenario: A stream goes on while all certificates are renewed
-    When a member streams 900 tokens from entry 0
+    When a team streams 900 tokens from entry 0
     And the certificates of all processes are renewed under the stream
     And entry 1 is killed and started again under the stream
     Then the stream is whole
@@ -27,6 +27,6 @@
       | GET    | /KEY                                   |                                   | Authorization: Bearer KEY       | 404    |
       | POST   | SERVICE                                | {"KEY": "KEY"}                    | Authorization: Bearer KEY; X-Key: KEY; Idempotency-Key: order-1 | 200 |
       | POST   | SERVICE?key=KEY                        | {}                                | Authorization: Bearer KEY       | any    |
-    And an agent is killed while a member streams
-    Then no log, dump or metric of a daemon holds a member's key or a bad one
+    And an agent is killed while a team streams
+    Then no log, dump or metric of a daemon holds a team's key or a bad one
     And none holds a private key of a process
--- a/features/steps/affinity.py
+++ b/features/steps/affinity.py
@@ -33,14 +33,14 @@
             self._tokens, self._lag, self._loss, lambda: self.now, self.rng
         )
 
-    def run(self, member, words):
+    def run(self, team, words):
         text = ''.join(f'{word:04x}' for word in words)
-        blocks = affinity.hash_blocks(member, text)
+        blocks = affinity.hash_blocks(team, text)
         session = f'session-{len(self.prompts)}'
         held = prefixes.Prefixes(blocks, len(text))
         self.view.begin(session, held, len(words))
-        self.cache.match(session, member, words)
-        self.prompts.append((member, words, blocks))
+        self.cache.match(session, team, words)
+        self.prompts.append((team, words, blocks))
         self.read()
 
     def read(self):
@@ -48,9 +48,9 @@
         self.view.take([_convert(event) for event in found])
         self.news.append(self.teller.tell(self.view))
 
-    def tell_held(self, member, words):
+    def tell_held(self, team, words):
         """Whole prompt blocks at the start that the engine holds."""
-        tokens = self.cache.tell_cached(member, words)
+        tokens = self.cache.tell_cached(team, words)
         return tokens * _WORD // affinity.BLOCK_CHARACTERS
 
 
@@ -65,9 +65,7 @@
     return [rng.getrandbits(16) for _ in range(count)]
 
 
-@behave.then(
-    'in {count:d} drawn pairs of members and prompts no hash is shared'
-)
+@behave.then('in {count:d} drawn pairs of teams and prompts no hash is shared')
 def check_apart(context, count):
     rng = random.Random(1)
     for _ in range(count):
@@ -82,7 +80,7 @@
             assert mine.isdisjoint(affinity.hash_blocks(salt, prompt))
 
 
-@behave.then('a longer prompt of one member shares the hashes of its start')
+@behave.then('a longer prompt of one team shares the hashes of its start')
 def check_start(context):
     text = 'pecan pie and coffee ' * 60
     short = affinity.hash_blocks('salt', text)
@@ -116,7 +114,7 @@
     context.engine = _Engine(limit=limit)
 
 
-@behave.when('{count:d} prompts of one member with a common start are run')
+@behave.when('{count:d} prompts of one team with a common start are run')
 def run_prompts(context, count):
     rng = random.Random(2)
     start = _draw(rng, _START)
@@ -124,8 +122,8 @@
         context.engine.run('salt-diner', start + _draw(rng, _TAIL))
 
 
-@behave.when('{count:d} prompts of many members are run')
-def run_members(context, count):
+@behave.when('{count:d} prompts of many teams are run')
+def run_teams(context, count):
     rng = random.Random(3)
     for index in range(count):
         context.engine.run(f'salt-{index}', _draw(rng, _START))
@@ -134,9 +132,9 @@
 @behave.then('the view holds each of them as far as the engine does')
 def check_held(context):
     engine = context.engine
-    for member, words, blocks in engine.prompts:
+    for team, words, blocks in engine.prompts:
         depth = engine.view.tell_depth(blocks)
-        assert depth == engine.tell_held(member, words) == len(blocks)
+        assert depth == engine.tell_held(team, words) == len(blocks)
 
 
 @behave.then('it tells first where the prompts parted')
@@ -162,10 +160,10 @@
 def check_evicted(context):
     engine = context.engine
     held = 0
-    for member, words, blocks in engine.prompts:
+    for team, words, blocks in engine.prompts:
         depth = engine.view.tell_depth(blocks)
         held += depth
-        assert depth <= engine.tell_held(member, words), depth
+        assert depth <= engine.tell_held(team, words), depth
     assert held
 
 
--- a/features/steps/affinity_daemons.py
+++ b/features/steps/affinity_daemons.py
@@ -49,10 +49,10 @@
     return counts and not any(counts)
 
 
-def _ask(context, entry, member, prompt):
+def _ask(context, entry, team, prompt):
     """Run a prompt; the names of the engines that ran it."""
     running = context.running
-    caller = running.make_caller(entry, member)
+    caller = running.make_caller(entry, team)
     context.stack.callback(caller.close)
     answer = caller.complete(prompt, model=running.model, max_tokens=2)
     assert answer.is_complete, (answer.status, answer.outcome)
@@ -75,12 +75,12 @@
 def start_deployment(context):
     example = context.root / launcher.EXAMPLE
     context.running = context.stack.enter_context(launcher.run_small(example))
-    context.member, context.other = list(context.running.keys)[:2]
+    context.team, context.other = list(context.running.keys)[:2]
 
 
-@behave.when("a member's prompt ran through entry {entry:d}")
+@behave.when("a team's prompt ran through entry {entry:d}")
 def run_first(context, entry):
-    context.ran = _ask(context, entry, context.member, _TEXT)
+    context.ran = _ask(context, entry, context.team, _TEXT)
     assert len(context.ran) > 1, context.ran
 
 
@@ -95,7 +95,7 @@
 
 
 @behave.then(
-    'longer prompts of the member through entry {entry:d} run on the same '
+    'longer prompts of the team through entry {entry:d} run on the same '
     'engines'
 )
 def check_back(context, entry):
@@ -106,13 +106,13 @@
             lambda: _read_plans(context, entry),
         )
         prompt = f'{_TEXT} And now number {index} of the longer ones.'
-        ran = _ask(context, entry, context.member, prompt)
+        ran = _ask(context, entry, context.team, prompt)
         assert ran == context.ran, (index, ran, context.ran)
     context.hits = _count_hits(context) - context.before
 
 
 @behave.then(
-    "another member's prompts through entry {entry:d} find nothing known"
+    "another team's prompts through entry {entry:d} find nothing known"
 )
 def check_other(context, entry):
     before = _read_plans(context, entry)
--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -503,7 +503,7 @@
     wait_until(lambda: not len(admission), 'cancel')
 
 
-@behave.then('it holds its slot, and its member pays for the prompt')
+@behave.then('it holds its slot, and its team pays for the prompt')
 def check_slot(context):
     assert context.agents[0].gate.in_flight.requests == 1
     prompt = context.asked['r1'].prompt
--- a/features/steps/agent_scene.py
+++ b/features/steps/agent_scene.py
@@ -121,7 +121,7 @@
 def build_open(context, request_id, tokens, prompt=None, stages=None, **more):
     terms = link_pb2.Terms(
         request_id=request_id,
-        member='diner',
+        team='diner',
         weight=1.0,
         priority=1,
         deadline_ms=DEADLINE_MS,
--- a/features/steps/agent_services.py
+++ b/features/steps/agent_services.py
@@ -75,7 +75,7 @@
 def call_service(context, request_id, **more):
     terms = link_pb2.Terms(
         request_id=request_id,
-        member='diner',
+        team='diner',
         weight=1.0,
         deadline_ms=agent_scene.DEADLINE_MS,
         idempotency_key='key-1' if more else '',
@@ -117,7 +117,7 @@
     assert b''.join(part.body for part in second) == body
 
 
-@behave.then('the service ran one call, with the member and the key')
+@behave.then('the service ran one call, with the team and the key')
 def check_service_runs(context):
     (run,) = context.service.runs()
     assert run['request_id'] == 'c1', run
--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -118,8 +118,8 @@
     _apply(context, names)
 
 
-@behave.when('the operator puts a rule for member "{name}" before "{names}"')
-def apply_after_member(context, names, name):
+@behave.when('the operator puts a rule for team "{name}" before "{names}"')
+def apply_after_team(context, names, name):
     _write(context, names)
     document = json.loads(context.rules_file.read_text())
     document['members'].append({'name': name, 'key_hashes': ['0' * 64]})
--- a/features/steps/configstore.py
+++ b/features/steps/configstore.py
@@ -30,17 +30,17 @@
 
 
 def encode(names):
-    members = [{'name': name} for name in sorted(names)]
-    return msgspec.json.encode({'members': members})
+    teams = [{'name': name} for name in sorted(names)]
+    return msgspec.json.encode({'members': teams})
 
 
 def list_names(snapshot):
-    members = msgspec.json.decode(snapshot.document)['members']
-    return {member['name'] for member in members}
+    teams = msgspec.json.decode(snapshot.document)['members']
+    return {team['name'] for team in teams}
 
 
 def add(context, name, base=None, change_id=None):
-    """Add a member to the configuration in force, or to a base."""
+    """Add a team to the configuration in force, or to a base."""
     base = base or context.configs.read().unwrap()
     return context.configs.apply(
         encode(list_names(base) | {name}),
@@ -61,7 +61,7 @@
     return {value.key for value in found.unwrap()}
 
 
-@behave.given('a configuration store with {count:d} members in force')
+@behave.given('a configuration store with {count:d} teams in force')
 def start(context, count):
     context.standin = server.Store('127.0.0.1:0')
     context.standin.start()
@@ -71,26 +71,24 @@
     context.add_cleanup(context.client.close)
     context.configs = configstore.ConfigStore.from_store(context.client)
     assert context.configs.read().unwrap() is None
-    document = encode(f'member-{number}' for number in range(count))
+    document = encode(f'team-{number}' for number in range(count))
     context.configs.apply(document, 0, 'base', 'operator', '').unwrap()
     context.base = context.configs.read().unwrap()
     context.chunks = list_chunks(context)
 
 
-@behave.when(
-    'an operator adds the member "{name}" to the stored configuration'
-)
-def add_member(context, name):
+@behave.when('an operator adds the team "{name}" to the stored configuration')
+def add_team(context, name):
     context.change_id = uuid.uuid4().hex
     context.applied = add(context, name, context.base, context.change_id)
 
 
-@behave.when('another adds the member "{name}" from the same revision')
+@behave.when('another adds the team "{name}" from the same revision')
 def add_racing(context, name):
     context.second = add(context, name, context.base)
 
 
-@behave.then('the stored revision is {revision:d} and has the member "{name}"')
+@behave.then('the stored revision is {revision:d} and has the team "{name}"')
 def check_stored(context, revision, name):
     snapshot = context.configs.read().unwrap()
     assert snapshot.head.revision == revision, snapshot.head
@@ -103,7 +101,7 @@
     assert len(context.chunks) > count >= len(written), written
 
 
-@behave.then('the second gets a conflict that shows the member "{name}"')
+@behave.then('the second gets a conflict that shows the team "{name}"')
 def check_conflict(context, name):
     conflict = context.second.unwrap_err()
     assert isinstance(conflict, configstore.Conflict), conflict
@@ -234,7 +232,7 @@
     assert seen == expected, seen
 
 
-@behave.then('the store is brought back to the member "{name}"')
+@behave.then('the store is brought back to the team "{name}"')
 def check_brought_back(context, name):
     def is_back():
         snapshot = context.configs.read().unwrap_or(None)
@@ -267,9 +265,7 @@
     context.configs.read_mark = follower_read
 
 
-@behave.then(
-    'the process comes to the member "{name}" at revision {revision:d}'
-)
+@behave.then('the process comes to the team "{name}" at revision {revision:d}')
 def check_follows(context, name, revision):
     wait_until(lambda: name in list_names(context.seen[-1]))
     assert context.seen[-1].head.revision == revision
--- a/features/steps/driver.py
+++ b/features/steps/driver.py
@@ -61,7 +61,7 @@
     handlers = drivers.Handlers(
         lambda pairs: None,
         lambda jobs, error: None,
-        find_member=lambda job: job.owner,
+        find_team=lambda job: job.owner,
     )
     # Past the scenario's time no call looks silent.
     context.driver = drivers.Driver(context.engine, handlers, 600.0)
@@ -105,19 +105,19 @@
     assert context.engine.most_long == 1, context.engine.most_long
 
 
-def _submit(context, session, member, positions):
+def _submit(context, session, team, positions):
     step = engines.Step(session, 1, 'diner', 0)
-    context.driver.submit(drivers.Job(step, member, positions))
+    context.driver.submit(drivers.Job(step, team, positions))
 
 
 @behave.when(
-    'member "{member}" has 2 long spans and member "{other}" has a short step'
+    'team "{team}" has 2 long spans and team "{other}" has a short step'
 )
-def submit_two(context, member, other):
+def submit_two(context, team, other):
     _submit(context, 'short', other, 1)
     _wait(lambda: context.engine.count('short'), 'short step')
-    _submit(context, 'long-0', member, 1500)
-    _submit(context, 'long-1', member, 1500)
+    _submit(context, 'long-0', team, 1500)
+    _submit(context, 'long-1', team, 1500)
     _wait(lambda: context.engine.count('long'), 'long span')
 
 
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -75,11 +75,11 @@
     context.answer = context.entry.request('POST', '/v1/completions', body)
 
 
-@behave.when('a caller posts {body} with key "{key}" as member "{member}"')
-@behave.when('a caller posts {body} with key "" as member "{member}"')
-def post(context, body, member, key=''):
+@behave.when('a caller posts {body} with key "{key}" as team "{team}"')
+@behave.when('a caller posts {body} with key "" as team "{team}"')
+def post(context, body, team, key=''):
     context.answer = context.entry.request(
-        'POST', '/v1/completions', BODIES[body], member, key
+        'POST', '/v1/completions', BODIES[body], team, key
     )
 
 
@@ -240,13 +240,13 @@
     assert text == '<0><1><2><3><4>', text
 
 
-@behave.then('the entry reports the outcome "{outcome}" to that member only')
+@behave.then('the entry reports the outcome "{outcome}" to that team only')
 def check_record(context, outcome):
     path = '/v1/requests/' + context.answer.headers['X-Request-Id']
     wait_until(
         lambda: context.entry.request('GET', path).json()['outcome'] == outcome
     )
-    rival = context.entry.request('GET', path, member='rival')
+    rival = context.entry.request('GET', path, team='rival')
     assert rival.status == 404, rival.status
 
 
@@ -429,7 +429,7 @@
 def put_key_everywhere(context, key):
     def ask(path, body=None, idempotency_key=''):
         answer = context.entry.request(
-            'POST', path, body, member=key, key=idempotency_key
+            'POST', path, body, team=key, key=idempotency_key
         )
         context.answers.append(answer)
 
@@ -467,6 +467,6 @@
 def check_sent(context):
     assert context.entry.service.asked, 'the service was not called'
     for call in context.entry.service.asked:
-        assert call.terms.member == 'keyed'
+        assert call.terms.team == 'keyed'
         for header in call.headers:
             assert 'secret-of-keyed' not in header.value, header
--- a/features/steps/entry_scene.py
+++ b/features/steps/entry_scene.py
@@ -22,17 +22,15 @@
 wait_until = waiting.make_wait(WAIT_SECONDS)
 MODEL = {'model': 'copy', 'prompt': 'soup', 'max_tokens': 5}
 CONFIG = configuration.Configuration(
-    members=tuple(
-        configuration.Member(
-            name, (hashlib.sha256(name.encode()).hexdigest(),)
-        )
+    teams=tuple(
+        configuration.Team(name, (hashlib.sha256(name.encode()).hexdigest(),))
         for name in ('diner', 'rival', 'refused')
     )
     + (
-        configuration.Member(
+        configuration.Team(
             'keyed', (hashlib.sha256(b'secret-of-keyed').hexdigest(),)
         ),
-        configuration.Member(
+        configuration.Team(
             'metered',
             tuple(
                 hashlib.sha256(key).hexdigest()
@@ -45,12 +43,12 @@
     rules=(
         configuration.Rule(
             'known',
-            configuration.When(member=('diner', 'rival', 'keyed')),
+            configuration.When(team=('diner', 'rival', 'keyed')),
             configuration.Then(deadline_seconds=3.0),
         ),
         configuration.Rule(
             'metered',
-            configuration.When(member=('metered',)),
+            configuration.When(team=('metered',)),
             configuration.Then(rate=0.01),
         ),
     ),
@@ -297,8 +295,8 @@
     def asked(self):
         return [one for agent in self.agents() for one in agent.asked]
 
-    def request(self, method, path, body=None, member='diner', key='', **more):
-        headers = {'Authorization': f'Bearer {member}'}
+    def request(self, method, path, body=None, team='diner', key='', **more):
+        headers = {'Authorization': f'Bearer {team}'}
         if key:
             headers['Idempotency-Key'] = key
         url = f'http://127.0.0.1:{self.role.port}{path}'
--- a/features/steps/fairness.py
+++ b/features/steps/fairness.py
@@ -1,4 +1,4 @@
-"""Steps for what members leave to each other."""
+"""Steps for what teams leave to each other."""
 
 import collections
 from concurrent import futures
@@ -109,20 +109,20 @@
     check_ran(context, 8)
 
 
-def queue_one(context, member, cost):
-    ticket = queueing.Ticket(member, 1.0, 1, cost, 0.0, None)
+def queue_one(context, team, cost):
+    ticket = queueing.Ticket(team, 1.0, 1, cost, 0.0, None)
     assert context.fair.push(ticket, 1e9, 0.0) is None
 
 
 def pick_one(context):
     ticket = context.fair.pick(0.0, lambda _: True)
-    if ticket.member == 'flood':
+    if ticket.team == 'flood':
         queue_one(context, 'flood', ticket.cost)
     return ticket
 
 
 @behave.given(
-    'a fair queue that member "flood" fills with requests of cost {cost:d}'
+    'a fair queue that team "flood" fills with requests of cost {cost:d}'
 )
 def fill_fair(context, cost):
     context.fair = queueing.Queue()
@@ -131,18 +131,18 @@
 
 
 @behave.when(
-    '{count:d} requests are picked and member "{member}" queues one of cost '
+    '{count:d} requests are picked and team "{team}" queues one of cost '
     '{cost:d}'
 )
-def pick_and_queue(context, count, member, cost):
+def pick_and_queue(context, count, team, cost):
     for _ in range(count):
         pick_one(context)
-    queue_one(context, member, cost)
+    queue_one(context, team, cost)
 
 
-@behave.then('the next pick is of member "{member}"')
-def check_next(context, member):
-    assert pick_one(context).member == member
+@behave.then('the next pick is of team "{team}"')
+def check_next(context, team):
+    assert pick_one(context).team == team
 
 
 # How many wait at a time, their estimated and their real cost.
@@ -154,51 +154,45 @@
 }
 
 
-@behave.when(
-    'member "{member}" sends {kind} while {count:d} requests are picked'
-)
-def pick_mixed(context, member, kind, count):
+@behave.when('team "{team}" sends {kind} while {count:d} requests are picked')
+def pick_mixed(context, team, kind, count):
     waiting, estimate, real = KINDS[kind]
     for _ in range(waiting):
-        queue_one(context, member, estimate)
+        queue_one(context, team, estimate)
     spent = collections.Counter()
     least = count * 500
     while sum(spent.values()) < least or max(spent.values()) < 20 * real:
         ticket = pick_one(context)
         cost = ticket.cost
-        if ticket.member == member:
+        if ticket.team == team:
             cost = real
-            queue_one(context, member, estimate)
+            queue_one(context, team, estimate)
         context.fair.correct(ticket, cost)
-        spent[ticket.member] += cost
+        spent[ticket.team] += cost
     context.spent = spent
 
 
-@behave.then(
-    'the real cost of "{member}" is from {least:f} to {most:f} of all'
-)
-def check_spent(context, member, least, most):
-    part = context.spent[member] / sum(context.spent.values())
+@behave.then('the real cost of "{team}" is from {least:f} to {most:f} of all')
+def check_spent(context, team, least, most):
+    part = context.spent[team] / sum(context.spent.values())
     assert least <= part <= most, part
 
 
 @behave.given(
-    '{limit:d} slots of which member "{member}" of weight {weight:d} uses '
+    '{limit:d} slots of which team "{team}" of weight {weight:d} uses '
     '{most:d} at most'
 )
-def make_slots(context, limit, member, weight, most):
+def make_slots(context, limit, team, weight, most):
     context.slots = slots.Slots(0.0)
     context.limit = limit
-    context.steady = (member, weight, most)
+    context.steady = (team, weight, most)
 
 
-@behave.given(
-    'member "{member}" of weight {weight:d} wants as many as it can get'
-)
-def want_all(context, member, weight):
-    context.flood = member
+@behave.given('team "{team}" of weight {weight:d} wants as many as it can get')
+def want_all(context, team, weight):
+    context.flood = team
     for _ in range(100):
-        context.slots.want(member, weight)
+        context.slots.want(team, weight)
 
 
 def fill_slots(context, running):
@@ -209,28 +203,28 @@
         running[context.flood] += 1
 
 
-@behave.when('members come and go for {count:d} moments')
+@behave.when('teams come and go for {count:d} moments')
 def come_and_go(context, count):
     rng = random.Random(0)
-    member, weight, most = context.steady
+    team, weight, most = context.steady
     running = collections.Counter()
     context.missed = []
     for moment in range(count):
         now = moment * 0.01
         context.slots.tick(now)
-        if running[member] < most and rng.random() < 0.7:
-            context.slots.want(member, weight)
+        if running[team] < most and rng.random() < 0.7:
+            context.slots.want(team, weight)
             total = sum(running.values())
             if total >= context.limit and now > 1.0:
                 context.missed.append(now)
             if total < context.limit:
-                context.slots.start(member)
-                running[member] += 1
+                context.slots.start(team)
+                running[team] += 1
             else:
-                context.slots.end(member, False)
-        elif running[member]:
-            context.slots.end(member, True)
-            running[member] -= 1
+                context.slots.end(team, False)
+        elif running[team]:
+            context.slots.end(team, True)
+            running[team] -= 1
         if running[context.flood] and rng.random() < 0.5:
             context.slots.end(context.flood, True)
             context.slots.want(context.flood, 3.0)
@@ -239,18 +233,18 @@
     context.running = running
 
 
-@behave.then('a slot was free each time that "{member}" came')
-def check_missed(context, member):
-    assert context.running[member] and not context.missed, context.missed
+@behave.then('a slot was free each time that "{team}" came')
+def check_missed(context, team):
+    assert context.running[team] and not context.missed, context.missed
 
 
 @behave.then(
-    '"{flood}" had all {limit:d} slots once "{member}" had been away for '
+    '"{flood}" had all {limit:d} slots once "{team}" had been away for '
     '{seconds:d} s'
 )
-def check_work_conserving(context, flood, limit, member, seconds):
-    for _ in range(context.running.pop(member)):
-        context.slots.end(member, True)
+def check_work_conserving(context, flood, limit, team, seconds):
+    for _ in range(context.running.pop(team)):
+        context.slots.end(team, True)
     end = 10.0 + seconds
     for now in (end - 5.0, end):
         fill_slots(context, context.running)
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -1,4 +1,4 @@
-"""Steps for the limits of members over entries."""
+"""Steps for the limits of teams over entries."""
 
 from concurrent import futures
 import contextlib
@@ -207,7 +207,7 @@
 
 
 @behave.when(
-    'both are asked {count:d} times for a member with 10 requests in flight'
+    'both are asked {count:d} times for a team with 10 requests in flight'
 )
 def ask_both(context, count):
     context.refusals = [
@@ -216,7 +216,7 @@
 
 
 @behave.when(
-    'one is asked until a member has {count:d} requests in flight there'
+    'one is asked until a team has {count:d} requests in flight there'
 )
 def ask_one(context, count):
     ask_until(context, context.nodes[0], count)
@@ -239,7 +239,7 @@
         assert one.retry_after > 0
 
 
-@behave.then('the other entry refuses the member as not run')
+@behave.then('the other entry refuses the team as not run')
 def check_other_refuses(context):
     for _ in range(20):
         refusal = context.nodes[1].ask()
--- a/features/steps/logs.py
+++ b/features/steps/logs.py
@@ -9,7 +9,7 @@
 import behave
 from dunlintide_adapters import logs
 
-KEY = 'sk-k3y_0f.a+member=='
+KEY = 'sk-k3y_0f.a+team=='
 
 
 @behave.given('logs in the format "{name}"')
--- a/features/steps/outcomes.py
+++ b/features/steps/outcomes.py
@@ -113,20 +113,20 @@
             relay.stall()
 
 
-@behave.when("the operators refuse a member's completions")
-def refuse_member(context):
+@behave.when("the operators refuse a team's completions")
+def refuse_team(context):
     scene = context.scene
     rules = copy.deepcopy(scene.rules)
     rule = {
         'name': 'paused',
-        'when': {'member': scene.member, 'model': scene.running.model},
+        'when': {'member': scene.team, 'model': scene.running.model},
         'then': {'action': 'refuse', 'reason': 'paused'},
     }
     rules['rules'].insert(0, rule)
     scene.running.apply_rules(rules).check()
 
 
-@behave.then('every entry refuses that member within {seconds:d} s')
+@behave.then('every entry refuses that team within {seconds:d} s')
 def check_refusals(context, seconds):
     scene = context.scene
 
--- a/features/steps/outcomes_faults.py
+++ b/features/steps/outcomes_faults.py
@@ -282,7 +282,7 @@
         answered.append((answer.outcome, answer.code))
         if stream in context.streams:
             asked = records.Asked(
-                scene.member, answer, stream.prompt, stream.max_tokens
+                scene.team, answer, stream.prompt, stream.max_tokens
             )
             wrong = records.check_text(
                 asked, model=scene.running.model, layers=scene.running.layers
--- a/features/steps/outcomes_scene.py
+++ b/features/steps/outcomes_scene.py
@@ -49,10 +49,10 @@
 class Stream:
     """A request that is made on a thread of its own."""
 
-    def __init__(self, ask, prompt=PROMPT, max_tokens=0, member=''):
+    def __init__(self, ask, prompt=PROMPT, max_tokens=0, team=''):
         self.prompt = prompt
         self.max_tokens = max_tokens
-        self.member = member
+        self.team = team
         self.answer = None
         self._thread = threading.Thread(target=self._run, args=(ask,))
         self._thread.daemon = True
@@ -76,7 +76,7 @@
         rules = operators.load_rules(example.parent / blueprint.rules)
         rules['rules'][0]['then']['deadline_seconds'] = ORDER_SECONDS
         for rule in rules['rules']:
-            # Limits of members have a feature of their own.
+            # Limits of teams have a feature of their own.
             rule['then'].pop('concurrency', None)
         folder = tempfile.TemporaryDirectory(prefix='dunlintide-')
         enter = context.feature_stack.enter_context
@@ -89,7 +89,7 @@
                 timing=TIMING,
             )
         )
-        self.member = next(iter(self.running.keys))
+        self.team = next(iter(self.running.keys))
         self.rules = copy.deepcopy(self.running.rules)
         self.agents = {a.name: a for a in self.running.plan.agents}
         self.count = 0
@@ -164,7 +164,7 @@
     def make_caller(self, entry=0, **options):
         plan = self.running.plan
         url = plan.find_url(plan.entries[entry])
-        key = self.running.keys[self.member]
+        key = self.running.keys[self.team]
         return client.Caller(url, key, **options)
 
     def name_prompt(self):
@@ -184,7 +184,7 @@
             ),
             prompt,
             tokens,
-            self.member,
+            self.team,
         )
 
     def connect(self, entry=0):
@@ -195,7 +195,7 @@
         )
 
     def send(self, connection, method, path, body=None):
-        headers = {'Authorization': f'Bearer {self.running.keys[self.member]}'}
+        headers = {'Authorization': f'Bearer {self.running.keys[self.team]}'}
         connection.request(method, path, body, headers)
 
     def ask(self, connection, tokens, *, stream):
@@ -231,7 +231,7 @@
                 body=body,
                 idempotency_key=key,
             ),
-            member=self.member,
+            team=self.team,
         )
 
     def find_chain(self):
@@ -269,7 +269,7 @@
         answer = stream.wait()
         assert answer.is_complete, (answer.outcome, answer.error)
         asked = records.Asked(
-            stream.member, answer, stream.prompt, stream.max_tokens
+            stream.team, answer, stream.prompt, stream.max_tokens
         )
         wrong = records.check_text(
             asked, model=self.running.model, layers=self.running.layers
--- a/features/steps/outcomes_services.py
+++ b/features/steps/outcomes_services.py
@@ -21,7 +21,7 @@
     caller = scene.make_caller(entry)
     return outcomes_scene.Stream(
         lambda: caller.call_service(service.name, service.path),
-        member=scene.member,
+        team=scene.team,
     )
 
 
--- a/features/steps/outcomes_stops.py
+++ b/features/steps/outcomes_stops.py
@@ -46,7 +46,7 @@
     service = context.service
     return outcomes_scene.Stream(
         lambda: caller.call_service(service.name, service.path),
-        member=scene.member,
+        team=scene.team,
     )
 
 
--- a/features/steps/planning.py
+++ b/features/steps/planning.py
@@ -315,7 +315,7 @@
 PROMPT = 'Daily special: chicken fried steak. ' * 40
 
 
-@given('a chain that ran a prompt of a member')
+@given('a chain that ran a prompt of a team')
 def given_holder(context):
     context.map = affinity.AffinityMap(limit=100)
     context.held = context.chooser.choose(0.0, context.rng)
@@ -341,12 +341,12 @@
     return sum(chain.agents == context.held.agents for chain in chosen)
 
 
-@then("the member's next request with that prompt takes that chain")
+@then("the team's next request with that prompt takes that chain")
 def then_affinity(context):
     assert _returns(context) == 100
 
 
-@then("another member's request with that prompt finds no holder")
+@then("another team's request with that prompt finds no holder")
 def then_not_shared(context):
     assert _find(context) and not _find(context, 'salt-feed')
 
--- a/features/steps/poison.py
+++ b/features/steps/poison.py
@@ -82,10 +82,10 @@
         return refused
 
 
-@behave.given('requests of three members, a few of which crash what runs them')
+@behave.given('requests of three teams, a few of which crash what runs them')
 def draw_requests(context):
     context.requests = [
-        (bytes([number]), f'member-{number % 3}') for number in range(24)
+        (bytes([number]), f'team-{number % 3}') for number in range(24)
     ]
 
 
@@ -116,7 +116,7 @@
 
 
 @behave.given(
-    'a member that has crashed {count:d} endpoints with different ' 'requests'
+    'a team that has crashed {count:d} endpoints with different ' 'requests'
 )
 def crash_many(context, count):
     context.evidence = poison.Evidence()
@@ -137,7 +137,7 @@
     assert evidence.is_quarantined(b'newer')
 
 
-@behave.then('those of another member run in batches')
+@behave.then('those of another team run in batches')
 def check_unwatched(context):
     assert not context.evidence.runs_alone(b'new', 'good', PLACE)
 
@@ -155,7 +155,7 @@
     evidence = context.evidence
     evidence.expire(LIMITS.seconds - 1)
     [held] = evidence.list_quarantines(LIMITS.seconds - 1)
-    assert (held.member, held.crashes, held.seconds) == ('diner', 2, 1.0)
+    assert (held.team, held.crashes, held.seconds) == ('diner', 2, 1.0)
     evidence.expire(LIMITS.seconds)
     assert not evidence.is_quarantined(b'x')
     assert not evidence.runs_alone(b'x', 'diner', PLACE)
@@ -204,8 +204,8 @@
     context.stack.callback(stopped.set)
 
 
-def ask(context, entry, member, prompt, max_tokens):
-    caller = context.running.make_caller(entry, member)
+def ask(context, entry, team, prompt, max_tokens):
+    caller = context.running.make_caller(entry, team)
     context.stack.callback(caller.close)
     return caller.complete(
         prompt, model=context.running.model, max_tokens=max_tokens, stream=True
@@ -224,14 +224,14 @@
 
 
 @behave.when(
-    "a member sends a crashing prompt {count:d} times among others' streams"
+    "a team sends a crashing prompt {count:d} times among others' streams"
 )
 def send_poison(context, count):
     send_among(context, f'Tonight {blueprints.CRASH_MARKER} only', count)
 
 
 @behave.when(
-    'a member sends a prompt that crashes the {stage} stage {count:d} times '
+    'a team sends a prompt that crashes the {stage} stage {count:d} times '
     "among others' streams"
 )
 def send_later_poison(context, stage, count):
@@ -243,7 +243,7 @@
 
 def send_among(context, prompt, count):
     running = context.running
-    member, *others = running.keys
+    team, *others = running.keys
     entries = len(running.plan.entries)
     context.asked = []
 
@@ -265,7 +265,7 @@
         WAIT_SECONDS,
     ), show_begun(context)
     context.answers = [
-        ask(context, number % entries, member, prompt, 4)
+        ask(context, number % entries, team, prompt, 4)
         for number in range(count)
     ]
     for thread in threads:
--- a/features/steps/product.py
+++ b/features/steps/product.py
@@ -28,11 +28,11 @@
             running
         )
     context.running = context.shared['running']
-    context.member = next(iter(context.running.keys))
+    context.team = next(iter(context.running.keys))
 
 
 def _make_caller(context, entry):
-    caller = context.running.make_caller(entry, context.member)
+    caller = context.running.make_caller(entry, context.team)
     context.stack.callback(caller.close)
     return caller
 
@@ -45,7 +45,7 @@
 
 
 @behave.when(
-    'a member streams a completion of {count:d} tokens from entry {entry:d}'
+    'a team streams a completion of {count:d} tokens from entry {entry:d}'
 )
 def stream_completion(context, count, entry):
     context.count = count
@@ -84,7 +84,7 @@
     running = context.running
     url = f'{running.plan.entries[entry].url}/v1'
     api = openai.OpenAI(
-        base_url=url, api_key=running.keys[context.member], max_retries=0
+        base_url=url, api_key=running.keys[context.team], max_retries=0
     )
     context.stack.callback(api.close)
     chunks = api.chat.completions.create(
@@ -106,7 +106,7 @@
 
 
 @behave.when(
-    'a member sends an order to entry {first:d} and again to entry {second:d}'
+    'a team sends an order to entry {first:d} and again to entry {second:d}'
 )
 def send_orders(context, first, second):
     service = context.running.plan.blueprint.services[0]
--- a/features/steps/promises.py
+++ b/features/steps/promises.py
@@ -66,8 +66,8 @@
     context.requests.calls.append(call)
 
 
-def _add_run(context, request_id, key='', member='diner', **more):
-    run = {'request_id': request_id, 'member': member, 'idempotency_key': key}
+def _add_run(context, request_id, key='', team='diner', **more):
+    run = {'request_id': request_id, 'member': team, 'idempotency_key': key}
     context.kept.append(run | more)
 
 
@@ -100,9 +100,9 @@
             _add_run(context, 'bad-2', 'bad')
         case 'an order that never ran':
             _add_order(context, 'bad', 1)
-        case "a run in another member's name":
+        case "a run in another team's name":
             _add_completion(context, 'bad', text)
-            _add_run(context, 'bad', member='rival')
+            _add_run(context, 'bad', team='rival')
         case 'a keyed completion begun at two ends':
             _add_keyed(context, 'bad', 1)
             run = context.kept[-2] | {'request_id': 'bad-2', 'epoch': 2}
--- a/features/steps/queueing.py
+++ b/features/steps/queueing.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies
 
 
-def push(queue, member, weight, cost, priority=1, item=None):
-    ticket = queueing.Ticket(member, weight, priority, cost, 0.0, item)
+def push(queue, team, weight, cost, priority=1, item=None):
+    ticket = queueing.Ticket(team, weight, priority, cost, 0.0, item)
     return ticket, queue.push(ticket, 1e9, 0.0)
 
 
@@ -18,21 +18,21 @@
 
 
 @behave.given(
-    'member "{member}" of weight {weight:d} queues {count:d} requests of '
+    'team "{team}" of weight {weight:d} queues {count:d} requests of '
     'cost {cost:d}'
 )
-def fill(context, member, weight, count, cost):
+def fill(context, team, weight, count, cost):
     for _ in range(count):
-        assert push(context.queue, member, weight, cost)[1] is None
+        assert push(context.queue, team, weight, cost)[1] is None
 
 
 @behave.given(
-    'at {now:d} s member "{member}" queues {count:d} requests at priority '
+    'at {now:d} s team "{team}" queues {count:d} requests at priority '
     '{priority:d}'
 )
-def fill_priority(context, now, member, count, priority):
+def fill_priority(context, now, team, count, priority):
     for _ in range(count):
-        ticket = queueing.Ticket(member, 1.0, priority, 1000, now, None)
+        ticket = queueing.Ticket(team, 1.0, priority, 1000, now, None)
         assert context.queue.push(ticket, 1e9, 0.0) is None
 
 
@@ -57,34 +57,34 @@
     context.picked = [pick(context.queue, now) for _ in range(count)]
 
 
-@behave.then('member "{member}" got from {least:d} to {most:d} of them')
-def check_share(context, member, least, most):
-    got = sum(ticket.member == member for ticket in context.picked)
+@behave.then('team "{team}" got from {least:d} to {most:d} of them')
+def check_share(context, team, least, most):
+    got = sum(ticket.team == team for ticket in context.picked)
     assert least <= got <= most, got
 
 
 @behave.then(
-    'each of members "{a}" and "{b}" got from {least:d} to {most:d} of the '
+    'each of teams "{a}" and "{b}" got from {least:d} to {most:d} of the '
     'cost'
 )
 def check_costs(context, a, b, least, most):
-    for member in (a, b):
-        got = sum(t.cost for t in context.picked if t.member == member)
-        assert least <= got <= most, (member, got)
+    for team in (a, b):
+        got = sum(t.cost for t in context.picked if t.team == team)
+        assert least <= got <= most, (team, got)
 
 
-@behave.then('member "{b}" got picks {x:d} and {y:d}, and "{a}" all others')
+@behave.then('team "{b}" got picks {x:d} and {y:d}, and "{a}" all others')
 def check_aged(context, b, x, y, a):
-    got = [ticket.member for ticket in context.picked]
+    got = [ticket.team for ticket in context.picked]
     assert got == [b if i in (x, y) else a for i in range(len(got))], got
 
 
 @behave.when(
-    'at {rate:d} a second "{member}" queues cost {cost:d} with {left:d} s '
+    'at {rate:d} a second "{team}" queues cost {cost:d} with {left:d} s '
     'left'
 )
-def push_late(context, rate, member, cost, left):
-    ticket = queueing.Ticket(member, 1.0, 1, cost, 0.0, None)
+def push_late(context, rate, team, cost, left):
+    ticket = queueing.Ticket(team, 1.0, 1, cost, 0.0, None)
     context.refusal = context.queue.push(ticket, left, rate)
 
 
@@ -118,9 +118,9 @@
     def check(actions):
         queue = queueing.Queue()
         waiting = []
-        for now, (kind, member, priority, cost) in enumerate(actions):
+        for now, (kind, team, priority, cost) in enumerate(actions):
             if kind == 'push':
-                ticket, _ = push(queue, member, 1 + priority, cost, priority)
+                ticket, _ = push(queue, team, 1 + priority, cost, priority)
                 waiting.append(ticket)
             elif kind == 'remove' and waiting:
                 assert queue.remove(waiting.pop(priority % len(waiting)))
@@ -138,10 +138,10 @@
     check()
 
 
-@behave.then('a queue that is empty again holds nothing of its members')
+@behave.then('a queue that is empty again holds nothing of its teams')
 def check_empty(context):
     queue = context.emptied
-    assert not queue.count_members() and not queue.cost
+    assert not queue.count_teams() and not queue.cost
     assert not any(level.list_lanes() for level in queue._levels)
 
 
--- a/features/steps/recovery.py
+++ b/features/steps/recovery.py
@@ -160,7 +160,7 @@
 def open_stream(context, request_id, tokens, **more):
     terms = link_pb2.Terms(
         request_id=request_id,
-        member='diner',
+        team='diner',
         weight=1.0,
         deadline_ms=60_000,
         idempotency_key='key-1' if more else '',
@@ -383,12 +383,12 @@
 )
 def start_processes(context, tokens):
     context.running = context.stack.enter_context(launcher.run_small())
-    members = list(context.running.keys)
+    teams = list(context.running.keys)
     pool = context.stack.enter_context(futures.ThreadPoolExecutor(4))
     context.prompts = [f'stream {number} of pies' for number in range(4)]
     context.waiting = [
         pool.submit(
-            context.running.make_caller(0, members[number]).complete,
+            context.running.make_caller(0, teams[number]).complete,
             prompt,
             model=context.running.model,
             max_tokens=tokens,
--- a/features/steps/replanning.py
+++ b/features/steps/replanning.py
@@ -111,32 +111,30 @@
 @behave.when('"{one}" and "{other}" each send one long prompt {count:d} times')
 def send_long(context, one, other, count):
     body = {'model': 'copy', 'prompt': _PROMPT, 'max_tokens': 1}
-    for member in (one, other) * count:
+    for team in (one, other) * count:
         answer = context.entry.request(
-            'POST', '/v1/completions', json.dumps(body), member
+            'POST', '/v1/completions', json.dumps(body), team
         )
         assert answer.status == 200, answer.data
-    context.members = {one, other}
+    context.teams = {one, other}
 
 
-@behave.then("each member's prompts went to one agent")
+@behave.then("each team's prompts went to one agent")
 def check_affinity(context):
     seen = {
-        (asked.terms.member, agent.name)
+        (asked.terms.team, agent.name)
         for agent in context.entry.engines
         for asked in agent.asked
     }
-    assert {member for member, _ in seen} == context.members, seen
-    assert len(seen) == len(context.members), seen
+    assert {team for team, _ in seen} == context.teams, seen
+    assert len(seen) == len(context.teams), seen
 
 
-@behave.then(
-    'the agents saw a salt for each member that its name does not give'
-)
+@behave.then('the agents saw a salt for each team that its name does not give')
 def check_salts(context):
     salts = {
-        (asked.terms.member, asked.terms.cache_salt)
+        (asked.terms.team, asked.terms.cache_salt)
         for asked in context.entry.asked()
     }
     assert len(salts) == len({salt for _, salt in salts}) == 2, salts
-    assert not any(member in salt for member, salt in salts), salts
+    assert not any(team in salt for team, salt in salts), salts
--- a/features/steps/revisions.py
+++ b/features/steps/revisions.py
@@ -41,10 +41,10 @@
     check()
 
 
-@behave.given('a stored document of {members:d} members and {rules:d} rules')
-def store_document(context, members, rules):
+@behave.given('a stored document of {teams:d} teams and {rules:d} rules')
+def store_document(context, teams, rules):
     context.document = {
-        'members': [{'name': f'member-{i:05}'} for i in range(members)],
+        'members': [{'name': f'team-{i:05}'} for i in range(teams)],
         'rules': [{'name': f'rule-{i:05}'} for i in range(rules)],
     }
     context.head, context.bodies = _store(context.document, None, 'first')
@@ -97,7 +97,7 @@
 @behave.then('an altered chunk is reported as damage')
 def alter_chunk(context):
     digest = context.head.chunks[1]
-    altered = context.bodies[digest].replace(b'member-', b'member_', 1)
+    altered = context.bodies[digest].replace(b'team-', b'team_', 1)
     assert altered != context.bodies[digest]
     bodies = {**context.bodies, digest: altered}
     assert revisions.join(context.head, bodies).is_err()
--- a/features/steps/rules.py
+++ b/features/steps/rules.py
@@ -29,7 +29,7 @@
 _SIZES = strategies.none() | strategies.integers(0, 3)
 _WHENS = strategies.builds(
     configuration.When,
-    member=_sample('a', 'b', 'c'),
+    team=_sample('a', 'b', 'c'),
     model=_sample('m', 'n'),
     service=_sample('s', 'm'),
     method=_sample('GET', 'POST'),
@@ -44,7 +44,7 @@
 )
 _QUERIES = strategies.builds(
     matching.Query,
-    member=strategies.sampled_from('abcd'),
+    team=strategies.sampled_from('abcd'),
     model=strategies.sampled_from(['', 'm', 'n']),
     service=strategies.sampled_from(['', 's', 'm']),
     method=strategies.sampled_from(['GET', 'POST']),
@@ -83,7 +83,7 @@
 def compare_covers(context):
     whens = strategies.builds(
         configuration.When,
-        member=_sample('a', 'b'),
+        team=_sample('a', 'b'),
         path=strategies.sampled_from(
             [None, '/*', '/a', '/a*', '/b*', '/?', '/a/*', '/a/b*']
         ),
@@ -114,7 +114,7 @@
     context.rules_text = _TEXT % context.text
 
 
-@behave.given('a rules document whose member has the key hash "{value}"')
+@behave.given('a rules document whose team has the key hash "{value}"')
 def take_key_hash(context, value):
     named = '{"name": "diner"'
     keyed = f'{named}, "key_hashes": ["{value}"]'
@@ -125,28 +125,26 @@
     return documents.load_configuration(context.rules_text, 'rules.jsonc')
 
 
-def _explain(context, member, tokens):
+def _explain(context, team, tokens):
     rules = _load(context).unwrap().configuration.rules
-    query = matching.Query(member, 'copy-7b', prompt_tokens=tokens)
+    query = matching.Query(team, 'copy-7b', prompt_tokens=tokens)
     return matching.explain(rules, query)
 
 
 @behave.then(
-    'member "{member}" with {tokens:d} prompt tokens gets rule "{name}"'
+    'team "{team}" with {tokens:d} prompt tokens gets rule "{name}"'
     ' because "{first}" fails on {reason} and "{second}" on {other}'
 )
-def check_explanation(context, member, tokens, name, first, reason, **rest):
-    found = _explain(context, member, tokens)
+def check_explanation(context, team, tokens, name, first, reason, **rest):
+    found = _explain(context, team, tokens)
     assert found.rule.name == name
     failed = [(miss.rule, miss.condition) for miss in found.misses]
     assert failed == [(first, reason), (rest['second'], rest['other'])]
 
 
-@behave.then(
-    'member "{member}" with {tokens:d} prompt tokens gets rule "{name}"'
-)
-def check_rule(context, member, tokens, name):
-    assert _explain(context, member, tokens).rule.name == name
+@behave.then('team "{team}" with {tokens:d} prompt tokens gets rule "{name}"')
+def check_rule(context, team, tokens, name):
+    assert _explain(context, team, tokens).rule.name == name
 
 
 @behave.then('the canonical form of the rules document comes back unchanged')
--- a/features/steps/security.py
+++ b/features/steps/security.py
@@ -39,16 +39,16 @@
             running
         )
     context.running = context.shared['running']
-    context.member = next(iter(context.running.keys))
+    context.team = next(iter(context.running.keys))
 
 
 class Stream:
     """A stream that is read on a thread of its own."""
 
-    def __init__(self, running, member, entry, tokens):
+    def __init__(self, running, team, entry, tokens):
         self.answer = client.Answer()
         self.tokens = tokens
-        caller = running.make_caller(entry, member)
+        caller = running.make_caller(entry, team)
         self._thread = threading.Thread(
             target=caller.complete,
             args=(PROMPT,),
@@ -71,9 +71,9 @@
         return self.answer
 
 
-@behave.when('a member streams {tokens:d} tokens from entry {entry:d}')
+@behave.when('a team streams {tokens:d} tokens from entry {entry:d}')
 def begin_stream(context, tokens, entry):
-    context.stream = Stream(context.running, context.member, entry, tokens)
+    context.stream = Stream(context.running, context.team, entry, tokens)
 
 
 @behave.when('the certificates of all processes are renewed under the stream')
@@ -110,7 +110,7 @@
 
 @behave.then('a completion from entry {entry:d} is whole')
 def check_completion(context, entry):
-    answer = context.running.make_caller(entry, context.member).complete(
+    answer = context.running.make_caller(entry, context.team).complete(
         PROMPT, model=context.running.model, max_tokens=SHORT_TOKENS
     )
     check_text(context, answer, SHORT_TOKENS)
@@ -152,7 +152,7 @@
 
 def fill(context, text):
     running = context.running
-    key = running.keys[context.member]
+    key = running.keys[context.team]
     for mark, value in (
         ('KEY', key),
         ('BAD', BAD_KEY),
@@ -184,10 +184,10 @@
             assert expected in ('any', str(answer.status)), told
 
 
-@behave.when('an agent is killed while a member streams')
+@behave.when('an agent is killed while a team streams')
 def kill_agent(context):
     running = context.running
-    stream = Stream(running, context.member, 0, 100)
+    stream = Stream(running, context.team, 0, 100)
     stopped = running.plan.agents[0].name
     running.started[stopped].kill()
     stream.finish()
@@ -195,7 +195,7 @@
 
 
 @behave.then(
-    "no log, dump or metric of a daemon holds a member's key or a bad one"
+    "no log, dump or metric of a daemon holds a team's key or a bad one"
 )
 def check_keys(context):
     keys = [*context.running.keys.values(), BAD_KEY]
--- a/features/steps/slots.py
+++ b/features/steps/slots.py
@@ -18,7 +18,7 @@
 
 
 class Endpoint:
-    """Requests of several members, served as the agent's gate does."""
+    """Requests of several teams, served as the agent's gate does."""
 
     def __init__(self):
         self.queue = queueing.Queue()
@@ -45,59 +45,59 @@
         self.pump()
         self.at(self.now + TICK_SECONDS, self.tick)
 
-    def ask(self, member, weight, again):
-        ticket = queueing.Ticket(member, weight, 1, COST, self.now, again)
+    def ask(self, team, weight, again):
+        ticket = queueing.Ticket(team, weight, 1, COST, self.now, again)
         assert self.queue.push(ticket, 1e9, 0.0) is None
-        self.slots.want(member, weight)
+        self.slots.want(team, weight)
         self.pump()
 
-    def ask_steadily(self, member, weight, rate):
-        self.ask(member, weight, False)
+    def ask_steadily(self, team, weight, rate):
+        self.ask(team, weight, False)
         pause = self.rng.uniform(0.8, 1.2) / rate
-        self.at(self.now + pause, self.ask_steadily, member, weight, rate)
+        self.at(self.now + pause, self.ask_steadily, team, weight, rate)
 
     def pump(self):
         while ticket := self.queue.pick(
             self.now, lambda ticket: self.running < LIMIT, self.may_start
         ):
-            self.slots.start(ticket.member)
+            self.slots.start(ticket.team)
             self.running += 1
-            waits = self.waits.setdefault(ticket.member, [])
+            waits = self.waits.setdefault(ticket.team, [])
             waits.append(self.now - ticket.since)
             seconds = SERVICE_SECONDS * self.rng.uniform(0.9, 1.1)
             self.at(self.now + seconds, self.end, ticket)
 
-    def may_start(self, member):
-        return self.slots.may_start(member, self.running, LIMIT)
+    def may_start(self, team):
+        return self.slots.may_start(team, self.running, LIMIT)
 
     def end(self, ticket):
         self.running -= 1
-        self.slots.end(ticket.member, True)
+        self.slots.end(ticket.team, True)
         if ticket.item:
-            self.ask(ticket.member, ticket.weight, True)
+            self.ask(ticket.team, ticket.weight, True)
         self.pump()
 
 
-@behave.given('an endpoint whose queue member "{member}" fills')
-def fill(context, member):
+@behave.given('an endpoint whose queue team "{team}" fills')
+def fill(context, team):
     context.endpoint = Endpoint()
     for _ in range(BACKLOG):
-        context.endpoint.ask(member, 1.0, True)
+        context.endpoint.ask(team, 1.0, True)
 
 
 @behave.given(
-    'member "{member}" of {weight:g} times its weight asks for {part:g} of '
+    'team "{team}" of {weight:g} times its weight asks for {part:g} of '
     'its share'
 )
-def ask_share(context, member, weight, part):
+def ask_share(context, team, weight, part):
     rate = part * LIMIT / SERVICE_SECONDS * weight / (1.0 + weight)
-    context.endpoint.ask_steadily(member, weight, rate)
+    context.endpoint.ask_steadily(team, weight, rate)
 
 
-@behave.given('member "{member}" always wants {count:d} slots')
-def want_always(context, member, count):
+@behave.given('team "{team}" always wants {count:d} slots')
+def want_always(context, team, count):
     for _ in range(count):
-        context.endpoint.ask(member, 1.0, True)
+        context.endpoint.ask(team, 1.0, True)
 
 
 @behave.when('{seconds:d} s have passed')
@@ -106,18 +106,18 @@
 
 
 @behave.then(
-    '{percent:d} of 100 requests of "{member}" waited under {seconds:g} s'
+    '{percent:d} of 100 requests of "{team}" waited under {seconds:g} s'
 )
-def check_waits(context, percent, member, seconds):
-    waits = context.endpoint.waits[member]
+def check_waits(context, percent, team, seconds):
+    waits = context.endpoint.waits[team]
     quantile = statistics.quantiles(waits, n=100)[percent - 1]
     assert quantile < seconds, quantile
 
 
-@behave.then('"{member}" got from {least:g} to {most:g} of the service')
-def check_part(context, member, least, most):
+@behave.then('"{team}" got from {least:g} to {most:g} of the service')
+def check_part(context, team, least, most):
     waits = context.endpoint.waits
-    part = len(waits[member]) / sum(map(len, waits.values()))
+    part = len(waits[team]) / sum(map(len, waits.values()))
     assert least <= part <= most, part
 
 
--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -68,7 +68,7 @@
 
     session: str
     epoch: int
-    member: str
+    team: str
     position: int
     idempotency_key: str = ''
     cache_salt: str = ''
@@ -143,7 +143,7 @@
     fields = {
         'session': step.session,
         'epoch': step.epoch,
-        'member': step.member,
+        'member': step.team,
         'idempotency_key': step.idempotency_key,
         'cache_salt': step.cache_salt,
         'priority': step.priority,
--- a/packages/adapters/src/dunlintide_adapters/metrics.py
+++ b/packages/adapters/src/dunlintide_adapters/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of a process, for Prometheus.
 
-Labels take values from small fixed sets; none names a member, a key or a
+Labels take values from small fixed sets; none names a team, a key or a
 request, so the number of series does not grow with any of them.
 """
 
--- a/packages/cli/src/dunlintide_cli/checking.py
+++ b/packages/cli/src/dunlintide_cli/checking.py
@@ -67,14 +67,15 @@
     if len(wanted) > _MAX_WANTED:
         listed += f' and {len(wanted) - _MAX_WANTED} more'
     found = schemas.describe_value(miss.found)
-    return f'{miss.condition} is {listed}, but the request has {found}'
+    written = configuration.name_condition(miss.condition)
+    return f'{written} is {listed}, but the request has {found}'
 
 
 def _list_unknown(
     source: configuration.Configuration, query: matching.Query
 ) -> Iterator[str]:
     for kind, items in (
-        ('member', source.members),
+        ('team', source.teams),
         ('model', source.models),
         ('service', source.services),
     ):
@@ -82,7 +83,8 @@
         known = {item.name for item in items}
         if name and name not in known:
             hint = schemas.suggest(name, known)
-            yield f'unknown {kind} "{name}"{hint}'
+            written = configuration.name_condition(kind)
+            yield f'unknown {written} "{name}"{hint}'
 
 
 class Explain(sources.Reader):
@@ -95,7 +97,7 @@
         commands.JSON,
         commands.STORE,
         commands.ADMIN,
-        commands.build_option('member', 'Member that sends the request.'),
+        commands.build_option('member', 'Team that sends the request.'),
         commands.build_option('host', 'Host name asked; for an edge.'),
         commands.build_option('model', 'Model asked for.'),
         commands.build_option('service', 'Service called.'),
@@ -159,7 +161,7 @@
                 numbers[name.replace('-', '_')] = int(text)
         return result.Ok(
             matching.Query(
-                member=self.option('member'),
+                team=self.option('member'),
                 host=self.option('host') or '',
                 model=self.option('model') or '',
                 service=self.option('service') or '',
--- a/packages/cli/src/dunlintide_cli/main.py
+++ b/packages/cli/src/dunlintide_cli/main.py
@@ -23,7 +23,7 @@
     reading.Show,
     reading.Diff,
     reading.History,
-    reading.Members,
+    reading.Teams,
     changes.Apply,
     changes.Rollback,
     processes.Status,
--- a/packages/cli/src/dunlintide_cli/reading.py
+++ b/packages/cli/src/dunlintide_cli/reading.py
@@ -1,4 +1,4 @@
-"""Commands that look at what is kept: show, diff, history, members."""
+"""Commands that look at what is kept: show, diff, history, teams."""
 
 import datetime
 import json
@@ -18,7 +18,7 @@
 __all__ = [
     'Diff',
     'History',
-    'Members',
+    'Teams',
     'Show',
 ]
 
@@ -116,41 +116,41 @@
         return output.ExitCode.OK
 
 
-def _list_members(
+def _list_teams(
     source: configuration.Configuration,
 ) -> Iterable[dict[str, Any]]:
     rules: dict[str, list[str]] = {}
     for rule in source.rules:
-        for name in rule.when.member:
+        for name in rule.when.team:
             rules.setdefault(name, []).append(rule.name)
-    for member in source.members:
+    for team in source.teams:
         yield {
-            'name': member.name,
-            'keys': len(member.key_hashes),
-            'rules': rules.get(member.name, []),
+            'name': team.name,
+            'keys': len(team.key_hashes),
+            'rules': rules.get(team.name, []),
         }
 
 
-class Members(sources.Reader):
+class Teams(sources.Reader):
     """``members``."""
 
     name = 'members'
-    description = 'List members, their number of keys and their rules.'
+    description = 'List teams, their number of keys and their rules.'
     arguments = [sources.OPTIONAL_FILE]
     options = [commands.JSON, commands.STORE]
 
     def handle(self) -> int:
-        """Print a row for each member."""
+        """Print a row for each team."""
         source = self.read_source()
         if source.is_err():
             return source.err_value
-        members = list(_list_members(source.ok_value))
+        teams = list(_list_teams(source.ok_value))
         if self.as_json:
-            output.print_json(members)
+            output.print_json(teams)
             return output.ExitCode.OK
         rows = [
             (one['name'], one['keys'], ', '.join(one['rules']))
-            for one in members
+            for one in teams
         ]
         output.print_table(('member', 'keys', 'rules that name it'), rows)
         return output.ExitCode.OK
--- a/packages/core/src/dunlintide_core/affinity.py
+++ b/packages/core/src/dunlintide_core/affinity.py
@@ -1,9 +1,9 @@
-"""Which agents likely hold a member's prompt prefix in their caches.
+"""Which agents likely hold a team's prompt prefix in their caches.
 
 The map is approximate and bounded: it learns from own routing and from
 cache events, which come late and with gaps, so a wrong entry costs one
-prefill and nothing else. Keys contain the member's salt, so that no
-member can find, by timing or otherwise, what another one asked.
+prefill and nothing else. Keys contain the team's salt, so that no
+team can find, by timing or otherwise, what another one asked.
 """
 
 import collections
@@ -30,8 +30,8 @@
 def hash_blocks(salt: str, prompt: str) -> tuple[int, ...]:
     """Hash each whole block of a prompt together with all before it.
 
-    :param salt: cache salt of the member; it must not be empty
-    :raises ValueError: without a salt, as members would share entries
+    :param salt: cache salt of the team; it must not be empty
+    :raises ValueError: without a salt, as teams would share entries
     """
     if not salt:
         raise ValueError('a cache salt is required')
--- a/packages/core/src/dunlintide_core/checker.py
+++ b/packages/core/src/dunlintide_core/checker.py
@@ -16,7 +16,7 @@
 
 _GLOB_CHARACTERS = '*?['
 _CHOICES = (
-    'member',
+    'team',
     'model',
     'service',
     'method',
@@ -78,12 +78,12 @@
     rules: Sequence[configuration.Rule],
     position: int,
 ) -> int | None:
-    # Whatever covers a rule holds for each single member and target that
+    # Whatever covers a rule holds for each single team and target that
     # the rule names, so it is among the candidates for the first of them.
     when = rules[position].when
-    member = when.member[0] if when.member else None
+    team = when.team[0] if when.team else None
     targets = dict.fromkeys((matching.list_targets(when)[0], None))
-    for earlier in index.list_candidates(member, targets, when.path):
+    for earlier in index.list_candidates(team, targets, when.path):
         if earlier >= position:
             return None
         if covers(rules[earlier].when, when):
--- a/packages/core/src/dunlintide_core/claims.py
+++ b/packages/core/src/dunlintide_core/claims.py
@@ -47,7 +47,7 @@
 class Binding(msgspec.Struct, array_like=True, frozen=True):
     """A claim as it is kept: which executor may run the request.
 
-    :ivar key_digest: digest of member and idempotency key
+    :ivar key_digest: digest of team and idempotency key
     :ivar fingerprint: digest of what was asked
     :ivar executor: name of the agent that alone may run it
     :ivar incarnation: the executor's life that it is bound to
@@ -129,14 +129,14 @@
     return msgspec.structs.replace(binding, executor=_RELEASED)
 
 
-def digest_key(member: str, key: str) -> bytes:
-    """Digest a member's idempotency key; equal keys of two members differ.
+def digest_key(team: str, key: str) -> bytes:
+    """Digest a team's idempotency key; equal keys of two teams differ.
 
-    :param member: name of the member
+    :param team: name of the team
     :param key: the key as the caller gave it
     """
     state = hashlib.blake2b(digest_size=KEY_DIGEST_BYTES)
-    state.update(member.encode())
+    state.update(team.encode())
     state.update(_FIELD_END)
     state.update(key.encode())
     return state.digest()
--- a/packages/core/src/dunlintide_core/configuration.py
+++ b/packages/core/src/dunlintide_core/configuration.py
@@ -1,20 +1,23 @@
-"""The operators' configuration: members, models, services and rules."""
+"""The operators' configuration: teams, models, services and rules."""
 
 import enum
 
 import attrs
 
+from dunlintide_core import schemas
+
 __all__ = [
     'CATCH_ALL',
     'Action',
     'Configuration',
-    'Member',
     'Model',
     'Rule',
     'Service',
     'Share',
+    'Team',
     'Then',
     'When',
+    'name_condition',
 ]
 
 DEFAULT_WEIGHT = 1.0
@@ -31,8 +34,8 @@
 
 
 @attrs.frozen
-class Member:
-    """A member of the consortium, which sends requests.
+class Team:
+    """A team of the consortium, which sends requests.
 
     :ivar name: unique name
     :ivar key_hashes: SHA-256 of each of its bearer keys, lower-case hex
@@ -97,7 +100,9 @@
     :ivar failure_domain: failure domain of the entry that was asked
     """
 
-    member: tuple[str, ...] = ()
+    team: tuple[str, ...] = attrs.field(
+        default=(), metadata=schemas.rename('member')
+    )
     model: tuple[str, ...] = ()
     service: tuple[str, ...] = ()
     method: tuple[str, ...] = ()
@@ -113,6 +118,14 @@
 CATCH_ALL = When()
 
 
+def name_condition(field: str) -> str:
+    """Tell how documents call a condition.
+
+    :param field: name of the field of :class:`When`
+    """
+    return schemas.get_document_name(getattr(attrs.fields(When), field))
+
+
 @attrs.frozen
 class Then:
     """Terms on which a matched request is served.
@@ -120,9 +133,9 @@
     :ivar model: model to use instead of the one asked for
     :ivar version: model version to use
     :ivar accelerators: accelerator kinds that may serve, empty for any
-    :ivar weight: share of the member in fair queueing, above 0
-    :ivar rate: requests a second for the member over all entries
-    :ivar concurrency: requests in flight for the member, all entries
+    :ivar weight: share of the team in fair queueing, above 0
+    :ivar rate: requests a second for the team over all entries
+    :ivar concurrency: requests in flight for the team, all entries
     :ivar deadline_seconds: time from arrival to the whole answer
     :ivar priority: 0 (first) to 3 (last)
     :ivar repeatable: whether the router may run the request again
@@ -174,7 +187,9 @@
 class Configuration:
     """Everything that operators edit as one document."""
 
-    members: tuple[Member, ...] = ()
+    teams: tuple[Team, ...] = attrs.field(
+        default=(), metadata=schemas.rename('members')
+    )
     models: tuple[Model, ...] = ()
     services: tuple[Service, ...] = ()
     rules: tuple[Rule, ...] = ()
--- a/packages/core/src/dunlintide_core/documents.py
+++ b/packages/core/src/dunlintide_core/documents.py
@@ -4,6 +4,7 @@
 
 import attrs
 import cattrs
+from cattrs import gen
 import msgspec
 import result
 
@@ -34,7 +35,24 @@
 
 
 _reader = schemas.make_converter()
-_writer = cattrs.Converter(omit_if_default=True)
+
+
+def _make_writer() -> cattrs.Converter:
+    writer = cattrs.Converter(omit_if_default=True)
+
+    @writer.register_unstructure_hook_factory(attrs.has)
+    def make_class_writer(kind: Any, converter: cattrs.Converter):
+        return gen.make_dict_unstructure_fn(
+            kind,
+            converter,
+            _cattrs_omit_if_default=True,
+            **schemas.list_overrides(kind),
+        )
+
+    return writer
+
+
+_writer = _make_writer()
 
 
 def load_configuration(
@@ -70,12 +88,12 @@
 def encode_configuration(source: configuration.Configuration) -> bytes:
     """Give the canonical form: sorted JSON without default values.
 
-    Members, models and services are sorted by name; rules keep their
+    Teams, models and services are sorted by name; rules keep their
     order. Equal configurations give equal bytes.
     """
     ordered = attrs.evolve(
         source,
-        members=_sort_by_name(source.members),
+        teams=_sort_by_name(source.teams),
         models=tuple(sorted(source.models, key=lambda m: (m.name, m.version))),
         services=_sort_by_name(source.services),
     )
--- a/packages/core/src/dunlintide_core/jsonc.py
+++ b/packages/core/src/dunlintide_core/jsonc.py
@@ -52,7 +52,7 @@
 
     :ivar line: line, from 1
     :ivar column: column, from 1, in characters
-    :ivar path: the field, as ``rules[2].when.member``
+    :ivar path: the field, as ``rules[2].when.team``
     :ivar message: what is wrong and what was expected
     """
 
@@ -75,7 +75,7 @@
 
 
 def format_path(path: Path) -> str:
-    """Write a path as ``rules[2].when.member``."""
+    """Write a path as ``rules[2].when.team``."""
     text = ''
     for part in path:
         if isinstance(part, int):
--- a/packages/core/src/dunlintide_core/limits.py
+++ b/packages/core/src/dunlintide_core/limits.py
@@ -1,4 +1,4 @@
-"""Limits for a member over all entries, without a shared counter.
+"""Limits for a team over all entries, without a shared counter.
 
 Each of N entries owns 1/N of every limit and uses that without asking.
 It lends what it owns to a coordinator, which divides what it was lent by
@@ -54,7 +54,7 @@
 # A share that shrinks by more is acknowledged at once.
 _NOTABLE = 0.02
 
-# Member and rule: all keys and connections of a member count as one.
+# Team and rule: all keys and connections of a team count as one.
 Key = tuple[str, str]
 
 
--- a/packages/core/src/dunlintide_core/matching.py
+++ b/packages/core/src/dunlintide_core/matching.py
@@ -1,6 +1,6 @@
 """Which rule decides a request: the first whose conditions all hold.
 
-The index keeps, for each member, target (a model or a service) and first
+The index keeps, for each team, target (a model or a service) and first
 segment of a path, the positions of the rules that name them. A request
 looks at eight such lists, merged in the order of the rules, so rules about
 others cost it nothing.
@@ -27,7 +27,7 @@
     'match_by_scan',
 ]
 
-# A rule that names more pairs than this is listed by member only.
+# A rule that names more pairs than this is listed by team only.
 MAX_PAIRS = 1024
 
 Target = tuple[str, str]
@@ -48,7 +48,7 @@
     :ivar prompt_tokens: estimated size of the prompt
     """
 
-    member: str
+    team: str
     model: str = ''
     service: str = ''
     method: str = 'POST'
@@ -103,7 +103,7 @@
 
 
 _CHOICES = (
-    'member',
+    'team',
     'model',
     'service',
     'method',
@@ -187,14 +187,14 @@
 
 
 def _list_keys(when: configuration.When) -> Iterator[_Key]:
-    members = when.member or (None,)
+    teams = when.team or (None,)
     targets = list_targets(when)
     segment = _find_segment(when.path)
-    if len(members) * len(targets) > MAX_PAIRS:
+    if len(teams) * len(targets) > MAX_PAIRS:
         targets = [None]
-    for member in dict.fromkeys(members):
+    for team in dict.fromkeys(teams):
         for target in dict.fromkeys(targets):
-            yield member, target, segment
+            yield team, target, segment
 
 
 def _get_targets(query: Query) -> list[Target | None]:
@@ -228,7 +228,7 @@
 
     def list_candidates(
         self,
-        member: str | None,
+        team: str | None,
         targets: Iterable[Target | None],
         path: str | None = None,
     ) -> Iterator[int]:
@@ -240,7 +240,7 @@
         segments = dict.fromkeys((_find_segment(path), None))
         lists = [
             self._positions[key, target, segment]
-            for key in dict.fromkeys((member, None))
+            for key in dict.fromkeys((team, None))
             for target in targets
             for segment in segments
             if (key, target, segment) in self._positions
@@ -250,9 +250,7 @@
     def find(self, query: Query) -> configuration.Rule | None:
         """Find the first rule that matches a request."""
         targets = _get_targets(query)
-        for position in self.list_candidates(
-            query.member, targets, query.path
-        ):
+        for position in self.list_candidates(query.team, targets, query.path):
             if all(check(query) for check in self._conditions[position]):
                 return self._rules[position]
         return None
--- a/packages/core/src/dunlintide_core/pipeline/deployments.py
+++ b/packages/core/src/dunlintide_core/pipeline/deployments.py
@@ -41,7 +41,7 @@
     services: Mapping[str, profiles.ServiceProfile]
     limits: CallerLimits
     _index: matching.RuleIndex
-    _owners: Mapping[str, configuration.Member]
+    _owners: Mapping[str, configuration.Team]
 
     @classmethod
     def from_configuration(
@@ -53,9 +53,7 @@
     ) -> 'Deployment':
         """Index the rules and the keys."""
         owners = {
-            digest: member
-            for member in source.members
-            for digest in member.key_hashes
+            digest: team for team in source.teams for digest in team.key_hashes
         }
         index = matching.RuleIndex.from_rules(source.rules)
         return cls(version, source, services, limits, index, owners)
@@ -63,13 +61,13 @@
     @property
     def needs_keys(self) -> bool:
         """Whether requests need a key unless their rule is public."""
-        return bool(self.source.members)
+        return bool(self.source.teams)
 
     def find_rule(self, query: matching.Query) -> configuration.Rule | None:
         """Find the first rule that matches a request."""
         return self._index.find(query)
 
-    def find_owner(self, digest: str) -> configuration.Member | None:
+    def find_owner(self, digest: str) -> configuration.Team | None:
         """Find whose key it is.
 
         :param digest: SHA-256 of the key, lower-case hex
--- a/packages/core/src/dunlintide_core/poison.py
+++ b/packages/core/src/dunlintide_core/poison.py
@@ -28,7 +28,7 @@
 
     :ivar seconds: how long a crash is remembered, and so the longest
         quarantine
-    :ivar member_crashes: crashes that accuse one member alone from which
+    :ivar team_crashes: crashes that accuse one team alone from which
         on its unknown requests run alone
     :ivar crashes: crashes that are kept, the newest
     :ivar suspects: accused that are kept over all crashes
@@ -36,7 +36,7 @@
     """
 
     seconds: float = 600.0
-    member_crashes: int = 3
+    team_crashes: int = 3
     crashes: int = 256
     suspects: int = 4096
     known: int = 8192
@@ -69,12 +69,12 @@
 class Suspect:
     """A request that a crash accuses.
 
-    :ivar fingerprint: digest of its member and content
+    :ivar fingerprint: digest of its team and content
     :ivar position: first position of the step that was under way
     """
 
     fingerprint: bytes
-    member: str
+    team: str
     position: int = 0
 
 
@@ -103,7 +103,7 @@
     """
 
     fingerprint: bytes
-    member: str
+    team: str
     crashes: int
     seconds: float
 
@@ -112,16 +112,16 @@
 class _Case:
     """A crash and who is still accused of it.
 
-    :ivar member: the member that all accused belong to, if it is one
+    :ivar team: the team that all accused belong to, if it is one
     """
 
     crash: Crash
     accused: dict[bytes, Suspect]
-    member: str = ''
+    team: str = ''
 
-    def find_member(self) -> str:
-        members = {one.member for one in self.accused.values()}
-        return members.pop() if len(members) == 1 else ''
+    def find_team(self) -> str:
+        teams = {one.team for one in self.accused.values()}
+        return teams.pop() if len(teams) == 1 else ''
 
 
 class Evidence:
@@ -133,7 +133,7 @@
         self._cases: dict[str, _Case] = {}
         self._accused: dict[bytes, dict[str, _Case]] = {}
         self._convicted: set[bytes] = set()
-        self._members: collections.Counter[str] = collections.Counter()
+        self._teams: collections.Counter[str] = collections.Counter()
         self._known: collections.OrderedDict[bytes, None] = (
             collections.OrderedDict()
         )
@@ -209,7 +209,7 @@
 
     def _settle(self, case: _Case) -> None:
         """Draw conclusions from a case that has changed."""
-        self._count_member(case, case.find_member())
+        self._count_team(case, case.find_team())
         for fingerprint in list(case.accused):
             self._review(fingerprint)
         guilty = [one for one in case.accused if one in self._convicted]
@@ -220,23 +220,23 @@
             if fingerprint not in self._convicted:
                 self.clear(case.crash.name, fingerprint)
 
-    def _count_member(self, case: _Case, member: str) -> None:
-        if member == case.member:
+    def _count_team(self, case: _Case, team: str) -> None:
+        if team == case.team:
             return
-        if case.member:
-            self._members[case.member] -= 1
-            if not self._members[case.member]:
-                del self._members[case.member]
-        case.member = member
-        if not member:
+        if case.team:
+            self._teams[case.team] -= 1
+            if not self._teams[case.team]:
+                del self._teams[case.team]
+        case.team = team
+        if not team:
             return
-        self._members[member] += 1
-        if self._members[member] == self._limits.member_crashes:
-            self._review_member(member)
+        self._teams[team] += 1
+        if self._teams[team] == self._limits.team_crashes:
+            self._review_team(team)
 
-    def _review_member(self, member: str) -> None:
+    def _review_team(self, team: str) -> None:
         for case in list(self._cases.values()):
-            if case.member == member:
+            if case.team == team:
                 for fingerprint in list(case.accused):
                     self._review(fingerprint)
 
@@ -258,7 +258,7 @@
         endpoints = {case.crash.endpoint for case in cases}
         if alone and len(endpoints) >= _ENDPOINTS:
             return True
-        if alone and self.is_watched(cases[0].accused[fingerprint].member):
+        if alone and self.is_watched(cases[0].accused[fingerprint].team):
             return True
         if len(cases) < _CRASHES:
             return False
@@ -267,7 +267,7 @@
 
     def _forget(self, name: str) -> None:
         case = self._cases.pop(name)
-        self._count_member(case, '')
+        self._count_team(case, '')
         for fingerprint in list(case.accused):
             self._drop_accusation(name, fingerprint)
 
@@ -299,20 +299,18 @@
         """Tell whether a request is to be refused."""
         return fingerprint in self._convicted
 
-    def is_watched(self, member: str) -> bool:
-        """Tell whether a member's unknown requests are to run alone."""
-        return self._members[member] >= self._limits.member_crashes
+    def is_watched(self, team: str) -> bool:
+        """Tell whether a team's unknown requests are to run alone."""
+        return self._teams[team] >= self._limits.team_crashes
 
-    def runs_alone(
-        self, fingerprint: bytes, member: str, place: Place
-    ) -> bool:
+    def runs_alone(self, fingerprint: bytes, team: str, place: Place) -> bool:
         """Tell whether a request's step must share the endpoint with none."""
         cases = self._accused.get(fingerprint)
         if cases is not None and any(
             case.crash.place.overlaps(place) for case in cases.values()
         ):
             return True
-        return self.is_watched(member) and fingerprint not in self._known
+        return self.is_watched(team) and fingerprint not in self._known
 
     def list_crashes(self) -> Iterator[Crash]:
         """Yield the crashes with those who are still accused."""
@@ -326,14 +324,12 @@
         for fingerprint in sorted(self._convicted):
             cases = list(self._accused[fingerprint].values())
             ends = sorted(case.crash.expires for case in cases)
-            # The last crash by itself convicts only a watched member's.
+            # The last crash by itself convicts only a watched team's.
             end = ends[-min(2, len(ends))]
-            member = cases[0].accused[fingerprint].member
-            found.append(
-                Quarantine(fingerprint, member, len(cases), end - now)
-            )
+            team = cases[0].accused[fingerprint].team
+            found.append(Quarantine(fingerprint, team, len(cases), end - now))
         return found
 
     def list_watched(self) -> list[str]:
-        """Return the members whose unknown requests run alone."""
-        return sorted(filter(self.is_watched, self._members))
+        """Return the teams whose unknown requests run alone."""
+        return sorted(filter(self.is_watched, self._teams))
--- a/packages/core/src/dunlintide_core/prefixes.py
+++ b/packages/core/src/dunlintide_core/prefixes.py
@@ -2,7 +2,7 @@
 
 Engines name cached blocks by hashes of their own, which nobody else can
 compute; but their events name the session that stored a block. An agent
-knows the prompt blocks of that session, hashed under its member's salt
+knows the prompt blocks of that session, hashed under its team's salt
 (``affinity.hash_blocks``), and so translates the one into the other.
 
 Events come late and with gaps. A lost one shows in the sequence numbers
--- a/packages/core/src/dunlintide_core/queueing.py
+++ b/packages/core/src/dunlintide_core/queueing.py
@@ -1,4 +1,4 @@
-"""Fair queue between the members that share an endpoint.
+"""Fair queue between the teams that share an endpoint.
 
 Deficit round robin by cost in its surplus form, one ring of lanes for each
 priority. Lower priorities get a bounded share of the picks once their
@@ -37,16 +37,16 @@
 class Limits:
     """Bounds and constants of a queue.
 
-    :ivar per_member: waiting requests of one member
-    :ivar total: waiting requests of all members
-    :ivar quantum: cost that a round grants a member of weight 1
+    :ivar per_team: waiting requests of one team
+    :ivar total: waiting requests of all teams
+    :ivar quantum: cost that a round grants a team of weight 1
     :ivar max_cost: more than this counts as this
     :ivar ageing: seconds of waiting worth one priority
     :ivar aged_every: each so manieth pick goes by age
-    :ivar fair: False for first come, first served over all members
+    :ivar fair: False for first come, first served over all teams
     """
 
-    per_member: int = 256
+    per_team: int = 256
     total: int = 4096
     quantum: float = 64.0
     max_cost: float = 65536.0
@@ -63,7 +63,7 @@
     :ivar item: what the caller wants back
     """
 
-    member: str
+    team: str
     weight: float
     priority: int
     cost: float
@@ -81,7 +81,7 @@
 
 @attrs.define(eq=False)
 class _Lane:
-    """Requests of one member at one priority.
+    """Requests of one team at one priority.
 
     :ivar account: cost that it may still spend; below 0 it has had more
         than its share and waits until rounds have paid for it
@@ -99,7 +99,7 @@
     """Lanes of one priority: a ring for turns, a line for age.
 
     A lane with something to spend may go below 0 once. One that comes
-    without a debt goes before the ring, so that a member below its share
+    without a debt goes before the ring, so that a team below its share
     waits for no round of the others. An empty lane stays until its debt
     is paid, so nobody gains by coming and going.
     """
@@ -111,21 +111,21 @@
         self._line: collections.deque[Ticket] = collections.deque()
 
     def list_lanes(self) -> list[str]:
-        """Return the members that something is known of."""
+        """Return the teams that something is known of."""
         return [*self._fresh, *self._ring]
 
-    def _find(self, member: str) -> _Lane | None:
-        return self._fresh.get(member) or self._ring.get(member)
+    def _find(self, team: str) -> _Lane | None:
+        return self._fresh.get(team) or self._ring.get(team)
 
     def push(self, ticket: Ticket) -> None:
         """Add a waiting request."""
-        member = ticket.member
-        lane = self._find(member)
+        team = ticket.team
+        lane = self._find(team)
         if lane is None:
             account = self._quantum * ticket.weight
-            lane = self._fresh[member] = _Lane(ticket.weight, account)
-        elif not lane.tickets and lane.account > 0 and member in self._ring:
-            self._fresh[member] = self._ring.pop(member)
+            lane = self._fresh[team] = _Lane(ticket.weight, account)
+        elif not lane.tickets and lane.account > 0 and team in self._ring:
+            self._fresh[team] = self._ring.pop(team)
         lane.weight = ticket.weight
         lane.tickets.append(ticket)
         self._line.append(ticket)
@@ -164,20 +164,20 @@
         A request must be waiting.
         """
         while self._fresh:
-            member, lane = next(iter(self._fresh.items()))
+            team, lane = next(iter(self._fresh.items()))
             if self._has_turn(lane):
                 return lane.tickets[0]
-            self._ring[member] = self._fresh.pop(member)
+            self._ring[team] = self._fresh.pop(team)
         passed = 0
         while self._ring:
-            member, lane = next(iter(self._ring.items()))
+            team, lane = next(iter(self._ring.items()))
             if self._has_turn(lane):
                 return lane.tickets[0]
             lane.account += self._quantum * lane.weight
             if not lane.tickets and lane.account > 0:
-                del self._ring[member]
+                del self._ring[team]
                 continue
-            self._ring.move_to_end(member)
+            self._ring.move_to_end(team)
             passed += 1
             if passed >= len(self._ring):
                 self._skip_rounds()
@@ -185,30 +185,30 @@
         return None
 
     def find(self, may: Callable[[str], bool]) -> Ticket | None:
-        """Return the first request of a member that may start one."""
+        """Return the first request of a team that may start one."""
         for lanes in (self._fresh, self._ring):
-            for member, lane in lanes.items():
+            for team, lane in lanes.items():
                 self._has_turn(lane)
-                if lane.tickets and may(member):
+                if lane.tickets and may(team):
                     return lane.tickets[0]
         return None
 
     def take(self, ticket: Ticket) -> None:
         """Take what ``turn`` or ``find`` returned."""
-        lane = self._find(ticket.member)
+        lane = self._find(ticket.team)
         lane.tickets.popleft()
         lane.account -= ticket.cost
 
-    def owes(self, member: str) -> float:
-        """Return the rounds that it takes to pay a member's debt."""
-        lane = self._find(member)
+    def owes(self, team: str) -> float:
+        """Return the rounds that it takes to pay a team's debt."""
+        lane = self._find(team)
         if lane is None:
             return 0.0
         return max(0.0, -lane.account / (self._quantum * lane.weight))
 
-    def correct(self, member: str, cost: float, most: float) -> None:
+    def correct(self, team: str, cost: float, most: float) -> None:
         """Charge a lane for what a request cost beyond its estimate."""
-        lane = self._find(member)
+        lane = self._find(team)
         if lane is not None:
             account = lane.account - cost
             lane.account = min(max(account, -most), most)
@@ -231,16 +231,16 @@
     def __len__(self) -> int:
         return self._size
 
-    def count_members(self) -> dict[str, int]:
-        """Return the number of waiting requests by member."""
+    def count_teams(self) -> dict[str, int]:
+        """Return the number of waiting requests by team."""
         return dict(self._counts)
 
     def estimate_wait(
-        self, member: str, weight: float, cost: float, rate: float
+        self, team: str, weight: float, cost: float, rate: float
     ) -> float:
         """Estimate the wait of a further request, in seconds.
 
-        A member waits for its own queue at its share of the rate, and
+        A team waits for its own queue at its share of the rate, and
         never longer than for the whole queue at the full rate.
 
         :param rate: cost that the endpoint finishes a second, 0 unknown
@@ -248,9 +248,9 @@
         if rate <= 0:
             return 0.0
         weights = self._weight_sum
-        if member not in self._weights:
+        if team not in self._weights:
             weights += weight
-        own = (self._costs[member] if member in self._costs else 0.0) + cost
+        own = (self._costs[team] if team in self._costs else 0.0) + cost
         return min(own * weights / weight, self.cost + cost) / rate
 
     def push(
@@ -268,12 +268,12 @@
         ticket.cost = min(max(ticket.cost, 1.0), self._limits.max_cost)
         ticket.priority = min(max(ticket.priority, 0), PRIORITIES - 1)
         if not self._limits.fair:
-            ticket.member, ticket.priority = '', 0
+            ticket.team, ticket.priority = '', 0
         wait = self.estimate_wait(
-            ticket.member, ticket.weight, ticket.cost, rate
+            ticket.team, ticket.weight, ticket.cost, rate
         )
         full = (
-            self._counts.get(ticket.member, 0) >= self._limits.per_member
+            self._counts.get(ticket.team, 0) >= self._limits.per_team
             and self._limits.fair
             or len(self) >= self._limits.total
         )
@@ -290,12 +290,12 @@
                 retry_after=wait,
             )
         self._levels[ticket.priority].push(ticket)
-        self._counts[ticket.member] += 1
-        self._costs[ticket.member] += ticket.cost
+        self._counts[ticket.team] += 1
+        self._costs[ticket.team] += ticket.cost
         self._size += 1
         self._weight_sum += ticket.weight
-        self._weight_sum -= self._weights.get(ticket.member, 0.0)
-        self._weights[ticket.member] = ticket.weight
+        self._weight_sum -= self._weights.get(ticket.team, 0.0)
+        self._weights[ticket.team] = ticket.weight
         self.cost += ticket.cost
         return None
 
@@ -303,12 +303,12 @@
         ticket.waiting = False
         self._size -= 1
         self.cost -= ticket.cost
-        self._costs[ticket.member] -= ticket.cost
-        self._counts[ticket.member] -= 1
-        if not self._counts[ticket.member]:
-            del self._counts[ticket.member]
-            del self._costs[ticket.member]
-            self._weight_sum -= self._weights.pop(ticket.member)
+        self._costs[ticket.team] -= ticket.cost
+        self._counts[ticket.team] -= 1
+        if not self._counts[ticket.team]:
+            del self._counts[ticket.team]
+            del self._costs[ticket.team]
+            self._weight_sum -= self._weights.pop(ticket.team)
         if not self._size:
             # Rounding must not build up.
             self.cost = self._weight_sum = 0.0
@@ -328,11 +328,11 @@
         """
         level = self._levels[ticket.priority]
         most = self._limits.max_cost
-        level.correct(ticket.member, cost - ticket.cost, most)
+        level.correct(ticket.team, cost - ticket.cost, most)
 
-    def owes(self, member: str) -> float:
-        """Return the rounds by which a member is ahead of its share."""
-        return max(level.owes(member) for level in self._levels)
+    def owes(self, team: str) -> float:
+        """Return the rounds by which a team is ahead of its share."""
+        return max(level.owes(team) for level in self._levels)
 
     def _choose(self, now: float) -> _Level | None:
         aged = self._picks % self._limits.aged_every == 0
@@ -361,7 +361,7 @@
         self,
         now: float,
         admits: Callable[[Ticket], bool],
-        may: Callable[[str], bool] = lambda member: True,
+        may: Callable[[str], bool] = lambda team: True,
     ) -> Ticket | None:
         """Take the request whose turn it is, if it may start now.
 
@@ -370,13 +370,13 @@
 
         :param now: monotonic time in seconds
         :param admits: whether the in-flight cap lets a request start
-        :param may: whether a member may start one; others pass it by
+        :param may: whether a team may start one; others pass it by
         """
         level = self._choose(now)
         if level is None:
             return None
         ticket = level.turn()
-        if ticket is not None and not may(ticket.member):
+        if ticket is not None and not may(ticket.team):
             level, ticket = self._find_other(level, may) or (level, None)
         if ticket is None or not admits(ticket):
             return None
--- a/packages/core/src/dunlintide_core/schemas.py
+++ b/packages/core/src/dunlintide_core/schemas.py
@@ -20,7 +20,10 @@
 __all__ = [
     'Unexpected',
     'describe_value',
+    'get_document_name',
+    'list_overrides',
     'make_converter',
+    'rename',
     'structure',
     'suggest',
 ]
@@ -28,6 +31,7 @@
 T = TypeVar('T')
 
 _MAX_VALUE_CHARACTERS = 80
+_DOCUMENT_NAME = 'document_name'
 
 
 class Unexpected(ValueError):
@@ -127,9 +131,37 @@
     return read
 
 
+def rename(name: str) -> dict[str, str]:
+    """Build the metadata of a field that documents call otherwise.
+
+    :param name: what operators write
+    """
+    return {_DOCUMENT_NAME: name}
+
+
+def get_document_name(field: attrs.Attribute) -> str:
+    """Give the name of a field in documents."""
+    return field.metadata.get(_DOCUMENT_NAME, field.name)
+
+
+def list_overrides(kind: type) -> dict[str, Any]:
+    """List the fields of a class that documents call otherwise.
+
+    :returns: arguments for a generator of reading or writing functions
+    """
+    return {
+        field.name: gen.override(rename=get_document_name(field))
+        for field in attrs.fields(kind)
+        if _DOCUMENT_NAME in field.metadata
+    }
+
+
 def _make_class_reader(kind: Any, converter: cattrs.Converter) -> Callable:
     read_fields = gen.make_dict_structure_fn(
-        kind, converter, _cattrs_forbid_extra_keys=True
+        kind,
+        converter,
+        _cattrs_forbid_extra_keys=True,
+        **list_overrides(kind),
     )
 
     def read(value: Any, _: Any) -> Any:
@@ -164,7 +196,7 @@
     path: jsonc.Path,
     error: cattrs.ForbiddenExtraKeysError,
 ) -> list[jsonc.Problem]:
-    known = [field.name for field in attrs.fields(error.cl)]
+    known = list(map(get_document_name, attrs.fields(error.cl)))
     return [
         document.report(
             (*path, name),
@@ -176,23 +208,30 @@
     ]
 
 
-def _find_step(error: BaseException) -> jsonc.Path:
+def _find_step(error: BaseException, parent: type | None) -> jsonc.Path:
     for note in getattr(error, '__notes__', ()):
         if isinstance(note, cattrs.AttributeValidationNote):
-            return (note.name,)
+            if parent is None:
+                return (note.name,)
+            field = getattr(attrs.fields(parent), note.name)
+            return (get_document_name(field),)
         if isinstance(note, cattrs.IterableValidationNote):
             return (note.index,)
     return ()
 
 
 def _report(
-    document: jsonc.Document, path: jsonc.Path, error: BaseException
+    document: jsonc.Document,
+    path: jsonc.Path,
+    error: BaseException,
+    parent: type | None = None,
 ) -> list[jsonc.Problem]:
-    path = path + _find_step(error)
+    path = path + _find_step(error, parent)
     if isinstance(error, cattrs.BaseValidationError):
+        kind = error.cl if attrs.has(error.cl) else None
         found: list[jsonc.Problem] = []
         for inner in error.exceptions:
-            found.extend(_report(document, path, inner))
+            found.extend(_report(document, path, inner, kind))
         return found
     if isinstance(error, cattrs.ForbiddenExtraKeysError):
         return _report_unknown(document, path, error)
--- a/packages/core/src/dunlintide_core/settings.py
+++ b/packages/core/src/dunlintide_core/settings.py
@@ -7,6 +7,7 @@
 
 from dunlintide_core import budget
 from dunlintide_core import fleet
+from dunlintide_core import schemas
 
 __all__ = [
     'EndpointSettings',
@@ -68,7 +69,7 @@
 class Queueing(enum.StrEnum):
     """In which order an agent starts what waits.
 
-    First come, first served over all members is a diagnostic: the
+    First come, first served over all teams is a diagnostic: the
     baseline of measurements.
     """
 
@@ -200,7 +201,7 @@
     :ivar max_body_bytes: largest request body
     :ivar max_header_bytes: largest request head
     :ivar threads: requests that an entry serves at the same time
-    :ivar queue_per_member: requests that a member may have queued at an
+    :ivar queue_per_team: requests that a team may have queued at an
         agent
     :ivar retry_ratio: retries that an entry may make for each request,
         over all of its requests
@@ -213,7 +214,9 @@
     max_body_bytes: Count = 1 << 20
     max_header_bytes: Count = 64 << 10
     threads: Count = 256
-    queue_per_member: Count = 256
+    queue_per_team: Count = attrs.field(
+        default=256, metadata=schemas.rename('queue_per_member')
+    )
     retry_ratio: Rate = budget.DEFAULT_RATIO
     kept_activation_bytes: Natural = 64 << 20
     cache_news: Natural = 8
--- a/packages/core/src/dunlintide_core/subset.py
+++ b/packages/core/src/dunlintide_core/subset.py
@@ -119,7 +119,7 @@
     choices = max(LEAST_CHOICES, target // len(groups))
     result: dict[str, list[fleet.Peer]] = {e.name: [] for e in entries}
     for key in sorted(groups):
-        members = sorted(groups[key], key=lambda agent: agent.name)
-        for name, chosen in _assign_group(entries, members, choices).items():
+        teams = sorted(groups[key], key=lambda agent: agent.name)
+        for name, chosen in _assign_group(entries, teams, choices).items():
             result[name].extend(chosen)
     return {name: tuple(chosen) for name, chosen in result.items()}
--- a/packages/core/src/dunlintide_core/validation.py
+++ b/packages/core/src/dunlintide_core/validation.py
@@ -60,15 +60,15 @@
             yield (section, index, 'name'), text
 
 
-def _check_members(
-    members: tuple[configuration.Member, ...],
+def _check_teams(
+    teams: tuple[configuration.Team, ...],
 ) -> Iterator[Fault]:
-    yield from _check_unique('members', (m.name for m in members))
+    yield from _check_unique('members', (m.name for m in teams))
     owners: dict[str, str] = {}
-    for index, member in enumerate(members):
+    for index, team in enumerate(teams):
         path = ('members', index)
-        yield from _check_name((*path, 'name'), member.name, _NAME)
-        for place, digest in enumerate(member.key_hashes):
+        yield from _check_name((*path, 'name'), team.name, _NAME)
+        for place, digest in enumerate(team.key_hashes):
             spot = (*path, 'key_hashes', place)
             # The value is not shown: it may be a key, put here by mistake.
             if not _KEY_HASH.fullmatch(digest):
@@ -76,7 +76,7 @@
                 yield spot, f'{text}, got {len(digest)} characters'
             elif digest in owners:
                 yield spot, f'the key is already that of {owners[digest]}'
-            owners.setdefault(digest, member.name)
+            owners.setdefault(digest, team.name)
 
 
 def _check_models(models: tuple[configuration.Model, ...]) -> Iterator[Fault]:
@@ -165,7 +165,7 @@
 def _make_name_checker(
     source: configuration.Configuration,
 ) -> Callable[[jsonc.Path, configuration.Rule], Iterator[Fault]]:
-    members = frozenset(member.name for member in source.members)
+    teams = frozenset(team.name for team in source.teams)
     models = frozenset(model.name for model in source.models)
     services = frozenset(service.name for service in source.services)
 
@@ -176,15 +176,16 @@
     def check_when(path: jsonc.Path, when: configuration.When):
         adapters = collect((), 'adapters')
         for field, known in (
-            ('member', members),
+            ('team', teams),
             ('model', models),
             ('service', services),
             ('adapter', adapters),
         ):
             names = enumerate(getattr(when, field))
             for index, name in names:
-                spot = (*path, field, index)
-                yield from _check_known(spot, name, known, field)
+                written = configuration.name_condition(field)
+                spot = (*path, written, index)
+                yield from _check_known(spot, name, known, written)
 
     def check_then(path: jsonc.Path, rule: configuration.Rule):
         then = rule.then
@@ -226,7 +227,7 @@
 
     :returns: path and text of each fault
     """
-    yield from _check_members(source.members)
+    yield from _check_teams(source.teams)
     yield from _check_models(source.models)
     yield from _check_services(source.services)
     yield from _check_rules(source)
--- a/packages/daemon/src/dunlintide_daemon/agent/admission.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/admission.py
@@ -47,7 +47,7 @@
 ) -> gates.Gate:
     """Build the gate with its queue and its cap."""
     limits = queueing.Limits(
-        per_member=settings.limits.queue_per_member,
+        per_team=settings.limits.queue_per_team,
         fair=settings.queueing is settings_module.Queueing.FAIR,
     )
     chosen = gates.GateSettings(settings.name, incarnation, queue=limits)
--- a/packages/daemon/src/dunlintide_daemon/agent/driver.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/driver.py
@@ -62,14 +62,14 @@
     :ivar failed: gets the jobs of a call without a usable answer
     :ivar limit: returns the most steps that the next call may take
     :ivar runs_alone: tells whether a step must share the engine with none
-    :ivar find_member: returns whom a step is for
+    :ivar find_team: returns whom a step is for
     """
 
     results: Callable[[list[tuple[Job, engines.StepResult]]], None]
     failed: Callable[[list[Job], engines.EngineError], None]
     limit: Callable[[], int] = lambda: MAX_STEPS
     runs_alone: Callable[[Job], bool] = lambda job: False
-    find_member: Callable[[Job], str] = lambda job: ''
+    find_team: Callable[[Job], str] = lambda job: ''
 
 
 @attrs.define(eq=False)
@@ -300,8 +300,8 @@
         return jobs
 
     def _must_pause(self, job: Job) -> bool:
-        member = self._handlers.find_member(job)
-        pause = self._spans.find_pause(member, time.monotonic())
+        team = self._handlers.find_team(job)
+        pause = self._spans.find_pause(team, time.monotonic())
         if pause:
             self._pause = min(pause, self._pause or pause)
         return pause > 0.0
@@ -310,7 +310,7 @@
         now = time.monotonic()
         for job in jobs:
             if not _is_long(job):
-                self._spans.note_short(self._handlers.find_member(job), now)
+                self._spans.note_short(self._handlers.find_team(job), now)
 
     def _note_long(self, jobs: list[Job], began: float) -> None:
         if any(map(_is_long, jobs)):
--- a/packages/daemon/src/dunlintide_daemon/agent/dump.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/dump.py
@@ -16,7 +16,7 @@
 def _describe_work(work: works.Work, now: float) -> dict[str, Any]:
     return {
         'request_id': work.request_id,
-        'member': work.terms.member,
+        'member': work.terms.team,
         'rule': work.terms.rule,
         'epoch': work.epoch,
         'phase': str(work.phase),
@@ -47,7 +47,7 @@
                 'length': len(gate.queue),
                 'cost': round(gate.queue.cost, 1),
                 'cost_per_second': round(gate.rate.value, 1),
-                'members': gate.queue.count_members(),
+                'members': gate.queue.count_teams(),
             },
             'in_flight': {
                 'requests': gate.in_flight.requests,
--- a/packages/daemon/src/dunlintide_daemon/agent/gate.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/gate.py
@@ -88,7 +88,7 @@
         self._clock = clock
         self._answers = answers.Answers(settings.name, counts, clock)
         self._works: dict[str, works.Work] = {}
-        self._members: dict[str, int] = {}
+        self._teams: dict[str, int] = {}
         self._ticked = clock()
         self._generation_began = clock()
         self._slots = slots.Slots(clock(), self.queue.owes)
@@ -119,11 +119,11 @@
             return Obstacle(code, 'the endpoint is leaving')
         if self.fault:
             return Obstacle(outcomes.FailCode.NO_CAPACITY, self.fault)
-        limit = work.terms.member_concurrency
-        if limit and self._members.get(work.terms.member, 0) >= limit:
+        limit = work.terms.team_concurrency
+        if limit and self._teams.get(work.terms.team, 0) >= limit:
             return Obstacle(
                 outcomes.FailCode.RATE_LIMITED,
-                'too many requests of the member are in flight',
+                'too many requests of the team are in flight',
             )
         return None
 
@@ -154,7 +154,7 @@
             return False
         now = self._clock()
         work.ticket = queueing.Ticket(
-            work.terms.member,
+            work.terms.team,
             work.terms.weight or 1.0,
             work.terms.priority,
             work.cost,
@@ -174,7 +174,7 @@
                 sealed=sealed,
             )
             return False
-        self._slots.want(work.ticket.member, work.ticket.weight)
+        self._slots.want(work.ticket.team, work.ticket.weight)
         return True
 
     def _adopt(
@@ -274,14 +274,14 @@
                 return
             work.subscribers.append(subscriber)
             self._works[work.request_id] = work
-            member = work.terms.member
-            self._members[member] = self._members.get(member, 0) + 1
+            team = work.terms.team
+            self._teams[team] = self._teams.get(team, 0) + 1
             self.counts.add('opened')
             self.pump()
 
-    def _may_start(self, member: str) -> bool:
+    def _may_start(self, team: str) -> bool:
         limit = self.cap.limit(self.in_flight)
-        return self._slots.may_start(member, self.in_flight.requests, limit)
+        return self._slots.may_start(team, self.in_flight.requests, limit)
 
     def _admits(self, ticket: queueing.Ticket) -> bool:
         return self.cap.admits(self.in_flight, ticket.item.tokens)
@@ -296,7 +296,7 @@
                 work = ticket.item
                 work.phase = works.Phase.RUNNING
                 work.begun = now
-                self._slots.start(ticket.member)
+                self._slots.start(ticket.team)
                 self.in_flight.requests += 1
                 self.in_flight.tokens += work.tokens
                 if work.entry is not None:
@@ -312,7 +312,7 @@
             self._answers.send(work, frame)
 
     def _free_slot(self, work: works.Work) -> None:
-        self._slots.end(work.ticket.member, True)
+        self._slots.end(work.ticket.team, True)
         self.in_flight.requests -= 1
         self.in_flight.tokens -= work.tokens
 
@@ -331,12 +331,12 @@
     def _forget(self, work: works.Work) -> None:
         if self._works.get(work.request_id) is work:
             del self._works[work.request_id]
-        member = work.terms.member
-        self._members[member] -= 1
-        if not self._members[member]:
-            del self._members[member]
+        team = work.terms.team
+        self._teams[team] -= 1
+        if not self._teams[team]:
+            del self._teams[team]
         if work.phase is works.Phase.QUEUED:
-            self._slots.end(work.ticket.member, False)
+            self._slots.end(work.ticket.team, False)
             self.queue.remove(work.ticket)
         else:
             self.in_flight.finished += 1
--- a/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/pipeline.py
@@ -33,7 +33,7 @@
     return [
         poison.Suspect(
             job.owner.terms.fingerprint,
-            job.owner.terms.member,
+            job.owner.terms.team,
             job.step.position,
         )
         for job in jobs
@@ -263,7 +263,7 @@
         """Tell whether a step must share the engine with none."""
         terms = job.owner.terms
         return self._suspicion.runs_alone(
-            terms.fingerprint, terms.member, self._place
+            terms.fingerprint, terms.team, self._place
         )
 
     def drop_quarantined(self) -> None:
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -181,7 +181,7 @@
             self._take_engine_failure,
             self.pipeline.limit_batch,
             self.pipeline.runs_alone,
-            lambda job: job.owner.terms.member,
+            lambda job: job.owner.terms.team,
         )
         self.driver = drivers.Driver(
             self._engine, handlers, timing.endpoint_silence
--- a/packages/daemon/src/dunlintide_daemon/agent/services.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/services.py
@@ -80,7 +80,7 @@
     for name, value in _strip(given, _OWN):
         headers.add(name, value)
     headers['X-Request-Id'] = call.terms.request_id
-    headers['Dunlintide-Member'] = call.terms.member
+    headers['Dunlintide-Member'] = call.terms.team
     if call.terms.idempotency_key:
         headers['Idempotency-Key'] = call.terms.idempotency_key
     return headers
--- a/packages/daemon/src/dunlintide_daemon/agent/sessions.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/sessions.py
@@ -133,7 +133,7 @@
         truncate=truncate,
         session=session.request_id,
         epoch=session.epoch,
-        member=session.terms.member,
+        team=session.terms.team,
         position=position,
         idempotency_key=session.terms.idempotency_key,
         cache_salt=session.terms.cache_salt,
--- a/packages/daemon/src/dunlintide_daemon/entry/answers.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/answers.py
@@ -92,11 +92,11 @@
         """Note an outcome; None stands for a whole answer."""
         self.limiter.release(caller.request_id)
         self.meter.end(caller.arrived)
-        self.history.end(caller.request_id, caller.member, refusal)
+        self.history.end(caller.request_id, caller.team, refusal)
         logging.info(
             'request %s of %s: %s',
             caller.request_id,
-            caller.member,
+            caller.team,
             refusal.code.value if refusal is not None else _COMPLETE,
         )
 
--- a/packages/daemon/src/dunlintide_daemon/entry/claims.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/claims.py
@@ -73,7 +73,7 @@
 
     def bind(
         self,
-        member: str,
+        team: str,
         key: str,
         fingerprint: bytes,
         proposed: fleet.Agent,
@@ -88,7 +88,7 @@
         :param timeout: seconds to wait for the store
         """
         wanted = claims.Binding(
-            key_digest=claims.digest_key(member, key),
+            key_digest=claims.digest_key(team, key),
             fingerprint=fingerprint,
             executor=proposed.peer.name,
             incarnation=proposed.peer.incarnation,
--- a/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/dispatch.py
@@ -59,7 +59,7 @@
         self._pace = learning.Pace()
         self._session = context.sessions.add(
             job.terms.request_id,
-            job.terms.member,
+            job.terms.team,
             job.terms.rule,
             job.deadline,
         )
--- a/packages/daemon/src/dunlintide_daemon/entry/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/exchange.py
@@ -1,7 +1,7 @@
-"""Links between entries, for what they share about members' limits.
+"""Links between entries, for what they share about teams' limits.
 
 An entry dials a few others only: the two first choices to coordinate each
-shard of the members, which all entries rank alike.
+shard of the teams, which all entries rank alike.
 """
 
 import threading
--- a/packages/daemon/src/dunlintide_daemon/entry/front.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/front.py
@@ -98,14 +98,14 @@
         end_by(deadline + SENDING_SECONDS)
 
 
-def _join(environ: Mapping[str, Any], member: str) -> outcomes.Refusal | None:
-    """Count a request to its member; no member takes all threads."""
+def _join(environ: Mapping[str, Any], team: str) -> outcomes.Refusal | None:
+    """Count a request to its team; no team takes all threads."""
     join = environ.get(httpgate.JOIN)
-    if join is None or join(member):
+    if join is None or join(team):
         return None
     return outcomes.refuse(
         outcomes.FailCode.QUEUE_FULL,
-        'too many requests of the member are in flight at this entry',
+        'too many requests of the team are in flight at this entry',
         retry_after=_CROWDED_RETRY_SECONDS,
     )
 
@@ -167,10 +167,10 @@
         request_id: str,
         snapshot: holders.Snapshot,
     ) -> result.Result[_Exchange, outcomes.Refusal]:
-        member = snapshot.keys.find(environ.get('HTTP_AUTHORIZATION', ''))
-        if isinstance(member, result.Err):
-            return member
-        crowded = _join(environ, member.ok_value)
+        team = snapshot.keys.find(environ.get('HTTP_AUTHORIZATION', ''))
+        if isinstance(team, result.Err):
+            return team
+        crowded = _join(environ, team.ok_value)
         if crowded is not None:
             return result.Err(crowded)
         key = requests.check_key(environ.get('HTTP_IDEMPOTENCY_KEY'))
@@ -181,7 +181,7 @@
             return priority
         caller = routes.Caller(
             request_id=request_id,
-            member=member.ok_value,
+            team=team.ok_value,
             key=key.ok_value,
             priority=priority.ok_value,
             is_connected=_watch_caller(environ),
@@ -222,8 +222,8 @@
     def _show_request(
         self, exchange: _Exchange, request_id: str
     ) -> result.Result[problems.Response, outcomes.Refusal]:
-        member = exchange.caller.member
-        record = self._parts.history.find(request_id, member)
+        team = exchange.caller.team
+        record = self._parts.history.find(request_id, team)
         if record is None:
             code = outcomes.FailCode.NOT_FOUND
             return _refuse(code, 'this entry knows no such request')
@@ -247,7 +247,7 @@
             headers=headers.read_request_headers(environ),
             body=body.ok_value,
         )
-        self._parts.history.begin(caller.request_id, caller.member)
+        self._parts.history.begin(caller.request_id, caller.team)
         routed = self._parts.router.route_service(
             exchange.snapshot, caller, call
         )
@@ -284,7 +284,7 @@
         if isinstance(parsed, result.Err):
             return parsed
         completion = parsed.ok_value
-        self._parts.history.begin(caller.request_id, caller.member)
+        self._parts.history.begin(caller.request_id, caller.team)
         routed = self._parts.router.route_completion(
             exchange.snapshot,
             caller,
--- a/packages/daemon/src/dunlintide_daemon/entry/history.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/history.py
@@ -26,7 +26,7 @@
     :ivar code: why it failed, empty when it did not
     """
 
-    member: str
+    team: str
     outcome: str
     code: str = ''
 
@@ -59,15 +59,15 @@
         )
         self.totals: collections.Counter[str] = collections.Counter()
 
-    def begin(self, request_id: str, member: str) -> None:
+    def begin(self, request_id: str, team: str) -> None:
         """Take note of a request."""
         with self._lock:
-            self._records[request_id] = Record(member, RUNNING)
+            self._records[request_id] = Record(team, RUNNING)
             while len(self._records) > self._limit:
                 self._records.popitem(last=False)
 
     def end(
-        self, request_id: str, member: str, refusal: outcomes.Refusal | None
+        self, request_id: str, team: str, refusal: outcomes.Refusal | None
     ) -> None:
         """Take note of an outcome; None stands for a whole answer."""
         outcome, code = outcomes.Outcome.COMPLETE, ''
@@ -77,12 +77,12 @@
         with self._lock:
             self.totals[code or outcome.value] += 1
             if request_id in self._records:
-                self._records[request_id] = Record(member, outcome.value, code)
+                self._records[request_id] = Record(team, outcome.value, code)
 
-    def find(self, request_id: str, member: str) -> Record | None:
-        """Return a member's own request, or None."""
+    def find(self, request_id: str, team: str) -> Record | None:
+        """Return a team's own request, or None."""
         with self._lock:
             record = self._records.get(request_id)
-        if record is None or record.member != member:
+        if record is None or record.team != team:
             return None
         return record
--- a/packages/daemon/src/dunlintide_daemon/entry/identity.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/identity.py
@@ -1,4 +1,4 @@
-"""Which member a bearer key belongs to."""
+"""Which team a bearer key belongs to."""
 
 import hashlib
 import secrets
@@ -29,15 +29,15 @@
     return hashlib.sha256(key.encode('latin-1', 'replace')).hexdigest()
 
 
-def _derive_salt(member: configuration.Member) -> str:
-    """Derive a member's cache salt, the same at each entry.
+def _derive_salt(team: configuration.Team) -> str:
+    """Derive a team's cache salt, the same at each entry.
 
-    Its key is the hash of the member's first bearer key, which no other
-    member can know; a new first key only empties the prefix caches.
+    Its key is the hash of the team's first bearer key, which no other
+    team can know; a new first key only empties the prefix caches.
     """
-    key = member.key_hashes[0].lower().encode()
+    key = team.key_hashes[0].lower().encode()
     digest = hashlib.blake2b(
-        member.name.encode(),
+        team.name.encode(),
         digest_size=_SALT_BYTES,
         key=key[: hashlib.blake2b.MAX_KEY_SIZE],
         person=_SALT_PURPOSE,
@@ -47,42 +47,42 @@
 
 @attrs.frozen
 class KeyTable:
-    """Members by the hash of their keys.
+    """Teams by the hash of their keys.
 
     Only hashes are looked up, so the time of a look-up tells nothing
     about how much of a guessed key is right.
     """
 
-    _members: Mapping[str, str]
+    _teams: Mapping[str, str]
     _salts: Mapping[str, str] = attrs.field(factory=dict)
 
     @classmethod
     def from_config(cls, config: configuration.Configuration) -> 'KeyTable':
         """Build the table of a configuration."""
-        members = {}
-        for member in config.members:
-            for key_hash in member.key_hashes:
-                members[key_hash.lower()] = member.name
+        teams = {}
+        for team in config.teams:
+            for key_hash in team.key_hashes:
+                teams[key_hash.lower()] = team.name
         salts = {
-            member.name: _derive_salt(member)
-            for member in config.members
-            if member.key_hashes
+            team.name: _derive_salt(team)
+            for team in config.teams
+            if team.key_hashes
         }
-        return cls(members, salts)
+        return cls(teams, salts)
 
-    def get_salt(self, member: str) -> str:
-        """Give the salt of a member's prefix caches.
+    def get_salt(self, team: str) -> str:
+        """Give the salt of a team's prefix caches.
 
-        :returns: one that is used only once for an unknown member
+        :returns: one that is used only once for an unknown team
         """
-        return self._salts.get(member) or secrets.token_hex(_SALT_BYTES)
+        return self._salts.get(team) or secrets.token_hex(_SALT_BYTES)
 
     def knows(self, word: str) -> bool:
-        """Tell whether a word is a member's bearer key."""
-        return _hash_key(word) in self._members
+        """Tell whether a word is a team's bearer key."""
+        return _hash_key(word) in self._teams
 
     def find(self, header: str) -> result.Result[str, outcomes.Refusal]:
-        """Return the member named by an ``Authorization`` header.
+        """Return the team named by an ``Authorization`` header.
 
         :param header: the header's value, empty when it is missing
         """
@@ -92,7 +92,7 @@
             return _refuse('a bearer key is required')
         if len(key) > MAX_KEY_LENGTH:
             return _refuse('the bearer key is too long')
-        member = self._members.get(_hash_key(key))
-        if member is None:
+        team = self._teams.get(_hash_key(key))
+        if team is None:
             return _refuse('the bearer key is not known')
-        return result.Ok(member)
+        return result.Ok(team)
--- a/packages/daemon/src/dunlintide_daemon/entry/limits.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/limits.py
@@ -1,4 +1,4 @@
-"""Admission by the limits that rules set for a member over all entries.
+"""Admission by the limits that rules set for a team over all entries.
 
 Requests are decided on in memory, by the shares that this entry holds;
 a thread renews the shares with the coordinators about each second. The
@@ -55,7 +55,7 @@
 
 @attrs.define
 class _Use:
-    """What a member does here under one rule."""
+    """What a team does here under one rule."""
 
     then: configuration.Then
     bucket: limits.Bucket
@@ -163,9 +163,9 @@
         return use
 
     def admit(
-        self, request_id: str, member: str, rule: configuration.Rule
+        self, request_id: str, team: str, rule: configuration.Rule
     ) -> outcomes.Refusal | None:
-        """Count a request against its member's limits.
+        """Count a request against its team's limits.
 
         One that is admitted must be released when it ends.
         :returns: None when it is admitted
@@ -173,7 +173,7 @@
         then = rule.then
         if then.rate is None and then.concurrency is None:
             return None
-        key = (member, rule.name)
+        key = (team, rule.name)
         with self._changed:
             use = self._find_use(key, then)
             use.asked += 1
@@ -192,7 +192,7 @@
         grant = self._find_grant(key, use)
         if use.slots and use.in_flight >= grant.slots:
             use.short += 1
-            detail = 'too many requests of the member are in flight'
+            detail = 'too many requests of the team are in flight'
             return _refuse(detail, self._period)
         if use.then.rate is None:
             return None
@@ -204,7 +204,7 @@
             self._hurry()
         # Without a share the next one comes with the next exchange.
         seconds = wait if rate else self._period
-        return _refuse('the rate of the member is used up', seconds)
+        return _refuse('the rate of the team is used up', seconds)
 
     def _hurry(self) -> None:
         self._urgent = _URGENT_RENEWALS
@@ -288,7 +288,7 @@
         self._changed.notify_all()
 
     def describe(self) -> dict[str, Any]:
-        """Return the state for a dump, without members' names."""
+        """Return the state for a dump, without teams' names."""
         with self._changed:
             return {
                 'entries': self.exchange.count,
--- a/packages/daemon/src/dunlintide_daemon/entry/problems.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/problems.py
@@ -64,7 +64,7 @@
 def build_fields(
     refusal: outcomes.Refusal, request_id: str
 ) -> dict[str, object]:
-    """Return the members of a problem object.
+    """Return the teams of a problem object.
 
     :param refusal: what to tell
     :param request_id: the request, for the operators' logs
--- a/packages/daemon/src/dunlintide_daemon/entry/requests.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/requests.py
@@ -188,14 +188,14 @@
     return result.Ok(key)
 
 
-def compute_fingerprint(member: str, *parts: str | bytes) -> bytes:
+def compute_fingerprint(team: str, *parts: str | bytes) -> bytes:
     """Return a digest that tells one request's content from another's.
 
-    It includes the member, so that no member's request can be taken for
+    It includes the team, so that no team's request can be taken for
     another's.
     """
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
-    for part in (member, *parts):
+    for part in (team, *parts):
         data = part.encode() if isinstance(part, str) else part
         digest.update(len(data).to_bytes(8, 'big'))
         digest.update(data)
--- a/packages/daemon/src/dunlintide_daemon/entry/router.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/router.py
@@ -72,7 +72,7 @@
         if rule.then.action is configuration.Action.REFUSE:
             code = outcomes.FailCode.REFUSED_BY_RULE
             return routes.refuse(code, rule.then.reason or 'a rule refuses it')
-        refusal = self._limiter.admit(caller.request_id, caller.member, rule)
+        refusal = self._limiter.admit(caller.request_id, caller.team, rule)
         if refusal is not None:
             return result.Err(refusal)
         return result.Ok(rule)
@@ -115,7 +115,7 @@
     ) -> result.Result[routes.CompletionRoute, outcomes.Refusal]:
         then = rule.then
         version = then.version or model.version
-        salt = snapshot.keys.get_salt(caller.member)
+        salt = snapshot.keys.get_salt(caller.team)
         adapter = then.adapter or completion.adapter
         blocks = affinity.hash_blocks(f'{salt}/{adapter}', completion.prompt)
 
@@ -145,7 +145,7 @@
 
         once = bool(caller.key) or then.repeatable is False
         caller = routes.give_key(caller, once)
-        fingerprint = requests.compute_fingerprint(caller.member, *parts)
+        fingerprint = requests.compute_fingerprint(caller.team, *parts)
         # Under a key it may have run before, which its executor knows.
         if not once and self._is_quarantined(fingerprint):
             code = outcomes.FailCode.QUARANTINED
@@ -240,7 +240,7 @@
         once = not repeatable
         caller = routes.give_key(caller, once)
         fingerprint = requests.compute_fingerprint(
-            caller.member, call.service, call.method, call.path, call.body
+            caller.team, call.service, call.method, call.path, call.body
         )
         job = jobs.Job(
             terms=routes.build_terms(
@@ -248,7 +248,7 @@
                 rule,
                 snapshot.revision,
                 fingerprint,
-                snapshot.keys.get_salt(caller.member),
+                snapshot.keys.get_salt(caller.team),
             ),
             deadline=caller.arrived + rule.then.deadline_seconds,
             repeatable=repeatable,
@@ -291,7 +291,7 @@
     ) -> result.Result[claims.Bound, outcomes.Refusal]:
         left = job.deadline - time.monotonic()
         bound = self._binder.bind(
-            caller.member,
+            caller.team,
             caller.key,
             job.terms.fingerprint,
             proposed,
--- a/packages/daemon/src/dunlintide_daemon/entry/routes.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/routes.py
@@ -46,7 +46,7 @@
     """
 
     request_id: str
-    member: str
+    team: str
     key: str = ''
     priority: int | None = None
     arrived: float = attrs.field(factory=time.monotonic)
@@ -107,19 +107,19 @@
 
     :param revision: of the configuration that decided
     :param fingerprint: of the request, to tell another under its key
-    :param salt: of the member's prefix caches
+    :param salt: of the team's prefix caches
     """
     then = rule.then
     return link_pb2.Terms(
         request_id=caller.request_id,
-        member=caller.member,
+        team=caller.team,
         weight=then.weight,
         priority=_choose_priority(caller, then),
         idempotency_key=caller.key,
         cache_salt=salt,
         revision=revision,
         rule=rule.name,
-        member_concurrency=then.concurrency or 0,
+        team_concurrency=then.concurrency or 0,
         fingerprint=fingerprint,
     )
 
@@ -135,7 +135,7 @@
     :param failure_domain: where this entry is
     """
     return matching.Query(
-        member=caller.member,
+        team=caller.team,
         model=completion.model,
         method='POST',
         path=path,
@@ -154,7 +154,7 @@
     :param failure_domain: where this entry is
     """
     return matching.Query(
-        member=caller.member,
+        team=caller.team,
         service=call.service,
         method=call.method,
         path=call.path.partition('?')[0],
--- a/packages/daemon/src/dunlintide_daemon/entry/sessions.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/sessions.py
@@ -106,7 +106,7 @@
     """
 
     request_id: str
-    member: str
+    team: str
     rule: str
     deadline: float
     counts: Counts
@@ -181,13 +181,13 @@
         self._lock = threading.Lock()
 
     def add(
-        self, request_id: str, member: str, rule: str, deadline: float
+        self, request_id: str, team: str, rule: str, deadline: float
     ) -> Session:
         """Begin a request.
 
         :param deadline: monotonic time in seconds
         """
-        session = Session(request_id, member, rule, deadline, self.counts)
+        session = Session(request_id, team, rule, deadline, self.counts)
         with self._lock:
             self._sessions[request_id] = session
         return session
@@ -228,7 +228,7 @@
         sessions = [
             {
                 'request_id': one.request_id,
-                'member': one.member,
+                'member': one.team,
                 'rule': one.rule,
                 'epoch': one.epoch,
                 'deadline': one.deadline,
--- a/packages/daemon/src/dunlintide_daemon/entry/shares.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/shares.py
@@ -1,6 +1,6 @@
 """This entry's shares of the limits, lent to and granted by entries.
 
-It is both sides: it asks the coordinator of each shard of the members,
+It is both sides: it asks the coordinator of each shard of the teams,
 and coordinates the shards that fall to it.
 """
 
@@ -27,7 +27,7 @@
 
 
 def find_shard(key: limits.Key) -> int:
-    """Return the shard of a key; all of a member's are in one."""
+    """Return the shard of a key; all of a team's are in one."""
     return hashing.hash_text(key[0]) % exchange.SHARDS
 
 
@@ -37,7 +37,7 @@
 
 def _read_needs(message: link_pb2.Demand) -> Needs:
     return {
-        (one.member, one.rule): limits.Need(
+        (one.team, one.rule): limits.Need(
             one.rate, one.slots, one.in_flight, one.limit
         )
         for one in message.needs[:MAX_NEEDS]
@@ -46,7 +46,7 @@
 
 def _build_need(key: limits.Key, need: limits.Need) -> link_pb2.LimitNeed:
     return link_pb2.LimitNeed(
-        member=key[0],
+        team=key[0],
         rule=key[1],
         rate=need.rate,
         slots=need.slots,
@@ -172,8 +172,8 @@
             rates=[one.rate for one in granted.values()],
             slots=[one.slots for one in granted.values()],
             lent=[
-                link_pb2.LimitKey(member=member, rule=rule)
-                for member, rule in list(granted)[len(needs) :]
+                link_pb2.LimitKey(team=team, rule=rule)
+                for team, rule in list(granted)[len(needs) :]
             ],
         )
         link.send(link_pb2.Frame(grant=answer))
@@ -183,7 +183,7 @@
             limits.Grant(rate, slots)
             for rate, slots in zip(message.rates, message.slots)
         ]
-        lent = tuple((one.member, one.rule) for one in message.lent)
+        lent = tuple((one.team, one.rule) for one in message.lent)
         with self._lock:
             asked = self._asked[message.shard].get(message.sequence, ())
             keys = asked + lent
--- a/packages/daemon/src/dunlintide_daemon/gateway/front.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/front.py
@@ -141,10 +141,10 @@
         self,
         deployment: deployments.Deployment,
         ask: asks.Ask,
-        owner: configuration.Member | None,
+        owner: configuration.Team | None,
     ) -> configuration.Rule | None:
         query = matching.Query(
-            member=owner.name if owner else '',
+            team=owner.name if owner else '',
             model=ask.model,
             method=ask.method,
             path=ask.path,
@@ -164,7 +164,7 @@
         reply: callerhttp.Reply,
         ask: asks.Ask,
         rule: configuration.Rule,
-        owner: configuration.Member | None,
+        owner: configuration.Team | None,
     ) -> exchange_module.Exchange:
         limit = rule.then.deadline_seconds
         if ask.patience is not None:
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -112,7 +112,7 @@
             version=deployment.version,
             before=held.version if held else None,
             rules=len(deployment.source.rules),
-            teams=len(deployment.source.members),
+            teams=len(deployment.source.teams),
         )
         self.notify()
         return True
--- a/packages/daemon/src/dunlintide_daemon/suspicion.py
+++ b/packages/daemon/src/dunlintide_daemon/suspicion.py
@@ -44,7 +44,7 @@
     suspects = [
         link_pb2.Suspect(
             fingerprint=one.fingerprint,
-            member=one.member,
+            team=one.team,
             position=one.position,
         )
         for one in crash.suspects
@@ -64,7 +64,7 @@
     message: link_pb2.Crash, now: float, longest: float
 ) -> poison.Crash:
     suspects = tuple(
-        poison.Suspect(one.fingerprint, one.member, one.position)
+        poison.Suspect(one.fingerprint, one.team, one.position)
         for one in message.suspects
     )
     place = poison.Place(message.model, message.layer_start, message.layer_end)
@@ -200,15 +200,15 @@
         return self._evidence.is_quarantined(fingerprint)
 
     def runs_alone(
-        self, fingerprint: bytes, member: str, place: poison.Place
+        self, fingerprint: bytes, team: str, place: poison.Place
     ) -> bool:
         """Tell whether a request's step must share the endpoint with none."""
         evidence = self._evidence
         if not evidence.is_accused(fingerprint):
-            if not evidence.is_watched(member):
+            if not evidence.is_watched(team):
                 return False
         with self._lock:
-            return evidence.runs_alone(fingerprint, member, place)
+            return evidence.runs_alone(fingerprint, team, place)
 
     def tick(self) -> None:
         """Forget what has expired; call it a few times a second."""
@@ -225,13 +225,13 @@
                 'quarantined': [
                     {
                         'fingerprint': one.fingerprint.hex()[:_DIGEST_SHOWN],
-                        'member': one.member,
+                        'member': one.team,
                         'crashes': one.crashes,
                         'seconds_left': round(one.seconds, 1),
                     }
                     for one in self._evidence.list_quarantines(now)
                 ],
-                'watched_members': self._evidence.list_watched(),
+                'watched_teams': self._evidence.list_watched(),
                 'crashes': [
                     {
                         'name': crash.name,
--- a/packages/trials/src/dunlintide_trials/cases/cache.py
+++ b/packages/trials/src/dunlintide_trials/cases/cache.py
@@ -39,7 +39,7 @@
     replicas=20,
     subset=2,
     rate=12.0,
-    members=200,
+    teams=200,
     hot=0.05,
     seconds=40.0,
 )
@@ -103,7 +103,7 @@
         'of the mean of 10 s',
         IMBALANCE_LIMIT,
         hot[prefixload.LOAD].busiest,
-        'nine in ten sessions of one member; worst range and window',
+        'nine in ten sessions of one team; worst range and window',
     )
     yield from _compare('subset.', _run(_SUBSET))
 
--- a/packages/trials/src/dunlintide_trials/cases/caps.py
+++ b/packages/trials/src/dunlintide_trials/cases/caps.py
@@ -23,7 +23,7 @@
 __all__ = ['CASES']
 
 MODEL = 'bench'
-MEMBER = 'bench'
+TEAM = 'bench'
 LAYERS = 4
 CALLERS = 40
 TOKENS = 48
@@ -41,7 +41,7 @@
 KEPT_PART = 0.9
 
 _RULES = {
-    'members': [{'name': MEMBER, 'key_hashes': []}],
+    'members': [{'name': TEAM, 'key_hashes': []}],
     'models': [{'name': MODEL, 'layers': LAYERS}],
     'rules': [{'name': 'all', 'when': {}, 'then': {'deadline_seconds': 60}}],
 }
@@ -149,7 +149,7 @@
                 threading.Thread(
                     target=_repeat,
                     args=(
-                        running.make_caller(0, MEMBER),
+                        running.make_caller(0, TEAM),
                         number,
                         answers,
                         stopped,
--- a/packages/trials/src/dunlintide_trials/cases/config.py
+++ b/packages/trials/src/dunlintide_trials/cases/config.py
@@ -12,8 +12,8 @@
 
 SPREAD_BOUND = 4.0
 BYTES_BOUND = 5000.0
-_MEMBERS = 5600
-_FEW_MEMBERS = 100
+_TEAMS = 5600
+_FEW_TEAMS = 100
 _CHANGE_SECONDS = 86400 / 640
 _REPLACED_SECONDS = 86400 / 404
 _IDLE_SECONDS = 20
@@ -24,7 +24,7 @@
     """Seconds from an accepted change to the last process."""
     for size in fleets.SIZES:
         net = fleets.make_fleet(size)
-        first = fleets.make_document(_FEW_MEMBERS, 1)
+        first = fleets.make_document(_FEW_TEAMS, 1)
         yield figures.at_most(
             f'config.spread.{size}',
             round(fleets.spread_change(net, first), 2),
@@ -32,7 +32,7 @@
             SPREAD_BOUND,
             note='simulated calls, store up',
         )
-        net.publish(fleets.make_document(_FEW_MEMBERS, 2))
+        net.publish(fleets.make_document(_FEW_TEAMS, 2))
         # The watchers have been told; the store is away from then on.
         net.run(0.006)
         net.store.up = False
@@ -61,13 +61,13 @@
     """Bytes a second that a process sends, by cause and in all."""
     for size in fleets.SIZES:
         net = fleets.make_fleet(size, fleets.size_message)
-        fleets.spread_change(net, fleets.make_document(_MEMBERS, 1))
+        fleets.spread_change(net, fleets.make_document(_TEAMS, 1))
         net.run(_IDLE_SECONDS)
         before = _count_bytes(net)
         net.run(_IDLE_SECONDS)
         idle = (_count_bytes(net) - before) / size / _IDLE_SECONDS
         before = _count_bytes(net)
-        fleets.spread_change(net, fleets.make_document(_MEMBERS, 2))
+        fleets.spread_change(net, fleets.make_document(_TEAMS, 2))
         net.run(_CHANGE_WINDOW)
         change = (_count_bytes(net) - before) / size
         before = _count_bytes(net)
--- a/packages/trials/src/dunlintide_trials/cases/fairness.py
+++ b/packages/trials/src/dunlintide_trials/cases/fairness.py
@@ -1,4 +1,4 @@
-"""What a member notices of another one that floods all entries.
+"""What a team notices of another one that floods all entries.
 
 Real processes: two stages, whose engines' modelled steps are the bound.
 """
@@ -101,18 +101,18 @@
         'models': [{'name': MODEL, 'layers': STAGES * LAYERS_EACH}],
         'rules': [
             {
-                'name': member,
-                'when': {'member': member},
+                'name': team,
+                'when': {'member': team},
                 'then': terms | {'weight': weight},
             }
-            for member, weight in weights.items()
+            for team, weight in weights.items()
         ],
     }
 
 
 @attrs.define
 class _Victim:
-    """Steady requests at the share of a member, over all entries.
+    """Steady requests at the share of a team, over all entries.
 
     :ivar share: tokens a second
     """
@@ -159,7 +159,7 @@
     :ivar first_token: 95th percentile in seconds; an answer without a
         token counts as the deadline
     :ivar served: complete answers, of those asked for
-    :ivar rate: tokens a second of all members
+    :ivar rate: tokens a second of all teams
     """
 
     first_token: float
@@ -258,7 +258,7 @@
 
 
 def measure_flood() -> Iterator[figures.Figure]:
-    """Measure a member beside another at 20 times its share."""
+    """Measure a team beside another at 20 times its share."""
     keys = [secrets.token_urlsafe(16) for _ in range(KEYS)]
     with _run('fair', keys) as running:
         capacity = _saturate(running, keys)
@@ -310,7 +310,7 @@
 
 
 def measure_kinds() -> Iterator[figures.Figure]:
-    """Measure a member beside floods that aim at other parts."""
+    """Measure a team beside floods that aim at other parts."""
     keys = [secrets.token_urlsafe(16) for _ in range(KEYS)]
     with _run('fair', keys) as running:
         share = VICTIM_PART * _saturate(running, keys)
--- a/packages/trials/src/dunlintide_trials/cases/fleet.py
+++ b/packages/trials/src/dunlintide_trials/cases/fleet.py
@@ -23,7 +23,7 @@
 STORE_CALLS_BOUND = 20.0
 _STORE_SECONDS = 30
 _CALLS = 500
-_MEMBERS = 5600
+_TEAMS = 5600
 
 
 def measure_store_calls() -> Iterator[figures.Figure]:
@@ -109,7 +109,7 @@
         replica = _make_replica(size)
         view = tracemalloc.get_traced_memory()[0]
         store = network.Store()
-        store.apply(fleets.make_document(_MEMBERS, 1))
+        store.apply(fleets.make_document(_TEAMS, 1))
         snapshot = store.snapshot
         replica.take_stored(snapshot.head, snapshot.document)
         tracemalloc.stop()
@@ -119,7 +119,7 @@
             view + replica.spread.held_bytes,
             'B',
             MEMORY_BOUND,
-            note='with the bytes of a configuration of 5,600 members',
+            note='with the bytes of a configuration of 5,600 teams',
         )
 
 
--- a/packages/trials/src/dunlintide_trials/cases/latency.py
+++ b/packages/trials/src/dunlintide_trials/cases/latency.py
@@ -48,7 +48,7 @@
 def _probe(
     running: deployment.Deployment, number: int, until: float
 ) -> _Pairs:
-    caller = running.make_caller(0, saturation.MEMBER)
+    caller = running.make_caller(0, saturation.TEAM)
     pairs = []
     while time.monotonic() < until:
         turn = number + PROBES * len(pairs)
--- a/packages/trials/src/dunlintide_trials/cases/limits.py
+++ b/packages/trials/src/dunlintide_trials/cases/limits.py
@@ -1,4 +1,4 @@
-"""Limits of a member over entries, against no and fixed coordination.
+"""Limits of a team over entries, against no and fixed coordination.
 
 Entries run in one process on a virtual clock; what they tell each other
 arrives late, and some of it never.
--- a/packages/trials/src/dunlintide_trials/cases/limits_bytes.py
+++ b/packages/trials/src/dunlintide_trials/cases/limits_bytes.py
@@ -1,4 +1,4 @@
-"""What a coordinator of members' limits sends and receives.
+"""What a coordinator of teams' limits sends and receives.
 
 All entries run in one process on a virtual clock, without loss or delay;
 the messages are encoded as on the wire. One entry coordinates one shard,
@@ -21,8 +21,8 @@
 GROUP = 'limits'
 SIZES = (50, 100, 200, 370)
 BYTES_BOUND = 5000.0
-# Members of one shard that each entry serves under a limit.
-MEMBERS = (0, 4)
+# Teams of one shard that each entry serves under a limit.
+TEAMS = (0, 4)
 # HTTP/2 and gRPC framing of one message on an open stream.
 FRAMING_BYTES = 14
 SHARD = 0
@@ -77,13 +77,13 @@
             self.take(self._nodes[0], [frame])
 
 
-def _list_members(count: int) -> list[str]:
-    names = (f'member-{number}' for number in range(1000))
+def _list_teams(count: int) -> list[str]:
+    names = (f'team-{number}' for number in range(1000))
     ours = [name for name in names if shares.find_shard((name, 'x')) == SHARD]
     return ours[:count]
 
 
-def _run(size: int, members: int) -> tuple[float, float]:
+def _run(size: int, teams: int) -> tuple[float, float]:
     """Return messages and bytes a second of the coordinator."""
     now, nodes, counts = 0.0, [], _Counts()
     entries = [
@@ -94,7 +94,7 @@
         )
         for _ in range(size)
     ]
-    names = _list_members(members)
+    names = _list_teams(teams)
     due = [(number / size, number) for number in range(size)]
     while due[0][0] < _WARM_SECONDS + _SECONDS:
         before, (now, number) = now, heapq.heappop(due)
@@ -109,10 +109,10 @@
 
 def measure_bytes() -> Iterator[figures.Figure]:
     """Messages and bytes a second of one shard's coordinator."""
-    for members in MEMBERS:
+    for teams in TEAMS:
         for size in SIZES:
-            messages, sent = _run(size, members)
-            name = f'limits.bytes.{members}_members.{size}'
+            messages, sent = _run(size, teams)
+            name = f'limits.bytes.{teams}_teams.{size}'
             yield figures.plain(
                 f'{name}.messages',
                 round(messages, 1),
@@ -124,7 +124,7 @@
                 round(sent, 1),
                 'B/s',
                 BYTES_BOUND,
-                note=f'in and out, {members} limited members at each entry,'
+                note=f'in and out, {teams} limited teams at each entry,'
                 f' {FRAMING_BYTES} B of framing a message',
             )
 
--- a/packages/trials/src/dunlintide_trials/cases/memory.py
+++ b/packages/trials/src/dunlintide_trials/cases/memory.py
@@ -19,10 +19,10 @@
 
 def _ask(running: deployment.Deployment) -> None:
     """Send some requests, so that what is loaded late is loaded."""
-    member = next(iter(running.keys))
+    team = next(iter(running.keys))
     for number in range(_REQUESTS):
         entry = number % len(running.plan.entries)
-        caller = running.make_caller(entry, member)
+        caller = running.make_caller(entry, team)
         caller.complete(
             f'blurb {number}', model=running.model, max_tokens=_MAX_TOKENS
         )
--- a/packages/trials/src/dunlintide_trials/cases/placement.py
+++ b/packages/trials/src/dunlintide_trials/cases/placement.py
@@ -28,12 +28,12 @@
 # All of it: noticing the loss, two witnesses, the order, the load, the new
 # plan and the request itself.
 BOUND_SECONDS = 10.0
-_MEMBER = 'diner'
+_TEAM = 'diner'
 _TOKENS = 4
 _WAIT_SECONDS = 60.0
 _TRIES = 3
 _RULES = {
-    'members': [{'name': _MEMBER, 'key_hashes': []}],
+    'members': [{'name': _TEAM, 'key_hashes': []}],
     'models': [{'name': MODEL, 'layers': LAYERS}],
     'rules': [{'name': 'all', 'when': {}, 'then': {'deadline_seconds': 5}}],
 }
@@ -94,7 +94,7 @@
 
 def _measure_once(running: deployment.Deployment) -> float | None:
     """Return the seconds, None when the spare was used before the loss."""
-    caller = running.make_caller(0, _MEMBER)
+    caller = running.make_caller(0, _TEAM)
 
     def is_served() -> bool:
         answer = caller.complete('specials', model=MODEL, max_tokens=_TOKENS)
--- a/packages/trials/src/dunlintide_trials/cases/recovery.py
+++ b/packages/trials/src/dunlintide_trials/cases/recovery.py
@@ -66,8 +66,8 @@
     :param key: idempotency key of the request
     :param again: key under which it is repeated at once
     """
-    member = next(iter(running.keys))
-    callers = [running.make_caller(entry, member) for entry in (0, 1)]
+    team = next(iter(running.keys))
+    callers = [running.make_caller(entry, team) for entry in (0, 1)]
 
     def ask(caller: client.Caller, key: str) -> client.Answer:
         return caller.complete(
@@ -89,7 +89,7 @@
         time.sleep(_REPEAT_SECONDS)
         answer = ask(callers[1], again)
     first.join()
-    asked = records.Asked(member, answer, PROMPT, TOKENS)
+    asked = records.Asked(team, answer, PROMPT, TOKENS)
     wrong = records.check_text(
         asked, model=running.model, layers=running.layers
     )
--- a/packages/trials/src/dunlintide_trials/cases/retries.py
+++ b/packages/trials/src/dunlintide_trials/cases/retries.py
@@ -64,10 +64,10 @@
     running: deployment.Deployment, count: int, label: str
 ) -> list[client.Answer]:
     entries = len(running.plan.entries)
-    members = list(running.keys)
+    teams = list(running.keys)
 
     def ask_some(number: int) -> list[client.Answer]:
-        caller = running.make_caller(number % entries, members[number])
+        caller = running.make_caller(number % entries, teams[number])
         answers = [
             caller.complete(
                 f'Specials {label} {number} {index}',
--- a/packages/trials/src/dunlintide_trials/client.py
+++ b/packages/trials/src/dunlintide_trials/client.py
@@ -131,7 +131,7 @@
 
 
 class Caller:
-    """Sends requests to one entry with one member's key."""
+    """Sends requests to one entry with one team's key."""
 
     def __init__(
         self, url: str, key: str, *, read_seconds: float = _READ_SECONDS
--- a/packages/trials/src/dunlintide_trials/deployment.py
+++ b/packages/trials/src/dunlintide_trials/deployment.py
@@ -30,7 +30,7 @@
     """A running deployment.
 
     :ivar folder: work folder with settings and logs
-    :ivar keys: bearer key of each member, by name
+    :ivar keys: bearer key of each team, by name
     :ivar rules: operators' configuration that was last applied
     :ivar relays: relays by their hop and the daemon that has it
     :ivar started: every process by name, in the order of starting
@@ -142,10 +142,10 @@
         else:
             process.wait_ready(lambda: process.find_ready_line() is not None)
 
-    def make_caller(self, entry: int, member: str) -> client.Caller:
-        """Build a caller for one entry and one member."""
+    def make_caller(self, entry: int, team: str) -> client.Caller:
+        """Build a caller for one entry and one team."""
         url = self.plan.find_url(self.plan.entries[entry])
-        return client.Caller(url, self.keys[member])
+        return client.Caller(url, self.keys[team])
 
     def wait_all_ready(self) -> None:
         """Wait until every daemon takes work and entries reach all agents.
--- a/packages/trials/src/dunlintide_trials/field.py
+++ b/packages/trials/src/dunlintide_trials/field.py
@@ -38,7 +38,7 @@
     """A deployment under faults, with what they found out.
 
     :ivar runs: records that would be lost with a killed endpoint
-    :ivar poison_member: member that sends what crashes engines
+    :ivar poison_team: team that sends what crashes engines
     :ivar watch: what revisions daemons show
     :ivar rng: used by the thread that applies faults only
     :ivar taken: names of processes and relays under a fault
@@ -55,7 +55,7 @@
     running: deployment.Deployment
     runs: records.Records
     rng: random.Random
-    poison_member: str
+    poison_team: str
     watch: watching.Watch
     taken: set[str] = attrs.field(factory=set)
     lock: threading.Lock = attrs.field(factory=threading.Lock)
--- a/packages/trials/src/dunlintide_trials/fleets.py
+++ b/packages/trials/src/dunlintide_trials/fleets.py
@@ -23,17 +23,17 @@
 _SETTLED_SECONDS = 5
 
 
-def make_document(members: int, version: int) -> bytes:
-    """Make a configuration; versions differ in one member's key.
+def make_document(teams: int, version: int) -> bytes:
+    """Make a configuration; versions differ in one team's key.
 
-    :param members: number of members, about 200 bytes each
+    :param teams: number of teams, about 200 bytes each
     """
     listed = [
         {
-            'name': f'member-{index:05d}',
-            'key_hashes': [f'{index:064x}', f'{index + members:064x}'],
+            'name': f'team-{index:05d}',
+            'key_hashes': [f'{index:064x}', f'{index + teams:064x}'],
         }
-        for index in range(members)
+        for index in range(teams)
     ]
     listed[0]['key_hashes'] = [f'{version:064x}']
     return msgspec.json.encode({'members': listed}, order='deterministic')
--- a/packages/trials/src/dunlintide_trials/floods.py
+++ b/packages/trials/src/dunlintide_trials/floods.py
@@ -31,7 +31,7 @@
     """What a flood sends.
 
     :ivar urls: entries, asked in turn
-    :ivar keys: bearer keys of one member, used in turn
+    :ivar keys: bearer keys of one team, used in turn
     :ivar connections: requests that may be open at once
     :ivar rate: requests a second, while a connection is free
     :ivar claims: whether each request has an idempotency key
--- a/packages/trials/src/dunlintide_trials/launcher.py
+++ b/packages/trials/src/dunlintide_trials/launcher.py
@@ -155,7 +155,7 @@
 ) -> Iterator[deployment.Deployment]:
     """Start a deployment and stop all of it at the end of the block.
 
-    Each member gets a new key, whose hash is put into the rules.
+    Each team gets a new key, whose hash is put into the rules.
 
     :param rules: operators' configuration
     :param folder: empty work folder
--- a/packages/trials/src/dunlintide_trials/layout.py
+++ b/packages/trials/src/dunlintide_trials/layout.py
@@ -402,9 +402,9 @@
     ]
 
 
-def make_keys(members: list[str]) -> dict[str, str]:
-    """Make a new bearer key for each member."""
-    return {name: secrets.token_urlsafe(16) for name in members}
+def make_keys(teams: list[str]) -> dict[str, str]:
+    """Make a new bearer key for each team."""
+    return {name: secrets.token_urlsafe(16) for name in teams}
 
 
 def _list_hosts(plan: Plan) -> list[dict[str, str]]:
--- a/packages/trials/src/dunlintide_trials/load.py
+++ b/packages/trials/src/dunlintide_trials/load.py
@@ -38,7 +38,7 @@
     :ivar body: what was sent, empty for an idempotent call
     """
 
-    member: str
+    team: str
     key: str
     body: bytes
     answers: tuple[client.Answer, ...]
@@ -46,7 +46,7 @@
     def check(self) -> list[str]:
         """List what is wrong with the answers, compared with each other.
 
-        The stand-in echoes the key and the member, so an answer that
+        The stand-in echoes the key and the team, so an answer that
         belongs to another call shows. Without a key of the caller, where
         the router may make one, it shows by the request's id.
         """
@@ -55,10 +55,10 @@
         for answer in whole:
             echo = json.loads(answer.body)
             found = (echo['member'], echo['idempotency_key'])
-            right = found == (self.member, self.key)
+            right = found == (self.team, self.key)
             if not self.key:
                 found = (echo['member'], echo['request_id'])
-                right = found == (self.member, answer.request_id)
+                right = found == (self.team, answer.request_id)
             if not right:
                 wrong.append(f'{answer.request_id}: answer of {found}')
         if self.key and len({one.body for one in whole}) > 1:
@@ -74,7 +74,7 @@
     :ivar name: unique in the run
     """
 
-    member: str
+    team: str
     callers: list[client.Caller]
     rng: random.Random
     name: str
@@ -120,12 +120,12 @@
     def __init__(
         self,
         running: deployment.Deployment,
-        members: list[str],
+        teams: list[str],
         seed: int,
         threads: int,
     ) -> None:
         """Prepare the threads; ``start`` begins."""
-        self._members = members
+        self._teams = teams
         self.completions: list[records.Asked] = []
         self.calls: list[ServiceCall] = []
         self._running = running
@@ -164,12 +164,12 @@
         first = number % len(entries)
         while not self._stopped.is_set():
             count += 1
-            member = rng.choice(self._members)
+            team = rng.choice(self._teams)
             callers = [
-                self._running.make_caller(entry, member)
+                self._running.make_caller(entry, team)
                 for entry in entries[first:] + entries[:first]
             ]
-            turn = _Turn(member, callers, rng, f'{number}-{count}')
+            turn = _Turn(team, callers, rng, f'{number}-{count}')
             send(turn)
             for caller in callers:
                 caller.close()
@@ -195,7 +195,7 @@
             max_tokens=max_tokens,
             stream=stream,
         )
-        asked = records.Asked(turn.member, answer, prompt, max_tokens)
+        asked = records.Asked(turn.team, answer, prompt, max_tokens)
         with self._lock:
             self.completions.append(asked)
 
@@ -216,7 +216,7 @@
             )
 
         asked = [
-            records.Asked(turn.member, answer, prompt, max_tokens, key)
+            records.Asked(turn.team, answer, prompt, max_tokens, key)
             for answer in _repeat(send, turn.callers, turn.rng)
         ]
         with self._lock:
@@ -237,7 +237,7 @@
             )
 
         answers = _repeat(send, turn.callers, turn.rng)
-        call = ServiceCall(turn.member, key, body, tuple(answers))
+        call = ServiceCall(turn.team, key, body, tuple(answers))
         with self._lock:
             self.calls.append(call)
 
@@ -249,14 +249,14 @@
             service.name, service.path, method='POST', body=body
         )
         with self._lock:
-            self.calls.append(ServiceCall(turn.member, '', body, (answer,)))
+            self.calls.append(ServiceCall(turn.team, '', body, (answer,)))
 
     def _read(self, turn: _Turn) -> None:
         service = self._running.plan.blueprint.services[-1]
         path = f'{service.path}/{turn.name}'
         answer = turn.callers[0].call_service(service.name, path)
         with self._lock:
-            self.calls.append(ServiceCall(turn.member, '', b'', (answer,)))
+            self.calls.append(ServiceCall(turn.team, '', b'', (answer,)))
 
     def count_keyed(self) -> tuple[int, int]:
         """Count the requests under a key, and their repeats."""
--- a/packages/trials/src/dunlintide_trials/operators.py
+++ b/packages/trials/src/dunlintide_trials/operators.py
@@ -87,9 +87,9 @@
 
 
 def fill_keys(rules: dict[str, Any], keys: dict[str, str]) -> dict[str, Any]:
-    """Return the configuration with the hash of each member's key added."""
+    """Return the configuration with the hash of each team's key added."""
     filled = copy.deepcopy(rules)
-    for member in filled['members']:
-        key = keys[member['name']]
-        member['key_hashes'].append(hash_key(key))
+    for team in filled['members']:
+        key = keys[team['name']]
+        team['key_hashes'].append(hash_key(key))
     return filled
--- a/packages/trials/src/dunlintide_trials/people.py
+++ b/packages/trials/src/dunlintide_trials/people.py
@@ -79,7 +79,7 @@
     def send() -> None:
         for sending in range(_SENDINGS):
             caller = field.running.make_caller(
-                sending % count, field.poison_member
+                sending % count, field.poison_team
             )
             answer = caller.complete(
                 prompt, model=field.running.model, max_tokens=_MAX_TOKENS
--- a/packages/trials/src/dunlintide_trials/prefixload.py
+++ b/packages/trials/src/dunlintide_trials/prefixload.py
@@ -30,7 +30,7 @@
 
 _RANGES = 3
 _CHARACTERS_PER_TOKEN = 4
-# Shares of a member's own start, of a turn, and of the answer.
+# Shares of a team's own start, of a turn, and of the answer.
 _SYSTEM_TOKENS = 512
 _TURN_TOKENS = 192
 _DECODED = 64
@@ -56,8 +56,8 @@
     :ivar replicas: engines of each of three layer ranges
     :ivar subset: replicas of a range that an entry has links to
     :ivar rate: new sessions a second, over all entries
-    :ivar members: each has a start that all of its prompts share
-    :ivar hot: share of the sessions that are of the one hottest member
+    :ivar teams: each has a start that all of its prompts share
+    :ivar hot: share of the sessions that are of the one hottest team
     :ivar lag: seconds before an event can be read
     :ivar loss: share of events that is lost
     :ivar news: prefixes that an agent tells in a second
@@ -71,7 +71,7 @@
     replicas: int = 4
     subset: int = 4
     rate: float = 2.5
-    members: int = 40
+    teams: int = 40
     hot: float = 0.2
     lag: float = 1.0
     loss: float = 0.1
@@ -130,7 +130,7 @@
 @attrs.define(eq=False)
 class _Turn:
     rng: random.Random
-    member: int
+    team: int
     session: str
     prompt: list[int]
     left: int
@@ -162,7 +162,7 @@
         # Apart from the choices, so that all ways get the same load.
         self.load = random.Random(shape.seed)
         self.starts = [
-            _draw(self.load, _SYSTEM_TOKENS) for _ in range(shape.members)
+            _draw(self.load, _SYSTEM_TOKENS) for _ in range(shape.teams)
         ]
 
     def _add_engine(self, layer: int, index: int) -> plans.Stop:
@@ -251,10 +251,10 @@
         shape = self.shape
         rng = random.Random(self.load.random())
         hot = rng.random() < shape.hot
-        member = 0 if hot else rng.randrange(1, shape.members)
+        team = 0 if hot else rng.randrange(1, shape.teams)
         name = f's{next(self._order)}'
-        prompt = self.starts[member] + _draw(rng, _TURN_TOKENS)
-        self._ask(_Turn(rng, member, name, prompt, _TURNS))
+        prompt = self.starts[team] + _draw(rng, _TURN_TOKENS)
+        self._ask(_Turn(rng, team, name, prompt, _TURNS))
         pause = rng.expovariate(shape.rate)
         self.at(self.now + pause, self._arrive)
 
@@ -263,7 +263,7 @@
         turn.entry = turn.rng.choice(self.entries)
         turn.session = f'{turn.session}.{turn.left}'
         text = ''.join(f'{word:04x}' for word in turn.prompt)
-        turn.blocks = affinity.hash_blocks(f'salt-{turn.member}', text)
+        turn.blocks = affinity.hash_blocks(f'salt-{turn.team}', text)
         entry = turn.entry
         holders = {}
         if self.shape.way != LOAD:
@@ -281,7 +281,7 @@
         count = len(turn.prompt)
         held = prefixes.Prefixes(turn.blocks, count * _CHARACTERS_PER_TOKEN)
         engine.view.begin(turn.session, held, count)
-        salt = f'salt-{turn.member}'
+        salt = f'salt-{turn.team}'
         rest = count - engine.cache.match(turn.session, salt, turn.prompt)
         self.asked += count
         self.prefilled += rest
--- a/packages/trials/src/dunlintide_trials/promises.py
+++ b/packages/trials/src/dunlintide_trials/promises.py
@@ -17,7 +17,7 @@
 
 def _list_calls(requests: load.Load) -> list[records.Asked]:
     return [
-        records.Asked(call.member, answer, key=call.key)
+        records.Asked(call.team, answer, key=call.key)
         for call in requests.calls
         for answer in call.answers
     ]
@@ -41,9 +41,9 @@
         )
     calls = _list_calls(requests)
     wrong += runs.check_refusals([*requests.completions, *calls])
-    wrong += runs.check_members([*requests.completions, *calls])
+    wrong += runs.check_teams([*requests.completions, *calls])
     keyed = [call for call in requests.calls if call.key]
-    wrong += runs.check_once((call.member, call.key) for call in keyed)
+    wrong += runs.check_once((call.team, call.key) for call in keyed)
     wrong += runs.check_single(
         answer.request_id
         for call in requests.calls
@@ -51,12 +51,12 @@
         for answer in call.answers
     )
     keyed = [one for one in requests.completions if one.key]
-    wrong += runs.check_heads((one.member, one.key) for one in keyed)
+    wrong += runs.check_heads((one.team, one.key) for one in keyed)
     counts = runs.count_by_key()
     for call in requests.calls:
         wrong += call.check()
         whole = any(answer.is_complete for answer in call.answers)
-        if call.key and whole and not counts.get((call.member, call.key)):
+        if call.key and whole and not counts.get((call.team, call.key)):
             wrong.append(f'key {call.key}: complete, but never ran')
     return wrong
 
@@ -92,10 +92,10 @@
 
 def check_recovered(running: deployment.Deployment) -> list[str]:
     """Check that every entry completes a request again."""
-    member = next(iter(running.keys))
+    team = next(iter(running.keys))
     wrong = []
     for number, entry in enumerate(running.plan.entries):
-        caller = running.make_caller(number, member)
+        caller = running.make_caller(number, team)
 
         def completes() -> bool:
             answer = caller.complete(
--- a/packages/trials/src/dunlintide_trials/records.py
+++ b/packages/trials/src/dunlintide_trials/records.py
@@ -25,7 +25,7 @@
     :ivar key: idempotency key, empty without one
     """
 
-    member: str
+    team: str
     answer: client.Answer
     prompt: str = ''
     max_tokens: int = 0
@@ -81,7 +81,7 @@
         return [run for run in self._list() if run['request_id'] == request_id]
 
     def count_by_key(self) -> dict[tuple[str, str], int]:
-        """Count the runs of each member and idempotency key."""
+        """Count the runs of each team and idempotency key."""
         return collections.Counter(
             (run['member'], run['idempotency_key'])
             for run in self._list()
@@ -102,13 +102,13 @@
     def check_once(self, keys: Iterable[tuple[str, str]]) -> list[str]:
         """List the keys of non-idempotent calls that ran twice.
 
-        :param keys: member and idempotency key of each service call
+        :param keys: team and idempotency key of each service call
         """
         counts = self.count_by_key()
         return [
-            f'{member}, key {key}: ran {counts[member, key]} times'
-            for member, key in sorted(set(keys))
-            if counts.get((member, key), 0) > 1
+            f'{team}, key {key}: ran {counts[team, key]} times'
+            for team, key in sorted(set(keys))
+            if counts.get((team, key), 0) > 1
         ]
 
     def check_single(self, request_ids: Iterable[str]) -> list[str]:
@@ -128,7 +128,7 @@
 
         The first layers of one may run in one life of one endpoint, for
         one request, and only once in each epoch.
-        :param keys: member and idempotency key of each completion
+        :param keys: team and idempotency key of each completion
         """
         begun = collections.defaultdict(list)
         for life, runs in self._runs.items():
@@ -137,19 +137,19 @@
                     key = (run['member'], run['idempotency_key'])
                     begun[key].append((life, run['request_id'], run['epoch']))
         wrong = []
-        for member, key in sorted(set(keys)):
-            found = begun.get((member, key), [])
+        for team, key in sorted(set(keys)):
+            found = begun.get((team, key), [])
             lineages = {(life, request) for life, request, _ in found}
             if len(lineages) > 1 or len(set(found)) < len(found):
-                wrong.append(f'{member}, key {key}: began as {found}')
+                wrong.append(f'{team}, key {key}: began as {found}')
         return wrong
 
-    def check_members(self, asked: Iterable[Asked]) -> list[str]:
-        """List the requests that ran in another member's name."""
-        members = {one.answer.request_id: one.member for one in asked}
+    def check_teams(self, asked: Iterable[Asked]) -> list[str]:
+        """List the requests that ran in another team's name."""
+        teams = {one.answer.request_id: one.team for one in asked}
         return [
             f'{run["request_id"]}: ran as {run["member"]}, was sent by '
-            f'{members[run["request_id"]]}'
+            f'{teams[run["request_id"]]}'
             for run in self._list()
-            if members.get(run['request_id'], run['member']) != run['member']
+            if teams.get(run['request_id'], run['member']) != run['member']
         ]
--- a/packages/trials/src/dunlintide_trials/saturation.py
+++ b/packages/trials/src/dunlintide_trials/saturation.py
@@ -25,7 +25,7 @@
 __all__ = [
     'FAST',
     'MEAN_TOKENS',
-    'MEMBER',
+    'TEAM',
     'MODEL',
     'Streams',
     'find_bound',
@@ -49,7 +49,7 @@
 LAYERS_EACH = 8
 LAYERS = LAYERS_EACH * len(RANGES)
 MODEL = 'bench'
-MEMBER = 'bench'
+TEAM = 'bench'
 TOKENS = (16, 96)
 MEAN_TOKENS = sum(TOKENS) / 2
 # A slow chain takes a minute for its last answers; they are given up.
@@ -91,7 +91,7 @@
 
 
 _RULES = {
-    'members': [{'name': MEMBER, 'key_hashes': []}],
+    'members': [{'name': TEAM, 'key_hashes': []}],
     'models': [{'name': MODEL, 'layers': LAYERS}],
     'rules': [{'name': 'all', 'when': {}, 'then': {'deadline_seconds': 120}}],
 }
@@ -188,7 +188,7 @@
 
     def _make_caller(self, number: int) -> client.Caller:
         entry = self.entries[number % len(self.entries)]
-        return self.running.make_caller(entry, MEMBER)
+        return self.running.make_caller(entry, TEAM)
 
     def _arrive(self) -> None:
         rng = random.Random(0)
--- a/packages/trials/src/dunlintide_trials/scenes.py
+++ b/packages/trials/src/dunlintide_trials/scenes.py
@@ -72,9 +72,9 @@
     return ', '.join(f'{name} ({domains[name]})' for name in names)
 
 
-def _stream(running: deployment.Deployment, member: str) -> Wrong:
+def _stream(running: deployment.Deployment, team: str) -> Wrong:
     """Stream the specials blurb."""
-    caller = running.make_caller(0, member)
+    caller = running.make_caller(0, team)
     answer = caller.complete(
         SPECIALS, model=running.model, max_tokens=STREAM_TOKENS, stream=True
     )
@@ -83,32 +83,32 @@
         first = (answer.times[0] - answer.started) * 1000
         _say(f'   {len(answer.texts)} tokens, the first after {first:.0f} ms')
     _say(f'   ran at {_name_domains(running, answer.request_id)}')
-    asked = records.Asked(member, answer, SPECIALS, STREAM_TOKENS)
+    asked = records.Asked(team, answer, SPECIALS, STREAM_TOKENS)
     wrong = _check_text(running, asked)
     # The last token ends the answer and is not run itself.
     positions = len(reference.tokenize(SPECIALS)) + STREAM_TOKENS - 1
     return wrong + _check_layers(running, answer.request_id, positions)
 
 
-def _complete(running: deployment.Deployment, member: str) -> Wrong:
+def _complete(running: deployment.Deployment, team: str) -> Wrong:
     """Ask for a completion without streaming, at another entry."""
-    caller = running.make_caller(1, member)
+    caller = running.make_caller(1, team)
     answer = caller.complete(
         BLURB, model=running.model, max_tokens=STREAM_TOKENS
     )
     seconds = answer.ended - answer.started
     _say(f'   {answer.text[:60].strip()} ...')
     _say(f'   whole after {seconds * 1000:.0f} ms')
-    asked = records.Asked(member, answer, BLURB, STREAM_TOKENS)
+    asked = records.Asked(team, answer, BLURB, STREAM_TOKENS)
     return _check_text(running, asked)
 
 
-def _order(running: deployment.Deployment, member: str) -> Wrong:
+def _order(running: deployment.Deployment, team: str) -> Wrong:
     """Send a non-idempotent call, and the same again elsewhere."""
     service = running.plan.blueprint.services[0]
     key = f'demo-{time.time_ns()}'
     answers = [
-        running.make_caller(entry, member).call_service(
+        running.make_caller(entry, team).call_service(
             service.name,
             service.path,
             method='POST',
@@ -132,17 +132,17 @@
     return wrong + _expect(len(runs) == 1, f'{len(runs)} runs')
 
 
-def _edit(running: deployment.Deployment, member: str) -> Wrong:
-    """Refuse a model to a member by a new first rule."""
+def _edit(running: deployment.Deployment, team: str) -> Wrong:
+    """Refuse a model to a team by a new first rule."""
     edited: dict[str, Any] = copy.deepcopy(running.rules)
     rule = {
         'name': 'demo-pause',
-        'when': {'member': member, 'model': running.model},
+        'when': {'member': team, 'model': running.model},
         'then': {'action': 'refuse', 'reason': 'paused by the operators'},
     }
     edited['rules'].insert(0, rule)
     callers = [
-        running.make_caller(entry, member)
+        running.make_caller(entry, team)
         for entry in range(len(running.plan.entries))
     ]
     running.apply_rules(edited).check()
@@ -197,8 +197,8 @@
         return self.answer or client.Answer()
 
 
-def _find_busy(running: deployment.Deployment, member: str) -> str | None:
-    """Find an engine that works for a member, by its load."""
+def _find_busy(running: deployment.Deployment, team: str) -> str | None:
+    """Find an engine that works for a team, by its load."""
     for agent in running.plan.agents:
         standin = agent.endpoint.standin
         if agent.endpoint.kind == deployment.ENGINE:
@@ -208,13 +208,13 @@
     return None
 
 
-def _drain(running: deployment.Deployment, member: str) -> Wrong:
+def _drain(running: deployment.Deployment, team: str) -> Wrong:
     """Drain an endpoint in the midst of a stream."""
-    stream = _Background(running.make_caller(0, member), running.model)
+    stream = _Background(running.make_caller(0, team), running.model)
     found: list[str] = []
 
     def look() -> bool:
-        name = _find_busy(running, member)
+        name = _find_busy(running, team)
         found.extend([name] if name else [])
         return bool(found)
 
@@ -225,20 +225,20 @@
     _say(f'   draining {plan.name} ({plan.failure_domain})')
     answer = stream.wait()
     _say(f'   the stream: {answer.outcome}, {len(answer.texts)} tokens')
-    asked = records.Asked(member, answer, SPECIALS, LONG_TOKENS)
+    asked = records.Asked(team, answer, SPECIALS, LONG_TOKENS)
     wrong = _check_text(running, asked)
     process = running.started[plan.name]
     process.wait()
     _say(f'   the agent ended with {process.exit_code}')
     wrong += _expect(process.exit_code == 0, f'exit {process.exit_code}')
-    return wrong + _check_drained(running, member, plan.endpoint.standin.url)
+    return wrong + _check_drained(running, team, plan.endpoint.standin.url)
 
 
 def _check_drained(
-    running: deployment.Deployment, member: str, url: str
+    running: deployment.Deployment, team: str, url: str
 ) -> Wrong:
     before = {run['request_id'] for run in running.get_json(f'{url}/runs')}
-    caller = running.make_caller(1, member)
+    caller = running.make_caller(1, team)
     answers = [
         caller.complete(f'{BLURB} {number}', model=running.model, max_tokens=2)
         for number in range(_PROBES)
@@ -261,12 +261,12 @@
 
 def play(running: deployment.Deployment) -> Wrong:
     """Run all steps and return what was wrong."""
-    members = list(running.keys)
+    teams = list(running.keys)
     wrong: Wrong = []
     for number, (title, scene) in enumerate(_SCENES, 1):
-        member = members[number % len(members)]
-        _say(f'\n{number}. {title} (member {member})')
-        found = scene(running, member)
+        team = teams[number % len(teams)]
+        _say(f'\n{number}. {title} (team {team})')
+        found = scene(running, team)
         for problem in found:
             _say(f'   WRONG: {problem}')
         wrong += found
--- a/packages/trials/src/dunlintide_trials/soak.py
+++ b/packages/trials/src/dunlintide_trials/soak.py
@@ -226,12 +226,12 @@
 ) -> list[str]:
     """Put load and faults on a deployment; return broken promises."""
     runs = records.Records()
-    *members, poison_member = running.keys
+    *teams, poison_team = running.keys
     watch = watching.Watch(running)
     rng = random.Random(seed)
-    field = fields.Field(running, runs, rng, poison_member, watch)
+    field = fields.Field(running, runs, rng, poison_team, watch)
     driver = Driver(field)
-    requests = load.Load(running, members, seed, THREADS)
+    requests = load.Load(running, teams, seed, THREADS)
     requests.start()
     try:
         driver.run(seconds)
--- a/packages/trials/src/dunlintide_trials/stagelosses.py
+++ b/packages/trials/src/dunlintide_trials/stagelosses.py
@@ -94,7 +94,7 @@
     )
     rules = operators.load_rules(_EXAMPLE.parent / blueprint.rules)
     for rule in rules['rules']:
-        # A new entry has but a small share of a member's limit.
+        # A new entry has but a small share of a team's limit.
         rule['then'].pop('concurrency', None)
     with tempfile.TemporaryDirectory(prefix='dunlintide-') as folder:
         path = pathlib.Path(folder)
@@ -198,7 +198,7 @@
     :param name: begins each prompt, so it must be new
     :param words: tokens of each prompt
     """
-    members = list(running.keys)
+    teams = list(running.keys)
     stage = running.plan.blueprint.pipelines[0].stages[1]
     agents = [
         agent
@@ -212,7 +212,7 @@
         waiting = [
             pool.submit(
                 running.make_caller(
-                    number % ENTRIES, members[number % len(members)]
+                    number % ENTRIES, teams[number % len(teams)]
                 ).complete,
                 prompt,
                 model=running.model,
--- a/packages/trials/src/dunlintide_trials/steady.py
+++ b/packages/trials/src/dunlintide_trials/steady.py
@@ -57,14 +57,14 @@
         self._max_tokens = max_tokens
         self._model = running.model
         self._stopped = threading.Event()
-        members = list(running.keys)
+        teams = list(running.keys)
         self._threads = [
             threading.Thread(
                 target=self._run,
                 args=(
                     running.make_caller(
                         entries[number % len(entries)],
-                        members[number % len(members)],
+                        teams[number % len(teams)],
                     ),
                 ),
                 daemon=True,
--- a/packages/trials/src/dunlintide_trials/streams.py
+++ b/packages/trials/src/dunlintide_trials/streams.py
@@ -153,20 +153,20 @@
 
 
 def _make_key(number: int) -> str:
-    # A stream each, as one member may not take all of an entry's threads.
+    # A stream each, as one team may not take all of an entry's threads.
     return f'bench-{number}'
 
 
-def _make_member(number: int) -> configuration.Member:
+def _make_team(number: int) -> configuration.Team:
     key = _make_key(number)
     digest = hashlib.sha256(key.encode()).hexdigest()
-    return configuration.Member(key, (digest,))
+    return configuration.Team(key, (digest,))
 
 
 @contextlib.contextmanager
 def _serve_entry(addresses: list[str]) -> Iterator[int]:
     config = configuration.Configuration(
-        members=tuple(map(_make_member, range(THREADS))),
+        teams=tuple(map(_make_team, range(THREADS))),
         models=(configuration.Model(_MODEL, _LAYERS),),
         rules=(
             configuration.Rule(
