Hold two copies of the model, and as many first engines as streams need

And 1.3 copies left no whole chain after most losses. Change: copies up to two, as long as a third of the memory is kept for requests; engines with the first layer by that memory, and one more.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -1,6 +1,29 @@
 Feature: Places for streams when load is at its worst
   Replays of load on decisions alone, with cards of a real deployment.
 
+  Scenario Outline: Memory bounds what a failure domain serves, not its first endpoints
+    Given a failure domain with <cards>
+    When usual streams arrive in it until one finds no chain
+    Then it serves at least 0.7 of what its memory holds
+
+    Examples:
+      | cards                     |
+      | 3 a100, 6 v100 and 7 l4   |
+      | 1 a100, 9 v100 and 10 l4  |
+      | 1 a100, 14 v100 and 5 l4  |
+      | 0 a100, 12 v100 and 4 l4  |
+
+  Scenario: The loss of a first endpoint leaves places for new streams
+    Given a failure domain with 1 a100, 14 v100 and 5 l4
+    When any one of its first endpoints is lost
+    Then at least 0.6 of its places for new streams are left
+
+  Scenario: Copies are made of memory that requests don't need
+    Given a failure domain with 3 a100, 6 v100 and 7 l4
+    Then its cards hold 2 copies of the model
+    Given a failure domain with 0 a100, 12 v100 and 4 l4
+    Then a quarter of its memory or more is kept for requests
+
   Scenario: No chain crosses a pipe while one domain has a whole chain
     Given slow cards of "a" that hold all layers and fast ones of "b" that hold half
     When 20 usual streams arrive in "a" or "b"
--- a/packages/core/src/dunlintide_core/pipeline/layout.py
+++ b/packages/core/src/dunlintide_core/pipeline/layout.py
@@ -6,6 +6,7 @@
 of each card is room for requests.
 """
 
+import math
 from typing import Callable, Container, Iterable, Mapping, Sequence
 
 import attrs
@@ -23,14 +24,14 @@
 
 _BYTES_PER_MB = 1e6
 
-# Copies of the model that a failure domain holds at least, where its cards
-# can: one is whole without any small card, and what is left of the memory
-# carries requests. Measured on unequal cards, see docs/MEASUREMENTS.md.
-COPIES = 1.3
-# Engines of a failure domain that hold the first layer, if it has any to
-# spare: an engine bounds the requests that come to it as the first of
-# their chain, so with one of them it bounds the whole domain.
-HEADS = 2
+# Copies of the model that a failure domain holds where its cards can: with
+# two, the loss of any engine leaves a whole chain in the domain. Measured on
+# unequal cards, see docs/MEASUREMENTS.md.
+COPIES = 2.0
+# Part of a failure domain's memory that is kept for requests, though it then
+# holds fewer copies: below it, memory refuses requests on calm days.
+# Measured, see docs/MEASUREMENTS.md.
+REQUEST_PART = 0.34
 # Moves at a time in a failure domain: each takes its engine out for the time
 # of a load, and loads slow each other down.
 MAX_MOVES = 2
@@ -38,8 +39,9 @@
 # all cards of a domain, since a request takes as many at each part of its
 # chain. Beyond the most, slots and time bind sooner than memory.
 ROOMS = range(200_000, 10_000, -10_000)
-# Room where a domain's cards can't hold the copies wanted with any.
-LEAST_ROOM = 30_000
+# Copies that a domain holds before any part is kept for requests: less than
+# a whole one leaves no chain within the domain.
+LEAST_COPIES = 1.05
 
 
 @attrs.frozen
@@ -70,12 +72,31 @@
 
     :param kinds: kind of each card in the domain
     """
-    wanted = COPIES * profile.layers
+    cards = [profile.accelerators.get(kind) for kind in kinds]
+    memory_mb = sum(card.memory_mb for card in cards if card is not None)
+    most = (1.0 - REQUEST_PART) * memory_mb / profile.layer_mb
+    wanted = min(COPIES * profile.layers, most)
+    wanted = max(wanted, LEAST_COPIES * profile.layers)
     for room in ROOMS:
         held = sum(count_layers(profile, kind, room) for kind in kinds)
         if held >= wanted:
             return room
-    return LEAST_ROOM
+    return ROOMS[-1]
+
+
+def count_heads(profile: profiles.EngineProfile, room: int) -> int:
+    """Tell how many engines of a failure domain are to hold layer 0.
+
+    Answers this load: streams of a domain outnumber the places of its first
+    endpoints while its memory is half empty, and all beyond are refused. So
+    there are as many places as memory for the usual request, and one engine
+    more, to lose.
+
+    :param room: tokens for which each of the domain's layers keeps memory
+    """
+    usual = max(1, profile.usual_prompt + profile.usual_answer)
+    requests = COPIES * room / usual
+    return 1 + math.ceil(requests / max(1, profile.slots))
 
 
 def _rate(profile: profiles.EngineProfile, kind: str, held: int) -> float:
@@ -93,7 +114,7 @@
     local: Sequence[float],
     everywhere: Sequence[float],
     held: int,
-    heads: int,
+    heads_missing: bool,
 ) -> int:
     """Find the window whose least covered layers gain most.
 
@@ -101,14 +122,15 @@
     part of chains, then those with the least capacity; of equal ones the
     lowest, so that ranges join.
 
-    :param heads: engines of the domain that hold the first layer
+    :param heads_missing: whether too few engines of the domain hold the
+        first layer
     """
 
     def weigh(start: int) -> tuple[int, int, bool, float]:
         window = range(start, start + held)
         bare = sum(1 for layer in window if not everywhere[layer])
         missing = sum(1 for layer in window if not local[layer])
-        tail = start > 0 or heads >= HEADS
+        tail = start > 0 or not heads_missing
         capacity = sum(local[layer] for layer in window)
         return (-bare, -missing, tail, capacity)
 
@@ -146,8 +168,9 @@
         if not held:
             continue
         cover = local.setdefault(engine.domain, [0.0] * profile.layers)
-        heads = starts.count(engine.domain)
-        start = _choose_start(cover, everywhere, held, heads)
+        heads = count_heads(profile, rooms[engine.domain])
+        missing = starts.count(engine.domain) < heads
+        start = _choose_start(cover, everywhere, held, missing)
         if start == 0:
             starts.append(engine.domain)
         rate = _rate(profile, engine.kind, held)
