Try on for a stream under way as long as its caller stays

Cause: a stream that lost its chain midway was cut after 1.5 s without another, while its caller stays two seconds or more. Ruled out: a wait up to the deadline; nobody listens any more. Change: it waits until its caller has left, by the platform's figures, and half a second more. How long streams wait is decided in core/pipeline/waits.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -37,3 +37,11 @@
     Then the run accuses nobody
     When other streams moved through 11 of them at 10.1
     Then the run accuses the one without progress
+
+  Scenario: A stream under way is not cut while its caller waits
+    Given a stream with a target of 0.5 s and pauses of 0.25 s
+    When it loses its chain at 10.0
+    Then it waits for another one beyond 12.0, when its caller leaves
+    Given a stream with a target of 0.5 s and pauses of 0.4 s
+    When it loses its chain at 10.0
+    Then it waits for another one beyond 13.2, when its caller leaves
--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -7,6 +7,7 @@
 from dunlintide_core.pipeline import occupancy
 from dunlintide_core.pipeline import profiles
 from dunlintide_core.pipeline import soundness
+from dunlintide_core.pipeline import waits
 
 LAYERS = 80
 CARDS = {
@@ -224,3 +225,23 @@
 def check_last(context):
     found = context.belief.find_suspects(context.names, context.since)
     assert found == context.names[-1:], found
+
+
+@behave.given(
+    'a stream with a target of {target:f} s and pauses of {pause:f} s'
+)
+def make_stream(context, target, pause):
+    context.target = target
+    context.pause = pause
+
+
+@behave.when('it loses its chain at {now:f}')
+def lose_chain(context, now):
+    context.place = waits.choose_place(
+        now - 3.0, now, context.target, context.pause, True, False
+    )
+
+
+@behave.then('it waits for another one beyond {end:f}, when its caller leaves')
+def check_wait(context, end):
+    assert context.place.expires > end, context.place
--- a/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
-from dunlintide_core.pipeline import backlog
+import attrs
+
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_core.pipeline import waits
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
 
@@ -19,16 +21,6 @@
 
 # Target for the first event and pause where the rule has none, in seconds.
 USUAL_TARGET = 0.5
-# Part of the target within which a stream must have found its chain to be
-# on time: reading its prompt takes the rest.
-ON_TIME_PART = 0.6
-# How long a stream waits that was refused before, in seconds: it can't be
-# on time any more, and its caller does not ask a third time. Callers leave
-# after two seconds without an event, and the prompt is still to be read.
-RETURNED_SECONDS = 1.2
-# How long a stream waits that lost its chain midway, from its last event
-# in seconds: callers leave after two.
-UNDER_WAY_SECONDS = 1.5
 # Part of an engine's memory that is given out: other entries' use is known
 # a little late, and engines keep memory in blocks.
 ROOM_PART = 0.9
@@ -111,7 +103,8 @@
         state = self._state
         exchange = stream.exchange
         queue = state.get_backlog(exchange.service)
-        standing, expires = self._rank(exchange)
+        place = self._choose_place(exchange)
+        standing, expires = place.standing, place.expires
         if not queue.count_ahead(exchange.priority, standing):
             hops = self.choose(stream)
             if hops is not None:
@@ -137,19 +130,16 @@
             timer.cancel()
             queue.remove(waiter)
 
-    def _rank(
-        self, exchange: exchange_module.Exchange
-    ) -> tuple[backlog.Standing, float]:
-        """Tell what is at stake for a stream and how long it waits."""
-        arrived = exchange.request.arrived
-        target = exchange.terms.target_seconds or USUAL_TARGET
-        if exchange.runs:
-            standing = backlog.Standing.UNDER_WAY
-            expires = self._state.now + UNDER_WAY_SECONDS
-        elif exchange.returned:
-            standing = backlog.Standing.RETURNED
-            expires = arrived + RETURNED_SECONDS
-        else:
-            standing = backlog.Standing.ON_TIME
-            expires = arrived + target * ON_TIME_PART
-        return standing, min(expires, exchange.deadline)
+    def _choose_place(self, exchange: exchange_module.Exchange) -> waits.Place:
+        """Tell where a stream waits, at most until its deadline."""
+        terms = exchange.terms
+        place = waits.choose_place(
+            exchange.request.arrived,
+            self._state.now,
+            terms.target_seconds or USUAL_TARGET,
+            terms.gap_seconds or 0.0,
+            exchange.runs > 0,
+            exchange.returned,
+        )
+        expires = min(place.expires, exchange.deadline)
+        return attrs.evolve(place, expires=expires)
