Keep a third of a domain's memory for requests, two copies at most

Cause: the choice of room went down in steps of 10,000 tokens until the copies fitted, so on small domains it left 27 in 100 of the memory for requests instead of 34, and domains that can't hold two copies kept too little. Change: the least room that keeps a third for requests, then as much as leaves two copies; 1.3 copies in any case. First engines follow the copies held.

--- a/packages/core/src/dunlintide_core/pipeline/layout.py
+++ b/packages/core/src/dunlintide_core/pipeline/layout.py
@@ -35,13 +35,13 @@
 # Moves at a time in a failure domain: each takes its engine out for the time
 # of a load, and loads slow each other down.
 MAX_MOVES = 2
-# Tokens for which a card may keep room, from most to least. The same for
+# Tokens for which a card may keep room, from least to most. The same for
 # all cards of a domain, since a request takes as many at each part of its
 # chain. Beyond the most, slots and time bind sooner than memory.
-ROOMS = range(200_000, 10_000, -10_000)
-# Copies that a domain holds before any part is kept for requests: less than
-# a whole one leaves no chain within the domain.
-LEAST_COPIES = 1.05
+ROOMS = range(20_000, 200_001, 5_000)
+# Copies that a domain holds before that part is kept for requests: one is
+# whole without any small card.
+LEAST_COPIES = 1.3
 
 
 @attrs.frozen
@@ -67,24 +67,39 @@
     return max(1, min(wanted, most, profile.layers)) if most else 0
 
 
+def _sum_layers(
+    profile: profiles.EngineProfile, kinds: Iterable[str], room: int
+) -> int:
+    return sum(count_layers(profile, kind, room) for kind in kinds)
+
+
 def choose_room(profile: profiles.EngineProfile, kinds: Sequence[str]) -> int:
     """Choose the room that a failure domain's cards keep, in tokens.
 
+    It is the most that still leaves two copies of the model, and where the
+    cards hold fewer, the least that keeps the part for requests, as long as
+    one copy is whole.
+
     :param kinds: kind of each card in the domain
     """
     cards = [profile.accelerators.get(kind) for kind in kinds]
     memory_mb = sum(card.memory_mb for card in cards if card is not None)
     most = (1.0 - REQUEST_PART) * memory_mb / profile.layer_mb
-    wanted = min(COPIES * profile.layers, most)
-    wanted = max(wanted, LEAST_COPIES * profile.layers)
-    for room in ROOMS:
-        held = sum(count_layers(profile, kind, room) for kind in kinds)
-        if held >= wanted:
-            return room
-    return ROOMS[-1]
+    chosen = ROOMS[0]
+    held = _sum_layers(profile, kinds, chosen)
+    for room in ROOMS[1:]:
+        left = _sum_layers(profile, kinds, room)
+        if left < LEAST_COPIES * profile.layers:
+            break
+        if held <= most and left < COPIES * profile.layers:
+            break
+        chosen, held = room, left
+    return chosen
 
 
-def count_heads(profile: profiles.EngineProfile, room: int) -> int:
+def count_heads(
+    profile: profiles.EngineProfile, kinds: Sequence[str], room: int
+) -> int:
     """Tell how many engines of a failure domain are to hold layer 0.
 
     Answers this load: streams of a domain outnumber the places of its first
@@ -92,10 +107,12 @@
     there are as many places as memory for the usual request, and one engine
     more, to lose.
 
-    :param room: tokens for which each of the domain's layers keeps memory
+    :param kinds: kind of each card in the domain
+    :param room: tokens for which each of its layers keeps memory
     """
     usual = max(1, profile.usual_prompt + profile.usual_answer)
-    requests = COPIES * room / usual
+    copies = _sum_layers(profile, kinds, room) / profile.layers
+    requests = copies * room / usual
     return 1 + math.ceil(requests / max(1, profile.slots))
 
 
@@ -160,16 +177,16 @@
         _add(everywhere, each.start, each.end, rate)
         _add(cover, each.start, each.end, rate)
     empty = sorted(empty, key=_make_order(profile))
-    rooms = _choose_rooms(profile, [each.endpoint for each in holding], empty)
+    plans = _plan_domains(profile, [each.endpoint for each in holding], empty)
     starts = [each.endpoint.domain for each in holding if each.start == 0]
     placements = []
     for engine in empty:
-        held = count_layers(profile, engine.kind, rooms[engine.domain])
+        plan = plans[engine.domain]
+        held = count_layers(profile, engine.kind, plan.room)
         if not held:
             continue
         cover = local.setdefault(engine.domain, [0.0] * profile.layers)
-        heads = count_heads(profile, rooms[engine.domain])
-        missing = starts.count(engine.domain) < heads
+        missing = starts.count(engine.domain) < plan.heads
         start = _choose_start(cover, everywhere, held, missing)
         if start == 0:
             starts.append(engine.domain)
@@ -200,11 +217,12 @@
     """
     holding = list(holding)
     domains = {each.endpoint.domain for each in holding}
-    rooms = _choose_rooms(profile, [each.endpoint for each in holding])
+    plans = _plan_domains(profile, [each.endpoint for each in holding])
     moves = []
     for domain in sorted(domains):
         held = [each for each in holding if each.endpoint.domain == domain]
-        moves += _fill_gaps(profile, held, movable, count_use, rooms[domain])
+        room = plans[domain].room
+        moves += _fill_gaps(profile, held, movable, count_use, room)
     return moves
 
 
@@ -249,16 +267,35 @@
     return moves
 
 
-def _choose_rooms(
+@attrs.frozen
+class _DomainPlan:
+    """What holds for all cards of a failure domain.
+
+    :ivar room: tokens for which each layer keeps memory
+    :ivar heads: engines that are to hold the first layer
+    """
+
+    room: int
+    heads: int
+
+
+def _plan_domain(
+    profile: profiles.EngineProfile, kinds: Sequence[str]
+) -> _DomainPlan:
+    room = choose_room(profile, kinds)
+    return _DomainPlan(room, count_heads(profile, kinds, room))
+
+
+def _plan_domains(
     profile: profiles.EngineProfile,
     *groups: Iterable[endpoints_module.Endpoint],
-) -> dict[str, int]:
+) -> dict[str, _DomainPlan]:
     kinds: dict[str, list[str]] = {}
     for group in groups:
         for engine in group:
             kinds.setdefault(engine.domain, []).append(engine.kind)
     return {
-        domain: choose_room(profile, found) for domain, found in kinds.items()
+        domain: _plan_domain(profile, found) for domain, found in kinds.items()
     }
 
 
