Let the drain time set how long watches wait and how they batch

Cause: waits of 1.6 s and pauses of 0.25 s were made for a drain time of 2 s, and the setting for it decided nothing. Change: watches wait 0.8 of the drain time and pause 0.2 of it after news. Ruled out: one watcher a failure domain; news by gossip would then be the only way for the rest in an outage of the watcher.

--- /dev/null
+++ b/features/steps/follower.py
@@ -0,0 +1,81 @@
+"""Steps about the follower of the platform's store."""
+
+import asyncio
+import time
+
+import behave
+from dunlintide_adapters import decisionlog
+from dunlintide_core.pipeline import settings
+from dunlintide_daemon.gateway import counters
+from dunlintide_daemon.gateway import follower
+from dunlintide_daemon.gateway import state
+from dunlintide_platform import store
+from prometheus_client import registry
+import result
+
+
+class FakeStore:
+    """Answers each watch at once with one change."""
+
+    def __init__(self):
+        self.waits = []
+        self.times = []
+
+    async def list_items(self, prefix):
+        return result.Ok(store.News((), 1))
+
+    async def watch(self, prefix, after, seconds):
+        self.waits.append(seconds)
+        self.times.append(time.monotonic())
+        await asyncio.sleep(0)
+        item = store.Item('other', b'', after + 1)
+        return result.Ok(store.News((item,), after + 1))
+
+
+@behave.given(
+    'a follower whose endpoints may be used for {drain:f} s while they leave'
+)
+def make_follower(context, drain):
+    address = '127.0.0.1:1'
+    given = settings.EdgeSettings(
+        role='edge',
+        name='one',
+        failure_domain='a',
+        listen=address,
+        ready_listen=address,
+        admin_listen=address,
+        metrics_listen=address,
+        gossip_listen=address,
+        store=address,
+        drain=drain,
+    )
+    log = decisionlog.DecisionLog('one', output=2)
+    metrics = counters.Counters.from_registry(registry.CollectorRegistry())
+    context.store = FakeStore()
+    context.follower = follower.Follower(
+        state.State(given, log, metrics), context.store, lambda item: None
+    )
+
+
+@behave.when('it watches the store for a while')
+def watch_store(context):
+    async def run():
+        try:
+            async with asyncio.timeout(1.0):
+                await context.follower.run()
+        except TimeoutError:
+            pass
+
+    asyncio.run(run())
+
+
+@behave.then(
+    'its watches wait {watch:f} s and begin {pause:f} s after news at the'
+    ' earliest'
+)
+def check_watches(context, watch, pause):
+    times = context.store.times
+    assert len(times) >= 3, times
+    assert all(abs(each - watch) < 1e-6 for each in context.store.waits)
+    gaps = [later - sooner for sooner, later in zip(times, times[1:])]
+    assert min(gaps) >= pause * 0.99, gaps
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -10,13 +10,13 @@
 
 __all__ = ['Follower']
 
-# Longest wait of one watch, in seconds. A connection that went silent is
-# noticed after this and the store's slack, within the time that a leaving
-# endpoint may still be used.
-WATCH_SECONDS = 1.6
-# Pause between two watches, in seconds: changes that come together cost
-# one call, and a tenth of the time in which they must be in force is lost.
-BATCH_SECONDS = 0.25
+# Longest wait of one watch, as a part of the time that a leaving endpoint may
+# still be used: a connection that went silent is noticed within it.
+WATCH_PART = 0.8
+# Pause between two watches, as a part of the same time: changes that come
+# together cost one call. Endpoints write every 1.2 s, so without a pause each
+# of their writes costs one call of each entry.
+BATCH_PART = 0.2
 # Pauses between tries while the store fails, in seconds, with jitter so
 # that entries do not return together.
 RETRY_SECONDS = (0.1, 0.4)
@@ -109,8 +109,9 @@
             self._apply(store_module.Item(key, None, revision + 1))
 
     async def _watch(self) -> bool:
+        drain = self._state.settings.drain
         watched = await self._store.watch(
-            listings.EVERYTHING, self._revision, WATCH_SECONDS
+            listings.EVERYTHING, self._revision, drain * WATCH_PART
         )
         if watched.is_err():
             refusal = watched.err_value
@@ -128,7 +129,7 @@
         self._expire_missing()
         self._state.listed_at = self._state.now
         if news.items:
-            await asyncio.sleep(BATCH_SECONDS)
+            await asyncio.sleep(drain * BATCH_PART)
         return True
 
     def _apply(self, item: store_module.Item) -> None:
