Drop a caller's own Dunlintide-Member header again

Cause: the renaming of member to team also took the name of the header that names the team to a service, so a caller's own one would have passed the entry (the agent sets it anew and drops a caller's, so none reached a service). Change: the header and the dump's watched_members are called as before; a test that fails without it, which no test did.

--- /dev/null
+++ b/features/steps/headers.py
@@ -0,0 +1,36 @@
+"""Steps about headers that end at the router."""
+
+import behave
+from dunlintide_adapters import hopheaders
+from dunlintide_daemon.entry import headers
+
+
+def pass_on(name):
+    variable = 'HTTP_' + name.upper().replace('-', '_')
+    passed = headers.read_request_headers({variable: 'x'})
+    return {each.lower() for each, _ in passed}
+
+
+@behave.when('a caller of a service sends the header "{name}"')
+def send_header(context, name):
+    context.name = name.lower()
+    context.passed = pass_on(name)
+
+
+@behave.then('it is not among the headers that go on')
+def check_dropped(context):
+    assert context.name not in context.passed, context.passed
+
+
+@behave.then('it is among the headers that go on')
+def check_passed(context):
+    assert context.name in context.passed, context.passed
+
+
+@behave.then(
+    'each header of one connection is dropped on the way to a service'
+)
+def check_connection_headers(context):
+    # The entry's server itself consumes the authentication of proxies.
+    for name in hopheaders.HOP_BY_HOP - {'proxy-authenticate'}:
+        assert not pass_on(name), name
--- a/packages/daemon/src/dunlintide_daemon/entry/headers.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/headers.py
@@ -14,7 +14,7 @@
         'AUTHORIZATION',
         'CONNECTION',
         'COOKIE',
-        'DUNLINTIDE_TEAM',
+        'DUNLINTIDE_MEMBER',
         'DUNLINTIDE_PRIORITY',
         'EXPECT',
         'HOST',
--- a/packages/daemon/src/dunlintide_daemon/suspicion.py
+++ b/packages/daemon/src/dunlintide_daemon/suspicion.py
@@ -231,7 +231,7 @@
                     }
                     for one in self._evidence.list_quarantines(now)
                 ],
-                'watched_teams': self._evidence.list_watched(),
+                'watched_members': self._evidence.list_watched(),
                 'crashes': [
                     {
                         'name': crash.name,
