Read whole bodies and name hop-by-hop headers in one place

Change: Connection.read_all; hopheaders.HOP_BY_HOP, to which the agent adds the length and the host. Behaviour as before.

--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -248,6 +248,17 @@
         self._buffered = 0
         return data
 
+    async def read_all(self, deadline: float) -> bytes:
+        """Wait for the rest of the body.
+
+        :param deadline: loop time in seconds
+        :raises Broken: when the body is cut or does not end in time
+        """
+        parts = []
+        while part := await self.read(deadline):
+            parts.append(part)
+        return b''.join(parts)
+
     def _check(self) -> None:
         if self._fault is not None:
             raise Broken(self._fault, True)
--- a/packages/daemon/src/dunlintide_daemon/agent/services.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/services.py
@@ -14,6 +14,7 @@
 from absl import logging
 import urllib3
 
+from dunlintide_adapters import hopheaders
 from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import outcomes
@@ -32,22 +33,8 @@
 BYTES_PER_COST = 1024.0
 CALL_COST = 64.0
 
-# RFC 9110, 7.6.1; the length is set anew.
-_HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'content-length',
-        'host',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
+# The length and the host are set anew.
+_SET_ANEW = frozenset(('content-length', 'host'))
 # Set from the terms; a caller's own ones would be lies. Its bearer key is
 # no business of the service's.
 _OWN = frozenset(
@@ -70,7 +57,7 @@
         if name.lower() == 'connection'
         for token in value.split(',')
     }
-    dropped = _HOP_BY_HOP | also | named
+    dropped = hopheaders.HOP_BY_HOP | _SET_ANEW | also | named
     return [pair for pair in pairs if pair[0].lower() not in dropped]
 
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -250,9 +250,7 @@
         )
         head = await connection.read_head(exchange.deadline)
         verdict = requests.judge(head)
-        parts = []
-        while part := await connection.read(exchange.deadline):
-            parts.append(part)
+        body = await connection.read_all(exchange.deadline)
         if verdict.name not in (None, exchange.ask.name):
             return _Answer(endpoint, True, 'answer to another request')
         if verdict.not_run:
@@ -263,7 +261,7 @@
         if not verdict.signed and head.status < 300:
             return _Answer(endpoint, True, 'answer without a signature')
         state.soundness.report_progress((endpoint.name,), state.now)
-        return _Answer(endpoint, True, '', head, b''.join(parts))
+        return _Answer(endpoint, True, '', head, body)
 
     def _pass(
         self, exchange: exchange_module.Exchange, answer: _Answer
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -230,15 +230,12 @@
             deadline = loop.time() + FETCH_SECONDS
             connection.send(text.encode('latin-1'))
             await connection.read_head(deadline)
-            parts = []
-            while part := await connection.read(deadline):
-                parts.append(part)
+            value = await connection.read_all(deadline)
         except endpointhttp.Broken as broken:
             self._report('configuration not fetched', broken)
             return
         finally:
             state.pool.release(entry.admin, connection)
-        value = b''.join(parts)
         decoded = listings.decode_deployment(value)
         if decoded.is_err():
             self._report(
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -331,12 +331,10 @@
         if again and head.status >= 500:
             exchange.tried.append(run.first.name)
             raise RunEnded(True, f'failed with {head.status}')
-        parts = []
-        while part := await connection.read(exchange.deadline):
-            parts.append(part)
+        body = await connection.read_all(exchange.deadline)
         if exchange.reply.started:
             raise RunEnded(True, f'failed with {head.status}', retry=False)
-        exchange.reply.send(_make_head(head, 0), b''.join(parts))
+        exchange.reply.send(_make_head(head, 0), body)
         return Outcome.FAILED
 
     async def _pass_events(
