Wait for the plan before chains that cross are asked for

Cause, inferred: an entry that reaches all agents may still hold a plan of a few of them for 0.2 s, so all requests of the scenario could take the one chain that it knows. The scenario failed three times at loads of 8 and more. Change: the scenario first waits until the plan shares out all six stages. Ruled out: that crossing chains block each other; then no answer would come.

--- a/features/steps/fairness.py
+++ b/features/steps/fairness.py
@@ -330,6 +330,16 @@
     context.crossed = context.stack.enter_context(
         launcher.run(blueprint, rules, context.make_folder())
     )
+    entry = context.crossed.plan.entries[0].name
+    context.crossed.started[entry].wait_ready(
+        lambda: has_planned(context.crossed, entry, len(stages))
+    )
+
+
+def has_planned(crossed, entry, count):
+    # Until its plan knows all stages, an entry takes the first that do.
+    plans = crossed.read_state(entry)['plans']
+    return any(len(one['shares']) == count for one in plans)
 
 
 @behave.when('{count:d} completions are asked for at once')
