--- a/features/steps/pipeline.py
+++ b/features/steps/pipeline.py
@@ -7,86 +7,11 @@
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import crashers
 from dunlintide_core.pipeline import endpoints
-from dunlintide_core.pipeline import layout
 from dunlintide_core.pipeline import occupancy
-from dunlintide_core.pipeline import profiles
 from dunlintide_core.pipeline import resends
 from dunlintide_core.pipeline import soundness
-from dunlintide_daemon.gateway import events
-import hypothesis
 from hypothesis import strategies
-
-LAYERS = 12
-CARDS = {
-    'large': profiles.Accelerator('large', 9000.0, 2.0, 3.0),
-    'small': profiles.Accelerator('small', 5000.0, 5.0, 7.0),
-}
-PROFILE = profiles.EngineProfile(
-    layers=LAYERS,
-    layer_mb=1000.0,
-    token_bytes=120_000,
-    step_ms=1.0,
-    sequence_ms=0.01,
-    context_ms=0.01,
-    read_per_second=164_000.0,
-    slots=16,
-    stride=4,
-    activation_bytes=59_000,
-    link_mbps=400_000.0,
-    pipe_mbps=16_000.0,
-    load_seconds=14.0,
-    loads_at_once=6,
-    usual_prompt=775,
-    usual_answer=220,
-    accelerators=CARDS,
-    delays_ms={('a', 'b'): 0.3},
-)
-SPANS = strategies.tuples(
-    strategies.integers(0, LAYERS - 1), strategies.integers(1, LAYERS)
-).map(lambda pair: (pair[0], min(LAYERS, pair[0] + pair[1])))
-ENGINES = strategies.lists(
-    strategies.tuples(
-        SPANS,
-        strategies.sampled_from('abc'),
-        strategies.sampled_from(sorted(CARDS)),
-        strategies.integers(0, 40),
-        strategies.integers(0, 20_000),
-    ),
-    max_size=14,
-)
-
-
-def make_engine(name, span, domain, kind='large'):
-    return endpoints.Endpoint(
-        name=name,
-        address=f'{name}:1',
-        service='llm',
-        domain=domain,
-        slots=16,
-        kind=kind,
-        start=span[0],
-        end=span[1],
-    )
-
-
-def make_demand(domain='a', tokens=1000):
-    return chains.Demand(800, 200, tokens, domain)
-
-
-def make_fleet(rows):
-    engines = []
-    loads = {}
-    for index, (span, domain, kind, running, room) in enumerate(rows):
-        engine = make_engine(f'e{index}', span, domain, kind)
-        engines.append(engine)
-        loads[engine.name] = chains.Load(running, 0, room)
-    return engines, loads
-
-
-def repeat(check, *given):
-    hypothesis.settings(max_examples=300, deadline=None)(
-        hypothesis.given(*given)(check)
-    )()
+import pipeline_scene
 
 
 @behave.then(
@@ -95,55 +20,63 @@
 )
 def check_chains(context):
     def check(rows, tokens):
-        engines, loads = make_fleet(rows)
+        engines, loads = pipeline_scene.make_fleet(rows)
         hops = chains.choose_chain(
-            PROFILE,
+            pipeline_scene.PROFILE,
             engines,
             lambda engine: loads[engine.name],
-            make_demand(tokens=tokens),
+            pipeline_scene.make_demand(tokens=tokens),
         )
         if hops is None:
             return
-        assert endpoints.covers_exactly(hops, LAYERS), hops
+        assert endpoints.covers_exactly(hops, pipeline_scene.LAYERS), hops
         for hop in hops:
             need = tokens * (hop.end - hop.start)
             assert need <= loads[hop.endpoint.name].room, hop
 
-    repeat(check, ENGINES, strategies.integers(1, 2000))
+    pipeline_scene.repeat(
+        check, pipeline_scene.ENGINES, strategies.integers(1, 2000)
+    )
 
 
 @behave.then('a chain is found whenever idle engines hold all layers')
 def check_found(context):
     def check(rows):
-        engines, _ = make_fleet(rows)
+        engines, _ = pipeline_scene.make_fleet(rows)
         idle = chains.Load(0, 0, float('inf'))
         hops = chains.choose_chain(
-            PROFILE, engines, lambda engine: idle, make_demand()
+            pipeline_scene.PROFILE,
+            engines,
+            lambda engine: idle,
+            pipeline_scene.make_demand(),
         )
         held = set()
         for engine in engines:
             held.update(range(engine.start, engine.end))
-        assert (hops is not None) == (len(held) == LAYERS), (hops, held)
+        assert (hops is not None) == (len(held) == pipeline_scene.LAYERS), (
+            hops,
+            held,
+        )
 
-    repeat(check, ENGINES)
+    pipeline_scene.repeat(check, pipeline_scene.ENGINES)
 
 
 @behave.then('no chain crosses a pipe that is full')
 def check_pipes(context):
     def check(rows):
-        engines, _ = make_fleet(rows)
+        engines, _ = pipeline_scene.make_fleet(rows)
         idle = chains.Load(0, 0, float('inf'))
         hops = chains.choose_chain(
-            PROFILE,
+            pipeline_scene.PROFILE,
             engines,
             lambda engine: idle,
-            make_demand(),
+            pipeline_scene.make_demand(),
             lambda pipe: 1000.0 if pipe == 'a|b' else 0.0,
         )
         if hops is not None:
             assert 'a|b' not in chains.list_pipes(hops), hops
 
-    repeat(check, ENGINES)
+    pipeline_scene.repeat(check, pipeline_scene.ENGINES)
 
 
 @behave.given(
@@ -152,7 +85,7 @@
 def make_copies(context, one, other):
     spans = ((0, 4), (4, 8), (8, 12))
     context.engines = [
-        make_engine(f'{domain}{span[0]}', span, domain)
+        pipeline_scene.make_engine(f'{domain}{span[0]}', span, domain)
         for domain in (one, other)
         for span in spans
     ]
@@ -163,10 +96,10 @@
 
 def choose(context, domain):
     return chains.choose_chain(
-        PROFILE,
+        pipeline_scene.PROFILE,
         context.engines,
         lambda engine: context.loads[engine.name],
-        make_demand(domain),
+        pipeline_scene.make_demand(domain),
     )
 
 
@@ -196,74 +129,17 @@
 @behave.then('the chain of a caller in "{domain}" still covers all layers')
 def check_detour(context, domain):
     hops = choose(context, domain)
-    assert endpoints.covers_exactly(hops, LAYERS)
+    assert endpoints.covers_exactly(hops, pipeline_scene.LAYERS)
     assert f'{domain}4' not in {hop.endpoint.name for hop in hops}
 
 
-FLEETS = strategies.lists(
-    strategies.tuples(
-        strategies.sampled_from('abc'), strategies.sampled_from(sorted(CARDS))
-    ),
-    min_size=1,
-    max_size=20,
-)
-
-
-def make_empty(rows):
-    return [
-        make_engine(f'e{index}', (0, 0), domain, kind)
-        for index, (domain, kind) in enumerate(rows)
-    ]
-
-
-@behave.then('no layout holds more than a card takes')
-def check_layout_size(context):
-    def check(rows):
-        for each in layout.plan_new(PROFILE, (), make_empty(rows)):
-            held = each.end - each.start
-            most = PROFILE.count_max_layers(each.endpoint.kind)
-            assert 0 < held <= most
-            assert 0 <= each.start < each.end <= LAYERS
-
-    repeat(check, FLEETS)
-
-
-@behave.then('every domain whose cards can hold the model holds it whole')
-def check_whole(context):
-    def check(rows):
-        placed = layout.plan_new(PROFILE, (), make_empty(rows))
-        for domain in 'abc':
-            held = [each for each in placed if each.endpoint.domain == domain]
-            total = sum(each.end - each.start for each in held)
-            covered = set()
-            for each in held:
-                covered.update(range(each.start, each.end))
-            # Windows of unequal cards may overlap by the smaller one.
-            if total >= LAYERS + PROFILE.count_max_layers('large'):
-                assert len(covered) == LAYERS, placed
-
-    repeat(check, FLEETS)
-
-
-@behave.then('an engine that comes back gets what its domain lacks')
-def check_return(context):
-    placed = layout.plan_new(PROFILE, (), make_empty([('a', 'large')] * 3))
-    for lost in placed:
-        rest = [each for each in placed if each is not lost]
-        (again,) = layout.plan_new(PROFILE, rest, [lost.endpoint])
-        covered = set()
-        for each in [*rest, again]:
-            covered.update(range(each.start, each.end))
-        assert len(covered) == LAYERS, (rest, again)
-
-
 @behave.then('what is reserved is released to the last token, in any order')
 def check_reservations(context):
     def check(spans, seed):
         table = occupancy.Occupancy()
         held = []
         for index, span in enumerate(spans):
-            engine = make_engine(f'e{index % 3}', span, 'a')
+            engine = pipeline_scene.make_engine(f'e{index % 3}', span, 'a')
             hop = endpoints.Hop(engine, *span)
             held.append(table.reserve((hop,), 10 * (index + 1), ('a|b',)))
         total = sum(usage.cache for usage in table.list_own().values())
@@ -277,7 +153,11 @@
             table.release(reservation)
         assert not table.list_own()
 
-    repeat(check, strategies.lists(SPANS, max_size=8), strategies.integers())
+    pipeline_scene.repeat(
+        check,
+        strategies.lists(pipeline_scene.SPANS, max_size=8),
+        strategies.integers(),
+    )
 
 
 @behave.then('what a silent entry told is forgotten after 2 seconds')
@@ -396,68 +276,6 @@
     assert not context.crashers.is_refused('r', 13.5)
 
 
-def make_events(first, last):
-    return [
-        b'id: %d\ndata: piece %d\n\n' % (number, number)
-        for number in range(first, last + 1)
-    ]
-
-
-def cut(data, places):
-    marks = [0, *sorted(place % (len(data) + 1) for place in places)]
-    marks.append(len(data))
-    return [data[a:b] for a, b in zip(marks, marks[1:])]
-
-
-def relay(sequence, pieces):
-    splitter = events.Splitter()
-    passed = []
-    for piece in pieces:
-        whole = splitter.split(piece)
-        fresh, intact = sequence.admit(whole)
-        assert intact
-        passed.append(fresh)
-    return b''.join(passed)
-
-
-PLACES = strategies.lists(strategies.integers(0, 10_000), max_size=12)
-
-
-@behave.then('any cut of a stream into pieces passes the same events')
-def check_pieces(context):
-    def check(count, places):
-        data = b''.join(make_events(1, count))
-        sequence = events.Sequence(None)
-        assert relay(sequence, cut(data, places)) == data
-        assert sequence.count == count
-
-    repeat(check, strategies.integers(0, 20), PLACES)
-
-
-@behave.then('a second run that overlaps the first adds only what is new')
-def check_overlap(context):
-    def check(places, end, start):
-        sequence = events.Sequence(None)
-        first = b''.join(make_events(1, end)) + b'id: 99\nda'
-        got = relay(sequence, cut(first, places))
-        second = b''.join(make_events(min(start, end + 1), 20))
-        got += relay(sequence, cut(second, places))
-        assert got == b''.join(make_events(1, 20)), got
-
-    repeat(
-        check, PLACES, strategies.integers(1, 19), strategies.integers(1, 20)
-    )
-
-
-@behave.then('a second run that begins too late is noticed')
-def check_missing(context):
-    sequence = events.Sequence(None)
-    sequence.admit(b''.join(make_events(1, 3)))
-    _, intact = sequence.admit(b''.join(make_events(5, 6)))
-    assert not intact
-    assert sequence.last == '3'
-
-
 @behave.then('any order of arrivals leaves by priority, standing and arrival')
 def check_backlog(context):
     def check(ranks):
@@ -479,59 +297,7 @@
     ranks = strategies.tuples(
         strategies.integers(0, 3), strategies.sampled_from(backlog.Standing)
     )
-    repeat(check, strategies.lists(ranks, max_size=10))
-
-
-@behave.given('a layout of "{domain}" with {count:d} cards of kind "{kind}"')
-def make_layout(context, domain, count, kind):
-    context.placed = layout.plan_new(
-        PROFILE, (), make_empty([(domain, kind)] * count)
-    )
-    context.placed = [
-        layout.Placement(
-            make_engine(each.endpoint.name, (each.start, each.end), domain),
-            each.start,
-            each.end,
-        )
-        for each in context.placed
-    ]
-
-
-def list_held(placed):
-    held = set()
-    for each in placed:
-        held.update(range(each.start, each.end))
-    return held
-
-
-def plan_moves(placed):
-    names = {each.endpoint.name for each in placed}
-    return layout.plan_moves(PROFILE, placed, names, lambda name: 0.0)
-
-
-@behave.when('any one of its engines leaves')
-def lose_engine(context):
-    context.rests = [
-        [each for each in context.placed if each is not lost]
-        for lost in context.placed
-    ]
-
-
-@behave.then('moves of spare engines make the domain whole again')
-def check_moves(context):
-    moved = 0
-    for rest in context.rests:
-        moves = plan_moves(rest)
-        moved += len(moves)
-        names = {move.endpoint.name for move in moves}
-        after = [each for each in rest if each.endpoint.name not in names]
-        assert len(list_held([*after, *moves])) == LAYERS, (rest, moves)
-    assert moved, 'no loss needed a move'
-
-
-@behave.then('without a loss nothing moves')
-def check_no_moves(context):
-    assert not plan_moves(context.placed)
+    pipeline_scene.repeat(check, strategies.lists(ranks, max_size=10))
 
 
 @behave.given('a queue from which {count:d} requests a second find a place')
--- /dev/null
+++ b/features/steps/streampieces.py
@@ -0,0 +1,68 @@
+"""Steps about the events of a stream that comes in pieces."""
+
+import behave
+from dunlintide_daemon.gateway import events
+from hypothesis import strategies
+import pipeline_scene
+
+
+def make_events(first, last):
+    return [
+        b'id: %d\ndata: piece %d\n\n' % (number, number)
+        for number in range(first, last + 1)
+    ]
+
+
+def cut(data, places):
+    marks = [0, *sorted(place % (len(data) + 1) for place in places)]
+    marks.append(len(data))
+    return [data[a:b] for a, b in zip(marks, marks[1:])]
+
+
+def relay(sequence, pieces):
+    splitter = events.Splitter()
+    passed = []
+    for piece in pieces:
+        whole = splitter.split(piece)
+        fresh, intact = sequence.admit(whole)
+        assert intact
+        passed.append(fresh)
+    return b''.join(passed)
+
+
+PLACES = strategies.lists(strategies.integers(0, 10_000), max_size=12)
+
+
+@behave.then('any cut of a stream into pieces passes the same events')
+def check_pieces(context):
+    def check(count, places):
+        data = b''.join(make_events(1, count))
+        sequence = events.Sequence(None)
+        assert relay(sequence, cut(data, places)) == data
+        assert sequence.count == count
+
+    pipeline_scene.repeat(check, strategies.integers(0, 20), PLACES)
+
+
+@behave.then('a second run that overlaps the first adds only what is new')
+def check_overlap(context):
+    def check(places, end, start):
+        sequence = events.Sequence(None)
+        first = b''.join(make_events(1, end)) + b'id: 99\nda'
+        got = relay(sequence, cut(first, places))
+        second = b''.join(make_events(min(start, end + 1), 20))
+        got += relay(sequence, cut(second, places))
+        assert got == b''.join(make_events(1, 20)), got
+
+    pipeline_scene.repeat(
+        check, PLACES, strategies.integers(1, 19), strategies.integers(1, 20)
+    )
+
+
+@behave.then('a second run that begins too late is noticed')
+def check_missing(context):
+    sequence = events.Sequence(None)
+    sequence.admit(b''.join(make_events(1, 3)))
+    _, intact = sequence.admit(b''.join(make_events(5, 6)))
+    assert not intact
+    assert sequence.last == '3'
