--- /dev/null
+++ b/features/steps/edge_faults.py
@@ -0,0 +1,144 @@
+"""Steps about endpoints of an entry that fail or change."""
+
+import time
+
+import behave
+from dunlintide_standins.fleet import runners
+import edge_lookups
+
+
+def _spoil(runners, **faults):
+    for runner in runners:
+        for name, value in faults.items():
+            setattr(runner.faults, name, value)
+
+
+@behave.given('every service loses its next answer')
+def lose_next(context):
+    _spoil(context.scene.list_services(), lose=1)
+
+
+@behave.given('one service loses all its answers')
+def lose_all(context):
+    _spoil(context.scene.list_services()[:1], lose=1000)
+
+
+@behave.given('every service is full')
+def fill(context):
+    _spoil(context.scene.list_services(), full=True)
+
+
+@behave.given('every service sends a second answer behind its next one')
+def send_extra(context):
+    _spoil(context.scene.list_services(), extra=1)
+
+
+@behave.given('every service sends its next answer without a length')
+def send_unframed(context):
+    _spoil(context.scene.list_services(), unframed=1)
+
+
+@behave.given('every engine cuts its next stream within an event')
+def cut_next(context):
+    # Only the one that gets it first: the second run must go through.
+    state = {'cut': False}
+
+    class Once:
+        full = False
+
+        def take(self, name):
+            if name == 'cut' and not state['cut']:
+                state['cut'] = True
+                return True
+            return False
+
+        def __getattr__(self, name):
+            return None if name == 'stall_after' else 0
+
+    for engine in context.scene.list_engines():
+        engine.faults = Once()
+
+
+@behave.given(
+    'an engine with the first layer refuses its next {count:d} streams as'
+    ' full'
+)
+def refuse_streams(context, count):
+    # Once a stream was cut, the sends that follow meet full engines.
+    state = {'left': count}
+    engines = context.scene.list_engines()
+    cut = engines[0].faults
+
+    class Full:
+        def take(self, name):
+            return cut.take(name)
+
+        def __getattr__(self, name):
+            if name == 'full':
+                began = any(engine.runs for engine in engines)
+                if began and state['left'] > 0:
+                    state['left'] -= 1
+                    return True
+                return False
+            return None if name == 'stall_after' else 0
+
+    for engine in engines:
+        engine.faults = Full()
+
+
+@behave.when('one engine of its chain stands still')
+def stall_one(context):
+    fleet = context.scene.fleet
+    context.scene.wait_until(
+        lambda: any(run.events > 3 for run in fleet.list_runs('s-1')),
+        'the stream runs',
+    )
+    (run,) = fleet.list_runs('s-1')
+    fleet.find(run.hops[-1][0]).faults.stall = True
+
+
+@behave.given('one service reports that it drains')
+def drain_one(context):
+    scene = context.scene
+    context.leaving = scene.list_services()[0]
+    scene.run(context.leaving.list_itself('draining'))
+    edge_lookups.wait_for_leaving(context)
+
+
+@behave.then('that service ran none of them')
+def check_leaving(context):
+    assert not context.leaving.runs
+
+
+@behave.when('an engine crashes and comes back')
+def crash_engine(context):
+    scene = context.scene
+    context.engine = scene.list_engines()[0]
+    scene.run(context.engine.crash(listed=False))
+    scene.run(context.engine.start())
+
+
+@behave.given(
+    'a new engine of kind "{kind}" that carries out its first order'
+    ' {seconds:d} seconds late'
+)
+def add_late_engine(context, kind, seconds):
+    scene = context.scene
+    engine = runners.Runner(scene.fleet, 'llm', 'a', kind)
+    engine.faults.lose_orders = 1
+    engine.faults.order_delay = float(seconds)
+    scene.fleet.runners.append(engine)
+    scene.run(engine.start())
+    context.engine = engine
+
+
+@behave.then('it holds layers again within {seconds:d} seconds')
+def check_layers(context, seconds):
+    context.scene.wait_until(lambda: context.engine.layers, 'it has layers')
+
+
+@behave.then('it accepted {count:d} order')
+def check_orders(context, count):
+    # Long enough for the late order to have been carried out.
+    time.sleep(2.5)
+    assert context.engine.orders == count, context.engine.orders
