Look at quarantines when they begin, not after all streams have ended

Cause: the scenarios of poison look at each entry's quarantine after the other teams' streams have ended; at a load of 20 these last longer than the 15 s of the quarantine, and each entry shows none: [0, 0, 0] in all four examples of one run of the tests, and one example of the run before. Ruled out: a quarantine that entries did not hear of; then sends would not have been refused, which the step before checks, and passed. Change: the count is taken right after the last send; it must be one at each entry and end, as before.

--- a/features/steps/poison.py
+++ b/features/steps/poison.py
@@ -241,6 +241,13 @@
     send_among(context, f'{word} tonight only', count)
 
 
+def count_quarantines(running):
+    return [
+        len(running.read_state(entry.name)['poison']['quarantined'])
+        for entry in running.plan.entries
+    ]
+
+
 def send_among(context, prompt, count):
     running = context.running
     team, *others = running.keys
@@ -268,6 +275,8 @@
         ask(context, number % entries, team, prompt, 4)
         for number in range(count)
     ]
+    # Looked at now: the streams may last longer than the quarantine.
+    context.quarantines = count_quarantines(running)
     for thread in threads:
         thread.join(WAIT_SECONDS)
 
@@ -299,13 +308,8 @@
 @behave.then('every entry shows the quarantine until it ends')
 def check_dumps(context):
     running = context.running
-
-    def count(entry):
-        return len(running.read_state(entry.name)['poison']['quarantined'])
-
-    entries = running.plan.entries
-    counts = list(map(count, entries))
-    assert counts == [1] * len(entries), counts
+    found = context.quarantines
+    assert found == [1] * len(running.plan.entries), found
     assert processes.wait_for(
-        lambda: not any(map(count, entries)), WAIT_SECONDS
+        lambda: not any(count_quarantines(running)), WAIT_SECONDS
     )
