Let news of broken runs grow old, and clear endpoints that answer

Answers lost at three plain services counted as crashes, and each entry took another's repetition as a new break, so that the news never ended. Ruled out: a longer bound than three breaks; it would let a request that does crash endpoints reach more of them. Change: news is as old as when first heard; an endpoint's later answer clears what broke there; what is cleared is not counted again when older news of it comes. Two scenarios, which fail when news is renewed.

--- a/features/pipeline.feature
+++ b/features/pipeline.feature
@@ -49,6 +49,24 @@
     When a run of it broke at a third endpoint
     Then it is refused, until 60 seconds have passed
 
+  Scenario: Entries do not keep news of broken runs alive
+    When runs of a request broke at 3 endpoints of one entry
+    And two entries tell each other every 0.15 s for 64 s
+    Then neither of them refuses the request
+    And neither has anything left to tell
+
+  Scenario: An endpoint that answers later did not crash
+    When runs of a request broke at 2 endpoints
+    And a run of it broke at a third endpoint
+    And the first endpoint answers a request sent before its break
+    Then it is refused, until 60 seconds have passed
+    When the first endpoint answers a request sent after its break
+    Then it is not refused any more
+    When the break at the first endpoint is told again
+    Then it is not refused any more
+    When one more run of it broke at the first endpoint
+    Then it is refused, until 60 seconds have passed
+
   Scenario: Events pass whole, once and in order
     Then any cut of a stream into pieces passes the same events
     And a second run that overlaps the first adds only what is new
--- a/features/steps/pipeline.py
+++ b/features/steps/pipeline.py
@@ -1,5 +1,6 @@
 """Steps about decisions on chains of engines."""
 
+import copy
 import random
 
 import behave
@@ -272,7 +273,56 @@
     assert context.crashers.is_refused('r', 13.5)
     assert not context.crashers.is_refused('other', 13.5)
     assert not context.crashers.is_refused('r', 73.5)
-    assert context.crashers.clear('r')
+    answered = copy.deepcopy(context.crashers)
+    assert answered.clear('r')
+    assert not answered.is_refused('r', 13.5)
+    answered.hear('r', 'one', 13.6)
+    assert not answered.is_refused('r', 13.7)
+
+
+@behave.when('runs of a request broke at 3 endpoints of one entry')
+def break_at_one(context):
+    context.entries = [crashers.Crashers(), crashers.Crashers()]
+    for name in ('one', 'two', 'three'):
+        context.entries[0].report('r', name, 0.0)
+
+
+@behave.when('two entries tell each other every 0.15 s for 64 s')
+def tell_each_other(context):
+    one, other = context.entries
+    for turn in range(int(64 / 0.15)):
+        now = turn * 0.15
+        for teller, hearer in ((one, other), (other, one)):
+            for pair in teller.list_recent(now - 3.0):
+                hearer.hear(*pair, now)
+        if turn == 1:
+            assert one.is_refused('r', now)
+            assert other.is_refused('r', now)
+
+
+@behave.then('neither of them refuses the request')
+def check_none_refuse(context):
+    assert not any(each.is_refused('r', 64.0) for each in context.entries)
+
+
+@behave.then('neither has anything left to tell')
+def check_none_tell(context):
+    assert not any(each.list_recent(61.0) for each in context.entries)
+
+
+@behave.when('the first endpoint answers a request sent {when} its break')
+def answer_one(context, when):
+    sent = {'before': 9.5, 'after': 13.0}[when]
+    context.crashers.clear_endpoint('one', sent)
+
+
+@behave.when('the break at the first endpoint is told again')
+def tell_again(context):
+    context.crashers.hear('r', 'one', 13.4)
+
+
+@behave.then('it is not refused any more')
+def check_refused_no_more(context):
     assert not context.crashers.is_refused('r', 13.5)
 
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -238,6 +238,7 @@
             after=exchange.ask.after,
         )
         data = requests.encode(exchange.request, relayed)
+        sent_at = state.now
         connection.send(data, exchange.request.method == 'HEAD')
         state.log.write(
             'call sent',
@@ -261,8 +262,29 @@
         if not verdict.signed and head.status < 300:
             return _Answer(endpoint, True, 'answer without a signature')
         state.soundness.report_progress((endpoint.name,), state.now)
+        self._clear_crashes(exchange, endpoint, sent_at)
         return _Answer(endpoint, True, '', head, body)
 
+    def _clear_crashes(
+        self,
+        exchange: exchange_module.Exchange,
+        endpoint: endpoints_module.Endpoint,
+        sent_at: float,
+    ) -> None:
+        """Take back what broke at an endpoint that goes on answering.
+
+        An answer that is lost looks like a crash, and three of them refused
+        a caller for a minute.
+        """
+        cleared = self._state.crashers.clear_endpoint(endpoint.name, sent_at)
+        if cleared:
+            self._state.log.write(
+                'broken runs cleared',
+                request=exchange.ask.name,
+                endpoint=endpoint.name,
+                broken_runs=cleared,
+            )
+
     def _pass(
         self, exchange: exchange_module.Exchange, answer: _Answer
     ) -> Outcome:
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -185,7 +185,7 @@
             if digest in names:
                 state.soundness.hear(names[digest], now)
         for fingerprint, endpoint in message.broken:
-            state.crashers.report(fingerprint, endpoint, now)
+            state.crashers.hear(fingerprint, endpoint, now)
         for digest in message.refused:
             state.returns.hear(digest, now)
         state.wake_all()
