Draw the ports of trials from blocks that each process holds alone

Cause: in 72 deployments started six at a time one did not start, since its host list's port was taken. Ports are picked for all processes first and bound when each starts; another run beside it may pick the same. Ruled out: the kernel's own range, which begins above these ports. Change: blocks of 400 ports under a file lock that ends with the process.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -15,3 +15,7 @@
     Given the example "cooperative" with "replicas" misspelt in line 16
     When that deployment file is read
     Then the error names line 16 and the field "replicsa"
+
+  Scenario: Trials side by side never pick the same ports
+    When 2 processes pick 300 ports each and hold none of them
+    Then no port was picked twice
--- a/features/steps/examples.py
+++ b/features/steps/examples.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import itertools
+import subprocess
+import sys
 
 import behave
 
@@ -94,3 +96,35 @@
 def check_error(context, line, field):
     assert f':{line}:' in context.error, context.error
     assert f'"{field}"' in context.error, context.error
+
+
+# Picks ports, prints them, and lives until its input ends.
+_PICK = """
+import sys
+from dunlintide_trials import ports
+print(*ports.pick_ports({count}), flush=True)
+sys.stdin.read()
+"""
+
+
+@behave.when(
+    '{processes:d} processes pick {count:d} ports each and hold none of them'
+)
+def pick_side_by_side(context, processes, count):
+    command = [sys.executable, '-c', _PICK.format(count=count)]
+    context.picked = []
+    for _ in range(processes):
+        picker = subprocess.Popen(
+            command,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        context.stack.callback(picker.communicate)
+        context.picked += picker.stdout.readline().split()
+
+
+@behave.then('no port was picked twice')
+def check_picked(context):
+    assert context.picked
+    assert len(set(context.picked)) == len(context.picked)
--- a/packages/trials/src/dunlintide_trials/ports.py
+++ b/packages/trials/src/dunlintide_trials/ports.py
@@ -1,8 +1,17 @@
-"""Free ports on loopback, kept until their process takes them."""
+"""Free ports on loopback, kept until their process takes them.
+
+A picked port is bound only when its process starts, and again after each
+of its restarts. So that no other trial takes it meanwhile, each process
+that picks ports draws them from blocks that it holds alone until it ends.
+"""
 
 import contextlib
+import fcntl
+import os
+import pathlib
 import random
 import socket
+import tempfile
 
 __all__ = ['HOST', 'Reservations', 'pick_ports']
 
@@ -11,32 +20,86 @@
 # that none takes a port between two starts of a process.
 _FIRST = 12_000
 _LAST = 31_999
+# Ports in a block; the largest example takes three.
+_BLOCK = 400
+# Draws from a block before one more is taken: all of its ports may be in
+# use.
 _TRIES = 1_000
 
 
+class _Blocks:
+    """Blocks of ports that this process holds; locks end with it."""
+
+    def __init__(self) -> None:
+        user = os.getuid()
+        name = f'dunlintide-ports-{user}'
+        self._folder = pathlib.Path(tempfile.gettempdir(), name)
+        self._locks: dict[int, int] = {}
+        self._unused: list[int] = []
+
+    def take(self) -> bool:
+        """Take one more block; False when others hold all of them."""
+        self._folder.mkdir(exist_ok=True)
+        firsts = list(range(_FIRST, _LAST, _BLOCK))
+        random.SystemRandom().shuffle(firsts)
+        return any(self._lock(first) for first in firsts)
+
+    def _lock(self, first: int) -> bool:
+        if first in self._locks:
+            return False
+        path = self._folder / str(first)
+        lock = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(lock)
+            return False
+        self._locks[first] = lock
+        ports = list(range(first, first + _BLOCK))
+        random.SystemRandom().shuffle(ports)
+        self._unused += ports
+        return True
+
+    def draw(self) -> int | None:
+        """Return a port that was not drawn for longest, None for none."""
+        if not self._unused:
+            return None
+        port = self._unused.pop(0)
+        self._unused.append(port)
+        return port
+
+
+_blocks = _Blocks()
+
+
 class Reservations:
     """Ports that are bound, so that nobody else takes them."""
 
     def __init__(self) -> None:
         self._held: dict[int, socket.socket] = {}
-        self._random = random.SystemRandom()
 
     def reserve(self) -> int:
         """Bind a free port and return its number.
 
         :raises OSError: when no port was free in many tries
         """
-        for _ in range(_TRIES):
-            port = self._random.randint(_FIRST, _LAST)
-            held = socket.socket()
-            try:
-                held.bind((HOST, port))
-            except OSError:
-                held.close()
-                continue
-            self._held[port] = held
-            return port
-        raise OSError('found no free port')
+        while True:
+            for _ in range(_TRIES):
+                port = _blocks.draw()
+                if port is not None and self._bind(port):
+                    return port
+            if not _blocks.take():
+                raise OSError('found no free port')
+
+    def _bind(self, port: int) -> bool:
+        held = socket.socket()
+        try:
+            held.bind((HOST, port))
+        except OSError:
+            held.close()
+            return False
+        self._held[port] = held
+        return True
 
     def release(self, port: int) -> None:
         """Free a port just before its process binds it."""
