--- a/.ci/tally.py
+++ b/.ci/tally.py
@@ -12,6 +12,8 @@
 __all__ = ['main']
 
 MAX_KNOWN = 3
+# Characters of an error's end that are printed.
+MAX_MESSAGE = 600
 
 
 def _read_scenarios(reports: pathlib.Path) -> list[tuple[str, str]]:
@@ -30,6 +32,37 @@
     return scenarios
 
 
+def _describe_failure(element: dict) -> str:
+    """Tell at which step a scenario failed, and with what."""
+    for step in element.get('steps', ()):
+        result = step.get('result', {})
+        if result.get('status') in (None, 'passed', 'skipped'):
+            continue
+        message = result.get('error_message') or []
+        lines = message.splitlines() if isinstance(message, str) else message
+        said = ' | '.join(line.strip() for line in lines)
+        return f'at: {step["name"]}: {said[-MAX_MESSAGE:]}'
+    return 'at: no step'
+
+
+def _list_failures(reports: pathlib.Path) -> list[str]:
+    """Describe each scenario that failed, as far as reports can be read."""
+    described = []
+    for path in sorted(reports.glob('*.json')):
+        try:
+            features = json.loads(path.read_text())
+        except ValueError:
+            continue
+        described += [
+            f'{element["name"]}: {_describe_failure(element)}'
+            for feature in features
+            for element in feature.get('elements', ())
+            if element.get('status') not in ('passed', 'skipped')
+            and element['type'] != 'background'
+        ]
+    return described
+
+
 def _read_report(path: pathlib.Path) -> list[tuple[str, str]]:
     features = json.loads(path.read_text())
     return [
@@ -70,6 +103,8 @@
     listed = [name for name in red if _match(name, known) is not None]
     ran = {_match(name, known) for name in passed + red}
     problems = len(failed)
+    for described in _list_failures(pathlib.Path(reports)):
+        print(described)
     for name in failed:
         print(f'failed: {name}')
     for name in listed:
