--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -9,6 +9,7 @@
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import occupancy
+from dunlintide_core.pipeline import rescues
 from dunlintide_daemon.gateway import chainfinder
 from dunlintide_daemon.gateway import events
 from dunlintide_daemon.gateway import exchange as exchange_module
@@ -27,13 +28,6 @@
 # Time to connect to an engine, in seconds: links take under a
 # millisecond, and a lost packet is sent again only after a second.
 CONNECT_SECONDS = 0.25
-# Part of the target for the first event after which a still run is moved.
-FIRST_PART = 0.6
-# Part of the longest allowed pause after which a still run is moved.
-GAP_PART = 0.6
-# A run that stays still for so much longer is moved though nothing else
-# shows which of its endpoints is at fault.
-PATIENCE_FACTOR = 2.0
 # How long engines hold on to a run that was left because one of its parts
 # stood still, in seconds: those before it wait for the dead one.
 LINGER_SECONDS = 1.5
@@ -272,8 +266,9 @@
             return exchange.deadline - run.moved
         silence = now - run.moved
         suspects = state.soundness.find_suspects(run.names, run.moved)
-        if not suspects and silence < target * PATIENCE_FACTOR:
-            return target * PATIENCE_FACTOR
+        judgement = rescues.judge(silence, target, bool(suspects))
+        if not judgement.moves:
+            return judgement.limit
         state.accuse(suspects, 'still', exchange.ask.name)
         before = list(exchange.tried)
         still = state.soundness.find_still(run.names, run.moved)
@@ -281,7 +276,7 @@
         hops = self._finder.choose(stream)
         if hops is None or not state.pay_resend(exchange.service, 'stream'):
             exchange.tried[:] = before
-            return silence + target * GAP_PART
+            return judgement.limit
         raise RunEnded(True, f'still for {silence:.3f} s', hops=hops)
 
     # What the caller gets.
@@ -292,7 +287,7 @@
         deadline = stream.exchange.deadline
         target = stream.exchange.terms.target_seconds
         target = target or chainfinder.USUAL_TARGET
-        limit = target * FIRST_PART
+        limit = target * rescues.STILL_PART
         while True:
             due = min(run.moved + limit, deadline)
             try:
@@ -308,7 +303,7 @@
         terms = stream.exchange.terms
         target = terms.gap_seconds if run.events else terms.target_seconds
         target = target or chainfinder.USUAL_TARGET
-        limit = target * (GAP_PART if run.events else FIRST_PART)
+        limit = target * rescues.STILL_PART
         while True:
             due = min(run.moved + limit, stream.exchange.deadline)
             try:
