Leave an engine that goes on refusing, and tell other entries at once

Cause: parts of a chain refuse a request for a dead engine at once, by its address. Change: the engine is left until work moves through it, each time for twice as long up to 2.4 s; others hear of it within 30 ms in a short datagram, and what moves through the engine afterwards refutes it. Figures: at most 6 of 16 streams in the scenario.

--- a/features/doubts.feature
+++ b/features/doubts.feature
@@ -7,3 +7,35 @@
     And after 0.65 s of silence, once few engines are suspected, it is moved
     And after 1.98 s of silence it is judged again at 2.0 s
     And after 2.0 s of silence it is moved, whatever is suspected
+
+  Scenario: An engine that refuses while work moves through it is full
+    When engine "x" refuses a request at 10.0
+    Then it is expected to refuse at 10.2
+    When work moves through it at 10.25
+    Then it is not expected to refuse at 10.35
+    When engine "x" refuses a request at 10.4
+    Then it is expected to refuse at 10.6
+    When work moves through it at 10.65
+    Then it is not expected to refuse at 10.75
+
+  Scenario: An engine that refuses while nothing moves through it is left longer each time
+    When engine "x" refuses a request at 10.0
+    Then it is expected to refuse at 10.2
+    And it is not expected to refuse at 10.35
+    When engine "x" refuses a request at 10.4
+    Then it is expected to refuse at 10.95
+    And it is not expected to refuse at 11.05
+    When engine "x" refuses a request at 11.1
+    Then it is expected to refuse at 12.2
+    And other entries are told of it at 12.2, and not at 12.4
+
+  Scenario: What others tell counts until work moves through the engine
+    When another entry tells of doubts about "x" at 10.0 and at 10.15
+    Then it is left out at 10.2
+    When work moves through it at 10.25
+    Then it is in use at 10.26
+    When another entry tells of doubts about "x" at 10.3 and at 10.45
+    Then it is in use at 10.5
+    And other entries are not told of it at 10.5
+    When another entry tells of doubts about "x" at 12.0 and at 12.15
+    Then it is left out at 12.2
--- a/features/edge.feature
+++ b/features/edge.feature
@@ -63,6 +63,12 @@
     Then "s-1" got 20 events in order, once and whole
     And "s-1" ran 2 times
 
+  Scenario: An engine that goes on refusing is left to itself
+    Given one engine with the first layer refuses all streams, as a dead one's neighbour does
+    When 16 streams are asked, one each 0.25 s
+    Then at most 6 of them were sent to that engine
+    And each of them was answered whole
+
   Scenario: A stream whose chain stands still goes on elsewhere
     When a caller starts to stream 60 events as "s-1"
     And one engine of its chain stands still
--- a/features/steps/doubts.py
+++ b/features/steps/doubts.py
@@ -2,6 +2,7 @@
 
 import behave
 from dunlintide_core.pipeline import rescues
+from dunlintide_core.pipeline import soundness
 
 
 @behave.given('a run that may be silent for {target:f} s')
@@ -33,3 +34,58 @@
 )
 def check_moved(context, silence):
     assert rescues.judge(silence, context.target, False).moves
+
+
+def believe(context):
+    if not hasattr(context, 'belief'):
+        context.belief = soundness.Soundness()
+    return context.belief
+
+
+@behave.when('engine "x" refuses a request at {at:f}')
+def refuse(context, at):
+    believe(context).refuse('x', at)
+
+
+@behave.when('work moves through it at {at:f}')
+def move(context, at):
+    believe(context).report_progress('x', at)
+
+
+@behave.when(
+    'another entry tells of doubts about "x" at {first:f} and at {second:f}'
+)
+def tell(context, first, second):
+    believe(context).hear('x', first)
+    believe(context).hear('x', second)
+
+
+@behave.then('it is expected to refuse at {at:f}')
+def check_refusing(context, at):
+    assert context.belief.is_full('x', at)
+
+
+@behave.then('it is not expected to refuse at {at:f}')
+def check_accepting(context, at):
+    assert not context.belief.is_full('x', at)
+
+
+@behave.then('it is left out at {at:f}')
+def check_left_out(context, at):
+    assert not context.belief.is_open('x', at)
+
+
+@behave.then('it is in use at {at:f}')
+def check_in_use(context, at):
+    assert context.belief.is_open('x', at)
+
+
+@behave.then('other entries are told of it at {first:f}, and not at {then:f}')
+def check_told(context, first, then):
+    assert context.belief.list_doubted(first) == ['x']
+    assert context.belief.list_doubted(then) == []
+
+
+@behave.then('other entries are not told of it at {at:f}')
+def check_not_told(context, at):
+    assert context.belief.list_doubted(at) == []
--- a/features/steps/edge_faults.py
+++ b/features/steps/edge_faults.py
@@ -3,6 +3,7 @@
 import time
 
 import behave
+from dunlintide_standins.fleet import callers
 from dunlintide_standins.fleet import runners
 import edge_lookups
 
@@ -86,6 +87,58 @@
         engine.faults = Full()
 
 
+@behave.given(
+    'one engine with the first layer refuses all streams, as a dead one\'s'
+    ' neighbour does'
+)
+def refuse_all(context):
+    heads = [
+        engine
+        for engine in context.scene.list_engines()
+        if engine.layers is not None and engine.layers[0] == 0
+    ]
+    context.refusing = heads[0]
+    context.refusals = []
+
+    class Refusing:
+        stall_after = None
+
+        def __getattr__(self, name):
+            if name == 'full':
+                context.refusals.append(time.monotonic())
+                return True
+            return 0
+
+        def take(self, name):
+            return False
+
+    context.refusing.faults = Refusing()
+
+
+@behave.when('{count:d} streams are asked, one each {pause:f} s')
+def ask_in_turn(context, count, pause):
+    context.answers = []
+    for number in range(count):
+        caller = callers.Caller(context.entry.listen)
+        context.stack.callback(caller.close)
+        caller.send(callers.build_stream(f'turn-{number}', 5))
+        context.answers.append(caller.read_answer())
+        time.sleep(pause)
+
+
+@behave.then('at most {count:d} of them were sent to that engine')
+def check_refusals(context, count):
+    began = context.refusals[0]
+    met = [round(at - began, 2) for at in context.refusals]
+    assert 0 < len(met) <= count, met
+
+
+@behave.then('each of them was answered whole')
+def check_whole(context):
+    for answer in context.answers:
+        assert answer.status == 200 and answer.whole, answer.status
+
+
 @behave.when('one engine of its chain stands still')
 def stall_one(context):
     fleet = context.scene.fleet
--- a/packages/core/src/dunlintide_core/pipeline/soundness.py
+++ b/packages/core/src/dunlintide_core/pipeline/soundness.py
@@ -30,6 +30,9 @@
 # seconds: the choice would fall on it again at once, as its use here looks
 # low. Requests that others gave up hold their places a while longer.
 FULL = 0.3
+# Longest time for which an endpoint that goes on refusing is left out, in
+# seconds; one that died is not listed any more some seconds later.
+LONGEST_REFUSING = 2.4
 # How long what another entry tells counts, in seconds: it is repeated
 # while it holds, and own progress refutes it.
 HEARSAY = 0.6
@@ -44,8 +47,19 @@
     accused: float = float('-inf')
     failures: int = 0
     trial: bool = False
+    heard_since: float = float('-inf')
     heard_until: float = float('-inf')
+    refused: float = float('-inf')
     full_until: float = float('-inf')
+    refusing_until: float = float('-inf')
+    refusals: int = 0
+
+    def has_moved_since(self, time: float) -> bool:
+        return self.progress > time
+
+    def goes_on_refusing(self, now: float) -> bool:
+        still = not self.has_moved_since(self.refused)
+        return still and now < self.refusing_until
 
 
 class Soundness:
@@ -98,24 +112,41 @@
         record = self._records.get(name)
         if record is None:
             return True
-        if now < record.heard_until and now - record.progress > HEARSAY:
+        heard = now < record.heard_until
+        if heard and not record.has_moved_since(record.heard_since):
             return False
         if not record.failures:
             return True
         return record.banned_until <= now and not record.trial
 
-    def fill(self, name: str, now: float) -> None:
-        """Take note that an endpoint refused a request as full."""
-        self._get(name).full_until = now + FULL
+    def refuse(self, name: str, now: float) -> None:
+        """Take note that an endpoint refused a request, or was blamed.
+
+        It is full or dead. A full one goes on with what it runs, a dead
+        one refuses all there is until it is not listed any more.
+        """
+        record = self._get(name)
+        if record.has_moved_since(record.refused):
+            record.refusals = 0
+        pause = min(LONGEST_REFUSING, FULL * 2**record.refusals)
+        record.refusals += 1
+        record.refused = now
+        record.full_until = now + FULL
+        record.refusing_until = now + pause
 
     def is_full(self, name: str, now: float) -> bool:
-        """Tell whether an endpoint was full a moment ago."""
+        """Tell whether an endpoint is expected to refuse requests."""
         record = self._records.get(name)
-        return record is not None and now < record.full_until
+        if record is None:
+            return False
+        return now < record.full_until or record.goes_on_refusing(now)
 
     def hear(self, name: str, now: float) -> None:
         """Take note that another entry leaves an endpoint out."""
-        self._get(name).heard_until = now + HEARSAY
+        record = self._get(name)
+        if now >= record.heard_until:
+            record.heard_since = now
+        record.heard_until = now + HEARSAY
 
     def begin(self, names: Iterable[str]) -> None:
         """Take note of a request sent, a trial at what was left out."""
@@ -135,10 +166,13 @@
         """Drop the record of an endpoint that is gone."""
         self._records.pop(name, None)
 
-    def list_banned(self, now: float) -> list[str]:
-        """List the endpoints that are left out now."""
+    def list_doubted(self, now: float) -> list[str]:
+        """List the endpoints that are left out for what was seen here.
+
+        What others told is not among them: told on, it would never end.
+        """
         return [
             name
             for name, record in self._records.items()
-            if record.banned_until > now
+            if record.banned_until > now or record.goes_on_refusing(now)
         ]
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -100,7 +100,7 @@
             'waiting': {
                 name: len(queue) for name, queue in state.backlogs.items()
             },
-            'left_out': state.soundness.list_banned(now),
+            'left_out': state.soundness.list_doubted(now),
             'resends_left': {
                 name: budget.count_left(now)
                 for name, budget in state.budgets.items()
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -27,6 +27,10 @@
 ENTRIES_AT_THIRD = 6
 # Reserved memory is told in as many tokens times layers.
 CACHE_UNIT = 1000
+# Shortest pause between two messages about doubted endpoints, in seconds:
+# by the time of the next regular one each entry has sent a request to a dead
+# endpoint, and each is refused at the cost of the shared budget.
+ALARM_PAUSE_SECONDS = 0.03
 # How long news of a leaving endpoint or a broken run is repeated, in
 # seconds.
 REPEAT_SECONDS = 3.0
@@ -43,7 +47,7 @@
     :ivar sender: name of the entry
     :ivar version: configuration in force there, 0 for none
     :ivar usages: digest of an endpoint or a pipe, sequences, started and
-        reserved memory in its unit
+        reserved memory in its unit; None if only doubts are told
     :ivar leaving: digests of endpoints that leave
     :ivar banned: digests of endpoints that are left out
     :ivar broken: fingerprints and the endpoints at which they broke
@@ -52,7 +56,7 @@
 
     sender: str
     version: int
-    usages: list[tuple[int, int, int, int]]
+    usages: list[tuple[int, int, int, int]] | None
     leaving: list[int]
     banned: list[int]
     broken: list[tuple[str, str]]
@@ -102,11 +106,34 @@
         """Tell the others until cancelled."""
         turn = 0
         while True:
-            await asyncio.sleep(PAUSE_SECONDS)
+            await self._wait(PAUSE_SECONDS)
             self._state.occupancy.expire(self._state.now)
             turn += 1
             if self.entries:
-                self._tell(turn % self._count_turns() == 0)
+                everywhere = turn % self._count_turns() == 0
+                self._tell(self._build(), everywhere)
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait for the next regular message; tell doubts meanwhile."""
+        alarmed = self._state.alarmed
+        due = self._state.now + seconds
+        while (left := due - self._state.now) > 0:
+            try:
+                async with asyncio.timeout(left):
+                    await alarmed.wait()
+            except TimeoutError:
+                return
+            alarmed.clear()
+            self._tell(self._build_alarm(), True)
+            await asyncio.sleep(ALARM_PAUSE_SECONDS)
+
+    def _build_alarm(self) -> _Message:
+        state = self._state
+        doubted = state.soundness.list_doubted(state.now)
+        version = state.deployment.version if state.deployment else 0
+        name = state.settings.name
+        digests = list(map(_digest, doubted))
+        return _Message(name, version, None, [], digests, [], [])
 
     def _count_turns(self) -> int:
         """Tell which of the messages also goes to other domains."""
@@ -133,13 +160,13 @@
                 for name, at in state.leaving.items()
                 if at >= since
             ],
-            list(map(_digest, state.soundness.list_banned(now))),
+            list(map(_digest, state.soundness.list_doubted(now))),
             state.crashers.list_recent(since),
             state.returns.list_recent(now - REFUSED_SECONDS),
         )
 
-    def _tell(self, everywhere: bool) -> None:
-        data = _encoder.encode(self._build())
+    def _tell(self, message: _Message, everywhere: bool) -> None:
+        data = _encoder.encode(message)
         domain = self._state.settings.failure_domain
         for entry in self.entries.values():
             if not everywhere and entry.domain != domain:
@@ -170,14 +197,15 @@
         state = self._state
         now = state.now
         names = self._name_digests()
-        usages = {
-            names[digest]: occupancy.Usage(
-                sequences, started, cache * CACHE_UNIT
-            )
-            for digest, sequences, started, cache in message.usages
-            if digest in names
-        }
-        state.occupancy.set_remote(message.sender, usages, now)
+        if message.usages is not None:
+            usages = {
+                names[digest]: occupancy.Usage(
+                    sequences, started, cache * CACHE_UNIT
+                )
+                for digest, sequences, started, cache in message.usages
+                if digest in names
+            }
+            state.occupancy.set_remote(message.sender, usages, now)
         for digest in message.leaving:
             if digest in names:
                 state.mark_leaving(names[digest], message.sender)
@@ -188,7 +216,8 @@
             state.crashers.hear(fingerprint, endpoint, now)
         for digest in message.refused:
             state.returns.hear(digest, now)
-        state.wake_all()
+        if message.usages is not None:
+            state.wake_all()
         held = state.deployment.version if state.deployment else 0
         if message.version > held and message.sender in self.entries:
             self.newer = message.sender
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -219,7 +219,8 @@
             if hop.endpoint.address == verdict.culprit:
                 culprit = hop.endpoint
         # A full one may serve it a moment later; a dead one will not.
-        state.soundness.fill(culprit.name, state.now)
+        state.soundness.refuse(culprit.name, state.now)
+        state.alarm()
         late = state.now - run.began >= DEAD_SECONDS
         if late or verdict.misdirected:
             exchange.tried.append(culprit.name)
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -53,6 +53,7 @@
     soundness: soundness_module.Soundness = attrs.field(
         factory=soundness_module.Soundness
     )
+    alarmed: asyncio.Event = attrs.field(factory=asyncio.Event)
     crashers: crashers_module.Crashers = attrs.field(
         factory=crashers_module.Crashers
     )
@@ -217,6 +218,11 @@
                     endpoint=name,
                     reason=reason,
                 )
+                self.alarm()
+
+    def alarm(self) -> None:
+        """Have other entries told at once which endpoints are doubted."""
+        self.alarmed.set()
 
     def release(
         self, service: str, reservation: occupancy_module.Reservation
