--- a/features/overload.feature
+++ b/features/overload.feature
@@ -24,6 +24,12 @@
     Given a failure domain with 0 a100, 12 v100 and 4 l4
     Then a quarter of its memory or more is kept for requests
 
+  Scenario: The layers for which nobody has room are named
+    Given a failure domain with 0 a100, 12 v100 and 4 l4
+    When usual streams arrive in it until one finds no chain
+    Then layers without room are named, each with the engines that hold it
+    And none are named once these engines have room
+
   Scenario: No chain crosses a pipe while one domain has a whole chain
     Given slow cards of "a" that hold all layers and fast ones of "b" that hold half
     When 20 usual streams arrive in "a" or "b"
--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -1,11 +1,13 @@
 """Steps that replay load on decisions about layouts and chains."""
 
+import attrs
 import behave
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import endpoints
 from dunlintide_core.pipeline import layout
 from dunlintide_core.pipeline import occupancy
 from dunlintide_core.pipeline import profiles
+from dunlintide_core.pipeline import scarcity
 from dunlintide_core.pipeline import soundness
 from dunlintide_core.pipeline import waits
 
@@ -76,21 +78,21 @@
     return PROFILE.count_cache(engine.kind, engine.end - engine.start)
 
 
-def choose(context, domain='a'):
-    use = context.occupancy
+def get_load(context, engine):
+    usage = context.occupancy.get(engine.name)
+    room = count_room(engine) - usage.cache
+    return chains.Load(usage.sequences, usage.started, room)
 
-    def get_load(engine):
-        usage = use.get(engine.name)
-        room = count_room(engine) - usage.cache
-        return chains.Load(usage.sequences, usage.started, room)
 
+def choose(context, domain='a'):
+    use = context.occupancy
     demand = chains.Demand(
         PROFILE.usual_prompt, PROFILE.usual_answer, TOKENS, domain
     )
     return chains.choose_chain(
         PROFILE,
         context.engines,
-        get_load,
+        lambda engine: get_load(context, engine),
         demand,
         lambda pipe: use.get(pipe).sequences,
     )
@@ -245,3 +247,39 @@
 @behave.then('it waits for another one beyond {end:f}, when its caller leaves')
 def check_wait(context, end):
     assert context.place.expires > end, context.place
+
+
+def find_scarce(context, widen):
+    def count(engine):
+        load = get_load(context, engine)
+        roomy = count_room(engine) if engine.name in widen else load.room
+        return attrs.evolve(load, room=roomy)
+
+    return scarcity.find_scarce(LAYERS, context.engines, count, TOKENS)
+
+
+def list_holders(context, scarce):
+    return [
+        engine.name
+        for engine in context.engines
+        if engine.start <= scarce.start and engine.end >= scarce.end
+    ]
+
+
+@behave.then(
+    'layers without room are named, each with the engines that hold it'
+)
+def check_scarce(context):
+    context.scarce = find_scarce(context, ())
+    assert context.scarce
+    for each in context.scarce:
+        assert each.holders == len(list_holders(context, each)) > 0, each
+        assert 0 <= each.start < each.end <= LAYERS
+
+
+@behave.then('none are named once these engines have room')
+def check_no_scarce(context):
+    widen = {
+        name for each in context.scarce for name in list_holders(context, each)
+    }
+    assert not find_scarce(context, widen)
--- a/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -6,6 +6,7 @@
 
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_core.pipeline import scarcity
 from dunlintide_core.pipeline import waits
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
@@ -28,6 +29,8 @@
 # share an engine are at all points of their answers, so they take little
 # more than half of it on average.
 ANSWER_PART = 0.7
+# Most ranges of layers that a log line names.
+MAX_SCARCE = 4
 
 
 def describe(hops: Hops) -> str:
@@ -70,19 +73,44 @@
             room = 0.0
         return chains.Load(usage.sequences, usage.started, room)
 
+    def _list_candidates(
+        self, stream: Stream
+    ) -> list[endpoints_module.Endpoint]:
+        exchange = stream.exchange
+        return [
+            each
+            for each in self._state.list_endpoints(exchange.service)
+            if each.name not in exchange.tried
+            and each.kind in stream.profile.accelerators
+        ]
+
+    def explain(self, stream: Stream) -> str:
+        """Tell for which layers no endpoint has room now, for the log.
+
+        If there is none, those without room in this failure domain: then
+        no other domain holds all layers with room either.
+        """
+        candidates = self._list_candidates(stream)
+        domain = self._state.settings.failure_domain
+        local = [each for each in candidates if each.domain == domain]
+        for where, engines in (('', candidates), (f' in {domain}', local)):
+            scarce = scarcity.find_scarce(
+                stream.profile.layers,
+                engines,
+                lambda endpoint: self._get_load(stream, endpoint),
+                self.estimate(stream).tokens,
+            )
+            if scarce:
+                return ', '.join(map(str, scarce[:MAX_SCARCE])) + where
+        return ''
+
     def choose(self, stream: Stream) -> Hops | None:
         """Find a chain with room now, None if there is none."""
         state = self._state
         exchange, profile = stream.exchange, stream.profile
-        candidates = [
-            each
-            for each in state.list_endpoints(exchange.service)
-            if each.name not in exchange.tried
-            and each.kind in profile.accelerators
-        ]
         hops = chains.choose_chain(
             profile,
-            candidates,
+            self._list_candidates(stream),
             lambda endpoint: self._get_load(stream, endpoint),
             self.estimate(stream),
             lambda pipe: state.occupancy.get(pipe).sequences,
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -42,7 +42,8 @@
             if hops is None:
                 hops = await self._finder.find(stream)
                 if hops is None:
-                    return self._give_up(exchange, ran, 'no room')
+                    scarce = self._finder.explain(stream)
+                    return self._give_up(exchange, ran, 'no room', scarce)
                 paid = not exchange.sends or state.pay_resend(
                     exchange.service, 'stream'
                 )
@@ -75,9 +76,16 @@
         )
 
     def _give_up(
-        self, exchange: exchange_module.Exchange, ran: bool, reason: str
+        self,
+        exchange: exchange_module.Exchange,
+        ran: bool,
+        reason: str,
+        scarce: str = '',
     ) -> Outcome:
-        """End a stream that no further run can help."""
+        """End a stream that no further run can help.
+
+        :param scarce: layers without room, for the log
+        """
         state = self._state
         reply = exchange.reply
         if reply.started:
@@ -93,6 +101,7 @@
             'request refused',
             request=exchange.ask.name,
             reason=reason,
+            scarce=scarce,
             returned=exchange.returned,
             waiting=len(state.get_backlog(exchange.service)),
             retry_after=round(pause, 3),
