Give a dead engine's layers to another while it is still listed

Cause: an engine that goes dark stays listed for 3 to 7 s, longer while the store is away; until then nobody got its layers, and all chains of its failure domain crossed pipes or were refused (66-69 of 2 holders for 10 s). Ruled out: moving for a doubt alone; a full engine is doubted too. Change: the leader asks an engine that is doubted for 0.8 s for its state; if it fails to answer twice, its layers count as lost until something moves through it. More than a third lost means that the leader itself is cut off. The scenario fails without the change (no move in 10 s).

--- a/features/edge.feature
+++ b/features/edge.feature
@@ -93,6 +93,12 @@
     When an engine crashes and comes back
     Then it holds layers again within 8 seconds
 
+  Scenario: Layers of a dead engine go to another while it is still listed
+    Given spare engines "small" and "small" in "a" that hold layers
+    When the engine of "a" whose layers no other there holds crashes and stays listed
+    And 12 streams are asked, one each 0.25 s
+    Then the entry's log names it lost, and an engine that is moved to its layers
+
   Scenario: An order carried out late does no harm
     Given a new engine of kind "small" that carries out its first order 2 seconds late
     Then it holds layers again within 8 seconds
--- a/features/steps/edge_faults.py
+++ b/features/steps/edge_faults.py
@@ -195,3 +195,60 @@
     # Long enough for the late order to have been carried out.
     time.sleep(2.5)
     assert context.engine.orders == count, context.engine.orders
+
+
+@behave.given('spare engines "small" and "small" in "a" that hold layers')
+def add_spares(context):
+    scene = context.scene
+    for _ in range(2):
+        scene.run(scene.fleet.add('llm', 'a', 'small'))
+    scene.wait_until(
+        lambda: all(engine.layers for engine in scene.list_engines()),
+        'all engines hold layers',
+    )
+    # The entry has seen what they hold.
+    time.sleep(0.5)
+
+
+def _list_layers(engine):
+    return set(range(*engine.layers))
+
+
+@behave.when(
+    'the engine of "a" whose layers no other there holds crashes and stays'
+    ' listed'
+)
+def crash_listed(context):
+    local = [
+        engine
+        for engine in context.scene.list_engines()
+        if engine.domain == 'a'
+    ]
+
+    def list_alone(engine):
+        others = [_list_layers(each) for each in local if each is not engine]
+        return _list_layers(engine) - set().union(*others)
+
+    context.dead = max(local, key=lambda each: len(list_alone(each)))
+    assert list_alone(context.dead), [each.layers for each in local]
+    context.scene.run(context.dead.crash(listed=True))
+
+
+@behave.then(
+    "the entry's log names it lost, and an engine that is moved to its layers"
+)
+def check_moved(context):
+    entry, dead = context.entry, context.dead
+
+    def find():
+        lost = entry.list_events('engine lost')
+        moved = entry.list_events('engine moved')
+        return [
+            row
+            for row in moved
+            if set(range(*row['layers'])) & _list_layers(dead)
+            and any(each['endpoint'] == dead.name for each in lost)
+        ]
+
+    context.scene.wait_until(find, 'a move to the layers of the dead engine')
+    assert not entry.list_events('endpoint gone')
--- a/packages/core/src/dunlintide_core/pipeline/soundness.py
+++ b/packages/core/src/dunlintide_core/pipeline/soundness.py
@@ -33,6 +33,9 @@
 # Longest time for which an endpoint that goes on refusing is left out, in
 # seconds; one that died is not listed any more some seconds later.
 LONGEST_REFUSING = 2.4
+# A sign that an endpoint does not work counts so long, in seconds: while it
+# is tried now and then, the next one comes sooner.
+FORGET_DOUBT = 3.0
 # How long what another entry tells counts, in seconds: it is repeated
 # while it holds, and own progress refutes it.
 HEARSAY = 0.6
@@ -53,10 +56,19 @@
     full_until: float = float('-inf')
     refusing_until: float = float('-inf')
     refusals: int = 0
+    doubted_since: float = float('-inf')
+    doubted: float = float('-inf')
 
     def has_moved_since(self, time: float) -> bool:
         return self.progress > time
 
+    def doubt(self, now: float) -> None:
+        """Take note of a sign that the endpoint does not work."""
+        forgotten = now - self.doubted > FORGET_DOUBT
+        if forgotten or self.has_moved_since(self.doubted_since):
+            self.doubted_since = now
+        self.doubted = now
+
     def goes_on_refusing(self, now: float) -> bool:
         still = not self.has_moved_since(self.refused)
         return still and now < self.refusing_until
@@ -96,6 +108,7 @@
         :returns: whether it was in use until now
         """
         record = self._get(name)
+        record.doubt(now)
         if now < record.banned_until:
             return False
         if now - record.accused > FORGET:
@@ -130,6 +143,7 @@
             record.refusals = 0
         pause = min(LONGEST_REFUSING, FULL * 2**record.refusals)
         record.refusals += 1
+        record.doubt(now)
         record.refused = now
         record.full_until = now + FULL
         record.refusing_until = now + pause
@@ -146,8 +160,22 @@
         record = self._get(name)
         if now >= record.heard_until:
             record.heard_since = now
+        record.doubt(now)
         record.heard_until = now + HEARSAY
 
+    def measure_doubt(self, name: str, now: float) -> float:
+        """Tell for how long nothing but bad signs came, in seconds."""
+        record = self._records.get(name)
+        if record is None or now - record.doubted > FORGET_DOUBT:
+            return 0.0
+        if record.has_moved_since(record.doubted_since):
+            return 0.0
+        return now - record.doubted_since
+
+    def has_moved_since(self, name: str, time: float) -> bool:
+        """Tell whether work moved through an endpoint after a time."""
+        return self._get(name).has_moved_since(time)
+
     def begin(self, names: Iterable[str]) -> None:
         """Take note of a request sent, a trial at what was left out."""
         for name in names:
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/losses.py
@@ -0,0 +1,89 @@
+"""Finds engines that are dead but still listed, for the leader.
+
+The listing drops a dead engine only when its lease has run out, later while
+the store is away. Meanwhile its failure domain may have no whole chain. So
+an engine that is doubted for a while is asked for its state; one that does
+not answer twice is lost until something moves through it.
+"""
+
+import asyncio
+
+from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_daemon.gateway import state as state_module
+from dunlintide_platform import orders
+
+__all__ = ['Losses']
+
+# How long an engine is doubted before it is asked, in seconds: most doubts
+# end sooner, as other requests move through it.
+DOUBT_SECONDS = 0.8
+# Times that an engine is asked in vain before it counts as lost: each
+# waits most of a second, and one alone may meet a lost packet.
+TRIES = 2
+# Pause before an engine that answered is asked again, in seconds; each
+# question counts as a probe.
+PAUSE_SECONDS = 5.0
+# Part of the engines of which more than it seem lost only to an entry that
+# is cut off itself: a failure domain of three is the most that fails at once.
+MOST_PART = 0.34
+
+
+class Losses:
+    """Engines that are known to be dead."""
+
+    def __init__(self, state: state_module.State) -> None:
+        self._state = state
+        self._lost: dict[str, float] = {}
+        self._asked: dict[str, float] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def review(self, engines: list[endpoints_module.Endpoint]) -> set[str]:
+        """Ask doubted engines, and return the names of lost ones.
+
+        :param engines: those that are listed
+        """
+        now = self._state.now
+        soundness = self._state.soundness
+        self._forget({each.name for each in engines})
+        for engine in engines:
+            doubt = soundness.measure_doubt(engine.name, now)
+            if doubt >= DOUBT_SECONDS and engine.name not in self._lost:
+                self._ask(engine, now)
+        if len(self._lost) > MOST_PART * len(engines):
+            return set()
+        return set(self._lost)
+
+    def _forget(self, listed: set[str]) -> None:
+        """Drop what is gone from the listing, and what works again."""
+        for known in (self._asked, self._lost):
+            for name in [each for each in known if each not in listed]:
+                del known[name]
+        for name, at in list(self._lost.items()):
+            if self._state.soundness.has_moved_since(name, at):
+                self._state.log.write_always('engine back', endpoint=name)
+                del self._lost[name]
+
+    def _ask(self, engine: endpoints_module.Endpoint, now: float) -> None:
+        asked = self._asked.get(engine.name)
+        if asked is not None and now - asked < PAUSE_SECONDS:
+            return
+        self._asked[engine.name] = now
+        work = self._find_out(engine)
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _find_out(self, engine: endpoints_module.Endpoint) -> None:
+        began = self._state.now
+        errors = []
+        for _ in range(TRIES):
+            read = await orders.read_report(engine.address)
+            if read.is_ok():
+                return
+            errors.append(read.err_value)
+        if self._state.soundness.has_moved_since(engine.name, began):
+            return
+        self._lost[engine.name] = self._state.now
+        self._state.log.write_always(
+            'engine lost', endpoint=engine.name, errors=errors
+        )
--- a/packages/daemon/src/dunlintide_daemon/gateway/placer.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/placer.py
@@ -8,6 +8,7 @@
 from dunlintide_core.pipeline import layout
 from dunlintide_core.pipeline import profiles
 from dunlintide_daemon.gateway import leadership as leadership_module
+from dunlintide_daemon.gateway import losses
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import orders
 
@@ -55,6 +56,7 @@
     ) -> None:
         self._state = state
         self._leadership = leadership
+        self._losses: dict[str, losses.Losses] = {}
         self._open: dict[str, _Order] = {}
         self._seen: set[str] = set()
         self._settled_at = float('inf')
@@ -96,8 +98,11 @@
     def _review_service(
         self, service: str, profile: profiles.EngineProfile, now: float
     ) -> None:
-        engines = self._list_engines(service)
-        names = {each.name for each in engines}
+        listed = self._list_engines(service)
+        names = {each.name for each in listed}
+        finder = self._losses.setdefault(service, losses.Losses(self._state))
+        lost = finder.review(listed)
+        engines = [each for each in listed if each.name not in lost]
         holding = []
         empty = []
         for engine in engines:
