--- a/features/steps/agent.py
+++ b/features/steps/agent.py
@@ -495,7 +495,9 @@
 def cancel_first(context, tokens):
     admission = context.agents[0].gate
     context.paid = []
-    admission.queue.correct = lambda ticket, cost: context.paid.append(cost)
+    admission.places.queue.correct = lambda ticket, cost: context.paid.append(
+        cost
+    )
     agent_scene.open_request(context, 'r1', tokens, prompt='word ' * 40)
     assert context.held_calls.acquire(timeout=WAIT_SECONDS)
     cancel = link_pb2.Cancel(request_id='r1', epoch=1)
@@ -505,7 +507,7 @@
 
 @behave.then('it holds its slot, and its team pays for the prompt')
 def check_slot(context):
-    assert context.agents[0].gate.in_flight.requests == 1
+    assert context.agents[0].gate.places.in_flight.requests == 1
     prompt = context.asked['r1'].prompt
     assert context.paid == [len(prompt) // 4], context.paid
 
@@ -517,6 +519,6 @@
 
 @behave.then('no slot is held')
 def check_no_slot(context):
-    in_flight = context.agents[0].gate.in_flight
+    in_flight = context.agents[0].gate.places.in_flight
     wait_until(lambda: not in_flight.requests, 'slots free')
     assert not in_flight.tokens, in_flight
--- a/packages/daemon/src/dunlintide_daemon/agent/dump.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/dump.py
@@ -44,16 +44,16 @@
                 _describe_work(work, now) for work in listed[:MAX_LISTED]
             ],
             'queue': {
-                'length': len(gate.queue),
-                'cost': round(gate.queue.cost, 1),
-                'cost_per_second': round(gate.rate.value, 1),
-                'members': gate.queue.count_teams(),
+                'length': len(gate.places.queue),
+                'cost': round(gate.places.queue.cost, 1),
+                'cost_per_second': round(gate.places.rate.value, 1),
+                'members': gate.places.queue.count_teams(),
             },
             'in_flight': {
-                'requests': gate.in_flight.requests,
-                'tokens': gate.in_flight.tokens,
-                'finished': gate.in_flight.finished,
-                'cap': gate.cap.limit(gate.in_flight),
+                'requests': gate.places.in_flight.requests,
+                'tokens': gate.places.in_flight.tokens,
+                'finished': gate.places.in_flight.finished,
+                'cap': gate.places.cap.limit(gate.places.in_flight),
             },
             'ledger': {
                 'generation': gate.ledger.generation,
--- a/packages/daemon/src/dunlintide_daemon/agent/gate.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/gate.py
@@ -18,17 +18,15 @@
 from dunlintide_core import outcomes
 from dunlintide_core import positions
 from dunlintide_core import queueing
-from dunlintide_core import rates
-from dunlintide_core import slots
 from dunlintide_daemon.agent import answers
 from dunlintide_daemon.agent import counts as counting
+from dunlintide_daemon.agent import places
 from dunlintide_daemon.agent import works
 
 __all__ = [
     'HOLD_SECONDS',
     'Gate',
     'GateSettings',
-    'Obstacle',
 ]
 
 # Longer than an entry looks for another chain.
@@ -36,18 +34,6 @@
 _QUARANTINED = 'the request has crashed endpoints'
 
 
-@attrs.frozen
-class Obstacle:
-    """Why a request cannot begin here now.
-
-    :ivar agent: agent at fault, empty for this one
-    """
-
-    code: outcomes.FailCode
-    detail: str
-    agent: str = ''
-
-
 @attrs.frozen
 class GateSettings:
     """Constants of a gate.
@@ -77,21 +63,15 @@
         self.leaving = False
         self.fault = ''
         self.is_quarantined: Callable[[bytes], bool] = lambda digest: False
-        self.rate = rates.Rate(clock())
-        self.queue = queueing.Queue(settings.queue)
+        self.places = places.Places(settings.queue, cap, clock())
         self.ledger = ledgers.Ledger(settings.incarnation, settings.ledger)
-        self.in_flight = caps.InFlight()
-        self.cap = cap
         self.counts = counts
         self.fences = positions.Fences()
         self._settings = settings
         self._clock = clock
         self._answers = answers.Answers(settings.name, counts, clock)
         self._works: dict[str, works.Work] = {}
-        self._teams: dict[str, int] = {}
-        self._ticked = clock()
         self._generation_began = clock()
-        self._slots = slots.Slots(clock(), self.queue.owes)
 
     def __len__(self) -> int:
         return len(self._works)
@@ -113,27 +93,21 @@
             verdict, entry = self.ledger.attach(works.read_claim(claim))
             self._answers.settle_claim(verdict, entry, subscriber, 0)
 
-    def _find_obstacle(self, work: works.Work) -> Obstacle | None:
+    def _find_obstacle(self, terms: link_pb2.Terms) -> places.Obstacle | None:
         if self.leaving:
             code = outcomes.FailCode.LEAVING
-            return Obstacle(code, 'the endpoint is leaving')
+            return places.Obstacle(code, 'the endpoint is leaving')
         if self.fault:
-            return Obstacle(outcomes.FailCode.NO_CAPACITY, self.fault)
-        limit = work.terms.team_concurrency
-        if limit and self._teams.get(work.terms.team, 0) >= limit:
-            return Obstacle(
-                outcomes.FailCode.RATE_LIMITED,
-                'too many requests of the team are in flight',
-            )
-        return None
+            return places.Obstacle(outcomes.FailCode.NO_CAPACITY, self.fault)
+        return self.places.find_obstacle(terms.team, terms.team_concurrency)
 
     def _enqueue(
         self,
         work: works.Work,
         subscriber: works.Subscriber,
-        obstacle: Obstacle | None,
+        obstacle: places.Obstacle | None,
     ) -> bool:
-        obstacle = obstacle or self._find_obstacle(work)
+        obstacle = obstacle or self._find_obstacle(work.terms)
         sealed = work.entry is not None
         if self.is_quarantined(work.terms.fingerprint):
             code = outcomes.FailCode.QUARANTINED
@@ -152,18 +126,7 @@
                 sealed=sealed,
             )
             return False
-        now = self._clock()
-        work.ticket = queueing.Ticket(
-            work.terms.team,
-            work.terms.weight or 1.0,
-            work.terms.priority,
-            work.cost,
-            now,
-            work,
-        )
-        refusal = self.queue.push(
-            work.ticket, work.deadline - now, self.rate.value
-        )
+        refusal = self.places.queue_up(work, self._clock())
         if refusal is not None:
             self._answers.refuse(
                 subscriber,
@@ -174,7 +137,6 @@
                 sealed=sealed,
             )
             return False
-        self._slots.want(work.ticket.team, work.ticket.weight)
         return True
 
     def _adopt(
@@ -182,7 +144,7 @@
         work: works.Work,
         subscriber: works.Subscriber,
         skip: int,
-        obstacle: Obstacle | None,
+        obstacle: places.Obstacle | None,
     ) -> bool:
         """Give a run that nobody takes to a newer epoch of its request.
 
@@ -214,7 +176,7 @@
         work: works.Work,
         subscriber: works.Subscriber,
         skip: int,
-        obstacle: Obstacle | None,
+        obstacle: places.Obstacle | None,
     ) -> None:
         """Give a claim's run to a repeat, and its chain to a held run."""
         verdict = ledgers.Verdict.ATTACH
@@ -232,7 +194,7 @@
         claim: link_pb2.Claim | None,
         subscriber: works.Subscriber,
         skip: int = 0,
-        obstacle: Obstacle | None = None,
+        obstacle: places.Obstacle | None = None,
     ) -> None:
         """Take in a request: refuse, queue, or give it an earlier run.
 
@@ -274,31 +236,15 @@
                 return
             work.subscribers.append(subscriber)
             self._works[work.request_id] = work
-            team = work.terms.team
-            self._teams[team] = self._teams.get(team, 0) + 1
+            self.places.count_in(work.terms.team)
             self.counts.add('opened')
             self.pump()
 
-    def _may_start(self, team: str) -> bool:
-        limit = self.cap.limit(self.in_flight)
-        return self._slots.may_start(team, self.in_flight.requests, limit)
-
-    def _admits(self, ticket: queueing.Ticket) -> bool:
-        return self.cap.admits(self.in_flight, ticket.item.tokens)
-
     def pump(self) -> None:
         """Start what may start."""
         with self.lock:
             now = self._clock()
-            while ticket := self.queue.pick(
-                now, self._admits, self._may_start
-            ):
-                work = ticket.item
-                work.phase = works.Phase.RUNNING
-                work.begun = now
-                self._slots.start(ticket.team)
-                self.in_flight.requests += 1
-                self.in_flight.tokens += work.tokens
+            while work := self.places.take_next(now):
                 if work.entry is not None:
                     work.entry.state = ledgers.State.RUNNING
                 work.start(work)
@@ -311,11 +257,6 @@
                 return
             self._answers.send(work, frame)
 
-    def _free_slot(self, work: works.Work) -> None:
-        self._slots.end(work.ticket.team, True)
-        self.in_flight.requests -= 1
-        self.in_flight.tokens -= work.tokens
-
     def note_back(self, work: works.Work) -> None:
         """Take note that the engine is done with a step of a request.
 
@@ -325,26 +266,13 @@
         with self.lock:
             work.under_way -= 1
             if work.phase is works.Phase.ENDED and not work.under_way:
-                self._free_slot(work)
+                self.places.free(work)
                 self.pump()
 
     def _forget(self, work: works.Work) -> None:
         if self._works.get(work.request_id) is work:
             del self._works[work.request_id]
-        team = work.terms.team
-        self._teams[team] -= 1
-        if not self._teams[team]:
-            del self._teams[team]
-        if work.phase is works.Phase.QUEUED:
-            self._slots.end(work.ticket.team, False)
-            self.queue.remove(work.ticket)
-        else:
-            self.in_flight.finished += 1
-            if work.spent is not None:
-                self.queue.correct(work.ticket, work.spent)
-            self.rate.add(work.cost)
-            if not work.under_way:
-                self._free_slot(work)
+        self.places.count_out(work)
         work.phase = works.Phase.ENDED
         self._answers.forget(work)
         self.fences.end(work.request_id, work.epoch)
@@ -537,12 +465,7 @@
             now = self._clock()
             for work in list(self._works.values()):
                 self._check_work(work, now)
-            self._slots.tick(now)
-            if now - self._ticked >= 1.0:
-                self._ticked = now
-                self.rate.sample(
-                    now, len(self.queue) > 0, self.in_flight.requests
-                )
+            self.places.tick(now)
             seconds = ledgers.GENERATION_SECONDS
             while now - self._generation_began >= seconds:
                 self._generation_began += seconds
--- a/packages/daemon/src/dunlintide_daemon/agent/heads.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/heads.py
@@ -9,8 +9,8 @@
 from dunlintide_core import outcomes
 from dunlintide_core import positions
 from dunlintide_core import queueing
-from dunlintide_daemon.agent import gate as gates
 from dunlintide_daemon.agent import peers as peering
+from dunlintide_daemon.agent import places
 from dunlintide_daemon.agent import recovery as recoveries
 from dunlintide_daemon.agent import sessions
 from dunlintide_daemon.agent import table as tables
@@ -66,17 +66,17 @@
         self._peers = table.peers
         self._counts = table.counts
 
-    def _find_obstacle(self, message: link_pb2.Open) -> gates.Obstacle | None:
+    def _find_obstacle(self, message: link_pb2.Open) -> places.Obstacle | None:
         code = outcomes.FailCode.NO_CAPACITY
         identity = self._table.identity
         if not message.chain or not identity.fits(message.chain[0]):
             detail = 'the chain does not begin with this agent'
-            return gates.Obstacle(code, detail)
+            return places.Obstacle(code, detail)
         for stage in message.chain[1:]:
             if self._peers.is_leaving(stage.address):
                 code = outcomes.FailCode.LEAVING
                 detail = 'a stage is leaving'
-                return gates.Obstacle(code, detail, stage.agent)
+                return places.Obstacle(code, detail, stage.agent)
         return None
 
     def open(self, link: links.Link, message: link_pb2.Open) -> None:
--- a/packages/daemon/src/dunlintide_daemon/agent/role.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/role.py
@@ -11,7 +11,6 @@
 import pykka
 
 from dunlintide_adapters import admin
-from dunlintide_adapters import cacheevents
 from dunlintide_adapters import engine as engines
 from dunlintide_adapters import leaders
 from dunlintide_adapters import links
@@ -19,11 +18,9 @@
 from dunlintide_adapters import metrics
 from dunlintide_adapters import peercodec
 from dunlintide_adapters import peers as peer_calls
-from dunlintide_adapters import store
 from dunlintide_adapters import tlschecks
 from dunlintide_adapters import transports
 from dunlintide_adapters.wire import link_pb2
-from dunlintide_core import activations
 from dunlintide_core import fleet
 from dunlintide_core import placement
 from dunlintide_core import poison
@@ -35,13 +32,13 @@
 from dunlintide_daemon.agent import dispatch
 from dunlintide_daemon.agent import driver as drivers
 from dunlintide_daemon.agent import dump
+from dunlintide_daemon.agent import engineside
 from dunlintide_daemon.agent import orders
 from dunlintide_daemon.agent import peers as peering
 from dunlintide_daemon.agent import pipeline as pipelines
 from dunlintide_daemon.agent import reports
 from dunlintide_daemon.agent import services
 from dunlintide_daemon.agent import supervisor
-from dunlintide_daemon.agent import table as tables
 from dunlintide_daemon import lives
 from dunlintide_daemon import peers as fleet_state
 from dunlintide_daemon import suspicion
@@ -125,6 +122,7 @@
         self.driver: drivers.Driver | None = None
         self._caching: caching.Caching | None = None
         self._engine: engines.Engine | None = None
+        self._engine_side: engineside.EngineSide | None = None
         self._services: services.Services | None = None
         if self.endpoint.kind is fleet.EndpointKind.ENGINE:
             self._build_engine_side()
@@ -150,47 +148,21 @@
         return state
 
     def _build_engine_side(self) -> None:
-        endpoint = self.endpoint
-        identity = tables.Identity(
-            self.settings.name,
+        parts = engineside.Parts(
             self.incarnation,
-            endpoint.model,
-            endpoint.version,
-            endpoint.layer_start,
-            endpoint.layer_end,
-        )
-        self._kept = activations.Store(
-            self.settings.limits.kept_activation_bytes
-        )
-        table = tables.Table(
-            identity, self.gate, self._peers, self.counts, self._kept
-        )
-        self.pipeline = pipelines.Pipeline(table, self._suspicion)
-        self._suspicion.on_news = self.pipeline.drop_quarantined
-        timing = self.settings.timing
-        self._engine = engines.Engine(
-            self.settings.endpoint.url, timing.endpoint_timeout
-        )
-        limit = self.settings.limits.cache_news
-        if limit:
-            source = cacheevents.Source(self._engine)
-            self._caching = caching.Caching(source, self.counts, limit)
-            table.note_prompt = self._caching.begin
-        handlers = drivers.Handlers(
-            self.pipeline.take_results,
+            self.gate,
+            self._peers,
+            self.counts,
+            self._suspicion,
             self._take_engine_failure,
-            self.pipeline.limit_batch,
-            self.pipeline.runs_alone,
-            lambda job: job.owner.terms.team,
-        )
-        self.driver = drivers.Driver(
-            self._engine, handlers, timing.endpoint_silence
         )
-        table.driver = self.driver
-        self._store = store.Store.from_url(
-            self.settings.store_url,
-            timing=store.StoreTiming(read=self.settings.timing.store_timeout),
+        side = engineside.EngineSide.from_config(
+            self.settings, self.endpoint, parts
         )
+        self._engine_side = side
+        self.pipeline, self.driver = side.pipeline, side.driver
+        self._caching, self._engine = side.caching, side.engine
+        self._suspicion.on_news = side.pipeline.drop_quarantined
 
     def _build_service_side(self) -> None:
         self._services = services.Services(
@@ -364,7 +336,7 @@
             is_leaving=lambda: self.gate.leaving,
             crash=self.crash,
         )
-        keys = leaders.Leaders(self._store)
+        keys = leaders.Leaders(self._engine_side.store)
         self._orders = orders.Orders.start(self._engine, keys, hooks)
         self._stack.callback(self._orders.stop, block=False)
         # Peers are told what the engine holds, not what it once held.
@@ -374,9 +346,9 @@
         gate = self.gate
         with gate.lock:
             self._load = link_pb2.Load(
-                running=gate.in_flight.requests,
-                queued=len(gate.queue),
-                cap=gate.cap.limit(gate.in_flight),
+                running=gate.places.in_flight.requests,
+                queued=len(gate.places.queue),
+                cap=gate.places.cap.limit(gate.places.in_flight),
                 kv_usage=load.kv_usage,
                 step_seconds=load.step_seconds,
                 tokens_per_second=load.tokens_per_second,
@@ -414,23 +386,9 @@
         }
         if self._state is not None:
             state['state'] = self._state.dump()
-        if self._caching is not None:
-            state['cache'] = self._caching.describe()
-        if self.pipeline is not None:
+        if self._engine_side is not None:
             state['holding'] = attrs.asdict(self._get_holding())
-            state['stages'] = self.pipeline.count_stages()
-            state['kept_activations'] = {
-                'sessions': len(self._kept),
-                'bytes': self._kept.used,
-                'evicted': self._kept.evicted,
-            }
-            state['engine'] = {
-                'calls': self.driver.calls,
-                'steps': self.driver.steps,
-                'busy_seconds': round(self.driver.busy_seconds, 3),
-                'rescued': self.driver.rescued,
-                'kept': self.driver.kept,
-            }
+            state |= self._engine_side.describe()
         return state
 
     def _check_readiness(self) -> admin.Readiness:
@@ -444,8 +402,10 @@
     def _register_metrics(self) -> prometheus_client.CollectorRegistry:
         registry = prometheus_client.CollectorRegistry()
         shared = metrics.Metrics.from_registry(registry, fleet.Role.AGENT)
-        shared.queue_length.set_function(lambda: len(self.gate.queue))
-        shared.in_flight.set_function(lambda: self.gate.in_flight.requests)
+        shared.queue_length.set_function(lambda: len(self.gate.places.queue))
+        shared.in_flight.set_function(
+            lambda: self.gate.places.in_flight.requests
+        )
         shared.links.set_function(lambda: len(self._server.links()))
         self.counts.register(registry)
         registry.register(transports.Collector(self._transport))
@@ -492,7 +452,7 @@
             self._stack = stack
             if self._engine is not None:
                 stack.callback(self._engine.close)
-                stack.callback(self._store.close)
+                stack.callback(self._engine_side.store.close)
                 self._start_orders()
                 if self._caching is not None:
                     stack.enter_context(self._caching)
--- a/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/supervisor.py
@@ -168,7 +168,7 @@
             size = int(load.kv_tokens / load.kv_usage)
         usage = caps.Usage(load.kv_usage, size, load.queued)
         with self._gate.lock:
-            self._gate.cap.observe(self._gate.in_flight, usage)
+            self._gate.places.cap.observe(self._gate.places.in_flight, usage)
 
     def _report(self) -> None:
         load = engines.EngineLoad()
