--- a/features/steps/outcomes.py
+++ b/features/steps/outcomes.py
@@ -5,7 +5,7 @@
 
 import behave
 from dunlintide_trials import deployment
-from dunlintide_trials import layout
+from dunlintide_trials import plans
 import outcomes_scene
 
 
@@ -39,7 +39,7 @@
 )
 def silence_stream(context, tokens, hop, how):
     start_stream(context, tokens)
-    relay = context.scene.find_relay(layout.Hop(hop), context.chain)
+    relay = context.scene.find_relay(plans.Hop(hop), context.chain)
     direction, _, rest = how.partition(',')
     relay.stall(outcomes_scene.DIRECTIONS[direction], new=bool(rest))
 
@@ -109,7 +109,7 @@
 @behave.when('the entry-store connections go silent')
 def silence_store(context):
     for (hop, _), relay in context.scene.running.relays.items():
-        if hop is layout.Hop.ENTRY_STORE:
+        if hop is plans.Hop.ENTRY_STORE:
             relay.stall()
 
 
--- a/features/steps/outcomes_callers.py
+++ b/features/steps/outcomes_callers.py
@@ -4,7 +4,7 @@
 
 import behave
 from dunlintide_standins import relay
-from dunlintide_trials import layout
+from dunlintide_trials import plans
 import outcomes_scene
 
 ENTRY = 'entry-0'
@@ -55,7 +55,7 @@
     context.settled = count_outcomes(context, 'deadline')
     context.scene.ask(connection, 300, stream=True)
     context.scene.find_chain()
-    hop = layout.Hop.CALLER_ENTRY, ENTRY
+    hop = plans.Hop.CALLER_ENTRY, ENTRY
     context.scene.running.relays[hop].stall(relay.Direction.BOTH)
 
 
--- a/features/steps/outcomes_scene.py
+++ b/features/steps/outcomes_scene.py
@@ -14,8 +14,8 @@
 from dunlintide_trials import client
 from dunlintide_trials import deployment
 from dunlintide_trials import launcher
-from dunlintide_trials import layout
 from dunlintide_trials import operators
+from dunlintide_trials import plans
 from dunlintide_trials import records
 import urllib3
 import waiting
@@ -85,7 +85,7 @@
                 attrs.evolve(blueprints.shrink(blueprint), placement=HELD),
                 rules,
                 pathlib.Path(enter(folder)),
-                hops=layout.Hop,
+                hops=plans.Hop,
                 timing=TIMING,
             )
         )
@@ -261,7 +261,7 @@
 
     def find_relay(self, hop, chain):
         """Give the relay on a hop of a running request."""
-        if hop is layout.Hop.ENTRY_AGENT:
+        if hop is plans.Hop.ENTRY_AGENT:
             return self.running.relays[hop, chain[0]]
         return self.running.relays[hop, chain[1]]
 
--- a/features/steps/outcomes_services.py
+++ b/features/steps/outcomes_services.py
@@ -5,7 +5,7 @@
 import behave
 from dunlintide_core import outcomes
 from dunlintide_standins import relay
-from dunlintide_trials import layout
+from dunlintide_trials import plans
 import outcomes_scene
 
 SECONDS = 1.0
@@ -64,7 +64,7 @@
 
 
 def find_relay(context):
-    hop = layout.Hop.AGENT_SERVICE, context.agent
+    hop = plans.Hop.AGENT_SERVICE, context.agent
     return context.scene.running.relays[hop]
 
 
--- a/features/steps/poison.py
+++ b/features/steps/poison.py
@@ -13,8 +13,8 @@
 from dunlintide_trials import blueprints
 from dunlintide_trials import deployment
 from dunlintide_trials import launcher
-from dunlintide_trials import layout
 from dunlintide_trials import operators
+from dunlintide_trials import plans
 from dunlintide_trials import processes
 from dunlintide_trials import records
 
@@ -174,7 +174,7 @@
 )
 def start_deployment(context, way):
     # A forwarder takes connections also while the engine is gone.
-    hops = () if way == 'directly' else (layout.Hop.AGENT_ENGINE,)
+    hops = () if way == 'directly' else (plans.Hop.AGENT_ENGINE,)
     example = context.root / launcher.EXAMPLE
     blueprint = blueprints.load_blueprint(example)
     rules = operators.load_rules(example.parent / blueprint.rules)
--- a/packages/trials/src/dunlintide_trials/deployment.py
+++ b/packages/trials/src/dunlintide_trials/deployment.py
@@ -10,8 +10,8 @@
 from dunlintide_core import subset
 from dunlintide_standins import relay
 from dunlintide_trials import client
-from dunlintide_trials import layout
 from dunlintide_trials import operators
+from dunlintide_trials import plans
 from dunlintide_trials import processes
 
 __all__ = ['AGENT', 'ENGINE', 'ENTRY', 'PLATFORM', 'SERVICE', 'Deployment']
@@ -36,11 +36,11 @@
     :ivar started: every process by name, in the order of starting
     """
 
-    plan: layout.Plan
+    plan: plans.Plan
     folder: pathlib.Path
     keys: dict[str, str]
     rules: dict[str, Any]
-    relays: dict[tuple[layout.Hop, str], relay.Relay] = attrs.field(
+    relays: dict[tuple[plans.Hop, str], relay.Relay] = attrs.field(
         factory=dict
     )
     started: dict[str, processes.Process] = attrs.field(factory=dict)
@@ -113,8 +113,8 @@
 
     def read_state(self, daemon: str) -> dict[str, Any]:
         """Read the state dump of a daemon, by its name."""
-        plans = {one.name: one for one in self.plan.daemons}
-        return self.get_json(f'{plans[daemon].admin_url}/debug/state')
+        daemons = {one.name: one for one in self.plan.daemons}
+        return self.get_json(f'{daemons[daemon].admin_url}/debug/state')
 
     def is_ready(self, admin_url: str) -> bool:
         """Tell whether a daemon says that it takes work."""
@@ -129,8 +129,8 @@
 
         :raises processes.StartError: when it ends or takes too long
         """
-        plans = {one.name: one for one in self.plan.daemons}
-        url = plans[daemon].admin_url
+        daemons = {one.name: one for one in self.plan.daemons}
+        url = daemons[daemon].admin_url
         self.started[daemon].wait_ready(lambda: self.is_ready(url))
 
     def restart(self, name: str) -> None:
--- a/packages/trials/src/dunlintide_trials/fleetfaults.py
+++ b/packages/trials/src/dunlintide_trials/fleetfaults.py
@@ -12,7 +12,7 @@
 from dunlintide_trials import deployment
 from dunlintide_trials import faults
 from dunlintide_trials import field as fields
-from dunlintide_trials import layout
+from dunlintide_trials import plans
 from dunlintide_trials import processes
 
 __all__ = ['FAULTS', 'SECONDS']
@@ -154,7 +154,7 @@
     """Let nobody reach the agents of a failure domain."""
     domain = field.rng.choice(field.running.plan.blueprint.failure_domains)
     names = set(_list_domain(field, domain))
-    hops = (layout.Hop.ENTRY_AGENT, layout.Hop.AGENT_AGENT)
+    hops = (plans.Hop.ENTRY_AGENT, plans.Hop.AGENT_AGENT)
     return _hold_relays(
         field, lambda hop, daemon: hop in hops and daemon in names
     )
@@ -167,7 +167,7 @@
     return _hold_relays(
         field,
         lambda hop, daemon: (
-            hop is layout.Hop.ENTRY_STORE and daemon in cut_off
+            hop is plans.Hop.ENTRY_STORE and daemon in cut_off
         ),
     )
 
--- a/packages/trials/src/dunlintide_trials/launcher.py
+++ b/packages/trials/src/dunlintide_trials/launcher.py
@@ -14,6 +14,7 @@
 from dunlintide_trials import deployment
 from dunlintide_trials import layout
 from dunlintide_trials import operators
+from dunlintide_trials import plans
 from dunlintide_trials import ports
 from dunlintide_trials import processes
 
@@ -99,7 +100,7 @@
 
     def start_daemons(self, role: str) -> None:
         plan = self._running.plan
-        plans = plan.agents if role == deployment.AGENT else plan.entries
+        daemons = plan.agents if role == deployment.AGENT else plan.entries
         self._start(
             [
                 self._add(
@@ -109,13 +110,13 @@
                     self._build_command(one.name),
                     one.ports,
                 )
-                for one in plans
+                for one in daemons
             ]
         )
 
     def _build_command(self, name: str) -> tuple[str, ...]:
         settings = str(self._running.folder / f'{name}.jsonc')
-        return (sys.executable, '-m', layout.DAEMON_MODULE, settings)
+        return (sys.executable, '-m', plans.DAEMON_MODULE, settings)
 
 
 def _stop(group: list[processes.Process]) -> None:
@@ -128,10 +129,10 @@
 
 
 def _start_relays(
-    plan: layout.Plan,
-    hops: Iterable[layout.Hop],
+    plan: plans.Plan,
+    hops: Iterable[plans.Hop],
     stack: contextlib.ExitStack,
-) -> dict[tuple[layout.Hop, str], relay.Relay]:
+) -> dict[tuple[plans.Hop, str], relay.Relay]:
     relays = {}
     for hop in hops:
         for daemon, target in layout.list_hops(plan, hop):
@@ -147,7 +148,7 @@
     rules: dict[str, Any],
     folder: pathlib.Path,
     *,
-    hops: Iterable[layout.Hop] = (),
+    hops: Iterable[plans.Hop] = (),
     timing: Mapping[str, float] | None = None,
     routings: Iterable[str] = (),
     extras: Mapping[str, Mapping[str, Any]] | None = None,
@@ -198,7 +199,7 @@
 def run_small(
     example: pathlib.Path = EXAMPLE,
     *,
-    hops: Iterable[layout.Hop] = (),
+    hops: Iterable[plans.Hop] = (),
     timing: Mapping[str, float] | None = None,
     **options: Any,
 ) -> Iterator[deployment.Deployment]:
--- a/packages/trials/src/dunlintide_trials/layout.py
+++ b/packages/trials/src/dunlintide_trials/layout.py
@@ -1,228 +1,21 @@
-"""Names, addresses and settings of the processes of a deployment."""
+"""Gives the processes of a deployment names, domains, ports and files."""
 
 import collections
-import enum
 import json
 import pathlib
 import secrets
-import sys
-from typing import Any, Mapping
 
-import attrs
-
-from dunlintide_trials import authority
 from dunlintide_trials import blueprints
+from dunlintide_trials import plans
 from dunlintide_trials import ports
 
 __all__ = [
-    'AgentPlan',
-    'EndpointPlan',
-    'EntryPlan',
-    'Hop',
-    'Plan',
-    'StandinPlan',
-    'make_keys',
     'list_hops',
+    'make_keys',
     'make_plan',
     'write_files',
 ]
 
-DAEMON_MODULE = 'dunlintide_daemon.main'
-_STANDINS = 'dunlintide_standins'
-
-
-class Hop(enum.StrEnum):
-    """Who connects to whom, where a relay can be put between them."""
-
-    CALLER_ENTRY = 'caller-entry'
-    ENTRY_AGENT = 'entry-agent'
-    AGENT_AGENT = 'agent-agent'
-    AGENT_ENGINE = 'agent-engine'
-    AGENT_SERVICE = 'agent-service'
-    ENTRY_STORE = 'entry-store'
-
-
-def _make_address(port: int) -> str:
-    return f'{ports.HOST}:{port}'
-
-
-def _make_url(port: int) -> str:
-    return f'http://{_make_address(port)}'
-
-
-@attrs.frozen
-class StandinPlan:
-    """A stand-in to be started.
-
-    :ivar module: module that runs it
-    :ivar flags: its flags besides the address
-    """
-
-    name: str
-    module: str
-    port: int
-    flags: tuple[str, ...] = ()
-
-    @property
-    def url(self) -> str:
-        """Base URL."""
-        return _make_url(self.port)
-
-    @property
-    def command(self) -> tuple[str, ...]:
-        """Program and arguments."""
-        listen = f'--listen={_make_address(self.port)}'
-        module = f'{_STANDINS}.{self.module}'
-        return (sys.executable, '-m', module, listen, *self.flags)
-
-
-@attrs.frozen
-class EndpointPlan:
-    """An endpoint and what its agent is told of it.
-
-    :ivar settings: the ``endpoint`` part of the agent's settings
-    """
-
-    standin: StandinPlan
-    failure_domain: str
-    settings: dict[str, Any]
-
-    @property
-    def kind(self) -> str:
-        """``engine`` or ``service``."""
-        return self.settings['kind']
-
-    @property
-    def hop(self) -> Hop:
-        """The hop between it and its agent."""
-        engine = self.kind == 'engine'
-        return Hop.AGENT_ENGINE if engine else Hop.AGENT_SERVICE
-
-
-@attrs.frozen
-class DaemonPlan:
-    """What agents and entries have in common."""
-
-    name: str
-    failure_domain: str
-    admin_port: int
-    link_port: int
-
-    @property
-    def admin_url(self) -> str:
-        """Base URL for operators."""
-        return _make_url(self.admin_port)
-
-    @property
-    def address(self) -> str:
-        """Where peers connect."""
-        return _make_address(self.link_port)
-
-    @property
-    def ports(self) -> tuple[int, ...]:
-        """Ports that it binds."""
-        return (self.admin_port, self.link_port)
-
-    def _build_settings(self, plan: 'Plan', role: str) -> dict[str, Any]:
-        advertised = plan.find_port(Hop.AGENT_AGENT, self.name, self.link_port)
-        return {
-            'role': role,
-            'name': self.name,
-            'failure_domain': self.failure_domain,
-            'region': plan.blueprint.region,
-            'admin_listen': _make_address(self.admin_port),
-            'link_listen': self.address,
-            'advertise': _make_address(advertised),
-            'store_url': plan.store.url,
-            'host_list_url': f'{plan.host_list.url}/hosts',
-            'timing': plan.timing,
-            **plan.extras.get(role, {}),
-        }
-
-
-@attrs.frozen
-class AgentPlan(DaemonPlan):
-    """An agent and its endpoint."""
-
-    endpoint: EndpointPlan
-
-    def build_settings(self, plan: 'Plan') -> dict[str, Any]:
-        """Build the settings of the daemon."""
-        settings = self._build_settings(plan, 'agent')
-        endpoint = self.endpoint
-        port = endpoint.standin.port
-        url = {'url': _make_url(plan.find_port(endpoint.hop, self.name, port))}
-        return settings | {'endpoint': self.endpoint.settings | url}
-
-
-@attrs.frozen
-class EntryPlan(DaemonPlan):
-    """An entry."""
-
-    port: int
-
-    @property
-    def url(self) -> str:
-        """Base URL for callers."""
-        return _make_url(self.port)
-
-    @property
-    def ports(self) -> tuple[int, ...]:
-        """Ports that it binds."""
-        return (self.port, self.admin_port, self.link_port)
-
-    def build_settings(self, plan: 'Plan') -> dict[str, Any]:
-        """Build the settings of the daemon."""
-        settings = self._build_settings(plan, 'entry')
-        store = plan.find_port(Hop.ENTRY_STORE, self.name, plan.store.port)
-        settings |= {
-            'listen': _make_address(self.port),
-            'store_url': _make_url(store),
-            'placement': attrs.asdict(plan.blueprint.placement),
-        }
-        number = plan.entries.index(self)
-        if number < len(plan.routings):
-            settings['routing'] = plan.routings[number]
-        return settings
-
-
-@attrs.frozen
-class Plan:
-    """All processes of a deployment, with their ports.
-
-    :ivar relayed: port of the relay on a hop, by hop and daemon
-    :ivar timing: the ``timing`` part of every daemon's settings
-    :ivar routings: the ``routing`` of entries, by their numbers
-    :ivar extras: further settings of daemons, by role
-    :ivar issuer: issues the daemons' certificates; None for no TLS
-    """
-
-    blueprint: blueprints.Blueprint
-    store: StandinPlan
-    host_list: StandinPlan
-    weight_store: StandinPlan
-    agents: tuple[AgentPlan, ...]
-    entries: tuple[EntryPlan, ...]
-    relayed: dict[tuple[Hop, str], int] = attrs.field(factory=dict)
-    timing: dict[str, float] = attrs.field(factory=dict)
-    routings: tuple[str, ...] = ()
-    extras: Mapping[str, Mapping[str, Any]] = attrs.field(factory=dict)
-    issuer: authority.Authority | None = None
-
-    def find_port(self, hop: Hop, daemon: str, port: int) -> int:
-        """Give the port of the relay on a hop, or the given one."""
-        return self.relayed.get((hop, daemon), port)
-
-    def find_url(self, entry: EntryPlan) -> str:
-        """Give the URL at which callers reach an entry."""
-        port = self.find_port(Hop.CALLER_ENTRY, entry.name, entry.port)
-        return _make_url(port)
-
-    @property
-    def daemons(self) -> tuple[AgentPlan | EntryPlan, ...]:
-        """Agents, then entries."""
-        return (*self.agents, *self.entries)
-
 
 def _plan_engine(
     pipeline: blueprints.Pipeline,
@@ -231,7 +24,7 @@
     failure_domain: str,
     port: int,
     weights_url: str,
-) -> EndpointPlan:
+) -> plans.EndpointPlan:
     flags = (
         f'--weights_url={weights_url}',
         f'--model={pipeline.model}',
@@ -259,15 +52,15 @@
         'checks_fence': stage.checks_fence,
         'max_in_flight': stage.max_in_flight,
     }
-    standin = StandinPlan(name, 'engine', port, flags)
-    return EndpointPlan(standin, failure_domain, settings)
+    standin = plans.StandinPlan(name, 'engine', port, flags)
+    return plans.EndpointPlan(standin, failure_domain, settings)
 
 
 def _plan_engines(
     blueprint: blueprints.Blueprint,
     reserved: ports.Reservations,
     weights_url: str,
-) -> list[EndpointPlan]:
+) -> list[plans.EndpointPlan]:
     domains = blueprint.failure_domains
     planned = []
     for pipeline in blueprint.pipelines:
@@ -298,7 +91,7 @@
     blueprint: blueprints.Blueprint,
     reserved: ports.Reservations,
     weights_url: str,
-) -> list[EndpointPlan]:
+) -> list[plans.EndpointPlan]:
     domains = blueprint.failure_domains
     flags = (
         '--model=',
@@ -308,8 +101,8 @@
         f'--weights_url={weights_url}',
     )
     return [
-        EndpointPlan(
-            StandinPlan(
+        plans.EndpointPlan(
+            plans.StandinPlan(
                 f'{pipeline.model}-spare-{number}',
                 'engine',
                 reserved.reserve(),
@@ -325,11 +118,11 @@
 
 def _plan_services(
     blueprint: blueprints.Blueprint, reserved: ports.Reservations
-) -> list[EndpointPlan]:
+) -> list[plans.EndpointPlan]:
     domains = blueprint.failure_domains
     return [
-        EndpointPlan(
-            StandinPlan(
+        plans.EndpointPlan(
+            plans.StandinPlan(
                 f'{service.name}-{replica}', 'service', reserved.reserve()
             ),
             domains[(number + replica) % len(domains)],
@@ -344,18 +137,18 @@
     blueprint: blueprints.Blueprint,
     folder: pathlib.Path,
     reserved: ports.Reservations,
-) -> Plan:
+) -> plans.Plan:
     """Give every process a name, a failure domain and free ports.
 
     :param folder: work folder, for the file of hosts
     """
     reserve = reserved.reserve
-    weight_store = StandinPlan('weight-store', 'weights', reserve())
+    weight_store = plans.StandinPlan('weight-store', 'weights', reserve())
     endpoints = _plan_engines(blueprint, reserved, weight_store.url)
     endpoints += _plan_spares(blueprint, reserved, weight_store.url)
     endpoints += _plan_services(blueprint, reserved)
     agents = tuple(
-        AgentPlan(
+        plans.AgentPlan(
             f'agent-{endpoint.standin.name}',
             endpoint.failure_domain,
             reserve(),
@@ -366,7 +159,7 @@
     )
     domains = blueprint.failure_domains
     entries = tuple(
-        EntryPlan(
+        plans.EntryPlan(
             f'entry-{number}',
             domains[number % len(domains)],
             reserve(),
@@ -376,27 +169,29 @@
         for number in range(blueprint.entries)
     )
     hosts = f'--hosts={folder / "hosts.json"}'
-    return Plan(
+    return plans.Plan(
         blueprint,
-        StandinPlan('store', 'store', reserve()),
-        StandinPlan('host-list', 'hosts', reserve(), (hosts,)),
+        plans.StandinPlan('store', 'store', reserve()),
+        plans.StandinPlan('host-list', 'hosts', reserve(), (hosts,)),
         weight_store,
         agents,
         entries,
     )
 
 
-def list_hops(plan: Plan, hop: Hop) -> list[tuple[str, str]]:
+def list_hops(plan: plans.Plan, hop: plans.Hop) -> list[tuple[str, str]]:
     """List the daemons with such a hop, and where it leads."""
-    if hop is Hop.ENTRY_STORE:
-        store = _make_address(plan.store.port)
+    if hop is plans.Hop.ENTRY_STORE:
+        store = plans.make_address(plan.store.port)
         return [(entry.name, store) for entry in plan.entries]
-    if hop is Hop.CALLER_ENTRY:
-        return [(one.name, _make_address(one.port)) for one in plan.entries]
-    if hop in (Hop.ENTRY_AGENT, Hop.AGENT_AGENT):
+    if hop is plans.Hop.CALLER_ENTRY:
+        return [
+            (one.name, plans.make_address(one.port)) for one in plan.entries
+        ]
+    if hop in (plans.Hop.ENTRY_AGENT, plans.Hop.AGENT_AGENT):
         return [(one.name, one.address) for one in plan.agents]
     return [
-        (one.name, _make_address(one.endpoint.standin.port))
+        (one.name, plans.make_address(one.endpoint.standin.port))
         for one in plan.agents
         if one.endpoint.hop is hop
     ]
@@ -407,13 +202,15 @@
     return {name: secrets.token_urlsafe(16) for name in teams}
 
 
-def _list_hosts(plan: Plan) -> list[dict[str, str]]:
+def _list_hosts(plan: plans.Plan) -> list[dict[str, str]]:
     return [
         {
             'name': daemon.name,
             'role': daemon.build_settings(plan)['role'],
-            'address': _make_address(
-                plan.find_port(Hop.ENTRY_AGENT, daemon.name, daemon.link_port)
+            'address': plans.make_address(
+                plan.find_port(
+                    plans.Hop.ENTRY_AGENT, daemon.name, daemon.link_port
+                )
             ),
             'failure_domain': daemon.failure_domain,
             'region': plan.blueprint.region,
@@ -422,7 +219,7 @@
     ]
 
 
-def write_files(plan: Plan, folder: pathlib.Path) -> None:
+def write_files(plan: plans.Plan, folder: pathlib.Path) -> None:
     """Write the list of hosts and the settings of each daemon."""
     hosts = {'hosts': _list_hosts(plan)}
     (folder / 'hosts.json').write_text(json.dumps(hosts))
--- a/packages/trials/src/dunlintide_trials/linkfaults.py
+++ b/packages/trials/src/dunlintide_trials/linkfaults.py
@@ -4,15 +4,15 @@
 
 from dunlintide_standins import relay
 from dunlintide_trials import field as fields
-from dunlintide_trials import layout
+from dunlintide_trials import plans
 
 __all__ = ['FAULTS', 'HOPS', 'SECONDS']
 
 HOPS = (
-    layout.Hop.ENTRY_AGENT,
-    layout.Hop.AGENT_AGENT,
-    layout.Hop.AGENT_ENGINE,
-    layout.Hop.ENTRY_STORE,
+    plans.Hop.ENTRY_AGENT,
+    plans.Hop.AGENT_AGENT,
+    plans.Hop.AGENT_ENGINE,
+    plans.Hop.ENTRY_STORE,
 )
 _DELAY_SECONDS = (0.01, 0.2)
 # Above what the pings of a link need, see docs/design/silence.md.
@@ -43,7 +43,7 @@
     return one.shape
 
 
-def _make_fault(hop: layout.Hop, word: str, harm: _Harm) -> fields.Fault:
+def _make_fault(hop: plans.Hop, word: str, harm: _Harm) -> fields.Fault:
     def fault(field: fields.Field) -> fields.Heal | None:
         relays = field.running.relays
         names = {f'{place} {who}': (place, who) for place, who in relays}
