--- a/features/steps/pipeline.py
+++ b/features/steps/pipeline.py
@@ -44,13 +44,7 @@
 def check_found(context):
     def check(rows):
         engines, _ = pipeline_scene.make_fleet(rows)
-        idle = chains.Load(0, 0, float('inf'))
-        hops = chains.choose_chain(
-            pipeline_scene.PROFILE,
-            engines,
-            lambda engine: idle,
-            pipeline_scene.make_demand(),
-        )
+        hops = choose_idle(engines)
         held = set()
         for engine in engines:
             held.update(range(engine.start, engine.end))
@@ -62,18 +56,24 @@
     pipeline_scene.repeat(check, pipeline_scene.ENGINES)
 
 
+def choose_idle(engines, count_crossing=lambda pipe: 0.0):
+    """Choose a chain through engines that do nothing."""
+    idle = chains.Load(0, 0, float('inf'))
+    return chains.choose_chain(
+        pipeline_scene.PROFILE,
+        engines,
+        lambda engine: idle,
+        pipeline_scene.make_demand(),
+        count_crossing,
+    )
+
+
 @behave.then('no chain crosses a pipe that is full')
 def check_pipes(context):
     def check(rows):
         engines, _ = pipeline_scene.make_fleet(rows)
-        idle = chains.Load(0, 0, float('inf'))
-        hops = chains.choose_chain(
-            pipeline_scene.PROFILE,
-            engines,
-            lambda engine: idle,
-            pipeline_scene.make_demand(),
-            lambda pipe: 1000.0 if pipe == 'a|b' else 0.0,
-        )
+        full = {'a|b': 1000.0}
+        hops = choose_idle(engines, lambda pipe: full.get(pipe, 0.0))
         if hops is not None:
             assert 'a|b' not in chains.list_pipes(hops), hops
 
--- a/packages/trials/src/dunlintide_trials/edge/faults.py
+++ b/packages/trials/src/dunlintide_trials/edge/faults.py
@@ -145,15 +145,16 @@
     return heal
 
 
-def stall_endpoint(field: fields.Field, draw: random.Random) -> Heal:
-    """Let the work of an endpoint stand still."""
+def _spoil_one(field: fields.Field, draw: random.Random, name: str) -> Heal:
+    """Put one lasting fault on one endpoint."""
     runner = draw.choice(field.scene.fleet.runners)
-    runner.faults.stall = True
+    setattr(runner.faults, name, True)
+    return lambda: setattr(runner.faults, name, False)
 
-    def heal() -> None:
-        runner.faults.stall = False
 
-    return heal
+def stall_endpoint(field: fields.Field, draw: random.Random) -> Heal:
+    """Let the work of an endpoint stand still."""
+    return _spoil_one(field, draw, 'stall')
 
 
 def spoil_endpoint(field: fields.Field, draw: random.Random) -> Heal:
@@ -167,13 +168,7 @@
 
 def fill_endpoint(field: fields.Field, draw: random.Random) -> Heal:
     """Let an endpoint refuse requests as full."""
-    runner = draw.choice(field.scene.fleet.runners)
-    runner.faults.full = True
-
-    def heal() -> None:
-        runner.faults.full = False
-
-    return heal
+    return _spoil_one(field, draw, 'full')
 
 
 def delay_orders(field: fields.Field, draw: random.Random) -> Heal:
