Let a stream under way wait for the budget of second sends

Ruled out: a limit of sends (2 of 4 were made) and the wait for a chain. Change: as with a chain, the stream waits for the budget as long as its caller stays; one that did not run is still refused at once.

--- a/features/steps/edge_faults.py
+++ b/features/steps/edge_faults.py
@@ -39,6 +39,17 @@
     _spoil(context.scene.list_services(), unframed=1)
 
 
+@behave.given('the entry may send 1 request a second time in {window:f} s')
+def tighten_budget(context, window):
+    entry = context.entry
+    # Half of the fixed number is kept for restarts.
+    entry.settings['retries'] = {'ratio': 0.0, 'slack': 2, 'window': window}
+    entry.stop()
+    entry.write_settings()
+    entry.start()
+    context.scene.wait_until(entry.is_ready, 'the entry is ready')
+
+
 @behave.given('every engine cuts its next stream within an event')
 def cut_next(context):
     # Only the one that gets it first: the second run must go through.
--- a/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -131,7 +131,7 @@
         state = self._state
         exchange = stream.exchange
         queue = state.get_backlog(exchange.service)
-        place = self._choose_place(exchange)
+        place = self.choose_place(exchange)
         standing, expires = place.standing, place.expires
         if not queue.count_ahead(exchange.priority, standing):
             hops = self.choose(stream)
@@ -158,7 +158,7 @@
             timer.cancel()
             queue.remove(waiter)
 
-    def _choose_place(self, exchange: exchange_module.Exchange) -> waits.Place:
+    def choose_place(self, exchange: exchange_module.Exchange) -> waits.Place:
         """Tell where a stream waits, at most until its deadline."""
         terms = exchange.terms
         place = waits.choose_place(
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -1,5 +1,7 @@
 """Streams of events: chains found, runs made, ends told."""
 
+import asyncio
+
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import profiles
 from dunlintide_daemon.gateway import chainfinder
@@ -17,6 +19,9 @@
 JITTER = (0.6, 1.4)
 # Part of the time left that a caller waits at most before it returns.
 LEFT_PART = 1 / 3
+# Pause between two looks at a budget that is used up, in seconds: a third of
+# the shortest pause between events that callers ask for.
+BUDGET_SECONDS = 0.05
 
 
 class StreamServer:
@@ -44,10 +49,10 @@
                 if hops is None:
                     scarce = self._finder.explain(stream)
                     return self._give_up(exchange, ran, 'no room', scarce)
-                paid = not exchange.sends or state.pay_resend(
-                    exchange.service, 'stream'
-                )
-                if not paid:
+                if not self._pay(exchange):
+                    hops = None
+                    if await self._wait_for_budget(exchange):
+                        continue
                     return self._give_up(exchange, ran, 'no budget')
             try:
                 return await self._runs.run(stream, hops)
@@ -59,6 +64,32 @@
                     return self._give_up(exchange, ran, ended.reason)
                 hops = ended.hops
 
+    def _pay(self, exchange: exchange_module.Exchange) -> bool:
+        """Pay for a send; the first one is free."""
+        if not exchange.sends:
+            return True
+        return self._state.pay_resend(exchange.service, 'stream')
+
+    async def _wait_for_budget(
+        self, exchange: exchange_module.Exchange
+    ) -> bool:
+        """Wait until another send can be paid.
+
+        A stream that is under way is not cut while its caller stays: the
+        budget comes back within seconds. One that did not run is refused
+        at once, since its caller may come back.
+        """
+        state = self._state
+        if not exchange.runs:
+            return False
+        expires = self._finder.choose_place(exchange).expires
+        budget = state.get_budget(exchange.service)
+        while state.now < expires:
+            if budget.count_left(state.now) >= 1.0:
+                return True
+            await asyncio.sleep(BUDGET_SECONDS)
+        return False
+
     def _log_end(
         self,
         stream: exchange_module.Stream,
