Never give a stream under way up for refusals alone

Ruled out: the budget and the deadline; both had room. Change: the bound on refusals holds for requests that did not run; one that ran is bounded by the budget and its caller. Those who wait are also woken when an engine that refused is tried again: with one entry nothing else did, and a stream waited 2.5 s for a pause of 0.3 s.

--- a/packages/core/src/dunlintide_core/pipeline/soundness.py
+++ b/packages/core/src/dunlintide_core/pipeline/soundness.py
@@ -132,11 +132,13 @@
             return True
         return record.banned_until <= now and not record.trial
 
-    def refuse(self, name: str, now: float) -> None:
+    def refuse(self, name: str, now: float) -> float:
         """Take note that an endpoint refused a request, or was blamed.
 
         It is full or dead. A full one goes on with what it runs, a dead
         one refuses all there is until it is not listed any more.
+
+        :returns: how long it is left at most, in seconds
         """
         record = self._get(name)
         if record.has_moved_since(record.refused):
@@ -147,6 +149,7 @@
         record.refused = now
         record.full_until = now + FULL
         record.refusing_until = now + pause
+        return pause
 
     def is_full(self, name: str, now: float) -> bool:
         """Tell whether an endpoint is expected to refuse requests."""
--- a/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
@@ -19,8 +19,9 @@
 
 # Least time after which a refused caller is to return, in seconds.
 LEAST_RETRY_SECONDS = 0.05
-# Times that endpoints may refuse a request before its caller hears of it:
-# they answer in milliseconds, and each costs a part of the shared budget.
+# Times that endpoints may refuse a request that did not run before its
+# caller hears of it: they answer in milliseconds, and each costs a part of
+# the shared budget.
 MAX_REFUSALS = 2
 
 
@@ -80,9 +81,16 @@
 
     @property
     def may_run_again(self) -> bool:
-        """Whether another endpoint may get it."""
+        """Whether another endpoint may get it.
+
+        Refusals don't end a stream that ran: its caller has a part of it,
+        and the budget and the caller's patience bound its sends.
+        """
         attempts = max(1, self.terms.attempts)
-        return self.runs < attempts and self.sends < attempts + MAX_REFUSALS
+        if self.runs >= attempts:
+            return False
+        under_way = self.terms.stream and self.runs > 0
+        return under_way or self.sends < attempts + MAX_REFUSALS
 
     def can_go_on(self, ran: bool, now: float) -> bool:
         """Tell whether another run may serve it.
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -219,8 +219,11 @@
             if hop.endpoint.address == verdict.culprit:
                 culprit = hop.endpoint
         # A full one may serve it a moment later; a dead one will not.
-        state.soundness.refuse(culprit.name, state.now)
+        pause = state.soundness.refuse(culprit.name, state.now)
         state.alarm()
+        # Nothing else may tell those who wait that it is tried again.
+        loop = asyncio.get_running_loop()
+        loop.call_later(pause, state.wake, exchange.service)
         late = state.now - run.began >= DEAD_SECONDS
         if late or verdict.misdirected:
             exchange.tried.append(culprit.name)
