Show in the state dump what an entry was told to leave out

With a scenario: a refusal at one entry is known at an entry of another failure domain within 0.14 s.

--- a/features/edge.feature
+++ b/features/edge.feature
@@ -84,6 +84,12 @@
     Then at most 6 of them were sent to that engine
     And each of them was answered whole
 
+  Scenario: An engine that refused one entry is left by another at once
+    Given a ready entry "two" in "b"
+    And one engine with the first layer refuses all streams, as a dead one's neighbour does
+    When it refuses a stream of entry "one"
+    Then entry "two" is told of it within 0.14 s
+
   Scenario: A stream whose chain stands still goes on elsewhere
     When a caller starts to stream 60 events as "s-1"
     And one engine of its chain stands still
--- a/features/steps/edge_faults.py
+++ b/features/steps/edge_faults.py
@@ -137,6 +137,33 @@
         time.sleep(pause)
 
 
+@behave.when('it refuses a stream of entry "one"')
+def meet_refusal(context):
+    for number in range(8):
+        caller = callers.Caller(context.entry.listen)
+        context.stack.callback(caller.close)
+        caller.send(callers.build_stream(f'meet-{number}', 5))
+        caller.read_answer()
+        if context.refusals:
+            return
+    raise AssertionError('the engine was never chosen')
+
+
+@behave.then('entry "two" is told of it within {seconds:f} s')
+def check_told(context, seconds):
+    two = context.scene.entries[-1]
+    name = context.refusing.name
+    due = context.refusals[0] + seconds
+
+    def list_heard():
+        return two.read_state()['told_to_leave_out']
+
+    heard = list_heard()
+    while name not in heard and time.monotonic() < due:
+        heard = list_heard()
+    assert name in heard, heard
+
+
 @behave.then('at most {count:d} of them were sent to that engine')
 def check_refusals(context, count):
     began = context.refusals[0]
--- a/packages/core/src/dunlintide_core/pipeline/soundness.py
+++ b/packages/core/src/dunlintide_core/pipeline/soundness.py
@@ -69,6 +69,10 @@
             self.doubted_since = now
         self.doubted = now
 
+    def is_told_off(self, now: float) -> bool:
+        heard = now < self.heard_until
+        return heard and not self.has_moved_since(self.heard_since)
+
     def goes_on_refusing(self, now: float) -> bool:
         still = not self.has_moved_since(self.refused)
         return still and now < self.refusing_until
@@ -125,8 +129,7 @@
         record = self._records.get(name)
         if record is None:
             return True
-        heard = now < record.heard_until
-        if heard and not record.has_moved_since(record.heard_since):
+        if record.is_told_off(now):
             return False
         if not record.failures:
             return True
@@ -207,3 +210,11 @@
             for name, record in self._records.items()
             if record.banned_until > now or record.goes_on_refusing(now)
         ]
+
+    def list_heard(self, now: float) -> list[str]:
+        """List the endpoints that are left out for what others tell."""
+        return [
+            name
+            for name, record in self._records.items()
+            if record.is_told_off(now)
+        ]
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -101,6 +101,7 @@
                 name: len(queue) for name, queue in state.backlogs.items()
             },
             'left_out': state.soundness.list_doubted(now),
+            'told_to_leave_out': state.soundness.list_heard(now),
             'resends_left': {
                 name: budget.count_left(now)
                 for name, budget in state.budgets.items()
