--- a/features/steps/placement_orders.py
+++ b/features/steps/placement_orders.py
@@ -314,24 +314,35 @@
     running, old = context.running, context.leader
     running.started[old].resume()
 
+    seen = []
+
     def follows():
         status = running.read_state(old)['placement'][MODEL]
-        return (status['phase'], status['fence']) == (
-            'candidate',
-            context.fence,
-        )
-
-    wait_until(follows)
+        seen.append((status['phase'], status['fence']))
+        return seen[-1] == ('candidate', context.fence)
+
+    try:
+        wait_until(follows)
+    except AssertionError as error:
+        leader = trial.find_leader(running)
+        text = f'{seen[-1:]}, wanted fence {context.fence}, leader {leader}'
+        raise AssertionError(text) from error
     assert len(read_orders(context)) == 1
     number = [entry.name for entry in running.plan.entries].index(old)
     caller = running.make_caller(number, 'diner')
     context.stack.callback(caller.close)
 
+    answers = []
+
     def is_served():
         answer = caller.complete('specials', model=MODEL, max_tokens=4)
+        answers.append(answer)
         return answer.is_complete
 
-    wait_until(is_served)
+    try:
+        wait_until(is_served)
+    except AssertionError as error:
+        raise AssertionError(f'{len(answers)}: {answers[-1:]}') from error
 
 
 @behave.given('a deployment with two holders of each range, under load')
