Say once what entries do on silence, refusals and broken runs

Read over again; nothing decides differently. The waits for a head and for events were one loop written twice. Cutting layers at the ends of ranges stood in chains and in scarcity; both use chains.cut_layers. The time until which an engine is full follows from its refusal and is kept no more. A refusal is noted in the state as an accusation is, with its news and its waking. Clearing broken runs, the version in force and the test for a second send each have one place, and finding and paying for a chain left the nested loop of a stream.

--- a/packages/core/src/dunlintide_core/pipeline/chains.py
+++ b/packages/core/src/dunlintide_core/pipeline/chains.py
@@ -19,6 +19,7 @@
     'Demand',
     'Load',
     'choose_chain',
+    'cut_layers',
     'list_pipes',
     'name_pipe',
 ]
@@ -129,7 +130,10 @@
     begin: int
 
 
-def _cut(holders: list[endpoints_module.Endpoint], layers: int) -> list[int]:
+def cut_layers(
+    holders: Iterable[endpoints_module.Endpoint], layers: int
+) -> list[int]:
+    """List the layers at which some range begins or ends, in order."""
     cuts = {0, layers}
     for holder in holders:
         cuts.add(holder.start)
@@ -182,7 +186,7 @@
     if not holders:
         return None
     search = _Search(profile, holders, get_load, demand, count_crossing)
-    cuts = _cut(holders, profile.layers)
+    cuts = cut_layers(holders, profile.layers)
     states: dict[int, _State] = {}
     for begin, end in zip(cuts, cuts[1:]):
         if begin == 0:
--- a/packages/core/src/dunlintide_core/pipeline/crashers.py
+++ b/packages/core/src/dunlintide_core/pipeline/crashers.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from typing import Iterable
 
 import attrs
 
@@ -90,10 +91,7 @@
         :returns: whether anything was held against it
         """
         case = self._cases.get(fingerprint)
-        held = [] if case is None else _list_held(case)
-        for each in held:
-            each.cleared = True
-        return bool(held)
+        return case is not None and _clear(case.breaks.values()) > 0
 
     def clear_endpoint(self, endpoint: str, since: float) -> int:
         """Clear the runs that broke at an endpoint that is still there.
@@ -102,17 +100,12 @@
             monotonic seconds
         :returns: broken runs that don't count any more
         """
-        held = [
+        found = [
             case.breaks[endpoint]
             for case in self._cases.values()
             if endpoint in case.breaks
         ]
-        proved = [
-            each for each in held if each.seen < since and not each.cleared
-        ]
-        for each in proved:
-            each.cleared = True
-        return len(proved)
+        return _clear(each for each in found if each.seen < since)
 
     def is_refused(self, fingerprint: str, now: float) -> bool:
         """Tell whether a request has broken too many runs."""
@@ -129,5 +122,9 @@
         ]
 
 
-def _list_held(case: _Case) -> list[_Break]:
-    return [each for each in case.breaks.values() if not each.cleared]
+def _clear(breaks: Iterable[_Break]) -> int:
+    """Clear broken runs, and return how many still counted."""
+    held = [each for each in breaks if not each.cleared]
+    for each in held:
+        each.cleared = True
+    return len(held)
--- a/packages/core/src/dunlintide_core/pipeline/resends.py
+++ b/packages/core/src/dunlintide_core/pipeline/resends.py
@@ -59,9 +59,13 @@
         allowed += self.slack / max(1, self.entries) * SLACK_PART
         return allowed - len(self._resends)
 
+    def can_spend(self, now: float) -> bool:
+        """Tell whether a second send is left."""
+        return self.count_left(now) >= 1.0
+
     def spend(self, now: float) -> bool:
         """Take one second send; False when none is left."""
-        if self.count_left(now) < 1.0:
+        if not self.can_spend(now):
             return False
         self._resends.append(now)
         return True
--- a/packages/core/src/dunlintide_core/pipeline/scarcity.py
+++ b/packages/core/src/dunlintide_core/pipeline/scarcity.py
@@ -44,12 +44,9 @@
         lack places, or a pipe is full
     """
     rooms = {each.name: get_load(each).room / tokens for each in candidates}
-    cuts = {0, layers}
-    for each in candidates:
-        cuts |= {each.start, each.end}
-    ends = sorted(cuts)
+    cuts = chains.cut_layers(candidates, layers)
     found = []
-    for start, end in zip(ends, ends[1:]):
+    for start, end in zip(cuts, cuts[1:]):
         holders = [
             each
             for each in candidates
--- a/packages/core/src/dunlintide_core/pipeline/soundness.py
+++ b/packages/core/src/dunlintide_core/pipeline/soundness.py
@@ -53,7 +53,6 @@
     heard_since: float = float('-inf')
     heard_until: float = float('-inf')
     refused: float = float('-inf')
-    full_until: float = float('-inf')
     refusing_until: float = float('-inf')
     refusals: int = 0
     doubted_since: float = float('-inf')
@@ -150,7 +149,6 @@
         record.refusals += 1
         record.doubt(now)
         record.refused = now
-        record.full_until = now + FULL
         record.refusing_until = now + pause
         return pause
 
@@ -159,7 +157,8 @@
         record = self._records.get(name)
         if record is None:
             return False
-        return now < record.full_until or record.goes_on_refusing(now)
+        just_refused = now < record.refused + FULL
+        return just_refused or record.goes_on_refusing(now)
 
     def hear(self, name: str, now: float) -> None:
         """Take note that another entry leaves an endpoint out."""
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -59,8 +59,7 @@
     ) -> None:
         """Give the metrics as Prometheus reads them."""
         counters = self._state.counters
-        deployment = self._state.deployment
-        counters.version.set(deployment.version if deployment else 0)
+        counters.version.set(self._state.version)
         text = prometheus_client.generate_latest(counters.registry)
         headers = [('Content-Type', prometheus_client.CONTENT_TYPE_LATEST)]
         reply.send(callerhttp.Head(200, headers), text)
@@ -80,7 +79,6 @@
         if deployment is not None:
             text = documents.encode_configuration(deployment.source)
             document = json.loads(text)
-        version = deployment.version if deployment else 0
         return {
             'name': state.settings.name,
             'role': state.settings.role,
@@ -89,7 +87,7 @@
             'stopping': state.stopping,
             'entries': sorted(state.entries),
             'listing_age': now - state.listed_at,
-            'configuration': {'revision': version},
+            'configuration': {'revision': state.version},
             'document': document,
             'endpoints': [
                 attrs.asdict(each) for each in state.endpoints.values()
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -49,7 +49,7 @@
     :ivar usages: digest of an endpoint or a pipe, sequences, started and
         reserved memory in its unit; None if only doubts are told
     :ivar leaving: digests of endpoints that leave
-    :ivar banned: digests of endpoints that are left out
+    :ivar doubted: digests of endpoints that are left out
     :ivar broken: fingerprints and the endpoints at which they broke
     :ivar refused: digests of requests that were refused just now
     """
@@ -58,7 +58,7 @@
     version: int
     usages: list[tuple[int, int, int, int]] | None
     leaving: list[int]
-    banned: list[int]
+    doubted: list[int]
     broken: list[tuple[str, str]]
     refused: list[int]
 
@@ -130,10 +130,9 @@
     def _build_alarm(self) -> _Message:
         state = self._state
         doubted = state.soundness.list_doubted(state.now)
-        version = state.deployment.version if state.deployment else 0
-        name = state.settings.name
         digests = list(map(_digest, doubted))
-        return _Message(name, version, None, [], digests, [], [])
+        name = state.settings.name
+        return _Message(name, state.version, None, [], digests, [], [])
 
     def _count_turns(self) -> int:
         """Tell which of the messages also goes to other domains."""
@@ -145,7 +144,7 @@
         since = now - REPEAT_SECONDS
         return _Message(
             state.settings.name,
-            state.deployment.version if state.deployment else 0,
+            state.version,
             [
                 (
                     _digest(name),
@@ -197,19 +196,10 @@
         state = self._state
         now = state.now
         names = self._name_digests()
-        if message.usages is not None:
-            usages = {
-                names[digest]: occupancy.Usage(
-                    sequences, started, cache * CACHE_UNIT
-                )
-                for digest, sequences, started, cache in message.usages
-                if digest in names
-            }
-            state.occupancy.set_remote(message.sender, usages, now)
         for digest in message.leaving:
             if digest in names:
                 state.mark_leaving(names[digest], message.sender)
-        for digest in message.banned:
+        for digest in message.doubted:
             if digest in names:
                 state.soundness.hear(names[digest], now)
         for fingerprint, endpoint in message.broken:
@@ -217,8 +207,15 @@
         for digest in message.refused:
             state.returns.hear(digest, now)
         if message.usages is not None:
+            usages = {
+                names[digest]: occupancy.Usage(
+                    sequences, started, cache * CACHE_UNIT
+                )
+                for digest, sequences, started, cache in message.usages
+                if digest in names
+            }
+            state.occupancy.set_remote(message.sender, usages, now)
             state.wake_all()
-        held = state.deployment.version if state.deployment else 0
-        if message.version > held and message.sender in self.entries:
+        if message.version > state.version and message.sender in self.entries:
             self.newer = message.sender
             self.newer_found.set()
--- a/packages/daemon/src/dunlintide_daemon/gateway/placer.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/placer.py
@@ -1,6 +1,7 @@
 """Orders engines to hold layers, while this entry leads."""
 
 import asyncio
+import collections
 
 import attrs
 
@@ -56,7 +57,7 @@
     ) -> None:
         self._state = state
         self._leadership = leadership
-        self._losses: dict[str, losses.Losses] = {}
+        self._losses = collections.defaultdict(lambda: losses.Losses(state))
         self._open: dict[str, _Order] = {}
         self._seen: set[str] = set()
         self._settled_at = float('inf')
@@ -100,8 +101,7 @@
     ) -> None:
         listed = self._list_engines(service)
         names = {each.name for each in listed}
-        finder = self._losses.setdefault(service, losses.Losses(self._state))
-        lost = finder.review(listed)
+        lost = self._losses[service].review(listed)
         engines = [each for each in listed if each.name not in lost]
         holding = []
         empty = []
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -1,6 +1,7 @@
 """One run of a stream on a chain: its send, its events, its end."""
 
 import asyncio
+from typing import Awaitable, Callable, TypeVar
 
 import attrs
 
@@ -24,6 +25,7 @@
 Hops = tuple[endpoints_module.Hop, ...]
 Outcome = exchange_module.Outcome
 Stream = exchange_module.Stream
+_Part = TypeVar('_Part')
 
 # Time to connect to an engine, in seconds: links take under a
 # millisecond, and a lost packet is sent again only after a second.
@@ -219,11 +221,7 @@
             if hop.endpoint.address == verdict.culprit:
                 culprit = hop.endpoint
         # A full one may serve it a moment later; a dead one will not.
-        pause = state.soundness.refuse(culprit.name, state.now)
-        state.alarm()
-        # Nothing else may tell those who wait that it is tried again.
-        loop = asyncio.get_running_loop()
-        loop.call_later(pause, state.wake, exchange.service)
+        state.note_refusal(culprit.name, exchange.service)
         late = state.now - run.began >= DEAD_SECONDS
         if late or verdict.misdirected:
             exchange.tried.append(culprit.name)
@@ -288,30 +286,34 @@
     async def _read_head(
         self, stream: Stream, run: _Run, connection: endpointhttp.Connection
     ) -> endpointhttp.AnswerHead:
-        deadline = stream.exchange.deadline
         target = stream.exchange.terms.target_seconds
-        target = target or chainfinder.USUAL_TARGET
-        limit = target * rescues.STILL_PART
-        while True:
-            due = min(run.moved + limit, deadline)
-            try:
-                return await connection.read_head(due)
-            except endpointhttp.Broken as broken:
-                if broken.fault is not endpointhttp.Fault.TIMEOUT:
-                    raise
-                limit = self._judge_silence(stream, run, target)
+        return await self._wait(stream, run, target, connection.read_head)
 
     async def _read_events(
         self, stream: Stream, run: _Run, connection: endpointhttp.Connection
     ) -> bytes:
         terms = stream.exchange.terms
         target = terms.gap_seconds if run.events else terms.target_seconds
+        return await self._wait(stream, run, target, connection.read)
+
+    async def _wait(
+        self,
+        stream: Stream,
+        run: _Run,
+        target: float | None,
+        read: Callable[[float], Awaitable[_Part]],
+    ) -> _Part:
+        """Read a part of the answer, and judge the run while none comes.
+
+        :param target: silence allowed, in seconds, None for the usual one
+        :param read: takes the loop time until which it waits
+        """
         target = target or chainfinder.USUAL_TARGET
         limit = target * rescues.STILL_PART
         while True:
             due = min(run.moved + limit, stream.exchange.deadline)
             try:
-                return await connection.read(due)
+                return await read(due)
             except endpointhttp.Broken as broken:
                 if broken.fault is not endpointhttp.Fault.TIMEOUT:
                     raise
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -39,6 +39,7 @@
     :ivar entries: names of all entries that were ever seen
     :ivar backlogs: waiting requests by service
     :ivar waking: services whose queues are about to be woken
+    :ivar alarmed: set when other entries are to be told of doubts at once
     :ivar stopping: whether the process takes no new connections
     :ivar stopping_at: monotonic time of SIGTERM, in seconds
     """
@@ -76,6 +77,11 @@
     stopping_at: float = 0.0
     listeners: list[Callable[[], None]] = attrs.field(factory=list)
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 for none."""
+        return self.deployment.version if self.deployment else 0
+
     @property
     def now(self) -> float:
         """Monotonic time in seconds, that of the event loop."""
@@ -218,11 +224,18 @@
                     endpoint=name,
                     reason=reason,
                 )
-                self.alarm()
+                self.alarmed.set()
+
+    def note_refusal(self, name: str, service: str) -> None:
+        """Take note that an endpoint refused a request that it could hold.
 
-    def alarm(self) -> None:
-        """Have other entries told at once which endpoints are doubted."""
+        Others are told at once. Those who wait are woken when it may be
+        tried again, since nothing else may tell them.
+        """
+        pause = self.soundness.refuse(name, self.now)
         self.alarmed.set()
+        loop = asyncio.get_running_loop()
+        loop.call_later(pause, self.wake, service)
 
     def release(
         self, service: str, reservation: occupancy_module.Reservation
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import attrs
+import result
+
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import profiles
 from dunlintide_daemon.gateway import chainfinder
@@ -12,6 +15,7 @@
 
 __all__ = ['StreamServer']
 
+Hops = tuple[endpoints_module.Hop, ...]
 Outcome = exchange_module.Outcome
 
 # Spread of the times at which refused callers return, as parts of the
@@ -19,11 +23,22 @@
 JITTER = (0.6, 1.4)
 # Part of the time left that a caller waits at most before it returns.
 LEFT_PART = 1 / 3
-# Pause between two looks at a budget that is used up, in seconds: a third of
-# the shortest pause between events that callers ask for.
+# Pause between two looks at a budget that is used up, in seconds: a quarter
+# of the shortest pause between events that callers are known to ask for.
 BUDGET_SECONDS = 0.05
 
 
+@attrs.frozen
+class _Lack:
+    """Why no further run can help a stream.
+
+    :ivar scarce: layers without room, for the log
+    """
+
+    reason: str
+    scarce: str = ''
+
+
 class StreamServer:
     """Serves streams with the beliefs of one entry."""
 
@@ -45,15 +60,10 @@
         hops = None
         while True:
             if hops is None:
-                hops = await self._finder.find(stream)
-                if hops is None:
-                    scarce = self._finder.explain(stream)
-                    return self._give_up(exchange, ran, 'no room', scarce)
-                if not self._pay(exchange):
-                    hops = None
-                    if await self._wait_for_budget(exchange):
-                        continue
-                    return self._give_up(exchange, ran, 'no budget')
+                found = await self._find_paid(stream)
+                if found.is_err():
+                    return self._give_up(exchange, ran, found.err_value)
+                hops = found.ok_value
             try:
                 return await self._runs.run(stream, hops)
             except runs.RunEnded as ended:
@@ -61,9 +71,26 @@
                 self._log_end(stream, hops, ended)
                 again = exchange.can_go_on(ran, state.now)
                 if not (ended.retry and again):
-                    return self._give_up(exchange, ran, ended.reason)
+                    lack = _Lack(ended.reason)
+                    return self._give_up(exchange, ran, lack)
                 hops = ended.hops
 
+    async def _find_paid(
+        self, stream: exchange_module.Stream
+    ) -> result.Result[Hops, _Lack]:
+        """Find a chain and pay for the send on it."""
+        exchange = stream.exchange
+        while True:
+            hops = await self._finder.find(stream)
+            if hops is None:
+                return result.Err(
+                    _Lack('no room', self._finder.explain(stream))
+                )
+            if self._pay(exchange):
+                return result.Ok(hops)
+            if not await self._wait_for_budget(exchange):
+                return result.Err(_Lack('no budget'))
+
     def _pay(self, exchange: exchange_module.Exchange) -> bool:
         """Pay for a send; the first one is free."""
         if not exchange.sends:
@@ -85,7 +112,7 @@
         expires = self._finder.choose_place(exchange).expires
         budget = state.get_budget(exchange.service)
         while state.now < expires:
-            if budget.count_left(state.now) >= 1.0:
+            if budget.can_spend(state.now):
                 return True
             await asyncio.sleep(BUDGET_SECONDS)
         return False
@@ -93,7 +120,7 @@
     def _log_end(
         self,
         stream: exchange_module.Stream,
-        hops: tuple[endpoints_module.Hop, ...],
+        hops: Hops,
         ended: runs.RunEnded,
     ) -> None:
         self._state.log.write(
@@ -110,21 +137,17 @@
         self,
         exchange: exchange_module.Exchange,
         ran: bool,
-        reason: str,
-        scarce: str = '',
+        lack: _Lack,
     ) -> Outcome:
-        """End a stream that no further run can help.
-
-        :param scarce: layers without room, for the log
-        """
+        """End a stream that no further run can help."""
         state = self._state
         reply = exchange.reply
         if reply.started or ran:
             state.log.write(
                 'stream given up',
                 request=exchange.ask.name,
-                reason=reason,
-                scarce=scarce,
+                reason=lack.reason,
+                scarce=lack.scarce,
                 events=exchange.events,
                 sends=exchange.sends,
             )
@@ -140,8 +163,8 @@
         state.log.write(
             'request refused',
             request=exchange.ask.name,
-            reason=reason,
-            scarce=scarce,
+            reason=lack.reason,
+            scarce=lack.scarce,
             returned=exchange.returned,
             waiting=len(state.get_backlog(exchange.service)),
             retry_after=round(pause, 3),
