Believe entries only when they make sense, and tell lives apart

An endpoint that starts again under its id kept its accusations, broken runs and layers.

Change: entries, reports, the configuration and what entries tell each other are decoded into typed messages; what does not fit is logged once, counted and names no endpoint. A life of an endpoint is named by its id and its birth, so nothing that is kept by name outlasts it; runs on an old life end at once, and an older listing is not believed. An endpoint whose entry is spoiled gets nothing new and keeps its layers for 3.6 s. Layers beyond the model's end no search.

Ruled out: dropping an endpoint at once when its entry is spoiled; it writes again within 1.2 s, and the layout would have moved an engine meanwhile.

Test: features/listings.feature, with both decoders and the datagrams under hypothesis, and a scenario with real processes in edge.feature; none passes without the change, as the names it uses are new.

--- a/features/edge.feature
+++ b/features/edge.feature
@@ -95,6 +95,15 @@
     And one engine of its chain stands still
     Then "s-1" got 60 events in order, once and whole
 
+  Scenario: A stream through an engine that started again goes on elsewhere
+    Given engines that tell when they were born
+    When a caller starts to stream 200 events as "s-1"
+    And one engine of its chain starts again under its id
+    Then "s-1" got 200 events in order, once and whole
+    And "s-1" ran 2 times
+    And the entry's log says that the run was abandoned
+    And that engine holds layers again
+
   Scenario: An endpoint that leaves gets no new work
     Given one service reports that it drains
     When a caller calls "/lists/x" 20 times
--- a/features/steps/edge_faults.py
+++ b/features/steps/edge_faults.py
@@ -189,6 +189,44 @@
     fleet.find(run.hops[-1][0]).faults.stall = True
 
 
+@behave.given('engines that tell when they were born')
+def tell_births(context):
+    scene = context.scene
+    for engine in scene.list_engines():
+        scene.run(engine.begin_again())
+    scene.wait_for_layers()
+
+    def check():
+        rows = context.entry.read_state()['endpoints']
+        held = [row for row in rows if row['born'] and row['end']]
+        return len(held) == len(scene.list_engines())
+
+    scene.wait_until(check, 'the entry knows all layers')
+
+
+@behave.when('one engine of its chain starts again under its id')
+def begin_again(context):
+    fleet = context.scene.fleet
+    context.scene.wait_until(
+        lambda: any(run.events > 3 for run in fleet.list_runs('s-1')),
+        'the stream runs',
+    )
+    (run,) = fleet.list_runs('s-1')
+    context.engine = fleet.find(run.hops[-1][0])
+    context.scene.run(context.engine.begin_again())
+
+
+@behave.then("the entry's log says that the run was abandoned")
+def check_abandoned(context):
+    ends = context.entry.list_events('run ended early')
+    assert [row['reason'] for row in ends] == ['run broke: abandoned'], ends
+
+
+@behave.then('that engine holds layers again')
+def check_held_again(context):
+    context.scene.wait_until(lambda: context.engine.layers, 'it has layers')
+
+
 @behave.given('one service reports that it drains')
 def drain_one(context):
     scene = context.scene
--- /dev/null
+++ b/features/steps/listings.py
@@ -0,0 +1,360 @@
+"""Steps about what lies in the platform's store."""
+
+import base64
+import json
+import time
+
+import behave
+from dunlintide_adapters import decisionlog
+from dunlintide_core.pipeline import endpoints
+from dunlintide_core.pipeline import profiles
+from dunlintide_core.pipeline import settings
+from dunlintide_daemon.gateway import counters
+from dunlintide_daemon.gateway import follower
+from dunlintide_daemon.gateway import gossip
+from dunlintide_daemon.gateway import state
+from dunlintide_platform import configurations
+from dunlintide_platform import listings
+from dunlintide_platform import store
+import hypothesis
+from hypothesis import strategies
+import msgspec
+from prometheus_client import registry
+
+ADDRESS = '127.0.0.1:1'
+SOUND = {
+    'service': 'llm',
+    'address': '10.0.0.1:80',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 6,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'seq': 1,
+    'route_type': 'small',
+    'layers': [{'from': 0, 'to': 9, 'version': 1}],
+}
+ENGINES = dict(
+    layers=80,
+    layer_mb=1000.0,
+    token_bytes=1000.0,
+    step_ms=1.0,
+    sequence_ms=0.0,
+    context_ms=0.0,
+    read_per_second=1000.0,
+    slots=6,
+    stride=1,
+    activation_bytes=1.0,
+    link_mbps=1.0,
+    pipe_mbps=1.0,
+    load_seconds=1.0,
+    loads_at_once=1,
+    usual_prompt=1,
+    usual_answer=1,
+    accelerators={'small': profiles.Accelerator('small', 40_000.0, 1.0, 1.0)},
+    delays_ms={},
+)
+
+
+class RecordingLog(decisionlog.DecisionLog):
+    """Keeps the lines instead of writing them."""
+
+    def __init__(self):
+        super().__init__('one', output=2)
+        self.lines = []
+
+    def write(self, event, **fields):
+        self.lines.append((event, fields))
+
+    write_always = write
+
+
+def make_state():
+    given = settings.EdgeSettings(
+        role='edge',
+        name='one',
+        failure_domain='a',
+        listen=ADDRESS,
+        ready_listen=ADDRESS,
+        admin_listen=ADDRESS,
+        metrics_listen=ADDRESS,
+        gossip_listen=ADDRESS,
+        store=ADDRESS,
+    )
+    metrics = counters.Counters.from_registry(registry.CollectorRegistry())
+    return state.State(given, RecordingLog(), metrics)
+
+
+def write_row(context, name, value):
+    """Let the store tell of a value, spelled as it does."""
+    context.revision += 1
+    row = {
+        'key': f'servers/{name}',
+        'value': value,
+        'revision': context.revision,
+    }
+    (item,) = store.decode_items([row])
+    context.follower.apply(item)
+
+
+def write(context, name, value):
+    write_row(context, name, base64.b64encode(value).decode())
+
+
+def write_entry(context, name, **more):
+    write(context, name, json.dumps({**SOUND, **more}).encode())
+
+
+@behave.given('a follower of a store with a sound endpoint "{name}"')
+def make_follower(context, name):
+    context.state = make_state()
+    context.revision = 0
+    context.follower = follower.Follower(
+        context.state, None, lambda item: None
+    )
+    write_entry(context, name)
+
+
+@behave.given(
+    'a follower of a store with an endpoint "{name}" born at {born:d}'
+)
+def make_follower_of_born(context, name, born):
+    make_follower(context, name)
+    write_entry(context, name, born=born)
+
+
+@behave.when('an entry of "{name}" comes whose {field} is {value}')
+def spoil(context, name, field, value):
+    row = dict(SOUND)
+    if value == 'missing':
+        del row[field]
+    else:
+        row[field] = json.loads(value)
+    if field == 'born':
+        row['layers'] = []
+    context.spoiled = name, json.dumps(row).encode()
+    write(context, *context.spoiled)
+
+
+@behave.when('the value {value} comes at the key of "{name}"')
+def write_value(context, value, name):
+    if value == 'not base64':
+        write_row(context, name, '$$$')
+    elif value == 'a number':
+        write_row(context, name, 5)
+    elif value.startswith('0x'):
+        write(context, name, bytes.fromhex(value[2:]))
+    else:
+        write(context, name, value.encode())
+
+
+@behave.when('a sound entry of "{name}" comes')
+def write_sound(context, name):
+    write_entry(context, name)
+
+
+def list_names(context):
+    return {each.identity for each in context.state.list_endpoints('llm')}
+
+
+@behave.then('it names no endpoint, and "{name}" is in use')
+def check_refused(context, name):
+    assert list_names(context) == {name}, list_names(context)
+    assert len(context.state.endpoints) == 1
+
+
+@behave.then('the refusal is logged once however often it comes')
+def check_logged(context):
+    for _ in range(3):
+        write(context, *context.spoiled)
+    lines = [
+        fields
+        for event, fields in context.state.log.lines
+        if event == 'endpoint refused'
+    ]
+    assert len(lines) == 1, lines
+    metric = context.state.counters.refused_items.labels('endpoint')
+    assert metric._value.get() == 4
+
+
+@behave.then('"{name}" is in use')
+def check_used(context, name):
+    assert name in list_names(context)
+
+
+@behave.then('"{name}" is not in use')
+def check_unused(context, name):
+    assert name not in list_names(context)
+
+
+@behave.then('"{name}" is not in use, but still holds its layers')
+def check_held(context, name):
+    check_unused(context, name)
+    held = context.state.endpoints[name]
+    assert (held.start, held.end) == (0, 9)
+
+
+@behave.then(
+    '"{name}" is no engine of a model of {layers:d} layers, and "{other}" is'
+    ' one'
+)
+def check_engine(context, name, layers, other):
+    profile = profiles.EngineProfile(**{**ENGINES, 'layers': layers})
+    found = context.state.list_engines('llm', profile)
+    assert [each.identity for each in found] == [other]
+
+
+@behave.given('it is accused, refuses, broke runs and leaves')
+def blame(context):
+    beliefs = context.state
+    (endpoint,) = beliefs.list_endpoints('llm')
+    context.life = endpoint.name
+    beliefs.accuse([endpoint.name], 'still', 's-1')
+    beliefs.soundness.refuse(endpoint.name, beliefs.now)
+    beliefs.crashers.report('request', endpoint.name, beliefs.now)
+    beliefs.mark_leaving(endpoint.name, 'two')
+    context.ended = []
+    beliefs.life_listeners.append(context.ended.append)
+
+
+@behave.then(
+    '"{name}" is in use, holds no layers and nothing is held against it'
+)
+def check_anew(context, name):
+    beliefs = context.state
+    (endpoint,) = beliefs.list_endpoints('llm')
+    assert endpoint.identity == name
+    assert endpoint.start == endpoint.end == 0
+    assert not endpoint.draining
+    assert not beliefs.soundness.is_full(endpoint.name, beliefs.now)
+    assert not beliefs.soundness.measure_doubt(endpoint.name, beliefs.now)
+    # A break at the new life is another one than that at the old.
+    count = beliefs.crashers.report('request', endpoint.name, beliefs.now)
+    assert count == 2, count
+
+
+@behave.then('those who ran on its old life are told')
+def check_told(context):
+    assert context.ended == [context.life]
+
+
+@behave.then('"{name}" is in use, born at {born:d}')
+def check_born(context, name, born):
+    found = context.state.list_endpoints('llm')
+    assert [(each.identity, each.born) for each in found] == [(name, born)]
+
+
+@behave.when('its report says that it was born at {born:d}')
+def report_born(context, born):
+    (endpoint,) = context.state.list_endpoints('llm')
+    context.state.note_life(endpoint, born)
+
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=8),
+    lambda inner: strategies.lists(inner, max_size=3)
+    | strategies.dictionaries(strategies.text(max_size=6), inner, max_size=3),
+    max_leaves=6,
+)
+
+
+def spoil_rows(sound):
+    """Rows like a sound one, with some fields dropped or replaced."""
+    fields = strategies.sampled_from(sorted(sound) + ['born'])
+    changes = strategies.dictionaries(fields, JSON, max_size=3)
+    drops = strategies.sets(fields, max_size=2)
+
+    def build(changed, dropped):
+        row = {**sound, **changed}
+        for field in dropped:
+            row.pop(field, None)
+        return json.dumps(row).encode()
+
+    return strategies.builds(build, changes, drops)
+
+
+def check_all(values, check):
+    hypothesis.settings(
+        max_examples=400, deadline=None, derandomize=True, database=None
+    )(hypothesis.given(values)(check))()
+
+
+@behave.then('any value is refused or names an endpoint that makes sense')
+def fuzz_endpoints(context):
+    newest = time.time()
+
+    def check(value):
+        decoded = listings.decode_endpoint('servers/i-1', value, newest)
+        if decoded.is_err():
+            return
+        found = decoded.ok_value
+        listings.check_address(found.address)
+        assert 0 <= found.start <= found.end
+        assert found.slots >= 1 and found.cold_ms >= 0
+        for text in (found.service, found.domain):
+            assert isinstance(text, str) and text
+        assert isinstance(found.kind, str)
+        assert found.name == endpoints.name_life('i-1', found.born)
+
+    values = strategies.binary(max_size=64) | spoil_rows(SOUND)
+    check_all(values | JSON.map(lambda row: json.dumps(row).encode()), check)
+
+
+ROUTE = {
+    'name': 'r',
+    'hostname': 'x.example',
+    'prefix': '/x/',
+    'route_type': 'idempotent',
+    'timeout_ms': 800,
+    'service': 'web',
+}
+CONFIGURATION = {
+    'version': 2,
+    'services': [{'name': 'web', 'health_path': '/h', 'max_conns': 9}],
+    'route_list': [ROUTE],
+    'tenants': [{'name': 't', 'api_keys': ['k']}],
+    'limits': {'max_header_bytes': 100, 'idle_timeout_ms': 5},
+}
+
+
+@behave.then('any value is refused or is a configuration in force')
+def fuzz_configurations(context):
+    def check(value):
+        decoded = configurations.decode_deployment(value)
+        if decoded.is_ok():
+            assert make_state().adopt(decoded.ok_value, value)
+
+    routes = spoil_rows(ROUTE).map(
+        lambda row: json.dumps(
+            {**CONFIGURATION, 'route_list': [json.loads(row)]}
+        ).encode()
+    )
+    values = strategies.binary(max_size=64) | spoil_rows(CONFIGURATION)
+    check_all(values | routes, check)
+
+
+@behave.then('any datagram is refused or taken in')
+def fuzz_datagrams(context):
+    def check(data):
+        listener = gossip.Gossip(make_state())
+        listener.datagram_received(data, ('10.0.0.1', 1))
+
+    fields = strategies.lists(JSON, max_size=7)
+    packed = fields.filter(_is_packable).map(_pack)
+    check_all(strategies.binary(max_size=64) | packed, check)
+
+
+def _pack(fields):
+    return msgspec.msgpack.encode(fields)
+
+
+def _is_packable(fields):
+    try:
+        _pack(fields)
+    except OverflowError:
+        return False
+    return True
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -42,6 +42,7 @@
     CLOSED = 'closed'
     GARBLED = 'garbled'
     TIMEOUT = 'timeout'
+    ABANDONED = 'abandoned'
 
 
 class Broken(Exception):
@@ -279,6 +280,12 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def abandon(self) -> None:
+        """Fail the call under way, whose answer is known to be lost."""
+        if not self._complete and self._fault is None:
+            self._fault = Fault.ABANDONED
+        self._wake()
+
     def finish(self, now: float) -> None:
         """Note that the call is over and how long it may rest.
 
--- a/packages/core/src/dunlintide_core/pipeline/endpoints.py
+++ b/packages/core/src/dunlintide_core/pipeline/endpoints.py
@@ -6,6 +6,7 @@
     'Endpoint',
     'Hop',
     'covers_exactly',
+    'name_life',
 ]
 
 
@@ -13,7 +14,7 @@
 class Endpoint:
     """One life of an endpoint.
 
-    :ivar name: its incarnation; a restart has another one
+    :ivar name: this life of it; a restart has another one
     :ivar address: ``host:port``
     :ivar slots: requests that it runs at once
     :ivar draining: whether it leaves and takes no new requests
@@ -21,6 +22,8 @@
     :ivar start: first layer that it holds
     :ivar end: layer behind the last one; equal to ``start`` for none
     :ivar cold_ms: how much longer it stays slow after its start
+    :ivar identity: its id, which may outlast a life
+    :ivar born: start of this life, Unix milliseconds, None if not told
     """
 
     name: str
@@ -33,6 +36,24 @@
     start: int = 0
     end: int = 0
     cold_ms: float = 0.0
+    identity: str = attrs.field(
+        default=attrs.Factory(lambda self: self.name, takes_self=True)
+    )
+    born: int | None = None
+
+    def is_older(self, other: 'Endpoint') -> bool:
+        """Tell whether another life of it began later."""
+        if self.born is None or other.born is None:
+            return False
+        return self.born < other.born
+
+
+def name_life(identity: str, born: int | None) -> str:
+    """Name one life of an endpoint, so that nothing is kept over lives.
+
+    :param born: start of the life, None if it is not told
+    """
+    return identity if born is None else f'{identity}@{born}'
 
 
 @attrs.frozen
--- a/packages/core/src/dunlintide_core/pipeline/profiles.py
+++ b/packages/core/src/dunlintide_core/pipeline/profiles.py
@@ -81,6 +81,15 @@
         card = self.accelerators.get(kind)
         return int(card.memory_mb // self.layer_mb) if card else 0
 
+    def admits(self, kind: str, start: int, end: int) -> bool:
+        """Tell whether a card can hold a range of the model's layers.
+
+        Answers entries that are sound by themselves and still make no
+        sense: a range beyond the last layer ends the search for chains.
+        """
+        within = 0 <= start <= end <= self.layers
+        return within and end - start <= self.count_max_layers(kind)
+
     def count_cache(self, kind: str, held: int) -> float:
         """Tell the room for requests, in tokens times layers.
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -79,9 +79,10 @@
         exchange = stream.exchange
         return [
             each
-            for each in self._state.list_endpoints(exchange.service)
+            for each in self._state.list_engines(
+                exchange.service, stream.profile
+            )
             if each.name not in exchange.tried
-            and each.kind in stream.profile.accelerators
         ]
 
     def explain(self, stream: Stream) -> str:
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -29,6 +29,8 @@
     :ivar waiting: requests that wait for room
     :ivar orders: orders to engines, by ``reception``
     :ivar store_faults: calls on the store that failed, by ``fault``
+    :ivar refused_items: what others wrote or sent that can't be read, by
+        ``kind``
     :ivar version: version of the configuration in force
     """
 
@@ -42,6 +44,7 @@
     waiting: prometheus_client.Gauge
     orders: prometheus_client.Counter
     store_faults: prometheus_client.Counter
+    refused_items: prometheus_client.Counter
     version: prometheus_client.Gauge
 
     @classmethod
@@ -103,6 +106,12 @@
             store_faults=make(
                 counter, 'edge_store_faults', 'Failed store calls', ('fault',)
             ),
+            refused_items=make(
+                counter,
+                'edge_refused_items',
+                'Entries and messages that can not be read',
+                ('kind',),
+            ),
             version=make(
                 gauge, 'edge_configuration_version', 'Version in force'
             ),
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import random
+import time
 from typing import Callable
 
 from dunlintide_daemon.gateway import state as state_module
+from dunlintide_platform import configurations
 from dunlintide_platform import listings
 from dunlintide_platform import store as store_module
 
@@ -26,6 +28,14 @@
 # Failures for this long count as an outage, in seconds.
 OUTAGE_SECONDS = 0.8
 
+# How long an endpoint whose entry can't be read still holds its layers, in
+# seconds: one that lives writes again within 1.2 s, and the store drops a
+# silent one after three times that.
+UNREADABLE_SECONDS = 3.6
+# How far ahead of this host's clock an endpoint may say that it began, in
+# seconds: clocks differ by seconds.
+CLOCK_SECONDS = 60.0
+
 OwnHandler = Callable[[store_module.Item], None]
 
 
@@ -50,6 +60,7 @@
         self._revisions: dict[str, int] = {}
         self._lost_at: float | None = None
         self._returned_at = float('-inf')
+        self._refused: dict[str, str] = {}
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -91,7 +102,7 @@
         present = set()
         for item in news.items:
             present.add(item.key)
-            self._apply(item)
+            self.apply(item)
         self._drop_missing(present)
         self._state.listed = True
         self._state.listed_at = self._state.now
@@ -106,7 +117,7 @@
         gone = [key for key in self._revisions if key not in present]
         for key in gone:
             revision = self._revisions[key]
-            self._apply(store_module.Item(key, None, revision + 1))
+            self.apply(store_module.Item(key, None, revision + 1))
 
     async def _watch(self) -> bool:
         drain = self._state.settings.drain
@@ -124,7 +135,7 @@
         self._note_answer()
         news = watched.ok_value
         for item in news.items:
-            self._apply(item)
+            self.apply(item)
         self._revision = max(self._revision, news.revision)
         self._expire_missing()
         self._state.listed_at = self._state.now
@@ -132,14 +143,15 @@
             await asyncio.sleep(drain * BATCH_PART)
         return True
 
-    def _apply(self, item: store_module.Item) -> None:
+    def apply(self, item: store_module.Item) -> None:
+        """Take in what a key holds now, unless something newer was."""
         if item.revision <= self._revisions.get(item.key, 0):
             return
         if item.value is None:
             self._revisions.pop(item.key, None)
         else:
             self._revisions[item.key] = item.revision
-        if item.key == listings.CONFIGURATION_KEY:
+        if item.key == configurations.CONFIGURATION_KEY:
             self._apply_configuration(item)
         elif item.key.startswith(listings.ENDPOINT_PREFIX):
             self._apply_endpoint(item)
@@ -149,40 +161,55 @@
     def _apply_configuration(self, item: store_module.Item) -> None:
         if item.value is None:
             return
-        decoded = listings.decode_deployment(item.value)
+        decoded = configurations.decode_deployment(item.value)
         if decoded.is_err():
-            self._state.log.write_always(
-                'configuration refused',
-                problem=decoded.err_value,
-                revision=item.revision,
-            )
+            self._refuse('configuration', item, decoded.err_value)
             return
+        self._refused.pop(item.key, None)
         self._state.adopt(decoded.ok_value, item.value)
 
+    def _refuse(
+        self, kind: str, item: store_module.Item, problem: str
+    ) -> None:
+        """Count what can't be read, and log it once for each problem."""
+        self._state.counters.refused_items.labels(kind).inc()
+        if self._refused.get(item.key) == problem:
+            return
+        self._refused[item.key] = problem
+        self._state.log.write_always(
+            f'{kind} refused', problem=problem, revision=item.revision
+        )
+
     def _apply_endpoint(self, item: store_module.Item) -> None:
-        name = listings.get_endpoint_name(item.key)
+        identity = listings.get_identity(item.key)
         if item.value is None:
-            self._remove(name)
+            self._refused.pop(item.key, None)
+            self._remove(identity)
             return
-        self._missing.discard(name)
-        decoded = listings.decode_endpoint(item.key, item.value)
+        self._missing.discard(identity)
+        newest = time.time() + CLOCK_SECONDS
+        decoded = listings.decode_endpoint(item.key, item.value, newest)
         if decoded.is_err():
-            self._state.log.write_always(
-                'endpoint refused', problem=decoded.err_value
-            )
+            self._refuse('endpoint', item, decoded.err_value)
+            self._state.mark_unreadable(identity)
             return
+        self._refused.pop(item.key, None)
         self._state.put_endpoint(decoded.ok_value)
 
-    def _remove(self, name: str) -> None:
+    def _remove(self, identity: str) -> None:
         """Forget an endpoint, but not one that an outage made lapse."""
         if self._state.now - self._returned_at < RETURN_SECONDS:
-            self._missing.add(name)
+            self._missing.add(identity)
             return
-        self._state.drop_endpoint(name)
+        self._state.drop_endpoint(identity)
 
     def _expire_missing(self) -> None:
-        if self._state.now - self._returned_at < RETURN_SECONDS:
+        now = self._state.now
+        for identity, since in list(self._state.unreadable.items()):
+            if now - since >= UNREADABLE_SECONDS:
+                self._state.drop_endpoint(identity)
+        if now - self._returned_at < RETURN_SECONDS:
             return
-        for name in self._missing:
-            self._state.drop_endpoint(name)
+        for identity in self._missing:
+            self._state.drop_endpoint(identity)
         self._missing.clear()
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+from typing import Annotated
 import zlib
 
 import msgspec
@@ -41,6 +42,9 @@
 REFUSED_SECONDS = 0.5
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Message(msgspec.Struct, array_like=True):
     """One datagram.
 
@@ -55,12 +59,12 @@
     """
 
     sender: str
-    version: int
-    usages: list[tuple[int, int, int, int]] | None
-    leaving: list[int]
-    doubted: list[int]
+    version: _Count
+    usages: list[tuple[_Count, _Count, _Count, _Count]] | None
+    leaving: list[_Count]
+    doubted: list[_Count]
     broken: list[tuple[str, str]]
-    refused: list[int]
+    refused: list[_Count]
 
 
 @functools.lru_cache(maxsize=4096)
@@ -188,7 +192,10 @@
         try:
             message = _decoder.decode(data)
         except msgspec.DecodeError as error:
-            self._state.log.write('gossip refused', error=str(error))
+            self._state.counters.refused_items.labels('message').inc()
+            self._state.log.write(
+                'gossip refused', error=str(error), source=address[0]
+            )
             return
         self._take(message)
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/losses.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/losses.py
@@ -79,6 +79,7 @@
         for _ in range(TRIES):
             read = await orders.read_report(engine.address)
             if read.is_ok():
+                self._state.note_life(engine, read.ok_value.born)
                 return
             errors.append(read.err_value)
         if self._state.soundness.has_moved_since(engine.name, began):
--- a/packages/daemon/src/dunlintide_daemon/gateway/placer.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/placer.py
@@ -74,11 +74,15 @@
                 continue
             self._review()
 
-    def _list_engines(self, service: str) -> list[endpoints_module.Endpoint]:
+    def _list_engines(
+        self, service: str, profile: profiles.EngineProfile
+    ) -> list[endpoints_module.Endpoint]:
         return [
             each
             for each in self._state.endpoints.values()
-            if each.service == service and not each.draining
+            if each.service == service
+            and not each.draining
+            and profile.admits(each.kind, each.start, each.end)
         ]
 
     def _review(self) -> None:
@@ -99,7 +103,7 @@
     def _review_service(
         self, service: str, profile: profiles.EngineProfile, now: float
     ) -> None:
-        listed = self._list_engines(service)
+        listed = self._list_engines(service, profile)
         names = {each.name for each in listed}
         lost = self._losses[service].review(listed)
         engines = [each for each in listed if each.name not in lost]
@@ -234,6 +238,7 @@
             )
             return False
         report = read.ok_value
+        self._state.note_life(endpoint, report.born)
         order.expected = report.orders
         held = (report.start, report.end)
         placement = order.placement
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -24,8 +24,8 @@
 from dunlintide_daemon.gateway import placer as placer_module
 from dunlintide_daemon.gateway import registrar as registrar_module
 from dunlintide_daemon.gateway import state as state_module
+from dunlintide_platform import configurations
 from dunlintide_platform import keys
-from dunlintide_platform import listings
 from dunlintide_platform import store as store_module
 
 __all__ = ['run']
@@ -122,6 +122,7 @@
             if decoded.is_ok():
                 self._gossip.set_entry(decoded.ok_value)
             else:
+                self._state.counters.refused_items.labels('entry').inc()
                 self._report('entry refused', ValueError(decoded.err_value))
 
     async def run(self) -> None:
@@ -236,7 +237,7 @@
             return
         finally:
             state.pool.release(entry.admin, connection)
-        decoded = listings.decode_deployment(value)
+        decoded = configurations.decode_deployment(value)
         if decoded.is_err():
             self._report(
                 'configuration refused', ValueError(decoded.err_value)
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -36,6 +36,11 @@
 # Answers at least this late after the send blame a dead endpoint, sooner
 # ones a full or leaving one, in seconds.
 DEAD_SECONDS = 0.5
+# Breaks that say nothing of the endpoint that received the run.
+_NO_FAULT_OF_FIRST = (
+    endpointhttp.Fault.TIMEOUT,
+    endpointhttp.Fault.ABANDONED,
+)
 
 
 @attrs.define(eq=False)
@@ -45,6 +50,7 @@
     :ivar began: monotonic time of its send, in seconds
     :ivar moved: when its last event came
     :ivar lingers: whether its endpoints hold it for a while after its end
+    :ivar connection: to the first endpoint, None until there is one
     """
 
     hops: Hops
@@ -53,6 +59,7 @@
     moved: float
     events: int = 0
     lingers: bool = False
+    connection: endpointhttp.Connection | None = None
 
     @property
     def first(self) -> endpoints_module.Endpoint:
@@ -104,6 +111,17 @@
     ) -> None:
         self._state = state
         self._finder = finder
+        self._active: set[_Run] = set()
+        state.life_listeners.append(self._lose)
+
+    def _lose(self, name: str) -> None:
+        """End the runs through a life of an endpoint that is over.
+
+        They stand still until their engines give them up, seconds later.
+        """
+        for run in list(self._active):
+            if run.connection is not None and name in run.names:
+                run.connection.abandon()
 
     async def run(self, stream: Stream, hops: Hops) -> Outcome:
         """Run a stream on a chain.
@@ -117,14 +135,17 @@
         reservation = state.occupancy.reserve(hops, tokens, pipes)
         run = _Run(hops, reservation, now, now)
         state.soundness.begin(run.names)
+        self._active.add(run)
         connection = None
         try:
             connection = await self._connect(stream.exchange, run)
+            run.connection = connection
             return await self._relay(stream, run, connection)
         except RunEnded as ended:
             run.lingers = ended.hops is not None
             raise
         finally:
+            self._active.discard(run)
             state.soundness.end(run.names)
             self._release(stream.exchange.service, run)
             if connection is not None:
@@ -235,7 +256,7 @@
         broken: endpointhttp.Broken,
     ) -> None:
         state = self._state
-        if broken.fault is endpointhttp.Fault.TIMEOUT:
+        if broken.fault in _NO_FAULT_OF_FIRST:
             return
         exchange.tried.append(run.first.name)
         count = state.crashers.report(
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -14,6 +14,7 @@
 from dunlintide_core.pipeline import deployments
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import occupancy as occupancy_module
+from dunlintide_core.pipeline import profiles
 from dunlintide_core.pipeline import resends
 from dunlintide_core.pipeline import returns as returns_module
 from dunlintide_core.pipeline import settings as settings_module
@@ -35,6 +36,10 @@
 
     :ivar deployment: configuration in force, None before the first
     :ivar endpoints: endpoints by name, leaving ones among them
+    :ivar lives: newest known life of each endpoint, by identity
+    :ivar unreadable: endpoints whose entry can't be read, by identity, and
+        since when
+    :ivar life_listeners: told the name of each life that another one ended
     :ivar listed: whether the endpoints were read at least once
     :ivar entries: names of all entries that were ever seen
     :ivar backlogs: waiting requests by service
@@ -67,6 +72,9 @@
     configuration_at: float = 0.0
     endpoints: dict[str, endpoints_module.Endpoint] = attrs.field(factory=dict)
     leaving: dict[str, float] = attrs.field(factory=dict)
+    lives: dict[str, endpoints_module.Endpoint] = attrs.field(factory=dict)
+    unreadable: dict[str, float] = attrs.field(factory=dict)
+    life_listeners: list[Callable[[str], None]] = attrs.field(factory=list)
     listed: bool = False
     listed_at: float = 0.0
     entries: set[str] = attrs.field(factory=set)
@@ -126,6 +134,9 @@
 
     def put_endpoint(self, endpoint: endpoints_module.Endpoint) -> None:
         """Take in an endpoint or what changed of it."""
+        self.unreadable.pop(endpoint.identity, None)
+        if not self._begin_life(endpoint):
+            return
         before = self.endpoints.get(endpoint.name)
         if endpoint.name in self.leaving and not endpoint.draining:
             # A listing that is older than what is known of its leaving.
@@ -150,6 +161,57 @@
             self.pool.drop(endpoint.address)
         self.notify()
 
+    def _begin_life(self, endpoint: endpoints_module.Endpoint) -> bool:
+        """Take note of the life of an endpoint that is listed.
+
+        :returns: whether it is the newest that is known
+        """
+        known = self.lives.get(endpoint.identity)
+        if known is not None and endpoint.is_older(known):
+            self.log.write(
+                'older life ignored',
+                endpoint=endpoint.name,
+                known=known.name,
+            )
+            return False
+        self.lives[endpoint.identity] = endpoint
+        if known is not None and known.name != endpoint.name:
+            self._end_life(known, endpoint.name)
+        return True
+
+    def _end_life(
+        self, endpoint: endpoints_module.Endpoint, successor: str
+    ) -> None:
+        """Forget a life that another one ended, and what ran on it."""
+        self.log.write_always(
+            'endpoint began a new life',
+            endpoint=endpoint.name,
+            successor=successor,
+        )
+        self._forget(endpoint)
+        for listener in self.life_listeners:
+            listener(endpoint.name)
+
+    def note_life(
+        self, endpoint: endpoints_module.Endpoint, born: int | None
+    ) -> None:
+        """Take note of the life that an endpoint itself tells.
+
+        A newer one than the listing's is out of use until it is listed,
+        since its layers aren't known.
+        """
+        name = endpoints_module.name_life(endpoint.identity, born)
+        told = attrs.evolve(endpoint, name=name, born=born)
+        known = self.lives.get(endpoint.identity, endpoint)
+        if known.is_older(told):
+            self._begin_life(told)
+            self.notify()
+
+    def mark_unreadable(self, identity: str) -> None:
+        """Use an endpoint no more until its entry can be read again."""
+        if identity in self.lives:
+            self.unreadable.setdefault(identity, self.now)
+
     def mark_leaving(self, name: str, source: str) -> None:
         """Send nothing new to an endpoint that leaves.
 
@@ -163,18 +225,23 @@
         if endpoint is not None and not endpoint.draining:
             self.put_endpoint(attrs.evolve(endpoint, draining=True))
 
-    def drop_endpoint(self, name: str) -> None:
+    def drop_endpoint(self, identity: str) -> None:
         """Forget an endpoint that is gone from the listing."""
-        endpoint = self.endpoints.pop(name, None)
+        self.unreadable.pop(identity, None)
+        endpoint = self.lives.pop(identity, None)
         if endpoint is None:
             return
         self.log.write(
-            'endpoint gone', endpoint=name, address=endpoint.address
+            'endpoint gone', endpoint=endpoint.name, address=endpoint.address
         )
-        self.pool.drop(endpoint.address)
-        self.soundness.forget(name)
+        self._forget(endpoint)
         self.notify()
 
+    def _forget(self, endpoint: endpoints_module.Endpoint) -> None:
+        self.endpoints.pop(endpoint.name, None)
+        self.pool.drop(endpoint.address)
+        self.soundness.forget(endpoint.name)
+
     def list_endpoints(self, service: str) -> list[endpoints_module.Endpoint]:
         """List the endpoints of a service that take new requests."""
         now = self.now
@@ -183,9 +250,20 @@
             for each in self.endpoints.values()
             if each.service == service
             and not each.draining
+            and each.identity not in self.unreadable
             and self.soundness.is_open(each.name, now)
         ]
 
+    def list_engines(
+        self, service: str, profile: profiles.EngineProfile
+    ) -> list[endpoints_module.Endpoint]:
+        """List the engines of a service whose layers make sense."""
+        return [
+            each
+            for each in self.list_endpoints(service)
+            if profile.admits(each.kind, each.start, each.end)
+        ]
+
     def get_backlog(self, service: str) -> backlog_module.Backlog:
         """Give the queue of a service."""
         return self.backlogs.setdefault(service, backlog_module.Backlog())
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -98,6 +98,7 @@
 
     :ivar runs: requests that it began, over all of its lives
     :ivar orders: orders that it has accepted in this life
+    :ivar born: start of this life, Unix milliseconds, None to tell none
     """
 
     def __init__(
@@ -109,6 +110,7 @@
         self.kind = kind
         self.faults = Faults()
         self.name = ''
+        self.born: int | None = None
         self.port = 0
         self.orders = 0
         self.layers: tuple[int, int] | None = None
@@ -137,6 +139,13 @@
         self.port = self._server.sockets[0].getsockname()[1]
         await self.list_itself()
 
+    async def begin_again(self) -> None:
+        """Begin another life under the same id, empty."""
+        self.born = int(time.time() * 1000)
+        self.layers = None
+        self.orders = 0
+        await self.list_itself()
+
     async def list_itself(self, state: str = 'ready') -> None:
         """Write its entry."""
         self._seq += 1
@@ -150,6 +159,8 @@
             'cold_left_ms': 0,
             'seq': self._seq,
         }
+        if self.born is not None:
+            entry['born'] = self.born
         if self.kind:
             entry['route_type'] = self.kind
             entry['models'] = [{'name': 'm0', 'version': 1, 'adapters': []}]
@@ -195,7 +206,7 @@
         if self.layers:
             first, last = self.layers
             held = [{'from': first, 'to': last, 'version': 1}]
-        return {
+        report = {
             'busy': False,
             'seq': self.orders,
             'layers': held,
@@ -204,6 +215,9 @@
             'kv_total': 1,
             'stalled': [],
         }
+        if self.born is not None:
+            report['born'] = self.born
+        return report
 
     async def _take_order(self, order: dict, channel: wire.Channel) -> None:
         if self.faults.take('lose_orders'):
