Tell operators why requests fell short, from the logs alone

Cause: the split of what is lost by cause had to be put together by hand, and the log did not say what a request was allowed.

A request's last line also holds its target and its longest pause allowed.

Test: features/losses.feature, one log for each cause.

--- /dev/null
+++ b/features/losses.feature
@@ -0,0 +1,26 @@
+Feature: Why requests fell short, from the entries' logs
+
+  Scenario Outline: Each request has one cause
+    Given the log of an entry with a request that <happens>
+    When the operator asks for losses
+    Then the only cause is "<cause>"
+
+    Examples:
+      | happens                        | cause                                                  |
+      | is cut when the process ends   | the entry ended under it                               |
+      | is refused for "no room"       | refused: no chain had room                             |
+      | is refused for "no budget"     | refused: no second send was left                       |
+      | is denied for "stopping"       | refused: the entry was stopping                        |
+      | is denied for "no configuration" | refused: the entry knew nothing yet                  |
+      | is told that it may have run   | it may have run, no answer came                        |
+      | begins late after a move       | first event late: its first chain stood still or broke |
+      | begins late                    | first event late: waiting or reading                   |
+      | pauses after a move            | pause: its chain stood still or broke                  |
+      | pauses                         | pause: its chain was slow                              |
+
+  Scenario: Requests in time and calls that rules refuse are no losses
+    Given the log of an entry with a request that is served
+    And a line that is none
+    When the operator asks for losses
+    Then no cause is told, and 1 request was served in time
+    And the operator hears of 1 line that was not read
--- /dev/null
+++ b/features/steps/losses.py
@@ -0,0 +1,102 @@
+"""Steps about the command that reads the entries' logs."""
+
+import contextlib
+import io
+import json
+
+import behave
+from dunlintide_cli import main
+
+ENDED = {
+    'event': 'request ended',
+    'outcome': 'complete',
+    'seconds': 2.0,
+    'first_event': 0.1,
+    'longest_gap': 0.05,
+    'target': 0.5,
+    'pause': 0.2,
+}
+SENT = {'event': 'stream sent'}
+MOVED = {'event': 'run ended early', 'reason': 'still for 0.120 s'}
+
+
+def refuse(reason):
+    return [
+        {'event': 'request refused', 'reason': reason},
+        {**ENDED, 'outcome': 'not-run'},
+    ]
+
+
+def deny(reason):
+    return [{'event': 'request denied', 'status': 503, 'reason': reason}]
+
+
+LINES = {
+    'is served': [SENT, ENDED],
+    'is cut when the process ends': [SENT],
+    'is refused for "no room"': refuse('no room'),
+    'is refused for "no budget"': refuse('no budget'),
+    'is denied for "stopping"': deny('stopping'),
+    'is denied for "no configuration"': deny('no configuration'),
+    'is told that it may have run': [SENT, {**ENDED, 'outcome': 'unknown'}],
+    'begins late after a move': [SENT, MOVED, {**ENDED, 'first_event': 0.7}],
+    'begins late': [SENT, {**ENDED, 'first_event': 0.7}],
+    'pauses after a move': [SENT, MOVED, {**ENDED, 'longest_gap': 0.3}],
+    'pauses': [SENT, {**ENDED, 'longest_gap': 0.3}],
+}
+
+
+@behave.given('the log of an entry with a request that {happens}')
+def write_log(context, happens):
+    started = {'event': 'started'}
+    rows = [started]
+    rows += [{**row, 'request': 's-1'} for row in LINES[happens]]
+    rows += [started]
+    context.log = context.make_folder() / 'one.log'
+    context.log.write_text(
+        ''.join(
+            json.dumps({'at': float(index), 'host': 'one', **row}) + '\n'
+            for index, row in enumerate(rows)
+        )
+    )
+
+
+@behave.given('a line that is none')
+def add_garbage(context):
+    with context.log.open('a') as file:
+        file.write('Traceback\n')
+
+
+@behave.when('the operator asks for losses')
+def ask(context):
+    context.printed, context.told = io.StringIO(), io.StringIO()
+    with (
+        contextlib.redirect_stdout(context.printed),
+        contextlib.redirect_stderr(context.told),
+    ):
+        status = main.main(['losses', '--json', str(context.log)])
+        assert status == 0
+        assert main.main(['losses', str(context.log)]) == 0
+    text, _, table = context.printed.getvalue().rpartition('}\n')
+    context.report, context.shown = json.loads(text + '}'), table
+
+
+@behave.then('the only cause is "{cause}"')
+def check_cause(context, cause):
+    causes = [each['cause'] for each in context.report['shortfalls']]
+    assert causes == [cause], causes
+    assert cause in context.shown
+    assert context.report['served'] == 0
+
+
+@behave.then('no cause is told, and {count:d} request was served in time')
+def check_served(context, count):
+    assert not context.report['shortfalls']
+    assert context.report['served'] == count
+    assert f'{count} served in time' in context.shown
+
+
+@behave.then('the operator hears of {count:d} line that was not read')
+def check_unread(context, count):
+    assert context.report['unreadable'] == count
+    assert f'{count} lines' in context.told.getvalue()
--- a/packages/daemon/src/dunlintide_daemon/gateway/front.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/front.py
@@ -96,6 +96,8 @@
             events=exchange.events,
             first_event=exchange.first_event,
             longest_gap=round(exchange.longest_gap, 4),
+            target=exchange.terms.target_seconds,
+            pause=exchange.terms.gap_seconds,
             version=exchange.version,
         )
 
