Give layers of unseen leavers elsewhere, and switches to measure each mechanism

Changes, which share their lines and so one commit: - A leader leads on while the store is away; only a newer holder, or an end that the store tells, ends it.

--- a/features/doubts.feature
+++ b/features/doubts.feature
@@ -39,3 +39,33 @@
     And other entries are not told of it at 10.5
     When another entry tells of doubts about "x" at 12.0 and at 12.15
     Then it is left out at 12.2
+
+  Scenario: An engine that leaves refuses while older work moves through it
+    When engine "x", far from full, refuses a request at 10.0
+    Then it is expected to refuse at 10.2
+    When work moves through it at 10.25
+    And engine "x", far from full, refuses a request at 10.4
+    And work moves through it at 10.65
+    Then it is expected to refuse at 10.95
+    And other entries are told at 10.95 that it goes on refusing
+    And it has taken nothing for 0.95 s at 10.95
+    When a request sent to it at 11.1 runs
+    Then it is not expected to refuse at 11.15
+    And other entries are not told at 11.15 that it goes on refusing
+    When engine "x", far from full, refuses a request at 12.0
+    Then it is not expected to refuse at 12.35
+
+  Scenario: An engine that refuses other entries is left until it takes a request
+    When another entry tells at 10.0 and at 10.15 that "x" goes on refusing
+    And work moves through it at 10.2
+    Then it is expected to refuse at 10.3
+    And it has taken nothing for 0.3 s at 10.3
+    When a request sent to it at 10.1 runs
+    Then it is not expected to refuse at 10.35
+    And other entries are not told at 10.35 that it goes on refusing
+
+  Scenario: Streams under way have the last part of the second sends
+    Given second sends of 10 in a window, all of which may be used
+    Then 7 fresh requests get one and the next does not
+    And 3 streams under way get one still and the next does not
+    And what is said to be left is what is given, for either
--- a/features/edge.feature
+++ b/features/edge.feature
@@ -129,6 +129,13 @@
     And 12 streams are asked, one each 0.25 s
     Then the entry's log names it lost, and an engine that is moved to its layers
 
+  Scenario: Layers of a dead engine go to another while the store is away
+    Given spare engines "small" and "small" in "a" that hold layers
+    And the store has turned the entry away for 4.0 s
+    When the engine of "a" whose layers no other there holds crashes and stays listed
+    And 12 streams are asked, one each 0.25 s
+    Then the entry's log names it lost, and an engine that is moved to its layers
+
   Scenario: An order carried out late does no harm
     Given a new engine of kind "small" that carries out its first order 2 seconds late
     Then it holds layers again within 8 seconds
--- a/features/lostengines.feature
+++ b/features/lostengines.feature
@@ -24,8 +24,15 @@
 
   Scenario: What is usual is learnt from streams, and bounded
     Given the longest pause of a usual stream is 0.06 s
-    Then a stream that may pause for 0.2 s is moved after 0.09 s if few engines are suspected, and after 0.132 s in any case
+    Then a stream that may pause for 0.2 s is moved after 0.12 s if few engines are suspected, and after 0.132 s in any case
     Given the longest pause of a usual stream is 0.01 s
-    Then a stream that may pause for 0.2 s is moved after 0.06 s if few engines are suspected, and after 0.12 s in any case
+    Then a stream that may pause for 0.2 s is moved after 0.12 s if few engines are suspected, and after 0.12 s in any case
     Given the longest pause of a usual stream is 0.5 s
     Then a stream that may pause for 0.2 s is moved after 0.12 s if few engines are suspected, and after 0.4 s in any case
+
+  Scenario: An engine that few streams use is not named for their pauses
+    Given 26 streams on one chain of 11 engines, with an event each 0.032 s
+    And the longest pause of a usual stream is 0.06 s
+    And 1 streams that share all of them but engine 4
+    When that one stands still for 0.115 s
+    Then no stream is moved
--- a/features/steps/doubts.py
+++ b/features/steps/doubts.py
@@ -2,6 +2,7 @@
 
 import behave
 from dunlintide_core.pipeline import rescues
+from dunlintide_core.pipeline import resends
 from dunlintide_core.pipeline import soundness
 
 
@@ -89,3 +90,72 @@
 @behave.then('other entries are not told of it at {at:f}')
 def check_not_told(context, at):
     assert context.belief.list_doubted(at) == []
+
+
+@behave.when('engine "{name}", far from full, refuses a request at {now:f}')
+def refuse_roomy(context, name, now):
+    context.name = name
+    believe(context).refuse(name, now, True)
+
+
+@behave.when('a request sent to it at {sent:f} runs')
+def accept(context, sent):
+    context.belief.accept([context.name], sent)
+
+
+@behave.when(
+    'another entry tells at {first:f} and at {second:f} that "{name}" goes on'
+    ' refusing'
+)
+def hear_refusals(context, first, second, name):
+    context.name = name
+    for now in (first, second):
+        believe(context).hear_refusal(name, now)
+
+
+@behave.then('other entries are told at {now:f} that it goes on refusing')
+def check_refusing_told(context, now):
+    assert context.belief.list_refusing(now) == [context.name]
+
+
+@behave.then('other entries are not told at {now:f} that it goes on refusing')
+def check_refusing_untold(context, now):
+    assert not context.belief.list_refusing(now)
+
+
+@behave.given(
+    'second sends of {count:d} in a window, all of which may be used'
+)
+def make_budget(context, count):
+    context.budget = resends.ResendBudget(
+        0.0, count / resends.SLACK_PART, 10.0
+    )
+
+
+@behave.then('{count:d} fresh requests get one and the next does not')
+def spend_fresh(context, count):
+    got = [context.budget.spend(1.0, False) for _ in range(count + 1)]
+    assert got == [True] * count + [False], got
+
+
+@behave.then('{count:d} streams under way get one still and the next does not')
+def spend_under_way(context, count):
+    got = [context.budget.spend(1.0, True) for _ in range(count + 1)]
+    assert got == [True] * count + [False], got
+
+
+@behave.then('it has taken nothing for {seconds:f} s at {now:f}')
+def check_measured(context, seconds, now):
+    measured = context.belief.measure_refusing(context.name, now)
+    assert abs(measured - seconds) < 1e-9, measured
+
+
+@behave.then('what is said to be left is what is given, for either')
+def check_said(context):
+    # A wait that ends while nothing can be spent would spin for ever.
+    for under_way in (True, False):
+        budget = resends.ResendBudget(0.0, 10 / resends.SLACK_PART, 10.0)
+        for _ in range(11):
+            said = budget.can_spend(1.0, under_way)
+            assert budget.spend(1.0, under_way) is said
+        assert not said
--- a/features/steps/edge_platform.py
+++ b/features/steps/edge_platform.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import threading
+import time
 
 import behave
 from dunlintide_standins.fleet import operators
@@ -51,6 +52,12 @@
     edge_lookups.wait_for_leaving(context)
 
 
+@behave.given('the store has turned the entry away for {seconds:f} s')
+def turn_away(context, seconds):
+    refuse_calls(context, 503)
+    time.sleep(seconds)
+
+
 @behave.given('the store refuses all calls with {status:d}')
 def refuse_calls(context, status):
     context.scene.store.faults.refuse = status
--- a/features/steps/lostengines.py
+++ b/features/steps/lostengines.py
@@ -74,7 +74,7 @@
     since = rescues.choose_since(run.moved, now)
     suspects = context.belief.find_left_out(
         run.names, now
-    ) or context.belief.find_suspects(run.names, since)
+    ) or context.belief.find_suspects(run.names, since, now)
     if rescues.judge(silence, limits, bool(suspects)).moves:
         run.left = now
         for name in suspects:
@@ -101,6 +101,16 @@
     )
 
 
+@behave.when('that one stands still for {seconds:f} s')
+def pause_last(context, seconds):
+    last = context.runs[-1]
+    play(
+        context,
+        lambda run, now: run is last and DEATH <= now < DEATH + seconds,
+        DEATH + 0.6,
+    )
+
+
 @behave.then('all streams are moved within {seconds:f} s of their last event')
 def check_moved(context, seconds):
     waits = [run.left - run.moved for run in context.stopped]
--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -37,6 +37,8 @@
     accelerators=CARDS,
     delays_ms={('a', 'b'): 0.3},
 )
+# How long a run stands still when it is judged, in seconds.
+SILENCE = 0.3
 TOKENS = PROFILE.usual_prompt + PROFILE.usual_answer
 
 
@@ -220,12 +222,15 @@
 
 @behave.then('the run accuses nobody')
 def check_nobody(context):
-    assert not context.belief.find_suspects(context.names, context.since)
+    now = context.since + SILENCE
+    belief = context.belief
+    assert not belief.find_suspects(context.names, context.since, now)
 
 
 @behave.then('the run accuses the one without progress')
 def check_last(context):
-    found = context.belief.find_suspects(context.names, context.since)
+    now = context.since + SILENCE
+    found = context.belief.find_suspects(context.names, context.since, now)
     assert found == context.names[-1:], found
 
 
--- a/packages/core/src/dunlintide_core/pipeline/chains.py
+++ b/packages/core/src/dunlintide_core/pipeline/chains.py
@@ -176,16 +176,20 @@
     get_load: Callable[[endpoints_module.Endpoint], Load],
     demand: Demand,
     count_crossing: Callable[[str], float] = lambda pipe: 0.0,
+    avoids_pipes: bool = True,
 ) -> tuple[endpoints_module.Hop, ...] | None:
     """Find the chain with the least expected time, None if there is none.
 
     :param candidates: endpoints that may serve, each with its layers
     :param count_crossing: requests that cross a pipe now, by its name
+    :param avoids_pipes: whether a chain crosses a pipe only where no other
+        has room
     """
     holders = [each for each in candidates if each.end > each.start]
     if not holders:
         return None
-    search = _Search(profile, holders, get_load, demand, count_crossing)
+    crossing = _make_crossing(profile, demand, count_crossing, avoids_pipes)
+    search = _Search(profile, holders, get_load, demand, crossing)
     cuts = cut_layers(holders, profile.layers)
     states: dict[int, _State] = {}
     for begin, end in zip(cuts, cuts[1:]):
@@ -208,12 +212,12 @@
         holders: list[endpoints_module.Endpoint],
         get_load: Callable[[endpoints_module.Endpoint], Load],
         demand: Demand,
-        count_crossing: Callable[[str], float],
+        crossing: Callable[[str, str], float],
     ) -> None:
         self._holders = holders
         self._demand = demand
         self._slots = profile.slots * SLOT_PART
-        self._crossing = _make_crossing(profile, demand, count_crossing)
+        self._crossing = crossing
         loads = [get_load(each) for each in holders]
         self._loads = loads
         self._rates = [
@@ -299,6 +303,7 @@
     profile: profiles.EngineProfile,
     demand: Demand,
     count_crossing: Callable[[str], float],
+    avoids_pipes: bool,
 ) -> Callable[[str, str], float]:
     """Build the cost of passing a request on, infinite over a full pipe."""
     known: dict[tuple[str, str], float] = {}
@@ -313,7 +318,7 @@
             if crossing >= most:
                 return math.inf
             cost *= 1.0 + crossing / CROSSINGS_TO_DOUBLE
-            cost += PIPE_CROSSING_MS
+            cost += PIPE_CROSSING_MS if avoids_pipes else 0.0
         per_token = profile.get_delay(one, other) + HOP_MS
         return cost + demand.answer * per_token
 
--- a/packages/core/src/dunlintide_core/pipeline/layout.py
+++ b/packages/core/src/dunlintide_core/pipeline/layout.py
@@ -12,6 +12,7 @@
 import attrs
 
 from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import profiles
 
 __all__ = [
@@ -73,7 +74,11 @@
     return sum(count_layers(profile, kind, room) for kind in kinds)
 
 
-def choose_room(profile: profiles.EngineProfile, kinds: Sequence[str]) -> int:
+def choose_room(
+    profile: profiles.EngineProfile,
+    kinds: Sequence[str],
+    copies: float = COPIES,
+) -> int:
     """Choose the room that a failure domain's cards keep, in tokens.
 
     It is the most that still leaves two copies of the model, and where the
@@ -81,6 +86,7 @@
     one copy is whole.
 
     :param kinds: kind of each card in the domain
+    :param copies: copies of the model that are held where cards can
     """
     cards = [profile.accelerators.get(kind) for kind in kinds]
     memory_mb = sum(card.memory_mb for card in cards if card is not None)
@@ -91,7 +97,7 @@
         left = _sum_layers(profile, kinds, room)
         if left < LEAST_COPIES * profile.layers:
             break
-        if held <= most and left < COPIES * profile.layers:
+        if held <= most and left < copies * profile.layers:
             break
         chosen, held = room, left
     return chosen
@@ -158,11 +164,13 @@
     profile: profiles.EngineProfile,
     holding: Iterable[Placement],
     empty: Iterable[endpoints_module.Endpoint],
+    off: Container[mechanisms.Mechanism] = (),
 ) -> list[Placement]:
     """Give each empty engine a range.
 
     :param holding: ranges that are held or ordered already
     :param empty: engines without layers; large cards choose first
+    :param off: mechanisms that are switched off
     """
     holding = list(holding)
     everywhere = [0.0] * profile.layers
@@ -177,7 +185,8 @@
         _add(everywhere, each.start, each.end, rate)
         _add(cover, each.start, each.end, rate)
     empty = sorted(empty, key=_make_order(profile))
-    plans = _plan_domains(profile, [each.endpoint for each in holding], empty)
+    held_by = [each.endpoint for each in holding]
+    plans = _plan_domains(profile, [*held_by, *empty], off)
     starts = [each.endpoint.domain for each in holding if each.start == 0]
     placements = []
     for engine in empty:
@@ -217,7 +226,7 @@
     """
     holding = list(holding)
     domains = {each.endpoint.domain for each in holding}
-    plans = _plan_domains(profile, [each.endpoint for each in holding])
+    plans = _plan_domains(profile, [each.endpoint for each in holding], ())
     moves = []
     for domain in sorted(domains):
         held = [each for each in holding if each.endpoint.domain == domain]
@@ -280,22 +289,30 @@
 
 
 def _plan_domain(
-    profile: profiles.EngineProfile, kinds: Sequence[str]
+    profile: profiles.EngineProfile,
+    kinds: Sequence[str],
+    off: Container[mechanisms.Mechanism],
 ) -> _DomainPlan:
-    room = choose_room(profile, kinds)
+    copies = COPIES
+    if mechanisms.Mechanism.COPIES in off:
+        copies = LEAST_COPIES
+    room = choose_room(profile, kinds, copies)
+    if mechanisms.Mechanism.HEADS in off:
+        return _DomainPlan(room, 1)
     return _DomainPlan(room, count_heads(profile, kinds, room))
 
 
 def _plan_domains(
     profile: profiles.EngineProfile,
-    *groups: Iterable[endpoints_module.Endpoint],
+    engines: Iterable[endpoints_module.Endpoint],
+    off: Container[mechanisms.Mechanism],
 ) -> dict[str, _DomainPlan]:
     kinds: dict[str, list[str]] = {}
-    for group in groups:
-        for engine in group:
-            kinds.setdefault(engine.domain, []).append(engine.kind)
+    for engine in engines:
+        kinds.setdefault(engine.domain, []).append(engine.kind)
     return {
-        domain: _plan_domain(profile, found) for domain, found in kinds.items()
+        domain: _plan_domain(profile, found, off)
+        for domain, found in kinds.items()
     }
 
 
--- a/packages/core/src/dunlintide_core/pipeline/rescues.py
+++ b/packages/core/src/dunlintide_core/pipeline/rescues.py
@@ -11,14 +11,8 @@
 ]
 
 # Part of the target for the first event, or of the longest allowed pause,
-# after which a still run may be moved, where nothing is known of what is
-# usual; and the least part.
+# after which a still run may be moved.
 STILL_PART = 0.6
-LEAST_STILL_PART = 0.3
-# A run is still for unusually long after so many times the usual longest
-# pause. Measured: on a calm day one stream in a hundred has a pause of 1.5
-# times the usual longest one.
-UNUSUAL_FACTOR = 1.5
 # A run that stays still for so much longer is moved though nothing shows
 # which of its endpoints is at fault.
 PATIENCE_FACTOR = 2.0
@@ -84,11 +78,8 @@
     unnamed = target * PATIENCE_FACTOR
     if usual is None:
         return Limits(named, unnamed)
-    least = target * LEAST_STILL_PART
-    return Limits(
-        min(named, max(least, usual * UNUSUAL_FACTOR)),
-        min(unnamed, max(named, usual * UNUSUAL_PATIENCE_FACTOR)),
-    )
+    unusual = usual * UNUSUAL_PATIENCE_FACTOR
+    return Limits(named, min(unnamed, max(named, unusual)))
 
 
 def judge(silence: float, limits: Limits, has_suspects: bool) -> Judgement:
--- a/packages/core/src/dunlintide_core/pipeline/resends.py
+++ b/packages/core/src/dunlintide_core/pipeline/resends.py
@@ -17,6 +17,10 @@
 # Part of the fixed number that is used: entries that restart forget what they
 # sent, and all of them may restart once within a window.
 SLACK_PART = 0.5
+# Part of the budget that is kept for streams under way. Answers this
+# pattern: engines that leave refuse hundreds of first sends, whose second
+# ones then leave nothing to rescue streams with.
+KEPT_PART = 0.3
 
 
 @attrs.define
@@ -55,17 +59,24 @@
     def count_left(self, now: float) -> float:
         """Tell how many sends are left now."""
         self._expire(now)
+        return self._count_allowed() - len(self._resends)
+
+    def _count_allowed(self) -> float:
         allowed = self.ratio * len(self._requests) * SHARE_PART
-        allowed += self.slack / max(1, self.entries) * SLACK_PART
-        return allowed - len(self._resends)
+        return allowed + self.slack / max(1, self.entries) * SLACK_PART
+
+    def can_spend(self, now: float, under_way: bool = True) -> bool:
+        """Tell whether a second send is left.
 
-    def can_spend(self, now: float) -> bool:
-        """Tell whether a second send is left."""
-        return self.count_left(now) >= 1.0
+        :param under_way: whether the request may have run; others leave a
+            part of the budget to those that may have
+        """
+        kept = 0.0 if under_way else self._count_allowed() * KEPT_PART
+        return self.count_left(now) >= 1.0 + kept
 
-    def spend(self, now: float) -> bool:
-        """Take one second send; False when none is left."""
-        if not self.can_spend(now):
+    def spend(self, now: float, under_way: bool = True) -> bool:
+        """Take one second send; False when none is left for it."""
+        if not self.can_spend(now, under_way):
             return False
         self._resends.append(now)
         return True
--- a/packages/core/src/dunlintide_core/pipeline/settings.py
+++ b/packages/core/src/dunlintide_core/pipeline/settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from dunlintide_core import jsonc
+from dunlintide_core.pipeline import mechanisms
 from dunlintide_core import schemas
 from dunlintide_core import settings
 from dunlintide_core import settingsfile
@@ -29,6 +30,16 @@
     window: settings.Seconds = 10.0
 
 
+@attrs.frozen
+class Experiments:
+    """What is tried out; nothing on a deployment that serves.
+
+    :ivar off: mechanisms that are switched off
+    """
+
+    off: tuple[mechanisms.Mechanism, ...] = ()
+
+
 @attrs.frozen
 class EdgeSettings:
     """Settings of one entry; addresses are ``host:port``.
@@ -43,6 +54,7 @@
         in seconds
     :ivar grace: time from SIGTERM to SIGKILL, in seconds
     :ivar log_rate: log lines a second
+    :ivar experiments: what is switched off to measure its worth
     """
 
     role: str
@@ -58,6 +70,7 @@
     grace: settings.Seconds = 8.0
     retries: Retries = Retries()
     log_rate: settings.Rate = 300.0
+    experiments: Experiments = Experiments()
 
 
 def load_settings(
--- a/packages/core/src/dunlintide_core/pipeline/soundness.py
+++ b/packages/core/src/dunlintide_core/pipeline/soundness.py
@@ -26,6 +26,16 @@
 # the chain. Without this bound 29 entries left out 611 sound engines in the
 # 45 s of a calm day, and ran 237 streams again.
 MAX_SUSPECTS = 2
+# An endpoint is quiet that was still for so many times the usual pause
+# between two moves through it: with moves at random times a sound one is so
+# once in fifty times. Answers this pattern: an engine that few streams of an
+# entry share moves each 0.05 s at best, and after the loss of another one
+# 77 sound engines were left out where 20 were dead.
+QUIET_INTERVALS = 4.0
+# Weight of the last pause in the usual one; some ten count.
+INTERVAL_WEIGHT = 0.1
+# Pauses beyond this don't count, in seconds: nothing was asked of it.
+LONGEST_INTERVAL = 0.5
 # How long an endpoint that refused a request as full gets no other one, in
 # seconds: the choice would fall on it again at once, as its use here looks
 # low. Requests that others gave up hold their places a while longer.
@@ -46,13 +56,19 @@
     """What is known of one endpoint; times are monotonic, in seconds."""
 
     progress: float = float('-inf')
+    interval: float = 0.0
     banned_until: float = float('-inf')
     accused: float = float('-inf')
     failures: int = 0
     trial: bool = False
     heard_since: float = float('-inf')
     heard_until: float = float('-inf')
+    accepted: float = float('-inf')
+    refusing_since: float = float('-inf')
     refused: float = float('-inf')
+    roomy: bool = False
+    told_refusing: float = float('-inf')
+    told_refusing_until: float = float('-inf')
     refusing_until: float = float('-inf')
     refusals: int = 0
     doubted_since: float = float('-inf')
@@ -61,6 +77,17 @@
     def has_moved_since(self, time: float) -> bool:
         return self.progress > time
 
+    def move(self, now: float) -> None:
+        """Take note that work moved through it."""
+        pause = now - self.progress
+        if pause < LONGEST_INTERVAL:
+            self.interval += (pause - self.interval) * INTERVAL_WEIGHT
+        self.progress = now
+
+    def is_quiet(self, now: float) -> bool:
+        """Tell whether it is still for unusually long, by its own use."""
+        return now - self.progress >= self.interval * QUIET_INTERVALS
+
     def doubt(self, now: float) -> None:
         """Take note of a sign that the endpoint does not work."""
         forgotten = now - self.doubted > FORGET_DOUBT
@@ -78,9 +105,22 @@
         failed = banned and not self.has_moved_since(self.accused)
         return failed or self.is_told_off(now) or self.goes_on_refusing(now)
 
+    def took_since(self, time: float) -> bool:
+        """Tell whether it takes requests again after a refusal.
+
+        A full one takes one when what it runs moves on. One that leaves
+        also goes on with what it runs, so only a new request shows it.
+        """
+        if self.accepted > time:
+            return True
+        return not self.roomy and self.has_moved_since(time)
+
     def goes_on_refusing(self, now: float) -> bool:
-        still = not self.has_moved_since(self.refused)
-        return still and now < self.refusing_until
+        return now < self.refusing_until and not self.took_since(self.refused)
+
+    def is_told_refusing(self, now: float) -> bool:
+        told = now < self.told_refusing_until
+        return told and self.accepted <= self.told_refusing
 
 
 class Soundness:
@@ -96,7 +136,7 @@
         """Take note that work moved through endpoints."""
         for name in names:
             record = self._get(name)
-            record.progress = now
+            record.move(now)
             if record.failures and record.banned_until <= now:
                 record.failures = 0
                 record.trial = False
@@ -105,11 +145,17 @@
         """List the endpoints through which nothing has moved since."""
         return [name for name in names if self._get(name).progress <= since]
 
-    def find_suspects(self, names: Sequence[str], since: float) -> list[str]:
-        """List the endpoints that a run which stands still accuses."""
+    def find_suspects(
+        self, names: Sequence[str], since: float, now: float
+    ) -> list[str]:
+        """List the endpoints that a run which stands still accuses.
+
+        :param since: when the silence that counts began
+        """
         still = self.find_still(names, since)
-        few = len(still) <= MAX_SUSPECTS and len(still) < len(names)
-        return still if few else []
+        if len(still) > MAX_SUSPECTS or len(still) == len(names):
+            return []
+        return [name for name in still if self._get(name).is_quiet(now)]
 
     def find_left_out(self, names: Iterable[str], now: float) -> list[str]:
         """List the endpoints that other runs have just shown to fail.
@@ -154,17 +200,32 @@
             return True
         return record.banned_until <= now and not record.trial
 
-    def refuse(self, name: str, now: float) -> float:
+    def accept(self, names: Iterable[str], sent: float) -> None:
+        """Take note that endpoints run a request.
+
+        :param sent: when it was sent to them
+        """
+        for name in names:
+            record = self._get(name)
+            record.accepted = max(record.accepted, sent)
+
+    def refuse(self, name: str, now: float, roomy: bool = False) -> float:
         """Take note that an endpoint refused a request, or was blamed.
 
-        It is full or dead. A full one goes on with what it runs, a dead
-        one refuses all there is until it is not listed any more.
+        It is full, leaves or is dead. A full one goes on with what it runs,
+        a dead one refuses all there is until it is not listed any more. One
+        that leaves does both: 150 requests were sent in vain to one that
+        left while the store was away, and each took a second send.
 
+        :param roomy: whether it is far from full by what is known of it
         :returns: how long it is left at most, in seconds
         """
         record = self._get(name)
-        if record.has_moved_since(record.refused):
+        if record.took_since(record.refused):
             record.refusals = 0
+        if not record.refusals:
+            record.refusing_since = now
+        record.roomy = roomy
         pause = min(LONGEST_REFUSING, FULL * 2**record.refusals)
         record.refusals += 1
         record.doubt(now)
@@ -178,7 +239,11 @@
         if record is None:
             return False
         just_refused = now < record.refused + FULL
-        return just_refused or record.goes_on_refusing(now)
+        return (
+            just_refused
+            or record.goes_on_refusing(now)
+            or record.is_told_refusing(now)
+        )
 
     def hear(self, name: str, now: float) -> None:
         """Take note that another entry leaves an endpoint out."""
@@ -188,6 +253,35 @@
         record.doubt(now)
         record.heard_until = now + HEARSAY
 
+    def hear_refusal(self, name: str, now: float) -> None:
+        """Take note that an endpoint goes on refusing another entry."""
+        record = self._get(name)
+        if now >= record.told_refusing_until:
+            record.told_refusing = now
+        record.told_refusing_until = now + HEARSAY
+
+    def measure_refusing(self, name: str, now: float) -> float:
+        """Tell for how long an endpoint far from full has taken nothing.
+
+        :returns: seconds, 0 if it takes requests as far as is known
+        """
+        record = self._records.get(name)
+        if record is None:
+            return 0.0
+        if record.roomy and record.goes_on_refusing(now):
+            return now - record.refusing_since
+        if record.is_told_refusing(now):
+            return now - record.told_refusing
+        return 0.0
+
+    def list_refusing(self, now: float) -> list[str]:
+        """List the endpoints that go on refusing requests of this entry."""
+        return [
+            name
+            for name, record in self._records.items()
+            if record.roomy and record.goes_on_refusing(now)
+        ]
+
     def measure_doubt(self, name: str, now: float) -> float:
         """Tell for how long nothing but bad signs came, in seconds."""
         record = self._records.get(name)
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -9,6 +9,7 @@
 from dunlintide_core.pipeline import backlog
 from dunlintide_core.pipeline import balance
 from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_core.pipeline import mechanisms
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import requests
@@ -128,6 +129,8 @@
     def _start_hedge(
         self, exchange: exchange_module.Exchange, answers: list[_Answer]
     ) -> asyncio.Task | None:
+        if not self._state.has(mechanisms.Mechanism.HEDGES):
+            return None
         if not exchange.may_repeat:
             return None
         if not exchange.may_run_again:
--- a/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -4,8 +4,11 @@
 
 import attrs
 
+from dunlintide_core.pipeline import backlog
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_core.pipeline import mechanisms
+from dunlintide_core.pipeline import profiles
 from dunlintide_core.pipeline import scarcity
 from dunlintide_core.pipeline import waits
 from dunlintide_daemon.gateway import exchange as exchange_module
@@ -25,6 +28,9 @@
 # Part of an engine's memory that is given out: other entries' use is known
 # a little late, and engines keep memory in blocks.
 ROOM_PART = 0.9
+# Part of its memory and places up to which an engine is far from full:
+# what other entries began since they told it is less than the rest.
+ROOMY_PART = 0.5
 # Part of the expected answer for which memory is reserved: streams that
 # share an engine are at all points of their answers, so they take little
 # more than half of it on average.
@@ -73,6 +79,20 @@
             room = 0.0
         return chains.Load(usage.sequences, usage.started, room)
 
+    def is_roomy(
+        self,
+        profile: profiles.EngineProfile,
+        endpoint: endpoints_module.Endpoint,
+    ) -> bool:
+        """Tell whether an engine is far from full by what is known."""
+        usage = self._state.occupancy.get(endpoint.name)
+        held = endpoint.end - endpoint.start
+        cache = profile.count_cache(endpoint.kind, held)
+        return (
+            usage.cache < cache * ROOMY_PART
+            and usage.started < profile.slots * ROOMY_PART
+        )
+
     def _list_candidates(
         self, stream: Stream
     ) -> list[endpoints_module.Endpoint]:
@@ -115,6 +135,7 @@
             lambda endpoint: self._get_load(stream, endpoint),
             self.estimate(stream),
             lambda pipe: state.occupancy.get(pipe).sequences,
+            state.has(mechanisms.Mechanism.CROSSING),
         )
         if hops is None:
             return None
@@ -139,7 +160,10 @@
             if hops is not None:
                 queue.note_served(state.now)
                 return hops
-        if queue.is_hopeless(exchange.priority, standing, state.now, expires):
+        hopeless = queue.is_hopeless(
+            exchange.priority, standing, state.now, expires
+        )
+        if hopeless and state.has(mechanisms.Mechanism.HOPELESS):
             return None
         awake = asyncio.Event()
         waiter = queue.add(exchange.priority, standing, expires, awake.set)
@@ -170,5 +194,8 @@
             exchange.runs > 0,
             exchange.returned,
         )
+        if not self._state.has(mechanisms.Mechanism.STANDING):
+            fresh = backlog.Standing.ON_TIME
+            place = attrs.evolve(place, standing=fresh)
         expires = min(place.expires, exchange.deadline)
         return attrs.evolve(place, expires=expires)
--- a/packages/daemon/src/dunlintide_daemon/gateway/front.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/front.py
@@ -10,6 +10,7 @@
 from dunlintide_core import matching
 from dunlintide_core.pipeline import asks
 from dunlintide_core.pipeline import deployments
+from dunlintide_core.pipeline import mechanisms
 from dunlintide_daemon.gateway import calls
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
@@ -71,6 +72,8 @@
         state = self._state
         if state.is_informed:
             return
+        if not state.has(mechanisms.Mechanism.FIRST_READING):
+            return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FIRST_READING_SECONDS):
                 await state.informed.wait()
@@ -138,7 +141,8 @@
             return None
         self._state.get_budget(exchange.service).earn(now)
         returns = self._state.returns
-        exchange.returned = returns.has_returned(exchange.digest, now)
+        if self._state.has(mechanisms.Mechanism.RETURNED):
+            exchange.returned = returns.has_returned(exchange.digest, now)
         returns.ask(now)
         return exchange
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from dunlintide_core.pipeline import chains
+from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import occupancy
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import keys
@@ -55,6 +56,8 @@
     :ivar leaving: digests of endpoints that leave
     :ivar doubted: digests of endpoints that are left out
     :ivar broken: fingerprints and the endpoints at which they broke
+    :ivar refusing: digests of endpoints that go on refusing, though far
+        from full
     :ivar refused: digests of requests that were refused just now
     """
 
@@ -65,6 +68,7 @@
     doubted: list[_Count]
     broken: list[tuple[str, str]]
     refused: list[_Count]
+    refusing: list[_Count] = []
 
 
 @functools.lru_cache(maxsize=4096)
@@ -136,7 +140,10 @@
         doubted = state.soundness.list_doubted(state.now)
         digests = list(map(_digest, doubted))
         name = state.settings.name
-        return _Message(name, state.version, None, [], digests, [], [])
+        refusing = self._list_refusing()
+        return _Message(
+            name, state.version, None, [], digests, [], [], refusing
+        )
 
     def _count_turns(self) -> int:
         """Tell which of the messages also goes to other domains."""
@@ -166,8 +173,13 @@
             list(map(_digest, state.soundness.list_doubted(now))),
             state.crashers.list_recent(since),
             state.returns.list_recent(now - REFUSED_SECONDS),
+            self._list_refusing(),
         )
 
+    def _list_refusing(self) -> list[int]:
+        refusing = self._state.soundness.list_refusing(self._state.now)
+        return list(map(_digest, refusing))
+
     def _tell(self, message: _Message, everywhere: bool) -> None:
         data = _encoder.encode(message)
         domain = self._state.settings.failure_domain
@@ -206,9 +218,14 @@
         for digest in message.leaving:
             if digest in names:
                 state.mark_leaving(names[digest], message.sender)
-        for digest in message.doubted:
-            if digest in names:
-                state.soundness.hear(names[digest], now)
+        if state.has(mechanisms.Mechanism.HEARSAY):
+            for digest in message.doubted:
+                if digest in names:
+                    state.soundness.hear(names[digest], now)
+        if state.has(mechanisms.Mechanism.TOLD_REFUSALS):
+            for digest in message.refusing:
+                if digest in names:
+                    state.soundness.hear_refusal(names[digest], now)
         for fingerprint, endpoint in message.broken:
             state.crashers.hear(fingerprint, endpoint, now)
         for digest in message.refused:
--- a/packages/daemon/src/dunlintide_daemon/gateway/leadership.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/leadership.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from dunlintide_core.pipeline import mechanisms
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import keys
 from dunlintide_platform import store as store_module
@@ -16,12 +17,13 @@
 # without orders for as long when a leader dies.
 LEASE_SECONDS = 3.0
 KEEP_SECONDS = 0.9
-# Part of the lease after which a leader that could not renew stops, since
-# the store counts from when the call arrived.
-SAFE_PART = 0.7
 # Pause before a free key is taken, in seconds, so that few try at once.
 CLAIM_SECONDS = (0.0, 0.25)
 IDLE_SECONDS = 0.5
+# Pause between tries to renew while the store fails, in seconds.
+RENEW_SECONDS = (0.1, 0.3)
+# Answers that end a leadership.
+_ENDED = (store_module.Fault.MISSING, store_module.Fault.REJECTED)
 
 
 def _read_clock() -> float:
@@ -50,17 +52,25 @@
         self._store = store
         self._seat: _Seat | None = None
         self._lease: int | None = None
-        self._kept = float('-inf')
+        self._tried = float('-inf')
         self._changed = asyncio.Event()
         self._identity = f'{state.settings.name}/{random.getrandbits(48):x}'
         self.fence = 0
 
     @property
     def is_leading(self) -> bool:
-        """Whether orders may be given now."""
+        """Whether orders may be given now.
+
+        A store that is away ends no leadership: nobody else can begin one
+        there meanwhile, and layers that are lost would wait for its return
+        (9 s in which two failure domains had no whole chain). Where only
+        this entry is cut off, another may lead as well; orders say how many
+        the engine must have accepted, so of two one takes effect.
+        """
         if not self.fence:
             return False
-        return _read_clock() - self._kept < LEASE_SECONDS * SAFE_PART
+        # Without a try for so long it was suspended itself.
+        return _read_clock() - self._tried < LEASE_SECONDS
 
     def handle_item(self, item: store_module.Item) -> None:
         """Take note of a change of the key."""
@@ -69,6 +79,8 @@
         else:
             holder = item.value.decode('utf-8', 'replace')
             self._seat = _Seat(holder, item.revision)
+            if self.fence and item.revision > self.fence:
+                self._lose(f'{holder} leads')
         self._changed.set()
 
     async def run(self) -> None:
@@ -82,17 +94,17 @@
                 await asyncio.sleep(IDLE_SECONDS)
 
     async def _keep(self) -> None:
-        began = _read_clock()
         kept = await self._store.keep_lease(self._lease)
-        if kept.is_ok():
-            self._kept = began
-            await asyncio.sleep(KEEP_SECONDS)
-            return
-        missing = kept.err_value.fault is store_module.Fault.MISSING
-        if missing or _read_clock() - self._kept > LEASE_SECONDS:
+        if kept.is_err() and kept.err_value.fault in _ENDED:
             self._lose(str(kept.err_value.fault))
             return
-        await asyncio.sleep(random.uniform(0.1, 0.3))
+        leads_on = self._state.has(mechanisms.Mechanism.LEADING_ON)
+        if kept.is_ok() or leads_on:
+            self._tried = _read_clock()
+        if kept.is_ok():
+            await asyncio.sleep(KEEP_SECONDS)
+        else:
+            await asyncio.sleep(random.uniform(*RENEW_SECONDS))
 
     def _lose(self, reason: str) -> None:
         self._state.log.write_always(
@@ -147,7 +159,7 @@
 
     def _begin(self, lease: int, revision: int, began: float) -> None:
         self._lease = lease
-        self._kept = began
+        self._tried = began
         self.fence = revision
         self._state.log.write_always('leadership gained', fence=revision)
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/losses.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/losses.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_core.pipeline import mechanisms
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import orders
 
@@ -17,6 +18,10 @@
 # How long an engine is doubted before it is asked, in seconds: most doubts
 # end sooner, as other requests move through it.
 DOUBT_SECONDS = 0.8
+# How long an engine that is far from full refuses all requests before its
+# layers count as lost, in seconds: it may just be out of memory for a moment,
+# and is tried again after 0.3 and 0.6 s.
+LEAVING_SECONDS = 1.0
 # Times that an engine is asked in vain before it counts as lost: each
 # waits most of a second, and one alone may meet a lost packet.
 TRIES = 2
@@ -42,6 +47,8 @@
 
         :param engines: those that are listed
         """
+        if not self._state.has(mechanisms.Mechanism.LOSS_QUESTIONS):
+            return set()
         now = self._state.now
         soundness = self._state.soundness
         self._forget({each.name for each in engines})
@@ -49,9 +56,26 @@
             doubt = soundness.measure_doubt(engine.name, now)
             if doubt >= DOUBT_SECONDS and engine.name not in self._lost:
                 self._ask(engine, now)
-        if len(self._lost) > MOST_PART * len(engines):
+        lost = set(self._lost) | self._list_leaving(engines, now)
+        if len(lost) > MOST_PART * len(engines):
             return set()
-        return set(self._lost)
+        return lost
+
+    def _list_leaving(
+        self, engines: list[endpoints_module.Endpoint], now: float
+    ) -> set[str]:
+        """List the engines that leave, by how they refuse.
+
+        Answers this pattern: engines drain while the store is away, so
+        nothing lists it, and their layers would be ordered elsewhere only
+        after its return.
+        """
+        measure = self._state.soundness.measure_refusing
+        return {
+            each.name
+            for each in engines
+            if measure(each.name, now) >= LEAVING_SECONDS
+        }
 
     def _forget(self, listed: set[str]) -> None:
         """Drop what is gone from the listing, and what works again."""
--- a/packages/daemon/src/dunlintide_daemon/gateway/placer.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/placer.py
@@ -7,6 +7,7 @@
 
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import layout
+from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import profiles
 from dunlintide_daemon.gateway import leadership as leadership_module
 from dunlintide_daemon.gateway import losses
@@ -138,10 +139,12 @@
             order = self._open[name]
             if order.placement.endpoint.service == service:
                 del self._open[name]
-        for placement in layout.plan_new(profile, holding, empty):
+        for placement in layout.plan_new(
+            profile, holding, empty, self._state.settings.experiments.off
+        ):
             # A new engine has accepted none; another refuses and tells.
             self._begin(_Order(placement), profile, now)
-        if not empty:
+        if not empty and self._state.has(mechanisms.Mechanism.MOVES):
             self._repair(service, profile, holding, now)
 
     def _repair(
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -9,6 +9,7 @@
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import occupancy
 from dunlintide_core.pipeline import rescues
 from dunlintide_daemon.gateway import chainfinder
@@ -215,7 +216,7 @@
                 raise RunEnded(True, 'answer to another request')
             if verdict.not_run:
                 exchange.runs -= 1
-                self._blame_refusal(exchange, run, verdict)
+                self._blame_refusal(stream, run, verdict)
                 where = verdict.culprit or run.first.address
                 reason = f'refused with {head.status} by {where}'
                 raise RunEnded(False, reason)
@@ -232,19 +233,18 @@
     # What a run's end says of endpoints.
 
     def _blame_refusal(
-        self,
-        exchange: exchange_module.Exchange,
-        run: _Run,
-        verdict: requests.Verdict,
+        self, stream: Stream, run: _Run, verdict: requests.Verdict
     ) -> None:
         """Leave out the endpoint at fault, the first if none is named."""
         state = self._state
+        exchange = stream.exchange
         culprit = run.first
         for hop in run.hops:
             if hop.endpoint.address == verdict.culprit:
                 culprit = hop.endpoint
         # A full one may serve it a moment later; a dead one will not.
-        state.note_refusal(culprit.name, exchange.service)
+        roomy = self._finder.is_roomy(stream.profile, culprit)
+        state.note_refusal(culprit.name, exchange.service, roomy)
         late = state.now - run.began >= DEAD_SECONDS
         if late or verdict.misdirected:
             exchange.tried.append(culprit.name)
@@ -272,6 +272,15 @@
             broken_runs=count,
         )
 
+    def _find_suspects(self, run: _Run, now: float) -> list[str]:
+        """List the endpoints that seem to hold up a still run."""
+        soundness = self._state.soundness
+        known = []
+        if self._state.has(mechanisms.Mechanism.LEFT_OUT_NAMES):
+            known = soundness.find_left_out(run.names, now)
+        since = rescues.choose_since(run.moved, now)
+        return known or soundness.find_suspects(run.names, since, now)
+
     def _judge_silence(
         self, stream: Stream, run: _Run, limits: rescues.Limits
     ) -> float:
@@ -287,14 +296,12 @@
         now = state.now
         if now >= exchange.deadline:
             raise RunEnded(True, 'deadline', retry=False)
-        if not exchange.can_go_on(True, now):
+        rescued = state.has(mechanisms.Mechanism.RESCUE)
+        if not (rescued and exchange.can_go_on(True, now)):
             return exchange.deadline - run.moved
         silence = now - run.moved
         soundness = state.soundness
-        since = rescues.choose_since(run.moved, now)
-        suspects = soundness.find_left_out(
-            run.names, now
-        ) or soundness.find_suspects(run.names, since)
+        suspects = self._find_suspects(run, now)
         judgement = rescues.judge(silence, limits, bool(suspects))
         if not judgement.moves:
             return judgement.limit
@@ -337,8 +344,10 @@
         """
         state = self._state
         seen = state.pauses if run.events else state.first_events
+        follows = state.has(mechanisms.Mechanism.USUAL_PAUSES)
+        usual = seen.usual if follows else None
         limits = rescues.choose_limits(
-            target or chainfinder.USUAL_TARGET, seen.usual
+            target or chainfinder.USUAL_TARGET, usual
         )
         limit = limits.named
         while True:
@@ -415,6 +424,7 @@
             run.longest = max(run.longest, now - run.moved)
         else:
             self._state.first_events.note(now - run.began)
+            self._state.soundness.accept(run.names, run.began)
         run.events += 1
         exchange.events += 1
         exchange.last_event = now
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -13,6 +13,7 @@
 from dunlintide_core.pipeline import crashers as crashers_module
 from dunlintide_core.pipeline import deployments
 from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import occupancy as occupancy_module
 from dunlintide_core.pipeline import pauses as pauses_module
 from dunlintide_core.pipeline import profiles
@@ -104,6 +105,10 @@
         """Monotonic time in seconds, that of the event loop."""
         return time.monotonic()
 
+    def has(self, mechanism: mechanisms.Mechanism) -> bool:
+        """Tell whether a mechanism is on."""
+        return mechanism not in self.settings.experiments.off
+
     @property
     def is_informed(self) -> bool:
         """Whether configuration and endpoints are known."""
@@ -293,9 +298,16 @@
         budget.entries = max(1, len(self.entries))
         return budget
 
-    def pay_resend(self, service: str, reason: str) -> bool:
-        """Pay for another send from the shared budget, if it allows."""
-        if not self.get_budget(service).spend(self.now):
+    def pay_resend(
+        self, service: str, reason: str, under_way: bool = True
+    ) -> bool:
+        """Pay for another send from the shared budget, if it allows.
+
+        :param under_way: whether the request may have run
+        """
+        keeps = self.has(mechanisms.Mechanism.KEPT_BUDGET)
+        first = under_way or not keeps
+        if not self.get_budget(service).spend(self.now, first):
             return False
         self.counters.resends.labels(reason).inc()
         return True
@@ -305,6 +317,8 @@
 
         :param request: id of the request that showed it
         """
+        if not self.has(mechanisms.Mechanism.ACCUSATION):
+            return
         now = self.now
         for name in names:
             if self.soundness.accuse(name, now):
@@ -317,13 +331,17 @@
                 )
                 self.alarmed.set()
 
-    def note_refusal(self, name: str, service: str) -> None:
+    def note_refusal(self, name: str, service: str, roomy: bool) -> None:
         """Take note that an endpoint refused a request that it could hold.
 
         Others are told at once. Those who wait are woken when it may be
         tried again, since nothing else may tell them.
+
+        :param roomy: whether it is far from full by what is known of it
         """
-        pause = self.soundness.refuse(name, self.now)
+        if not self.has(mechanisms.Mechanism.REFUSAL_PAUSES):
+            return
+        pause = self.soundness.refuse(name, self.now, roomy)
         self.alarmed.set()
         loop = asyncio.get_running_loop()
         loop.call_later(pause, self.wake, service)
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -95,7 +95,8 @@
         """Pay for a send; the first one is free."""
         if not exchange.sends:
             return True
-        return self._state.pay_resend(exchange.service, 'stream')
+        under_way = exchange.runs > 0
+        return self._state.pay_resend(exchange.service, 'stream', under_way)
 
     async def _wait_for_budget(
         self, exchange: exchange_module.Exchange
