Tell callers of an entry that stops when one serves again

And an entry that stops listed itself again within a second, since its registrar went on.

Change: an entry that stops is not listed again; if no other entry is listed, it tells callers to return when its next process serves, as far as they wait.

Ruled out: taking streams for longer after the stop: one that is cut later than 3 s after it counts as lost by the entry.

Test: features/starting.feature, with one entry, with two, and of the listing.

--- a/features/steps/starting.py
+++ b/features/steps/starting.py
@@ -1,5 +1,6 @@
 """Steps about how an entry and a platform start."""
 
+import signal
 import time
 
 import behave
@@ -69,3 +70,50 @@
 @behave.then('all of them get layers')
 def check_layers(context):
     context.scene.wait_for_layers()
+
+
+@behave.given('{count:d} other entries that are ready')
+def add_others(context, count):
+    scene = context.scene
+    for number in range(count):
+        entry = scene.add_entry(f'other-{number}', 'b')
+        scene.wait_until(entry.is_ready, f'{entry.name} is ready')
+
+    def check():
+        return len(context.entry.read_state()['entries']) == count + 1
+
+    scene.wait_until(check, 'the entry knows them')
+
+
+@behave.when(
+    'the entry is stopped, and {seconds:f} s later asked for a stream "{name}"'
+)
+def stop_and_ask(context, seconds, name):
+    entry = context.entry
+    context.scene.wait_until(
+        lambda: context.scene.fleet.list_runs('s-1'), 'a stream under way'
+    )
+    entry.process.send_signal(signal.SIGTERM)
+    time.sleep(seconds)
+    caller = callers.Caller(entry.listen)
+    context.stack.callback(caller.close)
+    caller.send(callers.build_stream(name, 5))
+    context.answers[name] = caller.read_answer()
+
+
+@behave.then(
+    '"{name}" is told to return after {least:f} s at least and {most:f} s at'
+    ' most'
+)
+def check_return(context, name, least, most):
+    answer = context.answers[name]
+    assert answer.status == 503, answer.status
+    pause = float(answer.headers['retry-after'])
+    assert least <= pause <= most, pause
+
+
+@behave.then('the store does not list the entry')
+def check_unlisted(context):
+    assert context.entry.process.poll() is None, 'it has ended'
+    keys = context.scene.store.list_keys('dunlintide/entries/')
+    assert not [key for key in keys if key.endswith('/one')], keys
--- a/packages/core/src/dunlintide_core/pipeline/returns.py
+++ b/packages/core/src/dunlintide_core/pipeline/returns.py
@@ -10,7 +10,10 @@
 
 import attrs
 
-__all__ = ['Returns']
+__all__ = [
+    'Returns',
+    'choose_stopping_pause',
+]
 
 # How long a refusal is remembered, in seconds: longer than any pause that
 # callers are told.
@@ -25,6 +28,14 @@
 LONG_PAUSE = 4.0
 # Most refusals that are kept.
 MAX_KNOWN = 4096
+# Part of the time left that a caller waits at most before it returns.
+LEFT_PART = 1 / 3
+# When to return to an entry that stops while others serve, in seconds: at
+# once, to one of them.
+OTHER_ENTRY_PAUSE = 0.1
+# Time from the end of an entry's process until the next one serves, in
+# seconds: measured, half of it the platform's delay.
+RESTART_SECONDS = 1.0
 
 
 @attrs.define
@@ -82,3 +93,18 @@
             self._asked.popleft()
         while self._own and self._own[0][0] <= now - WINDOW_SECONDS:
             self._own.popleft()
+
+
+def choose_stopping_pause(others: int, left: float) -> float:
+    """Tell after how many seconds to return to an entry that stops.
+
+    Answers this pattern: all entries are stopped in turn, each before the
+    one before it is back. Callers were told to return at once, met another
+    entry that stopped, and had no further try: 80 of 1,700 requests.
+
+    :param others: other entries that are listed
+    :param left: time until the process ends at the latest, in seconds
+    """
+    if others:
+        return OTHER_ENTRY_PAUSE
+    return max(0.0, left) + RESTART_SECONDS
--- a/packages/daemon/src/dunlintide_daemon/gateway/front.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/front.py
@@ -11,6 +11,7 @@
 from dunlintide_core.pipeline import asks
 from dunlintide_core.pipeline import deployments
 from dunlintide_core.pipeline import mechanisms
+from dunlintide_core.pipeline import returns
 from dunlintide_daemon.gateway import calls
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
@@ -34,8 +35,6 @@
 LAST_STREAM_SECONDS = 2.8
 # Time before the process must end from which on calls are refused too.
 LAST_CALL_SECONDS = 1.5
-# When to return to an entry that stops, in seconds: at once, to another.
-STOPPING_SECONDS = 0.1
 # When to return with a request that seems to crash endpoints, in seconds.
 CRASHER_SECONDS = 5.0
 
@@ -137,15 +136,27 @@
             )
             return None
         if self._is_too_late(exchange, now):
-            self._deny(reply, ask, 503, 'stopping', STOPPING_SECONDS)
+            pause = self._choose_stopping_pause(exchange, now)
+            self._deny(reply, ask, 503, 'stopping', pause)
             return None
         self._state.get_budget(exchange.service).earn(now)
-        returns = self._state.returns
+        refusals = self._state.returns
         if self._state.has(mechanisms.Mechanism.RETURNED):
-            exchange.returned = returns.has_returned(exchange.digest, now)
-        returns.ask(now)
+            exchange.returned = refusals.has_returned(exchange.digest, now)
+        refusals.ask(now)
         return exchange
 
+    def _choose_stopping_pause(
+        self, exchange: exchange_module.Exchange, now: float
+    ) -> float:
+        state = self._state
+        pause = returns.choose_stopping_pause(
+            len(state.others),
+            state.stopping_at + state.settings.grace - now,
+        )
+        # Callers honour no longer one.
+        return min(pause, (exchange.deadline - now) * returns.LEFT_PART)
+
     def _is_too_late(
         self, exchange: exchange_module.Exchange, now: float
     ) -> bool:
@@ -231,7 +242,8 @@
             request=ask.name,
             status=status,
             reason=reason,
-            host=ask.host,
+            retry_after=retry_after,
+            caller_host=ask.host,
             version=deployment.version if deployment else None,
             configuration_age=round(
                 self._state.now - self._state.configuration_at, 3
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -105,10 +105,12 @@
             return
         self.entries[entry.name] = entry
         self._state.entries.add(entry.name)
+        self._state.others.add(entry.name)
 
     def drop_entry(self, name: str) -> None:
         """Stop to tell an entry that is not listed any more."""
         self.entries.pop(name, None)
+        self._state.others.discard(name)
 
     async def run(self) -> None:
         """Tell the others until cancelled."""
--- a/packages/daemon/src/dunlintide_daemon/gateway/registrar.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/registrar.py
@@ -33,8 +33,12 @@
         self._lease: int | None = None
 
     async def run(self) -> None:
-        """Stay listed until cancelled."""
+        """Stay listed until the entry stops."""
         while True:
+            if self._state.stopping:
+                # What is kept is what others count on; see leave.
+                await asyncio.sleep(KEEP_SECONDS)
+                continue
             if self._lease is None:
                 done = await self._register()
             else:
@@ -57,6 +61,9 @@
         if written.is_ok():
             self._lease = begun.ok_value
             self._state.log.write('registered', lease=self._lease)
+        if self._state.stopping:
+            # The stop came while the call was under way.
+            await self.leave()
         return written.map(lambda _: None)
 
     async def _keep(self) -> result.Result[None, store_module.Refusal]:
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -45,6 +45,8 @@
     :ivar listed: whether the endpoints were read at least once
     :ivar informed: set once configuration and endpoints are known
     :ivar entries: names of all entries that were ever seen
+    :ivar others: names of the other entries that are listed; one that stops
+        is not
     :ivar backlogs: waiting requests by service
     :ivar waking: services whose queues are about to be woken
     :ivar first_events: times from a send to its first event
@@ -88,6 +90,7 @@
     informed: asyncio.Event = attrs.field(factory=asyncio.Event)
     listed_at: float = 0.0
     entries: set[str] = attrs.field(factory=set)
+    others: set[str] = attrs.field(factory=set)
     backlogs: dict[str, backlog_module.Backlog] = attrs.field(factory=dict)
     budgets: dict[str, resends.ResendBudget] = attrs.field(factory=dict)
     waking: set[str] = attrs.field(factory=set)
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -7,6 +7,7 @@
 
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import profiles
+from dunlintide_core.pipeline import returns
 from dunlintide_daemon.gateway import chainfinder
 from dunlintide_daemon.gateway import events
 from dunlintide_daemon.gateway import exchange as exchange_module
@@ -21,8 +22,6 @@
 # Spread of the times at which refused callers return, as parts of the
 # pause, so that they don't come together.
 JITTER = (0.6, 1.4)
-# Part of the time left that a caller waits at most before it returns.
-LEFT_PART = 1 / 3
 # Pause between two looks at a budget that is used up, in seconds: a quarter
 # of the shortest pause between events that callers are known to ask for.
 BUDGET_SECONDS = 0.05
@@ -180,4 +179,4 @@
         pause = self._state.returns.choose_pause(now)
         pause *= self._state.random.uniform(*JITTER)
         left = max(0.1, exchange.deadline - now)
-        return min(pause, left * LEFT_PART)
+        return min(pause, left * returns.LEFT_PART)
