Split callers' messages and the judging of silences off

callerhttp held messages and the server, runs the sends and when a still run is moved; three steps files made the settings of an entry. No behaviour changes; features edge, listings, callerhttp, doubts, lostengines, follower and experiments pass.

--- a/features/steps/callerhttp.py
+++ b/features/steps/callerhttp.py
@@ -5,6 +5,7 @@
 
 import behave
 from dunlintide_adapters import callerhttp
+from dunlintide_adapters import callermessages
 import hypothesis
 from hypothesis import strategies
 
@@ -22,7 +23,7 @@
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever)
         self.thread.start()
-        bounds = callerhttp.Bounds(2000, 5000, 0.3, 2.0)
+        bounds = callermessages.Bounds(2000, 5000, 0.3, 2.0)
         self.server = callerhttp.CallerServer(
             self.handle, bounds, lambda what, error: None
         )
@@ -43,7 +44,7 @@
             except asyncio.CancelledError:
                 self.cancelled.set()
                 raise
-        reply.send(callerhttp.Head(200), request.target.encode())
+        reply.send(callermessages.Head(200), request.target.encode())
 
     async def exchange(self, pieces, until=None):
         """Send pieces and read until the end or a number of answers."""
--- a/features/steps/experiments.py
+++ b/features/steps/experiments.py
@@ -6,24 +6,12 @@
 import behave
 from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import settings
-
-ADDRESS = '127.0.0.1:1'
-NEEDED = {
-    'role': 'edge',
-    'name': 'one',
-    'failure_domain': 'a',
-    'listen': ADDRESS,
-    'ready_listen': ADDRESS,
-    'admin_listen': ADDRESS,
-    'metrics_listen': ADDRESS,
-    'gossip_listen': ADDRESS,
-    'store': ADDRESS,
-}
+import edge_settings
 
 
 def load(*off):
     experiments = {'off': list(off)} if off else {}
-    text = json.dumps({**NEEDED, 'experiments': experiments})
+    text = json.dumps({**edge_settings.NEEDED, 'experiments': experiments})
     return settings.load_settings(text, 'one.jsonc')
 
 
--- a/features/steps/follower.py
+++ b/features/steps/follower.py
@@ -4,13 +4,9 @@
 import time
 
 import behave
-from dunlintide_adapters import decisionlog
-from dunlintide_core.pipeline import settings
-from dunlintide_daemon.gateway import counters
 from dunlintide_daemon.gateway import follower
-from dunlintide_daemon.gateway import state
 from dunlintide_platform import store
-from prometheus_client import registry
+import edge_settings
 import result
 
 
@@ -36,24 +32,11 @@
     'a follower whose endpoints may be used for {drain:f} s while they leave'
 )
 def make_follower(context, drain):
-    address = '127.0.0.1:1'
-    given = settings.EdgeSettings(
-        role='edge',
-        name='one',
-        failure_domain='a',
-        listen=address,
-        ready_listen=address,
-        admin_listen=address,
-        metrics_listen=address,
-        gossip_listen=address,
-        store=address,
-        drain=drain,
-    )
-    log = decisionlog.DecisionLog('one', output=2)
-    metrics = counters.Counters.from_registry(registry.CollectorRegistry())
     context.store = FakeStore()
     context.follower = follower.Follower(
-        state.State(given, log, metrics), context.store, lambda item: None
+        edge_settings.make_state(drain=drain),
+        context.store,
+        lambda item: None,
     )
 
 
--- a/features/steps/listings.py
+++ b/features/steps/listings.py
@@ -8,20 +8,16 @@
 from dunlintide_adapters import decisionlog
 from dunlintide_core.pipeline import endpoints
 from dunlintide_core.pipeline import profiles
-from dunlintide_core.pipeline import settings
-from dunlintide_daemon.gateway import counters
 from dunlintide_daemon.gateway import follower
 from dunlintide_daemon.gateway import gossip
-from dunlintide_daemon.gateway import state
 from dunlintide_platform import configurations
 from dunlintide_platform import listings
 from dunlintide_platform import store
+import edge_settings
 import hypothesis
 from hypothesis import strategies
 import msgspec
-from prometheus_client import registry
 
-ADDRESS = '127.0.0.1:1'
 SOUND = {
     'service': 'llm',
     'address': '10.0.0.1:80',
@@ -70,19 +66,7 @@
 
 
 def make_state():
-    given = settings.EdgeSettings(
-        role='edge',
-        name='one',
-        failure_domain='a',
-        listen=ADDRESS,
-        ready_listen=ADDRESS,
-        admin_listen=ADDRESS,
-        metrics_listen=ADDRESS,
-        gossip_listen=ADDRESS,
-        store=ADDRESS,
-    )
-    metrics = counters.Counters.from_registry(registry.CollectorRegistry())
-    return state.State(given, RecordingLog(), metrics)
+    return edge_settings.make_state(RecordingLog())
 
 
 def write_row(context, name, value):
--- a/packages/adapters/src/dunlintide_adapters/callerhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/callerhttp.py
@@ -9,20 +9,13 @@
 import asyncio
 import collections
 import socket
-from typing import Any, Callable, Coroutine, Sequence
+from typing import Any, Callable, Coroutine
 
-import attrs
 import httptools
 
-__all__ = [
-    'Bounds',
-    'CallerServer',
-    'Head',
-    'Reply',
-    'Request',
-]
+from dunlintide_adapters import callermessages
 
-Headers = Sequence[tuple[str, str]]
+__all__ = ['CallerServer']
 
 # Unsent bytes of an answer above which its source is paused, in bytes.
 _WRITE_HIGH = 256 << 10
@@ -32,154 +25,10 @@
 # seconds; a close with unread bytes would reset the connection.
 _LINGER_SECONDS = 1.0
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-_REASONS = {
-    200: 'OK',
-    400: 'Bad Request',
-    401: 'Unauthorized',
-    404: 'Not Found',
-    408: 'Request Timeout',
-    413: 'Content Too Large',
-    429: 'Too Many Requests',
-    431: 'Request Header Fields Too Large',
-    500: 'Internal Server Error',
-    502: 'Bad Gateway',
-    503: 'Service Unavailable',
-    504: 'Gateway Timeout',
-}
-
-
-@attrs.frozen
-class Bounds:
-    """Bounds on what a caller sends.
-
-    :ivar header_seconds: time for the whole head
-    :ivar idle_seconds: rest allowed between requests
-    """
-
-    header_bytes: int
-    body_bytes: int
-    header_seconds: float
-    idle_seconds: float
-
-
-@attrs.define
-class Request:
-    """One request, whole.
 
-    :ivar target: path and query as they were sent
-    :ivar headers: names in lower case, values as sent
-    :ivar arrived: loop time at which its first byte was read, in seconds
-    """
-
-    method: str
-    target: str
-    headers: list[tuple[str, str]]
-    body: bytes
-    arrived: float
-    keep_alive: bool = True
-    version: str = '1.1'
-
-    def get(self, name: str) -> str | None:
-        """Give the value of a header, None if it is missing.
-
-        :param name: in lower case
-        """
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-
-@attrs.frozen
-class Head:
-    """Status line and headers of an answer.
-
-    :ivar length: size of the body, None for one sent in chunks
-    :ivar reason: reason phrase, empty for the usual one
-    """
-
-    status: int
-    headers: Headers = ()
-    length: int | None = 0
-    reason: str = ''
-
-
-class Reply:
-    """The answer to one request, as it is written.
-
-    :ivar gone: whether the caller has closed its side
-    """
-
-    def __init__(self, connection: '_Connection', request: Request) -> None:
-        self._connection = connection
-        self._request = request
-        self._chunked = False
-        self.started = False
-        self.ended = False
-        self.gone = False
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the caller can still be answered."""
-        return not self.gone and not self.ended
-
-    def start(self, head: Head) -> None:
-        """Send the head of the answer."""
-        if self.started or not self.is_open:
-            return
-        self.started = True
-        self._chunked = head.length is None
-        connection = self._connection
-        keep = self._request.keep_alive and not connection.closing
-        if self._chunked and self._request.version == '1.0':
-            keep = False
-            self._chunked = False
-        reason = head.reason or _REASONS.get(head.status, 'Status')
-        lines = [f'HTTP/1.1 {head.status} {reason}']
-        lines += [f'{name}: {value}' for name, value in head.headers]
-        if self._chunked:
-            lines.append('Transfer-Encoding: chunked')
-        elif head.length is not None:
-            lines.append(f'Content-Length: {head.length}')
-        if not keep:
-            lines.append('Connection: close')
-            connection.closing = True
-        text = '\r\n'.join(lines) + '\r\n\r\n'
-        connection.write(text.encode('latin-1'))
-
-    def write(self, data: bytes) -> None:
-        """Send a part of the body."""
-        if not data or not self.is_open:
-            return
-        if self._chunked:
-            data = b'%x\r\n%b\r\n' % (len(data), data)
-        self._connection.write(data)
-
-    def finish(self, data: bytes = b'') -> None:
-        """Send the last part; the answer is whole then."""
-        if not self.is_open:
-            return
-        self.write(data)
-        if self._chunked:
-            self._connection.write(b'0\r\n\r\n')
-        self.ended = True
-
-    def send(self, head: Head, body: bytes = b'') -> None:
-        """Send a whole answer at once."""
-        self.start(attrs.evolve(head, length=len(body)))
-        self.finish(body)
-
-    def cut(self) -> None:
-        """Break the connection, so that the answer looks cut."""
-        self.ended = True
-        self._connection.abort()
-
-    async def drain(self) -> None:
-        """Wait until the caller has taken most of what was written."""
-        await self._connection.drain()
-
-
-Handler = Callable[[Request, Reply], Coroutine[Any, Any, None]]
+Handler = Callable[
+    [callermessages.Request, callermessages.Reply], Coroutine[Any, Any, None]
+]
 
 
 class CallerServer:
@@ -191,7 +40,7 @@
     def __init__(
         self,
         handle: Handler,
-        bounds: Bounds,
+        bounds: callermessages.Bounds,
         report: Callable[[str, BaseException | None], None],
     ) -> None:
         """Make a server that does not listen yet.
@@ -250,8 +99,10 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._ready: collections.deque[Request] = collections.deque()
-        self._reply: Reply | None = None
+        self._ready: collections.deque[callermessages.Request] = (
+            collections.deque()
+        )
+        self._reply: callermessages.Reply | None = None
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future | None = None
@@ -325,7 +176,7 @@
     def on_message_begin(self) -> None:
         self._reading = True
         self._size = 0
-        self._request = Request('', '', [], b'', self._first)
+        self._request = callermessages.Request('', '', [], b'', self._first)
         self._target: list[bytes] = []
         self._body: list[bytes] = []
         self._body_size = 0
@@ -388,7 +239,7 @@
             # An answer is under way: it ends whole, then the connection.
             self.closing = True
             return
-        reason = _REASONS[status]
+        reason = callermessages.REASONS[status]
         text = (
             f'HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\n'
             'Connection: close\r\n\r\n'
@@ -403,7 +254,7 @@
             return
         request = self._ready.popleft()
         self._stop_timer()
-        reply = Reply(self, request)
+        reply = callermessages.Reply(self, request)
         self._reply = reply
         # A caller that leaves cancels it, which frees the endpoint.
         self._task = self._loop.create_task(
@@ -420,7 +271,7 @@
             return
         if not reply.ended:
             if not reply.started and not reply.gone:
-                reply.send(Head(500))
+                reply.send(callermessages.Head(500))
             else:
                 self.abort()
                 return
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/callermessages.py
@@ -0,0 +1,179 @@
+"""Requests of callers and the answers that they get, apart from I/O."""
+
+from typing import Protocol, Sequence
+
+import attrs
+
+__all__ = [
+    'REASONS',
+    'Bounds',
+    'Head',
+    'Reply',
+    'Request',
+]
+
+Headers = Sequence[tuple[str, str]]
+
+REASONS = {
+    200: 'OK',
+    400: 'Bad Request',
+    401: 'Unauthorized',
+    404: 'Not Found',
+    408: 'Request Timeout',
+    413: 'Content Too Large',
+    429: 'Too Many Requests',
+    431: 'Request Header Fields Too Large',
+    500: 'Internal Server Error',
+    502: 'Bad Gateway',
+    503: 'Service Unavailable',
+    504: 'Gateway Timeout',
+}
+
+
+@attrs.frozen
+class Bounds:
+    """Bounds on what a caller sends.
+
+    :ivar header_seconds: time for the whole head
+    :ivar idle_seconds: rest allowed between requests
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_seconds: float
+    idle_seconds: float
+
+
+@attrs.define
+class Request:
+    """One request, whole.
+
+    :ivar target: path and query as they were sent
+    :ivar headers: names in lower case, values as sent
+    :ivar arrived: loop time at which its first byte was read, in seconds
+    """
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    arrived: float
+    keep_alive: bool = True
+    version: str = '1.1'
+
+    def get(self, name: str) -> str | None:
+        """Give the value of a header, None if it is missing.
+
+        :param name: in lower case
+        """
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+@attrs.frozen
+class Head:
+    """Status line and headers of an answer.
+
+    :ivar length: size of the body, None for one sent in chunks
+    :ivar reason: reason phrase, empty for the usual one
+    """
+
+    status: int
+    headers: Headers = ()
+    length: int | None = 0
+    reason: str = ''
+
+
+class Channel(Protocol):
+    """What carries the answer.
+
+    :ivar closing: whether it ends behind the answer under way
+    """
+
+    closing: bool
+
+    def write(self, data: bytes) -> None:
+        """Send bytes as they are."""
+
+    def abort(self) -> None:
+        """Break it."""
+
+    async def drain(self) -> None:
+        """Wait until it takes more."""
+
+
+class Reply:
+    """The answer to one request, as it is written.
+
+    :ivar gone: whether the caller has closed its side
+    """
+
+    def __init__(self, connection: Channel, request: Request) -> None:
+        self._connection = connection
+        self._request = request
+        self._chunked = False
+        self.started = False
+        self.ended = False
+        self.gone = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller can still be answered."""
+        return not self.gone and not self.ended
+
+    def start(self, head: Head) -> None:
+        """Send the head of the answer."""
+        if self.started or not self.is_open:
+            return
+        self.started = True
+        self._chunked = head.length is None
+        connection = self._connection
+        keep = self._request.keep_alive and not connection.closing
+        if self._chunked and self._request.version == '1.0':
+            keep = False
+            self._chunked = False
+        reason = head.reason or REASONS.get(head.status, 'Status')
+        lines = [f'HTTP/1.1 {head.status} {reason}']
+        lines += [f'{name}: {value}' for name, value in head.headers]
+        if self._chunked:
+            lines.append('Transfer-Encoding: chunked')
+        elif head.length is not None:
+            lines.append(f'Content-Length: {head.length}')
+        if not keep:
+            lines.append('Connection: close')
+            connection.closing = True
+        text = '\r\n'.join(lines) + '\r\n\r\n'
+        connection.write(text.encode('latin-1'))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not data or not self.is_open:
+            return
+        if self._chunked:
+            data = b'%x\r\n%b\r\n' % (len(data), data)
+        self._connection.write(data)
+
+    def finish(self, data: bytes = b'') -> None:
+        """Send the last part; the answer is whole then."""
+        if not self.is_open:
+            return
+        self.write(data)
+        if self._chunked:
+            self._connection.write(b'0\r\n\r\n')
+        self.ended = True
+
+    def send(self, head: Head, body: bytes = b'') -> None:
+        """Send a whole answer at once."""
+        self.start(attrs.evolve(head, length=len(body)))
+        self.finish(body)
+
+    def cut(self) -> None:
+        """Break the connection, so that the answer looks cut."""
+        self.ended = True
+        self._connection.abort()
+
+    async def drain(self) -> None:
+        """Wait until the caller has taken most of what was written."""
+        await self._connection.drain()
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -5,7 +5,7 @@
 import attrs
 import prometheus_client
 
-from dunlintide_adapters import callerhttp
+from dunlintide_adapters import callermessages
 from dunlintide_core import documents
 from dunlintide_daemon.gateway import state as state_module
 
@@ -25,49 +25,50 @@
         self._state = state
 
     async def handle(
-        self, request: callerhttp.Request, reply: callerhttp.Reply
+        self, request: callermessages.Request, reply: callermessages.Reply
     ) -> None:
         """Answer one request on the operators' port."""
         path = request.target.partition('?')[0]
         if path == '/readyz':
             await self.handle_ready(request, reply)
         elif path == '/healthz':
-            reply.send(callerhttp.Head(200))
+            reply.send(callermessages.Head(200))
         elif path == '/metrics':
             await self.handle_metrics(request, reply)
         elif path == '/debug/state':
             self._send_json(reply, self._dump())
         elif path == CONFIGURATION_PATH:
             reply.send(
-                callerhttp.Head(200, [_JSON]), self._state.configuration_value
+                callermessages.Head(200, [_JSON]),
+                self._state.configuration_value,
             )
         else:
-            reply.send(callerhttp.Head(404))
+            reply.send(callermessages.Head(404))
 
     async def handle_ready(
-        self, request: callerhttp.Request, reply: callerhttp.Reply
+        self, request: callermessages.Request, reply: callermessages.Reply
     ) -> None:
         """Tell the balancer whether new connections are welcome."""
         state = self._state
         ready = state.is_ready
         body = {'ready': ready, 'reasons': state.list_unready()}
-        head = callerhttp.Head(200 if ready else 503, [_JSON])
+        head = callermessages.Head(200 if ready else 503, [_JSON])
         reply.send(head, json.dumps(body).encode())
 
     async def handle_metrics(
-        self, request: callerhttp.Request, reply: callerhttp.Reply
+        self, request: callermessages.Request, reply: callermessages.Reply
     ) -> None:
         """Give the metrics as Prometheus reads them."""
         counters = self._state.counters
         counters.version.set(self._state.version)
         text = prometheus_client.generate_latest(counters.registry)
         headers = [('Content-Type', prometheus_client.CONTENT_TYPE_LATEST)]
-        reply.send(callerhttp.Head(200, headers), text)
+        reply.send(callermessages.Head(200, headers), text)
 
     @staticmethod
-    def _send_json(reply: callerhttp.Reply, value: object) -> None:
+    def _send_json(reply: callermessages.Reply, value: object) -> None:
         data = json.dumps(value, default=str).encode()
-        reply.send(callerhttp.Head(200, [_JSON]), data)
+        reply.send(callermessages.Head(200, [_JSON]), data)
 
     def _dump(self) -> dict[str, object]:
         """Describe beliefs and holdings; no key and no content shows."""
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from dunlintide_adapters import callerhttp
+from dunlintide_adapters import callermessages
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import backlog
 from dunlintide_core.pipeline import balance
@@ -292,7 +292,7 @@
         self, exchange: exchange_module.Exchange, answer: _Answer
     ) -> Outcome:
         head = answer.head
-        passed = callerhttp.Head(
+        passed = callermessages.Head(
             head.status, requests.list_reply_headers(head), reason=head.reason
         )
         exchange.reply.send(passed, answer.body)
--- a/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from dunlintide_adapters import callerhttp
+from dunlintide_adapters import callermessages
 from dunlintide_core import configuration
 from dunlintide_core.pipeline import asks
 from dunlintide_core.pipeline import profiles
@@ -56,8 +56,8 @@
     :ivar longest_gap: longest pause between two, over all runs, in seconds
     """
 
-    request: callerhttp.Request
-    reply: callerhttp.Reply
+    request: callermessages.Request
+    reply: callermessages.Reply
     ask: asks.Ask
     rule: configuration.Rule
     service: str
@@ -125,7 +125,7 @@
 
 
 def refuse(
-    reply: callerhttp.Reply, status: int, retry_after: float | None = None
+    reply: callermessages.Reply, status: int, retry_after: float | None = None
 ) -> None:
     """Answer a request with a failure of the entry's own.
 
@@ -135,4 +135,4 @@
     if retry_after is not None:
         seconds = max(LEAST_RETRY_SECONDS, retry_after)
         headers.append(('Retry-After', f'{seconds:.2f}'))
-    reply.send(callerhttp.Head(status, headers))
+    reply.send(callermessages.Head(status, headers))
--- a/packages/daemon/src/dunlintide_daemon/gateway/front.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/front.py
@@ -5,7 +5,7 @@
 import hashlib
 import zlib
 
-from dunlintide_adapters import callerhttp
+from dunlintide_adapters import callermessages
 from dunlintide_core import configuration
 from dunlintide_core import matching
 from dunlintide_core.pipeline import asks
@@ -48,7 +48,7 @@
         self._calls = calls.CallServer(state)
 
     async def handle(
-        self, request: callerhttp.Request, reply: callerhttp.Reply
+        self, request: callermessages.Request, reply: callermessages.Reply
     ) -> None:
         """Answer one request."""
         ask = requests.decode(request)
@@ -111,8 +111,8 @@
 
     def _admit(
         self,
-        request: callerhttp.Request,
-        reply: callerhttp.Reply,
+        request: callermessages.Request,
+        reply: callermessages.Reply,
         ask: asks.Ask,
     ) -> exchange_module.Exchange | None:
         """Find the terms of a request, or refuse it at once."""
@@ -192,8 +192,8 @@
     def _build(
         self,
         deployment: deployments.Deployment,
-        request: callerhttp.Request,
-        reply: callerhttp.Reply,
+        request: callermessages.Request,
+        reply: callermessages.Reply,
         ask: asks.Ask,
         rule: configuration.Rule,
         owner: configuration.Team | None,
@@ -229,7 +229,7 @@
 
     def _deny(
         self,
-        reply: callerhttp.Reply,
+        reply: callermessages.Reply,
         ask: asks.Ask,
         status: int,
         reason: str,
@@ -252,7 +252,7 @@
         exchange_module.refuse(reply, status, retry_after)
 
 
-def _make_fingerprint(request: callerhttp.Request, ask: asks.Ask) -> str:
+def _make_fingerprint(request: callermessages.Request, ask: asks.Ask) -> str:
     """Name a request by what stays when its caller sends it again."""
     digest = hashlib.blake2b(digest_size=9)
     for part in (ask.host, request.target, ask.key_digest):
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -12,6 +12,7 @@
 from prometheus_client import registry as registries
 
 from dunlintide_adapters import callerhttp
+from dunlintide_adapters import callermessages
 from dunlintide_adapters import decisionlog
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import deployments
@@ -52,8 +53,8 @@
     return host, int(port)
 
 
-def _make_bounds(limits: deployments.CallerLimits) -> callerhttp.Bounds:
-    return callerhttp.Bounds(
+def _make_bounds(limits: deployments.CallerLimits) -> callermessages.Bounds:
+    return callermessages.Bounds(
         limits.header_bytes,
         limits.body_bytes,
         limits.header_seconds,
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -5,23 +5,20 @@
 
 import attrs
 
-from dunlintide_adapters import callerhttp
+from dunlintide_adapters import callermessages
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import endpoints as endpoints_module
-from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import occupancy
-from dunlintide_core.pipeline import rescues
 from dunlintide_daemon.gateway import chainfinder
 from dunlintide_daemon.gateway import events
 from dunlintide_daemon.gateway import exchange as exchange_module
+from dunlintide_daemon.gateway import runends
+from dunlintide_daemon.gateway import silences
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import requests
 
-__all__ = [
-    'RunEnded',
-    'RunServer',
-]
+__all__ = ['RunServer']
 
 Hops = tuple[endpoints_module.Hop, ...]
 Outcome = exchange_module.Outcome
@@ -75,35 +72,12 @@
         return [hop.endpoint.name for hop in self.hops]
 
 
-class RunEnded(Exception):
-    """How a run ended without a whole answer; its stream decides on.
-
-    :ivar ran: whether it may have run
-    :ivar reason: for the log
-    :ivar retry: whether another chain may do better
-    :ivar hops: the chain on which it goes on, paid for, None to find one
-    """
-
-    def __init__(
-        self,
-        ran: bool,
-        reason: str,
-        retry: bool = True,
-        hops: Hops | None = None,
-    ) -> None:
-        super().__init__(reason)
-        self.ran = ran
-        self.reason = reason
-        self.retry = retry
-        self.hops = hops
-
-
 def _make_head(
     head: endpointhttp.AnswerHead, length: int | None
-) -> callerhttp.Head:
+) -> callermessages.Head:
     """Build what the caller gets of an endpoint's head."""
     headers = requests.list_reply_headers(head)
-    return callerhttp.Head(head.status, headers, length, head.reason)
+    return callermessages.Head(head.status, headers, length, head.reason)
 
 
 class RunServer:
@@ -114,6 +88,7 @@
     ) -> None:
         self._state = state
         self._finder = finder
+        self._judge = silences.Judge(state, finder)
         self._active: set[_Run] = set()
         state.life_listeners.append(self._lose)
 
@@ -144,7 +119,7 @@
             connection = await self._connect(stream.exchange, run)
             run.connection = connection
             return await self._relay(stream, run, connection)
-        except RunEnded as ended:
+        except runends.RunEnded as ended:
             run.lingers = ended.hops is not None
             raise
         finally:
@@ -174,7 +149,9 @@
         except endpointhttp.Broken as broken:
             exchange.tried.append(run.first.name)
             state.accuse([run.first.name], str(broken), exchange.ask.name)
-            raise RunEnded(False, f'no connection: {broken}') from broken
+            raise runends.RunEnded(
+                False, f'no connection: {broken}'
+            ) from broken
 
     def _send(
         self, stream: Stream, run: _Run, connection: endpointhttp.Connection
@@ -213,21 +190,21 @@
             head = await self._read_head(stream, run, connection)
             verdict = requests.judge(head)
             if verdict.name not in (None, exchange.ask.name):
-                raise RunEnded(True, 'answer to another request')
+                raise runends.RunEnded(True, 'answer to another request')
             if verdict.not_run:
                 exchange.runs -= 1
                 self._blame_refusal(stream, run, verdict)
                 where = verdict.culprit or run.first.address
                 reason = f'refused with {head.status} by {where}'
-                raise RunEnded(False, reason)
+                raise runends.RunEnded(False, reason)
             if head.status != 200:
                 return await self._pass_failure(stream, run, connection, head)
             if not verdict.signed:
-                raise RunEnded(True, 'answer without a signature')
+                raise runends.RunEnded(True, 'answer without a signature')
             await self._pass_events(stream, run, connection, head)
         except endpointhttp.Broken as broken:
             self._note_break(exchange, run, broken)
-            raise RunEnded(True, f'run broke: {broken}') from broken
+            raise runends.RunEnded(True, f'run broke: {broken}') from broken
         return Outcome.COMPLETE
 
     # What a run's end says of endpoints.
@@ -272,49 +249,6 @@
             broken_runs=count,
         )
 
-    def _find_suspects(self, run: _Run, now: float) -> list[str]:
-        """List the endpoints that seem to hold up a still run."""
-        soundness = self._state.soundness
-        known = []
-        if self._state.has(mechanisms.Mechanism.LEFT_OUT_NAMES):
-            known = soundness.find_left_out(run.names, now)
-        since = rescues.choose_since(run.moved, now)
-        return known or soundness.find_suspects(run.names, since, now)
-
-    def _judge_silence(
-        self, stream: Stream, run: _Run, limits: rescues.Limits
-    ) -> float:
-        """Decide whether a still run is moved to another chain.
-
-        It is left only for a chain that is at hand and paid for, since a
-        slow run is worth more than none.
-
-        :returns: how long to wait from its last event, in seconds
-        """
-        state = self._state
-        exchange = stream.exchange
-        now = state.now
-        if now >= exchange.deadline:
-            raise RunEnded(True, 'deadline', retry=False)
-        rescued = state.has(mechanisms.Mechanism.RESCUE)
-        if not (rescued and exchange.can_go_on(True, now)):
-            return exchange.deadline - run.moved
-        silence = now - run.moved
-        soundness = state.soundness
-        suspects = self._find_suspects(run, now)
-        judgement = rescues.judge(silence, limits, bool(suspects))
-        if not judgement.moves:
-            return judgement.limit
-        state.accuse(suspects, 'still', exchange.ask.name)
-        before = list(exchange.tried)
-        still = soundness.find_still(run.names, run.moved)
-        exchange.tried.extend(suspects or still)
-        hops = self._finder.choose(stream)
-        if hops is None or not state.pay_resend(exchange.service, 'stream'):
-            exchange.tried[:] = before
-            return judgement.limit
-        raise RunEnded(True, f'still for {silence:.3f} s', hops=hops)
-
     # What the caller gets.
 
     async def _read_head(
@@ -342,13 +276,7 @@
         :param target: silence allowed, in seconds, None for the usual one
         :param read: takes the loop time until which it waits
         """
-        state = self._state
-        seen = state.pauses if run.events else state.first_events
-        follows = state.has(mechanisms.Mechanism.USUAL_PAUSES)
-        usual = seen.usual if follows else None
-        limits = rescues.choose_limits(
-            target or chainfinder.USUAL_TARGET, usual
-        )
+        limits = self._judge.choose_limits(target, run.events > 0)
         limit = limits.named
         while True:
             due = min(run.moved + limit, stream.exchange.deadline)
@@ -357,7 +285,8 @@
             except endpointhttp.Broken as broken:
                 if broken.fault is not endpointhttp.Fault.TIMEOUT:
                     raise
-                limit = self._judge_silence(stream, run, limits)
+                silence = silences.Silence(run.names, run.moved)
+                limit = self._judge.judge(stream, silence, limits)
 
     async def _pass_failure(
         self,
@@ -371,10 +300,12 @@
         again = exchange.can_go_on(True, self._state.now)
         if again and head.status >= 500:
             exchange.tried.append(run.first.name)
-            raise RunEnded(True, f'failed with {head.status}')
+            raise runends.RunEnded(True, f'failed with {head.status}')
         body = await connection.read_all(exchange.deadline)
         if exchange.reply.started:
-            raise RunEnded(True, f'failed with {head.status}', retry=False)
+            raise runends.RunEnded(
+                True, f'failed with {head.status}', retry=False
+            )
         exchange.reply.send(_make_head(head, 0), body)
         return Outcome.FAILED
 
@@ -393,7 +324,7 @@
             now = self._state.now
             fresh, intact = sequence.admit(splitter.split(data))
             if not intact:
-                raise RunEnded(True, 'an event is missing')
+                raise runends.RunEnded(True, 'an event is missing')
             if not fresh:
                 continue
             if not reply.started:
@@ -401,7 +332,7 @@
             reply.write(fresh)
             self._observe(exchange, run, now)
         if splitter.rest.strip():
-            raise RunEnded(True, 'ended within an event')
+            raise runends.RunEnded(True, 'ended within an event')
         if not reply.started:
             reply.start(_make_head(head, None))
         reply.finish(splitter.rest)
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/silences.py
@@ -0,0 +1,98 @@
+"""Runs that stand still: how long they may, and when they are moved."""
+
+import attrs
+
+from dunlintide_core.pipeline import mechanisms
+from dunlintide_core.pipeline import rescues
+from dunlintide_daemon.gateway import chainfinder
+from dunlintide_daemon.gateway import exchange as exchange_module
+from dunlintide_daemon.gateway import runends
+from dunlintide_daemon.gateway import state as state_module
+
+__all__ = [
+    'Judge',
+    'Silence',
+]
+
+Stream = exchange_module.Stream
+
+
+@attrs.frozen
+class Silence:
+    """A run that stands still.
+
+    :ivar names: endpoints of its chain
+    :ivar moved: monotonic time of its last event, in seconds
+    """
+
+    names: list[str]
+    moved: float
+
+
+class Judge:
+    """Decides on still runs with the beliefs of one entry."""
+
+    def __init__(
+        self, state: state_module.State, finder: chainfinder.ChainFinder
+    ) -> None:
+        self._state = state
+        self._finder = finder
+
+    def choose_limits(
+        self, target: float | None, has_events: bool
+    ) -> rescues.Limits:
+        """Tell how long a run may stand still.
+
+        :param target: silence that the rule allows, in seconds, None for
+            the usual one
+        :param has_events: whether it has made an event
+        """
+        state = self._state
+        usual = None
+        if state.has(mechanisms.Mechanism.USUAL_PAUSES):
+            seen = state.pauses if has_events else state.first_events
+            usual = seen.usual
+        return rescues.choose_limits(target or chainfinder.USUAL_TARGET, usual)
+
+    def judge(
+        self, stream: Stream, silence: Silence, limits: rescues.Limits
+    ) -> float:
+        """Decide whether a still run is moved to another chain.
+
+        It is left only for a chain that is at hand and paid for, since a
+        slow run is worth more than none.
+
+        :returns: how long to wait from its last event, in seconds
+        :raises RunEnded: when it is moved, or its time is up
+        """
+        state = self._state
+        exchange = stream.exchange
+        now = state.now
+        if now >= exchange.deadline:
+            raise runends.RunEnded(True, 'deadline', retry=False)
+        rescued = state.has(mechanisms.Mechanism.RESCUE)
+        if not (rescued and exchange.can_go_on(True, now)):
+            return exchange.deadline - silence.moved
+        seconds = now - silence.moved
+        suspects = self._find_suspects(silence, now)
+        judgement = rescues.judge(seconds, limits, bool(suspects))
+        if not judgement.moves:
+            return judgement.limit
+        state.accuse(suspects, 'still', exchange.ask.name)
+        before = list(exchange.tried)
+        still = state.soundness.find_still(silence.names, silence.moved)
+        exchange.tried.extend(suspects or still)
+        hops = self._finder.choose(stream)
+        if hops is None or not state.pay_resend(exchange.service, 'stream'):
+            exchange.tried[:] = before
+            return judgement.limit
+        raise runends.RunEnded(True, f'still for {seconds:.3f} s', hops=hops)
+
+    def _find_suspects(self, silence: Silence, now: float) -> list[str]:
+        """List the endpoints that seem to hold up a still run."""
+        soundness = self._state.soundness
+        known = []
+        if self._state.has(mechanisms.Mechanism.LEFT_OUT_NAMES):
+            known = soundness.find_left_out(silence.names, now)
+        since = rescues.choose_since(silence.moved, now)
+        return known or soundness.find_suspects(silence.names, since, now)
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -11,6 +11,7 @@
 from dunlintide_daemon.gateway import chainfinder
 from dunlintide_daemon.gateway import events
 from dunlintide_daemon.gateway import exchange as exchange_module
+from dunlintide_daemon.gateway import runends
 from dunlintide_daemon.gateway import runs
 from dunlintide_daemon.gateway import state as state_module
 
@@ -65,7 +66,7 @@
                 hops = found.ok_value
             try:
                 return await self._runs.run(stream, hops)
-            except runs.RunEnded as ended:
+            except runends.RunEnded as ended:
                 ran = ran or ended.ran
                 self._log_end(stream, hops, ended)
                 again = exchange.can_go_on(ran, state.now)
@@ -121,7 +122,7 @@
         self,
         stream: exchange_module.Stream,
         hops: Hops,
-        ended: runs.RunEnded,
+        ended: runends.RunEnded,
     ) -> None:
         self._state.log.write(
             'run ended early',
