Never let an entry without a birth replace one that tells it

Cause: found on reading the change over: an entry of another writer that lacks the birth would have ended the runs of an endpoint that tells it, and so would its next own entry. Where only reports tell births, the first report would have put the endpoint out of use for good.

Change: a life without a birth is older than one with it; reports are compared only where the listing tells births.

Test: two scenarios in features/listings.feature.

--- a/features/listings.feature
+++ b/features/listings.feature
@@ -89,3 +89,14 @@
     Then "i-1" is not in use
     When an entry of "i-1" comes whose born is 3000
     Then "i-1" is in use, born at 3000
+
+  Scenario: An entry without a birth replaces none that has one
+    Given a follower of a store with an endpoint "i-1" born at 1000
+    When a sound entry of "i-1" comes
+    Then "i-1" is in use, born at 1000
+
+  Scenario: A birth told by reports alone changes nothing
+    Given a follower of a store with a sound endpoint "i-1"
+    When its report says that it was born at 3000
+    And a sound entry of "i-1" comes
+    Then "i-1" is in use
--- a/packages/core/src/dunlintide_core/pipeline/endpoints.py
+++ b/packages/core/src/dunlintide_core/pipeline/endpoints.py
@@ -42,10 +42,14 @@
     born: int | None = None
 
     def is_older(self, other: 'Endpoint') -> bool:
-        """Tell whether another life of it began later."""
-        if self.born is None or other.born is None:
+        """Tell whether another life of it began later.
+
+        One that does not tell its birth is older than one that does: an
+        endpoint that tells it always does.
+        """
+        if other.born is None:
             return False
-        return self.born < other.born
+        return self.born is None or self.born < other.born
 
 
 def name_life(identity: str, born: int | None) -> str:
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -219,12 +219,13 @@
         """Take note of the life that an endpoint itself tells.
 
         A newer one than the listing's is out of use until it is listed,
-        since its layers aren't known.
+        since its layers aren't known. Where the listing tells no births
+        there is nothing to compare.
         """
         name = endpoints_module.name_life(endpoint.identity, born)
         told = attrs.evolve(endpoint, name=name, born=born)
         known = self.lives.get(endpoint.identity, endpoint)
-        if known.is_older(told):
+        if known.born is not None and known.is_older(told):
             self._begin_life(told)
             self.notify()
 
