Read logs to which a collector added time and host in the command losses

Cause: dunlintide losses read none of the lines that carry a prefix, counted them as unreadable and ended with success, so it told nothing. Change: the prefix is passed over, and files without any line of a log are an error.

--- a/features/losses.feature
+++ b/features/losses.feature
@@ -24,3 +24,14 @@
     When the operator asks for losses
     Then no cause is told, and 1 request was served in time
     And the operator hears of 1 line that was not read
+
+  Scenario: Lines to which a collector added their time and host are read
+    Given the log of an entry with a request that is refused for "no room"
+    And each of its lines begins with a time and a host
+    When the operator asks for losses
+    Then the only cause is "refused: no chain had room"
+
+  Scenario: Files without a line of a log are refused
+    Given the log of an entry with a request that is served
+    And nothing but lines that are none
+    Then the operator who asks for losses gets an error that names 2 lines
--- a/features/steps/losses.py
+++ b/features/steps/losses.py
@@ -100,3 +100,30 @@
 def check_unread(context, count):
     assert context.report['unreadable'] == count
     assert f'{count} lines' in context.told.getvalue()
+
+
+@behave.given('each of its lines begins with a time and a host')
+def add_prefixes(context):
+    lines = context.log.read_text().splitlines()
+    context.log.write_text(
+        ''.join(
+            f'  {index * 0.25:.4f} one {line}\n'
+            for index, line in enumerate(lines)
+        )
+    )
+
+
+@behave.given('nothing but lines that are none')
+def write_garbage(context):
+    context.log.write_text('Traceback\n[1, 2]\n')
+
+
+@behave.then(
+    'the operator who asks for losses gets an error that names {count:d} lines'
+)
+def check_error(context, count):
+    told = io.StringIO()
+    with contextlib.redirect_stderr(told):
+        status = main.main(['losses', str(context.log)])
+    assert status != 0
+    assert f'{count} lines' in told.getvalue(), told.getvalue()
--- a/packages/cli/src/dunlintide_cli/logs.py
+++ b/packages/cli/src/dunlintide_cli/logs.py
@@ -37,6 +37,10 @@
             report = shortfalls.read_lines(_read(self.argument('logs')))
         except (OSError, UnicodeDecodeError) as error:
             return self.reject(error)
+        if not report.read:
+            return self.reject(
+                f'no line of an entry\'s log in {report.unreadable} lines'
+            )
         if self.as_json:
             output.print_json(attrs.asdict(report))
             return output.ExitCode.OK
--- a/packages/core/src/dunlintide_core/pipeline/shortfalls.py
+++ b/packages/core/src/dunlintide_core/pipeline/shortfalls.py
@@ -8,6 +8,7 @@
 import collections
 import enum
 import json
+import re
 from typing import Any, Iterable, Mapping
 
 import attrs
@@ -21,6 +22,8 @@
 
 Line = Mapping[str, Any]
 
+# What collectors of logs put before a line: its time and its host.
+_PREFIX = re.compile(r'\s*[\d.:TZ+-]+\s+\S+\s+(?={)')
 # Lines that begin the record of a request.
 _SENT = ('stream sent', 'call sent')
 
@@ -64,10 +67,12 @@
     """What logs show.
 
     :ivar served: requests answered in time
+    :ivar read: lines that were read
     :ivar unreadable: lines that are no lines of a log
     """
 
     served: int = 0
+    read: int = 0
     unreadable: int = 0
     shortfalls: list[Shortfall] = attrs.field(factory=list)
 
@@ -118,6 +123,7 @@
         if line is None:
             self.report.unreadable += 1
             return
+        self.report.read += 1
         host, at = line['host'], line['at']
         process = self._processes.get(host)
         if process is not None and line['event'] == 'started':
@@ -162,8 +168,9 @@
 
 
 def _parse(text: str) -> Line | None:
+    prefix = _PREFIX.match(text)
     try:
-        line = json.loads(text)
+        line = json.loads(text[prefix.end() :] if prefix else text)
     except ValueError:
         return None
     if not isinstance(line, dict):
