Look only at domains that could do better when a chain is chosen

Ruled out: numpy (its import costs more start). Change: what a chain takes on idle engines is kept for each domain, and a domain whose idle engines could not do better is passed over unweighed.

--- a/packages/core/src/dunlintide_core/pipeline/chaintable.py
+++ b/packages/core/src/dunlintide_core/pipeline/chaintable.py
@@ -31,12 +31,14 @@
     :ivar profile: their cost model
     :ivar engines: the engines that hold layers
     :ivar domains: engines of each failure domain that holds all layers
+    :ivar floors: least times of chains within these domains
     :ivar everywhere: engines of all domains
     """
 
     profile: profiles.EngineProfile
     engines: regions.EngineSet
     domains: Mapping[str, regions.Region]
+    floors: Mapping[str, regions.Floor]
     everywhere: regions.Region
 
     @classmethod
@@ -56,7 +58,11 @@
         )
         built = {name: make([name]) for name in names}
         whole = {name: each for name, each in built.items() if each.is_whole}
-        return cls(profile, chosen, whole, make(names))
+        floors = {
+            name: chosen.find_floor(each.list_layer_holders())
+            for name, each in whole.items()
+        }
+        return cls(profile, chosen, whole, floors, make(names))
 
     def make_region(self, domain: str) -> regions.Region:
         """Prepare the engines of one domain, whole or not."""
@@ -82,24 +88,29 @@
         crossing = chaincosts.make_crossing(
             self.profile, demand, usages, avoids_pipes
         )
-        weights = self.engines.weigh(times, demand.tokens, usages, unusable)
 
         def find(
             region: regions.Region, least: float = math.inf
         ) -> chainsearch.Path | None:
+            weights = self.engines.weigh(
+                times, demand.tokens, usages, unusable, region.members
+            )
             return chainsearch.find_path(
                 region, weights, crossing, demand.domain, least
             )
 
         best = None
         if avoids_pipes:
-            best = self._find_within(demand.domain, find)
+            best = self._find_within(demand.domain, times, find)
         if best is None and self.everywhere.is_whole:
             best = find(self.everywhere)
         return best.hops if best else None
 
     def _find_within(
-        self, domain: str, find: Callable[..., chainsearch.Path | None]
+        self,
+        domain: str,
+        times: chaincosts.LayerTimes,
+        find: Callable[..., chainsearch.Path | None],
     ) -> chainsearch.Path | None:
         """Find the best chain that stays within a failure domain.
 
@@ -112,9 +123,12 @@
         least = math.inf
         if best is not None:
             least = best.cost / chaincosts.OTHER_DOMAIN_FACTOR
-        for region in self.domains.values():
-            if region is not own:
-                found = find(region, least)
-                if found is not None:
-                    best, least = found, found.cost
+        for name, region in self.domains.items():
+            # Engines of a domain that could not do better if they were idle
+            # are not looked at.
+            if region is own or self.floors[name].bound(times) >= least:
+                continue
+            found = find(region, least)
+            if found is not None:
+                best, least = found, found.cost
         return best
--- a/packages/core/src/dunlintide_core/pipeline/regions.py
+++ b/packages/core/src/dunlintide_core/pipeline/regions.py
@@ -4,8 +4,16 @@
 comes, goes or is given other layers, while a choice is made for each request.
 """
 
+import itertools
 import math
-from typing import AbstractSet, Iterable, Mapping, NamedTuple, Sequence
+from typing import (
+    AbstractSet,
+    Iterable,
+    Iterator,
+    Mapping,
+    NamedTuple,
+    Sequence,
+)
 
 import attrs
 
@@ -16,6 +24,7 @@
 
 __all__ = [
     'EngineSet',
+    'Floor',
     'Region',
     'Weights',
 ]
@@ -105,22 +114,29 @@
         tokens: int,
         usages: Mapping[str, occupancy.Usage],
         unusable: AbstractSet[str],
+        members: Iterable[int] | None = None,
     ) -> Weights:
         """Tell what each engine costs a request and how much it takes.
 
         :param tokens: tokens for which each layer reserves memory
         :param usages: use of engines, by name
         :param unusable: names of engines that get no request
+        :param members: indices of the engines that are looked at, all if
+            None; the others count as out of use
         """
-        rates, rooms = [], []
+        rates = [math.inf] * len(self._rows)
+        rooms = [0.0] * len(self._rows)
         steps, sequence, prompt = times.steps, times.sequence, times.prompt
-        for name, step, read, capacity in self._rows:
+        if members is None:
+            members = range(len(self._rows))
+        for index in members:
+            name, step, read, capacity = self._rows[index]
             usage = usages.get(name) or _UNUSED
             running = usage.sequences
             work = (steps + sequence * running) * step + prompt * read
             busy = 1.0 + running / chaincosts.SEQUENCES_TO_DOUBLE
-            rates.append(work * busy)
-            rooms.append((capacity - usage.cache) / tokens)
+            rates[index] = work * busy
+            rooms[index] = (capacity - usage.cache) / tokens
         for name in unusable:
             if name in self.indices:
                 rooms[self.indices[name]] = 0.0
@@ -131,6 +147,33 @@
         )
         return Weights(rates, rooms, full)
 
+    def find_floor(self, holders: Iterable[Sequence[int]]) -> 'Floor':
+        """Tell what engines without requests need at least.
+
+        :param holders: indices of the engines that hold a layer, by layer
+        """
+        step = read = 0.0
+        for found in holders:
+            step += min(self._rows[index].step for index in found)
+            read += min(self._rows[index].read for index in found)
+        return Floor(step, read)
+
+
+@attrs.frozen
+class Floor:
+    """What a chain takes at least, whatever else runs.
+
+    :ivar step: time of a step of all layers against the published one
+    :ivar read: time of reading a prompt token on all layers, in ms
+    """
+
+    step: float
+    read: float
+
+    def bound(self, times: chaincosts.LayerTimes) -> float:
+        """Give the least time of a request, in ms."""
+        return times.steps * self.step + times.prompt * self.read
+
 
 @attrs.frozen(eq=False)
 class Region:
@@ -139,6 +182,7 @@
     :ivar engines: all engines of the service, by index
     :ivar cuts: layers at which some range begins or ends, in order
     :ivar holders: indices of its engines that hold a segment, by segment
+    :ivar members: indices of its engines
     :ivar domains: names of its failure domains
     :ivar places: index of the failure domain, by engine
     :ivar lengths: layers that it holds, by engine
@@ -150,6 +194,7 @@
     domains: tuple[str, ...]
     places: tuple[int, ...]
     lengths: tuple[int, ...]
+    members: tuple[int, ...]
     _further_parts: tuple[int, ...]
     _segments: tuple[tuple[int, tuple[int, ...]], ...]
 
@@ -187,6 +232,7 @@
             tuple(places),
             tuple(places.get(each.domain, 0) for each in engines),
             tuple(each.end - each.start for each in engines),
+            tuple(own),
             _count_further(reaches),
             tuple(zip(lengths, map(tuple, holders))),
         )
@@ -196,6 +242,11 @@
         """Whether its engines hold all layers."""
         return all(self.holders)
 
+    def list_layer_holders(self) -> Iterator[tuple[int, ...]]:
+        """Give the indices of the engines that hold each layer."""
+        for length, holders in self._segments:
+            yield from itertools.repeat(holders, length)
+
     def bound(self, weights: Weights, passing: float) -> list[float]:
         """Tell what chains cost at least from each cut on, in ms.
 
