Make an engine dearer as its memory fills

Cause: a choice weighed time alone, so fast engines took all streams until their memory was full; layers that only two of them hold were then used up by streams that slower engines could have run. Change: the time of a layer counts more the less memory its engine has left. Whether the caller's domain is left is still decided by time alone, as the use of other domains is known late. The reference that tries all chains knows both.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -13,6 +13,11 @@
       | 1 a100, 14 v100 and 5 l4  |
       | 0 a100, 12 v100 and 4 l4  |
 
+  Scenario: Fast engines keep room for streams that can run nowhere else
+    Given fast engines of layers 0 to 28 and 24 to 52, and slow ones of the rest
+    When usual streams arrive in it until one finds no chain
+    Then it serves at least 0.7 of what its memory holds
+
   Scenario: The loss of a first endpoint leaves places for new streams
     Given a failure domain with 1 a100, 14 v100 and 5 l4
     When any one of its first endpoints is lost
--- a/features/steps/chaintables.py
+++ b/features/steps/chaintables.py
@@ -8,6 +8,7 @@
 from dunlintide_core.pipeline import chaintable
 from dunlintide_core.pipeline import endpoints
 from dunlintide_core.pipeline import occupancy
+from dunlintide_core.pipeline import regions
 from dunlintide_core.pipeline import soundness
 from dunlintide_trials import engineload
 from hypothesis import strategies
@@ -58,23 +59,43 @@
             cuts |= {each.start, each.end}
         self.cuts = sorted(cuts)
         self.best = math.inf
+        self.scarcity = 0.0
 
     def get_use(self, engine):
         return self.usages.get(engine.name) or occupancy.Usage()
 
-    def time(self, engine, begin, end):
+    def count_pace(self, engine):
         card = PROFILE.accelerators[engine.kind]
         running = self.get_use(engine).sequences
         step = PROFILE.step_ms + PROFILE.sequence_ms * running
         steps = self.demand.answer * step * card.step_factor
         read = self.demand.prompt / PROFILE.read_per_second * 1000.0
         busy = 1.0 + running / chaincosts.SEQUENCES_TO_DOUBLE
-        whole = (steps + read * card.read_factor) * busy
-        return whole / LAYERS * (end - begin)
+        return (steps + read * card.read_factor) * busy / LAYERS
 
-    def count_room(self, engine):
+    def time(self, engine, begin, end):
+        scarce = 1.0 / max(regions.LEAST_FREE, self.count_free(engine))
+        return self.count_pace(engine) * scarce * (end - begin)
+
+    def count_scarcity(self, engine, begin, end):
+        """What a part costs beyond its time."""
+        pace = self.count_pace(engine) * (end - begin)
+        return self.time(engine, begin, end) - pace
+
+    def count_given(self, engine):
         held = engine.end - engine.start
-        given = PROFILE.count_cache(engine.kind, held) * chaincosts.ROOM_PART
+        return PROFILE.count_cache(engine.kind, held) * chaincosts.ROOM_PART
+
+    def count_free(self, engine):
+        """Part of an engine's memory that is free; all if it has none."""
+        given = self.count_given(engine)
+        if given <= 0.0:
+            return 1.0
+        free = given - self.get_use(engine).cache
+        return min(1.0, max(0.0, free / given))
+
+    def count_room(self, engine):
+        given = self.count_given(engine)
         return (given - self.get_use(engine).cache) / self.demand.tokens
 
     def enter(self, engine, before):
@@ -94,12 +115,12 @@
             before = hop.endpoint
         return cost
 
-    def find(self, begin=0, cost=0.0, used=()):
+    def find(self, begin=0, cost=0.0, used=(), scarcity=0.0):
         """Give the least cost of any chain, infinite if there is none."""
         if cost >= self.best:
             return self.best
         if begin == LAYERS:
-            self.best = cost
+            self.best, self.scarcity = cost, scarcity
             return cost
         before = used[-1] if used else None
         for engine in self.engines:
@@ -112,49 +133,49 @@
             for end in self.cuts:
                 if begin < end <= engine.end and end - begin <= room:
                     work = self.time(engine, begin, end)
-                    self.find(end, entered + work, (*used, engine))
+                    more = self.count_scarcity(engine, begin, end)
+                    self.find(
+                        end, entered + work, (*used, engine), scarcity + more
+                    )
         return self.best
 
 
-def list_fleets(engines, avoids_pipes):
-    """List the engines to try together; the later ones if all before fail.
-
-    Parts end where some range among them does.
-    """
-    domains = sorted({each.domain for each in engines})
-    within = [
+def split_domains(engines, first):
+    """Group engines by failure domain, those of the first one in front."""
+    domains = sorted({each.domain for each in engines} | {first})
+    domains.sort(key=lambda domain: domain != first)
+    return [
         [each for each in engines if each.domain == domain]
         for domain in domains
     ]
-    return [within, [engines]] if avoids_pipes else [[engines]]
 
 
-def weigh_domain(engines, demand, within):
-    """What a chain within another failure domain than the caller's weighs.
+def find_within(engines, usages, demand):
+    """Give the cost of the chain to choose within one failure domain.
 
-    :param within: whether each domain was tried by itself
+    The caller's own domain is left where another one is so many times as
+    cheap as the time that the chain takes, scarce memory aside.
     """
-    if within and demand.domain not in {each.domain for each in engines}:
-        return chaincosts.OTHER_DOMAIN_FACTOR
-    return 1.0
+    own, *others = split_domains(engines, demand.domain)
+    reference = Reference(own, usages, demand)
+    chosen = least = reference.find()
+    if chosen < math.inf:
+        least = chosen - reference.scarcity
+        least /= chaincosts.OTHER_DOMAIN_FACTOR
+    for fleet in others:
+        cost = Reference(fleet, usages, demand).find()
+        if cost < least:
+            chosen = least = cost
+    return chosen
 
 
 def find_least(engines, usages, demand, avoids_pipes):
-    """Give the least weighed cost, and whether a domain by itself has it."""
-    tries = list_fleets(engines, avoids_pipes)
-    for fleets in tries:
-        within = avoids_pipes and fleets is not tries[-1]
-        least = min(
-            (
-                Reference(fleet, usages, demand, avoids_pipes).find()
-                * weigh_domain(fleet, demand, within)
-                for fleet in fleets
-            ),
-            default=math.inf,
-        )
-        if least < math.inf:
-            return least, within
-    return math.inf, False
+    """Give the cost of the chain to choose, infinite if there is none."""
+    if avoids_pipes:
+        cost = find_within(engines, usages, demand)
+        if cost < math.inf:
+            return cost
+    return Reference(engines, usages, demand, avoids_pipes).find()
 
 
 def compare(rows, avoids_pipes):
@@ -162,15 +183,13 @@
     demand = pipeline_scene.make_demand(tokens=TOKENS)
     table = chaintable.ChainTable.from_engines(PROFILE, engines)
     hops = table.choose(demand, usages, avoids_pipes=avoids_pipes)
-    least, within = find_least(engines, usages, demand, avoids_pipes)
+    least = find_least(engines, usages, demand, avoids_pipes)
     if hops is None:
         assert least == math.inf, (least, rows)
         return
     assert endpoints.covers_exactly(hops, LAYERS), hops
     reference = Reference(engines, usages, demand, avoids_pipes)
-    chosen = [hop.endpoint for hop in hops]
     cost = reference.measure(hops)
-    cost *= weigh_domain(chosen, demand, within)
     assert math.isclose(cost, least, rel_tol=1e-9), (
         hops,
         least,
--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -99,6 +99,26 @@
     return hops
 
 
+@behave.given(
+    'fast engines of layers {a:d} to {b:d} and {c:d} to {d:d}, and slow ones'
+    ' of the rest'
+)
+def make_overlap(context, a, b, c, d):
+    fast = [
+        make_engine('fast-low', 'a100', 'a', a, b),
+        make_engine('fast-high', 'a100', 'a', c, d),
+    ]
+    slow = [
+        make_engine(f'slow-{index}-{start}', 'l4', 'a', start, end)
+        for index, spans in enumerate(
+            (((0, 8), (8, 16), (16, 24), (28, 36), (36, 44), (44, 52)),)
+            + (((52, 60), (60, 68), (68, 76), (72, 80)),) * 2
+        )
+        for start, end in spans
+    ]
+    context.engines = [*fast, *slow]
+
+
 @behave.when('usual streams arrive in it until one finds no chain')
 def fill_domain(context):
     context.occupancy = occupancy.Occupancy()
--- a/packages/core/src/dunlintide_core/pipeline/chaintable.py
+++ b/packages/core/src/dunlintide_core/pipeline/chaintable.py
@@ -89,11 +89,16 @@
             self.profile, demand, usages, avoids_pipes
         )
 
+        weights = self.engines.begin_weights(usages)
+        weighed: set[int] = set()
+
         def find(
             region: regions.Region, least: float = math.inf
         ) -> chainsearch.Path | None:
-            weights = self.engines.weigh(
-                times, demand.tokens, usages, unusable, region.members
+            members = region.members.difference(weighed)
+            weighed.update(members)
+            self.engines.weigh_members(
+                weights, members, times, demand.tokens, usages, unusable
             )
             return chainsearch.find_path(
                 region, weights, crossing, demand.domain, least
@@ -101,7 +106,7 @@
 
         best = None
         if avoids_pipes:
-            best = self._find_within(demand.domain, times, find)
+            best = self._find_within(demand.domain, times, weights, find)
         if best is None and self.everywhere.is_whole:
             best = find(self.everywhere)
         return best.hops if best else None
@@ -110,11 +115,13 @@
         self,
         domain: str,
         times: chaincosts.LayerTimes,
+        weights: regions.Weights,
         find: Callable[..., chainsearch.Path | None],
     ) -> chainsearch.Path | None:
         """Find the best chain that stays within a failure domain.
 
         :param domain: that of the caller
+        :param weights: what engines cost, as far as they were looked at
         :param find: takes a region and the cost from which on a chain is of
             no use
         """
@@ -122,7 +129,14 @@
         best = find(own) if own else None
         least = math.inf
         if best is not None:
-            least = best.cost / chaincosts.OTHER_DOMAIN_FACTOR
+            # Scarce memory is no reason to leave: what is free in other
+            # domains is known late.
+            scarcity = sum(
+                (weights.rates[index] - weights.paces[index]) * (end - begin)
+                for index, begin, end in best.parts
+            )
+            least = best.cost - scarcity
+            least /= chaincosts.OTHER_DOMAIN_FACTOR
         for name, region in self.domains.items():
             # Engines of a domain that could not do better if they were idle
             # are not looked at.
--- a/packages/core/src/dunlintide_core/pipeline/regions.py
+++ b/packages/core/src/dunlintide_core/pipeline/regions.py
@@ -32,6 +32,9 @@
 Endpoint = endpoints_module.Endpoint
 
 
+# Part of an engine's memory below which less of it raises its cost no further.
+LEAST_FREE = 0.05
+
 _UNUSED = occupancy.Usage()
 
 
@@ -66,11 +69,13 @@
 class Weights:
     """What engines cost and take at one moment, by index.
 
-    :ivar rates: time of one layer for the whole request, in ms
-    :ivar rooms: layers for which memory is free, 0 if out of use
+    :ivar paces: time of one layer for the whole request, in ms
+    :ivar rates: the same, dearer where memory is scarce
+    :ivar rooms: layers for which memory is free, 0 if out of use or full
     :ivar full: engines at which no further chain may begin
     """
 
+    paces: list[float]
     rates: list[float]
     rooms: list[float]
     full: frozenset[int]
@@ -114,38 +119,60 @@
         tokens: int,
         usages: Mapping[str, occupancy.Usage],
         unusable: AbstractSet[str],
-        members: Iterable[int] | None = None,
     ) -> Weights:
         """Tell what each engine costs a request and how much it takes.
 
         :param tokens: tokens for which each layer reserves memory
         :param usages: use of engines, by name
         :param unusable: names of engines that get no request
-        :param members: indices of the engines that are looked at, all if
-            None; the others count as out of use
         """
-        rates = [math.inf] * len(self._rows)
-        rooms = [0.0] * len(self._rows)
+        weights = self.begin_weights(usages)
+        members = range(len(self._rows))
+        self.weigh_members(weights, members, times, tokens, usages, unusable)
+        return weights
+
+    def begin_weights(self, usages: Mapping[str, occupancy.Usage]) -> Weights:
+        """Begin with all engines out of use."""
+        full = frozenset(
+            index
+            for index, name in self._firsts
+            if name in usages and usages[name].started >= self._slots
+        )
+        count = len(self._rows)
+        never = [math.inf] * count
+        return Weights(never, never.copy(), [0.0] * count, full)
+
+    def weigh_members(
+        self,
+        weights: Weights,
+        members: Iterable[int],
+        times: chaincosts.LayerTimes,
+        tokens: int,
+        usages: Mapping[str, occupancy.Usage],
+        unusable: AbstractSet[str],
+    ) -> None:
+        """Set what some of the engines cost and take.
+
+        :param members: their indices
+        """
+        paces, rates, rooms = weights.paces, weights.rates, weights.rooms
+        rows = self._rows
         steps, sequence, prompt = times.steps, times.sequence, times.prompt
-        if members is None:
-            members = range(len(self._rows))
         for index in members:
-            name, step, read, capacity = self._rows[index]
+            name, step, read, capacity = rows[index]
             usage = usages.get(name) or _UNUSED
+            free = capacity - usage.cache
+            if free < tokens or name in unusable:
+                continue
             running = usage.sequences
             work = (steps + sequence * running) * step + prompt * read
             busy = 1.0 + running / chaincosts.SEQUENCES_TO_DOUBLE
-            rates[index] = work * busy
-            rooms[index] = (capacity - usage.cache) / tokens
-        for name in unusable:
-            if name in self.indices:
-                rooms[self.indices[name]] = 0.0
-        full = frozenset(
-            index
-            for index, name in self._firsts
-            if name in usages and usages[name].started >= self._slots
-        )
-        return Weights(rates, rooms, full)
+            # Fast engines fill first. Streams that could run elsewhere would
+            # leave no room to those that can't.
+            scarce = capacity / max(free, capacity * LEAST_FREE)
+            pace = paces[index] = work * busy
+            rates[index] = pace * max(1.0, scarce)
+            rooms[index] = free / tokens
 
     def find_floor(self, holders: Iterable[Sequence[int]]) -> 'Floor':
         """Tell what engines without requests need at least.
@@ -194,7 +221,7 @@
     domains: tuple[str, ...]
     places: tuple[int, ...]
     lengths: tuple[int, ...]
-    members: tuple[int, ...]
+    members: frozenset[int]
     _further_parts: tuple[int, ...]
     _segments: tuple[tuple[int, tuple[int, ...]], ...]
 
@@ -232,7 +259,7 @@
             tuple(places),
             tuple(places.get(each.domain, 0) for each in engines),
             tuple(each.end - each.start for each in engines),
-            tuple(own),
+            frozenset(own),
             _count_further(reaches),
             tuple(zip(lengths, map(tuple, holders))),
         )
