Make a layout from the expected loss of streams

Cause: layouts were made for two copies, a fixed part of memory for requests and as many first endpoints as that memory has room for streams, whatever the demand. Change: room, copies and ranges follow from the expected share of streams refused while any engine may be out of use, and from the demand: estimated from slots and memory at first, observed later. Ranges are placed greedily, then again one by one while that serves more. Engines move when the gain exceeds the load, to scarce layers only once the fleet is steady. The mechanisms copies and heads are gone with what they switched.

--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/coverage.py
@@ -0,0 +1,125 @@
+"""Which engines of one failure domain hold each layer, and what that costs.
+
+The cost falls with every engine that holds a layer, most with the first ones
+and with fast cards, so a range is best where its layers gain most.
+"""
+
+import itertools
+from typing import Sequence
+
+from dunlintide_core.pipeline import profiles
+from dunlintide_core.pipeline import rooms
+
+__all__ = ['Coverage']
+
+# Share of streams under way that lose their chain or their entry in a second,
+# so that shorter chains count beside engines to spare.
+LOSS_RATE = 0.02
+# Cost of a layer that no engine of any failure domain holds, against one that
+# only this domain lacks: no stream is served at all.
+NOWHERE_COST = 10.0
+# Cost of each first endpoint that a failure domain lacks.
+FIRST_COST = 0.2
+# Cost of an edge at which no other range begins or ends. Where ranges join,
+# chains have fewer parts and are found sooner.
+EDGE_COST = 0.005
+# Least gain for which a range is preferred to one that begins sooner.
+_LEAST_GAIN = 1e-9
+
+
+class Coverage:
+    """Holders of the layers of one failure domain."""
+
+    def __init__(
+        self,
+        profile: profiles.EngineProfile,
+        plan: rooms.RoomPlan,
+        elsewhere: Sequence[int],
+    ) -> None:
+        """Begin without holders.
+
+        :param plan: room of the domain's cards and what holders are worth
+        :param elsewhere: holders in other failure domains, by layer
+        """
+        self._profile = profile
+        self._plan = plan
+        self._elsewhere = elsewhere
+        self._most = len(plan.refused) - 1
+        step = profile.usual_answer * profile.step_ms / 1000.0
+        self._time_cost = LOSS_RATE * step / profile.layers
+        self._counts = [0] * profile.layers
+        self._speeds = [0.0] * profile.layers
+        # Ranges that begin or end before a layer; the model's ends are free.
+        self._edges = [0] * (profile.layers + 1)
+        self._edges[0] = self._edges[-1] = 1
+        self._costs = [
+            self._measure(layer, 0, 0.0) for layer in range(profile.layers)
+        ]
+
+    @property
+    def counts(self) -> Sequence[int]:
+        """Number of holders by layer."""
+        return self._counts
+
+    @property
+    def cost(self) -> float:
+        """What the domain's streams lose, as a share of them."""
+        return sum(self._costs)
+
+    def change(self, kind: str, start: int, end: int, sign: int = 1) -> None:
+        """Add a holder of a range, or take it off with -1."""
+        speed = sign / self._profile.accelerators[kind].step_factor
+        self._edges[start] += sign
+        self._edges[end] += sign
+        for layer in range(start, end):
+            self._counts[layer] += sign
+            self._speeds[layer] += speed
+            self._costs[layer] = self._measure(
+                layer, self._counts[layer], self._speeds[layer]
+            )
+
+    def _measure(self, layer: int, count: int, speed: float) -> float:
+        """Tell what a layer costs with so many holders.
+
+        :param speed: sum of their speeds, 1 for the published step
+        """
+        if count <= 0:
+            nowhere = not self._elsewhere[layer]
+            return 1.0 + NOWHERE_COST * nowhere
+        plan = self._plan
+        count = min(count, self._most)
+        # The layers of a part of a chain are lost together.
+        cost = plan.refused[count] / plan.part
+        if not layer:
+            cost += plan.refused_first[count]
+            cost += FIRST_COST * max(0, plan.least_first - count)
+        return cost + self._time_cost / speed
+
+    def choose_start(
+        self, kind: str, size: int, current: int = 0
+    ) -> tuple[int, float]:
+        """Find the range at which one more engine is worth most.
+
+        :param size: layers that it is to hold
+        :param current: start that is kept unless another is better
+        :returns: its first layer, and what it is worth
+        """
+        speed = 1.0 / self._profile.accelerators[kind].step_factor
+        counts, speeds, measure = self._counts, self._speeds, self._measure
+        gains = (
+            cost - measure(layer, counts[layer] + 1, speeds[layer] + speed)
+            for layer, cost in enumerate(self._costs)
+        )
+        sums = [0.0, *itertools.accumulate(gains)]
+        edges = [0.0 if count else EDGE_COST for count in self._edges]
+        worth = [
+            after - before - begin - end
+            for before, after, begin, end in zip(
+                sums, sums[size:], edges, edges[size:]
+            )
+        ]
+        best = current
+        for start, gain in enumerate(worth):
+            if gain > worth[best] + _LEAST_GAIN:
+                best = start
+        return best, worth[best]
--- a/packages/core/src/dunlintide_core/pipeline/mechanisms.py
+++ b/packages/core/src/dunlintide_core/pipeline/mechanisms.py
@@ -28,8 +28,6 @@
     :cvar HEDGES: slow calls that may be repeated are sent twice
     :cvar KEPT_BUDGET: a part of second sends is kept for streams under way
     :cvar CROSSING: chains cross a pipe only where none else has room
-    :cvar COPIES: failure domains hold two copies of the model
-    :cvar HEADS: first endpoints are as many as memory has room for streams
     :cvar FIRST_READING: early requests wait for the store's first reading
     """
 
@@ -49,6 +47,4 @@
     HEDGES = 'hedges'
     KEPT_BUDGET = 'kept-budget'
     CROSSING = 'crossing'
-    COPIES = 'copies'
-    HEADS = 'heads'
     FIRST_READING = 'first-reading'
--- a/packages/daemon/src/dunlintide_daemon/gateway/placer.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/placer.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from dunlintide_core.pipeline import demands as demands_module
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import layout
 from dunlintide_core.pipeline import mechanisms
@@ -30,6 +31,9 @@
 # Time for which layers must be lost before an engine is moved to them, in
 # seconds: an engine that comes back empty is given them at once.
 LOST_SECONDS = 0.4
+# Time without a change of what engines hold after which an engine is also
+# moved to layers that few hold, in seconds: most that crash are back by then.
+STEADY_SECONDS = 2.0
 # Orders under way at the same time.
 MAX_SENDING = 16
 # Pause before an order that was not accepted is given anew, in seconds.
@@ -52,6 +56,19 @@
     checked: bool = True
 
 
+@attrs.define(eq=False)
+class _Holding:
+    """What the engines of a service held when it changed last.
+
+    :ivar changed: monotonic time of the change, in seconds
+    :ivar settled: whether nothing is to be moved
+    """
+
+    ranges: tuple
+    changed: float
+    settled: bool = False
+
+
 class Placer:
     """Giver of orders, for all services with engines."""
 
@@ -63,10 +80,12 @@
         self._state = state
         self._leadership = leadership
         self._losses = collections.defaultdict(lambda: losses.Losses(state))
+        self._demands = collections.defaultdict(demands_module.Demands)
         self._open: dict[str, _Order] = {}
         self._seen: set[str] = set()
         self._settled_at = float('inf')
         self._lost_at: dict[str, float] = {}
+        self._holdings: dict[str, _Holding] = {}
         self._tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
@@ -76,6 +95,7 @@
             if not self._leadership.is_leading:
                 self._open.clear()
                 self._seen.clear()
+                self._demands.clear()
                 continue
             self._review()
 
@@ -105,6 +125,7 @@
     ) -> None:
         listed = self._state.list_engines(service, profile)
         names = {each.name for each in listed}
+        self._observe(service, profile, listed, now)
         lost = self._losses[service].review(listed)
         engines = [each for each in listed if each.name not in lost]
         holding = []
@@ -128,14 +149,28 @@
             order = self._open[name]
             if order.placement.endpoint.service == service:
                 del self._open[name]
-        for placement in layout.plan_new(
-            profile, holding, empty, self._state.settings.experiments.off
-        ):
+        known = self._demands[service].list_known()
+        for placement in layout.plan_new(profile, holding, empty, known):
             # A new engine has accepted none; another refuses and tells.
             self._begin(_Order(placement), profile, now)
         if not empty and self._state.has(mechanisms.Mechanism.MOVES):
             self._repair(service, profile, holding, now)
 
+    def _observe(
+        self,
+        service: str,
+        profile: profiles.EngineProfile,
+        listed: list[endpoints_module.Endpoint],
+        now: float,
+    ) -> None:
+        """Record what streams take of each failure domain."""
+        taken: dict[str, float] = collections.defaultdict(float)
+        for each in listed:
+            usage = self._state.occupancy.get(each.name)
+            taken[each.domain] += usage.cache / profile.layers
+        for domain, tokens in taken.items():
+            self._demands[service].observe(domain, tokens, now)
+
     def _repair(
         self,
         service: str,
@@ -143,7 +178,18 @@
         holding: list[layout.Placement],
         now: float,
     ) -> None:
-        """Move spare engines where layers have been lost for a while."""
+        """Move engines where layers have been scarce for a while."""
+        known = self._demands[service].list_known()
+        ranges = (
+            tuple((each.endpoint.name, each.start) for each in holding),
+            tuple(known.items()),
+        )
+        held = self._holdings.get(service)
+        if held is None or held.ranges != ranges:
+            held = self._holdings[service] = _Holding(ranges, now)
+        if held.settled:
+            return
+        steady = now - held.changed >= STEADY_SECONDS
         movable = {
             each.endpoint.name
             for each in holding
@@ -154,7 +200,10 @@
             holding,
             movable,
             lambda name: self._state.occupancy.get(name).sequences,
+            known,
+            steady,
         )
+        held.settled = steady and not moves and not self._open
         if not moves:
             self._lost_at.pop(service, None)
             return
