Let the fastest holder of a layer set its time, and memory count when scarce

Found by the property over layouts: a domain left its first layer unheld where holding it once looked no better. Change: an engine is dearer only once half of its memory is taken; speeds add up at a high power; an unheld first layer costs what it lacks as a first layer too. Ways to each domain are worked out once a segment.

--- a/features/steps/chaintables.py
+++ b/features/steps/chaintables.py
@@ -74,7 +74,8 @@
         return (steps + read * card.read_factor) * busy / LAYERS
 
     def time(self, engine, begin, end):
-        scarce = 1.0 / max(regions.LEAST_FREE, self.count_free(engine))
+        free = max(regions.LEAST_FREE, self.count_free(engine))
+        scarce = max(1.0, regions.AMPLE_PART / free)
         return self.count_pace(engine) * scarce * (end - begin)
 
     def count_scarcity(self, engine, begin, end):
--- a/packages/core/src/dunlintide_core/pipeline/chainsearch.py
+++ b/packages/core/src/dunlintide_core/pipeline/chainsearch.py
@@ -98,19 +98,32 @@
             )
             if least + self._rest[segment] >= bound:
                 return None
-            arrivals = [
-                self._arrive(ends, domain) for domain in range(len(ends))
-            ]
+            arrivals = self._arrive_at(ends)
             ends = self._extend(segment, arrivals, _NO_ONE, ends)
         best = min((ways[0] for ways in ends if ways), default=None)
         return best if best is not None and best[0] < bound else None
 
-    def _arrive(
-        self, ends: _Ends, domain: int, but: int = _CALLER
-    ) -> _Way | None:
-        """Give the cheapest way to a domain, with the cost of passing on.
+    def _arrive_at(self, ends: _Ends) -> list[_Way | None]:
+        """Give the cheapest way to each domain, passing on included."""
+        firsts = [
+            (source, ways[0]) for source, ways in enumerate(ends) if ways
+        ]
+        if not firsts:
+            return [None] * len(ends)
+        arrivals: list[_Way | None] = []
+        for domain in range(len(ends)):
+            cost, source = min(
+                (way[0] + self._crossings[source][domain], source)
+                for source, way in firsts
+            )
+            way = ends[source][0] if cost < math.inf else None
+            arrivals.append((cost, *way[1:]) if way else None)
+        return arrivals
+
+    def _arrive_but(self, ends: _Ends, domain: int, but: int) -> _Way | None:
+        """Give the cheapest way to a domain on which an engine is not last.
 
-        :param but: index of an engine that is not to pass the request on
+        :param but: index of the engine
         """
         least, best = math.inf, None
         for source, ways in enumerate(ends):
@@ -147,11 +160,10 @@
                 parts[holder] = _NEVER
                 self._short.pop(holder, None)
                 continue
-            domain = region.places[holder]
-            rate = rates[holder]
+            domain, rate = region.places[holder], rates[holder]
             way = arrivals[domain]
             if way is not None and way[1] == holder:
-                way = self._arrive(ends, domain, holder)
+                way = self._arrive_but(ends, domain, holder)
             part = parts[holder]
             if room < region.lengths[holder]:
                 part = self._choose_short(holder, way, begin, end)
--- a/packages/core/src/dunlintide_core/pipeline/coverage.py
+++ b/packages/core/src/dunlintide_core/pipeline/coverage.py
@@ -14,7 +14,10 @@
 
 # Share of streams under way that lose their chain or their entry in a second,
 # so that shorter chains count beside engines to spare.
-LOSS_RATE = 0.02
+LOSS_RATE = 0.1
+# Power at which the speeds of a layer's holders add up: the fastest one takes
+# most of the streams.
+SPEED_POWER = 4.0
 # Cost of a layer that no engine of any failure domain holds, against one that
 # only this domain lacks: no stream is served at all.
 NOWHERE_COST = 10.0
@@ -68,7 +71,7 @@
 
     def change(self, kind: str, start: int, end: int, sign: int = 1) -> None:
         """Add a holder of a range, or take it off with -1."""
-        speed = sign / self._profile.accelerators[kind].step_factor
+        speed = sign * self._weigh_speed(kind)
         self._edges[start] += sign
         self._edges[end] += sign
         for layer in range(start, end):
@@ -78,22 +81,26 @@
                 layer, self._counts[layer], self._speeds[layer]
             )
 
+    def _weigh_speed(self, kind: str) -> float:
+        return self._profile.accelerators[kind].step_factor ** -SPEED_POWER
+
     def _measure(self, layer: int, count: int, speed: float) -> float:
         """Tell what a layer costs with so many holders.
 
-        :param speed: sum of their speeds, 1 for the published step
+        :param speed: sum of their weighed speeds
         """
-        if count <= 0:
-            nowhere = not self._elsewhere[layer]
-            return 1.0 + NOWHERE_COST * nowhere
         plan = self._plan
-        count = min(count, self._most)
-        # The layers of a part of a chain are lost together.
-        cost = plan.refused[count] / plan.part
+        count = min(max(0, count), self._most)
+        if count:
+            # The layers of a part of a chain are lost together.
+            cost = plan.refused[count] / plan.part
+            cost += self._time_cost * speed ** (-1.0 / SPEED_POWER)
+        else:
+            cost = 1.0 if self._elsewhere[layer] else 1.0 + NOWHERE_COST
         if not layer:
             cost += plan.refused_first[count]
             cost += FIRST_COST * max(0, plan.least_first - count)
-        return cost + self._time_cost / speed
+        return cost
 
     def choose_start(
         self, kind: str, size: int, current: int = 0
@@ -104,7 +111,7 @@
         :param current: start that is kept unless another is better
         :returns: its first layer, and what it is worth
         """
-        speed = 1.0 / self._profile.accelerators[kind].step_factor
+        speed = self._weigh_speed(kind)
         counts, speeds, measure = self._counts, self._speeds, self._measure
         gains = (
             cost - measure(layer, counts[layer] + 1, speeds[layer] + speed)
--- a/packages/core/src/dunlintide_core/pipeline/regions.py
+++ b/packages/core/src/dunlintide_core/pipeline/regions.py
@@ -8,6 +8,7 @@
 import math
 from typing import (
     AbstractSet,
+    Container,
     Iterable,
     Iterator,
     Mapping,
@@ -32,7 +33,9 @@
 Endpoint = endpoints_module.Endpoint
 
 
-# Part of an engine's memory below which less of it raises its cost no further.
+# Part of an engine's memory that is free as long as its cost is time alone.
+AMPLE_PART = 0.5
+# Part below which less free memory raises its cost no further.
 LEAST_FREE = 0.05
 
 _UNUSED = occupancy.Usage()
@@ -160,20 +163,36 @@
         steps, sequence, prompt = times.steps, times.sequence, times.prompt
         for index in members:
             name, step, read, capacity = rows[index]
-            usage = usages.get(name) or _UNUSED
+            usage = usages.get(name, _UNUSED)
             free = capacity - usage.cache
             if free < tokens or name in unusable:
                 continue
             running = usage.sequences
-            work = (steps + sequence * running) * step + prompt * read
             busy = 1.0 + running / chaincosts.SEQUENCES_TO_DOUBLE
+            work = ((steps + sequence * running) * step + prompt * read) * busy
             # Fast engines fill first. Streams that could run elsewhere would
             # leave no room to those that can't.
-            scarce = capacity / max(free, capacity * LEAST_FREE)
-            pace = paces[index] = work * busy
-            rates[index] = pace * max(1.0, scarce)
+            scarce = AMPLE_PART * capacity / max(free, capacity * LEAST_FREE)
+            paces[index], rates[index] = work, work * max(1.0, scarce)
             rooms[index] = free / tokens
 
+    def slow_down(
+        self,
+        weights: Weights,
+        members: Container[int],
+        paces: Mapping[str, float],
+    ) -> None:
+        """Raise what slow engines cost.
+
+        :param members: indices of the engines that were just weighed
+        :param paces: time of work against the published one, by name
+        """
+        for name, pace in paces.items():
+            index = self.indices.get(name)
+            if index is not None and index in members:
+                weights.paces[index] *= pace
+                weights.rates[index] *= pace
+
     def find_floor(self, holders: Iterable[Sequence[int]]) -> 'Floor':
         """Tell what engines without requests need at least.
 
