Leave the caller's domain also where its memory is scarce

Cause: whether a chain in another domain is three times as cheap was decided by time alone, so a domain whose engines turned slow kept all its streams until nothing had room. With it the reference that tries all chains is as simple as before.

--- a/features/steps/chaintables.py
+++ b/features/steps/chaintables.py
@@ -59,29 +59,21 @@
             cuts |= {each.start, each.end}
         self.cuts = sorted(cuts)
         self.best = math.inf
-        self.scarcity = 0.0
 
     def get_use(self, engine):
         return self.usages.get(engine.name) or occupancy.Usage()
 
-    def count_pace(self, engine):
+    def time(self, engine, begin, end):
         card = PROFILE.accelerators[engine.kind]
         running = self.get_use(engine).sequences
         step = PROFILE.step_ms + PROFILE.sequence_ms * running
         steps = self.demand.answer * step * card.step_factor
         read = self.demand.prompt / PROFILE.read_per_second * 1000.0
         busy = 1.0 + running / chaincosts.SEQUENCES_TO_DOUBLE
-        return (steps + read * card.read_factor) * busy / LAYERS
-
-    def time(self, engine, begin, end):
         free = max(regions.LEAST_FREE, self.count_free(engine))
         scarce = max(1.0, regions.AMPLE_PART / free)
-        return self.count_pace(engine) * scarce * (end - begin)
-
-    def count_scarcity(self, engine, begin, end):
-        """What a part costs beyond its time."""
-        pace = self.count_pace(engine) * (end - begin)
-        return self.time(engine, begin, end) - pace
+        whole = (steps + read * card.read_factor) * busy * scarce
+        return whole / LAYERS * (end - begin)
 
     def count_given(self, engine):
         held = engine.end - engine.start
@@ -116,12 +108,12 @@
             before = hop.endpoint
         return cost
 
-    def find(self, begin=0, cost=0.0, used=(), scarcity=0.0):
+    def find(self, begin=0, cost=0.0, used=()):
         """Give the least cost of any chain, infinite if there is none."""
         if cost >= self.best:
             return self.best
         if begin == LAYERS:
-            self.best, self.scarcity = cost, scarcity
+            self.best = cost
             return cost
         before = used[-1] if used else None
         for engine in self.engines:
@@ -134,49 +126,49 @@
             for end in self.cuts:
                 if begin < end <= engine.end and end - begin <= room:
                     work = self.time(engine, begin, end)
-                    more = self.count_scarcity(engine, begin, end)
-                    self.find(
-                        end, entered + work, (*used, engine), scarcity + more
-                    )
+                    self.find(end, entered + work, (*used, engine))
         return self.best
 
 
-def split_domains(engines, first):
-    """Group engines by failure domain, those of the first one in front."""
-    domains = sorted({each.domain for each in engines} | {first})
-    domains.sort(key=lambda domain: domain != first)
-    return [
+def list_fleets(engines, avoids_pipes):
+    """List the engines to try together; the later ones if all before fail.
+
+    Parts end where some range among them does.
+    """
+    domains = sorted({each.domain for each in engines})
+    within = [
         [each for each in engines if each.domain == domain]
         for domain in domains
     ]
+    return [within, [engines]] if avoids_pipes else [[engines]]
 
 
-def find_within(engines, usages, demand):
-    """Give the cost of the chain to choose within one failure domain.
+def weigh_domain(engines, demand, within):
+    """What a chain within another failure domain than the caller's weighs.
 
-    The caller's own domain is left where another one is so many times as
-    cheap as the time that the chain takes, scarce memory aside.
+    :param within: whether each domain was tried by itself
     """
-    own, *others = split_domains(engines, demand.domain)
-    reference = Reference(own, usages, demand)
-    chosen = least = reference.find()
-    if chosen < math.inf:
-        least = chosen - reference.scarcity
-        least /= chaincosts.OTHER_DOMAIN_FACTOR
-    for fleet in others:
-        cost = Reference(fleet, usages, demand).find()
-        if cost < least:
-            chosen = least = cost
-    return chosen
+    if within and demand.domain not in {each.domain for each in engines}:
+        return chaincosts.OTHER_DOMAIN_FACTOR
+    return 1.0
 
 
 def find_least(engines, usages, demand, avoids_pipes):
-    """Give the cost of the chain to choose, infinite if there is none."""
-    if avoids_pipes:
-        cost = find_within(engines, usages, demand)
-        if cost < math.inf:
-            return cost
-    return Reference(engines, usages, demand, avoids_pipes).find()
+    """Give the least weighed cost, and whether a domain by itself has it."""
+    tries = list_fleets(engines, avoids_pipes)
+    for fleets in tries:
+        within = avoids_pipes and fleets is not tries[-1]
+        least = min(
+            (
+                Reference(fleet, usages, demand, avoids_pipes).find()
+                * weigh_domain(fleet, demand, within)
+                for fleet in fleets
+            ),
+            default=math.inf,
+        )
+        if least < math.inf:
+            return least, within
+    return math.inf, False
 
 
 def compare(rows, avoids_pipes):
@@ -184,13 +176,15 @@
     demand = pipeline_scene.make_demand(tokens=TOKENS)
     table = chaintable.ChainTable.from_engines(PROFILE, engines)
     hops = table.choose(demand, usages, avoids_pipes=avoids_pipes)
-    least = find_least(engines, usages, demand, avoids_pipes)
+    least, within = find_least(engines, usages, demand, avoids_pipes)
     if hops is None:
         assert least == math.inf, (least, rows)
         return
     assert endpoints.covers_exactly(hops, LAYERS), hops
     reference = Reference(engines, usages, demand, avoids_pipes)
+    chosen = [hop.endpoint for hop in hops]
     cost = reference.measure(hops)
+    cost *= weigh_domain(chosen, demand, within)
     assert math.isclose(cost, least, rel_tol=1e-9), (
         hops,
         least,
--- a/packages/core/src/dunlintide_core/pipeline/chainsearch.py
+++ b/packages/core/src/dunlintide_core/pipeline/chainsearch.py
@@ -28,12 +28,10 @@
     """A chain and its expected time.
 
     :ivar cost: in ms, dearer where memory is scarce
-    :ivar parts: index of the engine, first layer and end of each part
     """
 
     cost: float
     hops: chains.Hops
-    parts: tuple[tuple[int, int, int], ...]
 
 
 # Best way to the end of a segment: its cost, the index of the engine that
@@ -263,7 +261,7 @@
         endpoints_module.Hop(region.engines[holder], begin, end)
         for holder, begin, end in parts
     )
-    return Path(cost, hops, tuple(parts))
+    return Path(cost, hops)
 
 
 def find_path(
--- a/packages/core/src/dunlintide_core/pipeline/chaintable.py
+++ b/packages/core/src/dunlintide_core/pipeline/chaintable.py
@@ -7,6 +7,7 @@
 
 import functools
 import math
+import types
 from typing import AbstractSet, Callable, Iterable, Mapping
 
 import attrs
@@ -76,6 +77,7 @@
         usages: Mapping[str, occupancy.Usage],
         unusable: AbstractSet[str] = _NO_NAMES,
         avoids_pipes: bool = True,
+        paces: Mapping[str, float] = types.MappingProxyType({}),
     ) -> chains.Hops | None:
         """Find the chain with the least expected time, None without room.
 
@@ -83,6 +85,8 @@
         :param unusable: names of engines that get no request now
         :param avoids_pipes: whether a chain crosses a pipe only where no
             other has room
+        :param paces: time of work against the published one, of engines
+            that are slow, by name
         """
         times = chaincosts.LayerTimes.from_demand(self.profile, demand)
         crossing = chaincosts.make_crossing(
@@ -100,13 +104,14 @@
             self.engines.weigh_members(
                 weights, members, times, demand.tokens, usages, unusable
             )
+            self.engines.slow_down(weights, members, paces)
             return chainsearch.find_path(
                 region, weights, crossing, demand.domain, least
             )
 
         best = None
         if avoids_pipes:
-            best = self._find_within(demand.domain, times, weights, find)
+            best = self._find_within(demand.domain, times, find)
         if best is None and self.everywhere.is_whole:
             best = find(self.everywhere)
         return best.hops if best else None
@@ -115,13 +120,11 @@
         self,
         domain: str,
         times: chaincosts.LayerTimes,
-        weights: regions.Weights,
         find: Callable[..., chainsearch.Path | None],
     ) -> chainsearch.Path | None:
         """Find the best chain that stays within a failure domain.
 
         :param domain: that of the caller
-        :param weights: what engines cost, as far as they were looked at
         :param find: takes a region and the cost from which on a chain is of
             no use
         """
@@ -129,14 +132,7 @@
         best = find(own) if own else None
         least = math.inf
         if best is not None:
-            # Scarce memory is no reason to leave: what is free in other
-            # domains is known late.
-            scarcity = sum(
-                (weights.rates[index] - weights.paces[index]) * (end - begin)
-                for index, begin, end in best.parts
-            )
-            least = best.cost - scarcity
-            least /= chaincosts.OTHER_DOMAIN_FACTOR
+            least = best.cost / chaincosts.OTHER_DOMAIN_FACTOR
         for name, region in self.domains.items():
             # Engines of a domain that could not do better if they were idle
             # are not looked at.
