Ask engines for their pace where streams are slow, and avoid slow ones

Ruled out: paces by regression over the chains of all entries; an entry has five streams, and nearly every chain has a slow engine. Change: where events come half as fast as usual against what is published of a chain, or a stream stands still, the engines of the chain are asked for their pace, each by few entries; answers are shared, and a slow engine costs as many times as much. One that does not answer is left out, which names a dead engine that all chains of a domain share; the stand-in engines now stand still for a dead part, as the published protocol says, and its scenarios failed without the question.

--- a/packages/core/src/dunlintide_core/pipeline/chaincosts.py
+++ b/packages/core/src/dunlintide_core/pipeline/chaincosts.py
@@ -18,6 +18,7 @@
     'Crossing',
     'LayerTimes',
     'make_crossing',
+    'time_event',
     'time_read',
     'time_step',
 ]
@@ -66,6 +67,15 @@
     return factor * 1000.0 / profile.read_per_second / profile.layers
 
 
+def time_event(profile: profiles.EngineProfile, hops: chains.Hops) -> float:
+    """Give the time of an event by what is published, in seconds."""
+    steps = sum(
+        time_step(profile, hop.endpoint.kind) * (hop.end - hop.start)
+        for hop in hops
+    )
+    return steps * profile.step_ms * profile.stride / 1000.0
+
+
 @attrs.frozen
 class LayerTimes:
     """What the time of one layer depends on, the endpoint aside.
--- a/packages/core/src/dunlintide_core/pipeline/mechanisms.py
+++ b/packages/core/src/dunlintide_core/pipeline/mechanisms.py
@@ -28,6 +28,7 @@
     :cvar HEDGES: slow calls that may be repeated are sent twice
     :cvar KEPT_BUDGET: a part of second sends is kept for streams under way
     :cvar CROSSING: chains cross a pipe only where none else has room
+    :cvar PACES: engines that tell that they are slow get fewer streams
     :cvar FIRST_READING: early requests wait for the store's first reading
     """
 
@@ -47,4 +48,5 @@
     HEDGES = 'hedges'
     KEPT_BUDGET = 'kept-budget'
     CROSSING = 'crossing'
+    PACES = 'paces'
     FIRST_READING = 'first-reading'
--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/paces.py
@@ -0,0 +1,136 @@
+"""Which engines are slow, as they tell when asked.
+
+An engine that turns slow holds up every stream whose chain goes through it,
+and neither fails nor stands still. Streams only show that some engine of a
+chain is slow, so the engines of such a chain are asked, each by few entries
+and not often.
+"""
+
+import enum
+from typing import Iterable, Mapping
+
+import attrs
+
+__all__ = ['Paces', 'is_slow_run']
+
+# Time of an engine's work against the published one from which on it counts
+# as slow; less is within what load makes of it.
+LEAST_PACE = 1.5
+# Pause between two questions to an engine, in seconds.
+ASK_SECONDS = 0.6
+# Pause between two questions to one that is slow, in seconds: it may be sound
+# again, and gets no streams that would show it.
+ASK_SLOW_SECONDS = 0.8
+# How long an answer counts, in seconds: a slow engine is asked twice in it.
+ANSWER_SECONDS = 2.0
+# Time of an event, or until the first one, against the usual one from which
+# on some engine of the chain is suspected to be slow.
+SLOW_FACTOR = 2.0
+
+
+def is_slow_run(seconds: float, usual: float | None) -> bool:
+    """Tell whether a run shows that an engine of its chain may be slow.
+
+    :param seconds: its mean pause between events, or time to the first one
+    :param usual: the same of usual runs, None if unknown
+    """
+    return usual is not None and seconds > usual * SLOW_FACTOR
+
+
+class _Source(enum.Enum):
+    """Who asked an engine."""
+
+    OWN = enum.auto()
+    OTHER = enum.auto()
+
+
+@attrs.define
+class _Answer:
+    """What an engine told of its pace, 1 for the published one."""
+
+    pace: float
+    at: float
+    source: _Source
+
+
+class Paces:
+    """Paces of engines as one entry knows them."""
+
+    def __init__(self) -> None:
+        self._answers: dict[str, _Answer] = {}
+        self._asked: dict[str, float] = {}
+
+    def list_due(self, names: Iterable[str], now: float) -> list[str]:
+        """Choose the engines to ask, and record that they are asked.
+
+        :param names: engines that may be slow
+        :param now: monotonic time in seconds
+        """
+        due = [name for name in names if self._is_due(name, now)]
+        for name in due:
+            self._asked[name] = now
+        return due
+
+    def _is_due(self, name: str, now: float) -> bool:
+        if now - self._asked.get(name, float('-inf')) < ASK_SECONDS:
+            return False
+        answer = self._answers.get(name)
+        return answer is None or now - answer.at >= ASK_SECONDS
+
+    def list_slow_due(self, now: float) -> list[str]:
+        """Choose the slow engines that this entry is to ask again."""
+        slow = [
+            name
+            for name, answer in self._answers.items()
+            if answer.source is _Source.OWN
+            and answer.pace >= LEAST_PACE
+            and ASK_SLOW_SECONDS <= now - answer.at < ANSWER_SECONDS
+        ]
+        return self.list_due(slow, now)
+
+    def record(self, name: str, pace: float, now: float) -> None:
+        """Record what an engine told this entry."""
+        self._answers[name] = _Answer(pace, now, _Source.OWN)
+
+    def receive(self, name: str, pace: float, now: float) -> None:
+        """Record what an engine told another entry."""
+        known = self._answers.get(name)
+        if known is not None and known.source is _Source.OWN:
+            if now - known.at < ASK_SECONDS:
+                return
+        self._answers[name] = _Answer(pace, now, _Source.OTHER)
+
+    def list_slow(self, now: float) -> Mapping[str, float]:
+        """Give the paces of the engines that are slow, by name."""
+        self._expire(now)
+        return {
+            name: answer.pace
+            for name, answer in self._answers.items()
+            if answer.pace >= LEAST_PACE
+        }
+
+    def list_own(self, now: float) -> Mapping[str, float]:
+        """Give what engines told this entry lately, for other entries.
+
+        Sound ones are among them, so that others need not ask them.
+        """
+        self._expire(now)
+        return {
+            name: answer.pace
+            for name, answer in self._answers.items()
+            if answer.source is _Source.OWN
+        }
+
+    def forget(self, name: str) -> None:
+        """Drop what is known of an engine that is gone."""
+        self._answers.pop(name, None)
+        self._asked.pop(name, None)
+
+    def _expire(self, now: float) -> None:
+        old = [
+            name
+            for name, answer in self._answers.items()
+            if now - answer.at >= ANSWER_SECONDS
+        ]
+        for name in old:
+            del self._answers[name]
--- a/packages/core/src/dunlintide_core/pipeline/regions.py
+++ b/packages/core/src/dunlintide_core/pipeline/regions.py
@@ -72,13 +72,12 @@
 class Weights:
     """What engines cost and take at one moment, by index.
 
-    :ivar paces: time of one layer for the whole request, in ms
-    :ivar rates: the same, dearer where memory is scarce
+    :ivar rates: time of one layer for the whole request, in ms, dearer where
+        memory is scarce
     :ivar rooms: layers for which memory is free, 0 if out of use or full
     :ivar full: engines at which no further chain may begin
     """
 
-    paces: list[float]
     rates: list[float]
     rooms: list[float]
     full: frozenset[int]
@@ -142,8 +141,7 @@
             if name in usages and usages[name].started >= self._slots
         )
         count = len(self._rows)
-        never = [math.inf] * count
-        return Weights(never, never.copy(), [0.0] * count, full)
+        return Weights([math.inf] * count, [0.0] * count, full)
 
     def weigh_members(
         self,
@@ -158,8 +156,7 @@
 
         :param members: their indices
         """
-        paces, rates, rooms = weights.paces, weights.rates, weights.rooms
-        rows = self._rows
+        rates, rooms, rows = weights.rates, weights.rooms, self._rows
         steps, sequence, prompt = times.steps, times.sequence, times.prompt
         for index in members:
             name, step, read, capacity = rows[index]
@@ -173,7 +170,7 @@
             # Fast engines fill first. Streams that could run elsewhere would
             # leave no room to those that can't.
             scarce = AMPLE_PART * capacity / max(free, capacity * LEAST_FREE)
-            paces[index], rates[index] = work, work * max(1.0, scarce)
+            rates[index] = work * max(1.0, scarce)
             rooms[index] = free / tokens
 
     def slow_down(
@@ -190,7 +187,6 @@
         for name, pace in paces.items():
             index = self.indices.get(name)
             if index is not None and index in members:
-                weights.paces[index] *= pace
                 weights.rates[index] *= pace
 
     def find_floor(self, holders: Iterable[Sequence[int]]) -> 'Floor':
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -101,6 +101,7 @@
             },
             'left_out': state.soundness.list_doubted(now),
             'told_to_leave_out': state.soundness.list_heard(now),
+            'slow': dict(state.paces.list_slow(now)),
             'resends_left': {
                 name: budget.count_left(now)
                 for name, budget in state.budgets.items()
--- a/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -141,6 +141,7 @@
             state.occupancy.usages,
             self._list_unusable(stream),
             state.has(mechanisms.Mechanism.CROSSING),
+            state.paces.list_slow(state.now),
         )
         if hops is None:
             return None
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -30,6 +30,7 @@
     :ivar accusations: times that an endpoint was left out
     :ivar waiting: requests that wait for room
     :ivar orders: orders to engines, by ``reception``
+    :ivar pace_questions: engines asked for their pace
     :ivar store_faults: calls on the store that failed, by ``fault``
     :ivar refused_items: what others wrote or sent that can't be read, by
         ``kind``
@@ -46,6 +47,7 @@
     accusations: prometheus_client.Counter
     waiting: prometheus_client.Gauge
     orders: prometheus_client.Counter
+    pace_questions: prometheus_client.Counter
     store_faults: prometheus_client.Counter
     refused_items: prometheus_client.Counter
     version: prometheus_client.Gauge
@@ -112,6 +114,9 @@
             orders=make(
                 counter, 'edge_orders', 'Orders to engines', ('reception',)
             ),
+            pace_questions=make(
+                counter, 'edge_pace_questions', 'Engines asked for their pace'
+            ),
             store_faults=make(
                 counter, 'edge_store_faults', 'Failed store calls', ('fault',)
             ),
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -51,6 +51,8 @@
 # at all beyond the longest, which takes one byte.
 AGE_UNIT = 0.01
 LONGEST_AGE = 127
+# Paces of engines are told in this unit, 1 for the published one.
+PACE_UNIT = 0.01
 # Spread of the pauses that entries keep before an engine that refused one of
 # them as full, as parts of the usual pause.
 FULL_PARTS = (0.5, 1.5)
@@ -75,6 +77,8 @@
     :ivar ages: for each use, how long ago a stream that flows through the
         endpoint moved, in its unit; the longest if none does
     :ivar full: digests of endpoints that just refused its sender
+    :ivar paces: digests of engines that its sender asked lately, and their
+        paces in hundredths
     """
 
     sender: str
@@ -87,6 +91,7 @@
     refusing: list[_Count] = []
     ages: list[_Count] = []
     full: list[_Count] = []
+    paces: list[tuple[_Count, _Count]] = []
 
 
 @functools.lru_cache(maxsize=4096)
@@ -182,6 +187,7 @@
             [],
             list(map(_digest, refusing)),
             full=list(map(_digest, full)),
+            paces=self._list_paces(),
         )
         own = state.settings.failure_domain
         if len(self.entries) <= MOST_TOLD:
@@ -225,8 +231,16 @@
             state.returns.list_recent(now - REFUSED_SECONDS),
             list(map(_digest, state.soundness.list_refusing(now))),
             self._list_ages(),
+            paces=self._list_paces(),
         )
 
+    def _list_paces(self) -> list[tuple[int, int]]:
+        told = self._state.paces.list_own(self._state.now)
+        return [
+            (_digest(name), round(pace / PACE_UNIT))
+            for name, pace in told.items()
+        ]
+
     def _list_ages(self) -> list[int]:
         flows = self._state.soundness.list_flows(self._state.now)
         longest = LONGEST_AGE * AGE_UNIT
@@ -291,6 +305,9 @@
                 if digest in names:
                     part = state.random.uniform(*FULL_PARTS)
                     state.soundness.hear_full(names[digest], now, part)
+        for digest, pace in message.paces:
+            if digest in names:
+                state.paces.receive(names[digest], pace * PACE_UNIT, now)
         for fingerprint, endpoint in message.broken:
             state.crashers.hear(fingerprint, endpoint, now)
         for digest in message.refused:
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/pacer.py
@@ -0,0 +1,73 @@
+"""Asks engines for their pace where streams are slow or stand still.
+
+An engine that does not answer is left out like one that fails streams.
+"""
+
+import asyncio
+
+from dunlintide_daemon.gateway import state as state_module
+from dunlintide_platform import orders
+
+__all__ = ['Pacer']
+
+# Longest pause between two looks at slow engines, in seconds.
+LOOK_SECONDS = 0.2
+# Questions under way at the same time.
+MAX_ASKING = 16
+
+
+class Pacer:
+    """Asker of engines, of its entry's failure domain and others alike."""
+
+    def __init__(self, state: state_module.State) -> None:
+        self._state = state
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Ask engines that are suspected or slow, until cancelled."""
+        suspected = self._state.slow_suspected
+        while True:
+            try:
+                async with asyncio.timeout(LOOK_SECONDS):
+                    await suspected.wait()
+            except TimeoutError:
+                pass
+            suspected.clear()
+            self._ask_all()
+
+    def _ask_all(self) -> None:
+        state = self._state
+        now = state.now
+        paces = state.paces
+        names = paces.list_slow_due(now)
+        names += paces.list_due(state.slow_suspects, now)
+        state.slow_suspects.clear()
+        for name in names:
+            endpoint = state.endpoints.get(name)
+            if endpoint is None or len(self._tasks) >= MAX_ASKING:
+                continue
+            work = self._ask(name, endpoint.address)
+            task = asyncio.get_running_loop().create_task(work)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, name: str, address: str) -> None:
+        state = self._state
+        read = await orders.read_report(address)
+        state.counters.pace_questions.inc()
+        if read.is_err():
+            # Where all streams of a dead engine share its whole chain, none
+            # of them shows which engine it is.
+            state.accuse([name], f'no report: {read.err_value}')
+            return
+        slow = name in state.paces.list_slow(state.now)
+        pace = read.ok_value.slowdown
+        state.paces.record(name, pace, state.now)
+        if slow != (name in state.paces.list_slow(state.now)):
+            state.log.write(
+                'engine is sound again' if slow else 'engine is slow',
+                endpoint=name,
+                pace=round(pace, 2),
+            )
+        if not slow:
+            state.alarmed.set()
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -23,6 +23,7 @@
 from dunlintide_daemon.gateway import front as front_module
 from dunlintide_daemon.gateway import gossip as gossip_module
 from dunlintide_daemon.gateway import leadership as leadership_module
+from dunlintide_daemon.gateway import pacer as pacer_module
 from dunlintide_daemon.gateway import placer as placer_module
 from dunlintide_daemon.gateway import registrar as registrar_module
 from dunlintide_daemon.gateway import state as state_module
@@ -101,6 +102,7 @@
             self._state, self._store, self._take_own
         )
         self._placer = placer_module.Placer(self._state, self._leadership)
+        self._pacer = pacer_module.Pacer(self._state)
         front = front_module.Front(self._state)
         admin = admin_module.Admin(self._state)
         bounds = _make_bounds(deployments.CallerLimits())
@@ -154,6 +156,7 @@
                 self._registrar.run,
                 self._leadership.run,
                 self._placer.run,
+                self._pacer.run,
                 self._gossip.run,
                 self._fetch_newer,
                 self._keep_house,
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -7,9 +7,11 @@
 
 from dunlintide_adapters import callermessages
 from dunlintide_adapters import endpointhttp
+from dunlintide_core.pipeline import chaincosts
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import occupancy
+from dunlintide_core.pipeline import paces
 from dunlintide_daemon.gateway import chainfinder
 from dunlintide_daemon.gateway import events
 from dunlintide_daemon.gateway import exchange as exchange_module
@@ -34,6 +36,9 @@
 # Answers at least this late after the send blame a dead endpoint, sooner
 # ones a full or leaving one, in seconds.
 DEAD_SECONDS = 0.5
+# Time over which the events of a run are counted to judge its pace, in
+# seconds; single pauses say little.
+PACE_SECONDS = 0.25
 # Breaks that say nothing of the endpoint that received the run.
 _NO_FAULT_OF_FIRST = (
     endpointhttp.Fault.TIMEOUT,
@@ -48,6 +53,10 @@
     :ivar began: monotonic time of its send, in seconds
     :ivar moved: when its last event came
     :ivar longest: its longest pause between events, in seconds
+    :ivar published: time of an event by what is published of its endpoints,
+        in seconds
+    :ivar paced: events since its mean time between events was judged
+    :ivar paced_since: monotonic time of that, in seconds
     :ivar lingers: whether its endpoints hold it for a while after its end
     :ivar connection: to the first endpoint, None until there is one
     """
@@ -58,6 +67,9 @@
     moved: float
     events: int = 0
     longest: float = 0.0
+    published: float = 0.0
+    paced: int = 0
+    paced_since: float = 0.0
     lingers: bool = False
     connection: endpointhttp.Connection | None = None
 
@@ -111,7 +123,8 @@
         tokens = self._finder.estimate(stream).tokens
         pipes = chains.list_pipes(hops)
         reservation = state.occupancy.reserve(hops, tokens, pipes)
-        run = _Run(hops, reservation, now, now)
+        published = chaincosts.time_event(stream.profile, hops)
+        run = _Run(hops, reservation, now, now, published=published)
         state.soundness.begin(run.names)
         self._active.add(run)
         connection = None
@@ -355,11 +368,27 @@
             counters.gap_seconds.observe(gap)
         if run.events:
             run.longest = max(run.longest, now - run.moved)
+            self._judge_pace(run, now)
         else:
             self._state.first_events.note(now - run.began)
             self._state.soundness.accept(run.names, run.began)
+            run.paced_since = now
         run.events += 1
         exchange.events += 1
         exchange.last_event = now
         run.moved = now
         self._state.soundness.report_progress(run.names, now)
+
+    def _judge_pace(self, run: _Run, now: float) -> None:
+        """Suspect the engines of a run whose events come slowly."""
+        run.paced += 1
+        elapsed = now - run.paced_since
+        if elapsed < PACE_SECONDS or not run.published:
+            return
+        state = self._state
+        against = elapsed / run.paced / run.published
+        run.paced, run.paced_since = 0, now
+        if paces.is_slow_run(against, state.event_times.usual):
+            state.suspect_slow(run.names)
+        if state.paces.list_slow(now).keys().isdisjoint(run.names):
+            state.event_times.note(against)
--- a/packages/daemon/src/dunlintide_daemon/gateway/silences.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/silences.py
@@ -76,6 +76,7 @@
         if not (rescued and exchange.can_go_on(True, now)):
             return exchange.deadline - silence.moved
         seconds = now - silence.moved
+        state.suspect_slow(silence.names)
         suspects = self._find_suspects(silence, now)
         evidence = self._weigh(silence, suspects, now)
         judgement = rescues.judge(seconds, limits, evidence)
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -15,6 +15,7 @@
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import occupancy as occupancy_module
+from dunlintide_core.pipeline import paces as paces_module
 from dunlintide_core.pipeline import pauses as pauses_module
 from dunlintide_core.pipeline import profiles
 from dunlintide_core.pipeline import resends
@@ -53,6 +54,11 @@
     :ivar waking: services whose queues are about to be woken
     :ivar first_events: times from a send to its first event
     :ivar pauses: longest pauses between events
+    :ivar event_times: mean times between the events of runs, against what is
+        published of their engines
+    :ivar paces: what engines told of their pace
+    :ivar slow_suspects: names of engines that may be slow
+    :ivar slow_suspected: set when there is one
     :ivar alarmed: set when other entries are to be told of doubts at once
     :ivar stopping: whether the process takes no new connections
     :ivar stopping_at: monotonic time of SIGTERM, in seconds
@@ -72,6 +78,12 @@
         factory=pauses_module.Pauses
     )
     pauses: pauses_module.Pauses = attrs.field(factory=pauses_module.Pauses)
+    event_times: pauses_module.Pauses = attrs.field(
+        factory=pauses_module.Pauses
+    )
+    paces: paces_module.Paces = attrs.field(factory=paces_module.Paces)
+    slow_suspects: set[str] = attrs.field(factory=set)
+    slow_suspected: asyncio.Event = attrs.field(factory=asyncio.Event)
     alarmed: asyncio.Event = attrs.field(factory=asyncio.Event)
     crashers: crashers_module.Crashers = attrs.field(
         factory=crashers_module.Crashers
@@ -265,6 +277,7 @@
             self.listing_version += 1
         self.pool.drop(endpoint.address)
         self.soundness.forget(endpoint.name)
+        self.paces.forget(endpoint.name)
 
     def list_endpoints(self, service: str) -> list[endpoints_module.Endpoint]:
         """List the endpoints of a service that take new requests."""
@@ -327,10 +340,12 @@
         self.counters.resends.labels(reason).inc()
         return True
 
-    def accuse(self, names: Iterable[str], reason: str, request: str) -> None:
+    def accuse(
+        self, names: Iterable[str], reason: str, request: str = ''
+    ) -> None:
         """Leave endpoints out for a while, and log why.
 
-        :param request: id of the request that showed it
+        :param request: id of the request that showed it, if one did
         """
         if not self.has(mechanisms.Mechanism.ACCUSATION):
             return
@@ -346,6 +361,12 @@
                 )
                 self.alarmed.set()
 
+    def suspect_slow(self, names: Iterable[str]) -> None:
+        """Let engines be asked whether they are slow."""
+        if self.has(mechanisms.Mechanism.PACES):
+            self.slow_suspects.update(names)
+            self.slow_suspected.set()
+
     def note_refusal(self, name: str, service: str, roomy: bool) -> None:
         """Take note that an endpoint refused a request that it could hold.
 
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -116,6 +116,7 @@
         self.layers: tuple[int, int] | None = None
         self.runs: list[Run] = []
         self.overloaded = False
+        self.crashed = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self._seq = 0
@@ -135,6 +136,7 @@
         self.name = f'i-{next(_numbers):06x}'
         self.layers = None
         self.orders = 0
+        self.crashed = False
         self._server = await wire.listen(self._handle, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
         await self.list_itself()
@@ -175,6 +177,7 @@
 
         :param listed: whether its entry stays for now
         """
+        self.crashed = True
         self._server.close()
         for task in list(self._tasks):
             task.cancel()
@@ -291,9 +294,9 @@
         return ''
 
     async def _wait_for_parts(self, run: Run) -> None:
-        """Stand still while a part of the chain does."""
+        """Stand still while a part of the chain does, or is dead."""
         while any(
-            runner is not None and runner.faults.stall
+            runner is not None and (runner.faults.stall or runner.crashed)
             for runner in (self.fleet.find(hop[0]) for hop in run.hops)
         ):
             await asyncio.sleep(0.01)
