Never move an engine that alone holds a layer of its domain

A layer that nobody holds anywhere costs more than one that only a domain lacks, so moves filled one gap by opening another; the log shows i-4b6dd4cdf2 moved from 33-42 to 24-33, then an order conflict. Change: only engines whose layers another one of the domain holds are moved, as before the new layout. A scenario fails without it.

--- a/features/layouts.feature
+++ b/features/layouts.feature
@@ -47,6 +47,12 @@
     Then an engine moves there only once the fleet is steady
     And then none moves any more
 
+  Scenario: An engine that alone holds a layer stays where it is
+    Given a model of 80 layers of 1750 MB, whose tokens take 786000 bytes
+    And failure domains "a" and "b" whose one a100 holds layers 0 to 40
+    And two more in "a" that hold layers 0 to 20
+    Then no engine moves that alone holds a layer of its domain
+
   Scenario Outline: A layout takes little time
     A line takes some 80 ns on an idle machine, so 1250000 of them are 100 ms.
     Given <engines> engines without layers in 5 failure domains
--- a/features/steps/layoutload.py
+++ b/features/steps/layoutload.py
@@ -246,6 +246,33 @@
     assert not plan_moves(context)
 
 
+@behave.given(
+    'failure domains "{one}" and "{other}" whose one {kind} holds layers'
+    ' {start:d} to {end:d}'
+)
+def make_pair(context, one, other, kind, start, end):
+    context.engines = [
+        overload.make_engine(f'alone-{domain}', kind, domain, start, end)
+        for domain in (one, other)
+    ]
+
+
+@behave.given('two more in "{domain}" that hold layers {start:d} to {end:d}')
+def add_two(context, domain, start, end):
+    context.engines += [
+        overload.make_engine(f'spare-{index}', 'l40s', domain, start, end)
+        for index in range(2)
+    ]
+
+
+@behave.then('no engine moves that alone holds a layer of its domain')
+def check_alone_stay(context):
+    moves = plan_moves(context)
+    assert moves, 'no engine moves to layers that nobody holds'
+    for move in moves:
+        assert not move.endpoint.name.startswith('alone'), moves
+
+
 @behave.given(
     '{count:d} engines without layers in {domains:d} failure domains'
 )
--- a/packages/core/src/dunlintide_core/pipeline/layout.py
+++ b/packages/core/src/dunlintide_core/pipeline/layout.py
@@ -233,9 +233,19 @@
     free: Iterable[Placement],
     count_use: Callable[[str], float],
 ) -> _Move | None:
-    """Find the move that is worth most, None if there is nothing to move."""
+    """Find the move that is worth most, None if there is nothing to move.
+
+    An engine that alone holds a layer stays: its domain would have no whole
+    chain until another holds it, however much the move gives elsewhere.
+    """
+    counts = domain.cover.counts
+    spare = [
+        each
+        for each in free
+        if all(counts[layer] > 1 for layer in range(each.start, each.end))
+    ]
     return max(
-        (_weigh_move(profile, domain, each) for each in free),
+        (_weigh_move(profile, domain, each) for each in spare),
         key=lambda move: (
             move.worth,
             -count_use(move.before.endpoint.name),
