Wake the HTTP server's loop before it can close its trigger

Ruled out: load as such, the scenario shows the order without it. Change: the trigger is pulled before it can be closed. The new scenario fails without the change, each time.

--- a/features/httpserver.feature
+++ b/features/httpserver.feature
@@ -30,6 +30,10 @@
     And the HTTP server is told to stop
     Then the HTTP server has stopped
 
+  Scenario: A stop that the loop sees before it is woken fails nothing
+    When the HTTP server is told to stop and is woken only 1.5 s later
+    Then the HTTP server stopped without an error
+
   Scenario: A caller that does not read pushes the application back
     When a caller asks for 64 MB and reads none of it
     Then the HTTP application is pushed back below 16 MB
--- a/features/steps/httpserver.py
+++ b/features/steps/httpserver.py
@@ -423,3 +423,23 @@
         flushed = channel._flush_exception(channel._flush_some, False)
     assert not logged.called, logged.call_args
     assert flushed == (False, False), flushed
+
+
+@behave.when(
+    'the HTTP server is told to stop and is woken only {seconds:f} s later'
+)
+def stop_late(context, seconds):
+    waker = context.server._server
+    pull = waker.pull_trigger
+
+    def pull_late():
+        time.sleep(seconds)
+        pull()
+
+    waker.pull_trigger = pull_late
+    context.stopped_clean = context.server.stop()
+
+
+@behave.then('the HTTP server stopped without an error')
+def check_stopped_clean(context):
+    assert context.stopped_clean
--- a/packages/adapters/src/dunlintide_adapters/httpserver.py
+++ b/packages/adapters/src/dunlintide_adapters/httpserver.py
@@ -94,6 +94,7 @@
         self._thread = threading.Thread(
             target=self._run, name=f'http-{self.port}', daemon=True
         )
+        self._waking = threading.Lock()
 
     @classmethod
     def from_config(
@@ -179,11 +180,14 @@
         """
         if grace is not None:
             self._deadline = time.monotonic() + grace
-        self._stopping.set()
-        if not self._thread.is_alive():
+        with self._waking:
+            self._stopping.set()
+            serves = self._thread.is_alive()
+            if serves:
+                self._server.pull_trigger()
+        if not serves:
             self._close()
             return True
-        self._server.pull_trigger()
         self._thread.join()
         return self._clean
 
@@ -200,7 +204,10 @@
         while self._is_busy():
             self._poll(_STOP_LOOP_SECONDS)
             self._close_idle()
-        self._close()
+        # The loop may see the stop before the trigger is pulled, which must
+        # not be closed until then.
+        with self._waking:
+            self._close()
 
     def _close_silent(self, now: float) -> None:
         """Close connections whose caller stopped within a request.
