--- a/features/layouts.feature
+++ b/features/layouts.feature
@@ -25,11 +25,11 @@
     Then each layer had a holder all the time
     And each engine loaded layers only once
 
-  Scenario: Memory that streams do not take holds further copies
+  Scenario: Room for requests grows with the demand and keeps a reserve
     Given a model of 80 layers of 1750 MB, whose tokens take 656000 bytes
     And its failure domain with 1 a100, 9 v100, 10 l4
     When its streams take 10000 tokens at their peak
-    Then a new layout holds more copies than without that knowledge
+    Then a new layout holds as many copies as without that knowledge
     When its streams take 150000 tokens at their peak
     Then a new layout keeps room for 150000 tokens with all engines
 
--- a/packages/core/src/dunlintide_core/pipeline/layout.py
+++ b/packages/core/src/dunlintide_core/pipeline/layout.py
@@ -90,12 +90,14 @@
 
     :param holding: ranges in all failure domains
     :param empty: its engines without layers
-    :param demands: tokens in flight by domain, estimated where missing
+    :param demands: tokens in flight by domain, where they are known
     """
     own = [each for each in holding if each.endpoint.domain == name]
     kinds = [each.endpoint.kind for each in own]
     kinds += [each.kind for each in empty]
-    demand = demands.get(name) or rooms.estimate_demand(profile, kinds)
+    # A domain also takes the streams of others that lose their chains.
+    estimate = rooms.estimate_demand(profile, kinds)
+    demand = max(estimate, demands.get(name, 0.0))
     plan = rooms.plan_room(profile, kinds, demand)
     elsewhere = _count_elsewhere(profile, holding, name)
     cover = coverage.Coverage(profile, plan, elsewhere)
--- a/packages/core/src/dunlintide_core/pipeline/rooms.py
+++ b/packages/core/src/dunlintide_core/pipeline/rooms.py
@@ -29,6 +29,10 @@
 # or more: with two, the loss of one halves the places for new streams.
 LEAST_FIRST = 3
 COPIES_FOR_FIRST = 1.5
+# Copies that a failure domain holds where its cards can, whatever the demand:
+# ranges of unequal cards overlap, and with fewer the loss of any engine
+# leaves layers that nobody holds.
+LEAST_COPIES = 1.3
 # Amounts of room that are compared, from the least to the most.
 ROOM_STEPS = 24
 # Holders of a layer beyond which another one changes nothing.
@@ -117,8 +121,8 @@
     :returns: expected share, summed over the parts of a chain
     """
     copies = plan.part * cards / layers
-    if copies < 1.0:
-        return cards + 1.0 - copies
+    if copies < LEAST_COPIES:
+        return cards + LEAST_COPIES - copies
     least = min(int(copies), MAX_HOLDERS - 1)
     more = min(1.0, copies - least)
     refused = (1.0 - more) * plan.refused[least]
