Read and log the rate limits that endpoints name

An incident could not be told apart by the logs: no line or metric said which limit an entry knows, as none was read. The answers of requests and reports are now read, the newest observation of each endpoint is kept, and a change is logged with its source and the age of what was known before. No decision rests on it yet.

--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/ratelimits.py
@@ -0,0 +1,112 @@
+"""Rate limits that endpoints name, as one entry knows them.
+
+An endpoint names its limit in its answers, so each entry observes it at
+other times. The newest observation counts, whoever made it.
+"""
+
+import attrs
+
+__all__ = [
+    'Observation',
+    'RateLimits',
+]
+
+# How long the end of a limit is remembered, in seconds, so that older news
+# of other entries does not bring the limit back.
+ENDED_SECONDS = 30.0
+# How long an observation is repeated to other entries, in seconds.
+REPEAT_SECONDS = 5.0
+
+
+@attrs.frozen
+class Observation:
+    """What an endpoint said of its limit.
+
+    :ivar limit: requests a second from all entries, None for no limit
+    :ivar at: monotonic time of the observation, in seconds
+    :ivar is_own: whether this entry made it
+    """
+
+    limit: float | None
+    at: float
+    is_own: bool = True
+
+
+class RateLimits:
+    """Newest observation of each endpoint that named a limit."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, Observation] = {}
+
+    def get(self, name: str) -> float | None:
+        """Give the limit of an endpoint in requests a second, if any."""
+        known = self._known.get(name)
+        return known.limit if known else None
+
+    def get_age(self, name: str, now: float) -> float:
+        """Tell how old the observation of an endpoint is, in seconds."""
+        known = self._known.get(name)
+        return now - known.at if known else float('inf')
+
+    def list_limited(self) -> dict[str, float]:
+        """Give the limits by name of the endpoint."""
+        return {
+            name: known.limit
+            for name, known in self._known.items()
+            if known.limit is not None
+        }
+
+    def list_recent(self, now: float) -> dict[str, Observation]:
+        """Give the own observations that other entries should know."""
+        return {
+            name: known
+            for name, known in self._known.items()
+            if known.is_own and now - known.at <= REPEAT_SECONDS
+        }
+
+    def record(
+        self, name: str, limit: float | None, sent: float, now: float
+    ) -> bool:
+        """Record what an answer of an endpoint says.
+
+        :param limit: None if the answer names none
+        :param sent: when the answered request was sent
+        :returns: whether the limit has changed
+        """
+        known = self._known.get(name)
+        # Answers overtake each other: one to an earlier request can't tell
+        # that a limit has ended.
+        if limit is None and (known is None or sent <= known.at):
+            return False
+        return self._replace(name, Observation(limit, now))
+
+    def receive(
+        self, name: str, limit: float | None, age: float, now: float
+    ) -> bool:
+        """Record what another entry observed.
+
+        :param age: of its observation, in seconds
+        :returns: whether the limit has changed
+        """
+        at = now - age
+        known = self._known.get(name)
+        if known is not None and at <= known.at:
+            return False
+        if known is None and limit is None:
+            return False
+        return self._replace(name, Observation(limit, at, is_own=False))
+
+    def _replace(self, name: str, new: Observation) -> bool:
+        before = self.get(name)
+        self._known[name] = new
+        return before != new.limit
+
+    def expire(self, now: float) -> None:
+        """Forget limits that ended long ago."""
+        for name, known in list(self._known.items()):
+            if known.limit is None and now - known.at > ENDED_SECONDS:
+                del self._known[name]
+
+    def forget(self, name: str) -> None:
+        """Drop what is known of an endpoint that is gone."""
+        self._known.pop(name, None)
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -102,6 +102,7 @@
             'left_out': state.soundness.list_doubted(now),
             'told_to_leave_out': state.soundness.list_heard(now),
             'slow': dict(state.paces.list_slow(now)),
+            'rate_limits': state.rate_limits.list_limited(),
             'resends_left': {
                 name: budget.count_left(now)
                 for name, budget in state.budgets.items()
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -254,6 +254,7 @@
         )
         head = await connection.read_head(exchange.deadline)
         verdict = requests.judge(head)
+        state.record_rate_limit(endpoint.name, verdict.rate_limit, sent_at)
         body = await connection.read_all(exchange.deadline)
         if verdict.name not in (None, exchange.ask.name):
             return _Answer(endpoint, True, 'answer to another request')
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -31,6 +31,7 @@
     :ivar waiting: requests that wait for room
     :ivar orders: orders to engines, by ``reception``
     :ivar pace_questions: engines asked for their pace
+    :ivar limited_endpoints: endpoints that name a rate limit now
     :ivar store_faults: calls on the store that failed, by ``fault``
     :ivar refused_items: what others wrote or sent that can't be read, by
         ``kind``
@@ -48,6 +49,7 @@
     waiting: prometheus_client.Gauge
     orders: prometheus_client.Counter
     pace_questions: prometheus_client.Counter
+    limited_endpoints: prometheus_client.Gauge
     store_faults: prometheus_client.Counter
     refused_items: prometheus_client.Counter
     version: prometheus_client.Gauge
@@ -117,6 +119,11 @@
             pace_questions=make(
                 counter, 'edge_pace_questions', 'Engines asked for their pace'
             ),
+            limited_endpoints=make(
+                prometheus_client.Gauge,
+                'edge_limited_endpoints',
+                'Endpoints that name a rate limit',
+            ),
             store_faults=make(
                 counter, 'edge_store_faults', 'Failed store calls', ('fault',)
             ),
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -231,6 +231,7 @@
             if state.now - swept >= SWEEP_SECONDS:
                 swept = state.now
                 state.pool.sweep()
+                state.rate_limits.expire(state.now)
 
     def _note_lag(self, seconds: float) -> None:
         """Take note of how late the event loop was."""
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -202,6 +202,9 @@
         try:
             head = await self._read_head(stream, run, connection)
             verdict = requests.judge(head)
+            self._state.record_rate_limit(
+                run.first.name, verdict.rate_limit, run.began
+            )
             if verdict.name not in (None, exchange.ask.name):
                 raise runends.RunEnded(True, 'answer to another request')
             if verdict.not_run:
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -6,6 +6,7 @@
 from typing import Callable, Iterable
 
 import attrs
+import result
 
 from dunlintide_adapters import decisionlog
 from dunlintide_adapters import endpointhttp
@@ -18,6 +19,7 @@
 from dunlintide_core.pipeline import paces as paces_module
 from dunlintide_core.pipeline import pauses as pauses_module
 from dunlintide_core.pipeline import profiles
+from dunlintide_core.pipeline import ratelimits as ratelimits_module
 from dunlintide_core.pipeline import resends
 from dunlintide_core.pipeline import returns as returns_module
 from dunlintide_core.pipeline import settings as settings_module
@@ -57,6 +59,7 @@
     :ivar event_times: mean times between the events of runs, against what is
         published of their engines
     :ivar paces: what engines told of their pace
+    :ivar rate_limits: limits that endpoints named
     :ivar slow_suspects: names of engines that may be slow
     :ivar slow_suspected: set when there is one
     :ivar alarmed: set when other entries are to be told of doubts at once
@@ -82,6 +85,9 @@
         factory=pauses_module.Pauses
     )
     paces: paces_module.Paces = attrs.field(factory=paces_module.Paces)
+    rate_limits: ratelimits_module.RateLimits = attrs.field(
+        factory=ratelimits_module.RateLimits
+    )
     slow_suspects: set[str] = attrs.field(factory=set)
     slow_suspected: asyncio.Event = attrs.field(factory=asyncio.Event)
     alarmed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -278,6 +284,7 @@
         self.pool.drop(endpoint.address)
         self.soundness.forget(endpoint.name)
         self.paces.forget(endpoint.name)
+        self.rate_limits.forget(endpoint.name)
 
     def list_endpoints(self, service: str) -> list[endpoints_module.Endpoint]:
         """List the endpoints of a service that take new requests."""
@@ -361,6 +368,46 @@
                 )
                 self.alarmed.set()
 
+    def record_rate_limit(
+        self,
+        name: str,
+        told: result.Result[float | None, str],
+        sent: float,
+    ) -> None:
+        """Record what an answer says of the limit of its endpoint.
+
+        :param told: requests a second, None for no limit, or a text that
+            is no number
+        :param sent: when the answered request was sent
+        """
+        if told.is_err():
+            self.counters.refused_items.labels('rate limit').inc()
+            self.log.write(
+                'rate limit refused', endpoint=name, value=told.err_value
+            )
+            return
+        limit = told.ok_value
+        age = self.rate_limits.get_age(name, self.now)
+        if self.rate_limits.record(name, limit, sent, self.now):
+            self.log_rate_limit(name, 'answer', age)
+
+    def log_rate_limit(self, name: str, source: str, age: float) -> None:
+        """Log the limit of an endpoint, and count the limited ones.
+
+        :param source: ``answer``, or the entry that told
+        :param age: of the observation before, in seconds
+        """
+        self.counters.limited_endpoints.set(
+            len(self.rate_limits.list_limited())
+        )
+        self.log.write(
+            'rate limit changed',
+            endpoint=name,
+            limit=self.rate_limits.get(name),
+            source=source,
+            age_before=round(age, 3) if age != float('inf') else None,
+        )
+
     def suspect_slow(self, names: Iterable[str]) -> None:
         """Let engines be asked whether they are slow."""
         if self.has(mechanisms.Mechanism.PACES):
