--- a/features/steps/edge_faults.py
+++ b/features/steps/edge_faults.py
@@ -13,6 +13,7 @@
 
     full = False
     stall_after = None
+    rate_limit = None
 
     def take(self, name):
         return False
--- /dev/null
+++ b/features/steps/ratelimits.py
@@ -0,0 +1,99 @@
+"""Steps about rate limits, on real entries."""
+
+import contextlib
+import threading
+import time
+
+import behave
+from dunlintide_standins.fleet import callers
+
+# Time from the first naming of a limit after which it holds, and length of
+# the windows in which requests are counted, in seconds.
+STABLE_SECONDS = 3.0
+WINDOW_SECONDS = 4.0
+CALLERS = 12
+WORK = {'service': '/lists/x', 'engine': None}
+# Longest pause of a caller that was told to return, in seconds.
+MOST_PAUSE = 0.5
+
+
+def count_allowed(limit):
+    """Tell how many requests a window may have."""
+    return 1.5 * limit * WINDOW_SECONDS + 5
+
+
+def count_most(arrivals, since):
+    """Count the requests of the fullest window."""
+    times = sorted(at for at in arrivals if at >= since)
+    most = first = 0
+    for index, at in enumerate(times):
+        while times[first] <= at - WINDOW_SECONDS:
+            first += 1
+        most = max(most, index - first + 1)
+    return most
+
+
+def _list_runners(context, kind):
+    scene = context.scene
+    engines = scene.list_engines()
+    return engines if kind == 'engine' else scene.list_services()
+
+
+@behave.when('every {kind} names a limit of {limit:f} requests a second')
+def name_limit(context, kind, limit):
+    context.limit = limit
+    context.named_at = time.monotonic()
+    for runner in _list_runners(context, kind):
+        runner.faults.rate_limit = limit
+
+
+def _ask_on(entry, prefix, path, end, answers):
+    number = 0
+    while time.monotonic() < end:
+        number += 1
+        name = f'{prefix}-{number}'
+        with contextlib.closing(callers.Caller(entry.listen)) as caller:
+            if path is None:
+                caller.send(callers.build_stream(name, 3))
+            else:
+                caller.send(callers.build_request(name, path))
+            answer = caller.read_answer()
+        answers.append(answer)
+        pause = float(answer.headers.get('retry-after', 0.0))
+        time.sleep(min(pause, MOST_PAUSE))
+
+
+@behave.when('callers ask all entries for {kind} work for {seconds:d} seconds')
+def ask_all(context, kind, seconds):
+    context.answers = []
+    end = time.monotonic() + seconds
+    entries = context.scene.entries
+    threads = [
+        threading.Thread(
+            target=_ask_on,
+            args=(
+                entries[index % len(entries)],
+                f'c{index}',
+                WORK[kind],
+                end,
+                context.answers,
+            ),
+        )
+        for index in range(CALLERS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@behave.then('no {kind} got more than its limit allows')
+def check_limit(context, kind):
+    assert context.answers
+    since = context.named_at + STABLE_SECONDS
+    allowed = count_allowed(context.limit)
+    counts = [
+        count_most(runner.arrivals, since)
+        for runner in _list_runners(context, kind)
+    ]
+    assert max(counts) <= allowed, f'{counts} in a window, {allowed} allowed'
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -36,6 +36,7 @@
     :ivar stall_after: events of a stream behind which its runner stalls
     :ivar lose_orders: orders that it carries out later, unanswered
     :ivar order_delay: seconds until such an order is carried out
+    :ivar rate_limit: requests a second that it names, None for no limit
     """
 
     full: bool = False
@@ -48,6 +49,7 @@
     stall_after: int | None = None
     lose_orders: int = 0
     order_delay: float = 0.0
+    rate_limit: float | None = None
 
     def take(self, name: str) -> bool:
         """Use up one of a count."""
@@ -97,6 +99,8 @@
     """One engine, or one plain service without a kind of card.
 
     :ivar runs: requests that it began, over all of its lives
+    :ivar arrivals: monotonic times of all that it got, reports and orders
+        too, in seconds
     :ivar orders: orders that it has accepted in this life
     :ivar born: start of this life, Unix milliseconds, None to tell none
     """
@@ -115,6 +119,7 @@
         self.orders = 0
         self.layers: tuple[int, int] | None = None
         self.runs: list[Run] = []
+        self.arrivals: list[float] = []
         self.overloaded = False
         self.crashed = False
         self._server: asyncio.Server | None = None
@@ -187,6 +192,11 @@
     async def _handle(
         self, request: wire.Request, channel: wire.Channel
     ) -> None:
+        self.arrivals.append(time.monotonic())
+        if self.faults.rate_limit is None:
+            channel.headers.pop('Server-Limit', None)
+        else:
+            channel.headers['Server-Limit'] = f'{self.faults.rate_limit:.1f}'
         task = asyncio.current_task()
         self._tasks.add(task)
         try:
@@ -311,7 +321,7 @@
             'Server-Stamp': sign(self.name, run.request.encode()),
         }
         await self._wait_for_parts(run)
-        await channel.send(wire.build_head(200, headers, None))
+        await channel.send(channel.build_head(200, headers, None))
         for number in range(run.after + 1, count + 1):
             await asyncio.sleep(self.fleet.event_seconds)
             await self._wait_for_parts(run)
@@ -354,7 +364,7 @@
             await channel.answer(500, b'broken', headers)
             return
         if self.faults.take('unframed'):
-            head = wire.build_head(200, headers, 0)
+            head = channel.build_head(200, headers, 0)
             head = head.replace(b'Content-Length: 0\r\n', b'')
             await channel.send(head + body)
             channel.close()
--- a/packages/standins/src/dunlintide_standins/fleet/wire.py
+++ b/packages/standins/src/dunlintide_standins/fleet/wire.py
@@ -43,11 +43,15 @@
 
 
 class Channel:
-    """The answering side of one connection."""
+    """The answering side of one connection.
+
+    :ivar headers: added to the head of each answer
+    """
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         self._writer = writer
         self.closed = False
+        self.headers: dict[str, str] = {}
 
     async def send(self, data: bytes) -> None:
         """Send bytes as they are."""
@@ -61,7 +65,13 @@
         headers: dict[str, str] | None = None,
     ) -> None:
         """Send a whole answer with its length."""
-        await self.send(build_head(status, headers, len(body)) + body)
+        await self.send(self.build_head(status, headers, len(body)) + body)
+
+    def build_head(
+        self, status: int, headers: dict[str, str] | None, length: int | None
+    ) -> bytes:
+        """Write the head of an answer; no length means chunks."""
+        return build_head(status, {**(headers or {}), **self.headers}, length)
 
     def close(self) -> None:
         """Close behind what was sent."""
