Share the rate limit of an endpoint among all entries

Cause: no entry read the limit. Class: a bound on a sum over all entries that each of them can only break alone. Evidence: the sends of four entries go on at the same rate through the naming of the limit; 426 streams in the logs, all first sends or usual repeats. Ruled out: a sum of limits that each entry keeps alone (the rate would fall), and second sends as the surplus.

--- a/features/steps/ratelimits.py
+++ b/features/steps/ratelimits.py
@@ -97,3 +97,24 @@
         for runner in _list_runners(context, kind)
     ]
     assert max(counts) <= allowed, f'{counts} in a window, {allowed} allowed'
+
+
+@behave.then('callers were answered, or told when to return')
+def check_answers(context):
+    for answer in context.answers:
+        if answer.status == 503:
+            assert float(answer.headers['retry-after']) > 0
+        else:
+            assert answer.status == 200 and answer.whole, answer
+
+
+@behave.when('no {kind} names a limit any more')
+def end_limit(context, kind):
+    for runner in _list_runners(context, kind):
+        runner.faults.rate_limit = None
+
+
+@behave.then('{count:d} calls or more were served in the end')
+def check_served(context, count):
+    served = sum(answer.status == 200 for answer in context.answers)
+    assert served >= count, f'{served} of {len(context.answers)}'
--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/liveness.py
@@ -0,0 +1,96 @@
+"""Which other entries answer, from messages asked and heard."""
+
+import attrs
+
+__all__ = ['Liveness']
+
+# Messages without an answer, and the time over which, after which an entry
+# counts as silent, in seconds: single messages may be lost.
+SILENT_TRIES = 6
+SILENT_SECONDS = 0.3
+# Pause after which unanswered messages do not count any more, in seconds.
+STALE_SECONDS = 1.0
+# How long an entry counts as alive without a message, in seconds, and the
+# pause between two messages to one that is silent.
+FRESH_SECONDS = 0.2
+PROBE_SECONDS = 0.1
+
+
+@attrs.define
+class _Contact:
+    """Messages to one entry.
+
+    :ivar heard: monotonic time of the last message from it, in seconds
+    :ivar since: time of the first message that it left unanswered
+    :ivar asked: time of the last message to it
+    :ivar tries: messages that it left unanswered
+    """
+
+    heard: float = float('-inf')
+    since: float = 0.0
+    asked: float = float('-inf')
+    tries: int = 0
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether it leaves all messages unanswered."""
+        return (
+            self.tries >= SILENT_TRIES and now - self.since >= SILENT_SECONDS
+        )
+
+
+class Liveness:
+    """Signs of life of other entries."""
+
+    def __init__(self) -> None:
+        self._contacts: dict[str, _Contact] = {}
+
+    def ask(self, name: str, now: float) -> None:
+        """Record a message that an entry is to answer.
+
+        :param now: monotonic time in seconds
+        """
+        contact = self._contacts.setdefault(name, _Contact())
+        stale = now - contact.asked > STALE_SECONDS
+        if not contact.tries or (stale and not contact.is_silent(now)):
+            contact.tries = 0
+            contact.since = now
+        contact.tries += 1
+        contact.asked = now
+
+    def hear(self, name: str, now: float) -> None:
+        """Record a message from an entry."""
+        contact = self._contacts.setdefault(name, _Contact())
+        contact.heard = now
+        contact.tries = 0
+
+    def is_silent(self, name: str, now: float) -> bool:
+        """Tell whether an entry leaves all messages unanswered."""
+        contact = self._contacts.get(name)
+        return contact is not None and contact.is_silent(now)
+
+    def measure_silence(self, name: str, now: float) -> float:
+        """Tell for how long an entry has left messages unanswered.
+
+        :returns: seconds, 0 if it left none unanswered
+        """
+        contact = self._contacts.get(name)
+        if contact is None or not contact.tries:
+            return 0.0
+        return now - contact.since
+
+    def is_doubtful(self, name: str, now: float) -> bool:
+        """Tell whether an entry was not heard of lately."""
+        contact = self._contacts.get(name)
+        return contact is None or now - contact.heard > FRESH_SECONDS
+
+    def list_due(self, now: float) -> list[str]:
+        """Name the silent entries that are to be asked again."""
+        return [
+            name
+            for name, contact in self._contacts.items()
+            if contact.is_silent(now) and now - contact.asked >= PROBE_SECONDS
+        ]
+
+    def forget(self, name: str) -> None:
+        """Drop what is known of an entry that is gone."""
+        self._contacts.pop(name, None)
--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/permits.py
@@ -0,0 +1,382 @@
+"""Permits for requests to endpoints that name a rate limit.
+
+For each limited endpoint one entry coordinates: the others ask it for a
+permit before each request. So the sum of all entries keeps the limit however
+the load is spread over them, and none of it is lost in unused shares. The
+coordinator is the entry with the highest hash of its name and the endpoint's
+among those that answer. Nothing here sends or waits: callers carry the
+messages and keep the time.
+"""
+
+import enum
+import hashlib
+import random as random_module
+from typing import Iterable, Sequence
+
+import attrs
+
+from dunlintide_core.pipeline import liveness
+from dunlintide_core.pipeline import ratelimits
+
+__all__ = [
+    'Answer',
+    'Ask',
+    'Permits',
+    'Ticket',
+    'Verdict',
+]
+
+# Rate at which an endpoint that takes nothing is asked, in requests a second:
+# only its answers tell that the limit has ended.
+LEAST_RATE = 0.1
+# Unused permits that are kept, as the time in seconds in which they come up,
+# and in any case.
+BURST_SECONDS = 0.4
+LEAST_BURST = 2.0
+# Part of the limit that is granted in place of an entry that fell silent
+# only so many seconds ago: that one may still grant the whole of it.
+STAND_IN_PART = 0.5
+STAND_IN_SECONDS = 2.0
+# Pause of an entry before it asks again for an endpoint that has no permit
+# left, in seconds, and its spread, so that entries do not ask together.
+PAUSE_SECONDS = (0.02, 0.3)
+PAUSE_SPREAD = (1.0, 1.5)
+# The same where the asked entry does not coordinate, or none answered.
+ELSEWHERE_SECONDS = 0.1
+# Pauses between the messages of one ask, in seconds; the last one repeats.
+RETRY_SECONDS = (0.03, 0.05, 0.07)
+# Longest time for an answer, in seconds.
+PATIENCE_SECONDS = 0.6
+# How long an answer is kept for repeated messages of the same ask, in seconds.
+ANSWERED_SECONDS = 1.0
+
+
+class Verdict(enum.StrEnum):
+    """What became of an ask; ELSEWHERE if another entry coordinates."""
+
+    GRANTED = 'granted'
+    DENIED = 'denied'
+    ELSEWHERE = 'elsewhere'
+
+
+@attrs.frozen
+class Ask:
+    """An entry asks for one permit, or, without an endpoint, for an answer.
+
+    :ivar number: names the ask for its sender
+    :ivar limit: requests a second by what the sender knows
+    :ivar age: of its knowledge, in seconds
+    """
+
+    sender: str
+    number: int
+    endpoint: str = ''
+    limit: float | None = None
+    age: float = 0.0
+
+
+@attrs.frozen
+class Answer:
+    """What the asked entry answers.
+
+    :ivar pause: seconds before the next ask, unless granted
+    :ivar limit: requests a second by what the sender knows
+    :ivar age: of its knowledge, in seconds
+    """
+
+    sender: str
+    number: int
+    endpoint: str = ''
+    verdict: Verdict = Verdict.GRANTED
+    pause: float = 0.0
+    limit: float | None = None
+    age: float = 0.0
+
+
+Message = Ask | Answer
+# Receiver and message.
+Sends = list[tuple[str, Message]]
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """An ask that is under way.
+
+    :ivar began: monotonic time in seconds
+    :ivar due: when :meth:`Permits.advance` is to be called again
+    :ivar verdict: None while it is open
+    :ivar source: entry that decided, empty if none did
+    :ivar pause: how long the endpoint gets nothing from here, in seconds
+    """
+
+    number: int
+    endpoint: str
+    began: float
+    due: float
+    tries: int = 0
+    verdict: Verdict | None = None
+    source: str = ''
+    pause: float = 0.0
+
+    @property
+    def is_granted(self) -> bool:
+        """Whether the request may be sent now."""
+        return self.verdict is Verdict.GRANTED
+
+
+@attrs.define
+class _Bucket:
+    """Permits of an endpoint that are left; a new one has none.
+
+    An entry that takes over does not know what was granted before.
+    """
+
+    updated: float
+    rate: float
+    tokens: float = 0.0
+
+    def refill(self, rate: float, now: float) -> None:
+        """Add what came up at the former rate, and set the new one."""
+        self.tokens += (now - self.updated) * self.rate
+        self.updated = now
+        self.rate = rate
+        most = max(LEAST_BURST, self.rate * BURST_SECONDS)
+        self.tokens = min(self.tokens, most)
+
+    def take(self) -> float:
+        """Take a permit.
+
+        :returns: 0, or the seconds until there is one
+        """
+        if self.tokens >= 1.0:
+            self.tokens -= 1.0
+            return 0.0
+        return (1.0 - self.tokens) / self.rate
+
+
+def _rank(endpoint: str, entry: str) -> bytes:
+    text = f'{endpoint}\0{entry}'.encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+class Permits:
+    """Permits that one entry asks for and grants.
+
+    :ivar liveness: which other entries answer
+    """
+
+    def __init__(
+        self,
+        name: str,
+        limits: ratelimits.RateLimits,
+        random: random_module.Random,
+    ) -> None:
+        self._name = name
+        self._limits = limits
+        self._random = random
+        self._members = {name}
+        self._orders: dict[str, list[str]] = {}
+        self.liveness = liveness.Liveness()
+        self._buckets: dict[str, _Bucket] = {}
+        self._tickets: dict[int, Ticket] = {}
+        self._paused: dict[str, float] = {}
+        self._answered: dict[tuple[str, int], tuple[float, Answer]] = {}
+        # Random, so that a restarted entry does not repeat a number.
+        self._number = random.getrandbits(40)
+
+    def add_member(self, name: str) -> None:
+        """Take in another entry, which may coordinate from now on."""
+        if name not in self._members:
+            self._members.add(name)
+            self._orders.clear()
+
+    def remove_member(self, name: str) -> None:
+        """Drop another entry that is gone."""
+        if name != self._name and name in self._members:
+            self._members.remove(name)
+            self._orders.clear()
+            self.liveness.forget(name)
+
+    def choose_coordinator(self, endpoint: str, now: float) -> str:
+        """Name the entry that grants the permits of an endpoint."""
+        for name in self._list_order(endpoint):
+            if name == self._name or not self.liveness.is_silent(name, now):
+                return name
+        return self._name
+
+    def _list_order(self, endpoint: str) -> list[str]:
+        """List all entries in the order in which they coordinate."""
+        order = self._orders.get(endpoint)
+        if order is None:
+            order = self._orders[endpoint] = sorted(
+                self._members, key=lambda entry: _rank(endpoint, entry)
+            )
+        return order
+
+    def _stands_in(self, endpoint: str, now: float) -> bool:
+        """Tell whether an entry that goes before this one just fell silent."""
+        order = self._list_order(endpoint)
+        before = order[: order.index(self._name)]
+        return any(
+            self.liveness.measure_silence(name, now) < STAND_IN_SECONDS
+            for name in before
+        )
+
+    def list_paused(self, now: float) -> set[str]:
+        """Name the endpoints for which no permit is to be had now."""
+        return {name for name, end in self._paused.items() if end > now}
+
+    def open(self, endpoint: str, now: float) -> Ticket:
+        """Begin to ask for a permit."""
+        self._number += 1
+        ticket = Ticket(self._number, endpoint, now, now)
+        self._tickets[ticket.number] = ticket
+        return ticket
+
+    def advance(self, ticket: Ticket, now: float) -> Sends:
+        """Do what is due for an open ask.
+
+        :returns: messages to send; unless the ticket has a verdict then, it
+            is to be advanced again when it is due
+        """
+        endpoint = ticket.endpoint
+        limit = self._limits.get(endpoint)
+        if limit is None:
+            self._close(ticket, Verdict.GRANTED, self._name, 0.0, now)
+            return []
+        paused = self._paused.get(endpoint, now) - now
+        # A try under way may have been granted.
+        if paused > 0 and not ticket.tries:
+            self._close(ticket, Verdict.DENIED, self._name, paused, now)
+            return []
+        if now - ticket.began >= PATIENCE_SECONDS:
+            self._close(ticket, Verdict.DENIED, '', ELSEWHERE_SECONDS, now)
+            return []
+        coordinator = self.choose_coordinator(endpoint, now)
+        if coordinator == self._name:
+            pause = self._grant(endpoint, limit, now)
+            verdict = Verdict.DENIED if pause else Verdict.GRANTED
+            self._close(ticket, verdict, self._name, pause, now)
+            return self._probe(now)
+        age = self._limits.get_age(endpoint, now)
+        ask = Ask(self._name, ticket.number, endpoint, limit, age)
+        self.liveness.ask(coordinator, now)
+        retry = min(ticket.tries, len(RETRY_SECONDS) - 1)
+        ticket.due = now + RETRY_SECONDS[retry]
+        ticket.tries += 1
+        return [(coordinator, ask), *self._probe(now)]
+
+    def _probe(self, now: float) -> Sends:
+        """Ask silent entries whether they are back."""
+        due = self.liveness.list_due(now)
+        for name in due:
+            self.liveness.ask(name, now)
+        return [(name, Ask(self._name, 0)) for name in due]
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Drop an ask that is not waited for any more."""
+        self._tickets.pop(ticket.number, None)
+
+    def _close(
+        self,
+        ticket: Ticket,
+        verdict: Verdict,
+        source: str,
+        pause: float,
+        now: float,
+    ) -> None:
+        self._tickets.pop(ticket.number, None)
+        ticket.verdict = verdict
+        ticket.source = source
+        ticket.pause = pause
+        if not ticket.is_granted:
+            self._paused[ticket.endpoint] = now + pause
+
+    def _grant(self, endpoint: str, limit: float, now: float) -> float:
+        """Take a permit as the coordinator.
+
+        :returns: 0, or for how long not to ask, in seconds
+        """
+        if self._stands_in(endpoint, now):
+            limit *= STAND_IN_PART
+        limit = max(LEAST_RATE, limit)
+        bucket = self._buckets.get(endpoint)
+        if bucket is None:
+            bucket = self._buckets[endpoint] = _Bucket(now, limit)
+        bucket.refill(limit, now)
+        missing = bucket.take()
+        if not missing:
+            return 0.0
+        least, most = PAUSE_SECONDS
+        spread = self._random.uniform(*PAUSE_SPREAD)
+        return min(most, max(least, missing) * spread)
+
+    def receive(self, message: Message, now: float) -> Sends:
+        """Take in a message of another entry.
+
+        :returns: messages to send
+        """
+        self.liveness.hear(message.sender, now)
+        if message.endpoint:
+            self._limits.receive(
+                message.endpoint, message.limit, message.age, now
+            )
+        if isinstance(message, Ask):
+            return self._receive_ask(message, now)
+        ticket = self._tickets.get(message.number)
+        if ticket is not None:
+            self._close(
+                ticket, message.verdict, message.sender, message.pause, now
+            )
+        return []
+
+    def _receive_ask(self, ask: Ask, now: float) -> Sends:
+        if not ask.endpoint:
+            return [(ask.sender, Answer(self._name, ask.number))]
+        key = (ask.sender, ask.number)
+        if key in self._answered:
+            return [(ask.sender, self._answered[key][1])]
+        coordinator = self.choose_coordinator(ask.endpoint, now)
+        limit = self._limits.get(ask.endpoint)
+        sends: Sends = []
+        verdict, pause = Verdict.GRANTED, 0.0
+        if limit is None:
+            # A newer observation than the sender's shows that it has ended.
+            pass
+        elif coordinator == self._name:
+            pause = self._grant(ask.endpoint, limit, now)
+            verdict = Verdict.DENIED if pause else verdict
+            sends += self._probe(now)
+        else:
+            verdict, pause = Verdict.ELSEWHERE, ELSEWHERE_SECONDS
+            self._buckets.pop(ask.endpoint, None)
+            if self.liveness.is_doubtful(coordinator, now):
+                self.liveness.ask(coordinator, now)
+                sends.append((coordinator, Ask(self._name, 0)))
+        age = self._limits.get_age(ask.endpoint, now)
+        answer = Answer(
+            self._name, ask.number, ask.endpoint, verdict, pause, limit, age
+        )
+        if verdict is not Verdict.ELSEWHERE:
+            self._answered[key] = (now, answer)
+        return [(ask.sender, answer), *sends]
+
+    def expire(self, now: float, endpoints: Iterable[str]) -> None:
+        """Drop what is not needed any more.
+
+        :param endpoints: names of all that are listed
+        """
+        listed = set(endpoints)
+        for key, (at, _) in list(self._answered.items()):
+            if now - at > ANSWERED_SECONDS:
+                del self._answered[key]
+        for name, end in list(self._paused.items()):
+            if end <= now:
+                del self._paused[name]
+        for table in (self._buckets, self._orders):
+            for name in [each for each in table if each not in listed]:
+                del table[name]
+
+    def list_coordinated(self) -> Sequence[str]:
+        """Name the endpoints for which this entry granted permits."""
+        return sorted(self._buckets)
--- a/packages/core/src/dunlintide_core/pipeline/ratelimits.py
+++ b/packages/core/src/dunlintide_core/pipeline/ratelimits.py
@@ -4,6 +4,8 @@
 other times. The newest observation counts, whoever made it.
 """
 
+from typing import Iterable
+
 import attrs
 
 __all__ = [
@@ -101,10 +103,15 @@
         self._known[name] = new
         return before != new.limit
 
-    def expire(self, now: float) -> None:
-        """Forget limits that ended long ago."""
+    def expire(self, now: float, endpoints: Iterable[str]) -> None:
+        """Forget limits that ended long ago, or of endpoints that are gone.
+
+        :param endpoints: names of all that are listed
+        """
+        listed = set(endpoints)
         for name, known in list(self._known.items()):
-            if known.limit is None and now - known.at > ENDED_SECONDS:
+            needed = known.limit is not None and name in listed
+            if not needed and now - known.at > ENDED_SECONDS:
                 del self._known[name]
 
     def forget(self, name: str) -> None:
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -103,6 +103,7 @@
             'told_to_leave_out': state.soundness.list_heard(now),
             'slow': dict(state.paces.list_slow(now)),
             'rate_limits': state.rate_limits.list_limited(),
+            'coordinated_limits': state.permits.list_coordinated(),
             'resends_left': {
                 name: budget.count_left(now)
                 for name, budget in state.budgets.items()
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -1,6 +1,7 @@
 """Plain calls of services, answered whole."""
 
 import asyncio
+from typing import Container
 
 import attrs
 
@@ -31,6 +32,8 @@
 # Target where the rule has none, in seconds.
 USUAL_TARGET = 0.5
 RETRY_SECONDS = 0.3
+# Spread of the times at which refused callers return, as parts of the pause.
+JITTER = (0.7, 1.5)
 # Connection failures after which a call stops to look further.
 MAX_DIALS = 4
 
@@ -135,7 +138,10 @@
             return None
         if not exchange.may_run_again:
             return None
-        endpoint = self._choose(exchange)
+        # An endpoint that names a rate limit is spared what may be in vain.
+        endpoint = self._choose(
+            exchange, self._state.rate_limits.list_limited()
+        )
         if endpoint is None:
             return None
         if not self._state.pay_resend(exchange.service, 'hedge'):
@@ -162,11 +168,19 @@
         return task
 
     def _choose(
-        self, exchange: exchange_module.Exchange
+        self, exchange: exchange_module.Exchange, spared: Container[str]
     ) -> endpoints_module.Endpoint | None:
+        """Find an endpoint with a place.
+
+        :param spared: names of endpoints that are to get nothing
+        """
         state = self._state
         listed = state.list_endpoints(exchange.service)
-        fresh = [each for each in listed if each.name not in exchange.tried]
+        fresh = [
+            each
+            for each in listed
+            if each.name not in exchange.tried and each.name not in spared
+        ]
         return balance.choose(
             fresh,
             lambda name: state.occupancy.get(name).sequences,
@@ -174,18 +188,42 @@
             state.random,
         )
 
+    async def _choose_admitted(
+        self, exchange: exchange_module.Exchange, expires: float
+    ) -> endpoints_module.Endpoint | None:
+        """Find an endpoint with a place that may get a request.
+
+        :param expires: monotonic time until which to look, in seconds
+        """
+        state = self._state
+        while True:
+            paused = state.permits.list_paused(state.now)
+            endpoint = self._choose(exchange, paused)
+            if endpoint is None:
+                return None
+            if await state.admit(endpoint.name, exchange.ask.name):
+                state.get_backlog(exchange.service).note_served(state.now)
+                return endpoint
+            if state.now >= expires:
+                return None
+
     async def _find_endpoint(
         self, exchange: exchange_module.Exchange, target: float
     ) -> endpoints_module.Endpoint | None:
         """Find an endpoint with a place, waiting for a while."""
         queue = self._state.get_backlog(exchange.service)
         standing = backlog.Standing.ON_TIME
+        wait = target * WAIT_PART
+        expires = min(self._state.now + wait, exchange.deadline)
         if not queue.count_ahead(exchange.priority, standing):
-            endpoint = self._choose(exchange)
+            endpoint = await self._choose_admitted(exchange, expires)
             if endpoint is not None:
                 return endpoint
-        wait = target * WAIT_PART
-        expires = min(self._state.now + wait, exchange.deadline)
+        hopeless = queue.is_hopeless(
+            exchange.priority, standing, self._state.now, expires
+        )
+        if hopeless and self._state.has(mechanisms.Mechanism.HOPELESS):
+            return None
         awake = asyncio.Event()
         waiter = queue.add(exchange.priority, standing, expires, awake.set)
         timer = asyncio.get_running_loop().call_at(expires, awake.set)
@@ -193,7 +231,7 @@
             while True:
                 await awake.wait()
                 awake.clear()
-                endpoint = self._choose(exchange)
+                endpoint = await self._choose_admitted(exchange, expires)
                 if endpoint is not None or self._state.now >= expires:
                     return endpoint
         finally:
@@ -302,6 +340,24 @@
             return Outcome.COMPLETE
         return Outcome.FAILED
 
+    def _choose_pause(
+        self, exchange: exchange_module.Exchange, ran: bool
+    ) -> float:
+        """Tell when to return; later the more are refused under a limit.
+
+        :param ran: whether the call may have run, so that it is not refused
+        """
+        state = self._state
+        limited = state.rate_limits.list_limited()
+        if ran or not any(
+            each.name in limited
+            for each in state.list_endpoints(exchange.service)
+        ):
+            return RETRY_SECONDS * state.random.uniform(*JITTER)
+        state.returns.refuse(exchange.digest, state.now)
+        pause = state.returns.choose_pause(state.now)
+        return pause * state.random.uniform(*JITTER)
+
     def _conclude(
         self,
         exchange: exchange_module.Exchange,
@@ -316,7 +372,7 @@
         reasons = [answer.reason for answer in answers]
         ran = bool(pending) or any(answer.ran for answer in answers)
         late = self._state.now >= exchange.deadline
-        pause = RETRY_SECONDS * self._state.random.uniform(0.7, 1.5)
+        pause = self._choose_pause(exchange, ran)
         self._state.log.write(
             'call not answered',
             request=exchange.ask.name,
--- a/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -108,6 +108,7 @@
         unusable = self._state.soundness.list_unusable(self._state.now)
         unusable.update(stream.exchange.tried)
         unusable.update(self._state.list_unreadable())
+        unusable.update(self._state.permits.list_paused(self._state.now))
         return unusable
 
     def explain(self, stream: Stream) -> str:
@@ -154,6 +155,26 @@
             return None
         return hops
 
+    async def _choose_admitted(
+        self, stream: Stream, expires: float
+    ) -> Hops | None:
+        """Find a chain with room whose first endpoint may get a request.
+
+        :param expires: monotonic time until which to look, in seconds
+        """
+        state = self._state
+        name = stream.exchange.ask.name
+        while (hops := self.choose(stream)) is not None:
+            if await state.admit(hops[0].endpoint.name, name):
+                state.get_backlog(stream.exchange.service).note_served(
+                    state.now
+                )
+                return hops
+            # The endpoint is left out for the next choice.
+            if state.now >= expires:
+                return None
+        return None
+
     async def find(self, stream: Stream) -> Hops | None:
         """Find a chain, waiting in turn; None when that is of no use."""
         state = self._state
@@ -162,9 +183,8 @@
         place = self.choose_place(exchange)
         standing, expires = place.standing, place.expires
         if not queue.count_ahead(exchange.priority, standing):
-            hops = self.choose(stream)
+            hops = await self._choose_admitted(stream, expires)
             if hops is not None:
-                queue.note_served(state.now)
                 return hops
         hopeless = queue.is_hopeless(
             exchange.priority, standing, state.now, expires
@@ -179,9 +199,7 @@
             while True:
                 await awake.wait()
                 awake.clear()
-                hops = self.choose(stream)
-                if hops is not None:
-                    queue.note_served(state.now)
+                hops = await self._choose_admitted(stream, expires)
                 if hops is not None or state.now >= expires:
                     return hops
         finally:
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -32,6 +32,7 @@
     :ivar orders: orders to engines, by ``reception``
     :ivar pace_questions: engines asked for their pace
     :ivar limited_endpoints: endpoints that name a rate limit now
+    :ivar permits: permits asked for, by ``verdict``
     :ivar store_faults: calls on the store that failed, by ``fault``
     :ivar refused_items: what others wrote or sent that can't be read, by
         ``kind``
@@ -50,6 +51,7 @@
     orders: prometheus_client.Counter
     pace_questions: prometheus_client.Counter
     limited_endpoints: prometheus_client.Gauge
+    permits: prometheus_client.Counter
     store_faults: prometheus_client.Counter
     refused_items: prometheus_client.Counter
     version: prometheus_client.Gauge
@@ -124,6 +126,12 @@
                 'edge_limited_endpoints',
                 'Endpoints that name a rate limit',
             ),
+            permits=make(
+                counter,
+                'edge_permits',
+                'Permits asked for under rate limits',
+                ('verdict',),
+            ),
             store_faults=make(
                 counter, 'edge_store_faults', 'Failed store calls', ('fault',)
             ),
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import functools
-from typing import Annotated, Container
+from typing import Annotated, Callable, Container
 import zlib
 
 import msgspec
@@ -15,6 +15,7 @@
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import occupancy
+from dunlintide_daemon.gateway import permitcodec
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import keys
 
@@ -53,6 +54,14 @@
 LONGEST_AGE = 127
 # Paces of engines are told in this unit, 1 for the published one.
 PACE_UNIT = 0.01
+# Rate limits of endpoints are told in this unit, in requests a second, their
+# ages in this one, in seconds, and as this number once they have ended.
+LIMIT_UNIT = 0.01
+LIMIT_AGE_UNIT = 0.01
+NO_LIMIT = -1
+# How long an entry that is not listed any more may still coordinate rate
+# limits beyond its time to stop, in seconds.
+DEPARTED_SECONDS = 2.0
 # Spread of the pauses that entries keep before an engine that refused one of
 # them as full, as parts of the usual pause.
 FULL_PARTS = (0.5, 1.5)
@@ -79,6 +88,8 @@
     :ivar full: digests of endpoints that just refused its sender
     :ivar paces: digests of engines that its sender asked lately, and their
         paces in hundredths
+    :ivar limits: digests of endpoints whose rate limit its sender observed,
+        the limit and the age of that, in their units
     """
 
     sender: str
@@ -92,6 +103,7 @@
     ages: list[_Count] = []
     full: list[_Count] = []
     paces: list[tuple[_Count, _Count]] = []
+    limits: list[tuple[_Count, int, _Count]] = []
 
 
 @functools.lru_cache(maxsize=4096)
@@ -107,12 +119,15 @@
     """Sender and receiver of an entry's datagrams.
 
     :ivar entries: other entries by name
+    :ivar receive_permit: gets datagrams about permits, and their source
     """
 
     def __init__(self, state: state_module.State) -> None:
         self._state = state
         self._transport: asyncio.DatagramTransport | None = None
         self.entries: dict[str, keys.Entry] = {}
+        self._departed: dict[str, tuple[float, keys.Entry]] = {}
+        self.receive_permit: Callable[[bytes, str], None] | None = None
         self._digests: dict[int, str] = {}
         self._digests_version: int | None = None
         self.newer: str | None = None
@@ -131,10 +146,18 @@
         self.entries[entry.name] = entry
         self._state.entries.add(entry.name)
         self._state.others.add(entry.name)
+        self._state.permits.add_member(entry.name)
+        self._departed.pop(entry.name, None)
 
     def drop_entry(self, name: str) -> None:
-        """Stop to tell an entry that is not listed any more."""
-        self.entries.pop(name, None)
+        """Stop to tell an entry that is not listed any more.
+
+        While it finishes its work it may coordinate rate limits as before.
+        """
+        entry = self.entries.pop(name, None)
+        if entry is not None:
+            last = self._state.now + self._state.settings.grace
+            self._departed[name] = (last + DEPARTED_SECONDS, entry)
         self._state.others.discard(name)
         self._state.occupancy.drop_remote(name)
 
@@ -145,6 +168,7 @@
             await self._wait(PAUSE_SECONDS)
             if self._state.occupancy.expire(self._state.now):
                 self._state.wake_all()
+            self._expire_departed()
             turn += 1
             if self.entries:
                 domains = {self._state.settings.failure_domain}
@@ -152,6 +176,25 @@
                     domains = self._list_domains()
                 self._tell(self._build(), domains)
 
+    def _expire_departed(self) -> None:
+        now = self._state.now
+        for name, (last, _) in list(self._departed.items()):
+            if now >= last:
+                del self._departed[name]
+                self._state.permits.remove_member(name)
+
+    def send(self, name: str, data: bytes) -> None:
+        """Send a datagram to an entry, also to one that departs."""
+        entry = self.entries.get(name)
+        if entry is None and name in self._departed:
+            entry = self._departed[name][1]
+        if entry is not None:
+            self._send_to(entry, data)
+
+    def _send_to(self, entry: keys.Entry, data: bytes) -> None:
+        host, _, port = entry.gossip.rpartition(':')
+        self._transport.sendto(data, (host, int(port)))
+
     async def _wait(self, seconds: float) -> None:
         """Wait for the next regular message; tell doubts meanwhile."""
         alarmed = self._state.alarmed
@@ -188,6 +231,7 @@
             list(map(_digest, refusing)),
             full=list(map(_digest, full)),
             paces=self._list_paces(),
+            limits=self._list_limits(),
         )
         own = state.settings.failure_domain
         if len(self.entries) <= MOST_TOLD:
@@ -232,6 +276,7 @@
             list(map(_digest, state.soundness.list_refusing(now))),
             self._list_ages(),
             paces=self._list_paces(),
+            limits=self._list_limits(),
         )
 
     def _list_paces(self) -> list[tuple[int, int]]:
@@ -241,6 +286,22 @@
             for name, pace in told.items()
         ]
 
+    def _list_limits(self) -> list[tuple[int, int, int]]:
+        now = self._state.now
+        told = self._state.rate_limits.list_recent(now)
+        return [
+            (
+                _digest(name),
+                (
+                    NO_LIMIT
+                    if seen.limit is None
+                    else round(seen.limit / LIMIT_UNIT)
+                ),
+                round((now - seen.at) / LIMIT_AGE_UNIT),
+            )
+            for name, seen in told.items()
+        ]
+
     def _list_ages(self) -> list[int]:
         flows = self._state.soundness.list_flows(self._state.now)
         longest = LONGEST_AGE * AGE_UNIT
@@ -254,8 +315,7 @@
         data = _encoder.encode(message)
         for entry in self.entries.values():
             if entry.domain in domains:
-                host, _, port = entry.gossip.rpartition(':')
-                self._transport.sendto(data, (host, int(port)))
+                self._send_to(entry, data)
 
     def _name_digests(self) -> dict[int, str]:
         """List what a digest may stand for, anew when the listing changes."""
@@ -276,6 +336,10 @@
         return names
 
     def datagram_received(self, data: bytes, address: tuple) -> None:
+        if data.startswith(permitcodec.MARK):
+            if self.receive_permit is not None:
+                self.receive_permit(data, address[0])
+            return
         try:
             message = _decoder.decode(data)
         except msgspec.DecodeError as error:
@@ -290,6 +354,8 @@
         state = self._state
         now = state.now
         names = self._name_digests()
+        state.permits.liveness.hear(message.sender, now)
+        self._take_limits(message, names, now)
         for digest in message.leaving:
             if digest in names:
                 state.mark_leaving(names[digest], message.sender)
@@ -329,6 +395,20 @@
             self.newer = message.sender
             self.newer_found.set()
 
+    def _take_limits(
+        self, message: _Message, names: dict[int, str], now: float
+    ) -> None:
+        """Take in which rate limits another entry observed."""
+        limits = self._state.rate_limits
+        for digest, told, age in message.limits:
+            if digest not in names:
+                continue
+            name = names[digest]
+            before = limits.get_age(name, now)
+            limit = None if told < 0 else told * LIMIT_UNIT
+            if limits.receive(name, limit, age * LIMIT_AGE_UNIT, now):
+                self._state.log_rate_limit(name, message.sender, before)
+
     def _take_flows(
         self, message: _Message, names: dict[int, str], now: float
     ) -> None:
--- a/packages/daemon/src/dunlintide_daemon/gateway/losses.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/losses.py
@@ -100,8 +100,14 @@
         began = self._state.now
         errors = []
         for _ in range(TRIES):
+            if not await self._state.admit(engine.name):
+                return
+            sent = self._state.now
             read = await orders.read_report(engine.address)
             if read.is_ok():
+                self._state.record_rate_limit(
+                    engine.name, read.ok_value.rate_limit, sent
+                )
                 self._state.note_life(engine, read.ok_value.born)
                 return
             errors.append(read.err_value)
--- a/packages/daemon/src/dunlintide_daemon/gateway/pacer.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/pacer.py
@@ -53,6 +53,9 @@
 
     async def _ask(self, name: str, address: str) -> None:
         state = self._state
+        if not await state.admit(name):
+            return
+        sent = state.now
         read = await orders.read_report(address)
         state.counters.pace_questions.inc()
         if read.is_err():
@@ -60,6 +63,7 @@
             # of them shows which engine it is.
             state.accuse([name], f'no report: {read.err_value}')
             return
+        state.record_rate_limit(name, read.ok_value.rate_limit, sent)
         slow = name in state.paces.list_slow(state.now)
         pace = read.ok_value.slowdown
         state.paces.record(name, pace, state.now)
--- a/packages/daemon/src/dunlintide_daemon/gateway/placer.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/placer.py
@@ -249,6 +249,9 @@
         if not order.checked and not await self._check(order):
             return
         placement = order.placement
+        if not await self._state.admit(placement.endpoint.name):
+            order.retry_at = self._state.now + RETRY_SECONDS
+            return
         fence = self._leadership.fence
         if not self._leadership.is_leading:
             return
@@ -281,6 +284,10 @@
         :returns: whether it should be given again
         """
         endpoint = order.placement.endpoint
+        if not await self._state.admit(endpoint.name):
+            order.retry_at = self._state.now + RETRY_SECONDS
+            return False
+        sent = self._state.now
         read = await orders.read_report(endpoint.address)
         if read.is_err():
             order.retry_at = self._state.now + RETRY_SECONDS
@@ -289,6 +296,7 @@
             )
             return False
         report = read.ok_value
+        self._state.record_rate_limit(endpoint.name, report.rate_limit, sent)
         self._state.note_life(endpoint, report.born)
         order.expected = report.orders
         held = (report.start, report.end)
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -25,6 +25,7 @@
 from dunlintide_daemon.gateway import leadership as leadership_module
 from dunlintide_daemon.gateway import pacer as pacer_module
 from dunlintide_daemon.gateway import placer as placer_module
+from dunlintide_daemon.gateway import ratelimiter as ratelimiter_module
 from dunlintide_daemon.gateway import registrar as registrar_module
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import configurations
@@ -86,6 +87,11 @@
         self._state.entries.add(settings.name)
         self._store = store_module.Store(settings.store)
         self._gossip = gossip_module.Gossip(self._state)
+        limiter = ratelimiter_module.RateLimiter(
+            self._state, self._gossip.send
+        )
+        self._gossip.receive_permit = limiter.receive
+        self._state.admit = limiter.admit
         self._leadership = leadership_module.Leadership(
             self._state, self._store
         )
@@ -231,7 +237,8 @@
             if state.now - swept >= SWEEP_SECONDS:
                 swept = state.now
                 state.pool.sweep()
-                state.rate_limits.expire(state.now)
+                state.rate_limits.expire(state.now, state.endpoints)
+                state.permits.expire(state.now, state.endpoints)
 
     def _note_lag(self, seconds: float) -> None:
         """Take note of how late the event loop was."""
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/ratelimiter.py
@@ -0,0 +1,110 @@
+"""Keeps the rate limits of endpoints together with the other entries.
+
+Whatever is sent to an endpoint is admitted here first: requests, hedges,
+failovers, orders and reports.
+"""
+
+import asyncio
+from typing import Callable
+
+from dunlintide_core.pipeline import permits as permits_module
+from dunlintide_daemon.gateway import permitcodec
+from dunlintide_daemon.gateway import state as state_module
+
+__all__ = ['RateLimiter']
+
+SendDatagram = Callable[[str, bytes], None]
+
+
+class RateLimiter:
+    """Asker for permits, and answerer of other entries."""
+
+    def __init__(self, state: state_module.State, send: SendDatagram) -> None:
+        """Prepare to ask.
+
+        :param send: sends a datagram to an entry, by name
+        """
+        self._state = state
+        self._send_datagram = send
+        self._waiting: dict[int, asyncio.Event] = {}
+
+    async def admit(self, name: str, request: str = '') -> bool:
+        """Ask whether something may be sent to an endpoint now.
+
+        :param request: id of the request that is to be sent, if it is one
+        """
+        state = self._state
+        limit = state.rate_limits.get(name)
+        if limit is None:
+            return True
+        ticket = state.permits.open(name, state.now)
+        awake = self._waiting[ticket.number] = asyncio.Event()
+        try:
+            while ticket.verdict is None:
+                self._send(state.permits.advance(ticket, state.now))
+                if ticket.verdict is None:
+                    await self._wait(awake, ticket)
+        finally:
+            del self._waiting[ticket.number]
+            state.permits.cancel(ticket)
+        self._report(ticket, limit, request)
+        return ticket.is_granted
+
+    async def _wait(
+        self, awake: asyncio.Event, ticket: permits_module.Ticket
+    ) -> None:
+        """Wait for an answer, or until the next message is due."""
+        try:
+            async with asyncio.timeout(ticket.due - self._state.now):
+                await awake.wait()
+        except TimeoutError:
+            pass
+
+    def _report(
+        self, ticket: permits_module.Ticket, limit: float, request: str
+    ) -> None:
+        state = self._state
+        state.counters.permits.labels(ticket.verdict).inc()
+        state.log.write(
+            'permit asked',
+            request=request,
+            endpoint=ticket.endpoint,
+            limit=limit,
+            limit_age=round(
+                state.rate_limits.get_age(ticket.endpoint, state.now), 3
+            ),
+            verdict=ticket.verdict,
+            coordinator=ticket.source,
+            pause=round(ticket.pause, 3),
+        )
+        endpoint = state.endpoints.get(ticket.endpoint)
+        if endpoint is not None and not ticket.is_granted:
+            loop = asyncio.get_running_loop()
+            loop.call_later(ticket.pause, state.wake, endpoint.service)
+
+    def receive(self, data: bytes, source: str) -> None:
+        """Take in a datagram about permits.
+
+        :param source: address of its sender, for the log
+        """
+        state = self._state
+        decoded = permitcodec.decode(data)
+        if decoded.is_err():
+            state.counters.refused_items.labels('message').inc()
+            state.log.write(
+                'gossip refused', error=decoded.err_value, source=source
+            )
+            return
+        message = decoded.ok_value
+        before = state.rate_limits.get(message.endpoint)
+        age = state.rate_limits.get_age(message.endpoint, state.now)
+        self._send(state.permits.receive(message, state.now))
+        if state.rate_limits.get(message.endpoint) != before:
+            state.log_rate_limit(message.endpoint, message.sender, age)
+        awake = self._waiting.get(message.number)
+        if awake is not None and isinstance(message, permits_module.Answer):
+            awake.set()
+
+    def _send(self, sends: permits_module.Sends) -> None:
+        for receiver, message in sends:
+            self._send_datagram(receiver, permitcodec.encode(message))
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -3,7 +3,7 @@
 import asyncio
 import random as random_module
 import time
-from typing import Callable, Iterable
+from typing import Awaitable, Callable, Iterable
 
 import attrs
 import result
@@ -18,6 +18,7 @@
 from dunlintide_core.pipeline import occupancy as occupancy_module
 from dunlintide_core.pipeline import paces as paces_module
 from dunlintide_core.pipeline import pauses as pauses_module
+from dunlintide_core.pipeline import permits as permits_module
 from dunlintide_core.pipeline import profiles
 from dunlintide_core.pipeline import ratelimits as ratelimits_module
 from dunlintide_core.pipeline import resends
@@ -35,6 +36,11 @@
 _WAKE_SECONDS = 0.03
 
 
+async def _admit_all(name: str, request: str = '') -> bool:
+    """Admit whatever is sent, where there is nobody to share limits with."""
+    return True
+
+
 @attrs.define(eq=False)
 class State:
     """Beliefs and holdings of an entry.
@@ -60,6 +66,9 @@
         published of their engines
     :ivar paces: what engines told of their pace
     :ivar rate_limits: limits that endpoints named
+    :ivar permits: permits for endpoints with a limit
+    :ivar admit: asks whether something may be sent to an endpoint, by its
+        name and the id of the request
     :ivar slow_suspects: names of engines that may be slow
     :ivar slow_suspected: set when there is one
     :ivar alarmed: set when other entries are to be told of doubts at once
@@ -88,6 +97,8 @@
     rate_limits: ratelimits_module.RateLimits = attrs.field(
         factory=ratelimits_module.RateLimits
     )
+    permits: permits_module.Permits = attrs.field(init=False)
+    admit: Callable[..., Awaitable[bool]] = _admit_all
     slow_suspects: set[str] = attrs.field(factory=set)
     slow_suspected: asyncio.Event = attrs.field(factory=asyncio.Event)
     alarmed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -119,6 +130,11 @@
     stopping_at: float = 0.0
     listeners: list[Callable[[], None]] = attrs.field(factory=list)
 
+    def __attrs_post_init__(self) -> None:
+        self.permits = permits_module.Permits(
+            self.settings.name, self.rate_limits, self.random
+        )
+
     @property
     def version(self) -> int:
         """Version of the configuration in force, 0 for none."""
@@ -390,6 +406,7 @@
         age = self.rate_limits.get_age(name, self.now)
         if self.rate_limits.record(name, limit, sent, self.now):
             self.log_rate_limit(name, 'answer', age)
+            self.alarmed.set()
 
     def log_rate_limit(self, name: str, source: str, age: float) -> None:
         """Log the limit of an endpoint, and count the limited ones.
