Let endpoints name rate limits in the edge soak

A fault sets, changes or ends the limit of an endpoint; the promise that no window holds more than it allows is checked wherever all entries were in touch. The count of the fullest window is written once for soak and tests.

--- a/features/steps/permitload.py
+++ b/features/steps/permitload.py
@@ -7,12 +7,11 @@
 import behave
 from dunlintide_core.pipeline import permits
 from dunlintide_core.pipeline import ratelimits
+from dunlintide_trials.edge import windows
 
 ENDPOINT = 'runner-1'
 # Load over the limit, and times of the run, in seconds.
 OVERLOAD = 3.0
-STABLE_SECONDS = 3.0
-WINDOW_SECONDS = 4.0
 END_SECONDS = 24.0
 # Delay of a message, in seconds, and how long a request looks for a permit.
 DELAY_SECONDS = (0.0002, 0.002)
@@ -110,18 +109,14 @@
 
     def count_most(self):
         """Count the requests of the fullest window."""
-        times = [at for at, _ in self.sent if at >= STABLE_SECONDS]
-        most = first = 0
-        for index, at in enumerate(times):
-            while times[first] <= at - WINDOW_SECONDS:
-                first += 1
-            most = max(most, index - first + 1)
-        return most
+        since = windows.STABLE_SECONDS
+        return windows.count_most(at for at, _ in self.sent if at >= since)
 
     def measure_use(self):
         """Tell which part of the limit was used, once it was stable."""
-        times = [at for at, _ in self.sent if at >= STABLE_SECONDS]
-        return len(times) / (self.limit * (END_SECONDS - STABLE_SECONDS))
+        since = windows.STABLE_SECONDS
+        times = [at for at, _ in self.sent if at >= since]
+        return len(times) / (self.limit * (END_SECONDS - since))
 
 
 def _make_weights(count, spread):
@@ -155,7 +150,7 @@
 @behave.then('no window holds more than the limit allows')
 def check_windows(context):
     for seed, network in enumerate(context.networks):
-        allowed = 1.5 * network.limit * WINDOW_SECONDS + 5
+        allowed = windows.count_allowed(network.limit)
         most = network.count_most()
         assert most <= allowed, f'seed {seed}: {most} of {allowed}'
 
--- a/features/steps/ratelimits.py
+++ b/features/steps/ratelimits.py
@@ -6,33 +6,14 @@
 
 import behave
 from dunlintide_standins.fleet import callers
+from dunlintide_trials.edge import windows
 
-# Time from the first naming of a limit after which it holds, and length of
-# the windows in which requests are counted, in seconds.
-STABLE_SECONDS = 3.0
-WINDOW_SECONDS = 4.0
 CALLERS = 12
 WORK = {'service': '/lists/x', 'engine': None}
 # Longest pause of a caller that was told to return, in seconds.
 MOST_PAUSE = 0.5
 
 
-def count_allowed(limit):
-    """Tell how many requests a window may have."""
-    return 1.5 * limit * WINDOW_SECONDS + 5
-
-
-def count_most(arrivals, since):
-    """Count the requests of the fullest window."""
-    times = sorted(at for at in arrivals if at >= since)
-    most = first = 0
-    for index, at in enumerate(times):
-        while times[first] <= at - WINDOW_SECONDS:
-            first += 1
-        most = max(most, index - first + 1)
-    return most
-
-
 def _list_runners(context, kind):
     scene = context.scene
     engines = scene.list_engines()
@@ -90,10 +71,10 @@
 @behave.then('no {kind} got more than its limit allows')
 def check_limit(context, kind):
     assert context.answers
-    since = context.named_at + STABLE_SECONDS
-    allowed = count_allowed(context.limit)
+    since = context.named_at + windows.STABLE_SECONDS
+    allowed = windows.count_allowed(context.limit)
     counts = [
-        count_most(runner.arrivals, since)
+        windows.count_most(at for at in runner.arrivals if at >= since)
         for runner in _list_runners(context, kind)
     ]
     assert max(counts) <= allowed, f'{counts} in a window, {allowed} allowed'
--- a/packages/trials/src/dunlintide_trials/edge/faults.py
+++ b/packages/trials/src/dunlintide_trials/edge/faults.py
@@ -171,6 +171,13 @@
     return _spoil_one(field, draw, 'full')
 
 
+def limit_endpoint(field: fields.Field, draw: random.Random) -> Heal:
+    """Let an endpoint name another rate limit, or none any more."""
+    runner = draw.choice(field.scene.fleet.runners)
+    field.set_limit(runner, draw.choice((None, 1.0, 3.0, 8.0)))
+    return _do_nothing
+
+
 def delay_orders(field: fields.Field, draw: random.Random) -> Heal:
     """Let engines carry out their next orders late and unanswered."""
     for engine in field.scene.list_engines():
@@ -203,6 +210,7 @@
     stall_endpoint,
     spoil_endpoint,
     fill_endpoint,
+    limit_endpoint,
     delay_orders,
     change_configuration,
 )
--- a/packages/trials/src/dunlintide_trials/edge/field.py
+++ b/packages/trials/src/dunlintide_trials/edge/field.py
@@ -17,7 +17,7 @@
 from dunlintide_standins import relay as relay_module
 from dunlintide_trials.edge import scene as scenes
 
-__all__ = ['Asked', 'Field']
+__all__ = ['Asked', 'Field', 'Limited']
 
 DOMAINS = ('a', 'b')
 ENTRIES = ('one', 'two', 'three')
@@ -45,6 +45,21 @@
     body: bytes = b''
 
 
+@attrs.define
+class Limited:
+    """A time in which an endpoint named one rate limit.
+
+    :ivar limit: requests a second
+    :ivar since: monotonic time in seconds
+    :ivar until: its end, None while it lasts
+    """
+
+    runner: runners_module.Runner
+    limit: float
+    since: float
+    until: float | None = None
+
+
 class Field:
     """Entries behind relays to the store, endpoints, and callers.
 
@@ -65,6 +80,7 @@
         self.store_troubles: list[float] = []
         self.entry_troubles: list[float] = []
         self.drains: list[tuple[str, float]] = []
+        self.limits: list[Limited] = []
         self._taken: set[runners_module.Runner] = set()
         self._lock = threading.Lock()
         self._numbers = 0
@@ -115,6 +131,23 @@
         """Remember that an endpoint began to leave now."""
         self.drains.append((runner.name, time.monotonic()))
 
+    def set_limit(
+        self, runner: runners_module.Runner, limit: float | None
+    ) -> None:
+        """Let an endpoint name a rate limit from now on, None for none."""
+        now = time.monotonic()
+        for limited in self.limits:
+            if limited.runner is runner and limited.until is None:
+                limited.until = now
+        runner.faults.rate_limit = limit
+        if limit is not None:
+            self.limits.append(Limited(runner, limit, now))
+
+    def end_limits(self) -> None:
+        """Let no endpoint name a rate limit any more."""
+        for runner in self.scene.fleet.runners:
+            self.set_limit(runner, None)
+
     def take(self, runner: runners_module.Runner) -> bool:
         """Keep other faults from an endpoint; half of each kind stays."""
         alike = [
--- a/packages/trials/src/dunlintide_trials/edge/promises.py
+++ b/packages/trials/src/dunlintide_trials/edge/promises.py
@@ -4,6 +4,7 @@
 
 from dunlintide_standins.fleet import operators
 from dunlintide_trials.edge import field as fields
+from dunlintide_trials.edge import windows
 
 __all__ = ['list_broken']
 
@@ -79,6 +80,30 @@
                     yield f'{run.request}: at {name} {late:.2f} s late'
 
 
+def _check_limit(
+    field: fields.Field, limited: fields.Limited
+) -> Iterator[str]:
+    """Check the windows in which all entries were in touch."""
+    first = limited.since + windows.STABLE_SECONDS
+    inside = [
+        at for at in limited.runner.arrivals if first <= at < limited.until
+    ]
+    for start in inside:
+        end = start + windows.WINDOW_SECONDS
+        if end > limited.until or any(
+            start - TROUBLE_SECONDS < at < end for at in field.entry_troubles
+        ):
+            continue
+        count = sum(start <= at < end for at in inside)
+        allowed = windows.count_allowed(limited.limit)
+        if count > allowed:
+            yield (
+                f'{limited.runner.name}: {count} requests in a window,'
+                f' {allowed:.0f} allowed'
+            )
+            return
+
+
 def list_broken(field: fields.Field) -> list[str]:
     """List the promises that were broken, a line each."""
     broken = []
@@ -87,6 +112,8 @@
         broken += check(asked)
         broken += _check_runs(field, asked)
     broken += _check_drains(field)
+    for limited in field.limits:
+        broken += _check_limit(field, limited)
     for runner in field.scene.fleet.runners:
         if runner.overloaded:
             broken.append(f'{runner.name}: ordered more than it holds')
--- a/packages/trials/src/dunlintide_trials/edge/soak.py
+++ b/packages/trials/src/dunlintide_trials/edge/soak.py
@@ -52,6 +52,7 @@
         time.sleep(draw.uniform(*GAP_SECONDS))
     for _, _, heal in sorted(healing, key=lambda each: each[1]):
         heal()
+    field.end_limits()
     return count
 
 
