Log the era of the store and the items that are passed over

The logs of an incident showed neither in which era the store was when it was read, nor that a change of a key was passed over as older than the known one. Store-Era is read from each answer; no decision rests on it yet.

--- a/features/steps/follower.py
+++ b/features/steps/follower.py
@@ -14,6 +14,7 @@
     """Answers each watch at once with one change."""
 
     def __init__(self):
+        self.era = 0
         self.waits = []
         self.times = []
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -90,6 +90,7 @@
                 fault=refusal.fault,
                 detail=refusal.detail,
                 revision=self._revision,
+                era=self._store.era,
             )
 
     async def _read_all(self) -> bool:
@@ -109,7 +110,10 @@
         self._state.notify()
         self._revision = news.revision
         self._state.log.write(
-            'store read', revision=news.revision, keys=len(news.items)
+            'store read',
+            revision=news.revision,
+            era=self._store.era,
+            keys=len(news.items),
         )
         return True
 
@@ -128,7 +132,11 @@
         if watched.is_err():
             refusal = watched.err_value
             if refusal.fault is store_module.Fault.COMPACTED:
-                self._state.log.write('history lost', revision=self._revision)
+                self._state.log.write(
+                    'history lost',
+                    revision=self._revision,
+                    era=self._store.era,
+                )
                 self._revision = None
                 return True
             self._note_failure(refusal)
@@ -146,7 +154,16 @@
 
     def apply(self, item: store_module.Item) -> None:
         """Take in what a key holds now, unless something newer was."""
-        if item.revision <= self._revisions.get(item.key, 0):
+        known = self._revisions.get(item.key, 0)
+        if item.revision <= known:
+            if item.revision < known:
+                self._state.log.write(
+                    'older item passed over',
+                    key=item.key,
+                    revision=item.revision,
+                    known=known,
+                    era=self._store.era,
+                )
             return
         if item.value is None:
             self._revisions.pop(item.key, None)
