Reproduce what a store that returns from a copy breaks

The stand-in store names Store-Era in all answers, can be copied, and comes back from the copy: revisions and leases are given out again, a watch from a revision that it does not have gets 410, waiting calls are cut, and the operator and the runners write again what was lost.

--- a/packages/standins/src/dunlintide_standins/fleet/store.py
+++ b/packages/standins/src/dunlintide_standins/fleet/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections
+import copy as copy_module
 import json
 import time
 from typing import Any
@@ -23,6 +24,7 @@
 
     :ivar refuse: status with which calls are refused, 0 for none
     :ivar silent: whether calls get no answer and do nothing
+    :ivar away: whether calls are reset and do nothing
     :ivar slow: seconds before each answer
     :ivar lose: writes that are done and not answered, a count
     :ivar late: seconds after which a lost write is done, 0 for at once
@@ -30,6 +32,7 @@
 
     refuse: int = 0
     silent: bool = False
+    away: bool = False
     slow: float = 0.0
     lose: int = 0
     late: float = 0.0
@@ -49,11 +52,22 @@
     expires: float
 
 
+@attrs.frozen
+class _Copy:
+    """What the store comes back with after a drill."""
+
+    revision: int
+    items: dict[str, _Item]
+    leases: dict[int, _Lease]
+    next_lease: int
+
+
 class Store:
     """Keys, leases, history and calls.
 
     :ivar calls: calls by method and path
     :ivar port: port that it listens on
+    :ivar era: rises each time that the store comes back from a copy
     """
 
     def __init__(self) -> None:
@@ -61,12 +75,17 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.port = 0
         self.revision = 5
+        self.era = 1
         self._items: dict[str, _Item] = {}
         self._leases: dict[int, _Lease] = {}
         self._next_lease = 100
         self._history: list[dict[str, Any]] = []
         self._compacted = 5
         self._changed = asyncio.Condition()
+        # Values that the operator and the runners wrote last, None for a key
+        # that they removed; they write them again after a drill.
+        self._platform: dict[str, str | None] = {}
+        self._copy: _Copy | None = None
 
     async def start(self) -> None:
         """Listen, and expire leases in the background."""
@@ -82,14 +101,20 @@
         data = value if isinstance(value, bytes) else json.dumps(value)
         if isinstance(data, str):
             data = data.encode()
+        value = base64.b64encode(data).decode()
+        self._platform[key] = value
         async with self._changed:
             self.revision += 1
-            self._set(key, base64.b64encode(data).decode(), lease)
+            self._set(key, value, lease)
             self._changed.notify_all()
         return self.revision
 
     async def remove(self, key: str) -> None:
-        """Remove a key."""
+        """Remove a key as the platform does."""
+        self._platform[key] = None
+        await self._remove(key)
+
+    async def _remove(self, key: str) -> None:
         async with self._changed:
             if key in self._items:
                 self.revision += 1
@@ -110,6 +135,42 @@
         self._history.clear()
         self._compacted = self.revision
 
+    def copy(self) -> None:
+        """Make the copy from which the store comes back."""
+        self._copy = _Copy(
+            self.revision,
+            copy_module.deepcopy(self._items),
+            copy_module.deepcopy(self._leases),
+            self._next_lease,
+        )
+
+    async def come_back(self) -> None:
+        """Come back from the copy; revisions and leases are given out again.
+
+        Calls that wait are cut.
+        """
+        made = self._copy
+        async with self._changed:
+            self.era += 1
+            self.revision = self._compacted = made.revision
+            self._items = copy_module.deepcopy(made.items)
+            self._leases = copy_module.deepcopy(made.leases)
+            self._next_lease = made.next_lease
+            self._history.clear()
+            self._changed.notify_all()
+        now = time.monotonic()
+        for lease in self._leases.values():
+            lease.expires = max(lease.expires, now + lease.ttl)
+
+    async def write_again(self) -> None:
+        """Let the operator and the runners write what was lost."""
+        for key, value in list(self._platform.items()):
+            item = self._items.get(key)
+            if value is None:
+                await self._remove(key)
+            elif item is None or item.value != value:
+                await self.put(key, base64.b64decode(value))
+
     # Storage.
 
     def _set(self, key: str, value: str, lease: int) -> None:
@@ -147,7 +208,7 @@
             key for key, item in self._items.items() if item.lease == number
         ]
         for key in keys:
-            await self.remove(key)
+            await self._remove(key)
         return True
 
     # Calls.
@@ -157,12 +218,16 @@
     ) -> None:
         self.calls[f'{request.method} {request.path.rsplit("/", 1)[0]}'] += 1
         faults = self.faults
+        era = self.era
         if faults.silent:
             await asyncio.sleep(3600)
+        if faults.away:
+            channel.reset()
+            return
         if faults.slow:
             await asyncio.sleep(faults.slow)
         if faults.refuse:
-            await channel.answer(faults.refuse, b'{}')
+            await channel.answer(faults.refuse, b'{}', {'Store-Era': str(era)})
             return
         writes = request.method != 'GET'
         if writes and faults.lose > 0:
@@ -177,10 +242,13 @@
                 await self._run(request)
             await asyncio.sleep(3600)
         status, body = await self._run(request)
+        if self.era != era:
+            channel.reset()
+            return
         await channel.answer(
             status,
             json.dumps(body).encode(),
-            {'Content-Type': 'application/json'},
+            {'Content-Type': 'application/json', 'Store-Era': str(era)},
         )
 
     async def _run(self, request: wire.Request) -> tuple[int, dict]:
@@ -230,13 +298,17 @@
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict]:
         prefix, after = query['prefix'], int(query['after'])
         wait = int(query['wait_ms']) / 1000
-        if after < self._compacted and after != self.revision:
+        unknown = after > self.revision
+        if unknown or (after < self._compacted and after != self.revision):
             return 410, {}
+        era = self.era
         async with self._changed:
             try:
                 async with asyncio.timeout(wait):
                     await self._changed.wait_for(
-                        lambda: self._find_events(prefix, after)
+                        lambda: (
+                            self.era != era or self._find_events(prefix, after)
+                        )
                     )
             except TimeoutError:
                 pass
