--- a/features/steps/storemodel.py
+++ b/features/steps/storemodel.py
@@ -125,6 +125,7 @@
         self.network = self.client._pool = _Network(store)
         self.listed = {name}
         self.versions = []
+        self.seen = set()
         self.leaving = set()
         entry = keys.Entry(name, 'a', '127.0.0.1:1', '127.0.0.1:2')
         self.registrar = registrar.Registrar(self.state, self.client, entry)
@@ -294,12 +295,13 @@
         for entry in self.entries:
             usable = entry.list_usable()
             assert not usable & entry.leaving, (usable, entry.leaving)
-            if entry.state.listed:
-                entry.leaving |= {
-                    name
-                    for name, state in self.runners.items()
-                    if state == 'draining' or name in self.left
-                } - usable
+            leaving = {
+                name
+                for name, state in self.runners.items()
+                if state == 'draining' or name in self.left
+            }
+            entry.leaving |= leaving & entry.seen - usable
+            entry.seen |= usable
 
     @stateful.invariant()
     def versions_rise(self):
--- a/packages/trials/src/dunlintide_trials/edge/faults.py
+++ b/packages/trials/src/dunlintide_trials/edge/faults.py
@@ -6,6 +6,7 @@
 
 import random
 import signal
+import time
 from typing import Callable
 
 from dunlintide_standins.fleet import operators
@@ -13,6 +14,9 @@
 
 __all__ = ['FAULTS']
 
+# How long the store is away before it comes back from a copy, in seconds.
+DRILL_SECONDS = (0.0, 1.5)
+
 Heal = Callable[[], None]
 Fault = Callable[['fields.Field', random.Random], Heal]
 
@@ -114,6 +118,23 @@
     return _do_nothing
 
 
+def drill_store(field: fields.Field, draw: random.Random) -> Heal:
+    """Let the store come back later from a copy made now."""
+    store = field.scene.store
+    field.note_store()
+    field.scene.loop.loop.call_soon_threadsafe(store.copy)
+
+    def heal() -> None:
+        field.note_store()
+        store.faults.away = True
+        field.scene.run(store.come_back())
+        time.sleep(draw.uniform(*DRILL_SECONDS))
+        store.faults.away = False
+        field.scene.run(store.write_again())
+
+    return heal
+
+
 def crash_endpoint(field: fields.Field, draw: random.Random) -> Heal:
     """Crash an endpoint; its entry stays for a while, then goes."""
     runner = draw.choice(field.scene.fleet.runners)
@@ -205,6 +226,7 @@
     slow_entry,
     spoil_store,
     compact_store,
+    drill_store,
     crash_endpoint,
     drain_endpoint,
     stall_endpoint,
