--- a/features/steps/follower.py
+++ b/features/steps/follower.py
@@ -5,7 +5,7 @@
 
 import behave
 from dunlintide_daemon.gateway import follower
-from dunlintide_platform import store
+from dunlintide_platform import storevalues
 import edge_settings
 import result
 
@@ -18,15 +18,15 @@
         self.times = []
 
     async def list_items(self, prefix):
-        return result.Ok(store.News((), store.Revision(0, 1)))
+        return result.Ok(storevalues.News((), storevalues.Revision(0, 1)))
 
     async def watch(self, prefix, after, seconds):
         self.waits.append(seconds)
         self.times.append(time.monotonic())
         await asyncio.sleep(0)
-        revision = store.Revision(0, after.number + 1)
-        item = store.Item('other', b'', revision)
-        return result.Ok(store.News((item,), revision))
+        revision = storevalues.Revision(0, after.number + 1)
+        item = storevalues.Item('other', b'', revision)
+        return result.Ok(storevalues.News((item,), revision))
 
 
 @behave.given(
--- a/features/steps/listings.py
+++ b/features/steps/listings.py
@@ -12,7 +12,7 @@
 from dunlintide_daemon.gateway import gossip
 from dunlintide_platform import configurations
 from dunlintide_platform import listings
-from dunlintide_platform import store
+from dunlintide_platform import storevalues
 import edge_settings
 import hypothesis
 from hypothesis import strategies
@@ -77,7 +77,7 @@
         'value': value,
         'revision': context.revision,
     }
-    (item,) = store.decode_items([row])
+    (item,) = storevalues.decode_items([row])
     context.follower.apply(item)
 
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -10,6 +10,7 @@
 from dunlintide_platform import keys
 from dunlintide_platform import listings
 from dunlintide_platform import store as store_module
+from dunlintide_platform import storevalues
 
 __all__ = ['Follower']
 
@@ -43,8 +44,8 @@
 # seconds: clocks differ by seconds.
 CLOCK_SECONDS = 60.0
 
-OwnHandler = Callable[[store_module.Item], None]
-Revision = store_module.Revision
+OwnHandler = Callable[[storevalues.Item], None]
+Revision = storevalues.Revision
 
 # Stands for all revisions of the eras before the present one.
 _BEFORE = Revision(-1, 0)
@@ -119,7 +120,7 @@
             self._returned_at = now
             self._state.log.write_always('store regained', seconds=lost)
 
-    def _note_failure(self, refusal: store_module.Refusal) -> None:
+    def _note_failure(self, refusal: storevalues.Refusal) -> None:
         self._state.counters.store_faults.labels(refusal.fault).inc()
         if self._lost_at is None:
             self._lost_at = self._state.now
@@ -175,7 +176,7 @@
             if key not in present and known < revision
         ]
         for key in gone:
-            self.apply(store_module.Item(key, None, revision))
+            self.apply(storevalues.Item(key, None, revision))
 
     async def _watch(self) -> bool:
         drain = self._state.settings.drain
@@ -184,7 +185,7 @@
         )
         if watched.is_err():
             refusal = watched.err_value
-            if refusal.fault is store_module.Fault.COMPACTED:
+            if refusal.fault is storevalues.Fault.COMPACTED:
                 self._state.log.write(
                     'history lost', detail=refusal.detail, **self._describe()
                 )
@@ -203,7 +204,7 @@
             await asyncio.sleep(drain * BATCH_PART)
         return True
 
-    def apply(self, item: store_module.Item) -> None:
+    def apply(self, item: storevalues.Item) -> None:
         """Take in what a key holds now, unless something newer was."""
         known = self._revisions.get(item.key)
         if known is not None and item.revision <= known:
@@ -227,13 +228,13 @@
             self._gone.pop(item.key, None)
             self._put(item)
 
-    def _put(self, item: store_module.Item) -> None:
+    def _put(self, item: storevalues.Item) -> None:
         if item.key.startswith(listings.ENDPOINT_PREFIX):
             self._apply_endpoint(item)
         else:
             self._handle_own(item)
 
-    def _is_outlived(self, item: store_module.Item) -> bool:
+    def _is_outlived(self, item: storevalues.Item) -> bool:
         """Tell whether a key was written before it was seen to be gone.
 
         A copy may bring it back. What lives writes again or is still listed
@@ -246,7 +247,7 @@
         return item.revision <= since
 
     def _log_passed_over(
-        self, item: store_module.Item, known: Revision
+        self, item: storevalues.Item, known: Revision
     ) -> None:
         self._state.log.write(
             'older item passed over',
@@ -257,7 +258,7 @@
             known_era=known.era,
         )
 
-    def _apply_configuration(self, item: store_module.Item) -> None:
+    def _apply_configuration(self, item: storevalues.Item) -> None:
         if item.value is None:
             return
         decoded = configurations.decode_deployment(item.value)
@@ -267,9 +268,7 @@
         self._refused.pop(item.key, None)
         self._state.adopt(decoded.ok_value, item.value)
 
-    def _refuse(
-        self, kind: str, item: store_module.Item, problem: str
-    ) -> None:
+    def _refuse(self, kind: str, item: storevalues.Item, problem: str) -> None:
         """Count what can't be read, and log it once for each problem."""
         self._state.counters.refused_items.labels(kind).inc()
         if self._refused.get(item.key) == problem:
@@ -279,7 +278,7 @@
             f'{kind} refused', problem=problem, revision=item.revision.number
         )
 
-    def _apply_endpoint(self, item: store_module.Item) -> None:
+    def _apply_endpoint(self, item: storevalues.Item) -> None:
         identity = listings.get_identity(item.key)
         newest = time.time() + CLOCK_SECONDS
         decoded = listings.decode_endpoint(item.key, item.value, newest)
@@ -301,7 +300,7 @@
             return
         self._state.put_endpoint(endpoint)
 
-    def _remove(self, item: store_module.Item) -> None:
+    def _remove(self, item: storevalues.Item) -> None:
         """Forget a key, but not one that an outage or a copy made lapse."""
         if self._state.now - self._returned_at < RETURN_SECONDS:
             self._missing.add(item.key)
@@ -316,7 +315,7 @@
             self._gone[key] = (revision, self._state.now)
             self._state.drop_endpoint(listings.get_identity(key))
         else:
-            self._handle_own(store_module.Item(key, None, revision))
+            self._handle_own(storevalues.Item(key, None, revision))
 
     def _expire_missing(self) -> None:
         now = self._state.now
--- a/packages/daemon/src/dunlintide_daemon/gateway/leadership.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/leadership.py
@@ -10,6 +10,7 @@
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import keys
 from dunlintide_platform import store as store_module
+from dunlintide_platform import storevalues
 
 __all__ = ['Leadership']
 
@@ -28,7 +29,7 @@
 # Stands between the identity of a leader and the era of its claim.
 _ERA_MARK = '@'
 # Answers that end a leadership.
-_ENDED = (store_module.Fault.MISSING, store_module.Fault.REJECTED)
+_ENDED = (storevalues.Fault.MISSING, storevalues.Fault.REJECTED)
 
 
 def _read_clock() -> float:
@@ -36,7 +37,7 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def _make_fence(revision: store_module.Revision) -> int:
+def _make_fence(revision: storevalues.Revision) -> int:
     return (revision.era << _REVISION_BITS) + revision.number
 
 
@@ -48,11 +49,11 @@
     """
 
     holder: str
-    revision: store_module.Revision
+    revision: storevalues.Revision
     is_vacant: bool
 
     @classmethod
-    def from_item(cls, item: store_module.Item) -> '_Seat':
+    def from_item(cls, item: storevalues.Item) -> '_Seat':
         """Read the key.
 
         A claim may come to pass in a later era than it was sent in, and a
@@ -77,7 +78,7 @@
         self._state = state
         self._store = store
         self._seat: _Seat | None = None
-        self._lease: store_module.Lease | None = None
+        self._lease: storevalues.Lease | None = None
         self._tried = float('-inf')
         self._changed = asyncio.Event()
         self._identity = f'{state.settings.name}/{random.getrandbits(48):x}'
@@ -97,7 +98,7 @@
         # Without a try for so long it was suspended itself.
         return _read_clock() - self._tried < LEASE_SECONDS
 
-    def handle_item(self, item: store_module.Item) -> None:
+    def handle_item(self, item: storevalues.Item) -> None:
         """Take note of a change of the key."""
         if item.value is None:
             self._seat = None
@@ -172,14 +173,14 @@
             await asyncio.sleep(random.uniform(0.2, 0.6))
             return
         value = f'{self._identity}{_ERA_MARK}{lease.ok_value.era}'.encode()
-        write = store_module.Write(keys.LEADER_KEY, value, lease.ok_value)
+        write = storevalues.Write(keys.LEADER_KEY, value, lease.ok_value)
         seen = self._seat.revision if self._seat else None
-        condition = store_module.Condition(keys.LEADER_KEY, seen)
+        condition = storevalues.Condition(keys.LEADER_KEY, seen)
         written = await self._store.write((condition,), (write,))
         if written.is_ok():
             self._begin(lease.ok_value, written.ok_value, began)
             return
-        if written.err_value.fault is store_module.Fault.UNKNOWN:
+        if written.err_value.fault is storevalues.Fault.UNKNOWN:
             await self._settle(lease.ok_value, value, began)
             return
         await self._store.end_lease(lease.ok_value)
@@ -189,7 +190,7 @@
         return self._seat is not None and not self._seat.is_vacant
 
     async def _settle(
-        self, lease: store_module.Lease, value: bytes, began: float
+        self, lease: storevalues.Lease, value: bytes, began: float
     ) -> None:
         """Read whether a claim without an answer was done.
 
@@ -211,8 +212,8 @@
 
     def _begin(
         self,
-        lease: store_module.Lease,
-        revision: store_module.Revision,
+        lease: storevalues.Lease,
+        revision: storevalues.Revision,
         began: float,
     ) -> None:
         self._lease = lease
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -31,6 +31,7 @@
 from dunlintide_platform import configurations
 from dunlintide_platform import keys
 from dunlintide_platform import store as store_module
+from dunlintide_platform import storevalues
 
 __all__ = ['run']
 
@@ -132,7 +133,7 @@
     def _report(self, what: str, error: BaseException | None) -> None:
         self._state.log.write(what, error=repr(error))
 
-    def _take_own(self, item: store_module.Item) -> None:
+    def _take_own(self, item: storevalues.Item) -> None:
         """Take in a key that an entry wrote."""
         if item.key == keys.LEADER_KEY:
             self._leadership.handle_item(item)
--- a/packages/daemon/src/dunlintide_daemon/gateway/registrar.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/registrar.py
@@ -8,6 +8,7 @@
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import keys
 from dunlintide_platform import store as store_module
+from dunlintide_platform import storevalues
 
 __all__ = ['Registrar']
 
@@ -33,8 +34,8 @@
         self._state = state
         self._store = store
         self._entry = entry
-        self._lease: store_module.Lease | None = None
-        self._revision: store_module.Revision | None = None
+        self._lease: storevalues.Lease | None = None
+        self._revision: storevalues.Revision | None = None
         self._woken = asyncio.Event()
 
     async def run(self) -> None:
@@ -69,7 +70,7 @@
         """Register anew; the key and its lease may be gone."""
         self._drop_lease(f'era {self._store.era} of the store')
 
-    def handle_item(self, item: store_module.Item) -> None:
+    def handle_item(self, item: storevalues.Item) -> None:
         """Register anew if the own key is gone or not under the own lease.
 
         A write of an earlier registration that comes late replaces the key.
@@ -89,13 +90,13 @@
             self._lease = None
             self._woken.set()
 
-    async def _register(self) -> result.Result[None, store_module.Refusal]:
+    async def _register(self) -> result.Result[None, storevalues.Refusal]:
         begun = await self._store.begin_lease(LEASE_SECONDS)
         if begun.is_err():
             return begun
         key = keys.make_entry_key(self._entry.name)
         value = keys.encode_entry(self._entry)
-        write = store_module.Write(key, value, begun.ok_value)
+        write = storevalues.Write(key, value, begun.ok_value)
         # Without a condition: the newest life of a name replaces others,
         # and a write that comes late says the same.
         written = await self._store.write((), (write,))
@@ -110,10 +111,10 @@
             await self.leave()
         return written.map(lambda _: None)
 
-    async def _keep(self) -> result.Result[None, store_module.Refusal]:
+    async def _keep(self) -> result.Result[None, storevalues.Refusal]:
         kept = await self._store.keep_lease(self._lease)
         if kept.is_err() and kept.err_value.fault is (
-            store_module.Fault.MISSING
+            storevalues.Fault.MISSING
         ):
             self._drop_lease('lease ended')
         return kept
