--- a/features/steps/flows.py
+++ b/features/steps/flows.py
@@ -5,7 +5,7 @@
 import behave
 from dunlintide_core.pipeline import rescues
 from dunlintide_core.pipeline import soundness
-from dunlintide_daemon.gateway import gossip
+from dunlintide_daemon.gateway import gossipmessages
 import msgspec
 
 TARGET = 0.6
@@ -225,12 +225,12 @@
         refusing: list[int] = []
 
     use = (7, 1, 1, 40)
-    message = gossip._Message('e', 1, [use], [], [], [], [], [], [12])
+    message = gossipmessages.Message('e', 1, [use], [], [], [], [], [], [12])
     data = msgspec.msgpack.encode(message)
-    read = msgspec.msgpack.decode(data, type=gossip._Message)
+    read = msgspec.msgpack.decode(data, type=gossipmessages.Message)
     assert read.ages == [12]
     assert msgspec.msgpack.decode(data, type=Older).usages == [use]
     old = msgspec.msgpack.encode(Older('e', 1, [use], [], [], [], []))
-    assert msgspec.msgpack.decode(old, type=gossip._Message).ages == []
+    assert msgspec.msgpack.decode(old, type=gossipmessages.Message).ages == []
     fewer = msgspec.msgpack.encode(message)
     assert len(fewer) <= len(old) + 4
--- a/features/steps/messages.py
+++ b/features/steps/messages.py
@@ -5,6 +5,7 @@
 import attrs
 import behave
 from dunlintide_daemon.gateway import gossip
+from dunlintide_daemon.gateway import gossipmessages
 from dunlintide_platform import keys
 from dunlintide_trials import engineload
 import edge_settings
@@ -101,10 +102,10 @@
 
 def receive(context, count):
     engines = list(context.state.endpoints)[:ENGINES]
-    uses = [(gossip._digest(name), 3, 1, 40) for name in engines]
+    uses = [(gossipmessages.digest(name), 3, 1, 40) for name in engines]
     ages = [5] * len(uses)
     for index in range(count):
-        message = gossip._Message(
+        message = gossipmessages.Message(
             f'e{index % 60}', 1, uses, [], [], [], [], [], ages
         )
         data = msgspec.msgpack.encode(message)
@@ -145,8 +146,8 @@
 
 def tell(context, sender, tokens):
     names = list(context.state.endpoints)[:10]
-    uses = [(gossip._digest(name), 3, 1, tokens) for name in names]
-    message = gossip._Message(sender, 1, uses, [], [], [], [])
+    uses = [(gossipmessages.digest(name), 3, 1, tokens) for name in names]
+    message = gossipmessages.Message(sender, 1, uses, [], [], [], [])
     data = msgspec.msgpack.encode(message)
     context.gossip.datagram_received(data, ('10.0.0.1', 1))
 
--- a/packages/core/src/dunlintide_core/pipeline/permits.py
+++ b/packages/core/src/dunlintide_core/pipeline/permits.py
@@ -21,9 +21,11 @@
 __all__ = [
     'Answer',
     'Ask',
+    'News',
     'Permits',
     'Ticket',
     'Verdict',
+    'list_limits',
 ]
 
 # Rate at which an endpoint that takes nothing is asked, in requests a second:
@@ -93,11 +95,32 @@
     age: float = 0.0
 
 
-Message = Ask | Answer
+@attrs.frozen
+class News:
+    """Limits that an entry observed itself.
+
+    :ivar limits: endpoint, requests a second, None for no limit any more,
+        and the age of the observation in seconds
+    """
+
+    sender: str
+    limits: tuple[tuple[str, float | None, float], ...]
+
+
+Message = Ask | Answer | News
 # Receiver and message.
 Sends = list[tuple[str, Message]]
 
 
+def list_limits(message: Message) -> Sequence[tuple[str, float | None, float]]:
+    """List what a message tells of limits: endpoint, limit and age."""
+    if isinstance(message, News):
+        return message.limits
+    if not message.endpoint:
+        return ()
+    return ((message.endpoint, message.limit, message.age),)
+
+
 @attrs.define(eq=False)
 class Ticket:
     """An ask that is under way.
@@ -226,6 +249,16 @@
         """Name the endpoints for which no permit is to be had now."""
         return {name for name, end in self._paused.items() if end > now}
 
+    def make_news(self, now: float) -> News | None:
+        """Tell what this entry observed of limits lately, if anything."""
+        recent = self._limits.list_recent(now)
+        if not recent:
+            return None
+        told = (
+            (name, seen.limit, now - seen.at) for name, seen in recent.items()
+        )
+        return News(self._name, tuple(told))
+
     def open(self, endpoint: str, now: float) -> Ticket:
         """Begin to ask for a permit."""
         self._number += 1
@@ -317,10 +350,10 @@
         :returns: messages to send
         """
         self.liveness.hear(message.sender, now)
-        if message.endpoint:
-            self._limits.receive(
-                message.endpoint, message.limit, message.age, now
-            )
+        for endpoint, limit, age in list_limits(message):
+            self._limits.receive(endpoint, limit, age, now)
+        if isinstance(message, News):
+            return []
         if isinstance(message, Ask):
             return self._receive_ask(message, now)
         ticket = self._tickets.get(message.number)
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -1,20 +1,16 @@
 """What entries tell each other, by datagrams.
 
 Each message holds the whole of what its sender carries, so a lost one is
-made good by the next. Endpoints go by a short digest of their names, which
-makes a message half as long; one that is not known here is left out.
+made good by the next. A digest that stands for no endpoint here is left out.
 """
 
 import asyncio
-import functools
-from typing import Annotated, Callable, Container
-import zlib
-
-import msgspec
+from typing import Callable, Container
 
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import occupancy
+from dunlintide_daemon.gateway import gossipmessages
 from dunlintide_daemon.gateway import permitcodec
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import keys
@@ -28,8 +24,6 @@
 # domains are scarce: for so many entries every third message goes to them,
 # for more entries fewer.
 ENTRIES_AT_THIRD = 6
-# Reserved memory is told in as many tokens times layers.
-CACHE_UNIT = 1000
 # Shortest pause between two messages about doubted endpoints, in seconds:
 # by the time of the next regular one each entry has sent a request to a dead
 # endpoint, and each is refused at the cost of the shared budget.
@@ -41,24 +35,9 @@
 # How long news of a leaving endpoint or a broken run is repeated, in
 # seconds.
 REPEAT_SECONDS = 3.0
-
-
 # How long a refusal is repeated, in seconds: no caller is told to return
 # sooner, and at the most two messages of three are lost.
 REFUSED_SECONDS = 0.5
-
-
-# Ages of an endpoint's last move are told in this unit, in seconds, and not
-# at all beyond the longest, which takes one byte.
-AGE_UNIT = 0.01
-LONGEST_AGE = 127
-# Paces of engines are told in this unit, 1 for the published one.
-PACE_UNIT = 0.01
-# Rate limits of endpoints are told in this unit, in requests a second, their
-# ages in this one, in seconds, and as this number once they have ended.
-LIMIT_UNIT = 0.01
-LIMIT_AGE_UNIT = 0.01
-NO_LIMIT = -1
 # How long an entry that is not listed any more may still coordinate rate
 # limits beyond its time to stop, in seconds.
 DEPARTED_SECONDS = 2.0
@@ -67,54 +46,6 @@
 FULL_PARTS = (0.5, 1.5)
 
 
-_Count = Annotated[int, msgspec.Meta(ge=0)]
-
-
-class _Message(msgspec.Struct, array_like=True):
-    """One datagram.
-
-    :ivar sender: name of the entry
-    :ivar version: configuration in force there, 0 for none
-    :ivar usages: digest of an endpoint or a pipe, sequences, started and
-        reserved memory in its unit; None if only doubts are told
-    :ivar leaving: digests of endpoints that leave
-    :ivar doubted: digests of endpoints that are left out
-    :ivar broken: fingerprints and the endpoints at which they broke
-    :ivar refusing: digests of endpoints that go on refusing, though far
-        from full
-    :ivar refused: digests of requests that were refused just now
-    :ivar ages: for each use, how long ago a stream that flows through the
-        endpoint moved, in its unit; the longest if none does
-    :ivar full: digests of endpoints that just refused its sender
-    :ivar paces: digests of engines that its sender asked lately, and their
-        paces in hundredths
-    :ivar limits: digests of endpoints whose rate limit its sender observed,
-        the limit and the age of that, in their units
-    """
-
-    sender: str
-    version: _Count
-    usages: list[tuple[_Count, _Count, _Count, _Count]] | None
-    leaving: list[_Count]
-    doubted: list[_Count]
-    broken: list[tuple[str, str]]
-    refused: list[_Count]
-    refusing: list[_Count] = []
-    ages: list[_Count] = []
-    full: list[_Count] = []
-    paces: list[tuple[_Count, _Count]] = []
-    limits: list[tuple[_Count, int, _Count]] = []
-
-
-@functools.lru_cache(maxsize=4096)
-def _digest(name: str) -> int:
-    return zlib.crc32(name.encode())
-
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(_Message)
-
-
 class Gossip(asyncio.DatagramProtocol):
     """Sender and receiver of an entry's datagrams.
 
@@ -209,7 +140,7 @@
             self._tell(*self._build_alarm())
             await asyncio.sleep(ALARM_PAUSE_SECONDS)
 
-    def _build_alarm(self) -> tuple[_Message, set[str]]:
+    def _build_alarm(self) -> tuple[gossipmessages.Message, set[str]]:
         """Build a message of doubts and refusals alone.
 
         :returns: the message and the failure domains that it concerns: among
@@ -220,18 +151,17 @@
         doubted = state.soundness.list_doubted(state.now)
         refusing = state.soundness.list_refusing(state.now)
         full = state.soundness.list_full(state.now)
-        message = _Message(
+        message = gossipmessages.Message(
             state.settings.name,
             state.version,
             None,
             [],
-            list(map(_digest, doubted)),
+            list(map(gossipmessages.digest, doubted)),
             [],
             [],
-            list(map(_digest, refusing)),
-            full=list(map(_digest, full)),
+            list(map(gossipmessages.digest, refusing)),
+            full=list(map(gossipmessages.digest, full)),
             paces=self._list_paces(),
-            limits=self._list_limits(),
         )
         own = state.settings.failure_domain
         if len(self.entries) <= MOST_TOLD:
@@ -249,73 +179,75 @@
         """Tell which of the messages also goes to other domains."""
         return 3 * max(1, round(len(self.entries) / ENTRIES_AT_THIRD))
 
-    def _build(self) -> _Message:
+    def _build(self) -> gossipmessages.Message:
         state = self._state
         now = state.now
         since = now - REPEAT_SECONDS
-        return _Message(
+        return gossipmessages.Message(
             state.settings.name,
             state.version,
             [
                 (
-                    _digest(name),
+                    gossipmessages.digest(name),
                     usage.sequences,
                     usage.started,
-                    usage.cache // CACHE_UNIT,
+                    usage.cache // gossipmessages.CACHE_UNIT,
                 )
                 for name, usage in state.occupancy.list_own().items()
             ],
             [
-                _digest(name)
+                gossipmessages.digest(name)
                 for name, at in state.leaving.items()
                 if at >= since
             ],
-            list(map(_digest, state.soundness.list_doubted(now))),
+            list(
+                map(gossipmessages.digest, state.soundness.list_doubted(now))
+            ),
             state.crashers.list_recent(since),
             state.returns.list_recent(now - REFUSED_SECONDS),
-            list(map(_digest, state.soundness.list_refusing(now))),
+            list(
+                map(gossipmessages.digest, state.soundness.list_refusing(now))
+            ),
             self._list_ages(),
             paces=self._list_paces(),
-            limits=self._list_limits(),
         )
 
     def _list_paces(self) -> list[tuple[int, int]]:
         told = self._state.paces.list_own(self._state.now)
-        return [
-            (_digest(name), round(pace / PACE_UNIT))
-            for name, pace in told.items()
-        ]
-
-    def _list_limits(self) -> list[tuple[int, int, int]]:
-        now = self._state.now
-        told = self._state.rate_limits.list_recent(now)
         return [
             (
-                _digest(name),
-                (
-                    NO_LIMIT
-                    if seen.limit is None
-                    else round(seen.limit / LIMIT_UNIT)
-                ),
-                round((now - seen.at) / LIMIT_AGE_UNIT),
+                gossipmessages.digest(name),
+                round(pace / gossipmessages.PACE_UNIT),
             )
-            for name, seen in told.items()
+            for name, pace in told.items()
         ]
 
     def _list_ages(self) -> list[int]:
         flows = self._state.soundness.list_flows(self._state.now)
-        longest = LONGEST_AGE * AGE_UNIT
+        longest = gossipmessages.LONGEST_AGE * gossipmessages.AGE_UNIT
         return [
-            int(min(flows.get(name, longest), longest) / AGE_UNIT)
+            int(
+                min(flows.get(name, longest), longest)
+                / gossipmessages.AGE_UNIT
+            )
             for name in self._state.occupancy.list_own()
         ]
 
-    def _tell(self, message: _Message, domains: Container[str]) -> None:
-        """Send a message to the entries of failure domains."""
-        data = _encoder.encode(message)
+    def _tell(
+        self, message: gossipmessages.Message, domains: Container[str]
+    ) -> None:
+        """Send a message to the entries of failure domains.
+
+        Rate limits go along only where there are any.
+        """
+        sent = [gossipmessages.encode(message)]
+        news = self._state.permits.make_news(self._state.now)
+        if news is not None:
+            sent.append(permitcodec.encode(news))
         for entry in self.entries.values():
             if entry.domain in domains:
-                self._send_to(entry, data)
+                for data in sent:
+                    self._send_to(entry, data)
 
     def _name_digests(self) -> dict[int, str]:
         """List what a digest may stand for, anew when the listing changes."""
@@ -327,12 +259,12 @@
 
     def _build_digests(self) -> dict[int, str]:
         state = self._state
-        names = {_digest(name): name for name in state.endpoints}
+        names = {gossipmessages.digest(name): name for name in state.endpoints}
         domains = sorted({each.domain for each in state.endpoints.values()})
         for index, one in enumerate(domains):
             for other in domains[index + 1 :]:
                 pipe = chains.name_pipe(one, other)
-                names[_digest(pipe)] = pipe
+                names[gossipmessages.digest(pipe)] = pipe
         return names
 
     def datagram_received(self, data: bytes, address: tuple) -> None:
@@ -340,22 +272,20 @@
             if self.receive_permit is not None:
                 self.receive_permit(data, address[0])
             return
-        try:
-            message = _decoder.decode(data)
-        except msgspec.DecodeError as error:
+        decoded = gossipmessages.decode(data)
+        if decoded.is_err():
             self._state.counters.refused_items.labels('message').inc()
             self._state.log.write(
-                'gossip refused', error=str(error), source=address[0]
+                'gossip refused', error=decoded.err_value, source=address[0]
             )
             return
-        self._take(message)
+        self._take(decoded.ok_value)
 
-    def _take(self, message: _Message) -> None:
+    def _take(self, message: gossipmessages.Message) -> None:
         state = self._state
         now = state.now
         names = self._name_digests()
         state.permits.liveness.hear(message.sender, now)
-        self._take_limits(message, names, now)
         for digest in message.leaving:
             if digest in names:
                 state.mark_leaving(names[digest], message.sender)
@@ -373,7 +303,9 @@
                     state.soundness.hear_full(names[digest], now, part)
         for digest, pace in message.paces:
             if digest in names:
-                state.paces.receive(names[digest], pace * PACE_UNIT, now)
+                state.paces.receive(
+                    names[digest], pace * gossipmessages.PACE_UNIT, now
+                )
         for fingerprint, endpoint in message.broken:
             state.crashers.hear(fingerprint, endpoint, now)
         for digest in message.refused:
@@ -381,7 +313,7 @@
         if message.usages is not None:
             usages = {
                 names[digest]: occupancy.Usage(
-                    sequences, started, cache * CACHE_UNIT
+                    sequences, started, cache * gossipmessages.CACHE_UNIT
                 )
                 for digest, sequences, started, cache in message.usages
                 if digest in names
@@ -395,26 +327,15 @@
             self.newer = message.sender
             self.newer_found.set()
 
-    def _take_limits(
-        self, message: _Message, names: dict[int, str], now: float
-    ) -> None:
-        """Take in which rate limits another entry observed."""
-        limits = self._state.rate_limits
-        for digest, told, age in message.limits:
-            if digest not in names:
-                continue
-            name = names[digest]
-            before = limits.get_age(name, now)
-            limit = None if told < 0 else told * LIMIT_UNIT
-            if limits.receive(name, limit, age * LIMIT_AGE_UNIT, now):
-                self._state.log_rate_limit(name, message.sender, before)
-
     def _take_flows(
-        self, message: _Message, names: dict[int, str], now: float
+        self,
+        message: gossipmessages.Message,
+        names: dict[int, str],
+        now: float,
     ) -> None:
         """Take in through which endpoints streams of another entry flow."""
         soundness = self._state.soundness
         for (digest, *_), age in zip(message.usages, message.ages):
-            if age < LONGEST_AGE and digest in names:
-                moved = now - age * AGE_UNIT
+            if age < gossipmessages.LONGEST_AGE and digest in names:
+                moved = now - age * gossipmessages.AGE_UNIT
                 soundness.hear_flow(names[digest], moved, now)
--- a/packages/daemon/src/dunlintide_daemon/gateway/permitcodec.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/permitcodec.py
@@ -15,18 +15,24 @@
 MARK = b'\xc1'
 _ASK = b'?'
 _ANSWER = b'!'
+_NEWS = b'='
 
 _encoder = msgspec.msgpack.Encoder()
 _decoders = {
     _ASK: msgspec.msgpack.Decoder(permits.Ask),
     _ANSWER: msgspec.msgpack.Decoder(permits.Answer),
+    _NEWS: msgspec.msgpack.Decoder(permits.News),
+}
+_kinds = {
+    permits.Ask: _ASK,
+    permits.Answer: _ANSWER,
+    permits.News: _NEWS,
 }
 
 
 def encode(message: permits.Message) -> bytes:
     """Write a message."""
-    kind = _ASK if isinstance(message, permits.Ask) else _ANSWER
-    return MARK + kind + _encoder.encode(message)
+    return MARK + _kinds[type(message)] + _encoder.encode(message)
 
 
 def decode(data: bytes) -> result.Result[permits.Message, str]:
@@ -41,9 +47,9 @@
         message = decoder.decode(data[2:])
     except msgspec.DecodeError as error:
         return result.Err(str(error))
-    limit = message.limit
-    if limit is not None and not 0 <= limit < float('inf'):
-        return result.Err(f'limit {limit}')
-    if not 0 <= message.age <= float('inf'):
-        return result.Err(f'age {message.age}')
+    for endpoint, limit, age in permits.list_limits(message):
+        if limit is not None and not 0 <= limit < float('inf'):
+            return result.Err(f'limit {limit} of {endpoint}')
+        if not 0 <= age <= float('inf'):
+            return result.Err(f'age {age} of {endpoint}')
     return result.Ok(message)
--- a/packages/daemon/src/dunlintide_daemon/gateway/ratelimiter.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/ratelimiter.py
@@ -96,14 +96,19 @@
             )
             return
         message = decoded.ok_value
-        before = state.rate_limits.get(message.endpoint)
-        age = state.rate_limits.get_age(message.endpoint, state.now)
+        limits = state.rate_limits
+        before = {
+            name: (limits.get(name), limits.get_age(name, state.now))
+            for name, _, _ in permits_module.list_limits(message)
+        }
         self._send(state.permits.receive(message, state.now))
-        if state.rate_limits.get(message.endpoint) != before:
-            state.log_rate_limit(message.endpoint, message.sender, age)
-        awake = self._waiting.get(message.number)
-        if awake is not None and isinstance(message, permits_module.Answer):
-            awake.set()
+        for name, (limit, age) in before.items():
+            if limits.get(name) != limit:
+                state.log_rate_limit(name, message.sender, age)
+        if isinstance(message, permits_module.Answer):
+            awake = self._waiting.get(message.number)
+            if awake is not None:
+                awake.set()
 
     def _send(self, sends: permits_module.Sends) -> None:
         for receiver, message in sends:
