Leave limited endpoints open for later sends of a moved stream

A stream that was moved off a still chain kept the limited endpoints among those that had failed it, so no later send could use them. They are now left out for this one choice only.

--- a/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -1,6 +1,7 @@
 """Finds a chain with room for a stream, waiting a while if there is none."""
 
 import asyncio
+from typing import Iterable
 
 import attrs
 
@@ -134,13 +135,18 @@
                 return ', '.join(map(str, scarce[:MAX_SCARCE])) + where
         return ''
 
-    def choose(self, stream: Stream) -> Hops | None:
-        """Find a chain with room now, None if there is none."""
+    def choose(
+        self, stream: Stream, spared: Iterable[str] = ()
+    ) -> Hops | None:
+        """Find a chain with room now, None if there is none.
+
+        :param spared: names of endpoints that are to get no part of it
+        """
         state = self._state
         hops = self._get_table(stream).choose(
             self.estimate(stream),
             state.occupancy.usages,
-            self._list_unusable(stream),
+            self._list_unusable(stream).union(spared),
             state.has(mechanisms.Mechanism.CROSSING),
             state.paces.list_slow(state.now),
         )
--- a/packages/daemon/src/dunlintide_daemon/gateway/silences.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/silences.py
@@ -87,8 +87,7 @@
         still = state.soundness.find_still(silence.names, silence.moved)
         exchange.tried.extend(suspects or still)
         # A permit may be refused, and a slow run is worth more than none.
-        exchange.tried.extend(state.rate_limits.list_limited())
-        hops = self._finder.choose(stream)
+        hops = self._finder.choose(stream, state.rate_limits.list_limited())
         if hops is None or not state.pay_resend(exchange.service, 'stream'):
             exchange.tried[:] = before
             return judgement.limit
