Keep a draining endpoint by its reports, not by telling all entries

Cause: since eras are known each entry told all others of each endpoint that it saw drain. Change: an entry from the copy is passed over where a later report of the endpoint is known, or it was known to drain; nobody is told. Two predicates have better names. The model passes 150 orders, and fails without the fence's era or without the tombstones.

--- a/packages/core/src/dunlintide_core/pipeline/permits.py
+++ b/packages/core/src/dunlintide_core/pipeline/permits.py
@@ -236,7 +236,7 @@
             )
         return order
 
-    def _stands_in(self, endpoint: str, now: float) -> bool:
+    def _is_stand_in(self, endpoint: str, now: float) -> bool:
         """Tell whether an entry that goes before this one just fell silent."""
         order = self._list_order(endpoint)
         before = order[: order.index(self._name)]
@@ -330,7 +330,7 @@
 
         :returns: 0, or for how long not to ask, in seconds
         """
-        if self._stands_in(endpoint, now):
+        if self._is_stand_in(endpoint, now):
             limit *= STAND_IN_PART
         limit = max(LEAST_RATE, limit)
         bucket = self._buckets.get(endpoint)
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -5,6 +5,7 @@
 import time
 from typing import Callable
 
+from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import configurations
 from dunlintide_platform import keys
@@ -211,7 +212,7 @@
             if item.revision < known:
                 self._log_passed_over(item, known)
             return
-        if self._is_outlived(item):
+        if self._is_superseded(item):
             self._unconfirmed.add(item.key)
             self._log_passed_over(item, self._gone[item.key][0])
             return
@@ -234,7 +235,7 @@
         else:
             self._handle_own(item)
 
-    def _is_outlived(self, item: storevalues.Item) -> bool:
+    def _is_superseded(self, item: storevalues.Item) -> bool:
         """Tell whether a key was written before it was seen to be gone.
 
         A copy may bring it back. What lives writes again or is still listed
@@ -288,18 +289,20 @@
             return
         self._refused.pop(item.key, None)
         endpoint = decoded.ok_value
-        known = self._state.endpoints.get(endpoint.name)
-        from_copy = item.revision <= self._base
-        if (
-            from_copy
-            and known is not None
-            and endpoint.reports < known.reports
-        ):
+        if item.revision <= self._base and self._knows_newer(endpoint):
             # It writes again what the store lost.
             self._log_passed_over(item, _BEFORE)
             return
         self._state.put_endpoint(endpoint)
 
+    def _knows_newer(self, endpoint: endpoints_module.Endpoint) -> bool:
+        """Tell whether a later report of an endpoint is known."""
+        known = self._state.endpoints.get(endpoint.name)
+        if known is None:
+            return False
+        returns = known.draining and not endpoint.draining
+        return returns or endpoint.reports < known.reports
+
     def _remove(self, item: storevalues.Item) -> None:
         """Forget a key, but not one that an outage or a copy made lapse."""
         if self._state.now - self._returned_at < RETURN_SECONDS:
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -196,9 +196,7 @@
         if not self._begin_life(endpoint):
             return
         before = self.endpoints.get(endpoint.name)
-        if endpoint.draining:
-            self.leaving.setdefault(endpoint.name, self.now)
-        elif endpoint.name in self.leaving:
+        if endpoint.name in self.leaving and not endpoint.draining:
             # A listing that is older than what is known of its leaving.
             endpoint = attrs.evolve(endpoint, draining=True)
         if before == endpoint:
