Log what endpoints ask for when they turn a request away

The logs of the incident could not tell whether an entry knew that an endpoint asked for a pause: no line had what it asked for, and a call that was turned away left no line at all unless all of its sends failed. Each answer that turns a request away now leaves a line with the endpoint, the seconds that it asks for (or the text that can't be read) and whether it leaves, and counts. No decision reads them yet.

Ruled out: a line for each answer; only those that turn away matter here.

--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -13,6 +13,7 @@
 from dunlintide_core.pipeline import mechanisms
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
+from dunlintide_platform import notices
 from dunlintide_platform import requests
 
 __all__ = ['CallServer']
@@ -312,6 +313,12 @@
             return _SendResult(endpoint, True, 'answer to another request')
         if verdict.not_run:
             exchange.runs -= 1
+            state.log_turned_away(
+                endpoint.name,
+                exchange.caller_request.name,
+                head.status,
+                notices.read_notice(head),
+            )
             if verdict.misdirected:
                 state.eject(
                     [endpoint.name],
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -33,6 +33,8 @@
     :ivar pace_questions: probes of the pace of engines
     :ivar limited_endpoints: endpoints with a rate limit in force
     :ivar permits: permits requested under rate limits, by ``verdict``
+    :ivar turned_away: requests that endpoints turned away, by ``backoff``:
+        ``asked`` if they said for how long
     :ivar store_faults: failed calls of the store, by ``fault``
     :ivar refused_items: malformed store items and messages, by ``kind``
     :ivar version: version of the configuration in force
@@ -51,6 +53,7 @@
     pace_questions: prometheus_client.Counter
     limited_endpoints: prometheus_client.Gauge
     permits: prometheus_client.Counter
+    turned_away: prometheus_client.Counter
     store_faults: prometheus_client.Counter
     refused_items: prometheus_client.Counter
     version: prometheus_client.Gauge
@@ -129,6 +132,12 @@
                 'Permits asked for under rate limits',
                 ('verdict',),
             ),
+            turned_away=make(
+                counter,
+                'edge_turned_away',
+                'Requests that endpoints turned away',
+                ('backoff',),
+            ),
             store_faults=make(
                 counter, 'edge_store_faults', 'Failed store calls', ('fault',)
             ),
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -18,6 +18,7 @@
 from dunlintide_daemon.gateway import runends
 from dunlintide_daemon.gateway import stalls
 from dunlintide_daemon.gateway import state as state_module
+from dunlintide_platform import notices
 from dunlintide_platform import requests
 
 __all__ = ['RunServer']
@@ -218,6 +219,12 @@
                 raise runends.RunEnded(True, 'answer to another request')
             if verdict.not_run:
                 exchange.runs -= 1
+                self._state.log_turned_away(
+                    run.first.name,
+                    exchange.caller_request.name,
+                    head.status,
+                    notices.read_notice(head),
+                )
                 self._blame_refusal(stream, run, verdict)
                 where = verdict.faulty_address or run.first.address
                 reason = f'refused with {head.status} by {where}'
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -26,6 +26,7 @@
 from dunlintide_core.pipeline import retrybudget
 from dunlintide_core.pipeline import settings as settings_module
 from dunlintide_daemon.gateway import counters as counters_module
+from dunlintide_platform import notices
 
 __all__ = ['State']
 
@@ -439,6 +440,32 @@
             self.log_rate_limit(name, 'answer', age)
             self.alert_pending.set()
 
+    def log_turned_away(
+        self,
+        name: str,
+        request: str,
+        status: int,
+        notice: notices.Notice | None,
+    ) -> None:
+        """Log that an endpoint turned a request away, and what it asked for.
+
+        :param request: id of the request
+        :param notice: None if another endpoint answered at its address
+        """
+        asked = notice.backoff if notice else result.Ok(None)
+        backoff = asked.ok_value if asked.is_ok() else asked.err_value
+        self.counters.turned_away.labels(
+            'asked' if backoff is not None else 'none'
+        ).inc()
+        self.log.write(
+            'request turned away',
+            request=request,
+            endpoint=name,
+            status=status,
+            backoff=backoff,
+            leaving=notice.leaving if notice else None,
+        )
+
     def log_rate_limit(self, name: str, source: str, age: float) -> None:
         """Log a changed rate limit, and update the metric of limits.
 
