Reproduce the pauses that no entry keeps, with real entries

Callers saw nothing but delay; the endpoint saw up to a hundred times what the rule allows, as no entry reads Retry-After or Server-Leaving of an endpoint. The stand-in runners now turn requests away with Retry-After and say that they leave in all their answers, and record what reaches each instance; the checks count there.

Ruled out: a stand-in that asks one entry only; it answers whoever asks, and each answer is told apart by the id of its request.

--- /dev/null
+++ b/features/steps/backoffs.py
@@ -0,0 +1,133 @@
+"""Steps for endpoints that ask for a pause or say that they leave."""
+
+import behave
+from dunlintide_trials.edge import backoffs
+from dunlintide_trials.edge import loads
+
+WORK = {'service': '/lists/x', 'engine': None}
+DRAIN_SECONDS = 2.0
+# Time from an endpoint's answer until the entry acts on it, in seconds.
+REACTION_SECONDS = 0.05
+
+
+def _find_one(context, kind):
+    scene = context.scene
+    if kind == 'service':
+        return scene.list_services()[0]
+    holders = [each for each in scene.list_engines() if each.layers[0] == 0]
+    return min(holders, key=lambda each: each.domain)
+
+
+@behave.given('calls take {seconds:f} s and endpoints run {slots:d} at once')
+def slow_calls(context, seconds, slots):
+    scene = context.scene
+    scene.fleet.call_seconds = seconds
+    scene.fleet.slots = slots
+    for runner in scene.list_services():
+        scene.run(runner.write_entry())
+
+    def check():
+        listed = context.entry.read_state()['endpoints']
+        return all(
+            each['slots'] == slots for each in listed if not each['kind']
+        )
+
+    scene.wait_until(check, 'the entry knows the slots')
+
+
+@behave.when('one {kind} turns requests away and asks for {seconds:g} s')
+def ask_one(context, kind, seconds):
+    context.asking = [_find_one(context, kind)]
+    context.asking[0].faults.backoff = (f'{seconds:g}',)
+
+
+@behave.when('every service turns requests away and asks for {seconds:g} s')
+def ask_all(context, seconds):
+    context.asking = context.scene.list_services()
+    for runner in context.asking:
+        runner.faults.backoff = (f'{seconds:g}',)
+
+
+@behave.when('one {kind} says in its answers that it leaves')
+def leave_one(context, kind):
+    context.asking = [_find_one(context, kind)]
+    context.asking[0].faults.leaving = True
+
+
+@behave.when('callers ask for {kind} work for {seconds:d} seconds')
+def call_entry(context, kind, seconds):
+    context.calls = loads.run_callers(
+        context.scene.entries, WORK[kind], seconds
+    )
+
+
+@behave.when('{count:d} callers ask for {kind} work for {seconds:d} seconds')
+def call_entry_often(context, count, kind, seconds):
+    context.calls = loads.run_callers(
+        context.scene.entries, WORK[kind], seconds, count
+    )
+
+
+@behave.then('no endpoint got more than 2 requests within a pause')
+def check_pauses(context):
+    assert any(runner.backoffs for runner in context.asking)
+    violations = [
+        line
+        for runner in context.asking
+        # With one entry, reports and orders are its own too.
+        for line in backoffs.list_backoff_violations(runner, lambda _: 'one')
+    ]
+    assert not violations, violations[:5]
+
+
+@behave.then('all callers were answered whole')
+def check_answers(context):
+    assert context.calls
+    for call in context.calls:
+        answer = call.answer
+        assert answer.status == 200 and answer.is_complete, call
+
+
+@behave.then('refusals took {seconds:f} s at most')
+def check_refusals(context, seconds):
+    taken = [
+        call.ended - call.sent
+        for call in context.calls
+        if call.answer.status == 503
+    ]
+    assert taken
+    assert max(taken) <= seconds, f'{max(taken):.3f} s'
+
+
+@behave.then('refused callers were told to return after the first pause')
+def check_retry_after(context):
+    checked = 0
+    for call in context.calls:
+        ends = [
+            max(
+                (
+                    asked.at + asked.seconds
+                    for asked in runner.backoffs
+                    if asked.at < call.sent - REACTION_SECONDS
+                ),
+                default=0.0,
+            )
+            for runner in context.asking
+        ]
+        if call.answer.status != 503 or min(ends) <= call.ended:
+            continue
+        returns = call.ended + float(call.answer.headers['retry-after'])
+        assert returns >= min(ends) - REACTION_SECONDS, (call, ends)
+        checked += 1
+    assert checked
+
+
+@behave.then('no request sent 2 s after the first such answer reached it')
+def check_leaving(context):
+    (runner,) = context.asking
+    assert runner.leaving_answers
+    sent_times = {call.name: call.sent for call in context.calls}
+    violations = backoffs.list_leaving_violations(
+        runner, loads.find_entry, sent_times, DRAIN_SECONDS
+    )
+    assert not violations, violations[:5]
--- a/features/steps/ratelimits.py
+++ b/features/steps/ratelimits.py
@@ -1,17 +1,12 @@
 """Steps for rate limits that entries share, with real entries."""
 
-import contextlib
-import threading
 import time
 
 import behave
-from dunlintide_standins.fleet import callers
+from dunlintide_trials.edge import loads
 from dunlintide_trials.edge import windows
 
-CALLERS = 12
 WORK = {'service': '/lists/x', 'engine': None}
-# Longest pause of a caller that got a Retry-After, in seconds.
-MOST_PAUSE = 0.5
 
 
 def _list_runners(context, kind):
@@ -28,44 +23,10 @@
         runner.faults.rate_limit = limit
 
 
-def _call_until(entry, prefix, path, end, answers):
-    number = 0
-    while time.monotonic() < end:
-        number += 1
-        name = f'{prefix}-{number}'
-        with contextlib.closing(callers.Caller(entry.listen)) as caller:
-            if path is None:
-                caller.send(callers.build_stream(name, 3))
-            else:
-                caller.send(callers.build_request(name, path))
-            answer = caller.read_answer()
-        answers.append(answer)
-        pause = float(answer.headers.get('retry-after', 0.0))
-        time.sleep(min(pause, MOST_PAUSE))
-
-
 @behave.when('callers ask all entries for {kind} work for {seconds:d} seconds')
 def call_entries(context, kind, seconds):
-    context.answers = []
-    end = time.monotonic() + seconds
-    entries = context.scene.entries
-    threads = [
-        threading.Thread(
-            target=_call_until,
-            args=(
-                entries[index % len(entries)],
-                f'c{index}',
-                WORK[kind],
-                end,
-                context.answers,
-            ),
-        )
-        for index in range(CALLERS)
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    calls = loads.run_callers(context.scene.entries, WORK[kind], seconds)
+    context.answers = [call.answer for call in calls]
 
 
 @behave.then('no {kind} got more than its limit allows')
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -1,6 +1,7 @@
 """Stand-ins of engines with model layers, and of plain services."""
 
 import asyncio
+import contextlib
 import hashlib
 import itertools
 import json
@@ -13,8 +14,11 @@
 from dunlintide_standins.fleet import wire
 
 __all__ = [
+    'AskedBackoff',
     'Faults',
     'Fleet',
+    'LeavingAnswer',
+    'Received',
     'Run',
     'Runner',
 ]
@@ -41,6 +45,9 @@
     :ivar order_delay: delay of such an order, in seconds
     :ivar rate_limit: value of ``Server-Limit`` in requests per second, None
         to leave the header out
+    :ivar backoff: values of ``Retry-After`` with which the runner refuses
+        requests, empty to take them
+    :ivar leaving: whether the runner says that it leaves in all its answers
     """
 
     full: bool = False
@@ -54,6 +61,8 @@
     lose_orders: int = 0
     order_delay: float = 0.0
     rate_limit: float | None = None
+    backoff: tuple[str, ...] = ()
+    leaving: bool = False
 
     def consume(self, name: str) -> bool:
         """Decrement a count; return whether it was above zero."""
@@ -84,6 +93,51 @@
     ended: str = ''
 
 
+@attrs.frozen
+class Received:
+    """A request that arrived at a runner, a report or order included.
+
+    :ivar instance: name of the instance of the runner
+    :ivar at: monotonic time in seconds
+    :ivar name: id of the request, empty for a report or order
+    """
+
+    instance: str
+    at: float
+    name: str
+    path: str
+
+
+@attrs.frozen
+class AskedBackoff:
+    """A refusal of a runner that asks for a pause.
+
+    :ivar instance: name of the instance of the runner
+    :ivar at: monotonic time of the answer, in seconds
+    :ivar name: id of the refused request
+    :ivar seconds: length of the pause
+    """
+
+    instance: str
+    at: float
+    name: str
+    seconds: float
+
+
+@attrs.frozen
+class LeavingAnswer:
+    """An answer of a runner that says that it leaves.
+
+    :ivar instance: name of the instance of the runner
+    :ivar at: monotonic time of the answer, in seconds
+    :ivar name: id of the request, empty for a report or order
+    """
+
+    instance: str
+    at: float
+    name: str
+
+
 def parse_hops(text: str) -> list[tuple[str, int, int]]:
     """Parse the hops of a chain from the ``Hop-Count`` header."""
     hops = []
@@ -106,8 +160,9 @@
 
     :ivar kind: kind of accelerator
     :ivar runs: requests run by all instances
-    :ivar arrivals: monotonic times of all requests received, reports and
-        orders included, in seconds
+    :ivar received: requests received, reports and orders included
+    :ivar backoffs: pauses that all instances asked for
+    :ivar leaving_answers: answers with the word that the instance leaves
     :ivar orders: number of orders to the instance whose precondition held
     :ivar born: start of the instance in Unix milliseconds, None to leave it
         out of entries and reports
@@ -128,7 +183,9 @@
         self.orders = 0
         self.layers: tuple[int, int] | None = None
         self.runs: list[Run] = []
-        self.arrivals: list[float] = []
+        self.received: list[Received] = []
+        self.backoffs: list[AskedBackoff] = []
+        self.leaving_answers: list[LeavingAnswer] = []
         self.overloaded = False
         self.crashed = False
         self._server: asyncio.Server | None = None
@@ -140,6 +197,11 @@
         """``host:port``."""
         return f'127.0.0.1:{self.port}'
 
+    @property
+    def arrivals(self) -> list[float]:
+        """Monotonic times of all requests received, in seconds."""
+        return [each.at for each in self.received]
+
     @property
     def key(self) -> str:
         """Key of the runner's entry in the store."""
@@ -201,7 +263,16 @@
     async def _handle(
         self, request: wire.Request, channel: wire.Channel
     ) -> None:
-        self.arrivals.append(time.monotonic())
+        name = request.headers.get('attempt-id', '')
+        self.received.append(
+            Received(self.name, time.monotonic(), name, request.path)
+        )
+        leaving = self.faults.leaving
+        if leaving:
+            channel.headers['Server-Leaving'] = '1'
+        else:
+            channel.headers.pop('Server-Leaving', None)
+        instance, built = self.name, len(channel.head_times)
         if self.faults.rate_limit is None:
             channel.headers.pop('Server-Limit', None)
         else:
@@ -212,6 +283,11 @@
             await self._answer(request, channel)
         finally:
             self._tasks.discard(task)
+            if leaving:
+                self.leaving_answers += [
+                    LeavingAnswer(instance, at, name)
+                    for at in channel.head_times[built:]
+                ]
 
     async def _answer(
         self, request: wire.Request, channel: wire.Channel
@@ -269,6 +345,21 @@
             headers['At-Server'] = unready_address
         await channel.answer(503, b'', headers)
 
+    async def _refuse_with_backoff(
+        self, request: wire.Request, channel: wire.Channel
+    ) -> None:
+        """Refuse a request and ask its sender for a pause."""
+        values = self.faults.backoff
+        headers = {'Not-Executed': '1', 'Retry-After': values}
+        await channel.answer(503, b'', headers)
+        name = request.headers.get('attempt-id', '')
+        with contextlib.suppress(ValueError):
+            seconds = max(map(float, values))
+            asked = AskedBackoff(
+                self.name, channel.head_times[-1], name, seconds
+            )
+            self.backoffs.append(asked)
+
     async def _handle_request(
         self, request: wire.Request, channel: wire.Channel
     ) -> None:
@@ -277,6 +368,9 @@
         if expected not in (None, self.name):
             await channel.answer(421, b'', {'Instance-Id': self.name})
             return
+        if self.faults.backoff:
+            await self._refuse_with_backoff(request, channel)
+            return
         if self.faults.full:
             await self._refuse(channel)
             return
--- a/packages/standins/src/dunlintide_standins/fleet/wire.py
+++ b/packages/standins/src/dunlintide_standins/fleet/wire.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import time
 from urllib import parse
 
 import attrs
@@ -47,12 +48,14 @@
 
     :ivar closed: whether the server closed or reset the connection
     :ivar headers: headers added to each response
+    :ivar head_times: monotonic times at which heads were built, in seconds
     """
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         self._writer = writer
         self.closed = False
         self.headers: dict[str, str] = {}
+        self.head_times: list[float] = []
 
     async def send(self, data: bytes) -> None:
         """Send raw bytes."""
@@ -72,6 +75,7 @@
         self, status: int, headers: dict[str, str] | None, length: int | None
     ) -> bytes:
         """Build the head of a response; chunked if the length is None."""
+        self.head_times.append(time.monotonic())
         return build_head(status, {**(headers or {}), **self.headers}, length)
 
     def close(self) -> None:
@@ -86,11 +90,16 @@
 
 
 def build_head(
-    status: int, headers: dict[str, str] | None, length: int | None
+    status: int,
+    headers: dict[str, str | tuple[str, ...]] | None,
+    length: int | None,
 ) -> bytes:
     """Build a response head; chunked if the length is None."""
     lines = [f'HTTP/1.1 {status} Status']
-    lines += [f'{name}: {value}' for name, value in (headers or {}).items()]
+    for name, value in (headers or {}).items():
+        # A header with several values is sent once for each of them.
+        values = value if isinstance(value, tuple) else (value,)
+        lines += [f'{name}: {each}' for each in values]
     if length is None:
         lines.append('Transfer-Encoding: chunked')
     else:
