Keep the pauses that endpoints ask for, at one gate for all sends

Each answer's head is now read for what the endpoint says of itself when it arrives, on every path: calls, hedges, streams, resends, failover, probes, reports and orders go through gateway/endpointgate, which also checks when the bytes go out whether an endpoint of the chain asked for a pause, leaves or is gone. What was chosen before and is held there goes back to the choice; it costs neither an attempt nor a retry. Rate limits are read in the same place, and no more from the answer of another endpoint at the address (421). The gauge of limits is counted when it is read.

Ruled out: a check at the choice alone, which lets through what waits for a permit or a connection; telling other entries, who would lose an endpoint that serves them; counting the refusal as full, which doubles a guess and makes the leader give its layers away.

--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -9,7 +9,7 @@
 import asyncio
 import collections
 import enum
-from typing import Sequence
+from typing import Callable, Sequence
 
 import attrs
 import httptools
@@ -36,7 +36,7 @@
 
 
 class FailureKind(enum.StrEnum):
-    """How a call failed."""
+    """How a call failed; one that is withheld was not sent on purpose."""
 
     CONNECT = 'connect'
     RESET = 'reset'
@@ -44,6 +44,7 @@
     GARBLED = 'garbled'
     TIMEOUT = 'timeout'
     ABANDONED = 'abandoned'
+    WITHHELD = 'withheld'
 
 
 class CallError(Exception):
@@ -100,6 +101,7 @@
         self._failure: FailureKind | None = None
         self._has_excess_input = False
         self._bodiless = False
+        self._on_head: Callable[[AnswerHead], None] | None = None
         self.in_call = False
         self.idle_since = 0.0
         self.keepalive_seconds = DEFAULT_KEEPALIVE_SECONDS
@@ -169,6 +171,8 @@
         self._head = head
         if self._bodiless:
             self._complete = True
+        if self._on_head is not None:
+            self._on_head(head)
 
     def on_body(self, data: bytes) -> None:
         if self._complete:
@@ -210,11 +214,18 @@
         connection_header = (self._head.get('connection') or '').lower()
         return 'close' not in connection_header
 
-    def send(self, data: bytes, bodiless: bool = False) -> None:
+    def send(
+        self,
+        data: bytes,
+        bodiless: bool = False,
+        on_head: Callable[[AnswerHead], None] | None = None,
+    ) -> None:
         """Start a call with the bytes of a complete request.
 
         :param bodiless: whether the answer has no body, as for HEAD
+        :param on_head: called when the head of the answer arrives
         """
+        self._on_head = on_head
         self._parser = httptools.HttpResponseParser(self)
         self._chunks.clear()
         self._buffered = 0
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -60,7 +60,12 @@
     ) -> None:
         """Send the metrics in the Prometheus text format."""
         counters = self._state.counters
-        counters.version.set(self._state.version)
+        state = self._state
+        counters.version.set(state.version)
+        counters.limited_endpoints.set(len(state.rate_limits.list_limited()))
+        counters.backing_off_endpoints.set(
+            len(state.backoffs.list_left(state.now))
+        )
         text = prometheus_client.generate_latest(counters.registry)
         headers = [('Content-Type', prometheus_client.CONTENT_TYPE_LATEST)]
         reply.send(callermessages.Head(200, headers), text)
@@ -102,6 +107,7 @@
             'left_out': state.health.list_ejected(now),
             'told_to_leave_out': state.health.list_ejected_by_peers(now),
             'slow': dict(state.paces.list_slow(now)),
+            'backing_off': state.backoffs.list_left(now),
             'rate_limits': state.rate_limits.list_limited(),
             'coordinated_limits': state.permits.list_coordinated(),
             'resends_left': {
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -11,9 +11,9 @@
 from dunlintide_core.pipeline import balance
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import mechanisms
+from dunlintide_daemon.gateway import endpointgate
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
-from dunlintide_platform import notices
 from dunlintide_platform import requests
 
 __all__ = ['CallServer']
@@ -48,6 +48,7 @@
     :ivar head: head of a valid answer, None without one
     :ivar ran: whether the call may have run at the endpoint
     :ivar reason: why there is no valid answer, for the log
+    :ivar withheld: whether it was not sent, so that its retry is still paid
     """
 
     endpoint: endpoints_module.Endpoint
@@ -55,6 +56,7 @@
     reason: str = ''
     head: endpointhttp.AnswerHead | None = None
     body: bytes = b''
+    withheld: bool = False
 
     @property
     def is_good(self) -> bool:
@@ -88,10 +90,12 @@
         target = exchange.terms.target_seconds or DEFAULT_TARGET_SECONDS
         hedge = target * HEDGE_FRACTION
         connects = 0
+        is_paid = False
         while True:
             if not pending:
-                if connects >= MAX_CONNECTS or not self._charge_send(
-                    exchange, results
+                if not is_paid and (
+                    connects >= MAX_CONNECTS
+                    or not self._charge_send(exchange, results)
                 ):
                     return self._end_unanswered(exchange, results)
                 endpoint = await self._find_endpoint(exchange, target)
@@ -99,6 +103,7 @@
                     return self._end_unanswered(exchange, results, 'no room')
                 pending.add(self._start(exchange, endpoint))
                 connects += 1
+                is_paid = False
             left = exchange.deadline - state.now
             done, rest = await asyncio.wait(
                 pending,
@@ -111,6 +116,9 @@
                 result = task.result()
                 if result.is_good:
                     return self._forward(exchange, result)
+                if result.withheld:
+                    is_paid = True
+                    continue
                 results.append(result)
             if state.now >= exchange.deadline:
                 return self._end_unanswered(
@@ -267,11 +275,12 @@
                 [endpoint.name], str(broken), exchange.caller_request.name
             )
             return _SendResult(endpoint, False, f'no connection: {broken}')
-        exchange.sends += 1
-        exchange.runs += 1
         try:
             return await self._exchange(exchange, endpoint, connection)
         except endpointhttp.CallError as broken:
+            if broken.kind is endpointhttp.FailureKind.WITHHELD:
+                exchange.excluded_endpoints.remove(endpoint.name)
+                return _SendResult(endpoint, False, str(broken), withheld=True)
             if broken.kind is not endpointhttp.FailureKind.TIMEOUT:
                 state.poison_requests.record_broken_run(
                     exchange.fingerprint, endpoint.name, state.now
@@ -295,7 +304,16 @@
         )
         data = requests.encode(exchange.request, relayed)
         sent_at = state.now
-        connection.send(data, exchange.request.method == 'HEAD')
+        endpointgate.send(
+            state,
+            connection,
+            (endpoint,),
+            data,
+            exchange.caller_request.name,
+            exchange.request.method == 'HEAD',
+        )
+        exchange.sends += 1
+        exchange.runs += 1
         state.log.write(
             'call sent',
             request=exchange.caller_request.name,
@@ -307,18 +325,11 @@
         )
         head = await connection.read_head(exchange.deadline)
         verdict = requests.read_answer_headers(head)
-        state.record_rate_limit(endpoint.name, verdict.rate_limit, sent_at)
         body = await connection.read_all(exchange.deadline)
         if verdict.name not in (None, exchange.caller_request.name):
             return _SendResult(endpoint, True, 'answer to another request')
         if verdict.not_run:
             exchange.runs -= 1
-            state.log_turned_away(
-                endpoint.name,
-                exchange.caller_request.name,
-                head.status,
-                notices.read_notice(head),
-            )
             if verdict.misdirected:
                 state.eject(
                     [endpoint.name],
--- a/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -116,6 +116,7 @@
         unusable = self._state.health.list_unusable(self._state.now)
         unusable.update(stream.exchange.excluded_endpoints)
         unusable.update(self._state.list_unreadable())
+        unusable.update(self._state.backoffs.list_closed(self._state.now))
         unusable.update(self._state.permits.list_paused(self._state.now))
         return unusable
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -35,6 +35,9 @@
     :ivar permits: permits requested under rate limits, by ``verdict``
     :ivar turned_away: requests that endpoints turned away, by ``backoff``:
         ``asked`` if they said for how long
+    :ivar withheld: requests that were not sent since an endpoint held them,
+        by ``reason``
+    :ivar backing_off_endpoints: endpoints that asked for a pause
     :ivar store_faults: failed calls of the store, by ``fault``
     :ivar refused_items: malformed store items and messages, by ``kind``
     :ivar version: version of the configuration in force
@@ -54,6 +57,8 @@
     limited_endpoints: prometheus_client.Gauge
     permits: prometheus_client.Counter
     turned_away: prometheus_client.Counter
+    withheld: prometheus_client.Counter
+    backing_off_endpoints: prometheus_client.Gauge
     store_faults: prometheus_client.Counter
     refused_items: prometheus_client.Counter
     version: prometheus_client.Gauge
@@ -138,6 +143,17 @@
                 'Requests that endpoints turned away',
                 ('backoff',),
             ),
+            withheld=make(
+                counter,
+                'edge_withheld_sends',
+                'Requests that were not sent since an endpoint held them',
+                ('reason',),
+            ),
+            backing_off_endpoints=make(
+                gauge,
+                'edge_backing_off_endpoints',
+                'Endpoints that asked for a pause',
+            ),
             store_faults=make(
                 counter, 'edge_store_faults', 'Failed store calls', ('fault',)
             ),
--- /dev/null
+++ b/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
@@ -0,0 +1,120 @@
+"""The one way by which anything reaches an endpoint.
+
+Between the choice of an endpoint and the send lie waits: for a permit, for a
+connection, in a queue. So whatever keeps requests from an endpoint is checked
+again when the bytes go out, and what an endpoint says of itself is read when
+the head of its answer arrives, even if nobody waits for it any more.
+"""
+
+import enum
+from typing import Awaitable, Callable, Iterable
+
+from dunlintide_adapters import endpointhttp
+from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_daemon.gateway import endpointnotices
+from dunlintide_daemon.gateway import state as state_module
+from dunlintide_platform import notices
+
+__all__ = [
+    'Hold',
+    'bind_exchange',
+    'find_hold',
+    'send',
+]
+
+Endpoint = endpoints_module.Endpoint
+Exchange = Callable[
+    [bytes, float], Awaitable[tuple[endpointhttp.AnswerHead, bytes]]
+]
+
+
+class Hold(enum.StrEnum):
+    """Why an endpoint must not get a request now."""
+
+    BACKOFF = 'back-off'
+    LEAVING = 'leaving'
+    GONE = 'gone'
+
+
+def find_hold(state: state_module.State, name: str) -> Hold | None:
+    """Find what keeps requests from an endpoint now, None if nothing does."""
+    endpoint = state.endpoints.get(name)
+    if endpoint is None:
+        return Hold.GONE
+    if endpoint.draining:
+        return Hold.LEAVING
+    if not state.backoffs.can_send(name, state.now):
+        return Hold.BACKOFF
+    return None
+
+
+def send(
+    state: state_module.State,
+    connection: endpointhttp.Connection,
+    chain: Iterable[Endpoint],
+    data: bytes,
+    request: str = '',
+    bodiless: bool = False,
+) -> None:
+    """Send a request on an open connection, unless an endpoint holds it.
+
+    :param chain: the endpoint of the connection and those that it passes the
+        request on to
+    :param request: id of the request, empty for a report or order
+    :param bodiless: whether the answer has no body, as for HEAD
+    :raises CallError: of the kind WITHHELD, if nothing was sent
+    """
+    first, *_ = chain = list(chain)
+    for endpoint in chain:
+        hold = find_hold(state, endpoint.name)
+        if hold is not None:
+            state.counters.withheld.labels(hold).inc()
+            state.log.write(
+                'send withheld',
+                request=request,
+                endpoint=endpoint.name,
+                reason=hold,
+                left=round(
+                    state.backoffs.get_left(endpoint.name, state.now), 3
+                ),
+                listing_age=round(state.now - state.listing_read_at, 3),
+            )
+            raise endpointhttp.CallError(
+                endpointhttp.FailureKind.WITHHELD, False, hold
+            )
+    sent = state.now
+
+    def read_head(head: endpointhttp.AnswerHead) -> None:
+        notice = notices.read_notice(head)
+        if notice is None or not notice.accepted:
+            endpointnotices.log_turned_away(
+                state, first.name, request, head.status, notice
+            )
+        if notice is not None:
+            endpointnotices.apply_notice(
+                state, first.name, notice, sent, request
+            )
+
+    connection.send(data, bodiless, read_head)
+
+
+def bind_exchange(state: state_module.State, endpoint: Endpoint) -> Exchange:
+    """Return a function that exchanges a report or order with an endpoint.
+
+    It takes the bytes of the request and a timeout in seconds, and raises
+    CallError.
+    """
+
+    async def exchange(
+        data: bytes, timeout: float
+    ) -> tuple[endpointhttp.AnswerHead, bytes]:
+        connection = await state.pool.open(endpoint.address, timeout)
+        try:
+            deadline = state.now + timeout
+            send(state, connection, (endpoint,), data)
+            head = await connection.read_head(deadline)
+            return head, await connection.read_all(deadline)
+        finally:
+            connection.close()
+
+    return exchange
--- a/packages/daemon/src/dunlintide_daemon/gateway/lossdetector.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/lossdetector.py
@@ -10,6 +10,7 @@
 
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import mechanisms
+from dunlintide_daemon.gateway import endpointgate
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import orders
 
@@ -107,15 +108,14 @@
         for _ in range(MAX_PROBES):
             if not await self._state.admit(engine.name):
                 return
-            sent = self._state.now
-            read = await orders.read_report(engine.address)
+            exchange = endpointgate.bind_exchange(self._state, engine)
+            read = await orders.read_report(exchange, engine.address)
             if read.is_ok():
-                self._state.record_rate_limit(
-                    engine.name, read.ok_value.rate_limit, sent
-                )
                 self._state.record_incarnation(engine, read.ok_value.born)
                 return
-            errors.append(read.err_value)
+            if read.err_value.withheld:
+                return
+            errors.append(read.err_value.text)
         if self._state.health.has_progressed_since(engine.name, began):
             return
         self._lost_at[engine.name] = self._state.now
--- a/packages/daemon/src/dunlintide_daemon/gateway/paceprober.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/paceprober.py
@@ -5,6 +5,8 @@
 
 import asyncio
 
+from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_daemon.gateway import endpointgate
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import orders
 
@@ -46,24 +48,26 @@
             endpoint = state.endpoints.get(name)
             if endpoint is None or len(self._tasks) >= MAX_PROBES:
                 continue
-            work = self._probe(name, endpoint.address)
+            work = self._probe(endpoint)
             task = asyncio.get_running_loop().create_task(work)
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _probe(self, name: str, address: str) -> None:
+    async def _probe(self, endpoint: endpoints_module.Endpoint) -> None:
         state = self._state
+        name = endpoint.name
         if not await state.admit(name):
             return
-        sent = state.now
-        read = await orders.read_report(address)
+        exchange = endpointgate.bind_exchange(state, endpoint)
+        read = await orders.read_report(exchange, endpoint.address)
         state.counters.pace_questions.inc()
+        if read.is_err() and read.err_value.withheld:
+            return
         if read.is_err():
             # If all streams through a dead engine use the same chain, only a
             # probe shows which engine of the chain it is.
-            state.eject([name], f'no report: {read.err_value}')
+            state.eject([name], f'no report: {read.err_value.text}')
             return
-        state.record_rate_limit(name, read.ok_value.rate_limit, sent)
         slow = name in state.paces.list_slow(state.now)
         pace = read.ok_value.slowdown
         state.paces.record(name, pace, state.now)
--- a/packages/daemon/src/dunlintide_daemon/gateway/placer.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/placer.py
@@ -10,6 +10,7 @@
 from dunlintide_core.pipeline import layout
 from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import profiles
+from dunlintide_daemon.gateway import endpointgate
 from dunlintide_daemon.gateway import leadership as leadership_module
 from dunlintide_daemon.gateway import lossdetector
 from dunlintide_daemon.gateway import state as state_module
@@ -267,6 +268,7 @@
         if not self._leadership.is_leading:
             return
         reception = await orders.send_placement(
+            endpointgate.bind_exchange(self._state, placement.endpoint),
             placement.endpoint.address,
             placement.start,
             placement.end,
@@ -299,16 +301,17 @@
         if not await self._state.admit(endpoint.name):
             order.retry_at = self._state.now + RETRY_SECONDS
             return False
-        sent = self._state.now
-        read = await orders.read_report(endpoint.address)
+        exchange = endpointgate.bind_exchange(self._state, endpoint)
+        read = await orders.read_report(exchange, endpoint.address)
         if read.is_err():
             order.retry_at = self._state.now + RETRY_SECONDS
             self._state.log.write(
-                'report missing', endpoint=endpoint.name, error=read.err_value
+                'report missing',
+                endpoint=endpoint.name,
+                error=read.err_value.text,
             )
             return False
         report = read.ok_value
-        self._state.record_rate_limit(endpoint.name, report.rate_limit, sent)
         self._state.record_incarnation(endpoint, report.born)
         order.expected = report.orders
         held = (report.start, report.end)
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -252,6 +252,12 @@
             if state.now - expired_at >= EXPIRY_INTERVAL_SECONDS:
                 expired_at = state.now
                 state.pool.sweep()
+                for ended in state.backoffs.end_expired(state.now):
+                    state.log.write(
+                        'back-off ended',
+                        endpoint=ended.name,
+                        seconds=round(ended.seconds, 3),
+                    )
                 state.rate_limits.expire(state.now, state.endpoints)
                 state.permits.expire(state.now, state.endpoints)
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/ratelimiter.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/ratelimiter.py
@@ -8,6 +8,7 @@
 from typing import Callable
 
 from dunlintide_core.pipeline import permits as permits_module
+from dunlintide_daemon.gateway import endpointnotices
 from dunlintide_daemon.gateway import permitcodec
 from dunlintide_daemon.gateway import state as state_module
 
@@ -108,7 +109,9 @@
         self._send(state.permits.receive(message, state.now))
         for name, (limit, age) in before.items():
             if limits.get(name) != limit:
-                state.log_rate_limit(name, message.sender, age)
+                endpointnotices.log_rate_limit(
+                    state, name, message.sender, age
+                )
         if isinstance(message, permits_module.PermitReply):
             awake = self._waiting.get(message.number)
             if awake is not None:
--- a/packages/daemon/src/dunlintide_daemon/gateway/runends.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runends.py
@@ -17,6 +17,7 @@
     :ivar retry: whether another chain may succeed
     :ivar next_hops: chain for the next run, already charged to the retry
         budget; None to choose one
+    :ivar withheld: whether nothing was sent, so that its retry is still paid
     """
 
     def __init__(
@@ -25,9 +26,11 @@
         reason: str,
         retry: bool = True,
         next_hops: Hops | None = None,
+        withheld: bool = False,
     ) -> None:
         super().__init__(reason)
         self.ran = ran
         self.reason = reason
         self.retry = retry
         self.next_hops = next_hops
+        self.withheld = withheld
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -13,12 +13,12 @@
 from dunlintide_core.pipeline import occupancy
 from dunlintide_core.pipeline import paces
 from dunlintide_daemon.gateway import chainfinder
+from dunlintide_daemon.gateway import endpointgate
 from dunlintide_daemon.gateway import events
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import runends
 from dunlintide_daemon.gateway import stalls
 from dunlintide_daemon.gateway import state as state_module
-from dunlintide_platform import notices
 from dunlintide_platform import requests
 
 __all__ = ['RunServer']
@@ -189,10 +189,19 @@
             priority=exchange.priority,
             last_event_id=stream.sequence.last_id,
         )
+        try:
+            endpointgate.send(
+                state,
+                connection,
+                (hop.endpoint for hop in run.hops),
+                requests.encode(exchange.request, relayed),
+                exchange.caller_request.name,
+            )
+        except endpointhttp.CallError as held:
+            raise runends.RunEnded(False, str(held), withheld=True) from held
         exchange.sends += 1
         exchange.runs += 1
         run.began = run.last_progress = state.now
-        connection.send(requests.encode(exchange.request, relayed))
         state.log.write(
             'stream sent',
             request=exchange.caller_request.name,
@@ -212,19 +221,10 @@
         try:
             head = await self._read_head(stream, run, connection)
             verdict = requests.read_answer_headers(head)
-            self._state.record_rate_limit(
-                run.first.name, verdict.rate_limit, run.began
-            )
             if verdict.name not in (None, exchange.caller_request.name):
                 raise runends.RunEnded(True, 'answer to another request')
             if verdict.not_run:
                 exchange.runs -= 1
-                self._state.log_turned_away(
-                    run.first.name,
-                    exchange.caller_request.name,
-                    head.status,
-                    notices.read_notice(head),
-                )
                 self._blame_refusal(stream, run, verdict)
                 where = verdict.faulty_address or run.first.address
                 reason = f'refused with {head.status} by {where}'
@@ -255,8 +255,10 @@
                 culprit = hop.endpoint
         # A full endpoint may accept the request a moment later; a dead one
         # will not.
-        has_room = self._finder.has_ample_room(stream.profile, culprit)
-        state.record_refusal(culprit.name, exchange.service, has_room)
+        # One that asked for a pause lives and says when to come back.
+        if not state.backoffs.get_left(culprit.name, state.now):
+            has_room = self._finder.has_ample_room(stream.profile, culprit)
+            state.record_refusal(culprit.name, exchange.service, has_room)
         late = state.now - run.began >= DEAD_AFTER_SECONDS
         if late or verdict.misdirected:
             exchange.excluded_endpoints.append(culprit.name)
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -6,11 +6,11 @@
 from typing import Awaitable, Callable, Iterable
 
 import attrs
-import result
 
 from dunlintide_adapters import decisionlog
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import backlog as backlog_module
+from dunlintide_core.pipeline import backoffs as backoffs_module
 from dunlintide_core.pipeline import deployments
 from dunlintide_core.pipeline import durations as durations_module
 from dunlintide_core.pipeline import endpointhealth as endpointhealth_module
@@ -26,7 +26,6 @@
 from dunlintide_core.pipeline import retrybudget
 from dunlintide_core.pipeline import settings as settings_module
 from dunlintide_daemon.gateway import counters as counters_module
-from dunlintide_platform import notices
 
 __all__ = ['State']
 
@@ -54,6 +53,7 @@
     :ivar event_intervals: mean intervals of the events of runs, relative to
         the published speed of their engines
     :ivar paces: measured paces of engines
+    :ivar backoffs: pauses that endpoints asked this entry for
     :ivar rate_limits: rate limits that endpoints announced
     :ivar permits: permits for endpoints with a rate limit
     :ivar admit: requests a permit to send to an endpoint, by the name of the
@@ -111,6 +111,9 @@
         factory=durations_module.DurationWindow
     )
     paces: paces_module.Paces = attrs.field(factory=paces_module.Paces)
+    backoffs: backoffs_module.Backoffs = attrs.field(
+        factory=backoffs_module.Backoffs
+    )
     rate_limits: ratelimits_module.RateLimits = attrs.field(
         factory=ratelimits_module.RateLimits
     )
@@ -339,6 +342,7 @@
             and not each.draining
             and each.identity not in self.unreadable_since
             and self.health.is_usable(each.name, now)
+            and self.backoffs.can_send(each.name, now)
         ]
 
     def list_engines(
@@ -416,73 +420,6 @@
                 )
                 self.alert_pending.set()
 
-    def record_rate_limit(
-        self,
-        name: str,
-        announced: result.Result[float | None, str],
-        sent: float,
-    ) -> None:
-        """Record the rate limit that an endpoint announced in an answer.
-
-        :param announced: requests per second, None for no limit; as an error
-            the text if it is not a number
-        :param sent: monotonic time at which the request was sent, in seconds
-        """
-        if announced.is_err():
-            self.counters.refused_items.labels('rate limit').inc()
-            self.log.write(
-                'rate limit refused', endpoint=name, value=announced.err_value
-            )
-            return
-        limit = announced.ok_value
-        age = self.rate_limits.get_age(name, self.now)
-        if self.rate_limits.record(name, limit, sent, self.now):
-            self.log_rate_limit(name, 'answer', age)
-            self.alert_pending.set()
-
-    def log_turned_away(
-        self,
-        name: str,
-        request: str,
-        status: int,
-        notice: notices.Notice | None,
-    ) -> None:
-        """Log that an endpoint turned a request away, and what it asked for.
-
-        :param request: id of the request
-        :param notice: None if another endpoint answered at its address
-        """
-        asked = notice.backoff if notice else result.Ok(None)
-        backoff = asked.ok_value if asked.is_ok() else asked.err_value
-        self.counters.turned_away.labels(
-            'asked' if backoff is not None else 'none'
-        ).inc()
-        self.log.write(
-            'request turned away',
-            request=request,
-            endpoint=name,
-            status=status,
-            backoff=backoff,
-            leaving=notice.leaving if notice else None,
-        )
-
-    def log_rate_limit(self, name: str, source: str, age: float) -> None:
-        """Log a changed rate limit, and update the metric of limits.
-
-        :param source: ``answer``, or the entry that reported it
-        :param age: age of the previous observation, in seconds
-        """
-        self.counters.limited_endpoints.set(
-            len(self.rate_limits.list_limited())
-        )
-        self.log.write(
-            'rate limit changed',
-            endpoint=name,
-            limit=self.rate_limits.get(name),
-            source=source,
-            age_before=round(age, 3) if age != float('inf') else None,
-        )
-
     def suspect_slow(self, names: Iterable[str]) -> None:
         """Request probes of the pace of engines."""
         if self.has(mechanisms.Mechanism.PACES):
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -58,9 +58,10 @@
         stream = exchange_module.Stream(exchange, profile, sequence)
         ran = False
         hops = None
+        is_paid = False
         while True:
             if hops is None:
-                found = await self._find_chain(stream)
+                found = await self._find_chain(stream, is_paid)
                 if found.is_err():
                     return self._give_up(exchange, ran, found.err_value)
                 hops = found.ok_value
@@ -74,11 +75,15 @@
                     failure = _Failure(ended.reason)
                     return self._give_up(exchange, ran, failure)
                 hops = ended.next_hops
+                is_paid = ended.withheld
 
     async def _find_chain(
-        self, stream: exchange_module.Stream
+        self, stream: exchange_module.Stream, is_paid: bool
     ) -> result.Result[Hops, _Failure]:
-        """Choose a chain and charge the send on it to the retry budget."""
+        """Choose a chain and charge the send on it to the retry budget.
+
+        :param is_paid: whether the send was charged already
+        """
         exchange = stream.exchange
         while True:
             hops = await self._finder.find(stream)
@@ -86,7 +91,7 @@
                 return result.Err(
                     _Failure('no room', self._finder.find_shortage(stream))
                 )
-            if self._charge_send(exchange):
+            if is_paid or self._charge_send(exchange):
                 return result.Ok(hops)
             if not await self._wait_for_budget(exchange):
                 return result.Err(_Failure('no budget'))
