Send nothing new to an endpoint that says in its answers that it leaves

Requests went on reaching endpoints that had said in their answers that they leave (DRAIN), since only the store's listing was read. A restarted endpoint has another name and begins anew. Endpoints that left and are not listed are forgotten after 60 s; nothing cleared them before.

New scenarios: another entry is told within 1 s and stops; a pause of 60 s binds only the entry that was asked. Ruled out: waiting for the listing, which endpoints may never write.

--- a/features/backoffs.feature
+++ b/features/backoffs.feature
@@ -44,3 +44,17 @@
       | kind    |
       | service |
       | engine  |
+
+  Scenario: An entry that learns that an endpoint leaves tells the others
+    Given a ready entry "two" in "b"
+    When one service says in its answers that it leaves
+    And a caller calls "/lists/x" 8 times
+    Then entry "two" sends it nothing more within 1 s
+
+  Scenario: A pause that an endpoint asks of one entry does not bind another
+    Given a ready entry "two" in "a"
+    When one service turns requests away and asks for 60 s
+    And a caller calls "/lists/x" 8 times
+    And that service takes requests again
+    Then entry "two" still sends calls to it
+    And entry "one" sends it nothing
--- a/features/steps/backoffs.py
+++ b/features/steps/backoffs.py
@@ -1,5 +1,7 @@
 """Steps for endpoints that ask for a pause or say that they leave."""
 
+import time
+
 import behave
 from dunlintide_trials.edge import backoffs
 from dunlintide_trials.edge import loads
@@ -131,3 +133,46 @@
         runner, loads.find_entry, sent_times, DRAIN_SECONDS
     )
     assert not violations, violations[:5]
+
+
+@behave.when('that service takes requests again')
+@behave.when('that endpoint takes requests again')
+def end_asking(context):
+    for runner in context.asking:
+        runner.faults.backoff = ()
+
+
+@behave.then('entry "{name}" sends it nothing more within {seconds:g} s')
+def check_told(context, name, seconds):
+    (runner,) = context.asking
+    (entry,) = [each for each in context.scene.entries if each.name == name]
+    told = min(each.at for each in runner.leaving_answers)
+
+    def check():
+        return runner.name in entry.read_state()['leaving']
+
+    context.scene.wait_until(check, f'{name} is told')
+    taken = time.monotonic() - told
+    assert taken <= seconds, f'{taken:.2f} s'
+    assert not _count_runs(context, entry, 20)
+
+
+def _count_runs(context, entry, count):
+    """Call an entry and count the calls that ran at the asking endpoint."""
+    (runner,) = context.asking
+    names = {f'{entry.name}-{number}' for number in range(count)}
+    for each in sorted(names):
+        assert entry.call(each, '/lists/x').status == 200
+    return sum(run.request in names for run in runner.runs)
+
+
+@behave.then('entry "{name}" still sends calls to it')
+def check_unbound(context, name):
+    (entry,) = [each for each in context.scene.entries if each.name == name]
+    assert _count_runs(context, entry, 40)
+
+
+@behave.then('entry "{name}" sends it nothing')
+def check_bound(context, name):
+    (entry,) = [each for each in context.scene.entries if each.name == name]
+    assert not _count_runs(context, entry, 40)
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -63,6 +63,9 @@
         state = self._state
         counters.version.set(state.version)
         counters.limited_endpoints.set(len(state.rate_limits.list_limited()))
+        counters.leaving_endpoints.set(
+            sum(each.draining for each in state.endpoints.values())
+        )
         counters.backing_off_endpoints.set(
             len(state.backoffs.list_left(state.now))
         )
@@ -108,6 +111,10 @@
             'told_to_leave_out': state.health.list_ejected_by_peers(now),
             'slow': dict(state.paces.list_slow(now)),
             'backing_off': state.backoffs.list_left(now),
+            'leaving': {
+                name: now - since
+                for name, since in state.leaving_since.items()
+            },
             'rate_limits': state.rate_limits.list_limited(),
             'coordinated_limits': state.permits.list_coordinated(),
             'resends_left': {
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -37,6 +37,7 @@
         ``asked`` if they said for how long
     :ivar withheld: requests that were not sent since an endpoint held them,
         by ``reason``
+    :ivar leaving_endpoints: endpoints that leave and are still listed
     :ivar backing_off_endpoints: endpoints that asked for a pause
     :ivar store_faults: failed calls of the store, by ``fault``
     :ivar refused_items: malformed store items and messages, by ``kind``
@@ -58,6 +59,7 @@
     permits: prometheus_client.Counter
     turned_away: prometheus_client.Counter
     withheld: prometheus_client.Counter
+    leaving_endpoints: prometheus_client.Gauge
     backing_off_endpoints: prometheus_client.Gauge
     store_faults: prometheus_client.Counter
     refused_items: prometheus_client.Counter
@@ -149,6 +151,9 @@
                 'Requests that were not sent since an endpoint held them',
                 ('reason',),
             ),
+            leaving_endpoints=make(
+                gauge, 'edge_leaving_endpoints', 'Endpoints that leave'
+            ),
             backing_off_endpoints=make(
                 gauge,
                 'edge_backing_off_endpoints',
--- a/packages/daemon/src/dunlintide_daemon/gateway/endpointnotices.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/endpointnotices.py
@@ -26,6 +26,8 @@
     """
     _record_rate_limit(state, name, notice.rate_limit, sent)
     _record_backoff(state, name, notice.backoff, request)
+    if notice.leaving:
+        state.mark_leaving(name, 'answer', request)
 
 
 def _record_backoff(
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -258,6 +258,7 @@
                         endpoint=ended.name,
                         seconds=round(ended.seconds, 3),
                     )
+                state.expire_leaving()
                 state.rate_limits.expire(state.now, state.endpoints)
                 state.permits.expire(state.now, state.endpoints)
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -34,6 +34,9 @@
 # messages about freed capacity arrive every few milliseconds.
 _WAKE_BATCH = 3
 _WAKE_DELAY_SECONDS = 0.03
+# How long an endpoint that is not listed is remembered as leaving, in seconds:
+# an older listing may bring it back.
+_LEAVING_MEMORY_SECONDS = 60.0
 
 
 async def _admit_all(name: str, request: str = '') -> bool:
@@ -299,15 +302,18 @@
         if identity in self.incarnations:
             self.unreadable_since.setdefault(identity, self.now)
 
-    def mark_leaving(self, name: str, source: str) -> None:
+    def mark_leaving(self, name: str, source: str, request: str = '') -> None:
         """Send no new requests to an endpoint that leaves.
 
-        :param source: entry that reported it, for the log
+        :param source: ``answer``, or the entry that reported it, for the log
+        :param request: id of the request whose answer said so, if any
         """
         if name in self.leaving_since:
             return
         self.leaving_since[name] = self.now
-        self.log.write('endpoint leaves', endpoint=name, source=source)
+        self.log.write(
+            'endpoint leaves', endpoint=name, source=source, request=request
+        )
         endpoint = self.endpoints.get(name)
         if endpoint is not None and not endpoint.draining:
             self.apply_endpoint(attrs.evolve(endpoint, draining=True))
@@ -318,12 +324,23 @@
         endpoint = self.incarnations.pop(identity, None)
         if endpoint is None:
             return
+        since = self.leaving_since.get(endpoint.name)
         self.log.write(
-            'endpoint gone', endpoint=endpoint.name, address=endpoint.address
+            'endpoint gone',
+            endpoint=endpoint.name,
+            address=endpoint.address,
+            left_for=None if since is None else round(self.now - since, 3),
         )
         self._forget(endpoint)
         self.notify_listeners()
 
+    def expire_leaving(self) -> None:
+        """Forget endpoints that left long ago and are not listed."""
+        last = self.now - _LEAVING_MEMORY_SECONDS
+        for name, since in list(self.leaving_since.items()):
+            if since < last and name not in self.endpoints:
+                del self.leaving_since[name]
+
     def _forget(self, endpoint: endpoints_module.Endpoint) -> None:
         if self.endpoints.pop(endpoint.name, None) is not None:
             self.listing_version += 1
