Refuse at once what no endpoint can serve before its pause ends

With all endpoints of a service in a pause, or leaving, each request waited for its target and was then told to return within a second, into the same pause. It is refused at once now, unless a pause ends while it may wait, and its caller is told a time that is not before the first endpoint may be used, spread over a second behind it. For streams that is the earliest time at which each layer has an engine that may be used; those under way are not given up, as layers may be moved. Who is refused for this wakes the next in the queue.

Ruled out: telling callers a third of the time they have left, which brings them back into the pause; the usual delay of an overload on top, up to 4 s beyond the end.

--- a/features/backoffs.feature
+++ b/features/backoffs.feature
@@ -34,6 +34,23 @@
     And refusals took 0.25 s at most
     And refused callers were told to return after the first pause
 
+  Scenario: Streams are refused at once while all first engines pause
+    When every engine with the first layer turns requests away and asks for 3 s
+    And callers ask for engine work for 4 seconds
+    Then no endpoint got more than 2 requests within a pause
+    And refusals took 0.25 s at most
+    And refused callers were told to return after the first pause
+
+  Scenario: A call that can wait for the end of a pause is not refused
+    Given every service turned a call away and asked for 0.3 s
+    When a caller calls "/lists/x" 4 times
+    Then all of them got status 200
+
+  Scenario: Calls are refused at once while all services leave
+    When every service says in its answers that it leaves
+    And callers ask for service work for 1 seconds
+    Then refusals took 0.25 s at most
+
   Scenario Outline: An endpoint that leaves gets nothing new, store or not
     When one <kind> says in its answers that it leaves
     And callers ask for <kind> work for 5 seconds
--- a/features/steps/backoffs.py
+++ b/features/steps/backoffs.py
@@ -39,15 +39,42 @@
 
 @behave.when('one {kind} turns requests away and asks for {seconds:g} s')
 def ask_one(context, kind, seconds):
-    context.asking = [_find_one(context, kind)]
-    context.asking[0].faults.backoff = (f'{seconds:g}',)
+    _ask(context, [_find_one(context, kind)], seconds)
+
+
+def _ask(context, endpoints, seconds):
+    context.asking = endpoints
+    for runner in endpoints:
+        runner.faults.backoff = (f'{seconds:g}',)
 
 
 @behave.when('every service turns requests away and asks for {seconds:g} s')
 def ask_all(context, seconds):
+    _ask(context, context.scene.list_services(), seconds)
+
+
+@behave.when(
+    'every engine with the first layer turns requests away and asks for'
+    ' {seconds:g} s'
+)
+def ask_first_engines(context, seconds):
+    engines = context.scene.list_engines()
+    firsts = [each for each in engines if each.layers[0] == 0]
+    _ask(context, firsts, seconds)
+
+
+@behave.given('every service turned a call away and asked for {seconds:g} s')
+def ask_all_once(context, seconds):
+    _ask(context, context.scene.list_services(), seconds)
+    assert context.entry.call('turned-away', '/lists/x').status == 503
+    end_asking(context)
+
+
+@behave.when('every service says in its answers that it leaves')
+def leave_all(context):
     context.asking = context.scene.list_services()
     for runner in context.asking:
-        runner.faults.backoff = (f'{seconds:g}',)
+        runner.faults.leaving = True
 
 
 @behave.when('one {kind} says in its answers that it leaves')
@@ -90,10 +117,26 @@
         assert answer.status == 200 and answer.is_complete, call
 
 
+def _find_known_at(context, call, seconds):
+    """Return from when on an entry knows that it can't serve a call.
+
+    A call that can be served in time after a pause may wait for its end, and
+    is sent then; any other is refused as soon as it arrives.
+    """
+    for runner in context.asking:
+        ends = [each.at + each.seconds for each in runner.backoffs]
+        for each in runner.received:
+            if each.name == call.name and any(
+                0 <= each.at - end <= seconds for end in ends
+            ):
+                return each.at
+    return call.sent
+
+
 @behave.then('refusals took {seconds:f} s at most')
 def check_refusals(context, seconds):
     taken = [
-        call.ended - call.sent
+        call.ended - _find_known_at(context, call, seconds)
         for call in context.calls
         if call.answer.status == 503
     ]
@@ -115,6 +158,8 @@
                 default=0.0,
             )
             for runner in context.asking
+            # Streams need not have tried every engine.
+            if runner.backoffs
         ]
         if call.answer.status != 503 or min(ends) <= call.ended:
             continue
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -11,6 +11,7 @@
 from dunlintide_core.pipeline import balance
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import mechanisms
+from dunlintide_core.pipeline import returns
 from dunlintide_daemon.gateway import endpointgate
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
@@ -236,6 +237,8 @@
         queue_class = backlog.QueueClass.FRESH
         wait = target * WAIT_FRACTION
         expires = min(self._state.now + wait, exchange.deadline)
+        if self._returns_after(exchange, expires):
+            return None
         if not queue.count_ahead(exchange.priority, queue_class):
             endpoint = await self._choose_admitted(exchange, expires)
             if endpoint is not None:
@@ -255,10 +258,45 @@
                 endpoint = await self._choose_admitted(exchange, expires)
                 if endpoint is not None or self._state.now >= expires:
                     return endpoint
+                if self._returns_after(exchange, expires):
+                    # Those behind it are refused too, not at their expiry.
+                    self._state.wake(exchange.service)
+                    return None
         finally:
             timer.cancel()
             queue.remove(waiter)
 
+    def _returns_after(
+        self, exchange: exchange_module.Exchange, expires: float
+    ) -> bool:
+        """Return whether no endpoint may get the call in time.
+
+        :param expires: monotonic time at which its wait ends, in seconds
+        """
+        state = self._state
+        now = state.now
+
+        def get_left(name: str) -> float:
+            if name in exchange.excluded_endpoints:
+                return float('inf')
+            return state.backoffs.get_left(name, now)
+
+        listed = state.list_listed(exchange.service)
+        return now + returns.find_service_return(listed, get_left) > expires
+
+    def _find_return(self, service: str) -> float:
+        """Return the time until a service may be used, in seconds.
+
+        :returns: 0 if it may be used now, or if it is not known when
+        """
+        state = self._state
+        now = state.now
+        seconds = returns.find_service_return(
+            state.list_listed(service),
+            lambda name: state.backoffs.get_left(name, now),
+        )
+        return seconds if seconds < float('inf') else 0.0
+
     async def _send(
         self,
         exchange: exchange_module.Exchange,
@@ -416,19 +454,24 @@
         reasons = [result.reason for result in results]
         ran = bool(pending) or any(result.ran for result in results)
         late = self._state.now >= exchange.deadline
-        pause = self._choose_retry_after(exchange, ran)
+        left = max(0.1, exchange.deadline - self._state.now)
+        returns_in = self._find_return(exchange.service)
+        if returns_in:
+            pause = returns.choose_retry_delay(returns_in, self._state.random)
+        else:
+            pause = min(self._choose_retry_after(exchange, ran), left / 3.0)
         self._state.log.write(
             'call not answered',
             request=exchange.caller_request.name,
             reason=reason or '; '.join(reasons),
             may_have_run=ran,
             sends=exchange.sends,
+            returns_in=round(returns_in, 3),
             retry_after=None if ran else round(pause, 3),
             version=exchange.version,
         )
         if ran:
             exchange_module.refuse(exchange.reply, 504 if late else 502)
             return Outcome.UNKNOWN
-        left = max(0.1, exchange.deadline - self._state.now)
-        exchange_module.refuse(exchange.reply, 503, min(pause, left / 3.0))
+        exchange_module.refuse(exchange.reply, 503, pause)
         return Outcome.NOT_RUN
--- a/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -12,6 +12,7 @@
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import profiles
+from dunlintide_core.pipeline import returns
 from dunlintide_core.pipeline import waits
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
@@ -192,6 +193,37 @@
                 return None
         return None
 
+    def find_return(self, stream: Stream, with_excluded: bool = True) -> float:
+        """Return the time until each layer has an engine that may be used.
+
+        :param with_excluded: whether engines that failed the stream count
+        :returns: seconds, 0 if no engine asked for a pause
+        """
+        state = self._state
+        now = state.now
+        if not state.backoffs.list_closed(now):
+            return 0.0
+        excluded = stream.exchange.excluded_endpoints
+
+        def get_left(name: str) -> float:
+            if name in excluded and not with_excluded:
+                return float('inf')
+            return state.backoffs.get_left(name, now)
+
+        profile = stream.profile
+        engines = state.list_engines(stream.exchange.service, profile)
+        return returns.find_chain_return(engines, profile.layers, get_left)
+
+    def _returns_after(self, stream: Stream, wait: waits.QueueWait) -> bool:
+        """Return whether engines can't serve a stream before its wait ends.
+
+        One under way is never given up for this: layers may be moved.
+        """
+        if wait.queue_class is backlog.QueueClass.UNDER_WAY:
+            return False
+        seconds = self.find_return(stream, with_excluded=False)
+        return self._state.now + seconds > wait.expires
+
     async def find(self, stream: Stream) -> Hops | None:
         """Choose a chain, waiting in the queue if none has room.
 
@@ -211,6 +243,8 @@
         )
         if hopeless and state.has(mechanisms.Mechanism.HOPELESS):
             return None
+        if self._returns_after(stream, wait):
+            return None
         awake = asyncio.Event()
         waiter = queue.add(exchange.priority, queue_class, expires, awake.set)
         timer = asyncio.get_running_loop().call_at(expires, awake.set)
@@ -222,6 +256,10 @@
                 hops = await self._choose_admitted(stream, expires)
                 if hops is not None or state.now >= expires:
                     return hops
+                if self._returns_after(stream, wait):
+                    # Those behind it are refused too, not at their expiry.
+                    state.wake(exchange.service)
+                    return None
         finally:
             state.counters.waiting.dec()
             timer.cancel()
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -362,6 +362,12 @@
             and self.backoffs.can_send(each.name, now)
         ]
 
+    def list_listed(self, service: str) -> list[endpoints_module.Endpoint]:
+        """Return all listed endpoints of a service."""
+        return [
+            each for each in self.endpoints.values() if each.service == service
+        ]
+
     def list_engines(
         self, service: str, profile: profiles.EngineProfile
     ) -> list[endpoints_module.Endpoint]:
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -8,6 +8,7 @@
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import profiles
 from dunlintide_core.pipeline import refusalhistory
+from dunlintide_core.pipeline import returns
 from dunlintide_daemon.gateway import chainfinder
 from dunlintide_daemon.gateway import events
 from dunlintide_daemon.gateway import exchange as exchange_module
@@ -33,10 +34,13 @@
     """Why a stream gets no further run.
 
     :ivar shortage: layers without room, for the log
+    :ivar returns_in: seconds until engines that asked for a pause may be used,
+        0 if that is not why
     """
 
     reason: str
     shortage: str = ''
+    returns_in: float = 0.0
 
 
 class StreamServer:
@@ -88,14 +92,21 @@
         while True:
             hops = await self._finder.find(stream)
             if hops is None:
-                return result.Err(
-                    _Failure('no room', self._finder.find_shortage(stream))
-                )
+                return result.Err(self._explain(stream))
             if is_paid or self._charge_send(exchange):
                 return result.Ok(hops)
             if not await self._wait_for_budget(exchange):
                 return result.Err(_Failure('no budget'))
 
+    def _explain(self, stream: exchange_module.Stream) -> _Failure:
+        """Tell why no chain was found."""
+        returns_in = self._finder.find_return(stream)
+        return _Failure(
+            'back-off' if returns_in else 'no room',
+            self._finder.find_shortage(stream),
+            returns_in,
+        )
+
     def _charge_send(self, exchange: exchange_module.Exchange) -> bool:
         """Charge a send to the retry budget; the first one is free."""
         if not exchange.sends:
@@ -169,7 +180,7 @@
             exchange_module.refuse(reply, 504 if late else 502)
             return Outcome.UNKNOWN
         state.refusal_history.record_refusal(exchange.digest, state.now)
-        pause = self._choose_retry_after(exchange)
+        pause = self._choose_retry_after(exchange, failure.returns_in)
         state.log.write(
             'request refused',
             request=exchange.caller_request.name,
@@ -177,14 +188,23 @@
             scarce=failure.shortage,
             returned=exchange.was_refused,
             waiting=len(state.get_backlog(exchange.service)),
+            returns_in=round(failure.returns_in, 3),
             retry_after=round(pause, 3),
             version=exchange.version,
         )
         exchange_module.refuse(reply, 503, pause)
         return Outcome.NOT_RUN
 
-    def _choose_retry_after(self, exchange: exchange_module.Exchange) -> float:
-        """Choose a Retry-After in seconds, with jitter."""
+    def _choose_retry_after(
+        self, exchange: exchange_module.Exchange, returns_in: float
+    ) -> float:
+        """Choose a Retry-After in seconds, with jitter.
+
+        :param returns_in: seconds until engines that asked for a pause may be
+            used, 0 if that is not why
+        """
+        if returns_in:
+            return returns.choose_retry_delay(returns_in, self._state.random)
         now = self._state.now
         pause = self._state.refusal_history.choose_retry_delay(now)
         pause *= self._state.random.uniform(*JITTER)
