Take an endpoint up again slowly after its pause

It gets one request now, and two more for each that it takes, until it took eight or three seconds have passed without another pause; after 0.5 s without an answer another one may try. Waiting requests are woken by priority as before, when room for them is granted.

With real entries: one request first, growth by two an answer, and 0.3 (calls) and 0.2 (streams) of the requests or more from 2 s after the pause. In virtual time: of 20 requests that wait, 2 at most are turned away. A property test over order, overlap and delay of answers (600 runs): none is sent into a pause, and the endpoint is used again after it. Texts that are no number count as 1 s, several values as the longest. Ruled out: a count of requests in flight, which a lost answer never gives back.

--- a/features/backoffs.feature
+++ b/features/backoffs.feature
@@ -51,6 +51,55 @@
     And callers ask for service work for 1 seconds
     Then refusals took 0.25 s at most
 
+  Scenario Outline: An endpoint is taken up again slowly after its pause
+    When one <kind> turns requests away and asks for 1.5 s
+    And callers ask for <kind> work for 1 seconds
+    And that endpoint takes requests again
+    And callers ask for <kind> work for 4 seconds
+    Then it got 1 request, then no more than 2 further ones for each that it took
+    And it served <share> of the requests or more from 2.0 s after its pause
+
+    Examples:
+      | kind    | share |
+      | service | 0.3   |
+      | engine  | 0.2   |
+
+  Scenario: A burst after a pause does not drive an endpoint into the next one
+    Given an endpoint that takes 3 requests at once and then asks for 1 s
+    When 20 requests wait for it at the end of its pause
+    Then it turns 2 of them away at most
+
+  Scenario: No order, overlap or delay of answers breaks a pause
+    Then no request is sent into a pause whatever order its answers have
+    And an endpoint is used again once its pauses are over
+
+  Scenario Outline: A pause that can't be read is bounded and told
+    When one service turns requests away and asks for "<value>"
+    And callers ask for service work for 1 seconds
+    Then all callers were answered whole
+    And the entry tells a pause of <seconds> s at that service
+    And the service gets <requests> of the entry's calls at the most
+    When that endpoint takes requests again
+    Then the service is used again within <used> s
+
+    Examples:
+      | value                         | seconds | requests | used |
+      | Wed, 21 Oct 2026 07:28:00 GMT | 1       | 40       | 4    |
+      | -3                            | 1       | 40       | 4    |
+      | nan                           | 1       | 40       | 4    |
+      | 1e3                           | 1       | 40       | 4    |
+      | soon                          | 1       | 40       | 4    |
+      | 0.5                           | 0.5     | 40       | 4    |
+      | 0.25;0.75                     | 0.75    | 40       | 4    |
+
+  Scenario: A pause of a day is kept
+    When one service turns requests away and asks for "86400"
+    And callers ask for service work for 1 seconds
+    And that endpoint takes requests again
+    And callers ask for service work for 4 seconds
+    Then no endpoint got more than 2 requests within a pause
+    And all callers were answered whole
+
   Scenario Outline: An endpoint that leaves gets nothing new, store or not
     When one <kind> says in its answers that it leaves
     And callers ask for <kind> work for 5 seconds
--- a/features/steps/backoffs.py
+++ b/features/steps/backoffs.py
@@ -3,8 +3,11 @@
 import time
 
 import behave
+from dunlintide_core.pipeline import backoffs as backoffs_module
 from dunlintide_trials.edge import backoffs
 from dunlintide_trials.edge import loads
+import hypothesis
+from hypothesis import strategies
 
 WORK = {'service': '/lists/x', 'engine': None}
 DRAIN_SECONDS = 2.0
@@ -221,3 +224,218 @@
 def check_bound(context, name):
     (entry,) = [each for each in context.scene.entries if each.name == name]
     assert not _count_runs(context, entry, 40)
+
+
+@behave.when('one service turns requests away and asks for "{value}"')
+def ask_with_value(context, value):
+    context.asking = [_find_one(context, 'service')]
+    context.asking[0].faults.backoff = tuple(value.split(';'))
+
+
+@behave.then('the entry tells a pause of {seconds:g} s at that service')
+def check_told_pause(context, seconds):
+    (runner,) = context.asking
+
+    def check():
+        began = context.entry.list_events('back-off began')
+        return {row['seconds'] for row in began} == {seconds}
+
+    context.scene.wait_until(check, 'the log line')
+    refused = context.entry.list_events('back-off refused')
+    unreadable = not runner.backoffs or seconds not in {
+        each.seconds for each in runner.backoffs
+    }
+    assert bool(refused) == unreadable, refused
+
+
+@behave.then('the entry tells no pause at that service')
+def check_no_pause(context):
+    assert not context.entry.list_events('back-off began')
+
+
+@behave.then("the service gets {count:d} of the entry's calls at the most")
+def check_received(context, count):
+    (runner,) = context.asking
+    assert len(runner.received) <= count, len(runner.received)
+
+
+@behave.then('the service is used again within {seconds:g} s')
+def check_used(context, seconds):
+    (runner,) = context.asking
+    end = time.monotonic() + seconds
+    number = 0
+    while not any(run.ended == 'ok' for run in runner.runs):
+        number += 1
+        context.entry.call(f'again-{number}', '/lists/x')
+        assert time.monotonic() < end
+
+
+def _list_after_pause(context):
+    """Return the end of the last pause, and what was received after it."""
+    (runner,) = context.asking
+    end = max(each.at + each.seconds for each in runner.backoffs)
+    return end, [each for each in runner.received if each.at >= end]
+
+
+@behave.then(
+    'it got 1 request, then no more than 2 further ones for each that it took'
+)
+def check_slow_start(context):
+    (runner,) = context.asking
+    _, received = _list_after_pause(context)
+    calls = {call.name: call for call in context.calls}
+    # Until the eighth answer; the endpoint is in full use from then on.
+    for index, each in enumerate(received[:8]):
+        taken = sum(
+            calls[other.name].ended <= each.at
+            for other in received[:index]
+            if other.name in calls
+        )
+        running = sum(
+            run.events > 0 and run.request in calls and run.began < each.at
+            for run in runner.runs
+        )
+        assert index <= 2 * max(taken, running), (index, taken, running)
+
+
+@behave.then(
+    'it served {share:g} of the requests or more from {seconds:g} s after its'
+    ' pause'
+)
+def check_share(context, share, seconds):
+    (runner,) = context.asking
+    end, _ = _list_after_pause(context)
+    names = {call.name for call in context.calls if call.sent > end + seconds}
+    ran = {run.request for run in runner.runs}
+    assert len(names) > 20
+    assert len(names & ran) >= share * len(
+        names
+    ), f'{len(names & ran)} of {len(names)}'
+
+
+class _Endpoint:
+    """Endpoint that runs a few requests at once, in virtual time.
+
+    :ivar turned_away: number of requests turned away
+    """
+
+    def __init__(self, slots, seconds):
+        self._slots = slots
+        self._seconds = seconds
+        self._ends = []
+        self.turned_away = 0
+
+    def receive(self, now):
+        """Return whether a request is accepted."""
+        self._ends = [end for end in self._ends if end > now]
+        if len(self._ends) >= self._slots:
+            self.turned_away += 1
+            return False
+        self._ends.append(now + self._seconds)
+        return True
+
+
+@behave.given(
+    'an endpoint that takes {slots:d} requests at once and then asks for'
+    ' {pause:g} s'
+)
+def make_model(context, slots, pause):
+    context.model = _Endpoint(slots, 0.05)
+    context.pause = pause
+
+
+@behave.when('{count:d} requests wait for it at the end of its pause')
+def play_burst(context, count):
+    known = backoffs_module.Backoffs()
+    known.begin('e', context.pause, 0.0)
+    answers = []
+    now = context.pause
+    while count and now < 10 * context.pause:
+        for at, sent, accepted in [each for each in answers if each[0] <= now]:
+            answers.remove((at, sent, accepted))
+            if accepted:
+                known.record_accepted('e', sent)
+            else:
+                known.begin('e', context.pause, at)
+        while count and known.can_send('e', now):
+            known.record_sent('e', now)
+            count -= 1
+            answers.append((now + 0.06, now, context.model.receive(now)))
+        now += 0.01
+    assert not count, count
+
+
+@behave.then('it turns {count:d} of them away at most')
+def check_turned_away(context, count):
+    assert context.model.turned_away <= count, context.model.turned_away
+
+
+# A request: time since the one before, delays of request and answer, and
+# the pause that the endpoint asks for, all in seconds; None to accept it.
+_REQUESTS = strategies.lists(
+    strategies.tuples(
+        strategies.floats(0.0, 0.4),
+        strategies.floats(0.0, 0.1),
+        strategies.floats(0.0, 0.35),
+        strategies.one_of(strategies.none(), strategies.floats(0.0, 4.0)),
+    ),
+    min_size=1,
+    max_size=60,
+)
+
+
+def _play_answers(requests):
+    """Send requests through back-offs in virtual time.
+
+    :returns: the back-offs, arrivals, and arrival and length of each pause
+    """
+    known = backoffs_module.Backoffs()
+    answers = []
+    arrivals = []
+    pauses = []
+    now = 0.0
+    for gap, there, back, seconds in requests:
+        now += gap
+        answers.sort(key=lambda each: each[0])
+        while answers and answers[0][0] <= now:
+            at, sent, asked = answers.pop(0)
+            if asked is None:
+                known.record_accepted('e', sent)
+            else:
+                known.begin('e', asked, at)
+        known.drop_recovered(now)
+        if not known.can_send('e', now):
+            continue
+        known.record_sent('e', now)
+        arrivals.append(now + there)
+        answers.append((now + there + back, now, seconds))
+        if seconds is not None:
+            pauses.append((now + there, seconds))
+    return known, arrivals, pauses
+
+
+@behave.then('no request is sent into a pause whatever order its answers have')
+def check_any_order(context):
+    @hypothesis.settings(max_examples=400, deadline=None)
+    @hypothesis.given(_REQUESTS)
+    def check(requests):
+        _, arrivals, pauses = _play_answers(requests)
+        for at, seconds in pauses:
+            first = at + backoffs.UNDER_WAY_SECONDS
+            late = [each for each in arrivals if first < each < at + seconds]
+            assert not late, (at, seconds, late)
+
+    check()
+
+
+@behave.then('an endpoint is used again once its pauses are over')
+def check_reuse(context):
+    @hypothesis.settings(max_examples=200, deadline=None)
+    @hypothesis.given(_REQUESTS)
+    def check(requests):
+        known, arrivals, pauses = _play_answers(requests)
+        ends = [at + seconds + 0.5 for at, seconds in pauses]
+        last = max(ends + arrivals, default=0.0)
+        assert known.can_send('e', last + backoffs_module.TRIAL_SECONDS)
+
+    check()
--- a/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
@@ -32,6 +32,7 @@
     """Why an endpoint must not get a request now."""
 
     BACKOFF = 'back-off'
+    SLOW_START = 'slow start'
     LEAVING = 'leaving'
     GONE = 'gone'
 
@@ -43,9 +44,12 @@
         return Hold.GONE
     if endpoint.draining:
         return Hold.LEAVING
-    if not state.backoffs.can_send(name, state.now):
+    now = state.now
+    if state.backoffs.can_send(name, now):
+        return None
+    if state.backoffs.get_left(name, now):
         return Hold.BACKOFF
-    return None
+    return Hold.SLOW_START
 
 
 def send(
@@ -83,6 +87,8 @@
                 endpointhttp.FailureKind.WITHHELD, False, hold
             )
     sent = state.now
+    if request:
+        state.backoffs.record_sent(first.name, sent)
 
     def read_head(head: endpointhttp.AnswerHead) -> None:
         notice = notices.read_notice(head)
--- a/packages/daemon/src/dunlintide_daemon/gateway/endpointnotices.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/endpointnotices.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     'apply_notice',
+    'expire_backoffs',
     'log_rate_limit',
     'log_turned_away',
 ]
@@ -26,6 +27,11 @@
     """
     _record_rate_limit(state, name, notice.rate_limit, sent)
     _record_backoff(state, name, notice.backoff, request)
+    is_accepted = bool(request) and notice.accepted
+    if is_accepted and state.backoffs.record_accepted(name, sent):
+        endpoint = state.endpoints.get(name)
+        if endpoint is not None:
+            state.wake(endpoint.service)
     if notice.leaving:
         state.mark_leaving(name, 'answer', request)
 
@@ -59,6 +65,18 @@
         )
 
 
+def expire_backoffs(state: State) -> None:
+    """Log the back-offs that ended, and end slow starts."""
+    for ended in state.backoffs.report_ended(state.now):
+        state.log.write(
+            'back-off ended',
+            endpoint=ended.name,
+            seconds=round(ended.seconds, 3),
+        )
+    for name, accepted in state.backoffs.drop_recovered(state.now).items():
+        state.log.write('slow start ended', endpoint=name, accepted=accepted)
+
+
 def _record_rate_limit(
     state: State,
     name: str,
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -19,6 +19,7 @@
 from dunlintide_core.pipeline import settings as settings_module
 from dunlintide_daemon.gateway import admin as admin_module
 from dunlintide_daemon.gateway import counters
+from dunlintide_daemon.gateway import endpointnotices
 from dunlintide_daemon.gateway import follower as follower_module
 from dunlintide_daemon.gateway import gossip as gossip_module
 from dunlintide_daemon.gateway import leadership as leadership_module
@@ -252,12 +253,7 @@
             if state.now - expired_at >= EXPIRY_INTERVAL_SECONDS:
                 expired_at = state.now
                 state.pool.sweep()
-                for ended in state.backoffs.end_expired(state.now):
-                    state.log.write(
-                        'back-off ended',
-                        endpoint=ended.name,
-                        seconds=round(ended.seconds, 3),
-                    )
+                endpointnotices.expire_backoffs(state)
                 state.expire_leaving()
                 state.rate_limits.expire(state.now, state.endpoints)
                 state.permits.expire(state.now, state.endpoints)
--- a/packages/trials/src/dunlintide_trials/edge/backoffs.py
+++ b/packages/trials/src/dunlintide_trials/edge/backoffs.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     'MAX_RECEIVED',
+    'UNDER_WAY_SECONDS',
     'list_backoff_violations',
     'list_leaving_violations',
 ]
