Prefer other endpoints to one that has just turned a call away

An endpoint that turned a call away without asking for a pause was chosen again by the next call at once: it answers in a millisecond, so it looks the least loaded. Each such call costs a retry, and with the shared budget spent callers got 503 though another endpoint was free. It is the same cause as with the pauses: the answer was forgotten with its request. For 0.3 s it gets a call only if no other endpoint has a slot; none is lost where all turn away.

Ruled out: a penalty of one full load, tried first: a local endpoint that turns away still looked better than a remote one at three quarters of its slots.

--- a/features/backoffs.feature
+++ b/features/backoffs.feature
@@ -100,6 +100,18 @@
     Then no endpoint got more than 2 requests within a pause
     And all callers were answered whole
 
+  Scenario: An endpoint that asks for no pause at all is tried again
+    When one service turns requests away and asks for "0"
+    And callers ask for service work for 1 seconds
+    Then all callers were answered whole
+    And the entry tells no pause at that service
+
+  Scenario: An endpoint that turns calls away without a word is tried seldom
+    When one service is full
+    And callers ask for service work for 3 seconds
+    Then all callers were answered whole
+    And the service gets 80 of the entry's calls at the most
+
   Scenario Outline: An endpoint that leaves gets nothing new, store or not
     When one <kind> says in its answers that it leaves
     And callers ask for <kind> work for 5 seconds
--- a/features/steps/backoffs.py
+++ b/features/steps/backoffs.py
@@ -80,6 +80,12 @@
         runner.faults.leaving = True
 
 
+@behave.when('one service is full')
+def fill_one(context):
+    context.asking = [_find_one(context, 'service')]
+    context.asking[0].faults.full = True
+
+
 @behave.when('one {kind} says in its answers that it leaves')
 def leave_one(context, kind):
     context.asking = [_find_one(context, kind)]
--- a/packages/core/src/dunlintide_core/pipeline/balance.py
+++ b/packages/core/src/dunlintide_core/pipeline/balance.py
@@ -1,11 +1,14 @@
 """Choice of an endpoint for a plain call."""
 
 import random as random_module
-from typing import Callable, Iterable
+from typing import Callable, Container, Iterable
 
 from dunlintide_core.pipeline import endpoints as endpoints_module
 
-__all__ = ['choose']
+__all__ = [
+    'REFUSED_SECONDS',
+    'choose',
+]
 
 # Calls that an endpoint gets beyond its slots. Usage reports of other entries
 # are slightly old, so fewer would leave slots empty; more would queue at the
@@ -14,6 +17,12 @@
 # Load, as a fraction of the slots, by which an endpoint in another failure
 # domain or one still warming up must be below the others to be chosen.
 REMOTE_PENALTY = 0.34
+# The same for one that has just turned a call away, more than all else: it
+# answers at once, so it looks idle, and each further call that it turns away
+# costs a retry.
+REFUSED_PENALTY = 10.0
+# How long that counts, in seconds.
+REFUSED_SECONDS = 0.3
 
 
 def choose(
@@ -21,6 +30,7 @@
     count: Callable[[str], float],
     domain: str,
     random: random_module.Random,
+    refused: Container[str] = (),
 ) -> endpoints_module.Endpoint | None:
     """Return the least loaded endpoint, None if all are full.
 
@@ -28,6 +38,7 @@
     :param count: returns the calls in flight at an endpoint, by name
     :param domain: failure domain of the entry, preferred
     :param random: breaks ties, so that entries choose differently
+    :param refused: names of endpoints that have just turned a call away
     """
     best = None
     best_cost = float('inf')
@@ -40,6 +51,8 @@
             cost += REMOTE_PENALTY
         if each.cold_ms > 0:
             cost += REMOTE_PENALTY
+        if each.name in refused:
+            cost += REFUSED_PENALTY
         if cost < best_cost:
             best, best_cost = each, cost
     return best
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -70,6 +70,9 @@
 
     def __init__(self, state: state_module.State) -> None:
         self._state = state
+        # Monotonic time until which an endpoint that has turned a call away
+        # gets others only if no better one is free, by name, in seconds.
+        self._refused_until: dict[str, float] = {}
 
     async def serve(self, exchange: exchange_module.Exchange) -> Outcome:
         """Answer a request that is routed to a plain service."""
@@ -205,8 +208,17 @@
             lambda name: state.occupancy.get(name).sequences,
             state.settings.failure_domain,
             state.random,
+            self._list_refused(),
         )
 
+    def _list_refused(self) -> set[str]:
+        """Return the names of endpoints that have just turned a call away."""
+        now = self._state.now
+        for name, until in list(self._refused_until.items()):
+            if until <= now:
+                del self._refused_until[name]
+        return set(self._refused_until)
+
     async def _choose_admitted(
         self, exchange: exchange_module.Exchange, expires: float
     ) -> endpoints_module.Endpoint | None:
@@ -368,6 +380,9 @@
             return _SendResult(endpoint, True, 'answer to another request')
         if verdict.not_run:
             exchange.runs -= 1
+            self._refused_until[endpoint.name] = (
+                state.now + balance.REFUSED_SECONDS
+            )
             if verdict.misdirected:
                 state.eject(
                     [endpoint.name],
