Soak with endpoints that ask for pauses or leave in answers only

Two faults come three times as often as others: some endpoints that entries send to turn requests away with 0.3 to 4 s or a text that is no number, and one says in its answers, not in the store, that it leaves, and ends. Judged from what each instance received, by the entry that sent it: not more than two requests in a pause, none that a caller sent 2 s after the answer, unless that entry was killed, started, suspended, resumed or stopped meanwhile.

--- a/packages/trials/src/dunlintide_trials/edge/faults.py
+++ b/packages/trials/src/dunlintide_trials/edge/faults.py
@@ -10,6 +10,7 @@
 from typing import Callable
 
 from dunlintide_standins.fleet import operators
+from dunlintide_standins.fleet import runners
 from dunlintide_trials.edge import soakscene
 
 __all__ = ['FAULTS']
@@ -195,6 +196,45 @@
     return _switch_fault(soak, rng, 'full')
 
 
+def _list_addressed(soak: soakscene.SoakScene) -> list[runners.Runner]:
+    """List the endpoints that entries send to, rather than other engines."""
+    return [
+        each
+        for each in soak.scene.fleet.runners
+        if not each.kind or (each.layers and each.layers[0] == 0)
+    ]
+
+
+def ask_for_backoff(soak: soakscene.SoakScene, rng: random.Random) -> Heal:
+    """Make some endpoints refuse requests and ask for a pause."""
+    asking = rng.choices(_list_addressed(soak), k=3)
+    seconds = rng.choice(('0.3', '1', '2.5', '4', 'soon'))
+    for runner in asking:
+        runner.faults.backoff = (seconds,)
+
+    def heal() -> None:
+        for runner in asking:
+            runner.faults.backoff = ()
+
+    return heal
+
+
+def leave_in_answers(soak: soakscene.SoakScene, rng: random.Random) -> Heal:
+    """Make an endpoint say that it leaves in its answers only, then end it."""
+    runner = rng.choice(_list_addressed(soak))
+    if not soak.reserve(runner):
+        return _do_nothing
+    runner.faults.leaving = True
+
+    def heal() -> None:
+        soak.scene.run(runner.crash(keep_entry=False))
+        runner.faults.leaving = False
+        soak.scene.run(runner.start())
+        soak.release(runner)
+
+    return heal
+
+
 def limit_endpoint(soak: soakscene.SoakScene, rng: random.Random) -> Heal:
     """Change or remove the rate limit that an endpoint announces."""
     runner = rng.choice(soak.scene.fleet.runners)
@@ -221,6 +261,7 @@
     return _do_nothing
 
 
+# Faults that last long at one endpoint are repeated, so that they overlap.
 FAULTS: tuple[Fault, ...] = (
     kill_entry,
     kill_entries,
@@ -237,6 +278,7 @@
     stall_endpoint,
     corrupt_endpoint,
     fill_endpoint,
+    *3 * (ask_for_backoff, leave_in_answers),
     limit_endpoint,
     delay_orders,
     change_configuration,
--- a/packages/trials/src/dunlintide_trials/edge/promises.py
+++ b/packages/trials/src/dunlintide_trials/edge/promises.py
@@ -3,6 +3,8 @@
 from typing import Iterator
 
 from dunlintide_standins.fleet import operators
+from dunlintide_trials.edge import backoffs
+from dunlintide_trials.edge import loads
 from dunlintide_trials.edge import soakscene
 from dunlintide_trials.edge import windows
 
@@ -13,6 +15,9 @@
 # draining endpoint, and seconds for which a fault may disconnect an entry.
 DRAIN_SECONDS = 2.0
 DISCONNECT_SECONDS = 10.0
+# Time before an endpoint's answer from which a fault of the entry that gets
+# the answer counts, in seconds.
+ANSWER_SECONDS = 0.5
 
 
 def _build_events(name: str, first: int, last: int) -> bytes:
@@ -121,6 +126,25 @@
             return
 
 
+def _check_notices(soak: soakscene.SoakScene) -> Iterator[str]:
+    """Check what reached endpoints that asked for a pause or left."""
+
+    def is_excused(entry: str, first: float, last: float) -> bool:
+        return any(
+            name == entry and first - ANSWER_SECONDS <= at <= last
+            for name, at in soak.entry_events
+        )
+
+    sent_times = {request.name: request.sent for request in soak.requests}
+    for runner in soak.scene.fleet.runners:
+        yield from backoffs.list_backoff_violations(
+            runner, loads.find_entry, is_excused
+        )
+        yield from backoffs.list_leaving_violations(
+            runner, loads.find_entry, sent_times, DRAIN_SECONDS, is_excused
+        )
+
+
 def list_violations(soak: soakscene.SoakScene) -> list[str]:
     """List the violations of guarantees, one line each."""
     violations = []
@@ -131,6 +155,7 @@
         violations += check(request)
         violations += _check_runs(soak, request)
     violations += _check_drains(soak)
+    violations += _check_notices(soak)
     for period in soak.limits:
         violations += _check_limit(soak, period)
     for runner in soak.scene.fleet.runners:
--- a/packages/trials/src/dunlintide_trials/edge/soak.py
+++ b/packages/trials/src/dunlintide_trials/edge/soak.py
@@ -127,6 +127,12 @@
     return {
         'seed': seed,
         'faults': count,
+        'pauses': sum(
+            len(runner.backoffs) for runner in soak.scene.fleet.runners
+        ),
+        'leaving': sum(
+            len(runner.leaving_answers) for runner in soak.scene.fleet.runners
+        ),
         'requests': len(soak.requests),
         'statuses': dict(sorted(statuses.items())),
         'broken': violations,
--- a/packages/trials/src/dunlintide_trials/edge/soakscene.py
+++ b/packages/trials/src/dunlintide_trials/edge/soakscene.py
@@ -34,6 +34,7 @@
 
     :ivar kind: ``STREAM``, ``ONCE`` or ``REPEATABLE``
     :ivar count: number of events that a stream was asked for
+    :ivar sent: monotonic time at which it was sent, in seconds
     :ivar status: HTTP status, 0 without a response
     :ivar is_complete: whether the response was complete
     """
@@ -41,6 +42,7 @@
     name: str
     kind: str
     count: int
+    sent: float
     status: int = 0
     is_complete: bool = False
     body: bytes = b''
@@ -70,6 +72,8 @@
     :ivar relays: relay to the store by name of the entry
     :ivar store_fault_times: monotonic times of faults of the store
     :ivar entry_fault_times: monotonic times of faults of entries
+    :ivar entry_events: name of each entry that was killed, started, suspended,
+        resumed or stopped, and the monotonic time
     :ivar drains: name of each drained endpoint and monotonic time
     :ivar limits: rate limits that endpoints announced
     """
@@ -87,6 +91,7 @@
         self.relays: dict[str, relay_module.Relay] = {}
         self.store_fault_times: list[float] = []
         self.entry_fault_times: list[float] = []
+        self.entry_events: list[tuple[str, float]] = []
         self.drains: list[tuple[str, float]] = []
         self.limits: list[LimitPeriod] = []
         self._reserved: set[runners_module.Runner] = set()
@@ -121,11 +126,17 @@
         """Send a signal to an entry if it runs."""
         if entry.process.poll() is None:
             os.kill(entry.process.pid, number)
+            if number != signal.SIGHUP:
+                self._record_event(entry)
 
     def restart(self, entry: scenes.Entry) -> None:
         """Restart an entry, killing it if it still runs."""
         entry.stop()
         entry.start()
+        self._record_event(entry)
+
+    def _record_event(self, entry: scenes.Entry) -> None:
+        self.entry_events.append((entry.name, time.monotonic()))
 
     def record_store_fault(self) -> None:
         """Record the time of a fault of the store."""
@@ -134,6 +145,7 @@
     def record_entry_fault(self, entry: scenes.Entry) -> None:
         """Record the time of a fault of an entry."""
         self.entry_fault_times.append(time.monotonic())
+        self._record_event(entry)
 
     def record_drain(self, runner: runners_module.Runner) -> None:
         """Record the time at which an endpoint starts to drain."""
@@ -211,26 +223,30 @@
             # A connection is reused for several requests unless the entry
             # closes it.
             with contextlib.closing(caller):
-                while remaining and self.send_request(caller, rng):
+                while remaining and self.send_request(caller, entry, rng):
                     remaining -= 1
                     time.sleep(rng.uniform(*PAUSE_SECONDS))
 
-    def _make_request(self, rng: random.Random) -> SentRequest:
+    def _make_request(
+        self, entry: scenes.Entry, rng: random.Random
+    ) -> SentRequest:
         with self._lock:
             self._request_count += 1
-            name = f'r{self._request_count}'
+            name = f'{entry.name}.r{self._request_count}'
         kind = rng.choice((STREAM, STREAM, ONCE, REPEATABLE))
-        request = SentRequest(name, kind, rng.randint(5, 60))
+        request = SentRequest(name, kind, rng.randint(5, 60), time.monotonic())
         with self._lock:
             self.requests.append(request)
         return request
 
-    def send_request(self, caller: callers.Caller, rng: random.Random) -> bool:
-        """Send one request and record its response.
+    def send_request(
+        self, caller: callers.Caller, entry: scenes.Entry, rng: random.Random
+    ) -> bool:
+        """Send one request to an entry and record its response.
 
         :returns: whether the connection can be reused
         """
-        request = self._make_request(rng)
+        request = self._make_request(entry, rng)
         try:
             if request.kind == STREAM:
                 data = callers.build_stream(request.name, request.count)
