Name the exchange with an engine once, and what can't be served plainly

The type of an exchange stood in two modules, and two names of the last commits said less than they do.

Measured: endpointgate and lostengines pass; no behaviour changes.

--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -249,7 +249,7 @@
         queue_class = backlog.QueueClass.FRESH
         wait = target * WAIT_FRACTION
         expires = min(self._state.now + wait, exchange.deadline)
-        if self._returns_after(exchange, expires):
+        if self._is_unservable(exchange, expires):
             return None
         if not queue.count_ahead(exchange.priority, queue_class):
             endpoint = await self._choose_admitted(exchange, expires)
@@ -270,7 +270,7 @@
                 endpoint = await self._choose_admitted(exchange, expires)
                 if endpoint is not None or self._state.now >= expires:
                     return endpoint
-                if self._returns_after(exchange, expires):
+                if self._is_unservable(exchange, expires):
                     # Those behind it are refused too, not at their expiry.
                     self._state.wake(exchange.service)
                     return None
@@ -278,7 +278,7 @@
             timer.cancel()
             queue.remove(waiter)
 
-    def _returns_after(
+    def _is_unservable(
         self, exchange: exchange_module.Exchange, expires: float
     ) -> bool:
         """Return whether no endpoint may get the call in time.
@@ -293,7 +293,7 @@
                 return float('inf')
             return state.backoffs.get_left(name, now)
 
-        listed = state.list_listed(exchange.service)
+        listed = state.list_all_endpoints(exchange.service)
         return now + returns.find_service_return(listed, get_left) > expires
 
     def _find_return(self, service: str) -> float:
@@ -304,7 +304,7 @@
         state = self._state
         now = state.now
         seconds = returns.find_service_return(
-            state.list_listed(service),
+            state.list_all_endpoints(service),
             lambda name: state.backoffs.get_left(name, now),
         )
         return seconds if seconds < float('inf') else 0.0
--- a/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -214,7 +214,7 @@
         engines = state.list_engines(stream.exchange.service, profile)
         return returns.find_chain_return(engines, profile.layers, get_left)
 
-    def _returns_after(self, stream: Stream, wait: waits.QueueWait) -> bool:
+    def _is_unservable(self, stream: Stream, wait: waits.QueueWait) -> bool:
         """Return whether engines can't serve a stream before its wait ends.
 
         One under way is never given up for this: layers may be moved.
@@ -243,7 +243,7 @@
         )
         if hopeless and state.has(mechanisms.Mechanism.HOPELESS):
             return None
-        if self._returns_after(stream, wait):
+        if self._is_unservable(stream, wait):
             return None
         awake = asyncio.Event()
         waiter = queue.add(exchange.priority, queue_class, expires, awake.set)
@@ -256,7 +256,7 @@
                 hops = await self._choose_admitted(stream, expires)
                 if hops is not None or state.now >= expires:
                     return hops
-                if self._returns_after(stream, wait):
+                if self._is_unservable(stream, wait):
                     # Those behind it are refused too, not at their expiry.
                     state.wake(exchange.service)
                     return None
--- a/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
@@ -7,13 +7,14 @@
 """
 
 import enum
-from typing import Awaitable, Callable, Iterable
+from typing import Iterable
 
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_daemon.gateway import endpointnotices
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import notices
+from dunlintide_platform import orders
 
 __all__ = [
     'Hold',
@@ -23,9 +24,6 @@
 ]
 
 Endpoint = endpoints_module.Endpoint
-Exchange = Callable[
-    [bytes, float], Awaitable[tuple[endpointhttp.AnswerHead, bytes]]
-]
 
 
 class Hold(enum.StrEnum):
@@ -104,7 +102,9 @@
     connection.send(data, bodiless, read_head)
 
 
-def bind_exchange(state: state_module.State, endpoint: Endpoint) -> Exchange:
+def bind_exchange(
+    state: state_module.State, endpoint: Endpoint
+) -> orders.Exchange:
     """Return a function that exchanges a report or order with an endpoint.
 
     It takes the bytes of the request and a timeout in seconds, and raises
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -362,8 +362,10 @@
             and self.backoffs.can_send(each.name, now)
         ]
 
-    def list_listed(self, service: str) -> list[endpoints_module.Endpoint]:
-        """Return all listed endpoints of a service."""
+    def list_all_endpoints(
+        self, service: str
+    ) -> list[endpoints_module.Endpoint]:
+        """Return all listed endpoints of a service, leaving ones included."""
         return [
             each for each in self.endpoints.values() if each.service == service
         ]
