Log how old a belief about a leaving endpoint can be, and lost watches

A listing's word that an endpoint leaves showed no age, so not how late it can be; a watch that was given up left one line an outage, without how long it had been silent; a removal that is held back after an outage left none. Change: the age of the listing in the lines of a belief, in one property that the lines of sends use too; 'watch failed' and 'removal held back'; a gauge of the listing's age and a counter of who told first that an endpoint leaves. The lines come from changes of beliefs and failed watches only, so they are bounded by the pace of retries and by the log's own bound. Ruled out: the age of the word itself, as the store's items hold no time.

--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -66,6 +66,7 @@
         counters.leaving_endpoints.set(
             sum(each.draining for each in state.endpoints.values())
         )
+        counters.listing_age_seconds.set(state.listing_age or 0.0)
         counters.backing_off_endpoints.set(
             len(state.backoffs.list_left(state.now))
         )
@@ -95,7 +96,7 @@
             'ready': state.is_ready,
             'stopping': state.stopping,
             'entries': sorted(state.known_entries),
-            'listing_age': now - state.listing_read_at,
+            'listing_age': state.listing_age,
             'configuration': {'revision': state.version},
             'document': document,
             'endpoints': [
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -371,7 +371,7 @@
             send=exchange.sends,
             rule=exchange.rule.name,
             version=exchange.version,
-            listing_age=round(state.now - state.listing_read_at, 3),
+            listing_age=state.listing_age,
         )
         head = await connection.read_head(exchange.deadline)
         verdict = requests.read_answer_headers(head)
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -38,6 +38,9 @@
     :ivar withheld: requests that were not sent since an endpoint held them,
         by ``reason``
     :ivar leaving_endpoints: endpoints that leave and are still listed
+    :ivar leaving_learned: endpoints that began to leave or were removed, by
+        the ``source`` that told it first: ``listing``, ``answer`` or ``entry``
+    :ivar listing_age_seconds: time since the last answer of the store
     :ivar backing_off_endpoints: endpoints that asked for a pause
     :ivar store_faults: failed calls of the store, by ``fault``
     :ivar refused_items: malformed store items and messages, by ``kind``
@@ -60,6 +63,8 @@
     turned_away: prometheus_client.Counter
     withheld: prometheus_client.Counter
     leaving_endpoints: prometheus_client.Gauge
+    leaving_learned: prometheus_client.Counter
+    listing_age_seconds: prometheus_client.Gauge
     backing_off_endpoints: prometheus_client.Gauge
     store_faults: prometheus_client.Counter
     refused_items: prometheus_client.Counter
@@ -154,6 +159,17 @@
             leaving_endpoints=make(
                 gauge, 'edge_leaving_endpoints', 'Endpoints that leave'
             ),
+            leaving_learned=make(
+                counter,
+                'edge_leaving_learned',
+                'Endpoints that began to leave, by who told it first',
+                ('source',),
+            ),
+            listing_age_seconds=make(
+                gauge,
+                'edge_listing_age_seconds',
+                'Time since the last answer of the store',
+            ),
             backing_off_endpoints=make(
                 gauge,
                 'edge_backing_off_endpoints',
--- a/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
@@ -79,7 +79,7 @@
                 left=round(
                     state.backoffs.get_left(endpoint.name, state.now), 3
                 ),
-                listing_age=round(state.now - state.listing_read_at, 3),
+                listing_age=state.listing_age,
             )
             raise endpointhttp.CallError(
                 endpointhttp.FailureKind.WITHHELD, False, hold
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -190,8 +190,24 @@
         for key in gone:
             self.apply(storevalues.Item(key, None, revision))
 
+    def _log_failed_watch(
+        self, refusal: storevalues.StoreFailure, began: float
+    ) -> None:
+        """Log a watch without an answer, and for how long it was waited for.
+
+        :param began: monotonic time at which the watch began, in seconds
+        """
+        self._state.log.write(
+            'watch failed',
+            fault=refusal.kind,
+            detail=refusal.detail,
+            seconds=round(self._state.now - began, 3),
+            listing_age=self._state.listing_age,
+        )
+
     async def _watch(self) -> bool:
         drain = self._state.settings.drain
+        began = self._state.now
         watched = await self._store.watch(
             listings.ALL_KEYS_PREFIX,
             self._revision,
@@ -207,6 +223,7 @@
                 )
                 self._revision = None
                 return True
+            self._log_failed_watch(refusal, began)
             self._record_failure(refusal)
             return False
         self._record_success()
@@ -324,6 +341,12 @@
         if self._state.now - self._recovered_at < RECOVERY_GRACE_SECONDS:
             self._pending_removals.add(item.key)
             self._revisions[item.key] = item.revision
+            self._state.log.write(
+                'removal held back',
+                key=item.key,
+                revision=item.revision.number,
+                since_recovery=round(self._state.now - self._recovered_at, 3),
+            )
             return
         self._forget(item.key, item.revision)
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -210,7 +210,7 @@
             after=stream.sequence.last_id,
             rule=exchange.rule.name,
             version=exchange.version,
-            listing_age=round(state.now - state.listing_read_at, 3),
+            listing_age=state.listing_age,
         )
 
     async def _relay(
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -174,6 +174,13 @@
         """Monotonic time in seconds, that of the event loop."""
         return time.monotonic()
 
+    @property
+    def listing_age(self) -> float | None:
+        """Time since the last answer of the store in seconds, None if none."""
+        if not self.has_listing:
+            return None
+        return round(self.now - self.listing_read_at, 3)
+
     def has(self, mechanism: mechanisms.Mechanism) -> bool:
         """Return whether a mechanism is enabled."""
         return mechanism not in self.settings.experiments.off
@@ -233,6 +240,9 @@
         if before == endpoint:
             return
         self.endpoints[endpoint.name] = endpoint
+        is_told = endpoint.name in self.leaving_since
+        if endpoint.draining and not (is_told or before and before.draining):
+            self.counters.leaving_learned.labels('listing').inc()
         if before is None or not endpoint.accepts_same_requests(before):
             self.listing_version += 1
             self.log.write(
@@ -243,6 +253,7 @@
                 domain=endpoint.domain,
                 draining=endpoint.draining,
                 layers=[endpoint.start, endpoint.end],
+                listing_age=self.listing_age,
             )
         if endpoint.draining:
             self.pool.drop(endpoint.address)
@@ -311,8 +322,14 @@
         if name in self.leaving_since:
             return
         self.leaving_since[name] = self.now
+        label = 'answer' if source == 'answer' else 'entry'
+        self.counters.leaving_learned.labels(label).inc()
         self.log.write(
-            'endpoint leaves', endpoint=name, source=source, request=request
+            'endpoint leaves',
+            endpoint=name,
+            source=source,
+            request=request,
+            listing_age=self.listing_age,
         )
         endpoint = self.endpoints.get(name)
         if endpoint is not None and not endpoint.draining:
@@ -325,11 +342,15 @@
         if endpoint is None:
             return
         since = self.leaving_since.get(endpoint.name)
+        listed = self.endpoints.get(endpoint.name)
+        if since is None and listed is not None and not listed.draining:
+            self.counters.leaving_learned.labels('listing').inc()
         self.log.write(
             'endpoint gone',
             endpoint=endpoint.name,
             address=endpoint.address,
             left_for=None if since is None else round(self.now - since, 3),
+            listing_age=self.listing_age,
         )
         self._forget(endpoint)
         self.notify_listeners()
