--- a/features/relay.feature
+++ b/features/relay.feature
@@ -31,3 +31,8 @@
   Scenario: A slow relay still delivers, later
     When the relay takes 0.2 s each way at 20000 bytes a second
     Then an answer through the relay takes at least 0.4 s
+
+  Scenario: A lost answer silences its connection only
+    When the relay loses the next answer
+    Then the relayed connection in use gets no answer
+    And a new relayed connection works
--- a/features/steps/relay.py
+++ b/features/steps/relay.py
@@ -56,6 +56,11 @@
     context.relay.stall(**HOLDS[which])
 
 
+@behave.when('the relay loses the next answer')
+def lose(context):
+    context.relay.lose(1)
+
+
 @behave.when('the relay lets held connections go on')
 def resume_held(context):
     context.relay.resume()
--- a/packages/standins/src/dunlintide_standins/relay.py
+++ b/packages/standins/src/dunlintide_standins/relay.py
@@ -1,7 +1,8 @@
 """TCP relay that injects network faults.
 
 A relay can stall open connections while new ones work, reset them, delay
-their data and limit their bandwidth, in one direction or both.
+their data and limit their bandwidth, in one direction or both. It can lose
+single answers, upon which their connections stay silent.
 """
 
 import asyncio
@@ -115,6 +116,8 @@
         self._stalls_new = False
         self._delays = dict.fromkeys(Direction, 0.0)
         self._rates = dict.fromkeys(Direction, 0.0)
+        self._to_lose = 0
+        self._lost_pattern = b''
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(
             target=self._loop.run_forever, name='relay', daemon=True
@@ -167,10 +170,23 @@
         data = b'more'
         while data:
             data = await stream.reader.read(_CHUNK_BYTES)
+            if self._is_lost(stream, data):
+                stream.not_stalled.clear()
             await stream.not_stalled.wait()
             due = time.monotonic() + self._delays[stream.direction]
             await stream.chunks.put((due, data))
 
+    def _is_lost(self, stream: _Stream, data: bytes) -> bool:
+        """Return whether data is an answer to lose, and count it."""
+        if (
+            not self._to_lose
+            or stream.direction is not Direction.BACKWARD
+            or self._lost_pattern not in data
+        ):
+            return False
+        self._to_lose -= 1
+        return True
+
     async def _write(self, stream: _Stream) -> None:
         while True:
             due, data = await stream.chunks.get()
@@ -205,6 +221,9 @@
         for connection in list(self._connections):
             connection.abort()
 
+    async def _lose(self, count: int, pattern: bytes) -> None:
+        self._to_lose, self._lost_pattern = count, pattern
+
     async def _count(self) -> Counts:
         held = sum(
             not all(
@@ -223,6 +242,14 @@
         """
         self._run(self._stall_connections(direction, new))
 
+    def lose(self, count: int, pattern: bytes = b'') -> None:
+        """Lose the next answers; their connections stay silent for good.
+
+        :param count: number of answers, each on another connection
+        :param pattern: bytes that an answer to lose contains
+        """
+        self._run(self._lose(count, pattern))
+
     def resume(self) -> None:
         """Resume stalled connections; their buffered data is sent."""
         self._run(self._resume_connections())
--- a/packages/trials/src/dunlintide_trials/edge/scene.py
+++ b/packages/trials/src/dunlintide_trials/edge/scene.py
@@ -63,7 +63,7 @@
     :ivar settings: contents of its settings file
     """
 
-    def __init__(self, scene, name, domain, folder, store=None):
+    def __init__(self, scene, name, domain, folder, store=None, **more):
         ports = scene.pick_ports(5)
         self.name = name
         self.listen, self.ready, self.admin, self.metrics, gossip = (
@@ -81,6 +81,7 @@
             'store': store or scene.store_address,
             'grace': 5,
             'retries': {'ratio': 0.2, 'slack': 100, 'window': 10},
+            **more,
         }
         self.path = folder / f'{name}.jsonc'
         self.write_settings()
@@ -175,13 +176,14 @@
                 self.run(self.fleet.add('llm', domain, kind))
             self.run(self.fleet.add('web', domain))
 
-    def add_entry(self, name, domain='a', store=None):
+    def add_entry(self, name, domain='a', store=None, **more):
         """Start an entry.
 
         :param store: address that it uses for the store, such as that of a
             relay; None for the store itself
+        :param more: further settings
         """
-        entry = Entry(self, name, domain, self.folder, store)
+        entry = Entry(self, name, domain, self.folder, store, **more)
         self.entries.append(entry)
         entry.start()
         return entry
