Keep an endpoint removed that two copies of the store bring back

Callers could be sent to an endpoint that had been gone for good. An entry remembers removed keys for 60 s, as a copy of the store may hold them still. One that a copy holds is read again 4.5 s later, in case it lives after all, and for that the memory was dropped, also where the platform had removed the key again meanwhile. The next copy then brought the endpoint back. Cause: the list of keys to look at again was not shortened by a removal. Change: a removal, or a full read without the key, ends the second look. The in-memory network of the model is a module of its own.

--- a/features/steps/edge_settings.py
+++ b/features/steps/edge_settings.py
@@ -27,3 +27,17 @@
     metrics = counters.Counters.from_registry(registry.CollectorRegistry())
     given = settings.EdgeSettings(**{**NEEDED, **more})
     return state.State(given, log, metrics)
+
+
+def make_row(state='ready', slots=1, seq=1):
+    """Return the item of a plain service in the store's form."""
+    return {
+        'service': 'web',
+        'address': '10.0.0.1:80',
+        'zone': 'a',
+        'version': 'v1',
+        'slots': slots,
+        'state': state,
+        'cold_left_ms': 0,
+        'seq': seq,
+    }
--- a/features/steps/storemodel.py
+++ b/features/steps/storemodel.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import contextlib
-import json
 
 import behave
-from dunlintide_adapters import endpointhttp
 from dunlintide_daemon.gateway import follower
 from dunlintide_daemon.gateway import leadership
 from dunlintide_daemon.gateway import registrar
@@ -14,11 +12,11 @@
 from dunlintide_platform import store as store_module
 from dunlintide_standins.fleet import operators
 from dunlintide_standins.fleet import store as stores
-from dunlintide_standins.fleet import wire
 import edge_settings
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import storenetwork
 import virtualtime
 
 NAMES = ('one', 'two', 'three')
@@ -42,83 +40,6 @@
     write_always = write
 
 
-class _Connection:
-    """An in-memory connection to the stand-in store."""
-
-    def __init__(self, network):
-        self._network = network
-        self._answer = None
-        self.in_call = False
-
-    def send(self, data, bodiless=False):
-        head, _, body = data.partition(b'\r\n\r\n')
-        method, target, _ = head.split(b'\r\n')[0].decode().split(' ')
-        self.in_call = True
-        self._request = wire.Request(method, target, {}, body)
-
-    async def read_head(self, deadline):
-        work = self._network.run(self._request)
-        try:
-            async with asyncio.timeout_at(deadline):
-                status, body, era = await work
-        except TimeoutError as error:
-            raise endpointhttp.CallError(
-                endpointhttp.FailureKind.TIMEOUT, True, 'no answer'
-            ) from error
-        self._answer = json.dumps(body).encode()
-        headers = [('store-era', str(era))]
-        return endpointhttp.AnswerHead(status, '', headers)
-
-    async def read_all(self, deadline):
-        self.in_call = False
-        return self._answer
-
-    def close(self):
-        pass
-
-
-class _Network:
-    """The network between one entry and the store, in place of a pool.
-
-    :ivar cut: whether all traffic is dropped
-    :ivar late: number of writes still to be delayed, their answers lost
-    """
-
-    def __init__(self, store):
-        self._store = store
-        self.cut = False
-        self.late = 0
-
-    async def acquire(self, address, timeout, max_idle_seconds=None):
-        if self.cut or self._store.faults.away:
-            raise endpointhttp.CallError(
-                endpointhttp.FailureKind.CONNECT, False, ''
-            )
-        return _Connection(self)
-
-    def release(self, address, connection):
-        pass
-
-    def close(self):
-        pass
-
-    async def run(self, request):
-        if request.method != 'GET' and self.late:
-            self.late -= 1
-            loop = asyncio.get_running_loop()
-            loop.call_later(
-                3.0, lambda: loop.create_task(self._store._run(request))
-            )
-            await asyncio.sleep(3600)
-        era = self._store.era
-        status, body = await self._store._run(request)
-        if self.cut or self._store.faults.away or era != self._store.era:
-            raise endpointhttp.CallError(
-                endpointhttp.FailureKind.RESET, True, ''
-            )
-        return status, body, era
-
-
 class _Entry:
     """The components of an entry that follow the store."""
 
@@ -126,7 +47,7 @@
         self.log = _Log()
         self.state = edge_settings.make_state(self.log, name=name)
         self.client = store_module.Store(edge_settings.ADDRESS)
-        self.network = self.client._pool = _Network(store)
+        self.network = self.client._pool = storenetwork.Network(store)
         self.listed = {name}
         self.versions = []
         self.seen = set()
@@ -170,19 +91,6 @@
             task.cancel()
 
 
-def _make_row(state, slots, seq):
-    return {
-        'service': 'web',
-        'address': '10.0.0.1:80',
-        'zone': 'a',
-        'version': 'v1',
-        'slots': slots,
-        'state': state,
-        'cold_left_ms': 0,
-        'seq': seq,
-    }
-
-
 class StoreMachine(stateful.RuleBasedStateMachine):
     """Writes, runners, restores, cuts and restarts in any order."""
 
@@ -222,7 +130,7 @@
     async def _list(self, name, state):
         self.runners[name] = state
         self.seq += 1
-        row = _make_row(state, self.slots[name], self.seq)
+        row = edge_settings.make_row(state, self.slots[name], self.seq)
         await self.store.report(f'servers/{name}', row)
 
     @stateful.rule(seconds=strategies.sampled_from((0.05, 0.3, 1.0, 4.0)))
@@ -385,6 +293,26 @@
     )
 
 
+@behave.when('an endpoint is gone and two copies that hold it come back')
+def return_from_copies(context):
+    machine = context.machine = StoreMachine()
+    context.stack.callback(machine.stack.close)
+    machine.check_leaving()
+    machine.leave(RUNNERS[-1])
+    machine.wait(1.0)
+    machine.check_leaving()
+    for _ in range(2):
+        # The copy holds the endpoint until the platform writes again.
+        machine.drill(0.05, 0.8)
+        machine.wait(SETTLE_SECONDS / 2)
+
+
+@behave.then('no entry uses it again')
+def check_gone(context):
+    context.machine.check_leaving()
+    context.machine.teardown()
+
+
 @behave.then('all entries are in step again after each of them')
 def check_in_step(context):
     """Pass: the state machine checks each order in the step before."""
--- a/features/storemodel.feature
+++ b/features/storemodel.feature
@@ -6,3 +6,7 @@
   Scenario: Entries are in step again whatever the store went through
     When troubles of the store come in 150 orders
     Then all entries are in step again after each of them
+
+  Scenario: An endpoint that is gone stays gone over two copies that hold it
+    When an endpoint is gone and two copies that hold it come back
+    Then no entry uses it again
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -163,6 +163,8 @@
         for item in changes.items:
             present.add(item.key)
             self.apply(item)
+        # What is no longer listed needs no second look, and stays removed.
+        self._reappeared &= present
         self._remove_unlisted(present, changes.revision)
         self._state.has_listing = True
         self._state.listing_read_at = self._state.now
@@ -249,6 +251,7 @@
             self._log_stale_item(item, self._removed[item.key][0])
             return
         if item.value is None:
+            self._reappeared.discard(item.key)
             self._revisions.pop(item.key, None)
         else:
             self._revisions[item.key] = item.revision
