--- a/features/follower.feature
+++ b/features/follower.feature
@@ -12,6 +12,17 @@
       | 0.4   | 0.24    | 0.12  |
       | 1.0   | 0.6     | 0.3   |
 
+  Scenario Outline: The steps of a lost answer fit the drain time
+    Then with a drain time of <drain> s silence, pause, connection and reserve take <drain> s
+    And a watch waits for <calm> s after an empty answer and <busy> s after news
+
+    Examples:
+      | drain | calm | busy |
+      | 0.4   | 0.16 | 0.04 |
+      | 2     | 0.8  | 0.2  |
+      | 3     | 1.55 | 0.65 |
+      | 4     | 2.3  | 1.1  |
+
   Scenario Outline: A change is known in time though an answer is lost
     Given a store at which something changes <changing>
     When <lost> answer is lost at each of 60 leavings with a drain time of <drain> s
--- a/features/steps/follower.py
+++ b/features/steps/follower.py
@@ -5,6 +5,7 @@
 import time
 
 import behave
+from dunlintide_core.pipeline import watchbudget
 from dunlintide_daemon.gateway import follower
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import store as store_module
@@ -85,6 +86,31 @@
     assert min(gaps) >= pause * 0.99, gaps
 
 
+@behave.then(
+    'with a drain time of {drain:g} s silence, pause, connection and reserve'
+    ' take {total:g} s'
+)
+def check_sum(context, drain, total):
+    budget = context.budget = watchbudget.WatchBudget.from_drain(drain)
+    steps = (
+        budget.silence,
+        budget.jitter,
+        budget.connect,
+        watchbudget.RESERVE_FRACTION * drain,
+    )
+    assert abs(sum(steps) - total) < 1e-9, steps
+
+
+@behave.then(
+    'a watch waits for {calm:g} s after an empty answer and {busy:g} s after'
+    ' news'
+)
+def check_waits(context, calm, busy):
+    budget = context.budget
+    waits = budget.choose_wait(0.0), budget.choose_wait(budget.batch)
+    assert abs(waits[0] - calm) < 1e-9 and abs(waits[1] - busy) < 1e-9, waits
+
+
 @behave.given('a store at which something changes {changing}')
 def choose_changes(context, changing):
     context.pause = CHANGING[changing]
--- a/packages/core/src/dunlintide_core/pipeline/watchbudget.py
+++ b/packages/core/src/dunlintide_core/pipeline/watchbudget.py
@@ -80,15 +80,3 @@
         :param failures: calls that failed since the last answer
         """
         return self.slack if failures < 2 else 2 * self.slack
-
-    def compute_longest(self, lost: int) -> float:
-        """Return the longest time from a change until it is known, in seconds.
-
-        Without the time that the last answer takes, and as long as the waits
-        before it are not lengthened.
-
-        :param lost: answers that are lost in a row, 0 or 1
-        """
-        if not lost:
-            return self.batch
-        return self.silence + self.jitter + self.connect
