Tell a truncated answer from a whole one in the stand-in callers

Cause: the caller read up to Content-Length bytes and called the answer whole even if the connection ended before. Entry one was killed while it answered: it started again, and the lines of its last tenth of a second, one.r2's among them, are missing in its log. A caller that reads the length sees that it is cut. Change: an answer that ends before its length is not whole. No check is eased: a whole answer is compared as before, and a body that is longer still shows in the next answer on the connection.

--- a/packages/standins/src/dunlintide_standins/fleet/callers.py
+++ b/packages/standins/src/dunlintide_standins/fleet/callers.py
@@ -74,7 +74,10 @@
                     self.file.readline()
                 self.file.readline()
             elif 'content-length' in headers:
-                body = self.file.read(int(headers['content-length']))
+                length = int(headers['content-length'])
+                body = self.file.read(length)
+                if len(body) < length:
+                    return Answer(status, headers, body, False)
         except (OSError, ValueError):
             return Answer(status, headers, body, False)
         return Answer(status, headers, body, True)
