Keep a stand-in endpoint that left from writing its entry again

Cause: the stand-in. The leader had not heard of the removal and gave the endpoint its layers 0.5 s after it; the stand-in carried the order out and wrote its entry anew, as ready. All entries' logs show it listed with layers from 2915.39 on, and gone again when it crashed. Change: a stand-in endpoint keeps its state; one that removed its entry writes none until it starts anew. Ruled out: a fault of the entries, as the store itself listed the endpoint.

--- a/features/steps/drains.py
+++ b/features/steps/drains.py
@@ -95,7 +95,7 @@
     if leaves == 'drains':
         scene.run(context.leaving.write_entry('draining'))
     else:
-        scene.run(scene.store.remove(context.leaving.key))
+        scene.run(context.leaving.remove_entry())
     if 'history' in loss:
         # The watches that wait were woken by the change already.
         time.sleep(0.1)
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -191,6 +191,8 @@
         self.overloaded = False
         self.crashed = False
         self._server: asyncio.Server | None = None
+        # State in the store's entry; empty once the entry was removed.
+        self._state = 'ready'
         self._tasks: set[asyncio.Task] = set()
         self._seq = 0
 
@@ -217,17 +219,29 @@
         self.crashed = False
         self._server = await wire.listen(self._handle, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
-        await self.write_entry()
+        await self.write_entry('ready')
 
     async def restart_with_same_id(self) -> None:
         """Start a new instance without layers under the same id."""
         self.born = int(time.time() * 1000)
         self.layers = None
         self.orders = 0
-        await self.write_entry()
+        await self.write_entry('ready')
+
+    async def remove_entry(self) -> None:
+        """Leave without a word: remove the entry and write none again."""
+        self._state = ''
+        await self.fleet.store.remove(self.key)
 
-    async def write_entry(self, state: str = 'ready') -> None:
-        """Write the runner's entry to the store."""
+    async def write_entry(self, state: str | None = None) -> None:
+        """Write the runner's entry to the store, unless it was removed.
+
+        :param state: new state, None for the one that it had
+        """
+        if state is not None:
+            self._state = state
+        if not self._state:
+            return
         self._seq += 1
         entry: dict[str, Any] = {
             'service': self.service,
@@ -235,7 +249,7 @@
             'zone': self.domain,
             'version': 'v1',
             'slots': self.fleet.slots,
-            'state': state,
+            'state': self._state,
             'cold_left_ms': 0,
             'seq': self._seq,
         }
--- a/packages/trials/src/dunlintide_trials/edge/faults.py
+++ b/packages/trials/src/dunlintide_trials/edge/faults.py
@@ -203,8 +203,7 @@
 
 def remove_endpoint(soak: soakscene.SoakScene, rng: random.Random) -> Heal:
     """Remove an endpoint from the store without a word."""
-    store = soak.scene.store
-    return _leave(soak, rng, lambda runner: store.remove(runner.key))
+    return _leave(soak, rng, lambda runner: runner.remove_entry())
 
 
 def _switch_fault(
