--- a/packages/core/src/dunlintide_core/pipeline/departures.py
+++ b/packages/core/src/dunlintide_core/pipeline/departures.py
@@ -125,7 +125,7 @@
             return name in self._told_removals
         return not known.is_seen
 
-    def list_leaving(self, since: float = float('-inf')) -> list[str]:
+    def list_leaving(self, since: float) -> list[str]:
         """Return the endpoints that became known to leave since a time."""
         return [
             name
