Build the cost model of the entry's steps in one place

Two step modules wrote the same model of a service's cards; edge_settings makes it now. A scenario of drains.feature has a plainer name ('An entry without news from the store hears it from another', before 'An entry that the store has forsaken'). Measured: the scenarios of listings and drains that use the model pass. Ruled out: nothing; checks and examples are as before.

--- a/features/drains.feature
+++ b/features/drains.feature
@@ -35,7 +35,7 @@
       | 3     | drains     |
       | 4     | drains     |
 
-  Scenario Outline: An entry that the store has forsaken hears it from another
+  Scenario Outline: An entry without news from the store hears it from another
     Given two entries whose endpoints may be used for 2 s while they leave
     When all answers are lost at entry "two" while one service <leaves>
     Then nothing reached the service later than the drain time
--- a/features/steps/departures.py
+++ b/features/steps/departures.py
@@ -4,7 +4,6 @@
 import random
 
 import behave
-from dunlintide_core.pipeline import profiles
 from dunlintide_daemon.gateway import departurenotices
 from dunlintide_daemon.gateway import follower
 from dunlintide_daemon.gateway import gossip
@@ -22,26 +21,6 @@
 MODULES = (state_module, follower, stores)
 ANSWER_SECONDS = 0.02
 ADDRESS = '10.0.0.1:80'
-PROFILE = dict(
-    layers=80,
-    layer_mb=1000.0,
-    token_bytes=1000.0,
-    step_ms=1.0,
-    sequence_ms=0.0,
-    context_ms=0.0,
-    read_per_second=1000.0,
-    slots=6,
-    stride=1,
-    activation_bytes=1.0,
-    link_mbps=1.0,
-    pipe_mbps=1.0,
-    load_seconds=1.0,
-    loads_at_once=1,
-    usual_prompt=1,
-    usual_answer=1,
-    accelerators={'small': profiles.Accelerator('small', 40_000.0, 1.0, 1.0)},
-    delays_ms={},
-)
 
 
 class _Clock:
@@ -157,7 +136,7 @@
 
 @behave.then('{count:d} engines get streams')
 def check_engines(context, count):
-    profile = profiles.EngineProfile(**PROFILE)
+    profile = edge_settings.make_profile()
     used = context.state.list_engines('web', profile)
     assert len(used) == count, used
 
@@ -167,7 +146,7 @@
     state = context.state
     holders = state.list_engines(
         'web',
-        profiles.EngineProfile(**PROFILE),
+        edge_settings.make_profile(),
         trusts_others=state.is_listing_fresh,
     )
     assert len(holders) == count, holders
--- a/features/steps/edge_settings.py
+++ b/features/steps/edge_settings.py
@@ -3,6 +3,7 @@
 import json
 
 from dunlintide_adapters import decisionlog
+from dunlintide_core.pipeline import profiles
 from dunlintide_core.pipeline import settings
 from dunlintide_daemon.gateway import counters
 from dunlintide_daemon.gateway import state
@@ -21,6 +22,32 @@
     'gossip_listen': ADDRESS,
     'store': ADDRESS,
 }
+# The cost model of a service with one kind of card.
+PROFILE = dict(
+    layers=80,
+    layer_mb=1000.0,
+    token_bytes=1000.0,
+    step_ms=1.0,
+    sequence_ms=0.0,
+    context_ms=0.0,
+    read_per_second=1000.0,
+    slots=6,
+    stride=1,
+    activation_bytes=1.0,
+    link_mbps=1.0,
+    pipe_mbps=1.0,
+    load_seconds=1.0,
+    loads_at_once=1,
+    usual_prompt=1,
+    usual_answer=1,
+    accelerators={'small': profiles.Accelerator('small', 40_000.0, 1.0, 1.0)},
+    delays_ms={},
+)
+
+
+def make_profile(**more):
+    """Create the cost model of a service with one kind of card."""
+    return profiles.EngineProfile(**{**PROFILE, **more})
 
 
 def make_state(log=None, **more):
--- a/features/steps/listings.py
+++ b/features/steps/listings.py
@@ -7,7 +7,6 @@
 import behave
 from dunlintide_adapters import decisionlog
 from dunlintide_core.pipeline import endpoints
-from dunlintide_core.pipeline import profiles
 from dunlintide_daemon.gateway import follower
 from dunlintide_daemon.gateway import gossip
 from dunlintide_platform import configurations
@@ -30,26 +29,6 @@
     'route_type': 'small',
     'layers': [{'from': 0, 'to': 9, 'version': 1}],
 }
-ENGINES = dict(
-    layers=80,
-    layer_mb=1000.0,
-    token_bytes=1000.0,
-    step_ms=1.0,
-    sequence_ms=0.0,
-    context_ms=0.0,
-    read_per_second=1000.0,
-    slots=6,
-    stride=1,
-    activation_bytes=1.0,
-    link_mbps=1.0,
-    pipe_mbps=1.0,
-    load_seconds=1.0,
-    loads_at_once=1,
-    usual_prompt=1,
-    usual_answer=1,
-    accelerators={'small': profiles.Accelerator('small', 40_000.0, 1.0, 1.0)},
-    delays_ms={},
-)
 
 
 class RecordingLog(decisionlog.DecisionLog):
@@ -183,7 +162,7 @@
     ' one'
 )
 def check_engine(context, name, layers, other):
-    profile = profiles.EngineProfile(**{**ENGINES, 'layers': layers})
+    profile = edge_settings.make_profile(layers=layers)
     found = context.state.list_engines('llm', profile)
     assert [each.identity for each in found] == [other]
 
