Send removals in a field that only messages with removals have

Change: a message with removals is a longer struct; one without is as before. Ruled out: a datagram of its own, as a third kind to mark and route.

--- a/features/flows.feature
+++ b/features/flows.feature
@@ -26,6 +26,10 @@
   Scenario: What is told of flows takes a byte an endpoint
     Then ages of moves pass between entries, and older decoders pass over them
 
+  Scenario: What is told of removals costs nothing while there are none
+    Then a message without removals is as long as before
+    And older decoders pass over removals, and read the rest
+
   Scenario: Doubts about an engine go where it is used
     Chains that leave a domain show that its engines are used from others.
     Given an entry of domain "a" among 68 entries of 5 domains
--- a/features/steps/departures.py
+++ b/features/steps/departures.py
@@ -76,7 +76,7 @@
 
 
 def _receive(context, leaving=(), removed=()):
-    message = gossipmessages.Message(
+    message = gossipmessages.MessageWithRemovals(
         'two',
         0,
         [],
--- a/features/steps/flows.py
+++ b/features/steps/flows.py
@@ -241,3 +241,25 @@
     assert msgspec.msgpack.decode(old, type=gossipmessages.Message).ages == []
     fewer = msgspec.msgpack.encode(message)
     assert len(fewer) <= len(old) + 4
+
+
+def _make_message():
+    use = (7, 1, 1, 40)
+    return gossipmessages.Message('e', 1, [use], [5], [], [], [], [], [12])
+
+
+@behave.then('a message without removals is as long as before')
+def check_length(context):
+    message = _make_message()
+    sent = gossipmessages.encode(gossipmessages.add_removals(message, []))
+    assert sent == msgspec.msgpack.encode(message)
+    assert gossipmessages.decode(sent).ok_value.removed == []
+
+
+@behave.then('older decoders pass over removals, and read the rest')
+def check_removals(context):
+    message = _make_message()
+    sent = gossipmessages.encode(gossipmessages.add_removals(message, [9]))
+    assert gossipmessages.decode(sent).ok_value.removed == [9]
+    older = msgspec.msgpack.decode(sent, type=gossipmessages.Message)
+    assert older == message, older
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -189,7 +189,7 @@
         now = state.now
         since = now - REPEAT_SECONDS
         departures = state.departures
-        return gossipmessages.Message(
+        message = gossipmessages.Message(
             state.settings.name,
             state.version,
             [
@@ -208,10 +208,9 @@
             list(map(gossipmessages.digest, state.health.list_refusing(now))),
             self._list_ages(),
             paces=self._list_paces(),
-            removed=list(
-                map(gossipmessages.digest, departures.list_removed(since))
-            ),
         )
+        removed = map(gossipmessages.digest, departures.list_removed(since))
+        return gossipmessages.add_removals(message, list(removed))
 
     def _list_paces(self) -> list[tuple[int, int]]:
         measured = self._state.paces.list_own(self._state.now)
@@ -282,7 +281,7 @@
             return
         self._apply(decoded.ok_value)
 
-    def _apply(self, message: gossipmessages.Message) -> None:
+    def _apply(self, message: gossipmessages.MessageWithRemovals) -> None:
         state = self._state
         now = state.now
         names = self._get_names()
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossipmessages.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossipmessages.py
@@ -17,6 +17,8 @@
     'LONGEST_AGE',
     'PACE_UNIT',
     'Message',
+    'MessageWithRemovals',
+    'add_removals',
     'decode',
     'digest',
     'encode',
@@ -54,7 +56,6 @@
     :ivar full: digests of endpoints that just refused the sender
     :ivar paces: digests of engines that the sender probed recently, and
         their paces in ``PACE_UNIT``
-    :ivar removed: digests of endpoints that the sender saw the store remove
     """
 
     sender: str
@@ -68,11 +69,19 @@
     ages: list[_Count] = []
     full: list[_Count] = []
     paces: list[tuple[_Count, _Count]] = []
+
+
+class MessageWithRemovals(Message, array_like=True):
+    """A datagram with one more field, which is sent only if there are any.
+
+    :ivar removed: digests of endpoints that the sender saw the store remove
+    """
+
     removed: list[_Count] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Message)
+_decoder = msgspec.msgpack.Decoder(MessageWithRemovals)
 
 
 @functools.lru_cache(maxsize=4096)
@@ -86,7 +95,17 @@
     return _encoder.encode(message)
 
 
-def decode(data: bytes) -> result.Result[Message, str]:
+def add_removals(message: Message, removed: list[int]) -> Message:
+    """Return a message with removals, the message itself if there are none.
+
+    :param removed: digests of endpoints that the sender saw the store remove
+    """
+    if not removed:
+        return message
+    return MessageWithRemovals(*msgspec.structs.astuple(message), removed)
+
+
+def decode(data: bytes) -> result.Result[MessageWithRemovals, str]:
     """Decode a message.
 
     :returns: the message, or why it is malformed
