List an entry that was not ready once, and tell its log when it is not

Nothing had left yet. Its log was gone with its folder. Ruled out: ports of entries, which test processes draw from locked blocks.

--- a/features/steps/drains.py
+++ b/features/steps/drains.py
@@ -59,7 +59,7 @@
         entry = scene.add_entry(
             name, 'a', f'127.0.0.1:{relay.port}', drain=drain
         )
-        scene.wait_until(entry.is_ready, f'{name} is ready')
+        scene.wait_for_ready(entry)
     scene.wait_for_layers()
     for entry in scene.entries:
         scene.wait_for_listing(entry)
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -23,7 +23,7 @@
 def make_ready_entry(context, name, domain):
     scene = context.scene
     entry = scene.add_entry(name, domain)
-    scene.wait_until(entry.is_ready, f'{name} is ready')
+    scene.wait_for_ready(entry)
     scene.wait_for_layers()
     scene.wait_for_listing(entry)
     for other in scene.entries[:-1]:
--- a/packages/trials/src/dunlintide_trials/edge/scene.py
+++ b/packages/trials/src/dunlintide_trials/edge/scene.py
@@ -202,6 +202,15 @@
             time.sleep(0.02)
         raise AssertionError(f'not within {WAIT_SECONDS} s: {text}')
 
+    def wait_for_ready(self, entry):
+        try:
+            self.wait_until(entry.is_ready, f'{entry.name} is ready')
+        except AssertionError as error:
+            raise AssertionError(
+                f'{error}; exit code {entry.process.poll()}, its log:'
+                f' {entry.log.read_text()[-400:]}'
+            ) from error
+
     def wait_for_layers(self):
         self.wait_until(
             lambda: all(each.layers for each in self.list_engines()),
