Tell by which way a configuration came, and what given up answers held

The logs of the incident do not show how much of an answer had come in when it was given up, nor by which way a version came into force. Now 'watch failed' and 'configuration not fetched' tell the bytes received and the seconds, 'configuration in force' its source, revision and bytes; a counter sums up the bytes that were discarded, and a gauge tells the newest version that any entry has. No decision changes.

--- a/features/steps/storenetwork.py
+++ b/features/steps/storenetwork.py
@@ -14,6 +14,7 @@
         self._network = network
         self._answer = None
         self.in_call = False
+        self.received = 0
 
     def send(self, data, bodiless=False):
         head, _, body = data.partition(b'\r\n\r\n')
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -82,6 +82,7 @@
     """One connection, with at most one call in progress.
 
     :ivar in_call: whether a call is in progress
+    :ivar received: bytes of the answer's body that have arrived
     :ivar idle_since: loop time at which the last call ended, in seconds
     :ivar keepalive_seconds: idle time after which it is not reused
     """
@@ -103,6 +104,7 @@
         self._bodiless = False
         self._on_head: Callable[[AnswerHead], None] | None = None
         self.in_call = False
+        self.received = 0
         self.idle_since = 0.0
         self.keepalive_seconds = DEFAULT_KEEPALIVE_SECONDS
 
@@ -179,6 +181,7 @@
             self._has_excess_input = True
             return
         self._chunks.append(data)
+        self.received += len(data)
         self._buffered += len(data)
         if self._buffered > _READ_HIGH_WATER_BYTES:
             self._transport.pause_reading()
@@ -228,7 +231,7 @@
         self._on_head = on_head
         self._parser = httptools.HttpResponseParser(self)
         self._chunks.clear()
-        self._buffered = 0
+        self._buffered = self.received = 0
         self._head = None
         self._reason, self._headers = [], []
         self._complete = self._framed = False
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -62,6 +62,9 @@
         counters = self._state.counters
         state = self._state
         counters.version.set(state.version)
+        counters.newest_version.set(
+            max(state.version, state.newest_told_version)
+        )
         counters.limited_endpoints.set(len(state.rate_limits.list_limited()))
         counters.leaving_endpoints.set(
             sum(each.draining for each in state.endpoints.values())
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -44,7 +44,10 @@
     :ivar backing_off_endpoints: endpoints that asked for a pause
     :ivar store_faults: failed calls of the store, by ``fault``
     :ivar refused_items: malformed store items and messages, by ``kind``
+    :ivar discarded_bytes: bytes of incomplete answers that were given up, by
+        ``source``: ``store`` or ``entry``
     :ivar version: version of the configuration in force
+    :ivar newest_version: newest version that any entry has in force
     """
 
     registry: registries.CollectorRegistry
@@ -68,7 +71,9 @@
     backing_off_endpoints: prometheus_client.Gauge
     store_faults: prometheus_client.Counter
     refused_items: prometheus_client.Counter
+    discarded_bytes: prometheus_client.Counter
     version: prometheus_client.Gauge
+    newest_version: prometheus_client.Gauge
 
     @classmethod
     def from_registry(
@@ -184,7 +189,18 @@
                 'Entries and messages that can not be read',
                 ('kind',),
             ),
+            discarded_bytes=make(
+                counter,
+                'edge_discarded_bytes',
+                'Bytes of incomplete answers that were given up',
+                ('source',),
+            ),
             version=make(
                 gauge, 'edge_configuration_version', 'Version in force'
             ),
+            newest_version=make(
+                gauge,
+                'edge_newest_configuration_version',
+                'Newest version that any entry has in force',
+            ),
         )
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -144,7 +144,9 @@
             self._state.log.write_always('store regained', seconds=lost)
 
     def _record_failure(self, refusal: storevalues.StoreFailure) -> None:
-        self._state.counters.store_faults.labels(refusal.kind).inc()
+        counters = self._state.counters
+        counters.store_faults.labels(refusal.kind).inc()
+        counters.discarded_bytes.labels('store').inc(refusal.received)
         self._failures += 1
         if self._failing_since is None:
             self._failing_since = self._state.now
@@ -226,6 +228,7 @@
             'watch failed',
             fault=refusal.kind,
             detail=refusal.detail,
+            received=refusal.received,
             seconds=round(self._state.now - began, 3),
             listing_age=self._state.listing_age,
         )
@@ -340,7 +343,12 @@
             self._reject('configuration', item, decoded.err_value)
             return
         self._logged_problems.pop(item.key, None)
-        self._state.apply_configuration(decoded.ok_value, item.value)
+        self._state.apply_configuration(
+            decoded.ok_value,
+            item.value,
+            source='store',
+            revision=item.revision.number,
+        )
 
     def _reject(self, kind: str, item: storevalues.Item, problem: str) -> None:
         """Count a malformed item, and log it unless the problem is known."""
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -328,6 +328,9 @@
             # entries messages come every few milliseconds.
             if state.occupancy.set_remote(message.sender, usages, now):
                 state.wake_all()
+        state.newest_told_version = max(
+            state.newest_told_version, message.version
+        )
         if message.version > state.version and message.sender in self.entries:
             self.newer_entry = message.sender
             self.newer_entry_found.set()
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -284,12 +284,13 @@
         loop = asyncio.get_running_loop()
         path = admin_module.CONFIGURATION_PATH
         text = f'GET {path} HTTP/1.1\r\nHost: {entry.admin}\r\n\r\n'
+        began = state.now
         try:
             connection = await state.pool.acquire(
                 entry.admin, FETCH_TIMEOUT_SECONDS
             )
         except endpointhttp.CallError as broken:
-            self._log_error('configuration not fetched', broken)
+            self._log_failed_fetch(entry, broken, began)
             return
         try:
             deadline = loop.time() + FETCH_TIMEOUT_SECONDS
@@ -297,7 +298,10 @@
             await connection.read_head(deadline)
             value = await connection.read_all(deadline)
         except endpointhttp.CallError as broken:
-            self._log_error('configuration not fetched', broken)
+            state.counters.discarded_bytes.labels('entry').inc(
+                connection.received
+            )
+            self._log_failed_fetch(entry, broken, began, connection.received)
             return
         finally:
             state.pool.release(entry.admin, connection)
@@ -306,8 +310,35 @@
             self._log_error(
                 'configuration refused', ValueError(decoded.err_value)
             )
-        elif state.apply_configuration(decoded.ok_value, value):
-            state.log.write('configuration fetched', source=entry.name)
+        elif state.apply_configuration(
+            decoded.ok_value, value, source=entry.name
+        ):
+            state.log.write(
+                'configuration fetched',
+                source=entry.name,
+                bytes=len(value),
+                seconds=round(state.now - began, 3),
+            )
+
+    def _log_failed_fetch(
+        self,
+        entry: keys.Entry,
+        error: endpointhttp.CallError,
+        began: float,
+        received: int = 0,
+    ) -> None:
+        """Log a fetch from another entry that failed.
+
+        :param began: monotonic time of its start, in seconds
+        :param received: bytes that had arrived
+        """
+        self._state.log.write(
+            'configuration not fetched',
+            source=entry.name,
+            error=repr(error),
+            received=received,
+            seconds=round(self._state.now - began, 3),
+        )
 
     async def _watch_settings(self) -> None:
         while True:
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -66,6 +66,7 @@
     :ivar refusal_history: requests that were refused recently
     :ivar deployment: configuration in force, None before the first
     :ivar configuration_value: its encoded form, for other entries
+    :ivar newest_told_version: newest version that another entry has in force
     :ivar configuration_at: monotonic time at which it was applied, in seconds
     :ivar endpoints: endpoints by name, including those that leave
     :ivar listing_version: counts changes of which endpoints accept requests
@@ -131,6 +132,7 @@
     random: random_module.Random = attrs.field(factory=random_module.Random)
     deployment: deployments.Deployment | None = None
     configuration_value: bytes = b''
+    newest_told_version: int = 0
     configuration_at: float = 0.0
     endpoints: dict[str, endpoints_module.Endpoint] = attrs.field(factory=dict)
     listing_version: int = 0
@@ -209,11 +211,17 @@
         return [reason for holds, reason in reasons if holds]
 
     def apply_configuration(
-        self, deployment: deployments.Deployment, value: bytes
+        self,
+        deployment: deployments.Deployment,
+        value: bytes,
+        source: str = 'store',
+        revision: int | None = None,
     ) -> bool:
         """Put a configuration in force if it is newer than the current one.
 
         :param value: its encoded form in the store, for other entries
+        :param source: ``store``, or the entry that sent it, for the log
+        :param revision: its revision in the store, None if unknown
         :returns: whether it was put in force
         """
         held = self.deployment
@@ -226,6 +234,9 @@
             'configuration in force',
             version=deployment.version,
             before=held.version if held else None,
+            source=source,
+            revision=revision,
+            bytes=len(value),
             rules=len(deployment.source.rules),
             teams=len(deployment.source.teams),
         )
