Let connections of a stand-in relay share one narrow link

The relay could limit each connection by itself only, so two calls at the same time did not slow each other down, as they do on the link of a small entry. narrow() limits all connections of a direction together, in order.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -36,3 +36,7 @@
     When the relay loses the next answer
     Then the relayed connection in use gets no answer
     And a new relayed connection works
+
+  Scenario: Connections through a narrow link share its bandwidth
+    When the relay passes on 2000 bytes a second in all
+    Then 4 answers at the same time take as long as all their bytes
--- a/features/steps/relay.py
+++ b/features/steps/relay.py
@@ -76,6 +76,26 @@
     context.relay.shape(delay=delay, rate=rate)
 
 
+@behave.when('the relay passes on {bandwidth:d} bytes a second in all')
+def narrow(context, bandwidth):
+    context.bandwidth = bandwidth
+    context.relay.narrow(bandwidth)
+
+
+@behave.then(
+    '{count:d} answers at the same time take as long as all their bytes'
+)
+def check_shared(context, count):
+    connections = [connect(context) for _ in range(count)]
+    began = time.monotonic()
+    for each in connections:
+        each.sendall(REQUEST)
+    answers = [each.recv(4096) for each in connections]
+    took = time.monotonic() - began
+    expected = sum(map(len, answers)) / context.bandwidth
+    assert expected <= took <= 2 * expected + 1.0, (took, expected)
+
+
 @behave.then('the relayed connection in use gets no answer')
 def check_silent(context):
     assert is_silent(context.connection)
--- a/packages/standins/src/dunlintide_standins/relay.py
+++ b/packages/standins/src/dunlintide_standins/relay.py
@@ -116,6 +116,10 @@
         self._stalls_new = False
         self._delays = dict.fromkeys(Direction, 0.0)
         self._rates = dict.fromkeys(Direction, 0.0)
+        # Bytes per second of all connections together, 0 for no limit, and
+        # the times at which what was sent so far is through, by direction.
+        self._bandwidth = 0.0
+        self._idle_at = dict.fromkeys(Direction, 0.0)
         self._to_lose = 0
         self._lost_pattern = b''
         self._loop = asyncio.new_event_loop()
@@ -194,6 +198,7 @@
             rate = self._rates[stream.direction]
             if rate:
                 await asyncio.sleep(len(data) / rate)
+            await self._pass_link(stream.direction, len(data))
             await stream.not_stalled.wait()
             if not data:
                 if stream.writer.can_write_eof():
@@ -202,6 +207,16 @@
             stream.writer.write(data)
             await stream.writer.drain()
 
+    async def _pass_link(self, direction: Direction, size: int) -> None:
+        """Wait until the link that all connections share has sent bytes."""
+        if not self._bandwidth:
+            return
+        now = time.monotonic()
+        begins_at = max(now, self._idle_at[direction])
+        ends_at = begins_at + size / self._bandwidth
+        self._idle_at[direction] = ends_at
+        await asyncio.sleep(ends_at - now)
+
     async def _stall_connections(
         self, direction: Direction, new: bool
     ) -> None:
@@ -275,6 +290,13 @@
                 self._delays[each] = delay
                 self._rates[each] = rate
 
+    def narrow(self, bandwidth: float) -> None:
+        """Limit the bandwidth that all connections share in a direction.
+
+        :param bandwidth: bytes per second, 0 for no limit
+        """
+        self._bandwidth = bandwidth
+
     def count(self) -> Counts:
         """Count the connections."""
         return self._run(self._count())
