Reproduce the configuration that never arrives over a narrow link

Callers saw: routes that had been dropped were served, and added ones were not found, on all entries with narrow links, long after the version was acknowledged.

--- a/packages/standins/src/dunlintide_standins/fleet/operators.py
+++ b/packages/standins/src/dunlintide_standins/fleet/operators.py
@@ -9,6 +9,7 @@
     'KEY',
     'LAYERS',
     'LAYER_MB',
+    'add_routes',
     'make_invalid_configuration',
     'make_configuration',
     'remove_routes',
@@ -105,6 +106,20 @@
     }
 
 
+def add_routes(configuration: Configuration, count: int) -> Configuration:
+    """Add routes to the plain service; each takes about 0.2 kB in JSON."""
+    configuration['route_list'] += [
+        _make_route(
+            f'more-{number:05}',
+            f'/more{number:05}/{number % 7}/',
+            'idempotent',
+            'web',
+        )
+        for number in range(count)
+    ]
+    return configuration
+
+
 def make_invalid_configuration(version: int) -> Configuration:
     """Build a configuration whose route lacks its required fields."""
     return {'version': version, 'route_list': [{'name': 'x'}]}
