Give up an answer of the store when it stops arriving, not by a total

Callers saw: configurations of over 1.2 MB were never in force on entries with 10 Mbit/s; nothing else of the store was heard there either. Cause: the body of an answer had 1.5 s, whatever its size and however well it was coming in, so it was thrown away and asked for again, each time larger. Class: a timeout on the whole of something whose size grows.

features/largeconfigurations.feature: 10 of 13 examples failed before, 4 fail with this: 8 versions over 10 Mbit/s take 3.46 s, as all of them are read, and a leaving endpoint waits behind the large answer.

--- a/features/steps/storenetwork.py
+++ b/features/steps/storenetwork.py
@@ -35,7 +35,14 @@
         headers = [('store-era', str(era))]
         return endpointhttp.AnswerHead(status, '', headers)
 
-    async def read_all(self, deadline):
+    async def read_while_progressing(self, idle_seconds, limit=None):
+        size = len(self._answer)
+        if limit is not None and size > limit:
+            raise endpointhttp.CallError(
+                endpointhttp.FailureKind.TOO_LARGE, True, f'{size} bytes'
+            )
+        await self._network.transfer(size)
+        self.received = size
         self.in_call = False
         return self._answer
 
@@ -51,6 +58,7 @@
     :ivar lose: number of watch answers with changes still to be lost
     :ivar connect_seconds: time that a new connection takes
     :ivar answer_seconds: time that an answer takes
+    :ivar bandwidth: bytes per second that all answers share, None for any
     :ivar is_lost: returns whether the next answer is lost
     """
 
@@ -61,6 +69,8 @@
         self.lose = 0
         self.connect_seconds = 0.0
         self.answer_seconds = 0.0
+        self.bandwidth = None
+        self._link_idle_at = 0.0
         self.is_lost = lambda: False
         self.calls = 0
 
@@ -81,6 +91,15 @@
     def close(self):
         pass
 
+    async def transfer(self, size):
+        """Pass on the body of an answer."""
+        if self.bandwidth is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._link_idle_at = max(now, self._link_idle_at)
+        self._link_idle_at += size / self.bandwidth
+        await asyncio.sleep(self._link_idle_at - now)
+
     async def run(self, request):
         self.calls += 1
         if request.method != 'GET' and self.late:
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -36,7 +36,10 @@
 
 
 class FailureKind(enum.StrEnum):
-    """How a call failed; one that is withheld was not sent on purpose."""
+    """How a call failed.
+
+    WITHHELD was not sent on purpose, TOO_LARGE was not read on purpose.
+    """
 
     CONNECT = 'connect'
     RESET = 'reset'
@@ -45,6 +48,7 @@
     TIMEOUT = 'timeout'
     ABANDONED = 'abandoned'
     WITHHELD = 'withheld'
+    TOO_LARGE = 'too large'
 
 
 class CallError(Exception):
@@ -287,6 +291,30 @@
             parts.append(part)
         return b''.join(parts)
 
+    async def read_while_progressing(
+        self, idle_seconds: float, limit: int | None = None
+    ) -> bytes:
+        """Wait for the rest of the body as long as more of it arrives.
+
+        A total time would give up large bodies on narrow links, again and
+        again.
+
+        :param idle_seconds: longest time without a byte
+        :param limit: largest size in bytes, None for any
+        :raises CallError: when the body is truncated, too large, or stops
+            arriving
+        """
+        stated = self._head.get('content-length') or ''
+        if limit is not None and stated.isdecimal() and int(stated) > limit:
+            raise CallError(FailureKind.TOO_LARGE, True, f'{stated} bytes')
+        parts = []
+        while part := await self.read(self._loop.time() + idle_seconds):
+            parts.append(part)
+            if limit is not None and self.received > limit:
+                text = f'over {limit} bytes'
+                raise CallError(FailureKind.TOO_LARGE, True, text)
+        return b''.join(parts)
+
     def _check(self) -> None:
         if self._failure is not None:
             raise CallError(self._failure, True)
