Follow the store by parts while a large configuration is read

Callers saw: endpoints that left got requests behind large versions, and a series of versions was in force seconds late. Cause: one watch carries everything, so a word of 200 bytes waited behind megabytes, and all versions written since were read though only the last one counts. Class: things of different size and urgency in one queue.

An answer of the watch over all keys of 64 KiB or more is not read: endpoints and the entries' own keys are then watched by themselves, and the newest configuration is read once. When it is in force and the others have passed its revision, one watch follows all again. Full readings go by the same parts, so that a dropped history holds up no endpoint either.

Here calls stay as they were until a large answer comes; then one call is lost and three are made.

--- a/features/steps/follower.py
+++ b/features/steps/follower.py
@@ -39,7 +39,9 @@
         self.answered = _read_clock()
         return result.Ok(storevalues.ItemBatch((), storevalues.Revision(0, 1)))
 
-    async def watch(self, prefix, after, seconds, slack, connect_seconds):
+    async def watch(
+        self, prefix, after, seconds, slack, connect_seconds, limit=None
+    ):
         self.given_up.append(_read_clock() - self.answered + seconds + slack)
         self.times.append(_read_clock())
         await asyncio.sleep(0)
--- a/features/steps/storenetwork.py
+++ b/features/steps/storenetwork.py
@@ -39,7 +39,7 @@
         size = len(self._answer)
         if limit is not None and size > limit:
             raise endpointhttp.CallError(
-                endpointhttp.FailureKind.TOO_LARGE, True, f'{size} bytes'
+                endpointhttp.FailureKind.TOO_LARGE, True, size=size
             )
         await self._network.transfer(size)
         self.received = size
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -55,12 +55,16 @@
     """A call without a complete answer; callers turn it into an outcome.
 
     :ivar sent: whether the endpoint may have read the request
+    :ivar size: size of a body that is too large, in bytes, as far as known
     """
 
-    def __init__(self, kind: FailureKind, sent: bool, text: str = '') -> None:
+    def __init__(
+        self, kind: FailureKind, sent: bool, text: str = '', size: int = 0
+    ) -> None:
         super().__init__(f'{kind}: {text}' if text else str(kind))
         self.kind = kind
         self.sent = sent
+        self.size = size
 
 
 @attrs.define
@@ -305,15 +309,16 @@
             arriving
         """
         stated = self._head.get('content-length') or ''
-        if limit is not None and stated.isdecimal() and int(stated) > limit:
-            raise CallError(FailureKind.TOO_LARGE, True, f'{stated} bytes')
+        size = int(stated) if stated.isdecimal() else 0
         parts = []
-        while part := await self.read(self._loop.time() + idle_seconds):
+        while True:
+            size = max(size, self.received)
+            if limit is not None and size > limit:
+                raise CallError(FailureKind.TOO_LARGE, True, size=size)
+            part = await self.read(self._loop.time() + idle_seconds)
+            if not part:
+                return b''.join(parts)
             parts.append(part)
-            if limit is not None and self.received > limit:
-                text = f'over {limit} bytes'
-                raise CallError(FailureKind.TOO_LARGE, True, text)
-        return b''.join(parts)
 
     def _check(self) -> None:
         if self._failure is not None:
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -1,5 +1,11 @@
 """Applies changes in the platform's store to an entry's state.
 
+One watch over all keys is cheap, but its answer holds every version of the
+configuration that was written since, and ends with the last of them. So an
+answer that is large is not read. Until the configuration has been read by
+itself, once, each part of the store is followed by itself, so that a leaving
+endpoint is known at once also on a narrow link.
+
 The store may be restored from a copy that is some seconds old, which begins a
 new era and may bring back removed keys and lose recent ones.
 """
@@ -9,6 +15,7 @@
 import time
 from typing import Callable
 
+import attrs
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import watchbudget
 from dunlintide_daemon.gateway import departurenotices
@@ -43,6 +50,9 @@
 # layers, in seconds: a live one writes again within 1.2 s, and the store drops
 # a silent one after three times that.
 UNREADABLE_SECONDS = 3.6
+# Size of an answer from which it is not read but the store is followed by
+# parts, in bytes: some hundred changes of endpoints.
+LARGE_ANSWER_BYTES = 64 << 10
 # Most by which an endpoint's start time may be ahead of this host's clock, in
 # seconds: clocks differ by seconds.
 MAX_CLOCK_SKEW_SECONDS = 60.0
@@ -54,6 +64,28 @@
 _EARLIER_ERA = Revision(-1, 0)
 
 
+@attrs.define(eq=False)
+class _Part:
+    """Keys that are read and watched together.
+
+    :ivar prefix: prefix of the keys
+    :ivar limit: size from which an answer is not read, in bytes, None for any
+    :ivar revision: revision up to which all changes are known, None before
+        the first read
+    :ivar answered_at: monotonic time of the last answer, or of the call if
+        the answer was a full read, in seconds
+    :ivar failures: failed calls since the last answer
+    :ivar has_news: whether the last answer held changes
+    """
+
+    prefix: str
+    limit: int | None = None
+    revision: Revision | None = None
+    answered_at: float = float('-inf')
+    failures: int = 0
+    has_news: bool = False
+
+
 class Follower:
     """Reads the store and applies its changes to an entry's state."""
 
@@ -70,7 +102,12 @@
         self._state = state
         self._store = store
         self._handle_entry_item = handle_entry_item
-        self._revision: Revision | None = None
+        self._whole = _Part(listings.ALL_KEYS_PREFIX, LARGE_ANSWER_BYTES)
+        self._endpoints = _Part(listings.ENDPOINT_PREFIX)
+        self._entries = _Part(keys.OWN_PREFIX)
+        self._configuration = _Part(
+            configurations.CONFIGURATION_KEY, LARGE_ANSWER_BYTES
+        )
         # Revision of the first full read in an era; items up to it may come
         # from a copy.
         self._base_revision = _EARLIER_ERA
@@ -79,10 +116,6 @@
         self._removed: dict[str, tuple[Revision, float]] = {}
         self._reappeared: set[str] = set()
         self._current_task: asyncio.Task | None = None
-        # Monotonic time of the last answer, or of the call if the answer was
-        # a full read, in seconds: all changes until then are known.
-        self._answered_at = float('-inf')
-        self._failures = 0
         self._failing_since: float | None = None
         self._recovered_at = float('-inf')
         self._logged_problems: dict[str, str] = {}
@@ -91,8 +124,11 @@
         """Follow the store until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            work = self._read_all if self._revision is None else self._watch
-            self._current_task = loop.create_task(work())
+            if self._whole.revision is None:
+                work = self._follow_parts()
+            else:
+                work = self._watch_in_turn(self._whole)
+            self._current_task = loop.create_task(work)
             try:
                 await asyncio.wait({self._current_task})
             finally:
@@ -101,14 +137,18 @@
                 not self._current_task.cancelled()
                 and not self._current_task.result()
             ):
-                await asyncio.sleep(self._choose_retry_pause())
+                await asyncio.sleep(self._choose_retry_pause(self._whole))
+
+    @property
+    def _parts(self) -> tuple[_Part, ...]:
+        return self._endpoints, self._entries, self._configuration
 
     @property
     def _budget(self) -> watchbudget.WatchBudget:
         return watchbudget.WatchBudget.from_drain(self._state.settings.drain)
 
-    def _choose_retry_pause(self) -> float:
-        if self._failures == 1:
+    def _choose_retry_pause(self, part: _Part) -> float:
+        if part.failures == 1:
             return random.uniform(0.0, self._budget.jitter)
         return random.uniform(*RETRY_SECONDS)
 
@@ -117,7 +157,7 @@
 
         The platform writes lost keys again.
         """
-        self._revision = None
+        self._forget_revisions()
         self._base_revision = _EARLIER_ERA
         self._revisions = dict.fromkeys(self._revisions, _EARLIER_ERA)
         self._removed = {
@@ -133,9 +173,29 @@
         ):
             self._current_task.cancel()
 
+    def _forget_revisions(self) -> None:
+        """Read every part anew."""
+        for part in (self._whole, *self._parts):
+            part.revision = None
+
+    def _split(self) -> None:
+        """Follow each part by itself from the revision known for all."""
+        for part in self._parts:
+            part.revision = self._whole.revision
+            part.answered_at = self._whole.answered_at
+        self._whole.revision = None
+
+    def _join(self) -> None:
+        """Follow all parts together again."""
+        self._whole.revision = min(part.revision for part in self._parts)
+        self._whole.answered_at = self._endpoints.answered_at
+        self._whole.failures = 0
+
+    def _tells_endpoints(self, part: _Part) -> bool:
+        return part in (self._whole, self._endpoints)
+
     def _record_success(self) -> None:
         now = self._state.now
-        self._failures = 0
         if self._failing_since is None:
             return
         lost, self._failing_since = now - self._failing_since, None
@@ -143,12 +203,14 @@
             self._recovered_at = now
             self._state.log.write_always('store regained', seconds=lost)
 
-    def _record_failure(self, refusal: storevalues.StoreFailure) -> None:
+    def _record_failure(
+        self, part: _Part, refusal: storevalues.StoreFailure
+    ) -> None:
         counters = self._state.counters
         counters.store_faults.labels(refusal.kind).inc()
         counters.discarded_bytes.labels('store').inc(refusal.received)
-        self._failures += 1
-        if self._failing_since is None:
+        part.failures += 1
+        if self._failing_since is None and self._tells_endpoints(part):
             self._failing_since = self._state.now
             self._state.log.write_always(
                 'store lost',
@@ -159,44 +221,103 @@
 
     def _describe_revision(self) -> dict[str, int | None]:
         """Return the last known revision and era, for the log."""
-        known = self._revision
+        known = self._whole.revision or self._endpoints.revision
         return {
             'revision': known.number if known else None,
             'era': known.era if known else self._store.era,
         }
 
-    async def _read_all(self) -> bool:
+    async def _follow_parts(self) -> bool:
+        """Follow each part by itself until all are up to date.
+
+        :returns: whether they are, and can be followed together
+        """
+        async with asyncio.TaskGroup() as group:
+            followed = [
+                group.create_task(self._follow_part(part))
+                for part in (self._endpoints, self._entries)
+            ]
+            while not await self._advance(self._configuration):
+                await asyncio.sleep(
+                    self._choose_retry_pause(self._configuration)
+                )
+            for task in followed:
+                task.cancel()
+        # A watch over all keys that begins before the configuration would
+        # hold it once more.
+        for part in (self._endpoints, self._entries):
+            while (
+                part.revision is None
+                or part.revision < self._configuration.revision
+            ):
+                if not await self._advance(part):
+                    self._whole.failures = part.failures
+                    return False
+        self._join()
+        return True
+
+    async def _follow_part(self, part: _Part) -> None:
+        """Follow one part until cancelled."""
+        while True:
+            # The first answer is owed at once, as something has changed.
+            done = await self._advance(part)
+            while done and part.revision is not None:
+                done = await self._watch_in_turn(part)
+            if not done:
+                await asyncio.sleep(self._choose_retry_pause(part))
+
+    async def _advance(self, part: _Part) -> bool:
+        """Bring a part up to date.
+
+        :returns: whether the store answered
+        """
+        if part.revision is not None and not await self._watch(part, 0.0):
+            return False
+        return part.revision is not None or await self._list(part)
+
+    async def _list(self, part: _Part) -> bool:
+        """Read all keys of a part."""
         began = self._state.now
-        listed = await self._store.list_items(listings.ALL_KEYS_PREFIX)
+        listed = await self._store.list_items(part.prefix)
         if listed.is_err():
-            self._record_failure(listed.err_value)
+            self._log_failed_call('read failed', part, listed.err_value, began)
+            self._record_failure(part, listed.err_value)
             return False
-        self._record_success()
         changes = listed.ok_value
-        if self._base_revision is _EARLIER_ERA:
-            self._base_revision = changes.revision
+        part.failures = 0
+        tells_endpoints = self._tells_endpoints(part)
+        if tells_endpoints:
+            self._record_success()
+            if self._base_revision is _EARLIER_ERA:
+                self._base_revision = changes.revision
         present = set()
         for item in changes.items:
             present.add(item.key)
             self.apply(item)
-        # What is no longer listed needs no second look, and stays removed.
-        self._reappeared &= present
-        self._remove_unlisted(present, changes.revision)
-        self._state.has_listing = True
-        self._confirm_removals(began)
-        self._answered_at = self._state.listing_read_at = began
+        self._remove_unlisted(part, present, changes.revision)
+        if tells_endpoints:
+            # What is no longer listed needs no second look.
+            self._reappeared &= present
+            self._state.has_listing = True
+            self._confirm_removals(began)
+            self._state.listing_read_at = began
+        part.answered_at = began
         self._state.notify_listeners()
-        self._revision = changes.revision
+        part.revision = changes.revision
         self._state.log.write(
             'store read',
+            prefix=part.prefix,
             revision=changes.revision.number,
             era=changes.revision.era,
             keys=len(changes.items),
+            seconds=round(self._state.now - began, 3),
         )
         return True
 
-    def _remove_unlisted(self, present: set[str], revision: Revision) -> None:
-        """Remove known keys that a full read does not contain.
+    def _remove_unlisted(
+        self, part: _Part, present: set[str], revision: Revision
+    ) -> None:
+        """Remove known keys of a part that a full read does not contain.
 
         :param present: keys that it contains
         :param revision: revision of the read
@@ -204,7 +325,9 @@
         gone = [
             key
             for key, known in self._revisions.items()
-            if key not in present and known < revision
+            if key.startswith(part.prefix)
+            and key not in present
+            and known < revision
         ]
         for key in gone:
             self.apply(storevalues.Item(key, None, revision))
@@ -217,15 +340,20 @@
         }
         departurenotices.confirm_removals(self._state, read_at, held_back)
 
-    def _log_failed_watch(
-        self, refusal: storevalues.StoreFailure, began: float
+    def _log_failed_call(
+        self,
+        event: str,
+        part: _Part,
+        refusal: storevalues.StoreFailure,
+        began: float,
     ) -> None:
-        """Log a watch without an answer, and for how long it was waited for.
+        """Log a call without an answer, and for how long it was waited for.
 
-        :param began: monotonic time at which the watch began, in seconds
+        :param began: monotonic time at which the call began, in seconds
         """
         self._state.log.write(
-            'watch failed',
+            event,
+            prefix=part.prefix,
             fault=refusal.kind,
             detail=refusal.detail,
             received=refusal.received,
@@ -233,44 +361,96 @@
             listing_age=self._state.listing_age,
         )
 
-    async def _watch(self) -> bool:
+    async def _watch_in_turn(self, part: _Part) -> bool:
+        """Wait for changes of a part, and batch those that follow them."""
+        answered = await self._watch(part)
+        if answered and part.has_news:
+            await asyncio.sleep(self._limit_by_grace(self._budget.batch))
+        return answered
+
+    async def _watch(self, part: _Part, seconds: float | None = None) -> bool:
+        """Wait for changes of a part, and apply them.
+
+        :param seconds: longest wait at the store, None for what fits the
+            budget
+        :returns: whether the store answered
+        """
         budget = self._budget
         began = self._state.now
+        if seconds is None:
+            seconds = self._limit_by_grace(
+                budget.choose_wait(began - part.answered_at)
+            )
         watched = await self._store.watch(
-            listings.ALL_KEYS_PREFIX,
-            self._revision,
-            self._limit_by_grace(
-                budget.choose_wait(began - self._answered_at)
-            ),
-            budget.choose_slack(self._failures),
+            part.prefix,
+            part.revision,
+            seconds,
+            budget.choose_slack(part.failures),
             budget.connect,
+            part.limit,
         )
         answered_at = self._state.now
         if watched.is_err():
-            refusal = watched.err_value
-            if refusal.kind is storevalues.FailureKind.COMPACTED:
-                self._state.log.write(
-                    'history lost',
-                    detail=refusal.detail,
-                    **self._describe_revision(),
-                )
-                self._revision = None
-                return True
-            self._log_failed_watch(refusal, began)
-            self._record_failure(refusal)
-            return False
-        self._record_success()
+            return self._handle_failed_watch(part, watched.err_value, began)
+        part.failures = 0
         changes = watched.ok_value
+        part.has_news = bool(changes.items)
+        if self._tells_endpoints(part):
+            self._record_success()
         for item in changes.items:
             self.apply(item)
-        self._revision = changes.revision
-        self._expire()
-        self._confirm_removals(began)
-        self._answered_at = self._state.listing_read_at = answered_at
-        if changes.items:
-            await asyncio.sleep(self._limit_by_grace(budget.batch))
+        part.revision = changes.revision
+        part.answered_at = answered_at
+        if self._tells_endpoints(part):
+            self._confirm_removals(began)
+            self._state.listing_read_at = answered_at
+            self._expire()
         return True
 
+    def _handle_failed_watch(
+        self, part: _Part, refusal: storevalues.StoreFailure, began: float
+    ) -> bool:
+        """Choose what to read after a watch that brought no changes.
+
+        :param began: monotonic time at which the watch began, in seconds
+        :returns: whether the store answered
+        """
+        part.has_news = False
+        if refusal.kind is storevalues.FailureKind.TOO_LARGE:
+            self._state.log.write(
+                'large answer put off', prefix=part.prefix, bytes=refusal.size
+            )
+            part.failures = 0
+            if part is self._whole:
+                self._split()
+            if part is self._configuration or self._may_hold_configuration(
+                refusal.size
+            ):
+                self._configuration.revision = None
+            return True
+        if refusal.kind is storevalues.FailureKind.COMPACTED:
+            self._state.log.write(
+                'history lost',
+                detail=refusal.detail,
+                **self._describe_revision(),
+            )
+            if part is self._whole:
+                self._forget_revisions()
+            else:
+                part.revision = None
+            return True
+        self._log_failed_call('watch failed', part, refusal, began)
+        self._record_failure(part, refusal)
+        return False
+
+    def _may_hold_configuration(self, size: int) -> bool:
+        """Return whether reading the configuration costs no more than this.
+
+        :param size: size of an answer in bytes, as far as known
+        """
+        held = len(self._state.configuration_value)
+        return size >= storevalues.compute_encoded_size(held)
+
     def _limit_by_grace(self, seconds: float) -> float:
         """Return a wait that ends no later than removals are held back.
 
@@ -433,4 +613,6 @@
         for key in self._reappeared:
             self._removed.pop(key, None)
         self._reappeared.clear()
-        self._revision = None
+        if self._whole.revision is not None:
+            self._split()
+        self._endpoints.revision = None
