Read a new configuration from the entries that have it, compressed

Callers saw callers' answers late in the seconds of a large version: each entry read it from the store and, at the same time, uncompressed from the entry that spoke last, which shared the same narrow link; either had a total time, all asked the first one that knew, and a failed read waited for the next message. Class: two ways to the same thing that compete, without a choice between them.

Now an entry tells a new version within 30 ms; whoever lacks it asks one that has it (the newest version, then the own failure domain, then by chance), two at a time, gzipped; one that is busy, slow or cut off is passed over (core/pipeline/configurationsources). The answer names the revision, so the reading from the store ends and goes on behind it. Versions are still compared where they are put in force; entries of the former build send and get what they did.

--- a/features/largeconfigurations.feature
+++ b/features/largeconfigurations.feature
@@ -40,3 +40,9 @@
       | 1       | 2        | 4300   |
       | 1       | 8        | 1700   |
       | 2       | 8        | 4300   |
+
+  Scenario: Entries behind narrow links read from one that has a wide link
+    Given 5 entries with links of 2 Mbit/s to the store and one with a wide link
+    When 2 versions with 4300 routes come 0.3 s apart
+    Then the last version is in force on all entries within 3 s
+    And the 5 entries have it from another entry
--- a/features/steps/largeconfigurations.py
+++ b/features/steps/largeconfigurations.py
@@ -10,6 +10,7 @@
 BYTES_PER_MBIT = 125_000
 # Time between two versions, in seconds.
 GAP_SECONDS = 0.3
+WIDE_MBITS = 1000
 DRAIN_SECONDS = 2.0
 # How long a version is waited for, in seconds: far more than is allowed.
 WAIT_SECONDS = 10.0
@@ -25,13 +26,25 @@
 
 
 @behave.given('{count:d} entries with links of {width:g} Mbit/s to the store')
-def make_entries(context, count, width):
+def make_alike(context, count, width):
+    _make_entries(context, [width] * count)
+
+
+@behave.given(
+    '{count:d} entries with links of {width:g} Mbit/s to the store and one'
+    ' with a wide link'
+)
+def make_mixed(context, count, width):
+    _make_entries(context, [width] * count + [WIDE_MBITS])
+
+
+def _make_entries(context, widths):
     scene = scenes.Scene(context.pick_ports, context.make_folder())
     context.stack.callback(scene.close)
     context.scene, context.relays = scene, []
     scene.configure(operators.make_configuration(FIRST_VERSION))
     scene.add_runners()
-    for number in range(count):
+    for number, width in enumerate(widths):
         relay = relays.Relay('127.0.0.1:0', scene.store_address)
         context.stack.callback(relay.stop)
         relay.narrow(width * BYTES_PER_MBIT)
@@ -131,3 +144,14 @@
         ),
     )
     assert _is_in_time(times, DRAIN_SECONDS), times
+
+
+@behave.then('the {count:d} entries have it from another entry')
+def check_sources(context, count):
+    sources = [
+        row['source']
+        for entry in context.scene.entries[:count]
+        for row in entry.list_events('configuration in force')
+        if row['version'] == context.version
+    ]
+    assert len(sources) == count and 'store' not in sources, sources
--- a/features/steps/storemodel.py
+++ b/features/steps/storemodel.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from unittest import mock
 
 import behave
 from dunlintide_daemon.gateway import follower
@@ -26,6 +27,12 @@
 SETTLE_SECONDS = 14.0
 APPLY_SECONDS = 2.0
 MODULES = (state_module, leadership, follower, stores)
+# Routes of a large configuration, the size from which an answer counts as
+# large, and the bandwidth of each entry in bytes per second: reading one takes
+# 0.4 s.
+ROUTES = 40
+LARGE_BYTES = 8000
+BANDWIDTH = 40_000.0
 
 
 class _Log:
@@ -68,6 +75,13 @@
             for part in (self.follower, self.registrar, self.leadership)
         ]
 
+    async def receive(self, value, revision):
+        """Take in a configuration that another entry sends."""
+        loaded = await self.follower._loader.load(value, 'other', revision)
+        loaded.unwrap()
+        if revision is not None:
+            self.follower.skip_configuration(revision)
+
     def _handle_item(self, item):
         name = item.key.removeprefix(keys.ENTRY_PREFIX)
         if item.key == keys.LEADER_KEY:
@@ -124,8 +138,10 @@
         return self.loop.run_until_complete(work)
 
     async def _configure(self):
-        found = operators.make_configuration(self.version)
-        await self.store.put('op/config', found)
+        await self.store.put('op/config', self._make_configuration())
+
+    def _make_configuration(self):
+        return operators.make_configuration(self.version)
 
     async def _list(self, name, state):
         self.runners[name] = state
@@ -277,10 +293,71 @@
         assert seat.startswith(leading[0]._identity), seat
 
 
+class LargeStoreMachine(StoreMachine):
+    """The same with large configurations, narrow links and neighbours."""
+
+    def __init__(self):
+        self.patch = mock.patch.object(
+            follower, 'LARGE_ANSWER_BYTES', LARGE_BYTES
+        )
+        self.patch.start()
+        self.sent = []
+        super().__init__()
+
+    def _make_configuration(self):
+        made = super()._make_configuration()
+        return operators.add_routes(made, ROUTES)
+
+    async def _start(self):
+        await super()._start()
+        for entry in self.entries:
+            entry.network.bandwidth = BANDWIDTH
+
+    @stateful.rule(index=strategies.integers(0, 2))
+    def copy_configuration(self, index):
+        """Note what an entry would send, to be received sooner or later."""
+        state = self.entries[index].state
+        if state.configuration_value:
+            revision = state.configuration_origin.revision
+            self.sent.append((state.configuration_value, revision))
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(
+        index=strategies.integers(0, 2), age=strategies.integers(0, 3)
+    )
+    def receive(self, index, age):
+        value, revision = self.sent[-1 - age % len(self.sent)]
+        self.run(self.entries[index].receive(value, revision))
+
+    @stateful.rule(index=strategies.integers(0, 2))
+    def lose_watch(self, index):
+        self.entries[index].network.lose = 1
+
+    def teardown(self):
+        for entry in self.entries:
+            entry.network.lose = 0
+        try:
+            super().teardown()
+        finally:
+            self.patch.stop()
+
+
 @behave.when('troubles of the store come in {count:d} orders')
 def play(context, count):
+    _play(StoreMachine, count)
+
+
+@behave.when(
+    'the same come in {count:d} orders beside large configurations, narrow'
+    ' links and neighbours'
+)
+def play_large(context, count):
+    _play(LargeStoreMachine, count)
+
+
+def _play(machine, count):
     stateful.run_state_machine_as_test(
-        StoreMachine,
+        machine,
         settings=hypothesis.settings(
             max_examples=count,
             stateful_step_count=25,
--- a/features/storemodel.feature
+++ b/features/storemodel.feature
@@ -7,6 +7,10 @@
     When troubles of the store come in 150 orders
     Then all entries are in step again after each of them
 
+  Scenario: Versions only rise, by whichever way they come
+    When the same come in 60 orders beside large configurations, narrow links and neighbours
+    Then all entries are in step again after each of them
+
   Scenario: An endpoint that is gone stays gone over two copies that hold it
     When an endpoint is gone and two copies that hold it come back
     Then no entry uses it again
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -1,6 +1,8 @@
 """Admin port of an entry: readiness, metrics and a state dump."""
 
+import asyncio
 import json
+import zlib
 
 import attrs
 import prometheus_client
@@ -11,10 +13,24 @@
 
 __all__ = [
     'CONFIGURATION_PATH',
+    'ENCODING',
+    'REVISION_HEADER',
+    'ZLIB_WBITS',
     'Admin',
 ]
 
 CONFIGURATION_PATH = '/internal/configuration'
+# Header with the era and the revision of the configuration, joined by a dot.
+REVISION_HEADER = 'configuration-revision'
+# Compression of the configuration: a fast level, as routes are much alike.
+ENCODING = 'gzip'
+ZLIB_WBITS = 31
+ZLIB_LEVEL = 1
+# Bytes that are compressed in one go: about 1 ms on a small host.
+STEP_BYTES = 32 << 10
+# Other entries that read the configuration at the same time. More of them
+# would share the link, so that none is done early and can serve others.
+MAX_TRANSFERS = 2
 _JSON = ('Content-Type', 'application/json')
 
 
@@ -23,6 +39,9 @@
 
     def __init__(self, state: state_module.State) -> None:
         self._state = state
+        self._transfers = 0
+        # Compressed form of the configuration, and the value it was made from.
+        self._compressed: tuple[bytes, bytes] = (b'', b'')
 
     async def handle(
         self, request: callermessages.Request, reply: callermessages.Reply
@@ -38,13 +57,49 @@
         elif path == '/debug/state':
             self._send_json(reply, self._dump())
         elif path == CONFIGURATION_PATH:
-            reply.send(
-                callermessages.Head(200, [_JSON]),
-                self._state.configuration_value,
-            )
+            await self._send_configuration(request, reply)
         else:
             reply.send(callermessages.Head(404))
 
+    async def _send_configuration(
+        self, request: callermessages.Request, reply: callermessages.Reply
+    ) -> None:
+        """Send the configuration in force to another entry."""
+        value = self._state.configuration_value
+        headers = [_JSON]
+        revision = self._state.configuration_origin.revision
+        if revision is not None:
+            text = f'{revision.era}.{revision.number}'
+            headers.append((REVISION_HEADER, text))
+        if ENCODING not in (request.get('accept-encoding') or ''):
+            reply.send(callermessages.Head(200, headers), value)
+            return
+        if self._transfers >= MAX_TRANSFERS:
+            reply.send(callermessages.Head(503))
+            return
+        self._transfers += 1
+        try:
+            body = await self._compress(value)
+            headers.append(('Content-Encoding', ENCODING))
+            reply.send(callermessages.Head(200, headers), body)
+            await reply.drain()
+        finally:
+            self._transfers -= 1
+
+    async def _compress(self, value: bytes) -> bytes:
+        """Compress a value beside serving, and keep the result."""
+        if self._compressed[0] is not value:
+            packer = zlib.compressobj(ZLIB_LEVEL, wbits=ZLIB_WBITS)
+            parts = []
+            for start in range(0, len(value), STEP_BYTES):
+                parts.append(
+                    packer.compress(value[start : start + STEP_BYTES])
+                )
+                await asyncio.sleep(0)
+            parts.append(packer.flush())
+            self._compressed = value, b''.join(parts)
+        return self._compressed[1]
+
     async def handle_ready(
         self, request: callermessages.Request, reply: callermessages.Reply
     ) -> None:
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -114,6 +114,8 @@
         self._configuration = _Part(
             configurations.CONFIGURATION_KEY, LARGE_ANSWER_BYTES
         )
+        # Newest revision of the configuration that another entry has sent.
+        self._read_from_others: Revision | None = None
         # Revision of the first full read in an era; items up to it may come
         # from a copy.
         self._base_revision = _EARLIER_ERA
@@ -122,6 +124,8 @@
         self._removed: dict[str, tuple[Revision, float]] = {}
         self._reappeared: set[str] = set()
         self._current_task: asyncio.Task | None = None
+        # Reading of the configuration by itself.
+        self._reading: asyncio.Task | None = None
         self._failing_since: float | None = None
         self._recovered_at = float('-inf')
         self._logged_problems: dict[str, str] = {}
@@ -181,6 +185,7 @@
 
     def _forget_revisions(self) -> None:
         """Read every part anew."""
+        self._read_from_others = None
         for part in (self._whole, *self._parts):
             part.revision = None
 
@@ -190,6 +195,25 @@
             part.revision = self._whole.revision
             part.answered_at = self._whole.answered_at
         self._whole.revision = None
+        if self._read_from_others is not None:
+            self.skip_configuration(self._read_from_others)
+
+    def skip_configuration(self, revision: Revision) -> None:
+        """Do not read a configuration that another entry has sent.
+
+        :param revision: its revision in the store
+        """
+        if revision.era != self._store.era:
+            return
+        self._read_from_others = revision
+        part = self._configuration
+        if self._whole.revision is not None or (
+            part.revision is not None and part.revision >= revision
+        ):
+            return
+        part.revision = revision
+        if self._reading is not None:
+            self._reading.cancel()
 
     def _join(self) -> None:
         """Follow all parts together again."""
@@ -280,7 +304,23 @@
         """
         if part.revision is not None and not await self._watch(part, 0.0):
             return False
-        return part.revision is not None or await self._list(part)
+        if part.revision is not None:
+            return True
+        if part is not self._configuration:
+            return await self._list(part)
+        return await self._read_configuration()
+
+    async def _read_configuration(self) -> bool:
+        """Read the configuration, unless another entry sends it meanwhile."""
+        loop = asyncio.get_running_loop()
+        self._reading = loop.create_task(self._list(self._configuration))
+        try:
+            await asyncio.wait({self._reading})
+        finally:
+            self._reading.cancel()
+        if self._reading.cancelled():
+            return await self._advance(self._configuration)
+        return self._reading.result()
 
     async def _list(self, part: _Part) -> bool:
         """Read all keys of a part."""
@@ -432,11 +472,13 @@
                 'large answer put off', prefix=part.prefix, bytes=refusal.size
             )
             part.failures = 0
-            if part is self._whole:
-                self._split()
-            if part is self._configuration or self._may_hold_configuration(
-                refusal.size
-            ):
+            if part is self._configuration:
+                part.revision = None
+                return True
+            known = part.revision
+            self._split()
+            is_behind = self._configuration.revision == known
+            if is_behind and self._may_hold_configuration(refusal.size):
                 self._configuration.revision = None
             return True
         if refusal.kind is storevalues.FailureKind.COMPACTED:
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -8,6 +8,7 @@
 from typing import Callable, Container
 
 from dunlintide_core.pipeline import chains
+from dunlintide_core.pipeline import configurationsources
 from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import occupancy
 from dunlintide_daemon.gateway import departurenotices
@@ -54,8 +55,8 @@
     :ivar entries: other listed entries by name
     :ivar receive_permit: called with datagrams about permits and the address
         of their sender
-    :ivar newer_entry: name of an entry with a newer configuration
-    :ivar newer_entry_found: set when ``newer_entry`` changes
+    :ivar sources: versions of the configuration at the other entries
+    :ivar newer_entry_found: set when an entry has a newer configuration
     """
 
     def __init__(self, state: state_module.State) -> None:
@@ -66,7 +67,9 @@
         self.receive_permit: Callable[[bytes, str], None] | None = None
         self._names: dict[int, str] = {}
         self._names_version: int | None = None
-        self.newer_entry: str | None = None
+        self.sources = configurationsources.ConfigurationSources(
+            state.settings.failure_domain, state.random
+        )
         self.newer_entry_found = asyncio.Event()
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
@@ -94,6 +97,7 @@
         if entry is not None:
             last = self._state.now + self._state.settings.grace
             self._departed[name] = (last + DEPARTED_GRACE_SECONDS, entry)
+        self.sources.forget(name)
         self._state.listed_entries.discard(name)
         self._state.occupancy.drop_remote(name)
 
@@ -328,11 +332,19 @@
             # entries messages come every few milliseconds.
             if state.occupancy.set_remote(message.sender, usages, now):
                 state.wake_all()
+        self._apply_version(message)
+
+    def _apply_version(self, message: gossipmessages.Message) -> None:
+        """Record which version of the configuration another entry has."""
+        state = self._state
         state.newest_told_version = max(
             state.newest_told_version, message.version
         )
-        if message.version > state.version and message.sender in self.entries:
-            self.newer_entry = message.sender
+        entry = self.entries.get(message.sender)
+        if entry is None:
+            return
+        self.sources.record(entry.name, entry.domain, message.version)
+        if message.version > state.version:
             self.newer_entry_found.set()
 
     def _apply_progress(
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -14,10 +14,10 @@
 from dunlintide_adapters import callerhttp
 from dunlintide_adapters import callermessages
 from dunlintide_adapters import decisionlog
-from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import deployments
 from dunlintide_core.pipeline import settings as settings_module
 from dunlintide_daemon.gateway import admin as admin_module
+from dunlintide_daemon.gateway import configurationfetcher
 from dunlintide_daemon.gateway import configurationloader
 from dunlintide_daemon.gateway import counters
 from dunlintide_daemon.gateway import departurenotices
@@ -51,8 +51,6 @@
 KEEP_ALIVE_SECONDS = 2.6
 # Time before SIGKILL at which requests under way are cut off, in seconds.
 KILL_MARGIN_SECONDS = 0.35
-# Timeout for fetching a configuration from another entry, in seconds.
-FETCH_TIMEOUT_SECONDS = 1.0
 
 
 def _split_address(address: str) -> tuple[str, int]:
@@ -113,6 +111,12 @@
         self._follower = follower_module.Follower(
             self._state, self._store, self._handle_entry_item, self._loader
         )
+        self._fetcher = configurationfetcher.ConfigurationFetcher(
+            self._state,
+            self._gossip,
+            self._loader,
+            self._follower.skip_configuration,
+        )
         # The follower is last: the others must have given up their leases
         # before it reads the store again.
         self._store.era_listeners += (
@@ -180,7 +184,7 @@
                 self._placer.run,
                 self._pace_prober.run,
                 self._gossip.run,
-                self._fetch_newer,
+                self._fetcher.run,
                 self._run_maintenance,
                 self._watch_settings,
             ):
@@ -269,78 +273,6 @@
         if seconds >= STALL_THRESHOLD_SECONDS:
             self._state.log.write('loop stalled', seconds=round(seconds, 3))
 
-    async def _fetch_newer(self) -> None:
-        """Fetch newer configurations from other entries."""
-        while True:
-            await self._gossip.newer_entry_found.wait()
-            self._gossip.newer_entry_found.clear()
-            entry = self._gossip.entries.get(self._gossip.newer_entry or '')
-            if entry is None:
-                continue
-            await self._fetch(entry)
-            await asyncio.sleep(FLUSH_INTERVAL_SECONDS)
-
-    async def _fetch(self, entry: keys.Entry) -> None:
-        state = self._state
-        loop = asyncio.get_running_loop()
-        path = admin_module.CONFIGURATION_PATH
-        text = f'GET {path} HTTP/1.1\r\nHost: {entry.admin}\r\n\r\n'
-        began = state.now
-        try:
-            connection = await state.pool.acquire(
-                entry.admin, FETCH_TIMEOUT_SECONDS
-            )
-        except endpointhttp.CallError as broken:
-            self._log_failed_fetch(entry, broken, began)
-            return
-        try:
-            deadline = loop.time() + FETCH_TIMEOUT_SECONDS
-            connection.send(text.encode('latin-1'))
-            await connection.read_head(deadline)
-            value = await connection.read_all(deadline)
-        except endpointhttp.CallError as broken:
-            state.counters.discarded_bytes.labels('entry').inc(
-                connection.received
-            )
-            self._log_failed_fetch(entry, broken, began, connection.received)
-            return
-        finally:
-            state.pool.release(entry.admin, connection)
-        loaded = await self._loader.load(
-            value, entry.name, read_seconds=state.now - began
-        )
-        if loaded.is_err():
-            self._log_error(
-                'configuration refused', ValueError(loaded.err_value)
-            )
-        elif loaded.ok_value:
-            state.log.write(
-                'configuration fetched',
-                source=entry.name,
-                bytes=len(value),
-                seconds=round(state.now - began, 3),
-            )
-
-    def _log_failed_fetch(
-        self,
-        entry: keys.Entry,
-        error: endpointhttp.CallError,
-        began: float,
-        received: int = 0,
-    ) -> None:
-        """Log a fetch from another entry that failed.
-
-        :param began: monotonic time of its start, in seconds
-        :param received: bytes that had arrived
-        """
-        self._state.log.write(
-            'configuration not fetched',
-            source=entry.name,
-            error=repr(error),
-            received=received,
-            seconds=round(self._state.now - began, 3),
-        )
-
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(RELOAD_SECONDS)
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -271,6 +271,8 @@
             rules=len(deployment.source.rules),
             teams=len(deployment.source.teams),
         )
+        # The others are told at once, since some read it faster from here.
+        self.alert_pending.set()
         self.notify_listeners()
         return True
 
