Divide the bound of a configuration among the steps of reading it

No step knew config_apply_ms: it was in no setting, and each step had a time of its own. Class: a bound on a sum whose parts do not know it. Now the setting 'apply' holds it (the drain time without it); the tighter of both bounds sets batch pause, silence and connection of the watch, a quarter of it how long a body may stand still, and the rest is the way of the version: 0.7, 1.2 and 1.7 s at 2, 3 and 4 s. At 3 s that is the largest value, 1 MiB, over 10 Mbit/s; at 2 s 0.65 MB. A lost answer beside a large version is borne only with a neighbour; alone, silence takes all of the bound.

After a join, changes that were known already begin no batch pause, and a part that was just read waits it out before it watches; without that a full read cost two calls more than needed (features/follower.feature showed it).

--- a/features/steps/follower.py
+++ b/features/steps/follower.py
@@ -35,12 +35,19 @@
         self.given_up = []
         self.times = []
 
-    async def list_items(self, prefix):
+    async def list_items(self, prefix, idle_seconds):
         self.answered = _read_clock()
         return result.Ok(storevalues.ItemBatch((), storevalues.Revision(0, 1)))
 
     async def watch(
-        self, prefix, after, seconds, slack, connect_seconds, limit=None
+        self,
+        prefix,
+        after,
+        seconds,
+        slack,
+        connect_seconds,
+        limit,
+        idle_seconds,
     ):
         self.given_up.append(_read_clock() - self.answered + seconds + slack)
         self.times.append(_read_clock())
--- a/packages/core/src/dunlintide_core/pipeline/settings.py
+++ b/packages/core/src/dunlintide_core/pipeline/settings.py
@@ -55,6 +55,8 @@
     :ivar store: address of the platform's store
     :ivar drain: longest time for which a draining endpoint may get new
         requests, in seconds
+    :ivar apply: longest time from the acknowledgement of a configuration until
+        it is in force, in seconds; the same as ``drain`` without it
     :ivar grace: time from SIGTERM to SIGKILL, in seconds
     :ivar retries: retry budget of each service
     :ivar log_rate: log lines per second
@@ -71,6 +73,7 @@
     gossip_listen: settings.Listen
     store: settings.Address
     drain: settings.Seconds = 2.0
+    apply: settings.Seconds | None = None
     grace: settings.Seconds = 8.0
     retries: Retries = Retries()
     log_rate: settings.Rate = 300.0
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -16,8 +16,8 @@
 from typing import Callable
 
 import attrs
+from dunlintide_core.pipeline import configurationbudget
 from dunlintide_core.pipeline import endpoints as endpoints_module
-from dunlintide_core.pipeline import watchbudget
 from dunlintide_daemon.gateway import configurationloader
 from dunlintide_daemon.gateway import departurenotices
 from dunlintide_daemon.gateway import state as state_module
@@ -137,7 +137,7 @@
             if self._whole.revision is None:
                 work = self._follow_parts()
             else:
-                work = self._watch_in_turn(self._whole)
+                work = self._watch_whole()
             self._current_task = loop.create_task(work)
             try:
                 await asyncio.wait({self._current_task})
@@ -154,12 +154,15 @@
         return self._endpoints, self._entries, self._configuration
 
     @property
-    def _budget(self) -> watchbudget.WatchBudget:
-        return watchbudget.WatchBudget.from_drain(self._state.settings.drain)
+    def _budget(self) -> configurationbudget.ConfigurationBudget:
+        settings = self._state.settings
+        return configurationbudget.ConfigurationBudget.from_bounds(
+            settings.drain, settings.apply
+        )
 
     def _choose_retry_pause(self, part: _Part) -> float:
         if part.failures == 1:
-            return random.uniform(0.0, self._budget.jitter)
+            return random.uniform(0.0, self._budget.watch.jitter)
         return random.uniform(*RETRY_SECONDS)
 
     def begin_era(self) -> None:
@@ -293,7 +296,8 @@
             # The first answer is owed at once, as something has changed.
             done = await self._advance(part)
             while done and part.revision is not None:
-                done = await self._watch_in_turn(part)
+                await self._batch(part)
+                done = await self._watch(part)
             if not done:
                 await asyncio.sleep(self._choose_retry_pause(part))
 
@@ -325,7 +329,7 @@
     async def _list(self, part: _Part) -> bool:
         """Read all keys of a part."""
         began = self._state.now
-        listed = await self._store.list_items(part.prefix)
+        listed = await self._store.list_items(part.prefix, self._budget.idle)
         if listed.is_err():
             self._log_failed_call('read failed', part, listed.err_value, began)
             self._record_failure(part, listed.err_value)
@@ -349,6 +353,7 @@
             self._confirm_removals(began)
             self._state.listing_read_at = began
         part.answered_at = began
+        part.has_news = True
         self._state.notify_listeners()
         part.revision = changes.revision
         self._state.log.write(
@@ -410,13 +415,18 @@
             listing_age=self._state.listing_age,
         )
 
-    async def _watch_in_turn(self, part: _Part) -> bool:
-        """Wait for changes of a part, and batch those that follow them."""
-        answered = await self._watch(part)
-        if answered and part.has_news:
-            await asyncio.sleep(self._limit_by_grace(self._budget.batch))
+    async def _watch_whole(self) -> bool:
+        """Wait for changes of any key."""
+        answered = await self._watch(self._whole)
+        if answered:
+            await self._batch(self._whole)
         return answered
 
+    async def _batch(self, part: _Part) -> None:
+        """Pause after changes, so that those that follow come together."""
+        if part.has_news:
+            await asyncio.sleep(self._limit_by_grace(self._budget.watch.batch))
+
     async def _watch(self, part: _Part, seconds: float | None = None) -> bool:
         """Wait for changes of a part, and apply them.
 
@@ -424,7 +434,7 @@
             budget
         :returns: whether the store answered
         """
-        budget = self._budget
+        budget = self._budget.watch
         began = self._state.now
         if seconds is None:
             seconds = self._limit_by_grace(
@@ -437,17 +447,18 @@
             budget.choose_slack(part.failures),
             budget.connect,
             part.limit,
+            self._budget.idle,
         )
         answered_at = self._state.now
         if watched.is_err():
             return self._handle_failed_watch(part, watched.err_value, began)
         part.failures = 0
         changes = watched.ok_value
-        part.has_news = bool(changes.items)
         if self._tells_endpoints(part):
             self._record_success()
-        for item in changes.items:
-            self.apply(item)
+        # A part may be told again what it knows from before the parts joined.
+        news = [self.apply(item) for item in changes.items]
+        part.has_news = any(news)
         part.revision = changes.revision
         part.answered_at = answered_at
         if self._tells_endpoints(part):
@@ -515,17 +526,20 @@
         left = ends + GRACE_MARGIN_SECONDS - self._state.now
         return min(seconds, max(0.0, left))
 
-    def apply(self, item: storevalues.Item) -> None:
-        """Apply an item unless a newer one of its key is known."""
+    def apply(self, item: storevalues.Item) -> bool:
+        """Apply an item unless a newer one of its key is known.
+
+        :returns: whether it was applied
+        """
         known = self._revisions.get(item.key)
         if known is not None and item.revision <= known:
             if item.revision < known:
                 self._log_stale_item(item, known)
-            return
+            return False
         if self._is_superseded(item):
             self._reappeared.add(item.key)
             self._log_stale_item(item, self._removed[item.key][0])
-            return
+            return False
         if item.value is None:
             self._reappeared.discard(item.key)
             self._revisions.pop(item.key, None)
@@ -539,6 +553,7 @@
             self._pending_removals.discard(item.key)
             self._removed.pop(item.key, None)
             self._apply_value(item)
+        return True
 
     def _apply_value(self, item: storevalues.Item) -> None:
         if item.key.startswith(listings.ENDPOINT_PREFIX):
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -304,6 +304,7 @@
             state.settings,
             store=settings.store,
             drain=settings.drain,
+            apply=settings.apply,
             grace=settings.grace,
             retries=settings.retries,
             log_rate=settings.log_rate,
