Read answers of up to 128 KiB with the watch over all keys

A configuration of 249 routes, the usual size before it grows, is 72 kB as the store sends it, so that each of its changes was put off and read by itself, at four calls instead of one. At 10 Mbit/s 128 KiB take a tenth of a second, which the reserve of each bound holds.

configurationbudget and follower: 32 passed, 0 failed.

--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -52,8 +52,8 @@
 # a silent one after three times that.
 UNREADABLE_SECONDS = 3.6
 # Size of an answer from which it is not read but the store is followed by
-# parts, in bytes: some hundred changes of endpoints.
-LARGE_ANSWER_BYTES = 64 << 10
+# parts, in bytes: about a tenth of a second on a link of 10 Mbit/s.
+LARGE_ANSWER_BYTES = 128 << 10
 # Most by which an endpoint's start time may be ahead of this host's clock, in
 # seconds: clocks differ by seconds.
 MAX_CLOCK_SKEW_SECONDS = 60.0
