Soak with large versions over narrow links, and check when they are in force

The soak's versions had 4 routes, and it compared versions at its end alone. Now entries reach the store over 10 to 50 Mbit/s, up to eight large versions come in a row, every second time with an answer lost, and probes ask entries for the route that each version has: served 2 s after the acknowledgement, and never missing again in the same life of the entry. CONFIGURATIONS=1 plays these beside endpoints that leave.

--- a/Makefile
+++ b/Makefile
@@ -23,10 +23,12 @@
 # bench: a glob over the names of cases.
 CASE ?= *
 # soak, edge-soak: the seed of the faults, and how long they last; how
-# many seeds edge-soak plays in turn; LEAVING=1: only endpoints that leave.
+# many seeds edge-soak plays in turn; LEAVING=1: only endpoints that leave;
+# CONFIGURATIONS=1: only large configurations, and endpoints that leave.
 SEED ?= 1
 SEEDS ?= 1
 LEAVING ?= 0
+CONFIGURATIONS ?= 0
 SECONDS ?= 60
 # test: further arguments of behave, for one run of them all in turn.
 ARGS ?=
@@ -75,7 +77,8 @@
 edge-soak: $(STAMP)
 	@$(RUN) $(BIN)/python -m dunlintide_trials.edge.soak \
 		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) \
-		$(if $(filter 1,$(LEAVING)),--leaving)
+		$(if $(filter 1,$(LEAVING)),--leaving) \
+		$(if $(filter 1,$(CONFIGURATIONS)),--configurations)
 
 clean:
 	rm -rf $(VENV) .demo .ci/out
--- a/features/edgesoak.feature
+++ b/features/edgesoak.feature
@@ -19,3 +19,12 @@
     Examples:
       | seed | seconds | least | drains |
       | 1    | 10      | 50    | 8      |
+
+  Scenario Outline: Large configurations are in force in time and hold up nothing
+    When large configurations come for <seconds> seconds with seed <seed> and answers are lost
+    Then no promise was broken in the soak of at least <least> requests
+    And at least <versions> versions were checked by <probes> probes
+
+    Examples:
+      | seed | seconds | least | versions | probes |
+      | 5    | 10      | 50    | 10       | 100    |
--- a/features/steps/edgesoak.py
+++ b/features/steps/edgesoak.py
@@ -22,6 +22,24 @@
     )
 
 
+@behave.when(
+    'large configurations come for {seconds:d} seconds with seed {seed:d} and'
+    ' answers are lost'
+)
+def run_configurations(context, seconds, seed):
+    context.soaked = soak.run(
+        seed, seconds, context.make_folder(), faults.CONFIGURATION_FAULTS
+    )
+
+
+@behave.then(
+    'at least {versions:d} versions were checked by {probes:d} probes'
+)
+def check_versions(context, versions, probes):
+    assert context.soaked['versions'] >= versions, context.soaked
+    assert context.soaked['probes'] >= probes, context.soaked
+
+
 @behave.then('the leaving of at least {drains:d} endpoints was checked')
 def check_drains(context, drains):
     assert context.soaked['checked_drains'] >= drains, context.soaked
--- a/packages/standins/src/dunlintide_standins/fleet/operators.py
+++ b/packages/standins/src/dunlintide_standins/fleet/operators.py
@@ -1,7 +1,7 @@
 """Configurations of an operator: routes, services and API keys."""
 
 import random
-from typing import Any
+from typing import Any, Iterable
 
 __all__ = [
     'ACCELERATOR_MB',
@@ -10,6 +10,7 @@
     'LAYERS',
     'LAYER_MB',
     'add_routes',
+    'add_version_routes',
     'make_invalid_configuration',
     'make_configuration',
     'remove_routes',
@@ -120,6 +121,19 @@
     return configuration
 
 
+def add_version_routes(
+    configuration: Configuration, versions: Iterable[int]
+) -> Configuration:
+    """Add a route for each version, by which callers can tell it is known."""
+    configuration['route_list'] += [
+        _make_route(
+            f'version-{version}', f'/version-{version}/', 'idempotent', 'web'
+        )
+        for version in versions
+    ]
+    return configuration
+
+
 def make_invalid_configuration(version: int) -> Configuration:
     """Build a configuration whose route lacks its required fields."""
     return {'version': version, 'route_list': [{'name': 'x'}]}
--- a/packages/trials/src/dunlintide_trials/edge/faults.py
+++ b/packages/trials/src/dunlintide_trials/edge/faults.py
@@ -9,17 +9,25 @@
 import time
 from typing import Callable, Coroutine
 
-from dunlintide_standins.fleet import operators
+from dunlintide_core.pipeline import configurationbudget
 from dunlintide_standins.fleet import runners
 from dunlintide_trials.edge import soakscene
+from dunlintide_trials.edge import versions
 
-__all__ = ['FAULTS', 'LEAVING_FAULTS', 'Fault']
+__all__ = ['CONFIGURATION_FAULTS', 'FAULTS', 'LEAVING_FAULTS', 'Fault']
 
 # Part of an answer that tells of a change in the store.
 NEWS_PATTERN = b'"events": [{'
 # Minimum and maximum seconds of the store's outage before it is restored
 # from a backup.
 OUTAGE_SECONDS = (0.0, 1.5)
+# Largest value of the store as it is sent, and the size of a route in JSON.
+MAX_ENCODED_BYTES = (1 << 20) * 4 // 3
+BYTES_PER_ROUTE = 226
+# Largest number of large versions in a row.
+MAX_VERSIONS = 8
+# Pause between two large versions, in seconds.
+VERSION_GAP_SECONDS = (0.0, 0.4)
 
 Heal = Callable[[], None]
 Fault = Callable[['soakscene.SoakScene', random.Random], Heal]
@@ -293,14 +301,41 @@
 ) -> Heal:
     """Write several configuration versions in quick succession."""
     for _ in range(rng.randint(1, 4)):
-        soak.version += rng.randint(1, 5)
-        found = operators.make_configuration(soak.version)
-        soak.scene.configure(operators.shuffle_routes(found, rng))
+        soak.write_version(rng)
+    return _do_nothing
+
+
+def grow_configuration(soak: soakscene.SoakScene, rng: random.Random) -> Heal:
+    """Write several large versions in a row, half the time losing an answer.
+
+    The largest ones just fit the narrowest link, and the limit of a value. In
+    a row, one may come while the one before is still on its way.
+    """
+    budget = configurationbudget.ConfigurationBudget.from_bounds(
+        versions.APPLY_SECONDS, versions.APPLY_SECONDS
+    )
+    narrowest = min(soak.widths.values())
+    encoded = min(MAX_ENCODED_BYTES, budget.compute_largest(narrowest))
+    count = rng.randint(1, MAX_VERSIONS)
+    if count > 1:
+        encoded //= 2
+    routes = int(encoded * 3 / 4 * rng.uniform(0.2, 1.0) / BYTES_PER_ROUTE)
+    if rng.random() < 0.5:
+        rng.choice(list(soak.relays.values())).lose(1, NEWS_PATTERN)
+    for number in range(count):
+        if number:
+            time.sleep(rng.uniform(*VERSION_GAP_SECONDS))
+        soak.write_version(rng, routes)
     return _do_nothing
 
 
 # Endpoints that leave, alone: most other faults excuse what reaches them.
 LEAVING_FAULTS: tuple[Fault, ...] = (drain_endpoint, remove_endpoint)
+# Large configurations beside endpoints that leave.
+CONFIGURATION_FAULTS: tuple[Fault, ...] = (
+    *2 * (grow_configuration, change_configuration),
+    *LEAVING_FAULTS,
+)
 # Faults that last long at one endpoint are repeated, so that they overlap.
 FAULTS: tuple[Fault, ...] = (
     kill_entry,
@@ -322,4 +357,5 @@
     limit_endpoint,
     delay_orders,
     change_configuration,
+    grow_configuration,
 )
--- a/packages/trials/src/dunlintide_trials/edge/promises.py
+++ b/packages/trials/src/dunlintide_trials/edge/promises.py
@@ -4,6 +4,7 @@
 
 from dunlintide_standins.fleet import operators
 from dunlintide_trials.edge import backoffs
+from dunlintide_trials.edge import disruptions
 from dunlintide_trials.edge import loads
 from dunlintide_trials.edge import soakscene
 from dunlintide_trials.edge import windows
@@ -14,8 +15,6 @@
 # Maximum seconds until entries in touch stop sending requests to a draining
 # endpoint.
 DRAIN_SECONDS = 2.0
-# Seconds for which a fault may disconnect an entry.
-DISCONNECT_SECONDS = 10.0
 # Time before an endpoint's answer from which a fault of the entry that gets
 # the answer counts, in seconds.
 ANSWER_SECONDS = 0.5
@@ -115,7 +114,7 @@
     for start in inside:
         end = start + windows.WINDOW_SECONDS
         if end > period.until or any(
-            start - DISCONNECT_SECONDS < at < end
+            start - disruptions.STABLE_SECONDS < at < end
             for at in soak.entry_fault_times
         ):
             continue
@@ -148,6 +147,18 @@
         )
 
 
+def _check_versions(soak: soakscene.SoakScene) -> Iterator[str]:
+    """Check when configurations were in force."""
+
+    def is_same_life(entry: str, first: float, last: float) -> bool:
+        return not any(
+            name == entry and first <= at <= last
+            for name, at in soak.entry_events
+        )
+
+    return soak.versions.list_violations(soak.disruptions, is_same_life)
+
+
 def list_violations(soak: soakscene.SoakScene) -> list[str]:
     """List the violations of guarantees, one line each."""
     violations = []
@@ -159,6 +170,7 @@
         violations += _check_runs(soak, request)
     violations += _check_drains(soak)
     violations += _check_notices(soak)
+    violations += _check_versions(soak)
     for period in soak.limits:
         violations += _check_limit(soak, period)
     for runner in soak.scene.fleet.runners:
--- a/packages/trials/src/dunlintide_trials/edge/soak.py
+++ b/packages/trials/src/dunlintide_trials/edge/soak.py
@@ -124,7 +124,7 @@
     """
     rng = random.Random(seed)
     with contextlib.ExitStack() as stack:
-        soak = soakscene.SoakScene(ports.pick_ports, folder, stack)
+        soak = soakscene.SoakScene(ports.pick_ports, folder, stack, seed)
         soak.start_callers(CALLERS, seed)
         stack.callback(soak.stop_callers)
         count = _inject_faults(soak, rng, seconds, kinds)
@@ -147,6 +147,8 @@
         'checked_drains': sum(
             soak.disruptions.is_store_stable(began) for _, began in soak.drains
         ),
+        'versions': soak.versions.count,
+        'probes': soak.versions.count_probes(),
         'requests': len(soak.requests),
         'statuses': dict(sorted(statuses.items())),
         'broken': violations,
@@ -163,8 +165,17 @@
     parser.add_argument(
         '--leaving', action='store_true', help='only endpoints that leave'
     )
+    parser.add_argument(
+        '--configurations',
+        action='store_true',
+        help='only large configurations, and endpoints that leave',
+    )
     parsed = parser.parse_args(arguments)
-    kinds = faults.LEAVING_FAULTS if parsed.leaving else faults.FAULTS
+    kinds = faults.FAULTS
+    if parsed.leaving:
+        kinds = faults.LEAVING_FAULTS
+    elif parsed.configurations:
+        kinds = faults.CONFIGURATION_FAULTS
     status = 0
     for seed in range(parsed.seed, parsed.seed + parsed.seeds):
         with contextlib.ExitStack() as stack:
--- a/packages/trials/src/dunlintide_trials/edge/soakscene.py
+++ b/packages/trials/src/dunlintide_trials/edge/soakscene.py
@@ -17,11 +17,15 @@
 from dunlintide_standins import relay as relay_module
 from dunlintide_trials.edge import disruptions
 from dunlintide_trials.edge import scene as scenes
+from dunlintide_trials.edge import versions as versions_module
 
 __all__ = ['LimitPeriod', 'SentRequest', 'SoakScene']
 
 DOMAINS = ('a', 'b')
 ENTRIES = ('one', 'two', 'three')
+# Widths of the links between entries and the store, in Mbit/s.
+WIDTHS = (10.0, 20.0, 50.0)
+BYTES_PER_MBIT = 125_000
 # Minimum and maximum seconds between two requests of a caller.
 PAUSE_SECONDS = (0.0, 0.05)
 STREAM = 'stream'
@@ -69,6 +73,8 @@
 
     :ivar scene: the deployment
     :ivar version: version of the newest configuration
+    :ivar versions: when versions were written, and which one entries have
+    :ivar widths: widths of the entries' links to the store, in Mbit/s
     :ivar requests: all requests in the order of their starts
     :ivar relays: relay to the store by name of the entry
     :ivar disruptions: disruptions of the store, of entries and of their way
@@ -85,10 +91,24 @@
         pick_ports: Callable[[int], list[int]],
         folder: pathlib.Path,
         stack: contextlib.ExitStack,
+        seed: int = 0,
     ) -> None:
+        """Start the deployment.
+
+        :param stack: what must be closed at the end
+        :param seed: seed of the widths of links
+        """
         self.scene = scenes.Scene(pick_ports, folder)
         stack.callback(self.scene.close)
         self.version = 7
+        self.versions = versions_module.Versions(self.version)
+        rng = random.Random(f'{seed}/widths')
+        # Where all links are alike, nobody has a version long before others.
+        width = rng.choice(WIDTHS)
+        alike = rng.random() < 0.5
+        self.widths = {
+            name: width if alike else rng.choice(WIDTHS) for name in ENTRIES
+        }
         self.requests: list[SentRequest] = []
         self.relays: dict[str, relay_module.Relay] = {}
         self.disruptions = disruptions.Disruptions()
@@ -105,12 +125,14 @@
 
     def _start(self, stack: contextlib.ExitStack) -> None:
         scene = self.scene
-        scene.configure(operators.make_configuration(self.version))
+        first = operators.make_configuration(self.version)
+        scene.configure(operators.add_version_routes(first, [self.version]))
         scene.add_runners(DOMAINS)
         scene.add_runners(DOMAINS)
         for index, name in enumerate(ENTRIES):
             relay = relay_module.Relay('127.0.0.1:0', scene.store_address)
             relay.start()
+            relay.narrow(self.widths[name] * BYTES_PER_MBIT)
             stack.callback(relay.stop)
             self.relays[name] = relay
             address = f'127.0.0.1:{relay.port}'
@@ -124,6 +146,19 @@
 
     # Methods for faults.
 
+    def write_version(self, rng: random.Random, routes: int = 0) -> None:
+        """Write a newer configuration.
+
+        :param routes: number of further routes that it has
+        """
+        self.version += rng.randint(1, 5)
+        kept = self.versions.list_kept(self.version)
+        found = operators.make_configuration(self.version)
+        found = operators.add_version_routes(found, kept)
+        found = operators.shuffle_routes(found, rng)
+        found = operators.add_routes(found, routes)
+        self.versions.record(self.version, lambda: self.scene.configure(found))
+
     def signal(self, entry: scenes.Entry, number: signal.Signals) -> None:
         """Send a signal to an entry if it runs."""
         if entry.process.poll() is None:
@@ -203,10 +238,12 @@
             thread = threading.Thread(target=self._run_caller, args=(rng,))
             thread.start()
             self._threads.append(thread)
+        self.versions.start(self.scene.entries, seed)
 
     def stop_callers(self) -> None:
         """Stop sending and wait for outstanding responses."""
         self._stopped.set()
+        self.versions.stop()
         for thread in self._threads:
             thread.join()
 
