Compute digests of names each time instead of keeping 4,096 of them

The digests are looked up in the order of the listing, so with more than 4,096 endpoints and pipes each lookup would miss its place, as happened to the routes of large configurations. Computing one takes 0.18 us, so nothing is kept.

--- a/packages/daemon/src/dunlintide_daemon/gateway/gossipmessages.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossipmessages.py
@@ -4,7 +4,6 @@
 length of a message.
 """
 
-import functools
 from typing import Annotated
 import zlib
 
@@ -84,7 +83,6 @@
 _decoder = msgspec.msgpack.Decoder(MessageWithRemovals)
 
 
-@functools.lru_cache(maxsize=4096)
 def digest(name: str) -> int:
     """Return the digest that identifies an endpoint or a pipe."""
     return zlib.crc32(name.encode())
