--- a/features/steps/configurationsources.py
+++ b/features/steps/configurationsources.py
@@ -84,6 +84,7 @@
         # Times, numbers that keep their order, and functions to call.
         self.events = []
         self.done_at = 0.0
+        self.asking = set()
 
     @staticmethod
     def name_domain(number):
@@ -132,7 +133,6 @@
         self.schedule(now + NEWS_SECONDS, self.tell, number)
 
     def run(self, first):
-        self.asking = set()
         for number in range(first):
             self.schedule(NEWS_SECONDS, self.tell, number)
         while self.events and OLD in self.versions:
--- a/packages/daemon/src/dunlintide_daemon/gateway/configurationfetcher.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/configurationfetcher.py
@@ -8,6 +8,7 @@
 from typing import Callable
 import zlib
 
+import attrs
 import result
 
 from dunlintide_adapters import endpointhttp
@@ -29,6 +30,36 @@
 MAX_BYTES = 16 << 20
 
 
+@attrs.frozen
+class _Fetched:
+    """A configuration that another entry sent.
+
+    :ivar value: its encoded form in the store
+    :ivar size: bytes on the way
+    :ivar revision: its revision in the store, None if unknown
+    """
+
+    value: bytes
+    size: int
+    revision: storevalues.Revision | None
+
+
+@attrs.frozen
+class _FetchFailure:
+    """Reason why another entry sent no configuration.
+
+    :ivar received: bytes that had arrived
+    :ivar is_busy: whether the entry serves others
+    """
+
+    error: str
+    received: int = 0
+    is_busy: bool = False
+
+
+_Answer = result.Result[_Fetched, _FetchFailure]
+
+
 class ConfigurationFetcher:
     """Reads what other entries have in force and this one lacks."""
 
@@ -72,75 +103,72 @@
         began = state.now
         fetched = await self._read(entry)
         if fetched.is_err():
-            self._pass_over(entry, began, *fetched.err_value)
+            self._pass_over(entry, began, fetched.err_value)
             return
-        value, size, revision = fetched.ok_value
+        found = fetched.ok_value
         seconds = state.now - began
-        loaded = await self._loader.load(value, entry.name, revision, seconds)
+        loaded = await self._loader.load(
+            found.value, entry.name, found.revision, seconds
+        )
         if loaded.is_err():
-            self._pass_over(entry, began, loaded.err_value, size)
+            failure = _FetchFailure(loaded.err_value, found.size)
+            self._pass_over(entry, began, failure)
             return
         sources = self._gossip.sources
         if sources.is_newer(entry.name, state.version):
             # It told more than it sends; another one may be right.
             sources.record_failure(entry.name, state.now, False)
-        if revision is not None:
-            self._skip_to(revision)
+        if found.revision is not None:
+            self._skip_to(found.revision)
         state.log.write(
             'configuration fetched',
             source=entry.name,
             is_newer=loaded.ok_value,
-            bytes=size,
+            bytes=found.size,
             seconds=round(seconds, 3),
         )
 
     def _pass_over(
-        self,
-        entry: keys.Entry,
-        began: float,
-        error: str,
-        received: int,
-        is_busy: bool = False,
+        self, entry: keys.Entry, began: float, failure: _FetchFailure
     ) -> None:
         """Ask another entry next, and log why.
 
         :param began: monotonic time of the start, in seconds
-        :param received: bytes that had arrived
         """
         state = self._state
-        self._gossip.sources.record_failure(entry.name, state.now, is_busy)
-        state.counters.discarded_bytes.labels('entry').inc(received)
+        self._gossip.sources.record_failure(
+            entry.name, state.now, failure.is_busy
+        )
+        state.counters.discarded_bytes.labels('entry').inc(failure.received)
         state.log.write(
             'configuration not fetched',
             source=entry.name,
-            error=error,
-            received=received,
+            error=failure.error,
+            received=failure.received,
             seconds=round(state.now - began, 3),
         )
 
-    async def _read(self, entry: keys.Entry) -> result.Result:
-        """Read the configuration of an entry.
-
-        :returns: its value, the bytes on the way and its revision, or why it
-            was not read, the bytes that had arrived and whether the entry is
-            busy
-        """
+    async def _read(self, entry: keys.Entry) -> _Answer:
+        """Read the configuration of an entry."""
         pool = self._state.pool
         try:
             connection = await pool.acquire(entry.admin, CONNECT_SECONDS)
         except endpointhttp.CallError as broken:
-            return result.Err((str(broken), 0, False))
+            return result.Err(_FetchFailure(str(broken)))
         try:
             head, body = await self._exchange(connection, entry.admin)
         except endpointhttp.CallError as broken:
             if broken.kind is endpointhttp.FailureKind.TIMEOUT:
                 # The path of the idle connections may be dead as well.
                 pool.drop(entry.admin)
-            return result.Err((str(broken), connection.received, False))
+            return result.Err(_FetchFailure(str(broken), connection.received))
         finally:
             pool.release(entry.admin, connection)
         if head.status != 200:
-            return result.Err((f'status {head.status}', 0, head.status == 503))
+            is_busy = head.status == 503
+            return result.Err(
+                _FetchFailure(f'status {head.status}', is_busy=is_busy)
+            )
         return _decode(head, body)
 
     async def _exchange(
@@ -158,17 +186,17 @@
         return head, body
 
 
-def _decode(head: endpointhttp.AnswerHead, body: bytes) -> result.Result:
+def _decode(head: endpointhttp.AnswerHead, body: bytes) -> _Answer:
     size = len(body)
     if head.get('content-encoding') == admin.ENCODING:
         unpacker = zlib.decompressobj(admin.ZLIB_WBITS)
         try:
             body = unpacker.decompress(body, MAX_BYTES)
         except zlib.error as error:
-            return result.Err((str(error), size, False))
+            return result.Err(_FetchFailure(str(error), size))
         if not unpacker.eof:
-            return result.Err(('incomplete or too large', size, False))
-    return result.Ok((body, size, _read_revision(head)))
+            return result.Err(_FetchFailure('incomplete or too large', size))
+    return result.Ok(_Fetched(body, size, _read_revision(head)))
 
 
 def _read_revision(
