Ask an entry again that got a newer version while it sent one

In a row of versions an entry often tells the next one while it still sends the one before. That was taken for telling more than it has, and the entry was passed over for a second, though it was right. What it told before it was asked is compared now.

features/configurationfetcher.feature, over real connections, failed before in 'An entry that tells a newer version while it sends one is asked at once' (version 9 not within 2 s); 8 passed, 0 failed now: compressed sending, former builds, and entries that are busy, silent, stop midway, or send what can't be unpacked or is older.

--- a/packages/core/src/dunlintide_core/pipeline/configurationsources.py
+++ b/packages/core/src/dunlintide_core/pipeline/configurationsources.py
@@ -55,10 +55,10 @@
         # It falls when the entry starts again.
         source.version, source.domain = version, domain
 
-    def is_newer(self, name: str, version: int) -> bool:
-        """Return whether an entry has a newer version than this one."""
+    def get_version(self, name: str) -> int:
+        """Return the version that an entry has in force, 0 if unknown."""
         source = self._sources.get(name)
-        return source is not None and source.version > version
+        return source.version if source is not None else 0
 
     def forget(self, name: str) -> None:
         """Forget an entry that is no longer listed."""
--- a/packages/daemon/src/dunlintide_daemon/gateway/configurationfetcher.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/configurationfetcher.py
@@ -100,7 +100,9 @@
 
     async def _fetch(self, entry: keys.Entry) -> None:
         state = self._state
+        sources = self._gossip.sources
         began = state.now
+        told = sources.get_version(entry.name)
         fetched = await self._read(entry)
         if fetched.is_err():
             self._pass_over(entry, began, fetched.err_value)
@@ -114,8 +116,7 @@
             failure = _FetchFailure(loaded.err_value, found.size)
             self._pass_over(entry, began, failure)
             return
-        sources = self._gossip.sources
-        if sources.is_newer(entry.name, state.version):
+        if not loaded.ok_value and told > state.version:
             # It told more than it sends; another one may be right.
             sources.record_failure(entry.name, state.now, False)
         if found.revision is not None:
