--- a/packages/trials/src/dunlintide_trials/edge/versions.py
+++ b/packages/trials/src/dunlintide_trials/edge/versions.py
@@ -16,7 +16,7 @@
 from dunlintide_trials.edge import disruptions as disruptions_module
 from dunlintide_trials.edge import scene as scenes
 
-__all__ = ['KEPT_VERSIONS', 'APPLY_SECONDS', 'Versions']
+__all__ = ['APPLY_SECONDS', 'KEPT_VERSIONS', 'Versions']
 
 # Versions whose routes a configuration keeps, its own included.
 KEPT_VERSIONS = 8
@@ -25,9 +25,8 @@
 # those that belong to the soak's drain time of 2 s.
 APPLY_SECONDS = 2.0
 ROLLBACK_SECONDS = 0.25
-# Pause between two probes, and the longest time for one, in seconds.
+# Pause between two probes, in seconds.
 PAUSE_SECONDS = 0.03
-TIMEOUT_SECONDS = 2.0
 KNOWN, UNKNOWN = 200, 404
 
 
