Put a sound version in force though a malformed one follows in the answer

Only the last version of an answer was loaded since decoding moved beside serving. Where the last one is malformed, the sound one before it was lost: callers would have been served by the version before both. Now the newest that can be decoded is put in force. Of large versions that are read by themselves only the last one is seen, malformed or not.

'A malformed version does not hide the one before it' in follower.feature failed before (version 7 stayed) and passes; the scenario of edge.feature passes.

--- a/features/follower.feature
+++ b/features/follower.feature
@@ -50,3 +50,8 @@
       | 2     | 2.0   | 2.3     |
       | 4     | 0.1   | 2.3     |
       | 4     | 1.0   | 2.3     |
+
+  Scenario: A malformed version does not hide the one before it
+    Given an entry that follows a store with version 7
+    When version 8 and a malformed version come in one answer
+    Then version 8 is in force and the other one is refused
--- a/features/steps/follower.py
+++ b/features/steps/follower.py
@@ -9,6 +9,7 @@
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import store as store_module
 from dunlintide_platform import storevalues
+from dunlintide_standins.fleet import operators
 from dunlintide_standins.fleet import store as stores
 import edge_settings
 import result
@@ -247,3 +248,46 @@
 @behave.then('it is out of use {seconds:g} s after that at the latest')
 def check_removed(context, seconds):
     assert context.removed_after <= seconds, context.removed_after
+
+
+@behave.given('an entry that follows a store with version {version:d}')
+def make_versions(context, version):
+    context.version = version
+
+
+@behave.when('version {version:d} and a malformed version come in one answer')
+def write_malformed(context, version):
+    loop = virtualtime.Loop()
+    context.stack.callback(loop.close)
+    with virtualtime.replace_clocks(loop, MODULES):
+        work = _write_malformed(context.version, version)
+        context.state = loop.run_until_complete(work)
+
+
+async def _write_malformed(first, version):
+    store = stores.Store()
+    state = edge_settings.make_state()
+    client = store_module.Store(edge_settings.ADDRESS)
+    network = client._pool = storenetwork.Network(store)
+    network.answer_seconds = ANSWER_SECONDS
+    followed = follower.Follower(state, client, lambda item: None)
+    await store.put('op/config', operators.make_configuration(first))
+    task = asyncio.ensure_future(followed.run())
+    await asyncio.sleep(2.0)
+    # The pause that batches changes brings both in one answer.
+    await store.put('other', 1)
+    await asyncio.sleep(2 * ANSWER_SECONDS)
+    await store.put('op/config', operators.make_configuration(version))
+    malformed = operators.make_invalid_configuration(version + 1)
+    await store.put('op/config', malformed)
+    await asyncio.sleep(2.0)
+    task.cancel()
+    await asyncio.sleep(0.1)
+    return state
+
+
+@behave.then('version {version:d} is in force and the other one is refused')
+def check_malformed(context, version):
+    assert context.state.version == version, context.state.version
+    refused = context.state.counters.refused_items.labels('configuration')
+    assert refused._value.get() == 1, refused._value.get()
--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -105,8 +105,8 @@
         self._state = state
         self._store = store
         self._loader = loader or configurationloader.ConfigurationLoader(state)
-        # Newest item of the configuration until it has been loaded.
-        self._unloaded: storevalues.Item | None = None
+        # Items of the configuration that have not been loaded, oldest first.
+        self._unloaded: list[storevalues.Item] = []
         self._handle_entry_item = handle_entry_item
         self._whole = _Part(listings.ALL_KEYS_PREFIX, LARGE_ANSWER_BYTES)
         self._endpoints = _Part(listings.ENDPOINT_PREFIX)
@@ -546,7 +546,7 @@
         else:
             self._revisions[item.key] = item.revision
         if item.key == configurations.CONFIGURATION_KEY:
-            self._unloaded = item
+            self._unloaded.append(item)
         elif item.value is None and item.key != keys.LEADER_KEY:
             self._remove(item)
         else:
@@ -588,19 +588,28 @@
     ) -> None:
         """Put the newest configuration that was read in force.
 
+        Those before it are skipped, unless it is malformed.
+
         :param read_seconds: time that reading it took
         """
-        while (item := self._unloaded) is not None:
+        while self._unloaded:
+            item = self._unloaded[-1]
             if item.value is not None:
                 loaded = await self._loader.load(
                     item.value, 'store', item.revision, read_seconds
                 )
-                if loaded.is_err():
-                    self._reject('configuration', item, loaded.err_value)
-                else:
+                if loaded.is_ok():
                     self._logged_problems.pop(item.key, None)
-            if self._unloaded is item:
-                self._unloaded = None
+                    newer = item.revision
+                    self._unloaded = [
+                        each
+                        for each in self._unloaded
+                        if each.revision > newer
+                    ]
+                    continue
+                self._reject('configuration', item, loaded.err_value)
+            if item in self._unloaded:
+                self._unloaded.remove(item)
 
     def _reject(self, kind: str, item: storevalues.Item, problem: str) -> None:
         """Count a malformed item, and log it unless the problem is known."""
