--- a/features/steps/edgesoak.py
+++ b/features/steps/edgesoak.py
@@ -5,11 +5,16 @@
 from dunlintide_trials.edge import soak
 
 
+def _run(context, seconds, seed, kinds):
+    folder = context.make_folder()
+    context.soaked = soak.run(seed, seconds, folder, kinds)
+
+
 @behave.when(
     'the edge role is soaked for {seconds:d} seconds with seed {seed:d}'
 )
 def run_soak(context, seconds, seed):
-    context.soaked = soak.run(seed, seconds, context.make_folder())
+    _run(context, seconds, seed, faults.FAULTS)
 
 
 @behave.when(
@@ -17,9 +22,7 @@
     ' are lost'
 )
 def run_leaving(context, seconds, seed):
-    context.soaked = soak.run(
-        seed, seconds, context.make_folder(), faults.LEAVING_FAULTS
-    )
+    _run(context, seconds, seed, faults.LEAVING_FAULTS)
 
 
 @behave.when(
@@ -27,9 +30,7 @@
     ' answers are lost'
 )
 def run_configurations(context, seconds, seed):
-    context.soaked = soak.run(
-        seed, seconds, context.make_folder(), faults.CONFIGURATION_FAULTS
-    )
+    _run(context, seconds, seed, faults.CONFIGURATION_FAULTS)
 
 
 @behave.then(
--- a/packages/trials/src/dunlintide_trials/edge/promises.py
+++ b/packages/trials/src/dunlintide_trials/edge/promises.py
@@ -132,10 +132,7 @@
     """Check what reached endpoints that asked for a pause or left."""
 
     def is_excused(entry: str, first: float, last: float) -> bool:
-        return any(
-            name == entry and first - ANSWER_SECONDS <= at <= last
-            for name, at in soak.entry_events
-        )
+        return soak.had_event(entry, first - ANSWER_SECONDS, last)
 
     sent_times = {request.name: request.sent for request in soak.requests}
     for runner in soak.scene.fleet.runners:
@@ -150,13 +147,7 @@
 def _check_versions(soak: soakscene.SoakScene) -> Iterator[str]:
     """Check when configurations were in force."""
 
-    def is_same_life(entry: str, first: float, last: float) -> bool:
-        return not any(
-            name == entry and first <= at <= last
-            for name, at in soak.entry_events
-        )
-
-    return soak.versions.list_violations(soak.disruptions, is_same_life)
+    return soak.versions.list_violations(soak.disruptions, soak.had_event)
 
 
 def list_violations(soak: soakscene.SoakScene) -> list[str]:
--- a/packages/trials/src/dunlintide_trials/edge/soakscene.py
+++ b/packages/trials/src/dunlintide_trials/edge/soakscene.py
@@ -176,6 +176,13 @@
         self.entry_events.append((entry.name, time.monotonic()))
         self.disruptions.record(entry.name)
 
+    def had_event(self, entry: str, first: float, last: float) -> bool:
+        """Return whether an entry had an event from one time to another."""
+        return any(
+            name == entry and first <= at <= last
+            for name, at in self.entry_events
+        )
+
     def record_entry_fault(self, entry: scenes.Entry) -> None:
         """Record the time of a fault of an entry."""
         self.entry_fault_times.append(time.monotonic())
--- a/packages/trials/src/dunlintide_trials/edge/versions.py
+++ b/packages/trials/src/dunlintide_trials/edge/versions.py
@@ -131,12 +131,12 @@
     def list_violations(
         self,
         disruptions: disruptions_module.Disruptions,
-        is_same_life: Callable[[str, float, float], bool],
+        had_event: Callable[[str, float, float], bool],
     ) -> Iterator[str]:
         """List versions that were not in force in time, or no longer.
 
-        :param is_same_life: tells whether an entry was not started anew, by
-            its name, from one time to another
+        :param had_event: tells whether an entry was started anew, by its
+            name, from one time to another
         """
         seen: dict[tuple[str, int], float] = {}
         for probe in self._probes:
@@ -161,7 +161,7 @@
             if (
                 had_at is not None
                 and probe.sent - had_at > ROLLBACK_SECONDS
-                and is_same_life(probe.entry, had_at, probe.sent)
+                and not had_event(probe.entry, had_at, probe.sent)
             ):
                 yield (
                     f'{probe.entry}: without version {probe.version}'
