Name events and shared prompt parts in the log line of a broken run

Cause: the three hypotheses of the crashes by a part of prompts could not be told apart by logs, since no line names the parts of a request whose run broke or whether it had begun to write. No decision changes. Ruled out: parts in each `stream sent`, which costs bytes for every request.

--- a/packages/core/src/dunlintide_core/pipeline/callerrequests.py
+++ b/packages/core/src/dunlintide_core/pipeline/callerrequests.py
@@ -23,6 +23,8 @@
     :ivar hint: the caller's estimate of the length of the answer, in tokens, 0
         for none
     :ivar prefix: names of the prompt's prefix parts, as sent
+    :ivar shared_parts: ids of the prompt's parts that other requests may
+        have too, in order
     :ivar after: id of the last event that the caller has received, None to
         stream from the start
     """
@@ -38,4 +40,5 @@
     answer: int = 0
     hint: int = 0
     prefix: str = ''
+    shared_parts: tuple[str, ...] = ()
     after: str | None = None
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -284,6 +284,8 @@
             endpoint=run.first.name,
             fault=broken.kind,
             broken_runs=count,
+            events=run.events,
+            parts=exchange.caller_request.shared_parts,
         )
 
     # Relay of the answer to the caller.
