Reproduce the part of prompts that goes on crashing engines

Change: stand-in engines crash, before the head, after it or within the first event, when they begin to write on a part that a test names, and are back as new instances; streams may come without length or chunks.

--- a/packages/standins/src/dunlintide_standins/fleet/callers.py
+++ b/packages/standins/src/dunlintide_standins/fleet/callers.py
@@ -1,6 +1,7 @@
 """Callers of the platform that send and read raw HTTP/1.1."""
 
 import socket
+from typing import Sequence
 
 import attrs
 
@@ -116,13 +117,24 @@
     return ('\r\n'.join(lines) + '\r\n\r\n').encode() + body
 
 
-def build_stream(name: str, count: int) -> bytes:
-    """Build a request for a stream of ``count`` events."""
+def build_stream(
+    name: str,
+    count: int,
+    parts: Sequence[str] = ('5c',),
+    body: bytes = b'a prompt',
+    key: str = operators.KEY,
+) -> bytes:
+    """Build a request for a stream of ``count`` events.
+
+    :param parts: ids of the parts of its prompt, at least one
+    """
+    tokens = 100 // len(parts)
     return build_request(
         name,
         '/copy/x',
-        body=b'a prompt',
+        body=body,
+        key=key,
         Model='m0',
-        Token_Count=f'100,{count}',
-        Prefix_Hash='5c:100',
+        Token_Count=f'{tokens * len(parts)},{count}',
+        Prefix_Hash=','.join(f'{part}:{tokens}' for part in parts),
     )
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 import hashlib
 import itertools
 import json
@@ -15,9 +16,11 @@
 
 __all__ = [
     'AskedBackoff',
+    'CrashPoint',
     'Faults',
     'Fleet',
     'LeavingAnswer',
+    'PartCrash',
     'Received',
     'Run',
     'Runner',
@@ -37,7 +40,8 @@
     :ivar lose: count of calls to run and to reset without a response
     :ivar cut: count of streams to reset within an event
     :ivar extra: count of responses to follow by a second, unrelated one
-    :ivar unframed: count of responses to send without Content-Length
+    :ivar unframed: count of responses to send without length or chunks,
+        streams included
     :ivar stall: whether calls and streams through the runner stop
     :ivar stall_after: number of events after which a stream stops, None
         for no stop
@@ -72,6 +76,14 @@
         return left > 0
 
 
+class CrashPoint(enum.Enum):
+    """Where an engine crashes that begins to write an answer."""
+
+    BEFORE_HEAD = 'before the head'
+    AFTER_HEAD = 'after the head'
+    WITHIN_EVENT = 'within the first event'
+
+
 @attrs.define
 class Run:
     """Execution of a request by a runner.
@@ -102,12 +114,29 @@
     :ivar instance: name of the instance of the runner
     :ivar at: monotonic time in seconds
     :ivar name: id of the request, empty for a report or order
+    :ivar parts: shared parts of its prompt
     """
 
     instance: str
     at: float
     name: str
     path: str
+    parts: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class PartCrash:
+    """Crash of a runner by a part of a prompt.
+
+    :ivar instance: name of the instance of the runner
+    :ivar at: monotonic time in seconds
+    :ivar name: id of the request
+    """
+
+    part: str
+    instance: str
+    at: float
+    name: str
 
 
 @attrs.frozen
@@ -150,6 +179,12 @@
     return hops
 
 
+def parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Parse the shared parts of a prompt from the ``Prefix-Hash`` header."""
+    parts = [part.partition(':')[0] for part in text.split(',')]
+    return tuple(parts[:-1])
+
+
 def compute_stamp(name: str, body: bytes) -> str:
     """Compute the ``Server-Stamp`` header from a runner's id and a body."""
     return hashlib.sha256(name.encode() + body).hexdigest()[:16]
@@ -195,6 +230,7 @@
         self._state = 'ready'
         self._tasks: set[asyncio.Task] = set()
         self._seq = 0
+        self._return: asyncio.Task | None = None
 
     @property
     def address(self) -> str:
@@ -276,12 +312,29 @@
         if not keep_entry:
             await self.fleet.store.remove(self.key)
 
+    async def _crash_by_part(self, part: str, run: Run) -> None:
+        """Crash and come back as a new instance without layers."""
+        run.ended = 'crashed'
+        crash = PartCrash(part, self.name, time.monotonic(), run.request)
+        self.fleet.part_crashes.append(crash)
+        await self.crash()
+
+        async def come_back() -> None:
+            await asyncio.sleep(self.fleet.restart_seconds)
+            await self.fleet.store.remove(self.key)
+            await self.start()
+
+        self._return = asyncio.get_running_loop().create_task(come_back())
+        # The crash has cancelled this task too.
+        await asyncio.sleep(0)
+
     async def _handle(
         self, request: wire.Request, channel: wire.Channel
     ) -> None:
         name = request.headers.get('attempt-id', '')
+        parts = parse_shared_parts(request.headers.get('prefix-hash', ''))
         self.received.append(
-            Received(self.name, time.monotonic(), name, request.path)
+            Received(self.name, time.monotonic(), name, request.path, parts)
         )
         leaving = self.faults.leaving
         if leaving:
@@ -442,8 +495,17 @@
             'Server-Stamp': compute_stamp(self.name, run.request.encode()),
         }
         await self._wait_for_hops(run)
+        part = self.fleet.find_crashing_part(request)
+        if part and self.fleet.crash_point is CrashPoint.BEFORE_HEAD:
+            await self._crash_by_part(part, run)
         run.answered = time.monotonic()
-        await channel.send(channel.build_head(200, headers, None))
+        framed = not self.faults.consume('unframed')
+        await channel.send(channel.build_head(200, headers, None, framed))
+
+        async def send(data: bytes) -> None:
+            chunk = b'%x\r\n%b\r\n' % (len(data), data)
+            await channel.send(chunk if framed else data)
+
         for number in range(run.after + 1, count + 1):
             await asyncio.sleep(self.fleet.event_seconds)
             await self._wait_for_hops(run)
@@ -454,15 +516,25 @@
                 run.request.encode(),
                 number,
             )
+            half = data[: len(data) // 2]
+            if part:
+                if self.fleet.crash_point is CrashPoint.WITHIN_EVENT:
+                    await send(half)
+                await self._crash_by_part(part, run)
             if run.events == 2 and self.faults.consume('cut'):
-                half = data[: len(data) // 2]
-                await channel.send(b'%x\r\n%b\r\n' % (len(half), half))
+                await send(half)
                 run.ended = 'cut'
-                channel.reset()
+                if framed:
+                    channel.reset()
+                else:
+                    channel.close()
                 return
-            await channel.send(b'%x\r\n%b\r\n' % (len(data), data))
+            await send(data)
             run.events += 1
-        await channel.send(b'0\r\n\r\n')
+        if framed:
+            await channel.send(b'0\r\n\r\n')
+        else:
+            channel.close()
         run.ended = 'ok'
 
     async def _call(
@@ -487,8 +559,7 @@
             await channel.answer(500, b'broken', headers)
             return
         if self.faults.consume('unframed'):
-            head = channel.build_head(200, headers, 0)
-            head = head.replace(b'Content-Length: 0\r\n', b'')
+            head = channel.build_head(200, headers, None, framed=False)
             await channel.send(head + body)
             channel.close()
             return
@@ -508,6 +579,11 @@
     :ivar slots: slots of each runner, as in its entry
     :ivar event_seconds: time between two events of a stream
     :ivar call_seconds: duration of a plain call
+    :ivar crashing_parts: parts of prompts that crash each engine that begins
+        to write an answer on one of them
+    :ivar crash_point: where such an engine crashes
+    :ivar restart_seconds: time until it is back
+    :ivar part_crashes: crashes by these parts, in order
     """
 
     store: stores.Store
@@ -518,6 +594,18 @@
     event_seconds: float = 0.01
     call_seconds: float = 0.02
     runners: list[Runner] = attrs.field(factory=list)
+    crashing_parts: set[str] = attrs.field(factory=set)
+    crash_point: CrashPoint = CrashPoint.AFTER_HEAD
+    restart_seconds: float = 1.5
+    part_crashes: list[PartCrash] = attrs.field(factory=list)
+
+    def find_crashing_part(self, request: wire.Request) -> str:
+        """Return the part of a request that crashes engines, or empty."""
+        parts = parse_shared_parts(request.headers.get('prefix-hash', ''))
+        for part in parts:
+            if part in self.crashing_parts:
+                return part
+        return ''
 
     def compute_max_layers(self, kind: str) -> int:
         """Return the number of layers that fit in an accelerator's memory."""
--- a/packages/standins/src/dunlintide_standins/fleet/wire.py
+++ b/packages/standins/src/dunlintide_standins/fleet/wire.py
@@ -72,11 +72,20 @@
         await self.send(self.build_head(status, headers, len(body)) + body)
 
     def build_head(
-        self, status: int, headers: dict[str, str] | None, length: int | None
+        self,
+        status: int,
+        headers: dict[str, str] | None,
+        length: int | None,
+        framed: bool = True,
     ) -> bytes:
-        """Build the head of a response; chunked if the length is None."""
+        """Build the head of a response; chunked if the length is None.
+
+        :param framed: whether the head tells how the body ends; otherwise it
+            ends with the connection
+        """
         self.head_times.append(time.monotonic())
-        return build_head(status, {**(headers or {}), **self.headers}, length)
+        every = {**(headers or {}), **self.headers}
+        return build_head(status, every, length, framed)
 
     def close(self) -> None:
         """Close the connection after the data sent so far."""
@@ -93,6 +102,7 @@
     status: int,
     headers: dict[str, str | tuple[str, ...]] | None,
     length: int | None,
+    framed: bool = True,
 ) -> bytes:
     """Build a response head; chunked if the length is None."""
     lines = [f'HTTP/1.1 {status} Status']
@@ -100,9 +110,9 @@
         # A header with several values is sent once for each of them.
         values = value if isinstance(value, tuple) else (value,)
         lines += [f'{name}: {each}' for each in values]
-    if length is None:
+    if framed and length is None:
         lines.append('Transfer-Encoding: chunked')
-    else:
+    elif framed:
         lines.append(f'Content-Length: {length}')
     return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
 
