Keep parts that crash endpoints from them at each send, at all entries

Cause: a suspicion that counted whole requests, was asked only at admission, and was told for 3 s. Class: a suspicion by a key that the caller varies, asked once, forgotten while its cause goes on. Change: broken runs and runs that wrote feed the suspicion of parts; it is asked at admission, before each choice of a chain, when a waiter is woken, and in the gate through which all sends pass, calls and repeats too, as is the suspicion of whole requests. Entries tell each other in one more field of their messages, which older ones pass over, and tell one that has just been listed. A run whose endpoint the listing shows as a new instance, or that ends within an event, accuses too; one that wrote several times accuses nobody. Logs, metrics, state dump, a way to lift a refusal.

--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from urllib import parse
 import zlib
 
 import attrs
@@ -10,8 +11,10 @@
 from dunlintide_adapters import callermessages
 from dunlintide_core import documents
 from dunlintide_daemon.gateway import state as state_module
+from dunlintide_daemon.gateway import suspicions
 
 __all__ = [
+    'ACQUITTAL_PATH',
     'CONFIGURATION_PATH',
     'ENCODING',
     'REVISION_HEADER',
@@ -19,6 +22,8 @@
     'Admin',
 ]
 
+# Ends the refusal of the parts that its query names.
+ACQUITTAL_PATH = '/debug/allow-parts'
 CONFIGURATION_PATH = '/internal/configuration'
 # Header with the era and the revision of the configuration, joined by a dot.
 REVISION_HEADER = 'configuration-revision'
@@ -56,11 +61,25 @@
             await self.handle_metrics(request, reply)
         elif path == '/debug/state':
             self._send_json(reply, self._dump())
+        elif path == ACQUITTAL_PATH and request.method == 'POST':
+            self._acquit(request, reply)
         elif path == CONFIGURATION_PATH:
             await self._send_configuration(request, reply)
         else:
             reply.send(callermessages.Head(404))
 
+    def _acquit(
+        self, request: callermessages.Request, reply: callermessages.Reply
+    ) -> None:
+        """Take parts of prompts for sound, at all entries."""
+        query = parse.parse_qs(request.target.partition('?')[2])
+        parts = query.get('part', [])
+        if not parts:
+            reply.send(callermessages.Head(400), b'no part in the query\n')
+            return
+        ended = suspicions.acquit(self._state, parts, 'operator')
+        reply.send(callermessages.Head(200 if ended else 404))
+
     async def _send_configuration(
         self, request: callermessages.Request, reply: callermessages.Reply
     ) -> None:
@@ -170,6 +189,7 @@
             'told_to_leave_out': state.health.list_ejected_by_peers(now),
             'slow': dict(state.paces.list_slow(now)),
             'backing_off': state.backoffs.list_left(now),
+            'refused_parts': suspicions.describe(state),
             'leaving': state.departures.list_ages(now),
             'rate_limits': state.rate_limits.list_limited(),
             'coordinated_limits': state.permits.list_coordinated(),
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -15,6 +15,7 @@
 from dunlintide_daemon.gateway import endpointgate
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
+from dunlintide_daemon.gateway import suspicions
 from dunlintide_platform import requests
 
 __all__ = ['CallServer']
@@ -97,6 +98,9 @@
         is_paid = False
         while True:
             if not pending:
+                suspicion = suspicions.find_refusal(state, exchange)
+                if suspicion:
+                    return self._end_unanswered(exchange, results, suspicion)
                 if not is_paid and (
                     connects >= MAX_CONNECTS
                     or not self._charge_send(exchange, results)
@@ -361,6 +365,7 @@
             data,
             exchange.caller_request.name,
             exchange.request.method == 'HEAD',
+            exchange,
         )
         exchange.sends += 1
         exchange.runs += 1
--- a/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/chainfinder.py
@@ -16,6 +16,7 @@
 from dunlintide_core.pipeline import waits
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
+from dunlintide_daemon.gateway import suspicions
 
 __all__ = [
     'DEFAULT_TARGET_SECONDS',
@@ -253,6 +254,8 @@
             while True:
                 await awake.wait()
                 awake.clear()
+                if suspicions.is_refused(state, exchange):
+                    return None
                 hops = await self._choose_admitted(stream, expires)
                 if hops is not None or state.now >= expires:
                     return hops
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -72,6 +72,8 @@
     store_faults: prometheus_client.Counter
     refused_items: prometheus_client.Counter
     discarded_bytes: prometheus_client.Counter
+    refused_parts: prometheus_client.Counter
+    suspicion_refusals: prometheus_client.Counter
     version: prometheus_client.Gauge
     newest_version: prometheus_client.Gauge
 
@@ -195,6 +197,18 @@
                 'Bytes of incomplete answers that were given up',
                 ('source',),
             ),
+            refused_parts=make(
+                counter,
+                'edge_refused_parts',
+                'Parts of prompts that began to be refused',
+                ('source',),
+            ),
+            suspicion_refusals=make(
+                counter,
+                'edge_suspicion_refusals',
+                'Sends that were refused to requests that crash endpoints',
+                ('kind',),
+            ),
             version=make(
                 gauge, 'edge_configuration_version', 'Version in force'
             ),
--- a/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
@@ -12,7 +12,9 @@
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_daemon.gateway import endpointnotices
+from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
+from dunlintide_daemon.gateway import suspicions
 from dunlintide_platform import notices
 from dunlintide_platform import orders
 
@@ -59,16 +61,23 @@
     data: bytes,
     request: str = '',
     bodiless: bool = False,
+    exchange: exchange_module.Exchange | None = None,
 ) -> None:
-    """Send a request on an open connection, unless an endpoint holds it.
+    """Send a request on an open connection, unless something holds it.
 
     :param chain: the endpoint of the connection and those that it passes the
         request on to
     :param request: id of the request, empty for a report or order
     :param bodiless: whether the answer has no body, as for HEAD
+    :param exchange: the caller's request, None for a report or order
     :raises CallError: of the kind WITHHELD, if nothing was sent
     """
     first, *_ = chain = list(chain)
+    refusal = exchange and suspicions.find_refusal(state, exchange)
+    if refusal:
+        raise endpointhttp.CallError(
+            endpointhttp.FailureKind.WITHHELD, False, refusal
+        )
     for endpoint in chain:
         hold = find_hold(state, endpoint.name)
         if hold is not None:
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -15,6 +15,7 @@
 from dunlintide_daemon.gateway import gossipmessages
 from dunlintide_daemon.gateway import permitcodec
 from dunlintide_daemon.gateway import state as state_module
+from dunlintide_daemon.gateway import suspicions
 from dunlintide_platform import keys
 
 __all__ = ['Gossip']
@@ -87,6 +88,9 @@
         self._state.listed_entries.add(entry.name)
         self._state.permits.add_member(entry.name)
         self._departed.pop(entry.name, None)
+        if self._transport and self._state.part_suspicions.is_refusing:
+            # It may have started just now, and serves at once.
+            self._send_to(entry, gossipmessages.encode(self._build()))
 
     def drop_entry(self, name: str) -> None:
         """Remove an entry that is no longer listed.
@@ -109,6 +113,7 @@
             if self._state.occupancy.expire(self._state.now):
                 self._state.wake_all()
             self._expire_departed()
+            suspicions.judge_again(self._state)
             rounds += 1
             if self.entries:
                 domains = {self._state.settings.failure_domain}
@@ -173,6 +178,12 @@
             paces=self._list_paces(),
         )
         own = state.settings.failure_domain
+        if state.suspicions_pending:
+            # A request with such a part may come to any entry next.
+            state.suspicions_pending = False
+            news = suspicions.list_news(state)
+            message = gossipmessages.add_suspicions(message, news)
+            return message, self._list_domains()
         if len(self.entries) <= MAX_ALERTED_ENTRIES:
             return message, self._list_domains()
         for name in (*ejected, *refusing, *full):
@@ -214,7 +225,9 @@
             paces=self._list_paces(),
         )
         removed = map(gossipmessages.digest, departures.list_removed(since))
-        return gossipmessages.add_removals(message, list(removed))
+        message = gossipmessages.add_removals(message, list(removed))
+        news = suspicions.list_news(state)
+        return gossipmessages.add_suspicions(message, news)
 
     def _list_paces(self) -> list[tuple[int, int]]:
         measured = self._state.paces.list_own(self._state.now)
@@ -285,7 +298,7 @@
             return
         self._apply(decoded.ok_value)
 
-    def _apply(self, message: gossipmessages.MessageWithRemovals) -> None:
+    def _apply(self, message: gossipmessages.MessageWithSuspicions) -> None:
         state = self._state
         now = state.now
         names = self._get_names()
@@ -317,6 +330,7 @@
             state.poison_requests.receive_broken_run(
                 fingerprint, endpoint, now
             )
+        suspicions.receive_news(state, message.suspicions, message.sender)
         for digest in message.refused:
             state.refusal_history.receive_refusal(digest, now)
         if message.usages is not None:
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossipmessages.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossipmessages.py
@@ -17,7 +17,10 @@
     'PACE_UNIT',
     'Message',
     'MessageWithRemovals',
+    'MessageWithSuspicions',
+    'Suspicions',
     'add_removals',
+    'add_suspicions',
     'decode',
     'digest',
     'encode',
@@ -79,8 +82,40 @@
     removed: list[_Count] = []
 
 
+class Suspicions(msgspec.Struct, array_like=True, frozen=True):
+    """What an entry tells of prompts' parts that may crash endpoints.
+
+    All ages are in ``AGE_UNIT``.
+
+    :ivar crashes: names of endpoints on which runs broke before they had
+        written, the age of the first break, and the parts of each run
+    :ivar written: parts on which runs of the sender wrote, and the age of the
+        last one
+    :ivar refused: parts that the sender refuses together, the age of the
+        decision, and the age of the last request that has them
+    """
+
+    crashes: list[tuple[str, _Count, list[list[str]]]] = []
+    written: list[tuple[str, _Count]] = []
+    refused: list[tuple[list[str], _Count, _Count]] = []
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is nothing to tell."""
+        return not (self.crashes or self.written or self.refused)
+
+
+class MessageWithSuspicions(MessageWithRemovals, array_like=True):
+    """A datagram with one more field, which is sent only if there are any.
+
+    :ivar suspicions: what the sender knows of parts that crash endpoints
+    """
+
+    suspicions: Suspicions = Suspicions()
+
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(MessageWithRemovals)
+_decoder = msgspec.msgpack.Decoder(MessageWithSuspicions)
 
 
 def digest(name: str) -> int:
@@ -103,7 +138,17 @@
     return MessageWithRemovals(*msgspec.structs.astuple(message), removed)
 
 
-def decode(data: bytes) -> result.Result[MessageWithRemovals, str]:
+def add_suspicions(message: Message, suspicions: Suspicions) -> Message:
+    """Return a message with suspicions, the message itself if it has none."""
+    if suspicions.is_empty:
+        return message
+    fields = msgspec.structs.astuple(message)
+    if not isinstance(message, MessageWithRemovals):
+        fields = (*fields, [])
+    return MessageWithSuspicions(*fields, suspicions)
+
+
+def decode(data: bytes) -> result.Result[MessageWithSuspicions, str]:
     """Decode a message.
 
     :returns: the message, or why it is malformed
--- a/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
@@ -16,6 +16,7 @@
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_daemon.gateway import streams
+from dunlintide_daemon.gateway import suspicions
 from dunlintide_platform import requests
 
 __all__ = ['RequestHandler']
@@ -35,9 +36,6 @@
 # Time before the process must end from which calls are refused too, in
 # seconds.
 CALL_CUTOFF_SECONDS = 1.5
-# Retry-After of a request that is suspected of crashing endpoints, in
-# seconds.
-CRASHER_RETRY_SECONDS = 5.0
 
 
 class RequestHandler:
@@ -139,14 +137,10 @@
             deployment, request, reply, caller_request, rule, owner
         )
         now = self._state.now
-        if self._state.poison_requests.is_poison(exchange.fingerprint, now):
-            self._deny(
-                reply,
-                caller_request,
-                503,
-                'seems to crash endpoints',
-                CRASHER_RETRY_SECONDS,
-            )
+        suspicion = suspicions.find_refusal(self._state, exchange)
+        if suspicion:
+            pause = suspicions.RETRY_SECONDS
+            self._deny(reply, caller_request, 503, suspicion, pause)
             return None
         if self._is_too_late(exchange, now):
             pause = self._choose_stopping_retry_after(exchange, now)
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -19,6 +19,7 @@
 from dunlintide_daemon.gateway import runends
 from dunlintide_daemon.gateway import stalls
 from dunlintide_daemon.gateway import state as state_module
+from dunlintide_daemon.gateway import suspicions
 from dunlintide_platform import requests
 
 __all__ = ['RunServer']
@@ -41,11 +42,6 @@
 # Time over which the mean interval of events is measured, in seconds; single
 # gaps vary too much.
 PACE_WINDOW_SECONDS = 0.25
-# Faults that do not show that the first endpoint of the chain failed.
-_INCONCLUSIVE_FAULTS = (
-    endpointhttp.FailureKind.TIMEOUT,
-    endpointhttp.FailureKind.ABANDONED,
-)
 
 
 @attrs.define(eq=False)
@@ -196,6 +192,7 @@
                 (hop.endpoint for hop in run.hops),
                 requests.encode(exchange.request, relayed),
                 exchange.caller_request.name,
+                exchange=exchange,
             )
         except endpointhttp.CallError as held:
             raise runends.RunEnded(False, str(held), withheld=True) from held
@@ -272,20 +269,17 @@
         broken: endpointhttp.CallError,
     ) -> None:
         state = self._state
-        if broken.kind in _INCONCLUSIVE_FAULTS:
+        if broken.kind is endpointhttp.FailureKind.TIMEOUT:
+            return
+        if (
+            broken.kind is endpointhttp.FailureKind.ABANDONED
+            and run.first.name in state.endpoints
+        ):
+            # Another endpoint of the chain ended.
             return
         exchange.excluded_endpoints.append(run.first.name)
-        count = state.poison_requests.record_broken_run(
-            exchange.fingerprint, run.first.name, state.now
-        )
-        state.log.write(
-            'run broken',
-            request=exchange.caller_request.name,
-            endpoint=run.first.name,
-            fault=broken.kind,
-            broken_runs=count,
-            events=run.events,
-            parts=exchange.caller_request.shared_parts,
+        suspicions.record_break(
+            state, exchange, run.first.name, run.events, broken.kind
         )
 
     # Relay of the answer to the caller.
@@ -378,14 +372,28 @@
             reply.write(fresh)
             self._record_events(exchange, run, now)
         if splitter.remainder.strip():
-            raise runends.RunEnded(True, 'ended within an event')
+            raise self._end_broken(exchange, run, 'ended within an event')
         if not reply.started:
             reply.start(_make_head(head, None))
         reply.finish(splitter.remainder)
         self._state.poison_requests.clear(exchange.fingerprint)
+        suspicions.record_written(self._state, exchange)
         if run.events > 1:
             self._state.longest_gaps.record(run.longest_pause)
 
+    def _end_broken(
+        self, exchange: exchange_module.Exchange, run: _Run, reason: str
+    ) -> runends.RunEnded:
+        """Record a run whose answer ended too early.
+
+        :returns: the exception to raise
+        """
+        exchange.excluded_endpoints.append(run.first.name)
+        suspicions.record_break(
+            self._state, exchange, run.first.name, run.events, reason
+        )
+        return runends.RunEnded(True, reason)
+
     def _record_events(
         self, exchange: exchange_module.Exchange, run: _Run, now: float
     ) -> None:
@@ -405,6 +413,8 @@
             self._state.health.record_accepted(run.names, run.began)
             run.checked_at = now
         run.events += 1
+        if run.events == suspicions.MIN_SOUND_READS:
+            suspicions.record_written(self._state, exchange)
         exchange.events += 1
         exchange.last_event = now
         run.last_progress = now
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -19,6 +19,7 @@
 from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import occupancy as occupancy_module
 from dunlintide_core.pipeline import paces as paces_module
+from dunlintide_core.pipeline import partsuspicions
 from dunlintide_core.pipeline import permits as permits_module
 from dunlintide_core.pipeline import poisonrequests as poisonrequests_module
 from dunlintide_core.pipeline import profiles
@@ -94,6 +95,8 @@
     :ivar slow_suspected: set when ``slow_suspects`` has grown
     :ivar alert_pending: set when other entries are to be alerted at once
     :ivar poison_requests: requests that may crash endpoints
+    :ivar part_suspicions: parts of prompts that may crash endpoints
+    :ivar suspicions_pending: whether the next alert tells of such parts
     :ivar refusal_history: requests that were refused recently
     :ivar deployment: configuration in force, None before the first
     :ivar configuration_value: its encoded form, for other entries
@@ -158,6 +161,10 @@
     poison_requests: poisonrequests_module.PoisonRequests = attrs.field(
         factory=poisonrequests_module.PoisonRequests
     )
+    part_suspicions: partsuspicions.PartSuspicions = attrs.field(
+        factory=partsuspicions.PartSuspicions
+    )
+    suspicions_pending: bool = False
     refusal_history: refusalhistory_module.RefusalHistory = attrs.field(
         factory=refusalhistory_module.RefusalHistory
     )
@@ -577,6 +584,12 @@
         for service in self.backlogs:
             self.wake(service)
 
+    def wake_waiters(self) -> None:
+        """Wake all waiters, as some of them may be refused now."""
+        for backlog in self.backlogs.values():
+            for waiter in list(backlog):
+                waiter.wake()
+
     def notify_listeners(self) -> None:
         """Notify listeners and waiters of a change of the state."""
         if self.is_initialized:
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -15,6 +15,7 @@
 from dunlintide_daemon.gateway import runends
 from dunlintide_daemon.gateway import runs
 from dunlintide_daemon.gateway import state as state_module
+from dunlintide_daemon.gateway import suspicions
 
 __all__ = ['StreamServer']
 
@@ -36,11 +37,13 @@
     :ivar shortage: layers without room, for the log
     :ivar returns_in: seconds until engines that asked for a pause may be used,
         0 if that is not why
+    :ivar is_suspected: whether it is held to crash endpoints
     """
 
     reason: str
     shortage: str = ''
     returns_in: float = 0.0
+    is_suspected: bool = False
 
 
 class StreamServer:
@@ -64,6 +67,10 @@
         hops = None
         is_paid = False
         while True:
+            suspicion = suspicions.find_refusal(state, exchange)
+            if suspicion:
+                failure = _Failure(suspicion, is_suspected=True)
+                return self._give_up(exchange, ran, failure)
             if hops is None:
                 found = await self._find_chain(stream, is_paid)
                 if found.is_err():
@@ -100,6 +107,9 @@
 
     def _explain(self, stream: exchange_module.Stream) -> _Failure:
         """Tell why no chain was found."""
+        suspicion = suspicions.find_refusal(self._state, stream.exchange)
+        if suspicion:
+            return _Failure(suspicion, is_suspected=True)
         returns_in = self._finder.find_return(stream)
         return _Failure(
             'back-off' if returns_in else 'no room',
@@ -179,8 +189,11 @@
             late = state.now >= exchange.deadline
             exchange_module.refuse(reply, 504 if late else 502)
             return Outcome.UNKNOWN
-        state.refusal_history.record_refusal(exchange.digest, state.now)
-        pause = self._choose_retry_after(exchange, failure.returns_in)
+        if failure.is_suspected:
+            pause = suspicions.RETRY_SECONDS
+        else:
+            state.refusal_history.record_refusal(exchange.digest, state.now)
+            pause = self._choose_retry_after(exchange, failure.returns_in)
         state.log.write(
             'request refused',
             request=exchange.caller_request.name,
