--- a/features/partcrashes.feature
+++ b/features/partcrashes.feature
@@ -8,6 +8,7 @@
     When sound streams come for 15 s beside such streams <case>
     Then at most 3 streams with each part reach engines later than 3 s after its fifth crash
     And sound streams are whole at the first try as before from 6 s after it
+    And no stream looks complete that is not
 
     Examples:
       | entries | case                             | parts       | point                  |
--- a/features/steps/partcrashes.py
+++ b/features/steps/partcrashes.py
@@ -183,6 +183,16 @@
     )
 
 
+@behave.then('no stream looks complete that is not')
+def check_complete(context):
+    false = [
+        each
+        for each in context.sent
+        if each.looks_complete and not each.is_whole
+    ]
+    assert not false, (len(false), false[0])
+
+
 @behave.then('no entry refuses a stream for a part')
 def check_not_refused(context):
     for entry in context.scene.entries:
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -215,6 +215,11 @@
             and self._failure is None
         )
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the answer's head tells how its body ends."""
+        return self._framed
+
     @property
     def is_reusable(self) -> bool:
         """Whether the connection can carry another call after the last one."""
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -306,6 +306,8 @@
         :param keep_entry: whether the entry stays in the store
         """
         self.crashed = True
+        if self._return is not None:
+            self._return.cancel()
         self._server.close()
         for task in list(self._tasks):
             task.cancel()
@@ -501,6 +503,26 @@
         run.answered = time.monotonic()
         framed = not self.faults.consume('unframed')
         await channel.send(channel.build_head(200, headers, None, framed))
+        try:
+            await self._write_events(channel, run, count, framed, part)
+        except asyncio.CancelledError:
+            if not framed and run.events:
+                # Only an end within an event tells that it broke off.
+                channel.write(b'id: ')
+            raise
+
+    async def _write_events(
+        self,
+        channel: wire.Channel,
+        run: Run,
+        count: int,
+        framed: bool,
+        part: str,
+    ) -> None:
+        """Write the events of a stream and its end.
+
+        :param part: part of the prompt that crashes this runner, or empty
+        """
 
         async def send(data: bytes) -> None:
             chunk = b'%x\r\n%b\r\n' % (len(data), data)
--- a/packages/standins/src/dunlintide_standins/fleet/wire.py
+++ b/packages/standins/src/dunlintide_standins/fleet/wire.py
@@ -62,6 +62,10 @@
         self._writer.write(data)
         await self._writer.drain()
 
+    def write(self, data: bytes) -> None:
+        """Send raw bytes without waiting for the receiver."""
+        self._writer.write(data)
+
     async def answer(
         self,
         status: int,
--- a/packages/trials/src/dunlintide_trials/edge/partcrashes.py
+++ b/packages/trials/src/dunlintide_trials/edge/partcrashes.py
@@ -63,13 +63,15 @@
     """A stream as its caller saw it.
 
     :ivar sent: monotonic time, in seconds
-    :ivar is_whole: whether the first try got a complete answer
+    :ivar looks_complete: whether its answer ended as announced
+    :ivar is_whole: whether it got a complete answer with all events
     """
 
     name: str
     sent: float
     is_sound: bool
     status: int
+    looks_complete: bool
     is_whole: bool
 
 
@@ -83,17 +85,19 @@
     parts = (*shared, f'own-{name}')
     body = f'prompt {name}'.encode()
     sent = time.monotonic()
-    status, is_whole, pause = 0, False, 0.0
+    status, looks_complete, is_whole, pause = 0, False, False, 0.0
     with contextlib.suppress(OSError, ValueError, IndexError):
         with contextlib.closing(callers.Caller(entry.listen)) as caller:
             data = callers.build_stream(name, EVENTS, parts, body, prompt.key)
             caller.send(data)
             answer = caller.read_answer()
             status = answer.status
-            is_whole = status == 200 and answer.is_complete
-            is_whole &= answer.body.count(b'\n\n') == EVENTS
+            looks_complete = status == 200 and answer.is_complete
+            is_whole = looks_complete and answer.body.count(b'\n\n') == EVENTS
             pause = float(answer.headers.get('retry-after', 0.0))
-    found = SentStream(name, sent, prompt.is_sound, status, is_whole)
+    found = SentStream(
+        name, sent, prompt.is_sound, status, looks_complete, is_whole
+    )
     return found, pause
 
 
