Soak with parts that crash engines, streams without length, and crowds

PARTS=1 plays these beside engines that crash by themselves and entries that start, stand still or are cut off. A short seeded run is in the feature.

Ruled out: judging LOST there, as nearly all of a run is excused; partcrashes.feature does.

--- a/Makefile
+++ b/Makefile
@@ -24,11 +24,13 @@
 CASE ?= *
 # soak, edge-soak: the seed of the faults, and how long they last; how
 # many seeds edge-soak plays in turn; LEAVING=1: only endpoints that leave;
-# CONFIGURATIONS=1: only large configurations, and endpoints that leave.
+# CONFIGURATIONS=1: only large configurations, and endpoints that leave;
+# PARTS=1: only parts of prompts that crash engines, and what hides them.
 SEED ?= 1
 SEEDS ?= 1
 LEAVING ?= 0
 CONFIGURATIONS ?= 0
+PARTS ?= 0
 SECONDS ?= 60
 # test: further arguments of behave, for one run of them all in turn.
 ARGS ?=
@@ -78,7 +80,8 @@
 	@$(RUN) $(BIN)/python -m dunlintide_trials.edge.soak \
 		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) \
 		$(if $(filter 1,$(LEAVING)),--leaving) \
-		$(if $(filter 1,$(CONFIGURATIONS)),--configurations)
+		$(if $(filter 1,$(CONFIGURATIONS)),--configurations) \
+		$(if $(filter 1,$(PARTS)),--parts)
 
 clean:
 	rm -rf $(VENV) .demo .ci/out
--- a/features/edgesoak.feature
+++ b/features/edgesoak.feature
@@ -20,6 +20,15 @@
       | seed | seconds | least | drains |
       | 1    | 10      | 50    | 8      |
 
+  Scenario Outline: Parts that crash engines are found beside other faults
+    When parts crash engines for <seconds> seconds with seed <seed> beside other faults
+    Then no promise was broken in the soak of at least <least> requests
+    And engines crashed <crashes> times or more by such parts
+
+    Examples:
+      | seed | seconds | least | crashes |
+      | 1    | 15      | 50    | 5       |
+
   Scenario Outline: Large configurations are in force in time and hold up nothing
     When large configurations come for <seconds> seconds with seed <seed> and answers are lost
     Then no promise was broken in the soak of at least <least> requests
--- a/features/steps/edgesoak.py
+++ b/features/steps/edgesoak.py
@@ -33,6 +33,20 @@
     _run(context, seconds, seed, faults.CONFIGURATION_FAULTS)
 
 
+@behave.when(
+    'parts crash engines for {seconds:d} seconds with seed {seed:d} beside'
+    ' other faults'
+)
+def run_parts(context, seconds, seed):
+    _run(context, seconds, seed, faults.PART_FAULTS)
+
+
+@behave.then('engines crashed {crashes:d} times or more by such parts')
+def check_crashes(context, crashes):
+    crashed = sum(context.soaked['part_crashes'].values())
+    assert crashed >= crashes, context.soaked
+
+
 @behave.then(
     'at least {versions:d} versions were checked by {probes:d} probes'
 )
--- a/packages/trials/src/dunlintide_trials/edge/faults.py
+++ b/packages/trials/src/dunlintide_trials/edge/faults.py
@@ -14,7 +14,13 @@
 from dunlintide_trials.edge import soakscene
 from dunlintide_trials.edge import versions
 
-__all__ = ['CONFIGURATION_FAULTS', 'FAULTS', 'LEAVING_FAULTS', 'Fault']
+__all__ = [
+    'CONFIGURATION_FAULTS',
+    'FAULTS',
+    'Fault',
+    'LEAVING_FAULTS',
+    'PART_FAULTS',
+]
 
 # Part of an answer that tells of a change in the store.
 NEWS_PATTERN = b'"events": [{'
@@ -26,6 +32,8 @@
 BYTES_PER_ROUTE = 226
 # Largest number of large versions in a row.
 MAX_VERSIONS = 8
+# Largest number of parts that crash engines.
+MAX_CRASHING_PARTS = 3
 # Pause between two large versions, in seconds.
 VERSION_GAP_SECONDS = (0.0, 0.4)
 
@@ -329,6 +337,25 @@
     return _do_nothing
 
 
+def spoil_part(soak: soakscene.SoakScene, rng: random.Random) -> Heal:
+    """Make engines crash under streams with a part, which come to the end."""
+    fleet = soak.scene.fleet
+    if len(fleet.crashing_parts) < MAX_CRASHING_PARTS:
+        fleet.crashing_parts.add(f'bad{len(fleet.crashing_parts)}')
+    fleet.crash_point = rng.choice(list(runners.CrashPoint))
+    return _do_nothing
+
+
+def crowd_entry(soak: soakscene.SoakScene, rng: random.Random) -> Heal:
+    """Hand most new connections to one entry."""
+    soak.crowded = rng.choice(soak.scene.entries)
+
+    def heal() -> None:
+        soak.crowded = None
+
+    return heal
+
+
 # Endpoints that leave, alone: most other faults excuse what reaches them.
 LEAVING_FAULTS: tuple[Fault, ...] = (drain_endpoint, remove_endpoint)
 # Large configurations beside endpoints that leave.
@@ -336,6 +363,17 @@
     *2 * (grow_configuration, change_configuration),
     *LEAVING_FAULTS,
 )
+# Parts that crash engines, beside engines that crash by themselves and entries
+# that start, stand still or are cut off.
+PART_FAULTS: tuple[Fault, ...] = (
+    *4 * (spoil_part,),
+    *2 * (crash_endpoint, crowd_entry),
+    corrupt_endpoint,
+    kill_entry,
+    pause_entry,
+    stop_entry,
+    cut_entry,
+)
 # Faults that last long at one endpoint are repeated, so that they overlap.
 FAULTS: tuple[Fault, ...] = (
     kill_entry,
@@ -358,4 +396,6 @@
     delay_orders,
     change_configuration,
     grow_configuration,
+    spoil_part,
+    crowd_entry,
 )
--- a/packages/trials/src/dunlintide_trials/edge/promises.py
+++ b/packages/trials/src/dunlintide_trials/edge/promises.py
@@ -6,6 +6,7 @@
 from dunlintide_trials.edge import backoffs
 from dunlintide_trials.edge import disruptions
 from dunlintide_trials.edge import loads
+from dunlintide_trials.edge import partcrashes
 from dunlintide_trials.edge import soakscene
 from dunlintide_trials.edge import windows
 
@@ -150,6 +151,23 @@
     return soak.versions.list_violations(soak.disruptions, soak.had_event)
 
 
+def _check_parts(soak: soakscene.SoakScene) -> Iterator[str]:
+    """Check what streams with parts that crash engines did."""
+    fleet = soak.scene.fleet
+
+    def is_excused(entry: str, first: float, last: float) -> bool:
+        return not soak.disruptions.was_in_touch(entry, last, last)
+
+    late = partcrashes.list_late_sends(fleet, loads.find_entry, is_excused)
+    for part, names in late.items():
+        if len(names) > partcrashes.MAX_LATE:
+            yield f'{part}: reached engines {len(names)} times too late'
+    for entry in soak.scene.entries:
+        for row in entry.list_events('part suspected'):
+            if fleet.crashing_parts.isdisjoint(row['parts']):
+                yield f'{entry.name}: refused sound parts {row["parts"]}'
+
+
 def list_violations(soak: soakscene.SoakScene) -> list[str]:
     """List the violations of guarantees, one line each."""
     violations = []
@@ -162,6 +180,7 @@
     violations += _check_drains(soak)
     violations += _check_notices(soak)
     violations += _check_versions(soak)
+    violations += _check_parts(soak)
     for period in soak.limits:
         violations += _check_limit(soak, period)
     for runner in soak.scene.fleet.runners:
--- a/packages/trials/src/dunlintide_trials/edge/soak.py
+++ b/packages/trials/src/dunlintide_trials/edge/soak.py
@@ -143,6 +143,9 @@
         'leaving': sum(
             len(runner.leaving_answers) for runner in soak.scene.fleet.runners
         ),
+        'part_crashes': collections.Counter(
+            crash.part for crash in soak.scene.fleet.part_crashes
+        ),
         'drains': len(soak.drains),
         'checked_drains': sum(
             soak.disruptions.is_store_stable(began) for _, began in soak.drains
@@ -170,12 +173,19 @@
         action='store_true',
         help='only large configurations, and endpoints that leave',
     )
+    parser.add_argument(
+        '--parts',
+        action='store_true',
+        help='only parts that crash engines, and what hides them',
+    )
     parsed = parser.parse_args(arguments)
     kinds = faults.FAULTS
     if parsed.leaving:
         kinds = faults.LEAVING_FAULTS
     elif parsed.configurations:
         kinds = faults.CONFIGURATION_FAULTS
+    elif parsed.parts:
+        kinds = faults.PART_FAULTS
     status = 0
     for seed in range(parsed.seed, parsed.seed + parsed.seeds):
         with contextlib.ExitStack() as stack:
--- a/packages/trials/src/dunlintide_trials/edge/soakscene.py
+++ b/packages/trials/src/dunlintide_trials/edge/soakscene.py
@@ -28,6 +28,13 @@
 BYTES_PER_MBIT = 125_000
 # Minimum and maximum seconds between two requests of a caller.
 PAUSE_SECONDS = (0.0, 0.05)
+# Shares of streams that have a part that crashes engines, while there is one,
+# and of callers that go to an entry that gets most new connections.
+BAD_SHARE = 0.15
+CROWD_SHARE = 0.9
+# Shared parts of sound streams, beside the first one.
+FIRST_PART = '5c'
+MIDDLE_PARTS = ('m0', 'm1', 'm2', 'm3')
 STREAM = 'stream'
 ONCE = 'once'
 REPEATABLE = 'repeatable'
@@ -39,6 +46,7 @@
 
     :ivar kind: ``STREAM``, ``ONCE`` or ``REPEATABLE``
     :ivar count: number of events that a stream was asked for
+    :ivar parts: shared parts of its prompt
     :ivar sent: monotonic time at which it was sent, in seconds
     :ivar status: HTTP status, 0 without a response
     :ivar is_complete: whether the response was complete
@@ -48,6 +56,7 @@
     kind: str
     count: int
     sent: float
+    parts: tuple[str, ...] = ()
     status: int = 0
     is_complete: bool = False
     body: bytes = b''
@@ -84,6 +93,7 @@
         resumed or stopped, and the monotonic time
     :ivar drains: name of each drained endpoint and monotonic time
     :ivar limits: rate limits that endpoints announced
+    :ivar crowded: entry that gets most new connections, None for none
     """
 
     def __init__(
@@ -116,6 +126,7 @@
         self.entry_events: list[tuple[str, float]] = []
         self.drains: list[tuple[str, float]] = []
         self.limits: list[LimitPeriod] = []
+        self.crowded: scenes.Entry | None = None
         self._reserved: set[runners_module.Runner] = set()
         self._lock = threading.Lock()
         self._request_count = 0
@@ -258,6 +269,10 @@
         while not self._stopped.is_set():
             entry = rng.choice(self.scene.entries)
             remaining = rng.randint(1, 6)
+            crowded = self.crowded
+            if crowded is not None and rng.random() < CROWD_SHARE:
+                # Callers open new connections more often meanwhile.
+                entry, remaining = crowded, 1
             try:
                 caller = callers.Caller(entry.listen)
             except OSError:
@@ -277,7 +292,13 @@
             self._request_count += 1
             name = f'{entry.name}.r{self._request_count}'
         kind = rng.choice((STREAM, STREAM, ONCE, REPEATABLE))
-        request = SentRequest(name, kind, rng.randint(5, 60), time.monotonic())
+        parts = (FIRST_PART, rng.choice(MIDDLE_PARTS))
+        bad = sorted(self.scene.fleet.crashing_parts)
+        if kind == STREAM and bad and rng.random() < BAD_SHARE:
+            parts = (FIRST_PART, rng.choice(bad), parts[1])
+        request = SentRequest(
+            name, kind, rng.randint(5, 60), time.monotonic(), parts
+        )
         with self._lock:
             self.requests.append(request)
         return request
@@ -292,7 +313,14 @@
         request = self._make_request(entry, rng)
         try:
             if request.kind == STREAM:
-                data = callers.build_stream(request.name, request.count)
+                parts = (*request.parts, f'own-{request.name}')
+                # Bad ones differ in all else, sound ones are much alike.
+                body = b'a prompt'
+                if len(request.parts) > 2:
+                    body = request.name.encode()
+                data = callers.build_stream(
+                    request.name, request.count, parts, body
+                )
             else:
                 path = '/orders/x' if request.kind == ONCE else '/lists/x'
                 data = callers.build_request(request.name, path)
