--- a/features/partsuspicions.feature
+++ b/features/partsuspicions.feature
@@ -3,15 +3,15 @@
   with it are alike, and against sound parts that are refused in its place.
   Entries exchange what they see; time is virtual.
 
-  Scenario Outline: Entries together find the part among innocent ones
+  Scenario Outline: Entries together find the part among sound ones
     Given <entries> entries that lose <loss> of their messages
     And <heads> endpoints that are back after <back> s
-    When for 40 s <guilty> requests a second crash endpoints beside <sound> sound ones a second
+    When for 40 s <bad> requests a second crash endpoints beside <sound> sound ones a second
     Then at most 3 of them reach endpoints later than 3 s after the fifth crash
     And no sound request is refused
 
     Examples:
-      | entries | loss | heads | back | guilty | sound |
+      | entries | loss | heads | back | bad    | sound |
       | 1       | 0    | 4     | 1.5  | 4      | 40    |
       | 4       | 0.1  | 4     | 10   | 4      | 40    |
       | 4       | 0.3  | 4     | 1.5  | 14     | 40    |
@@ -38,12 +38,12 @@
     Then entries that have all of them refuse the same parts
 
   Scenario: A part that a run writes on later is no longer refused
-    Given an entry that refuses a part that another entry accused
+    Given an entry that refuses a part that another entry refuses
     When a run of this entry writes on the part
     Then the entry does not refuse it, nor when the other one says so again
 
   Scenario: A refusal lasts as long as requests come for it
-    Given an entry that refuses a part that another entry accused
+    Given an entry that refuses a part that another entry refuses
     When a request with it comes each 500 s for 3000 s
     Then each of them is refused
     And none is refused after 601 s without one
--- a/features/steps/partcrashes.py
+++ b/features/steps/partcrashes.py
@@ -16,7 +16,7 @@
 # Time of sound streams alone, in seconds.
 DELAY_SECONDS = 3.0
 SOUND_CALLERS = 6
-GUILTY_CALLERS = 4
+BAD_CALLERS = 4
 # Fewest sound streams before and after that make a share.
 LEAST_STREAMS = 20
 # Share of the earlier share that counts as before: two or three of the
@@ -30,31 +30,27 @@
     """Return the prompts of sound streams and of those that crash engines."""
     church = operators.OTHER_KEY
     sound = [partcrashes.Prompt((FIRST, MIDDLES), True)] * SOUND_CALLERS
-    guilty = [
-        partcrashes.Prompt((FIRST, ('bad',), MIDDLES), False)
-    ] * GUILTY_CALLERS
+    bad = [partcrashes.Prompt((FIRST, ('bad',), MIDDLES), False)] * BAD_CALLERS
     if case == 'that are seldom':
-        guilty = [partcrashes.Prompt((FIRST, ('bad',)), False, 0.8)] * 2
+        bad = [partcrashes.Prompt((FIRST, ('bad',)), False, 0.8)] * 2
     elif case == 'with the part first':
-        guilty = [
-            partcrashes.Prompt((('bad',), MIDDLES), False)
-        ] * GUILTY_CALLERS
+        bad = [partcrashes.Prompt((('bad',), MIDDLES), False)] * BAD_CALLERS
     elif case == 'with the part third':
-        guilty = [
+        bad = [
             partcrashes.Prompt((FIRST, MIDDLES, ('bad',)), False)
-        ] * GUILTY_CALLERS
+        ] * BAD_CALLERS
     elif case == 'with one of two parts':
-        guilty += [
+        bad += [
             partcrashes.Prompt((FIRST, ('odd',), MIDDLES), False)
-        ] * GUILTY_CALLERS
+        ] * BAD_CALLERS
     elif case == 'of two teams':
-        guilty += [
+        bad += [
             partcrashes.Prompt((FIRST, ('bad',)), False, key=church)
-        ] * GUILTY_CALLERS
+        ] * BAD_CALLERS
     elif case == 'that have no other part':
         sound = [partcrashes.Prompt((FIRST,), True)] * SOUND_CALLERS
-        guilty = [partcrashes.Prompt((('bad',),), False)] * GUILTY_CALLERS
-    return sound + guilty
+        bad = [partcrashes.Prompt((('bad',),), False)] * BAD_CALLERS
+    return sound + bad
 
 
 @behave.given('{count:d} entries before engines in five failure domains')
@@ -134,8 +130,8 @@
     entry = scene.add_entry('late')
     scene.wait_for_ready(entry)
     scene.wait_for_listing(entry)
-    guilty = partcrashes.Prompt((FIRST, ('bad',), MIDDLES), False, 0.05)
-    context.sent = partcrashes.run_streams([entry], [guilty], 2.0)
+    bad = partcrashes.Prompt((FIRST, ('bad',), MIDDLES), False, 0.05)
+    context.sent = partcrashes.run_streams([entry], [bad], 2.0)
     assert len(context.sent) >= count // 4, context.sent
 
 
--- a/features/steps/partsuspicions.py
+++ b/features/steps/partsuspicions.py
@@ -6,7 +6,9 @@
 
 import attrs
 import behave
+from dunlintide_core.pipeline import partevaluation
 from dunlintide_core.pipeline import partsuspicions
+from dunlintide_core.pipeline import writtenparts
 import hypothesis
 from hypothesis import strategies
 
@@ -27,7 +29,7 @@
     ends: int = 0
 
     @property
-    def is_guilty(self):
+    def is_bad(self):
         return BAD in self.parts
 
 
@@ -44,7 +46,7 @@
         self.queue = []
         self.order = itertools.count()
         self.heads, self.names, self.back = {}, itertools.count(), 0.0
-        self.crashes, self.guilty_sends, self.refused = [], [], []
+        self.crashes, self.bad_sends, self.refused = [], [], []
 
     def at(self, delay, act):
         heapq.heappush(self.queue, (self.now + delay, next(self.order), act))
@@ -69,14 +71,14 @@
     def send(self, request):
         known = self.entries[request.entry]
         if known.find_refusal(request.parts, self.now):
-            if not request.is_guilty:
+            if not request.is_bad:
                 self.refused.append((self.now, request.parts))
             return
         if not self.heads or request.ends > 2:
             return
         name = self.rng.choice(list(self.heads))
-        if request.is_guilty:
-            self.guilty_sends.append(self.now)
+        if request.is_bad:
+            self.bad_sends.append(self.now)
         self.heads[name].append(request)
         delay = self.rng.uniform(*FIRST_EVENT_SECONDS)
         self.at(delay, lambda: self.write(name, request))
@@ -84,14 +86,14 @@
     def write(self, name, request):
         if request not in self.heads.get(name, ()):
             return
-        if request.is_guilty:
+        if request.is_bad:
             self.crashes.append(self.now)
             self.crash(name)
             return
         self.heads[name].remove(request)
         known = self.entries[request.entry]
         known.record_written(request.parts, self.now)
-        known.judge_again(self.now)
+        known.reevaluate(self.now)
 
     def crash(self, name):
         for request in self.heads.pop(name):
@@ -137,10 +139,10 @@
 
         self.at(ROUND_SECONDS, tell_all)
 
-    def ask(self, guilty):
+    def ask(self, bad):
         # Middle parts are not equally frequent; some come seldom.
         index = int(MIDDLES * self.rng.random() ** 3)
-        parts = ('p0', BAD, f'm{index}') if guilty else ('p0', f'm{index}')
+        parts = ('p0', BAD, f'm{index}') if bad else ('p0', f'm{index}')
         self.send(_Request(self.rng.randrange(len(self.entries)), parts))
 
 
@@ -155,14 +157,14 @@
 
 
 @behave.when(
-    'for {seconds:d} s {guilty:g} requests a second crash endpoints beside'
+    'for {seconds:d} s {bad:g} requests a second crash endpoints beside'
     ' {sound:g} sound ones a second'
 )
-def run_guilty(context, seconds, guilty, sound):
+def run_bad(context, seconds, bad, sound):
     model = context.model
     model.repeat(sound, lambda: model.ask(False))
     model.run(3.0)
-    model.repeat(guilty, lambda: model.ask(True))
+    model.repeat(bad, lambda: model.ask(True))
     model.run(seconds)
 
 
@@ -190,11 +192,11 @@
 def check_late(context, count, seconds):
     model = context.model
     assert seconds == BOUND_SECONDS
-    assert len(model.crashes) >= partsuspicions.MIN_CRASHES, model.crashes
+    assert len(model.crashes) >= partevaluation.MIN_CRASHES, model.crashes
     if len(model.crashes) < BOUND_CRASHES:
         return
     bound = model.crashes[BOUND_CRASHES - 1] + BOUND_SECONDS
-    late = [at for at in model.guilty_sends if at > bound]
+    late = [at for at in model.bad_sends if at > bound]
     assert len(late) <= count, (len(late), len(model.crashes))
 
 
@@ -222,19 +224,20 @@
     )
 
 
-def _hear(crashes, written):
+def _list_refused(crashes, written):
     """Return the parts that an entry refuses that heard of all of it."""
-    known = partsuspicions.PartSuspicions()
+    known = writtenparts.WrittenParts()
     for part, at in written:
-        known.receive_written(part, at)
+        known.record((part,), at)
+    by_endpoint = {}
     for report in crashes:
-        known._find_crash(report.endpoint, report.at)
-    for report in crashes:
-        crash = known._crashes[report.endpoint]
+        crash = by_endpoint.setdefault(
+            report.endpoint, partevaluation.Crash(report.at)
+        )
         crash.at = min(crash.at, report.at)
         crash.runs.update(map(frozenset, report.runs))
-    known._judge(5.0)
-    return {each.parts for each in known.list_refusals(5.0)}
+    found = partevaluation.choose_refused(list(by_endpoint.values()), known)
+    return set(found)
 
 
 @behave.then('entries that have all of them refuse the same parts')
@@ -246,7 +249,8 @@
         mixed = list(crashes), list(written)
         for each in mixed:
             rng.shuffle(each)
-        first, second = _hear(crashes, written), _hear(*mixed)
+        first = _list_refused(crashes, written)
+        second = _list_refused(*mixed)
         assert first == second, (first, second)
         cleared = {part for part, at in written if at >= 4.0}
         assert not any(cleared & parts for parts in first), first
@@ -254,7 +258,7 @@
     check()
 
 
-@behave.given('an entry that refuses a part that another entry accused')
+@behave.given('an entry that refuses a part that another entry refuses')
 def make_refusing(context):
     context.known = partsuspicions.PartSuspicions()
     assert context.known.receive_refusal([BAD], 10.0, 11.0, 12.0)
@@ -306,7 +310,7 @@
         known.record_break(f'i-{number}', ['x', 'y'], float(number))
         known.record_written(['p0'], number + 0.5)
         known.record_written(['p0'], number + 0.6)
-    known.judge_again(20.0)
+    known.reevaluate(20.0)
 
 
 @behave.then('a request with both is refused, and one with either is not')
--- a/packages/daemon/src/dunlintide_daemon/gateway/admin.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/admin.py
@@ -14,7 +14,7 @@
 from dunlintide_daemon.gateway import suspicions
 
 __all__ = [
-    'ACQUITTAL_PATH',
+    'ALLOW_PATH',
     'CONFIGURATION_PATH',
     'ENCODING',
     'REVISION_HEADER',
@@ -23,7 +23,7 @@
 ]
 
 # Ends the refusal of the parts that its query names.
-ACQUITTAL_PATH = '/debug/allow-parts'
+ALLOW_PATH = '/debug/allow-parts'
 CONFIGURATION_PATH = '/internal/configuration'
 # Header with the era and the revision of the configuration, joined by a dot.
 REVISION_HEADER = 'configuration-revision'
@@ -61,14 +61,14 @@
             await self.handle_metrics(request, reply)
         elif path == '/debug/state':
             self._send_json(reply, self._dump())
-        elif path == ACQUITTAL_PATH and request.method == 'POST':
-            self._acquit(request, reply)
+        elif path == ALLOW_PATH and request.method == 'POST':
+            self._allow_parts(request, reply)
         elif path == CONFIGURATION_PATH:
             await self._send_configuration(request, reply)
         else:
             reply.send(callermessages.Head(404))
 
-    def _acquit(
+    def _allow_parts(
         self, request: callermessages.Request, reply: callermessages.Reply
     ) -> None:
         """Take parts of prompts for sound, at all entries."""
@@ -77,7 +77,7 @@
         if not parts:
             reply.send(callermessages.Head(400), b'no part in the query\n')
             return
-        ended = suspicions.acquit(self._state, parts, 'operator')
+        ended = suspicions.allow(self._state, parts, 'operator')
         reply.send(callermessages.Head(200 if ended else 404))
 
     async def _send_configuration(
--- a/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/gossip.py
@@ -113,7 +113,7 @@
             if self._state.occupancy.expire(self._state.now):
                 self._state.wake_all()
             self._expire_departed()
-            suspicions.judge_again(self._state)
+            suspicions.reevaluate(self._state)
             rounds += 1
             if self.entries:
                 domains = {self._state.settings.failure_domain}
--- a/packages/daemon/src/dunlintide_daemon/gateway/suspicions.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/suspicions.py
@@ -11,11 +11,11 @@
 
 __all__ = [
     'RETRY_SECONDS',
-    'acquit',
+    'allow',
     'describe',
     'find_refusal',
     'is_refused',
-    'judge_again',
+    'reevaluate',
     'list_news',
     'receive_news',
     'record_break',
@@ -30,7 +30,7 @@
 RETRY_SECONDS = 5.0
 # Reads of a run's answer up to which it may have crashed its endpoint as it
 # began to write, and from which on its parts are known to be sound.
-MAX_ACCUSED_READS = 1
+MAX_SUSPECT_READS = 1
 MIN_SOUND_READS = 3
 _AGE_UNIT = gossipmessages.AGE_UNIT
 
@@ -92,7 +92,7 @@
         events=reads,
         parts=parts,
     )
-    if reads > MAX_ACCUSED_READS or not parts:
+    if reads > MAX_SUSPECT_READS or not parts:
         return
     decided = state.part_suspicions.record_break(endpoint, parts, state.now)
     _alert(state)
@@ -104,22 +104,22 @@
     parts = exchange.caller_request.shared_parts
     ended = state.part_suspicions.record_written(parts, state.now)
     _report_ended(state, ended, exchange.caller_request.name)
-    judge_again(state)
+    reevaluate(state)
 
 
-def judge_again(state: State) -> None:
-    """Judge crashes again that could not be explained before."""
-    decided = state.part_suspicions.judge_again(state.now)
+def reevaluate(state: State) -> None:
+    """Evaluate crashes again that could not be explained before."""
+    decided = state.part_suspicions.reevaluate(state.now)
     _report_decided(state, decided, 'crashes')
 
 
-def acquit(state: State, parts: Iterable[str], source: str) -> bool:
+def allow(state: State, parts: Iterable[str], source: str) -> bool:
     """Take parts for sound, on an operator's word.
 
     :param source: who said so, for the log
     :returns: whether any of them was refused
     """
-    ended = state.part_suspicions.acquit(parts, state.now)
+    ended = state.part_suspicions.allow(parts, state.now)
     _report_ended(state, ended, source)
     _alert(state)
     return bool(ended)
