Take no empty rest of an answer without length for its end

Found by features/partcrashes.feature, example @1.9, once: a stream without length was resumed, the next engine ended before its first event, and the stream passed as complete with events missing. Change: an answer that ends with its connection is complete only if this run brought an event. A rest that is truly empty is repeated instead; it can't be told apart.

--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -373,8 +373,7 @@
             self._record_events(exchange, run, now)
         if splitter.remainder.strip():
             raise self._end_broken(exchange, run, 'ended within an event')
-        is_empty = not sequence.count and sequence.last_id is None
-        if is_empty and not connection.is_framed:
+        if not run.events and not connection.is_framed:
             raise self._end_broken(exchange, run, 'ended without an event')
         if not reply.started:
             reply.start(_make_head(head, None))
