Give steps of the part suspicions names of their own, and time-outs a text

It says "news of crashes" now. All steps of all features were matched against all definitions: no other new step has two.

--- a/features/partsuspicions.feature
+++ b/features/partsuspicions.feature
@@ -4,7 +4,7 @@
   Entries exchange what they see; time is virtual.
 
   Scenario Outline: Entries together find the part among sound ones
-    Given <entries> entries that lose <loss> of their messages
+    Given <entries> entries that lose <loss> of their news of crashes
     And <heads> endpoints that are back after <back> s
     When for 40 s <bad> requests a second crash endpoints beside <sound> sound ones a second
     Then at most 3 of them reach endpoints later than 3 s after the fifth crash
@@ -21,7 +21,7 @@
       | 300     | 0.1  | 60    | 2    | 20     | 200   |
 
   Scenario Outline: Endpoints that crash by chance have no part refused
-    Given <entries> entries that lose 0.1 of their messages
+    Given <entries> entries that lose 0.1 of their news of crashes
     And <heads> endpoints that are back after <back> s
     When for 60 s <crashes> endpoints crash by chance <how> beside <sound> sound requests a second
     Then no sound request is refused
--- a/features/steps/partsuspicions.py
+++ b/features/steps/partsuspicions.py
@@ -146,7 +146,9 @@
         self.send(_Request(self.rng.randrange(len(self.entries)), parts))
 
 
-@behave.given('{entries:d} entries that lose {loss:g} of their messages')
+@behave.given(
+    '{entries:d} entries that lose {loss:g} of their news of crashes'
+)
 def make_entries(context, entries, loss):
     context.model = _Model(entries, loss)
 
--- a/packages/trials/src/dunlintide_trials/edge/scene.py
+++ b/packages/trials/src/dunlintide_trials/edge/scene.py
@@ -25,6 +25,16 @@
 WAIT_SECONDS = 10
 
 
+def _describe_wait(work):
+    """Describe where a coroutine waits, from the outermost call inwards."""
+    places = []
+    while work is not None and hasattr(work, 'cr_await'):
+        line = work.cr_frame.f_lineno if work.cr_frame else None
+        places.append(f'{work.__qualname__} in line {line}')
+        work = work.cr_await
+    return ', '.join(places)
+
+
 class Loop:
     """An event loop that runs in a background thread."""
 
@@ -36,7 +46,14 @@
     def run(self, work):
         """Run a coroutine on the loop and return its result."""
         future = asyncio.run_coroutine_threadsafe(work, self.loop)
-        return future.result(WAIT_SECONDS)
+        try:
+            return future.result(WAIT_SECONDS)
+        except TimeoutError as error:
+            if future.done():
+                raise
+            raise TimeoutError(
+                f'not done within {WAIT_SECONDS} s: {_describe_wait(work)}'
+            ) from error
 
     def close(self):
         """Cancel all tasks and stop the loop."""
