Find companions only for the parts that are about to be refused

Each evaluation of crashes computed for every part which others were never apart from it, though only the leaders need that, and each broken run evaluates. Now the leaders alone have them; what is refused stays the same.

--- a/packages/core/src/dunlintide_core/pipeline/partevaluation.py
+++ b/packages/core/src/dunlintide_core/pipeline/partevaluation.py
@@ -78,7 +78,7 @@
     :ivar share: their share of all crashes since the first of them
     :ivar first: time of the first of them
     :ivar is_known: whether a run wrote on it before
-    :ivar companions: parts that were with it in each of them, itself included
+    :ivar crashes: these crashes
     """
 
     part: str
@@ -87,7 +87,7 @@
     share: float
     first: float
     is_known: bool
-    companions: Parts
+    crashes: Sequence[Crash]
 
 
 def _count_moments(times: Iterable[float]) -> int:
@@ -100,19 +100,19 @@
 
 
 def _find_companions(
-    part: str, crashes: Sequence[Crash], written: writtenparts.WrittenParts
+    suspicion: _Suspicion, written: writtenparts.WrittenParts
 ) -> Parts:
     """Find the parts that were never apart from a part, itself included."""
+    part = suspicion.part
     beside = [
         frozenset().union(*(run for run in crash.runs if part in run))
-        for crash in crashes
+        for crash in suspicion.crashes
     ]
-    first = min(crash.at for crash in crashes)
     return frozenset(
         each
         for each in frozenset.intersection(*beside)
-        if written.is_known(each) == written.is_known(part)
-        and written.get_time(each) < first
+        if written.is_known(each) == suspicion.is_known
+        and written.get_time(each) < suspicion.first
     )
 
 
@@ -135,7 +135,7 @@
             share=len(found) / every,
             first=first,
             is_known=written.is_known(part),
-            companions=_find_companions(part, found, written),
+            crashes=found,
         )
 
 
@@ -171,11 +171,13 @@
     )
 
 
-def _choose_leaders(suspicions: Sequence[_Suspicion]) -> dict[Parts, int]:
+def _choose_leaders(
+    suspicions: Sequence[_Suspicion], written: writtenparts.WrittenParts
+) -> dict[Parts, int]:
     """Choose the most suspected parts, none while several are equal."""
     most = max((each.count for each in suspicions), default=0)
     found = {
-        each.companions: each.count
+        _find_companions(each, written): each.count
         for each in suspicions
         if each.count == most
     }
@@ -200,7 +202,7 @@
         if not each.is_known
     ]
     found = _choose_leaders(
-        [each for each in unknown if _is_conclusive(each, written)]
+        [each for each in unknown if _is_conclusive(each, written)], written
     )
     if found:
         return found
@@ -215,5 +217,6 @@
             each
             for each in _list_suspicions(others, written)
             if each.is_known and _is_conclusive_for_known(each, written)
-        ]
+        ],
+        written,
     )
