--- a/features/steps/largeconfigurations.py
+++ b/features/steps/largeconfigurations.py
@@ -55,16 +55,7 @@
             f'127.0.0.1:{relay.port}',
             drain=DRAIN_SECONDS,
         )
-    names = sorted(entry.name for entry in scene.entries)
-    for entry in scene.entries:
-        scene.wait_for_ready(entry)
-    scene.wait_for_layers()
-    for entry in scene.entries:
-        scene.wait_for_listing(entry)
-        scene.wait_until(
-            lambda entry=entry: entry.read_state()['entries'] == names,
-            'the entries know each other',
-        )
+    scene.wait_for_entries()
 
 
 @behave.when('{count:d} versions with {routes:d} routes come 0.3 s apart')
--- a/features/steps/partcrashes.py
+++ b/features/steps/partcrashes.py
@@ -66,16 +66,7 @@
     scene.add_runners(DOMAINS)
     for number in range(count):
         scene.add_entry(f'e{number}', DOMAINS[number % len(DOMAINS)])
-    names = sorted(entry.name for entry in scene.entries)
-    for entry in scene.entries:
-        scene.wait_for_ready(entry)
-    scene.wait_for_layers()
-    for entry in scene.entries:
-        scene.wait_for_listing(entry)
-        scene.wait_until(
-            lambda entry=entry: entry.read_state()['entries'] == names,
-            'the entries know each other',
-        )
+    scene.wait_for_entries()
 
 
 @behave.given('engines crash {point} under streams with {parts}')
--- a/packages/trials/src/dunlintide_trials/edge/partcrashes.py
+++ b/packages/trials/src/dunlintide_trials/edge/partcrashes.py
@@ -136,6 +136,14 @@
     return sent
 
 
+def _list_crash_times(fleet: runners.Fleet) -> dict[str, list[float]]:
+    """List the times of crashes in order, by the part that caused them."""
+    times: dict[str, list[float]] = {}
+    for crash in fleet.part_crashes:
+        times.setdefault(crash.part, []).append(crash.at)
+    return times
+
+
 def list_late_sends(
     fleet: runners.Fleet,
     find_entry: Callable[[str], str],
@@ -147,8 +155,7 @@
     :returns: ids of the requests by crashing part
     """
     late: dict[str, list[str]] = {}
-    for part in {crash.part for crash in fleet.part_crashes}:
-        crashes = [each.at for each in fleet.part_crashes if each.part == part]
+    for part, crashes in _list_crash_times(fleet).items():
         if len(crashes) < BOUND_CRASHES:
             continue
         bound = crashes[BOUND_CRASHES - 1] + STABLE_SECONDS
@@ -170,11 +177,10 @@
 
     :returns: monotonic time in seconds, infinite without a crash
     """
-    settled = []
-    for part in {crash.part for crash in fleet.part_crashes}:
-        crashes = [each.at for each in fleet.part_crashes if each.part == part]
-        last = crashes[:BOUND_CRASHES][-1]
-        settled.append(last + 2 * STABLE_SECONDS)
+    settled = [
+        crashes[:BOUND_CRASHES][-1] + 2 * STABLE_SECONDS
+        for crashes in _list_crash_times(fleet).values()
+    ]
     return max(settled, default=float('inf'))
 
 
--- a/packages/trials/src/dunlintide_trials/edge/scene.py
+++ b/packages/trials/src/dunlintide_trials/edge/scene.py
@@ -242,6 +242,19 @@
 
         self.wait_until(check, 'the entry knows all layers')
 
+    def wait_for_entries(self):
+        """Wait until all entries are ready and know engines and each other."""
+        names = sorted(entry.name for entry in self.entries)
+        for entry in self.entries:
+            self.wait_for_ready(entry)
+        self.wait_for_layers()
+        for entry in self.entries:
+            self.wait_for_listing(entry)
+            self.wait_until(
+                lambda entry=entry: entry.read_state()['entries'] == names,
+                'the entries know each other',
+            )
+
     def close(self):
         for entry in self.entries:
             entry.stop()
