Choose ports of entries below those of outgoing connections

An outgoing connection can take a port between its choice and the start of its process. The error now tells the entry's exit code and log.

--- a/review/common/reviewscene.py
+++ b/review/common/reviewscene.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -30,6 +31,7 @@
 HOST = '127.0.0.1'
 WAIT_SECONDS = 15.0
 HEARTBEAT_SECONDS = 1.2
+PORTS = (12000, 32000)
 
 # Bounds of the site file huber-claims.
 BOUNDS = {
@@ -51,12 +53,19 @@
 
 
 def pick_ports(count):
-    """Return free ports, all different."""
+    """Return free ports, all different.
+
+    They are below those that the system gives to outgoing connections, which
+    could take a port between its choice and the start of its process.
+    """
     with contextlib.ExitStack() as stack:
         ports = []
-        for _ in range(count):
+        while len(ports) < count:
             each = stack.enter_context(socket.socket())
-            each.bind((HOST, 0))
+            try:
+                each.bind((HOST, random.randrange(*PORTS)))
+            except OSError:
+                continue
             ports.append(each.getsockname()[1])
         return ports
 
@@ -214,7 +223,13 @@
 
     def wait_for_ready(self):
         for entry in self.entries:
-            self.wait_until(entry.is_ready, f'{entry.name} is ready')
+            try:
+                self.wait_until(entry.is_ready, f'{entry.name} is ready')
+            except RuntimeError as error:
+                raise RuntimeError(
+                    f'{error}; exit code {entry.process.poll()}, its log:'
+                    f' {entry.log.read_text()[-400:]}'
+                ) from error
 
     def close(self):
         for entry in self.entries:
