--- a/review/common/reviewscene.py
+++ b/review/common/reviewscene.py
@@ -32,6 +32,7 @@
 WAIT_SECONDS = 15.0
 HEARTBEAT_SECONDS = 1.2
 PORTS = (12000, 32000)
+PORT_TAKEN = 'address already in use'
 
 # Bounds of the site file huber-claims.
 BOUNDS = {
@@ -102,13 +103,19 @@
     """A process of the deploy file's role."""
 
     def __init__(self, scene, name, zone):
-        front, ready, control, *free = pick_ports(5)
         self.scene = scene
         self.name = name
         self.zone = zone
+        self.path = scene.folder / f'{name}.settings'
+        self.log = scene.folder / f'{name}.log'
+        self.process = None
+        self.choose_ports()
+
+    def choose_ports(self):
+        front, ready, control, *free = pick_ports(5)
         self.fields = {
-            'node_name': name,
-            'zone': zone,
+            'node_name': self.name,
+            'zone': self.zone,
             'ip': HOST,
             'port_range': free,
             'listen': {
@@ -116,15 +123,12 @@
                 'ready': f'{HOST}:{ready}',
                 'control': f'{HOST}:{control}',
             },
-            'platform': {'address': scene.store_address},
+            'platform': {'address': self.scene.store_address},
             'bounds': dict(BOUNDS),
         }
         self.front = self.fields['listen']['front']
         self.ready = self.fields['listen']['ready']
         self.control = self.fields['listen']['control']
-        self.path = scene.folder / f'{name}.settings'
-        self.log = scene.folder / f'{name}.log'
-        self.process = None
 
     def write_settings(self):
         template = (ROOT / self.scene.role['template']).read_text()
@@ -222,14 +226,22 @@
         raise RuntimeError(f'not within {seconds} s: {text}')
 
     def wait_for_ready(self):
+        """Wait for all entries; one whose port was taken gets others."""
         for entry in self.entries:
-            try:
-                self.wait_until(entry.is_ready, f'{entry.name} is ready')
-            except RuntimeError as error:
-                raise RuntimeError(
-                    f'{error}; exit code {entry.process.poll()}, its log:'
-                    f' {entry.log.read_text()[-400:]}'
-                ) from error
+            end = time.monotonic() + WAIT_SECONDS
+            while not entry.is_ready():
+                text = entry.log.read_text()
+                if time.monotonic() > end:
+                    raise RuntimeError(
+                        f'{entry.name} is not ready; exit code'
+                        f' {entry.process.poll()}, its log: {text[-400:]}'
+                    )
+                if entry.process.poll() is not None and PORT_TAKEN in text:
+                    self.record.write(f'{entry.name}: a port was taken')
+                    entry.log.write_text('')
+                    entry.choose_ports()
+                    entry.start()
+                time.sleep(0.02)
 
     def close(self):
         for entry in self.entries:
