Log the requests that are cut off as an entry ends

Cause: the connections that an entry aborts at its end left no line. So a loss by the entry's end could not be told from one by the endpoint.

--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -130,6 +130,7 @@
         self._placer = placer_module.Placer(self._state, self._leadership)
         self._pace_prober = paceprober_module.PaceProber(self._state)
         handler = requesthandler_module.RequestHandler(self._state)
+        self._open_requests = handler.open_requests
         admin = admin_module.Admin(self._state)
         bounds = _make_bounds(deployments.CallerLimits())
         self._callers = callerhttp.CallerServer(
@@ -330,7 +331,12 @@
         state = self._state
         state.stopping = True
         began = state.stopping_since = state.now
-        state.log.write_always('stopping', busy=self._callers.count_busy())
+        state.log.write_always(
+            'stopping',
+            busy=self._callers.count_busy(),
+            grace=state.settings.grace,
+            others=len(state.listed_entries),
+        )
         last = began + shutdown.compute_remaining(state.settings.grace, 0.0)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(KEEP_ALIVE_SECONDS):
@@ -340,6 +346,7 @@
         self._callers.stop_keepalive()
         while state.now < last and self._callers.connections:
             await asyncio.sleep(FLUSH_INTERVAL_SECONDS)
+        self._open_requests.log_cut()
         state.log.write_always(
             'stopped',
             cut=self._callers.count_busy(),
--- a/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
@@ -18,6 +18,7 @@
 from dunlintide_daemon.gateway import calls
 from dunlintide_daemon.gateway import chainfinder
 from dunlintide_daemon.gateway import exchange as exchange_module
+from dunlintide_daemon.gateway import openrequests
 from dunlintide_daemon.gateway import reservations
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_daemon.gateway import streams
@@ -47,9 +48,13 @@
 
 
 class RequestHandler:
-    """Answers the requests of callers."""
+    """Answers the requests of callers.
+
+    :ivar open_requests: requests that are not answered yet
+    """
 
     def __init__(self, state: state_module.State) -> None:
+        self.open_requests = openrequests.OpenRequests(state)
         self._state = state
         self._streams = streams.StreamServer(state)
         self._calls = calls.CallServer(state)
@@ -68,7 +73,8 @@
         reservations.record_arrival(self._state, exchange)
         outcome = Outcome.GONE
         try:
-            outcome = await self._serve(exchange)
+            with self.open_requests.track(exchange):
+                outcome = await self._serve(exchange)
         except asyncio.CancelledError:
             if not reply.is_disconnected:
                 raise
