Refuse calls that a stopping entry could not answer in time

Cause: an entry accepted calls until 1.5 s before the end of its grace period, whatever they take, and aborted what was open 0.35 s before it. So each call that arrived late in that time and needs more than 1.15 s was cut off. The fixed time also refused short calls that could have been served: with a grace period of 3 s, all from 1.5 s on.

Change: a call is accepted while the entry stops if its deadline comes before the time at which open requests are ended, or if its expected duration and 0.2 s fit in the time until then; else it is refused at once. Expected is 1.5 times the longest of the recent calls of its rule at this entry, timeouts included, and while fewer than 4 are known twice the target latency at least. Both ways of deciding are plain functions (core/pipeline/shutdown, calldurations). `accepted while stopping` and `request denied` tell the inputs.

Why this works: a deadline bounds a call for certain; the estimate covers calls whose limit is far above what they take, so that these are still served.

Ruled out: a longer fixed time, which loses the same calls at a longer work and refuses more of the short ones; refusing all from SIGTERM on, as the balancer goes on using a stopping entry for 2 s, and longer where most of a failure domain stops.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -72,3 +72,20 @@
       | tokens | status | seconds | runs |
       | 4000   | 503    | 0.3     | 0    |
       | 40     | 200    | 2.0     | 1    |
+
+  Scenario: A call is accepted just if it ends before the process does
+    Guards against calls that are cut off, or refused though they could be
+    answered, for any grace period, deadline and duration.
+    Then any call that takes no longer than the recent ones is answered in time
+    And any call is accepted whose deadline comes before the end
+
+  Scenario Outline: What is known of a rule's calls decides, then its target
+    Given <count> calls of a rule that took 2 s each
+    Then a call of that rule with a target of <target> s is expected to take <seconds> s
+
+    Examples: The longest one counts 1.5 times, the target twice
+      | count | target | seconds |
+      | 0     | 0.4    | 0.8     |
+      | 3     | 0.4    | 3.0     |
+      | 3     | 4.0    | 8.0     |
+      | 4     | 4.0    | 3.0     |
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -6,20 +6,25 @@
 
 import attrs
 import behave
+from dunlintide_core.pipeline import calldurations
 from dunlintide_core.pipeline import callerrequests
 from dunlintide_core.pipeline import durations
 from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import profiles
 from dunlintide_core.pipeline import settings
-from dunlintide_daemon.gateway import requesthandler
+from dunlintide_core.pipeline import shutdown
 from dunlintide_daemon.gateway import runs as runs_module
+from dunlintide_daemon.gateway import shutdowns
 from dunlintide_standins.fleet import callers
 import edge_settings
+import hypothesis
+from hypothesis import strategies
 import stoppedentries
 
 SERVICE = 'llm'
 STRIDE = 4
 NOW = 1000.0
+DEADLINE_SECONDS = 20.0
 
 
 @behave.given(
@@ -32,7 +37,7 @@
         grace=grace,
         demand=settings.Demand(stop_by_length=True),
     )
-    state.stopping, state.stopping_since = True, NOW - elapsed
+    state.shutdown = shutdown.Shutdown.from_grace(NOW - elapsed, grace)
     state.listed_entries.update(f'e{number}' for number in range(others))
     context.state = state
     _set_usual_answer(context, 0)
@@ -87,9 +92,10 @@
         caller_request=request,
         service=SERVICE,
         terms=types.SimpleNamespace(stream=True),
+        deadline=NOW + DEADLINE_SECONDS,
     )
-    handler = requesthandler.RequestHandler(context.state)
-    context.is_refused = handler._is_too_late(exchange, NOW)
+    verdict = shutdowns.judge(context.state, exchange, NOW)
+    context.is_refused = not verdict.is_in_time
 
 
 @behave.when('a caller asks for a stream with at most {answer:d} tokens')
@@ -175,3 +181,60 @@
     assert context.took <= seconds, context.took
     runs = context.scene.fleet.list_runs(name)
     assert len(runs) == count, len(runs)
+
+
+SECONDS = strategies.floats(0.01, 60.0)
+
+
+@behave.then(
+    'any call that takes no longer than the recent ones is answered in time'
+)
+def check_accepted(context):
+    @hypothesis.settings(max_examples=300, deadline=None)
+    @hypothesis.given(
+        SECONDS,
+        SECONDS,
+        SECONDS,
+        strategies.lists(SECONDS, min_size=1, max_size=9),
+        strategies.floats(0.0, 1.0),
+    )
+    def check(grace, elapsed, left, durations, part):
+        plan = shutdown.Shutdown.from_grace(NOW, grace)
+        known = calldurations.CallDurations()
+        for seconds in durations:
+            known.record('r', seconds)
+        now = NOW + elapsed
+        expected = known.estimate('r', 0.5)
+        if shutdown.is_answered(plan, now, left, expected):
+            work = part * max(durations)
+            assert now + min(work, left) <= plan.ends <= plan.killed
+
+    check()
+
+
+@behave.then('any call is accepted whose deadline comes before the end')
+def check_bounded(context):
+    @hypothesis.settings(max_examples=300, deadline=None)
+    @hypothesis.given(SECONDS, SECONDS, SECONDS, SECONDS)
+    def check(grace, elapsed, left, expected):
+        plan = shutdown.Shutdown.from_grace(NOW, grace)
+        now = NOW + elapsed
+        if now + left < plan.ends:
+            assert shutdown.is_answered(plan, now, left, expected)
+
+    check()
+
+
+@behave.given('{count:d} calls of a rule that took {seconds:g} s each')
+def record_calls(context, count, seconds):
+    context.durations = calldurations.CallDurations()
+    for _ in range(count):
+        context.durations.record('r', seconds)
+
+
+@behave.then(
+    'a call of that rule with a target of {target:g} s is expected to take'
+    ' {seconds:g} s'
+)
+def check_expected(context, target, seconds):
+    assert context.durations.estimate('r', target) == seconds
--- /dev/null
+++ b/features/steps/stops.py
@@ -0,0 +1,200 @@
+"""Steps for calls that arrive while an entry shuts down."""
+
+import dataclasses
+import itertools
+import signal
+import threading
+import time
+
+import behave
+from dunlintide_standins.fleet import callers
+import edge
+
+# Seconds between two calls on new connections.
+PAUSE_SECONDS = 0.1
+# Callers that use one connection for all of their calls.
+KEPT_CALLERS = 4
+WARM_UP_CALLS = 6
+JOIN_SECONDS = 20.0
+# Time within which a call is refused, and a served one may arrive later than
+# named: the machine may be busy.
+SLACK_SECONDS = 0.5
+# Retry-After has two digits.
+ROUNDING_SECONDS = 0.005
+
+_numbers = itertools.count(1)
+
+
+@dataclasses.dataclass
+class Call:
+    """A call and its end, by monotonic times in seconds."""
+
+    name: str
+    sent: float
+    status: int = 0
+    ended: float = 0.0
+    retry_after: float = 0.0
+
+
+class Traffic:
+    """Calls to one entry until its process is gone."""
+
+    def __init__(self, entry, path, work, deadline):
+        self.entry = entry
+        self.path = path
+        self.headers = {
+            'Work_Ms': str(int(work * 1000)),
+            'Deadline_Ms': str(int(deadline * 1000)),
+        }
+        self.calls = []
+        self.stopped = threading.Event()
+        self.threads = []
+
+    def start(self):
+        self._start_thread(self._send_on_new)
+        for _ in range(KEPT_CALLERS):
+            self._start_thread(self._send_on_kept)
+
+    def _start_thread(self, work, *arguments):
+        thread = threading.Thread(target=work, args=arguments, daemon=True)
+        self.threads.append(thread)
+        thread.start()
+
+    def _send_on_new(self):
+        while not self.stopped.wait(PAUSE_SECONDS):
+            self._start_thread(self._send_once)
+
+    def _send_once(self):
+        try:
+            caller = callers.Caller(self.entry.listen)
+        except OSError:
+            return
+        self.send(caller)
+        caller.close()
+
+    def _send_on_kept(self):
+        while not self.stopped.wait(PAUSE_SECONDS):
+            try:
+                caller = callers.Caller(self.entry.listen)
+            except OSError:
+                continue
+            while not self.stopped.is_set() and self.send(caller):
+                pass
+            caller.close()
+
+    def send(self, caller):
+        """Send a call; return whether the connection may be kept."""
+        call = Call(f'c-{next(_numbers)}', time.monotonic())
+        data = callers.build_request(call.name, self.path, **self.headers)
+        closes = True
+        try:
+            caller.send(data)
+            self.calls.append(call)
+            answer = caller.read_answer()
+            if answer.is_complete:
+                call.status = answer.status
+                call.retry_after = float(answer.headers.get('retry-after', 0))
+                closes = answer.headers.get('connection') == 'close'
+        except OSError:
+            pass
+        call.ended = time.monotonic()
+        return not closes
+
+    def stop(self):
+        self.stopped.set()
+        for thread in list(self.threads):
+            thread.join(JOIN_SECONDS)
+
+
+def stop_entry(entry, grace):
+    """Stop an entry as the platform does; return the time of SIGTERM."""
+    entry.process.send_signal(signal.SIGTERM)
+    began = time.monotonic()
+    while entry.process.poll() is None:
+        if time.monotonic() - began > grace:
+            entry.process.kill()
+        time.sleep(0.01)
+    return began
+
+
+@behave.given(
+    'a ready entry "{name}" in "{domain}" with a grace of {grace:g} s'
+)
+def add_entry(context, name, domain, grace):
+    edge.add_ready_entry(context, name, domain, grace=grace)
+    context.grace = grace
+
+
+@behave.given('it has served calls that take {work:g} s')
+def warm_up(context, work):
+    traffic = Traffic(context.entry, '/orders/x', work, 8.0)
+    for _ in range(WARM_UP_CALLS):
+        traffic._start_thread(traffic._send_once)
+    traffic.stop()
+    assert all(call.status == 200 for call in traffic.calls), traffic.calls
+
+
+@behave.when(
+    'it is stopped while calls that take {work:g} s and may take'
+    ' {deadline:g} s arrive'
+)
+def stop_under_calls(context, work, deadline):
+    traffic = Traffic(context.entry, '/orders/x', work, deadline)
+    context.traffic, context.deadline = traffic, deadline
+    traffic.start()
+    time.sleep(1.0)
+    context.stopped_at = stop_entry(context.entry, context.grace)
+    traffic.stop()
+
+
+def _describe(context, call):
+    runs = context.scene.fleet.list_runs(call.name)
+    return (
+        f'{call.name}: sent {call.sent - context.stopped_at:.3f} s after'
+        f' SIGTERM, status {call.status} after {call.ended - call.sent:.3f} s,'
+        f' runs {[run.began - context.stopped_at for run in runs]}'
+    )
+
+
+def _has_run(context, call):
+    return bool(context.scene.fleet.list_runs(call.name))
+
+
+@behave.then('each call was answered or refused before the entry ended')
+def check_answered(context):
+    lost = [
+        _describe(context, call)
+        for call in context.traffic.calls
+        if not call.status and _has_run(context, call)
+    ]
+    assert not lost, lost
+
+
+@behave.then('no call that ran was refused, and none ran later')
+def check_refused(context):
+    refused = [call for call in context.traffic.calls if call.status == 503]
+    untrue = [
+        _describe(context, call) for call in refused if _has_run(context, call)
+    ]
+    assert not untrue, untrue
+    slow = [
+        _describe(context, call)
+        for call in refused
+        if call.ended - call.sent > SLACK_SECONDS
+    ]
+    assert not slow, slow
+    assert all(
+        0 < call.retry_after <= context.deadline / 3 + ROUNDING_SECONDS
+        for call in refused
+    ), refused
+
+
+@behave.then('calls were served that arrived {seconds:g} s after SIGTERM')
+def check_served(context, seconds):
+    late = context.stopped_at + seconds
+    served = [
+        call
+        for call in context.traffic.calls
+        if call.status == 200 and call.sent >= late
+    ]
+    assert served, [_describe(context, call) for call in context.traffic.calls]
--- /dev/null
+++ b/features/stops.feature
@@ -0,0 +1,22 @@
+Feature: What an entry reads while it shuts down ends before the process does
+  Real entries get SIGTERM, and SIGKILL at the end of their grace period, while
+  callers go on sending, on new connections and on kept ones.
+
+  Background:
+    Given a platform with engines and services in failure domains "a" and "b"
+
+  Scenario Outline: A call that is accepted while the entry stops is not cut off
+    Guards against calls that were accepted until 1.5 s before the kill, however
+    long they take, and against refusals of all that come after SIGTERM.
+    Given a ready entry "one" in "a" with a grace of <grace> s
+    And it has served calls that take <work> s
+    When it is stopped while calls that take <work> s and may take <deadline> s arrive
+    Then each call was answered or refused before the entry ended
+    And no call that ran was refused, and none ran later
+    And calls were served that arrived <served> s after SIGTERM
+
+    Examples:
+      | grace | work | deadline | served |
+      | 5     | 1.5  | 3.0      | 1.3    |
+      | 5     | 2.0  | 8.0      | 1.0    |
+      | 3     | 0.05 | 8.0      | 1.8    |
--- a/packages/core/src/dunlintide_core/pipeline/shutdown.py
+++ b/packages/core/src/dunlintide_core/pipeline/shutdown.py
@@ -1,34 +1,57 @@
-"""Whether a stream can end before the process of its entry is killed.
+"""Which requests an entry still accepts while it shuts down.
 
-A stream that is cut off costs its caller a retry, as a refusal does, and also
-wastes the capacity that it used.
+The process is killed at the end of its grace period. A request that is not
+answered by then is lost to its caller, who can't tell whether it has run; one
+that is refused at once is served by another entry. So a request is accepted
+only if it ends in time: at its deadline, or by what is known of the duration
+of its kind.
 """
 
+import attrs
+
 __all__ = [
-    'KILL_MARGIN_SECONDS',
-    'MARGIN_SECONDS',
-    'can_finish',
-    'compute_remaining',
-    'estimate_duration',
+    'Shutdown',
+    'estimate_stream',
+    'is_answered',
+    'is_stream_finished',
 ]
 
-# Time before SIGKILL at which requests under way are cut off, in seconds.
+# Time before SIGKILL at which open requests are ended, in seconds.
 KILL_MARGIN_SECONDS = 0.35
-# Time by which a stream is to end before it would be cut off, in seconds: it
-# may wait in the queue, and its last event has to reach the caller.
+# Time by which a request is to end before it would be ended, in seconds: it
+# may wait in the queue, and its answer has to reach the caller.
 MARGIN_SECONDS = 0.2
+# Time after SIGTERM from which all streams are refused, in seconds. Later ones
+# could not end before the process must, and by then the load balancer has
+# twice seen that the entry is not ready.
+STREAM_CUTOFF_SECONDS = 2.8
 
 
-def compute_remaining(grace: float, elapsed: float) -> float:
-    """Return the time until requests under way are cut off, in seconds.
+@attrs.frozen
+class Shutdown:
+    """Times of a shutdown, monotonic, in seconds.
 
-    :param grace: time from SIGTERM to SIGKILL, in seconds
-    :param elapsed: time since SIGTERM, in seconds
+    :ivar began: time of SIGTERM
+    :ivar ends: time at which open requests are ended
+    :ivar killed: time of SIGKILL
     """
-    return grace - KILL_MARGIN_SECONDS - elapsed
 
+    began: float
+    ends: float
+    killed: float
+
+    @classmethod
+    def from_grace(cls, began: float, grace: float) -> 'Shutdown':
+        """Plan a shutdown.
+
+        :param began: monotonic time of SIGTERM, in seconds
+        :param grace: time from SIGTERM to SIGKILL, in seconds
+        """
+        killed = began + grace
+        return cls(began, killed - KILL_MARGIN_SECONDS, killed)
 
-def estimate_duration(
+
+def estimate_stream(
     first: float | None, count: int, interval: float | None
 ) -> float | None:
     """Return how long a stream is expected to take, in seconds.
@@ -44,11 +67,31 @@
     return first + count * interval
 
 
-def can_finish(remaining: float, expected: float, margin: float) -> bool:
-    """Return whether a stream ends before it would be cut off.
+def is_answered(
+    shutdown: Shutdown, now: float, left: float, expected: float
+) -> bool:
+    """Return whether a call is answered before it would be ended.
 
-    :param remaining: time until it would be, in seconds
+    :param now: monotonic time in seconds
+    :param left: time until its deadline, at which it is answered too
     :param expected: time that it is expected to take, in seconds
-    :param margin: time by which it is to end before that, in seconds
     """
-    return expected + margin <= remaining
+    return min(left, expected + MARGIN_SECONDS) <= shutdown.ends - now
+
+
+def is_stream_finished(
+    shutdown: Shutdown, now: float, expected: float | None
+) -> bool:
+    """Return whether a stream ends before it would be cut off.
+
+    One of unknown length counts as such if it begins early enough.
+
+    :param now: monotonic time in seconds
+    :param expected: time that it is expected to take in seconds, None if
+        unknown
+    """
+    if now - shutdown.began > STREAM_CUTOFF_SECONDS:
+        return False
+    if expected is None:
+        return True
+    return expected + MARGIN_SECONDS <= shutdown.ends - now
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -15,6 +15,7 @@
 from dunlintide_daemon.gateway import endpointgate
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import reservations
+from dunlintide_daemon.gateway import shutdowns
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_daemon.gateway import suspicions
 from dunlintide_platform import requests
@@ -374,9 +375,14 @@
             version=exchange.version,
             listing_age=state.listing_age,
         )
-        head = await connection.read_head(exchange.deadline)
-        verdict = requests.read_answer_headers(head)
-        body = await connection.read_all(exchange.deadline)
+        try:
+            head = await connection.read_head(exchange.deadline)
+            verdict = requests.read_answer_headers(head)
+            body = await connection.read_all(exchange.deadline)
+        except endpointhttp.CallError as broken:
+            if broken.kind is endpointhttp.FailureKind.TIMEOUT:
+                shutdowns.record_duration(state, exchange, state.now - sent_at)
+            raise
         if verdict.name not in (None, exchange.caller_request.name):
             return _SendResult(endpoint, True, 'answer to another request')
         if verdict.not_run:
@@ -395,6 +401,7 @@
             return _SendResult(endpoint, True, 'answer without a signature')
         state.health.report_progress((endpoint.name,), state.now)
         self._clear_crashes(exchange, endpoint, sent_at)
+        shutdowns.record_duration(state, exchange, state.now - sent_at)
         return _SendResult(endpoint, True, '', head, body)
 
     def _clear_crashes(
--- a/packages/daemon/src/dunlintide_daemon/gateway/openrequests.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/openrequests.py
@@ -42,7 +42,7 @@
                 events=exchange.events,
                 seconds=round(state.now - exchange.request.received_at, 3),
                 received_after=round(
-                    exchange.request.received_at - state.stopping_since, 3
+                    exchange.request.received_at - state.shutdown.began, 3
                 ),
                 deadline_in=round(exchange.deadline - state.now, 3),
             )
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -329,28 +329,30 @@
     async def _shut_down(self) -> None:
         """Finish requests under way, as long as the grace period allows."""
         state = self._state
-        state.stopping = True
-        began = state.stopping_since = state.now
+        plan = state.shutdown = shutdown.Shutdown.from_grace(
+            state.now, state.settings.grace
+        )
         state.log.write_always(
             'stopping',
             busy=self._callers.count_busy(),
             grace=state.settings.grace,
             others=len(state.listed_entries),
         )
-        last = began + shutdown.compute_remaining(state.settings.grace, 0.0)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(KEEP_ALIVE_SECONDS):
                 await self._leadership.resign()
                 await self._registrar.unregister()
-        await asyncio.sleep(max(0.0, began + KEEP_ALIVE_SECONDS - state.now))
+        await asyncio.sleep(
+            max(0.0, plan.began + KEEP_ALIVE_SECONDS - state.now)
+        )
         self._callers.stop_keepalive()
-        while state.now < last and self._callers.connections:
+        while state.now < plan.ends and self._callers.connections:
             await asyncio.sleep(FLUSH_INTERVAL_SECONDS)
         self._open_requests.log_cut()
         state.log.write_always(
             'stopped',
             cut=self._callers.count_busy(),
-            seconds=round(state.now - began, 3),
+            seconds=round(state.now - plan.began, 3),
         )
 
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import hashlib
-import math
 import zlib
 
 from dunlintide_adapters import callermessages
@@ -12,14 +11,12 @@
 from dunlintide_core.pipeline import callerrequests
 from dunlintide_core.pipeline import deployments
 from dunlintide_core.pipeline import mechanisms
-from dunlintide_core.pipeline import refusalhistory
-from dunlintide_core.pipeline import shutdown
 from dunlintide_daemon.gateway import admission
 from dunlintide_daemon.gateway import calls
-from dunlintide_daemon.gateway import chainfinder
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import openrequests
 from dunlintide_daemon.gateway import reservations
+from dunlintide_daemon.gateway import shutdowns
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_daemon.gateway import streams
 from dunlintide_daemon.gateway import suspicions
@@ -35,16 +32,6 @@
 # it a request that arrives just after a restart would be refused, often at
 # its caller's last try.
 FIRST_READING_TIMEOUT_SECONDS = 0.3
-# Time after SIGTERM from which all streams are refused, in seconds. Later ones
-# could not end before the process must, and by then the load balancer has
-# twice seen that the entry is not ready.
-STREAM_CUTOFF_SECONDS = 2.8
-# Time before the process must end from which calls are refused too, in
-# seconds.
-CALL_CUTOFF_SECONDS = 1.5
-# Longest id of an event that is read as a number, in digits. Python refuses to
-# convert more than 4,300.
-MAX_EVENT_DIGITS = 18
 
 
 class RequestHandler:
@@ -158,9 +145,7 @@
             pause = suspicions.RETRY_SECONDS
             self._deny(reply, caller_request, 503, suspicion, pause)
             return None
-        if self._is_too_late(exchange, now):
-            pause = self._choose_stopping_retry_after(exchange, now)
-            self._deny(reply, caller_request, 503, 'stopping', pause)
+        if self._state.stopping and not self._accept(exchange, now):
             return None
         self._state.get_retry_budget(exchange.service).record_request(now)
         refusals = self._state.refusal_history
@@ -169,82 +154,31 @@
         refusals.record_request(now)
         return exchange
 
-    def _choose_stopping_retry_after(
-        self, exchange: exchange_module.Exchange, now: float
-    ) -> float:
+    def _accept(self, exchange: exchange_module.Exchange, now: float) -> bool:
+        """Accept a request while the entry shuts down, or refuse it."""
         state = self._state
-        pause = refusalhistory.choose_shutdown_delay(
-            len(state.listed_entries),
-            state.stopping_since + state.settings.grace - now,
-        )
-        # Callers do not honour a longer one.
-        return min(
-            pause,
-            (exchange.deadline - now) * refusalhistory.MAX_DELAY_FRACTION,
-        )
-
-    def _is_too_late(
-        self, exchange: exchange_module.Exchange, now: float
-    ) -> bool:
-        """Return whether the process ends before it could answer."""
-        state = self._state
-        if not state.stopping:
-            return False
-        if exchange.terms.stream:
-            elapsed = now - state.stopping_since
-            if elapsed > STREAM_CUTOFF_SECONDS:
-                return True
-            return not self._can_finish(exchange, elapsed)
-        last = state.settings.grace - CALL_CUTOFF_SECONDS
-        return now - state.stopping_since > last
-
-    def _can_finish(
-        self, exchange: exchange_module.Exchange, elapsed: float
-    ) -> bool:
-        """Return whether a stream is expected to end before it is cut off.
-
-        It counts as such if no other entry is listed that could take it, or
-        if its length is unknown.
-
-        :param elapsed: time since SIGTERM, in seconds
-        """
-        state = self._state
-        if not (
-            state.settings.demand.stop_by_length
-            and state.has(mechanisms.Mechanism.STOP_BY_LENGTH)
-            and state.listed_entries
-        ):
-            return True
-        expected = self._estimate_duration(exchange)
-        if expected is None:
+        verdict = shutdowns.judge(state, exchange, now)
+        known = {
+            'remaining': round(state.shutdown.ends - now, 3),
+            'deadline_in': round(exchange.deadline - now, 3),
+            'expected': verdict.expected and round(verdict.expected, 3),
+        }
+        if verdict.is_in_time:
+            state.log.write(
+                'accepted while stopping',
+                request=exchange.caller_request.name,
+                **known,
+            )
             return True
-        remaining = shutdown.compute_remaining(state.settings.grace, elapsed)
-        return shutdown.can_finish(
-            remaining, expected, shutdown.MARGIN_SECONDS
-        )
-
-    def _estimate_duration(
-        self, exchange: exchange_module.Exchange
-    ) -> float | None:
-        """Return how long a stream will take in seconds, None if unknown."""
-        state = self._state
-        service = state.deployment.services.get(exchange.service)
-        if service is None or service.engine is None:
-            return None
-        request, profile = exchange.caller_request, service.engine
-        # A caller that resumes a stream names the number of its last event.
-        after = request.after or ''
-        is_number = after.isdecimal() and len(after) <= MAX_EVENT_DIGITS
-        received = int(after) if is_number else 0
-        stride = max(1, profile.stride)
-        tokens = chainfinder.estimate_answer(
-            request, profile, received * stride
-        )
-        return shutdown.estimate_duration(
-            state.first_event_delays.typical,
-            math.ceil(tokens / stride),
-            state.get_event_seconds(exchange.service).typical,
+        self._deny(
+            exchange.reply,
+            exchange.caller_request,
+            503,
+            'stopping',
+            shutdowns.choose_retry_after(state, exchange, now),
+            **known,
         )
+        return False
 
     def _find_rule(
         self,
@@ -314,6 +248,7 @@
         status: int,
         reason: str,
         retry_after: float | None = None,
+        **inputs: object,
     ) -> None:
         deployment = self._state.deployment
         self._state.counters.requests.labels('any', Outcome.DENIED).inc()
@@ -328,6 +263,7 @@
             configuration_age=round(
                 self._state.now - self._state.configuration_at, 3
             ),
+            **inputs,
         )
         exchange_module.refuse(reply, status, retry_after)
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -12,6 +12,7 @@
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import backlog as backlog_module
 from dunlintide_core.pipeline import backoffs as backoffs_module
+from dunlintide_core.pipeline import calldurations
 from dunlintide_core.pipeline import demandtable
 from dunlintide_core.pipeline import departures as departures_module
 from dunlintide_core.pipeline import deployments
@@ -33,6 +34,7 @@
 from dunlintide_core.pipeline import servicequeue
 from dunlintide_core.pipeline import settings as settings_module
 from dunlintide_core.pipeline import sharedreading as sharedreading_module
+from dunlintide_core.pipeline import shutdown as shutdown_module
 from dunlintide_daemon.gateway import counters as counters_module
 from dunlintide_platform import storevalues
 
@@ -180,8 +182,8 @@
     :ivar reserves: need of capacity for urgent requests by service
     :ivar engine_capacities: capacity of engines by service
     :ivar waking_services: services whose queues are about to be woken
-    :ivar stopping: whether the process accepts no new connections
-    :ivar stopping_since: monotonic time of SIGTERM, in seconds
+    :ivar call_durations: how long endpoints took for recent calls
+    :ivar shutdown: times of the shutdown, None before SIGTERM
     :ivar change_listeners: called when endpoints or configuration changed
     """
 
@@ -273,8 +275,10 @@
         factory=dict
     )
     waking_services: set[str] = attrs.field(factory=set)
-    stopping: bool = False
-    stopping_since: float = 0.0
+    call_durations: calldurations.CallDurations = attrs.field(
+        factory=calldurations.CallDurations
+    )
+    shutdown: shutdown_module.Shutdown | None = None
     change_listeners: list[Callable[[], None]] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
@@ -388,6 +392,11 @@
         """Whether configuration and endpoints are known."""
         return self.deployment is not None and self.has_listing
 
+    @property
+    def stopping(self) -> bool:
+        """Whether the process got SIGTERM, so that it is not ready."""
+        return self.shutdown is not None
+
     @property
     def is_ready(self) -> bool:
         """Whether new connections are accepted."""
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -574,10 +574,15 @@
         run.ended = 'ok'
         run.finished = time.monotonic()
 
+    def _get_call_seconds(self, request: wire.Request) -> float:
+        """Return how long a call takes, which its ``Work-Ms`` may name."""
+        work = request.headers.get('work-ms')
+        return self.fleet.call_seconds if work is None else int(work) / 1000
+
     async def _call(
         self, request: wire.Request, channel: wire.Channel, run: Run
     ) -> None:
-        await asyncio.sleep(self.fleet.call_seconds)
+        await asyncio.sleep(self._get_call_seconds(request))
         await self._wait_for_hops(
             Run('', '', {}, [(self.address, 0, 0)], 0, 0.0)
         )
@@ -616,7 +621,7 @@
     :ivar slots: slots of each runner, as in its entry
     :ivar enforces_slots: whether runners refuse what exceeds their slots
     :ivar event_seconds: time between two events of a stream
-    :ivar call_seconds: duration of a plain call
+    :ivar call_seconds: duration of a plain call without ``Work-Ms``
     :ivar crashing_parts: parts of prompts that crash each engine that begins
         to write an answer on one of them
     :ivar crash_point: where such an engine crashes
