Answer what is still open when an entry has to end

Callers saw: a connection that ended without a word where their request was still open at the end of the grace period: calls that take longer than it, and requests that waited for capacity and had not run. The latter could have been sent again, had they been told.

Cause: 0.35 s before SIGKILL the entry aborted all connections. What it knew of a request, whether it may have run, was not told to the caller; that time was the same for a grace period of 1 s, of which it is a third.

Change: at that time each open request gets a complete answer: 503 with Retry-After if it has not run, 502 if it may have; only a stream that has begun is cut. The entry then has two thirds of that time to deliver the answers. The time is an eighth of a short grace period, at most 0.35 s. The line `request ended by shutdown` takes the place of `request cut off`, and the metric edge_shutdown_ends counts by outcome.

--- a/features/steps/stops.py
+++ b/features/steps/stops.py
@@ -8,6 +8,7 @@
 
 import behave
 from dunlintide_standins.fleet import callers
+from dunlintide_standins.fleet import operators
 import edge
 
 # Seconds between two calls on new connections.
@@ -16,6 +17,9 @@
 KEPT_CALLERS = 4
 WARM_UP_CALLS = 6
 JOIN_SECONDS = 20.0
+# Time within which a call that was sent has reached a service.
+ARRIVAL_SECONDS = 0.3
+WAIT_MS = 8000
 # Time within which a call is refused, and a served one may arrive later than
 # named: the machine may be busy.
 SLACK_SECONDS = 0.5
@@ -51,20 +55,20 @@
         self.threads = []
 
     def start(self):
-        self._start_thread(self._send_on_new)
+        self.start_thread(self._send_on_new)
         for _ in range(KEPT_CALLERS):
-            self._start_thread(self._send_on_kept)
+            self.start_thread(self._send_on_kept)
 
-    def _start_thread(self, work, *arguments):
+    def start_thread(self, work, *arguments):
         thread = threading.Thread(target=work, args=arguments, daemon=True)
         self.threads.append(thread)
         thread.start()
 
     def _send_on_new(self):
         while not self.stopped.wait(PAUSE_SECONDS):
-            self._start_thread(self._send_once)
+            self.start_thread(self.send_once)
 
-    def _send_once(self):
+    def send_once(self):
         try:
             caller = callers.Caller(self.entry.listen)
         except OSError:
@@ -129,7 +133,7 @@
 def warm_up(context, work):
     traffic = Traffic(context.entry, '/orders/x', work, 8.0)
     for _ in range(WARM_UP_CALLS):
-        traffic._start_thread(traffic._send_once)
+        traffic.start_thread(traffic.send_once)
     traffic.stop()
     assert all(call.status == 200 for call in traffic.calls), traffic.calls
 
@@ -198,3 +202,62 @@
         if call.status == 200 and call.sent >= late
     ]
     assert served, [_describe(context, call) for call in context.traffic.calls]
+
+
+@behave.given('services that run {slots:d} calls at a time')
+def limit_slots(context, slots):
+    scene = context.scene
+    scene.fleet.slots, scene.fleet.enforces_slots = slots, True
+    for runner in scene.list_services():
+        scene.run(runner.write_entry())
+    configuration = operators.make_configuration(8)
+    for route in configuration['route_list']:
+        # Callers wait for capacity for as long as this.
+        route['target_latency_ms'] = WAIT_MS
+    scene.configure(configuration)
+    scene.wait_until(
+        lambda: context.entry.read_state()['configuration']['revision'] == 8,
+        'the configuration is in force',
+    )
+
+
+@behave.when(
+    'it is stopped {delay:g} s after {count:d} calls of "{path}" that take'
+    ' {work:g} s arrive'
+)
+def stop_under_long_calls(context, delay, count, path, work):
+    traffic = Traffic(context.entry, path, work, 8.0)
+    context.traffic, context.deadline = traffic, 8.0
+    for _ in range(count):
+        traffic.start_thread(traffic.send_once)
+    context.scene.wait_until(
+        lambda: len(traffic.calls) == count, 'all calls are sent'
+    )
+    time.sleep(ARRIVAL_SECONDS + delay)
+    context.stopped_at = stop_entry(context.entry, context.grace)
+    traffic.stop()
+
+
+@behave.then(
+    '{ran:d} of them are told that they may have run, and the others to return'
+)
+def check_ended(context, ran):
+    told = [
+        (call.status, _has_run(context, call))
+        for call in context.traffic.calls
+    ]
+    assert told.count((502, True)) == ran, told
+    assert told.count((503, False)) == len(told) - ran, told
+
+
+@behave.then('the log tells how each of the {count:d} calls ended')
+def check_ends(context, count):
+    rows = context.entry.list_events('request ended by shutdown')
+    unknown = [row for row in rows if row['outcome'] == 'unknown']
+    assert len(unknown) == count, rows
+    ended = {
+        row['request']: row['outcome']
+        for row in context.entry.list_events('request ended')
+    }
+    names = [call.name for call in context.traffic.calls if call.status == 502]
+    assert all(ended.get(name) == 'unknown' for name in names), ended
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -20,3 +20,19 @@
       | 5     | 1.5  | 3.0      | 1.3    |
       | 5     | 2.0  | 8.0      | 1.0    |
       | 3     | 0.05 | 8.0      | 1.8    |
+
+  Scenario Outline: What is still open at the very end gets a true answer
+    Guards against connections that end without a word: callers of calls that
+    ran past the grace period, and of requests that waited for capacity.
+    Given a ready entry "one" in "a" with a grace of <grace> s
+    And services that run <slots> calls at a time
+    When it is stopped <delay> s after <calls> calls of "<path>" that take 30 s arrive
+    Then <ran> of them are told that they may have run, and the others to return
+    And each call was answered or refused before the entry ended
+    And the log tells how each of the <ran> calls ended
+
+    Examples: The operator allows each call 8 s
+      | grace | slots | delay | calls | path      | ran |
+      | 1     | 16    | 0.5   | 5     | /orders/x | 5   |
+      | 3     | 16    | 0.5   | 5     | /lists/x  | 5   |
+      | 3     | 2     | 0.0   | 7     | /orders/x | 4   |
--- a/packages/core/src/dunlintide_core/pipeline/shutdown.py
+++ b/packages/core/src/dunlintide_core/pipeline/shutdown.py
@@ -16,8 +16,12 @@
     'is_stream_finished',
 ]
 
-# Time before SIGKILL at which open requests are ended, in seconds.
+# Time before SIGKILL at which open requests are ended, in seconds, and its
+# largest fraction of the grace period.
 KILL_MARGIN_SECONDS = 0.35
+MAX_MARGIN_FRACTION = 1 / 8
+# Fraction of that time within which their answers have to leave the process.
+DELIVERY_FRACTION = 2 / 3
 # Time by which a request is to end before it would be ended, in seconds: it
 # may wait in the queue, and its answer has to reach the caller.
 MARGIN_SECONDS = 0.2
@@ -33,11 +37,13 @@
 
     :ivar began: time of SIGTERM
     :ivar ends: time at which open requests are ended
+    :ivar exits: time at which the process ends at the latest
     :ivar killed: time of SIGKILL
     """
 
     began: float
     ends: float
+    exits: float
     killed: float
 
     @classmethod
@@ -47,8 +53,10 @@
         :param began: monotonic time of SIGTERM, in seconds
         :param grace: time from SIGTERM to SIGKILL, in seconds
         """
+        margin = min(KILL_MARGIN_SECONDS, grace * MAX_MARGIN_FRACTION)
         killed = began + grace
-        return cls(began, killed - KILL_MARGIN_SECONDS, killed)
+        ends = killed - margin
+        return cls(began, ends, ends + margin * DELIVERY_FRACTION, killed)
 
 
 def estimate_stream(
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -64,7 +64,8 @@
         ``received`` or ``ignored`` (late, doubled, or of an unlisted entry)
     :ivar discarded_bytes: bytes of incomplete answers that were given up, by
         ``source``: ``store`` or ``entry``
-    :ivar shutdown_cuts: requests that were cut off as the process ended
+    :ivar shutdown_ends: requests that were still open as the process ended,
+        by ``outcome``
     :ivar version: version of the configuration in force
     :ivar newest_version: newest version that any entry has in force
     """
@@ -98,7 +99,7 @@
     discarded_bytes: prometheus_client.Counter
     refused_parts: prometheus_client.Counter
     suspicion_refusals: prometheus_client.Counter
-    shutdown_cuts: prometheus_client.Counter
+    shutdown_ends: prometheus_client.Counter
     version: prometheus_client.Gauge
     newest_version: prometheus_client.Gauge
 
@@ -263,10 +264,11 @@
                 'Sends that were refused to requests that crash endpoints',
                 ('kind',),
             ),
-            shutdown_cuts=make(
+            shutdown_ends=make(
                 counter,
-                'edge_shutdown_cuts',
-                'Requests that were cut off as the process ended',
+                'edge_shutdown_ends',
+                'Requests that were still open as the process ended',
+                ('outcome',),
             ),
             version=make(
                 gauge, 'edge_configuration_version', 'Version in force'
--- a/packages/daemon/src/dunlintide_daemon/gateway/openrequests.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/openrequests.py
@@ -1,48 +1,121 @@
-"""Requests that an entry is answering."""
+"""Requests that an entry is answering, and their end when it shuts down."""
 
-import contextlib
-from typing import Iterator
+import asyncio
+from typing import Awaitable, Callable
+
+import attrs
 
 from dunlintide_daemon.gateway import exchange as exchange_module
+from dunlintide_daemon.gateway import shutdowns
 from dunlintide_daemon.gateway import state as state_module
 
 __all__ = ['OpenRequests']
 
 Exchange = exchange_module.Exchange
+Outcome = exchange_module.Outcome
+
+
+@attrs.define(eq=False)
+class _Open:
+    """A request that is not answered yet.
+
+    :ivar task: task that answers it
+    :ivar is_ended: whether the shutdown has ended it
+    :ivar timer: its next check during a shutdown
+    """
+
+    exchange: Exchange
+    task: asyncio.Task
+    is_ended: bool = False
+    timer: asyncio.TimerHandle | None = None
 
 
 class OpenRequests:
-    """Requests that are not answered yet."""
+    """Requests that are not answered yet.
+
+    When the process is about to end, each gets an answer that tells whether it
+    may have run; without one its caller could not know.
+    """
 
     def __init__(self, state: state_module.State) -> None:
         self._state = state
-        self._open: set[Exchange] = set()
+        self._open: set[_Open] = set()
+
+    async def run(
+        self,
+        exchange: Exchange,
+        serve: Callable[[Exchange], Awaitable[Outcome]],
+    ) -> Outcome:
+        """Answer a request, or end it when the process is about to end.
 
-    @contextlib.contextmanager
-    def track(self, exchange: Exchange) -> Iterator[None]:
-        """Count a request as open within the block."""
-        self._open.add(exchange)
+        :param serve: answers it
+        """
+        opened = _Open(exchange, asyncio.current_task())
+        self._open.add(opened)
+        if self._state.stopping:
+            self._watch(opened)
         try:
-            yield
+            return await serve(exchange)
+        except asyncio.CancelledError:
+            if not opened.is_ended or exchange.reply.is_disconnected:
+                raise
+            opened.task.uncancel()
+            return self._end(exchange)
         finally:
-            self._open.discard(exchange)
+            self._open.discard(opened)
+            if opened.timer is not None:
+                opened.timer.cancel()
+
+    def begin_shutdown(self) -> None:
+        """End the open requests as the shutdown of the entry goes on."""
+        for opened in self._open:
+            self._watch(opened)
+
+    def _watch(self, opened: _Open) -> None:
+        """Check a request again when it must have ended."""
+        if opened.timer is not None:
+            opened.timer.cancel()
+        opened.timer = asyncio.get_running_loop().call_at(
+            self._state.shutdown.ends, self._check, opened
+        )
+
+    def _check(self, opened: _Open) -> None:
+        opened.is_ended = True
+        opened.task.cancel()
 
-    def log_cut(self) -> None:
-        """Log the requests whose connections are about to be aborted."""
+    def _end(self, exchange: Exchange) -> Outcome:
+        """Answer a request that has not been answered in time."""
         state = self._state
-        for exchange in self._open:
-            state.counters.shutdown_cuts.inc()
-            state.log.write(
-                'request cut off',
-                request=exchange.caller_request.name,
-                rule=exchange.rule.name,
-                service=exchange.service,
-                sends=exchange.sends,
-                may_have_run=exchange.runs > 0,
-                events=exchange.events,
-                seconds=round(state.now - exchange.request.received_at, 3),
-                received_after=round(
-                    exchange.request.received_at - state.shutdown.began, 3
-                ),
-                deadline_in=round(exchange.deadline - state.now, 3),
-            )
+        reply, now = exchange.reply, state.now
+        if reply.ended:
+            return Outcome.COMPLETE
+        ran = exchange.runs > 0
+        pause = None
+        if reply.started:
+            outcome = Outcome.CUT
+        elif ran:
+            outcome = Outcome.UNKNOWN
+        else:
+            outcome = Outcome.NOT_RUN
+            pause = shutdowns.choose_retry_after(state, exchange, now)
+        state.counters.shutdown_ends.labels(outcome).inc()
+        state.log.write(
+            'request ended by shutdown',
+            request=exchange.caller_request.name,
+            outcome=outcome,
+            sends=exchange.sends,
+            events=exchange.events,
+            received_after=round(
+                exchange.request.received_at - state.shutdown.began, 3
+            ),
+            remaining=round(state.shutdown.ends - now, 3),
+            deadline_in=round(exchange.deadline - now, 3),
+            retry_after=pause and round(pause, 3),
+        )
+        if outcome is Outcome.CUT:
+            reply.abort()
+        elif outcome is Outcome.UNKNOWN:
+            exchange_module.refuse(reply, 502)
+        else:
+            exchange_module.refuse(reply, 503, pause)
+        return outcome
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -332,6 +332,7 @@
         plan = state.shutdown = shutdown.Shutdown.from_grace(
             state.now, state.settings.grace
         )
+        self._open_requests.begin_shutdown()
         state.log.write_always(
             'stopping',
             busy=self._callers.count_busy(),
@@ -346,9 +347,10 @@
             max(0.0, plan.began + KEEP_ALIVE_SECONDS - state.now)
         )
         self._callers.stop_keepalive()
-        while state.now < plan.ends and self._callers.connections:
-            await asyncio.sleep(FLUSH_INTERVAL_SECONDS)
-        self._open_requests.log_cut()
+        while state.now < plan.exits and self._callers.connections:
+            await asyncio.sleep(
+                min(FLUSH_INTERVAL_SECONDS, plan.exits - state.now)
+            )
         state.log.write_always(
             'stopped',
             cut=self._callers.count_busy(),
--- a/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
@@ -60,8 +60,7 @@
         reservations.record_arrival(self._state, exchange)
         outcome = Outcome.GONE
         try:
-            with self.open_requests.track(exchange):
-                outcome = await self._serve(exchange)
+            outcome = await self.open_requests.run(exchange, self._serve)
         except asyncio.CancelledError:
             if not reply.is_disconnected:
                 raise
