Send nothing that a stopping entry could not see answered

Callers saw: a call that had been accepted before SIGTERM, or early after it, was sent to an endpoint, again or for the first time, so late that the process ended before its answer: its outcome was unknown though a refusal would have been true.

Cause: the time left was checked only when a request arrived. Retries after a lost answer, hedges and requests that had waited for capacity were sent at any time.

Change: until when a request may be sent is one function for its arrival, its waits, retries and hedges (core: find_latest_call_start, find_latest_stream_start; daemon: shutdowns.can_send). A request that waits is refused as soon as that time has passed, with the Retry-After of a stopping entry; one that may have run gets 502 then instead of another send. A stream of which the caller has a part goes on as long as it can.

Ruled out: bounding the waits by their expiry, since those that began before SIGTERM are not known to it; the check goes with the open requests.

--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -94,8 +94,8 @@
         terms=types.SimpleNamespace(stream=True),
         deadline=NOW + DEADLINE_SECONDS,
     )
-    verdict = shutdowns.judge(context.state, exchange, NOW)
-    context.is_refused = not verdict.is_in_time
+    found = shutdowns.assess(context.state, exchange)
+    context.is_refused = found.latest_start < NOW
 
 
 @behave.when('a caller asks for a stream with at most {answer:d} tokens')
@@ -204,10 +204,12 @@
         for seconds in durations:
             known.record('r', seconds)
         now = NOW + elapsed
-        expected = known.estimate('r', 0.5)
-        if shutdown.is_answered(plan, now, left, expected):
+        latest = shutdown.find_latest_call_start(
+            plan, now + left, known.estimate('r', 0.5)
+        )
+        if now <= latest:
             work = part * max(durations)
-            assert now + min(work, left) <= plan.ends <= plan.killed
+            assert min(now + work, now + left) <= plan.ends <= plan.killed
 
     check()
 
@@ -220,7 +222,9 @@
         plan = shutdown.Shutdown.from_grace(NOW, grace)
         now = NOW + elapsed
         if now + left < plan.ends:
-            assert shutdown.is_answered(plan, now, left, expected)
+            assert now <= shutdown.find_latest_call_start(
+                plan, now + left, expected
+            )
 
     check()
 
--- a/features/steps/stops.py
+++ b/features/steps/stops.py
@@ -19,9 +19,7 @@
 JOIN_SECONDS = 20.0
 # Time within which a call that was sent has reached a service.
 ARRIVAL_SECONDS = 0.3
-WAIT_MS = 8000
-# Time within which a call is refused, and a served one may arrive later than
-# named: the machine may be busy.
+# Time within which a call is refused; before SIGTERM it may wait for capacity.
 SLACK_SECONDS = 0.5
 # Retry-After has two digits.
 ROUNDING_SECONDS = 0.005
@@ -129,9 +127,9 @@
     context.grace = grace
 
 
-@behave.given('it has served calls that take {work:g} s')
-def warm_up(context, work):
-    traffic = Traffic(context.entry, '/orders/x', work, 8.0)
+@behave.given('it has served calls of "{path}" that take {work:g} s')
+def warm_up(context, path, work):
+    traffic = Traffic(context.entry, path, work, 8.0)
     for _ in range(WARM_UP_CALLS):
         traffic.start_thread(traffic.send_once)
     traffic.stop()
@@ -184,7 +182,7 @@
     slow = [
         _describe(context, call)
         for call in refused
-        if call.ended - call.sent > SLACK_SECONDS
+        if call.ended - max(call.sent, context.stopped_at) > SLACK_SECONDS
     ]
     assert not slow, slow
     assert all(
@@ -204,23 +202,41 @@
     assert served, [_describe(context, call) for call in context.traffic.calls]
 
 
-@behave.given('services that run {slots:d} calls at a time')
-def limit_slots(context, slots):
-    scene = context.scene
-    scene.fleet.slots, scene.fleet.enforces_slots = slots, True
-    for runner in scene.list_services():
-        scene.run(runner.write_entry())
+@behave.given('a target latency of {seconds:g} s')
+def set_target(context, seconds):
     configuration = operators.make_configuration(8)
     for route in configuration['route_list']:
         # Callers wait for capacity for as long as this.
-        route['target_latency_ms'] = WAIT_MS
-    scene.configure(configuration)
-    scene.wait_until(
+        route['target_latency_ms'] = int(seconds * 1000)
+    context.scene.configure(configuration)
+    context.scene.wait_until(
         lambda: context.entry.read_state()['configuration']['revision'] == 8,
         'the configuration is in force',
     )
 
 
+@behave.given('services that have {slots:d} slots')
+def limit_slots(context, slots):
+    scene = context.scene
+    scene.fleet.slots = slots
+    for runner in scene.list_services():
+        scene.run(runner.write_entry())
+    scene.wait_until(
+        lambda: all(
+            row['slots'] == slots
+            for row in context.entry.read_state()['endpoints']
+            if row['service'] == 'web'
+        ),
+        'the entry knows the slots',
+    )
+
+
+@behave.given('services that lose the answers of {count:d} calls')
+def lose_answers(context, count):
+    for runner in context.scene.list_services():
+        runner.faults.lose = count
+
+
 @behave.when(
     'it is stopped {delay:g} s after {count:d} calls of "{path}" that take'
     ' {work:g} s arrive'
@@ -261,3 +277,13 @@
     }
     names = [call.name for call in context.traffic.calls if call.status == 502]
     assert all(ended.get(name) == 'unknown' for name in names), ended
+
+
+@behave.then('no call was sent later than {seconds:g} s after SIGTERM')
+def check_sent(context, seconds):
+    began = [
+        run.began - context.stopped_at
+        for call in context.traffic.calls
+        for run in context.scene.fleet.list_runs(call.name)
+    ]
+    assert began and max(began) <= seconds, began
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -9,7 +9,7 @@
     Guards against calls that were accepted until 1.5 s before the kill, however
     long they take, and against refusals of all that come after SIGTERM.
     Given a ready entry "one" in "a" with a grace of <grace> s
-    And it has served calls that take <work> s
+    And it has served calls of "/orders/x" that take <work> s
     When it is stopped while calls that take <work> s and may take <deadline> s arrive
     Then each call was answered or refused before the entry ended
     And no call that ran was refused, and none ran later
@@ -25,14 +25,33 @@
     Guards against connections that end without a word: callers of calls that
     ran past the grace period, and of requests that waited for capacity.
     Given a ready entry "one" in "a" with a grace of <grace> s
-    And services that run <slots> calls at a time
+    And a target latency of 8.0 s
+    And services that have <slots> slots
     When it is stopped <delay> s after <calls> calls of "<path>" that take 30 s arrive
     Then <ran> of them are told that they may have run, and the others to return
     And each call was answered or refused before the entry ended
     And the log tells how each of the <ran> calls ended
 
-    Examples: The operator allows each call 8 s
+    Examples: The operator allows each call 8 s; a service takes one call more
       | grace | slots | delay | calls | path      | ran |
       | 1     | 16    | 0.5   | 5     | /orders/x | 5   |
       | 3     | 16    | 0.5   | 5     | /lists/x  | 5   |
-      | 3     | 2     | 0.0   | 7     | /orders/x | 4   |
+      | 3     | 1     | 0.0   | 7     | /orders/x | 4   |
+
+  Scenario Outline: Nothing is sent that would be cut off, also for a retry
+    Guards against retries, hedges and calls that have waited for capacity that
+    are sent so late that the process ends before their answer.
+    Given a ready entry "one" in "a" with a grace of 4 s
+    And a target latency of <target> s
+    And it has served calls of "<path>" that take 2 s
+    And services that <do>
+    When it is stopped 0.0 s after 6 calls of "<path>" that take 2 s arrive
+    Then no call was sent later than 0.5 s after SIGTERM
+    And each call was answered or refused before the entry ended
+    And no call that ran was refused, and none ran later
+
+    Examples: Each call needs 3.2 s of 3.65 s; a hedge is due after half the target
+      | do                          | path      | target |
+      | have 1 slots                | /orders/x | 8.0    |
+      | lose the answers of 9 calls | /lists/x  | 8.0    |
+      | have 9 slots                | /lists/x  | 2.0    |
--- a/packages/core/src/dunlintide_core/pipeline/shutdown.py
+++ b/packages/core/src/dunlintide_core/pipeline/shutdown.py
@@ -1,4 +1,4 @@
-"""Which requests an entry still accepts while it shuts down.
+"""What an entry still accepts and sends while it shuts down.
 
 The process is killed at the end of its grace period. A request that is not
 answered by then is lost to its caller, who can't tell whether it has run; one
@@ -7,13 +7,15 @@
 of its kind.
 """
 
+import math
+
 import attrs
 
 __all__ = [
     'Shutdown',
     'estimate_stream',
-    'is_answered',
-    'is_stream_finished',
+    'find_latest_call_start',
+    'find_latest_stream_start',
 ]
 
 # Time before SIGKILL at which open requests are ended, in seconds, and its
@@ -75,31 +77,33 @@
     return first + count * interval
 
 
-def is_answered(
-    shutdown: Shutdown, now: float, left: float, expected: float
-) -> bool:
-    """Return whether a call is answered before it would be ended.
+def find_latest_call_start(
+    shutdown: Shutdown, deadline: float, expected: float
+) -> float:
+    """Return until when a call may be sent, to be answered in time.
 
-    :param now: monotonic time in seconds
-    :param left: time until its deadline, at which it is answered too
+    :param deadline: monotonic time at which it is answered anyway, in seconds
     :param expected: time that it is expected to take, in seconds
+    :returns: monotonic time in seconds
     """
-    return min(left, expected + MARGIN_SECONDS) <= shutdown.ends - now
+    if deadline <= shutdown.ends:
+        return math.inf
+    return shutdown.ends - expected - MARGIN_SECONDS
 
 
-def is_stream_finished(
-    shutdown: Shutdown, now: float, expected: float | None
-) -> bool:
-    """Return whether a stream ends before it would be cut off.
+def find_latest_stream_start(
+    shutdown: Shutdown, deadline: float, expected: float | None
+) -> float:
+    """Return until when a stream may be sent, not to be cut off.
 
-    One of unknown length counts as such if it begins early enough.
+    One of unknown length may be sent if it begins early enough.
 
-    :param now: monotonic time in seconds
+    :param deadline: monotonic time at which it ends anyway, in seconds
     :param expected: time that it is expected to take in seconds, None if
         unknown
+    :returns: monotonic time in seconds
     """
-    if now - shutdown.began > STREAM_CUTOFF_SECONDS:
-        return False
+    cutoff = shutdown.began + STREAM_CUTOFF_SECONDS
     if expected is None:
-        return True
-    return expected + MARGIN_SECONDS <= shutdown.ends - now
+        return cutoff
+    return min(cutoff, shutdown.ends - expected - MARGIN_SECONDS)
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -104,6 +104,10 @@
                 suspicion = suspicions.find_refusal(state, exchange)
                 if suspicion:
                     return self._end_unanswered(exchange, results, suspicion)
+                if not shutdowns.can_send(state, exchange):
+                    return self._end_unanswered(
+                        exchange, results, shutdowns.REASON
+                    )
                 if not is_paid and (
                     connects >= MAX_CONNECTS
                     or not self._charge_send(exchange, results)
@@ -112,6 +116,11 @@
                 endpoint = await self._find_endpoint(exchange, target)
                 if endpoint is None:
                     return self._end_unanswered(exchange, results, 'no room')
+                if not shutdowns.can_send(state, exchange):
+                    # It had to wait for too long.
+                    return self._end_unanswered(
+                        exchange, results, shutdowns.REASON
+                    )
                 pending.add(self._start(exchange, endpoint))
                 connects += 1
                 is_paid = False
@@ -166,6 +175,8 @@
             return None
         if not exchange.has_attempts_left:
             return None
+        if not shutdowns.can_send(self._state, exchange):
+            return None
         if not admission.may_hedge(self._state, exchange):
             return None
         # Endpoints with a rate limit get no hedges, which may be wasted.
@@ -487,7 +498,9 @@
         late = self._state.now >= exchange.deadline
         left = max(0.1, exchange.deadline - self._state.now)
         returns_in = self._find_return(exchange.service)
-        if returns_in:
+        if reason == shutdowns.REASON:
+            pause = shutdowns.choose_retry_after(state, exchange, state.now)
+        elif returns_in:
             pause = returns.choose_retry_delay(returns_in, self._state.random)
         else:
             pause = min(self._choose_retry_after(exchange, ran), left / 3.0)
--- a/packages/daemon/src/dunlintide_daemon/gateway/openrequests.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/openrequests.py
@@ -30,6 +30,11 @@
     timer: asyncio.TimerHandle | None = None
 
 
+def _is_under_way(exchange: Exchange) -> bool:
+    """Return whether an endpoint may be working on a request."""
+    return exchange.runs > 0 or exchange.reply.started
+
+
 class OpenRequests:
     """Requests that are not answered yet.
 
@@ -72,14 +77,26 @@
             self._watch(opened)
 
     def _watch(self, opened: _Open) -> None:
-        """Check a request again when it must have ended."""
+        """Check a request again when it must have been sent or have ended."""
         if opened.timer is not None:
             opened.timer.cancel()
-        opened.timer = asyncio.get_running_loop().call_at(
-            self._state.shutdown.ends, self._check, opened
-        )
+        state, exchange = self._state, opened.exchange
+        due = state.shutdown.ends
+        if not _is_under_way(exchange):
+            due = min(due, shutdowns.assess(state, exchange).latest_start)
+        loop = asyncio.get_running_loop()
+        opened.timer = loop.call_at(due, self._check, opened)
 
     def _check(self, opened: _Open) -> None:
+        """End a request for which no time is left."""
+        state, exchange = self._state, opened.exchange
+        has_time = state.now < state.shutdown.ends
+        if has_time and _is_under_way(exchange):
+            self._watch(opened)
+            return
+        if has_time and shutdowns.can_send(state, exchange):
+            self._watch(opened)
+            return
         opened.is_ended = True
         opened.task.cancel()
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
@@ -156,13 +156,13 @@
     def _accept(self, exchange: exchange_module.Exchange, now: float) -> bool:
         """Accept a request while the entry shuts down, or refuse it."""
         state = self._state
-        verdict = shutdowns.judge(state, exchange, now)
+        found = shutdowns.assess(state, exchange)
         known = {
             'remaining': round(state.shutdown.ends - now, 3),
             'deadline_in': round(exchange.deadline - now, 3),
-            'expected': verdict.expected and round(verdict.expected, 3),
+            'expected': found.expected and round(found.expected, 3),
         }
-        if verdict.is_in_time:
+        if now <= found.latest_start:
             state.log.write(
                 'accepted while stopping',
                 request=exchange.caller_request.name,
@@ -173,7 +173,7 @@
             exchange.reply,
             exchange.caller_request,
             503,
-            'stopping',
+            shutdowns.REASON,
             shutdowns.choose_retry_after(state, exchange, now),
             **known,
         )
--- a/packages/daemon/src/dunlintide_daemon/gateway/shutdowns.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/shutdowns.py
@@ -12,15 +12,19 @@
 from dunlintide_daemon.gateway import state as state_module
 
 __all__ = [
-    'Verdict',
+    'Assessment',
+    'REASON',
+    'assess',
+    'can_send',
     'choose_retry_after',
-    'judge',
     'record_duration',
 ]
 
 Exchange = exchange_module.Exchange
 State = state_module.State
 
+# Why a request is refused, in the log.
+REASON = 'stopping'
 # Target latency of a call if its rule has none, in seconds.
 DEFAULT_TARGET_SECONDS = 0.5
 # Longest id of an event that is read as a number, in digits. Python refuses to
@@ -29,15 +33,15 @@
 
 
 @attrs.frozen
-class Verdict:
-    """Whether a request ends before the process does.
+class Assessment:
+    """What is known of the end of a request during a shutdown.
 
-    :ivar is_in_time: whether it does
+    :ivar latest_start: monotonic time until which it may be sent, in seconds
     :ivar expected: time that it is expected to take in seconds, None if
         unknown
     """
 
-    is_in_time: bool
+    latest_start: float
     expected: float | None = None
 
 
@@ -46,25 +50,29 @@
     state.call_durations.record(exchange.rule.name, seconds)
 
 
-def judge(state: State, exchange: Exchange, now: float) -> Verdict:
-    """Judge whether a request ends before the process does.
-
-    :param now: monotonic time in seconds
-    """
+def assess(state: State, exchange: Exchange) -> Assessment:
+    """Assess until when a request may be sent, to end before the process."""
     plan = state.shutdown
     if plan is None:
-        return Verdict(True)
+        return Assessment(math.inf)
+    deadline = exchange.deadline
     if exchange.terms.stream:
         expected = _estimate_stream(state, exchange)
-        return Verdict(
-            shutdown.is_stream_finished(plan, now, expected), expected
-        )
+        latest = shutdown.find_latest_stream_start(plan, deadline, expected)
+        return Assessment(latest, expected)
     expected = state.call_durations.estimate(
         exchange.rule.name,
         exchange.terms.target_seconds or DEFAULT_TARGET_SECONDS,
     )
-    left = exchange.deadline - now
-    return Verdict(shutdown.is_answered(plan, now, left, expected), expected)
+    latest = shutdown.find_latest_call_start(plan, deadline, expected)
+    return Assessment(latest, expected)
+
+
+def can_send(state: State, exchange: Exchange) -> bool:
+    """Return whether a request that is sent now ends before the process."""
+    if not state.stopping:
+        return True
+    return state.now <= assess(state, exchange).latest_start
 
 
 def _estimate_stream(state: State, exchange: Exchange) -> float | None:
--- a/packages/daemon/src/dunlintide_daemon/gateway/streams.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/streams.py
@@ -15,6 +15,7 @@
 from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import runends
 from dunlintide_daemon.gateway import runs
+from dunlintide_daemon.gateway import shutdowns
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_daemon.gateway import suspicions
 
@@ -39,12 +40,27 @@
     :ivar returns_in: seconds until engines that asked for a pause may be used,
         0 if that is not why
     :ivar is_suspected: whether it is held to crash endpoints
+    :ivar is_stopping: whether the process ends before it could
     """
 
     reason: str
     shortage: str = ''
     returns_in: float = 0.0
     is_suspected: bool = False
+    is_stopping: bool = False
+
+
+_STOPPING = _Failure(shutdowns.REASON, is_stopping=True)
+
+
+def _has_time(
+    state: state_module.State, exchange: exchange_module.Exchange
+) -> bool:
+    """Return whether another run may end before the process does.
+
+    A caller that has a part of the stream gets as much of the rest as it can.
+    """
+    return exchange.reply.started or shutdowns.can_send(state, exchange)
 
 
 class StreamServer:
@@ -82,11 +98,15 @@
             if suspicion:
                 failure = _Failure(suspicion, is_suspected=True)
                 return self._give_up(exchange, ran, failure)
+            if not _has_time(state, exchange):
+                return self._give_up(exchange, ran, _STOPPING)
             if hops is None:
                 found = await self._find_chain(stream, is_paid)
                 if found.is_err():
                     return self._give_up(exchange, ran, found.err_value)
                 hops = found.ok_value
+                if not _has_time(state, exchange):
+                    return self._give_up(exchange, ran, _STOPPING)
             try:
                 return await self._runs.run(stream, hops)
             except runends.RunEnded as ended:
@@ -204,6 +224,8 @@
             return Outcome.UNKNOWN
         if failure.is_suspected:
             pause = suspicions.RETRY_SECONDS
+        elif failure.is_stopping:
+            pause = shutdowns.choose_retry_after(state, exchange, state.now)
         else:
             state.refusal_history.record_refusal(exchange.digest, state.now)
             pause = self._choose_retry_after(exchange, failure.returns_in)
