Answer requests sent ahead before a stopping entry closes

Callers saw: requests that they had sent ahead on a kept connection, and that the entry had read, ended with the connection and without an answer.

Change: the last request that was read is the one whose answer tells that the connection closes; one that is being read is waited for, as long as its head may take.

--- a/features/callerhttp.feature
+++ b/features/callerhttp.feature
@@ -41,6 +41,13 @@
     When a caller sends 5 requests at once
     Then it gets 5 answers in order on that connection
 
+  Scenario: Requests that were read are answered though the server stops
+    Guards against requests sent ahead on a kept connection that is closed
+    behind the answer to the first one.
+    When the server stops while the first of 3 requests sent at once is served
+    Then it gets 3 answers in order on that connection
+    And only the last one tells that the connection closes
+
   Scenario: A caller that leaves cancels its request
     When a caller leaves while its request is served
     Then the request is cancelled
--- a/features/steps/callerhttp.py
+++ b/features/steps/callerhttp.py
@@ -20,6 +20,8 @@
         self.requests = []
         self.cancelled = threading.Event()
         self.begun = threading.Event()
+        # Holds the first answer until it is set, if there is one.
+        self.released = None
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever)
         self.thread.start()
@@ -37,6 +39,9 @@
     async def handle(self, request, reply):
         """Record a request and answer with its target."""
         self.requests.append(request)
+        if self.released is not None and not self.released.is_set():
+            self.begun.set()
+            await self.released.wait()
         if request.target == '/wait':
             self.begun.set()
             try:
@@ -219,3 +224,31 @@
 @behave.then('the request is cancelled')
 def check_cancel(context):
     assert context.caller_scene.cancelled.wait(WAIT_SECONDS)
+
+
+@behave.when(
+    'the server stops while the first of {count:d} requests sent at once is'
+    ' served'
+)
+def stop_with_ahead(context, count):
+    scene = context.caller_scene
+    data = b''.join(
+        b'GET /r%d HTTP/1.1\r\nHost: x\r\n\r\n' % n for n in range(count)
+    )
+
+    async def stop():
+        scene.released = asyncio.Event()
+        asked = asyncio.create_task(scene.exchange((data,), count + 1))
+        await asyncio.to_thread(scene.begun.wait, WAIT_SECONDS)
+        scene.server.stop_keepalive()
+        scene.released.set()
+        return await asked
+
+    context.got = scene.run(stop())
+
+
+@behave.then('only the last one tells that the connection closes')
+def check_close(context):
+    *kept, last = context.got.split(b'HTTP/1.1 ')[1:]
+    assert b'Connection: close' in last, context.got
+    assert not any(b'Connection: close' in each for each in kept), kept
--- a/packages/adapters/src/dunlintide_adapters/callerhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/callerhttp.py
@@ -92,10 +92,7 @@
 
 
 class _Connection(asyncio.Protocol):
-    """One connection of a caller.
-
-    :ivar closing: whether it closes after the answer in progress
-    """
+    """One connection of a caller."""
 
     def __init__(self, server: CallerServer) -> None:
         self._server = server
@@ -114,7 +111,19 @@
         self._has_refused = False
         self._received_at: float | None = None
         self._head_bytes = 0
-        self.closing = server.closing
+        self._closing = False
+
+    @property
+    def closing(self) -> bool:
+        """Whether it closes after the answer in progress.
+
+        If the server stops, requests that were read already come first.
+        """
+        return self._closing or self._server.closing and not self._pending
+
+    @closing.setter
+    def closing(self, value: bool) -> None:
+        self._closing = value
 
     @property
     def is_busy(self) -> bool:
@@ -282,19 +291,19 @@
             else:
                 self.abort()
                 return
-        if self.closing or self._server.closing or self._has_refused:
+        if self._closing or self._has_refused:
             self._transport.close()
-            return
-        if self._pending:
+        elif self._pending:
             self._start_next()
         elif self._reading:
             self._start_timer(self._server.limits.header_seconds)
+        elif self._server.closing:
+            self._transport.close()
         else:
             self._start_timer(self._server.limits.idle_seconds)
 
     def stop_keepalive(self) -> None:
-        """Accept no further request; close now if none is in progress."""
-        self.closing = True
+        """Close now if no request is in progress, else behind it."""
         if not self.is_busy and self._transport is not None:
             self._transport.close()
 
