Send callers back once their failure domain is out of rotation

Callers saw: where all entries of a failure domain stop at once, a refused caller was told to return after 0.1 s, met the same entry or another one that stopped, and had used its one retry.

Cause: the delay was short if any other entry was listed. The load balancer connects callers to entries of their own failure domain until it has twice seen that none is ready, whatever serves elsewhere.

Change: the delay is short if an entry of the own failure domain serves; if only others do, it lasts until the balancer has noticed, 2.6 s after SIGTERM. The choice stands with the other decisions of a shutdown.

Measured: features/shutdown.feature, "A refused caller returns when it meets an entry that serves": its second row (three entries elsewhere, 0.5 s after SIGTERM) asks for 2.1 s; the former function returned 0.1 s.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -89,3 +89,19 @@
       | 3     | 0.4    | 3.0     |
       | 3     | 4.0    | 8.0     |
       | 4     | 4.0    | 3.0     |
+
+  Scenario Outline: A refused caller returns when it meets an entry that serves
+    Guards against retries that meet another entry of a failure domain whose
+    entries all shut down at once.
+    Given an entry with a grace of 8 s that stopped <elapsed> s ago beside 0 others
+    And <near> entries serve in its failure domain and <far> in others
+    Then a caller that may wait <left> s is told to return after <seconds> s
+
+    Examples: The balancer has noticed after 2.6 s, a new process serves after 9 s
+      | elapsed | near | far | left | seconds |
+      | 0.5     | 1    | 0   | 30   | 0.1     |
+      | 0.5     | 0    | 3   | 30   | 2.1     |
+      | 0.5     | 0    | 3   | 3    | 1.0     |
+      | 3.0     | 0    | 3   | 30   | 0.1     |
+      | 3.0     | 0    | 0   | 30   | 6.0     |
+      | 6.0     | 0    | 0   | 3    | 1.0     |
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -242,3 +242,22 @@
 )
 def check_expected(context, target, seconds):
     assert context.durations.estimate('r', target) == seconds
+
+
+@behave.given(
+    '{near:d} entries serve in its failure domain and {far:d} in others'
+)
+def list_entries(context, near, far):
+    for number in range(near):
+        context.state.add_listed_entry(f'near-{number}', 'a')
+    for number in range(far):
+        context.state.add_listed_entry(f'far-{number}', 'b')
+
+
+@behave.then(
+    'a caller that may wait {left:g} s is told to return after {seconds:g} s'
+)
+def check_return(context, left, seconds):
+    exchange = mock.Mock(deadline=NOW + left)
+    pause = shutdowns.choose_retry_after(context.state, exchange, NOW)
+    assert abs(pause - seconds) < 1e-6, pause
--- a/packages/core/src/dunlintide_core/pipeline/refusalhistory.py
+++ b/packages/core/src/dunlintide_core/pipeline/refusalhistory.py
@@ -11,10 +11,7 @@
 
 import attrs
 
-__all__ = [
-    'RefusalHistory',
-    'choose_shutdown_delay',
-]
+__all__ = ['RefusalHistory']
 
 # How long a refusal is remembered, in seconds: longer than any delay that
 # callers are given.
@@ -32,12 +29,6 @@
 # Upper bound of the delay, as a fraction of the time left until the caller's
 # deadline.
 MAX_DELAY_FRACTION = 1 / 3
-# Delay of a caller that an entry refuses while it shuts down and others serve,
-# in seconds: it retries at once, at one of them.
-OTHER_ENTRY_DELAY_SECONDS = 0.1
-# Time from the end of an entry's process until the next one serves, in
-# seconds, half of it the platform's delay.
-RESTART_SECONDS = 1.0
 
 
 @attrs.define
@@ -115,19 +106,3 @@
         for refusals in (self._own_refusals, self._uncounted):
             while refusals and refusals[0][0] <= now - WINDOW_SECONDS:
                 refusals.popleft()
-
-
-def choose_shutdown_delay(others: int, remaining: float) -> float:
-    """Return the retry delay for callers of an entry that shuts down.
-
-    If entries are restarted one after the other, each before the previous one
-    serves again, callers that retry at once reach another entry that shuts
-    down, and have no retry left.
-
-    :param others: number of other listed entries
-    :param remaining: time until the process ends at the latest, in seconds
-    :returns: delay in seconds
-    """
-    if others:
-        return OTHER_ENTRY_DELAY_SECONDS
-    return max(0.0, remaining) + RESTART_SECONDS
--- a/packages/core/src/dunlintide_core/pipeline/shutdown.py
+++ b/packages/core/src/dunlintide_core/pipeline/shutdown.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     'Shutdown',
+    'choose_retry_delay',
     'estimate_stream',
     'find_latest_call_start',
     'find_latest_stream_start',
@@ -31,6 +32,15 @@
 # could not end before the process must, and by then the load balancer has
 # twice seen that the entry is not ready.
 STREAM_CUTOFF_SECONDS = 2.8
+# Time after SIGTERM from which the load balancer sends no new connections to a
+# failure domain whose entries all shut down, in seconds.
+BALANCER_SECONDS = 2.6
+# Delay of a caller that is refused while others serve, in seconds: it retries
+# at once, at one of them.
+OTHER_ENTRY_DELAY_SECONDS = 0.1
+# Time from the end of an entry's process until the next one serves, in
+# seconds, half of it the platform's delay.
+RESTART_SECONDS = 1.0
 
 
 @attrs.frozen
@@ -107,3 +117,26 @@
     if expected is None:
         return cutoff
     return min(cutoff, shutdown.ends - expected - MARGIN_SECONDS)
+
+
+def choose_retry_delay(
+    shutdown: Shutdown, now: float, near: int, others: int
+) -> float:
+    """Return the retry delay for callers of an entry that shuts down.
+
+    If entries are restarted one after the other, each before the previous one
+    serves again, callers that retry at once reach another entry that shuts
+    down, and have no retry left. The same holds while the load balancer still
+    counts on a failure domain whose entries all shut down.
+
+    :param now: monotonic time in seconds
+    :param near: number of other entries that serve in the failure domain
+    :param others: number of other entries that serve
+    :returns: delay in seconds
+    """
+    if near:
+        return OTHER_ENTRY_DELAY_SECONDS
+    if others:
+        noticed = shutdown.began + BALANCER_SECONDS
+        return max(OTHER_ENTRY_DELAY_SECONDS, noticed - now)
+    return max(0.0, shutdown.killed - now) + RESTART_SECONDS
--- a/packages/daemon/src/dunlintide_daemon/gateway/shutdowns.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/shutdowns.py
@@ -108,8 +108,14 @@
 
     :param now: monotonic time in seconds
     """
-    pause = refusalhistory.choose_shutdown_delay(
-        len(state.listed_entries), state.shutdown.killed - now
+    domain = state.settings.failure_domain
+    near = [
+        name
+        for name in state.listed_entries
+        if state.entry_domains.get(name) == domain
+    ]
+    pause = shutdown.choose_retry_delay(
+        state.shutdown, now, len(near), len(state.listed_entries)
     )
     # Callers do not honour a longer one.
     return min(
