Fit the steps of a shutdown into short grace periods

Callers saw: with a grace period below some 3 s all connections ended by SIGKILL, idle ones included, so that requests on them met a reset.

Cause: idle connections were closed, and the end of the others awaited, from 2.6 s after SIGTERM on, whatever the grace period was; the store was asked to end the registration before that and could take all of this time.

Change: idle connections are closed when a quarter of the grace period is left if that comes first, and the entry leaves the store beside this. An error there is logged and no longer ends the process before its requests.

--- a/features/steps/stops.py
+++ b/features/steps/stops.py
@@ -109,9 +109,17 @@
 
 
 def stop_entry(entry, grace):
-    """Stop an entry as the platform does; return the time of SIGTERM."""
+    """Stop an entry as the platform does; return the time of SIGTERM.
+
+    :param grace: seconds until SIGKILL; if they are not those of its settings,
+        these are changed to them
+    """
     entry.process.send_signal(signal.SIGTERM)
     began = time.monotonic()
+    if entry.settings['grace'] != grace:
+        entry.settings['grace'] = grace
+        entry.write_settings()
+        entry.process.send_signal(signal.SIGHUP)
     while entry.process.poll() is None:
         if time.monotonic() - began > grace:
             entry.process.kill()
@@ -241,7 +249,7 @@
     'it is stopped {delay:g} s after {count:d} calls of "{path}" that take'
     ' {work:g} s arrive'
 )
-def stop_under_long_calls(context, delay, count, path, work):
+def stop_under_long_calls(context, delay, count, path, work, kill=None):
     traffic = Traffic(context.entry, path, work, 8.0)
     context.traffic, context.deadline = traffic, 8.0
     for _ in range(count):
@@ -250,10 +258,23 @@
         lambda: len(traffic.calls) == count, 'all calls are sent'
     )
     time.sleep(ARRIVAL_SECONDS + delay)
-    context.stopped_at = stop_entry(context.entry, context.grace)
+    context.stopped_at = stop_entry(context.entry, kill or context.grace)
     traffic.stop()
 
 
+@behave.when(
+    'it is stopped {delay:g} s after {count:d} calls of "{path}" that take'
+    ' {work:g} s arrive, and killed after {kill:g} s'
+)
+def stop_and_kill(context, delay, count, path, work, kill):
+    stop_under_long_calls(context, delay, count, path, work, kill)
+
+
+@behave.then('it ended by itself')
+def check_own_end(context):
+    assert context.entry.process.returncode == 0
+
+
 @behave.then(
     '{ran:d} of them are told that they may have run, and the others to return'
 )
--- a/packages/core/src/dunlintide_core/pipeline/shutdown.py
+++ b/packages/core/src/dunlintide_core/pipeline/shutdown.py
@@ -32,9 +32,12 @@
 # could not end before the process must, and by then the load balancer has
 # twice seen that the entry is not ready.
 STREAM_CUTOFF_SECONDS = 2.8
-# Time after SIGTERM from which the load balancer sends no new connections to a
-# failure domain whose entries all shut down, in seconds.
+# Time after SIGTERM by which the load balancer has twice seen that the entry
+# is not ready, and sends it no new connections while others serve, in seconds.
 BALANCER_SECONDS = 2.6
+# Fraction of the grace period that is left when idle connections are closed,
+# at the latest.
+CLOSING_FRACTION = 1 / 4
 # Delay of a caller that is refused while others serve, in seconds: it retries
 # at once, at one of them.
 OTHER_ENTRY_DELAY_SECONDS = 0.1
@@ -48,12 +51,14 @@
     """Times of a shutdown, monotonic, in seconds.
 
     :ivar began: time of SIGTERM
+    :ivar closes_idle: time at which idle connections are closed
     :ivar ends: time at which open requests are ended
     :ivar exits: time at which the process ends at the latest
     :ivar killed: time of SIGKILL
     """
 
     began: float
+    closes_idle: float
     ends: float
     exits: float
     killed: float
@@ -68,7 +73,15 @@
         margin = min(KILL_MARGIN_SECONDS, grace * MAX_MARGIN_FRACTION)
         killed = began + grace
         ends = killed - margin
-        return cls(began, ends, ends + margin * DELIVERY_FRACTION, killed)
+        return cls(
+            began=began,
+            closes_idle=min(
+                began + BALANCER_SECONDS, killed - grace * CLOSING_FRACTION
+            ),
+            ends=ends,
+            exits=ends + margin * DELIVERY_FRACTION,
+            killed=killed,
+        )
 
 
 def estimate_stream(
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -47,9 +47,6 @@
 # Time between two checks of the settings file, in seconds: it may change
 # without a SIGHUP.
 RELOAD_SECONDS = 1.0
-# Time after SIGTERM at which idle connections are closed, in seconds: by then
-# the load balancer has twice seen that the entry is not ready.
-KEEP_ALIVE_SECONDS = 2.6
 
 
 def _split_address(address: str) -> tuple[str, int]:
@@ -329,8 +326,9 @@
     async def _shut_down(self) -> None:
         """Finish requests under way, as long as the grace period allows."""
         state = self._state
-        plan = state.shutdown = shutdown.Shutdown.from_grace(
-            state.now, state.settings.grace
+        began = state.now
+        state.shutdown = shutdown.Shutdown.from_grace(
+            began, state.settings.grace
         )
         self._open_requests.begin_shutdown()
         state.log.write_always(
@@ -339,24 +337,39 @@
             grace=state.settings.grace,
             others=len(state.listed_entries),
         )
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(KEEP_ALIVE_SECONDS):
-                await self._leadership.resign()
-                await self._registrar.unregister()
-        await asyncio.sleep(
-            max(0.0, plan.began + KEEP_ALIVE_SECONDS - state.now)
-        )
-        self._callers.stop_keepalive()
-        while state.now < plan.exits and self._callers.connections:
-            await asyncio.sleep(
-                min(FLUSH_INTERVAL_SECONDS, plan.exits - state.now)
-            )
+        leaving = asyncio.create_task(self._leave())
+        try:
+            while state.now < state.shutdown.closes_idle:
+                await self._sleep_until(state.shutdown.closes_idle)
+            self._callers.stop_keepalive()
+            while (
+                state.now < state.shutdown.exits and self._callers.connections
+            ):
+                await self._sleep_until(state.shutdown.exits)
+        finally:
+            leaving.cancel()
         state.log.write_always(
             'stopped',
             cut=self._callers.count_busy(),
-            seconds=round(state.now - plan.began, 3),
+            seconds=round(state.now - began, 3),
         )
 
+    async def _leave(self) -> None:
+        """Give up the leadership and the registration."""
+        try:
+            await self._leadership.resign()
+            await self._registrar.unregister()
+        except Exception as error:
+            self._log_error('not unregistered', error)
+
+    async def _sleep_until(self, due: float) -> None:
+        """Sleep for a step, as a reload may change when things are due.
+
+        :param due: monotonic time until which it sleeps at most, in seconds
+        """
+        left = due - self._state.now
+        await asyncio.sleep(max(0.0, min(FLUSH_INTERVAL_SECONDS, left)))
+
 
 def run(
     settings: Settings,
