Follow a grace period that a reload shortens while stopping

Callers saw: after a reload that shortened the grace period of an entry that was shutting down, its connections ended by SIGKILL without an answer.

Cause: the end was planned at SIGTERM, and a request was judged by the setting in force when it arrived; the two could differ.

Change: a reload during a shutdown brings its end forward, for the open requests and the process alike. It never puts it off, since the platform may count on the former period.

Measured: features/stops.feature, "An entry ends by itself within its grace period", with 9 s that become 3 s just after SIGTERM: killed with 5 calls unanswered on the code before, now it ends by itself and all 5 are told.

--- a/features/stops.feature
+++ b/features/stops.feature
@@ -58,14 +58,15 @@
 
   Scenario Outline: An entry ends by itself within its grace period
     Guards against a shutdown of fixed length that a short grace period cuts
-    off.
+    off, and against one that ignores a grace period that a reload shortens.
     Given a ready entry "one" in "a" with a grace of <grace> s
     When it is stopped 0.0 s after 5 calls of "/orders/x" that take 30 s arrive, and killed after <kill> s
     Then it ended by itself
     And 5 of them are told that they may have run, and the others to return
     And each call was answered or refused before the entry ended
 
-    Examples:
+    Examples: With another time until the kill the settings change to it
       | grace | kill |
       | 1     | 1    |
       | 2     | 2    |
+      | 9     | 3    |
--- a/packages/core/src/dunlintide_core/pipeline/shutdown.py
+++ b/packages/core/src/dunlintide_core/pipeline/shutdown.py
@@ -83,6 +83,14 @@
             killed=killed,
         )
 
+    def shorten(self, grace: float) -> 'Shutdown':
+        """Return the shutdown under a changed grace period.
+
+        It is not prolonged, since the platform may count on the former one.
+        """
+        changed = self.from_grace(self.began, grace)
+        return min(self, changed, key=lambda each: each.killed)
+
 
 def estimate_stream(
     first: float | None, count: int, interval: float | None
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -318,6 +318,9 @@
             if getattr(kept, field.name) != getattr(settings, field.name)
         ]
         state.settings = kept
+        if state.shutdown is not None:
+            state.shutdown = state.shutdown.shorten(kept.grace)
+            self._open_requests.begin_shutdown()
         state.retry_budgets.clear()
         if self._store.address != settings.store:
             self._store.change_address(settings.store)
