Serve streams that surely end before a stopping entry does

Callers saw: from 2.8 s after SIGTERM on all streams were refused, also short ones at an entry with a grace period of 30 s, and those whose deadline comes before its end.

Cause: the limit was a fixed time after SIGTERM.

Change: a stream is accepted, and sent, at any moment at which its deadline comes before the end, or twice its expected duration and 2.5 s do, the time for which a stream may stand still while an engine is replaced. Within the first 2.8 s the former rule goes on to hold.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -23,6 +23,25 @@
       | 2.9     | 1      | 0.01 s apart  | at most 4 tokens                | refused  |
       | 2.9     | 0      | 0.01 s apart  | at most 4 tokens                | refused  |
 
+  Scenario Outline: A stream that surely ends in time is served at any moment
+    Guards against refusals of all streams for the rest of a long grace period.
+    Late ones keep a reserve, so that an engine's loss does not cut them off.
+    Given an entry with a grace of <grace> s that stopped <elapsed> s ago beside 1 others
+    And its streams take 0.5 s to the first of their events, <interval>
+    When a caller that may wait <left> s asks for a stream with at most 40 tokens
+    Then the stream is <result>
+
+    Examples: 10 events take 1.5 s, and need 5.5 s of the time that is left
+      | grace | elapsed | interval            | left | result   |
+      | 8     | 2.9     | 0.1 s apart         | 20   | refused  |
+      | 30    | 2.9     | 0.1 s apart         | 20   | accepted |
+      | 30    | 24.0    | 0.1 s apart         | 20   | accepted |
+      | 30    | 24.3    | 0.1 s apart         | 20   | refused  |
+      | 30    | 2.9     | of unknown interval | 20   | accepted |
+      | 30    | 9.7     | of unknown interval | 20   | refused  |
+      | 8     | 2.9     | 0.1 s apart         | 4    | accepted |
+      | 8     | 4.0     | 0.1 s apart         | 4    | refused  |
+
   Scenario: An event id of any length is no fault of the entry
     Guards against a request without an answer, since Python converts no number
     of more than 4,300 digits.
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -84,7 +84,7 @@
     )
 
 
-def _ask(context, answer, hint=0, received=None):
+def _ask(context, answer, hint=0, received=None, left=DEADLINE_SECONDS):
     request = callerrequests.CallerRequest(
         's-1', 'x', '/', 'POST', answer=answer, hint=hint, after=received
     )
@@ -92,7 +92,7 @@
         caller_request=request,
         service=SERVICE,
         terms=types.SimpleNamespace(stream=True),
-        deadline=NOW + DEADLINE_SECONDS,
+        deadline=NOW + left,
     )
     found = shutdowns.assess(context.state, exchange)
     context.is_refused = found.latest_start < NOW
@@ -103,6 +103,14 @@
     _ask(context, answer)
 
 
+@behave.when(
+    'a caller that may wait {left:g} s asks for a stream with at most'
+    ' {answer:d} tokens'
+)
+def ask_with_deadline(context, left, answer):
+    _ask(context, answer, left=left)
+
+
 @behave.when(
     'a caller asks for a stream with at most {answer:d} tokens, {hint:d}'
     ' hinted'
--- a/packages/core/src/dunlintide_core/pipeline/shutdown.py
+++ b/packages/core/src/dunlintide_core/pipeline/shutdown.py
@@ -28,10 +28,12 @@
 # Time by which a request is to end before it would be ended, in seconds: it
 # may wait in the queue, and its answer has to reach the caller.
 MARGIN_SECONDS = 0.2
-# Time after SIGTERM from which all streams are refused, in seconds. Later ones
-# could not end before the process must, and by then the load balancer has
-# twice seen that the entry is not ready.
+# Time after SIGTERM from which a stream needs a reserve, in seconds.
 STREAM_CUTOFF_SECONDS = 2.8
+# That reserve, as a factor on the expected duration and in seconds: while an
+# engine is replaced, its streams stand still.
+STREAM_RESERVE_FACTOR = 2.0
+STREAM_RESERVE_SECONDS = 2.5
 # Time after SIGTERM by which the load balancer has twice seen that the entry
 # is not ready, and sends it no new connections while others serve, in seconds.
 BALANCER_SECONDS = 2.6
@@ -123,21 +125,32 @@
 
 
 def find_latest_stream_start(
-    shutdown: Shutdown, deadline: float, expected: float | None
+    shutdown: Shutdown,
+    deadline: float,
+    expected: float | None,
+    by_length: bool,
 ) -> float:
     """Return until when a stream may be sent, not to be cut off.
 
-    One of unknown length may be sent if it begins early enough.
+    Within the first seconds one of unknown length may be sent too; later ones
+    need a reserve.
 
     :param deadline: monotonic time at which it ends anyway, in seconds
     :param expected: time that it is expected to take in seconds, None if
         unknown
+    :param by_length: whether a stream that is too long is refused also within
+        the first seconds, since another entry can take it
     :returns: monotonic time in seconds
     """
+    if deadline <= shutdown.ends:
+        return math.inf
     cutoff = shutdown.began + STREAM_CUTOFF_SECONDS
     if expected is None:
         return cutoff
-    return min(cutoff, shutdown.ends - expected - MARGIN_SECONDS)
+    reserve = expected * STREAM_RESERVE_FACTOR + STREAM_RESERVE_SECONDS
+    if by_length:
+        cutoff = min(cutoff, shutdown.ends - expected - MARGIN_SECONDS)
+    return max(cutoff, shutdown.ends - reserve)
 
 
 def choose_retry_delay(
--- a/packages/daemon/src/dunlintide_daemon/gateway/shutdowns.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/shutdowns.py
@@ -58,7 +58,9 @@
     deadline = exchange.deadline
     if exchange.terms.stream:
         expected = _estimate_stream(state, exchange)
-        latest = shutdown.find_latest_stream_start(plan, deadline, expected)
+        latest = shutdown.find_latest_stream_start(
+            plan, deadline, expected, _stops_by_length(state)
+        )
         return Assessment(latest, expected)
     expected = state.call_durations.estimate(
         exchange.rule.name,
@@ -75,17 +77,17 @@
     return state.now <= assess(state, exchange).latest_start
 
 
-def _estimate_stream(state: State, exchange: Exchange) -> float | None:
-    """Return how long a stream will take in seconds, None if unknown.
-
-    It counts as unknown if no other entry is listed that could take it.
-    """
-    if not (
+def _stops_by_length(state: State) -> bool:
+    """Return whether long streams are refused, as others can take them."""
+    return (
         state.settings.demand.stop_by_length
         and state.has(mechanisms.Mechanism.STOP_BY_LENGTH)
-        and state.listed_entries
-    ):
-        return None
+        and bool(state.listed_entries)
+    )
+
+
+def _estimate_stream(state: State, exchange: Exchange) -> float | None:
+    """Return how long a stream will take in seconds, None if unknown."""
     service = state.deployment.services.get(exchange.service)
     if service is None or service.engine is None:
         return None
