Close a connection behind its answer while the HTTP server stops

Callers saw: an entry of the other path, told to stop, went on serving a caller that kept using its connection, and never ended; whoever kills it then cuts off what is in flight.

Cause: a stop closed connections that were idle for 0.25 s; one in steady use never was, and no answer told its caller that the connection would close.

Change: answers that begin while the server stops say `Connection: close`, and the connection ends behind them.

--- a/features/httpserver.feature
+++ b/features/httpserver.feature
@@ -31,6 +31,14 @@
     And the HTTP server is told to stop
     Then the HTTP server has stopped
 
+  Scenario: A stop ends though a caller goes on using its connection
+    Guards against a stop that never ends, so that the process is killed with
+    requests in flight.
+    When a caller goes on sending requests on one connection
+    And the HTTP server is told to stop
+    Then the HTTP server has stopped
+    And all requests on that connection were answered, the last with its end
+
   Scenario: A stop that the loop sees before it is woken fails nothing
     When the HTTP server is told to stop and is woken only 1.5 s later
     Then the HTTP server stopped without an error
--- a/features/steps/httpserver.py
+++ b/features/steps/httpserver.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import contextlib
+from http import client
 import pathlib
 import socket
 import ssl
@@ -291,6 +292,38 @@
     wait_until(lambda: context.server.in_flight == count)
 
 
+@behave.when('a caller goes on sending requests on one connection')
+def send_on_and_on(context):
+    address = ('127.0.0.1', context.server.port)
+    connection = client.HTTPConnection(*address, timeout=WAIT_SECONDS)
+    context.add_cleanup(connection.close)
+    context.sent, context.answers = 0, []
+    ends = time.monotonic() + 2 * WAIT_SECONDS
+
+    def send():
+        while time.monotonic() < ends:
+            context.sent += 1
+            connection.request('GET', '/')
+            answer = connection.getresponse()
+            answer.read()
+            context.answers.append(answer.getheader('Connection'))
+            if context.answers[-1] == 'close':
+                return
+            time.sleep(0.01)
+
+    context.sending = context.pool.submit(send)
+    wait_until(lambda: context.answers)
+
+
+@behave.then(
+    'all requests on that connection were answered, the last with its end'
+)
+def check_last(context):
+    context.sending.result(WAIT_SECONDS)
+    assert len(context.answers) == context.sent
+    assert context.answers[-1] == 'close', context.answers[-5:]
+
+
 @behave.when('the HTTP server is told to stop')
 def stop_server(context):
     context.stopped = context.pool.submit(context.server.stop)
--- a/packages/adapters/src/dunlintide_adapters/httpchannel.py
+++ b/packages/adapters/src/dunlintide_adapters/httpchannel.py
@@ -1,8 +1,9 @@
-"""Connections of the HTTP server: waitress channels with three changes.
+"""Connections of the HTTP server: waitress channels with some changes.
 
 Chunks of an answer are written to the socket without buffering where
 possible. A caller that reads its answer too slowly is disconnected at a
-deadline. A refused caller gets time to read the error page.
+deadline. A refused caller gets time to read the error page. While the server
+stops, each connection is closed behind its answer.
 """
 
 import socket
@@ -63,6 +64,11 @@
             environ[SEND_NOW] = self._send_now
         return self.environ
 
+    def build_response_header(self) -> bytes:
+        if self.channel.server.is_draining:
+            self.set_close_on_finish()
+        return super().build_response_header()
+
     def _set_send_deadline(self, moment: float) -> None:
         self.channel.send_deadline = moment
 
--- a/packages/adapters/src/dunlintide_adapters/httpserver.py
+++ b/packages/adapters/src/dunlintide_adapters/httpserver.py
@@ -158,6 +158,7 @@
         server.adj.socket_options = _list_socket_options(stall_seconds)
         server.channel_class = httpchannel.make_channel_class(tls_wrapper)
         server.render_error = render_error
+        server.is_draining = False
         return cls(server, limiter, stall_seconds)
 
     @property
@@ -183,6 +184,8 @@
         """
         if grace is not None:
             self._deadline = time.monotonic() + grace
+        # Otherwise a caller that goes on using a connection keeps it open.
+        self._server.is_draining = True
         with self._trigger_lock:
             self._stopping.set()
             is_serving = self._thread.is_alive()
