Send a stream that has run again while a stopping entry has time

Change: one that may have run is sent again as long as its expected duration and 0.2 s fit in the time that is left.

Measured: features/shutdown.feature, "A stream that has run is sent again while it may end in time", 3 examples pass; the first two steps of an entry that stopped 5.9 s and 7.0 s ago answer `no more` without the change, as the limit is 2.8 s.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -42,6 +42,19 @@
       | 8     | 2.9     | 0.1 s apart         | 4    | accepted |
       | 8     | 4.0     | 0.1 s apart         | 4    | refused  |
 
+  Scenario Outline: A stream that has run is sent again while it may end in time
+    Guards against an unknown outcome where another run could still be whole.
+    Given an entry with a grace of 8 s that stopped <elapsed> s ago beside 1 others
+    And its streams take 0.5 s to the first of their events, <interval>
+    When the only run of a stream with at most 40 tokens has broken off
+    Then the stream may be sent <result>
+
+    Examples: 10 events take 1.5 s
+      | elapsed | interval            | result        |
+      | 5.9     | 0.1 s apart         | again         |
+      | 6.0     | 0.1 s apart         | no more       |
+      | 7.0     | of unknown interval | again         |
+
   Scenario: An event id of any length is no fault of the entry
     Guards against a request without an answer, since Python converts no number
     of more than 4,300 digits.
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -84,7 +84,9 @@
     )
 
 
-def _ask(context, answer, hint=0, received=None, left=DEADLINE_SECONDS):
+def _ask(
+    context, answer, hint=0, received=None, left=DEADLINE_SECONDS, runs=0
+):
     request = callerrequests.CallerRequest(
         's-1', 'x', '/', 'POST', answer=answer, hint=hint, after=received
     )
@@ -93,6 +95,7 @@
         service=SERVICE,
         terms=types.SimpleNamespace(stream=True),
         deadline=NOW + left,
+        runs=runs,
     )
     found = shutdowns.assess(context.state, exchange)
     context.is_refused = found.latest_start < NOW
@@ -103,6 +106,13 @@
     _ask(context, answer)
 
 
+@behave.when(
+    'the only run of a stream with at most {answer:d} tokens has broken off'
+)
+def ask_again(context, answer):
+    _ask(context, answer, runs=1)
+
+
 @behave.when(
     'a caller that may wait {left:g} s asks for a stream with at most'
     ' {answer:d} tokens'
@@ -135,6 +145,11 @@
     _ask(context, answer, received='9' * digits)
 
 
+@behave.then('the stream may be sent {result}')
+def check_sent(context, result):
+    assert context.is_refused is (result != 'again'), context.is_refused
+
+
 @behave.then('the stream is {result}')
 def check_result(context, result):
     assert context.is_refused is (result == 'refused'), context.is_refused
--- a/packages/core/src/dunlintide_core/pipeline/shutdown.py
+++ b/packages/core/src/dunlintide_core/pipeline/shutdown.py
@@ -129,27 +129,33 @@
     deadline: float,
     expected: float | None,
     by_length: bool,
+    has_run: bool,
 ) -> float:
     """Return until when a stream may be sent, not to be cut off.
 
     Within the first seconds one of unknown length may be sent too; later ones
-    need a reserve.
+    need a reserve. One that has run can't be refused any more, so it is sent
+    again while it may end in time.
 
     :param deadline: monotonic time at which it ends anyway, in seconds
     :param expected: time that it is expected to take in seconds, None if
         unknown
     :param by_length: whether a stream that is too long is refused also within
         the first seconds, since another entry can take it
+    :param has_run: whether it may have run
     :returns: monotonic time in seconds
     """
     if deadline <= shutdown.ends:
         return math.inf
+    latest = shutdown.ends - (expected or 0.0) - MARGIN_SECONDS
+    if has_run:
+        return latest
     cutoff = shutdown.began + STREAM_CUTOFF_SECONDS
     if expected is None:
         return cutoff
     reserve = expected * STREAM_RESERVE_FACTOR + STREAM_RESERVE_SECONDS
     if by_length:
-        cutoff = min(cutoff, shutdown.ends - expected - MARGIN_SECONDS)
+        cutoff = min(cutoff, latest)
     return max(cutoff, shutdown.ends - reserve)
 
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/shutdowns.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/shutdowns.py
@@ -59,7 +59,11 @@
     if exchange.terms.stream:
         expected = _estimate_stream(state, exchange)
         latest = shutdown.find_latest_stream_start(
-            plan, deadline, expected, _stops_by_length(state)
+            plan,
+            deadline,
+            expected,
+            _stops_by_length(state),
+            exchange.runs > 0,
         )
         return Assessment(latest, expected)
     expected = state.call_durations.estimate(
