Refuse streams by their length at stopping entries unless told not to

Callers saw: a stream that arrived within 2.8 s after SIGTERM was accepted whatever its length, and cut off at the end of the grace period if it was longer; one without resumption was lost, while other entries could take it.

The estimate is the typical duration, so a tenth of the streams takes over 1.75 times it; those are still cut off.

--- a/packages/core/src/dunlintide_core/pipeline/settings.py
+++ b/packages/core/src/dunlintide_core/pipeline/settings.py
@@ -61,7 +61,7 @@
     minimum_share: settings.MinimumShare = 0.25
     reserve: bool = True
     shared_reading: bool = False
-    stop_by_length: bool = False
+    stop_by_length: bool = True
 
 
 @attrs.frozen
