Count requests that a shutdown ended by that cause

`dunlintide losses` counted a request without an end in the log as ended by its entry. Now that the entry answers them before it ends, they would have counted as broken off, as of unknown outcome or as refused for another reason.

Measured: three new examples of features/losses.feature; all 16 scenarios of it pass.

--- a/features/losses.feature
+++ b/features/losses.feature
@@ -11,6 +11,9 @@
       | is cut when the process ends   | the entry ended under it                               |
       | is refused for "no room"       | refused: no chain had room                             |
       | is refused for "no budget"     | refused: no second send was left                       |
+      | is ended by the shutdown       | the entry ended under it                               |
+      | is told to return by the shutdown | refused: the entry was stopping                     |
+      | is refused for "stopping"      | refused: the entry was stopping                        |
       | is denied for "stopping"       | refused: the entry was stopping                        |
       | is denied for "no configuration" | refused: the entry knew nothing yet                  |
       | is told that it may have run   | it may have run, no answer came                        |
--- a/features/steps/losses.py
+++ b/features/steps/losses.py
@@ -31,9 +31,19 @@
     return [{'event': 'request denied', 'status': 503, 'reason': reason}]
 
 
+def end_by_shutdown(outcome):
+    return [
+        {'event': 'request ended by shutdown'},
+        {**ENDED, 'outcome': outcome},
+    ]
+
+
 LINES = {
     'is served': [SENT, ENDED],
     'is cut when the process ends': [SENT],
+    'is ended by the shutdown': [SENT, *end_by_shutdown('unknown')],
+    'is told to return by the shutdown': end_by_shutdown('not-run'),
+    'is refused for "stopping"': refuse_request('stopping'),
     'is refused for "no room"': refuse_request('no room'),
     'is refused for "no budget"': refuse_request('no budget'),
     'is denied for "stopping"': deny_request('stopping'),
--- a/packages/core/src/dunlintide_core/pipeline/shortfalls.py
+++ b/packages/core/src/dunlintide_core/pipeline/shortfalls.py
@@ -213,6 +213,9 @@
             return None, 0.0
         return _DENIALS.get(end.get('reason'), Cause.REFUSED), 0.0
     outcome = end.get('outcome')
+    if any(line['event'] == 'request ended by shutdown' for line in lines):
+        refused = outcome == 'not-run'
+        return Cause.STOPPING if refused else Cause.ENTRY_ENDED, 0.0
     if outcome == 'not-run':
         return _find_refusal(lines), 0.0
     if outcome in _OUTCOMES:
@@ -223,6 +226,8 @@
 def _find_refusal(lines: list[Line]) -> Cause:
     """Return the cause from the last refusal of a request."""
     for line in reversed(lines):
+        if line.get('reason') == 'stopping':
+            return Cause.STOPPING
         if line['event'] == 'request refused':
             return _REFUSALS.get(line.get('reason'), Cause.REFUSED)
     return Cause.REFUSED
