Share the callers of shutdowns between the soak and the steps

Both had their own record of a request, way to send it and way to stop an entry as the platform does. They are one module now, trials/edge/stopload.

--- a/features/steps/stops.py
+++ b/features/steps/stops.py
@@ -1,22 +1,14 @@
 """Steps for calls that arrive while an entry shuts down."""
 
-import dataclasses
-import itertools
 import signal
-import threading
 import time
 
 import behave
-from dunlintide_standins.fleet import callers
 from dunlintide_standins.fleet import operators
+from dunlintide_trials.edge import stopload
 import edge
 
-# Seconds between two calls on new connections.
-PAUSE_SECONDS = 0.1
-# Callers that use one connection for all of their calls.
-KEPT_CALLERS = 4
 WARM_UP_CALLS = 6
-JOIN_SECONDS = 20.0
 # Time within which a call that was sent has reached a service.
 ARRIVAL_SECONDS = 0.3
 # Time within which a call is refused; before SIGTERM it may wait for capacity.
@@ -24,107 +16,25 @@
 # Retry-After has two digits.
 ROUNDING_SECONDS = 0.005
 
-_numbers = itertools.count(1)
-
-
-@dataclasses.dataclass
-class Call:
-    """A call and its end, by monotonic times in seconds."""
-
-    name: str
-    sent: float
-    status: int = 0
-    ended: float = 0.0
-    retry_after: float = 0.0
-
-
-class Traffic:
-    """Calls to one entry until its process is gone."""
-
-    def __init__(self, entry, path, work, deadline):
-        self.entry = entry
-        self.path = path
-        self.headers = {
-            'Work_Ms': str(int(work * 1000)),
-            'Deadline_Ms': str(int(deadline * 1000)),
-        }
-        self.calls = []
-        self.stopped = threading.Event()
-        self.threads = []
-
-    def start(self):
-        self.start_thread(self._send_on_new)
-        for _ in range(KEPT_CALLERS):
-            self.start_thread(self._send_on_kept)
-
-    def start_thread(self, work, *arguments):
-        thread = threading.Thread(target=work, args=arguments, daemon=True)
-        self.threads.append(thread)
-        thread.start()
-
-    def _send_on_new(self):
-        while not self.stopped.wait(PAUSE_SECONDS):
-            self.start_thread(self.send_once)
-
-    def send_once(self):
-        try:
-            caller = callers.Caller(self.entry.listen)
-        except OSError:
-            return
-        self.send(caller)
-        caller.close()
-
-    def _send_on_kept(self):
-        while not self.stopped.wait(PAUSE_SECONDS):
-            try:
-                caller = callers.Caller(self.entry.listen)
-            except OSError:
-                continue
-            while not self.stopped.is_set() and self.send(caller):
-                pass
-            caller.close()
-
-    def send(self, caller):
-        """Send a call; return whether the connection may be kept."""
-        call = Call(f'c-{next(_numbers)}', time.monotonic())
-        data = callers.build_request(call.name, self.path, **self.headers)
-        closes = True
-        try:
-            caller.send(data)
-            self.calls.append(call)
-            answer = caller.read_answer()
-            if answer.is_complete:
-                call.status = answer.status
-                call.retry_after = float(answer.headers.get('retry-after', 0))
-                closes = answer.headers.get('connection') == 'close'
-        except OSError:
-            pass
-        call.ended = time.monotonic()
-        return not closes
-
-    def stop(self):
-        self.stopped.set()
-        for thread in list(self.threads):
-            thread.join(JOIN_SECONDS)
-
-
-def stop_entry(entry, grace):
-    """Stop an entry as the platform does; return the time of SIGTERM.
+
+def stop_entry(context, traffic, grace):
+    """Stop the entry as the platform does.
 
     :param grace: seconds until SIGKILL; if they are not those of its settings,
         these are changed to them
     """
-    entry.process.send_signal(signal.SIGTERM)
-    began = time.monotonic()
-    if entry.settings['grace'] != grace:
-        entry.settings['grace'] = grace
-        entry.write_settings()
-        entry.process.send_signal(signal.SIGHUP)
-    while entry.process.poll() is None:
-        if time.monotonic() - began > grace:
-            entry.process.kill()
-        time.sleep(0.01)
-    return began
+    entry, stops = context.entry, []
+
+    def reload(elapsed):
+        if entry.settings['grace'] != grace:
+            entry.settings['grace'] = grace
+            entry.write_settings()
+            entry.process.send_signal(signal.SIGHUP)
+
+    stopload.stop_entry(entry, grace, stops, reload)
+    traffic.stop()
+    context.traffic = traffic
+    (context.stop,) = stops
 
 
 @behave.given(
@@ -137,9 +47,9 @@
 
 @behave.given('it has served calls of "{path}" that take {work:g} s')
 def warm_up(context, path, work):
-    traffic = Traffic(context.entry, path, work, 8.0)
+    traffic = stopload.Traffic(context.entry, path, work, 8.0)
     for _ in range(WARM_UP_CALLS):
-        traffic.start_thread(traffic.send_once)
+        traffic.start_call()
     traffic.stop()
     assert all(call.status == 200 for call in traffic.calls), traffic.calls
 
@@ -149,20 +59,18 @@
     ' {deadline:g} s arrive'
 )
 def stop_under_calls(context, work, deadline):
-    traffic = Traffic(context.entry, '/orders/x', work, deadline)
-    context.traffic, context.deadline = traffic, deadline
+    traffic = stopload.Traffic(context.entry, '/orders/x', work, deadline)
     traffic.start()
     time.sleep(1.0)
-    context.stopped_at = stop_entry(context.entry, context.grace)
-    traffic.stop()
+    stop_entry(context, traffic, context.grace)
 
 
 def _describe(context, call):
     runs = context.scene.fleet.list_runs(call.name)
     return (
-        f'{call.name}: sent {call.sent - context.stopped_at:.3f} s after'
+        f'{call.name}: sent {call.sent - context.stop.at:.3f} s after'
         f' SIGTERM, status {call.status} after {call.ended - call.sent:.3f} s,'
-        f' runs {[run.began - context.stopped_at for run in runs]}'
+        f' runs {[run.began - context.stop.at for run in runs]}'
     )
 
 
@@ -190,18 +98,18 @@
     slow = [
         _describe(context, call)
         for call in refused
-        if call.ended - max(call.sent, context.stopped_at) > SLACK_SECONDS
+        if call.ended - max(call.sent, context.stop.at) > SLACK_SECONDS
     ]
     assert not slow, slow
     assert all(
-        0 < call.retry_after <= context.deadline / 3 + ROUNDING_SECONDS
+        0 < call.retry_after <= call.deadline / 3 + ROUNDING_SECONDS
         for call in refused
     ), refused
 
 
 @behave.then('calls were served that arrived {seconds:g} s after SIGTERM')
 def check_served(context, seconds):
-    late = context.stopped_at + seconds
+    late = context.stop.at + seconds
     served = [
         call
         for call in context.traffic.calls
@@ -250,16 +158,14 @@
     ' {work:g} s arrive'
 )
 def stop_under_long_calls(context, delay, count, path, work, kill=None):
-    traffic = Traffic(context.entry, path, work, 8.0)
-    context.traffic, context.deadline = traffic, 8.0
+    traffic = stopload.Traffic(context.entry, path, work, 8.0)
     for _ in range(count):
-        traffic.start_thread(traffic.send_once)
+        traffic.start_call()
     context.scene.wait_until(
         lambda: len(traffic.calls) == count, 'all calls are sent'
     )
     time.sleep(ARRIVAL_SECONDS + delay)
-    context.stopped_at = stop_entry(context.entry, kill or context.grace)
-    traffic.stop()
+    stop_entry(context, traffic, kill or context.grace)
 
 
 @behave.when(
@@ -272,6 +178,7 @@
 
 @behave.then('it ended by itself')
 def check_own_end(context):
+    assert not context.stop.was_killed
     assert context.entry.process.returncode == 0
 
 
@@ -303,7 +210,7 @@
 @behave.then('no call was sent later than {seconds:g} s after SIGTERM')
 def check_sent(context, seconds):
     began = [
-        run.began - context.stopped_at
+        run.began - context.stop.at
         for call in context.traffic.calls
         for run in context.scene.fleet.list_runs(call.name)
     ]
--- a/packages/trials/src/dunlintide_trials/edge/stopsoak.py
+++ b/packages/trials/src/dunlintide_trials/edge/stopsoak.py
@@ -24,6 +24,7 @@
 from dunlintide_standins.fleet import callers
 from dunlintide_standins.fleet import operators
 from dunlintide_trials.edge import scene as scenes
+from dunlintide_trials.edge import stopload
 from dunlintide_trials import ports
 
 __all__ = ['main', 'run']
@@ -35,7 +36,6 @@
 EVENT_SECONDS = (0.005, 0.04)
 MAX_EVENTS = 400
 PAUSE_SECONDS = (0.0, 0.1)
-ANSWER_SECONDS = 40.0
 # Time after the last byte of a request within which a connection may end
 # without an answer, if the request was not sent on, in seconds.
 LOSS_SLACK_SECONDS = 0.2
@@ -47,39 +47,6 @@
 CLOCK_SECONDS = 0.1
 
 
-@attrs.define
-class _Sent:
-    """A request and its end, by monotonic times in seconds."""
-
-    name: str
-    entry: str
-    path: str
-    deadline: float
-    sent: float
-    ended: float = 0.0
-    status: int = 0
-    is_whole: bool = False
-    has_retry_after: bool = False
-
-    @property
-    def is_stream(self) -> bool:
-        """Whether a stream was asked for."""
-        return self.path.startswith('/copy/')
-
-
-@attrs.define
-class _Stop:
-    """A shutdown of an entry.
-
-    :ivar at: monotonic time of SIGTERM, in seconds
-    :ivar grace: seconds until SIGKILL
-    """
-
-    entry: str
-    at: float
-    grace: float
-
-
 @attrs.frozen
 class _Terms:
     """What is drawn for a soak; times in seconds."""
@@ -109,9 +76,8 @@
 
     def __init__(self, seed: int, terms: _Terms, folder: pathlib.Path) -> None:
         self.terms = terms
-        self.sent: list[_Sent] = []
-        self.stops: list[_Stop] = []
-        self.killed = 0
+        self.sent: list[stopload.Sent] = []
+        self.stops: list[stopload.Stop] = []
         self._seed = seed
         self._stopped = threading.Event()
         self._number = 0
@@ -158,24 +124,21 @@
             time.sleep(rng.uniform(0.5, 2.0))
 
     def _stop(self, entry: scenes.Entry, luck: float) -> None:
-        """Stop an entry as the platform does, and start it again."""
+        """Stop an entry with reloads in between, and start it again."""
         rng = random.Random(f'{self._seed}/{entry.name}/{luck}')
-        stop = _Stop(entry.name, time.monotonic(), self.terms.grace)
-        self.stops.append(stop)
-        entry.process.send_signal(signal.SIGTERM)
-        reload_at = stop.at + rng.uniform(0.0, stop.grace)
-        while entry.process.poll() is None:
-            now = time.monotonic()
-            if now >= reload_at:
-                reload_at = now + rng.uniform(0.2, stop.grace)
-                entry.settings['drain'] = rng.choice((2.0, 3.0))
-                entry.write_settings()
-                entry.process.send_signal(signal.SIGHUP)
-            if now - stop.at > stop.grace:
-                self.killed += 1
-                entry.process.kill()
-                entry.process.wait()
-            time.sleep(0.01)
+        grace = self.terms.grace
+        reload_at = rng.uniform(0.0, grace)
+
+        def reload(elapsed: float) -> None:
+            nonlocal reload_at
+            if elapsed < reload_at:
+                return
+            reload_at = elapsed + rng.uniform(0.2, grace)
+            entry.settings['drain'] = rng.choice((2.0, 3.0))
+            entry.write_settings()
+            entry.process.send_signal(signal.SIGHUP)
+
+        stopload.stop_entry(entry, grace, self.stops, reload)
         time.sleep(rng.uniform(0.3, 1.0))
         entry.start()
         self.scene.wait_until(entry.is_ready, f'{entry.name} is ready')
@@ -191,14 +154,13 @@
             except OSError:
                 time.sleep(PAUSE_SECONDS[1])
                 continue
-            caller.socket.settimeout(ANSWER_SECONDS)
             with contextlib.closing(caller):
                 while self._send(caller, entry.name, rng) and keeps:
                     if self._stopped.is_set():
                         break
                     time.sleep(rng.uniform(*PAUSE_SECONDS))
 
-    def _build(self, request: _Sent, rng: random.Random) -> bytes:
+    def _build(self, request: stopload.Sent, rng: random.Random) -> bytes:
         least, most = WORK_SECONDS
         work = least * (most / least) ** rng.random()
         deadline = str(int(request.deadline * 1000))
@@ -224,22 +186,10 @@
             name = f'{entry}.r{self._number}'
         path = rng.choice(('/orders/x', '/orders/x', '/lists/x', '/copy/x'))
         deadline = min(self.terms.timeout, rng.choice((0.5, 3.0, 10.0, 30.0)))
-        request = _Sent(name, entry, path, deadline, time.monotonic())
-        data = self._build(request, rng)
-        closes = True
-        try:
-            caller.send(data)
-            request.sent = time.monotonic()
-            self.sent.append(request)
-            answer = caller.read_answer()
-            request.status = answer.status
-            request.is_whole = answer.is_complete
-            request.has_retry_after = 'retry-after' in answer.headers
-            closes = answer.headers.get('connection') == 'close'
-        except (OSError, ValueError):
-            pass
-        request.ended = time.monotonic()
-        return request.is_whole and not closes
+        request = stopload.Sent(name, entry, path, deadline)
+        return stopload.send(
+            caller, request, self._build(request, rng), self.sent
+        )
 
     def run(self, seconds: float) -> None:
         """Stop entries under load for some seconds."""
@@ -261,7 +211,7 @@
                 thread.join()
 
 
-def _find_stop(soak: _Soak, request: _Sent) -> _Stop | None:
+def _find_stop(soak: _Soak, request: stopload.Sent) -> stopload.Stop | None:
     """Find the shutdown of its entry within which a request ended."""
     for stop in soak.stops:
         if (
@@ -273,7 +223,7 @@
     return None
 
 
-def _is_excused(request: _Sent, stop: _Stop | None) -> bool:
+def _is_excused(request: stopload.Sent, stop: stopload.Stop | None) -> bool:
     """Return whether a stream may be cut off: a late end of an early one."""
     if request.ended - request.sent >= request.deadline - CLOCK_SECONDS:
         return True
@@ -284,7 +234,7 @@
     )
 
 
-def _check(soak: _Soak, request: _Sent) -> Iterator[str]:
+def _check(soak: _Soak, request: stopload.Sent) -> Iterator[str]:
     """Check what became of one request."""
     runs = soak.scene.fleet.list_runs(request.name)
     stop = _find_stop(soak, request)
@@ -298,7 +248,7 @@
             yield f'{where}, cut off after {took:.3f} s'
     if request.status == 503 and runs:
         yield f'{where}, refused, but ran {len(runs)} times'
-    if request.status == 503 and not request.has_retry_after:
+    if request.status == 503 and request.retry_after is None:
         yield f'{where}, refused without a time to return'
     if request.path.startswith('/orders/') and len(runs) > 1:
         yield f'{where}, may run once, ran {len(runs)} times'
@@ -335,7 +285,7 @@
             'seed': seed,
             **attrs.asdict(terms),
             'stops': len(soak.stops),
-            'killed': soak.killed,
+            'killed': sum(stop.was_killed for stop in soak.stops),
             'requests': len(soak.sent),
             'while_stopping': dict(
                 collections.Counter(str(each.status) for each in late)
