Judge a request of the soak by the last stop before its end

Change: the last one before the end of a request counts. The bounds are the same; each request is still judged by a stop of its entry.

--- a/packages/trials/src/dunlintide_trials/edge/stopsoak.py
+++ b/packages/trials/src/dunlintide_trials/edge/stopsoak.py
@@ -212,15 +212,20 @@
 
 
 def _find_stop(soak: _Soak, request: stopload.Sent) -> stopload.Stop | None:
-    """Find the shutdown of its entry within which a request ended."""
-    for stop in soak.stops:
-        if (
-            stop.entry == request.entry
-            and stop.at <= request.ended + CLOCK_SECONDS
-            and request.sent <= stop.at + stop.grace + 1.0
-        ):
-            return stop
-    return None
+    """Find the shutdown of its entry within which a request ended.
+
+    A request that came after the end of a process went to the next one.
+    """
+    began = [
+        stop
+        for stop in soak.stops
+        if stop.entry == request.entry
+        and stop.at <= request.ended + CLOCK_SECONDS
+    ]
+    stop = max(began, key=lambda each: each.at, default=None)
+    if stop is None or request.sent > stop.at + stop.grace + 1.0:
+        return None
+    return stop
 
 
 def _is_excused(request: stopload.Sent, stop: stopload.Stop | None) -> bool:
