--- a/features/demandsettings.feature
+++ b/features/demandsettings.feature
@@ -4,7 +4,7 @@
 
   Scenario: Settings without a word on demand share where priorities differ
     When the demand settings are left out
-    Then sharing is auto with a minimum share of 0.25, a reserve and nothing else
+    Then sharing is auto with a minimum share of 0.25, a reserve and stops by length
 
   Scenario Outline: A mistake in the demand settings names field, value and range
     When the demand settings are <text>
--- a/features/steps/demandsettings.py
+++ b/features/steps/demandsettings.py
@@ -38,11 +38,11 @@
 
 
 @behave.then(
-    'sharing is auto with a minimum share of 0.25, a reserve and nothing else'
+    'sharing is auto with a minimum share of 0.25, a reserve and stops by length'
 )
 def check_defaults(context):
     assert context.demand == settings.Demand(
-        settings.Sharing.AUTO, 0.25, True, False, False
+        settings.Sharing.AUTO, 0.25, True, False, True
     ), context.demand
 
 
