--- a/features/steps/demandsettings.py
+++ b/features/steps/demandsettings.py
@@ -38,7 +38,8 @@
 
 
 @behave.then(
-    'sharing is auto with a minimum share of 0.25, a reserve and stops by length'
+    'sharing is auto with a minimum share of 0.25, a reserve and stops by'
+    ' length'
 )
 def check_defaults(context):
     assert context.demand == settings.Demand(
