Set the times of routes by the stand-in of the operator

The stand-in of the operator sets the times now, for the soak and the steps alike. No check or bound changed.

--- a/features/steps/stops.py
+++ b/features/steps/stops.py
@@ -120,11 +120,10 @@
 
 @behave.given('a target latency of {seconds:g} s')
 def set_target(context, seconds):
-    configuration = operators.make_configuration(8)
-    for route in configuration['route_list']:
-        # Callers wait for capacity for as long as this.
-        route['target_latency_ms'] = int(seconds * 1000)
-    context.scene.configure(configuration)
+    # Callers wait for capacity for as long as this.
+    context.scene.configure(
+        operators.set_route_times(operators.make_configuration(8), seconds)
+    )
     context.scene.wait_until(
         lambda: context.entry.read_state()['configuration']['revision'] == 8,
         'the configuration is in force',
--- a/packages/standins/src/dunlintide_standins/fleet/operators.py
+++ b/packages/standins/src/dunlintide_standins/fleet/operators.py
@@ -17,6 +17,7 @@
     'make_configuration',
     'remove_routes',
     'set_route_service',
+    'set_route_times',
     'shuffle_routes',
 ]
 
@@ -183,6 +184,20 @@
     return configuration
 
 
+def set_route_times(
+    configuration: Configuration, target: float, timeout: float | None = None
+) -> Configuration:
+    """Set target latency and timeout of all routes, in seconds.
+
+    :param timeout: None to leave the timeouts as they are
+    """
+    for route in configuration['route_list']:
+        route['target_latency_ms'] = int(target * 1000)
+        if timeout is not None:
+            route['timeout_ms'] = int(timeout * 1000)
+    return configuration
+
+
 def remove_routes(configuration: Configuration, prefix: str) -> Configuration:
     """Remove the routes whose prefix starts with another one."""
     configuration['route_list'] = [
--- a/packages/trials/src/dunlintide_trials/edge/stopsoak.py
+++ b/packages/trials/src/dunlintide_trials/edge/stopsoak.py
@@ -87,11 +87,11 @@
     def start(self) -> None:
         """Start the deployment."""
         scene, terms = self.scene, self.terms
-        configuration = operators.make_configuration()
-        for route in configuration['route_list']:
-            route['timeout_ms'] = int(terms.timeout * 1000)
-            route['target_latency_ms'] = int(terms.target * 1000)
-        scene.configure(configuration)
+        scene.configure(
+            operators.set_route_times(
+                operators.make_configuration(), terms.target, terms.timeout
+            )
+        )
         scene.fleet.event_seconds = terms.event_seconds
         scene.add_runners(DOMAINS)
         scene.fleet.slots = terms.slots
