--- a/packages/daemon/src/dunlintide_daemon/gateway/shutdowns.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/shutdowns.py
@@ -25,8 +25,6 @@
 
 # Why a request is refused, in the log.
 REASON = 'stopping'
-# Target latency of a call if its rule has none, in seconds.
-DEFAULT_TARGET_SECONDS = 0.5
 # Longest id of an event that is read as a number, in digits. Python refuses to
 # convert more than 4,300.
 MAX_EVENT_DIGITS = 18
@@ -68,7 +66,7 @@
         return Assessment(latest, expected)
     expected = state.call_durations.estimate(
         exchange.rule.name,
-        exchange.terms.target_seconds or DEFAULT_TARGET_SECONDS,
+        exchange.terms.target_seconds or chainfinder.DEFAULT_TARGET_SECONDS,
     )
     latest = shutdown.find_latest_call_start(plan, deadline, expected)
     return Assessment(latest, expected)
