Show that requests that silence their runners are never refused

A request that crashes each runner that runs it comes again. Where a runner goes dark, the entry sees a timeout, which doesn't count against the request, so each copy takes two more runners down. With connections that are reset it is refused after the third.

--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -262,16 +262,20 @@
 
         The entry in the store is removed after three heartbeats of silence.
         """
-        name = self.name
         self.stop()
+        self.deployment.begin(self._come_back(self.name, back_after))
 
-        async def come_back():
-            await asyncio.sleep(3 * HEARTBEAT_SECONDS)
-            await self.deployment.store.remove(f'servers/{name}')
-            await asyncio.sleep(max(0, back_after - 3 * HEARTBEAT_SECONDS))
-            await self.start()
+    def go_dark(self, back_after):
+        """Do the same without a word: connections hang, and new ones too."""
+        self.is_up = False
+        self.deployment.begin(self._come_back(self.name, back_after))
 
-        self.deployment.begin(come_back())
+    async def _come_back(self, name, back_after):
+        await asyncio.sleep(3 * HEARTBEAT_SECONDS)
+        await self.deployment.store.remove(f'servers/{name}')
+        await asyncio.sleep(max(0, back_after - 3 * HEARTBEAT_SECONDS))
+        self.stop()
+        await self.start()
 
     async def _handle(self, request, channel):
         task = asyncio.current_task()
