--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,8 @@
-"""A request makes each runner that runs it go dark, and comes again.
+"""Clients of two entries send bodies of the size that the limits allow.
 
-A runner that goes dark sends nothing more, not even the end of its
-connections. It is back after some seconds, as a new incarnation.
+Each client sends one request on a connection that it keeps, and then waits
+for its answer. The platform kills a process whose memory is over its limit,
+and starts it again.
 """
 
 import asyncio
@@ -9,82 +10,114 @@
 
 import deployment as deployments
 
-ENTRIES = 3
-RUNNERS = 8
-BODY = b'the request that crashes what runs it'
-COPIES = 9
-PAUSE_SECONDS = 1.0
-BACK_SECONDS = 4.5
-# Retries that the rule allows once it has crashed the third runner.
-MAX_RETRIES = 3
+ENTRIES = 2
+# Clients of each entry, and the pause between the requests of two of them.
+CLIENTS = 40
+PAUSE_SECONDS = 0.1
+BODY_BYTES = 4194304
+SMALL_BODY_BYTES = 800
+# Of a machine of the class that takes requests.
+MEMORY_MB = 300
+# Ends of a process in the day that the rule doesn't allow.
+MAX_ENDS = 3
+RESTART_SECONDS = 0.5
+SECONDS = 75
+
+
+def read_memory(process):
+    """Return the resident memory of a process, in MB."""
+    with open(f'/proc/{process.pid}/status', encoding='ascii') as lines:
+        for line in lines:
+            if line.startswith('VmRSS:'):
+                return int(line.split()[1]) / 1024
+    return 0.0
 
 
 async def play(deployment):
     record = deployment.record
-    crashes = []  # (time, attempt) of each run, which crashed its runner
-    senders = {}  # entry by attempt
+    size = BODY_BYTES if deployments.has_trouble() else SMALL_BODY_BYTES
+    body = b'x' * size
+    answered = {entry: [] for entry in range(ENTRIES)}
+    ends = [0] * ENTRIES
+    peaks = [0.0] * ENTRIES
+    ran = set()
 
     async def serve(runner, request, channel):
-        attempt = request.headers['attempt-id']
-        if request.body == BODY:
-            crashes.append((time.monotonic(), attempt))
-            is_dark = deployments.has_trouble()
-            record.write(
-                f'runner {runner.name} begins to run {attempt} from'
-                f' {senders[attempt].name} and'
-                f' {"goes dark" if is_dark else "crashes"}'
-            )
-            if not is_dark:
-                runner.crash(BACK_SECONDS)
-                return
-            runner.go_dark(BACK_SECONDS)
-        while not runner.is_up:
-            await asyncio.sleep(1)
+        ran.add(request.headers['attempt-id'])
         await asyncio.sleep(0.02)
-        await channel.answer(200, b'sound', runner.sign(request))
+        await channel.answer(200, b'done', runner.sign(request))
 
     deployment.runners += [
-        deployments.Runner(deployment, 'web', 'a', serve)
-        for _ in range(RUNNERS)
+        deployments.Runner(deployment, 'web', 'a', serve) for _ in range(3)
     ]
-    routes = [deployments.make_route('lists', 'idempotent', 'web')]
-    await deployment.start(deployments.make_configuration(routes), ENTRIES)
+    routes = [deployments.make_route('orders', 'non_idempotent', 'web')]
+    configuration = deployments.make_configuration(routes)
+    configuration['limits']['max_body_bytes'] = BODY_BYTES
+    await deployment.start(configuration, ENTRIES)
+    stops = time.monotonic() + SECONDS
 
-    async def send_sound():
-        number = 0
-        while True:
-            number += 1
-            entry = deployment.entries[number % ENTRIES]
-            data = deployments.build_request(
-                f'sound-{number}', f'/lists/{number}', body=b'%d' % number
+    async def watch(number):
+        """Kill and restart an entry over its memory, as the platform does."""
+        entry = deployment.entries[number]
+        while time.monotonic() < stops:
+            await asyncio.sleep(0.02)
+            memory = read_memory(entry.process)
+            peaks[number] = max(peaks[number], memory)
+            if memory <= MEMORY_MB:
+                continue
+            ends[number] += 1
+            record.write(
+                f'{entry.name} has {memory:.0f} MB, over {MEMORY_MB}: killed'
+                f' for the {ends[number]}. time'
             )
-            await deployments.call(entry.front, data, 5)
-            await asyncio.sleep(0.1)
+            entry.process.kill()
+            await entry.process.wait()
+            await asyncio.sleep(RESTART_SECONDS)
+            await entry.start()
+            await deployment.wait_for(entry.is_ready, f'{entry.name} is ready')
 
-    deployment.begin(send_sound())
-    for number in range(COPIES):
-        entry = deployment.entries[number % ENTRIES]
-        attempt = f'again-{number + 1}'
-        senders[attempt] = entry
-        data = deployments.build_request(attempt, '/lists/1', body=BODY)
-        answer = await deployments.call(entry.front, data, 6)
-        record.write(f'{attempt} at {entry.name}: {answer}')
-        await asyncio.sleep(PAUSE_SECONDS)
-    if len(crashes) < 3:
-        raise deployments.CannotRun('it has not crashed three runners')
-    third = crashes[2][0]
-    late = [
-        attempt
-        for at, attempt in crashes
-        if at > third + deployments.STABLE_SECONDS
-        and senders[attempt].is_in_touch(at)
-    ]
-    record.write(
-        f'{len(crashes)} runners crashed; {len(late)} of these sends came from'
-        f' machines in touch over {deployments.STABLE_SECONDS} s after the'
-        f' third crash, {MAX_RETRIES} are allowed: {", ".join(late)}'
-    )
-    if len(late) > MAX_RETRIES:
+    async def send(number):
+        """Let the clients of an entry send one after the other."""
+        entry = deployment.entries[number]
+        kept = [None] * CLIENTS
+        count = 0
+        while time.monotonic() < stops and ends[number] < MAX_ENDS:
+            client = count % CLIENTS
+            count += 1
+            attempt = f'{entry.name}-{count}'
+            data = deployments.build_request(attempt, '/orders/1', body=body)
+            try:
+                if kept[client] is None:
+                    kept[client] = await deployments.Connection.open(
+                        entry.front
+                    )
+                answer = await kept[client].send(data)
+            except OSError:
+                answer = deployments.Answer(0, {}, b'', False)
+            if not answer.status:
+                if kept[client] is not None:
+                    kept[client].close()
+                kept[client] = None
+                fate = 'has run' if attempt in ran else 'did not run'
+                record.write(f'{attempt}: {answer}, it {fate}')
+            answered[number].append(answer.status)
+            await asyncio.sleep(PAUSE_SECONDS)
+        for connection in filter(None, kept):
+            connection.close()
+
+    watchers = [deployment.begin(watch(each)) for each in range(ENTRIES)]
+    await asyncio.gather(*(send(each) for each in range(ENTRIES)))
+    for watcher in watchers:
+        watcher.cancel()
+    for number, entry in enumerate(deployment.entries):
+        good = answered[number].count(200)
+        record.write(
+            f'{entry.name}: {len(answered[number])} requests of {size} bytes'
+            f' sent one after the other on {CLIENTS} connections, {good}'
+            f' answered with 200, at most {peaks[number]:.0f} MB,'
+            f' {ends[number]} ends'
+        )
+    if sum(each >= MAX_ENDS for each in ends) >= 2:
         return deployments.BROKEN
     return deployments.HELD
 
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -38,6 +39,9 @@
     'budget_slack': 196,
 }
 WAIT_SECONDS = 15.0
+# Ports that servers of a script may have.
+PORTS = 12000, 32000
+_given_ports = set()
 
 
 class CannotRun(Exception):
@@ -50,15 +54,28 @@
 
 
 def pick_ports(count):
-    """Return free TCP ports of the loopback interface."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(('127.0.0.1', 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Return free ports of the loopback interface, for TCP and UDP.
+
+    They are below those that the system takes for outgoing connections: an
+    entry that starts again must find its own ports free.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        if port not in ports and port not in _given_ports and _is_free(port):
+            ports.append(port)
+    _given_ports.update(ports)
+    return ports
+
+
+def _is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as tried:
+            try:
+                tried.bind(('127.0.0.1', port))
+            except OSError:
+                return False
+    return True
 
 
 class Record:
@@ -220,8 +237,8 @@
         :param is_listed: whether the store has its entry at once
         """
         self.name = f'i-{next(_numbers):06x}'
+        self.port = self.port or pick_ports(1)[0]
         self._server = await wire.listen(self._handle, self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
         self.is_up = True
         self._orders = 0
         self.holds = None
