Log answers that echo another id, and what ran when a shutdown ended it

The log could not tell the hypotheses of the incident apart: no line said that an answer lacked the id of its request, whether an endpoint was at work when a request was ended, or how late the event loop handled SIGTERM. There are lines and a counter for these now; the signal is noted by a handler of its own, which runs between two instructions wherever the main thread is. What is decided stays as it was.

--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -90,6 +90,7 @@
     """One connection, with at most one call in progress.
 
     :ivar in_call: whether a call is in progress
+    :ivar calls: calls so far, the one in progress included
     :ivar received: bytes of the answer's body that have arrived
     :ivar idle_since: loop time at which the last call ended, in seconds
     :ivar keepalive_seconds: idle time after which it is not reused
@@ -112,6 +113,7 @@
         self._bodiless = False
         self._on_head: Callable[[AnswerHead], None] | None = None
         self.in_call = False
+        self.calls = 0
         self.received = 0
         self.idle_since = 0.0
         self.keepalive_seconds = DEFAULT_KEEPALIVE_SECONDS
@@ -250,6 +252,7 @@
         self._complete = self._framed = False
         self._bodiless = bodiless
         self.in_call = True
+        self.calls += 1
         self._transport.write(data)
 
     async def read_head(self, deadline: float) -> AnswerHead:
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -377,6 +377,7 @@
         )
         exchange.sends += 1
         exchange.runs += 1
+        exchange.running += 1
         state.log.write(
             'call sent',
             request=exchange.caller_request.name,
@@ -394,6 +395,8 @@
             if broken.kind is endpointhttp.FailureKind.TIMEOUT:
                 shutdowns.record_duration(state, exchange, state.now - sent_at)
             raise
+        finally:
+            exchange.running -= 1
         if verdict.name not in (None, exchange.caller_request.name):
             return _SendResult(endpoint, True, 'answer to another request')
         if verdict.not_run:
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -66,6 +66,8 @@
         ``source``: ``store`` or ``entry``
     :ivar shutdown_ends: requests that were still open as the process ended,
         by ``outcome``
+    :ivar foreign_answers: answers of endpoints to something other than the
+        request that was waiting, by ``kind``: ``no id`` or ``other id``
     :ivar version: version of the configuration in force
     :ivar newest_version: newest version that any entry has in force
     """
@@ -100,6 +102,7 @@
     refused_parts: prometheus_client.Counter
     suspicion_refusals: prometheus_client.Counter
     shutdown_ends: prometheus_client.Counter
+    foreign_answers: prometheus_client.Counter
     version: prometheus_client.Gauge
     newest_version: prometheus_client.Gauge
 
@@ -270,6 +273,12 @@
                 'Requests that were still open as the process ended',
                 ('outcome',),
             ),
+            foreign_answers=make(
+                counter,
+                'edge_foreign_answers',
+                'Answers that do not belong to the request that was waiting',
+                ('kind',),
+            ),
             version=make(
                 gauge, 'edge_configuration_version', 'Version in force'
             ),
--- a/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
@@ -17,6 +17,7 @@
 from dunlintide_daemon.gateway import suspicions
 from dunlintide_platform import notices
 from dunlintide_platform import orders
+from dunlintide_platform import requests
 
 __all__ = [
     'Hold',
@@ -100,6 +101,7 @@
         state.backoffs.record_sent(first.name, sent)
 
     def read_head(head: endpointhttp.AnswerHead) -> None:
+        _check_identity(state, first.name, request, connection, head)
         notice = notices.read_notice(head)
         if notice is None or not notice.accepted:
             endpointnotices.log_turned_away(
@@ -113,6 +115,34 @@
     connection.send(data, bodiless, read_head)
 
 
+def _check_identity(
+    state: state_module.State,
+    endpoint: str,
+    request: str,
+    connection: endpointhttp.Connection,
+    head: endpointhttp.AnswerHead,
+) -> None:
+    """Log an answer that does not echo the id of its request.
+
+    :param endpoint: name of the endpoint
+    :param request: id of the request, empty for a report or order
+    """
+    answer = requests.read_answer_headers(head)
+    if not request or answer.name == request:
+        return
+    kind = 'no id' if answer.name is None else 'other id'
+    state.counters.foreign_answers.labels(kind).inc()
+    state.log.write(
+        'foreign answer',
+        request=request,
+        endpoint=endpoint,
+        status=head.status,
+        answers=answer.name,
+        says_not_run=answer.not_run,
+        calls=connection.calls,
+    )
+
+
 def bind_exchange(
     state: state_module.State, endpoint: Endpoint
 ) -> orders.Exchange:
--- a/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/exchange.py
@@ -55,6 +55,7 @@
     :ivar sends: times that it was sent to an endpoint
     :ivar max_refusals: sends beyond the attempts of the rule
     :ivar runs: sends that may have run, without refused ones
+    :ivar running: sends that are neither answered nor given up
     :ivar team: name of the team that owns its key, None without one
     :ivar digest: hash of the fingerprint, the token counts and the prefix;
         recognizes a request that its caller sends again
@@ -82,6 +83,7 @@
     is_waiting: bool = False
     sends: int = 0
     runs: int = 0
+    running: int = 0
     max_refusals: int = MAX_REFUSALS
     excluded_endpoints: list[str] = attrs.field(factory=list)
     events: int = 0
--- a/packages/daemon/src/dunlintide_daemon/gateway/openrequests.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/openrequests.py
@@ -21,12 +21,14 @@
 
     :ivar task: task that answers it
     :ivar is_ended: whether the shutdown has ended it
+    :ivar was_running: whether an endpoint was at work on it then
     :ivar timer: its next check during a shutdown
     """
 
     exchange: Exchange
     task: asyncio.Task
     is_ended: bool = False
+    was_running: bool = False
     timer: asyncio.TimerHandle | None = None
 
 
@@ -65,7 +67,7 @@
             if not opened.is_ended or exchange.reply.is_disconnected:
                 raise
             opened.task.uncancel()
-            return self._end(exchange)
+            return self._end(opened)
         finally:
             self._open.discard(opened)
             if opened.timer is not None:
@@ -98,11 +100,12 @@
             self._watch(opened)
             return
         opened.is_ended = True
+        opened.was_running = exchange.running > 0
         opened.task.cancel()
 
-    def _end(self, exchange: Exchange) -> Outcome:
+    def _end(self, opened: _Open) -> Outcome:
         """Answer a request that has not been answered in time."""
-        state = self._state
+        state, exchange = self._state, opened.exchange
         reply, now = exchange.reply, state.now
         if reply.ended:
             return Outcome.COMPLETE
@@ -122,6 +125,7 @@
             outcome=outcome,
             sends=exchange.sends,
             events=exchange.events,
+            running=opened.was_running,
             received_after=round(
                 exchange.request.received_at - state.shutdown.began, 3
             ),
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -140,6 +140,9 @@
         ]
         self._bounds = bounds
         self._stop = asyncio.Event()
+        self._loop: asyncio.AbstractEventLoop | None = None
+        # Monotonic time of the first signal to stop, in seconds.
+        self._signalled_at: float | None = None
 
     def _log_error(self, what: str, error: BaseException | None) -> None:
         self._state.log.write(what, error=repr(error))
@@ -167,9 +170,9 @@
         """Serve until SIGTERM, then shut down gracefully."""
         state = self._state
         settings = state.settings
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop = self._loop = asyncio.get_running_loop()
+        signal.signal(signal.SIGTERM, self._handle_stop)
+        signal.signal(signal.SIGINT, self._handle_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         state.change_listeners.append(self._update_bounds)
         async with contextlib.AsyncExitStack() as stack:
@@ -194,6 +197,15 @@
             await self._stop.wait()
             await self._shut_down()
 
+    def _handle_stop(self, number: int, frame: object) -> None:
+        """Note when a signal to stop arrives; a busy event loop comes later.
+
+        It runs between two instructions of the main thread, wherever that is.
+        """
+        if self._signalled_at is None:
+            self._signalled_at = self._loop.time()
+        self._loop.call_soon_threadsafe(self._stop.set)
+
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
         settings = self._state.settings
         loop = asyncio.get_running_loop()
@@ -339,6 +351,7 @@
             busy=self._callers.count_busy(),
             grace=state.settings.grace,
             others=len(state.listed_entries),
+            signal_age=round(state.now - self._signalled_at, 3),
         )
         leaving = asyncio.create_task(self._leave())
         try:
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -59,6 +59,7 @@
     :ivar checked_at: monotonic time of that check, in seconds
     :ivar was_refused: whether an endpoint refused it
     :ivar is_held: whether its engines still hold it for a while after its end
+    :ivar is_sent: whether its request was sent
     :ivar connection: connection to the first endpoint, None before it exists
     """
 
@@ -74,6 +75,7 @@
     checked_at: float = 0.0
     was_refused: bool = False
     is_held: bool = False
+    is_sent: bool = False
     connection: endpointhttp.Connection | None = None
 
     @property
@@ -150,6 +152,7 @@
             raise
         finally:
             self._active.discard(run)
+            stream.exchange.running -= run.is_sent
             state.health.record_finished(run.names, run.events > 0)
             self._release(run)
             if connection is not None:
@@ -204,6 +207,8 @@
             raise runends.RunEnded(False, str(held), withheld=True) from held
         exchange.sends += 1
         exchange.runs += 1
+        exchange.running += 1
+        run.is_sent = True
         run.began = run.last_progress = state.now
         state.log.write(
             'stream sent',
