Accept late streams of a stopping entry only if their greatest length fits

Cause: the reserve of a late stream was twice the length that its caller expects. Callers are right at the median and often far off, so a tenth of the real length left no reserve at all. The class is a promise that rests on a value which others only estimate.

Later ones count with the most events that the tokens allowed, at twice the typical pace and at the slowest recent one; one whose greatest length nobody names is refused at once. Streams that surely fit are still served.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -42,6 +42,34 @@
       | 8     | 2.9     | 0.1 s apart         | 4    | accepted |
       | 8     | 4.0     | 0.1 s apart         | 4    | refused  |
 
+  Scenario Outline: A late stream counts with the most events that it may have
+    Guards against streams that are cut off since their callers expected short
+    answers, or no one knew a length, and were accepted too late to be excused.
+    Given an entry with a grace of 30 s that stopped 20.0 s ago beside 1 others
+    And its streams take 0.5 s to the first of their events, 0.1 s apart
+    And its engines usually answer with 40 tokens
+    When a caller asks for a stream with <answer>
+    Then the stream is <result>
+
+    Examples: 9.65 s are left; 10 events need 5.5 s of them, 100 need 23.5 s
+      | answer                                                  | result   |
+      | at most 400 tokens, 40 hinted                           | refused  |
+      | at most 400 tokens                                      | refused  |
+      | at most 0 tokens, 40 hinted                             | refused  |
+      | at most 0 tokens                                        | refused  |
+      | at most 40 tokens, 400 hinted                           | accepted |
+      | at most 400 tokens, 40 hinted, 90 events received       | accepted |
+      | at most 400 tokens, 40 hinted, 9 events received        | refused  |
+
+  Scenario: A late stream counts with the slowest of the recent ones
+    Guards against streams that are cut off since they run on slower engines
+    than most.
+    Given an entry with a grace of 30 s that stopped 20.0 s ago beside 1 others
+    And its streams take 0.5 s to the first of their events, 0.1 s apart
+    And the slowest of its streams had events 1.0 s apart
+    When a caller asks for a stream with at most 40 tokens
+    Then the stream is refused
+
   Scenario Outline: A stream that has run is sent again while it may end in time
     Guards against an unknown outcome where another run could still be whole.
     Given an entry with a grace of 8 s that stopped <elapsed> s ago beside 1 others
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -71,6 +71,11 @@
         window.record(interval)
 
 
+@behave.given('the slowest of its streams had events {interval:g} s apart')
+def record_slowest(context, interval):
+    context.state.get_event_seconds(SERVICE).record(interval)
+
+
 @behave.given('its engines usually answer with {tokens:d} tokens')
 def set_usual_answer(context, tokens):
     _set_usual_answer(context, tokens)
--- a/packages/core/src/dunlintide_core/pipeline/durations.py
+++ b/packages/core/src/dunlintide_core/pipeline/durations.py
@@ -34,6 +34,13 @@
         self._recent.append(seconds)
         self._typical = None
 
+    @property
+    def longest(self) -> float | None:
+        """The longest recent duration in seconds, None if unknown."""
+        if len(self._recent) < MIN_DURATIONS:
+            return None
+        return max(self._recent)
+
     @property
     def typical(self) -> float | None:
         """The typical duration of a run, in seconds, None if unknown."""
--- a/packages/core/src/dunlintide_core/pipeline/shutdown.py
+++ b/packages/core/src/dunlintide_core/pipeline/shutdown.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     'Shutdown',
+    'StreamTimes',
     'choose_retry_delay',
     'estimate_stream',
     'find_latest_call_start',
@@ -94,18 +95,31 @@
         return min(self, changed, key=lambda each: each.killed)
 
 
+@attrs.frozen
+class StreamTimes:
+    """Durations that a stream may have, in seconds, None if unknown.
+
+    :ivar expected: with as many events as its caller expects
+    :ivar longest: with the most events that it may have
+    :ivar slowest: the same at the slowest pace of recent streams
+    """
+
+    expected: float | None = None
+    longest: float | None = None
+    slowest: float | None = None
+
+
 def estimate_stream(
-    first: float | None, count: int, interval: float | None
+    first: float | None, count: int | None, interval: float | None
 ) -> float | None:
-    """Return how long a stream is expected to take, in seconds.
+    """Return how long a stream takes, in seconds.
 
-    :param first: typical time to the first event in seconds, None if unknown
-    :param count: expected number of events
-    :param interval: typical time between two events in seconds, None if
-        unknown
-    :returns: None if the times are unknown
+    :param first: time to the first event in seconds, None if unknown
+    :param count: number of events, None if unknown
+    :param interval: time between two events in seconds, None if unknown
+    :returns: None if one of them is unknown
     """
-    if first is None or interval is None:
+    if first is None or count is None or interval is None:
         return None
     return first + count * interval
 
@@ -127,19 +141,19 @@
 def find_latest_stream_start(
     shutdown: Shutdown,
     deadline: float,
-    expected: float | None,
+    times: StreamTimes,
     by_length: bool,
     has_run: bool,
 ) -> float:
     """Return until when a stream may be sent, not to be cut off.
 
-    Within the first seconds one of unknown length may be sent too; later ones
-    need a reserve. One that has run can't be refused any more, so it is sent
-    again while it may end in time.
+    Within the first seconds what its caller expects decides, and one of
+    unknown length may be sent too. Later ones must end even with the most
+    events that they may have, and need a reserve. One that has run can't be
+    refused any more, so it is sent again while it may end in time.
 
     :param deadline: monotonic time at which it ends anyway, in seconds
-    :param expected: time that it is expected to take in seconds, None if
-        unknown
+    :param times: durations that it may have
     :param by_length: whether a stream that is too long is refused also within
         the first seconds, since another entry can take it
     :param has_run: whether it may have run
@@ -147,15 +161,18 @@
     """
     if deadline <= shutdown.ends:
         return math.inf
-    latest = shutdown.ends - (expected or 0.0) - MARGIN_SECONDS
+    latest = shutdown.ends - (times.expected or 0.0) - MARGIN_SECONDS
     if has_run:
         return latest
     cutoff = shutdown.began + STREAM_CUTOFF_SECONDS
-    if expected is None:
-        return cutoff
-    reserve = expected * STREAM_RESERVE_FACTOR + STREAM_RESERVE_SECONDS
-    if by_length:
+    if by_length and times.expected is not None:
         cutoff = min(cutoff, latest)
+    if times.longest is None or times.slowest is None:
+        return cutoff
+    reserve = max(
+        times.longest * STREAM_RESERVE_FACTOR + STREAM_RESERVE_SECONDS,
+        times.slowest + MARGIN_SECONDS,
+    )
     return max(cutoff, shutdown.ends - reserve)
 
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
@@ -161,6 +161,7 @@
             'remaining': round(state.shutdown.ends - now, 3),
             'deadline_in': round(exchange.deadline - now, 3),
             'expected': found.expected and round(found.expected, 3),
+            'longest': found.longest and round(found.longest, 3),
         }
         if now <= found.latest_start:
             state.log.write(
--- a/packages/daemon/src/dunlintide_daemon/gateway/shutdowns.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/shutdowns.py
@@ -37,10 +37,13 @@
     :ivar latest_start: monotonic time until which it may be sent, in seconds
     :ivar expected: time that it is expected to take in seconds, None if
         unknown
+    :ivar longest: time that a stream takes at its greatest length in seconds,
+        None if unknown
     """
 
     latest_start: float
     expected: float | None = None
+    longest: float | None = None
 
 
 def record_duration(state: State, exchange: Exchange, seconds: float) -> None:
@@ -55,15 +58,15 @@
         return Assessment(math.inf)
     deadline = exchange.deadline
     if exchange.terms.stream:
-        expected = _estimate_stream(state, exchange)
+        times = _estimate_stream(state, exchange)
         latest = shutdown.find_latest_stream_start(
             plan,
             deadline,
-            expected,
+            times,
             _stops_by_length(state),
             exchange.runs > 0,
         )
-        return Assessment(latest, expected)
+        return Assessment(latest, times.expected, times.longest)
     expected = state.call_durations.estimate(
         exchange.rule.name,
         exchange.terms.target_seconds or chainfinder.DEFAULT_TARGET_SECONDS,
@@ -88,11 +91,11 @@
     )
 
 
-def _estimate_stream(state: State, exchange: Exchange) -> float | None:
-    """Return how long a stream will take in seconds, None if unknown."""
+def _estimate_stream(state: State, exchange: Exchange) -> shutdown.StreamTimes:
+    """Estimate how long a stream may take."""
     service = state.deployment.services.get(exchange.service)
     if service is None or service.engine is None:
-        return None
+        return shutdown.StreamTimes()
     request, profile = exchange.caller_request, service.engine
     # A caller that resumes a stream names the number of its last event.
     after = request.after or ''
@@ -100,10 +103,22 @@
     received = int(after) if is_number else 0
     stride = max(1, profile.stride)
     tokens = chainfinder.estimate_answer(request, profile, received * stride)
-    return shutdown.estimate_stream(
-        state.first_event_delays.typical,
-        math.ceil(tokens / stride),
-        state.get_event_seconds(exchange.service).typical,
+    # Callers need not name the most tokens that they accept.
+    most_events = None
+    if request.answer:
+        most_events = max(1, math.ceil(request.answer / stride) - received)
+    delays = state.first_event_delays
+    intervals = state.get_event_seconds(exchange.service)
+    return shutdown.StreamTimes(
+        expected=shutdown.estimate_stream(
+            delays.typical, math.ceil(tokens / stride), intervals.typical
+        ),
+        longest=shutdown.estimate_stream(
+            delays.typical, most_events, intervals.typical
+        ),
+        slowest=shutdown.estimate_stream(
+            delays.longest, most_events, intervals.longest
+        ),
     )
 
 
