Count the grace period from the signal, not from the loop that handles it

Cause: the loop calls its handlers only between two callbacks. The class is a time that is taken when it is read, not when it happened.

Why this fix works: a handler of the interpreter notes the time, which runs between two instructions of the main thread, also within a callback. A process that isn't scheduled at all still notes it late.

Evidence: the new scenario fails with the loop's handler (0.5 s late) and holds with this one.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -99,6 +99,12 @@
     When a caller asks for a stream with at most 4000 tokens
     Then the stream is accepted
 
+  Scenario: The grace period begins with the signal, also while the loop is busy
+    Guards against streams that are accepted for too long, and against a kill
+    before open requests are ended.
+    When SIGTERM arrives 0.1 s into a callback of the event loop that takes 0.6 s
+    Then the grace period has begun within 0.05 s of the signal
+
   Scenario: The mechanism can be switched off
     Given an entry with a grace of 5 s that stopped 0.0 s ago beside 1 others
     And its streams take 0.3 s to the first of their events, 0.1 s apart
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -1,11 +1,17 @@
 """Steps for streams at an entry that stops."""
 
+import asyncio
+import contextlib
+import os
+import signal
+import threading
 import time
 import types
 from unittest import mock
 
 import attrs
 import behave
+from dunlintide_adapters import stopsignal
 from dunlintide_core.pipeline import calldurations
 from dunlintide_core.pipeline import callerrequests
 from dunlintide_core.pipeline import durations
@@ -81,6 +87,40 @@
     _set_usual_answer(context, tokens)
 
 
+@behave.when(
+    'SIGTERM arrives {delay:g} s into a callback of the event loop that takes'
+    ' {seconds:g} s'
+)
+def send_signal_to_busy_loop(context, delay, seconds):
+    def send():
+        context.signalled_at = time.monotonic()
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    def work():
+        until = time.monotonic() + seconds
+        timer = threading.Timer(delay, send)
+        timer.start()
+        while time.monotonic() < until:
+            pass
+
+    async def run():
+        stop = stopsignal.StopSignal()
+        asyncio.get_running_loop().call_soon(work)
+        return await stop.wait()
+
+    with contextlib.ExitStack() as stack:
+        for number in stopsignal.SIGNALS:
+            handler = signal.getsignal(number)
+            stack.callback(signal.signal, number, handler)
+        context.began_at = asyncio.run(run())
+
+
+@behave.then('the grace period has begun within {seconds:g} s of the signal')
+def check_began(context, seconds):
+    elapsed = context.began_at - context.signalled_at
+    assert 0 <= elapsed <= seconds, elapsed
+
+
 @behave.given('the mechanism "{name}" is off')
 def switch_off(context, name):
     off = (mechanisms.Mechanism(name),)
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -14,6 +14,7 @@
 from dunlintide_adapters import callerhttp
 from dunlintide_adapters import callermessages
 from dunlintide_adapters import decisionlog
+from dunlintide_adapters import stopsignal
 from dunlintide_core.pipeline import deployments
 from dunlintide_core.pipeline import settings as settings_module
 from dunlintide_core.pipeline import shutdown
@@ -139,10 +140,6 @@
             (settings.metrics_listen, admin.handle_metrics),
         ]
         self._bounds = bounds
-        self._stop = asyncio.Event()
-        self._loop: asyncio.AbstractEventLoop | None = None
-        # Monotonic time of the first signal to stop, in seconds.
-        self._signalled_at: float | None = None
 
     def _log_error(self, what: str, error: BaseException | None) -> None:
         self._state.log.write(what, error=repr(error))
@@ -170,9 +167,8 @@
         """Serve until SIGTERM, then shut down gracefully."""
         state = self._state
         settings = state.settings
-        loop = self._loop = asyncio.get_running_loop()
-        signal.signal(signal.SIGTERM, self._handle_stop)
-        signal.signal(signal.SIGINT, self._handle_stop)
+        loop = asyncio.get_running_loop()
+        stop = stopsignal.StopSignal()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         state.change_listeners.append(self._update_bounds)
         async with contextlib.AsyncExitStack() as stack:
@@ -194,17 +190,7 @@
                 self._watch_settings,
             ):
                 self._keep_running(stack, work)
-            await self._stop.wait()
-            await self._shut_down()
-
-    def _handle_stop(self, number: int, frame: object) -> None:
-        """Note when a signal to stop arrives; a busy event loop comes later.
-
-        It runs between two instructions of the main thread, wherever that is.
-        """
-        if self._signalled_at is None:
-            self._signalled_at = self._loop.time()
-        self._loop.call_soon_threadsafe(self._stop.set)
+            await self._shut_down(await stop.wait())
 
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
         settings = self._state.settings
@@ -338,10 +324,12 @@
             self._store.change_address(settings.store)
         state.log.write_always('settings reloaded', ignored=ignored)
 
-    async def _shut_down(self) -> None:
-        """Finish requests under way, as long as the grace period allows."""
+    async def _shut_down(self, began: float) -> None:
+        """Finish requests under way, as long as the grace period allows.
+
+        :param began: monotonic time of the signal to stop, in seconds
+        """
         state = self._state
-        began = state.now
         state.shutdown = shutdown.Shutdown.from_grace(
             began, state.settings.grace
         )
@@ -351,7 +339,7 @@
             busy=self._callers.count_busy(),
             grace=state.settings.grace,
             others=len(state.listed_entries),
-            signal_age=round(state.now - self._signalled_at, 3),
+            signal_age=round(state.now - began, 3),
         )
         leaving = asyncio.create_task(self._leave())
         try:
