Take an answer for a request's own only if it echoes the request's id

An endpoint sent a refusal late, on a kept connection, where the answer to the next call was expected. It had no id.

Cause: an answer without an id counted as that of the request that waited, so its Not-Executed led to a second send while the first one ran; one with another id ended the call as unknown, and its connection was kept for the next call, whose answer was then the former one's. The class is a decision on a message that nothing ties to its request.

Why this fix works: the connection itself skips what does not echo the id, up to four answers, and goes on waiting for the request's own; afterwards it is closed. A request without an id gets a connection of its own, as do reports and orders already. A request that was refused is not sent again on a connection that has carried it, since its id could not tell a second refusal apart.

--- /dev/null
+++ b/features/foreignanswers.feature
@@ -0,0 +1,43 @@
+Feature: An answer counts only for the request whose id it echoes
+  Endpoints may send answers late, on a kept connection, where the next answer
+  is expected. Such an answer says nothing about the request that waits.
+
+  Background:
+    Given a platform with engines and services in failure domains "a" and "b"
+    And a ready entry "one" in "a"
+
+  Scenario Outline: A call is not run again for <answer>
+    Guards against calls that may run once and run twice, or are answered with
+    what belongs to another call.
+    Given every service sends <answer> <delay> s after each second request of a connection
+    When a caller sends 40 calls of "/orders/x" that take 0.05 s, one after the other
+    Then each call got its own answer and ran once
+    And the entry has counted foreign answers
+
+    Examples: Before the run is over, and with its answer
+      | answer                           | delay |
+      | a refusal without an id          | 0.0   |
+      | a refusal without an id          | 0.05  |
+      | a refusal of an earlier request  | 0.0   |
+      | a failure without an id          | 0.0   |
+      | a success without an id          | 0.0   |
+      | a success of an earlier request  | 0.02  |
+
+  Scenario Outline: A stream is not run again for <answer>
+    Guards against streams whose runs are doubled, and answers in the wrong
+    stream.
+    Given every engine sends <answer> 0.0 s after each second request of a connection
+    When a caller sends 12 streams of 5 events, one after the other
+    Then each stream is whole and ran once
+
+    Examples:
+      | answer                           |
+      | a refusal without an id          |
+      | a success of an earlier request  |
+
+  Scenario: A refusal that comes twice is not taken for one of the next send
+    Guards against a second run: a request that was refused is sent again on
+    the connection on which the second refusal arrives late.
+    Given a connection that has carried the request "r-1"
+    Then the connection is not used for "r-1" again, but for "r-2"
+    And a request without an id gets a new connection
--- /dev/null
+++ b/features/steps/foreignanswers.py
@@ -0,0 +1,166 @@
+"""Steps for answers that belong to no request, or to another one."""
+
+import asyncio
+import contextlib
+import itertools
+import re
+
+import behave
+from dunlintide_adapters import endpointhttp
+from dunlintide_core.pipeline import endpoints
+from dunlintide_daemon.gateway import endpointgate
+from dunlintide_standins.fleet import callers
+from dunlintide_standins.fleet import runners
+from dunlintide_standins.fleet import wire
+import edge_settings
+
+# More than any scenario sends.
+MANY = 1000
+TIMEOUT_SECONDS = 1.0
+
+_numbers = itertools.count(1)
+
+
+@behave.given(
+    'every {kind} sends {answer} {delay:g} s after each second request of a'
+    ' connection'
+)
+def send_late(context, kind, answer, delay):
+    scene = context.scene
+    chosen = scene.list_services()
+    if kind == 'engine':
+        chosen = scene.list_engines()
+        scene.wait_for_layers()
+    for runner in chosen:
+        runner.faults.late = MANY
+        runner.faults.late_answer = runners.LateAnswer(answer)
+        runner.faults.late_delay = delay
+
+
+def _send_all(context, requests):
+    """Send requests on one connection, one after the other."""
+    context.answers = {}
+    caller = callers.Caller(context.entry.listen)
+    with contextlib.closing(caller):
+        for name, data in requests:
+            caller.send(data)
+            context.answers[name] = caller.read_answer()
+
+
+@behave.when(
+    'a caller sends {count:d} calls of "{path}" that take {seconds:g} s, one'
+    ' after the other'
+)
+def send_calls(context, count, path, seconds):
+    names = [f'call-{next(_numbers)}' for _ in range(count)]
+    work = str(int(seconds * 1000))
+    _send_all(
+        context,
+        [
+            (name, callers.build_request(name, path, Work_Ms=work))
+            for name in names
+        ],
+    )
+
+
+@behave.when(
+    'a caller sends {count:d} streams of {events:d} events, one after the'
+    ' other'
+)
+def send_streams(context, count, events):
+    names = [f'stream-{next(_numbers)}' for _ in range(count)]
+    context.events = events
+    _send_all(
+        context,
+        [(name, callers.build_stream(name, events)) for name in names],
+    )
+
+
+def _check_runs(context, name):
+    runs = context.scene.fleet.list_runs(name)
+    answer = context.answers[name]
+    assert len(runs) == 1, (name, [run.runner for run in runs], answer)
+    assert answer.status == 200 and answer.is_complete, (name, answer)
+    return answer
+
+
+@behave.then('each call got its own answer and ran once')
+def check_calls(context):
+    for name in context.answers:
+        answer = _check_runs(context, name)
+        assert answer.body == b'answer to ' + name.encode(), (name, answer)
+        assert answer.headers['attempt-id'] == name, (name, answer)
+
+
+@behave.then('each stream is whole and ran once')
+def check_streams(context):
+    for name in context.answers:
+        answer = _check_runs(context, name)
+        pieces = re.findall(rb'data: (\S+)', answer.body)
+        expected = [
+            f'{name}-{number}'.encode()
+            for number in range(1, context.events + 1)
+        ]
+        assert pieces == expected, (name, answer)
+
+
+@behave.then('the entry has counted foreign answers')
+def check_counted(context):
+    entry = context.entry
+    text = entry.ask(entry.metrics, '/metrics').body.decode()
+    found = re.findall(r'edge_foreign_answers_total\{.*\} (\S+)', text)
+    assert sum(map(float, found)) > 0, found
+    assert entry.list_events('foreign answer')
+
+
+@behave.given('a connection that has carried the request "{name}"')
+def carry(context, name):
+    context.carried = name
+
+
+@behave.then(
+    'the connection is not used for "{same}" again, but for "{other}"'
+)
+def check_carried(context, same, other):
+    async def handle(request, channel):
+        headers = {'Attempt-Id': request.headers['attempt-id']}
+        await channel.answer(200, b'', headers)
+
+    async def run():
+        server = await wire.listen(handle)
+        address = '127.0.0.1:%d' % server.sockets[0].getsockname()[1]
+        state = edge_settings.make_state(edge_settings.SilentLog())
+        endpoint = endpoints.Endpoint('e', address, 's', 'a', 4)
+        state.apply_endpoint(endpoint)
+
+        async def connect(name):
+            return await endpointgate.connect(
+                state, endpoint, name, TIMEOUT_SECONDS
+            )
+
+        first = await connect(context.carried)
+        data = f'GET / HTTP/1.1\r\nAttempt-Id: {same}\r\n\r\n'.encode()
+        endpointgate.send(state, first, (endpoint,), data, same)
+        deadline = asyncio.get_running_loop().time() + TIMEOUT_SECONDS
+        await first.read_head(deadline)
+        await first.read_all(deadline)
+        state.pool.release(address, first)
+        again = await connect(same)
+        nameless = await connect('')
+        different = await connect(other)
+        for connection in (first, again, nameless):
+            connection.close()
+        state.pool.close()
+        server.close()
+        return first, again, nameless, different
+
+    first, again, nameless, different = asyncio.run(run())
+    assert isinstance(first, endpointhttp.Connection)
+    assert different is first
+    assert again is not first
+    context.is_new = nameless is not first
+
+
+@behave.then('a request without an id gets a new connection')
+def check_nameless(context):
+    assert context.is_new
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -2,6 +2,8 @@
 
 A connection carries one request at a time and is reused only after an answer
 that was complete, had explicit framing and was followed by no further bytes.
+Endpoints may send further answers late, before the one that is waited for;
+what does not belong to the request is skipped.
 An error says whether the request may have been read, since that decides
 whether it can be sent again.
 """
@@ -31,6 +33,10 @@
 # counts from when it sent the answer, and the next request still has to
 # arrive.
 KEEPALIVE_FRACTION = 0.7
+# Answers to other requests that are skipped while one is waited for.
+MAX_FOREIGN_ANSWERS = 4
+# Requests whose ids a connection remembers.
+_MAX_REQUESTS = 8
 # Unread bytes of an answer above which reading from the endpoint pauses.
 _READ_HIGH_WATER_BYTES = 256 << 10
 
@@ -112,6 +118,12 @@
         self._has_excess_input = False
         self._bodiless = False
         self._on_head: Callable[[AnswerHead], None] | None = None
+        self._is_own: Callable[[AnswerHead], bool] | None = None
+        self._foreign_answers = 0
+        self._is_skipping = False
+        self._requests: collections.deque[str] = collections.deque(
+            maxlen=_MAX_REQUESTS
+        )
         self.in_call = False
         self.calls = 0
         self.received = 0
@@ -176,6 +188,11 @@
             return
         reason = b''.join(self._reason).decode('latin-1')
         head = AnswerHead(status, reason, self._headers)
+        if self._on_head is not None:
+            self._on_head(head)
+        if self._is_own is not None and not self._is_own(head):
+            self._skip_answer()
+            return
         encoding = (head.get('transfer-encoding') or '').lower()
         length = head.get('content-length')
         empty = status in (204, 304) or self._bodiless
@@ -183,10 +200,19 @@
         self._head = head
         if self._bodiless:
             self._complete = True
-        if self._on_head is not None:
-            self._on_head(head)
+
+    def _skip_answer(self) -> None:
+        """Skip an answer that does not belong to the request."""
+        self._headers, self._reason = [], []
+        self._is_skipping = True
+        self._foreign_answers += 1
+        # The parser takes what follows an answer to HEAD for a body.
+        if self._bodiless or self._foreign_answers > MAX_FOREIGN_ANSWERS:
+            self._failure = FailureKind.GARBLED
 
     def on_body(self, data: bytes) -> None:
+        if self._is_skipping:
+            return
         if self._complete:
             self._has_excess_input = True
             return
@@ -201,7 +227,11 @@
             self._has_excess_input = True
 
     def on_message_complete(self) -> None:
-        if self._head is not None:
+        if self._is_skipping:
+            # What its trailers named is no header of the next answer.
+            self._is_skipping = False
+            self._headers = []
+        elif self._head is not None:
             self._complete = True
 
     # Interface for callers.
@@ -227,6 +257,8 @@
         """Whether the connection can carry another call after the last one."""
         if not (self.is_open and self._complete and self._framed):
             return False
+        if self._foreign_answers:
+            return False
         if self._transport.get_write_buffer_size():
             return False
         connection_header = (self._head.get('connection') or '').lower()
@@ -237,13 +269,22 @@
         data: bytes,
         bodiless: bool = False,
         on_head: Callable[[AnswerHead], None] | None = None,
+        is_own: Callable[[AnswerHead], bool] | None = None,
+        request: str = '',
     ) -> None:
         """Start a call with the bytes of a complete request.
 
         :param bodiless: whether the answer has no body, as for HEAD
-        :param on_head: called when the head of the answer arrives
+        :param on_head: called when the head of an answer arrives
+        :param is_own: whether an answer belongs to the request; None if any
+            does
+        :param request: id of the request, empty for one without
         """
         self._on_head = on_head
+        self._is_own = is_own
+        self._foreign_answers = 0
+        self._is_skipping = False
+        self._requests.append(request)
         self._parser = httptools.HttpResponseParser(self)
         self._chunks.clear()
         self._buffered = self.received = 0
@@ -364,6 +405,13 @@
         keepalive_header = self._head.get('keep-alive') if self._head else None
         self.keepalive_seconds = _read_keep_alive(keepalive_header)
 
+    def has_carried(self, request: str) -> bool:
+        """Return whether a late answer to a request may come on it.
+
+        :param request: id of the request, empty for one without
+        """
+        return not request or request in self._requests
+
     def is_fresh(self, now: float) -> bool:
         """Return whether an idle connection can be reused."""
         return self.is_open and now - self.idle_since < self.keepalive_seconds
@@ -393,6 +441,7 @@
         address: str,
         timeout: float,
         max_idle_seconds: float | None = None,
+        is_suitable: Callable[[Connection], bool] | None = None,
     ) -> Connection:
         """Return a pooled connection or open a new one.
 
@@ -400,12 +449,16 @@
         :param timeout: maximum time to connect, in seconds
         :param max_idle_seconds: maximum idle time of a pooled connection;
             0 for a new connection, None for its keep-alive time
+        :param is_suitable: whether a pooled connection may be used; None if
+            any may
         :raises CallError: when no connection can be opened
         """
         loop = asyncio.get_running_loop()
-        idle_connections = self._idle.get(address)
-        while idle_connections:
-            connection = idle_connections.pop()
+        idle_connections = self._idle.get(address, [])
+        for connection in reversed(list(idle_connections)):
+            if is_suitable is not None and not is_suitable(connection):
+                continue
+            idle_connections.remove(connection)
             now = loop.time()
             idle_seconds = now - connection.idle_since
             is_recent = (
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -329,8 +329,12 @@
         state = self._state
         max_idle = None if exchange.is_repeatable else MAX_IDLE_SECONDS
         try:
-            connection = await state.pool.acquire(
-                endpoint.address, CONNECT_SECONDS, max_idle
+            connection = await endpointgate.connect(
+                state,
+                endpoint,
+                exchange.caller_request.name,
+                CONNECT_SECONDS,
+                max_idle,
             )
         except endpointhttp.CallError as broken:
             state.eject(
@@ -397,8 +401,6 @@
             raise
         finally:
             exchange.running -= 1
-        if verdict.name not in (None, exchange.caller_request.name):
-            return _SendResult(endpoint, True, 'answer to another request')
         if verdict.not_run:
             exchange.runs -= 1
             self._refused_until[endpoint.name] = (
--- a/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
@@ -22,6 +22,7 @@
 __all__ = [
     'Hold',
     'bind_exchange',
+    'connect',
     'find_hold',
     'send',
 ]
@@ -100,8 +101,14 @@
     if request:
         state.backoffs.record_sent(first.name, sent)
 
+    def is_own(head: endpointhttp.AnswerHead) -> bool:
+        # Endpoints echo the id of a request; reports and orders have none,
+        # and a connection for each.
+        return not request or _check_identity(
+            state, first.name, request, connection, head
+        )
+
     def read_head(head: endpointhttp.AnswerHead) -> None:
-        _check_identity(state, first.name, request, connection, head)
         notice = notices.read_notice(head)
         if notice is None or not notice.accepted:
             endpointnotices.log_turned_away(
@@ -112,7 +119,7 @@
                 state, first.name, notice, sent, request
             )
 
-    connection.send(data, bodiless, read_head)
+    connection.send(data, bodiless, read_head, is_own, request)
 
 
 def _check_identity(
@@ -121,15 +128,15 @@
     request: str,
     connection: endpointhttp.Connection,
     head: endpointhttp.AnswerHead,
-) -> None:
-    """Log an answer that does not echo the id of its request.
+) -> bool:
+    """Return whether an answer echoes the id of a request; log if not.
 
     :param endpoint: name of the endpoint
-    :param request: id of the request, empty for a report or order
+    :param request: id of the request
     """
     answer = requests.read_answer_headers(head)
-    if not request or answer.name == request:
-        return
+    if answer.name == request:
+        return True
     kind = 'no id' if answer.name is None else 'other id'
     state.counters.foreign_answers.labels(kind).inc()
     state.log.write(
@@ -141,6 +148,33 @@
         says_not_run=answer.not_run,
         calls=connection.calls,
     )
+    return False
+
+
+async def connect(
+    state: state_module.State,
+    endpoint: Endpoint,
+    request: str,
+    timeout: float,
+    max_idle_seconds: float | None = None,
+) -> endpointhttp.Connection:
+    """Return a connection on which any answer to a request is its own.
+
+    The id tells answers apart, so one without an id gets a new connection, and
+    one that is sent again none that has carried it.
+
+    :param request: id of the request, empty for one without
+    :param timeout: maximum time to connect, in seconds
+    :param max_idle_seconds: maximum idle time of a kept connection, None for
+        its keep-alive time
+    :raises CallError: when no connection can be opened
+    """
+    return await state.pool.acquire(
+        endpoint.address,
+        timeout,
+        max_idle_seconds,
+        lambda connection: not connection.has_carried(request),
+    )
 
 
 def bind_exchange(
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -171,7 +171,12 @@
     ) -> endpointhttp.Connection:
         state = self._state
         try:
-            return await state.pool.acquire(run.first.address, CONNECT_SECONDS)
+            return await endpointgate.connect(
+                state,
+                run.first,
+                exchange.caller_request.name,
+                CONNECT_SECONDS,
+            )
         except endpointhttp.CallError as broken:
             exchange.excluded_endpoints.append(run.first.name)
             state.eject(
@@ -229,8 +234,6 @@
         try:
             head = await self._read_head(stream, run, connection)
             verdict = requests.read_answer_headers(head)
-            if verdict.name not in (None, exchange.caller_request.name):
-                raise runends.RunEnded(True, 'answer to another request')
             if verdict.not_run:
                 exchange.runs -= 1
                 run.was_refused = True
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -19,6 +19,7 @@
     'CrashPoint',
     'Faults',
     'Fleet',
+    'LateAnswer',
     'LeavingAnswer',
     'PartCrash',
     'Received',
@@ -29,6 +30,36 @@
 _id_numbers = itertools.count(1)
 
 
+class LateAnswer(enum.Enum):
+    """An answer to an earlier request, or to none, on a kept connection."""
+
+    REFUSAL_WITHOUT_ID = 'a refusal without an id'
+    REFUSAL_OF_EARLIER = 'a refusal of an earlier request'
+    FAILURE_WITHOUT_ID = 'a failure without an id'
+    SUCCESS_WITHOUT_ID = 'a success without an id'
+    SUCCESS_OF_EARLIER = 'a success of an earlier request'
+
+    def encode(self, earlier: str, signature: str) -> bytes:
+        """Encode it.
+
+        :param earlier: id of the earlier request
+        :param signature: value of ``Server-Stamp``
+        """
+        headers = {}
+        if self in (self.REFUSAL_OF_EARLIER, self.SUCCESS_OF_EARLIER):
+            headers['Attempt-Id'] = earlier
+        if self in (self.SUCCESS_WITHOUT_ID, self.SUCCESS_OF_EARLIER):
+            headers['Server-Stamp'] = signature
+            status = 200
+        elif self is self.FAILURE_WITHOUT_ID:
+            status = 500
+        else:
+            headers['Not-Executed'] = '1'
+            status = 503
+        body = b'late'
+        return wire.build_head(status, headers, len(body)) + body
+
+
 @attrs.define
 class Faults:
     """Injected faults of a runner.
@@ -40,6 +71,10 @@
     :ivar lose: count of calls to run and to reset without a response
     :ivar cut: count of streams to reset within an event
     :ivar extra: count of responses to follow by a second, unrelated one
+    :ivar late: count of connections on which a late answer comes before the
+        next response
+    :ivar late_answer: that answer
+    :ivar late_delay: time after the next request at which it comes, in seconds
     :ivar unframed: count of responses to send without length or chunks,
         streams included
     :ivar stall: whether calls and streams through the runner stop
@@ -59,6 +94,9 @@
     lose: int = 0
     cut: int = 0
     extra: int = 0
+    late: int = 0
+    late_answer: LateAnswer = LateAnswer.REFUSAL_WITHOUT_ID
+    late_delay: float = 0.0
     unframed: int = 0
     stall: bool = False
     stall_after: int | None = None
@@ -188,6 +226,12 @@
     return tuple(parts[:-1])
 
 
+def _echo_id(request: wire.Request) -> dict[str, str]:
+    """Return the header by which an answer names its request."""
+    name = request.headers.get('attempt-id')
+    return {} if name is None else {'Attempt-Id': name}
+
+
 def compute_stamp(name: str, body: bytes) -> str:
     """Compute the ``Server-Stamp`` header from a runner's id and a body."""
     return hashlib.sha256(name.encode() + body).hexdigest()[:16]
@@ -416,9 +460,12 @@
         return 202
 
     async def _refuse(
-        self, channel: wire.Channel, unready_address: str = ''
+        self,
+        request: wire.Request,
+        channel: wire.Channel,
+        unready_address: str = '',
     ) -> None:
-        headers = {'Not-Executed': '1'}
+        headers = {'Not-Executed': '1', **_echo_id(request)}
         if unready_address:
             headers['At-Server'] = unready_address
         await channel.answer(503, b'', headers)
@@ -428,7 +475,11 @@
     ) -> None:
         """Refuse a request and ask its sender for a pause."""
         values = self.faults.backoff
-        headers = {'Not-Executed': '1', 'Retry-After': values}
+        headers = {
+            'Not-Executed': '1',
+            'Retry-After': values,
+            **_echo_id(request),
+        }
         await channel.answer(503, b'', headers)
         name = request.headers.get('attempt-id', '')
         with contextlib.suppress(ValueError):
@@ -444,19 +495,21 @@
         headers = request.headers
         expected = headers.get('expect-instance')
         if expected not in (None, self.name):
-            await channel.answer(421, b'', {'Instance-Id': self.name})
+            headers = {'Instance-Id': self.name, **_echo_id(request)}
+            await channel.answer(421, b'', headers)
             return
+        self._send_late_answer(request, channel)
         if self.faults.backoff:
             await self._refuse_with_backoff(request, channel)
             return
         if self.faults.full or self._is_full():
-            await self._refuse(channel)
+            await self._refuse(request, channel)
             return
         hops = parse_hops(headers.get('hop-count', ''))
         if self.kind:
             unready_address = self._find_unready_hop(hops)
             if unready_address:
-                await self._refuse(channel, unready_address)
+                await self._refuse(request, channel, unready_address)
                 return
         after = int(headers.get('last-event-id', 0))
         run = Run(
@@ -480,6 +533,22 @@
         finally:
             self._running -= 1
 
+    def _send_late_answer(
+        self, request: wire.Request, channel: wire.Channel
+    ) -> None:
+        """Send the late answer of a connection, or prepare one for it."""
+        name = request.headers.get('attempt-id', '')
+        if channel.late_answer:
+            data, channel.late_answer = channel.late_answer, b''
+            if not self.faults.late_delay:
+                channel.write(data)
+                return
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.faults.late_delay, channel.write, data)
+        elif self.faults.consume('late'):
+            kind = self.faults.late_answer
+            channel.late_answer = kind.encode(name, compute_stamp(name, b''))
+
     def _is_full(self) -> bool:
         """Return whether all slots are taken, where these are enforced."""
         return self.fleet.enforces_slots and self._running >= self.fleet.slots
--- a/packages/standins/src/dunlintide_standins/fleet/wire.py
+++ b/packages/standins/src/dunlintide_standins/fleet/wire.py
@@ -12,6 +12,7 @@
 __all__ = [
     'Channel',
     'Request',
+    'build_head',
     'listen',
 ]
 
@@ -48,6 +49,7 @@
 
     :ivar closed: whether the server closed or reset the connection
     :ivar headers: headers added to each response
+    :ivar late_answer: bytes that precede the next response, empty for none
     :ivar head_times: monotonic times at which heads were built, in seconds
     """
 
@@ -55,6 +57,7 @@
         self._writer = writer
         self.closed = False
         self.headers: dict[str, str] = {}
+        self.late_answer = b''
         self.head_times: list[float] = []
 
     async def send(self, data: bytes) -> None:
