Hold few header fields, and test readers with any cut of any bytes

Cause: the limit counted bytes, not what they become. Why this fix works: an answer has at most 256 header fields; the parser stops at the next one.

Further properties: a request gets its own answer however the bytes are cut, and a late stream that is accepted ends at its greatest length and the slowest recent pace.

--- a/features/foreignanswers.feature
+++ b/features/foreignanswers.feature
@@ -35,6 +35,16 @@
       | a refusal without an id          |
       | a success of an earlier request  |
 
+  Scenario: However its bytes are cut, a request gets its own answer
+    Guards against a reader that depends on how answers arrive, with up to four
+    foreign ones before a request's own.
+    Then the answer read is that with the id, whatever comes before it
+
+  Scenario: Whatever comes, a connection holds little of it
+    Guards against memory that grows with what is sent, for each kind of bytes
+    without end and any size of the pieces that arrive.
+    Then no endless answer makes a connection hold over 256 KB or go on for 4 MB unread
+
   Scenario: A refusal that comes twice is not taken for one of the next send
     Guards against a second run: a request that was refused is sent again on
     the connection on which the second refusal arrives late.
--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -145,6 +145,12 @@
     Then any call that takes no longer than the recent ones is answered in time
     And any call is accepted whose deadline comes before the end
 
+  Scenario: A late stream is accepted just if it ends at any length
+    Guards against streams that are cut off, for any grace period, length, and
+    pace of the recent ones.
+    Then any stream that is accepted late ends in time at the slowest pace and greatest length
+    And what its caller expects makes no difference to that
+
   Scenario Outline: What is known of a rule's calls decides, then its target
     Given <count> calls of a rule that took 2 s each
     Then a call of that rule with a target of <target> s is expected to take <seconds> s
--- a/features/steps/foreignanswers.py
+++ b/features/steps/foreignanswers.py
@@ -4,15 +4,19 @@
 import contextlib
 import itertools
 import re
+import tracemalloc
 
 import behave
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import endpoints
 from dunlintide_daemon.gateway import endpointgate
 from dunlintide_standins.fleet import callers
+from dunlintide_standins.fleet import endless
 from dunlintide_standins.fleet import runners
 from dunlintide_standins.fleet import wire
 import edge_settings
+import hypothesis
+from hypothesis import strategies
 
 # More than any scenario sends.
 MANY = 1000
@@ -113,6 +117,143 @@
     assert entry.list_events('foreign answer')
 
 
+class _Transport:
+    """What a connection needs of a transport."""
+
+    def __init__(self):
+        self.is_paused = self.is_closed = False
+
+    def write(self, data):
+        pass
+
+    def pause_reading(self):
+        self.is_paused = True
+
+    def resume_reading(self):
+        self.is_paused = False
+
+    def is_closing(self):
+        return self.is_closed
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def abort(self):
+        self.is_closed = True
+
+
+def _open(request):
+    connection = endpointhttp.Connection()
+    transport = _Transport()
+    connection.connection_made(transport)
+    connection.send(b'', is_own=lambda head: head.get('attempt-id') == request)
+    return connection, transport
+
+
+def _feed(connection, transport, data):
+    """Hand over bytes as they are read; return how many were taken."""
+    taken = 0
+    while taken < len(data):
+        if transport.is_closed or transport.is_paused:
+            break
+        buffer = connection.get_buffer(-1)
+        part = data[taken : taken + len(buffer)]
+        buffer[: len(part)] = part
+        connection.buffer_updated(len(part))
+        taken += len(part)
+    return taken
+
+
+def _encode_answer(name, body, is_chunked):
+    head = b'HTTP/1.1 200 OK\r\n'
+    if name is not None:
+        head += b'Attempt-Id: %b\r\n' % name.encode()
+    if not is_chunked:
+        return head + b'Content-Length: %d\r\n\r\n%b' % (len(body), body)
+    chunks = b''.join(
+        b'%x\r\n%b\r\n' % (len(part), part)
+        for part in (body[:3], body[3:])
+        if part
+    )
+    return head + b'Transfer-Encoding: chunked\r\n\r\n%b0\r\n\r\n' % chunks
+
+
+@behave.then('the answer read is that with the id, whatever comes before it')
+def check_own(context):
+    answer = strategies.tuples(
+        strategies.binary(max_size=50), strategies.booleans()
+    )
+
+    @hypothesis.settings(max_examples=200, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(strategies.sampled_from([None, 'r-0']), answer),
+            max_size=endpointhttp.MAX_FOREIGN_ANSWERS,
+        ),
+        answer,
+        strategies.lists(strategies.integers(1, 90), max_size=9),
+    )
+    def check(foreign, own, cuts):
+        data = b''.join(_encode_answer(name, *each) for name, each in foreign)
+        data += _encode_answer('r-1', *own)
+
+        async def run():
+            connection, transport = _open('r-1')
+            rest = data
+            for cut in cuts:
+                _feed(connection, transport, rest[:cut])
+                rest = rest[cut:]
+            _feed(connection, transport, rest)
+            deadline = asyncio.get_running_loop().time() + TIMEOUT_SECONDS
+            head = await connection.read_head(deadline)
+            body = await connection.read_all(deadline, len(data))
+            return head, body, connection.is_reusable
+
+        head, body, is_reusable = asyncio.run(run())
+        assert head.get('attempt-id') == 'r-1'
+        assert body == own[0], (body, own)
+        assert is_reusable is not bool(foreign)
+
+    check()
+
+
+@behave.then(
+    'no endless answer makes a connection hold over {kept:d} KB or go on for'
+    ' {most:d} MB unread'
+)
+def check_kept(context, kept, most):
+    @hypothesis.settings(max_examples=100, deadline=None)
+    @hypothesis.given(
+        strategies.sampled_from(list(endless.Endless)),
+        strategies.integers(1, 100_000),
+    )
+    def check(kind, size):
+        async def run():
+            connection, transport = _open('r-1')
+            data = kind.begin('r-1')
+            taken = 0
+            for number in range((most << 20) // endless.BLOCK_BYTES):
+                data += kind.repeat(number)
+                while len(data) >= size:
+                    count = _feed(connection, transport, data[:size])
+                    taken += count
+                    data = data[size:]
+                    if count < size:
+                        return taken, tracemalloc.get_traced_memory()[1]
+            raise AssertionError(f'{kind} goes on after {taken} bytes')
+
+        tracemalloc.start()
+        try:
+            taken, peak = asyncio.run(run())
+        finally:
+            tracemalloc.stop()
+        # The bytes that are to be sent are held here as well.
+        allowed = (kept << 10) + 4 * (size + endless.BLOCK_BYTES)
+        assert peak <= allowed, (kind, size, taken, peak)
+
+    check()
+
+
 @behave.given('a connection that has carried the request "{name}"')
 def carry(context, name):
     context.carried = name
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -282,6 +282,74 @@
     check()
 
 
+def _find_late_start(plan, firsts, intervals, count, expected):
+    first, interval = durations.DurationWindow(), durations.DurationWindow()
+    for window, recent in ((first, firsts), (interval, intervals)):
+        for seconds in recent:
+            window.record(seconds)
+    times = shutdown.StreamTimes(
+        expected,
+        shutdown.estimate_stream(first.typical, count, interval.typical),
+        shutdown.estimate_stream(first.longest, count, interval.longest),
+    )
+    return shutdown.find_latest_stream_start(
+        plan, plan.killed + 100.0, times, True, False
+    )
+
+
+def _list_durations(most):
+    return strategies.lists(
+        strategies.floats(0.001, most),
+        min_size=durations.MIN_DURATIONS,
+        max_size=durations.MIN_DURATIONS + 4,
+    )
+
+
+@behave.then(
+    'any stream that is accepted late ends in time at the slowest pace and'
+    ' greatest length'
+)
+def check_late_streams(context):
+    @hypothesis.settings(max_examples=300, deadline=None)
+    @hypothesis.given(
+        strategies.floats(4.0, 60.0),
+        strategies.floats(0.0, 60.0),
+        _list_durations(2.0),
+        _list_durations(0.3),
+        strategies.integers(1, 200),
+    )
+    def check(grace, elapsed, firsts, intervals, count):
+        plan = shutdown.Shutdown.from_grace(NOW, grace)
+        now = NOW + max(elapsed, shutdown.STREAM_CUTOFF_SECONDS + 0.01)
+        latest = _find_late_start(plan, firsts, intervals, count, 0.1)
+        if now <= latest:
+            longest = max(firsts) + count * max(intervals)
+            assert now + longest <= plan.ends <= plan.killed
+
+    check()
+
+
+@behave.then('what its caller expects makes no difference to that')
+def check_hints(context):
+    @hypothesis.settings(max_examples=100, deadline=None)
+    @hypothesis.given(
+        strategies.integers(1, 200),
+        strategies.floats(0.0, 60.0),
+        strategies.floats(0.0, 60.0),
+    )
+    def check(count, one, other):
+        plan = shutdown.Shutdown.from_grace(NOW, 60.0)
+        recent = [0.1] * durations.MIN_DURATIONS
+        cutoff = NOW + shutdown.STREAM_CUTOFF_SECONDS
+        found = {
+            max(cutoff, _find_late_start(plan, recent, recent, count, each))
+            for each in (one, other)
+        }
+        assert len(found) == 1, found
+
+    check()
+
+
 @behave.then('any call is accepted whose deadline comes before the end')
 def check_bounded(context):
     @hypothesis.settings(max_examples=300, deadline=None)
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -46,6 +46,8 @@
 # Largest head of an answer, with those of interim and foreign answers before
 # it, in bytes.
 MAX_HEAD_BYTES = 64 << 10
+# Most header fields of an answer.
+MAX_HEADER_FIELDS = 256
 # Bytes of chunk headers and trailers that an answer may have for each byte of
 # its body, beside those that a head may have.
 MAX_FRAMING_RATIO = 2
@@ -189,7 +191,7 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if not self._complete:
+            if not self._complete and self._failure is None:
                 self._failure = FailureKind.GARBLED
             self._has_excess_input = True
         body_bytes = self.received + self._foreign_bytes - body_bytes
@@ -223,6 +225,9 @@
         if self._head is not None:
             # Trailers are not used.
             return
+        if len(self._headers) >= MAX_HEADER_FIELDS:
+            self._failure = FailureKind.OVERSIZED
+            raise ValueError('too many header fields')
         pair = name.decode('latin-1').lower(), value.decode('latin-1')
         self._headers.append(pair)
 
