--- a/features/endlessanswers.feature
+++ b/features/endlessanswers.feature
@@ -18,6 +18,18 @@
       | a store call  |
       | another entry |
 
+  Scenario Outline: The answer to <path> on a thread ends though its body does not
+    Guards against the same where a client blocks. Its library bounds heads, and
+    reads any number of interim answers, chunk extensions and trailers.
+    When <path> on a thread is answered by each of the endless heads and bodies
+    Then each has failed within <seconds> s, of <allowed> s that it might take
+    And the process has grown by at most <size> MB
+
+    Examples:
+      | path          | seconds | allowed | size |
+      | the host list | 3.0     | 2.0     | 100  |
+      | a transaction | 9.0     | 8.0     | 100  |
+
   Scenario Outline: <kind> in the answers of a service
     Guards against an entry that grows past the memory of its machine, and
     against calls that wait for their timeout though it is clear that no answer
--- a/features/steps/endlessanswers.py
+++ b/features/steps/endlessanswers.py
@@ -13,6 +13,8 @@
 from dunlintide_adapters import callerhttp
 from dunlintide_adapters import callermessages
 from dunlintide_adapters import endpointhttp
+from dunlintide_adapters import hostlist
+from dunlintide_adapters import store as store_client
 from dunlintide_core.pipeline import endpoints
 from dunlintide_daemon.gateway import configurationfetcher
 from dunlintide_daemon.gateway import endpointgate
@@ -31,6 +33,16 @@
 MB = 1 << 20
 CALLER_LIMITS = callermessages.RequestLimits(8000, 100_000, 5.0, 5.0)
 
+HEADS_AND_BODIES = (
+    endless.Endless.HEADERS,
+    endless.Endless.HEADER,
+    endless.Endless.REASON,
+    endless.Endless.BODY,
+    endless.Endless.CHUNKS,
+    endless.Endless.SMALL_CHUNKS,
+    endless.Endless.EVENT,
+)
+
 _numbers = itertools.count(1)
 
 
@@ -81,8 +93,40 @@
     return time.monotonic() - began, has_failed
 
 
+def _read_on_thread(path, address):
+    """Return whether a read by a client that blocks fails."""
+    url = f'http://{address}'
+    if path == 'the host list':
+        return hostlist.HostList.from_url(url).poll().is_err()
+    return store_client.Store.from_url(url).get('a-key').is_err()
+
+
+@behave.when(
+    '{path} on a thread is answered by each of the endless heads and bodies'
+)
+def read_each_on_thread(context, path):
+    async def measure(address):
+        began = time.monotonic()
+        has_failed = await asyncio.to_thread(_read_on_thread, path, address)
+        return time.monotonic() - began, has_failed
+
+    _read_kinds(context, HEADS_AND_BODIES, measure)
+
+
 @behave.when('{path} is answered by each of the endless answers')
 def read_each(context, path):
+    _read_kinds(
+        context,
+        endless.Endless,
+        lambda address: _measure(path, address, 4.0),
+    )
+
+
+def _read_kinds(context, kinds, measure):
+    """Read what an address answers for each kind.
+
+    :param measure: returns how long it takes and whether it fails
+    """
     loop = scenes.Loop()
     context.memory = processes.read_peak_memory('self')
     context.ended, context.stall = {}, _Stall()
@@ -96,13 +140,13 @@
         )
         address = '127.0.0.1:%d' % server.sockets[0].getsockname()[1]
         watch = asyncio.create_task(context.stall.watch())
-        context.ended[kind] = await _measure(path, address, 4.0)
+        context.ended[kind] = await measure(address)
         watch.cancel()
         loop.loop.call_soon_threadsafe(server.close)
 
     with contextlib.ExitStack() as stack:
         stack.callback(loop.close)
-        for kind in endless.Endless:
+        for kind in kinds:
             asyncio.run(run(kind))
 
 
--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -14,6 +14,8 @@
 import result
 import urllib3
 
+from dunlintide_adapters import bodies
+
 __all__ = [
     'Engine',
     'EngineError',
@@ -25,6 +27,8 @@
 ]
 
 MAX_CONNECTIONS = 8
+# Largest answer of an engine, in bytes: the activations of some steps.
+MAX_ANSWER_BYTES = 256 << 20
 SHORT_TIMEOUT_SECONDS = 2.0
 TRANSFER_TIMEOUT_SECONDS = 30.0
 STALE_FENCE_STATUS = 409
@@ -267,7 +271,9 @@
                     connect=self._short_timeout, read=seconds
                 ),
                 redirect=False,
+                preload_content=False,
             )
+            content = bodies.read(answer, MAX_ANSWER_BYTES, seconds)
         except urllib3.exceptions.ConnectTimeoutError as error:
             return result.Err(EngineError(type(error).__name__, sent=False))
         except urllib3.exceptions.NewConnectionError as error:
@@ -279,7 +285,7 @@
         if answer.status != _HTTP_OK:
             detail = f'HTTP status {answer.status}'
             return result.Err(EngineError(detail, status=answer.status))
-        return result.Ok(answer.data)
+        return result.Ok(content)
 
     def run_steps(
         self,
--- a/packages/adapters/src/dunlintide_adapters/hostlist.py
+++ b/packages/adapters/src/dunlintide_adapters/hostlist.py
@@ -10,6 +10,8 @@
 import result
 import urllib3
 
+from dunlintide_adapters import bodies
+
 __all__ = [
     'Host',
     'HostList',
@@ -19,6 +21,8 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 READ_TIMEOUT_SECONDS = 2.0
+# Largest list, in bytes.
+MAX_LIST_BYTES = 16 << 20
 
 
 class HostState(enum.StrEnum):
@@ -86,13 +90,16 @@
     def poll(self) -> result.Result[tuple[Host, ...], HostListFailure]:
         """Read the list once; after a failure ``hosts`` is unchanged."""
         try:
-            answer = self._pool.request('GET', self._url)
+            answer = self._pool.request(
+                'GET', self._url, preload_content=False
+            )
+            content = bodies.read(answer, MAX_LIST_BYTES, READ_TIMEOUT_SECONDS)
         except urllib3.exceptions.HTTPError as error:
             return result.Err(HostListFailure(type(error).__name__))
         if answer.status != 200:
             return result.Err(HostListFailure(f'HTTP status {answer.status}'))
         try:
-            self.hosts = self._decoder.decode(answer.data).hosts
+            self.hosts = self._decoder.decode(content).hosts
         except msgspec.MsgspecError as error:
             return result.Err(HostListFailure(str(error)))
         return result.Ok(self.hosts)
--- a/packages/adapters/src/dunlintide_adapters/store.py
+++ b/packages/adapters/src/dunlintide_adapters/store.py
@@ -14,6 +14,7 @@
 import result
 import urllib3
 
+from dunlintide_adapters import bodies
 from dunlintide_adapters import circuit
 from dunlintide_adapters import gateway
 from dunlintide_adapters import metrics as process_metrics
@@ -28,6 +29,9 @@
 ]
 
 MAX_CONNECTIONS = 8
+# Largest answer, in bytes, and its longest time in timeouts of one read.
+MAX_ANSWER_BYTES = 16 << 20
+BODY_READS = 4
 MAX_WATCHES = 4
 # Keys in one read; values are at most 1 MB, an answer stays near 4 MB.
 READ_BATCH = 16
@@ -352,7 +356,16 @@
     ) -> result.Result:
         try:
             answer = self._pool.request(
-                'POST', path, body=body, pool_timeout=self.timing.read
+                'POST',
+                path,
+                body=body,
+                pool_timeout=self.timing.read,
+                preload_content=False,
+            )
+            content = bodies.read(
+                answer,
+                MAX_ANSWER_BYTES,
+                self.timing.read * BODY_READS,
             )
         except urllib3.exceptions.HTTPError as error:
             return result.Err(storefailures.classify_error(error, writes))
@@ -361,7 +374,7 @@
                 storefailures.classify_status(answer.status, writes)
             )
         try:
-            return result.Ok(gateway.decode(answer.data, answer_type))
+            return result.Ok(gateway.decode(content, answer_type))
         except msgspec.MsgspecError as error:
             return result.Err(storefailures.classify_error(error, writes))
 
