Reuse no connection whose answer was not read

Cause: an answer can be complete while more of it is unread than lets reading go on; the connection was kept and never read again. Why this fix works: a connection with an unread body is closed.

With it, more foreign answers than are skipped and error bodies that are too large count as bytes without end, not as crashes: the endpoint lives.

--- a/features/foreignanswers.feature
+++ b/features/foreignanswers.feature
@@ -40,6 +40,12 @@
     foreign ones before a request's own.
     Then the answer read is that with the id, whatever comes before it
 
+  Scenario: A connection whose answer was not read is not used again
+    Guards against a request that waits for its timeout, since nothing is read
+    from its connection any more.
+    When an answer of 90 KB has arrived and was not read
+    Then its connection is not used again, but is once it was read
+
   Scenario: Whatever comes, a connection holds little of it
     Guards against memory that grows with what is sent, for each kind of bytes
     without end and any size of the pieces that arrive.
--- a/features/steps/foreignanswers.py
+++ b/features/steps/foreignanswers.py
@@ -217,6 +217,28 @@
     check()
 
 
+@behave.when('an answer of {size:d} KB has arrived and was not read')
+def leave_unread(context, size):
+    async def run():
+        connection, transport = _open('r-1')
+        _feed(
+            connection,
+            transport,
+            _encode_answer('r-1', b'x' * (size << 10), False),
+        )
+        unread = connection.is_reusable
+        deadline = asyncio.get_running_loop().time() + TIMEOUT_SECONDS
+        await connection.read_all(deadline, size << 10)
+        return unread, connection.is_reusable, transport.is_paused
+
+    context.reuse = asyncio.run(run())
+
+
+@behave.then('its connection is not used again, but is once it was read')
+def check_reuse(context):
+    assert context.reuse == (False, True, False), context.reuse
+
+
 @behave.then(
     'no endless answer makes a connection hold over {kept:d} KB or go on for'
     ' {most:d} MB unread'
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -65,7 +65,7 @@
     """How a call failed.
 
     WITHHELD was not sent on purpose, TOO_LARGE was not read on purpose.
-    OVERSIZED is a head or framing that no sound answer has.
+    OVERSIZED is more besides a body than any sound answer has.
     """
 
     CONNECT = 'connect'
@@ -259,8 +259,10 @@
         self._headers, self._reason = [], []
         self._is_skipping = True
         self._foreign_answers += 1
-        # The parser takes what follows an answer to HEAD for a body.
-        if self._bodiless or self._foreign_answers > MAX_FOREIGN_ANSWERS:
+        if self._foreign_answers > MAX_FOREIGN_ANSWERS:
+            self._failure = FailureKind.OVERSIZED
+        elif self._bodiless:
+            # The parser takes what follows an answer to HEAD for a body.
             self._failure = FailureKind.GARBLED
 
     def on_body(self, data: bytes) -> None:
@@ -310,7 +312,8 @@
         """Whether the connection can carry another call after the last one."""
         if not (self.is_open and self._complete and self._framed):
             return False
-        if self._foreign_answers:
+        # Reading may be paused while a part of the body is unread.
+        if self._foreign_answers or self._body:
             return False
         if self._transport.get_write_buffer_size():
             return False
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -310,7 +310,10 @@
         ):
             # Another endpoint of the chain ended.
             return
-        if broken.kind is endpointhttp.FailureKind.OVERSIZED:
+        if broken.kind in (
+            endpointhttp.FailureKind.OVERSIZED,
+            endpointhttp.FailureKind.TOO_LARGE,
+        ):
             raise self._end_endless(
                 exchange, run, f'run broke: {broken}'
             ) from broken
