Prefer other endpoints while a large answer of unstated length goes on

Cause: until then nothing told that its next answer may have no end either. Why this fix works: while such an answer is forwarded its endpoint gets other calls only if no other one is free; a whole one ends that.

--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -556,6 +556,9 @@
         stated = result.head.get('content-length')
         length = int(stated) if stated and stated.isdecimal() else None
         reply.start(attrs.evolve(head, length=length))
+        if length is None:
+            # It may have no end, as the endpoint's next answer.
+            self._refused_until[result.endpoint.name] = exchange.deadline
         reason = ''
         exchange.running += 1
         try:
@@ -572,6 +575,7 @@
                         )
                     data = await connection.read(exchange.deadline)
             reply.finish()
+            self._refused_until.pop(result.endpoint.name, None)
         except TimeoutError:
             reason = 'deadline'
         except endpointhttp.CallError as broken:
