Remove a fault of the stand-ins that nothing plays

Found in the last read of the diff: reports and orders without end are read from a server of their own in features/endlessanswers, so the runners' switch for them was dead code. Behaviour and checks stay as they are. Lint and two scenarios of that feature pass.

--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -78,7 +78,6 @@
     :ivar late_delay: time after the next request at which it comes, in seconds
     :ivar pours: bytes without end that replace the answers to calls and
         streams, None for sound answers
-    :ivar pours_reports: the same for reports and orders
     :ivar unframed: count of responses to send without length or chunks,
         streams included
     :ivar stall: whether calls and streams through the runner stop
@@ -102,7 +101,6 @@
     late_answer: LateAnswer = LateAnswer.REFUSAL_WITHOUT_ID
     late_delay: float = 0.0
     pours: endless.Endless | None = None
-    pours_reports: endless.Endless | None = None
     unframed: int = 0
     stall: bool = False
     stall_after: int | None = None
@@ -420,10 +418,7 @@
     async def _answer(
         self, request: wire.Request, channel: wire.Channel
     ) -> None:
-        pours_reports = self.faults.pours_reports
-        if request.path in ('/report', '/order') and pours_reports:
-            await endless.pour(channel, pours_reports, request)
-        elif request.path == '/report':
+        if request.path == '/report':
             await channel.answer(200, json.dumps(self._report()).encode())
         elif request.path == '/order':
             await self._handle_order(json.loads(request.body), channel)
