Read event ids of any length

An engine's event with an id of over 4,300 digits, or such a Last-Event-ID of a caller, ended the stream with an error of the entry: Python refuses to convert it. Ids are read up to 18 digits now; a longer one is no successor of any other, so that the run is taken up elsewhere.

--- a/features/pipeline.feature
+++ b/features/pipeline.feature
@@ -74,6 +74,11 @@
     And a second run that overlaps the first adds only what is new
     And a second run that begins too late is noticed
 
+  Scenario: An event with an id of any length is told from the next one
+    Guards against a stream that ends with an error of the entry, as numbers of
+    thousands of digits are not converted.
+    Then an event whose id has 5,000 digits is first or follows none
+
   Scenario: Waiting requests go by priority, standing and arrival
     Then any order of arrivals leaves by priority, standing and arrival
 
--- a/features/steps/streampieces.py
+++ b/features/steps/streampieces.py
@@ -66,3 +66,11 @@
     _, intact = sequence.filter_new(b''.join(make_events(5, 6)))
     assert not intact
     assert sequence.last_id == '3'
+
+
+@behave.then('an event whose id has 5,000 digits is first or follows none')
+def check_long_id(context):
+    event = b'id: %b\ndata: x\n\n' % (b'9' * 5000)
+    assert events.EventSequence(None).filter_new(event) == (event, True)
+    assert events.EventSequence('3').filter_new(event) == (b'', False)
+    assert events.EventSequence('9' * 5000).filter_new(event) == (b'', True)
--- a/packages/daemon/src/dunlintide_daemon/gateway/events.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/events.py
@@ -11,6 +11,8 @@
 
 _END = b'\n\n'
 _END_CRLF = b'\r\n\r\n'
+# Digits of an id that are read; Python refuses to convert thousands.
+_MAX_ID_DIGITS = 18
 
 
 class EventSplitter:
@@ -73,7 +75,7 @@
     for line in event.splitlines():
         if line.startswith(b'id:'):
             text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            return int(text[:_MAX_ID_DIGITS]) if text.isdigit() else None
     return None
 
 
@@ -91,8 +93,8 @@
         self.total = 0
 
     def _get_last(self) -> int | None:
-        text = self.last_id
-        return int(text) if text is not None and text.isdecimal() else None
+        text = self.last_id or ''
+        return int(text[:_MAX_ID_DIGITS]) if text.isdecimal() else None
 
     def filter_new(self, data: bytes) -> tuple[bytes, bool]:
         """Select the events that the caller does not have yet.
