Bound heads, framing and time of answers that clients on threads read

Small chunks kept a core busy for the whole time allowed (2.0 s for the list of hosts, 8.0 s for a transaction). The library bounds single lines only.

Connections of these clients now read through a buffer of their own: each read has the time that is left of the answer, and what is not body may be 64 KB and a sixteenth of the rest. What an engine tells of itself is bounded by 8 MB instead of 256. Messages of a watch are joined once, not for each chunk.

--- a/features/endlessanswers.feature
+++ b/features/endlessanswers.feature
@@ -18,17 +18,30 @@
       | a store call  |
       | another entry |
 
-  Scenario Outline: The answer to <path> on a thread ends though its body does not
-    Guards against the same where a client blocks. Its library bounds heads, and
-    reads any number of interim answers, chunk extensions and trailers.
-    When <path> on a thread is answered by each of the endless heads and bodies
+  Scenario Outline: The answer to <path> on a thread ends though its bytes do not
+    Guards against the same where a client blocks.
+    When <path> on a thread is answered by each of the endless answers
     Then each has failed within <seconds> s, of <allowed> s that it might take
     And the process has grown by at most <size> MB
 
     Examples:
-      | path          | seconds | allowed | size |
-      | the host list | 3.0     | 2.0     | 100  |
-      | a transaction | 9.0     | 8.0     | 100  |
+      | path                  | seconds | allowed | size |
+      | the host list         | 3.0     | 2.0     | 100  |
+      | a transaction         | 9.0     | 8.0     | 100  |
+      | a watch               | 3.0     | 2.0     | 100  |
+      | a health check        | 3.0     | 2.0     | 48   |
+      | the load of an engine | 3.0     | 2.0     | 48   |
+
+  Scenario Outline: The answer to a transaction ends though its <part> come byte by byte
+    Guards against a timeout that begins anew with each byte.
+    When a transaction is answered with <part> that come byte by byte
+    Then it has failed within 1.5 s, of reads of 0.2 s
+
+    Examples:
+      | part            |
+      | header lines    |
+      | interim answers |
+      | trailers        |
 
   Scenario Outline: <kind> in the answers of a service
     Guards against an entry that grows past the memory of its machine, and
--- a/features/steps/endlessanswers.py
+++ b/features/steps/endlessanswers.py
@@ -13,8 +13,10 @@
 from dunlintide_adapters import callerhttp
 from dunlintide_adapters import callermessages
 from dunlintide_adapters import endpointhttp
+from dunlintide_adapters import engine
 from dunlintide_adapters import hostlist
 from dunlintide_adapters import store as store_client
+from dunlintide_adapters import storewatch
 from dunlintide_core.pipeline import endpoints
 from dunlintide_daemon.gateway import configurationfetcher
 from dunlintide_daemon.gateway import endpointgate
@@ -33,16 +35,6 @@
 MB = 1 << 20
 CALLER_LIMITS = callermessages.RequestLimits(8000, 100_000, 5.0, 5.0)
 
-HEADS_AND_BODIES = (
-    endless.Endless.HEADERS,
-    endless.Endless.HEADER,
-    endless.Endless.REASON,
-    endless.Endless.BODY,
-    endless.Endless.CHUNKS,
-    endless.Endless.SMALL_CHUNKS,
-    endless.Endless.EVENT,
-)
-
 _numbers = itertools.count(1)
 
 
@@ -93,24 +85,41 @@
     return time.monotonic() - began, has_failed
 
 
+def _watch(url):
+    """Return whether a watch ends, which it may as it likes."""
+    stop = threading.Event()
+
+    watcher = storewatch.Watcher(
+        store_client.Store.from_url(url)._watch_pool,
+        storewatch.WatchTiming(silence=2.0),
+        lambda outcome: stop.set(),
+    )
+    watcher.watch('a', 0, lambda event: None, stop)
+    return True
+
+
 def _read_on_thread(path, address):
     """Return whether a read by a client that blocks fails."""
     url = f'http://{address}'
-    if path == 'the host list':
-        return hostlist.HostList.from_url(url).poll().is_err()
-    return store_client.Store.from_url(url).get('a-key').is_err()
-
-
-@behave.when(
-    '{path} on a thread is answered by each of the endless heads and bodies'
-)
+    if path == 'a watch':
+        return _watch(url)
+    read = {
+        'the host list': hostlist.HostList.from_url(url).poll,
+        'a transaction': lambda: store_client.Store.from_url(url).get('k'),
+        'a health check': engine.Engine(url).check_health,
+        'the load of an engine': engine.Engine(url).read_load,
+    }[path]
+    return read().is_err()
+
+
+@behave.when('{path} on a thread is answered by each of the endless answers')
 def read_each_on_thread(context, path):
     async def measure(address):
         began = time.monotonic()
         has_failed = await asyncio.to_thread(_read_on_thread, path, address)
         return time.monotonic() - began, has_failed
 
-    _read_kinds(context, HEADS_AND_BODIES, measure)
+    _read_kinds(context, endless.Endless, measure)
 
 
 @behave.when('{path} is answered by each of the endless answers')
@@ -122,6 +131,36 @@
     )
 
 
+@behave.when('a transaction is answered with {part} that come byte by byte')
+def read_slow(context, part):
+    kind = endless.Endless(part)
+
+    async def trickle(request, channel):
+        await channel.send(kind.begin(''))
+        while True:
+            for byte in kind.repeat(0)[:1000]:
+                await channel.send(bytes((byte,)))
+                await asyncio.sleep(0.05)
+
+    async def run():
+        server = await wire.listen(trickle)
+        address = '127.0.0.1:%d' % server.sockets[0].getsockname()[1]
+        timing = store_client.StoreTiming(read=0.2)
+        client = store_client.Store.from_url(f'http://{address}', None, timing)
+        began = time.monotonic()
+        context.reply = await asyncio.to_thread(client.get, 'k')
+        context.seconds = time.monotonic() - began
+        server.close()
+
+    asyncio.run(run())
+
+
+@behave.then('it has failed within {seconds:g} s, of reads of {read:g} s')
+def check_slow(context, seconds, read):
+    assert context.reply.is_err(), context.reply
+    assert context.seconds <= seconds, context.seconds
+
+
 def _read_kinds(context, kinds, measure):
     """Read what an address answers for each kind.
 
--- /dev/null
+++ b/packages/adapters/src/dunlintide_adapters/boundedhttp.py
@@ -0,0 +1,127 @@
+"""Connections of clients that block, whose answers are bounded.
+
+The timeout of a read bounds neither the time nor the size of an answer: bytes
+may go on arriving. The HTTP library bounds a line and the number of header
+fields, but not the number of interim answers or trailers.
+"""
+
+import functools
+import http.client
+import io
+import socket
+import time
+
+import urllib3
+from urllib3 import connection as connections
+
+__all__ = ['build_pool']
+
+# Longest time of an answer, in timeouts of one read. A stream has it for its
+# head only.
+ANSWER_READS = 4
+# Bytes of heads, chunk headers and trailers that an answer may have, beside
+# one for so many other bytes: small chunks cost much processor time.
+MAX_LINE_BYTES = 64 << 10
+BYTES_PER_LINE_BYTE = 16
+STREAM_BYTES_PER_LINE_BYTE = 2
+
+_CONNECTIONS = {
+    'http': connections.HTTPConnection,
+    'https': connections.HTTPSConnection,
+}
+
+
+class _Input(io.RawIOBase):
+    """Bytes of one answer, up to a time.
+
+    :ivar received: bytes so far
+    :ivar expires: monotonic time in seconds, None for no limit
+    """
+
+    def __init__(self, raw: io.RawIOBase, connection: socket.socket) -> None:
+        self._raw = raw
+        self._socket = connection
+        self._timeout = connection.gettimeout()
+        self.received = 0
+        self.expires = None
+        if self._timeout is not None:
+            self.expires = time.monotonic() + ANSWER_READS * self._timeout
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: memoryview) -> int | None:
+        timeout = self._timeout
+        if self.expires is not None:
+            left = self.expires - time.monotonic()
+            if left <= 0.0:
+                raise TimeoutError('the answer takes too long')
+            timeout = min(timeout, left)
+        self._socket.settimeout(timeout)
+        size = self._raw.readinto(buffer)
+        self.received += size or 0
+        return size
+
+    def close(self) -> None:
+        self._raw.close()
+        super().close()
+
+
+class _Reader(io.BufferedReader):
+    """Reads the lines of an answer, which are all that is not its body."""
+
+    def __init__(self, raw: _Input, ratio: int) -> None:
+        super().__init__(raw)
+        self._ratio = ratio
+        self._line_bytes = 0
+
+    def readline(self, size: int | None = -1) -> bytes:
+        line = super().readline(size)
+        self._line_bytes += len(line)
+        rest = self.raw.received - self._line_bytes
+        if self._line_bytes > MAX_LINE_BYTES + rest // self._ratio:
+            raise http.client.HTTPException('more besides a body than allowed')
+        return line
+
+
+class _Answer(http.client.HTTPResponse):
+    """An answer whose head, body and trailers have an end."""
+
+    ratio = BYTES_PER_LINE_BYTE
+
+    def __init__(self, connection: socket.socket, *args, **options) -> None:
+        super().__init__(connection, *args, **options)
+        self.fp = _Reader(_Input(self.fp.detach(), connection), self.ratio)
+
+
+class _Stream(_Answer):
+    """An answer whose body may go on for any time."""
+
+    ratio = STREAM_BYTES_PER_LINE_BYTE
+
+    def begin(self) -> None:
+        super().begin()
+        if self.fp is not None:
+            self.fp.raw.expires = None
+
+
+@functools.cache
+def _bind(scheme: str, is_stream: bool) -> type:
+    """Return the class of connections of a pool."""
+    base = _CONNECTIONS[scheme]
+    answer = _Stream if is_stream else _Answer
+    return type(base.__name__, (base,), {'response_class': answer})
+
+
+def build_pool(
+    url: str, is_stream: bool = False, **options
+) -> urllib3.HTTPConnectionPool:
+    """Return a pool of connections that bound their answers.
+
+    :param url: base URL of the server
+    :param is_stream: whether bodies may go on for any time
+    :param options: those of the library's pool
+    """
+    pool = urllib3.connection_from_url(url, retries=False, **options)
+    pool.ConnectionCls = _bind(pool.scheme, is_stream)
+    return pool
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -51,6 +51,9 @@
 # Bytes of chunk headers and trailers that an answer may have for each byte of
 # its body, beside those that a head may have.
 MAX_FRAMING_RATIO = 2
+# The same for a body that is read whole, as small chunks cost much processor
+# time.
+MAX_WHOLE_FRAMING_RATIO = 0.25
 # Least rate at which a body without a total time may arrive, in bytes per
 # second, once the longest time without a byte has passed a few times.
 MIN_BODY_RATE = 4 << 10
@@ -437,6 +440,9 @@
             size = max(size, self.received)
             if limit is not None and size > limit:
                 raise CallError(FailureKind.TOO_LARGE, True, size=size)
+            framing_limit = MAX_WHOLE_FRAMING_RATIO * self.received
+            if self._framing_bytes > 2 * MAX_HEAD_BYTES + framing_limit:
+                raise CallError(FailureKind.OVERSIZED, True)
             slowest = rated_from + self.received / MIN_BODY_RATE
             deadline = min(self._loop.time() + idle_seconds, slowest)
             part = await self.read(deadline)
--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -15,6 +15,7 @@
 import urllib3
 
 from dunlintide_adapters import bodies
+from dunlintide_adapters import boundedhttp
 
 __all__ = [
     'Engine',
@@ -29,6 +30,8 @@
 MAX_CONNECTIONS = 8
 # Largest answer of an engine, in bytes: the activations of some steps.
 MAX_ANSWER_BYTES = 256 << 20
+# The same for what the engine tells of itself, in bytes.
+MAX_SHORT_ANSWER_BYTES = 8 << 20
 SHORT_TIMEOUT_SECONDS = 2.0
 TRANSFER_TIMEOUT_SECONDS = 30.0
 STALE_FENCE_STATUS = 409
@@ -213,9 +216,7 @@
         self._pool = self._make_pool(MAX_CONNECTIONS)
 
     def _make_pool(self, size: int) -> urllib3.HTTPConnectionPool:
-        return urllib3.connection_from_url(
-            self._url, maxsize=size, retries=False
-        )
+        return boundedhttp.build_pool(self._url, maxsize=size)
 
     def reset_connections(self) -> None:
         """Close the idle connections and start with an empty pool."""
@@ -234,21 +235,23 @@
         seconds: float,
         *,
         new_connection: bool = False,
+        limit: int = MAX_SHORT_ANSWER_BYTES,
     ) -> result.Result[bytes, EngineError]:
         """Call the engine.
 
+        :param limit: largest answer in bytes
         :param new_connection: whether to avoid pooled connections, as an idle
             one may be dead
         """
         if not new_connection:
             return self._request(
-                self._pool, method, path, body, seconds, _JSON_HEADERS
+                self._pool, method, path, body, seconds, _JSON_HEADERS, limit
             )
         # The engine closes this connection after its answer, so it is kept
         # out of the shared pool.
         with self._make_pool(1) as pool:
             return self._request(
-                pool, method, path, body, seconds, _JSON_CLOSE_HEADERS
+                pool, method, path, body, seconds, _JSON_CLOSE_HEADERS, limit
             )
 
     def _request(
@@ -259,6 +262,7 @@
         body: Any,
         seconds: float,
         headers: dict[str, str],
+        limit: int,
     ) -> result.Result[bytes, EngineError]:
         data = None if body is None else json.dumps(body).encode()
         try:
@@ -273,7 +277,7 @@
                 redirect=False,
                 preload_content=False,
             )
-            content = bodies.read(answer, MAX_ANSWER_BYTES, seconds)
+            content = bodies.read(answer, limit, seconds)
         except urllib3.exceptions.ConnectTimeoutError as error:
             return result.Err(EngineError(type(error).__name__, sent=False))
         except urllib3.exceptions.NewConnectionError as error:
@@ -301,7 +305,12 @@
         """
         body = {'steps': [_encode_step(step) for step in steps]}
         called = self._call(
-            'POST', '/v1/steps', body, seconds, new_connection=new_connection
+            'POST',
+            '/v1/steps',
+            body,
+            seconds,
+            new_connection=new_connection,
+            limit=MAX_ANSWER_BYTES,
         )
         if called.is_err():
             return called
@@ -366,7 +375,9 @@
     ) -> result.Result[bytes, EngineError]:
         """Export the KV cache of a session."""
         path = f'/v1/sessions/{_quote(session)}/export'
-        called = self._call('POST', path, {}, TRANSFER_TIMEOUT_SECONDS)
+        called = self._call(
+            'POST', path, {}, TRANSFER_TIMEOUT_SECONDS, limit=MAX_ANSWER_BYTES
+        )
         if called.is_err():
             return called
         try:
--- a/packages/adapters/src/dunlintide_adapters/hostlist.py
+++ b/packages/adapters/src/dunlintide_adapters/hostlist.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from dunlintide_adapters import bodies
+from dunlintide_adapters import boundedhttp
 
 __all__ = [
     'Host',
@@ -66,10 +67,10 @@
     :ivar hosts: hosts of the last read, empty before the first
     """
 
-    def __init__(self, url: str, pool: urllib3.PoolManager) -> None:
+    def __init__(self, path: str, pool: urllib3.HTTPConnectionPool) -> None:
         """Create a reader; use ``from_url`` instead."""
         self.hosts: tuple[Host, ...] = ()
-        self._url = url
+        self._path = path
         self._pool = pool
         self._decoder = msgspec.json.Decoder(_Answer)
 
@@ -82,16 +83,16 @@
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_SECONDS, read=READ_TIMEOUT_SECONDS
         )
-        pool = urllib3.PoolManager(
-            maxsize=1, block=True, retries=False, timeout=timeout
+        pool = boundedhttp.build_pool(
+            url, maxsize=1, block=True, timeout=timeout
         )
-        return cls(url, pool)
+        return cls(urllib3.util.parse_url(url).request_uri, pool)
 
     def poll(self) -> result.Result[tuple[Host, ...], HostListFailure]:
         """Read the list once; after a failure ``hosts`` is unchanged."""
         try:
             answer = self._pool.request(
-                'GET', self._url, preload_content=False
+                'GET', self._path, preload_content=False
             )
             content = bodies.read(answer, MAX_LIST_BYTES, READ_TIMEOUT_SECONDS)
         except urllib3.exceptions.HTTPError as error:
@@ -106,4 +107,4 @@
 
     def close(self) -> None:
         """Close the connection."""
-        self._pool.clear()
+        self._pool.close()
--- a/packages/adapters/src/dunlintide_adapters/store.py
+++ b/packages/adapters/src/dunlintide_adapters/store.py
@@ -15,6 +15,7 @@
 import urllib3
 
 from dunlintide_adapters import bodies
+from dunlintide_adapters import boundedhttp
 from dunlintide_adapters import circuit
 from dunlintide_adapters import gateway
 from dunlintide_adapters import metrics as process_metrics
@@ -114,7 +115,7 @@
         self._lock = threading.Lock()
         self._circuit = circuit.CircuitBreaker(timing.breaker)
         self._pool = self._build_pool(MAX_CONNECTIONS)
-        self._watch_pool = self._build_pool(MAX_WATCHES)
+        self._watch_pool = self._build_pool(MAX_WATCHES, is_stream=True)
         self._watcher = storewatch.Watcher(
             self._watch_pool,
             timing.watch,
@@ -292,14 +293,16 @@
         """Close open watches; each is reopened unless it was stopped."""
         self._watcher.interrupt()
 
-    def _build_pool(self, size: int) -> urllib3.HTTPConnectionPool:
+    def _build_pool(
+        self, size: int, is_stream: bool = False
+    ) -> urllib3.HTTPConnectionPool:
         timeout = urllib3.Timeout(
             connect=self.timing.connect, read=self.timing.read
         )
-        return urllib3.connection_from_url(
+        return boundedhttp.build_pool(
             self._url,
+            is_stream,
             timeout=timeout,
-            retries=False,
             maxsize=size,
             block=True,
             headers=_HEADERS,
--- a/packages/adapters/src/dunlintide_adapters/storewatch.py
+++ b/packages/adapters/src/dunlintide_adapters/storewatch.py
@@ -70,10 +70,14 @@
 
 
 def _split_lines(chunks: Iterable[bytes]) -> Iterator[bytes]:
-    partial = b''
+    partial = bytearray()
     for chunk in chunks:
-        *lines, partial = (partial + chunk).split(b'\n')
-        yield from filter(None, lines)
+        first, *others = chunk.split(b'\n')
+        partial += first
+        for line in others:
+            if partial:
+                yield bytes(partial)
+            partial = bytearray(line)
         if len(partial) > _MAX_MESSAGE_BYTES:
             raise urllib3.exceptions.ProtocolError('watch message too large')
 
