--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 # many seeds edge-soak plays in turn; LEAVING=1: only endpoints that leave;
 # CONFIGURATIONS=1: only large configurations, and endpoints that leave;
 # PARTS=1: only parts of prompts that crash engines, and what hides them;
+# ANSWERS=1: only bytes that belong to no request, and what ends entries;
 # DEMAND=1: priorities and teams compete, with waves of load; STOPS=1: only
 # entries that stop in turn, under work of all lengths.
 SEED ?= 1
@@ -33,6 +34,7 @@
 LEAVING ?= 0
 CONFIGURATIONS ?= 0
 PARTS ?= 0
+ANSWERS ?= 0
 DEMAND ?= 0
 STOPS ?= 0
 SECONDS ?= 60
@@ -90,6 +92,7 @@
 		$(if $(filter 1,$(LEAVING)),--leaving) \
 		$(if $(filter 1,$(CONFIGURATIONS)),--configurations) \
 		$(if $(filter 1,$(PARTS)),--parts) \
+		$(if $(filter 1,$(ANSWERS)),--answers) \
 		$(if $(filter 1,$(DEMAND)),--demand)
 
 clean:
--- a/features/edgesoak.feature
+++ b/features/edgesoak.feature
@@ -29,6 +29,14 @@
       | seed | seconds | least | crashes |
       | 1    | 15      | 50    | 5       |
 
+  Scenario Outline: What belongs to no request harms none beside other faults
+    When endpoints send what belongs to no request for <seconds> seconds with seed <seed>
+    Then no promise was broken in the soak of at least <least> requests
+
+    Examples:
+      | seed | seconds | least |
+      | 1    | 10      | 50    |
+
   Scenario Outline: Large configurations are in force in time and hold up nothing
     When large configurations come for <seconds> seconds with seed <seed> and answers are lost
     Then no promise was broken in the soak of at least <least> requests
--- a/features/steps/edgesoak.py
+++ b/features/steps/edgesoak.py
@@ -45,6 +45,14 @@
     _run(context, seconds, seed, faults.PART_FAULTS)
 
 
+@behave.when(
+    'endpoints send what belongs to no request for {seconds:d} seconds with'
+    ' seed {seed:d}'
+)
+def run_answers(context, seconds, seed):
+    _run(context, seconds, seed, faults.ANSWER_FAULTS)
+
+
 @behave.when(
     'priorities and teams compete for {seconds:d} seconds with seed {seed:d}'
     ' beside faults'
--- a/packages/standins/src/dunlintide_standins/fleet/endless.py
+++ b/packages/standins/src/dunlintide_standins/fleet/endless.py
@@ -5,7 +5,7 @@
 
 from dunlintide_standins.fleet import wire
 
-__all__ = ['Endless', 'pour']
+__all__ = ['BEFORE_BODY', 'Endless', 'WITHIN_EVENT', 'pour']
 
 # Bytes that are sent at a time.
 BLOCK_BYTES = 64 << 10
@@ -100,6 +100,19 @@
         )
 
 
+# Kinds of which nothing can be forwarded, in any answer and in a stream.
+BEFORE_BODY = (
+    Endless.HEADERS,
+    Endless.HEADER,
+    Endless.REASON,
+    Endless.INTERIM,
+    Endless.FOREIGN,
+    Endless.FOREIGN_BODY,
+    Endless.EXTENSION,
+)
+WITHIN_EVENT = (Endless.EVENT, Endless.COMMENTS)
+
+
 async def pour(
     channel: wire.Channel, kind: Endless, request: wire.Request
 ) -> None:
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -6,6 +6,7 @@
 import hashlib
 import itertools
 import json
+import random
 import time
 from typing import Any
 
@@ -28,6 +29,10 @@
     'Runner',
 ]
 
+# Minimum and maximum number of late answers, and when they come, in seconds.
+LATE_ANSWERS = (1, 20)
+LATE_DELAY_SECONDS = (0.0, 0.01)
+
 _id_numbers = itertools.count(1)
 
 
@@ -117,6 +122,19 @@
             setattr(self, name, left - 1)
         return left > 0
 
+    def draw_late(self, rng: random.Random, is_engine: bool) -> None:
+        """Draw late answers, which spoil no stream."""
+        self.late_answer = rng.choice(list(LateAnswer))
+        self.late_delay = 0.0 if is_engine else rng.choice(LATE_DELAY_SECONDS)
+        self.late = rng.randint(*LATE_ANSWERS)
+
+    def draw_pours(self, rng: random.Random, is_engine: bool) -> None:
+        """Draw bytes without end of which nothing can be forwarded."""
+        kinds = endless.BEFORE_BODY
+        if is_engine:
+            kinds += endless.WITHIN_EVENT
+        self.pours = rng.choice(kinds)
+
 
 class CrashPoint(enum.Enum):
     """Where an engine crashes that begins to write an answer."""
--- a/packages/trials/src/dunlintide_trials/edge/faults.py
+++ b/packages/trials/src/dunlintide_trials/edge/faults.py
@@ -15,6 +15,7 @@
 from dunlintide_trials.edge import versions
 
 __all__ = [
+    'ANSWER_FAULTS',
     'CONFIGURATION_FAULTS',
     'FAULTS',
     'Fault',
@@ -245,6 +246,25 @@
     return _do_nothing
 
 
+def send_late_answers(soak: soakscene.SoakScene, rng: random.Random) -> Heal:
+    """Make endpoints send answers to other requests on kept connections."""
+    for runner in soak.scene.fleet.runners:
+        if rng.random() < 0.5:
+            runner.faults.draw_late(rng, bool(runner.kind))
+    return _do_nothing
+
+
+def pour_bytes(soak: soakscene.SoakScene, rng: random.Random) -> Heal:
+    """Make an endpoint answer with bytes that never end."""
+    runner = rng.choice(soak.scene.fleet.runners)
+    runner.faults.draw_pours(rng, bool(runner.kind))
+
+    def heal() -> None:
+        runner.faults.pours = None
+
+    return heal
+
+
 def fill_endpoint(soak: soakscene.SoakScene, rng: random.Random) -> Heal:
     """Make an endpoint refuse requests as full."""
     return _switch_fault(soak, rng, 'full')
@@ -374,6 +394,20 @@
     stop_entry,
     cut_entry,
 )
+# Bytes that belong to no request, beside what ends connections and entries.
+ANSWER_FAULTS: tuple[Fault, ...] = (
+    *3 * (send_late_answers, pour_bytes),
+    corrupt_endpoint,
+    fill_endpoint,
+    stall_endpoint,
+    crash_endpoint,
+    ask_for_backoff,
+    kill_entry,
+    pause_entry,
+    stop_entry,
+    reload_entry,
+    cut_entry,
+)
 # Faults that last long at one endpoint are repeated, so that they overlap.
 FAULTS: tuple[Fault, ...] = (
     kill_entry,
--- a/packages/trials/src/dunlintide_trials/edge/promises.py
+++ b/packages/trials/src/dunlintide_trials/edge/promises.py
@@ -11,8 +11,10 @@
 from dunlintide_trials.edge import soakscene
 from dunlintide_trials.edge import windows
 
-__all__ = ['list_violations']
+__all__ = ['MAX_ENTRY_BYTES', 'list_violations']
 
+# Memory that an entry may take, in bytes.
+MAX_ENTRY_BYTES = 200 << 20
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Maximum seconds until entries in touch stop sending requests to a draining
 # endpoint.
@@ -198,4 +200,6 @@
     for runner in soak.scene.fleet.runners:
         if runner.overloaded:
             violations.append(f'{runner.name}: ordered more layers than fit')
+    if soak.largest_bytes > MAX_ENTRY_BYTES:
+        violations.append(f'an entry took {soak.largest_bytes} bytes')
     return violations
--- a/packages/trials/src/dunlintide_trials/edge/soak.py
+++ b/packages/trials/src/dunlintide_trials/edge/soak.py
@@ -160,6 +160,8 @@
         count = inject(soak, rng, seconds, kinds)
         violations = _wait_recovered(soak)
         soak.stop_callers()
+        for entry in soak.scene.entries:
+            soak.record_memory(entry)
         violations += promises.list_violations(soak)
         statuses = collections.Counter(
             f'{request.kind} {request.status}' for request in soak.requests
@@ -189,6 +191,7 @@
         'versions': soak.versions.count,
         'probes': soak.versions.count_probes(),
         'requests': len(soak.requests),
+        'largest_mb': round(soak.largest_bytes / 1e6, 1),
         'statuses': dict(sorted(statuses.items())),
         'priorities': dict(sorted(priorities.items())),
         'broken': violations,
@@ -215,6 +218,11 @@
         action='store_true',
         help='only parts that crash engines, and what hides them',
     )
+    parser.add_argument(
+        '--answers',
+        action='store_true',
+        help='only bytes that belong to no request, and what ends entries',
+    )
     parser.add_argument(
         '--demand',
         action='store_true',
@@ -228,6 +236,8 @@
         kinds = faults.CONFIGURATION_FAULTS
     elif parsed.parts:
         kinds = faults.PART_FAULTS
+    elif parsed.answers:
+        kinds = faults.ANSWER_FAULTS
     status = 0
     for seed in range(parsed.seed, parsed.seed + parsed.seeds):
         with contextlib.ExitStack() as stack:
--- a/packages/trials/src/dunlintide_trials/edge/soakscene.py
+++ b/packages/trials/src/dunlintide_trials/edge/soakscene.py
@@ -19,6 +19,7 @@
 from dunlintide_trials.edge import scene as scenes
 from dunlintide_trials.edge import soakdemand
 from dunlintide_trials.edge import versions as versions_module
+from dunlintide_trials import processes
 
 __all__ = ['LimitPeriod', 'SentRequest', 'SoakScene']
 
@@ -137,6 +138,7 @@
         self.relays: dict[str, relay_module.Relay] = {}
         self.disruptions = disruptions.Disruptions()
         self.entry_fault_times: list[float] = []
+        self.largest_bytes = 0
         self.entry_events: list[tuple[str, float]] = []
         self.drains: list[tuple[str, float]] = []
         self.limits: list[LimitPeriod] = []
@@ -217,9 +219,16 @@
 
     def record_entry_fault(self, entry: scenes.Entry) -> None:
         """Record the time of a fault of an entry."""
+        self.record_memory(entry)
         self.entry_fault_times.append(time.monotonic())
         self._record_event(entry)
 
+    def record_memory(self, entry: scenes.Entry) -> None:
+        """Record the memory that an entry has taken, if it runs."""
+        if entry.process.poll() is None:
+            taken = processes.read_peak_memory(entry.process.pid)
+            self.largest_bytes = max(self.largest_bytes, taken)
+
     def record_drain(self, runner: runners_module.Runner) -> None:
         """Record the time at which an endpoint starts to drain."""
         self.drains.append((runner.name, time.monotonic()))
--- a/packages/trials/src/dunlintide_trials/edge/stopsoak.py
+++ b/packages/trials/src/dunlintide_trials/edge/stopsoak.py
@@ -24,9 +24,8 @@
 import attrs
 
 from dunlintide_standins.fleet import callers
-from dunlintide_standins.fleet import endless
 from dunlintide_standins.fleet import operators
-from dunlintide_standins.fleet import runners
+from dunlintide_trials.edge import promises
 from dunlintide_trials.edge import scene as scenes
 from dunlintide_trials.edge import stopload
 from dunlintide_trials import ports
@@ -43,22 +42,8 @@
 TOKENS_PER_EVENT = 4
 # Length that a caller expects, as a factor on the real one.
 HINT_FACTORS = (0.01, 10.0)
-# Faults of endpoints: late answers in a row, and how long bytes are poured.
-LATE_ANSWERS = (1, 20)
+# How long an endpoint sends what belongs to no request, in seconds.
 POUR_SECONDS = (0.2, 1.0)
-# Bytes without end that no part of an answer can be forwarded of.
-POURED = (
-    endless.Endless.HEADERS,
-    endless.Endless.HEADER,
-    endless.Endless.REASON,
-    endless.Endless.INTERIM,
-    endless.Endless.FOREIGN,
-    endless.Endless.FOREIGN_BODY,
-    endless.Endless.EXTENSION,
-)
-POURED_BY_ENGINES = (endless.Endless.EVENT, endless.Endless.COMMENTS)
-# Memory that an entry may take, in bytes.
-MAX_ENTRY_BYTES = 200 << 20
 PAUSE_SECONDS = (0.0, 0.1)
 # Time after the last byte of a request within which a connection may end
 # without an answer, if the request was not sent on, in seconds.
@@ -157,16 +142,9 @@
         """Let endpoints send what belongs to no request, until it ends."""
         rng = random.Random(f'{self._seed}/spoil')
         while not self._stopped.wait(rng.uniform(*POUR_SECONDS)):
-            runner = rng.choice(self.scene.fleet.runners)
-            runner.faults.late_answer = rng.choice(list(runners.LateAnswer))
-            # Within a stream it would spoil the stream itself.
-            runner.faults.late_delay = (
-                0.0 if runner.kind else rng.choice((0.0, 0.01))
-            )
-            runner.faults.late = rng.randint(*LATE_ANSWERS)
-            pouring = rng.choice(self.scene.fleet.runners)
-            kinds = POURED + (POURED_BY_ENGINES if pouring.kind else ())
-            pouring.faults.pours = rng.choice(kinds)
+            late, pouring = rng.choices(self.scene.fleet.runners, k=2)
+            late.faults.draw_late(rng, bool(late.kind))
+            pouring.faults.draw_pours(rng, bool(pouring.kind))
             self._stopped.wait(rng.uniform(*POUR_SECONDS))
             pouring.faults.pours = None
 
@@ -323,7 +301,7 @@
             # Both are rounded, so that equal ones may differ.
             if 'remaining' in row and row['deadline_in'] < row['remaining']:
                 violations.append(f'{row["request"]}: could have been served')
-    if soak.largest_bytes > MAX_ENTRY_BYTES:
+    if soak.largest_bytes > promises.MAX_ENTRY_BYTES:
         violations.append(f'an entry took {soak.largest_bytes} bytes')
     return violations
 
