--- a/features/steps/endlessanswers.py
+++ b/features/steps/endlessanswers.py
@@ -333,6 +333,17 @@
     )
 
 
+def _find_reasons(context, wrong):
+    """Return why the entry did not answer some requests, for a message."""
+    names = {each.name for each in wrong[:3]}
+    return [
+        row
+        for event in ('call not answered', 'request denied', 'request ended')
+        for row in context.entry.list_events(event)
+        if row['request'] in names
+    ]
+
+
 def _check_ends(context, path, result):
     chosen = [each for each in context.ended if each.path == path]
     assert chosen
@@ -342,7 +353,8 @@
         if not _is_whole(each)
         and not (result == 'whole or cut' and _has_met(context, each))
     ]
-    assert not broken, (len(broken), len(chosen), broken[:3])
+    reasons = _find_reasons(context, broken)
+    assert not broken, (len(broken), len(chosen), broken[:3], reasons)
 
 
 @behave.then('each call of "{path}" ends {result}')
@@ -369,7 +381,8 @@
             is_cut or answer.status in (502, 504)
         ):
             wrong.append(each)
-    assert not wrong, (len(wrong), wrong[:3])
+    reasons = _find_reasons(context, wrong)
+    assert not wrong, (len(wrong), wrong[:3], reasons)
 
 
 @behave.then('no call took longer than {seconds:g} s')
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -416,9 +416,15 @@
                 exchange.fingerprint, endpoint.name, state.now
             )
         if kind is endpointhttp.FailureKind.GARBLED:
-            self._garbled[endpoint.name] += 1
-            if self._garbled[endpoint.name] >= MAX_GARBLED:
-                state.eject([endpoint.name], str(broken), request)
+            self._record_garbled(endpoint.name, str(broken), request)
+
+    def _record_garbled(self, name: str, reason: str, request: str) -> None:
+        """Count a garbled answer, and eject its endpoint after some."""
+        for gone in self._garbled.keys() - self._state.endpoints.keys():
+            del self._garbled[gone]
+        self._garbled[name] += 1
+        if self._garbled[name] >= MAX_GARBLED:
+            self._state.eject([name], reason, request)
 
     async def _exchange(
         self,
--- a/packages/trials/src/dunlintide_trials/edge/stopsoak.py
+++ b/packages/trials/src/dunlintide_trials/edge/stopsoak.py
@@ -142,8 +142,9 @@
         """Let endpoints send what belongs to no request, until it ends."""
         rng = random.Random(f'{self._seed}/spoil')
         while not self._stopped.wait(rng.uniform(*POUR_SECONDS)):
-            late, pouring = rng.choices(self.scene.fleet.runners, k=2)
+            late = rng.choice(self.scene.fleet.runners)
             late.faults.draw_late(rng, bool(late.kind))
+            pouring = rng.choice(self.scene.fleet.runners)
             pouring.faults.draw_pours(rng, bool(pouring.kind))
             self._stopped.wait(rng.uniform(*POUR_SECONDS))
             pouring.faults.pours = None
