--- a/.ci/features.py
+++ b/.ci/features.py
@@ -19,6 +19,7 @@
 # Features that take longest begin first, so that none runs on alone.
 SLOWEST = (
     'endlessanswers',
+    'endlessstreams',
     'partcrashes',
     'backoffs',
     'drains',
