Hold large answers of calls within one total, also while they are forwarded

While that part went to the caller, up to 1 MB each stayed held, and a copy of it stood in the connection of a caller that reads slowly. Answers count until they are forwarded now, and the first part is written in pieces of 64 KB as its caller reads, which are let go of.

New scenarios let all endpoints pour header lines, chunks or events at once.

--- a/features/endlessanswers.feature
+++ b/features/endlessanswers.feature
@@ -37,6 +37,24 @@
       | kind                        | rate | repeatable | seconds | runs |
       | bytes behind a whole answer | 20   | whole      | 0.5     | 500  |
 
+  Scenario Outline: All endpoints answer with <kind> at once
+    Guards against memory that grows with the number of such answers.
+    Given a platform with engines and services in failure domains "a" and "b"
+    And a ready entry "one" in "a"
+    And all endpoints answer with <kind> that never end
+    When callers send 20 calls a second of "/lists/x" and of "/orders/x" for 3 s
+    Then no call took longer than 8.5 s
+    When callers send 10 streams of 20 events a second for 3 s
+    Then no call took longer than 8.5 s
+    And the entry has taken at most 128 MB
+    And it serves 10 s after the endpoints have recovered
+
+    Examples:
+      | kind         |
+      | header lines |
+      | chunks       |
+      | events       |
+
   Scenario Outline: A large answer that ends is whole
     Guards against bounds that cut off what is sound, and against memory for
     answers that their callers read slowly.
--- a/features/steps/endlessanswers.py
+++ b/features/steps/endlessanswers.py
@@ -42,6 +42,14 @@
     context.spoilt.faults.pours = endless.Endless(kind)
 
 
+@behave.given('all endpoints answer with {kind} that never end')
+def spoil_all(context, kind):
+    context.scene.wait_for_layers()
+    context.scene.wait_for_listing(context.entry)
+    for runner in context.scene.fleet.runners:
+        runner.faults.pours = endless.Endless(kind)
+
+
 @behave.given('the store answers with {kind} that never end')
 def spoil_store(context, kind):
     context.spoilt = None
@@ -196,6 +204,24 @@
     assert slowest.seconds <= seconds, slowest
 
 
+@behave.then('it serves {seconds:g} s after the endpoints have recovered')
+def check_recovered(context, seconds):
+    for runner in context.scene.fleet.runners:
+        runner.faults.pours = None
+
+    def serves():
+        context.ended = []
+        for path in ('/lists/x', '/orders/x'):
+            name = f'r-{next(_numbers)}'
+            data = callers.build_request(name, path)
+            _send_one(context, path, data, name)
+        name = f'r-{next(_numbers)}'
+        _send_one(context, '/copy/x', callers.build_stream(name, 5), name)
+        return all(map(_is_whole, context.ended))
+
+    assert processes.wait_for(serves, seconds), context.ended
+
+
 @behave.then('the service got at most {count:d} calls')
 def check_count(context, count):
     assert len(context.spoilt.runs) <= count, len(context.spoilt.runs)
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -398,11 +398,11 @@
         body, is_whole = await self.read_until(deadline, limit)
         if not is_whole:
             raise CallError(FailureKind.TOO_LARGE, True, size=self.received)
-        return body
+        return bytes(body)
 
     async def read_until(
         self, deadline: float, limit: int
-    ) -> tuple[bytes, bool]:
+    ) -> tuple[bytearray, bool]:
         """Wait for the rest of the body or for more than a part of it.
 
         :param deadline: loop time in seconds
@@ -415,8 +415,8 @@
         while part := await self.read(deadline):
             body += part
             if len(body) > limit:
-                return bytes(body), False
-        return bytes(body), True
+                return body, False
+        return body, True
 
     async def read_while_progressing(
         self, idle_seconds: float, limit: int | None = None
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -51,9 +51,12 @@
 # Largest answer that is read whole before it is forwarded, in bytes. While it
 # is, a repeatable call can still be sent elsewhere.
 MAX_HELD_BYTES = 1 << 20
-# The same, once all answers that are being read exceed the total, in bytes.
+# The same, once all answers that are being read or forwarded exceed the total,
+# in bytes.
 MAX_TOTAL_HELD_BYTES = 32 << 20
 MIN_HELD_BYTES = 64 << 10
+# Bytes of a large answer that are written at a time, as its caller reads them.
+FORWARDED_BYTES = 64 << 10
 # Largest answer whose length its endpoint does not state, in bytes: it may
 # have no end.
 MAX_UNSTATED_BYTES = 16 << 20
@@ -67,6 +70,8 @@
     :ivar ran: whether the call may have run at the endpoint
     :ivar reason: why there is no valid answer, for the log
     :ivar withheld: whether it was not sent, so that its retry is still paid
+    :ivar body: body of the answer, or its start, which is taken from it as it
+        is forwarded
     :ivar rest: connection that holds the rest of the body, None if it is whole
     """
 
@@ -74,7 +79,7 @@
     ran: bool
     reason: str = ''
     head: endpointhttp.AnswerHead | None = None
-    body: bytes = b''
+    body: bytearray = attrs.field(factory=bytearray)
     withheld: bool = False
     rest: endpointhttp.Connection | None = None
 
@@ -84,6 +89,14 @@
         return self.head is not None and self.head.status < 500
 
 
+async def _write(reply: callermessages.Reply, data: bytearray) -> None:
+    """Write bytes as a caller reads them, and take them from those held."""
+    while data:
+        reply.write(bytes(data[:FORWARDED_BYTES]))
+        del data[:FORWARDED_BYTES]
+        await reply.drain()
+
+
 class CallServer:
     """Relays calls to plain services, with retries and hedges."""
 
@@ -94,8 +107,8 @@
         self._refused_until: dict[str, float] = {}
         # Garbled answers of an endpoint since its last sound one, by name.
         self._garbled: collections.Counter[str] = collections.Counter()
-        # Answers that are being read.
-        self._reading = 0
+        # Answers that are being read, and large ones that are forwarded.
+        self._open_answers = 0
 
     async def serve(self, exchange: exchange_module.Exchange) -> Outcome:
         """Answer a request that is routed to a plain service."""
@@ -383,9 +396,15 @@
             sent.callback(state.pool.release, endpoint.address, connection)
             result = await self._try_exchange(exchange, endpoint, connection)
             if result.rest is not None:
+                self._open_answers += 1
+                sent.callback(self._close_answer)
                 stack.enter_context(sent.pop_all())
             return result
 
+    def _close_answer(self) -> None:
+        """End to count an answer among those that may hold bytes."""
+        self._open_answers -= 1
+
     async def _try_exchange(
         self,
         exchange: exchange_module.Exchange,
@@ -500,18 +519,18 @@
         self,
         exchange: exchange_module.Exchange,
         connection: endpointhttp.Connection,
-    ) -> tuple[bytes, bool]:
+    ) -> tuple[bytearray, bool]:
         """Read the body of an answer, or the start of a large one.
 
         :returns: what was read, and whether it is whole
         """
-        self._reading += 1
+        self._open_answers += 1
         try:
-            limit = MAX_TOTAL_HELD_BYTES // self._reading
+            limit = MAX_TOTAL_HELD_BYTES // self._open_answers
             limit = min(MAX_HELD_BYTES, max(MIN_HELD_BYTES, limit))
             return await connection.read_until(exchange.deadline, limit)
         finally:
-            self._reading -= 1
+            self._close_answer()
 
     def _clear_crashes(
         self,
@@ -543,7 +562,7 @@
             head.status, requests.list_reply_headers(head), reason=head.reason
         )
         if result.rest is None:
-            exchange.reply.send(forwarded, result.body)
+            exchange.reply.send(forwarded, bytes(result.body))
         elif not await self._forward_rest(exchange, result, forwarded):
             return Outcome.CUT
         if head.status < 300:
@@ -574,15 +593,14 @@
             async with asyncio.timeout_at(exchange.deadline):
                 data = result.body
                 while data:
-                    reply.write(data)
-                    await reply.drain()
+                    await _write(reply, data)
                     if length is None and (
                         connection.received > MAX_UNSTATED_BYTES
                     ):
                         raise endpointhttp.CallError(
                             endpointhttp.FailureKind.TOO_LARGE, True
                         )
-                    data = await connection.read(exchange.deadline)
+                    data = bytearray(await connection.read(exchange.deadline))
             reply.finish()
             self._refused_until.pop(result.endpoint.name, None)
         except TimeoutError:
