--- a/packages/adapters/src/dunlintide_adapters/boundedhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/boundedhttp.py
@@ -5,6 +5,7 @@
 fields, but not the number of interim answers or trailers.
 """
 
+import contextlib
 import functools
 import http.client
 import io
@@ -51,14 +52,16 @@
         return True
 
     def readinto(self, buffer: memoryview) -> int | None:
-        timeout = self._timeout
-        if self.expires is not None:
-            left = self.expires - time.monotonic()
-            if left <= 0.0:
-                raise TimeoutError('the answer takes too long')
-            timeout = min(timeout, left)
-        self._socket.settimeout(timeout)
-        size = self._raw.readinto(buffer)
+        with contextlib.ExitStack() as stack:
+            if self.expires is not None:
+                left = self.expires - time.monotonic()
+                if left <= 0.0:
+                    raise TimeoutError('the answer takes too long')
+                if left < self._timeout:
+                    # Another request may be sent on the connection.
+                    stack.callback(self._socket.settimeout, self._timeout)
+                    self._socket.settimeout(left)
+            size = self._raw.readinto(buffer)
         self.received += size or 0
         return size
 
