--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -389,7 +389,7 @@
                 [endpoint.name],
                 str(broken),
                 exchange.caller_request.name,
-                broken.kind is not endpointhttp.FailureKind.TIMEOUT,
+                is_certain=broken.kind is not endpointhttp.FailureKind.TIMEOUT,
             )
             return _SendResult(endpoint, False, f'no connection: {broken}')
         with contextlib.ExitStack() as sent:
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -197,7 +197,7 @@
                 [run.first.name],
                 str(broken),
                 exchange.caller_request.name,
-                broken.kind is not endpointhttp.FailureKind.TIMEOUT,
+                is_certain=broken.kind is not endpointhttp.FailureKind.TIMEOUT,
             )
             raise runends.RunEnded(
                 False, f'no connection: {broken}'
--- a/packages/daemon/src/dunlintide_daemon/gateway/stalls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/stalls.py
@@ -86,7 +86,8 @@
         decision = failover.decide(seconds, limits, evidence)
         if not decision.should_move:
             return decision.limit
-        state.eject(suspects, 'still', exchange.caller_request.name, False)
+        request = exchange.caller_request.name
+        state.eject(suspects, 'still', request, is_certain=False)
         before = list(exchange.excluded_endpoints)
         stalled = state.health.find_stalled(stall.names, stall.last_progress)
         exchange.excluded_endpoints.extend(suspects or stalled)
