--- a/packages/standins/src/dunlintide_standins/fleet/endless.py
+++ b/packages/standins/src/dunlintide_standins/fleet/endless.py
@@ -1,6 +1,7 @@
 """Bytes that are no answer and come until their receiver closes."""
 
 import enum
+import functools
 import itertools
 
 from dunlintide_standins.fleet import wire
@@ -10,6 +11,7 @@
 # Bytes that are sent at a time.
 BLOCK_BYTES = 64 << 10
 
+_CACHED_BLOCKS = 500
 _FILLER = b'x' * 1000
 _HEAD = (
     b'HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nServer-Stamp: 1\r\n'
@@ -22,6 +24,15 @@
     return b'%x\r\n%b\r\n' % (len(data), data)
 
 
+@functools.lru_cache(_CACHED_BLOCKS)
+def _make_events(first: int) -> bytes:
+    """Return a thousand events in chunks; all connections send the same."""
+    return b''.join(
+        _make_chunk(b'id: %d\ndata: x\n\n' % number)
+        for number in range(first, first + 1000)
+    )
+
+
 class Endless(enum.Enum):
     """Where in an answer the bytes stand that have no end."""
 
@@ -93,11 +104,7 @@
         if self is not self.EVENTS:
             unit = self._get_pattern()[1]
             return unit * (BLOCK_BYTES // len(unit))
-        first = round_number * 1000 + 1
-        return b''.join(
-            _make_chunk(b'id: %d\ndata: x\n\n' % number)
-            for number in range(first, first + 1000)
-        )
+        return _make_events(round_number * 1000 + 1)
 
 
 # Kinds of which nothing can be forwarded, in any answer and in a stream.
