Take an answer that is cut in its head for a failed one on threads

Callers saw: a runner that stopped within the head of its answer and closed made the agent of a plain service pass on a 200 with an empty body, framed as whole; a health check, an import, an order of layers or the end of a session that was cut so counted as done.

Cause: http.client takes the end of the connection for the end of a head (parse_headers stops at an empty line, and at no line). A head without its Content-Length then has a body of any length, which ends with the connection. Clients of the event loop are not concerned: llhttp tells an incomplete head.

The mend stands below all clients on threads: a line of an answer without its end is an error, in heads, interim answers, chunk headers and trailers. The agent's calls to plain services used connections of their own that bounded nothing; they have the same now. The stand-ins' caller read the same way.

Not told apart, as HTTP/1.1 has no means: a body without a length that ends with the connection. What decodes JSON refuses a part of it.

--- a/packages/adapters/src/dunlintide_adapters/boundedhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/boundedhttp.py
@@ -1,8 +1,10 @@
-"""Connections of clients that block, whose answers are bounded.
+"""Connections of clients that block, whose answers are bounded and whole.
 
 The timeout of a read bounds neither the time nor the size of an answer: bytes
 may go on arriving. The HTTP library bounds a line and the number of header
-fields, but not the number of interim answers or trailers.
+fields, but not the number of interim answers or trailers. It also takes the
+end of the connection for the end of a head, and so a part of an answer for a
+whole one.
 """
 
 import contextlib
@@ -80,6 +82,9 @@
 
     def readline(self, size: int | None = -1) -> bytes:
         line = super().readline(size)
+        is_longest = size is not None and 0 <= size == len(line)
+        if self.raw.received and not (line.endswith(b'\n') or is_longest):
+            raise http.client.IncompleteRead(line)
         self._line_bytes += len(line)
         rest = self.raw.received - self._line_bytes
         if self._line_bytes > MAX_LINE_BYTES + rest // self._ratio:
--- a/packages/daemon/src/dunlintide_daemon/agent/services.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/services.py
@@ -14,6 +14,7 @@
 from absl import logging
 import urllib3
 
+from dunlintide_adapters import boundedhttp
 from dunlintide_adapters import hopheaders
 from dunlintide_adapters import links
 from dunlintide_adapters.wire import link_pb2
@@ -133,7 +134,7 @@
         A reused connection may have gone silent, or the service may close it
         just as it is used. A new connection on the same host is cheap.
         """
-        pool = urllib3.connection_from_url(self._url, maxsize=1, retries=False)
+        pool = boundedhttp.build_pool(self._url, is_stream=True, maxsize=1)
         pool.ConnectionCls = _notify_connect(
             pool.ConnectionCls, self._register_socket
         )
--- a/packages/standins/src/dunlintide_standins/fleet/callers.py
+++ b/packages/standins/src/dunlintide_standins/fleet/callers.py
@@ -54,26 +54,33 @@
 
         :raises ConnectionResetError: if the connection closes first
         """
-        first = self.file.readline()
-        if not first:
-            raise ConnectionResetError('connection closed before a response')
-        status = int(first.split()[1])
+        status = int(self._read_line().split()[1])
         headers = {}
-        while line := self.file.readline().strip():
+        while line := self._read_line().strip():
             name, _, value = line.decode('latin-1').partition(':')
             headers[name.lower()] = value.strip()
         return status, headers
 
+    def _read_line(self) -> bytes:
+        """Read a line with its end.
+
+        :raises ConnectionResetError: if the connection closes first
+        """
+        line = self.file.readline()
+        if not line.endswith(b'\n'):
+            raise ConnectionResetError('connection closed within a response')
+        return line
+
     def read_answer(self) -> Answer:
         """Read a response, which may be truncated within its body."""
         status, headers = self.read_head()
         body = bytearray()
         try:
             if headers.get('transfer-encoding') == 'chunked':
-                while size := int(self.file.readline(), 16):
+                while size := int(self._read_line(), 16):
                     body += self.file.read(size)
-                    self.file.readline()
-                self.file.readline()
+                    self._read_line()
+                self._read_line()
             elif 'content-length' in headers:
                 length = int(headers['content-length'])
                 body += self.file.read(length)
