Skip all interim answers on threads, not only 100

Found while cutting answers: behind a 103 the HTTP library took the interim answer for the final one, and left the final one on the connection, where the next request would have read it as its own. features/cutheads.feature, 'an answer behind an interim one', failed before (a cut 103 counted as whole) and passes now; so do the bounds of interim answers without end (features/endlessreads.feature).

--- a/features/cutheads.feature
+++ b/features/cutheads.feature
@@ -14,6 +14,8 @@
       | an answer in chunks               | FIN |
       | an answer in chunks               | RST |
       | an answer without a body          | FIN |
+      | an answer behind an interim one   | FIN |
+      | an answer behind an interim one   | RST |
 
   Scenario Outline: An answer to <call> that is cut in its head has failed
     When an answer is cut at each byte of its head and read as one to <call>
--- a/packages/adapters/src/dunlintide_adapters/boundedhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/boundedhttp.py
@@ -101,6 +101,20 @@
         super().__init__(connection, *args, **options)
         self.fp = _Reader(_Input(self.fp.detach(), connection), self.ratio)
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the status line behind interim answers of all kinds.
+
+        The library skips 100 only; the answer behind another one would be
+        taken for that to the next request.
+        """
+        while True:
+            version, status, reason = super()._read_status()
+            if status == http.HTTPStatus.SWITCHING_PROTOCOLS or (
+                status >= http.HTTPStatus.OK
+            ):
+                return version, status, reason
+            http.client.parse_headers(self.fp)
+
 
 class _Stream(_Answer):
     """An answer whose body may go on for any time."""
