Bound what callers, endpoints and entries make an entry hold by one budget

With more bodies at once an entry still passed 700 MB: each stood as read buffer, joined body, head and body for the endpoint and transport buffer, and nothing bounded their sum.

Cause: no owner of the bytes. Limits were for each request, none for all.

Change: bytebudget.Budget (core) grants bytes: a quarter of the memory of the machine or of the setting 'memory', 64 MB at most. A large body is reserved whole at its head, since partial bodies that wait for each other serve nobody; until then its connection is not read, for 0.5 s at most, and what would wait for longer than one turn gets 503 with a Retry-After at once, nothing run. Large requests have three quarters, an owner half of it, so small requests and other owners pass. Answers over 64 KB and those that callers do not read count too, and the decoding of a configuration. Bodies are kept in equal parts that are never joined and are written as the endpoint reads; the account ends with the answer, the last request is not kept. Admin ports take 64 KB bodies.

--- /dev/null
+++ b/features/bytebudget.feature
@@ -0,0 +1,29 @@
+Feature: What callers, endpoints and entries make an entry hold has a bound
+  Guards against an entry over its memory: connections kept the last body
+  behind its answer, each body stood in memory up to four times, and nothing
+  bounded the sum of those that arrived, waited or were sent.
+
+  Scenario: Kept connections do not hold their last bodies
+    When 40 callers send a body of 4 MB each in turn and keep their connection
+    Then all are served and the process has grown by at most 64 MB
+
+  Scenario Outline: Bodies that come at once <how> stay within the budget
+    When 100 callers send bodies of 4 MB <how> and others small ones
+    Then each large one is served or refused with a Retry-After
+    And the small ones are served
+    And the process has grown by at most 96 MB
+    And the budget is whole again
+
+    Examples:
+      | how             |
+      | to a slow entry |
+      | but a last byte |
+      | in chunks       |
+
+  Scenario: An endpoint that reads slowly does not make copies of a body
+    When a body of 32 MB in parts is sent to an endpoint that does not read
+    Then the process has grown by at most 4 MB
+
+  Scenario: The budget keeps its promises
+    Then whatever is held, forced and released, sums agree and limits hold
+    And nothing waits while there is room for it
--- /dev/null
+++ b/features/steps/bytebudget.py
@@ -0,0 +1,262 @@
+"""Steps for the bytes that outsiders make an entry hold."""
+
+import asyncio
+import itertools
+
+import behave
+from dunlintide_adapters import callerhttp
+from dunlintide_adapters import callermessages
+from dunlintide_adapters import endpointhttp
+from dunlintide_core.pipeline import bytebudget
+from dunlintide_trials import processes
+import hypothesis
+from hypothesis import strategies
+
+MB = 1 << 20
+BODY = bytes(4 * MB)
+LIMIT_BYTES = 64 * MB
+HEADER_SECONDS = 1.5
+LIMITS = callermessages.RequestLimits(8000, len(BODY), HEADER_SECONDS, 20.0)
+SERVE_SECONDS = 0.3
+WAIT_SECONDS = 20.0
+
+
+def _note_memory(context):
+    context.memory = processes.read_peak_memory('self')
+
+
+async def _listen(seconds, **more):
+    async def handle(request, reply):
+        await asyncio.sleep(seconds)
+        reply.send(callermessages.Head(200), b'%d' % len(request.body))
+
+    server = callerhttp.CallerServer(handle, LIMITS, lambda *_: None, **more)
+    return server, await server.listen('127.0.0.1', 0)
+
+
+def _build_head(path='/large', size=len(BODY)):
+    return b'POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n' % (
+        path.encode(),
+        size,
+    )
+
+
+async def _read_answer(reader):
+    head = await reader.readuntil(b'\r\n\r\n')
+    return int(head.split()[1]), head.lower()
+
+
+@behave.when(
+    '{count:d} callers send a body of 4 MB each in turn and keep their'
+    ' connection'
+)
+def send_in_turn(context, count):
+    _note_memory(context)
+    context.answers = []
+
+    async def run():
+        server, port = await _listen(0.0)
+        kept = []
+        for _ in range(count):
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            kept.append(writer)
+            writer.write(_build_head())
+            for start in range(0, len(BODY), MB):
+                writer.write(BODY[start : start + MB])
+                await writer.drain()
+            context.answers.append(await _read_answer(reader))
+        for writer in kept:
+            writer.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+@behave.then('all are served and the process has grown by at most {size:d} MB')
+def check_turns(context, size):
+    assert {status for status, _ in context.answers} == {200}
+    context.execute_steps(f'Then the process has grown by at most {size} MB')
+
+
+async def _send_large(port, how):
+    """Send a large body and return the status and head of the answer."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    rest = memoryview(BODY)
+    if how == 'in chunks':
+        head = b'POST /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked'
+        writer.write(head + b'\r\n\r\n%x\r\n' % len(BODY))
+    else:
+        writer.write(_build_head())
+    if how == 'but a last byte':
+        rest = rest[:-1]
+
+    async def pour():
+        for start in range(0, len(rest), 16 << 10):
+            writer.write(rest[start : start + (16 << 10)])
+            await writer.drain()
+        if how == 'in chunks':
+            writer.write(b'\r\n0\r\n\r\n')
+
+    pouring = asyncio.create_task(pour())
+    try:
+        return await _read_answer(reader)
+    finally:
+        pouring.cancel()
+        await asyncio.gather(pouring, return_exceptions=True)
+        writer.close()
+
+
+async def _send_small(port):
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(_build_head('/small', 100) + bytes(100))
+    status, _ = await _read_answer(reader)
+    writer.close()
+    return status
+
+
+@behave.when(
+    '{count:d} callers send bodies of 4 MB {how} and others small ones'
+)
+def send_at_once(context, count, how):
+    _note_memory(context)
+
+    async def run():
+        server, port = await _listen(SERVE_SECONDS)
+        context.budget = getattr(server, 'budget', None)
+        large = [
+            asyncio.create_task(_send_large(port, how)) for _ in range(count)
+        ]
+        small = []
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            small.append(asyncio.create_task(_send_small(port)))
+        async with asyncio.timeout(WAIT_SECONDS):
+            context.answers = await asyncio.gather(*large)
+            context.small = await asyncio.gather(*small)
+        await asyncio.sleep(0.1)
+        server.close()
+
+    asyncio.run(run())
+
+
+@behave.then('each large one is served or refused with a Retry-After')
+def check_large(context):
+    for status, head in context.answers:
+        # A caller that stops halfway gets 408 at the end of its time.
+        assert status in (200, 408, 503), head
+        assert (status == 503) == (b'retry-after: ' in head), head
+    assert any(status != 503 for status, _ in context.answers)
+
+
+@behave.then('the small ones are served')
+def check_small(context):
+    assert context.small == [200] * len(context.small), context.small
+
+
+@behave.then('the budget is whole again')
+def check_budget(context):
+    budget = context.budget
+    assert (budget.held, budget.large_held, budget.waiting_bytes) == (0, 0, 0)
+
+
+@behave.when(
+    'a body of {size:d} MB in parts is sent to an endpoint that does not read'
+)
+def send_unread(context, size):
+    parts = [bytes(64 << 10) for _ in range(size * 16)]
+    # Resident before the peak is noted.
+    assert all(map(len, parts))
+    _note_memory(context)
+
+    async def run():
+        ended = asyncio.Event()
+
+        async def hang(reader, writer):
+            await ended.wait()
+            writer.close()
+
+        server = await asyncio.start_server(hang, '127.0.0.1', 0, limit=1)
+        port = server.sockets[0].getsockname()[1]
+        connection = await endpointhttp.Pool().open(f'127.0.0.1:{port}', 1.0)
+        connection.send(b'POST / HTTP/1.1\r\n\r\n', rest=parts)
+        await asyncio.sleep(0.3)
+        assert not connection.is_reusable
+        connection.close()
+        ended.set()
+        server.close()
+
+    asyncio.run(run())
+
+
+# The budget alone.
+
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(('hold', 'reserve', 'force', 'release')),
+        strategies.integers(0, 7),
+        strategies.integers(1, 500),
+    ),
+    max_size=60,
+)
+
+
+def _play(steps):
+    """Yield the budget and all accounts after each step."""
+    clock = itertools.count()
+    budget = bytebudget.Budget(1000, lambda: float(next(clock)))
+    accounts = [
+        bytebudget.Account('' if index < 2 else f'o{index % 3}')
+        for index in range(8)
+    ]
+    waiting, forced = {}, set()
+    for kind, index, size in steps:
+        account = accounts[index]
+        if kind == 'release':
+            waiting.pop(index, None)
+            forced.discard(index)
+            budget.release(account)
+        elif index in waiting:
+            continue
+        elif kind == 'force':
+            forced.add(index)
+            budget.force(account, size)
+        elif size < account.held:
+            continue
+        elif kind == 'hold':
+            budget.hold(account, size)
+        elif not budget.reserve(account, size):
+            if budget.can_wait(account, size):
+                waiting[index] = size
+                budget.wait(account, size, lambda i=index: waiting.pop(i))
+        yield budget, accounts, waiting, forced
+
+
+@behave.then(
+    'whatever is held, forced and released, sums agree and limits hold'
+)
+def check_sums(context):
+    @hypothesis.settings(max_examples=300, deadline=None)
+    @hypothesis.given(_STEPS)
+    def check(steps):
+        for budget, accounts, _, forced in _play(steps):
+            assert budget.held == sum(each.held for each in accounts)
+            large = [each.held for each in accounts if each.is_large]
+            assert budget.large_held == sum(large)
+            if not forced:
+                assert budget.held <= budget.limit
+                assert budget.large_held <= budget.large_limit
+
+    check()
+
+
+@behave.then('nothing waits while there is room for it')
+def check_waits(context):
+    @hypothesis.settings(max_examples=300, deadline=None)
+    @hypothesis.given(_STEPS)
+    def check(steps):
+        for budget, accounts, waiting, _ in _play(steps):
+            if waiting and not budget.held:
+                raise AssertionError((waiting, budget.held))
+        assert budget.waiting_bytes == sum(waiting.values()) if steps else True
+
+    check()
--- a/features/steps/foreignanswers.py
+++ b/features/steps/foreignanswers.py
@@ -135,6 +135,9 @@
     def is_closing(self):
         return self.is_closed
 
+    def set_write_buffer_limits(self, high):
+        pass
+
     def get_write_buffer_size(self):
         return 0
 
--- a/packages/adapters/src/dunlintide_adapters/callerhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/callerhttp.py
@@ -3,21 +3,40 @@
 The handler gets a request once its body is complete. Pipelined requests are
 handled one after another, so answers keep their order. llhttp parses in
 strict mode: an ambiguous request is refused and its connection closed.
+
+What a request occupies comes from a budget: a large body is read only once it
+is reserved, until then its connection is not read, and it is refused where it
+would wait for long. It is given back with the answer.
 """
 
 import asyncio
 import collections
+import functools
+import random
 import socket
+import time
 from typing import Any, Callable, Coroutine
 
 import httptools
 
 from dunlintide_adapters import callermessages
+from dunlintide_core.pipeline import bytebudget
 
 __all__ = ['CallerServer']
 
 # Unsent bytes of an answer above which its producer is paused.
-_WRITE_HIGH_WATER_BYTES = 256 << 10
+_WRITE_HIGH_WATER_BYTES = 64 << 10
+# Most bytes that are read before other connections have their turn.
+_READ_BYTES = 64 << 10
+# Size of the parts of a large body. Equal ones take the place of each other,
+# so that the memory of the process does not grow by fragmentation.
+_PART_BYTES = 64 << 10
+# Longest time for which a large request waits for its reservation, in seconds:
+# callers give up requests that are not read, and may be served elsewhere.
+_MAX_WAIT_SECONDS = 0.5
+# Range of the random factor on Retry-After, so that refused callers do not
+# return at the same time.
+_JITTER = (0.7, 1.5)
 # Pipelined requests that may wait on one connection; more get status 400.
 _MAX_PIPELINED = 16
 # Time for which input of a refused caller is still read, so that it gets the
@@ -33,6 +52,24 @@
 Handler = Callable[
     [callermessages.Request, callermessages.Reply], Coroutine[Any, Any, None]
 ]
+# Returns for whom the bytes of a request count, by its head and the address of
+# its caller.
+Identify = Callable[[callermessages.Request, str], str]
+
+
+# Reports a request for which the budget has no room: its size in bytes and its
+# Retry-After in seconds.
+ReportRefusal = Callable[[callermessages.Request, int, float], None]
+
+
+def _report_nothing(
+    request: callermessages.Request, size: int, pause: float
+) -> None:
+    pass
+
+
+def _get_address(request: callermessages.Request, address: str) -> str:
+    return address
 
 
 class CallerServer:
@@ -46,14 +83,26 @@
         handle: Handler,
         limits: callermessages.RequestLimits,
         report: Callable[[str, BaseException | None], None],
+        budget: bytebudget.Budget | None = None,
+        identify: Identify = _get_address,
+        report_refusal: ReportRefusal = _report_nothing,
     ) -> None:
         """Create a server that does not listen yet.
 
         :param handle: answers one request
         :param report: called with a text and the error of each failed
             connection or request
+        :param budget: budget of the process, None for one of its own
+        :param identify: returns the owner of a request
+        :param report_refusal: called for requests without room
         """
         self.handle = handle
+        self.budget = budget or bytebudget.Budget(
+            bytebudget.MAX_LIMIT_BYTES, time.monotonic
+        )
+        self.identify = identify
+        self.report_refusal = report_refusal
+        self.input = bytearray(_READ_BYTES)
         self.limits = limits
         self.report = report
         self.connections: set[_Connection] = set()
@@ -96,7 +145,7 @@
             connection.abort()
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.BufferedProtocol):
     """One connection of a caller.
 
     :ivar is_paused: whether its output buffer is full
@@ -117,6 +166,12 @@
         self.is_paused = False
         self._reading = False
         self._has_refused = False
+        self._address = ''
+        self._request: callermessages.Request | None = None
+        # A large request waits for its reservation with what is not parsed.
+        self._is_waiting = False
+        self._unparsed = b''
+        self._wait_timer: asyncio.TimerHandle | None = None
         self._received_at: float | None = None
         self._head_bytes = 0
         self._body_size = 0
@@ -145,6 +200,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
         self._server.connections.add(self)
+        self._address = (transport.get_extra_info('peername') or ('',))[0]
         self._start_timer(self._server.limits.idle_seconds)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -159,7 +215,7 @@
 
     def _cancel_requests(self) -> None:
         """Cancel the requests of a caller that has closed its side."""
-        self._pending.clear()
+        self._drop_requests()
         if self._reply is not None:
             self._reply.is_disconnected = True
             self._task.cancel()
@@ -180,16 +236,39 @@
         elif self._reply is None:
             self._transport.close()
 
-    def data_received(self, data: bytes) -> None:
+    def _drop_requests(self) -> None:
+        """Give up the requests that no handler has yet."""
+        budget = self._server.budget
+        for request in self._pending:
+            budget.release(request.account)
+        self._pending.clear()
+        if self._request is not None:
+            budget.release(self._request.account)
+            self._request = None
+        self._end_wait()
+        self._unparsed = b''
+        self._body = bytearray()
+        self._parts: list[bytes] = []
+
+    def get_buffer(self, size_hint: int) -> bytearray:
+        return self._server.input
+
+    def buffer_updated(self, size: int) -> None:
         if self._has_refused:
             return
         if not self._reading and self._reply is None:
             self._start_timer(self._server.limits.header_seconds)
         self._received_at = self._loop.time()
-        view = memoryview(data)
-        for start in range(0, len(data), _PARSED_BYTES):
-            if not self._has_refused:
-                self._parse(view[start : start + _PARSED_BYTES])
+        self._parse_all(memoryview(self._server.input)[:size])
+
+    def _parse_all(self, view: memoryview) -> None:
+        for start in range(0, len(view), _PARSED_BYTES):
+            if self._has_refused:
+                break
+            if self._is_waiting:
+                self._unparsed = bytes(view[start:])
+                break
+            self._parse(view[start : start + _PARSED_BYTES])
         self._start_next()
 
     def _parse(self, data: memoryview) -> None:
@@ -228,6 +307,7 @@
         )
         self._target: list[bytes] = []
         self._body = bytearray()
+        self._parts = []
         self._body_size = 0
 
     def on_url(self, url: bytes) -> None:
@@ -256,6 +336,9 @@
         if length and int(length) > self._server.limits.body_bytes:
             self._refuse(413)
             raise ValueError('request body exceeds the size limit')
+        owner = self._server.identify(request, self._address)
+        self._server.budget.set_owner(request.account, owner)
+        self._occupy(self._head_bytes + int(length or 0))
         if (request.get('expect') or '').lower() == '100-continue':
             if not self._pending and self._reply is None:
                 self.write(_CONTINUE)
@@ -266,25 +349,95 @@
             self._refuse(413)
             raise ValueError('request body exceeds the size limit')
         self._body += data
+        if len(self._body) >= _PART_BYTES:
+            self._parts.append(bytes(self._body))
+            self._body = bytearray()
+        account = self._request.account
+        size = self._head_bytes + self._body_size
+        if not self._is_waiting and size > account.held:
+            # A body in chunks: its size is known at its end.
+            if size > bytebudget.SMALL_BYTES:
+                size = self._head_bytes + self._server.limits.body_bytes
+            self._occupy(size)
+
+    def _occupy(self, size: int) -> None:
+        """Occupy the bytes of a request, wait for them or refuse it.
+
+        :raises ValueError: when it is refused
+        """
+        budget, account = self._server.budget, self._request.account
+        if size <= bytebudget.SMALL_BYTES:
+            if budget.hold(account, size):
+                return
+        elif budget.reserve(account, size):
+            return
+        elif budget.can_wait(account, size):
+            self._is_waiting = True
+            self._transport.pause_reading()
+            budget.wait(account, size, self._handle_grant)
+            self._wait_timer = self._loop.call_later(
+                _MAX_WAIT_SECONDS, self._refuse_unreserved, size
+            )
+            return
+        self._refuse_unreserved(size)
+        raise ValueError('no memory for the request')
+
+    def _refuse_unreserved(self, size: int) -> None:
+        request = self._request
+        pause = self._server.budget.refuse() * random.uniform(*_JITTER)
+        self._server.report_refusal(request, size, pause)
+        self._refuse(503, pause)
+
+    def _handle_grant(self) -> None:
+        """Read on, but not while another request is given up."""
+        self._stop_wait_timer()
+        self._loop.call_soon(self._read_on)
+
+    def _read_on(self) -> None:
+        if not self._is_waiting or self._transport.is_closing():
+            return
+        unparsed, self._unparsed = self._unparsed, b''
+        self._end_wait()
+        self._parse_all(memoryview(unparsed))
+
+    def _end_wait(self) -> None:
+        self._stop_wait_timer()
+        if self._is_waiting:
+            self._is_waiting = False
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+
+    def _stop_wait_timer(self) -> None:
+        if self._wait_timer is not None:
+            self._wait_timer.cancel()
+            self._wait_timer = None
 
     def on_message_complete(self) -> None:
         self._reading = False
-        self._request.body = bytes(self._body)
-        self._body = bytearray()
+        request, self._request = self._request, None
+        first, *request.rest = [*self._parts, bytes(self._body)]
+        request.body = first
+        self._body, self._parts = bytearray(), []
+        self._end_wait()
+        size = self._head_bytes + self._body_size
+        self._server.budget.force(request.account, size)
         if self._reply is None:
             self._stop_timer()
-        self._pending.append(self._request)
+        self._pending.append(request)
         if len(self._pending) > _MAX_PIPELINED:
             self._refuse(400)
             raise ValueError('too many pipelined requests')
 
-    def _refuse(self, status: int) -> None:
-        """Answer an invalid request with an error and stop reading."""
+    def _refuse(self, status: int, retry_after: float | None = None) -> None:
+        """Answer a request with an error and stop reading.
+
+        :param retry_after: value of the Retry-After header in seconds
+        """
         if self._has_refused:
             return
         self._has_refused = True
         self._reading = False
-        self._pending.clear()
+        self._drop_requests()
         self._stop_timer()
         if self._reply is not None:
             # The answer in progress is completed before the connection is
@@ -292,10 +445,10 @@
             self.closing = True
             return
         reason = callermessages.REASONS[status]
-        text = (
-            f'HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\n'
-            'Connection: close\r\n\r\n'
-        )
+        text = f'HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\n'
+        if retry_after is not None:
+            text += f'Retry-After: {retry_after:.2f}\r\n'
+        text += 'Connection: close\r\n\r\n'
         self.write(text.encode('latin-1'))
         if self._transport.can_write_eof():
             self._transport.write_eof()
@@ -313,10 +466,15 @@
         self._task = self._loop.create_task(
             self._server.handle(request, reply)
         )
-        self._task.add_done_callback(self._finish_request)
+        self._task.add_done_callback(
+            functools.partial(self._finish_request, request.account)
+        )
 
-    def _finish_request(self, task: asyncio.Task) -> None:
-        reply, self._reply = self._reply, None
+    def _finish_request(
+        self, account: bytebudget.Account, task: asyncio.Task
+    ) -> None:
+        self._server.budget.release(account)
+        reply, self._reply, self._task = self._reply, None, None
         error = None if task.cancelled() else task.exception()
         if error is not None:
             self._server.report('request failed', error)
--- a/packages/adapters/src/dunlintide_adapters/callermessages.py
+++ b/packages/adapters/src/dunlintide_adapters/callermessages.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from dunlintide_core.pipeline import bytebudget
+
 __all__ = [
     'REASONS',
     'RequestLimits',
@@ -52,7 +54,10 @@
 
     :ivar target: path and query as sent
     :ivar headers: names in lower case, values as sent
+    :ivar body: the body, or the first part of a large one
     :ivar received_at: loop time at which its first byte was read, in seconds
+    :ivar rest: further parts of a large body, so that it is never copied
+    :ivar account: bytes that the request occupies, with those of its answer
     """
 
     method: str
@@ -62,6 +67,20 @@
     received_at: float
     keep_alive: bool = True
     version: str = '1.1'
+    rest: list[bytes] = attrs.field(factory=list)
+    account: bytebudget.Account = attrs.field(
+        factory=bytebudget.Account, eq=False
+    )
+
+    @property
+    def parts(self) -> list[bytes]:
+        """All parts of the body."""
+        return [self.body, *self.rest]
+
+    @property
+    def body_size(self) -> int:
+        """Size of the whole body in bytes."""
+        return sum(map(len, self.parts))
 
     def get(self, name: str) -> str | None:
         """Return the value of a header, None if it is missing.
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -60,6 +60,8 @@
 SLOW_START_FACTOR = 4
 # Unread bytes of an answer above which reading from the endpoint pauses.
 _READ_HIGH_WATER_BYTES = 64 << 10
+# Unsent bytes of a request above which no further part of it is written.
+_WRITE_HIGH_WATER_BYTES = 16 << 10
 # Most bytes that are read before other connections have their turn.
 _READ_BYTES = 32 << 10
 
@@ -148,6 +150,9 @@
         self._is_own: Callable[[AnswerHead], bool] | None = None
         self._foreign_answers = 0
         self._is_skipping = False
+        # Parts of the request that are not written yet.
+        self._unsent: collections.deque[bytes] = collections.deque()
+        self._is_write_paused = False
         self._requests: collections.deque[str] = collections.deque(
             maxlen=_MAX_REQUESTS
         )
@@ -161,8 +166,18 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
+        transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
+
+    def pause_writing(self) -> None:
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        self._is_write_paused = False
+        while self._unsent and not self._is_write_paused:
+            self._transport.write(self._unsent.popleft())
 
     def connection_lost(self, error: Exception | None) -> None:
+        self._unsent.clear()
         if not self._complete and self._failure is None:
             self._failure = (
                 FailureKind.CLOSED if error is None else FailureKind.RESET
@@ -318,7 +333,7 @@
         # Reading may be paused while a part of the body is unread.
         if self._foreign_answers or self._body:
             return False
-        if self._transport.get_write_buffer_size():
+        if self._unsent or self._transport.get_write_buffer_size():
             return False
         connection_header = (self._head.get('connection') or '').lower()
         return 'close' not in connection_header
@@ -330,6 +345,7 @@
         on_head: Callable[[AnswerHead], None] | None = None,
         is_own: Callable[[AnswerHead], bool] | None = None,
         request: str = '',
+        rest: Sequence[bytes] = (),
     ) -> None:
         """Start a call with the bytes of a complete request.
 
@@ -338,6 +354,7 @@
         :param is_own: whether an answer belongs to the request; None if any
             does
         :param request: id of the request, empty for one without
+        :param rest: further parts, written as the endpoint reads
         """
         self._on_head = on_head
         self._is_own = is_own
@@ -354,6 +371,9 @@
         self.in_call = True
         self.calls += 1
         self._transport.write(data)
+        self._unsent.extend(rest)
+        if not self._is_write_paused:
+            self.resume_writing()
 
     async def read_head(self, deadline: float) -> AnswerHead:
         """Wait for the head of the answer.
@@ -499,6 +519,7 @@
 
     def close(self) -> None:
         """Abort the connection, upon which the endpoint drops the request."""
+        self._unsent.clear()
         if self._transport is not None:
             self._transport.abort()
 
--- /dev/null
+++ b/packages/core/src/dunlintide_core/pipeline/bytebudget.py
@@ -0,0 +1,260 @@
+"""Budget of the bytes that callers, endpoints and other entries occupy.
+
+Every request, large answer and configuration has an account. Large requests
+reserve their whole body before it is read: partial bodies that wait for each
+other would hold all memory and none could be served. They may use only a part
+of the budget and an owner only half of it, so that small requests and those of
+other owners pass beside them. What must not fail is forced, which counts, so
+that others get less.
+"""
+
+import collections
+from typing import Callable
+
+import attrs
+
+__all__ = [
+    'Account',
+    'Budget',
+    'SMALL_BYTES',
+    'choose_limit',
+]
+
+# Largest request that may use all of the budget, in bytes.
+SMALL_BYTES = 64 << 10
+# Fraction of the memory of the process that the budget has, and its range in
+# bytes.
+MEMORY_FRACTION = 0.25
+MIN_LIMIT_BYTES = 8 << 20
+MAX_LIMIT_BYTES = 64 << 20
+# Fraction of the budget that large requests may use together, and that all
+# requests of an owner may.
+LARGE_FRACTION = 0.75
+OWNER_FRACTION = 0.5
+# Range of the Retry-After of refused requests, in seconds.
+MIN_RETRY_SECONDS = 0.3
+MAX_RETRY_SECONDS = 5.0
+# Weight of the last large request in the mean time for which they are held.
+_HELD_WEIGHT = 0.2
+
+
+def choose_limit(memory_bytes: int) -> int:
+    """Choose the size of the budget of a process.
+
+    :param memory_bytes: memory that the process may use
+    :returns: bytes
+    """
+    share = int(memory_bytes * MEMORY_FRACTION)
+    return max(MIN_LIMIT_BYTES, min(MAX_LIMIT_BYTES, share))
+
+
+@attrs.define(eq=False)
+class Account:
+    """Bytes that one request, answer or configuration occupies.
+
+    :ivar owner: team or address that they are counted for, empty for none
+    :ivar held: bytes in all
+    :ivar is_large: whether they count as large
+    :ivar began: monotonic time of the first grant as large, in seconds
+    """
+
+    owner: str = ''
+    held: int = 0
+    is_large: bool = False
+    began: float = 0.0
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    """A large request that waits for its reservation."""
+
+    account: Account
+    size: int
+    grant: Callable[[], None]
+
+
+class Budget:
+    """Grants bytes up to a limit and takes them back.
+
+    :ivar limit: bytes in all
+    :ivar held: bytes that are granted or forced
+    :ivar large_held: those of large requests
+    :ivar refusals: refused requests since the start
+    """
+
+    def __init__(self, limit: int, clock: Callable[[], float]) -> None:
+        """Create a budget.
+
+        :param limit: bytes in all
+        :param clock: returns monotonic time in seconds
+        """
+        self.limit = limit
+        self.held = 0
+        self.large_held = 0
+        self.refusals = 0
+        self._clock = clock
+        self._by_owner: collections.Counter[str] = collections.Counter()
+        self._waiters: dict[int, _Waiter] = {}
+        self._mean_held_seconds = 0.0
+
+    @property
+    def large_limit(self) -> int:
+        """Bytes that large requests may use together."""
+        return int(self.limit * LARGE_FRACTION)
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes that large requests wait for."""
+        return sum(each.size for each in self._waiters.values())
+
+    def get_owner_bytes(self, owner: str) -> int:
+        """Return the bytes that an owner occupies."""
+        return self._by_owner[owner]
+
+    def set_owner(self, account: Account, owner: str) -> None:
+        """Count an account for another owner, once it is known."""
+        self._count(account, -account.held)
+        held, account.held, account.owner = account.held, 0, owner
+        self._count(account, held)
+        account.held = held
+
+    def hold(self, account: Account, size: int) -> bool:
+        """Occupy bytes with a small request.
+
+        :param size: bytes in all, as many as before or more
+        :returns: whether they are granted
+        """
+        more = size - account.held
+        if more > 0 and not self._fits(account, more):
+            return False
+        self._count(account, more)
+        account.held = size
+        return True
+
+    def reserve(self, account: Account, size: int) -> bool:
+        """Reserve the bytes of a large request before they are read.
+
+        Those that wait go first, unless they wait for their own owner's.
+
+        :param size: bytes in all
+        :returns: whether they are granted
+        """
+        more = size - account.held
+        if not self._fits_large(account, more):
+            return False
+        if any(
+            self._fits_owner(each.account, each.size - each.account.held)
+            for each in self._waiters.values()
+        ):
+            return False
+        self._grant(account, size)
+        return True
+
+    def can_wait(self, account: Account, size: int) -> bool:
+        """Return whether a large request may get its bytes soon.
+
+        No more wait than can be served in one turn.
+        """
+        if size > self.large_limit:
+            return False
+        owned = sum(
+            each.size
+            for each in self._waiters.values()
+            if each.account.owner == account.owner
+        )
+        return (
+            self.waiting_bytes + size <= self.large_limit
+            and owned + size <= self.limit * OWNER_FRACTION
+        )
+
+    def wait(
+        self, account: Account, size: int, grant: Callable[[], None]
+    ) -> None:
+        """Let a large request wait until its bytes are granted.
+
+        :param grant: called once they are
+        """
+        self._waiters[id(account)] = _Waiter(account, size, grant)
+
+    def force(self, account: Account, size: int) -> None:
+        """Occupy bytes that can't be refused any more.
+
+        :param size: bytes in all
+        """
+        self._waiters.pop(id(account), None)
+        self._count(account, size - account.held)
+        account.held = size
+        self._wake()
+
+    def release(self, account: Account) -> None:
+        """Give back all bytes of an account; it may wait no longer."""
+        self._waiters.pop(id(account), None)
+        if account.is_large:
+            seconds = self._clock() - account.began
+            self._mean_held_seconds += _HELD_WEIGHT * (
+                seconds - self._mean_held_seconds
+            )
+        self._count(account, -account.held)
+        account.held, account.is_large = 0, False
+        self._wake()
+
+    def refuse(self) -> float:
+        """Record a refused request.
+
+        :returns: time after which it may find room, in seconds
+        """
+        self.refusals += 1
+        turns = 1.0 + self.waiting_bytes / max(1, self.large_limit)
+        seconds = self._mean_held_seconds * turns
+        return max(MIN_RETRY_SECONDS, min(MAX_RETRY_SECONDS, seconds))
+
+    def _fits_owner(self, account: Account, more: int) -> bool:
+        """Return whether an owner may occupy more bytes.
+
+        A single request is not refused for its owner's sake.
+        """
+        owned = self._by_owner[account.owner]
+        if not account.owner or owned == account.held:
+            return True
+        return owned + more <= self.limit * OWNER_FRACTION
+
+    def _fits(self, account: Account, more: int) -> bool:
+        if self.held + more > self.limit:
+            return False
+        return self._fits_owner(account, more)
+
+    def _fits_large(self, account: Account, more: int) -> bool:
+        moved = 0 if account.is_large else account.held
+        if self.large_held + moved + more > self.large_limit:
+            return False
+        return self._fits(account, more)
+
+    def _grant(self, account: Account, size: int) -> None:
+        if not account.is_large:
+            account.is_large = True
+            account.began = self._clock()
+            self.large_held += account.held
+        self._count(account, size - account.held)
+        account.held = size
+
+    def _count(self, account: Account, more: int) -> None:
+        self.held += more
+        if account.is_large:
+            self.large_held += more
+        if account.owner:
+            self._by_owner[account.owner] += more
+            if self._by_owner[account.owner] <= 0:
+                del self._by_owner[account.owner]
+
+    def _wake(self) -> None:
+        """Grant what those that wait have room for, in their order."""
+        for key, waiter in list(self._waiters.items()):
+            account = waiter.account
+            more = waiter.size - account.held
+            if not self._fits_owner(account, more):
+                continue
+            if not self._fits_large(account, more):
+                return
+            del self._waiters[key]
+            self._grant(account, waiter.size)
+            waiter.grant()
--- a/packages/core/src/dunlintide_core/pipeline/settings.py
+++ b/packages/core/src/dunlintide_core/pipeline/settings.py
@@ -95,6 +95,8 @@
     :ivar retries: retry budget of each service
     :ivar demand: how requests compete for the capacity of a service
     :ivar log_rate: log lines per second
+    :ivar memory: memory that the process may use, in MB; by default that of
+        the machine
     :ivar experiments: mechanisms that are switched off to measure their effect
     """
 
@@ -113,6 +115,7 @@
     retries: Retries = Retries()
     demand: Demand = Demand()
     log_rate: settings.Rate = 300.0
+    memory: settings.Rate | None = None
     experiments: Experiments = Experiments()
 
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -10,6 +10,7 @@
 from dunlintide_adapters import callermessages
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import balance
+from dunlintide_core.pipeline import bytebudget
 from dunlintide_core.pipeline import endpoints as endpoints_module
 from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import returns
@@ -51,9 +52,8 @@
 # Largest answer that is read whole before it is forwarded, in bytes. While it
 # is, a repeatable call can still be sent elsewhere.
 MAX_HELD_BYTES = 1 << 20
-# The same, once all answers that are being read or forwarded exceed the total,
-# in bytes.
-MAX_TOTAL_HELD_BYTES = 32 << 20
+# Largest answer that needs no reservation, and the part of a large one that is
+# read before it is forwarded where there is no room for it, in bytes.
 MIN_HELD_BYTES = 64 << 10
 # Bytes of a large answer that are written at a time, as its caller reads them.
 FORWARDED_BYTES = 64 << 10
@@ -107,8 +107,6 @@
         self._refused_until: dict[str, float] = {}
         # Garbled answers of an endpoint since its last sound one, by name.
         self._garbled: collections.Counter[str] = collections.Counter()
-        # Answers that are being read, and large ones that are forwarded.
-        self._open_answers = 0
 
     async def serve(self, exchange: exchange_module.Exchange) -> Outcome:
         """Answer a request that is routed to a plain service."""
@@ -394,26 +392,30 @@
             return _SendResult(endpoint, False, f'no connection: {broken}')
         with contextlib.ExitStack() as sent:
             sent.callback(state.pool.release, endpoint.address, connection)
-            result = await self._try_exchange(exchange, endpoint, connection)
+            account = bytebudget.Account(exchange.request.account.owner)
+            stack.callback(state.budget.release, account)
+            result = await self._try_exchange(
+                exchange, endpoint, connection, account
+            )
             if result.rest is not None:
-                self._open_answers += 1
-                sent.callback(self._close_answer)
                 stack.enter_context(sent.pop_all())
             return result
 
-    def _close_answer(self) -> None:
-        """End to count an answer among those that may hold bytes."""
-        self._open_answers -= 1
-
     async def _try_exchange(
         self,
         exchange: exchange_module.Exchange,
         endpoint: endpoints_module.Endpoint,
         connection: endpointhttp.Connection,
+        account: bytebudget.Account,
     ) -> _SendResult:
-        """Exchange a call; a failure is a result too."""
+        """Exchange a call; a failure is a result too.
+
+        :param account: gets what its answer occupies
+        """
         try:
-            return await self._exchange(exchange, endpoint, connection)
+            return await self._exchange(
+                exchange, endpoint, connection, account
+            )
         except endpointhttp.CallError as broken:
             if broken.kind is endpointhttp.FailureKind.WITHHELD:
                 exchange.excluded_endpoints.remove(endpoint.name)
@@ -453,6 +455,7 @@
         exchange: exchange_module.Exchange,
         endpoint: endpoints_module.Endpoint,
         connection: endpointhttp.Connection,
+        account: bytebudget.Account,
     ) -> _SendResult:
         state = self._state
         relayed = requests.RelayOptions(
@@ -461,16 +464,16 @@
             team=exchange.team,
             last_event_id=exchange.caller_request.after,
         )
-        data = requests.encode(exchange.request, relayed)
         sent_at = state.now
         endpointgate.send(
             state,
             connection,
             (endpoint,),
-            data,
+            requests.encode(exchange.request, relayed),
             exchange.caller_request.name,
             exchange.request.method == 'HEAD',
             exchange,
+            exchange.request.rest,
         )
         exchange.sends += 1
         exchange.runs += 1
@@ -487,7 +490,9 @@
         try:
             head = await connection.read_head(exchange.deadline)
             verdict = requests.read_answer_headers(head)
-            body, is_whole = await self._read_body(exchange, connection)
+            body, is_whole = await self._read_body(
+                exchange, connection, account
+            )
         except endpointhttp.CallError as broken:
             if broken.kind is endpointhttp.FailureKind.TIMEOUT:
                 shutdowns.record_duration(state, exchange, state.now - sent_at)
@@ -519,18 +524,28 @@
         self,
         exchange: exchange_module.Exchange,
         connection: endpointhttp.Connection,
+        account: bytebudget.Account,
     ) -> tuple[bytearray, bool]:
         """Read the body of an answer, or the start of a large one.
 
+        :param account: gets what a large answer occupies
         :returns: what was read, and whether it is whole
         """
-        self._open_answers += 1
-        try:
-            limit = MAX_TOTAL_HELD_BYTES // self._open_answers
-            limit = min(MAX_HELD_BYTES, max(MIN_HELD_BYTES, limit))
-            return await connection.read_until(exchange.deadline, limit)
-        finally:
-            self._close_answer()
+        body, is_whole = await connection.read_until(
+            exchange.deadline, MIN_HELD_BYTES
+        )
+        if is_whole:
+            return body, True
+        budget = self._state.budget
+        if not budget.reserve(account, 2 * MAX_HELD_BYTES):
+            # It is forwarded as its caller reads it.
+            budget.force(account, state_module.UNREAD_BYTES)
+            return body, False
+        more, is_whole = await connection.read_until(
+            exchange.deadline, MAX_HELD_BYTES - len(body)
+        )
+        body += more
+        return body, is_whole
 
     def _clear_crashes(
         self,
@@ -561,16 +576,16 @@
         forwarded = callermessages.Head(
             head.status, requests.list_reply_headers(head), reason=head.reason
         )
-        if result.rest is None:
+        if len(result.body) <= MIN_HELD_BYTES and result.rest is None:
             exchange.reply.send(forwarded, bytes(result.body))
-        elif not await self._forward_rest(exchange, result, forwarded):
+        elif not await self._forward_large(exchange, result, forwarded):
             return Outcome.CUT
         if head.status < 300:
             self._state.poison_requests.clear(exchange.fingerprint)
             return Outcome.COMPLETE
         return Outcome.FAILED
 
-    async def _forward_rest(
+    async def _forward_large(
         self,
         exchange: exchange_module.Exchange,
         result: _SendResult,
@@ -581,8 +596,11 @@
         :returns: whether it is whole
         """
         reply, connection = exchange.reply, result.rest
+        size = len(result.body)
         stated = result.head.get('content-length')
         length = int(stated) if stated and stated.isdecimal() else None
+        if connection is None:
+            length = size
         reply.start(attrs.evolve(head, length=length))
         if length is None:
             # It may have no end, as the endpoint's next answer.
@@ -594,6 +612,8 @@
                 data = result.body
                 while data:
                     await _write(reply, data)
+                    if connection is None:
+                        break
                     if length is None and (
                         connection.received > MAX_UNSTATED_BYTES
                     ):
@@ -616,7 +636,7 @@
             'large answer forwarded',
             request=exchange.caller_request.name,
             endpoint=result.endpoint.name,
-            size=connection.received,
+            size=size if connection is None else connection.received,
             stated=length,
             reason=reason,
         )
--- a/packages/daemon/src/dunlintide_daemon/gateway/configurationloader.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/configurationloader.py
@@ -11,6 +11,9 @@
 
 __all__ = ['ConfigurationLoader']
 
+# Memory that decoding a configuration takes, for each of its bytes.
+PARSED_FACTOR = 4
+
 
 class ConfigurationLoader:
     """Decoder of the versions that the store or other entries send."""
@@ -39,7 +42,8 @@
         """
         async with self._lock:
             began = self._state.now
-            decoded = await _run_beside(self._decoder.decode(value))
+            with self._state.occupy(PARSED_FACTOR * len(value)):
+                decoded = await _run_beside(self._decoder.decode(value))
             decode_seconds = self._state.now - began
         origin = state_module.ConfigurationOrigin(
             source, revision, read_seconds, decode_seconds
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -68,6 +68,12 @@
         by ``outcome``
     :ivar foreign_answers: answers of endpoints to something other than the
         request that was waiting, by ``kind``: ``no id`` or ``other id``
+    :ivar held_bytes: bytes that requests, answers and configurations occupy,
+        by ``size``: ``large`` or ``all``
+    :ivar held_bytes_limit: bytes that they may occupy in all
+    :ivar reservations_waiting_bytes: bytes that large requests wait for
+    :ivar unreserved_requests: requests refused as they would occupy too many
+        bytes
     :ivar version: version of the configuration in force
     :ivar newest_version: newest version that any entry has in force
     """
@@ -103,6 +109,10 @@
     suspicion_refusals: prometheus_client.Counter
     shutdown_ends: prometheus_client.Counter
     foreign_answers: prometheus_client.Counter
+    held_bytes: prometheus_client.Gauge
+    held_bytes_limit: prometheus_client.Gauge
+    reservations_waiting_bytes: prometheus_client.Gauge
+    unreserved_requests: prometheus_client.Gauge
     version: prometheus_client.Gauge
     newest_version: prometheus_client.Gauge
 
@@ -279,6 +289,25 @@
                 'Answers that do not belong to the request that was waiting',
                 ('kind',),
             ),
+            held_bytes=make(
+                gauge,
+                'edge_held_bytes',
+                'Bytes that requests, answers and configurations occupy',
+                ('size',),
+            ),
+            held_bytes_limit=make(
+                gauge, 'edge_held_bytes_limit', 'Bytes that they may occupy'
+            ),
+            reservations_waiting_bytes=make(
+                gauge,
+                'edge_reservations_waiting_bytes',
+                'Bytes that large requests wait for',
+            ),
+            unreserved_requests=make(
+                gauge,
+                'edge_unreserved_requests',
+                'Requests refused for want of memory since the start',
+            ),
             version=make(
                 gauge, 'edge_configuration_version', 'Version in force'
             ),
--- a/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/endpointgate.py
@@ -7,7 +7,7 @@
 """
 
 import enum
-from typing import Iterable
+from typing import Iterable, Sequence
 
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import endpoints as endpoints_module
@@ -67,6 +67,7 @@
     request: str = '',
     bodiless: bool = False,
     exchange: exchange_module.Exchange | None = None,
+    rest: Sequence[bytes] = (),
 ) -> None:
     """Send a request on an open connection, unless something holds it.
 
@@ -75,6 +76,7 @@
     :param request: id of the request, empty for a report or order
     :param bodiless: whether the answer has no body, as for HEAD
     :param exchange: the caller's request, None for a report or order
+    :param rest: further parts of a large body
     :raises CallError: of the kind WITHHELD, if nothing was sent
     """
     first, *_ = chain = list(chain)
@@ -122,7 +124,7 @@
                 state, first.name, notice, sent, request
             )
 
-    connection.send(data, bodiless, read_head, is_own, request)
+    connection.send(data, bodiless, read_head, is_own, request, rest)
 
 
 def _check_identity(
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -34,6 +34,7 @@
 from dunlintide_daemon.gateway import requesthandler as requesthandler_module
 from dunlintide_daemon.gateway import state as state_module
 from dunlintide_platform import keys
+from dunlintide_platform import requests
 from dunlintide_platform import store as store_module
 from dunlintide_platform import storevalues
 
@@ -48,6 +49,8 @@
 # Time between two checks of the settings file, in seconds: it may change
 # without a SIGHUP.
 RELOAD_SECONDS = 1.0
+# Largest body of a request of an operator or another entry, in bytes.
+MAX_ADMIN_BODY_BYTES = 64 << 10
 
 
 def _split_address(address: str) -> tuple[str, int]:
@@ -132,7 +135,12 @@
         admin = admin_module.Admin(self._state)
         bounds = _make_bounds(deployments.CallerLimits())
         self._callers = callerhttp.CallerServer(
-            handler.handle, bounds, self._log_error
+            handler.handle,
+            bounds,
+            self._log_error,
+            self._state.budget,
+            self._identify,
+            self._log_refusal,
         )
         self._servers = [
             (settings.ready_listen, admin.handle_ready),
@@ -141,6 +149,32 @@
         ]
         self._bounds = bounds
 
+    def _identify(self, request: callermessages.Request, address: str) -> str:
+        """Return for whom the bytes of a request count."""
+        deployment = self._state.deployment
+        digest = requests.read_key_digest(request.headers)
+        owner = deployment.find_owner(digest) if deployment else None
+        return address if owner is None else owner.name
+
+    def _log_refusal(
+        self, request: callermessages.Request, size: int, pause: float
+    ) -> None:
+        """Log a request for whose bytes there is no room."""
+        budget = self._state.budget
+        owner = request.account.owner
+        self._state.log.write(
+            'request denied',
+            request=requests.decode(request).name,
+            status=503,
+            reason='memory',
+            size=size,
+            retry_after=round(pause, 3),
+            held=budget.held,
+            large=budget.large_held,
+            owned=budget.get_owner_bytes(owner),
+            waiting=budget.waiting_bytes,
+        )
+
     def _log_error(self, what: str, error: BaseException | None) -> None:
         self._state.log.write(what, error=repr(error))
 
@@ -195,9 +229,10 @@
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
         settings = self._state.settings
         loop = asyncio.get_running_loop()
+        bounds = attrs.evolve(self._bounds, body_bytes=MAX_ADMIN_BODY_BYTES)
         for address, handle in self._servers:
             server = callerhttp.CallerServer(
-                handle, self._bounds, self._log_error
+                handle, bounds, self._log_error, self._state.budget
             )
             await server.listen(*_split_address(address))
             stack.callback(server.close)
@@ -253,6 +288,7 @@
             slept = state.now
             await asyncio.sleep(FLUSH_INTERVAL_SECONDS)
             self._record_lag(state.now - slept - FLUSH_INTERVAL_SECONDS)
+            state.report_budget()
             state.log.flush()
             # Nothing else wakes waiters when the ejection of an engine ends.
             state.wake_all()
--- a/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/requesthandler.py
@@ -281,7 +281,8 @@
     ):
         digest.update(part.encode('latin-1'))
         digest.update(b'\0')
-    digest.update(request.body)
+    for part in request.parts:
+        digest.update(part)
     return digest.hexdigest()
 
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -224,6 +224,7 @@
                 requests.encode(exchange.request, relayed),
                 exchange.caller_request.name,
                 exchange=exchange,
+                rest=exchange.request.rest,
             )
         except endpointhttp.CallError as held:
             raise runends.RunEnded(False, str(held), withheld=True) from held
@@ -451,9 +452,11 @@
 
         :raises RunEnded: when its deadline has passed
         """
+        owner = exchange.request.account.owner
         try:
-            async with asyncio.timeout_at(exchange.deadline):
-                await exchange.reply.drain()
+            with self._state.occupy(state_module.UNREAD_BYTES, owner):
+                async with asyncio.timeout_at(exchange.deadline):
+                    await exchange.reply.drain()
         except TimeoutError as error:
             raise runends.RunEnded(True, 'deadline', retry=False) from error
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -1,10 +1,12 @@
 """Shared state of one entry; to be used on the event loop only."""
 
 import asyncio
+import contextlib
 import hashlib
+import os
 import random as random_module
 import time
-from typing import Awaitable, Callable, Iterable
+from typing import Awaitable, Callable, Iterable, Iterator
 
 import attrs
 
@@ -12,6 +14,7 @@
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import backlog as backlog_module
 from dunlintide_core.pipeline import backoffs as backoffs_module
+from dunlintide_core.pipeline import bytebudget
 from dunlintide_core.pipeline import calldurations
 from dunlintide_core.pipeline import demandtable
 from dunlintide_core.pipeline import departures as departures_module
@@ -48,6 +51,10 @@
 # Length of a digest of endpoints, in bytes.
 _DIGEST_BYTES = 4
 
+# Bytes that an answer which its caller does not read occupies: what is read
+# from the endpoint, and what is written but not sent.
+UNREAD_BYTES = 192 << 10
+
 
 @attrs.frozen
 class ConfigurationOrigin:
@@ -113,6 +120,15 @@
     """Offer capacity to no entry; the default before gossip is set up."""
 
 
+def _make_budget(state: 'State') -> bytebudget.Budget:
+    """Return the budget of a process, by its settings or its machine."""
+    if state.settings.memory is not None:
+        memory = int(state.settings.memory * (1 << 20))
+    else:
+        memory = os.sysconf('SC_PAGE_SIZE') * os.sysconf('SC_PHYS_PAGES')
+    return bytebudget.Budget(bytebudget.choose_limit(memory), time.monotonic)
+
+
 @attrs.define(eq=False)
 class State:
     """What one entry knows of endpoints and other entries, and its load.
@@ -144,6 +160,9 @@
     :ivar poison_requests: requests that may crash endpoints
     :ivar part_suspicions: parts of prompts that may crash endpoints
     :ivar suspicions_pending: whether the next alert tells of such parts
+    :ivar budget: bytes that requests, answers and configurations may occupy
+    :ivar reported_refusals: refusals for want of memory at the last report
+    :ivar is_short_of_memory: whether there were any before it
     :ivar refusal_history: requests that were refused recently
     :ivar deployment: configuration in force, None before the first
     :ivar configuration_value: its encoded form, for other entries
@@ -190,6 +209,9 @@
     settings: settings_module.EdgeSettings
     log: decisionlog.DecisionLog
     counters: counters_module.Counters
+    budget: bytebudget.Budget = attrs.field(
+        default=attrs.Factory(_make_budget, takes_self=True)
+    )
     pool: endpointhttp.Pool = attrs.field(factory=endpointhttp.Pool)
     occupancy: occupancy_module.Occupancy = attrs.field(
         factory=occupancy_module.Occupancy
@@ -231,6 +253,8 @@
         factory=partsuspicions.PartSuspicions
     )
     suspicions_pending: bool = False
+    reported_refusals: int = 0
+    is_short_of_memory: bool = False
     refusal_history: refusalhistory_module.RefusalHistory = attrs.field(
         factory=refusalhistory_module.RefusalHistory
     )
@@ -297,6 +321,44 @@
         """Version of the configuration in force, 0 for none."""
         return self.deployment.version if self.deployment else 0
 
+    @contextlib.contextmanager
+    def occupy(self, size: int, owner: str = '') -> Iterator[None]:
+        """Count bytes that can't be refused while they are in use.
+
+        :param owner: team or address that they are counted for
+        """
+        account = bytebudget.Account(owner)
+        self.budget.force(account, size)
+        try:
+            yield
+        finally:
+            self.budget.release(account)
+
+    def report_budget(self) -> None:
+        """Update the metrics of the budget of bytes, and log its changes."""
+        budget, counters = self.budget, self.counters
+        counters.held_bytes.labels('all').set(budget.held)
+        counters.held_bytes.labels('large').set(budget.large_held)
+        counters.held_bytes_limit.set(budget.limit)
+        counters.reservations_waiting_bytes.set(budget.waiting_bytes)
+        refused = budget.refusals - self.reported_refusals
+        counters.unreserved_requests.set(budget.refusals)
+        self.reported_refusals = budget.refusals
+        if bool(refused) != self.is_short_of_memory:
+            self.is_short_of_memory = bool(refused)
+            self.log.write(
+                (
+                    'requests refused for want of memory'
+                    if refused
+                    else 'memory for requests again'
+                ),
+                held=budget.held,
+                large=budget.large_held,
+                limit=budget.limit,
+                waiting=budget.waiting_bytes,
+                refusals=budget.refusals,
+            )
+
     @property
     def now(self) -> float:
         """Monotonic time in seconds, that of the event loop."""
