--- a/features/bytebudget.feature
+++ b/features/bytebudget.feature
@@ -24,6 +24,12 @@
     When a body of 32 MB in parts is sent to an endpoint that does not read
     Then the process has grown by at most 4 MB
 
+  Scenario: A team's large requests leave room for its small ones and for others
+    Guards against a team whose large bodies have its own small requests, or
+    those of other teams, refused.
+    When a team has reserved all large bodies that it may
+    Then small requests of that team and large ones of another are granted
+
   Scenario: The budget keeps its promises
     Then whatever is held, forced and released, sums agree and limits hold
     And nothing waits while there is room for it
--- a/features/steps/bytebudget.py
+++ b/features/steps/bytebudget.py
@@ -190,6 +190,27 @@
 
 # The budget alone.
 
+
+@behave.when('a team has reserved all large bodies that it may')
+def fill_share(context):
+    context.budget = bytebudget.Budget(LIMIT_BYTES, lambda: 0.0)
+    size = bytebudget.SMALL_BYTES + 1
+    while context.budget.reserve(bytebudget.Account('one'), size):
+        pass
+
+
+@behave.then(
+    'small requests of that team and large ones of another are granted'
+)
+def check_share(context):
+    budget = context.budget
+    for _ in range(100):
+        assert budget.hold(bytebudget.Account('one'), 8 << 10)
+    for _ in range(3):
+        assert budget.reserve(bytebudget.Account('two'), len(BODY))
+        assert budget.hold(bytebudget.Account('two'), 8 << 10)
+
+
 _STEPS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(('hold', 'reserve', 'force', 'release')),
--- a/packages/adapters/src/dunlintide_adapters/callerhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/callerhttp.py
@@ -357,9 +357,18 @@
         if not self._is_waiting and size > account.held:
             # A body in chunks: its size is known at its end.
             if size > bytebudget.SMALL_BYTES:
-                size = self._head_bytes + self._server.limits.body_bytes
+                size = self._choose_reservation(size)
             self._occupy(size)
 
+    def _choose_reservation(self, size: int) -> int:
+        """Choose what a body in chunks reserves at once, in bytes.
+
+        :param size: bytes that have arrived
+        """
+        largest = self._head_bytes + self._server.limits.body_bytes
+        usual = min(largest, self._server.budget.large_limit // 2)
+        return usual if size <= usual else largest
+
     def _occupy(self, size: int) -> None:
         """Occupy the bytes of a request, wait for them or refuse it.
 
--- a/packages/core/src/dunlintide_core/pipeline/bytebudget.py
+++ b/packages/core/src/dunlintide_core/pipeline/bytebudget.py
@@ -27,10 +27,12 @@
 MEMORY_FRACTION = 0.25
 MIN_LIMIT_BYTES = 8 << 20
 MAX_LIMIT_BYTES = 64 << 20
-# Fraction of the budget that large requests may use together, and that all
-# requests of an owner may.
+# Fraction of the budget that large requests may use together, and that those
+# of one owner may.
 LARGE_FRACTION = 0.75
 OWNER_FRACTION = 0.5
+# Fraction up to which an owner's small requests pass beside its large ones.
+OWNER_SMALL_FRACTION = 0.75
 # Range of the Retry-After of refused requests, in seconds.
 MIN_RETRY_SECONDS = 0.3
 MAX_RETRY_SECONDS = 5.0
@@ -208,7 +210,9 @@
         seconds = self._mean_held_seconds * turns
         return max(MIN_RETRY_SECONDS, min(MAX_RETRY_SECONDS, seconds))
 
-    def _fits_owner(self, account: Account, more: int) -> bool:
+    def _fits_owner(
+        self, account: Account, more: int, fraction: float = OWNER_FRACTION
+    ) -> bool:
         """Return whether an owner may occupy more bytes.
 
         A single request is not refused for its owner's sake.
@@ -216,18 +220,18 @@
         owned = self._by_owner[account.owner]
         if not account.owner or owned == account.held:
             return True
-        return owned + more <= self.limit * OWNER_FRACTION
+        return owned + more <= self.limit * fraction
 
     def _fits(self, account: Account, more: int) -> bool:
         if self.held + more > self.limit:
             return False
-        return self._fits_owner(account, more)
+        return self._fits_owner(account, more, OWNER_SMALL_FRACTION)
 
     def _fits_large(self, account: Account, more: int) -> bool:
         moved = 0 if account.is_large else account.held
         if self.large_held + moved + more > self.large_limit:
             return False
-        return self._fits(account, more)
+        return self._fits(account, more) and self._fits_owner(account, more)
 
     def _grant(self, account: Account, size: int) -> None:
         if not account.is_large:
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -24,6 +24,7 @@
 from dunlintide_daemon.gateway import counters
 from dunlintide_daemon.gateway import departurenotices
 from dunlintide_daemon.gateway import endpointnotices
+from dunlintide_daemon.gateway import exchange as exchange_module
 from dunlintide_daemon.gateway import follower as follower_module
 from dunlintide_daemon.gateway import gossip as gossip_module
 from dunlintide_daemon.gateway import leadership as leadership_module
@@ -162,6 +163,8 @@
         """Log a request for whose bytes there is no room."""
         budget = self._state.budget
         owner = request.account.owner
+        outcome = exchange_module.Outcome.DENIED
+        self._state.counters.requests.labels('any', outcome).inc()
         self._state.log.write(
             'request denied',
             request=requests.decode(request).name,
