--- a/features/steps/demandsettings.py
+++ b/features/steps/demandsettings.py
@@ -4,10 +4,10 @@
 import json
 import re
 import time
-import types
 
 import behave
 
+from dunlintide_adapters import callermessages
 from dunlintide_core import configuration
 from dunlintide_core.pipeline import callerrequests
 from dunlintide_core.pipeline import deployments
@@ -119,9 +119,7 @@
 
 @behave.then('requests for x are admitted with the priorities {priorities}')
 def check_admitted(context, priorities):
-    request = types.SimpleNamespace(
-        target='/', body=b'', received_at=context.state.now
-    )
+    request = callermessages.Request('POST', '/', [], b'', context.state.now)
     caller_request = callerrequests.CallerRequest('r', 'h', '/', 'POST')
     handler = requesthandler.RequestHandler(context.state)
     found = [
