Name the owner of a request once, by the key that routes it

An account holds nothing when its owner becomes known, so moving bytes between owners was dead code. The owner's key was taken from the last of several Authorization headers and the route's from the first; both take the first now, without a mapping of all headers for each request. Features packages, callerhttp, bytebudget, demandsettings and crowdedentry pass, and lint; no other test was run on this commit.

--- a/packages/adapters/src/dunlintide_adapters/callerhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/callerhttp.py
@@ -336,8 +336,8 @@
         if length and int(length) > self._server.limits.body_bytes:
             self._refuse(413)
             raise ValueError('request body exceeds the size limit')
-        owner = self._server.identify(request, self._address)
-        self._server.budget.set_owner(request.account, owner)
+        # The account holds nothing before.
+        request.account.owner = self._server.identify(request, self._address)
         self._occupy(self._head_bytes + int(length or 0))
         if (request.get('expect') or '').lower() == '100-continue':
             if not self._pending and self._reply is None:
--- a/packages/core/src/dunlintide_core/pipeline/bytebudget.py
+++ b/packages/core/src/dunlintide_core/pipeline/bytebudget.py
@@ -113,13 +113,6 @@
         """Return the bytes that an owner occupies."""
         return self._by_owner[owner]
 
-    def set_owner(self, account: Account, owner: str) -> None:
-        """Count an account for another owner, once it is known."""
-        self._count(account, -account.held)
-        held, account.held, account.owner = account.held, 0, owner
-        self._count(account, held)
-        account.held = held
-
     def hold(self, account: Account, size: int) -> bool:
         """Occupy bytes with a small request.
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -153,7 +153,7 @@
     def _identify(self, request: callermessages.Request, address: str) -> str:
         """Return for whom the bytes of a request count."""
         deployment = self._state.deployment
-        digest = requests.read_key_digest(request.headers)
+        digest = requests.read_key_digest(request)
         owner = deployment.find_owner(digest) if deployment else None
         return address if owner is None else owner.name
 
