Answer requests sent ahead of one that is refused, and then refuse it

Callers saw: of requests sent at once on a kept connection, whole ones that had been read ended with a closed connection once a large one behind them found no memory (or was malformed); the refused one got no answer either, so its caller could not know that it had not run. Cause: a refusal dropped every request that no handler had yet, and was itself left out while an answer was in progress. The scenario 'Requests ahead of one that is refused are answered' fails on (one answer, then the end) and passes here. Why it works: a refusal gives up only the request that is being read, and is written when those before it are answered; until then input is still read and dropped, so that the connection is not reset.

--- a/features/bytebudget.feature
+++ b/features/bytebudget.feature
@@ -20,6 +20,12 @@
       | but a last byte |
       | in chunks       |
 
+  Scenario: Requests ahead of one that is refused are answered
+    Guards against whole requests that were dropped with a connection on which
+    a large one behind them found no memory.
+    When a caller sends 2 small requests and a large one at once and there is no room
+    Then it gets status 200, 200, 503 in order
+
   Scenario: An endpoint that reads slowly does not make copies of a body
     When a body of 32 MB in parts is sent to an endpoint that does not read
     Then the process has grown by at most 4 MB
--- a/features/steps/bytebudget.py
+++ b/features/steps/bytebudget.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 
 import behave
 from dunlintide_adapters import callerhttp
@@ -159,6 +160,38 @@
     assert (budget.held, budget.large_held, budget.waiting_bytes) == (0, 0, 0)
 
 
+@behave.when(
+    'a caller sends {count:d} small requests and a large one at once and there'
+    ' is no room'
+)
+def send_ahead(context, count):
+    async def run():
+        budget = bytebudget.Budget(LIMIT_BYTES, time.monotonic)
+        while budget.reserve(bytebudget.Account(), len(BODY)):
+            pass
+        server, port = await _listen(SERVE_SECONDS, budget=budget)
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write((_build_head('/small', 4) + b'body') * count)
+        writer.write(_build_head())
+        try:
+            async with asyncio.timeout(WAIT_SECONDS):
+                answers = (await reader.read()).lower().split(b'http/1.1 ')
+        except OSError:
+            answers = [b'']
+        context.answers = [(int(each[:3]), each) for each in answers[1:]]
+        writer.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+@behave.then('it gets status {expected} in order')
+def check_order(context, expected):
+    statuses = ', '.join(str(status) for status, _ in context.answers)
+    assert statuses == expected, context.answers
+    assert b'retry-after: ' in context.answers[-1][1], context.answers
+
+
 @behave.when(
     'a body of {size:d} MB in parts is sent to an endpoint that does not read'
 )
--- a/packages/adapters/src/dunlintide_adapters/callerhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/callerhttp.py
@@ -166,6 +166,8 @@
         self.is_paused = False
         self._reading = False
         self._has_refused = False
+        # Answer to a refused request, sent behind those before it.
+        self._refusal = b''
         self._address = ''
         self._request: callermessages.Request | None = None
         # A large request waits for its reservation with what is not parsed.
@@ -185,7 +187,9 @@
 
         If the server stops, requests that were read already come first.
         """
-        return self._closing or self._server.closing and not self._pending
+        return self._closing or (
+            self._server.closing and not self._pending and not self._refusal
+        )
 
     @closing.setter
     def closing(self, value: bool) -> None:
@@ -242,6 +246,12 @@
         for request in self._pending:
             budget.release(request.account)
         self._pending.clear()
+        self._refusal = b''
+        self._drop_unread()
+
+    def _drop_unread(self) -> None:
+        """Give up the request that is being read."""
+        budget = self._server.budget
         if self._request is not None:
             budget.release(self._request.account)
             self._request = None
@@ -430,35 +440,39 @@
         self._end_wait()
         size = self._head_bytes + self._body_size
         self._server.budget.force(request.account, size)
+        if len(self._pending) >= _MAX_PIPELINED:
+            self._server.budget.release(request.account)
+            self._refuse(400)
+            raise ValueError('too many pipelined requests')
         if self._reply is None:
             self._stop_timer()
         self._pending.append(request)
-        if len(self._pending) > _MAX_PIPELINED:
-            self._refuse(400)
-            raise ValueError('too many pipelined requests')
 
     def _refuse(self, status: int, retry_after: float | None = None) -> None:
         """Answer a request with an error and stop reading.
 
+        Those before it are answered first.
+
         :param retry_after: value of the Retry-After header in seconds
         """
         if self._has_refused:
             return
         self._has_refused = True
         self._reading = False
-        self._drop_requests()
+        self._drop_unread()
         self._stop_timer()
-        if self._reply is not None:
-            # The answer in progress is completed before the connection is
-            # closed.
-            self.closing = True
-            return
         reason = callermessages.REASONS[status]
         text = f'HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\n'
         if retry_after is not None:
             text += f'Retry-After: {retry_after:.2f}\r\n'
         text += 'Connection: close\r\n\r\n'
-        self.write(text.encode('latin-1'))
+        self._refusal = text.encode('latin-1')
+        if self._reply is None and not self._pending:
+            self._send_refusal()
+
+    def _send_refusal(self) -> None:
+        refusal, self._refusal = self._refusal, b''
+        self.write(refusal)
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._loop.call_later(_LINGER_SECONDS, self.abort)
@@ -495,10 +509,12 @@
             else:
                 self.abort()
                 return
-        if self._closing or self._has_refused:
+        if self._closing:
             self._transport.close()
         elif self._pending:
             self._start_next()
+        elif self._refusal:
+            self._send_refusal()
         elif self._reading:
             self._start_timer(self._server.limits.header_seconds)
         elif self._server.closing:
