Count answers that callers do not read, and send one at a time

What operators would see: callers that send requests ahead on a connection and read nothing made an entry hold their answers without number, and for ever: 10 connections with 300 small requests each and answers of 60 KB grow a process from 22 to 154 MB on, and the connections outlive the idle timeout. Cause: the next request began while the answer before it lay in the output of the connection; only streams and answers over 64 KB waited for their callers. Behind the last answer the idle timeout closed the connection, which waits until all is sent. Only part of the unread answers was in the budget, and those that were could take all of it. Change: the connection counts, in one place, what its caller does not read, in the middle of an answer or behind it. The next request waits until the answer is sent; a caller that reads nothing for the idle timeout is closed. Unread answers have the bounds of large requests, and beyond them the one that has waited longest is given up, of the team with most of them. The tests of memory measure from the memory at their start now: a peak of an earlier scenario hid what a later one took. Ruled out: a smaller output alone (each of thousands of connections would have one), pausing the input (the caller may go on to send and wait for it).

--- a/features/bytebudget.feature
+++ b/features/bytebudget.feature
@@ -26,6 +26,23 @@
     When a caller sends 2 small requests and a large one at once and there is no room
     Then it gets status 200, 200, 503 in order
 
+  Scenario: A caller that sends ahead and reads nothing holds one answer
+    Guards against answers without number in the output of a connection whose
+    caller sends requests ahead, kept even when it is idle.
+    When 10 callers send 300 requests ahead, get answers of 60 KB and read none
+    Then the process has grown by at most 16 MB
+    And no connection is left once none was read for the idle timeout
+    And the budget is whole again
+
+  Scenario: A caller that reads late gets all answers in order
+    When a caller sends 16 requests ahead, gets answers of 60 KB and reads late
+    Then it gets 16 whole answers in order
+
+  Scenario: Unread answers leave room for other teams
+    When more answers of a team are unread than it may hold
+    Then those that have waited longest are given up
+    And small requests of that team and large ones of another are granted
+
   Scenario: An endpoint that reads slowly does not make copies of a body
     When a body of 32 MB in parts is sent to an endpoint that does not read
     Then the process has grown by at most 4 MB
--- a/features/steps/bytebudget.py
+++ b/features/steps/bytebudget.py
@@ -1,9 +1,12 @@
 """Steps for the bytes that outsiders make an entry hold."""
 
 import asyncio
+import functools
 import itertools
+import pathlib
 import time
 
+import attrs
 import behave
 from dunlintide_adapters import callerhttp
 from dunlintide_adapters import callermessages
@@ -17,12 +20,15 @@
 BODY = bytes(4 * MB)
 LIMIT_BYTES = 64 * MB
 HEADER_SECONDS = 1.5
+IDLE_SECONDS = 1.0
 LIMITS = callermessages.RequestLimits(8000, len(BODY), HEADER_SECONDS, 20.0)
 SERVE_SECONDS = 0.3
 WAIT_SECONDS = 20.0
 
 
 def _note_memory(context):
+    # What earlier scenarios took at most would hide what this one takes.
+    pathlib.Path('/proc/self/clear_refs').write_text('5')
     context.memory = processes.read_peak_memory('self')
 
 
@@ -192,6 +198,86 @@
     assert b'retry-after: ' in context.answers[-1][1], context.answers
 
 
+async def _listen_large(seconds, size):
+    """Listen with answers of a size that name the path."""
+
+    async def handle(request, reply):
+        await asyncio.sleep(seconds)
+        target = request.target.encode()
+        reply.send(callermessages.Head(200), target.ljust(size, b'.'))
+
+    limits = attrs.evolve(LIMITS, idle_seconds=IDLE_SECONDS)
+    server = callerhttp.CallerServer(handle, limits, lambda *_: None)
+    return server, await server.listen('127.0.0.1', 0)
+
+
+def _build_get(number):
+    return b'GET /%d HTTP/1.1\r\nHost: x\r\n\r\n' % number
+
+
+@behave.when(
+    '{callers:d} callers send {count:d} requests ahead, get answers of'
+    ' {size:d} KB and read none'
+)
+def leave_unread(context, callers, count, size):
+    _note_memory(context)
+
+    async def run():
+        server, port = await _listen_large(0.0, size << 10)
+        context.budget = getattr(server, 'budget', None)
+
+        async def send():
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.transport.pause_reading()
+            for number in range(count):
+                writer.write(_build_get(number))
+                await asyncio.sleep(0.002)
+            return writer
+
+        writers = await asyncio.gather(*(send() for _ in range(callers)))
+        await asyncio.sleep(2 * IDLE_SECONDS)
+        context.connections = len(server.connections)
+        for writer in writers:
+            writer.transport.abort()
+        server.close()
+
+    asyncio.run(run())
+
+
+@behave.then('no connection is left once none was read for the idle timeout')
+def check_connections(context):
+    assert context.connections == 0, context.connections
+
+
+@behave.when(
+    'a caller sends {count:d} requests ahead, gets answers of {size:d} KB and'
+    ' reads late'
+)
+def read_late(context, count, size):
+    async def run():
+        server, port = await _listen_large(0.0, size << 10)
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.transport.pause_reading()
+        writer.write(b''.join(map(_build_get, range(count))))
+        await asyncio.sleep(IDLE_SECONDS / 2)
+        writer.transport.resume_reading()
+        context.answers = []
+        async with asyncio.timeout(WAIT_SECONDS):
+            for _ in range(count):
+                await _read_answer(reader)
+                body = await reader.readexactly(size << 10)
+                context.answers.append(body.rstrip(b'.'))
+        writer.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+@behave.then('it gets {count:d} whole answers in order')
+def check_answers(context, count):
+    assert context.answers == [b'/%d' % number for number in range(count)]
+
+
 @behave.when(
     'a body of {size:d} MB in parts is sent to an endpoint that does not read'
 )
@@ -232,6 +318,26 @@
         pass
 
 
+@behave.when('more answers of a team are unread than it may hold')
+def fill_unread(context):
+    context.budget = bytebudget.Budget(LIMIT_BYTES, lambda: 0.0)
+    context.given_up = []
+    for number in range(LIMIT_BYTES // MB):
+        context.budget.hold_unread(
+            bytebudget.Account('one'),
+            MB,
+            functools.partial(context.given_up.append, number),
+        )
+
+
+@behave.then('those that have waited longest are given up')
+def check_given_up(context):
+    assert context.given_up == list(range(len(context.given_up)))
+    left = LIMIT_BYTES // MB - len(context.given_up)
+    assert context.budget.held == context.budget.unread_held == left * MB
+    assert left * MB == LIMIT_BYTES * bytebudget.OWNER_FRACTION
+
+
 @behave.then(
     'small requests of that team and large ones of another are granted'
 )
@@ -246,7 +352,9 @@
 
 _STEPS = strategies.lists(
     strategies.tuples(
-        strategies.sampled_from(('hold', 'reserve', 'force', 'release')),
+        strategies.sampled_from(
+            ('hold', 'reserve', 'force', 'unread', 'release')
+        ),
         strategies.integers(0, 7),
         strategies.integers(1, 500),
     ),
@@ -262,15 +370,21 @@
         bytebudget.Account('' if index < 2 else f'o{index % 3}')
         for index in range(8)
     ]
-    waiting, forced = {}, set()
+    waiting, forced, unread = {}, set(), {}
     for kind, index, size in steps:
         account = accounts[index]
         if kind == 'release':
             waiting.pop(index, None)
             forced.discard(index)
+            unread.pop(index, None)
             budget.release(account)
         elif index in waiting:
             continue
+        elif kind == 'unread':
+            unread[index] = size
+            budget.hold_unread(account, size, lambda i=index: unread.pop(i))
+        elif index in unread:
+            continue
         elif kind == 'force':
             forced.add(index)
             budget.force(account, size)
@@ -282,7 +396,7 @@
             if budget.can_wait(account, size):
                 waiting[index] = size
                 budget.wait(account, size, lambda i=index: waiting.pop(i))
-        yield budget, accounts, waiting, forced
+        yield budget, accounts, waiting, forced | unread.keys(), unread
 
 
 @behave.then(
@@ -292,10 +406,12 @@
     @hypothesis.settings(max_examples=300, deadline=None)
     @hypothesis.given(_STEPS)
     def check(steps):
-        for budget, accounts, _, forced in _play(steps):
+        for budget, accounts, _, forced, unread in _play(steps):
             assert budget.held == sum(each.held for each in accounts)
             large = [each.held for each in accounts if each.is_large]
             assert budget.large_held == sum(large)
+            assert budget.unread_held == sum(unread.values())
+            assert budget.unread_held <= budget.large_limit
             if not forced:
                 assert budget.held <= budget.limit
                 assert budget.large_held <= budget.large_limit
@@ -308,7 +424,7 @@
     @hypothesis.settings(max_examples=300, deadline=None)
     @hypothesis.given(_STEPS)
     def check(steps):
-        for budget, accounts, waiting, _ in _play(steps):
+        for budget, _, waiting, _, _ in _play(steps):
             if waiting and not budget.held:
                 raise AssertionError((waiting, budget.held))
         assert budget.waiting_bytes == sum(waiting.values()) if steps else True
--- a/packages/adapters/src/dunlintide_adapters/callerhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/callerhttp.py
@@ -6,7 +6,8 @@
 
 What a request occupies comes from a budget: a large body is read only once it
 is reserved, until then its connection is not read, and it is refused where it
-would wait for long. It is given back with the answer.
+would wait for long. It is given back with the answer. An answer that its
+caller does not read counts too, and the next request waits until it is sent.
 """
 
 import asyncio
@@ -26,6 +27,9 @@
 
 # Unsent bytes of an answer above which its producer is paused.
 _WRITE_HIGH_WATER_BYTES = 64 << 10
+# Bytes that an answer in progress occupies while its caller does not read it:
+# what is written but not sent, and what is read from the endpoint.
+_UNREAD_BYTES = 192 << 10
 # Most bytes that are read before other connections have their turn.
 _READ_BYTES = 64 << 10
 # Size of the parts of a large body. Equal ones take the place of each other,
@@ -164,6 +168,10 @@
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future | None = None
         self.is_paused = False
+        # What is written but not sent, and whether its answer is complete.
+        self._unread = bytebudget.Account()
+        self._is_unsent = False
+        self._unsent_bytes = 0
         self._reading = False
         self._has_refused = False
         # Answer to a refused request, sent behind those before it.
@@ -195,10 +203,17 @@
     def closing(self, value: bool) -> None:
         self._closing = value
 
+    @property
+    def _is_free(self) -> bool:
+        """Whether the next answer may be written now."""
+        return (
+            self._reply is None and not self._pending and not self._is_unsent
+        )
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is being read or answered."""
-        return self._reply is not None or self._reading
+        return self._reply is not None or self._reading or self._is_unsent
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
@@ -209,12 +224,15 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._server.connections.discard(self)
+        self._server.budget.release(self._unread)
         self._stop_timer()
         self._set_writable()
         self._cancel_requests()
 
     def eof_received(self) -> bool:
         self._cancel_requests()
+        # Closing waits until the caller has read all.
+        self._start_timer(self._server.limits.idle_seconds)
         return False
 
     def _cancel_requests(self) -> None:
@@ -235,7 +253,13 @@
 
     def _handle_timeout(self) -> None:
         self._timer = None
-        if self._reading:
+        unsent = self._transport.get_write_buffer_size()
+        if self._is_unsent and unsent < self._unsent_bytes:
+            self._unsent_bytes = unsent
+            self._start_timer(self._server.limits.idle_seconds)
+        elif self._is_unsent or self._transport.is_closing():
+            self.abort()
+        elif self._reading:
             self._refuse(408)
         elif self._reply is None:
             self._transport.close()
@@ -266,7 +290,7 @@
     def buffer_updated(self, size: int) -> None:
         if self._has_refused:
             return
-        if not self._reading and self._reply is None:
+        if not self.is_busy:
             self._start_timer(self._server.limits.header_seconds)
         self._received_at = self._loop.time()
         self._parse_all(memoryview(self._server.input)[:size])
@@ -350,7 +374,7 @@
         request.account.owner = self._server.identify(request, self._address)
         self._occupy(self._head_bytes + int(length or 0))
         if (request.get('expect') or '').lower() == '100-continue':
-            if not self._pending and self._reply is None:
+            if self._is_free:
                 self.write(_CONTINUE)
 
     def on_body(self, data: bytes) -> None:
@@ -444,7 +468,7 @@
             self._server.budget.release(request.account)
             self._refuse(400)
             raise ValueError('too many pipelined requests')
-        if self._reply is None:
+        if self._is_free:
             self._stop_timer()
         self._pending.append(request)
 
@@ -460,14 +484,15 @@
         self._has_refused = True
         self._reading = False
         self._drop_unread()
-        self._stop_timer()
+        if not self._is_unsent:
+            self._stop_timer()
         reason = callermessages.REASONS[status]
         text = f'HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\n'
         if retry_after is not None:
             text += f'Retry-After: {retry_after:.2f}\r\n'
         text += 'Connection: close\r\n\r\n'
         self._refusal = text.encode('latin-1')
-        if self._reply is None and not self._pending:
+        if self._is_free:
             self._send_refusal()
 
     def _send_refusal(self) -> None:
@@ -478,12 +503,14 @@
         self._loop.call_later(_LINGER_SECONDS, self.abort)
 
     def _start_next(self) -> None:
-        if self._reply is not None or not self._pending:
+        if self._reply is not None or self._is_unsent or not self._pending:
             return
         request = self._pending.popleft()
         self._stop_timer()
         reply = callermessages.Reply(self, request)
         self._reply = reply
+        # Nothing is unread now.
+        self._unread.owner = request.account.owner
         # The task is cancelled when the caller disconnects, which frees the
         # endpoint.
         self._task = self._loop.create_task(
@@ -509,6 +536,22 @@
             else:
                 self.abort()
                 return
+        if self._transport.get_write_buffer_size():
+            self._wait_for_caller()
+        else:
+            self._continue()
+
+    def _wait_for_caller(self) -> None:
+        """Wait until the caller has read the whole answer."""
+        self._is_unsent = True
+        # Resumed once all is sent.
+        self._transport.set_write_buffer_limits(high=0)
+        self._unsent_bytes = self._transport.get_write_buffer_size()
+        self._hold_unread(self._unsent_bytes)
+        self._start_timer(self._server.limits.idle_seconds)
+
+    def _continue(self) -> None:
+        """Go on behind an answer."""
         if self._closing:
             self._transport.close()
         elif self._pending:
@@ -539,10 +582,28 @@
 
     def pause_writing(self) -> None:
         self.is_paused = True
+        if not self._is_unsent:
+            self._hold_unread(_UNREAD_BYTES)
 
     def resume_writing(self) -> None:
-        self.is_paused = False
+        self._server.budget.release(self._unread)
         self._set_writable()
+        if self._is_unsent:
+            self._is_unsent = False
+            self._transport.set_write_buffer_limits(
+                high=_WRITE_HIGH_WATER_BYTES
+            )
+            self._stop_timer()
+            self._continue()
+
+    def _hold_unread(self, size: int) -> None:
+        """Occupy bytes that the caller has yet to read."""
+        self._server.budget.hold_unread(self._unread, size, self._give_up)
+
+    def _give_up(self) -> None:
+        error = ConnectionAbortedError('answer not read')
+        self._server.report('no memory for an unread answer', error)
+        self.abort()
 
     def _set_writable(self) -> None:
         self.is_paused = False
--- a/packages/core/src/dunlintide_core/pipeline/bytebudget.py
+++ b/packages/core/src/dunlintide_core/pipeline/bytebudget.py
@@ -5,10 +5,12 @@
 other would hold all memory and none could be served. They may use only a part
 of the budget and an owner only half of it, so that small requests and those of
 other owners pass beside them. What must not fail is forced, which counts, so
-that others get less.
+that others get less. Answers that callers do not read have the same bounds;
+beyond them those that have waited longest are given up.
 """
 
 import collections
+import operator
 from typing import Callable
 
 import attrs
@@ -75,6 +77,15 @@
     grant: Callable[[], None]
 
 
+@attrs.frozen(eq=False)
+class _Unread:
+    """An answer that its caller does not read."""
+
+    account: Account
+    size: int
+    give_up: Callable[[], None]
+
+
 class Budget:
     """Grants bytes up to a limit and takes them back.
 
@@ -82,6 +93,8 @@
     :ivar held: bytes that are granted or forced
     :ivar large_held: those of large requests
     :ivar refusals: refused requests since the start
+    :ivar unread_held: bytes of answers that callers do not read
+    :ivar given_up: such answers that were given up since the start
     """
 
     def __init__(self, limit: int, clock: Callable[[], float]) -> None:
@@ -94,9 +107,14 @@
         self.held = 0
         self.large_held = 0
         self.refusals = 0
+        self.unread_held = 0
+        self.given_up = 0
         self._clock = clock
         self._by_owner: collections.Counter[str] = collections.Counter()
         self._waiters: dict[int, _Waiter] = {}
+        # In the order in which their callers ceased to read.
+        self._unread: dict[int, _Unread] = {}
+        self._unread_by_owner: collections.Counter[str] = collections.Counter()
         self._mean_held_seconds = 0.0
 
     @property
@@ -181,9 +199,60 @@
         account.held = size
         self._wake()
 
+    def hold_unread(
+        self, account: Account, size: int, give_up: Callable[[], None]
+    ) -> None:
+        """Occupy bytes with an answer that its caller does not read.
+
+        Callers that never read would leave no room for others. Beyond the
+        bounds of large requests, the answer that has waited longest is given
+        up, of the owner with most of such bytes.
+
+        :param size: bytes in all
+        :param give_up: called when the answer is given up
+        """
+        self._count_unread(account, size, give_up)
+        self.force(account, size)
+        while self._unread:
+            owner, held = max(
+                self._unread_by_owner.items(), key=operator.itemgetter(1)
+            )
+            if (
+                held <= self.limit * OWNER_FRACTION
+                and self.unread_held <= self.large_limit
+            ):
+                return
+            longest = next(
+                each
+                for each in self._unread.values()
+                if each.account.owner == owner
+            )
+            self.given_up += 1
+            self.release(longest.account)
+            longest.give_up()
+
+    def _count_unread(
+        self,
+        account: Account,
+        size: int,
+        give_up: Callable[[], None] | None = None,
+    ) -> None:
+        """Count an answer as unread; one that is counted keeps its place."""
+        known = self._unread.get(id(account))
+        more = size - (known.size if known else 0)
+        self.unread_held += more
+        self._unread_by_owner[account.owner] += more
+        if give_up is not None:
+            self._unread[id(account)] = _Unread(account, size, give_up)
+        else:
+            self._unread.pop(id(account), None)
+            if not self._unread_by_owner[account.owner]:
+                del self._unread_by_owner[account.owner]
+
     def release(self, account: Account) -> None:
         """Give back all bytes of an account; it may wait no longer."""
         self._waiters.pop(id(account), None)
+        self._count_unread(account, 0)
         if account.is_large:
             seconds = self._clock() - account.began
             self._mean_held_seconds += _HELD_WEIGHT * (
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -536,10 +536,8 @@
         )
         if is_whole:
             return body, True
-        budget = self._state.budget
-        if not budget.reserve(account, 2 * MAX_HELD_BYTES):
+        if not self._state.budget.reserve(account, 2 * MAX_HELD_BYTES):
             # It is forwarded as its caller reads it.
-            budget.force(account, state_module.UNREAD_BYTES)
             return body, False
         more, is_whole = await connection.read_until(
             exchange.deadline, MAX_HELD_BYTES - len(body)
--- a/packages/daemon/src/dunlintide_daemon/gateway/counters.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/counters.py
@@ -69,11 +69,12 @@
     :ivar foreign_answers: answers of endpoints to something other than the
         request that was waiting, by ``kind``: ``no id`` or ``other id``
     :ivar held_bytes: bytes that requests, answers and configurations occupy,
-        by ``size``: ``large`` or ``all``
+        by ``size``: ``large``, ``unread`` or ``all``
     :ivar held_bytes_limit: bytes that they may occupy in all
     :ivar reservations_waiting_bytes: bytes that large requests wait for
     :ivar unreserved_requests: requests refused as they would occupy too many
         bytes
+    :ivar unread_answers: answers given up as their callers did not read them
     :ivar version: version of the configuration in force
     :ivar newest_version: newest version that any entry has in force
     """
@@ -113,6 +114,7 @@
     held_bytes_limit: prometheus_client.Gauge
     reservations_waiting_bytes: prometheus_client.Gauge
     unreserved_requests: prometheus_client.Gauge
+    unread_answers: prometheus_client.Gauge
     version: prometheus_client.Gauge
     newest_version: prometheus_client.Gauge
 
@@ -308,6 +310,11 @@
                 'edge_unreserved_requests',
                 'Requests refused for want of memory since the start',
             ),
+            unread_answers=make(
+                gauge,
+                'edge_unread_answers_given_up',
+                'Answers that callers did not read, given up since the start',
+            ),
             version=make(
                 gauge, 'edge_configuration_version', 'Version in force'
             ),
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -452,11 +452,9 @@
 
         :raises RunEnded: when its deadline has passed
         """
-        owner = exchange.request.account.owner
         try:
-            with self._state.occupy(state_module.UNREAD_BYTES, owner):
-                async with asyncio.timeout_at(exchange.deadline):
-                    await exchange.reply.drain()
+            async with asyncio.timeout_at(exchange.deadline):
+                await exchange.reply.drain()
         except TimeoutError as error:
             raise runends.RunEnded(True, 'deadline', retry=False) from error
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -51,10 +51,6 @@
 # Length of a digest of endpoints, in bytes.
 _DIGEST_BYTES = 4
 
-# Bytes that an answer which its caller does not read occupies: what is read
-# from the endpoint, and what is written but not sent.
-UNREAD_BYTES = 192 << 10
-
 
 @attrs.frozen
 class ConfigurationOrigin:
@@ -339,6 +335,8 @@
         budget, counters = self.budget, self.counters
         counters.held_bytes.labels('all').set(budget.held)
         counters.held_bytes.labels('large').set(budget.large_held)
+        counters.held_bytes.labels('unread').set(budget.unread_held)
+        counters.unread_answers.set(budget.given_up)
         counters.held_bytes_limit.set(budget.limit)
         counters.reservations_waiting_bytes.set(budget.waiting_bytes)
         refused = budget.refusals - self.reported_refusals
