Count heads that do not end and answers over 8 KB in the budget

Cause: a request was counted from the end of its head on, an answer from 64 KB. Change: what has arrived of a head counts for the address of its caller until its team is known; an answer counts once it exceeds 8 KB. Ruled out: counting each head that arrives whole twice (most do, in one read; they are counted at their end as before).

--- a/features/bytebudget.feature
+++ b/features/bytebudget.feature
@@ -43,6 +43,12 @@
     Then those that have waited longest are given up
     And small requests of that team and large ones of another are granted
 
+  Scenario: Heads without their end are counted
+    Guards against heads of thousands of connections that no budget bounds.
+    When 40 callers send a head of 7000 bytes without its end and there is room for 20
+    Then 20 are refused with a Retry-After and the others when their time is over
+    And the budget is whole again
+
   Scenario: An endpoint that reads slowly does not make copies of a body
     When a body of 32 MB in parts is sent to an endpoint that does not read
     Then the process has grown by at most 4 MB
--- a/features/steps/bytebudget.py
+++ b/features/steps/bytebudget.py
@@ -20,6 +20,7 @@
 BODY = bytes(4 * MB)
 LIMIT_BYTES = 64 * MB
 HEADER_SECONDS = 1.5
+HEAD_SLACK_BYTES = 100
 IDLE_SECONDS = 1.0
 LIMITS = callermessages.RequestLimits(8000, len(BODY), HEADER_SECONDS, 20.0)
 SERVE_SECONDS = 0.3
@@ -278,6 +279,50 @@
     assert context.answers == [b'/%d' % number for number in range(count)]
 
 
+@behave.when(
+    '{callers:d} callers send a head of {size:d} bytes without its end and'
+    ' there is room for {room:d}'
+)
+def send_heads(context, callers, size, room):
+    async def run():
+        budget = bytebudget.Budget(LIMIT_BYTES, time.monotonic)
+        # Small requests may use all of the budget.
+        taken = bytebudget.Account()
+        budget.force(taken, LIMIT_BYTES - room * (size + HEAD_SLACK_BYTES))
+        server, port = await _listen(0.0, budget=budget)
+        context.budget = budget
+
+        async def send():
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            filler = b'X-Filler: %b\r\n' % (b'x' * 100)
+            head = b'GET / HTTP/1.1\r\n' + filler * (size // len(filler))
+            writer.write(head)
+            answer = await _read_answer(reader)
+            writer.close()
+            return answer
+
+        async with asyncio.timeout(WAIT_SECONDS):
+            context.answers = await asyncio.gather(
+                *(send() for _ in range(callers))
+            )
+        budget.release(taken)
+        server.close()
+
+    asyncio.run(run())
+
+
+@behave.then(
+    '{count:d} are refused with a Retry-After and the others when their time'
+    ' is over'
+)
+def check_heads(context, count):
+    refused = [head for status, head in context.answers if status == 503]
+    assert all(b'retry-after: ' in head for head in refused)
+    assert len(refused) == count, context.answers
+    late = [status for status, _ in context.answers if status != 503]
+    assert set(late) == {408}, context.answers
+
+
 @behave.when(
     'a body of {size:d} MB in parts is sent to an endpoint that does not read'
 )
--- a/packages/adapters/src/dunlintide_adapters/callerhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/callerhttp.py
@@ -326,11 +326,23 @@
         if not self._has_head:
             if self._framing_bytes > limit:
                 self._refuse(431)
+            elif not self._hold_head():
+                self._refuse_unreserved(self._framing_bytes)
         elif self._framing_bytes > (
             2 * limit + _MAX_FRAMING_RATIO * self._body_size
         ):
             self._refuse(400)
 
+    def _hold_head(self) -> bool:
+        """Occupy the bytes of a head of which the end has not arrived.
+
+        :returns: whether they are granted
+        """
+        account = self._request.account
+        # Whose request it is shows at its end.
+        account.owner = account.owner or self._address
+        return self._server.budget.hold(account, self._framing_bytes)
+
     def on_message_begin(self) -> None:
         self._reading = True
         self._has_head = False
@@ -370,7 +382,8 @@
         if length and int(length) > self._server.limits.body_bytes:
             self._refuse(413)
             raise ValueError('request body exceeds the size limit')
-        # The account holds nothing before.
+        if request.account.held:
+            self._server.budget.release(request.account)
         request.account.owner = self._server.identify(request, self._address)
         self._occupy(self._head_bytes + int(length or 0))
         if (request.get('expect') or '').lower() == '100-continue':
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -55,6 +55,11 @@
 # Largest answer that needs no reservation, and the part of a large one that is
 # read before it is forwarded where there is no room for it, in bytes.
 MIN_HELD_BYTES = 64 << 10
+# Largest answer that is not counted, in bytes; most are far smaller.
+UNCOUNTED_BYTES = 8 << 10
+# Bytes that one up to MIN_HELD_BYTES occupies, with what its connection has
+# read.
+COUNTED_BYTES = 2 * MIN_HELD_BYTES
 # Bytes of a large answer that are written at a time, as its caller reads them.
 FORWARDED_BYTES = 64 << 10
 # Largest answer whose length its endpoint does not state, in bytes: it may
@@ -531,19 +536,22 @@
         :param account: gets what a large answer occupies
         :returns: what was read, and whether it is whole
         """
-        body, is_whole = await connection.read_until(
-            exchange.deadline, MIN_HELD_BYTES
-        )
-        if is_whole:
-            return body, True
-        if not self._state.budget.reserve(account, 2 * MAX_HELD_BYTES):
-            # It is forwarded as its caller reads it.
-            return body, False
-        more, is_whole = await connection.read_until(
-            exchange.deadline, MAX_HELD_BYTES - len(body)
-        )
-        body += more
-        return body, is_whole
+        budget = self._state.budget
+        body = bytearray()
+        for limit in (UNCOUNTED_BYTES, MIN_HELD_BYTES, MAX_HELD_BYTES):
+            if limit == MIN_HELD_BYTES:
+                budget.force(account, COUNTED_BYTES)
+            elif limit == MAX_HELD_BYTES:
+                if not budget.reserve(account, 2 * MAX_HELD_BYTES):
+                    # It is forwarded as its caller reads it.
+                    break
+            more, is_whole = await connection.read_until(
+                exchange.deadline, limit - len(body)
+            )
+            body += more
+            if is_whole:
+                return body, True
+        return body, False
 
     def _clear_crashes(
         self,
