Reserve memory for the requests of operators and other entries

What operators saw: at an entry whose callers hold all memory for requests, /debug/state got 503, and so might /readyz and configurations for other entries: it is taken out of use, and can't be asked why. Cause: the servers for operators and entries took their bytes from the budget that callers may use up. Change: an eighth of the bytes is a budget of its own for them.

--- a/features/bytebudget.feature
+++ b/features/bytebudget.feature
@@ -59,6 +59,14 @@
     When a team has reserved all large bodies that it may
     Then small requests of that team and large ones of another are granted
 
+  Scenario: An entry that callers have filled answers its operators
+    Guards against an entry that is taken out of use, and can't be asked why,
+    as its callers hold all memory for requests.
+    Given an entry with 32 MB
+    When callers of two teams fill it with small requests that do not end
+    Then a further small request is refused with a Retry-After
+    And it is ready and tells its state
+
   Scenario: The budget keeps its promises
     Then whatever is held, forced and released, sums agree and limits hold
     And nothing waits while there is room for it
--- a/features/steps/bytebudget.py
+++ b/features/steps/bytebudget.py
@@ -1,6 +1,7 @@
 """Steps for the bytes that outsiders make an entry hold."""
 
 import asyncio
+import contextlib
 import functools
 import itertools
 import pathlib
@@ -12,6 +13,10 @@
 from dunlintide_adapters import callermessages
 from dunlintide_adapters import endpointhttp
 from dunlintide_core.pipeline import bytebudget
+from dunlintide_standins.fleet import callers
+from dunlintide_standins.fleet import operators
+from dunlintide_trials.edge import scene as scenes
+from dunlintide_trials import ports
 from dunlintide_trials import processes
 import hypothesis
 from hypothesis import strategies
@@ -352,6 +357,56 @@
     asyncio.run(run())
 
 
+# An entry.
+
+
+@behave.given('an entry with {memory:d} MB')
+def start_entry(context, memory):
+    scene = scenes.Scene(ports.pick_ports, context.make_folder())
+    context.stack.callback(scene.close)
+    scene.configure(operators.make_configuration())
+    scene.run(scene.fleet.add('web', 'a'))
+    context.entry = scene.add_entry('e0', memory=memory)
+    scene.wait_for_ready(context.entry)
+
+
+@behave.when(
+    'callers of two teams fill it with small requests that do not end'
+)
+def fill_entry(context):
+    # Larger ones first; the smallest take what these leave.
+    for size in (60000, 3000, 100, 1):
+        _fill(context, size)
+
+
+def _fill(context, size):
+    """Send bodies of a size but for their last byte until one is refused."""
+    for number in itertools.count():
+        caller = callers.Caller(context.entry.listen)
+        context.stack.callback(caller.close)
+        key = (operators.KEY, operators.OTHER_KEY)[number % 2]
+        head = 'POST / HTTP/1.1\r\nContent-Length: %d\r\n' % size
+        if size > 1:
+            head += f'Authorization: Bearer {key}\r\n'
+        caller.send(head.encode() + b'\r\n' + bytes(size - 1))
+        caller.socket.settimeout(0.001)
+        with contextlib.suppress(TimeoutError):
+            context.status, context.headers = caller.read_head()
+            return
+
+
+@behave.then('a further small request is refused with a Retry-After')
+def check_refused(context):
+    assert context.status == 503, context.status
+    assert float(context.headers['retry-after']) > 0, context.headers
+
+
+@behave.then('it is ready and tells its state')
+def check_operators(context):
+    assert context.entry.is_ready()
+    assert context.entry.read_state()['name'] == 'e0'
+
+
 # The budget alone.
 
 
--- a/packages/core/src/dunlintide_core/pipeline/bytebudget.py
+++ b/packages/core/src/dunlintide_core/pipeline/bytebudget.py
@@ -18,8 +18,9 @@
 __all__ = [
     'Account',
     'Budget',
+    'Limits',
     'SMALL_BYTES',
-    'choose_limit',
+    'choose_limits',
 ]
 
 # Largest request that may use all of the budget, in bytes.
@@ -29,6 +30,9 @@
 MEMORY_FRACTION = 0.25
 MIN_LIMIT_BYTES = 8 << 20
 MAX_LIMIT_BYTES = 64 << 20
+# Fraction of that which callers can't use: operators and other entries ask
+# most when an entry is full.
+RESERVED_FRACTION = 0.125
 # Fraction of the budget that large requests may use together, and that those
 # of one owner may.
 LARGE_FRACTION = 0.75
@@ -42,14 +46,27 @@
 _HELD_WEIGHT = 0.2
 
 
-def choose_limit(memory_bytes: int) -> int:
-    """Choose the size of the budget of a process.
+@attrs.frozen
+class Limits:
+    """Sizes of the budgets of a process, in bytes.
+
+    :ivar callers: for requests of callers, their answers and configurations
+    :ivar reserved: for requests of operators and other entries
+    """
+
+    callers: int
+    reserved: int
+
+
+def choose_limits(memory_bytes: int) -> Limits:
+    """Choose the sizes of the budgets of a process.
 
     :param memory_bytes: memory that the process may use
-    :returns: bytes
     """
     share = int(memory_bytes * MEMORY_FRACTION)
-    return max(MIN_LIMIT_BYTES, min(MAX_LIMIT_BYTES, share))
+    both = max(MIN_LIMIT_BYTES, min(MAX_LIMIT_BYTES, share))
+    reserved = int(both * RESERVED_FRACTION)
+    return Limits(both - reserved, reserved)
 
 
 @attrs.define(eq=False)
@@ -252,7 +269,8 @@
     def release(self, account: Account) -> None:
         """Give back all bytes of an account; it may wait no longer."""
         self._waiters.pop(id(account), None)
-        self._count_unread(account, 0)
+        if id(account) in self._unread:
+            self._count_unread(account, 0)
         if account.is_large:
             seconds = self._clock() - account.began
             self._mean_held_seconds += _HELD_WEIGHT * (
--- a/packages/daemon/src/dunlintide_daemon/gateway/process.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/process.py
@@ -235,7 +235,7 @@
         bounds = attrs.evolve(self._bounds, body_bytes=MAX_ADMIN_BODY_BYTES)
         for address, handle in self._servers:
             server = callerhttp.CallerServer(
-                handle, bounds, self._log_error, self._state.budget
+                handle, bounds, self._log_error, self._state.operator_budget
             )
             await server.listen(*_split_address(address))
             stack.callback(server.close)
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -116,13 +116,21 @@
     """Offer capacity to no entry; the default before gossip is set up."""
 
 
-def _make_budget(state: 'State') -> bytebudget.Budget:
-    """Return the budget of a process, by its settings or its machine."""
+def _choose_limits(state: 'State') -> bytebudget.Limits:
+    """Choose the budgets of a process, by its settings or its machine."""
     if state.settings.memory is not None:
         memory = int(state.settings.memory * (1 << 20))
     else:
         memory = os.sysconf('SC_PAGE_SIZE') * os.sysconf('SC_PHYS_PAGES')
-    return bytebudget.Budget(bytebudget.choose_limit(memory), time.monotonic)
+    return bytebudget.choose_limits(memory)
+
+
+def _make_budget(state: 'State') -> bytebudget.Budget:
+    return bytebudget.Budget(_choose_limits(state).callers, time.monotonic)
+
+
+def _make_operator_budget(state: 'State') -> bytebudget.Budget:
+    return bytebudget.Budget(_choose_limits(state).reserved, time.monotonic)
 
 
 @attrs.define(eq=False)
@@ -157,6 +165,7 @@
     :ivar part_suspicions: parts of prompts that may crash endpoints
     :ivar suspicions_pending: whether the next alert tells of such parts
     :ivar budget: bytes that requests, answers and configurations may occupy
+    :ivar operator_budget: the same for operators and other entries
     :ivar reported_refusals: refusals for want of memory at the last report
     :ivar is_short_of_memory: whether there were any before it
     :ivar refusal_history: requests that were refused recently
@@ -208,6 +217,9 @@
     budget: bytebudget.Budget = attrs.field(
         default=attrs.Factory(_make_budget, takes_self=True)
     )
+    operator_budget: bytebudget.Budget = attrs.field(
+        default=attrs.Factory(_make_operator_budget, takes_self=True)
+    )
     pool: endpointhttp.Pool = attrs.field(factory=endpointhttp.Pool)
     occupancy: occupancy_module.Occupancy = attrs.field(
         factory=occupancy_module.Occupancy
