Bound large requests and unread answers together

Cause: large requests had three quarters of the budget, and unread answers as much again, so that nothing was left of the part for small requests. Change: both share the three quarters. No large body is taken for which unread answers leave no room; an answer that becomes unread beyond it gives up the one that has waited longest. Evidence: 'Large requests and unread answers leave room for small requests' fails before and passes now; the property test bounds both together.

--- a/features/bytebudget.feature
+++ b/features/bytebudget.feature
@@ -43,6 +43,12 @@
     Then those that have waited longest are given up
     And small requests of that team and large ones of another are granted
 
+  Scenario: Large requests and unread answers leave room for small requests
+    Guards against small calls that are refused since large requests and unread
+    answers, each within its bounds, take the whole budget.
+    When two teams hold all large requests and unread answers that they may
+    Then small requests of a third team are granted
+
   Scenario: Heads without their end are counted
     Guards against heads of thousands of connections that no budget bounds.
     When 40 callers send a head of 7000 bytes without its end and there is room for 20
--- a/features/steps/bytebudget.py
+++ b/features/steps/bytebudget.py
@@ -430,6 +430,25 @@
         )
 
 
+@behave.when(
+    'two teams hold all large requests and unread answers that they may'
+)
+def fill_both(context):
+    budget = context.budget = bytebudget.Budget(LIMIT_BYTES, lambda: 0.0)
+    for team in ('one', 'two'):
+        for _ in range(LIMIT_BYTES // MB):
+            budget.reserve(bytebudget.Account(team), MB)
+            budget.hold_unread(bytebudget.Account(team), MB, lambda: None)
+    assert budget.large_held and budget.unread_held
+
+
+@behave.then('small requests of a third team are granted')
+def check_small_room(context):
+    for _ in range(LIMIT_BYTES // 4 // bytebudget.SMALL_BYTES):
+        account = bytebudget.Account('three')
+        assert context.budget.hold(account, bytebudget.SMALL_BYTES)
+
+
 @behave.then('those that have waited longest are given up')
 def check_given_up(context):
     assert context.given_up == list(range(len(context.given_up)))
@@ -512,6 +531,9 @@
             assert budget.large_held == sum(large)
             assert budget.unread_held == sum(unread.values())
             assert budget.unread_held <= budget.large_limit
+            if not forced - unread.keys():
+                both = budget.large_held + budget.unread_held
+                assert both <= budget.large_limit
             if not forced:
                 assert budget.held <= budget.limit
                 assert budget.large_held <= budget.large_limit
--- a/packages/core/src/dunlintide_core/pipeline/bytebudget.py
+++ b/packages/core/src/dunlintide_core/pipeline/bytebudget.py
@@ -5,8 +5,8 @@
 other would hold all memory and none could be served. They may use only a part
 of the budget and an owner only half of it, so that small requests and those of
 other owners pass beside them. What must not fail is forced, which counts, so
-that others get less. Answers that callers do not read have the same bounds;
-beyond them those that have waited longest are given up.
+that others get less. Answers that callers do not read share the bounds of
+large requests; beyond them those that have waited longest are given up.
 """
 
 import collections
@@ -139,6 +139,11 @@
         """Bytes that large requests may use together."""
         return int(self.limit * LARGE_FRACTION)
 
+    @property
+    def _large_and_unread(self) -> int:
+        """Bytes that leave the rest of the budget to small requests."""
+        return self.large_held + self.unread_held
+
     @property
     def waiting_bytes(self) -> int:
         """Bytes that large requests wait for."""
@@ -236,7 +241,7 @@
             )
             if (
                 held <= self.limit * OWNER_FRACTION
-                and self.unread_held <= self.large_limit
+                and self._large_and_unread <= self.large_limit
             ):
                 return
             longest = next(
@@ -309,7 +314,7 @@
 
     def _fits_large(self, account: Account, more: int) -> bool:
         moved = 0 if account.is_large else account.held
-        if self.large_held + moved + more > self.large_limit:
+        if self._large_and_unread + moved + more > self.large_limit:
             return False
         return self._fits(account, more) and self._fits_owner(account, more)
 
