Soak what callers and endpoints make entries hold, and answers cut in the head

Cause: no soak sent bodies over a few bytes, none left answers unread, and no stand-in ended an answer within its head, so that the faults of this issue could not show.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,8 @@
 # PARTS=1: only parts of prompts that crash engines, and what hides them;
 # ANSWERS=1: only bytes that belong to no request, and what ends entries;
 # DEMAND=1: priorities and teams compete, with waves of load; STOPS=1: only
-# entries that stop in turn, under work of all lengths.
+# entries that stop in turn, under work of all lengths; MEMORY=1: only callers
+# and endpoints that make entries hold what they may.
 SEED ?= 1
 SEEDS ?= 1
 LEAVING ?= 0
@@ -37,6 +38,7 @@
 ANSWERS ?= 0
 DEMAND ?= 0
 STOPS ?= 0
+MEMORY ?= 0
 SECONDS ?= 60
 # test: further arguments of behave, for one run of them all in turn.
 ARGS ?=
@@ -87,7 +89,7 @@
 		--seed $(SEED) --seconds $(SECONDS)
 
 edge-soak: $(STAMP)
-	@$(RUN) $(BIN)/python -m dunlintide_trials.edge.$(if $(filter 1,$(STOPS)),stopsoak,soak) \
+	@$(RUN) $(BIN)/python -m dunlintide_trials.edge.$(if $(filter 1,$(STOPS)),stopsoak,$(if $(filter 1,$(MEMORY)),memorysoak,soak)) \
 		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) \
 		$(if $(filter 1,$(LEAVING)),--leaving) \
 		$(if $(filter 1,$(CONFIGURATIONS)),--configurations) \
--- a/features/edgesoak.feature
+++ b/features/edgesoak.feature
@@ -75,3 +75,11 @@
       | 0.0  | all   |
       | 0.05 | all   |
       | 0.25 | none  |
+
+  Scenario Outline: No process takes more than its memory, and small calls pass
+    When callers and endpoints make entries hold what they may for <seconds> seconds with seed <seed>
+    Then no promise was broken in the soak of at least <least> requests
+
+    Examples:
+      | seed | seconds | least |
+      | 1    | 20      | 200   |
--- a/features/steps/edgesoak.py
+++ b/features/steps/edgesoak.py
@@ -2,6 +2,7 @@
 
 import behave
 from dunlintide_trials.edge import faults
+from dunlintide_trials.edge import memorysoak
 from dunlintide_trials.edge import soak
 from dunlintide_trials.edge import soakdemand
 from dunlintide_trials.edge import stopsoak
@@ -69,6 +70,14 @@
     context.soaked = stopsoak.run(seed, seconds, context.make_folder())
 
 
+@behave.when(
+    'callers and endpoints make entries hold what they may for {seconds:d}'
+    ' seconds with seed {seed:d}'
+)
+def run_memory(context, seconds, seed):
+    context.soaked = memorysoak.run(seed, seconds, context.make_folder())
+
+
 @behave.then('entries stopped at least {stops:d} times')
 def check_stops(context, stops):
     assert context.soaked['stops'] >= stops, context.soaked
--- a/packages/standins/src/dunlintide_standins/fleet/operators.py
+++ b/packages/standins/src/dunlintide_standins/fleet/operators.py
@@ -11,11 +11,13 @@
     'LAYER_MB',
     'add_priorities',
     'add_routes',
+    'add_service',
     'add_teams',
     'add_version_routes',
     'make_invalid_configuration',
     'make_configuration',
     'remove_routes',
+    'set_limits',
     'set_route_service',
     'set_route_times',
     'shuffle_routes',
@@ -124,6 +126,15 @@
     return configuration
 
 
+def add_service(configuration: Configuration, name: str) -> Configuration:
+    """Add a plain service, with a route for the prefix of its name."""
+    configuration['services'].append({'name': name, 'health_path': '/h'})
+    configuration['route_list'].append(
+        _make_route(name, f'/{name}/', 'idempotent', name)
+    )
+    return configuration
+
+
 def add_version_routes(
     configuration: Configuration, versions: Iterable[int]
 ) -> Configuration:
@@ -198,6 +209,12 @@
     return configuration
 
 
+def set_limits(configuration: Configuration, **limits: int) -> Configuration:
+    """Set limits on the requests of callers."""
+    configuration['limits'].update(limits)
+    return configuration
+
+
 def remove_routes(configuration: Configuration, prefix: str) -> Configuration:
     """Remove the routes whose prefix starts with another one."""
     configuration['route_list'] = [
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -32,6 +32,8 @@
 # Minimum and maximum number of late answers, and when they come, in seconds.
 LATE_ANSWERS = (1, 20)
 LATE_DELAY_SECONDS = (0.0, 0.01)
+# Minimum and maximum number of responses that end within their head.
+CUT_HEADS = (1, 5)
 
 _id_numbers = itertools.count(1)
 
@@ -85,6 +87,9 @@
         streams, None for sound answers
     :ivar unframed: count of responses to send without length or chunks,
         streams included
+    :ivar cut_heads: count of responses that end within their head, streams
+        included
+    :ivar cut_fraction: part of such a head that is sent, from 0 to 1
     :ivar stall: whether calls and streams through the runner stop
     :ivar stall_after: number of events after which a stream stops, None
         for no stop
@@ -107,6 +112,8 @@
     late_delay: float = 0.0
     pours: endless.Endless | None = None
     unframed: int = 0
+    cut_heads: int = 0
+    cut_fraction: float = 0.5
     stall: bool = False
     stall_after: int | None = None
     lose_orders: int = 0
@@ -128,6 +135,11 @@
         self.late_delay = 0.0 if is_engine else rng.choice(LATE_DELAY_SECONDS)
         self.late = rng.randint(*LATE_ANSWERS)
 
+    def draw_cut_heads(self, rng: random.Random) -> None:
+        """Draw responses that end within their head, at any byte of it."""
+        self.cut_fraction = rng.random()
+        self.cut_heads = rng.randint(*CUT_HEADS)
+
     def draw_pours(self, rng: random.Random, is_engine: bool) -> None:
         """Draw bytes without end of which nothing can be forwarded."""
         kinds = endless.BEFORE_BODY
@@ -262,7 +274,9 @@
 class Runner:
     """One engine, or one plain service if ``kind`` is empty.
 
-    A runner can be started several times, each time as a new instance.
+    A runner can be started several times, each time as a new instance. Callers
+    set what it does by headers: ``Work-Ms``, ``Events``, and the sizes
+    ``Answer-Bytes`` of a call's body and ``Event-Bytes`` of padding.
 
     :ivar kind: kind of accelerator
     :ivar runs: requests run by all instances
@@ -610,7 +624,12 @@
             await self._crash_by_part(part, run)
         run.answered = time.monotonic()
         framed = not self.faults.consume('unframed')
-        await channel.send(channel.build_head(200, headers, None, framed))
+        head = channel.build_head(200, headers, None, framed)
+        if self.faults.consume('cut_heads'):
+            run.ended = 'cut'
+            await self._cut_head(channel, head)
+            return
+        await channel.send(head)
         try:
             await self._write_events(channel, run, count, framed, part)
         except asyncio.CancelledError:
@@ -619,6 +638,12 @@
                 channel.write(b'id: ')
             raise
 
+    async def _cut_head(self, channel: wire.Channel, head: bytes) -> None:
+        """Send a part of a head and close the connection."""
+        size = min(int(len(head) * self.faults.cut_fraction), len(head) - 1)
+        await channel.send(head[:size])
+        channel.close()
+
     async def _write_events(
         self,
         channel: wire.Channel,
@@ -632,6 +657,9 @@
         :param part: part of the prompt that crashes this runner, or empty
         """
 
+        size = int(run.headers.get('event-bytes', 0))
+        padding = b': %b\n' % (b'.' * size) if size else b''
+
         async def send(data: bytes) -> None:
             chunk = b'%x\r\n%b\r\n' % (len(data), data)
             await channel.send(chunk if framed else data)
@@ -641,10 +669,11 @@
             await self._wait_for_hops(run)
             if self.faults.stall_after == run.events:
                 await asyncio.sleep(3600)
-            data = b'id: %d\ndata: %s-%d\n\n' % (
+            data = b'id: %d\ndata: %s-%d\n%b\n' % (
                 number,
                 run.request.encode(),
                 number,
+                padding,
             )
             half = data[: len(data) // 2]
             if part:
@@ -681,6 +710,7 @@
             Run('', '', {}, [(self.address, 0, 0)], 0, 0.0)
         )
         body = b'answer to ' + run.request.encode()
+        body = body.ljust(int(request.headers.get('answer-bytes', 0)), b'.')
         run.ended = 'ok'
         run.answered = time.monotonic()
         if self.faults.consume('lose'):
@@ -694,6 +724,11 @@
             run.ended = 'failed'
             await channel.answer(500, b'broken', headers)
             return
+        if self.faults.consume('cut_heads'):
+            run.ended = 'cut'
+            head = channel.build_head(200, headers, len(body))
+            await self._cut_head(channel, head)
+            return
         if self.faults.consume('unframed'):
             head = channel.build_head(200, headers, None, framed=False)
             await channel.send(head + body)
--- a/packages/trials/src/dunlintide_trials/edge/faults.py
+++ b/packages/trials/src/dunlintide_trials/edge/faults.py
@@ -242,7 +242,12 @@
     name = rng.choice(('fail', 'lose', 'cut', 'extra', 'unframed'))
     for runner in soak.scene.fleet.runners:
         if rng.random() < 0.5:
-            setattr(runner.faults, name, rng.randint(1, 4))
+            count = rng.randint(1, 4)
+            setattr(runner.faults, name, count)
+            # Engines lose no calls, and services cut no streams.
+            if name == ('lose' if runner.kind else 'cut'):
+                runner.faults.cut_heads = count
+                runner.faults.cut_fraction = count / 5
     return _do_nothing
 
 
--- a/packages/trials/src/dunlintide_trials/edge/stopsoak.py
+++ b/packages/trials/src/dunlintide_trials/edge/stopsoak.py
@@ -144,6 +144,7 @@
         while not self._stopped.wait(rng.uniform(*POUR_SECONDS)):
             late = rng.choice(self.scene.fleet.runners)
             late.faults.draw_late(rng, bool(late.kind))
+            late.faults.cut_heads = 1
             pouring = rng.choice(self.scene.fleet.runners)
             pouring.faults.draw_pours(rng, bool(pouring.kind))
             self._stopped.wait(rng.uniform(*POUR_SECONDS))
