Forward an event without an id with the next one that has one

What callers saw: an endpoint that sends an event without an id in the midst of a resumable stream and then nothing of use had that event passed on between events 1 and 2, which another endpoint sent; a sound event of that kind came twice after a resumption. Decision: the protocol says 'the response is a series of events with increasing ids'. What has no id is no piece of that series by itself: it can't be told from its repetition by a later run, nor from bytes that belong to no request. Change: in a stream with ids such an event waits for the next event with an id of the same run, or its end, as comments do already, and is dropped with a run that breaks off. What waits counts towards the largest event. Streams without ids go on as before.

--- a/features/pipeline.feature
+++ b/features/pipeline.feature
@@ -74,6 +74,12 @@
     And a second run that overlaps the first adds only what is new
     And a second run that begins too late is noticed
 
+  Scenario: An event without an id is no piece of a stream by itself
+    Guards against bytes of a run that broke off between two events of a stream
+    that goes on elsewhere.
+    Then events without an id pass in their place in a run
+    And an event without an id of a run that broke off does not
+
   Scenario: An event with an id of any length is told from the next one
     Guards against a stream that ends with an error of the entry, as numbers of
     thousands of digits are not converted.
--- a/features/steps/streampieces.py
+++ b/features/steps/streampieces.py
@@ -30,6 +30,7 @@
     return b''.join(passed)
 
 
+UNNAMED = b'data: no id\n\n'
 PLACES = strategies.lists(strategies.integers(0, 10_000), max_size=12)
 
 
@@ -59,6 +60,36 @@
     )
 
 
+@behave.then('events without an id pass in their place in a run')
+def check_unnamed(context):
+    def check(places, count, named):
+        pieces = make_events(1, count)
+        for place in named:
+            pieces.insert(place % (count + 1), UNNAMED)
+        data = b''.join(pieces)
+        sequence = events.EventSequence(None)
+        got = relay(sequence, cut(data, places)) + sequence.take_rest()
+        assert got == data, got
+
+    pipeline_scene.repeat(
+        check,
+        PLACES,
+        strategies.integers(1, 10),
+        strategies.lists(strategies.integers(0, 10), max_size=4),
+    )
+
+
+@behave.then('an event without an id of a run that broke off does not')
+def check_broken_unnamed(context):
+    sequence = events.EventSequence(None)
+    first = [*make_events(1, 3), UNNAMED]
+    got = relay(sequence, first)
+    sequence.begin_run()
+    second = [UNNAMED, *make_events(3, 4), UNNAMED]
+    got += relay(sequence, second) + sequence.take_rest()
+    assert got == b''.join([*make_events(1, 4), UNNAMED]), got
+
+
 @behave.then('a second run that begins too late is noticed')
 def check_missing(context):
     sequence = events.EventSequence(None)
--- a/packages/daemon/src/dunlintide_daemon/gateway/events.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/events.py
@@ -82,6 +82,10 @@
 class EventSequence:
     """Events that a caller has received, over all runs of its stream.
 
+    In a stream with ids an event without one belongs to the next one, as a
+    comment does: alone it could not be told from its repetition by a later
+    run, nor from bytes that belong to no request.
+
     :ivar last_id: id of the last event, None before the first
     :ivar count: events with an id that this entry has forwarded
     :ivar total: events that this entry has forwarded
@@ -91,6 +95,23 @@
         self.last_id = after
         self.count = 0
         self.total = 0
+        # Events without an id behind the last one that has one.
+        self._unnamed: list[bytes] = []
+
+    @property
+    def unnamed_bytes(self) -> int:
+        """Size of the events that wait for the next one with an id."""
+        return sum(map(len, self._unnamed))
+
+    def begin_run(self) -> None:
+        """Begin with the events of another run."""
+        self._unnamed.clear()
+
+    def take_rest(self) -> bytes:
+        """Return the events behind the last one with an id, at the end."""
+        rest = b''.join(self._unnamed)
+        self._unnamed.clear()
+        return rest
 
     def _get_last(self) -> int | None:
         text = self.last_id or ''
@@ -109,15 +130,16 @@
             number = _read_id(event)
             if number is None:
                 self.total += not _is_comment(event)
-                fresh.append(event)
+                (fresh if last is None else self._unnamed).append(event)
+                continue
+            if last is not None and number <= last:
+                self._unnamed.clear()
                 continue
-            if last is not None:
-                if number <= last:
-                    continue
-                if number != last + 1:
-                    return b''.join(fresh), False
+            if last is not None and number != last + 1:
+                return b''.join(fresh), False
             last = number
-            fresh.append(event)
+            fresh += [*self._unnamed, event]
+            self._unnamed.clear()
             self.count += 1
             self.total += 1
         if last is not None:
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -404,6 +404,7 @@
         exchange, sequence = stream.exchange, stream.sequence
         reply = exchange.reply
         splitter = events.EventSplitter()
+        sequence.begin_run()
         first_count = repeated_bytes = 0
         while data := await self._read_events(stream, run, connection):
             now = self._state.now
@@ -411,8 +412,9 @@
             if not intact:
                 raise runends.RunEnded(True, 'an event is missing')
             repeated_bytes += len(data)
+            waiting_bytes = len(splitter.remainder) + sequence.unnamed_bytes
             if (
-                len(splitter.remainder) > MAX_EVENT_BYTES
+                waiting_bytes > MAX_EVENT_BYTES
                 or repeated_bytes > MAX_REPEATED_BYTES
                 and not fresh
             ):
@@ -439,7 +441,7 @@
             raise self._end_broken(exchange, run, 'ended without an event')
         if not reply.started:
             reply.start(_make_head(head, None))
-        reply.finish(splitter.remainder)
+        reply.finish(sequence.take_rest() + splitter.remainder)
         self._state.poison_requests.clear(exchange.fingerprint)
         suspicions.record_written(self._state, exchange)
         if run.events > 1:
