Test that an entry that stops answers the large requests that it has read

The memory of large bodies added a wait between the head of a request and its body, and refusals within one; no test stopped an entry then.

--- a/features/bytebudget.feature
+++ b/features/bytebudget.feature
@@ -73,6 +73,19 @@
     Then a further small request is refused with a Retry-After
     And it is ready and tells its state
 
+  Scenario Outline: An entry that stops answers the large requests that it has read
+    Guards against bodies that wait for memory, or arrive, when an entry stops.
+    Given an entry with <memory> MB
+    When it is stopped after <delay> s while callers come with large bodies in all ways
+    Then each request that was read whole is answered
+    And none that was refused has run
+
+    Examples:
+      | memory | delay |
+      | 32     | 0.0   |
+      | 32     | 0.4   |
+      | 160    | 0.3   |
+
   Scenario: The budget keeps its promises
     Then whatever is held, forced and released, sums agree and limits hold
     And nothing waits while there is room for it
--- a/features/steps/bytebudget.py
+++ b/features/steps/bytebudget.py
@@ -5,6 +5,7 @@
 import functools
 import itertools
 import pathlib
+import random
 import time
 
 import attrs
@@ -15,7 +16,9 @@
 from dunlintide_core.pipeline import bytebudget
 from dunlintide_standins.fleet import callers
 from dunlintide_standins.fleet import operators
+from dunlintide_trials.edge import memoryload
 from dunlintide_trials.edge import scene as scenes
+from dunlintide_trials.edge import stopload
 from dunlintide_trials import ports
 from dunlintide_trials import processes
 import hypothesis
@@ -26,6 +29,9 @@
 LIMIT_BYTES = 64 * MB
 HEADER_SECONDS = 1.5
 HEAD_SLACK_BYTES = 100
+GRACE_SECONDS = 3.0
+CALL_SECONDS = 0.3
+CALLERS_PER_WAY = 6
 IDLE_SECONDS = 1.0
 LIMITS = callermessages.RequestLimits(8000, len(BODY), HEADER_SECONDS, 20.0)
 SERVE_SECONDS = 0.3
@@ -364,9 +370,14 @@
 def start_entry(context, memory):
     scene = scenes.Scene(ports.pick_ports, context.make_folder())
     context.stack.callback(scene.close)
-    scene.configure(operators.make_configuration())
-    scene.run(scene.fleet.add('web', 'a'))
-    context.entry = scene.add_entry('e0', memory=memory)
+    limits = {'max_body_bytes': len(BODY)}
+    scene.configure(
+        operators.set_limits(operators.make_configuration(), **limits)
+    )
+    for _ in range(2):
+        scene.run(scene.fleet.add('web', 'a'))
+    context.scene = scene
+    context.entry = scene.add_entry('e0', memory=memory, grace=GRACE_SECONDS)
     scene.wait_for_ready(context.entry)
 
 
@@ -407,6 +418,70 @@
     assert context.entry.read_state()['name'] == 'e0'
 
 
+@behave.when(
+    'it is stopped after {delay:g} s while callers come with large bodies in'
+    ' all ways'
+)
+def stop_under_bodies(context, delay):
+    entry = context.entry
+    context.sent, stops = [], []
+    crowd = memoryload.Crowd(
+        entry.name,
+        entry.listen,
+        operators.KEY,
+        1,
+        CALL_SECONDS,
+        context.sent,
+    )
+    ways = (
+        memoryload.ask_once,
+        memoryload.ask_repeatable,
+        memoryload.send_chunks,
+        memoryload.send_ahead,
+        memoryload.stop_halfway,
+    )
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        comings = [
+            asyncio.create_task(way(crowd, random.Random(number)))
+            for number in range(CALLERS_PER_WAY)
+            for way in ways
+        ]
+        await asyncio.sleep(delay)
+        await loop.run_in_executor(
+            None, stopload.stop_entry, entry, GRACE_SECONDS, stops
+        )
+        ends = await asyncio.gather(*comings, return_exceptions=True)
+        # A connection may end that was not read, and none begins later.
+        expected = (OSError, EOFError, TimeoutError, type(None))
+        assert all(isinstance(end, expected) for end in ends), ends
+
+    asyncio.run(run())
+    assert not stops[0].was_killed
+
+
+@behave.then('each request that was read whole is answered')
+def check_read(context):
+    assert context.sent
+    lost = [
+        each
+        for each in context.sent
+        if not each.is_whole and context.scene.fleet.list_runs(each.name)
+    ]
+    assert not lost, lost
+    statuses = {each.status for each in context.sent}
+    assert {200, 503} <= statuses, statuses
+
+
+@behave.then('none that was refused has run')
+def check_not_run(context):
+    for each in context.sent:
+        if each.status == 503:
+            assert each.retry_after is not None, each
+            assert not context.scene.fleet.list_runs(each.name), each
+
+
 # The budget alone.
 
 
--- a/packages/trials/src/dunlintide_trials/edge/memoryload.py
+++ b/packages/trials/src/dunlintide_trials/edge/memoryload.py
@@ -13,7 +13,18 @@
 from dunlintide_standins.fleet import operators
 from dunlintide_trials.edge import stopload
 
-__all__ = ['Crowd', 'SMALL_SERVICE', 'WAYS', 'Way', 'call_small']
+__all__ = [
+    'Crowd',
+    'SMALL_SERVICE',
+    'WAYS',
+    'Way',
+    'ask_once',
+    'ask_repeatable',
+    'call_small',
+    'send_ahead',
+    'send_chunks',
+    'stop_halfway',
+]
 
 # Largest body of a caller, in bytes.
 BODY_BYTES = 4 << 20
