--- a/features/edge.feature
+++ b/features/edge.feature
@@ -34,6 +34,17 @@
     Then the run of "s-1" is cancelled within 1 second
     And the entry holds no reservation
 
+  Scenario Outline: A run at a stand-in ends with its connection, closed by <end>
+    Guards against runs that a stand-in goes on to count as running when their
+    caller resets the connection, as an abort with unread bytes does.
+    When the connection of a stream "r-1" at an engine is closed by <end>
+    Then the run of "r-1" is cancelled within 1 second
+
+    Examples:
+      | end |
+      | FIN |
+      | RST |
+
   Scenario: A call that may run once is not run again
     Given every service loses its next answer
     When a caller calls "/orders/x" as "c-1"
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -1,5 +1,8 @@
 """Steps for streams and calls through entries on the platform's store."""
 
+import socket
+import struct
+
 import behave
 from dunlintide_standins.fleet import callers
 from dunlintide_standins.fleet import operators
@@ -201,6 +204,20 @@
     context.scene.wait_until(check, 'the log line')
 
 
+@behave.when(
+    'the connection of a stream "{name}" at an engine is closed by {end}'
+)
+def close_stream(context, name, end):
+    caller = callers.Caller(context.scene.list_engines()[0].address)
+    caller.send(callers.build_stream(name, 500))
+    status, _ = caller.read_head()
+    assert status == 200, status
+    if end == 'RST':
+        linger = struct.pack('ii', 1, 0)
+        caller.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    caller.close()
+
+
 @behave.then('the run of "{name}" is cancelled within 1 second')
 def check_cancelled(context, name):
     (run,) = context.scene.fleet.list_runs(name)
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -565,7 +565,8 @@
                 await self._stream(request, channel, run)
             else:
                 await self._call(request, channel, run)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, OSError):
+            # A reset connection fails the next write, before it is noticed.
             run.ended = run.ended or 'cancelled'
             raise
         finally:
--- a/packages/standins/src/dunlintide_standins/fleet/wire.py
+++ b/packages/standins/src/dunlintide_standins/fleet/wire.py
@@ -143,8 +143,8 @@
 async def _cancel_on_disconnect(
     reader: asyncio.StreamReader, task: asyncio.Task
 ) -> None:
-    """Cancel a request's task when the caller closes the connection."""
-    while not reader.at_eof():
+    """Cancel a request's task when the caller closes or resets."""
+    while not reader.at_eof() and reader.exception() is None:
         await asyncio.sleep(_DISCONNECT_POLL_SECONDS)
     task.cancel()
 
