--- a/packages/trials/src/dunlintide_trials/edge/memoryload.py
+++ b/packages/trials/src/dunlintide_trials/edge/memoryload.py
@@ -14,7 +14,9 @@
 from dunlintide_trials.edge import stopload
 
 __all__ = [
+    'BODY_BYTES',
     'Crowd',
+    'HEAD_BYTES',
     'SMALL_SERVICE',
     'WAYS',
     'Way',
@@ -31,6 +33,7 @@
 # Body that an endpoint sends, and padding of each of its events, in bytes.
 ANSWER_BYTES = 8 << 20
 EVENT_BYTES = 60 << 10
+STREAM_EVENTS = 100
 # Largest head of a request, in bytes.
 HEAD_BYTES = 16384
 # Time from which callers neither send nor read, in seconds.
@@ -252,31 +255,29 @@
 async def leave_unread(crowd: Crowd, rng: random.Random) -> None:
     """Ask for a large answer and read it late."""
     request = crowd.make('/lists/x')
-    async with _connect(crowd.address) as (reader, writer):
-        head = crowd.build(
-            request, Content_Length='0', Answer_Bytes=str(ANSWER_BYTES)
-        )
-        writer.transport.pause_reading()
-        writer.write(head)
-        request.sent = time.monotonic()
-        await asyncio.sleep(IDLE_SECONDS)
-        writer.transport.resume_reading()
-        await _read(reader, request)
-        crowd.sent.append(request)
+    head = crowd.build(
+        request, Content_Length='0', Answer_Bytes=str(ANSWER_BYTES)
+    )
+    await _read_late(crowd, request, head)
 
 
 async def leave_stream_unread(crowd: Crowd, rng: random.Random) -> None:
     """Ask for a stream of large events and read it late."""
     request = crowd.make('/copy/x')
+    head = callers.build_stream(
+        request.name,
+        STREAM_EVENTS,
+        key=crowd.key,
+        body=b'',
+        Event_Bytes=str(EVENT_BYTES),
+    )
+    await _read_late(crowd, request, head)
+
+
+async def _read_late(
+    crowd: Crowd, request: stopload.Sent, head: bytes
+) -> None:
     async with _connect(crowd.address) as (reader, writer):
-        head = callers.build_stream(
-            request.name,
-            100,
-            key=crowd.key,
-            body=b'',
-            Event_Bytes=str(EVENT_BYTES),
-            Deadline_Ms='8000',
-        )
         writer.transport.pause_reading()
         writer.write(head)
         request.sent = time.monotonic()
@@ -310,7 +311,6 @@
             request.path,
             key=operators.OTHER_KEY,
             Work_Ms='10',
-            Deadline_Ms='8000',
         )
         with contextlib.suppress(OSError, TimeoutError):
             async with _connect(crowd.address) as (reader, writer):
--- a/packages/trials/src/dunlintide_trials/edge/memorysoak.py
+++ b/packages/trials/src/dunlintide_trials/edge/memorysoak.py
@@ -12,11 +12,9 @@
 import asyncio
 import collections
 import contextlib
-import json
 import pathlib
 import random
 import sys
-import tempfile
 import threading
 import time
 from typing import Iterator, Sequence
@@ -26,13 +24,13 @@
 from dunlintide_standins.fleet import operators
 from dunlintide_trials.edge import memoryload
 from dunlintide_trials.edge import scene as scenes
+from dunlintide_trials.edge import seeds
 from dunlintide_trials.edge import stopload
 from dunlintide_trials import ports
 from dunlintide_trials import processes
 
 __all__ = ['main', 'run']
 
-EXIT_BROKEN = 1
 DOMAINS = ('a', 'b')
 MB = 1 << 20
 # Memory that the machine of an entry has, in MB.
@@ -289,21 +287,13 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run a soak for each seed and print its counts as a JSON line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--seed', type=int, default=1, help='first seed')
-    parser.add_argument('--seeds', type=int, default=1, help='how many')
-    parser.add_argument('--seconds', type=float, default=40.0)
+    seeds.add_arguments(parser, 40.0)
     parser.add_argument('--verbose', action='store_true')
     parsed = parser.parse_args(arguments)
-    status = 0
-    for seed in range(parsed.seed, parsed.seed + parsed.seeds):
-        with tempfile.TemporaryDirectory(prefix='dunlintide-') as made:
-            figures = run(
-                seed, parsed.seconds, pathlib.Path(made), parsed.verbose
-            )
-        print(json.dumps(figures), flush=True)
-        if figures['broken']:
-            status = EXIT_BROKEN
-    return status
+    return seeds.play(
+        parsed,
+        lambda seed, folder: run(seed, parsed.seconds, folder, parsed.verbose),
+    )
 
 
 if __name__ == '__main__':
--- a/packages/trials/src/dunlintide_trials/edge/soak.py
+++ b/packages/trials/src/dunlintide_trials/edge/soak.py
@@ -7,16 +7,15 @@
 import argparse
 import collections
 import contextlib
-import json
 import pathlib
 import random
 import sys
-import tempfile
 import time
 from typing import Sequence
 
 from dunlintide_trials.edge import faults
 from dunlintide_trials.edge import promises
+from dunlintide_trials.edge import seeds
 from dunlintide_trials.edge import soakdemand
 from dunlintide_trials.edge import soakscene
 from dunlintide_trials import ports
@@ -28,7 +27,6 @@
 # the latter entries recover, and a window of 5 s is left that is checked.
 FAULTY_SECONDS = 3.0
 CALM_SECONDS = 9.0
-EXIT_BROKEN = 1
 # Minimum and maximum seconds between the starts of two faults, and of the
 # duration of a fault. The values make faults overlap and come in series.
 FAULT_GAP_SECONDS = (0.1, 1.2)
@@ -201,9 +199,7 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run a soak for each seed and print its counts as a JSON line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--seed', type=int, default=1, help='first seed')
-    parser.add_argument('--seeds', type=int, default=1, help='how many')
-    parser.add_argument('--seconds', type=float, default=20.0)
+    seeds.add_arguments(parser, 20.0)
     parser.add_argument('--keep', type=pathlib.Path, help='folder for logs')
     parser.add_argument(
         '--leaving', action='store_true', help='only endpoints that leave'
@@ -238,20 +234,13 @@
         kinds = faults.PART_FAULTS
     elif parsed.answers:
         kinds = faults.ANSWER_FAULTS
-    status = 0
-    for seed in range(parsed.seed, parsed.seed + parsed.seeds):
-        with contextlib.ExitStack() as stack:
-            if parsed.keep:
-                folder = parsed.keep / str(seed)
-                folder.mkdir(parents=True, exist_ok=True)
-            else:
-                made = tempfile.TemporaryDirectory(prefix='dunlintide-')
-                folder = pathlib.Path(stack.enter_context(made))
-            figures = run(seed, parsed.seconds, folder, kinds, parsed.demand)
-        print(json.dumps(figures), flush=True)
-        if figures['broken']:
-            status = EXIT_BROKEN
-    return status
+    return seeds.play(
+        parsed,
+        lambda seed, folder: run(
+            seed, parsed.seconds, folder, kinds, parsed.demand
+        ),
+        parsed.keep,
+    )
 
 
 if __name__ == '__main__':
--- a/packages/trials/src/dunlintide_trials/edge/stopsoak.py
+++ b/packages/trials/src/dunlintide_trials/edge/stopsoak.py
@@ -11,12 +11,10 @@
 import argparse
 import collections
 import contextlib
-import json
 import pathlib
 import random
 import signal
 import sys
-import tempfile
 import threading
 import time
 from typing import Iterator, Sequence
@@ -27,13 +25,13 @@
 from dunlintide_standins.fleet import operators
 from dunlintide_trials.edge import promises
 from dunlintide_trials.edge import scene as scenes
+from dunlintide_trials.edge import seeds
 from dunlintide_trials.edge import stopload
 from dunlintide_trials import ports
 from dunlintide_trials import processes
 
 __all__ = ['main', 'run']
 
-EXIT_BROKEN = 1
 DOMAINS = ('a', 'b')
 CALLERS_PER_ENTRY = 6
 WORK_SECONDS = (0.02, 12.0)
@@ -341,21 +339,13 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run a soak for each seed and print its counts as a JSON line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--seed', type=int, default=1, help='first seed')
-    parser.add_argument('--seeds', type=int, default=1, help='how many')
-    parser.add_argument('--seconds', type=float, default=20.0)
+    seeds.add_arguments(parser, 20.0)
     parser.add_argument('--entries', type=int, help='how many, not drawn')
     parsed = parser.parse_args(arguments)
-    status = 0
-    for seed in range(parsed.seed, parsed.seed + parsed.seeds):
-        with tempfile.TemporaryDirectory(prefix='dunlintide-') as made:
-            figures = run(
-                seed, parsed.seconds, pathlib.Path(made), parsed.entries
-            )
-        print(json.dumps(figures), flush=True)
-        if figures['broken']:
-            status = EXIT_BROKEN
-    return status
+    return seeds.play(
+        parsed,
+        lambda seed, folder: run(seed, parsed.seconds, folder, parsed.entries),
+    )
 
 
 if __name__ == '__main__':
