Draw no proper requests in the test of random bytes

Cause, traced: Hypothesis draws constants of the steps as examples, and the steps of endless reads have the bytes of a whole request. Other constants since then changed what is drawn; the server was right to serve it.

--- a/features/steps/callerhttp.py
+++ b/features/steps/callerhttp.py
@@ -1,6 +1,7 @@
 """Steps for the HTTP server that callers connect to."""
 
 import asyncio
+import re
 import threading
 
 import behave
@@ -11,6 +12,10 @@
 
 SMUGGLED = b'GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n'
 WAIT_SECONDS = 5.0
+PROPER_REQUEST = re.compile(
+    rb'(\r\n)*[A-Z]+ [!-~]+ HTTP/1\.[01]\r\n'
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*\r\n)*\r\n"
+)
 
 
 class Scene:
@@ -160,6 +165,8 @@
     @hypothesis.settings(max_examples=80, deadline=None)
     @hypothesis.given(strategies.binary(min_size=1, max_size=200))
     def check(data):
+        # Hypothesis draws constants of other steps too, a request among them.
+        hypothesis.assume(not PROPER_REQUEST.match(data))
         scene.run(scene.exchange((data,)))
         assert not scene.requests, scene.requests
 
