Count parts of events, and configurations that arrive from other entries

What operators would see: two things that endpoints and neighbours make an entry hold were in no budget: what has arrived of an event (64 KB at most, for each stream), and the body of a configuration that another entry sends (16 MB at most) until it is decoded. Change: a part of an event over 8 KB counts for the team of its stream until the run ends, a configuration by its stated length while it is read. Neither can be refused any more, so both are forced, and others get less. Evidence: 'Events that have not arrived whole are counted' fails before (nothing is counted for 20 streams with 30 KB each) and passes now; the streams end and all is given back. Features bytebudget (that scenario) and configurationfetcher pass.

--- a/features/bytebudget.feature
+++ b/features/bytebudget.feature
@@ -73,6 +73,14 @@
     Then a further small request is refused with a Retry-After
     And it is ready and tells its state
 
+  Scenario: Events that have not arrived whole are counted
+    Guards against parts of events of thousands of streams that no budget
+    bounds.
+    Given an entry with 160 MB and engines
+    When 20 streams stop within their first event of 60 KB
+    Then the entry counts at least 500 KB for them
+    And it counts nothing once their callers are gone
+
   Scenario Outline: An entry that stops answers the large requests that it has read
     Guards against bodies that wait for memory, or arrive, when an entry stops.
     Given an entry with <memory> MB
--- a/features/steps/entrymemory.py
+++ b/features/steps/entrymemory.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import random
+import re
 
 import behave
 from dunlintide_standins.fleet import callers
@@ -70,6 +71,52 @@
     assert context.entry.read_state()['name'] == 'e0'
 
 
+@behave.given('an entry with {memory:d} MB and engines')
+def start_with_engines(context, memory):
+    start_entry(context, memory)
+    context.scene.add_runners()
+    context.scene.wait_for_entries()
+
+
+@behave.when('{count:d} streams stop within their first event of {size:d} KB')
+def stop_within_events(context, count, size):
+    for engine in context.scene.list_engines():
+        engine.faults.stall_after = 0
+        engine.faults.stall_within = True
+    context.kept = []
+    for number in range(count):
+        caller = callers.Caller(context.entry.listen)
+        context.stack.callback(caller.close)
+        context.kept.append(caller)
+        caller.send(
+            callers.build_stream(
+                f's-{number}', 100, Event_Bytes=str(size << 10)
+            )
+        )
+
+
+def _read_held(context):
+    """Return the bytes that the entry counts, by its metrics."""
+    text = context.entry.ask(context.entry.metrics, '/metrics').body.decode()
+    return float(re.search(r'_held_bytes{size="all"} (\S+)', text)[1])
+
+
+@behave.then('the entry counts at least {size:d} KB for them')
+def check_counted(context, size):
+    context.scene.wait_until(
+        lambda: _read_held(context) >= size << 10, f'{size} KB are counted'
+    )
+
+
+@behave.then('it counts nothing once their callers are gone')
+def check_gone(context):
+    for caller in context.kept:
+        caller.close()
+    context.scene.wait_until(
+        lambda: _read_held(context) == 0, 'nothing is counted'
+    )
+
+
 @behave.when(
     'it is stopped after {delay:g} s while callers come with large bodies in'
     ' all ways'
--- a/packages/daemon/src/dunlintide_daemon/gateway/configurationfetcher.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/configurationfetcher.py
@@ -181,9 +181,12 @@
         )
         deadline = asyncio.get_running_loop().time() + HEAD_SECONDS
         head = await connection.read_head(deadline)
-        body = await connection.read_while_progressing(
-            BODY_IDLE_SECONDS, MAX_BYTES
-        )
+        stated = head.get('content-length') or ''
+        size = int(stated) if stated.isdecimal() else MAX_BYTES
+        with self._state.occupy(min(size, MAX_BYTES)):
+            body = await connection.read_while_progressing(
+                BODY_IDLE_SECONDS, MAX_BYTES
+            )
         return head, body
 
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -1,12 +1,14 @@
 """Runs of streams on chains: send the request and relay the events."""
 
 import asyncio
+import contextlib
 from typing import Awaitable, Callable, TypeVar
 
 import attrs
 
 from dunlintide_adapters import callermessages
 from dunlintide_adapters import endpointhttp
+from dunlintide_core.pipeline import bytebudget
 from dunlintide_core.pipeline import chaincosts
 from dunlintide_core.pipeline import chains
 from dunlintide_core.pipeline import endpoints as endpoints_module
@@ -46,6 +48,8 @@
 MAX_FAILURE_BYTES = 1 << 20
 # Largest event with the comments before it, in bytes.
 MAX_EVENT_BYTES = 64 << 10
+# Part of an event that is not counted, in bytes; most are far smaller.
+UNCOUNTED_BYTES = 8 << 10
 # Bytes without an event that the caller does not have yet.
 MAX_REPEATED_BYTES = 1 << 20
 # Events of a stream beyond one for each token that its caller asked for.
@@ -265,7 +269,12 @@
                 )
             if not verdict.signed:
                 raise runends.RunEnded(True, 'answer without a signature')
-            await self._forward_events(stream, run, connection, head)
+            account = bytebudget.Account(exchange.request.account.owner)
+            with contextlib.ExitStack() as stack:
+                stack.callback(self._state.budget.release, account)
+                await self._forward_events(
+                    stream, run, connection, head, account
+                )
         except endpointhttp.CallError as broken:
             self._record_break(exchange, run, broken)
             raise runends.RunEnded(True, f'run broke: {broken}') from broken
@@ -399,8 +408,12 @@
         run: _Run,
         connection: endpointhttp.Connection,
         head: endpointhttp.AnswerHead,
+        account: bytebudget.Account,
     ) -> None:
-        """Forward complete events until the answer is complete."""
+        """Forward complete events until the answer is complete.
+
+        :param account: gets what an event that is not complete occupies
+        """
         exchange, sequence = stream.exchange, stream.sequence
         reply = exchange.reply
         splitter = events.EventSplitter()
@@ -419,6 +432,8 @@
                 and not fresh
             ):
                 raise self._end_endless(exchange, run, 'sent no event')
+            if waiting_bytes > UNCOUNTED_BYTES or account.held:
+                self._state.budget.force(account, waiting_bytes)
             if not fresh:
                 continue
             repeated_bytes = 0
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -93,6 +93,7 @@
     :ivar stall: whether calls and streams through the runner stop
     :ivar stall_after: number of events after which a stream stops, None
         for no stop
+    :ivar stall_within: whether it stops within the next event
     :ivar lose_orders: count of orders to execute late, without a response
     :ivar order_delay: delay of such an order, in seconds
     :ivar rate_limit: value of ``Server-Limit`` in requests per second, None
@@ -116,6 +117,7 @@
     cut_fraction: float = 0.5
     stall: bool = False
     stall_after: int | None = None
+    stall_within: bool = False
     lose_orders: int = 0
     order_delay: float = 0.0
     rate_limit: float | None = None
@@ -668,8 +670,6 @@
         for number in range(run.after + 1, count + 1):
             await asyncio.sleep(self.fleet.event_seconds * self.slowness)
             await self._wait_for_hops(run)
-            if self.faults.stall_after == run.events:
-                await asyncio.sleep(3600)
             data = b'id: %d\ndata: %s-%d\n%b\n' % (
                 number,
                 run.request.encode(),
@@ -677,6 +677,10 @@
                 padding,
             )
             half = data[: len(data) // 2]
+            if self.faults.stall_after == run.events:
+                if self.faults.stall_within:
+                    await send(half)
+                await asyncio.sleep(3600)
             if part:
                 if self.fleet.crash_point is CrashPoint.WITHIN_EVENT:
                     await send(half)
