Need keys wherever a configuration has a list of teams, also an empty one

Cause: a missing list and an empty one were decoded to the same, and keys were needed only where teams were left. Why this works: the protocol says 'If the configuration contains `tenants`, a request carries a key'; whether it does is decoded once and kept with the deployment. Without the list none is needed, as that sentence says. Evidence: 'A version without any team left opens no route' fails before (200 with a removed key) and passes now.

--- a/features/edge.feature
+++ b/features/edge.feature
@@ -153,6 +153,18 @@
     Then it holds layers again within 8 seconds
     And it accepted 1 order
 
+  Scenario: A version without any team left opens no route
+    Guards against routes that anyone may use once the last team is removed.
+    When the operator writes version 9 with an empty list of teams
+    Then calling "/lists/x" with key "key-of-the-diner" gets status 401
+    And calling "/lists/x" with key "nobody" gets status 401
+    And calling "/lists/x" without a key gets status 401
+    And calling "/lists/public/x" without a key gets status 200
+    When the entry is started again
+    Then calling "/lists/x" with key "nobody" gets status 401
+    When the operator writes version 10 without a list of teams
+    Then calling "/lists/x" without a key gets status 200
+
   Scenario: A newer configuration is in force, a broken one is not
     When the operator moves "/lists/" to another service name "gone"
     And the operator writes a configuration that can't be read
--- a/features/steps/edge_platform.py
+++ b/features/steps/edge_platform.py
@@ -19,6 +19,31 @@
     )
 
 
+def _read_version(context):
+    return context.entry.read_state()['configuration']['revision']
+
+
+@behave.when('the operator writes version {version:d} {how} list of teams')
+def change_teams(context, version, how):
+    configuration = operators.make_configuration(version)
+    if how == 'without a':
+        del configuration['tenants']
+    else:
+        configuration['tenants'] = []
+    context.scene.configure(configuration)
+    context.scene.wait_until(
+        lambda: _read_version(context) == version,
+        f'version {version} is in force',
+    )
+
+
+@behave.when('the entry is started again')
+def restart_entry(context):
+    context.entry.stop()
+    context.entry.start()
+    context.scene.wait_for_ready(context.entry)
+
+
 @behave.when('the operator writes a configuration that can\'t be read')
 def break_configuration(context):
     context.scene.configure(operators.make_invalid_configuration(11))
--- a/features/steps/endpointgate.py
+++ b/features/steps/endpointgate.py
@@ -107,9 +107,11 @@
         exchange = endpointgate.bind_exchange(self.state, self.endpoint)
         address = self.endpoint.address
         if kind == 'report':
-            return await orders.read_report(exchange, address)
+            return await orders.read_report(exchange, self.endpoint)
         if kind == 'order':
-            return await orders.send_placement(exchange, address, 0, 4, 0, 1)
+            return await orders.send_placement(
+                exchange, self.endpoint, 0, 4, 0, 1
+            )
         connection = await self.state.pool.acquire(address, TIMEOUT_SECONDS)
         try:
             endpointgate.send(
--- a/packages/core/src/dunlintide_core/pipeline/deployments.py
+++ b/packages/core/src/dunlintide_core/pipeline/deployments.py
@@ -135,6 +135,8 @@
     :ivar source: the configuration as it was read
     :ivar services: services by name
     :ivar limits: limits on what a caller may send
+    :ivar needs_keys: whether requests need an API key unless their rule is
+        public
     """
 
     version: int
@@ -144,6 +146,7 @@
     _index: matching.RuleIndex
     _owners: Mapping[str, configuration.Team]
     _contention: _Contention = _Contention()
+    needs_keys: bool = False
 
     @classmethod
     def from_configuration(
@@ -164,11 +167,14 @@
         services: Mapping[str, profiles.ServiceProfile],
         limits: CallerLimits,
         previous: 'Deployment | None' = None,
+        needs_keys: bool | None = None,
     ) -> steps.Steps['Deployment']:
         """Index the rules and the API keys, in steps.
 
         :param previous: version before, of which what is unchanged is used
             again
+        :param needs_keys: whether requests need an API key, None if they do
+            where there are teams
         """
         owners = {
             digest: team for team in source.teams for digest in team.key_hashes
@@ -177,15 +183,19 @@
             source.rules, previous._index if previous else None
         )
         contention = yield from _Contention.find(source.rules, source.teams)
+        if needs_keys is None:
+            needs_keys = bool(source.teams)
         return cls(
-            version, source, services, limits, index, owners, contention
+            version,
+            source,
+            services,
+            limits,
+            index,
+            owners,
+            contention,
+            needs_keys,
         )
 
-    @property
-    def needs_keys(self) -> bool:
-        """Whether requests need an API key unless their rule is public."""
-        return bool(self.source.teams)
-
     def find_rule(self, query: matching.Query) -> configuration.Rule | None:
         """Return the first rule that matches a request."""
         return self._index.find(query)
