Name the engine that an order or report is meant for

Cause: orders and reports named the address only. The other engine's report was taken for that of the lost one, with its number of orders. Why this works: 'any other runner responds with 421', for orders 'under the same conditions as for requests'. An answer with 421 is no report, so that nothing is adopted from it. Evidence: 'An order for an engine that is gone is none for that at its address' passes; on the code before it can't run, as its calls take an address there.

--- a/features/edge.feature
+++ b/features/edge.feature
@@ -153,6 +153,13 @@
     Then it holds layers again within 8 seconds
     And it accepted 1 order
 
+  Scenario: An order for an engine that is gone is none for that at its address
+    Guards against engines that are ordered to hold more layers than they can,
+    as the order was for another one whose address they have taken.
+    When an engine ends and another one takes its address
+    Then an order and a report for the first one get status 421 there
+    And the other one has been ordered nothing by them
+
   Scenario: A version without any team left opens no route
     Guards against routes that anyone may use once the last team is removed.
     When the operator writes version 9 with an empty list of teams
--- a/features/steps/edge_platform.py
+++ b/features/steps/edge_platform.py
@@ -1,5 +1,7 @@
 """Steps for an entry's configuration, settings and store."""
 
+import asyncio
+import contextlib
 import json
 import signal
 import subprocess
@@ -7,6 +9,9 @@
 import time
 
 import behave
+from dunlintide_adapters import endpointhttp
+from dunlintide_core.pipeline import endpoints
+from dunlintide_platform import orders
 from dunlintide_standins.fleet import operators
 import edge_lookups
 
@@ -37,6 +42,51 @@
     )
 
 
+@behave.when('an engine ends and another one takes its address')
+def replace_engine(context):
+    runner = context.runner = context.scene.list_engines()[0]
+    context.gone = endpoints.Endpoint(
+        name=runner.name,
+        address=runner.address,
+        service=runner.service,
+        domain=runner.domain,
+        slots=1,
+    )
+    context.scene.run(runner.crash(keep_entry=False))
+    context.scene.run(runner.start())
+
+
+@behave.then('an order and a report for the first one get status 421 there')
+def check_misdirected(context):
+    async def exchange(data, timeout):
+        loop = asyncio.get_running_loop()
+        pool = endpointhttp.Pool()
+        connection = await pool.open(context.gone.address, timeout)
+        with contextlib.closing(connection):
+            connection.send(data)
+            head = await connection.read_head(loop.time() + timeout)
+            body = await connection.read_all(loop.time() + timeout, 1 << 20)
+            statuses.append(head.status)
+            return head, body
+
+    async def ask():
+        # More than any engine can hold; the fence is above all others.
+        await orders.send_placement(
+            exchange, context.gone, 0, operators.LAYERS, 0, 1 << 30
+        )
+        read = await orders.read_report(exchange, context.gone)
+        assert read.is_err()
+
+    statuses = []
+    context.scene.run(ask())
+    assert statuses == [421, 421], statuses
+
+
+@behave.then('the other one has been ordered nothing by them')
+def check_orders(context):
+    assert not context.runner.overloaded
+
+
 @behave.when('the entry is started again')
 def restart_entry(context):
     context.entry.stop()
--- a/packages/daemon/src/dunlintide_daemon/gateway/lossdetector.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/lossdetector.py
@@ -109,7 +109,7 @@
             if not await self._state.admit(engine.name):
                 return
             exchange = endpointgate.bind_exchange(self._state, engine)
-            read = await orders.read_report(exchange, engine.address)
+            read = await orders.read_report(exchange, engine)
             if read.is_ok():
                 self._state.record_incarnation(engine, read.ok_value.born)
                 return
--- a/packages/daemon/src/dunlintide_daemon/gateway/paceprober.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/paceprober.py
@@ -59,7 +59,7 @@
         if not await state.admit(name):
             return
         exchange = endpointgate.bind_exchange(state, endpoint)
-        read = await orders.read_report(exchange, endpoint.address)
+        read = await orders.read_report(exchange, endpoint)
         state.counters.pace_questions.inc()
         if read.is_err() and read.err_value.withheld:
             return
--- a/packages/daemon/src/dunlintide_daemon/gateway/placer.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/placer.py
@@ -274,7 +274,7 @@
             return
         reception = await orders.send_placement(
             endpointgate.bind_exchange(self._state, placement.endpoint),
-            placement.endpoint.address,
+            placement.endpoint,
             placement.start,
             placement.end,
             order.expected,
@@ -307,7 +307,7 @@
             order.retry_at = self._state.now + RETRY_SECONDS
             return False
         exchange = endpointgate.bind_exchange(self._state, endpoint)
-        read = await orders.read_report(exchange, endpoint.address)
+        read = await orders.read_report(exchange, endpoint)
         if read.is_err():
             order.retry_at = self._state.now + RETRY_SECONDS
             self._state.log.write(
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -452,7 +452,11 @@
     async def _answer(
         self, request: wire.Request, channel: wire.Channel
     ) -> None:
-        if request.path == '/report':
+        expected = request.headers.get('expect-instance')
+        if expected not in (None, self.name):
+            headers = {'Instance-Id': self.name, **_echo_id(request)}
+            await channel.answer(421, b'', headers)
+        elif request.path == '/report':
             await channel.answer(200, json.dumps(self._report()).encode())
         elif request.path == '/order':
             await self._handle_order(json.loads(request.body), channel)
@@ -531,11 +535,6 @@
         self, request: wire.Request, channel: wire.Channel
     ) -> None:
         headers = request.headers
-        expected = headers.get('expect-instance')
-        if expected not in (None, self.name):
-            headers = {'Instance-Id': self.name, **_echo_id(request)}
-            await channel.answer(421, b'', headers)
-            return
         self._send_late_answer(request, channel)
         if self.faults.backoff:
             await self._refuse_with_backoff(request, channel)
