Name the request that is read partial, apart from the answer that is unread

A rename and a comment of one module, found by reading the whole change: unread is an answer that its caller does not read, and a method with that word gave up a request of which a part has arrived.

--- a/packages/adapters/src/dunlintide_adapters/callerhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/callerhttp.py
@@ -168,7 +168,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future | None = None
         self.is_paused = False
-        # What is written but not sent, and whether its answer is complete.
+        # What the caller has not read. Behind a complete answer it is waited
+        # for, as long as the bytes that are not sent become fewer.
         self._unread = bytebudget.Account()
         self._is_unsent = False
         self._unsent_bytes = 0
@@ -271,9 +272,9 @@
             budget.release(request.account)
         self._pending.clear()
         self._refusal = b''
-        self._drop_unread()
+        self._drop_partial()
 
-    def _drop_unread(self) -> None:
+    def _drop_partial(self) -> None:
         """Give up the request that is being read."""
         budget = self._server.budget
         if self._request is not None:
@@ -496,7 +497,7 @@
             return
         self._has_refused = True
         self._reading = False
-        self._drop_unread()
+        self._drop_partial()
         if not self._is_unsent:
             self._stop_timer()
         reason = callermessages.REASONS[status]
