Count an answer that is forwarded without a reservation once

Cause: an answer that finds no room to be read whole is forwarded as its caller reads it. What it had been counted with while it was read stayed beside what the connection counts for it while it is not read. Change: the first is given back.

--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -543,7 +543,9 @@
                 budget.force(account, COUNTED_BYTES)
             elif limit == MAX_HELD_BYTES:
                 if not budget.reserve(account, 2 * MAX_HELD_BYTES):
-                    # It is forwarded as its caller reads it.
+                    # It is forwarded as its caller reads it, and counts
+                    # there while it is not read.
+                    budget.release(account)
                     break
             more, is_whole = await connection.read_until(
                 exchange.deadline, limit - len(body)
