Refuse answers of endpoints that are no HTTP though the parser takes them

Callers got answers with a status of 000, 099, 600 or 999, with control characters in the reason, of HTTP/0.9, HTTP/2.0 and RTSP/1.0, and bodies whose transfer coding was dropped on the way, all with the endpoint's signature. Calls that may run again were not tried elsewhere, and an endpoint that answers fast with 000 drew all calls to itself.

Cause: the parser takes any three digits for a status, any bytes but line ends for a reason, and three protocols; a transfer coding that it doesn't know it reads up to the end of the connection. Nothing checked what it had let pass, in calls, streams, interim answers, reports, orders, the store's answers and those of other entries, which share this reader.

Names of fields with a blank or a control byte, values with control bytes, folded lines, odd lengths, chunk sizes and trailers held before, so these are kept as tests.

The head is now checked once where it is complete, against RFC 9110 and 9112, before its id, its notices or its status are used. What fails is garbled as other bytes are: the connection ends, repeatable calls and resumable streams go elsewhere, others end as unknown with 502, the endpoint is ejected after two in a row, and the log names the fault. All statuses from 100 to 599 but 101, tabs and bytes from 80 in texts and empty reasons are still taken.

--- /dev/null
+++ b/features/malformedanswers.feature
@@ -0,0 +1,61 @@
+Feature: An answer that is no HTTP reaches no caller
+  Endpoints in trouble may send statuses, header lines and chunks that are none.
+  Neither the meaning nor the length of such an answer is known.
+
+  Scenario Outline: A connection takes no malformed answer to <method> for one
+    Guards against an answer with a status of 000, or another line that is no
+    HTTP, that a parser lets pass.
+    When each malformed answer to <method> arrives <cut>, <place>
+    Then each call has failed, and its connection is not used again
+
+    Examples:
+      | method | cut          | place                                    |
+      | GET    | at once      | on a new connection                      |
+      | GET    | byte by byte | on a new connection                      |
+      | GET    | byte by byte | behind a sound answer                    |
+      | GET    | byte by byte | behind an answer to another request      |
+      | HEAD   | at once      | on a new connection                      |
+      | HEAD   | byte by byte | behind a sound answer                    |
+
+  Scenario: An answer that is odd and HTTP all the same is taken
+    Guards against checks that refuse sound answers.
+    Then an answer with a status of 100 to 599 but 101, or with odd text, is read as it is
+
+  Scenario: Callers get no malformed answer of a service
+    Guards against broken answers that are passed on, and calls that run twice.
+    Given a platform with engines and services in failure domains "a" and "b"
+    And a ready entry "one" in "a"
+    When each malformed answer meets a call of "/orders/x" and one of "/lists/x"
+    Then each call of "/orders/x" got 502 and ran once
+    And each call of "/lists/x" got its own answer from another run
+    And the log tells the fault of each
+
+  Scenario: Callers get no malformed answer of an engine
+    Given a platform with engines and services in failure domains "a" and "b"
+    And a ready entry "one" in "a"
+    When each malformed answer meets a stream of 5 events
+    Then each stream has its events once and in order
+
+  Scenario: A stream that may run once is not run again for a malformed answer
+    Given a platform with engines and services in failure domains "a" and "b"
+    And a ready entry "one" in "a"
+    And streams may not be resumed
+    When each malformed answer meets a stream of 5 events
+    Then each stream that met one ran once, and got 502 or was cut off
+
+  Scenario Outline: An endpoint that sends <kind> in all answers gets few requests
+    Guards against an endpoint in trouble that is tried by each request.
+    Given a platform with engines and services in failure domains "a" and "b"
+    And a ready entry "one" in "a"
+    And one service sends <kind> in all answers
+    When callers send 20 calls a second of "/lists/x" and of "/orders/x" for 4 s
+    Then each call of "/lists/x" ends whole
+    And the calls of "/orders/x" that meet it end as unknown, the others are whole
+    And the service got at most 20 calls
+
+    Examples:
+      | kind                                    |
+      | a status of 000                         |
+      | a status of 999                         |
+      | the byte 01 in the reason               |
+      | a blank in a field name                 |
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -20,6 +20,8 @@
 import attrs
 import httptools
 
+from dunlintide_adapters import answersyntax
+
 __all__ = [
     'AnswerHead',
     'CallError',
@@ -64,6 +66,8 @@
 _WRITE_HIGH_WATER_BYTES = 16 << 10
 # Most bytes that are read before other connections have their turn.
 _READ_BYTES = 32 << 10
+# Beginning of a status line; the parser takes other protocols as well.
+_PROTOCOL = b'HTTP/'
 
 
 class FailureKind(enum.StrEnum):
@@ -144,6 +148,9 @@
         self._complete = False
         self._framed = False
         self._failure: FailureKind | None = None
+        self._failure_text = ''
+        self._first_bytes = b''
+        self._version = ''
         self._has_excess_input = False
         self._bodiless = False
         self._on_head: Callable[[AnswerHead], None] | None = None
@@ -207,10 +214,10 @@
             return
         body_bytes = self.received + self._foreign_bytes
         try:
+            self._check_protocol(data)
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if not self._complete and self._failure is None:
-                self._failure = FailureKind.GARBLED
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as bad:
+            self._fail(FailureKind.GARBLED, str(bad))
             self._has_excess_input = True
         body_bytes = self.received + self._foreign_bytes - body_bytes
         self._framing_bytes += size - body_bytes
@@ -221,6 +228,42 @@
             self.close()
         self._wake()
 
+    def _fail(self, kind: FailureKind, text: str) -> None:
+        """Fail the call in progress, unless it has ended already."""
+        if not self._complete and self._failure is None:
+            self._failure, self._failure_text = kind, text
+
+    def _check_protocol(self, data: memoryview) -> None:
+        """Check how the first answer begins.
+
+        :raises HttpParserError: if it is of another protocol
+        """
+        if len(self._first_bytes) >= len(_PROTOCOL):
+            return
+        # The parser skips blank lines before an answer.
+        first = (self._first_bytes + data).lstrip(b'\r\n')
+        self._first_bytes = first[: len(_PROTOCOL)]
+        if not _PROTOCOL.startswith(self._first_bytes):
+            self._fail(FailureKind.GARBLED, 'not an answer of HTTP')
+            raise httptools.HttpParserError('not an answer of HTTP')
+
+    def _check_head(self, status: int, reason: bytes) -> None:
+        """Check what the parser accepts though it is no answer of HTTP.
+
+        :raises ValueError: if the answer is malformed
+        """
+        version = self._parser.get_http_version()
+        fault = answersyntax.find_status_fault(
+            version, status, reason
+        ) or answersyntax.find_framing_fault(self._headers)
+        if version != (self._version or version):
+            # The beginning of the first answer alone has been checked.
+            fault = 'another version than before'
+        self._version = version
+        if fault is not None:
+            self._fail(FailureKind.GARBLED, fault)
+            raise ValueError(fault)
+
     def _check_size(self) -> None:
         """Fail the call if no sound answer has so much besides its body."""
         limit = MAX_HEAD_BYTES
@@ -254,11 +297,12 @@
             self._has_excess_input = True
             return
         status = self._parser.get_status_code()
-        if 100 <= status < 200:
+        reason = b''.join(self._reason)
+        self._check_head(status, reason)
+        if status < 200:
             self._headers, self._reason = [], []
             return
-        reason = b''.join(self._reason).decode('latin-1')
-        head = AnswerHead(status, reason, self._headers)
+        head = AnswerHead(status, reason.decode('latin-1'), self._headers)
         if self._on_head is not None:
             self._on_head(head)
         if self._is_own is not None and not self._is_own(head):
@@ -366,6 +410,7 @@
         self._framing_bytes = self._foreign_bytes = self.received = 0
         self._head = None
         self._reason, self._headers = [], []
+        self._first_bytes, self._version = b'', ''
         self._complete = self._framed = False
         self._bodiless = bodiless
         self.in_call = True
@@ -472,7 +517,7 @@
 
     def _check(self) -> None:
         if self._failure is not None:
-            raise CallError(self._failure, True)
+            raise CallError(self._failure, True, self._failure_text)
 
     async def _wait(self, deadline: float) -> None:
         remaining = deadline - self._loop.time()
--- a/packages/standins/src/dunlintide_standins/fleet/runners.py
+++ b/packages/standins/src/dunlintide_standins/fleet/runners.py
@@ -13,6 +13,7 @@
 import attrs
 
 from dunlintide_standins.fleet import endless
+from dunlintide_standins.fleet import malformed
 from dunlintide_standins.fleet import store as stores
 from dunlintide_standins.fleet import wire
 
@@ -90,6 +91,9 @@
     :ivar cut_heads: count of responses that end within their head, streams
         included
     :ivar cut_fraction: part of such a head that is sent, from 0 to 1
+    :ivar malformed_answers: count of responses that are malformed, streams
+        included
+    :ivar malformed_kind: where such a response is malformed
     :ivar stall: whether calls and streams through the runner stop
     :ivar stall_after: number of events after which a stream stops, None
         for no stop
@@ -115,6 +119,8 @@
     unframed: int = 0
     cut_heads: int = 0
     cut_fraction: float = 0.5
+    malformed_answers: int = 0
+    malformed_kind: malformed.Malformed = malformed.Malformed.STATUS_000
     stall: bool = False
     stall_after: int | None = None
     stall_within: bool = False
@@ -625,6 +631,15 @@
         if part and self.fleet.crash_point is CrashPoint.BEFORE_HEAD:
             await self._crash_by_part(part, run)
         run.answered = time.monotonic()
+        if self.faults.consume('malformed_answers'):
+            number = run.after + 1
+            event = b'id: %d\ndata: %b-%d\n\n' % (
+                number,
+                run.request.encode(),
+                number,
+            )
+            await self._send_malformed(channel, run, headers, event)
+            return
         framed = not self.faults.consume('unframed')
         head = channel.build_head(200, headers, None, framed)
         if self.faults.consume('cut_heads'):
@@ -640,6 +655,18 @@
                 channel.write(b'id: ')
             raise
 
+    async def _send_malformed(
+        self,
+        channel: wire.Channel,
+        run: Run,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> None:
+        """Send a malformed response and close the connection."""
+        run.ended = 'malformed'
+        await channel.send(self.faults.malformed_kind.encode(headers, body))
+        channel.close()
+
     async def _cut_head(self, channel: wire.Channel, head: bytes) -> None:
         """Send a part of a head and close the connection."""
         size = min(int(len(head) * self.faults.cut_fraction), len(head) - 1)
@@ -724,6 +751,9 @@
             'Attempt-Id': run.request,
             'Server-Stamp': compute_stamp(self.name, body),
         }
+        if self.faults.consume('malformed_answers'):
+            await self._send_malformed(channel, run, headers, body)
+            return
         if self.faults.consume('fail'):
             run.ended = 'failed'
             await channel.answer(500, b'broken', headers)
