Refuse malformed lines in answers to clients on threads

An agent passed answers of its service or engine on that were no HTTP, with status and body as they came; store, host list and the agent's reports of engines took them as well. Some kept their reader waiting until its timeout.

Cause: the HTTP library reads a status line by its blanks, takes statuses up to 999, and parses header lines as mail, where all behind a line that can't be read is dropped, with it Content-Length or Transfer-Encoding; a body without either ends with the connection. Chunk sizes it reads as Python numbers (`+2`, `0x2`, `-1`), the end of a chunk and trailers not at all.

Names of fields with a blank are taken where the reader waits for the end of the connection.

Each line now goes through the syntax that entries use before the library sees it, and what frames the body is checked once the head is whole.

--- a/features/malformedanswers.feature
+++ b/features/malformedanswers.feature
@@ -59,3 +59,35 @@
       | a status of 999                         |
       | the byte 01 in the reason               |
       | a blank in a field name                 |
+
+  Scenario Outline: A client on threads takes no malformed answer for one, read <how>
+    Guards against a library that drops all lines behind one that it can't read:
+    what tells where the body ends is lost with them.
+    When each malformed answer is read <how> by a client on threads
+    Then each read has failed at once
+
+    Examples:
+      | how          |
+      | preloaded    |
+      | up to a size |
+      | as a stream  |
+
+  Scenario Outline: A malformed answer to <call> has failed
+    When each malformed answer is read as one to <call>
+    Then each read has failed at once
+
+    Examples:
+      | call                  |
+      | the host list         |
+      | a transaction         |
+      | a watch               |
+      | a health check        |
+      | the load of an engine |
+      | an import             |
+      | the end of a session  |
+      | an order of layers    |
+      | a relayed call        |
+      | a report              |
+      | an order              |
+      | a store call          |
+      | another entry         |
--- /dev/null
+++ b/features/steps/malformedreads.py
@@ -0,0 +1,145 @@
+"""Steps for malformed answers to the clients of the product."""
+
+import contextlib
+import socket
+import threading
+import time
+
+import behave
+import cutheads
+from dunlintide_adapters import bodies
+from dunlintide_adapters import boundedhttp
+from dunlintide_adapters import store as store_client
+from dunlintide_adapters import storewatch
+from dunlintide_cli import daemons
+from dunlintide_standins.fleet import malformed
+import urllib3
+
+WAIT_SECONDS = 5.0
+# A client that waits for the end of a connection has not seen the fault.
+AT_ONCE_SECONDS = 1.0
+_FIELDS = {'Content-Type': 'application/json'}
+
+
+class _Server:
+    """A server that sends the same answer to each request.
+
+    It keeps its connections open, which the client has to close.
+
+    :ivar answer: what it sends
+    """
+
+    def __init__(self):
+        self.answer = b''
+        self._connections = []
+        self._listener = socket.create_server(('127.0.0.1', 0), backlog=64)
+        self.address = '127.0.0.1:%d' % self._listener.getsockname()[1]
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def _run(self):
+        with contextlib.ExitStack() as stack:
+            while True:
+                try:
+                    connection, _ = self._listener.accept()
+                except OSError:
+                    return
+                stack.enter_context(connection)
+                with contextlib.suppress(OSError):
+                    self._serve(connection)
+
+    def _serve(self, connection):
+        connection.settimeout(WAIT_SECONDS)
+        received = connection.recv(65536)
+        if b'\r\n\r\n' not in received:
+            received += connection.recv(65536)
+        connection.sendall(self.answer)
+
+    def close(self):
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self._thread.join()
+
+
+def _read_each(context, body, read):
+    """Read each malformed answer.
+
+    :param read: returns whether an answer of an address is taken for one
+    """
+    context.taken, context.slow = [], []
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+    with contextlib.closing(_Server()) as server:
+        server.answer = head + body
+        assert read(server.address), 'a sound answer'
+        for kind in malformed.Malformed:
+            server.answer = kind.encode(_FIELDS, body)
+            began = time.monotonic()
+            if read(server.address):
+                context.taken.append(kind.value)
+            seconds = time.monotonic() - began
+            if seconds > AT_ONCE_SECONDS:
+                context.slow.append((kind.value, seconds))
+
+
+def _read_stream(answer):
+    for _ in answer.stream():
+        pass
+
+
+@behave.when('each malformed answer is read {how} by a client on threads')
+def read_each(context, how):
+    def read(address):
+        pool = boundedhttp.build_pool(
+            f'http://{address}', how == 'as a stream'
+        )
+        try:
+            answer = pool.request(
+                'GET',
+                '/',
+                timeout=WAIT_SECONDS,
+                preload_content=how == 'preloaded',
+            )
+            if how == 'as a stream':
+                _read_stream(answer)
+            elif how == 'up to a size':
+                bodies.read(answer, 1000, WAIT_SECONDS)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return True
+
+    _read_each(context, b'{}', read)
+
+
+def _watch(address):
+    stop = threading.Event()
+    outcomes = []
+
+    def end(outcome):
+        outcomes.append(outcome)
+        stop.set()
+
+    store = store_client.Store.from_url(f'http://{address}')
+    timing = storewatch.WatchTiming(silence=WAIT_SECONDS)
+    watcher = storewatch.Watcher(store._watch_pool, timing, end)
+    watcher.watch('a', 0, lambda event: None, stop)
+    return outcomes == ['ok']
+
+
+@behave.when('each malformed answer is read as one to {call}')
+def read_as(context, call):
+    read = {
+        'a watch': _watch,
+        'an order of a command': lambda address: daemons.drain(
+            f'http://{address}'
+        ).is_ok(),
+    }.get(call, lambda address: cutheads._read_as(call, address))
+    body = cutheads._BODIES.get(call, b'{}')
+    if call == 'a watch':
+        body = b'{"result": {"created": true, "header": {"revision": "1"}}}\n'
+    _read_each(context, body, read)
+
+
+@behave.then('each read has failed at once')
+def check_failed(context):
+    assert not context.taken, (len(context.taken), context.taken)
+    assert not context.slow, context.slow
--- a/packages/adapters/src/dunlintide_adapters/boundedhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/boundedhttp.py
@@ -1,13 +1,15 @@
-"""Connections of clients that block, whose answers are bounded and whole.
+"""Connections of clients that block, with answers bounded, whole and valid.
 
 The timeout of a read bounds neither the time nor the size of an answer: bytes
 may go on arriving. The HTTP library bounds a line and the number of header
 fields, but not the number of interim answers or trailers. It also takes the
 end of the connection for the end of a head, and so a part of an answer for a
-whole one.
+whole one. Of header lines it drops all behind one that it can't read. So each
+line is checked before the library sees it.
 """
 
 import contextlib
+import enum
 import functools
 import http.client
 import io
@@ -17,6 +19,8 @@
 import urllib3
 from urllib3 import connection as connections
 
+from dunlintide_adapters import answersyntax
+
 __all__ = ['build_pool']
 
 # Longest time of an answer, in timeouts of one read. A stream has it for its
@@ -27,6 +31,8 @@
 MAX_LINE_BYTES = 64 << 10
 BYTES_PER_LINE_BYTE = 16
 STREAM_BYTES_PER_LINE_BYTE = 2
+_LINE_ENDS = (b'\r\n', b'\n')
+_CHUNK_END = b'\r\n'
 
 _CONNECTIONS = {
     'http': connections.HTTPConnection,
@@ -72,6 +78,15 @@
         super().close()
 
 
+class _Line(enum.Enum):
+    """Line that comes next in an answer."""
+
+    STATUS = enum.auto()
+    FIELD = enum.auto()
+    CHUNK = enum.auto()
+    TRAILER = enum.auto()
+
+
 class _Reader(io.BufferedReader):
     """Reads the lines of an answer, which are all that is not its body."""
 
@@ -79,6 +94,13 @@
         super().__init__(raw)
         self._ratio = ratio
         self._line_bytes = 0
+        self._next = _Line.STATUS
+        # Bytes of a chunk, with its end, that have not been read.
+        self._chunk_left = 0
+
+    def expect_status(self) -> None:
+        """Expect another head, behind that of an interim answer."""
+        self._next = _Line.STATUS
 
     def readline(self, size: int | None = -1) -> bytes:
         line = super().readline(size)
@@ -89,8 +111,59 @@
         rest = self.raw.received - self._line_bytes
         if self._line_bytes > MAX_LINE_BYTES + rest // self._ratio:
             raise http.client.HTTPException('more besides a body than allowed')
+        if line:
+            self._check_line(line)
         return line
 
+    def _check_line(self, line: bytes) -> None:
+        """Check a line.
+
+        :raises http.client.HTTPException: if it is malformed
+        """
+        fault = None
+        if self._next is _Line.STATUS:
+            fault = answersyntax.find_status_line_fault(line)
+            self._next = _Line.FIELD
+        elif self._next is _Line.CHUNK:
+            size = answersyntax.parse_chunk_size(line)
+            if size is None:
+                fault = 'an invalid chunk size'
+            elif size:
+                self._chunk_left = size + len(_CHUNK_END)
+            else:
+                self._next = _Line.TRAILER
+        elif line in _LINE_ENDS:
+            self._next = _Line.CHUNK
+        else:
+            fault = answersyntax.find_field_fault(line)
+        if fault is not None:
+            raise http.client.HTTPException(fault)
+
+    def read(self, size: int | None = -1) -> bytes:
+        return self._check_chunk_end(super().read(size))
+
+    def read1(self, size: int = -1) -> bytes:
+        return self._check_chunk_end(super().read1(size))
+
+    def readinto(self, buffer: memoryview) -> int | None:
+        size = super().readinto(buffer)
+        self._check_chunk_end(memoryview(buffer)[: size or 0])
+        return size
+
+    def _check_chunk_end(self, data: bytes) -> bytes:
+        """Check the part of the end of a chunk in what was read of it.
+
+        :raises http.client.HTTPException: if it is malformed
+        """
+        if self._chunk_left and data:
+            self._chunk_left -= len(data)
+            past = min(len(data), len(_CHUNK_END) - self._chunk_left)
+            if past > 0:
+                end = _CHUNK_END[: len(_CHUNK_END) - self._chunk_left]
+                if bytes(data[-past:]) != end[-past:]:
+                    raise http.client.HTTPException('a chunk without its end')
+        return data
+
 
 class _Answer(http.client.HTTPResponse):
     """An answer whose head, body and trailers have an end."""
@@ -101,6 +174,16 @@
         super().__init__(connection, *args, **options)
         self.fp = _Reader(_Input(self.fp.detach(), connection), self.ratio)
 
+    def begin(self) -> None:
+        """Read the head.
+
+        :raises http.client.HTTPException: if it is malformed
+        """
+        super().begin()
+        fault = answersyntax.find_framing_fault(self.headers.items())
+        if fault is not None:
+            raise http.client.HTTPException(fault)
+
     def _read_status(self) -> tuple[str, int, str]:
         """Read the status line behind interim answers of all kinds.
 
@@ -108,10 +191,9 @@
         taken for that to the next request.
         """
         while True:
+            self.fp.expect_status()
             version, status, reason = super()._read_status()
-            if status == http.HTTPStatus.SWITCHING_PROTOCOLS or (
-                status >= http.HTTPStatus.OK
-            ):
+            if status >= http.HTTPStatus.OK:
                 return version, status, reason
             http.client.parse_headers(self.fp)
 
