Bound and check what daemons answer to commands

`dunlintide status`, `dump` and `drain` took answers that are no HTTP for those of a daemon, read them without a bound and followed redirects.

Cause: they used the library's own client instead of the bounded one.

--- a/features/malformedanswers.feature
+++ b/features/malformedanswers.feature
@@ -91,3 +91,4 @@
       | an order              |
       | a store call          |
       | another entry         |
+      | an order of a command |
--- a/packages/cli/src/dunlintide_cli/daemons.py
+++ b/packages/cli/src/dunlintide_cli/daemons.py
@@ -9,6 +9,8 @@
 import result
 import urllib3
 
+from dunlintide_adapters import bodies
+from dunlintide_adapters import boundedhttp
 from dunlintide_core import fleet
 
 __all__ = [
@@ -20,6 +22,8 @@
 ]
 
 TIMEOUT_SECONDS = 5.0
+# Largest answer, in bytes: dumps of large deployments.
+MAX_ANSWER_BYTES = 256 << 20
 
 _MAX_CALLS = 16
 _OK = 200
@@ -96,14 +100,21 @@
             CallError(url, 'expected a URL with http:// or https://')
         )
     try:
-        answer = urllib3.request(
-            method,
-            url.rstrip('/') + path,
-            retries=False,
-            timeout=TIMEOUT_SECONDS,
-        )
-        body = json.loads(answer.data)
-    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        base = urllib3.util.parse_url(url).path or ''
+        with boundedhttp.build_pool(url, timeout=TIMEOUT_SECONDS) as pool:
+            answer = pool.request(
+                method,
+                base.rstrip('/') + path,
+                redirect=False,
+                preload_content=False,
+            )
+            content = bodies.read(answer, MAX_ANSWER_BYTES, TIMEOUT_SECONDS)
+        body = json.loads(content)
+    except (
+        urllib3.exceptions.HTTPError,
+        RecursionError,
+        ValueError,
+    ) as error:
         return result.Err(CallError(url, str(error)))
     if answer.status not in expected or not isinstance(body, dict):
         return result.Err(CallError(url, f'status {answer.status}'))
