Let the callers of the tests refuse what is no HTTP

A test that looks for broken answers at callers found none, since its callers took them: the stand-in split lines at blanks and colons, and the trials' client left it to the library, which drops lines that it can't read.

Evidence: features/malformedanswers.feature, a caller's request: 47 of 53 kinds were taken for an answer, two more ended the caller with an OverflowError.

--- a/features/malformedanswers.feature
+++ b/features/malformedanswers.feature
@@ -92,3 +92,4 @@
       | a store call          |
       | another entry         |
       | an order of a command |
+      | a caller's request    |
--- a/packages/standins/src/dunlintide_standins/fleet/callers.py
+++ b/packages/standins/src/dunlintide_standins/fleet/callers.py
@@ -1,5 +1,9 @@
-"""Callers of the platform that send and read raw HTTP/1.1."""
+"""Callers of the platform that send and read raw HTTP/1.1.
 
+They take no answer that departs from it.
+"""
+
+import re
 import socket
 from typing import Sequence
 
@@ -15,6 +19,23 @@
 ]
 
 WAIT_SECONDS = 10
+_STATUS_LINE = re.compile(
+    rb'HTTP/1\.1 ([1-5][0-9]{2}) ([\t -~\x80-\xff]*)\r\n'
+)
+_FIELD_LINE = re.compile(
+    rb"([!#-'*+\-.0-9A-Z^_`a-z|~]+):([\t -~\x80-\xff]*)\r\n"
+)
+_CHUNK_LINE = re.compile(rb'([0-9A-Fa-f]{1,8})\r\n')
+_LENGTH = re.compile(r'[0-9]{1,9}')
+_FRAMING = {'content-length', 'transfer-encoding'}
+_SWITCHING_PROTOCOLS = 101
+
+
+def _match(pattern: re.Pattern, line: bytes) -> re.Match:
+    match = pattern.fullmatch(line)
+    if match is None:
+        raise ValueError(f'malformed line {line!r}')
+    return match
 
 
 @attrs.frozen
@@ -53,12 +74,24 @@
         """Read the status and the headers of a response.
 
         :raises ConnectionResetError: if the connection closes first
+        :raises ValueError: if the head is malformed
         """
-        status = int(self._read_line().split()[1])
+        status = int(_match(_STATUS_LINE, self._read_line())[1])
+        if status == _SWITCHING_PROTOCOLS:
+            raise ValueError(f'status {status}')
         headers = {}
-        while line := self._read_line().strip():
-            name, _, value = line.decode('latin-1').partition(':')
-            headers[name.lower()] = value.strip()
+        while (line := self._read_line()) != b'\r\n':
+            match = _match(_FIELD_LINE, line)
+            name, value = match[1].decode().lower(), match[2].decode('latin-1')
+            if name in headers and name in _FRAMING:
+                raise ValueError(f'two headers {name}')
+            headers[name] = value.strip()
+        if headers.get('transfer-encoding', 'chunked') != 'chunked' or (
+            len(_FRAMING & headers.keys()) > 1
+        ):
+            raise ValueError(f'framing {headers}')
+        if not _LENGTH.fullmatch(headers.get('content-length', '0')):
+            raise ValueError(f'length {headers["content-length"]}')
         return status, headers
 
     def _read_line(self) -> bytes:
@@ -71,16 +104,29 @@
             raise ConnectionResetError('connection closed within a response')
         return line
 
+    def _read_chunk_size(self) -> int:
+        return int(_match(_CHUNK_LINE, self._read_line())[1], 16)
+
+    def _read_end(self) -> None:
+        """Read the end of a chunk, or of a body without trailers."""
+        line = self._read_line()
+        if line != b'\r\n':
+            raise ValueError(f'{line!r} behind a chunk')
+
     def read_answer(self) -> Answer:
-        """Read a response, which may be truncated within its body."""
+        """Read a response, which may be truncated within its body.
+
+        :raises ConnectionResetError: if the connection closes before
+        :raises ValueError: if the head is malformed
+        """
         status, headers = self.read_head()
         body = bytearray()
         try:
             if headers.get('transfer-encoding') == 'chunked':
-                while size := int(self._read_line(), 16):
+                while size := self._read_chunk_size():
                     body += self.file.read(size)
-                    self._read_line()
-                self._read_line()
+                    self._read_end()
+                self._read_end()
             elif 'content-length' in headers:
                 length = int(headers['content-length'])
                 body += self.file.read(length)
--- a/packages/trials/src/dunlintide_trials/client.py
+++ b/packages/trials/src/dunlintide_trials/client.py
@@ -7,6 +7,7 @@
 import attrs
 import urllib3
 
+from dunlintide_adapters import boundedhttp
 from dunlintide_core import outcomes
 
 __all__ = ['Answer', 'Caller', 'LOST', 'TRUNCATED']
@@ -148,13 +149,13 @@
         self._headers = {'Authorization': f'Bearer {key}'}
         timeout = urllib3.Timeout(connect=_CONNECT_SECONDS, read=read_seconds)
         # Without retries each request of a trial arrives at most once.
-        self._pool = urllib3.PoolManager(
-            maxsize=_MAX_CONNECTIONS, retries=False, timeout=timeout
+        self._pool = boundedhttp.build_pool(
+            url, is_stream=True, maxsize=_MAX_CONNECTIONS, timeout=timeout
         )
 
     def close(self) -> None:
         """Close all connections."""
-        self._pool.clear()
+        self._pool.close()
 
     def send(
         self,
@@ -176,8 +177,9 @@
         try:
             response = self._pool.request(
                 method,
-                self.url + path,
+                path,
                 body=body,
+                redirect=False,
                 headers=self._headers | (headers or {}),
                 preload_content=False,
             )
