Refuse numbers in listings that no arithmetic holds

Cause: any integer was taken for a number of slots; the cost of an endpoint, the calls in flight by its slots, then fails with an OverflowError, and so does the choice among all endpoints of the service.

A listing now names no endpoint if a number in it is beyond 2^53, which floating point holds exactly, or its slots beyond 65,535, as each request takes a connection and an address has no more ports. So one entry can't lift the bound on what the entries admit to a service to any number either.

--- a/features/listings.feature
+++ b/features/listings.feature
@@ -21,6 +21,12 @@
       | address      | missing                        |
       | slots        | "6"                            |
       | slots        | 0                              |
+      | slots        | 65536                          |
+      | slots        | a number of 400 digits         |
+      | seq          | a number of 400 digits         |
+      | cold_left_ms | 1e300                          |
+      | layers       | [{"from": 0, "to": 1e300}]     |
+      | born         | a number of 400 digits         |
       | state        | "bogus"                        |
       | state        | 7                              |
       | state        | missing                        |
--- a/features/steps/listings.py
+++ b/features/steps/listings.py
@@ -91,6 +91,8 @@
     row = dict(VALID_ROW)
     if value == 'missing':
         del row[field]
+    elif value == 'a number of 400 digits':
+        row[field] = 10**399
     else:
         row[field] = json.loads(value)
     if field == 'born':
