Read the list by pages where a watch can't hold its changes

An entry stopped following the list of endpoints for good once the changes that it had missed were more than 8 MB: each watch from the same revision got the same answer, which is not read. New endpoints got no requests, and those that left would have kept theirs.

Cause: only parts with a limit of their own told an answer that is too large from one that was lost, which is asked for again.

Such a watch is now answered by reading the part by pages, as a watch whose history is lost is. The stand-in of the store ends a page at 1 MB of values, as the platform's does.

--- a/packages/daemon/src/dunlintide_daemon/gateway/follower.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/follower.py
@@ -79,7 +79,8 @@
     """Keys that are read and watched together.
 
     :ivar prefix: prefix of the keys
-    :ivar limit: size from which an answer is not read, in bytes, None for any
+    :ivar limit: size from which an answer is not read, in bytes, None for the
+        largest one
     :ivar revision: revision up to which all changes are known, None before
         the first read
     :ivar answered_at: monotonic time of the last answer, or of the call if
@@ -572,7 +573,8 @@
                 'large answer put off', prefix=part.prefix, bytes=refusal.size
             )
             part.failures = 0
-            if part is self._configuration:
+            if part is not self._whole:
+                # The same changes would come again; pages are small.
                 part.revision = None
                 return True
             known = part.revision
--- a/packages/standins/src/dunlintide_standins/fleet/store.py
+++ b/packages/standins/src/dunlintide_standins/fleet/store.py
@@ -16,6 +16,8 @@
 __all__ = ['Faults', 'Rewrite', 'Store']
 
 _PAGE_ENTRIES = 50
+# Size of values, as they are sent, with which a page ends.
+_PAGE_BYTES = 1 << 20
 _EXPIRY_POLL_SECONDS = 0.05
 
 Rewrite = Callable[[str, bytes], bytes]
@@ -357,9 +359,15 @@
             for key in self.list_keys(prefix)
             if after is None or key > after
         ]
+        entries, size = [], 0
+        for key in keys[:_PAGE_ENTRIES]:
+            entries.append(self._describe(key))
+            size += len(self._items[key].value)
+            if size >= _PAGE_BYTES:
+                break
         return 200, {
-            'entries': [self._describe(key) for key in keys[:_PAGE_ENTRIES]],
-            'truncated': len(keys) > _PAGE_ENTRIES,
+            'entries': entries,
+            'truncated': len(keys) > len(entries),
             'current_rev': self.revision,
         }
 
