Take bodies that are nested too deeply for invalid

A body of 200,000 brackets, in a field that nobody reads, ended the thread or process that decoded it: the watch of the store, after which its entry followed the list no more, the poll of the host list, steps and exports, and, as the supervisor of an agent ends its process on any error, the agent whose engine told its load so. The same body in a request of a caller, a leader's key or a chunk of the configuration went the same way.

Cause: the decoders raise RecursionError for it, which is none of the errors that they raise for other invalid bodies, and only those were caught.

It is caught now with the others, wherever the product decodes what others wrote. The adapter for the platform's store had it at listings, reports and entries, and has it at its answers too.

--- a/features/malformedanswers.feature
+++ b/features/malformedanswers.feature
@@ -93,3 +93,23 @@
       | another entry         |
       | an order of a command |
       | a caller's request    |
+
+  Scenario Outline: A deeply nested answer to <call> has failed
+    Guards against bodies that end the process or thread that decodes them.
+    When an answer nested 200000 deep is read as one to <call>
+    Then the read has failed without an error
+
+    Examples:
+      | call                  |
+      | the host list         |
+      | a transaction         |
+      | a watch               |
+      | the load of an engine |
+      | steps of an engine    |
+      | an export             |
+      | blocks of an engine   |
+      | an order of a command |
+      | a store call          |
+      | a leader              |
+      | a configuration       |
+      | a caller's prompt     |
--- a/features/steps/malformedreads.py
+++ b/features/steps/malformedreads.py
@@ -9,9 +9,15 @@
 import cutheads
 from dunlintide_adapters import bodies
 from dunlintide_adapters import boundedhttp
-from dunlintide_adapters import store as store_client
+from dunlintide_adapters import cacheevents
+from dunlintide_adapters import engine
+from dunlintide_adapters import leaders
+from dunlintide_adapters import store as stores
 from dunlintide_adapters import storewatch
 from dunlintide_cli import daemons
+from dunlintide_core import documents
+from dunlintide_core import revisions
+from dunlintide_daemon.entry import requests
 from dunlintide_standins.fleet import malformed
 import urllib3
 
@@ -118,7 +124,7 @@
         outcomes.append(outcome)
         stop.set()
 
-    store = store_client.Store.from_url(f'http://{address}')
+    store = stores.Store.from_url(f'http://{address}')
     timing = storewatch.WatchTiming(silence=WAIT_SECONDS)
     watcher = storewatch.Watcher(store._watch_pool, timing, end)
     watcher.watch('a', 0, lambda event: None, stop)
@@ -143,3 +149,59 @@
 def check_failed(context):
     assert not context.taken, (len(context.taken), context.taken)
     assert not context.slow, context.slow
+
+
+def _read_configuration(nested):
+    """Return whether a nested value is taken for a configuration."""
+    section = b'{"section": "x", "items": [], "y": %b}' % nested
+    chunk = revisions.Chunk(revisions.digest_bytes(section), section)
+    head = revisions.Head(1, '', 'a' * 64, (chunk.digest,))
+    read = (
+        documents.decode_configuration(nested),
+        revisions.split(nested),
+        revisions.join(head, {chunk.digest: section}),
+        revisions.decode_head(nested),
+    )
+    return any(each.is_ok() for each in read)
+
+
+@behave.when('an answer nested {depth:d} deep is read as one to {call}')
+def read_nested(context, depth, call):
+    nested = b'{"x": %b%b}\n' % (b'[' * depth, b']' * depth)
+    context.taken, context.slow = [], []
+    if call == 'a configuration':
+        context.taken += ['x'] * _read_configuration(nested)
+        return
+    if call == "a caller's prompt":
+        parsed = requests.parse_completion(nested, chat=False)
+        context.taken += ['x'] * parsed.is_ok()
+        return
+    if call == 'a leader':
+        # It holds the key, whatever it is.
+        leader = leaders._read_leader(stores.Value('k', nested, 7))
+        assert leader == leaders.Leader('', '', 7), leader
+        return
+
+    def use_engine(use):
+        return lambda address: use(engine.Engine(f'http://{address}')).is_ok()
+
+    read = {
+        'a watch': _watch,
+        'an order of a command': lambda address: daemons.drain(
+            f'http://{address}'
+        ).is_ok(),
+        'steps of an engine': use_engine(lambda each: each.run_steps([], 2.0)),
+        'an export': use_engine(lambda each: each.export_session('s')),
+        'blocks of an engine': use_engine(
+            lambda each: cacheevents.EventReader(each).read_blocks()
+        ),
+    }.get(call, lambda address: cutheads._read_as(call, address))
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(nested)
+    with contextlib.closing(_Server()) as server:
+        server.answer = head + nested
+        context.taken += ['x'] * read(server.address)
+
+
+@behave.then('the read has failed without an error')
+def check_nested(context):
+    assert not context.taken
--- a/packages/adapters/src/dunlintide_adapters/cacheevents.py
+++ b/packages/adapters/src/dunlintide_adapters/cacheevents.py
@@ -94,6 +94,6 @@
             return called
         try:
             return result.Ok(_decoder.decode(called.ok_value))
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             detail = f'invalid answer: {type(error).__name__}'
             return result.Err(engines.EngineError(detail))
--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -38,6 +38,15 @@
 _HTTP_OK = 200
 _JSON_HEADERS = {'Content-Type': 'application/json'}
 _JSON_CLOSE_HEADERS = _JSON_HEADERS | {'Connection': 'close'}
+# Errors of decoding a body, which may hold anything.
+_INVALID_BODY = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 _quote = functools.partial(parse.quote, safe='')
 
 
@@ -316,7 +325,7 @@
             return called
         try:
             return result.Ok(_decode_results(called.ok_value))
-        except (ValueError, KeyError, TypeError) as error:
+        except _INVALID_BODY as error:
             detail = f'invalid answer: {type(error).__name__}'
             return result.Err(EngineError(detail))
 
@@ -359,7 +368,7 @@
             return called
         try:
             return result.Ok(_decode_known_fields(called.ok_value, kind))
-        except (ValueError, TypeError, AttributeError) as error:
+        except _INVALID_BODY as error:
             detail = f'invalid answer: {type(error).__name__}'
             return result.Err(EngineError(detail))
 
@@ -383,7 +392,7 @@
         try:
             state = json.loads(called.ok_value)['state']
             return result.Ok(base64.b64decode(state))
-        except (ValueError, KeyError, TypeError) as error:
+        except _INVALID_BODY as error:
             detail = f'invalid answer: {type(error).__name__}'
             return result.Err(EngineError(detail))
 
--- a/packages/adapters/src/dunlintide_adapters/hostlist.py
+++ b/packages/adapters/src/dunlintide_adapters/hostlist.py
@@ -101,7 +101,7 @@
             return result.Err(HostListFailure(f'HTTP status {answer.status}'))
         try:
             self.hosts = self._decoder.decode(content).hosts
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return result.Err(HostListFailure(str(error)))
         return result.Ok(self.hosts)
 
--- a/packages/adapters/src/dunlintide_adapters/leaders.py
+++ b/packages/adapters/src/dunlintide_adapters/leaders.py
@@ -47,7 +47,7 @@
         return None
     try:
         record = msgspec.json.decode(value.value, type=_Record)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         # An unreadable record still holds the key, so no other process
         # can lead.
         record = _Record('', '')
--- a/packages/adapters/src/dunlintide_adapters/store.py
+++ b/packages/adapters/src/dunlintide_adapters/store.py
@@ -378,7 +378,7 @@
             )
         try:
             return result.Ok(gateway.decode(content, answer_type))
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return result.Err(storefailures.classify_error(error, writes))
 
     def _update_circuit(self, reply: result.Result) -> None:
--- a/packages/adapters/src/dunlintide_adapters/storewatch.py
+++ b/packages/adapters/src/dunlintide_adapters/storewatch.py
@@ -143,7 +143,11 @@
                     return storefailures.FailureKind.REFUSED
                 if not stop.is_set():
                     self._read(stream, on_event, stop)
-        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+        except (
+            urllib3.exceptions.HTTPError,
+            msgspec.MsgspecError,
+            RecursionError,
+        ) as error:
             return storefailures.classify_error(error, False).kind
         return _OK
 
--- a/packages/core/src/dunlintide_core/documents.py
+++ b/packages/core/src/dunlintide_core/documents.py
@@ -117,7 +117,7 @@
     """
     try:
         value = msgspec.json.decode(body)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return result.Err(revisions.Corruption(f'not JSON: {error}'))
     root = jsonc.Document('', value, {(): jsonc.Position(1, 1)}, {})
     read = schemas.structure(root, configuration.Configuration, _reader)
--- a/packages/core/src/dunlintide_core/revisions.py
+++ b/packages/core/src/dunlintide_core/revisions.py
@@ -168,7 +168,7 @@
             for section, items in sorted(sections.items())
             for group in _group_items(bytes(item) for item in items)
         )
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return result.Err(Corruption(f'not a configuration document: {error}'))
     if any(len(chunk.body) > MAX_CHUNK_BYTES for chunk in chunks):
         return result.Err(
@@ -200,7 +200,7 @@
         return result.Err(Corruption('chunks are missing', missing))
     try:
         document = _assemble(bodies[digest] for digest in head.chunks)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return result.Err(Corruption(f'cannot decode a chunk: {error}'))
     if digest_bytes(document) != head.document:
         return result.Err(
@@ -260,7 +260,7 @@
     """
     try:
         return result.Ok(_heads.decode(body))
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return result.Err(Corruption(f'not a head: {error}'))
 
 
--- a/packages/daemon/src/dunlintide_daemon/entry/requests.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/requests.py
@@ -133,7 +133,11 @@
     kind = _ChatBody if chat else _PromptBody
     try:
         parsed: Any = msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (
+        msgspec.DecodeError,
+        RecursionError,
+        UnicodeDecodeError,
+    ) as error:
         # msgspec's messages name types and paths but quote no values, so
         # they reveal no content of the request.
         return _refuse(str(error))
