Check what an engine tells of its load and its layers

An engine that told a text, null, NaN or a number of 400 digits of its load could end its agent, and with it the requests that ran there.

Cause: the answer was decoded without a look at its types. The supervisor divides by what it holds, and as an actor that has failed handles no more messages, it ends the process.

Both answers are decoded into their types and bounded; what does not fit is an answer that the agent could not read, as one that is no JSON was before.

Evidence: features/malformedanswers.feature: of ten numbers with eight odd values each, all 80 are taken before and none after; sound ones are taken.

--- a/features/malformedanswers.feature
+++ b/features/malformedanswers.feature
@@ -113,3 +113,8 @@
       | a leader              |
       | a configuration       |
       | a caller's prompt     |
+
+  Scenario: What makes no sense of what an engine tells of itself is not taken
+    Guards against numbers that end the agent of the engine.
+    When an engine tells odd values of its load and its layers
+    Then none of them is taken, and sound ones are
--- a/features/steps/malformedreads.py
+++ b/features/steps/malformedreads.py
@@ -1,6 +1,7 @@
 """Steps for malformed answers to the clients of the product."""
 
 import contextlib
+import json
 import socket
 import threading
 import time
@@ -19,6 +20,7 @@
 from dunlintide_core import revisions
 from dunlintide_daemon.entry import requests
 from dunlintide_standins.fleet import malformed
+import result
 import urllib3
 
 WAIT_SECONDS = 5.0
@@ -205,3 +207,52 @@
 @behave.then('the read has failed without an error')
 def check_nested(context):
     assert not context.taken
+
+
+_ODD = ('"x"', 'null', '[]', '-1', 'NaN', 'Infinity', '1e400', '9' * 400)
+_SOUND = {
+    engine.EngineLoad: {
+        'running': 3,
+        'queued': 0,
+        'kv_usage': 0.5,
+        'kv_tokens': 70_000,
+        'step_seconds': 0.01,
+        'tokens_per_second': 900,
+    },
+    engine.EngineHolding: {
+        'layer_start': 0,
+        'layer_end': 9,
+        'layer_count': 80,
+        'fence': 1 << 40,
+    },
+}
+
+
+@behave.when('an engine tells odd values of its load and its layers')
+def tell_odd(context):
+    context.taken, context.refused = [], []
+    with contextlib.closing(_Server()) as server:
+        client = engine.Engine(f'http://{server.address}')
+
+        def read(kind, body):
+            head = 'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+            server.answer = (head + body).encode()
+            if kind is engine.EngineLoad:
+                return client.read_load()
+            return client.read_holding()
+
+        for kind, sound in _SOUND.items():
+            told = read(kind, json.dumps({**sound, 'more': [1]}))
+            if told != result.Ok(kind(**sound)):
+                context.refused.append(told)
+            for field in sound:
+                for value in _ODD:
+                    body = json.dumps({**sound, field: '@'})
+                    if read(kind, body.replace('"@"', value)).is_ok():
+                        context.taken.append((field, value[:9]))
+
+
+@behave.then('none of them is taken, and sound ones are')
+def check_told(context):
+    assert not context.refused, context.refused
+    assert not context.taken, (len(context.taken), context.taken)
--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -7,10 +7,11 @@
 import base64
 import functools
 import json
-from typing import Any
+from typing import Annotated, Any
 from urllib import parse
 
 import attrs
+import msgspec
 import result
 import urllib3
 
@@ -47,6 +48,12 @@
     TypeError,
     ValueError,
 )
+# Bounds of what an engine tells of itself: floating point is exact up to them,
+# and messages between processes hold what they carry of it.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=1 << 53)]
+_Layer = Annotated[int, msgspec.Meta(ge=0, lt=1 << 31)]
+_Fence = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 _quote = functools.partial(parse.quote, safe='')
 
 
@@ -130,12 +137,12 @@
 class EngineLoad:
     """Load as the engine reports it, with a delay."""
 
-    running: int = 0
-    queued: int = 0
-    kv_usage: float = 0.0
-    kv_tokens: int = 0
-    step_seconds: float = 0.0
-    tokens_per_second: float = 0.0
+    running: _Count = 0
+    queued: _Count = 0
+    kv_usage: _Amount = 0.0
+    kv_tokens: _Count = 0
+    step_seconds: _Amount = 0.0
+    tokens_per_second: _Amount = 0.0
 
 
 @attrs.frozen
@@ -149,10 +156,10 @@
 
     model: str = ''
     version: str = ''
-    layer_start: int = 0
-    layer_end: int = 0
-    layer_count: int = 0
-    fence: int = 0
+    layer_start: _Layer = 0
+    layer_end: _Layer = 0
+    layer_count: _Layer = 0
+    fence: _Fence = 0
     loading: bool = False
 
 
@@ -202,12 +209,6 @@
     return [_decode_result(fields) for fields in json.loads(body)['results']]
 
 
-def _decode_known_fields(body: bytes, kind: type) -> Any:
-    fields = json.loads(body)
-    declared = attrs.fields(kind)
-    return kind(**{f.name: fields.get(f.name, f.default) for f in declared})
-
-
 class Engine:
     """Client of one engine, with pooled connections."""
 
@@ -367,7 +368,7 @@
         if called.is_err():
             return called
         try:
-            return result.Ok(_decode_known_fields(called.ok_value, kind))
+            return result.Ok(msgspec.json.decode(called.ok_value, type=kind))
         except _INVALID_BODY as error:
             detail = f'invalid answer: {type(error).__name__}'
             return result.Err(EngineError(detail))
