Count a garbled answer against its endpoint, not against its request

An engine whose answers are garbled went on to be the first choice of all streams, each of which was sent twice, out of the retry budget. A call that met garbled answers of three endpoints was refused for a minute, 503 with "seems to crash endpoints", though it had crashed nothing.

Cause: only calls counted garbled answers; streams excluded the engine for the one request alone. And both held a garbled answer for a crash, though an endpoint that sends an answer lives.

For streams the count ends with a whole run, as a garbled trailer comes behind events.

--- a/features/malformedanswers.feature
+++ b/features/malformedanswers.feature
@@ -60,6 +60,34 @@
       | the byte 01 in the reason               |
       | a blank in a field name                 |
 
+  Scenario Outline: An engine that sends <kind> in all answers gets few streams
+    Given a platform with engines and services in failure domains "a" and "b"
+    And a ready entry "one" in "a"
+    And one engine with the first layer sends <kind> in all answers
+    When callers send 10 streams of 20 events a second for 4 s
+    Then each stream ends whole
+    And the endpoint got at most 10 requests
+
+    Examples:
+      | kind                                    |
+      | a status of 000                         |
+      | a blank in a field name                 |
+      | a trailer without a colon               |
+
+  Scenario Outline: <request> that meets malformed answers is no suspect
+    Guards against requests that are refused though they crash nothing: an
+    endpoint that sends an answer, of whatever kind, lives.
+    Given a platform with engines and services in failure domains "a" and "b"
+    And a ready entry "one" in "a"
+    And two more services in "a"
+    When the same <request> meets malformed answers of <count> endpoints
+    Then the same <request> is whole once answers are sound
+
+    Examples:
+      | request | count |
+      | call    | 3     |
+      | stream  | 2     |
+
   Scenario Outline: A client on threads takes no malformed answer for one, read <how>
     Guards against a library that drops all lines behind one that it can't read:
     what tells where the body ends is lost with them.
--- a/features/steps/malformedanswers.py
+++ b/features/steps/malformedanswers.py
@@ -272,9 +272,72 @@
     assert not wrong, (len(wrong), wrong)
 
 
-@behave.given('one service sends {kind} in all answers')
-def spoil_service(context, kind):
-    context.spoilt = context.scene.list_services()[0]
-    context.scene.wait_for_listing(context.entry)
+@behave.given('one {endpoint} sends {kind} in all answers')
+def spoil_endpoint(context, endpoint, kind):
+    scene = context.scene
+    scene.wait_for_layers()
+    scene.wait_for_listing(context.entry)
+    chosen = scene.list_services()
+    if endpoint.startswith('engine'):
+        chosen = [each for each in scene.list_engines() if not each.layers[0]]
+        assert len(chosen) > 1, chosen
+    context.spoilt = chosen[0]
     context.spoilt.faults.malformed_answers = MANY
     context.spoilt.faults.malformed_kind = malformed.Malformed(kind)
+
+
+@behave.then('the endpoint got at most {count:d} requests')
+def check_count(context, count):
+    assert len(context.spoilt.runs) <= count, len(context.spoilt.runs)
+
+
+# Requests that are no suspects.
+
+
+@behave.given('two more services in "{domain}"')
+def add_endpoints(context, domain):
+    for _ in range(2):
+        context.scene.run(context.scene.fleet.add('web', domain))
+    context.scene.wait_for_layers()
+    context.scene.wait_for_listing(context.entry)
+
+
+def _build_same(request):
+    name = f'same-{next(_numbers)}'
+    if request == 'call':
+        return name, callers.build_request(name, '/lists/same')
+    return name, callers.build_stream(name, EVENTS, ('5c', 'a1', 'b2'))
+
+
+@behave.when(
+    'the same {request} meets malformed answers of {count:d} endpoints'
+)
+def meet_each(context, request, count):
+    scene = context.scene
+    chosen = scene.list_services()
+    if request == 'stream':
+        chosen = [each for each in scene.list_engines() if not each.layers[0]]
+    context.answers = {}
+    for each in chosen:
+        each.faults.malformed_answers = MANY
+    for _ in range(5 * count):
+        name, data = _build_same(request)
+        _ask(context, name, data)
+    for each in chosen:
+        each.faults.malformed_answers = 0
+    met = [len(each.runs) for each in chosen]
+    assert sum(map(bool, met)) >= count, met
+
+
+@behave.then('the same {request} is whole once answers are sound')
+def check_same(context, request):
+    def is_whole():
+        name, data = _build_same(request)
+        _ask(context, name, data)
+        answer = context.answers[name]
+        refusals = context.entry.list_events('request denied')
+        refusals += context.entry.list_events('part refused')
+        assert answer.status != 503 or not refusals, (answer, refusals)
+        return answer.status == 200 and answer.is_complete
+
+    context.scene.wait_until(is_whole, 'the request is whole')
--- a/packages/daemon/src/dunlintide_daemon/gateway/calls.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/calls.py
@@ -1,7 +1,6 @@
 """Calls of plain services, whose answers are relayed in one piece."""
 
 import asyncio
-import collections
 import contextlib
 from typing import Container
 
@@ -46,9 +45,6 @@
 # Most endpoints that a call tries, hedges aside. Failed connections do not
 # count as sends, so nothing else limits them.
 MAX_CONNECTS = 4
-# Garbled answers in a row from which an endpoint is ejected. Single ones are
-# told from sound ones by their request.
-MAX_GARBLED = 2
 # Largest answer that is read whole before it is forwarded, in bytes. While it
 # is, a repeatable call can still be sent elsewhere.
 MAX_HELD_BYTES = 1 << 20
@@ -110,8 +106,6 @@
         # Monotonic time until which an endpoint that has turned a call away
         # gets others only if no better one is free, by name, in seconds.
         self._refused_until: dict[str, float] = {}
-        # Garbled answers of an endpoint since its last sound one, by name.
-        self._garbled: collections.Counter[str] = collections.Counter()
 
     async def serve(self, exchange: exchange_module.Exchange) -> Outcome:
         """Answer a request that is routed to a plain service."""
@@ -440,20 +434,12 @@
         if kind is endpointhttp.FailureKind.OVERSIZED:
             # The endpoint is alive, so that the request is no suspect.
             state.eject([endpoint.name], str(broken), request)
+        elif kind is endpointhttp.FailureKind.GARBLED:
+            state.record_garbled(endpoint.name, str(broken), request)
         elif kind is not endpointhttp.FailureKind.TIMEOUT:
             state.poison_requests.record_broken_run(
                 exchange.fingerprint, endpoint.name, state.now
             )
-        if kind is endpointhttp.FailureKind.GARBLED:
-            self._record_garbled(endpoint.name, str(broken), request)
-
-    def _record_garbled(self, name: str, reason: str, request: str) -> None:
-        """Count a garbled answer, and eject its endpoint after some."""
-        for gone in self._garbled.keys() - self._state.endpoints.keys():
-            del self._garbled[gone]
-        self._garbled[name] += 1
-        if self._garbled[name] >= MAX_GARBLED:
-            self._state.eject([name], reason, request)
 
     async def _exchange(
         self,
@@ -519,7 +505,7 @@
         if not verdict.signed and head.status < 300:
             return _SendResult(endpoint, True, 'answer without a signature')
         state.health.report_progress((endpoint.name,), state.now)
-        self._garbled.pop(endpoint.name, None)
+        state.garbled_answers.clear(endpoint.name)
         self._clear_crashes(exchange, endpoint, sent_at)
         shutdowns.record_duration(state, exchange, state.now - sent_at)
         rest = None if is_whole else connection
--- a/packages/daemon/src/dunlintide_daemon/gateway/runs.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/runs.py
@@ -331,6 +331,11 @@
                 exchange, run, f'run broke: {broken}'
             ) from broken
         exchange.excluded_endpoints.append(run.first.name)
+        if broken.kind is endpointhttp.FailureKind.GARBLED:
+            state.record_garbled(
+                run.first.name, str(broken), exchange.caller_request.name
+            )
+            return
         suspicions.record_break(
             state, exchange, run.first.name, run.events, broken.kind
         )
@@ -457,6 +462,7 @@
         if not reply.started:
             reply.start(_make_head(head, None))
         reply.finish(sequence.take_rest() + splitter.remainder)
+        self._state.garbled_answers.clear(run.first.name)
         self._state.poison_requests.clear(exchange.fingerprint)
         suspicions.record_written(self._state, exchange)
         if run.events > 1:
--- a/packages/daemon/src/dunlintide_daemon/gateway/state.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/state.py
@@ -22,6 +22,7 @@
 from dunlintide_core.pipeline import durations as durations_module
 from dunlintide_core.pipeline import endpointhealth as endpointhealth_module
 from dunlintide_core.pipeline import endpoints as endpoints_module
+from dunlintide_core.pipeline import garbledanswers
 from dunlintide_core.pipeline import mechanisms
 from dunlintide_core.pipeline import occupancy as occupancy_module
 from dunlintide_core.pipeline import paces as paces_module
@@ -162,6 +163,7 @@
     :ivar slow_suspected: set when ``slow_suspects`` has grown
     :ivar alert_pending: set when other entries are to be alerted at once
     :ivar poison_requests: requests that may crash endpoints
+    :ivar garbled_answers: garbled answers of endpoints
     :ivar part_suspicions: parts of prompts that may crash endpoints
     :ivar suspicions_pending: whether the next alert tells of such parts
     :ivar budget: bytes that requests, answers and configurations may occupy
@@ -257,6 +259,9 @@
     poison_requests: poisonrequests_module.PoisonRequests = attrs.field(
         factory=poisonrequests_module.PoisonRequests
     )
+    garbled_answers: garbledanswers.GarbledAnswers = attrs.field(
+        factory=garbledanswers.GarbledAnswers
+    )
     part_suspicions: partsuspicions.PartSuspicions = attrs.field(
         factory=partsuspicions.PartSuspicions
     )
@@ -813,6 +818,15 @@
                 )
                 self.alert_pending.set()
 
+    def record_garbled(self, name: str, reason: str, request: str) -> None:
+        """Record a garbled answer of an endpoint, and eject it after some.
+
+        :param request: id of the request that was answered
+        """
+        self.garbled_answers.retain(self.endpoints)
+        if self.garbled_answers.record(name):
+            self.eject([name], reason, request)
+
     def _can_spare(self, name: str) -> bool:
         """Return whether other endpoints in use can replace one."""
         endpoint = self.endpoints.get(name)
