Bound the numbers that are read from headers

An endpoint whose answers had `Keep-Alive: timeout=` with 400 digits made entries answer 500 to each call that it had run and answered. A caller whose Deadline-Ms, Token-Count or Length-Hint had 400 or 5,000 digits got 500 as well.

Cause: the digits were converted as they came. Python converts no more than 4,300 of them, and no floating point holds over 308.

--- a/features/malformedanswers.feature
+++ b/features/malformedanswers.feature
@@ -146,3 +146,18 @@
     Guards against numbers that end the agent of the engine.
     When an engine tells odd values of its load and its layers
     Then none of them is taken, and sound ones are
+
+  Scenario: What an endpoint tells beside its answer harms no call
+    Guards against a number in a header that ends the call that it came with.
+    Given a platform with engines and services in failure domains "a" and "b"
+    And a ready entry "one" in "a"
+    When the answers to calls carry odd values in headers
+    Then each of these calls got its own answer
+
+  Scenario: Odd numbers in the headers of a request harm nobody
+    Guards against a number that ends its own request and others.
+    Given a platform with engines and services in failure domains "a" and "b"
+    And a ready entry "one" in "a"
+    When calls and streams carry odd numbers in headers, each before a sound one
+    Then none of them got 500
+    And each sound one is whole
--- a/features/steps/malformedanswers.py
+++ b/features/steps/malformedanswers.py
@@ -341,3 +341,106 @@
         return answer.status == 200 and answer.is_complete
 
     context.scene.wait_until(is_whole, 'the request is whole')
+
+
+# Odd values in headers.
+
+_ODD_HEADERS = [
+    (name, form % value)
+    for name, form in (
+        ('Keep-Alive', 'timeout=%s'),
+        ('Server-Limit', '%s'),
+        ('Server-Leaving', '%s'),
+        ('Retry-After', '%s'),
+        ('Weight-Versions', '%s'),
+        ('At-Server', '%s'),
+    )
+    for value in ('9' * 19, '9' * 400, '9' * 5000, '-9', '1e308', 'NaN', '')
+]
+
+
+@behave.when('the answers to calls carry odd values in headers')
+def carry_odd_values(context):
+    context.answers = {}
+    odd = {}
+
+    async def answer(request, channel, run):
+        run.ended = 'ok'
+        headers = {'Attempt-Id': run.request, 'Server-Stamp': '1', **odd}
+        await channel.answer(
+            200, b'answer to ' + run.request.encode(), headers
+        )
+
+    for service in context.scene.list_services():
+        service._call = answer
+    for name, value in _ODD_HEADERS:
+        odd.clear()
+        odd[name] = value
+        for path in ('/orders/x', '/lists/x'):
+            request = f'odd-{next(_numbers)}'
+            _ask(context, request, callers.build_request(request, path))
+            context.answers[request] = name, value, context.answers[request]
+
+
+@behave.then('each of these calls got its own answer')
+def check_odd(context):
+    wrong = [
+        (header, value[:9], len(value), answer.status)
+        for name, (header, value, answer) in context.answers.items()
+        if answer.status != 200 or answer.body != b'answer to ' + name.encode()
+    ]
+    assert not wrong, (len(wrong), wrong)
+
+
+@behave.when(
+    'calls and streams carry odd numbers in headers, each before a sound one'
+)
+def send_odd_values(context):
+    context.scene.wait_for_layers()
+    context.scene.wait_for_listing(context.entry)
+    context.answers, context.sound = {}, {}
+    numbers = ('9' * 19, '9' * 400, '9' * 5000, '-9', '1e308', 'NaN', '')
+    fields = ('Deadline_Ms', 'Token_Count', 'Length_Hint', 'Last_Event_Id')
+    for field, number, build in itertools.product(
+        fields,
+        numbers,
+        (_build_call, lambda name, **more: _build_stream(name, **more)),
+    ):
+        name = f'odd-{next(_numbers)}'
+        value = f'9,{number}' if field == 'Token_Count' else number
+        context.kinds = None
+        _ask(context, name, build(name, **{field: value}))
+        answer = context.answers.pop(name)
+        context.sound[name] = field, number[:9], len(number), answer.status
+        name = f'sound-{next(_numbers)}'
+        _ask(context, name, build(name))
+
+
+def _build_call(name, **more):
+    return callers.build_request(name, '/lists/x', **more)
+
+
+def _build_stream(name, **more):
+    data = callers.build_stream(name, EVENTS)
+    for field, value in more.items():
+        header = field.replace('_', '-')
+        line = f'{header}: {value}\r\n'.encode()
+        data = re.sub(rb'(?m)^%b:.*\r\n' % header.encode(), b'', data)
+        data = data.replace(b'\r\n', b'\r\nEvents: 5\r\n' + line, 1)
+    return data
+
+
+@behave.then('none of them got 500')
+def check_no_error(context):
+    wrong = [each for each in context.sound.values() if each[-1] == 500]
+    assert not wrong, (len(wrong), wrong)
+
+
+@behave.then('each sound one is whole')
+def check_sound_ones(context):
+    wrong = [
+        (name, answer)
+        for name, answer in context.answers.items()
+        if answer.status != 200 or not answer.is_complete
+    ]
+    assert not wrong, (len(wrong), wrong[:3])
--- a/packages/adapters/src/dunlintide_adapters/endpointhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/endpointhttp.py
@@ -21,6 +21,7 @@
 import httptools
 
 from dunlintide_adapters import answersyntax
+from dunlintide_adapters import headernumbers
 
 __all__ = [
     'AnswerHead',
@@ -572,8 +573,9 @@
 def _read_keep_alive(value: str | None) -> float:
     for part in (value or '').split(','):
         name, _, text = part.strip().partition('=')
-        if name.lower() == 'timeout' and text.strip().isdecimal():
-            return int(text) * KEEPALIVE_FRACTION
+        seconds = headernumbers.parse(text)
+        if name.lower() == 'timeout' and seconds is not None:
+            return seconds * KEEPALIVE_FRACTION
     return DEFAULT_KEEPALIVE_SECONDS
 
 
--- a/packages/daemon/src/dunlintide_daemon/gateway/configurationfetcher.py
+++ b/packages/daemon/src/dunlintide_daemon/gateway/configurationfetcher.py
@@ -12,6 +12,7 @@
 import result
 
 from dunlintide_adapters import endpointhttp
+from dunlintide_adapters import headernumbers
 from dunlintide_daemon.gateway import admin
 from dunlintide_daemon.gateway import configurationloader
 from dunlintide_daemon.gateway import gossip as gossip_module
@@ -206,7 +207,8 @@
 def _read_revision(
     head: endpointhttp.AnswerHead,
 ) -> storevalues.Revision | None:
-    era, _, number = (head.get(admin.REVISION_HEADER) or '').partition('.')
-    if era.isdecimal() and number.isdecimal():
-        return storevalues.Revision(int(era), int(number))
-    return None
+    texts = (head.get(admin.REVISION_HEADER) or '').partition('.')
+    era, number = map(headernumbers.parse, texts[::2])
+    if era is None or number is None:
+        return None
+    return storevalues.Revision(era, number)
