Test that no call on a new connection is cut off at the end of a stop

Operators of other systems saw calls that came late in the grace of a planned stop passed on and cut off at its end with no answer, among them calls that may run once.

--- a/features/steps/stops.py
+++ b/features/steps/stops.py
@@ -1,6 +1,7 @@
 """Steps for calls that arrive while an entry shuts down."""
 
 import signal
+import threading
 import time
 
 import behave
@@ -65,6 +66,37 @@
     stop_entry(context, traffic, context.grace)
 
 
+@behave.when(
+    'it is stopped while {rate:d} calls a second that take {work:g} s come on'
+    ' new connections'
+)
+def stop_under_new_connections(context, rate, work):
+    traffic = stopload.Traffic(context.entry, '/orders/x', work, 8.0)
+    stopped = threading.Event()
+
+    def start_calls():
+        while not stopped.wait(1.0 / rate):
+            traffic.start_call()
+
+    thread = threading.Thread(target=start_calls)
+    thread.start()
+    time.sleep(1.0)
+    stop_entry(context, traffic, context.grace)
+    stopped.set()
+    thread.join()
+    traffic.stop()
+
+
+@behave.then(
+    'each call that ran was served, and some were that came after SIGTERM'
+)
+def check_served_all(context):
+    ran = [call for call in context.traffic.calls if _has_run(context, call)]
+    cut = [_describe(context, call) for call in ran if call.status != 200]
+    assert not cut, (len(cut), len(ran), cut[:5])
+    assert any(call.sent > context.stop.at for call in ran), len(ran)
+
+
 def _describe(context, call):
     runs = context.scene.fleet.list_runs(call.name)
     return (
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -21,6 +21,22 @@
       | 5     | 2.0  | 8.0      | 1.0    |
       | 3     | 0.05 | 8.0      | 1.8    |
 
+  Scenario Outline: No call on a new connection is cut off, however late it comes
+    Guards against calls that may run once, are passed on at the end of the
+    grace period, and end with it.
+    Given a ready entry "one" in "a" with a grace of <grace> s
+    And it has served calls of "/orders/x" that take <work> s
+    When it is stopped while 40 calls a second that take <work> s come on new connections
+    Then each call was answered or refused before the entry ended
+    And no call that ran was refused, and none ran later
+    And each call that ran was served, and some were that came after SIGTERM
+
+    Examples:
+      | grace | work |
+      | 5     | 0.05 |
+      | 5     | 0.6  |
+      | 3     | 0.3  |
+
   Scenario Outline: What is still open at the very end gets a true answer
     Guards against connections that end without a word: callers of calls that
     ran past the grace period, and of requests that waited for capacity.
