Test that endless answers of one service keep no call of another one

Here each of 25 calls a second beside four and more such answers is whole, and 98 of 100 within 0.3 s, for chunks, small chunks and a body that ends with its connection: the system holds, so that only the test is kept.

--- a/features/endlessanswers.feature
+++ b/features/endlessanswers.feature
@@ -37,6 +37,23 @@
       | kind                        | rate | repeatable | seconds | runs |
       | bytes behind a whole answer | 20   | whole      | 0.5     | 500  |
 
+  Scenario Outline: <kind> of one service keep no call of another one
+    Guards against an entry that reads what has no end for so long at a time that
+    its other requests wait.
+    Given a platform with engines and services in failure domains "a" and "b"
+    And a ready entry "one" in "a"
+    And a second service, "other"
+    And all services but it answer with <kind> that never end
+    When callers send 4 calls a second of "/lists/x" and of "/orders/x" for 4 s, beside 25 of "/other/x"
+    Then at least 4 calls have met the endless answers
+    And 98 of 100 calls of "/other/x" are whole within 0.3 s
+
+    Examples:
+      | kind                                 |
+      | chunks                               |
+      | small chunks                         |
+      | a body that ends with the connection |
+
   Scenario Outline: All endpoints answer with <kind> at once
     Guards against memory that grows with the number of such answers.
     Given a platform with engines and services in failure domains "a" and "b"
--- a/features/steps/endlessanswers.py
+++ b/features/steps/endlessanswers.py
@@ -10,6 +10,7 @@
 import behave
 from dunlintide_standins.fleet import callers
 from dunlintide_standins.fleet import endless
+from dunlintide_standins.fleet import operators
 from dunlintide_trials import processes
 
 MB = 1 << 20
@@ -42,6 +43,28 @@
     context.spoilt.faults.pours = endless.Endless(kind)
 
 
+@behave.given('a second service, "{name}"')
+def add_service(context, name):
+    scene = context.scene
+    configuration = operators.make_configuration(9)
+    scene.configure(operators.add_service(configuration, name))
+    context.spoilt_services = scene.list_services()
+    runner = scene.run(scene.fleet.add(name, 'a'))
+    scene.wait_until(
+        lambda: any(
+            each['name'] == runner.name
+            for each in context.entry.read_state()['endpoints']
+        ),
+        'the entry knows the service',
+    )
+
+
+@behave.given('all services but it answer with {kind} that never end')
+def spoil_services(context, kind):
+    for runner in context.spoilt_services:
+        runner.faults.pours = endless.Endless(kind)
+
+
 @behave.given('all endpoints answer with {kind} that never end')
 def spoil_all(context, kind):
     context.scene.wait_for_layers()
@@ -83,6 +106,18 @@
     context.ended.append(_Ended(name, path, seconds, answer))
 
 
+@attrs.define
+class _Sender:
+    """Requests to an entry beside those of the context."""
+
+    entry: object
+    ended: list = attrs.field(factory=list)
+
+
+def _build_call(path):
+    return lambda name: callers.build_request(name, path)
+
+
 def _send_for(context, requests, seconds, rate):
     """Send requests for a while, each on a connection of its own."""
     context.ended, threads = [], []
@@ -105,13 +140,50 @@
     ' {seconds:g} s'
 )
 def send_calls(context, rate, one, other, seconds):
-    requests = [
-        (path, lambda name, path=path: callers.build_request(name, path))
-        for path in (one, other)
-    ]
+    requests = [(path, _build_call(path)) for path in (one, other)]
     _send_for(context, requests, seconds, rate)
 
 
+@behave.when(
+    'callers send {rate:d} calls a second of "{one}" and of "{other}" for'
+    ' {seconds:g} s, beside {more:d} of "{path}"'
+)
+def send_calls_beside(context, rate, one, other, seconds, more, path):
+    beside = _Sender(context.entry)
+    thread = threading.Thread(
+        target=_send_for,
+        args=(beside, [(path, _build_call(path))], seconds, more),
+    )
+    thread.start()
+    send_calls(context, rate, one, other, seconds)
+    thread.join()
+    context.beside = beside.ended
+
+
+@behave.then('at least {count:d} calls have met the endless answers')
+def check_met(context, count):
+    met = sum(len(each.runs) for each in context.spoilt_services)
+    assert met >= count, met
+
+
+@behave.then(
+    '{part:d} of {whole:d} calls of "{path}" are whole within {seconds:g} s'
+)
+def check_beside(context, part, whole, path, seconds):
+    slow = [
+        each
+        for each in context.beside
+        if not _is_whole(each) or each.seconds > seconds
+    ]
+    count = len(context.beside)
+    assert len(slow) * whole <= count * (whole - part), (
+        len(slow),
+        count,
+        max(each.seconds for each in context.beside),
+        slow[:3],
+    )
+
+
 @behave.when(
     'callers send {rate:d} streams of {events:d} events a second for'
     ' {seconds:g} s'
