Read no more of a service's answer than entries take

An agent whose service sent a body without end read it until the deadline of the call, and kept all of a claimed call's for callers that repeat it: other systems of this kind ran out of memory so. Callers of a claimed call waited for their deadline.

Cause: entries refuse an answer over 8 MB, but agents did not know that bound. The queue of a link bounds frames, not bytes, and what is kept for repeats is bounded only once it is whole.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -127,6 +127,22 @@
     And a call is made
     Then the call fails with "endpoint-failed" and did not run
 
+  Scenario Outline: An agent reads no more of <kind> than entries take
+    Guards against an agent that keeps what never ends, for its link or for
+    callers that repeat a call, until its machine has no memory.
+    Given an agent before a service that answers with <kind> that never end
+    When a call and a claimed call are made
+    Then both fail with "<code>" within 8.0 s and may have run
+    And the service has sent at most 64 MB for each
+    And the agent has grown by at most 96 MB
+
+    Examples:
+      | kind                                 | code            |
+      | a body that ends with the connection | too-large       |
+      | chunks                               | too-large       |
+      | small chunks                         | endpoint-failed |
+      | header lines                         | endpoint-failed |
+
   Scenario: Calls whose callers have left hold up no other call
     Given an agent that makes 2 calls at a time to a service that is slow
     When 2 calls are made and cancelled while the service has them
--- a/features/steps/agent_services.py
+++ b/features/steps/agent_services.py
@@ -1,11 +1,17 @@
 """Steps for agents in front of a plain service."""
 
+import time
+
 import agent_scene
 import behave
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import fleet
 from dunlintide_core import settings
+from dunlintide_standins.fleet import endless
+from dunlintide_standins.fleet import wire
 from dunlintide_standins import service as services
+from dunlintide_trials.edge import scene as scenes
+from dunlintide_trials import processes
 import urllib3
 
 wait_until = agent_scene.wait_until
@@ -17,9 +23,13 @@
     context.service = services.Service.from_config(services.Config(**more))
     context.service.start()
     context.stack.callback(context.service.stop)
+    _start_agent(context, context.service.port, max_in_flight)
+
+
+def _start_agent(context, port, max_in_flight=0):
     endpoint = settings.EndpointSettings(
         kind=fleet.EndpointKind.SERVICE,
-        url=f'http://127.0.0.1:{context.service.port}',
+        url=f'http://127.0.0.1:{port}',
         service='orders',
         max_in_flight=max_in_flight,
     )
@@ -137,3 +147,54 @@
 @behave.then('the call fails with "{code}" and did not run')
 def check_call_failed(context, code):
     agent_scene.check_fail(context, 'c3', code, False)
+
+
+@behave.given(
+    'an agent before a service that answers with {kind} that never end'
+)
+def start_endless_service(context, kind):
+    context.sent_bytes = []
+    chosen = endless.Endless(kind)
+
+    async def pour(request, channel):
+        place = len(context.sent_bytes)
+        context.sent_bytes.append(0)
+        data, number = chosen.begin(''), 0
+        while True:
+            await channel.send(data)
+            context.sent_bytes[place] += len(data)
+            data, number = chosen.repeat(number), number + 1
+
+    loop = scenes.Loop()
+    context.stack.callback(loop.close)
+    server = loop.run(wire.listen(pour))
+    context.stack.callback(loop.loop.call_soon_threadsafe, server.close)
+    _start_agent(context, server.sockets[0].getsockname()[1])
+
+
+@behave.when('a call and a claimed call are made')
+def call_both(context):
+    context.memory = processes.read_peak_memory('self')
+    context.began = time.monotonic()
+    call_service(context, 'c1')
+    claim = agent_scene.build_claim(context, b'key')
+    call_service(context, 'c2', claim=claim)
+
+
+@behave.then('both fail with "{code}" within {seconds:g} s and may have run')
+def check_both_failed(context, code, seconds):
+    for name in ('c1', 'c2'):
+        agent_scene.check_fail(context, name, code, True)
+    assert time.monotonic() - context.began <= seconds
+
+
+@behave.then('the service has sent at most {size:d} MB for each')
+def check_sent(context, size):
+    assert len(context.sent_bytes) == 2, context.sent_bytes
+    assert max(context.sent_bytes) <= size << 20, context.sent_bytes
+
+
+@behave.then('the agent has grown by at most {size:d} MB')
+def check_agent_memory(context, size):
+    grown = processes.read_peak_memory('self') - context.memory
+    assert grown <= size << 20, grown
--- a/packages/adapters/src/dunlintide_adapters/bodies.py
+++ b/packages/adapters/src/dunlintide_adapters/bodies.py
@@ -7,7 +7,11 @@
 
 import urllib3
 
-__all__ = ['BodyError', 'read']
+__all__ = ['BodyError', 'MAX_SERVICE_ANSWER_BYTES', 'read']
+
+# Largest answer of a plain service that is passed on, in bytes. Entries hold
+# it whole, so that a caller gets either all of it or a refusal.
+MAX_SERVICE_ANSWER_BYTES = 8 << 20
 
 _READ_BYTES = 64 << 10
 
--- a/packages/daemon/src/dunlintide_daemon/agent/services.py
+++ b/packages/daemon/src/dunlintide_daemon/agent/services.py
@@ -14,6 +14,7 @@
 from absl import logging
 import urllib3
 
+from dunlintide_adapters import bodies
 from dunlintide_adapters import boundedhttp
 from dunlintide_adapters import hopheaders
 from dunlintide_adapters import links
@@ -225,8 +226,16 @@
                     preload_content=False,
                     decode_content=False,
                 )
-                self._forward(request, call, answer)
-            self._gate.end(request)
+                is_whole = self._forward(request, call, answer)
+            if is_whole:
+                self._gate.end(request)
+            else:
+                limit = bodies.MAX_SERVICE_ANSWER_BYTES
+                self._gate.fail(
+                    request,
+                    outcomes.FailCode.TOO_LARGE,
+                    f'the answer exceeds {limit} bytes',
+                )
         except urllib3.exceptions.HTTPError as error:
             code = outcomes.FailCode.ENDPOINT_FAILED
             detail = type(error).__name__
@@ -240,19 +249,38 @@
         request: requests.Request,
         call: link_pb2.Call,
         answer: urllib3.BaseHTTPResponse,
-    ) -> None:
-        part = 0
+    ) -> bool:
+        """Forward an answer as it comes.
+
+        Entries take no more of it than it is read here, and what callers
+        would get that repeat the call is kept meanwhile.
+
+        :returns: whether it has ended within the largest size
+        """
+        part = size = 0
+        pending = bytearray()
         reply = link_pb2.Reply(status=answer.status)
         for name, value in _filter_headers(answer.headers.items()):
             reply.headers.add(name=name, value=value)
         for chunk in answer.stream(PART_BYTES, decode_content=False):
-            reply.body = chunk
-            self._send(request, call, reply, part)
-            part += 1
-            reply = link_pb2.Reply()
+            # Small chunks would cost a frame each.
+            pending += chunk
+            size += len(chunk)
+            is_too_large = size > bodies.MAX_SERVICE_ANSWER_BYTES
+            if len(pending) >= PART_BYTES or is_too_large:
+                reply.body = bytes(pending)
+                self._send(request, call, reply, part)
+                part += 1
+                reply = link_pb2.Reply()
+                pending.clear()
+            if is_too_large:
+                answer.close()
+                return False
+        reply.body = bytes(pending)
         reply.last = True
         self._send(request, call, reply, part)
         answer.release_conn()
+        return True
 
     def _send(
         self,
--- a/packages/daemon/src/dunlintide_daemon/entry/services.py
+++ b/packages/daemon/src/dunlintide_daemon/entry/services.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from dunlintide_adapters import bodies
 from dunlintide_adapters.wire import link_pb2
 from dunlintide_core import outcomes
 from dunlintide_daemon.entry import chains
@@ -18,9 +19,7 @@
     'run',
 ]
 
-# An answer is buffered before it is sent, so that a caller gets either all
-# of it or a refusal. This bounds the memory of one answer.
-MAX_ANSWER_BYTES = 8 << 20
+MAX_ANSWER_BYTES = bodies.MAX_SERVICE_ANSWER_BYTES
 
 
 @attrs.frozen
