Let one raw server serve the tests of cut and of malformed answers

The tests of malformed reads had a copy of the server that cuts heads, which differed in that it leaves its connections open. That is an argument now, and what is cut is cut by who sets the answer.

--- a/features/steps/cutheads.py
+++ b/features/steps/cutheads.py
@@ -48,36 +48,45 @@
 )
 
 
-class _Cutter:
-    """A server that sends the beginning of an answer and closes.
+class RawServer:
+    """A server that sends the same bytes to each request, and closes.
 
-    :ivar size: bytes of the answer that it sends
+    :ivar answer: what it sends
     """
 
-    def __init__(self, answer, is_reset=False):
-        self.size = 0
-        self._answer = answer
+    def __init__(self, is_reset=False, keeps_open=False):
+        """Listen on a port of its own.
+
+        :param is_reset: whether connections end with a reset
+        :param keeps_open: whether connections stay open until it is closed
+        """
+        self.answer = b''
         self._is_reset = is_reset
+        self._keeps_open = keeps_open
         self._listener = socket.create_server(('127.0.0.1', 0), backlog=64)
         self.address = '127.0.0.1:%d' % self._listener.getsockname()[1]
         self._thread = threading.Thread(target=self._run)
         self._thread.start()
 
     def _run(self):
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            with connection, contextlib.suppress(OSError):
-                self._serve(connection)
+        with contextlib.ExitStack() as stack:
+            while True:
+                try:
+                    connection, _ = self._listener.accept()
+                except OSError:
+                    return
+                stack.enter_context(connection)
+                with contextlib.suppress(OSError):
+                    self._serve(connection)
+                if not self._keeps_open:
+                    connection.close()
 
     def _serve(self, connection):
         connection.settimeout(WAIT_SECONDS)
         received = connection.recv(65536)
         if b'\r\n\r\n' not in received:
             received += connection.recv(65536)
-        connection.sendall(self._answer[: self.size])
+        connection.sendall(self.answer)
         if self._is_reset:
             linger = struct.pack('ii', 1, 0)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
@@ -93,11 +102,11 @@
 
     :param read: returns whether an answer of an address is taken for whole
     """
-    with contextlib.closing(_Cutter(answer, is_reset)) as cutter:
+    with contextlib.closing(RawServer(is_reset)) as server:
         context.whole = []
         for size in sizes:
-            cutter.size = size
-            if read(cutter.address):
+            server.answer = answer[:size]
+            if read(server.address):
                 context.whole.append(size)
     context.size = len(answer)
     context.is_reset = is_reset
--- a/features/steps/malformedreads.py
+++ b/features/steps/malformedreads.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import json
-import socket
 import threading
 import time
 
@@ -29,44 +28,9 @@
 _FIELDS = {'Content-Type': 'application/json'}
 
 
-class _Server:
-    """A server that sends the same answer to each request.
-
-    It keeps its connections open, which the client has to close.
-
-    :ivar answer: what it sends
-    """
-
-    def __init__(self):
-        self.answer = b''
-        self._connections = []
-        self._listener = socket.create_server(('127.0.0.1', 0), backlog=64)
-        self.address = '127.0.0.1:%d' % self._listener.getsockname()[1]
-        self._thread = threading.Thread(target=self._run)
-        self._thread.start()
-
-    def _run(self):
-        with contextlib.ExitStack() as stack:
-            while True:
-                try:
-                    connection, _ = self._listener.accept()
-                except OSError:
-                    return
-                stack.enter_context(connection)
-                with contextlib.suppress(OSError):
-                    self._serve(connection)
-
-    def _serve(self, connection):
-        connection.settimeout(WAIT_SECONDS)
-        received = connection.recv(65536)
-        if b'\r\n\r\n' not in received:
-            received += connection.recv(65536)
-        connection.sendall(self.answer)
-
-    def close(self):
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        self._thread.join()
+def _listen():
+    """Return a server that leaves it to its clients to close."""
+    return cutheads.RawServer(keeps_open=True)
 
 
 def _read_each(context, body, read):
@@ -76,7 +40,7 @@
     """
     context.taken, context.slow = [], []
     head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
-    with contextlib.closing(_Server()) as server:
+    with contextlib.closing(_listen()) as server:
         server.answer = head + body
         assert read(server.address), 'a sound answer'
         for kind in malformed.Malformed:
@@ -208,7 +172,7 @@
         call, lambda address: cutheads._read_as(call, address)
     )
     head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(nested)
-    with contextlib.closing(_Server()) as server:
+    with contextlib.closing(_listen()) as server:
         server.answer = head + nested
         context.is_taken = read(server.address)
 
@@ -240,7 +204,7 @@
 @behave.when('an engine tells odd values of its load and its layers')
 def tell_odd(context):
     context.taken, context.refused = [], []
-    with contextlib.closing(_Server()) as server:
+    with contextlib.closing(_listen()) as server:
         client = engine.Engine(f'http://{server.address}')
 
         def read(kind, body):
