Drop a state that trailers shared with header fields

Lines of trailers are checked and ended as those of a head; the reader did not tell the two apart. cutheads, endlessreads, hostlist, commands, agent and the reads of malformedanswers pass as before.

--- a/packages/adapters/src/dunlintide_adapters/boundedhttp.py
+++ b/packages/adapters/src/dunlintide_adapters/boundedhttp.py
@@ -79,12 +79,11 @@
 
 
 class _Line(enum.Enum):
-    """Line that comes next in an answer."""
+    """Line that comes next in an answer; trailers are fields too."""
 
     STATUS = enum.auto()
     FIELD = enum.auto()
     CHUNK = enum.auto()
-    TRAILER = enum.auto()
 
 
 class _Reader(io.BufferedReader):
@@ -131,7 +130,7 @@
             elif size:
                 self._chunk_left = size + len(_CHUNK_END)
             else:
-                self._next = _Line.TRAILER
+                self._next = _Line.FIELD
         elif line in _LINE_ENDS:
             self._next = _Line.CHUNK
         else:
