Decode the bodies of an engine in one place

Three calls of the client repeated the same clause for what can't be decoded. No answer is taken that was not, and errors have the same text. driver, pipeline, standins, agent, cutheads and the reads of malformedanswers pass as before.

--- a/packages/adapters/src/dunlintide_adapters/engine.py
+++ b/packages/adapters/src/dunlintide_adapters/engine.py
@@ -7,7 +7,7 @@
 import base64
 import functools
 import json
-from typing import Annotated, Any
+from typing import Annotated, Any, Callable
 from urllib import parse
 
 import attrs
@@ -39,7 +39,7 @@
 _HTTP_OK = 200
 _JSON_HEADERS = {'Content-Type': 'application/json'}
 _JSON_CLOSE_HEADERS = _JSON_HEADERS | {'Connection': 'close'}
-# Errors of decoding a body, which may hold anything.
+# Errors of decoding a body.
 _INVALID_BODY = (
     AttributeError,
     KeyError,
@@ -209,6 +209,21 @@
     return [_decode_result(fields) for fields in json.loads(body)['results']]
 
 
+def _decode_state(body: bytes) -> bytes:
+    return base64.b64decode(json.loads(body)['state'])
+
+
+def _decode(
+    body: bytes, decode: Callable[[bytes], Any]
+) -> result.Result[Any, EngineError]:
+    """Decode the body of an answer, which may hold anything."""
+    try:
+        return result.Ok(decode(body))
+    except _INVALID_BODY as error:
+        detail = f'invalid answer: {type(error).__name__}'
+        return result.Err(EngineError(detail))
+
+
 class Engine:
     """Client of one engine, with pooled connections."""
 
@@ -324,11 +339,7 @@
         )
         if called.is_err():
             return called
-        try:
-            return result.Ok(_decode_results(called.ok_value))
-        except _INVALID_BODY as error:
-            detail = f'invalid answer: {type(error).__name__}'
-            return result.Err(EngineError(detail))
+        return _decode(called.ok_value, _decode_results)
 
     def free(self, session: str) -> result.Result[None, EngineError]:
         """Free a session's KV cache; unknown sessions are no error.
@@ -367,11 +378,9 @@
         called = self.read(path)
         if called.is_err():
             return called
-        try:
-            return result.Ok(msgspec.json.decode(called.ok_value, type=kind))
-        except _INVALID_BODY as error:
-            detail = f'invalid answer: {type(error).__name__}'
-            return result.Err(EngineError(detail))
+        return _decode(
+            called.ok_value, lambda body: msgspec.json.decode(body, type=kind)
+        )
 
     def check_health(self) -> result.Result[None, EngineError]:
         """Call the health check of the engine."""
@@ -390,12 +399,7 @@
         )
         if called.is_err():
             return called
-        try:
-            state = json.loads(called.ok_value)['state']
-            return result.Ok(base64.b64decode(state))
-        except _INVALID_BODY as error:
-            detail = f'invalid answer: {type(error).__name__}'
-            return result.Err(EngineError(detail))
+        return _decode(called.ok_value, _decode_state)
 
     def import_session(
         self, session: str, state: bytes
